Lay out the package: errors, messages, settings loader, design of coordination

Cause: the repository was empty; slices need common types before they can be written side by side. Change: package skeleton with the closed error list, the message and record codec, actions and events, the lease view that slices read, the inventory types, the settings loader, and design note 1. Weighed in the note: leases renewed on the log, log reads alone, votes alone, expiring shares.

--- /dev/null
+++ b/src/thornlatch/admission/__init__.py
@@ -0,0 +1,1 @@
+"""Keys to organisations; rate and burst over the fleet."""
--- /dev/null
+++ b/src/thornlatch/cli/__init__.py
@@ -0,0 +1,5 @@
+"""Command line: one command a module."""
+
+from thornlatch.cli._main import run
+
+__all__ = ["run"]
--- /dev/null
+++ b/src/thornlatch/core/__init__.py
@@ -0,0 +1,39 @@
+"""Types that every slice shares: actions, events, messages and lease views."""
+
+from thornlatch.core._actions import (
+    Action,
+    Append,
+    Emit,
+    Order,
+    Resolve,
+    Send,
+)
+from thornlatch.core._codec import (
+    Envelope,
+    decode_envelope,
+    decode_record,
+    encode_envelope,
+    encode_record,
+    register,
+)
+from thornlatch.core._events import Event
+from thornlatch.core._leases import LeaseReader, Member, Owner
+
+__all__ = [
+    "Action",
+    "Append",
+    "Emit",
+    "Envelope",
+    "Event",
+    "LeaseReader",
+    "Member",
+    "Order",
+    "Owner",
+    "Resolve",
+    "Send",
+    "decode_envelope",
+    "decode_record",
+    "encode_envelope",
+    "encode_record",
+    "register",
+]
--- /dev/null
+++ b/src/thornlatch/core/_codec.py
@@ -0,0 +1,159 @@
+"""Encoding of messages between daemons and of records on the log."""
+
+from dataclasses import dataclass, is_dataclass
+from typing import Any, TypeVar
+
+import msgspec
+
+from thornlatch.exceptions import InvalidInput
+
+MESSAGE_LIMIT_BYTES = 1 << 20
+RECORD_LIMIT_BYTES = 16 << 20
+
+T = TypeVar("T")
+_classes: dict[str, type] = {}
+
+
+@dataclass(frozen=True)
+class Envelope:
+    """A message with its sender and its place in the sender's sequence.
+
+    Parameters
+    ----------
+    sender : str
+        Host id.
+    sequence : int
+        Number of the message, unique for the sender.
+    message : object
+        Registered frozen data class.
+    """
+
+    sender: str
+    sequence: int
+    message: Any
+
+    @property
+    def cause(self) -> str:
+        """Identifier shared by the sending and the receipt."""
+        return f"{self.sender}:{self.sequence}"
+
+
+def register(cls: type[T]) -> type[T]:
+    """Register a frozen data class as a message or a log record.
+
+    Parameters
+    ----------
+    cls : type
+        Its name is the kind on the wire and must be unique.
+
+    Returns
+    -------
+    type
+        The class itself, so that this serves as a decorator.
+
+    Raises
+    ------
+    ValueError
+        If another class has the same name or `cls` is not a data class.
+    """
+    known = _classes.get(cls.__name__)
+    if known is not None and known.__qualname__ != cls.__qualname__:
+        raise ValueError(f"message kind {cls.__name__} is registered twice")
+    if not is_dataclass(cls):
+        raise ValueError(f"{cls.__name__} is not a data class")
+    _classes[cls.__name__] = cls
+    return cls
+
+
+def encode_envelope(envelope: Envelope) -> bytes:
+    """Encode an envelope for a peer.
+
+    Parameters
+    ----------
+    envelope : Envelope
+
+    Returns
+    -------
+    bytes
+    """
+    message = envelope.message
+    return msgspec.msgpack.encode(
+        (envelope.sender, envelope.sequence, type(message).__name__, message)
+    )
+
+
+def decode_envelope(data: bytes) -> Envelope:
+    """Decode an envelope received from a peer.
+
+    Parameters
+    ----------
+    data : bytes
+
+    Returns
+    -------
+    Envelope
+
+    Raises
+    ------
+    InvalidInput
+        If the data is too long, malformed or of an unknown kind.
+    """
+    if len(data) > MESSAGE_LIMIT_BYTES:
+        raise InvalidInput(f"message of {len(data)} bytes is over the limit")
+    try:
+        sender, sequence, kind, body = msgspec.msgpack.decode(
+            data, type=tuple[str, int, str, msgspec.Raw]
+        )
+        message: Any = msgspec.msgpack.decode(body, type=_get_class(kind))
+    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        raise InvalidInput(f"malformed message: {error}") from error
+    return Envelope(sender, sequence, message)
+
+
+def encode_record(record: Any) -> dict[str, Any]:
+    """Encode a record as the JSON object that the log keeps.
+
+    Parameters
+    ----------
+    record : object
+        Registered frozen data class.
+
+    Returns
+    -------
+    dict
+        ``{"kind": ..., "body": ...}``
+    """
+    return {"kind": type(record).__name__, "body": msgspec.to_builtins(record)}
+
+
+def decode_record(value: Any) -> Any:
+    """Decode a record read from the log.
+
+    Parameters
+    ----------
+    value : object
+        JSON value of the record.
+
+    Returns
+    -------
+    object
+        Registered frozen data class.
+
+    Raises
+    ------
+    InvalidInput
+        If the value is malformed or of an unknown kind.
+    """
+    if not isinstance(value, dict) or not isinstance(value.get("kind"), str):
+        raise InvalidInput("record has no kind")
+    try:
+        return msgspec.convert(value.get("body"), type=_get_class(value["kind"]))
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise InvalidInput(f"malformed {value['kind']} record: {error}") from error
+
+
+def _get_class(kind: str) -> type:
+    cls = _classes.get(kind)
+    if cls is None:
+        raise InvalidInput(f"unknown message kind {kind[:80]!r}")
+    return cls
--- /dev/null
+++ b/src/thornlatch/daemon/__init__.py
@@ -0,0 +1,1 @@
+"""The process: sockets, threads and clock around the slices."""
--- /dev/null
+++ b/src/thornlatch/dispatch/__init__.py
@@ -0,0 +1,1 @@
+"""Queues, fairness, choice of target and grants."""
--- /dev/null
+++ b/src/thornlatch/membership/__init__.py
@@ -0,0 +1,1 @@
+"""Which hosts are live: sessions, heartbeats, expulsion."""
--- /dev/null
+++ b/src/thornlatch/placement/__init__.py
@@ -0,0 +1,1 @@
+"""Which adapter versions sit on which targets; loads and evictions."""
--- /dev/null
+++ b/src/thornlatch/platform/__init__.py
@@ -0,0 +1,1 @@
+"""Clients of the platform's log service, weight store and host list."""
--- /dev/null
+++ b/src/thornlatch/requests/__init__.py
@@ -0,0 +1,1 @@
+"""Retries, at most once, streams and quarantine."""
--- /dev/null
+++ b/src/thornlatch/settings/tests/test_load.py
@@ -0,0 +1,43 @@
+from dataclasses import dataclass, field
+from typing import Annotated
+
+import pytest
+from msgspec import Meta
+
+from thornlatch.exceptions import SettingsError
+from thornlatch.settings import load_settings
+
+
+@dataclass(frozen=True)
+class Inner:
+    port: Annotated[int, Meta(ge=1, le=65535)] = 80
+
+
+@dataclass(frozen=True)
+class Outer:
+    inner: Inner = field(default_factory=Inner)
+
+
+@pytest.mark.parametrize(
+    ("text", "parts"),
+    [
+        ("[inner]\nport = 0", ["inner.port", "0", "1"]),
+        ("[inner]\nport = 'x'", ["inner.port", "'x'", "int"]),
+        ("[inner]\nprot = 3", ["inner.prot", "unknown key", "3", "port"]),
+        ("[inner", ["not valid TOML"]),
+    ],
+    ids=["range", "type", "unknown", "syntax"],
+)
+def test_load_settings_refused(tmp_path, text, parts):
+    path = tmp_path / "s.toml"
+    path.write_text(text)
+    with pytest.raises(SettingsError) as caught:
+        load_settings(path, Outer)
+    for part in [str(path), *parts]:
+        assert part in caught.value.format()
+
+
+def test_load_settings_default(tmp_path):
+    path = tmp_path / "s.toml"
+    path.write_text("")
+    assert load_settings(path, Outer) == Outer()
--- /dev/null
+++ b/src/thornlatch/timeline/__init__.py
@@ -0,0 +1,1 @@
+"""Events of all processes in one causal order, and their checks."""
--- /dev/null
+++ b/standins/__init__.py
@@ -0,0 +1,1 @@
+"""Small stand-ins for the outside systems, for tests and the quick start."""
