--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -18,6 +18,7 @@
 )
 from thornlatch.core._events import Event
 from thornlatch.core._leases import LeaseReader, Member, Owner
+from thornlatch.core._slices import Slice
 
 __all__ = [
     "Action",
@@ -31,6 +32,7 @@
     "Owner",
     "Resolve",
     "Send",
+    "Slice",
     "decode_envelope",
     "decode_record",
     "encode_envelope",
