--- /dev/null
+++ b/src/thornlatch/platform/_clients.py
@@ -0,0 +1,232 @@
+"""HTTP clients of the log service and the host list."""
+
+import http.client
+import json
+import threading
+from dataclasses import dataclass
+from typing import Annotated, Any
+
+from msgspec import Meta
+
+from thornlatch.exceptions import ErrorKind, ThornlatchError
+
+RESPONSE_LIMIT_BYTES = 64 << 20
+
+
+class PlatformError(ThornlatchError):
+    """Raised when a service of the platform fails or can't be reached.
+
+    Parameters
+    ----------
+    message : str
+    is_outcome_unknown : bool
+        Whether the action may have taken effect although no answer came.
+    status : int or None
+        HTTP status, if there was an answer.
+    first_offset : int or None
+        Oldest offset kept, when older records were asked for.
+    """
+
+    kind = ErrorKind.PLATFORM_FAILED
+
+    def __init__(
+        self,
+        message: str,
+        *,
+        is_outcome_unknown: bool,
+        status: int | None = None,
+        first_offset: int | None = None,
+    ) -> None:
+        super().__init__(message)
+        self.is_outcome_unknown = is_outcome_unknown
+        self.status = status
+        self.first_offset = first_offset
+
+
+@dataclass(frozen=True)
+class PlatformSettings:
+    """Where the platform's services are.
+
+    Parameters
+    ----------
+    log : str
+        ``ip:port`` of the log service.
+    host_list : str
+        ``ip:port`` of the host list; empty if there is none.
+    timeout_s : float
+        Seconds after which a call without an answer has failed.
+    poll_wait_s : float
+        Seconds that a read of the log's tail waits for a new record.
+    """
+
+    log: str
+    host_list: str = ""
+    timeout_s: Annotated[float, Meta(gt=0, le=30)] = 2.0
+    poll_wait_s: Annotated[float, Meta(ge=0, le=10)] = 0.5
+
+
+@dataclass(frozen=True)
+class LogRecord:
+    """One record of a stream.
+
+    Parameters
+    ----------
+    offset : int
+    time : float
+        Seconds since the epoch, by the log's clock.
+    value : object
+        JSON value.
+    """
+
+    offset: int
+    time: float
+    value: Any
+
+
+@dataclass(frozen=True)
+class LogPage:
+    """Records read from a stream.
+
+    Parameters
+    ----------
+    records : tuple of LogRecord
+    next_offset : int
+    first_offset : int
+        Oldest offset that the log keeps.
+    """
+
+    records: tuple[LogRecord, ...]
+    next_offset: int
+    first_offset: int
+
+
+class LogClient:
+    """Client of the log service; each thread has a connection of its own.
+
+    Parameters
+    ----------
+    settings : PlatformSettings
+    client : str
+        Name of this client in the log service's own records.
+    """
+
+    def __init__(self, settings: PlatformSettings, *, client: str = "") -> None:
+        self.settings = settings
+        self.client = client
+        self.local = threading.local()
+
+    def append(self, stream: str, records: list[Any]) -> int:
+        """Append records to a stream in one call.
+
+        Parameters
+        ----------
+        stream : str
+        records : list
+            JSON values.
+
+        Returns
+        -------
+        int
+            Offset of the first of them.
+
+        Raises
+        ------
+        PlatformError
+            `is_outcome_unknown` tells whether they may have been appended.
+        """
+        body = json.dumps({"records": records})
+        answer = self._call("POST", f"/streams/{stream}/records", body, extra_s=0.0)
+        offset = answer.get("first_offset")
+        if not isinstance(offset, int):
+            raise PlatformError("append without an offset", is_outcome_unknown=True)
+        return offset
+
+    def read(
+        self, stream: str, offset: int, *, limit: int = 1000, wait_s: float = 0.0
+    ) -> LogPage:
+        """Read records from an offset on.
+
+        Parameters
+        ----------
+        stream : str
+        offset : int
+        limit : int
+            Most records to return.
+        wait_s : float
+            Seconds to wait for a record when there is none.
+
+        Returns
+        -------
+        LogPage
+
+        Raises
+        ------
+        PlatformError
+            `first_offset` is set if records at `offset` are no longer kept.
+        """
+        path = (
+            f"/streams/{stream}/records?offset={offset}&limit={limit}&wait_s={wait_s}"
+        )
+        answer = self._call("GET", path, None, extra_s=wait_s)
+        try:
+            records = tuple(
+                LogRecord(int(item["offset"]), float(item["time"]), item["value"])
+                for item in answer["records"]
+            )
+            return LogPage(
+                records, int(answer["next_offset"]), int(answer["first_offset"])
+            )
+        except (KeyError, TypeError, ValueError) as error:
+            raise PlatformError(
+                f"malformed page: {error}", is_outcome_unknown=False
+            ) from error
+
+    def _call(
+        self, method: str, path: str, body: str | None, *, extra_s: float
+    ) -> dict[str, Any]:
+        timeout_s = self.settings.timeout_s + extra_s
+        connection = self._get_connection(timeout_s)
+        headers = {"X-Client": self.client, "Content-Type": "application/json"}
+        try:
+            connection.request(method, path, body, headers)
+            response = connection.getresponse()
+            data = response.read(RESPONSE_LIMIT_BYTES)
+        except (OSError, http.client.HTTPException) as error:
+            self._drop_connection()
+            raise PlatformError(
+                f"log service didn't answer: {error!r}",
+                is_outcome_unknown=not isinstance(error, ConnectionRefusedError),
+            ) from error
+        return _check_answer(response.status, data)
+
+    def _get_connection(self, timeout_s: float) -> http.client.HTTPConnection:
+        connection = getattr(self.local, "connection", None)
+        if connection is None:
+            connection = http.client.HTTPConnection(self.settings.log)
+            self.local.connection = connection
+        connection.timeout = timeout_s
+        if connection.sock is not None:
+            connection.sock.settimeout(timeout_s)
+        return connection
+
+    def _drop_connection(self) -> None:
+        connection = getattr(self.local, "connection", None)
+        if connection is not None:
+            connection.close()
+            self.local.connection = None
+
+
+def _check_answer(status: int, data: bytes) -> dict[str, Any]:
+    try:
+        answer = json.loads(data)
+    except (ValueError, RecursionError):
+        answer = None
+    if status == 200 and isinstance(answer, dict):
+        return answer
+    first = answer.get("first_offset") if isinstance(answer, dict) else None
+    raise PlatformError(
+        f"log service answered {status}",
+        is_outcome_unknown=status in (200, 504),
+        status=status,
+        first_offset=first if isinstance(first, int) else None,
+    )
--- /dev/null
+++ b/src/thornlatch/targets/__init__.py
@@ -0,0 +1,21 @@
+"""Clients of targets: engines and plain services."""
+
+from thornlatch.targets._calls import TargetCall, TargetResponse, open_call
+from thornlatch.targets._engine import (
+    CompletionChunk,
+    evict_adapter,
+    iter_chunks,
+    load_adapter,
+    read_report,
+)
+
+__all__ = [
+    "CompletionChunk",
+    "TargetCall",
+    "TargetResponse",
+    "evict_adapter",
+    "iter_chunks",
+    "load_adapter",
+    "open_call",
+    "read_report",
+]
--- /dev/null
+++ b/src/thornlatch/targets/_engine.py
@@ -0,0 +1,207 @@
+"""The engine's interface: adapter orders, reports and completion streams."""
+
+import json
+from collections.abc import Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import msgspec
+
+from thornlatch.exceptions import TargetError
+from thornlatch.targets._calls import TargetCall, TargetResponse, open_call
+
+REPORT_LIMIT_BYTES = 4 << 20
+EVENT_LIMIT_BYTES = 1 << 20
+DONE = b"[DONE]"
+
+
+@dataclass(frozen=True)
+class CompletionChunk:
+    """One event of a completion stream.
+
+    Parameters
+    ----------
+    data : bytes
+        JSON text of the event, as received.
+    model : str
+        Adapter version that the engine names.
+    token_index : int or None
+        Number of the token in the answer, from 0; None for events without a token.
+    is_finish : bool
+        Whether the event ends the answer.
+    """
+
+    data: bytes
+    model: str
+    token_index: int | None
+    is_finish: bool
+
+
+@dataclass(frozen=True)
+class _Choice:
+    finish_reason: str | None = None
+
+
+@dataclass(frozen=True)
+class _ChunkFields:
+    model: str
+    choices: list[_Choice]
+    token_index: int | None = None
+
+
+_chunk_decoder = msgspec.json.Decoder(_ChunkFields)
+
+
+def iter_chunks(response: TargetResponse) -> Iterator[list[CompletionChunk]]:
+    """Iterate over the events of a stream, as many at a time as have arrived.
+
+    Parameters
+    ----------
+    response : TargetResponse
+
+    Yields
+    ------
+    list of CompletionChunk
+
+    Raises
+    ------
+    TargetError
+        If the stream breaks off before its end or is malformed.
+    """
+    buffer = b""
+    while True:
+        data = response.read_some()
+        if not data:
+            raise TargetError("stream ended before its last event", is_sent=True)
+        buffer += data
+        if len(buffer) > EVENT_LIMIT_BYTES:
+            raise TargetError("stream event is too long", is_sent=True)
+        *events, buffer = buffer.split(b"\n\n")
+        chunks = []
+        for event in events:
+            payload = event.removeprefix(b"data: ")
+            if payload == DONE:
+                yield chunks
+                _drain(response)
+                return
+            chunks.append(_parse_chunk(payload))
+        if chunks:
+            yield chunks
+
+
+def _parse_chunk(payload: bytes) -> CompletionChunk:
+    try:
+        fields = _chunk_decoder.decode(payload)
+    except msgspec.MsgspecError as error:
+        raise TargetError(f"malformed event: {error}", is_sent=True) from error
+    is_finish = any(choice.finish_reason for choice in fields.choices)
+    return CompletionChunk(payload, fields.model, fields.token_index, is_finish)
+
+
+def _drain(response: TargetResponse) -> None:
+    # The last chunk of the transfer coding must be read before the connection
+    # can serve another call.
+    while response.read_some():
+        pass
+
+
+def load_adapter(
+    address: str, model: str, *, epoch: int, store: str, timeout_s: float
+) -> None:
+    """Order an engine to load an adapter version.
+
+    Parameters
+    ----------
+    address : str
+    model : str
+        ``adapter@version``.
+    epoch : int
+        Fencing number of the order.
+    store : str
+        Name of the weight store.
+    timeout_s : float
+
+    Raises
+    ------
+    TargetError
+        `is_sent` without a status leaves open whether the adapter was loaded.
+    """
+    body = {"lora_name": model, "lora_path": f"{store}/{model.replace('@', '/')}"}
+    _order(address, "/v1/load_lora_adapter", body, epoch, timeout_s)
+
+
+def evict_adapter(address: str, model: str, *, epoch: int, timeout_s: float) -> None:
+    """Order an engine to evict an adapter version.
+
+    Parameters
+    ----------
+    address : str
+    model : str
+    epoch : int
+        Fencing number of the order.
+    timeout_s : float
+
+    Raises
+    ------
+    TargetError
+        If the order failed; one for an adapter that isn't loaded succeeds.
+    """
+    try:
+        _order(
+            address, "/v1/unload_lora_adapter", {"lora_name": model}, epoch, timeout_s
+        )
+    except TargetError as error:
+        if error.status != 404:
+            raise
+
+
+def _order(
+    address: str, path: str, body: dict[str, Any], epoch: int, timeout_s: float
+) -> None:
+    headers = {"Content-Type": "application/json", "X-Fencing-Token": str(epoch)}
+    call = TargetCall(
+        address, "POST", path, json.dumps(body).encode(), headers, timeout_s
+    )
+    response = open_call(call, may_reuse=False)
+    try:
+        response.read_all(REPORT_LIMIT_BYTES)
+    finally:
+        response.close()
+    if response.status != 200:
+        raise TargetError(
+            f"order refused with {response.status}",
+            is_sent=True,
+            status=response.status,
+        )
+
+
+def read_report(address: str, *, timeout_s: float) -> dict[str, Any]:
+    """Read a target's load report, which may lag.
+
+    Parameters
+    ----------
+    address : str
+    timeout_s : float
+
+    Returns
+    -------
+    dict
+        JSON object of the report.
+
+    Raises
+    ------
+    TargetError
+        If the target doesn't answer with a JSON object.
+    """
+    response = open_call(TargetCall(address, "GET", "/load", timeout_s=timeout_s))
+    try:
+        data = response.read_all(REPORT_LIMIT_BYTES)
+    finally:
+        response.close()
+    try:
+        report = json.loads(data)
+    except (ValueError, RecursionError) as error:
+        raise TargetError(f"malformed report: {error}", is_sent=True) from error
+    if not isinstance(report, dict):
+        raise TargetError("report is not an object", is_sent=True)
+    return report
