Serve requests end to end: the thin path with a quick start

Cause: the users ask for the whole path first, thin, each part a process. Change: the daemon (control loop, pyzmq mesh, log threads, WSGI interface over waitress, completions with streams resumed after the last token sent, plain calls), 'thornlatch serve', and 'make quickstart', which kills a daemon and an engine with SIGKILL under 60 requests. Decisions are each host's own for now (_thin.py): a fixed part of the rate, least busy target; the coordinated slices replace them next. Ruled out: proxying whole answers without parsing, since a resumed stream must know the last token sent.

--- /dev/null
+++ b/examples/quickstart/client.py
@@ -0,0 +1,192 @@
+"""The quick start's caller: publishes an inventory, sends requests, checks answers."""
+
+import argparse
+import http.client
+import json
+import sys
+import time
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+from standins.engine import build_token
+from thornlatch.configuration import (
+    Adapter,
+    Inventory,
+    Key,
+    Organisation,
+    Pool,
+    Route,
+    Store,
+    Target,
+    digest_key,
+)
+from thornlatch.core import encode_record
+from thornlatch.daemon._thin import InventoryPublished
+from thornlatch.platform import LogClient, PlatformSettings
+
+KEY = "quickstart-key"
+TRIES = 8
+TIMEOUT_S = 20.0
+
+
+def build_inventory(base: int) -> Inventory:
+    """Build the inventory of the quick start."""
+    engines = tuple(
+        Target(
+            f"engine-{i}",
+            "panel-llm",
+            f"127.0.0.1:{base + 30 + i}",
+            f"domain-{i}",
+            adapter_slots=8,
+        )
+        for i in (1, 2, 3)
+    )
+    tills = tuple(
+        Target(f"till-{i}", "pull-api", f"127.0.0.1:{base + 40 + i}", f"domain-{i}")
+        for i in (1, 2)
+    )
+    return Inventory(
+        organisations=(Organisation("shop", rate=20_000, burst=40_000),),
+        keys=(Key(digest_key(KEY), "shop"),),
+        stores=(Store("weights", 5, 1, 8, 0.25),),
+        pools=(
+            Pool("panel-llm", "engine", "base", "weights"),
+            Pool("pull-api", "plain"),
+        ),
+        targets=engines + tills,
+        adapters=tuple(
+            Adapter(f"summary-{i}", "1", "panel-llm", "shop") for i in range(4)
+        ),
+        routes=(Route("/pull/stock", "pull-api"),),
+    )
+
+
+def publish(base: int) -> None:
+    """Publish the inventory on the log."""
+    client = LogClient(PlatformSettings(log=f"127.0.0.1:{base}"), client="operator")
+    record = encode_record(InventoryPublished(build_inventory(base)))
+    retry(lambda: client.append("configuration", [record]))
+
+
+def retry(action: Any) -> Any:
+    """Repeat an action until it succeeds or time runs out."""
+    deadline = time.monotonic() + TIMEOUT_S
+    while True:
+        try:
+            return action()
+        except Exception:
+            if time.monotonic() > deadline:
+                raise
+            time.sleep(0.1)
+
+
+def wait_ready(base: int) -> None:
+    """Wait until all three hosts are ready."""
+    for i in (1, 2, 3):
+        retry(lambda i=i: get_ready(f"127.0.0.1:{base + 10 + i}"))
+
+
+def get_ready(address: str) -> None:
+    """Raise unless a host is ready."""
+    connection = http.client.HTTPConnection(address, timeout=2)
+    connection.request("GET", "/readyz")
+    if connection.getresponse().status != 200:
+        raise RuntimeError(f"{address} is not ready")
+
+
+def call(address: str, path: str, body: dict[str, Any] | None) -> tuple[int, bytes]:
+    """Send one request and read its whole answer."""
+    connection = http.client.HTTPConnection(address, timeout=TIMEOUT_S)
+    headers = {"Authorization": f"Bearer {KEY}", "Content-Type": "application/json"}
+    method = "POST" if body is not None else "GET"
+    data = json.dumps(body) if body is not None else None
+    connection.request(method, path, data, headers)
+    response = connection.getresponse()
+    return response.status, response.read()
+
+
+def check_completion(addresses: list[str], number: int) -> str:
+    """Send one streamed completion and check each token.
+
+    A caller whose host dies sends its request again, to the next host.
+    """
+    model = f"summary-{number % 4}"
+    prompt = f"pull list {number}"
+    body = {"model": model, "prompt": prompt, "max_tokens": 20, "stream": True}
+    expected = "".join(build_token(f"{model}@1", prompt, i) for i in range(20))
+    for attempt in range(TRIES):
+        address = addresses[(number + attempt) % len(addresses)]
+        try:
+            status, data = call(address, "/v1/completions", body)
+        except (OSError, http.client.HTTPException):
+            continue
+        events = [e.removeprefix(b"data: ") for e in data.split(b"\n\n") if e]
+        if status == 200 and events[-1] == b"[DONE]":
+            chunks = [json.loads(event) for event in events[:-1]]
+            text = "".join(c["choices"][0]["text"] for c in chunks)
+            return "right" if text == expected else f"WRONG: {text!r}"
+        time.sleep(0.2)
+    return "LOST"
+
+
+def show(addresses: list[str]) -> bool:
+    """Send one call of each kind to each host and print the answers."""
+    is_right = True
+    for address in addresses:
+        outcome = check_completion([address], 1)
+        status, data = call(address, "/pull/stock/42", None)
+        is_right &= outcome == "right" and status == 200
+        print(f"{address}: completion {outcome}; stock check {status} {data.decode()}")
+    return is_right
+
+
+def load(addresses: list[str], requests: int) -> bool:
+    """Send many completions at once and print what became of them."""
+    with ThreadPoolExecutor(20) as executor:
+        outcomes = list(
+            executor.map(lambda n: check_completion(addresses, n), range(requests))
+        )
+    for outcome in sorted(set(outcomes)):
+        print(f"{outcomes.count(outcome)} answers {outcome}")
+    return set(outcomes) == {"right"}
+
+
+def show_timeline(files: list[str]) -> None:
+    """Print the last events of all processes, by wall clock."""
+    events = []
+    for name in files:
+        with open(name) as file:
+            events += [json.loads(line) for line in file if line.startswith("{")]
+    events.sort(key=lambda event: event["wall"])
+    for event in events[-12:]:
+        print(f"{event['wall']:.3f} {event['host']:<18} {event['event']}")
+
+
+def main() -> int:
+    """Run one step of the quick start."""
+    parser = argparse.ArgumentParser(description=__doc__)
+    parser.add_argument("--base", type=int, required=True)
+    parser.add_argument("step")
+    parser.add_argument("files", nargs="*")
+    parser.add_argument("--requests", type=int, default=60)
+    parser.add_argument("--skip", type=int, default=0)
+    options = parser.parse_args()
+    addresses = [
+        f"127.0.0.1:{options.base + 10 + i}" for i in (1, 2, 3) if i != options.skip
+    ]
+    match options.step:
+        case "publish":
+            publish(options.base)
+        case "wait":
+            wait_ready(options.base)
+        case "show":
+            return int(not show(addresses))
+        case "load":
+            return int(not load(addresses, options.requests))
+        case "timeline":
+            show_timeline(options.files)
+    return 0
+
+
+if __name__ == "__main__":
+    sys.exit(main())
--- a/src/thornlatch/cli/_main.py
+++ b/src/thornlatch/cli/_main.py
@@ -6,6 +6,7 @@
 import cappa
 
 import thornlatch
+from thornlatch.cli._serve import Serve
 from thornlatch.exceptions import ThornlatchError
 
 EXIT_OK = 0
@@ -19,6 +20,8 @@
 class Thornlatch:
     """Root of the command line."""
 
+    command: cappa.Subcommands[Serve]
+
 
 def run(arguments: list[str]) -> int:
     """Parse the arguments and run the command.
--- /dev/null
+++ b/src/thornlatch/daemon/_answers.py
@@ -0,0 +1,110 @@
+"""HTTP answers, errors included, from the table of error kinds."""
+
+import json
+import math
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Any
+
+from thornlatch.exceptions import ANSWERS, RequestRefused
+
+StartResponse = Callable[..., Any]
+
+
+@dataclass(frozen=True)
+class HttpAnswer:
+    """An answer with a whole body.
+
+    Parameters
+    ----------
+    status : int
+    body : bytes
+    headers : tuple of (str, str)
+    """
+
+    status: int
+    body: bytes
+    headers: tuple[tuple[str, str], ...] = field(default=())
+
+    def send(self, start_response: StartResponse) -> Iterable[bytes]:
+        """Hand the answer to the WSGI server.
+
+        Parameters
+        ----------
+        start_response : callable
+
+        Returns
+        -------
+        iterable of bytes
+        """
+        headers = [("Content-Length", str(len(self.body))), *self.headers]
+        start_response(f"{self.status} {_REASONS.get(self.status, 'Status')}", headers)
+        return [self.body]
+
+
+_REASONS = {200: "OK", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden"}
+
+
+def build_json(value: Any, *, status: int = 200, request: str = "") -> HttpAnswer:
+    """Build an answer from a JSON value.
+
+    Parameters
+    ----------
+    value : object
+    status : int
+    request : str
+        Request id for the headers, if any.
+
+    Returns
+    -------
+    HttpAnswer
+    """
+    headers = [("Content-Type", "application/json")]
+    if request:
+        headers.append(("X-Request-Id", request))
+    return HttpAnswer(status, json.dumps(value).encode(), tuple(headers))
+
+
+def describe_refusal(error: RequestRefused, request: str) -> dict[str, Any]:
+    """Build the error object that callers get.
+
+    Parameters
+    ----------
+    error : RequestRefused
+    request : str
+
+    Returns
+    -------
+    dict
+    """
+    fields: dict[str, Any] = {
+        "message": error.message,
+        "type": "thornlatch_error",
+        "code": error.reference,
+        "execution": error.execution.value,
+        "may_retry": ANSWERS[error.kind].retry,
+        "hint": error.hint,
+        "request_id": request,
+    }
+    if error.retry_after_s is not None:
+        fields["retry_after_s"] = round(error.retry_after_s, 3)
+    return {"error": fields}
+
+
+def build_refusal(error: RequestRefused, request: str) -> HttpAnswer:
+    """Build the answer to a refused request.
+
+    Parameters
+    ----------
+    error : RequestRefused
+    request : str
+
+    Returns
+    -------
+    HttpAnswer
+    """
+    headers = [("Content-Type", "application/json"), ("X-Request-Id", request)]
+    if error.retry_after_s is not None:
+        headers.append(("Retry-After", str(max(1, math.ceil(error.retry_after_s)))))
+    body = json.dumps(describe_refusal(error, request)).encode()
+    return HttpAnswer(ANSWERS[error.kind].status, body, tuple(headers))
--- /dev/null
+++ b/src/thornlatch/daemon/_app.py
@@ -0,0 +1,383 @@
+"""The callers' HTTP interface as a WSGI application."""
+
+import json
+import time
+from collections.abc import Callable, Iterable, Iterator
+from dataclasses import dataclass
+from typing import Any
+
+import logbook
+
+from thornlatch.core import Event
+from thornlatch.daemon._answers import (
+    HttpAnswer,
+    StartResponse,
+    build_json,
+    build_refusal,
+    describe_refusal,
+)
+from thornlatch.daemon._calls import Caller, parse_caller, parse_completion
+from thornlatch.daemon._completions import (
+    CallerGone,
+    CompletionRequest,
+    CompletionStream,
+)
+from thornlatch.daemon._plain import PlainRequest, run_plain
+from thornlatch.daemon._running import RunningRequest, RunningRequests
+from thornlatch.daemon._services import Services
+from thornlatch.daemon._settings import HttpSettings, TargetSettings
+from thornlatch.exceptions import ErrorKind, RequestRefused
+from thornlatch.targets import CompletionChunk
+
+logger = logbook.Logger("thornlatch.http")
+
+Environ = dict[str, Any]
+METHODS = frozenset({"GET", "POST", "PUT", "DELETE"})
+BUSY_RETRY_S = 1.0
+
+
+@dataclass(frozen=True)
+class Pages:
+    """Status pages of the daemon.
+
+    Parameters
+    ----------
+    get_status : callable
+        Returns the JSON value of ``/status``.
+    is_ready : callable
+        Returns whether the balancer may send requests here.
+    """
+
+    get_status: Callable[[], Any]
+    is_ready: Callable[[], bool]
+
+
+class Application:
+    """WSGI application of the daemon.
+
+    Parameters
+    ----------
+    http : HttpSettings
+    targets : TargetSettings
+    services : Services
+    running : RunningRequests
+    pages : Pages
+    """
+
+    def __init__(
+        self,
+        *,
+        http: HttpSettings,
+        targets: TargetSettings,
+        services: Services,
+        running: RunningRequests,
+        pages: Pages,
+    ) -> None:
+        self.http = http
+        self.targets = targets
+        self.services = services
+        self.running = running
+        self.pages = pages
+
+    def __call__(
+        self, environ: Environ, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request.
+
+        Parameters
+        ----------
+        environ : dict
+        start_response : callable
+
+        Returns
+        -------
+        iterable of bytes
+        """
+        path = environ["PATH_INFO"]
+        if path in ("/healthz", "/readyz", "/status"):
+            return self._answer_page(path).send(start_response)
+        request = ""
+        try:
+            caller = parse_caller(environ, self.http)
+            request = caller.request
+            return self._answer(environ, start_response, caller, path)
+        except RequestRefused as error:
+            self._note_refusal(error, request)
+            return build_refusal(error, request).send(start_response)
+        except Exception:
+            logger.exception("http.request_failed", extra={"request": request})
+            failure = RequestRefused(ErrorKind.INTERNAL, "internal error")
+            return build_refusal(failure, request).send(start_response)
+
+    def _answer_page(self, path: str) -> HttpAnswer:
+        if path == "/status":
+            return build_json(self.pages.get_status())
+        is_ready = path == "/healthz" or self.pages.is_ready()
+        return build_json({"ready": is_ready}, status=200 if is_ready else 503)
+
+    def _answer(
+        self, environ: Environ, start_response: StartResponse, caller: Caller, path: str
+    ) -> Iterable[bytes]:
+        self.services.check_serving()
+        if path == "/v1/models" and environ["REQUEST_METHOD"] == "GET":
+            return self._list_models(caller).send(start_response)
+        if path in ("/v1/completions", "/v1/chat/completions"):
+            return self._complete(environ, start_response, caller, path)
+        return self._call_plain(environ, caller, path).send(start_response)
+
+    def _list_models(self, caller: Caller) -> HttpAnswer:
+        key = self.services.authenticate(caller.key)
+        adapters = self.services.list_adapters(key.organisation)
+        models = [
+            {"id": adapter.name, "object": "model", "owned_by": adapter.organisation}
+            for adapter in adapters
+        ]
+        listing = {"object": "list", "data": models}
+        return build_json(listing, request=caller.request)
+
+    def _complete(
+        self, environ: Environ, start_response: StartResponse, caller: Caller, path: str
+    ) -> Iterable[bytes]:
+        if environ["REQUEST_METHOD"] != "POST":
+            raise RequestRefused(ErrorKind.BAD_REQUEST, "use POST")
+        key = self.services.authenticate(caller.key)
+        body = environ["wsgi.input"].read()
+        call = parse_completion(body, self.http, is_chat="/chat/" in path)
+        adapter, version = self.services.find_adapter(call.fields.model)
+        if adapter.organisation not in ("", key.organisation):
+            raise RequestRefused(
+                ErrorKind.NOT_ALLOWED, "the model belongs to another organisation"
+            )
+        running = self._begin(caller, key.digest)
+        request = CompletionRequest(
+            caller=caller,
+            call=call,
+            adapter=adapter,
+            version=version,
+            organisation=key.organisation,
+            deadline=time.monotonic() + caller.deadline_s,
+            running=running,
+            is_disconnected=environ.get("waitress.client_disconnected", lambda: False),
+        )
+        session = _CompletionSession(request, self.services, self.targets, self._end)
+        try:
+            first = session.read_first()
+        except BaseException:
+            session.finish()
+            raise
+        if call.fields.stream:
+            headers = [
+                ("Content-Type", "text/event-stream"),
+                ("Cache-Control", "no-cache"),
+                ("X-Request-Id", caller.request),
+            ]
+            start_response("200 OK", headers)
+            return _StreamBody(session, first)
+        return session.read_whole(first).send(start_response)
+
+    def _call_plain(self, environ: Environ, caller: Caller, path: str) -> HttpAnswer:
+        method = environ["REQUEST_METHOD"]
+        if method not in METHODS:
+            raise RequestRefused(ErrorKind.BAD_REQUEST, "method isn't supported")
+        route = self.services.find_route(path)
+        organisation = digest = ""
+        if caller.key or not route.is_open:
+            key = self.services.authenticate(caller.key)
+            organisation, digest = key.organisation, key.digest
+        if route.organisations and organisation not in route.organisations:
+            raise RequestRefused(
+                ErrorKind.NOT_ALLOWED, "the route is for other organisations"
+            )
+        query = environ.get("QUERY_STRING", "")
+        request = PlainRequest(
+            caller=caller,
+            route=route,
+            method=method,
+            path=f"{path}?{query}" if query else path,
+            body=environ["wsgi.input"].read(),
+            content_type=environ.get("CONTENT_TYPE", ""),
+            organisation=organisation,
+            deadline=time.monotonic() + caller.deadline_s,
+            running=self._begin(caller, digest),
+        )
+        try:
+            return self._run_admitted(request)
+        finally:
+            self._end(caller.request)
+
+    def _run_admitted(self, request: PlainRequest) -> HttpAnswer:
+        tokens = request.route.tokens
+        admitted = None
+        if request.organisation:
+            admitted = self.services.admit(
+                request.organisation, tokens, request.deadline
+            )
+        used = tokens
+        try:
+            return run_plain(request, self.services, self.targets)
+        except RequestRefused as error:
+            used = 0.0 if error.execution.value == "not-run" else tokens
+            raise
+        finally:
+            if admitted is not None:
+                self.services.settle(admitted, used)
+
+    def _begin(self, caller: Caller, digest: str) -> RunningRequest:
+        running = RunningRequest(caller.request, digest)
+        if not self.running.try_add(running):
+            raise RequestRefused(
+                ErrorKind.OVERLOADED,
+                "this host runs as many requests as it can",
+                retry_after_s=BUSY_RETRY_S,
+            )
+        return running
+
+    def _end(self, request: str) -> None:
+        self.running.remove(request)
+
+    def _note_refusal(self, error: RequestRefused, request: str) -> None:
+        detail = {"code": error.reference, "execution": error.execution.value}
+        self.services.emit(Event("requests.refused", request=request, detail=detail))
+
+
+class _CompletionSession:
+    """Admission, attempts and settlement of one completion."""
+
+    def __init__(
+        self,
+        request: CompletionRequest,
+        services: Services,
+        settings: TargetSettings,
+        on_end: Callable[[str], None],
+    ) -> None:
+        self.request = request
+        self.services = services
+        self.stream = CompletionStream(request, services, settings)
+        self.chunks = self.stream.iter_chunks()
+        self.on_end = on_end
+        self.admitted: Any = None
+        self.is_ended = False
+
+    def read_first(self) -> list[CompletionChunk]:
+        """Admit the request and wait for its first chunks."""
+        call = self.request.call
+        self.admitted = self.services.admit(
+            self.request.organisation,
+            call.prompt_tokens + call.fields.max_tokens,
+            self.request.deadline,
+        )
+        try:
+            return next(self.chunks)
+        except CallerGone:
+            raise RequestRefused(ErrorKind.TARGET_FAILED, "caller left") from None
+
+    def read_whole(self, first: list[CompletionChunk]) -> HttpAnswer:
+        """Collect the answer for a caller that wants no stream."""
+        chunks = list(first)
+        try:
+            for more in self.chunks:
+                chunks += more
+        except CallerGone:
+            raise RequestRefused(ErrorKind.TARGET_FAILED, "caller left") from None
+        finally:
+            self.finish()
+        return build_json(
+            _assemble(self.request, chunks), request=self.request.caller.request
+        )
+
+    def iter_rest(self, first: list[CompletionChunk]) -> Iterator[bytes]:
+        """Iterate over the bytes of the stream, its end or its error included."""
+        try:
+            yield _frame(first)
+            for chunks in self.chunks:
+                yield _frame(chunks)
+            yield b"data: [DONE]\n\n"
+        except RequestRefused as error:
+            text = json.dumps(describe_refusal(error, self.request.caller.request))
+            yield f"data: {text}\n\n".encode()
+        except CallerGone:
+            return
+        finally:
+            self.finish()
+
+    def finish(self) -> None:
+        """Return what the request held; further calls do nothing."""
+        if self.is_ended:
+            return
+        self.is_ended = True
+        self.chunks.close()  # type: ignore[attr-defined]
+        call = self.request.call
+        used = 0.0
+        if self.stream.attempt:
+            used = call.prompt_tokens + self.stream.sent_tokens
+        if self.admitted is not None:
+            self.services.settle(self.admitted, used)
+        self.on_end(self.request.caller.request)
+        self.services.emit(
+            Event(
+                "requests.answered" if self.stream.is_finished else "requests.ended",
+                request=self.request.caller.request,
+                attempt=self.stream.attempt,
+                organisation=self.request.organisation,
+                detail={
+                    "model": self.request.model,
+                    "tokens": self.stream.sent_tokens,
+                    "max_tokens": call.fields.max_tokens,
+                },
+            )
+        )
+
+
+class _StreamBody:
+    """WSGI body whose close ends the request also when nothing was read."""
+
+    def __init__(
+        self, session: _CompletionSession, first: list[CompletionChunk]
+    ) -> None:
+        self.session = session
+        self.parts = session.iter_rest(first)
+
+    def __iter__(self) -> Iterator[bytes]:
+        return self.parts
+
+    def close(self) -> None:
+        """End the request; the server calls this in every case."""
+        self.parts.close()  # type: ignore[attr-defined]
+        self.session.finish()
+
+
+def _frame(chunks: list[CompletionChunk]) -> bytes:
+    return b"".join(b"data: " + chunk.data + b"\n\n" for chunk in chunks)
+
+
+def _assemble(
+    request: CompletionRequest, chunks: list[CompletionChunk]
+) -> dict[str, Any]:
+    parts: list[str] = []
+    finish_reason = None
+    tokens = 0
+    for chunk in chunks:
+        choice = json.loads(chunk.data)["choices"][0]
+        text = choice.get("text") or choice.get("delta", {}).get("content") or ""
+        parts.append(text)
+        finish_reason = choice.get("finish_reason") or finish_reason
+        tokens += int(chunk.token_index is not None)
+    prompt_tokens = request.call.prompt_tokens
+    choice = {"index": 0, "finish_reason": finish_reason, "logprobs": None}
+    text = "".join(parts)
+    if request.call.is_chat:
+        choice["message"] = {"role": "assistant", "content": text}
+    else:
+        choice["text"] = text
+    return {
+        "id": request.caller.request,
+        "object": "chat.completion" if request.call.is_chat else "text_completion",
+        "created": int(time.time()),
+        "model": request.model,
+        "choices": [choice],
+        "usage": {
+            "prompt_tokens": prompt_tokens,
+            "completion_tokens": tokens,
+            "total_tokens": prompt_tokens + tokens,
+        },
+    }
--- /dev/null
+++ b/src/thornlatch/daemon/_control.py
@@ -0,0 +1,255 @@
+"""The control thread: the only one that touches the state of slices."""
+
+import contextlib
+import itertools
+import queue
+import socket
+import time
+from collections.abc import Callable
+from concurrent.futures import Future
+from typing import Any, Protocol
+
+import logbook
+import zmq
+
+from thornlatch.core import (
+    Action,
+    Append,
+    Emit,
+    Envelope,
+    Event,
+    Order,
+    Resolve,
+    Send,
+    Slice,
+)
+from thornlatch.daemon._journal import Journal
+from thornlatch.daemon._peers import PeerMesh
+
+logger = logbook.Logger("thornlatch.control")
+
+TICK_S = 0.05
+INBOX_BATCH = 500
+Command = Callable[[float], list[Action]]
+
+
+class OrderSender(Protocol):
+    """Carries orders to targets."""
+
+    def send(self, order: Order, *, decided_at: float) -> None:
+        """Send an order from another thread and report its result."""
+
+
+class RecordSender(Protocol):
+    """Carries records to the log."""
+
+    def append(self, stream: str, record: Any) -> None:
+        """Queue a record for a stream."""
+
+
+class ControlLoop:
+    """Feeds messages, records, commands and time to the slices.
+
+    Parameters
+    ----------
+    host : str
+        This host's id.
+    slices : tuple of Slice
+        Offered every message and record, in this order.
+    peers : PeerMesh
+    appender : RecordSender
+    journal : Journal
+    """
+
+    def __init__(
+        self,
+        *,
+        host: str,
+        slices: tuple[Slice, ...],
+        peers: PeerMesh,
+        appender: RecordSender,
+        journal: Journal,
+    ) -> None:
+        self.host = host
+        self.slices = slices
+        self.peers = peers
+        self.appender = appender
+        self.journal = journal
+        self.orders: OrderSender | None = None
+        self.on_tick: list[Command] = []
+        self.inbox: queue.SimpleQueue[Command] = queue.SimpleQueue()
+        self.tickets = itertools.count(1)
+        self.waiting: dict[str, Future[Any]] = {}
+        self.local: queue.SimpleQueue[Envelope] = queue.SimpleQueue()
+        self.is_stopping = False
+        self.busy_s = 0.0
+        self.wake_receiver, self.wake_sender = socket.socketpair()
+        self.wake_receiver.setblocking(False)
+        self.wake_sender.setblocking(False)
+
+    def submit(self, command: Command) -> None:
+        """Run a command in the control thread.
+
+        Parameters
+        ----------
+        command : callable
+            Takes `now` and returns actions.
+        """
+        self.inbox.put(command)
+        try:
+            self.wake_sender.send(b"\0")
+        except BlockingIOError:
+            return
+
+    def ask(self, build: Callable[[str, float], list[Action]]) -> "Future[Any]":
+        """Run a command whose decision comes as a `Resolve` action.
+
+        Parameters
+        ----------
+        build : callable
+            Takes ticket and `now` and returns actions.
+
+        Returns
+        -------
+        Future
+            Its result is the decision; a refusal is raised.
+        """
+        ticket = str(next(self.tickets))
+        future: Future[Any] = Future()
+
+        def begin(now: float) -> list[Action]:
+            self.waiting[ticket] = future
+            try:
+                return build(ticket, now)
+            except Exception as error:
+                self.waiting.pop(ticket, None)
+                future.set_exception(error)
+                return []
+
+        future.ticket = ticket  # type: ignore[attr-defined]
+        self.submit(begin)
+        return future
+
+    def run(self) -> None:
+        """Run until stopped."""
+        poller = zmq.Poller()
+        poller.register(self.peers.router, zmq.POLLIN)
+        poller.register(self.wake_receiver.fileno(), zmq.POLLIN)
+        next_tick = time.monotonic()
+        while not self.is_stopping:
+            timeout_s = max(0.0, next_tick - time.monotonic())
+            poller.poll(int(timeout_s * 1000) + 1)
+            cpu_before = time.thread_time()
+            self._take_messages()
+            self._take_commands()
+            if time.monotonic() >= next_tick:
+                self._tick()
+                next_tick = time.monotonic() + TICK_S
+            self.busy_s += time.thread_time() - cpu_before
+        self.peers.close()
+
+    def stop(self) -> None:
+        """End the loop after the present turn."""
+        self.is_stopping = True
+        self.submit(lambda now: [])
+
+    def apply_record(self, offset: int, record: Any, now: float) -> list[Action]:
+        """Offer a record of the log to every slice.
+
+        Parameters
+        ----------
+        offset : int
+        record : object
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        actions: list[Action] = []
+        for part in self.slices:
+            actions += part.apply_record(offset, record, now=now)
+        return actions
+
+    def _take_messages(self) -> None:
+        for envelope in self.peers.iter_received():
+            self._receive(envelope)
+        while not self.local.empty():
+            self._receive(self.local.get_nowait())
+
+    def _receive(self, envelope: Envelope) -> None:
+        for part in self.slices:
+            try:
+                actions = part.handle(
+                    envelope.message, sender=envelope.sender, now=time.monotonic()
+                )
+            except Exception:
+                self._report_failure(type(envelope.message).__name__)
+                continue
+            self._execute(actions, cause=envelope.cause)
+
+    def _take_commands(self) -> None:
+        with contextlib.suppress(BlockingIOError):
+            self.wake_receiver.recv(4096)
+        for _ in range(INBOX_BATCH):
+            try:
+                command = self.inbox.get_nowait()
+            except queue.Empty:
+                return
+            self._run_command(command)
+        self.submit(lambda now: [])
+
+    def _run_command(self, command: Command) -> None:
+        try:
+            actions = command(time.monotonic())
+        except Exception:
+            self._report_failure(getattr(command, "__name__", "command"))
+            return
+        self._execute(actions)
+
+    def _tick(self) -> None:
+        self.peers.refresh_cuts()
+        for part in self.slices:
+            try:
+                actions = part.tick(now=time.monotonic())
+            except Exception:
+                self._report_failure(type(part).__name__)
+                continue
+            self._execute(actions)
+        for command in self.on_tick:
+            self._run_command(command)
+        while not self.local.empty():
+            self._receive(self.local.get_nowait())
+
+    def _execute(self, actions: list[Action], *, cause: str = "") -> None:
+        for action in actions:
+            self._execute_one(action, cause)
+
+    def _execute_one(self, action: Action, cause: str) -> None:
+        match action:
+            case Send(recipient, message) if recipient == self.host:
+                self.local.put(Envelope(self.host, 0, message))
+            case Send(recipient, message):
+                self.peers.send(recipient, message)
+            case Append(stream, record):
+                self.appender.append(stream, record)
+            case Order():
+                if self.orders is not None:
+                    self.orders.send(action, decided_at=time.monotonic())
+            case Resolve(ticket, value):
+                self._resolve(ticket, value)
+            case Emit(event):
+                self.journal.write(event)
+
+    def _resolve(self, ticket: str, value: Any) -> None:
+        future = self.waiting.pop(ticket, None)
+        if future is None or future.done():
+            return
+        if isinstance(value, BaseException):
+            future.set_exception(value)
+        else:
+            future.set_result(value)
+
+    def _report_failure(self, what: str) -> None:
+        logger.exception("control.slice_failed", extra={"input": what})
+        self.journal.write(Event("control.slice_failed", detail={"input": what}))
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -77,7 +77,7 @@
         if len(buffer) > EVENT_LIMIT_BYTES:
             raise TargetError("stream event is too long", is_sent=True)
         *events, buffer = buffer.split(b"\n\n")
-        chunks = []
+        chunks: list[CompletionChunk] = []
         for event in events:
             payload = event.removeprefix(b"data: ")
             if payload == DONE:
