--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -29,6 +29,7 @@
             {
                 ("POST", "/faults"): self.set_faults,
                 ("GET", "/load"): lambda *_: Response({"runs": self.run_count}),
+                ("GET", "/recorded"): lambda *_: Response(self.recorded),
                 ("POST", "/"): self.run,
                 ("GET", "/"): self.run,
             }
