--- /dev/null
+++ b/bench/__init__.py
@@ -0,0 +1,1 @@
+"""Measurements; ``make bench`` runs them all and writes build/bench.jsonl."""
