--- a/src/thornlatch/daemon/_app.py
+++ b/src/thornlatch/daemon/_app.py
@@ -22,7 +22,7 @@
     CompletionRequest,
     CompletionStream,
 )
-from thornlatch.daemon._plain import PlainRequest, run_plain
+from thornlatch.daemon._plain import PlainCall, PlainRequest
 from thornlatch.daemon._running import RunningRequest, RunningRequests
 from thornlatch.daemon._services import Services
 from thornlatch.daemon._settings import HttpSettings, TargetSettings
@@ -129,8 +129,8 @@
         key = self.services.authenticate(caller.key)
         adapters = self.services.list_adapters(key.organisation)
         models = [
-            {"id": adapter.name, "object": "model", "owned_by": adapter.organisation}
-            for adapter in adapters
+            {"id": name, "object": "model", "owned_by": key.organisation}
+            for name in sorted({adapter.name for adapter in adapters})
         ]
         listing = {"object": "list", "data": models}
         return build_json(listing, request=caller.request)
@@ -143,7 +143,7 @@
         key = self.services.authenticate(caller.key)
         body = environ["wsgi.input"].read()
         call = parse_completion(body, self.http, is_chat="/chat/" in path)
-        adapter, version = self.services.find_adapter(call.fields.model)
+        adapter = self.services.find_adapter(call.fields.model)
         if adapter.organisation not in ("", key.organisation):
             raise RequestRefused(
                 ErrorKind.NOT_ALLOWED, "the model belongs to another organisation"
@@ -153,7 +153,6 @@
             caller=caller,
             call=call,
             adapter=adapter,
-            version=version,
             organisation=key.organisation,
             deadline=time.monotonic() + caller.deadline_s,
             running=running,
@@ -210,11 +209,11 @@
         admitted = None
         if request.organisation:
             admitted = self.services.admit(
-                request.organisation, tokens, request.deadline
+                request.caller.request, request.organisation, tokens, request.deadline
             )
         used = tokens
         try:
-            return run_plain(request, self.services, self.targets)
+            return PlainCall(request, self.services, self.targets).run()
         except RequestRefused as error:
             used = 0.0 if error.execution.value == "not-run" else tokens
             raise
@@ -262,6 +261,7 @@
         """Admit the request and wait for its first chunks."""
         call = self.request.call
         self.admitted = self.services.admit(
+            self.request.caller.request,
             self.request.organisation,
             call.prompt_tokens + call.fields.max_tokens,
             self.request.deadline,
@@ -320,7 +320,7 @@
                 attempt=self.stream.attempt,
                 organisation=self.request.organisation,
                 detail={
-                    "model": self.request.model,
+                    "adapter_version": self.request.model,
                     "tokens": self.stream.sent_tokens,
                     "max_tokens": call.fields.max_tokens,
                 },
--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -10,9 +10,12 @@
 from thornlatch.core import Event
 from thornlatch.daemon._calls import Caller, CompletionCall
 from thornlatch.daemon._running import RunningRequest
-from thornlatch.daemon._services import Grant, GrantSpec, Services
+from thornlatch.daemon._services import Services
 from thornlatch.daemon._settings import TargetSettings
+from thornlatch.daemon._suspects import SuspectGate
+from thornlatch.dispatch import Grant, Outcome, Priority, RequestSpec
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
+from thornlatch.requests import AttemptFailed, StreamCursor, StreamPart
 from thornlatch.targets import (
     CompletionChunk,
     TargetCall,
@@ -22,6 +25,7 @@
 )
 
 PREFIX_CHARACTERS = 512
+ERROR_TEXT_BYTES = 1 << 16
 
 
 @dataclass(frozen=True)
@@ -33,7 +37,6 @@
     caller : Caller
     call : CompletionCall
     adapter : Adapter
-    version : str
     organisation : str
     deadline : float
         Time of the monotonic clock by which the first token is due.
@@ -45,7 +48,6 @@
     caller: Caller
     call: CompletionCall
     adapter: Adapter
-    version: str
     organisation: str
     deadline: float
     running: RunningRequest
@@ -54,7 +56,7 @@
     @property
     def model(self) -> str:
         """Adapter version as engines name it."""
-        return f"{self.adapter.name}@{self.version}"
+        return f"{self.adapter.name}@{self.adapter.version}"
 
 
 class CallerGone(Exception):
@@ -77,11 +79,36 @@
         self.request = request
         self.services = services
         self.settings = settings
-        self.attempt = 0
-        self.sent_tokens = 0
-        self.is_finished = False
+        self.cursor = StreamCursor(
+            request.caller.request, adapter_version=request.model
+        )
+        self.body = json.dumps(request.call.body, sort_keys=True).encode()
+        self.gate = SuspectGate(
+            services,
+            request=request.caller.request,
+            organisation=request.organisation,
+            adapter_version=request.model,
+            pool=request.adapter.pool,
+            body=self.body,
+        )
+        self.may_have_run = False
         self.excluded: tuple[str, ...] = ()
 
+    @property
+    def attempt(self) -> int:
+        """Number of the present attempt; 0 before the first."""
+        return self.cursor.attempt
+
+    @property
+    def sent_tokens(self) -> int:
+        """Tokens sent to the caller."""
+        return self.cursor.next_token
+
+    @property
+    def is_finished(self) -> bool:
+        """Whether the whole answer was sent."""
+        return self.cursor.is_complete
+
     def iter_chunks(self) -> Iterator[list[CompletionChunk]]:
         """Iterate over chunks; each token comes once, in order.
 
@@ -93,67 +120,84 @@
         ------
         RequestRefused
             If the request ends without its whole answer.
+        CallerGone
+            If the caller disconnected.
         """
         while not self.is_finished:
-            self.attempt += 1
-            grant = self.services.acquire_grant(self._build_spec())
+            turn = self.gate.enter()
+            self.cursor.start_attempt()
+            excluded = tuple(dict.fromkeys((*self.excluded, *turn.excluded)))
+            try:
+                grant = self.services.acquire_grant(self._build_spec(excluded))
+            except RequestRefused as error:
+                self.gate.leave_unused(turn)
+                raise self._complete_refusal(error) from error
+            failure = None
             try:
-                yield from self._run_attempt(grant)
+                yield from self._run_attempt(grant, turn.ask)
             except TargetError as error:
-                self._handle_failure(grant, error)
+                failure = error
+            if failure is not None:
+                self._handle_failure(grant, failure)
 
-    def _build_spec(self) -> GrantSpec:
+    def _build_spec(self, excluded: tuple[str, ...]) -> RequestSpec:
         request = self.request
-        prompt = json.dumps(request.call.body.get("messages") or "")
-        prompt += request.call.fields.prompt or ""
+        messages = request.call.body.get("messages")
+        prompt = request.call.fields.prompt or json.dumps(messages)
         prefix = hashlib.sha256(prompt[:PREFIX_CHARACTERS].encode()).hexdigest()[:16]
-        deadline = request.deadline
+        remaining_s = request.deadline - time.monotonic()
         if self.attempt > 1:
-            deadline = max(deadline, time.monotonic() + request.caller.deadline_s)
-        return GrantSpec(
+            # A resumed stream gets the time that its first attempt had.
+            remaining_s = request.caller.deadline_s
+        return RequestSpec(
             request=request.caller.request,
             attempt=self.attempt,
             organisation=request.organisation,
             pool=request.adapter.pool,
-            adapter=request.adapter.name,
-            version=request.version,
-            priority=request.caller.priority,
-            deadline=deadline,
+            deadline_in_s=max(0.0, remaining_s),
             tokens=request.call.fields.max_tokens - self.sent_tokens,
+            adapter=request.adapter.name,
+            version=request.adapter.version,
+            priority=Priority(request.caller.priority),
             prefix=prefix,
-            excluded=self.excluded,
+            excluded=excluded,
         )
 
-    def _run_attempt(self, grant: Grant) -> Iterator[list[CompletionChunk]]:
-        started = time.monotonic()
+    def _run_attempt(self, grant: Grant, ask: str) -> Iterator[list[CompletionChunk]]:
         sent_before = self.sent_tokens
-        first_token_s = -1.0
-        outcome = "failed"
+        outcome = Outcome.FAILED
+        first_token_s = None
         response = None
+        started = time.monotonic()
+        self.services.note_attempt(
+            self.request.organisation, grant.target, is_first=self.attempt == 1
+        )
+        self.gate.note_started(grant.target, ask)
         try:
             response = self._open(grant)
             for chunks in iter_chunks(response):
                 self._check_still_wanted()
-                if first_token_s < 0:
+                if first_token_s is None:
                     first_token_s = time.monotonic() - started
-                kept = [chunk for chunk in chunks if self._accept(chunk)]
-                if kept:
-                    yield kept
-            if not self.is_finished:
-                raise TargetError("stream has no finish reason", is_sent=True)
-            outcome = "finished"
-        except (CallerGone, GeneratorExit):
-            outcome = "cancelled"
+                fresh = self._accept(chunks)
+                if fresh:
+                    yield fresh
+            self.cursor.finish()
+            outcome = Outcome.OK
+        except TargetError as error:
+            outcome = classify_failure(error)
+            self.may_have_run = self.may_have_run or error.is_sent
             raise
-        except RequestRefused:
-            outcome = "cancelled"
+        except (CallerGone, GeneratorExit, RequestRefused):
+            outcome = Outcome.CANCELLED
             raise
         finally:
             self.request.running.attach(None)
             if response is not None:
-                if outcome != "finished":
+                if outcome is not Outcome.OK:
                     response.abort()
                 response.close()
+            self.gate.note_ended(grant, outcome)
             self.services.release_grant(
                 grant,
                 outcome=outcome,
@@ -165,8 +209,25 @@
         request = self.request
         if not self.services.is_confirmed():
             raise RequestRefused(
-                ErrorKind.HOST_UNCONFIRMED, "host lost contact", retry_after_s=1.0
+                ErrorKind.HOST_UNCONFIRMED,
+                "this host can't confirm that it may use its grant",
+                retry_after_s=1.0,
             )
+        self._emit("requests.sent", grant, {"is_idempotent": True})
+        response = open_call(self._build_call(grant))
+        request.running.attach(response)
+        if response.status != 200:
+            text = response.read_all(ERROR_TEXT_BYTES)[:200].decode(errors="replace")
+            response.close()
+            raise TargetError(
+                f"engine answered {response.status}: {text}",
+                is_sent=True,
+                status=response.status,
+            )
+        return response
+
+    def _build_call(self, grant: Grant) -> TargetCall:
+        request = self.request
         body = {
             **request.call.body,
             "model": request.model,
@@ -175,7 +236,6 @@
         }
         if self.sent_tokens:
             body["resume_after"] = self.sent_tokens
-        path = "/v1/chat/completions" if request.call.is_chat else "/v1/completions"
         headers = {
             "Content-Type": "application/json",
             "X-Request-Id": request.caller.request,
@@ -183,63 +243,64 @@
             "X-Priority": request.caller.priority,
             "X-Fencing-Token": str(grant.epoch),
         }
-        call = TargetCall(
+        return TargetCall(
             grant.address,
             "POST",
-            path,
+            "/v1/chat/completions" if request.call.is_chat else "/v1/completions",
             json.dumps(body).encode(),
             headers,
             self.settings.silence_limit_s,
         )
-        self._emit("requests.sent", grant, {"is_idempotent": True})
-        response = open_call(call)
-        request.running.attach(response)
-        if response.status != 200:
-            text = response.read_all(1 << 16)[:200].decode(errors="replace")
-            response.close()
-            raise TargetError(
-                f"engine answered {response.status}: {text}",
-                is_sent=True,
-                status=response.status,
-            )
-        return response
 
     def _check_still_wanted(self) -> None:
-        request = self.request
-        if request.running.is_key_withdrawn:
-            raise RequestRefused(ErrorKind.KEY_WITHDRAWN, "the key was withdrawn")
-        if request.is_disconnected():
+        self.request.running.check_stopped()
+        if self.request.is_disconnected():
             raise CallerGone
 
-    def _accept(self, chunk: CompletionChunk) -> bool:
-        if chunk.model != self.request.model:
-            raise TargetError(
-                f"engine answered for {chunk.model}, not {self.request.model}",
-                is_sent=True,
-                status=502,
-            )
-        if chunk.token_index is None:
-            self.is_finished = self.is_finished or chunk.is_finish
-            return True
-        if chunk.token_index < self.sent_tokens:
-            return False
-        if chunk.token_index > self.sent_tokens:
-            raise TargetError("stream has a gap", is_sent=True)
-        self.sent_tokens += 1
-        return True
+    def _accept(self, chunks: list[CompletionChunk]) -> list[CompletionChunk]:
+        tokens = [chunk for chunk in chunks if chunk.token_index is not None]
+        first = tokens[0].token_index if tokens else self.sent_tokens
+        assert first is not None
+        for place, chunk in enumerate(tokens):
+            if chunk.token_index != first + place:
+                raise TargetError("stream has a gap", is_sent=True)
+        wrong = [chunk for chunk in chunks if chunk.model != self.request.model]
+        part = StreamPart(
+            request=self.request.caller.request,
+            attempt=self.attempt,
+            adapter_version=(wrong or chunks)[0].model,
+            first_token=first,
+            tokens=tuple(chunk.text for chunk in tokens),
+            is_last=any(chunk.is_finish for chunk in chunks),
+        )
+        fresh = self.cursor.accept(part)
+        repeated = len(tokens) - len(fresh)
+        return chunks[repeated:] if repeated else chunks
 
     def _handle_failure(self, grant: Grant, error: TargetError) -> None:
         self._emit("requests.attempt_failed", grant, {"error": error.message})
-        if self.request.running.is_key_withdrawn:
-            raise RequestRefused(ErrorKind.KEY_WITHDRAWN, "the key was withdrawn")
-        if self.request.is_disconnected():
-            raise CallerGone
-        if self.attempt >= self.settings.attempts:
-            raise RequestRefused(
-                ErrorKind.TARGET_FAILED, error.message, retry_after_s=1.0
-            ) from error
+        self._check_still_wanted()
+        request = self.request
+        failure = AttemptFailed(
+            organisation=request.organisation,
+            target=grant.target,
+            attempt=self.attempt,
+            is_idempotent=True,
+            may_have_run=error.is_sent,
+            may_have_run_earlier=self.may_have_run,
+            deadline=time.monotonic() + request.caller.deadline_s,
+        )
+        time.sleep(self.services.decide_retry(failure))
         self.excluded = (*self.excluded, grant.target)
 
+    def _complete_refusal(self, error: RequestRefused) -> RequestRefused:
+        if not self.may_have_run:
+            return error
+        # An earlier attempt ran, so the refusal of a later one must not say "not run".
+        return RequestRefused(
+            ErrorKind.TARGET_FAILED, error.message, retry_after_s=error.retry_after_s
+        )
+
     def _emit(self, name: str, grant: Grant, detail: dict[str, object]) -> None:
         self.services.emit(
             Event(
@@ -249,6 +310,30 @@
                 organisation=self.request.organisation,
                 target=grant.target,
                 epoch=grant.epoch,
-                detail={"model": self.request.model, **detail},
+                detail={
+                    "adapter_version": self.request.model,
+                    "grant": grant.grant,
+                    **detail,
+                },
             )
         )
+
+
+def classify_failure(error: TargetError) -> Outcome:
+    """Return the outcome of an attempt that failed.
+
+    Parameters
+    ----------
+    error : TargetError
+
+    Returns
+    -------
+    Outcome
+    """
+    if error.status == 404:
+        return Outcome.NOT_LOADED
+    if error.status in (429, 503):
+        return Outcome.BUSY
+    if error.is_sent and error.status is None:
+        return Outcome.UNKNOWN
+    return Outcome.FAILED
--- a/src/thornlatch/daemon/_control.py
+++ b/src/thornlatch/daemon/_control.py
@@ -1,7 +1,6 @@
 """The control thread: the only one that touches the state of slices."""
 
 import contextlib
-import itertools
 import queue
 import socket
 import time
@@ -25,6 +24,7 @@
 )
 from thornlatch.daemon._journal import Journal
 from thornlatch.daemon._peers import PeerMesh
+from thornlatch.exceptions import ErrorKind, RequestRefused
 
 logger = logbook.Logger("thornlatch.control")
 
@@ -78,7 +78,6 @@
         self.orders: OrderSender | None = None
         self.on_tick: list[Command] = []
         self.inbox: queue.SimpleQueue[Command] = queue.SimpleQueue()
-        self.tickets = itertools.count(1)
         self.waiting: dict[str, Future[Any]] = {}
         self.local: queue.SimpleQueue[Envelope] = queue.SimpleQueue()
         self.is_stopping = False
@@ -101,11 +100,15 @@
         except BlockingIOError:
             return
 
-    def ask(self, build: Callable[[str, float], list[Action]]) -> "Future[Any]":
+    def ask(
+        self, ticket: str, build: Callable[[str, float], list[Action]]
+    ) -> "Future[Any]":
         """Run a command whose decision comes as a `Resolve` action.
 
         Parameters
         ----------
+        ticket : str
+            Unique for the life of the process.
         build : callable
             Takes ticket and `now` and returns actions.
 
@@ -114,7 +117,6 @@
         Future
             Its result is the decision; a refusal is raised.
         """
-        ticket = str(next(self.tickets))
         future: Future[Any] = Future()
 
         def begin(now: float) -> list[Action]:
@@ -126,10 +128,36 @@
                 future.set_exception(error)
                 return []
 
-        future.ticket = ticket  # type: ignore[attr-defined]
         self.submit(begin)
         return future
 
+    def withdraw(
+        self,
+        ticket: str,
+        cancel: Callable[[float], list[Action]],
+        undo: Callable[[Any, float], list[Action]],
+        future: "Future[Any]",
+    ) -> None:
+        """Give up waiting for a decision; one that was made meanwhile is undone.
+
+        Parameters
+        ----------
+        ticket : str
+        cancel : callable
+            Takes `now`; called if the decision is still open.
+        undo : callable
+            Takes decision and `now`; called if it was favourable.
+        future : Future
+        """
+
+        def end(now: float) -> list[Action]:
+            if self.waiting.pop(ticket, None) is not None:
+                return cancel(now)
+            is_granted = future.done() and future.exception() is None
+            return undo(future.result(), now) if is_granted else []
+
+        self.submit(end)
+
     def run(self) -> None:
         """Run until stopped."""
         poller = zmq.Poller()
@@ -148,28 +176,32 @@
             self.busy_s += time.thread_time() - cpu_before
         self.peers.close()
 
-    def stop(self) -> None:
-        """End the loop after the present turn."""
-        self.is_stopping = True
-        self.submit(lambda now: [])
-
-    def apply_record(self, offset: int, record: Any, now: float) -> list[Action]:
-        """Offer a record of the log to every slice.
+    def replace_slices(self, host: str, slices: tuple[Slice, ...]) -> None:
+        """Go on with the slices of a new session; called by the control thread.
 
         Parameters
         ----------
-        offset : int
-        record : object
-        now : float
-
-        Returns
-        -------
-        list of Action
+        host : str
+            Id of the new session.
+        slices : tuple of Slice
         """
-        actions: list[Action] = []
-        for part in self.slices:
-            actions += part.apply_record(offset, record, now=now)
-        return actions
+        self.host = host
+        self.slices = slices
+        for future in self.waiting.values():
+            if not future.done():
+                future.set_exception(
+                    RequestRefused(
+                        ErrorKind.HOST_UNCONFIRMED,
+                        "this host's session has ended",
+                        retry_after_s=1.0,
+                    )
+                )
+        self.waiting.clear()
+
+    def stop(self) -> None:
+        """End the loop after the present turn."""
+        self.is_stopping = True
+        self.submit(lambda now: [])
 
     def _take_messages(self) -> None:
         for envelope in self.peers.iter_received():
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -1,29 +1,36 @@
-"""Assembly of a daemon: settings, threads, sockets, slices, and the planned stop."""
+"""Assembly of a daemon: settings, threads, sockets and slices."""
 
-import signal
 import time
 import uuid
 from concurrent.futures import ThreadPoolExecutor
+from random import Random
 from typing import Any
 
 import logbook
 import waitress
 
-from thornlatch.core import Event
+from thornlatch.core import Action, Event
 from thornlatch.daemon._app import Application, Pages
 from thornlatch.daemon._control import ControlLoop
 from thornlatch.daemon._journal import Journal, build_handler
 from thornlatch.daemon._log_io import LogAppender, LogReader, decode_page
+from thornlatch.daemon._metrics import MetricsReporter
+from thornlatch.daemon._node import Node
+from thornlatch.daemon._orders import OrderRunner
 from thornlatch.daemon._peers import PeerMesh
 from thornlatch.daemon._running import RunningRequests
+from thornlatch.daemon._services import Services
 from thornlatch.daemon._settings import DaemonSettings
-from thornlatch.daemon._thin import ThinServices
+from thornlatch.daemon._status import build_status
+from thornlatch.daemon._stop import StopSequence
+from thornlatch.exceptions import ErrorKind
 from thornlatch.platform import LogClient, LogPage, PlatformError
+from thornlatch.requests import RetryPolicy
 
 logger = logbook.Logger("thornlatch.daemon")
 
-STREAMS = ("configuration",)
-STOP_POLL_S = 0.05
+STREAMS = ("control", "configuration", "claims", "quarantine")
+PAGE_LIMIT = 1000
 
 
 class Daemon:
@@ -36,24 +43,46 @@
 
     def __init__(self, settings: DaemonSettings) -> None:
         self.settings = settings
-        self.host = f"{settings.host.name}.{uuid.uuid4().hex[:8]}"
+        self.random = Random(uuid.uuid4().int)
         self.journal = Journal()
         self.client = LogClient(settings.platform, client=settings.host.name)
         self.appender = LogAppender(self.client)
+        self.node = self._build_node()
+        self.handler = build_handler(self.node.host, level=settings.logs.level)
         self.peers = PeerMesh(
-            settings.peers, host=self.host, address=settings.host.peer_address
+            settings.peers,
+            host=self.node.host,
+            address=settings.host.peer_address,
         )
         self.control = ControlLoop(
-            host=self.host,
-            slices=(),
+            host=self.node.host,
+            slices=self.node.slices,
             peers=self.peers,
             appender=self.appender,
             journal=self.journal,
         )
-        self.services = ThinServices(self.journal)
+        self.orders = OrderRunner(
+            settings.targets,
+            dispatch=self.node.dispatch,
+            submit=self.control.submit,
+            journal=self.journal,
+        )
+        self.control.orders = self.orders
+        self.services = Services(
+            self.node,
+            self.control,
+            self.journal,
+            retries=RetryPolicy(settings.slices.requests, rng=self.random),
+            incarnations=self.orders.incarnations,
+        )
         http = settings.http
         self.running = RunningRequests(http.threads - http.spare_threads)
-        self.stop_requests = 0
+        self.stop = StopSequence(
+            settings.stop,
+            services=self.services,
+            running=self.running,
+            journal=self.journal,
+        )
         self.app = Application(
             http=http,
             targets=settings.targets,
@@ -64,6 +93,17 @@
         self.reader = LogReader(
             self.client, STREAMS, on_page=self._on_page, on_failure=self._on_failure
         )
+        self.generation = 0
+        self.members_offset = -1
+        self.unconfirmed_since: float | None = None
+        self.metrics = MetricsReporter(settings.metrics, self)
+        self.control.on_tick += [
+            self._connect_members,
+            self.orders.poll_reports,
+            self._stop_unconfirmed,
+            self._renew_session,
+            self.metrics.report,
+        ]
         self.executor = ThreadPoolExecutor(3, "daemon")
 
     def run(self) -> int:
@@ -74,33 +114,43 @@
         int
             Exit status: 0 after a stop that cut no request, 1 otherwise.
         """
-        handler = build_handler(self.host, level=self.settings.logs.level)
-        with handler.applicationbound():
+        with self.handler.applicationbound():
             server = self._build_server()
-            signal.signal(signal.SIGTERM, self._on_signal)
-            signal.signal(signal.SIGINT, self._on_signal)
+            self.stop.install()
             self.executor.submit(self.control.run)
+            self.control.submit(lambda now: self.node.membership.open_session(now=now))
             self.reader.start()
             self.executor.submit(server.run)
             address = self.settings.host.http_address
             self.journal.write(Event("daemon.started", detail={"http": address}))
-            status = self._wait_for_stop()
+            status = self.stop.wait()
             self._shut_down(server)
             self.journal.write(Event("daemon.stopped", detail={"status": status}))
         return status
 
     def is_ready(self) -> bool:
         """Return whether the balancer may send requests here."""
-        return self.stop_requests == 0 and bool(self.services.inventory.pools)
+        now = time.monotonic()
+        return (
+            not self.stop.is_requested
+            and self.node.leases.is_confirmed(now=now)
+            and self.node.configuration.view.inventory_offset >= 0
+            and self.node.configuration.is_fresh(now=now)
+        )
 
     def get_status(self) -> dict[str, Any]:
         """Return the JSON value of the status page."""
-        return {
-            "host": self.host,
-            "ready": self.is_ready(),
-            "stopping": self.stop_requests > 0,
-            "running_requests": len(self.running),
-        }
+        return build_status(self)
+
+    def _build_node(self) -> Node:
+        host = self.settings.host
+        return Node(
+            self.settings.slices,
+            host=f"{host.name}.{uuid.uuid4().hex[:8]}",
+            address=host.peer_address,
+            failure_domain=host.failure_domain,
+            random=self.random,
+        )
 
     def _build_server(self) -> Any:
         host, _, port = self.settings.host.http_address.rpartition(":")
@@ -119,33 +169,88 @@
             ident=None,
         )
 
-    def _on_signal(self, *_: Any) -> None:
-        self.stop_requests += 1
-
-    def _wait_for_stop(self) -> int:
-        while not self.stop_requests:
-            time.sleep(STOP_POLL_S)
-        self.journal.write(Event("daemon.stop_requested"))
-        rotation_end = time.monotonic() + self.settings.stop.rotation_s
-        while time.monotonic() < rotation_end and self.stop_requests < 2:
-            time.sleep(STOP_POLL_S)
-        while self.stop_requests < 2:
-            if self.running.wait_until_empty(STOP_POLL_S):
-                return 0
-        return 1
-
     def _shut_down(self, server: Any) -> None:
         self.reader.stop()
+        self.orders.stop()
         self.appender.stop(timeout_s=2.0)
         self.control.stop()
         server.close()
         server.task_dispatcher.shutdown(timeout=2)
 
-    def _on_page(self, stream: str, page: LogPage, sent_at: float) -> None:
-        for _, record in decode_page(page):
-            self.services.apply(record)
+    def _on_page(
+        self, stream: str, page: LogPage, sent_at: float, generation: int
+    ) -> None:
+        records = decode_page(stream, page)
+        is_end = len(page.records) < PAGE_LIMIT
+
+        def apply(now: float) -> list[Action]:
+            if generation != self.generation:
+                return []
+            before = self.node.configuration.state.offset
+            actions = self.node.apply_records(records, now=now)
+            if is_end:
+                actions += self._note_read(stream, page.next_offset, sent_at, now)
+            self._stop_withdrawn(before)
+            return actions
+
+        self.control.submit(apply)
+
+    def _note_read(
+        self, stream: str, next_offset: int, sent_at: float, now: float
+    ) -> list[Action]:
+        if stream == "control":
+            return self.node.membership.note_log_read(sent_at=sent_at, now=now)
+        if stream == "configuration":
+            return self.node.configuration.note_log_read(
+                sent_at=sent_at, now=now, next_offset=next_offset
+            )
+        return []
 
     def _on_failure(self, stream: str, error: PlatformError) -> None:
         logger.warning(
             "log.read_failed", extra={"stream": stream, "error": error.message}
         )
+        if stream == "control":
+            self.control.submit(
+                lambda now: self.node.membership.note_log_unavailable(now=now)
+            )
+
+    def _connect_members(self, now: float) -> list[Action]:
+        members = list(self.node.leases.iter_members())
+        self.peers.set_members({m.host: m.address for m in members})
+        return []
+
+    def _stop_withdrawn(self, offset_before: int) -> None:
+        digests = frozenset(self.node.configuration.iter_withdrawn_since(offset_before))
+        if digests:
+            self.running.stop(
+                ErrorKind.KEY_WITHDRAWN, lambda one: one.key_digest in digests
+            )
+
+    def _stop_unconfirmed(self, now: float) -> list[Action]:
+        is_confirmed = self.node.leases.is_confirmed(now=now)
+        is_fresh = self.node.configuration.is_fresh(now=now)
+        if is_confirmed and is_fresh:
+            self.unconfirmed_since = None
+            return []
+        if self.unconfirmed_since is None:
+            self.unconfirmed_since = now
+        # What was sent under a right may go on for the time that a successor waits.
+        limit_s = self.settings.slices.membership.order_limit_s
+        if now - self.unconfirmed_since >= limit_s:
+            self.running.stop(ErrorKind.HOST_UNCONFIRMED, lambda one: True)
+        return []
+
+    def _renew_session(self, now: float) -> list[Action]:
+        if not self.node.membership.is_expelled or self.stop.is_requested:
+            return []
+        self.journal.write(Event("daemon.session_lost", detail={"host": self.node.host}))
+        self.running.stop(ErrorKind.HOST_UNCONFIRMED, lambda one: True)
+        self.node = self._build_node()
+        self.generation = self.reader.restart()
+        self.handler.host = self.node.host
+        self.peers.host = self.node.host
+        self.control.replace_slices(self.node.host, self.node.slices)
+        self.orders.dispatch = self.node.dispatch
+        self.services.node = self.node
+        return self.node.membership.open_session(now=now)
--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -1,6 +1,7 @@
 """Threads that read and append to the log on behalf of the control thread."""
 
 import queue
+import threading
 import time
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
@@ -8,6 +9,7 @@
 
 import logbook
 
+from thornlatch.configuration import decode_entry
 from thornlatch.core import decode_record, encode_record
 from thornlatch.exceptions import InvalidInput
 from thornlatch.platform import LogClient, LogPage, PlatformError
@@ -16,7 +18,8 @@
 
 RETRY_PAUSE_S = 0.2
 APPEND_BATCH = 500
-ReadCallback = Callable[[str, LogPage, float], None]
+CONFIGURATION_STREAM = "configuration"
+ReadCallback = Callable[[str, LogPage, float, int], None]
 FailCallback = Callable[[str, PlatformError], None]
 
 
@@ -28,7 +31,8 @@
     client : LogClient
     streams : tuple of str
     on_page : callable
-        Called with stream, page and the time at which the read was sent.
+        Called with stream, page, the time at which the read was sent, and the
+        reader's generation.
     on_failure : callable
         Called with stream and error.
     """
@@ -45,6 +49,8 @@
         self.on_page = on_page
         self.on_failure = on_failure
         self.offsets = dict.fromkeys(streams, 0)
+        self.generation = 0
+        self.lock = threading.Lock()
         self.is_stopping = False
         self.executor = ThreadPoolExecutor(len(streams), "log-reader")
 
@@ -53,6 +59,19 @@
         for stream in self.offsets:
             self.executor.submit(self._follow, stream)
 
+    def restart(self) -> int:
+        """Read every stream again from its beginning, for a new session.
+
+        Returns
+        -------
+        int
+            Generation of the pages from now on; older ones must be ignored.
+        """
+        with self.lock:
+            self.generation += 1
+            self.offsets = dict.fromkeys(self.offsets, 0)
+            return self.generation
+
     def stop(self) -> None:
         """Ask the threads to end after their present read."""
         self.is_stopping = True
@@ -61,20 +80,29 @@
     def _follow(self, stream: str) -> None:
         wait_s = 0.0
         while not self.is_stopping:
+            with self.lock:
+                offset, generation = self.offsets[stream], self.generation
             sent_at = time.monotonic()
             try:
-                page = self.client.read(stream, self.offsets[stream], wait_s=wait_s)
+                page = self.client.read(stream, offset, wait_s=wait_s)
             except PlatformError as error:
-                self._handle_failure(stream, error)
+                self._handle_failure(stream, error, generation)
                 wait_s = 0.0
                 continue
-            self.offsets[stream] = max(self.offsets[stream], page.next_offset)
-            self.on_page(stream, page, sent_at)
+            self._advance(stream, page.next_offset, generation)
+            self.on_page(stream, page, sent_at, generation)
             wait_s = self.client.settings.poll_wait_s
 
-    def _handle_failure(self, stream: str, error: PlatformError) -> None:
+    def _advance(self, stream: str, offset: int, generation: int) -> None:
+        with self.lock:
+            if generation == self.generation:
+                self.offsets[stream] = max(self.offsets[stream], offset)
+
+    def _handle_failure(
+        self, stream: str, error: PlatformError, generation: int
+    ) -> None:
         if error.first_offset is not None:
-            self.offsets[stream] = error.first_offset
+            self._advance(stream, error.first_offset, generation)
             return
         self.on_failure(stream, error)
         time.sleep(RETRY_PAUSE_S)
@@ -157,23 +185,33 @@
             )
 
 
-def decode_page(page: LogPage) -> list[tuple[int, Any]]:
+def decode_page(stream: str, page: LogPage) -> list[tuple[int, Any]]:
     """Decode the records of a page.
 
     Parameters
     ----------
+    stream : str
     page : LogPage
 
     Returns
     -------
     list of (int, object)
-        Offset and record; an `InvalidInput` in place of a record that can't be
-        decoded, so that the slice can name it.
+        Offset and record. One that can't be decoded is left out, but on the stream of
+        the configuration it's an `UnreadableRecord`, which that slice names.
     """
+    if stream == CONFIGURATION_STREAM:
+        return [(entry.offset, decode_entry(entry.value)) for entry in page.records]
     decoded: list[tuple[int, Any]] = []
     for entry in page.records:
         try:
             decoded.append((entry.offset, decode_record(entry.value)))
         except InvalidInput as error:
-            decoded.append((entry.offset, error))
+            logger.warning(
+                "log.record_refused",
+                extra={
+                    "stream": stream,
+                    "offset": entry.offset,
+                    "error": error.message,
+                },
+            )
     return decoded
--- /dev/null
+++ b/src/thornlatch/daemon/_orders.py
@@ -0,0 +1,227 @@
+"""Orders to targets and reads of their reports, outside the control thread."""
+
+import time
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from functools import singledispatch
+from typing import Any
+
+import logbook
+
+from thornlatch.configuration import Target
+from thornlatch.core import Action, Event, Order
+from thornlatch.daemon._journal import Journal
+from thornlatch.daemon._settings import TargetSettings
+from thornlatch.dispatch import Dispatch, TargetReport
+from thornlatch.exceptions import TargetError
+from thornlatch.placement import AdapterVersion, EvictAdapter, LoadAdapter
+from thornlatch.targets import evict_adapter, load_adapter, read_report
+
+logger = logbook.Logger("thornlatch.orders")
+
+Submit = Callable[[Callable[[float], list[Action]]], None]
+
+
+@singledispatch
+def carry_out(order: Any, target: Target, store: str, timeout_s: float) -> None:
+    """Send one order to a target.
+
+    Parameters
+    ----------
+    order : LoadAdapter or EvictAdapter
+    target : Target
+    store : str
+        Weight store of the target's pool.
+    timeout_s : float
+
+    Raises
+    ------
+    TargetError
+        If the target refused it or didn't answer.
+    """
+    raise TypeError(f"unknown order {type(order).__name__}")
+
+
+@carry_out.register
+def _(order: LoadAdapter, target: Target, store: str, timeout_s: float) -> None:
+    model = f"{order.adapter}@{order.version}"
+    load_adapter(
+        target.address, model, epoch=order.epoch, store=store, timeout_s=timeout_s
+    )
+
+
+@carry_out.register
+def _(order: EvictAdapter, target: Target, store: str, timeout_s: float) -> None:
+    model = f"{order.adapter}@{order.version}"
+    evict_adapter(target.address, model, epoch=order.epoch, timeout_s=timeout_s)
+
+
+class OrderRunner:
+    """Carries out orders and polls the targets of the pools owned here.
+
+    Parameters
+    ----------
+    settings : TargetSettings
+    dispatch : Dispatch
+        Read and told of results in the control thread only.
+    submit : callable
+        Runs a command in the control thread.
+    journal : Journal
+    """
+
+    def __init__(
+        self,
+        settings: TargetSettings,
+        *,
+        dispatch: Dispatch,
+        submit: Submit,
+        journal: Journal,
+    ) -> None:
+        self.settings = settings
+        self.dispatch = dispatch
+        self.submit = submit
+        self.journal = journal
+        self.executor = ThreadPoolExecutor(settings.order_threads, "orders")
+        self.polled_at: dict[str, float] = {}
+        self.polling: set[str] = set()
+        self.incarnations: dict[str, str] = {}
+
+    def send(self, order: Order, *, decided_at: float) -> None:
+        """Send an order from another thread and report its result.
+
+        Parameters
+        ----------
+        order : Order
+        decided_at : float
+            Time of the decision; an order that is late by its own deadline isn't sent.
+        """
+        target = self.dispatch.targets.get(order.target)
+        if target is None:
+            return
+        pool = self.dispatch.pools[target.pool]
+        self.executor.submit(self._run, order.order, target, pool.store, decided_at)
+
+    def poll_reports(self, now: float) -> list[Action]:
+        """Read the reports that are due; called by the control thread.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+            Always empty; reports arrive as commands.
+        """
+        pools = set(self.dispatch.schedulers)
+        for target in self.dispatch.targets.values():
+            is_due = now - self.polled_at.get(target.name, -1e9) >= (
+                self.settings.report_every_s
+            )
+            if target.pool in pools and is_due and target.name not in self.polling:
+                self.polled_at[target.name] = now
+                self.polling.add(target.name)
+                self.executor.submit(self._poll, target)
+        return []
+
+    def stop(self) -> None:
+        """Take no further orders."""
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    def _run(self, order: Any, target: Target, store: str, decided_at: float) -> None:
+        is_ok, is_certain, error = self._try(order, target, store, decided_at)
+        self.journal.write(
+            Event(
+                f"placement.{_name(order)}_{'done' if is_ok else 'failed'}",
+                target=target.name,
+                epoch=order.epoch,
+                detail={
+                    "adapter": f"{order.adapter}@{order.version}",
+                    "is_certain": is_certain,
+                    "error": error,
+                },
+            )
+        )
+        self.submit(
+            lambda now: self.dispatch.note_order_result(
+                target.name, order, ok=is_ok, is_certain=is_certain, now=now
+            )
+        )
+
+    def _try(
+        self, order: Any, target: Target, store: str, decided_at: float
+    ) -> tuple[bool, bool, str]:
+        if time.monotonic() - decided_at > order.deadline_s:
+            return False, True, "the order was late and wasn't sent"
+        try:
+            carry_out(order, target, store, self.settings.order_timeout_s)
+        except TargetError as error:
+            return False, not error.is_sent or error.status is not None, error.message
+        return True, True, ""
+
+    def _poll(self, target: Target) -> None:
+        asked_at = time.monotonic()
+        try:
+            value = read_report(target.address, timeout_s=self.settings.order_timeout_s)
+            report = parse_report(value, asked_at)
+        except TargetError as error:
+            is_down = not error.is_sent
+            self.submit(lambda now: self._note_silence(target.name, is_down, now))
+            return
+        self.submit(lambda now: self._note_report(target.name, report, now))
+
+    def _note_report(
+        self, target: str, report: TargetReport, now: float
+    ) -> list[Action]:
+        self.polling.discard(target)
+        self.incarnations[target] = report.incarnation
+        return self.dispatch.note_target_report(target, report, now=now)
+
+    def _note_silence(self, target: str, is_down: bool, now: float) -> list[Action]:
+        self.polling.discard(target)
+        if not is_down:
+            return []
+        return self.dispatch.note_target_failed(target, now=now)
+
+
+def parse_report(value: dict[str, Any], asked_at: float) -> TargetReport:
+    """Check a target's report.
+
+    Parameters
+    ----------
+    value : dict
+        JSON object as the target sent it.
+    asked_at : float
+        Time at which it was asked for.
+
+    Returns
+    -------
+    TargetReport
+
+    Raises
+    ------
+    TargetError
+        If a field has a wrong type.
+    """
+    loaded = value.get("loaded", [])
+    running, waiting = value.get("running", 0), value.get("waiting", 0)
+    is_sound = isinstance(loaded, list) and all(isinstance(n, str) for n in loaded)
+    if not is_sound or not isinstance(running, int) or not isinstance(waiting, int):
+        raise TargetError("malformed report", is_sent=True)
+    versions = []
+    for name in loaded:
+        adapter, _, version = name.rpartition("@")
+        versions.append(AdapterVersion(adapter, version))
+    lag_s = value.get("age_s", 0.0)
+    age_s = float(lag_s) if isinstance(lag_s, int | float) else 0.0
+    return TargetReport(
+        str(value.get("incarnation", "")),
+        tuple(versions),
+        running,
+        waiting,
+        asked_at - max(0.0, age_s),
+    )
+
+
+def _name(order: Any) -> str:
+    return "load" if isinstance(order, LoadAdapter) else "eviction"
--- a/src/thornlatch/daemon/_plain.py
+++ b/src/thornlatch/daemon/_plain.py
@@ -1,5 +1,6 @@
 """Calls to plain services, some of which may run at most once."""
 
+import hashlib
 import time
 from dataclasses import dataclass
 
@@ -7,11 +8,15 @@
 from thornlatch.core import Event
 from thornlatch.daemon._answers import HttpAnswer
 from thornlatch.daemon._calls import Caller
+from thornlatch.daemon._completions import classify_failure
 from thornlatch.daemon._running import RunningRequest
-from thornlatch.daemon._services import Grant, GrantSpec, Services
+from thornlatch.daemon._services import Services
 from thornlatch.daemon._settings import TargetSettings
-from thornlatch.exceptions import ErrorKind, Execution, RequestRefused, TargetError
-from thornlatch.targets import TargetCall, open_call
+from thornlatch.daemon._suspects import SuspectGate
+from thornlatch.dispatch import Grant, Outcome, Priority, RequestSpec
+from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
+from thornlatch.requests import AttemptFailed, RecordedAnswer
+from thornlatch.targets import TargetCall, TargetResponse, open_call
 
 ANSWER_LIMIT_BYTES = 8 << 20
 
@@ -46,142 +51,252 @@
     deadline: float
     running: RunningRequest
 
+    @property
+    def needs_claim(self) -> bool:
+        """Whether repeats of the call must be recognised."""
+        return not self.route.is_idempotent and bool(self.caller.idempotency_key)
 
-def run_plain(
-    request: PlainRequest, services: Services, settings: TargetSettings
-) -> HttpAnswer:
-    """Run a call, again only where that is harmless.
+
+class PlainCall:
+    """Runs one call, again only where that is harmless.
 
     Parameters
     ----------
     request : PlainRequest
     services : Services
     settings : TargetSettings
+    """
+
+    def __init__(
+        self, request: PlainRequest, services: Services, settings: TargetSettings
+    ) -> None:
+        self.request = request
+        self.services = services
+        self.settings = settings
+        self.gate = SuspectGate(
+            services,
+            request=request.caller.request,
+            organisation=request.organisation,
+            adapter_version=request.path,
+            pool=request.route.pool,
+            body=request.body,
+        )
+        self.attempt = 0
+        self.may_have_run = False
+        self.excluded: tuple[str, ...] = ()
 
-    Returns
-    -------
-    HttpAnswer
+    def run(self) -> HttpAnswer:
+        """Run the call, under a claim if it may not be repeated.
 
-    Raises
-    ------
-    RequestRefused
-        Says whether the call may have run.
-    """
-    excluded: tuple[str, ...] = ()
-    for attempt in range(1, settings.attempts + 1):
-        grant = services.acquire_grant(_build_spec(request, attempt, excluded))
+        Returns
+        -------
+        HttpAnswer
+
+        Raises
+        ------
+        RequestRefused
+            Says whether the call may have run.
+        """
+        if not self.request.needs_claim:
+            return self._run_attempts("")
+        decision = self.services.claim(
+            self.request.caller.request,
+            self.request.organisation,
+            self.request.caller.idempotency_key,
+            self._digest_call(),
+        )
+        if isinstance(decision, RecordedAnswer):
+            return self._repeat_answer(decision)
+        return self._run_claimed(decision.claim)
+
+    def _run_claimed(self, claim: str) -> HttpAnswer:
+        answer = None
+        try:
+            answer = self._run_attempts(claim)
+            return answer
+        finally:
+            self._end_claim(claim, answer)
+
+    def _end_claim(self, claim: str, answer: HttpAnswer | None) -> None:
+        table = self.services.node.claims
+        is_certain = not self.may_have_run
+        if answer is None:
+            self.services.submit(
+                lambda now: table.abandon(claim, is_certain_not_run=is_certain, now=now)
+            )
+            return
+        kept = tuple(h for h in answer.headers if h[0] != "X-Request-Id")
+        self.services.submit(
+            lambda now: table.complete(
+                claim, status=answer.status, headers=kept, body=answer.body, now=now
+            )
+        )
+
+    def _run_attempts(self, claim: str) -> HttpAnswer:
+        while True:
+            turn = self.gate.enter()
+            self.attempt += 1
+            excluded = tuple(dict.fromkeys((*self.excluded, *turn.excluded)))
+            try:
+                grant = self.services.acquire_grant(self._build_spec(excluded))
+            except RequestRefused as error:
+                self.gate.leave_unused(turn)
+                raise self._complete_refusal(error) from error
+            try:
+                return self._run_attempt(grant, turn.ask, claim)
+            except TargetError as error:
+                time.sleep(self._decide_retry(grant, error))
+                self.excluded = (*self.excluded, grant.target)
+
+    def _run_attempt(self, grant: Grant, ask: str, claim: str) -> HttpAnswer:
+        request = self.request
+        outcome = Outcome.FAILED
+        started = time.monotonic()
+        response = None
+        self.services.note_attempt(
+            request.organisation, grant.target, is_first=self.attempt == 1
+        )
+        self.gate.note_started(grant.target, ask)
+        try:
+            self._check_may_send(claim)
+            self._emit_sent(grant, claim)
+            response = self._open(grant, claim)
+            self.may_have_run = True
+            request.running.attach(response)
+            data = response.read_all(ANSWER_LIMIT_BYTES)
+            outcome = Outcome.OK
+            kind = response.response.getheader("Content-Type", "application/json")
+            headers = (("Content-Type", kind), ("X-Request-Id", request.caller.request))
+            return HttpAnswer(response.status, data, headers)
+        except TargetError as error:
+            outcome = classify_failure(error)
+            self.may_have_run = self.may_have_run or error.is_sent
+            raise
+        finally:
+            request.running.attach(None)
+            if response is not None:
+                response.close()
+            self.gate.note_ended(grant, outcome)
+            self.services.release_grant(
+                grant,
+                outcome=outcome,
+                tokens=request.route.tokens,
+                first_token_s=time.monotonic() - started,
+            )
+
+    def _open(self, grant: Grant, claim: str) -> TargetResponse:
         try:
-            return _run_attempt(request, attempt, grant, services, settings)
+            return open_call(
+                self._build_call(grant), may_reuse=self.request.route.is_idempotent
+            )
         except TargetError as error:
-            _check_may_retry(request, attempt, error, settings)
-            excluded = (*excluded, grant.target)
-    raise RequestRefused(ErrorKind.TARGET_FAILED, "no attempt succeeded")
-
-
-def _check_may_retry(
-    request: PlainRequest, attempt: int, error: TargetError, settings: TargetSettings
-) -> None:
-    if request.running.is_key_withdrawn:
-        raise RequestRefused(ErrorKind.KEY_WITHDRAWN, "the key was withdrawn")
-    if error.is_sent and not request.route.is_idempotent:
-        raise RequestRefused(ErrorKind.OUTCOME_UNKNOWN, error.message) from error
-    if attempt >= settings.attempts:
-        execution = Execution.OUTCOME_UNKNOWN if error.is_sent else Execution.NOT_RUN
-        raise RequestRefused(
-            ErrorKind.TARGET_FAILED,
-            error.message,
-            retry_after_s=1.0,
-            execution=execution,
-        ) from error
-
-
-def _build_spec(
-    request: PlainRequest, attempt: int, excluded: tuple[str, ...]
-) -> GrantSpec:
-    return GrantSpec(
-        request=request.caller.request,
-        attempt=attempt,
-        organisation=request.organisation,
-        pool=request.route.pool,
-        adapter="",
-        version="",
-        priority=request.route.priority,
-        deadline=request.deadline,
-        tokens=int(request.route.tokens),
-        excluded=excluded,
-    )
-
-
-def _run_attempt(
-    request: PlainRequest,
-    attempt: int,
-    grant: Grant,
-    services: Services,
-    settings: TargetSettings,
-) -> HttpAnswer:
-    started = time.monotonic()
-    outcome = "failed"
-    response = None
-    try:
-        if not services.is_confirmed():
+            if claim and not error.is_sent:
+                claims = self.services.node.claims
+                self.services.run(lambda now: claims.return_unsent(claim))
+            raise
+
+    def _check_may_send(self, claim: str) -> None:
+        if not self.services.is_confirmed():
             raise RequestRefused(
-                ErrorKind.HOST_UNCONFIRMED, "host lost contact", retry_after_s=1.0
+                ErrorKind.HOST_UNCONFIRMED,
+                "this host can't confirm that it may use its grant",
+                retry_after_s=1.0,
+            )
+        claims = self.services.node.claims
+        if claim and not self.services.run(lambda now: claims.begin(claim, now=now)):
+            raise RequestRefused(
+                ErrorKind.LOG_UNAVAILABLE,
+                "the claim is too old to send the call",
+                retry_after_s=1.0,
+            )
+
+    def _decide_retry(self, grant: Grant, error: TargetError) -> float:
+        request = self.request
+        request.running.check_stopped()
+        return self.services.decide_retry(
+            AttemptFailed(
+                organisation=request.organisation,
+                target=grant.target,
+                attempt=self.attempt,
+                is_idempotent=request.route.is_idempotent,
+                may_have_run=error.is_sent,
+                may_have_run_earlier=self.may_have_run,
+                deadline=request.deadline,
             )
-        _emit_sent(request, attempt, grant, services)
-        call = _build_call(request, attempt, grant, settings)
-        response = open_call(call, may_reuse=request.route.is_idempotent)
-        request.running.attach(response)
-        data = response.read_all(ANSWER_LIMIT_BYTES)
-        outcome = "finished"
-        kind = response.response.getheader("Content-Type", "application/octet-stream")
-        headers = (("Content-Type", kind), ("X-Request-Id", request.caller.request))
-        return HttpAnswer(response.status, data, headers)
-    finally:
-        request.running.attach(None)
-        if response is not None:
-            response.close()
-        services.release_grant(
-            grant,
-            outcome=outcome,
-            tokens=int(request.route.tokens),
-            first_token_s=time.monotonic() - started,
         )
 
+    def _complete_refusal(self, error: RequestRefused) -> RequestRefused:
+        if not self.may_have_run:
+            return error
+        kind = ErrorKind.TARGET_FAILED
+        if not self.request.route.is_idempotent:
+            kind = ErrorKind.OUTCOME_UNKNOWN
+        return RequestRefused(kind, error.message, retry_after_s=error.retry_after_s)
 
-def _build_call(
-    request: PlainRequest, attempt: int, grant: Grant, settings: TargetSettings
-) -> TargetCall:
-    headers = {
-        "Content-Type": request.content_type or "application/octet-stream",
-        "X-Request-Id": request.caller.request,
-        "X-Attempt": str(attempt),
-    }
-    timeout_s = max(0.05, request.deadline - time.monotonic())
-    return TargetCall(
-        grant.address,
-        request.method,
-        request.path,
-        request.body,
-        headers,
-        min(timeout_s, settings.silence_limit_s),
-    )
-
-
-def _emit_sent(
-    request: PlainRequest, attempt: int, grant: Grant, services: Services
-) -> None:
-    services.emit(
-        Event(
-            "requests.sent",
+    def _build_spec(self, excluded: tuple[str, ...]) -> RequestSpec:
+        request = self.request
+        return RequestSpec(
             request=request.caller.request,
-            attempt=attempt,
+            attempt=self.attempt,
             organisation=request.organisation,
-            target=grant.target,
-            epoch=grant.epoch,
-            detail={
-                "is_idempotent": request.route.is_idempotent,
-                "idempotency_key": request.caller.idempotency_key,
-                "path": request.path,
-            },
+            pool=request.route.pool,
+            deadline_in_s=max(0.0, request.deadline - time.monotonic()),
+            tokens=request.route.tokens,
+            priority=Priority(request.route.priority),
+            excluded=excluded,
+        )
+
+    def _build_call(self, grant: Grant) -> TargetCall:
+        request = self.request
+        headers = {
+            "Content-Type": request.content_type or "application/octet-stream",
+            "X-Request-Id": request.caller.request,
+            "X-Attempt": str(self.attempt),
+        }
+        timeout_s = max(0.05, request.deadline - time.monotonic())
+        return TargetCall(
+            grant.address,
+            request.method,
+            request.path,
+            request.body,
+            headers,
+            min(timeout_s, self.settings.silence_limit_s),
+        )
+
+    def _digest_call(self) -> str:
+        request = self.request
+        head = f"{request.method} {request.path}\n".encode()
+        return hashlib.sha256(head + request.body).hexdigest()
+
+    def _repeat_answer(self, recorded: RecordedAnswer) -> HttpAnswer:
+        if not recorded.is_whole:
+            raise RequestRefused(
+                ErrorKind.OUTCOME_UNKNOWN,
+                "the call ran; its answer was too large to be recorded",
+            )
+        headers = (
+            *recorded.headers,
+            ("X-Request-Id", self.request.caller.request),
+            ("Idempotent-Replayed", "true"),
+        )
+        return HttpAnswer(recorded.status, recorded.body, headers)
+
+    def _emit_sent(self, grant: Grant, claim: str) -> None:
+        request = self.request
+        self.services.emit(
+            Event(
+                "requests.sent",
+                request=request.caller.request,
+                attempt=self.attempt,
+                organisation=request.organisation,
+                target=grant.target,
+                epoch=grant.epoch,
+                detail={
+                    "is_idempotent": request.route.is_idempotent,
+                    "idempotency_key": request.caller.idempotency_key,
+                    "claim": claim,
+                    "grant": grant.grant,
+                    "path": request.path,
+                },
+            )
         )
-    )
--- a/src/thornlatch/daemon/_running.py
+++ b/src/thornlatch/daemon/_running.py
@@ -1,10 +1,17 @@
 """The requests that run on this host, so that others can stop or await them."""
 
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
 
+from thornlatch.exceptions import ErrorKind, RequestRefused
 from thornlatch.targets import TargetResponse
 
+STOP_MESSAGES = {
+    ErrorKind.KEY_WITHDRAWN: "the key was withdrawn",
+    ErrorKind.HOST_UNCONFIRMED: "this host lost contact with the fleet",
+}
+
 
 @dataclass
 class RunningRequest:
@@ -14,32 +21,54 @@
     ----------
     request : str
     key_digest : str
-    is_key_withdrawn : bool
-        Set when its key was withdrawn while it ran.
+    stopped_by : ErrorKind or None
+        Why it has to stop, once it has to.
     response : TargetResponse or None
     lock : threading.Lock
     """
 
     request: str
     key_digest: str
-    is_key_withdrawn: bool = False
+    stopped_by: ErrorKind | None = None
     response: TargetResponse | None = None
     lock: threading.Lock = field(default_factory=threading.Lock)
 
     def attach(self, response: TargetResponse | None) -> None:
-        """Set the answer that is being read; breaks it if the key is withdrawn."""
+        """Set the answer that is being read; breaks it if the request must stop.
+
+        Parameters
+        ----------
+        response : TargetResponse or None
+        """
         with self.lock:
             self.response = response
-            if response is not None and self.is_key_withdrawn:
+            if response is not None and self.stopped_by is not None:
                 response.abort()
 
-    def withdraw_key(self) -> None:
-        """Break the answer that is being read."""
+    def stop(self, kind: ErrorKind) -> None:
+        """Break the answer that is being read, for good.
+
+        Parameters
+        ----------
+        kind : ErrorKind
+        """
         with self.lock:
-            self.is_key_withdrawn = True
+            self.stopped_by = self.stopped_by or kind
             if self.response is not None:
                 self.response.abort()
 
+    def check_stopped(self) -> None:
+        """Check that the request may go on.
+
+        Raises
+        ------
+        RequestRefused
+            If it was stopped.
+        """
+        kind = self.stopped_by
+        if kind is not None:
+            raise RequestRefused(kind, STOP_MESSAGES[kind])
+
 
 class RunningRequests:
     """All requests that run on this host; safe to use from any thread.
@@ -83,17 +112,27 @@
             self.requests.pop(request, None)
             self.condition.notify_all()
 
-    def withdraw_keys(self, digests: frozenset[str]) -> None:
-        """Stop the requests that came with one of these keys.
+    def stop(
+        self, kind: ErrorKind, is_affected: Callable[[RunningRequest], bool]
+    ) -> int:
+        """Stop some of the requests.
 
         Parameters
         ----------
-        digests : frozenset of str
+        kind : ErrorKind
+            Reason that the callers get.
+        is_affected : callable
+
+        Returns
+        -------
+        int
+            How many were stopped.
         """
         with self.condition:
-            affected = [r for r in self.requests.values() if r.key_digest in digests]
+            affected = [r for r in self.requests.values() if is_affected(r)]
         for running in affected:
-            running.withdraw_key()
+            running.stop(kind)
+        return len(affected)
 
     def wait_until_empty(self, timeout_s: float) -> bool:
         """Wait for all requests to end.
--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -1,140 +1,473 @@
 """What request threads ask of the slices, over the control thread."""
 
+import threading
 import time
+from collections.abc import Callable, Mapping
 from concurrent.futures import Future
 from concurrent.futures import TimeoutError as FutureTimeoutError
-from dataclasses import dataclass
-from typing import Any, Protocol
+from typing import Any, TypeVar
 
-from thornlatch.configuration import Adapter, Key, Pool, Route
-from thornlatch.core import Event
-from thornlatch.exceptions import ErrorKind, RequestRefused
+from thornlatch.admission import Admitted
+from thornlatch.configuration import Adapter, Key, Route
+from thornlatch.core import Action, Event
+from thornlatch.daemon._control import ControlLoop
+from thornlatch.daemon._journal import Journal
+from thornlatch.daemon._node import Node
+from thornlatch.dispatch import Grant, Outcome, RequestSpec
+from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
+from thornlatch.requests import (
+    AttemptFailed,
+    ClaimWon,
+    RecordedAnswer,
+    RetryPolicy,
+    RunIsolated,
+    RunNormally,
+    Verdict,
+)
+from thornlatch.targets import read_report
 
 DECISION_SLACK_S = 1.0
+CLAIM_WAIT_S = 15.0
+COMMAND_TIMEOUT_S = 10.0
+PROBE_TIMEOUT_S = 0.5
 
+T = TypeVar("T")
 
-@dataclass(frozen=True)
-class GrantSpec:
-    """What a request needs of a pool.
+
+class Services:
+    """Decisions that a request thread waits for; refusals are raised.
 
     Parameters
     ----------
-    request : str
-    attempt : int
-    organisation : str
-    pool : str
-    adapter, version : str
-        Empty for plain services.
-    priority : str
-    deadline : float
-        Time of the monotonic clock by which the request must begin.
-    tokens : int
-        Tokens that it may generate.
-    prefix : str
-        Digest of the prompt's beginning, for prefix locality.
-    excluded : tuple of str
-        Targets that failed this request.
+    node : Node
+    control : ControlLoop
+    journal : Journal
+    retries : RetryPolicy
+    incarnations : mapping of str to str
+        Last known incarnation of each target.
     """
 
-    request: str
-    attempt: int
-    organisation: str
-    pool: str
-    adapter: str
-    version: str
-    priority: str
-    deadline: float
-    tokens: int
-    prefix: str = ""
-    excluded: tuple[str, ...] = ()
+    def __init__(
+        self,
+        node: Node,
+        control: ControlLoop,
+        journal: Journal,
+        *,
+        retries: RetryPolicy,
+        incarnations: Mapping[str, str],
+    ) -> None:
+        self.node = node
+        self.control = control
+        self.journal = journal
+        self.is_stopping = False
+        self.retry_lock = threading.Lock()
+        self.retries = retries
+        self.incarnations = incarnations
 
+    def check_serving(self) -> None:
+        """Check that this host takes requests now.
 
-@dataclass(frozen=True)
-class Grant:
-    """The right to run one request on a target.
+        Raises
+        ------
+        RequestRefused
+            If it stops, or can't confirm its session or its configuration.
+        """
+        if self.is_stopping:
+            raise RequestRefused(
+                ErrorKind.HOST_STOPPING, "this host stops", retry_after_s=1.0
+            )
+        if not self.is_confirmed():
+            raise RequestRefused(
+                ErrorKind.HOST_UNCONFIRMED,
+                "this host can't confirm that it is a member of the fleet",
+                retry_after_s=1.0,
+            )
+        self.node.configuration.check_fresh(now=time.monotonic())
 
-    Parameters
-    ----------
-    grant : str
-    target : str
-    address : str
-    epoch : int
-        Fencing number.
-    """
+    def is_confirmed(self) -> bool:
+        """Return whether rights granted earlier may be used now."""
+        return self.node.leases.is_confirmed(now=time.monotonic())
 
-    grant: str
-    target: str
-    address: str
-    epoch: int
+    def authenticate(self, key: str) -> Key:
+        """Return the record of a bearer key.
 
+        Parameters
+        ----------
+        key : str
 
-class Services(Protocol):
-    """Decisions that a request thread waits for; errors are `RequestRefused`."""
+        Returns
+        -------
+        Key
+        """
+        return self.node.configuration.authenticate(key, now=time.monotonic())
 
-    def authenticate(self, key: str) -> Key:
-        """Return the record of a bearer key."""
+    def find_adapter(self, model: str) -> Adapter:
+        """Return the adapter version that a model name means.
+
+        Parameters
+        ----------
+        model : str
+            ``name`` or ``name@version``.
 
-    def find_adapter(self, model: str) -> tuple[Adapter, str]:
-        """Return adapter and version that a model name means."""
+        Returns
+        -------
+        Adapter
+        """
+        adapter = self.node.configuration.view.find_adapter(model)
+        if adapter is None:
+            raise RequestRefused(ErrorKind.UNKNOWN_MODEL, "no such model")
+        return adapter
 
     def find_route(self, path: str) -> Route:
-        """Return the route with the longest matching prefix."""
+        """Return the route with the longest matching prefix.
 
-    def get_pool(self, name: str) -> Pool:
-        """Return a pool."""
+        Parameters
+        ----------
+        path : str
+
+        Returns
+        -------
+        Route
+        """
+        route = self.node.configuration.view.find_route(path)
+        if route is None:
+            raise RequestRefused(ErrorKind.UNKNOWN_ROUTE, "no such path")
+        return route
 
     def list_adapters(self, organisation: str) -> list[Adapter]:
-        """Return the adapters that an organisation may call."""
+        """Return the adapters that an organisation may call.
 
-    def check_serving(self) -> None:
-        """Raise if this host may not take requests now."""
+        Parameters
+        ----------
+        organisation : str
 
-    def is_key_withdrawn(self, digest: str) -> bool:
-        """Return whether a key that was valid has been withdrawn."""
+        Returns
+        -------
+        list of Adapter
+        """
+        return list(self.node.configuration.view.iter_adapters(organisation))
 
-    def is_confirmed(self) -> bool:
-        """Return whether rights granted earlier may be used now."""
+    def admit(
+        self, request: str, organisation: str, tokens: float, deadline: float
+    ) -> Admitted:
+        """Take tokens of an organisation's allowance, waiting briefly for them.
+
+        Parameters
+        ----------
+        request : str
+            Request id.
+        organisation : str
+        tokens : float
+        deadline : float
+            Time of the monotonic clock.
+
+        Returns
+        -------
+        Admitted
+        """
 
-    def admit(self, organisation: str, tokens: float, deadline: float) -> Any:
-        """Take tokens of an organisation's allowance."""
+        def build(ticket: str, now: float) -> list[Action]:
+            return self.node.admission.admit(
+                ticket,
+                organisation=organisation,
+                tokens=tokens,
+                deadline=deadline,
+                now=now,
+            )
 
-    def settle(self, admitted: Any, used: float) -> None:
-        """Give back what of the admitted tokens wasn't used."""
+        def cancel(now: float) -> list[Action]:
+            self.node.admission.cancel(request, now=now)
+            return []
 
-    def acquire_grant(self, spec: GrantSpec) -> Grant:
-        """Wait for a target."""
+        def undo(admitted: Admitted, now: float) -> list[Action]:
+            return self.node.admission.settle(admitted, used=0.0, now=now)
+
+        return self._ask(request, build, deadline, cancel, undo)
+
+    def settle(self, admitted: Admitted, used: float) -> None:
+        """Give back what of the admitted tokens wasn't used.
+
+        Parameters
+        ----------
+        admitted : Admitted
+        used : float
+            Tokens.
+        """
+        self.control.submit(
+            lambda now: self.node.admission.settle(admitted, used=used, now=now)
+        )
+
+    def acquire_grant(self, spec: RequestSpec) -> Grant:
+        """Wait for a target.
+
+        Parameters
+        ----------
+        spec : RequestSpec
+
+        Returns
+        -------
+        Grant
+        """
+
+        ticket = f"{spec.request}/{spec.attempt}"
+
+        def build(ticket: str, now: float) -> list[Action]:
+            return self.node.dispatch.request(ticket, spec, now=now)
+
+        def cancel(now: float) -> list[Action]:
+            return self.node.dispatch.cancel(ticket, now=now)
+
+        def undo(grant: Grant, now: float) -> list[Action]:
+            return self.node.dispatch.release(
+                grant, outcome=Outcome.UNUSED, tokens=0.0, now=now
+            )
+
+        deadline = time.monotonic() + spec.deadline_in_s
+        return self._ask(ticket, build, deadline, cancel, undo)
 
     def release_grant(
-        self, grant: Grant, *, outcome: str, tokens: int, first_token_s: float
+        self,
+        grant: Grant,
+        *,
+        outcome: Outcome,
+        tokens: float,
+        first_token_s: float | None,
     ) -> None:
-        """Return a grant with what became of the attempt."""
+        """Return a grant with what became of the attempt.
+
+        Parameters
+        ----------
+        grant : Grant
+        outcome : Outcome
+        tokens : float
+        first_token_s : float or None
+        """
+        self.control.submit(
+            lambda now: self.node.dispatch.release(
+                grant,
+                outcome=outcome,
+                tokens=tokens,
+                first_token_s=first_token_s,
+                now=now,
+            )
+        )
 
     def emit(self, event: Event) -> None:
-        """Write an event to the time line."""
+        """Write an event to the time line.
 
+        Parameters
+        ----------
+        event : Event
+        """
+        self.journal.write(event)
 
-def wait_for(future: "Future[Any]", deadline: float) -> Any:
-    """Wait for a decision of the control thread.
+    def claim(
+        self, request: str, organisation: str, idempotency_key: str, body_digest: str
+    ) -> ClaimWon | RecordedAnswer:
+        """Claim a call that may run at most once.
 
-    Parameters
-    ----------
-    future : Future
-    deadline : float
-        Time of the monotonic clock by which the decision is due.
-
-    Returns
-    -------
-    object
-
-    Raises
-    ------
-    RequestRefused
-        If it was refused, or no decision came.
-    """
-    timeout_s = max(0.0, deadline - time.monotonic()) + DECISION_SLACK_S
-    try:
-        return future.result(timeout=timeout_s)
-    except FutureTimeoutError:
-        raise RequestRefused(
-            ErrorKind.DEADLINE_UNREACHABLE, "no decision in time", retry_after_s=1.0
-        ) from None
+        Parameters
+        ----------
+        request : str
+        organisation : str
+        idempotency_key : str
+        body_digest : str
+            Hexadecimal SHA-256 of method, path and body.
+
+        Returns
+        -------
+        ClaimWon or RecordedAnswer
+        """
+        claims = self.node.claims
+
+        def build(ticket: str, now: float) -> list[Action]:
+            return claims.claim(
+                ticket,
+                organisation=organisation,
+                idempotency_key=idempotency_key,
+                body_digest=body_digest,
+                now=now,
+                wall_time=time.time(),
+            )
+
+        def cancel(now: float) -> list[Action]:
+            return claims.cancel(ticket, now=now)
+
+        def undo(decision: ClaimWon | RecordedAnswer, now: float) -> list[Action]:
+            if isinstance(decision, RecordedAnswer):
+                return []
+            return claims.abandon(decision.claim, is_certain_not_run=True, now=now)
+
+        ticket = f"{request}/claim"
+        deadline = time.monotonic() + CLAIM_WAIT_S
+        return self._ask(ticket, build, deadline, cancel, undo)
+
+    def note_attempt(self, organisation: str, target: str, *, is_first: bool) -> None:
+        """Note an attempt that is about to be sent, for the budgets of retries.
+
+        Parameters
+        ----------
+        organisation : str
+        target : str
+        is_first : bool
+        """
+        with self.retry_lock:
+            self.retries.note_attempt(organisation, target, is_first=is_first)
+
+    def decide_retry(self, failure: AttemptFailed) -> float:
+        """Decide whether a failed attempt is tried again.
+
+        Parameters
+        ----------
+        failure : AttemptFailed
+
+        Returns
+        -------
+        float
+            Seconds to wait before the next attempt.
+
+        Raises
+        ------
+        RequestRefused
+            If there is no further attempt.
+        """
+        with self.retry_lock:
+            decision = self.retries.decide(failure, now=time.monotonic())
+        if isinstance(decision, RequestRefused):
+            raise decision
+        return decision.delay_s
+
+    def check_suspect(self, fingerprint: str) -> Verdict:
+        """Return what the quarantine says of a request.
+
+        Parameters
+        ----------
+        fingerprint : str
+
+        Returns
+        -------
+        RunNormally, MustWait or Refuse
+        """
+        return self.node.quarantine.check(fingerprint, now=time.monotonic())
+
+    def enter_quarantine(
+        self, ticket: str, fingerprint: str, pool: str
+    ) -> RunIsolated | RunNormally:
+        """Wait for a suspect's turn.
+
+        Parameters
+        ----------
+        ticket : str
+        fingerprint : str
+        pool : str
+
+        Returns
+        -------
+        RunIsolated or RunNormally
+        """
+        quarantine = self.node.quarantine
+
+        def build(ticket: str, now: float) -> list[Action]:
+            return quarantine.enter(ticket, fingerprint, pool=pool, now=now)
+
+        def cancel(now: float) -> list[Action]:
+            return quarantine.leave(ticket, now=now)
+
+        def undo(decision: RunIsolated | RunNormally, now: float) -> list[Action]:
+            if isinstance(decision, RunNormally):
+                return []
+            return quarantine.return_turn(decision.ask, fingerprint, now=now)
+
+        deadline = time.monotonic() + quarantine.settings.wait_s
+        return self._ask(ticket, build, deadline, cancel, undo)
+
+    def is_target_dead(self, target: str, address: str) -> bool:
+        """Find out whether a target that broke off an answer has died.
+
+        Parameters
+        ----------
+        target : str
+        address : str
+
+        Returns
+        -------
+        bool
+            True if it refuses connections or answers as a new incarnation.
+        """
+        known = self.incarnations.get(target)
+        try:
+            report = read_report(address, timeout_s=PROBE_TIMEOUT_S)
+        except TargetError as error:
+            return not error.is_sent
+        current = str(report.get("incarnation", ""))
+        return bool(known) and current != known
+
+    def note_target_died(self, target: str) -> None:
+        """Tell the slices of a target's death.
+
+        Parameters
+        ----------
+        target : str
+        """
+        known = self.node.dispatch.targets.get(target)
+        failure_domain = known.failure_domain if known is not None else ""
+
+        def tell(now: float) -> list[Action]:
+            actions = self.node.quarantine.target_died(
+                target, failure_domain=failure_domain, now=now
+            )
+            return actions + self.node.dispatch.note_target_failed(target, now=now)
+
+        self.control.submit(tell)
+
+    def run(self, command: Callable[[float], T]) -> T:
+        """Run a command of a slice in the control thread and return its value.
+
+        Parameters
+        ----------
+        command : callable
+            Takes `now`.
+
+        Returns
+        -------
+        object
+        """
+        future: Future[T] = Future()
+
+        def execute(now: float) -> list[Action]:
+            try:
+                future.set_result(command(now))
+            except Exception as error:
+                future.set_exception(error)
+            return []
+
+        self.control.submit(execute)
+        return future.result(timeout=COMMAND_TIMEOUT_S)
+
+    def submit(self, command: Callable[[float], list[Action]]) -> None:
+        """Run a command of a slice in the control thread without waiting.
+
+        Parameters
+        ----------
+        command : callable
+            Takes `now` and returns actions.
+        """
+        self.control.submit(command)
+
+    def _ask(
+        self,
+        ticket: str,
+        build: Callable[[str, float], list[Action]],
+        deadline: float,
+        cancel: Callable[[float], list[Action]],
+        undo: Callable[[Any, float], list[Action]],
+    ) -> Any:
+        future = self.control.ask(ticket, build)
+        timeout_s = max(0.0, deadline - time.monotonic()) + DECISION_SLACK_S
+        try:
+            return future.result(timeout=timeout_s)
+        except FutureTimeoutError:
+            self.control.withdraw(ticket, cancel, undo, future)
+            raise RequestRefused(
+                ErrorKind.DEADLINE_UNREACHABLE, "no decision in time", retry_after_s=1.0
+            ) from None
--- a/src/thornlatch/daemon/_settings.py
+++ b/src/thornlatch/daemon/_settings.py
@@ -5,6 +5,7 @@
 
 from msgspec import Meta
 
+from thornlatch.daemon._node import SliceSettings
 from thornlatch.daemon._peers import PeerSettings
 from thornlatch.platform import PlatformSettings
 
@@ -98,10 +99,13 @@
         are still served meanwhile.
     limit_s : float
         Seconds after which a stop that waits for requests is reported as late.
+    hand_over_s : float
+        Seconds between returning shares and grants and ending the session.
     """
 
     rotation_s: Annotated[float, Meta(ge=0, le=600)] = 2.0
     limit_s: Annotated[float, Meta(gt=0, le=86400)] = 600.0
+    hand_over_s: Annotated[float, Meta(ge=0, le=60)] = 0.3
 
 
 @dataclass(frozen=True)
@@ -148,6 +152,8 @@
     stop : StopSettings
     metrics : MetricsSettings
     logs : LogSettings
+    slices : SliceSettings
+        Tables ``slices.membership``, ``slices.admission`` and so on.
     """
 
     host: HostSettings
@@ -158,3 +164,4 @@
     stop: StopSettings = field(default_factory=StopSettings)
     metrics: MetricsSettings = field(default_factory=MetricsSettings)
     logs: LogSettings = field(default_factory=LogSettings)
+    slices: SliceSettings = field(default_factory=SliceSettings)
--- /dev/null
+++ b/src/thornlatch/daemon/_status.py
@@ -0,0 +1,43 @@
+"""The read-only status page."""
+
+import time
+from typing import TYPE_CHECKING, Any
+
+import msgspec
+
+if TYPE_CHECKING:
+    from thornlatch.daemon._daemon import Daemon
+
+
+def build_status(daemon: "Daemon") -> dict[str, Any]:
+    """Build the JSON value of ``/status``.
+
+    Parameters
+    ----------
+    daemon : Daemon
+
+    Returns
+    -------
+    dict
+    """
+    now = time.monotonic()
+    node = daemon.node
+    members = list(node.leases.iter_members())
+    counts = daemon.peers.get_counts()
+    return {
+        "host": node.host,
+        "failure_domain": daemon.settings.host.failure_domain,
+        "ready": daemon.is_ready(),
+        "stopping": daemon.stop.is_requested,
+        "confirmed": node.leases.is_confirmed(now=now),
+        "running_requests": len(daemon.running),
+        "members": [msgspec.to_builtins(member) for member in members],
+        "configuration": msgspec.to_builtins(node.configuration.get_status(now=now)),
+        "owned_pools": sorted(node.dispatch.schedulers),
+        "control": {
+            "busy_s": daemon.control.busy_s,
+            "appends": daemon.appender.append_count,
+            "append_failures": daemon.appender.failure_count,
+            **msgspec.to_builtins(counts),
+        },
+    }
--- /dev/null
+++ b/src/thornlatch/daemon/_stop.py
@@ -0,0 +1,117 @@
+"""The planned stop: leave the rotation, finish, give rights up, end the session."""
+
+import signal
+import time
+from collections.abc import Callable
+from typing import Any
+
+from thornlatch.core import Event
+from thornlatch.daemon._journal import Journal
+from thornlatch.daemon._running import RunningRequests
+from thornlatch.daemon._services import Services
+from thornlatch.daemon._settings import StopSettings
+
+POLL_S = 0.02
+SETTLE_LIMIT_S = 5.0
+
+
+class StopSequence:
+    """Waits for a stop request and carries the stop out.
+
+    Parameters
+    ----------
+    settings : StopSettings
+    services : Services
+    running : RunningRequests
+    journal : Journal
+    """
+
+    def __init__(
+        self,
+        settings: StopSettings,
+        *,
+        services: Services,
+        running: RunningRequests,
+        journal: Journal,
+    ) -> None:
+        self.settings = settings
+        self.services = services
+        self.running = running
+        self.journal = journal
+        self.requests = 0
+
+    @property
+    def is_requested(self) -> bool:
+        """Whether the process was asked to stop."""
+        return self.requests > 0
+
+    def install(self) -> None:
+        """Take SIGTERM and SIGINT as requests to stop."""
+        signal.signal(signal.SIGTERM, self._on_signal)
+        signal.signal(signal.SIGINT, self._on_signal)
+
+    def wait(self) -> int:
+        """Wait for a stop request and carry it out.
+
+        Returns
+        -------
+        int
+            0 if every running request ended by itself, 1 after a second signal.
+        """
+        self._wait_for(lambda: self.is_requested)
+        self.journal.write(Event("daemon.stop_requested"))
+        self._pause(self.settings.rotation_s)
+        self.services.is_stopping = True
+        if not self._finish_requests():
+            self.journal.write(
+                Event("daemon.stop_forced", detail={"running": len(self.running)})
+            )
+            return 1
+        self._give_up_rights()
+        return 0
+
+    def _on_signal(self, *_: Any) -> None:
+        self.requests += 1
+
+    def _finish_requests(self) -> bool:
+        started = time.monotonic()
+        is_late = False
+        while self.requests < 2:
+            if self.running.wait_until_empty(POLL_S):
+                return True
+            if not is_late and time.monotonic() - started > self.settings.limit_s:
+                is_late = True
+                detail = {"running": len(self.running)}
+                self.journal.write(Event("daemon.stop_late", detail=detail))
+        return False
+
+    def _give_up_rights(self) -> None:
+        node = self.services.node
+        self.services.submit(lambda now: node.dispatch.close(now))
+        self.services.submit(lambda now: node.admission.close(now=now))
+        self._settle(lambda: not node.claims.has_unwritten)
+        self._settle(
+            lambda: (
+                not self.services.run(
+                    lambda now: node.dispatch.has_open_orders(now=now)
+                )
+            )
+        )
+        # Peers get a moment for the messages that return shares and grants.
+        time.sleep(self.settings.hand_over_s)
+        self.services.submit(lambda now: node.membership.close(now=now))
+        self.services.run(lambda now: None)
+
+    def _settle(self, is_settled: Callable[[], bool]) -> None:
+        deadline = time.monotonic() + SETTLE_LIMIT_S
+        while not is_settled() and time.monotonic() < deadline:
+            time.sleep(POLL_S)
+
+    def _pause(self, duration_s: float) -> None:
+        deadline = time.monotonic() + duration_s
+        self._wait_for(lambda: time.monotonic() >= deadline or self.requests > 1)
+
+    def _wait_for(self, is_met: Callable[[], bool]) -> None:
+        while not is_met():
+            time.sleep(POLL_S)
+
--- /dev/null
+++ b/src/thornlatch/daemon/_suspects.py
@@ -0,0 +1,132 @@
+"""Passes requests through the quarantine of those that crash targets."""
+
+from dataclasses import dataclass
+
+from thornlatch.daemon._services import Services
+from thornlatch.dispatch import Grant, Outcome
+from thornlatch.requests import (
+    Refuse,
+    RunIsolated,
+    RunNormally,
+    make_fingerprint,
+)
+
+
+@dataclass(frozen=True)
+class Turn:
+    """Permission to send one attempt.
+
+    Parameters
+    ----------
+    ask : str
+        Names an isolated run; empty for a normal one.
+    excluded : tuple of str
+        Targets that died under the request.
+    """
+
+    ask: str = ""
+    excluded: tuple[str, ...] = ()
+
+
+class SuspectGate:
+    """What one request asks of the quarantine.
+
+    Parameters
+    ----------
+    services : Services
+    request : str
+    organisation : str
+    adapter_version : str
+        Or the path of a plain service's route.
+    pool : str
+    body : bytes
+    """
+
+    def __init__(
+        self,
+        services: Services,
+        *,
+        request: str,
+        organisation: str,
+        adapter_version: str,
+        pool: str,
+        body: bytes,
+    ) -> None:
+        self.services = services
+        self.request = request
+        self.pool = pool
+        self.fingerprint = make_fingerprint(organisation, adapter_version, body)
+        self.entered = 0
+
+    def enter(self) -> Turn:
+        """Wait until the request may be sent.
+
+        Returns
+        -------
+        Turn
+
+        Raises
+        ------
+        RequestRefused
+            If it crashed two targets, or its turn doesn't come in time.
+        """
+        verdict = self.services.check_suspect(self.fingerprint)
+        if isinstance(verdict, Refuse):
+            raise verdict.refusal
+        if isinstance(verdict, RunNormally):
+            return Turn()
+        self.entered += 1
+        ticket = f"{self.request}/suspect-{self.entered}"
+        decision = self.services.enter_quarantine(ticket, self.fingerprint, self.pool)
+        if isinstance(decision, RunIsolated):
+            return Turn(decision.ask, decision.excluded)
+        return Turn()
+
+    def leave_unused(self, turn: Turn) -> None:
+        """Give back a turn under which no byte was sent.
+
+        Parameters
+        ----------
+        turn : Turn
+        """
+        if turn.ask:
+            self.services.submit(
+                lambda now: self.services.node.quarantine.return_turn(
+                    turn.ask, self.fingerprint, now=now
+                )
+            )
+
+    def note_started(self, target: str, ask: str) -> None:
+        """Note that an attempt is about to be sent.
+
+        Parameters
+        ----------
+        target : str
+        ask : str
+        """
+        quarantine = self.services.node.quarantine
+
+        def start(now: float) -> None:
+            quarantine.note_started(
+                self.request, self.fingerprint, target=target, now=now, ask=ask
+            )
+
+        self.services.run(start)
+
+    def note_ended(self, grant: Grant, outcome: Outcome) -> None:
+        """Note the end of an attempt, and the target's death if it died.
+
+        Parameters
+        ----------
+        grant : Grant
+        outcome : Outcome
+        """
+        is_suspicious = outcome in (Outcome.UNKNOWN, Outcome.FAILED)
+        if is_suspicious and self.services.is_target_dead(grant.target, grant.address):
+            self.services.note_target_died(grant.target)
+            return
+        self.services.submit(
+            lambda now: self.services.node.quarantine.note_finished(
+                self.request, now=now
+            )
+        )
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -29,17 +29,27 @@
         Number of the token in the answer, from 0; None for events without a token.
     is_finish : bool
         Whether the event ends the answer.
+    text : str
+        Text of the token.
     """
 
     data: bytes
     model: str
     token_index: int | None
     is_finish: bool
+    text: str = ""
+
+
+@dataclass(frozen=True)
+class _Delta:
+    content: str | None = None
 
 
 @dataclass(frozen=True)
 class _Choice:
     finish_reason: str | None = None
+    text: str | None = None
+    delta: _Delta | None = None
 
 
 @dataclass(frozen=True)
@@ -94,8 +104,12 @@
         fields = _chunk_decoder.decode(payload)
     except msgspec.MsgspecError as error:
         raise TargetError(f"malformed event: {error}", is_sent=True) from error
-    is_finish = any(choice.finish_reason for choice in fields.choices)
-    return CompletionChunk(payload, fields.model, fields.token_index, is_finish)
+    if not fields.choices:
+        return CompletionChunk(payload, fields.model, fields.token_index, False)
+    choice = fields.choices[0]
+    text = choice.text or (choice.delta.content if choice.delta else None) or ""
+    is_finish = choice.finish_reason is not None
+    return CompletionChunk(payload, fields.model, fields.token_index, is_finish, text)
 
 
 def _drain(response: TargetResponse) -> None:
