Fold the control stream and derive lease owners from it

Cause: admission, placement and requests need to know who may act on a key. Change: records, fold, confirmation, accusations and waits of membership; lease table by rendezvous hashing over established members.

--- /dev/null
+++ b/src/thornlatch/leases/_hashing.py
@@ -0,0 +1,22 @@
+"""Rendezvous hashing, the same on all hosts and in all processes."""
+
+import hashlib
+
+
+def score_key(key: str, host: str) -> int:
+    """Return the score of `host` for `key`; the highest score owns the key.
+
+    Parameters
+    ----------
+    key : str
+        Lease key, such as ``pool:llm``.
+    host : str
+        Host id.
+
+    Returns
+    -------
+    int
+        64 bits.
+    """
+    data = f"{len(key)}:{key}{host}".encode()
+    return int.from_bytes(hashlib.blake2b(data, digest_size=8).digest())
--- a/src/thornlatch/membership/__init__.py
+++ b/src/thornlatch/membership/__init__.py
@@ -1,1 +1,35 @@
-"""Which hosts are live: sessions, heartbeats, expulsion."""
+"""Who is live, leaving and gone, and whether this host may act."""
+
+from thornlatch.membership._membership import Membership
+from thornlatch.membership._messages import Heartbeat, HeartbeatAnswer
+from thornlatch.membership._records import (
+    CONTROL_STREAM,
+    Accused,
+    Defended,
+    Expelled,
+    HostRemoved,
+    SessionClosed,
+    SessionOpened,
+    ViewAcknowledged,
+)
+from thornlatch.membership._settings import MembershipSettings
+from thornlatch.membership._view import Accusation, Departure, ViewFold, Wait
+
+__all__ = [
+    "CONTROL_STREAM",
+    "Accusation",
+    "Accused",
+    "Defended",
+    "Departure",
+    "Expelled",
+    "Heartbeat",
+    "HeartbeatAnswer",
+    "HostRemoved",
+    "Membership",
+    "MembershipSettings",
+    "SessionClosed",
+    "SessionOpened",
+    "ViewAcknowledged",
+    "ViewFold",
+    "Wait",
+]
--- /dev/null
+++ b/src/thornlatch/membership/_settings.py
@@ -0,0 +1,103 @@
+"""Settings of membership."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from thornlatch.exceptions import SettingsError
+
+ShortTime = Annotated[float, Meta(gt=0, le=60)]
+
+
+@dataclass(frozen=True)
+class MembershipSettings:
+    """Times and bounds of membership; equal on all hosts of a fleet.
+
+    Parameters
+    ----------
+    safe_s : float
+        Seconds for which one confirmation lets a host act.
+    heartbeat_s : float
+        Seconds between heartbeats.
+    suspect_s : float
+        Seconds without an answer after which a peer is accused.
+    defence_s : float
+        Seconds that an accused host has to answer on the log.
+    drift_margin : float
+        Greatest ratio between the speeds of two hosts' clocks.
+    order_limit_s : float
+        Seconds that the longest order to a target may take.
+    outage_limit_s : float
+        Seconds without the log for which peers may confirm a host.
+    acknowledge_s : float
+        Seconds that a member has to acknowledge a join.
+    voter_limit : int
+        Largest number of voters.
+    full_mesh_limit : int
+        Largest fleet in which every member watches every other.
+    """
+
+    safe_s: ShortTime = 2.0
+    heartbeat_s: ShortTime = 0.4
+    suspect_s: ShortTime = 1.5
+    defence_s: ShortTime = 2.0
+    drift_margin: Annotated[float, Meta(ge=1, le=2)] = 1.05
+    order_limit_s: ShortTime = 3.0
+    outage_limit_s: Annotated[float, Meta(gt=0, le=86_400)] = 4000.0
+    acknowledge_s: ShortTime = 10.0
+    voter_limit: Annotated[int, Meta(ge=1, le=31)] = 15
+    full_mesh_limit: Annotated[int, Meta(ge=1, le=64)] = 16
+
+    def __post_init__(self) -> None:
+        """Check the settings against each other."""
+        _check(
+            self.heartbeat_s * 3 <= self.safe_s,
+            "heartbeat_s",
+            self.heartbeat_s,
+            f"at most a third of safe_s ({self.safe_s})",
+        )
+        _check(
+            self.suspect_s >= 2 * self.heartbeat_s,
+            "suspect_s",
+            self.suspect_s,
+            f"at least twice heartbeat_s ({self.heartbeat_s})",
+        )
+        _check(
+            self.outage_limit_s >= self.safe_s,
+            "outage_limit_s",
+            self.outage_limit_s,
+            f"at least safe_s ({self.safe_s})",
+        )
+
+    @property
+    def patience_s(self) -> float:
+        """Seconds after its accusation that a host may be expelled slowly.
+
+        Long enough for the other voters to find the host silent as well, since a
+        majority of accusers ends the wait for the host's rights much sooner.
+        """
+        return self.defence_s + 3 * self.suspect_s
+
+    @property
+    def fast_wait_s(self) -> float:
+        """Seconds that a successor waits after an expulsion by a majority."""
+        return (self.safe_s + self.order_limit_s) * self.drift_margin
+
+    @property
+    def slow_wait_s(self) -> float:
+        """Seconds that a successor waits after an unanswered accusation."""
+        return (self.outage_limit_s + self.order_limit_s) * self.drift_margin
+
+    @property
+    def takeover_wait_s(self) -> float:
+        """Seconds that a joiner waits for orders of owners that acknowledged it."""
+        return self.order_limit_s * self.drift_margin
+
+
+def _check(is_valid: bool, key: str, value: float, allowed: str) -> None:
+    if not is_valid:
+        raise SettingsError(
+            f"{key} = {value} doesn't fit the other settings; allowed: {allowed}",
+            context=f"membership.{key}",
+        )
