--- a/src/thornlatch/dispatch/__init__.py
+++ b/src/thornlatch/dispatch/__init__.py
@@ -1,1 +1,50 @@
 """Queues, fairness, choice of target and grants."""
+
+from thornlatch.dispatch._dispatch import Dispatch
+from thornlatch.dispatch._holder import Grant
+from thornlatch.dispatch._messages import (
+    GrantCancelled,
+    GrantCancelNoted,
+    Granted,
+    GrantHeld,
+    GrantInventory,
+    GrantInventoryRequest,
+    GrantQueued,
+    GrantRecalled,
+    GrantRefused,
+    GrantReleased,
+    GrantReleaseNoted,
+    GrantRequest,
+    HeldGrant,
+    Outcome,
+    Priority,
+    RequestSpec,
+)
+from thornlatch.dispatch._scheduler import PoolScheduler, get_pool_key
+from thornlatch.dispatch._settings import DispatchSettings
+from thornlatch.dispatch._targets import TargetReport
+
+__all__ = [
+    "Dispatch",
+    "DispatchSettings",
+    "Grant",
+    "GrantCancelNoted",
+    "GrantCancelled",
+    "GrantHeld",
+    "GrantInventory",
+    "GrantInventoryRequest",
+    "GrantQueued",
+    "GrantRecalled",
+    "GrantRefused",
+    "GrantReleaseNoted",
+    "GrantReleased",
+    "GrantRequest",
+    "Granted",
+    "HeldGrant",
+    "Outcome",
+    "PoolScheduler",
+    "Priority",
+    "RequestSpec",
+    "TargetReport",
+    "get_pool_key",
+]
--- /dev/null
+++ b/src/thornlatch/dispatch/_deadlines.py
@@ -0,0 +1,73 @@
+"""Whether a request can still meet its deadline."""
+
+import heapq
+import itertools
+from collections.abc import Iterable
+
+from thornlatch.configuration import Store
+from thornlatch.dispatch._estimate import ServiceEstimate
+from thornlatch.dispatch._fairness import FairShares
+from thornlatch.dispatch._queue import RequestKey, RequestQueue, WaitingRequest
+
+
+class GiveUpTimes:
+    """Finds waiting requests whose last useful starting time has come."""
+
+    def __init__(self) -> None:
+        self.heap: list[tuple[float, int, RequestKey]] = []
+        self.sequence = itertools.count()
+
+    def add(self, key: RequestKey, give_up_at: float) -> None:
+        """Note the last useful starting time of a request."""
+        heapq.heappush(self.heap, (give_up_at, next(self.sequence), key))
+
+    def pop_due(self, now: float) -> list[RequestKey]:
+        """Return the requests whose noted time has come."""
+        due = []
+        while self.heap and self.heap[0][0] <= now:
+            due.append(heapq.heappop(self.heap)[2])
+        return due
+
+
+def estimate_queue_wait(
+    waiting: WaitingRequest,
+    queue: RequestQueue,
+    service: ServiceEstimate,
+    shares: FairShares,
+    slots: int,
+) -> float:
+    """Return the seconds until a slot is probably granted.
+
+    Parameters
+    ----------
+    waiting : WaitingRequest
+        A request that can't be served at once.
+    queue : RequestQueue
+    service : ServiceEstimate
+    shares : FairShares
+    slots : int
+        Batch slots that may be used over the pool.
+
+    Returns
+    -------
+    float
+    """
+    if slots <= 0:
+        return 0.0
+    own = waiting.spec.organisation
+    weights = {name: shares.get_weight(name) for name in {own, *queue.counts}}
+    share = weights[own] / sum(weights.values())
+    ahead_s = queue.count_ahead(waiting) * service.token_s
+    return (ahead_s + service.hold_s) / (slots * share)
+
+
+def estimate_load_wait(loads_ahead: int, store: Store | None) -> float:
+    """Return the seconds until a load that isn't ordered yet has ended."""
+    if store is None:
+        return 0.0
+    return loads_ahead / store.loads_per_s + store.load_s
+
+
+def count_loads_ahead(waiting: WaitingRequest, needs: Iterable[float]) -> int:
+    """Return how many of the needs, by order of their first request, come first."""
+    return sum(order < waiting.order for order in needs)
--- /dev/null
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -0,0 +1,584 @@
+"""The slice: grants for local requests, and schedulers of the pools owned here."""
+
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+from random import Random
+from typing import Any
+
+from thornlatch.configuration import Adapter, Organisation, Pool, Store, Target
+from thornlatch.core import Action, Emit, Event, LeaseReader, Owner, Resolve, Send
+from thornlatch.dispatch._holder import Grant, HeldRight, HostPool, PendingRequest
+from thornlatch.dispatch._messages import (
+    GrantCancelled,
+    GrantCancelNoted,
+    Granted,
+    GrantHeld,
+    GrantInventory,
+    GrantInventoryRequest,
+    GrantQueued,
+    GrantRecalled,
+    GrantRefused,
+    GrantReleased,
+    GrantReleaseNoted,
+    GrantRequest,
+    Outcome,
+    RequestSpec,
+)
+from thornlatch.dispatch._queue import RequestKey
+from thornlatch.dispatch._scheduler import PoolScheduler, get_pool_key
+from thornlatch.dispatch._settings import DispatchSettings
+from thornlatch.dispatch._targets import TargetReport
+from thornlatch.exceptions import ErrorKind, RequestRefused
+from thornlatch.placement import (
+    EvictAdapter,
+    LoadAdapter,
+    LoadBudget,
+    PlacementSettings,
+    StoreBudget,
+)
+
+# Limits nothing; plain pools order no loads.
+NO_STORE = Store("none", 1.0, 1, 1, 1.0)
+
+
+class Dispatch:
+    """Gets grants for this host's requests and schedules the pools that it owns.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+    host : str
+        Host id of this process life.
+    leases : LeaseReader
+    random : random.Random
+    placement : PlacementSettings
+    make_budget : callable
+        Makes the budget of loads from a store; called once a store.
+    """
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        *,
+        host: str,
+        leases: LeaseReader,
+        random: Random,
+        placement: PlacementSettings | None = None,
+        make_budget: Callable[[Store], LoadBudget] = StoreBudget,
+    ) -> None:
+        self.settings = settings
+        self.placement_settings = placement or PlacementSettings()
+        self.host = host
+        self.leases = leases
+        self.random = random
+        self.make_budget = make_budget
+        self.budgets: dict[str, LoadBudget] = {}
+        self.offset = -1
+        self.pools: dict[str, Pool] = {}
+        self.targets: dict[str, Target] = {}
+        self.stores: dict[str, Store] = {}
+        self.weights: dict[str, float] = {}
+        self.get_adapter: Callable[[str], Adapter | None] = lambda name: None
+        self.leaving: set[str] = set()
+        self.holders: dict[str, HostPool] = {}
+        self.tickets: dict[str, PendingRequest] = {}
+        self.schedulers: dict[str, PoolScheduler] = {}
+        self.is_closed = False
+
+    # Inputs from the daemon.
+
+    def set_inventory(
+        self,
+        pools: Iterable[Pool],
+        targets: Iterable[Target],
+        get_adapter: Callable[[str], Adapter | None],
+        stores: Iterable[Store],
+        organisations: Iterable[Organisation] = (),
+        *,
+        offset: int,
+        now: float,
+    ) -> list[Action]:
+        """Take the inventory in force; older ones are ignored.
+
+        Parameters
+        ----------
+        pools : iterable of Pool
+        targets : iterable of Target
+        get_adapter : callable
+            Adapter by name.
+        stores : iterable of Store
+        organisations : iterable of Organisation
+            Their weights divide the batch slots under contention.
+        offset : int
+            Log offset of the configuration.
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        if offset < self.offset:
+            return []
+        self.offset = offset
+        self.pools = {pool.name: pool for pool in pools}
+        self.targets = {target.name: target for target in targets}
+        self.stores = {store.name: store for store in stores}
+        self.weights = {entry.name: entry.weight for entry in organisations}
+        self.get_adapter = get_adapter
+        self.leaving &= set(self.targets)
+        for name in self.pools:
+            if name not in self.holders:
+                self.holders[name] = HostPool(self.settings, self.host, name)
+                self.holders[name].is_closed = self.is_closed
+        actions: list[Action] = []
+        for scheduler in self.schedulers.values():
+            actions += self._set_targets(scheduler, now)
+        return actions + self._end_lingering(now)
+
+    def note_target_leaving(
+        self, target: str, *, is_leaving: bool = True, now: float
+    ) -> list[Action]:
+        """Note what the host list says of a target; every host should be told."""
+        if is_leaving:
+            self.leaving.add(target)
+        else:
+            self.leaving.discard(target)
+        actions = self._end_lingering(now)
+        scheduler = self._get_scheduler_of(target)
+        if scheduler is not None:
+            actions += scheduler.note_target_leaving(
+                target, is_leaving=is_leaving, now=now
+            )
+        return actions
+
+    def note_target_report(
+        self, target: str, report: TargetReport, *, now: float
+    ) -> list[Action]:
+        """Pass a target's report to its scheduler, if that is here."""
+        scheduler = self._get_scheduler_of(target)
+        if scheduler is None:
+            return []
+        return scheduler.note_target_report(target, report, now=now)
+
+    def note_order_result(
+        self,
+        target: str,
+        order: LoadAdapter | EvictAdapter,
+        *,
+        ok: bool,
+        is_certain: bool,
+        now: float,
+    ) -> list[Action]:
+        """Note what became of an order that this host sent."""
+        scheduler = self._get_scheduler_of(target)
+        if scheduler is None:
+            return []
+        return scheduler.note_order_result(
+            target, order, ok=ok, is_certain=is_certain, now=now
+        )
+
+    def note_target_failed(self, target: str, *, now: float) -> list[Action]:
+        """Note that a target is known to be down."""
+        scheduler = self._get_scheduler_of(target)
+        if scheduler is None:
+            return []
+        return scheduler.note_target_failed(target, now=now)
+
+    # Inputs from local requests.
+
+    def request(self, ticket: str, spec: RequestSpec, *, now: float) -> list[Action]:
+        """Get a grant for a request, now or later.
+
+        Parameters
+        ----------
+        ticket : str
+            Names the waiting request in the `Resolve` that answers.
+        spec : RequestSpec
+            No two calls may share request id and attempt.
+        now : float
+
+        Returns
+        -------
+        list of Action
+            `Resolve` carries a `Grant` or a `RequestRefused`, now or from a later call.
+        """
+        kind = self._find_refusal(spec, now)
+        if kind is not None:
+            return [Resolve(ticket, self._make_refusal(kind))]
+        holder = self.holders[spec.pool]
+        deadline = now + spec.deadline_in_s
+        pending = PendingRequest(ticket, spec, now, deadline)
+        idle = holder.find_idle(spec, self._get_leaving())
+        if idle is not None:
+            return self._use(holder, idle, pending, now)
+        holder.pending[pending.key] = pending
+        self.tickets[ticket] = pending
+        return self._ask(holder, pending, now)
+
+    def release(
+        self,
+        grant: Grant,
+        *,
+        outcome: Outcome,
+        tokens: float,
+        first_token_s: float | None = None,
+        now: float,
+    ) -> list[Action]:
+        """End the use of a grant; repeats are ignored.
+
+        Parameters
+        ----------
+        grant : Grant
+        outcome : Outcome
+        tokens : float
+            Tokens served, prompt and completion together.
+        first_token_s : float or None
+            Seconds from the sending to the first token.
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        holder = self.holders.get(grant.pool)
+        right = holder.rights.get(grant.grant) if holder else None
+        if holder is None or right is None or right.user != grant:
+            return []
+        report = holder.end_use(
+            right,
+            outcome=outcome,
+            tokens=tokens,
+            first_token_s=first_token_s,
+            now=now,
+        )
+        is_kept = outcome is Outcome.OK and holder.may_keep(
+            right, self._get_leaving(), now
+        )
+        if not is_kept or not self.leases.is_confirmed(now=now):
+            return holder.give_back(right, report, now)
+        actions = holder.keep(right, report, now)
+        pending = holder.find_pending(right)
+        if pending is None:
+            return actions
+        actions += self._use(holder, right, pending, now)
+        return actions + holder.drop_pending(pending.key, now)
+
+    def cancel(self, ticket: str, *, now: float) -> list[Action]:
+        """Stop waiting for a grant; nothing is resolved for the ticket any more."""
+        pending = self.tickets.pop(ticket, None)
+        if pending is None:
+            return []
+        return self.holders[pending.spec.pool].drop_pending(pending.key, now)
+
+    def close(self, now: float) -> list[Action]:
+        """Refuse waiting and new requests and return unused grants.
+
+        Grants in use are returned as their requests end.
+        """
+        self.is_closed = True
+        actions: list[Action] = []
+        for holder in self.holders.values():
+            holder.is_closed = True
+            for key in list(holder.pending):
+                actions += self._refuse(holder, key, ErrorKind.HOST_STOPPING, None, now)
+        return actions + self._end_lingering(now)
+
+    # Slice.
+
+    def handle(self, message: Any, *, sender: str, now: float) -> list[Action]:
+        """Handle a message from a peer or from this host itself."""
+        return self._handle(message, sender, now)
+
+    def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
+        """Ignore records; the daemon passes the inventory in force."""
+        return []
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Act on the passage of time."""
+        actions = self._update_schedulers(now)
+        for scheduler in list(self.schedulers.values()):
+            actions += scheduler.tick(now=now)
+        for holder in self.holders.values():
+            self._update_owner(holder)
+            actions += self._tick_pending(holder, now)
+            actions += holder.repeat(now)
+        return actions + self._end_lingering(now)
+
+    @singledispatchmethod
+    def _handle(self, message: Any, sender: str, now: float) -> list[Action]:
+        return []
+
+    @_handle.register
+    def _(self, message: GrantRequest, sender: str, now: float) -> list[Action]:
+        return self._pass_to_scheduler(message.spec.pool, message, sender, now)
+
+    @_handle.register
+    def _(self, message: GrantReleased, sender: str, now: float) -> list[Action]:
+        return self._pass_to_scheduler(message.pool, message, sender, now)
+
+    @_handle.register
+    def _(self, message: GrantHeld, sender: str, now: float) -> list[Action]:
+        return self._pass_to_scheduler(message.pool, message, sender, now)
+
+    @_handle.register
+    def _(self, message: GrantInventory, sender: str, now: float) -> list[Action]:
+        return self._pass_to_scheduler(message.pool, message, sender, now)
+
+    @_handle.register
+    def _(self, message: GrantCancelled, sender: str, now: float) -> list[Action]:
+        return self._pass_to_scheduler(message.pool, message, sender, now)
+
+    @_handle.register
+    def _(self, message: GrantCancelNoted, sender: str, now: float) -> list[Action]:
+        holder = self.holders.get(message.pool)
+        if holder is not None:
+            holder.note_heard()
+            key = RequestKey(message.request, message.attempt)
+            holder.cancellations.pop(key, None)
+        return []
+
+    @_handle.register
+    def _(self, message: Granted, sender: str, now: float) -> list[Action]:
+        holder = self.holders.get(message.pool)
+        if holder is None:
+            return []
+        if message.epoch < holder.epoch:
+            # A newer owner was told that this host doesn't hold the grant.
+            return []
+        holder.note_heard()
+        if message.grant in holder.rights:
+            return holder.answer_repeat(message)
+        key = RequestKey(message.request, message.attempt)
+        pending = holder.pending.get(key)
+        if pending is None:
+            return holder.give_back_unused(message, now)
+        if message.grant in pending.returned or not self._may_use(message, now):
+            pending.returned.add(message.grant)
+            return holder.give_back_unused(message, now)
+        del holder.pending[key]
+        right = HeldRight(message, None, 0, now)
+        holder.rights[message.grant] = right
+        return self._use(holder, right, pending, now)
+
+    @_handle.register
+    def _(self, message: GrantRefused, sender: str, now: float) -> list[Action]:
+        holder = self.holders.get(message.pool)
+        key = RequestKey(message.request, message.attempt)
+        if holder is None or message.epoch < holder.epoch:
+            return []
+        holder.note_heard()
+        pending = holder.pending.pop(key, None)
+        if pending is None:
+            return []
+        self.tickets.pop(pending.ticket, None)
+        refusal = self._make_refusal(message.kind, message.retry_after_s)
+        return [Resolve(pending.ticket, refusal)]
+
+    @_handle.register
+    def _(self, message: GrantQueued, sender: str, now: float) -> list[Action]:
+        holder = self.holders.get(message.pool)
+        if holder is not None:
+            holder.note_heard()
+        return []
+
+    @_handle.register
+    def _(self, message: GrantReleaseNoted, sender: str, now: float) -> list[Action]:
+        holder = self.holders.get(message.pool)
+        if holder is not None:
+            holder.note_heard()
+            holder.note_release(message)
+        return []
+
+    @_handle.register
+    def _(self, message: GrantRecalled, sender: str, now: float) -> list[Action]:
+        holder = self.holders.get(message.pool)
+        right = holder.rights.get(message.grant) if holder else None
+        if holder is None or right is None:
+            return []
+        holder.note_heard()
+        right.is_recalled = True
+        return holder.end_lingering(self._get_leaving(), now)
+
+    @_handle.register
+    def _(
+        self, message: GrantInventoryRequest, sender: str, now: float
+    ) -> list[Action]:
+        holder = self.holders.get(message.pool)
+        if holder is None:
+            holder = HostPool(self.settings, self.host, message.pool)
+            self.holders[message.pool] = holder
+        return [Send(sender, holder.make_inventory(message.epoch))]
+
+    # Owner's side.
+
+    def _update_schedulers(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for name, scheduler in list(self.schedulers.items()):
+            owner = self.leases.get_owner(scheduler.key)
+            if name not in self.pools or owner != Owner(self.host, scheduler.epoch):
+                scheduler.close(now=now)
+                del self.schedulers[name]
+        for name, pool in self.pools.items():
+            if name in self.schedulers:
+                continue
+            epoch = self.leases.get_held_epoch(get_pool_key(name), now=now)
+            if epoch is not None:
+                actions += self._start_scheduler(pool, epoch, now)
+        return actions
+
+    def _start_scheduler(self, pool: Pool, epoch: int, now: float) -> list[Action]:
+        store = self.stores.get(pool.store)
+        scheduler = PoolScheduler(
+            self.settings,
+            pool,
+            placement_settings=self.placement_settings,
+            epoch=epoch,
+            started_at=now,
+            leases=self.leases,
+            budget=self._get_budget(store),
+            random=self.random,
+            store=store,
+            get_weight=lambda name: self.weights.get(name, 1.0),
+        )
+        self.schedulers[pool.name] = scheduler
+        event = Event("dispatch.pool_owned", key=scheduler.key, epoch=epoch)
+        actions: list[Action] = [Emit(event)]
+        for target in self.leaving:
+            actions += scheduler.note_target_leaving(target, is_leaving=True, now=now)
+        return actions + self._set_targets(scheduler, now)
+
+    def _get_budget(self, store: Store | None) -> LoadBudget:
+        store = store or NO_STORE
+        if store.name not in self.budgets:
+            self.budgets[store.name] = self.make_budget(store)
+        return self.budgets[store.name]
+
+    def _set_targets(self, scheduler: PoolScheduler, now: float) -> list[Action]:
+        name = scheduler.pool.name
+        targets = [t for t in self.targets.values() if t.pool == name]
+        return scheduler.set_targets(targets, now=now)
+
+    def _get_scheduler_of(self, target: str) -> PoolScheduler | None:
+        known = self.targets.get(target)
+        return self.schedulers.get(known.pool) if known is not None else None
+
+    def _pass_to_scheduler(
+        self, pool: str, message: Any, sender: str, now: float
+    ) -> list[Action]:
+        scheduler = self.schedulers.get(pool)
+        if scheduler is None:
+            return []
+        return scheduler.handle(message, sender=sender, now=now)
+
+    # Host's side.
+
+    def _find_refusal(self, spec: RequestSpec, now: float) -> ErrorKind | None:
+        if self.is_closed:
+            return ErrorKind.HOST_STOPPING
+        if not self.leases.is_confirmed(now=now):
+            return ErrorKind.HOST_UNCONFIRMED
+        if spec.pool not in self.pools:
+            return ErrorKind.NO_TARGET
+        return None
+
+    def _make_refusal(
+        self, kind: ErrorKind, retry_after_s: float | None = None
+    ) -> RequestRefused:
+        after_s = retry_after_s if retry_after_s else self.settings.retry_min_s
+        return RequestRefused(
+            kind, "the request was not sent to any target", retry_after_s=after_s
+        )
+
+    def _get_leaving(self) -> set[str]:
+        drained = {name for name, t in self.targets.items() if t.is_leaving}
+        return drained | self.leaving
+
+    def _may_use(self, granted: Granted, now: float) -> bool:
+        is_known = granted.target in self.targets
+        is_leaving = granted.target in self._get_leaving()
+        return is_known and not is_leaving and self.leases.is_confirmed(now=now)
+
+    def _use(
+        self, holder: HostPool, right: HeldRight, pending: PendingRequest, now: float
+    ) -> list[Action]:
+        self.tickets.pop(pending.ticket, None)
+        grant = holder.use(right, pending, now)
+        event = Event(
+            "dispatch.grant_used",
+            request=grant.request,
+            attempt=grant.attempt,
+            organisation=grant.organisation,
+            target=grant.target,
+            key=get_pool_key(grant.pool),
+            epoch=grant.epoch,
+            detail={"grant": grant.grant, "use": right.use + 1},
+        )
+        return [Resolve(pending.ticket, grant), Emit(event)]
+
+    def _ask(
+        self, holder: HostPool, pending: PendingRequest, now: float
+    ) -> list[Action]:
+        self._update_owner(holder)
+        owner = self.leases.get_owner(get_pool_key(holder.pool))
+        return holder.ask(pending, owner.epoch if owner else -1, now)
+
+    def _update_owner(self, holder: HostPool) -> None:
+        owner = self.leases.get_owner(get_pool_key(holder.pool))
+        name = owner.host if owner is not None else ""
+        if name != holder.owner:
+            holder.owner = name
+            holder.note_heard()
+
+    def _tick_pending(self, holder: HostPool, now: float) -> list[Action]:
+        actions: list[Action] = []
+        owner = self.leases.get_owner(get_pool_key(holder.pool))
+        epoch = owner.epoch if owner is not None else -1
+        is_confirmed = self.leases.is_confirmed(now=now)
+        is_silent = holder.is_owner_silent(now)
+        for key, pending in list(holder.pending.items()):
+            kind = self._find_end(pending, is_confirmed, is_silent, now)
+            if kind is not None:
+                actions += self._refuse(holder, key, kind, None, now)
+                continue
+            is_due = now - pending.sent_at >= self.settings.resend_s
+            if is_due or epoch != pending.sent_epoch:
+                actions += holder.ask(pending, epoch, now)
+        return actions
+
+    def _find_end(
+        self,
+        pending: PendingRequest,
+        is_confirmed: bool,
+        is_silent: bool,
+        now: float,
+    ) -> ErrorKind | None:
+        if not is_confirmed:
+            return ErrorKind.HOST_UNCONFIRMED
+        if now >= pending.deadline:
+            return ErrorKind.DEADLINE_UNREACHABLE
+        if is_silent and now - pending.arrived_at >= self.settings.owner_wait_s:
+            return ErrorKind.NO_TARGET
+        return None
+
+    def _refuse(
+        self,
+        holder: HostPool,
+        key: RequestKey,
+        kind: ErrorKind,
+        retry_after_s: float | None,
+        now: float,
+    ) -> list[Action]:
+        pending = holder.pending.get(key)
+        if pending is None:
+            return []
+        actions = holder.drop_pending(key, now)
+        self.tickets.pop(pending.ticket, None)
+        refusal = self._make_refusal(kind, retry_after_s)
+        return [Resolve(pending.ticket, refusal), *actions]
+
+    def _end_lingering(self, now: float) -> list[Action]:
+        leaving = self._get_leaving()
+        actions: list[Action] = []
+        for holder in self.holders.values():
+            actions += holder.end_lingering(leaving, now)
+        return actions
--- /dev/null
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -0,0 +1,660 @@
+"""The owner's side: grants of one pool's batch slots."""
+
+from collections.abc import Callable, Iterable
+from functools import singledispatchmethod
+from random import Random
+from typing import Any
+
+from thornlatch.configuration import Pool, Store, Target
+from thornlatch.core import Action, Emit, Event, LeaseReader, Order, Send
+from thornlatch.dispatch._choice import choose_request, choose_target
+from thornlatch.dispatch._deadlines import (
+    GiveUpTimes,
+    estimate_load_wait,
+    estimate_queue_wait,
+)
+from thornlatch.dispatch._estimate import ServiceEstimate
+from thornlatch.dispatch._fairness import FairShares
+from thornlatch.dispatch._messages import (
+    GrantCancelled,
+    GrantCancelNoted,
+    Granted,
+    GrantHeld,
+    GrantInventory,
+    GrantInventoryRequest,
+    GrantQueued,
+    GrantRecalled,
+    GrantRefused,
+    GrantReleased,
+    GrantReleaseNoted,
+    GrantRequest,
+    HeldGrant,
+    Outcome,
+)
+from thornlatch.dispatch._needs import find_needs
+from thornlatch.dispatch._prefixes import PrefixMap
+from thornlatch.dispatch._queue import (
+    RequestKey,
+    RequestQueue,
+    WaitingRequest,
+    make_waiting,
+)
+from thornlatch.dispatch._recovery import GrantRecovery
+from thornlatch.dispatch._settings import DispatchSettings
+from thornlatch.dispatch._table import GrantRecord, GrantTable, Pin
+from thornlatch.dispatch._targets import TargetReport, TargetState, compare_speeds
+from thornlatch.exceptions import ErrorKind
+from thornlatch.placement import (
+    AdapterVersion,
+    EvictAdapter,
+    LoadAdapter,
+    LoadBudget,
+    Placement,
+    PlacementSettings,
+)
+
+SETTLED_OUTCOMES = frozenset(
+    {Outcome.OK, Outcome.BUSY, Outcome.NOT_LOADED, Outcome.UNUSED}
+)
+
+
+def get_pool_key(pool: str) -> str:
+    """Return the lease key of a pool."""
+    return f"pool:{pool}"
+
+
+class PoolScheduler:
+    """Queues requests for one pool, grants slots and orders loads.
+
+    Lives as long as one ownership. It acts only while its epoch is safe to act on, and
+    grants and evicts only once all possible holders of earlier grants have told them.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+    pool : Pool
+    placement_settings : PlacementSettings
+    epoch : int
+        Epoch of this ownership.
+    started_at : float
+        Time from which this ownership acts, seconds; older reports are ignored.
+    leases : LeaseReader
+    budget : LoadBudget
+        Rights to load from the pool's store.
+    random : random.Random
+    store : Store or None
+        None for plain services.
+    get_weight : callable
+        Weight of an organisation by name.
+    """
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        pool: Pool,
+        *,
+        placement_settings: PlacementSettings,
+        epoch: int,
+        started_at: float,
+        leases: LeaseReader,
+        budget: LoadBudget,
+        random: Random,
+        store: Store | None = None,
+        get_weight: Callable[[str], float] = lambda name: 1.0,
+    ) -> None:
+        self.settings = settings
+        self.pool = pool
+        self.key = get_pool_key(pool.name)
+        self.epoch = epoch
+        self.started_at = started_at
+        self.leases = leases
+        self.budget = budget
+        self.random = random
+        self.store = store
+        self.placement = Placement(placement_settings, pool, random=random)
+        self.queue = RequestQueue()
+        self.table = GrantTable()
+        self.shares = FairShares(get_weight, settings.credit_tokens)
+        self.load_shares = FairShares(get_weight, 1.0)
+        self.service = ServiceEstimate(settings)
+        self.prefixes = PrefixMap(settings.prefix_entries)
+        self.recovery = GrantRecovery(epoch, settings.resend_s)
+        self.give_up = GiveUpTimes()
+        self.targets: dict[str, TargetState] = {}
+        self.leaving: set[str] = set()
+        self.grant_count = 0
+        self.is_load_due = False
+
+    # Inputs from the daemon.
+
+    def set_targets(self, targets: Iterable[Target], *, now: float) -> list[Action]:
+        """Take the pool's targets in force."""
+        known = {target.name: target for target in targets}
+        for name in [name for name in self.targets if name not in known]:
+            del self.targets[name]
+        for name, target in known.items():
+            state = self.targets.setdefault(name, TargetState(self.settings, target))
+            state.target = target
+            state.grants = {
+                record.grant
+                for record in self.table.grants.values()
+                if record.target == name
+            }
+        self.placement.set_targets(known.values())
+        return self._update_leaving(now)
+
+    def note_target_leaving(
+        self, target: str, *, is_leaving: bool, now: float
+    ) -> list[Action]:
+        """Note what the host list says of a target."""
+        if is_leaving:
+            self.leaving.add(target)
+        else:
+            self.leaving.discard(target)
+        return self._update_leaving(now)
+
+    def note_target_report(
+        self, target: str, report: TargetReport, *, now: float
+    ) -> list[Action]:
+        """Merge what a target says of itself."""
+        state = self.targets.get(target)
+        if state is None or report.asked_at < self.started_at:
+            return []
+        if state.incarnation not in ("", report.incarnation):
+            self.prefixes.forget_target(target)
+            state.failures = 0
+        state.incarnation = report.incarnation
+        if not report.running and not report.waiting:
+            latest = report.asked_at + self.settings.orphan_pin_s
+            self.table.drop_orphans(target, latest)
+        self.placement.note_loaded(
+            target,
+            report.loaded,
+            incarnation=report.incarnation,
+            asked_at=report.asked_at,
+        )
+        self.is_load_due = True
+        return self._serve_target(target, now)
+
+    def note_order_result(
+        self,
+        target: str,
+        order: LoadAdapter | EvictAdapter,
+        *,
+        ok: bool,
+        is_certain: bool,
+        now: float,
+    ) -> list[Action]:
+        """Note what became of a load or an eviction."""
+        if order.epoch != self.epoch:
+            return []
+        actions = self.placement.note_order_result(
+            target, order, ok=ok, is_certain=is_certain, budget=self.budget, now=now
+        )
+        self.is_load_due = True
+        actions += self._serve_target(target, now)
+        if not ok and isinstance(order, LoadAdapter):
+            version = AdapterVersion(order.adapter, order.version)
+            actions += self._refuse_unloadable(version, now)
+        return actions + self._order_loads(now)
+
+    def note_target_failed(self, target: str, *, now: float) -> list[Action]:
+        """Note that a target is known to be down."""
+        state = self.targets.get(target)
+        if state is not None:
+            state.fail(now)
+            self.placement.note_target_failed(target)
+            self._update_placement(now)
+        return []
+
+    def close(self, *, now: float) -> None:
+        """End this ownership; the loads in flight don't burden the budget any more."""
+        self.placement.close(self.budget, now=now)
+
+    # Messages.
+
+    def handle(self, message: Any, *, sender: str, now: float) -> list[Action]:
+        """Handle a message from a host that uses the pool."""
+        if not self.is_acting(now):
+            return []
+        return self._handle(message, sender, now)
+
+    @singledispatchmethod
+    def _handle(self, message: Any, sender: str, now: float) -> list[Action]:
+        return []
+
+    @_handle.register
+    def _(self, message: GrantRequest, sender: str, now: float) -> list[Action]:
+        key = RequestKey(message.spec.request, message.spec.attempt)
+        record = self.table.get_by_request(key)
+        if record is not None and record.message is not None:
+            return [Send(record.host, record.message)]
+        if key in self.queue:
+            queued = GrantQueued(key.request, key.attempt, self.pool.name)
+            return [Send(sender, queued)]
+        waiting = make_waiting(
+            sender, message.spec, aging_s=self.settings.batch_aging_s, now=now
+        )
+        return self._enter(waiting, now)
+
+    @_handle.register
+    def _(self, message: GrantCancelled, sender: str, now: float) -> list[Action]:
+        key = RequestKey(message.request, message.attempt)
+        noted = GrantCancelNoted(self.pool.name, key.request, key.attempt)
+        actions: list[Action] = [Send(sender, noted)]
+        waiting = self.queue.remove(key)
+        record = self.table.get_by_request(key)
+        if waiting is not None or record is None:
+            return actions
+        self.shares.correct(record.organisation, -record.tokens)
+        return actions + self._free(record, now)
+
+    @_handle.register
+    def _(self, message: GrantReleased, sender: str, now: float) -> list[Action]:
+        noted = GrantReleaseNoted(
+            self.pool.name, message.grant, message.use, message.is_kept
+        )
+        actions: list[Action] = [Send(sender, noted)]
+        record = self.table.grants.get(message.grant)
+        if record is None:
+            if not message.is_kept:
+                self.recovery.note_released(message.grant)
+            return actions
+        if message.use > record.use:
+            self._learn(record, message, now)
+        elif message.outcome is Outcome.UNUSED and not record.is_idle:
+            self.shares.correct(record.organisation, -record.tokens)
+        if not message.is_kept:
+            return actions + self._free(record, now)
+        self.table.keep(record)
+        if self.queue or not self._is_open(record.target, now):
+            actions += self._recall(record, now)
+        return actions
+
+    @_handle.register
+    def _(self, message: GrantHeld, sender: str, now: float) -> list[Action]:
+        record = self.table.grants.get(message.grant)
+        if record is not None:
+            self.table.confirm(record)
+        return []
+
+    @_handle.register
+    def _(self, message: GrantInventory, sender: str, now: float) -> list[Action]:
+        for held in self.recovery.take(message, sender):
+            self._adopt(held, sender, now)
+        return self._recover(now)
+
+    # Time.
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Act on the passage of time."""
+        if not self.is_acting(now):
+            return []
+        actions = self._recover(now)
+        actions += self._drop_hosts(now)
+        actions += self._refuse_late(now)
+        actions += self._resend(now)
+        self.table.expire_orphans(now)
+        compare_speeds(self.targets.values())
+        self._update_placement(now)
+        for name in self.targets:
+            actions += self._serve_target(name, now)
+        actions += self._recall_idle(now)
+        self.is_load_due = True
+        return actions + self._order_loads(now)
+
+    def is_acting(self, now: float) -> bool:
+        """Return whether this ownership is safe to act on."""
+        return self.leases.get_held_epoch(self.key, now=now) == self.epoch
+
+    def may_grant(self, now: float) -> bool:
+        """Return whether all earlier grants are known and the lease is safe."""
+        return self.recovery.is_complete and self.is_acting(now)
+
+    def is_pinned(self, target: str, version: AdapterVersion) -> bool:
+        """Return whether any host may use `version` on `target`."""
+        if not self.recovery.is_complete:
+            return True
+        return self.table.is_pinned(target, version)
+
+    # Queue.
+
+    def _enter(self, waiting: WaitingRequest, now: float) -> list[Action]:
+        refusal = self._find_refusal(waiting, now)
+        if refusal is not None:
+            return self._refuse(waiting, refusal, self.settings.retry_min_s, now)
+        retry_after_s = self.placement.backoff.get_retry_after(waiting.version, now)
+        if retry_after_s is not None and not self._find_states(waiting.version):
+            return self._refuse(waiting, ErrorKind.LOAD_FAILED, retry_after_s, now)
+        if waiting.version.adapter:
+            self.placement.note_demand(waiting.version, now=now)
+        actions = self._grant_at_once(waiting, now)
+        if actions:
+            return actions
+        late_s = self._estimate_lateness(waiting, now)
+        if late_s > 0:
+            retry_after_s = max(self.settings.retry_min_s, late_s)
+            kind = ErrorKind.DEADLINE_UNREACHABLE
+            return self._refuse(waiting, kind, retry_after_s, now)
+        self.queue.add(waiting)
+        self.give_up.add(waiting.key, self._get_give_up_time(waiting))
+        self.is_load_due = True
+        return self._recall_for(waiting, now) + self._order_loads(now)
+
+    def _find_refusal(self, waiting: WaitingRequest, now: float) -> ErrorKind | None:
+        if len(self.queue) >= self.settings.queue_limit:
+            return ErrorKind.OVERLOADED
+        excluded = waiting.spec.excluded
+        if all(
+            state.is_leaving or name in excluded for name, state in self.targets.items()
+        ):
+            return ErrorKind.NO_TARGET
+        if self._get_give_up_time(waiting) < now:
+            return ErrorKind.DEADLINE_UNREACHABLE
+        return None
+
+    def _estimate_lateness(self, waiting: WaitingRequest, now: float) -> float:
+        slots = sum(state.count_usable(now) for state in self.targets.values())
+        wait_s = estimate_queue_wait(
+            waiting, self.queue, self.service, self.shares, slots
+        )
+        if waiting.version.adapter and not self._find_states(waiting.version):
+            ahead = self._count_loads_ahead(waiting)
+            wait_s = max(wait_s, estimate_load_wait(ahead, self.store))
+        wait_s *= self.settings.refusal_margin
+        return now + wait_s - self._get_give_up_time(waiting)
+
+    def _count_loads_ahead(self, waiting: WaitingRequest) -> int:
+        return sum(
+            version != waiting.version and not self.placement.get_targets(version)
+            for version in self.queue.lines
+        )
+
+    def _get_give_up_time(self, waiting: WaitingRequest) -> float:
+        service_s = self.service.predict(waiting.spec.tokens)
+        return waiting.deadline - service_s * self.settings.refusal_margin
+
+    def _refuse(
+        self,
+        waiting: WaitingRequest,
+        kind: ErrorKind,
+        retry_after_s: float,
+        now: float,
+    ) -> list[Action]:
+        key = waiting.key
+        refused = GrantRefused(
+            key.request, key.attempt, self.pool.name, kind, retry_after_s, self.epoch
+        )
+        event = Event(
+            "dispatch.refused",
+            request=key.request,
+            attempt=key.attempt,
+            organisation=waiting.spec.organisation,
+            key=self.key,
+            epoch=self.epoch,
+            detail={"kind": kind.value, "retry_after_s": retry_after_s},
+        )
+        return [Send(waiting.host, refused), Emit(event)]
+
+    def _refuse_late(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for key in self.give_up.pop_due(now):
+            waiting = self.queue.requests.get(key)
+            if waiting is None:
+                continue
+            give_up_at = self._get_give_up_time(waiting)
+            if give_up_at > now:
+                self.give_up.add(key, give_up_at)
+                continue
+            self.queue.remove(key)
+            late_s = max(0.0, self._estimate_lateness(waiting, now))
+            retry_after_s = max(self.settings.retry_min_s, late_s)
+            kind = ErrorKind.DEADLINE_UNREACHABLE
+            actions += self._refuse(waiting, kind, retry_after_s, now)
+        return actions
+
+    def _refuse_unloadable(self, version: AdapterVersion, now: float) -> list[Action]:
+        retry_after_s = self.placement.backoff.get_retry_after(version, now)
+        if retry_after_s is None or self._find_states(version):
+            return []
+        actions: list[Action] = []
+        for waiting in list(self.queue.iter_version(version)):
+            self.queue.remove(waiting.key)
+            kind = ErrorKind.LOAD_FAILED
+            actions += self._refuse(waiting, kind, retry_after_s, now)
+        return actions
+
+    # Grants.
+
+    def _find_states(self, version: AdapterVersion) -> list[TargetState]:
+        if not version.adapter:
+            return list(self.targets.values())
+        return [
+            self.targets[name]
+            for name in self.placement.get_targets(version)
+            if name in self.targets
+        ]
+
+    def _grant_at_once(self, waiting: WaitingRequest, now: float) -> list[Action]:
+        if not self.may_grant(now):
+            return []
+        state = choose_target(
+            waiting,
+            self._find_states(waiting.version),
+            self.prefixes,
+            self.settings,
+            self.random,
+            now,
+        )
+        return self._grant(waiting, state, now) if state is not None else []
+
+    def _serve_target(self, name: str, now: float) -> list[Action]:
+        state = self.targets.get(name)
+        if state is None or not self.queue or not self.may_grant(now):
+            return []
+        actions: list[Action] = []
+        while state.count_free(now) > 0:
+            waiting = choose_request(
+                self.queue, name, self._get_versions(name), self.shares
+            )
+            if waiting is None:
+                break
+            self.queue.remove(waiting.key)
+            actions += self._grant(waiting, state, now)
+        return actions
+
+    def _get_versions(self, target: str) -> Iterable[AdapterVersion]:
+        if self.pool.kind == "plain":
+            return (AdapterVersion("", ""),)
+        return self.placement.get_resident(target)
+
+    def _grant(
+        self, waiting: WaitingRequest, state: TargetState, now: float
+    ) -> list[Action]:
+        self.grant_count += 1
+        spec = waiting.spec
+        granted = Granted(
+            spec.request,
+            spec.attempt,
+            f"{self.key}:{self.epoch}:{self.grant_count}",
+            self.pool.name,
+            state.target.name,
+            state.target.address,
+            spec.adapter,
+            spec.version,
+            self.epoch,
+            0.0 if self.queue else self.settings.linger_s,
+        )
+        record = GrantRecord(
+            granted.grant,
+            waiting.host,
+            granted.target,
+            waiting.version,
+            spec.organisation,
+            spec.tokens,
+            granted,
+            now,
+        )
+        self.table.add(record)
+        state.grants.add(granted.grant)
+        self.shares.charge(spec.organisation, spec.tokens)
+        self.prefixes.note(spec.prefix, granted.target)
+        event = Event(
+            "dispatch.granted",
+            request=spec.request,
+            attempt=spec.attempt,
+            organisation=spec.organisation,
+            target=granted.target,
+            key=self.key,
+            epoch=self.epoch,
+            detail={"grant": granted.grant, "wait_s": now - waiting.arrived_at},
+        )
+        return [Send(waiting.host, granted), Emit(event)]
+
+    def _learn(self, record: GrantRecord, message: GrantReleased, now: float) -> None:
+        is_first = record.use == 0 and record.message is not None
+        charged = record.tokens if is_first else 0.0
+        record.use = message.use
+        self.shares.correct(message.organisation, message.tokens - charged)
+        state = self.targets.get(record.target)
+        if state is not None:
+            state.note_answer(message.outcome, message.tokens, message.duration_s, now)
+        if message.outcome is Outcome.OK:
+            asked = charged or message.tokens
+            self.service.add(asked, message.duration_s)
+        if message.outcome is Outcome.NOT_LOADED:
+            self.placement.note_missing(record.target, record.version, now=now)
+        if message.outcome not in SETTLED_OUTCOMES:
+            self._orphan(record, now)
+
+    def _orphan(self, record: GrantRecord, now: float) -> None:
+        pin = Pin(record.target, record.version)
+        self.table.add_orphan(pin, now + self.settings.orphan_pin_s)
+
+    def _free(self, record: GrantRecord, now: float) -> list[Action]:
+        self.table.remove(record.grant)
+        state = self.targets.get(record.target)
+        if state is not None:
+            state.grants.discard(record.grant)
+        return self._serve_target(record.target, now)
+
+    # Recall.
+
+    def _is_open(self, target: str, now: float) -> bool:
+        state = self.targets.get(target)
+        return state is not None and state.is_open(now)
+
+    def _recall(self, record: GrantRecord, now: float) -> list[Action]:
+        record.recalled_at = now
+        recalled = GrantRecalled(self.pool.name, record.grant)
+        return [Send(record.host, recalled)]
+
+    def _is_recall_due(self, record: GrantRecord, now: float) -> bool:
+        sent_at = record.recalled_at
+        return sent_at is None or now - sent_at >= self.settings.resend_s
+
+    def _recall_for(self, waiting: WaitingRequest, now: float) -> list[Action]:
+        names = {state.target.name for state in self._find_states(waiting.version)}
+        for record in self.table.grants.values():
+            is_useful = record.is_idle and record.target in names
+            if is_useful and self._is_recall_due(record, now):
+                return self._recall(record, now)
+        return []
+
+    def _recall_idle(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for record in self.table.grants.values():
+            state = self.targets.get(record.target)
+            is_gone = state is None or state.is_leaving
+            if not is_gone and not (record.is_idle and self.queue):
+                continue
+            if self._is_recall_due(record, now):
+                actions += self._recall(record, now)
+        return actions
+
+    def _update_leaving(self, now: float) -> list[Action]:
+        for name, state in self.targets.items():
+            state.is_leaving = state.target.is_leaving or name in self.leaving
+        self._update_placement(now)
+        return self._recall_idle(now) if self.is_acting(now) else []
+
+    def _update_placement(self, now: float) -> None:
+        for name, state in self.targets.items():
+            self.placement.set_open(name, is_open=state.is_open(now))
+
+    # Recovery and repetition.
+
+    def _recover(self, now: float) -> list[Action]:
+        if self.recovery.is_complete:
+            return []
+        holders = self.leases.iter_possible_holders(now=now)
+        question = GrantInventoryRequest(self.pool.name, self.epoch)
+        due = self.recovery.find_due(holders, now)
+        return [Send(host, question) for host in due]
+
+    def _adopt(self, held: HeldGrant, host: str, now: float) -> None:
+        record = GrantRecord(
+            held.grant,
+            host,
+            held.target,
+            AdapterVersion(held.adapter, held.version),
+            "",
+            0.0,
+            None,
+            now,
+            use=held.use,
+            is_idle=held.is_idle,
+            is_confirmed=True,
+        )
+        self.table.add(record)
+        state = self.targets.get(held.target)
+        if state is not None:
+            state.grants.add(held.grant)
+
+    def _resend(self, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for record in self.table.unconfirmed.values():
+            if now - record.sent_at >= self.settings.resend_s:
+                record.sent_at = now
+                actions.append(Send(record.host, record.message))
+        return actions
+
+    def _drop_hosts(self, now: float) -> list[Action]:
+        holders = set(self.leases.iter_possible_holders(now=now))
+        for key, waiting in list(self.queue.requests.items()):
+            if waiting.host not in holders:
+                self.queue.remove(key)
+        actions: list[Action] = []
+        for record in list(self.table.grants.values()):
+            if record.host not in holders:
+                self._orphan(record, now)
+                actions += self._free(record, now)
+        return actions
+
+    # Loads.
+
+    def _order_loads(self, now: float) -> list[Action]:
+        if self.pool.kind == "plain" or not self.is_load_due:
+            return []
+        if not self.is_acting(now):
+            return []
+        self.is_load_due = False
+        needs = find_needs(
+            self.queue,
+            self.placement,
+            self.load_shares,
+            self.settings,
+            lambda name: self._is_open(name, now),
+            now,
+        )
+        actions = self.placement.decide(
+            needs, self, self.budget, epoch=self.epoch, now=now
+        )
+        owners = {need.version: need.organisation for need in needs}
+        for action in actions:
+            if isinstance(action, Order) and isinstance(action.order, LoadAdapter):
+                order = action.order
+                version = AdapterVersion(order.adapter, order.version)
+                if version in owners:
+                    self.load_shares.charge(owners[version], 1.0)
+        return actions
--- /dev/null
+++ b/src/thornlatch/dispatch/tests/fleet.py
@@ -0,0 +1,339 @@
+"""A small fleet in memory: hosts, a faulty network and engines, with a history."""
+
+from collections import Counter
+from dataclasses import dataclass, field
+from random import Random
+
+from thornlatch.configuration import Pool, Store, Target
+from thornlatch.core import Emit, Member, Order, Owner, Resolve, Send
+from thornlatch.dispatch import (
+    Dispatch,
+    DispatchSettings,
+    Grant,
+    Outcome,
+    Priority,
+    RequestSpec,
+    TargetReport,
+)
+from thornlatch.placement import AdapterVersion, LoadAdapter, PlacementSettings
+
+POOL = Pool("p", "engine", "base", "s")
+STORE = Store("s", 50.0, 4, 8, 0.1)
+KEY = "pool:p"
+
+
+def make_targets(count=2, batch_slots=2, adapter_slots=2, **fields):
+    return tuple(
+        Target(
+            f"t{i}",
+            "p",
+            f"10.0.0.{i}:80",
+            f"d{i % 2}",
+            batch_slots,
+            adapter_slots,
+            **fields,
+        )
+        for i in range(count)
+    )
+
+
+def make_spec(request, adapter="a", **fields):
+    values = {
+        "attempt": 1,
+        "organisation": "o",
+        "pool": "p",
+        "deadline_in_s": 60.0,
+        "tokens": 100.0,
+        "adapter": adapter,
+        "version": "1" if adapter else "",
+        "priority": Priority.INTERACTIVE,
+    }
+    return RequestSpec(request, **(values | fields))
+
+
+@dataclass
+class View:
+    """Membership and ownership that all hosts of a fleet see."""
+
+    members: dict[str, Member] = field(default_factory=dict)
+    expelled: dict[str, float] = field(default_factory=dict)
+    paused: set[str] = field(default_factory=set)
+    owner: Owner | None = None
+    acts_from: float = 0.0
+    wait_s: float = 3.0
+
+
+class FakeLeases:
+    """Leases as one host reads them."""
+
+    def __init__(self, view, host):
+        self.view = view
+        self.host = host
+
+    def get_owner(self, key):
+        return self.view.owner
+
+    def get_held_epoch(self, key, *, now):
+        owner = self.view.owner
+        if owner is None or owner.host != self.host or now < self.view.acts_from:
+            return None
+        return owner.epoch if self.is_confirmed(now=now) else None
+
+    def is_confirmed(self, *, now):
+        return self.host in self.view.members and self.host not in self.view.paused
+
+    def iter_members(self):
+        return list(self.view.members.values())
+
+    def iter_possible_holders(self, *, now):
+        waited = [h for h, end in self.view.expelled.items() if now < end]
+        return [*self.view.members, *waited]
+
+
+class Engine:
+    """A target that obeys orders and checks nothing."""
+
+    def __init__(self, target):
+        self.target = target
+        self.incarnation = 0
+        self.loaded = set()
+        self.highest_epoch = -1
+
+    def restart(self):
+        self.incarnation += 1
+        self.loaded = set()
+
+    def obey(self, order):
+        version = AdapterVersion(order.adapter, order.version)
+        self.highest_epoch = max(self.highest_epoch, order.epoch)
+        if not isinstance(order, LoadAdapter):
+            self.loaded.discard(version)
+            return True
+        if len(self.loaded) >= self.target.adapter_slots:
+            return version in self.loaded
+        self.loaded.add(version)
+        return True
+
+    def report(self, asked_at):
+        loaded = tuple(sorted(self.loaded))
+        return TargetReport(str(self.incarnation), loaded, 1, 0, asked_at)
+
+
+class Fleet:
+    """Hosts with their Dispatch, joined by a network that a test may disturb."""
+
+    def __init__(
+        self,
+        hosts=2,
+        targets=None,
+        settings=None,
+        placement=None,
+        make_dispatch=Dispatch,
+        pool=POOL,
+        seed=1,
+    ):
+        self.now = 1000.0
+        self.random = Random(seed)
+        self.settings = settings or DispatchSettings()
+        self.placement = placement or PlacementSettings()
+        self.make_dispatch = make_dispatch
+        self.pool = pool
+        self.view = View()
+        self.targets = targets or make_targets()
+        self.engines = {t.name: Engine(t) for t in self.targets}
+        self.hosts = {}
+        self.network = []
+        self.orders = []
+        self.results = {}
+        self.uses = {}
+        self.leaving_since = {}
+        self.violations = []
+        self.events = []
+        self.count = 0
+        for _ in range(hosts):
+            self.add_host()
+        self.set_owner("h1")
+
+    # Fleet.
+
+    def add_host(self):
+        self.count += 1
+        name = f"h{self.count}"
+        self.view.members[name] = Member(name, "", "d0", self.count)
+        dispatch = self.make_dispatch(
+            self.settings,
+            host=name,
+            leases=FakeLeases(self.view, name),
+            random=Random(self.count),
+            placement=self.placement,
+        )
+        self.hosts[name] = dispatch
+        self._do(name, self._give_inventory(dispatch))
+        for target in self.leaving_since:
+            self._do(name, dispatch.note_target_leaving(target, now=self.now))
+        return name
+
+    def _give_inventory(self, dispatch):
+        return dispatch.set_inventory(
+            [self.pool],
+            self.targets,
+            lambda name: None,
+            [STORE],
+            offset=1,
+            now=self.now,
+        )
+
+    def set_owner(self, host, wait_s=0.0):
+        epoch = self.view.owner.epoch + 10 if self.view.owner else 10
+        self.view.owner = Owner(host, epoch)
+        self.view.acts_from = self.now + wait_s
+
+    def kill(self, host):
+        """End a host's process; its uses end with its connections."""
+        del self.hosts[host]
+        self.view.paused.discard(host)
+        self.uses = {g: u for g, u in self.uses.items() if u[0] != host}
+        self.expel(host)
+
+    def expel(self, host):
+        del self.view.members[host]
+        self.view.expelled[host] = self.now + self.view.wait_s
+        if self.view.owner.host == host:
+            successor = min(self.view.members)
+            self.set_owner(successor, wait_s=self.view.wait_s)
+
+    def leave(self, target):
+        self.leaving_since.setdefault(target, self.now)
+        for name, dispatch in list(self.hosts.items()):
+            if name not in self.view.paused:
+                self._do(name, dispatch.note_target_leaving(target, now=self.now))
+
+    def resume(self, host):
+        """Resume a paused host; it reads the log before it's confirmed again."""
+        self.view.paused.discard(host)
+        dispatch = self.hosts[host]
+        for target in self.leaving_since:
+            self._do(host, dispatch.note_target_leaving(target, now=self.now))
+
+    # Requests.
+
+    def request(self, host, spec):
+        self._do(host, self.hosts[host].request(spec.request, spec, now=self.now))
+
+    def finish(self, grant_id, outcome=Outcome.OK):
+        host, grant = self.uses.pop(grant_id)
+        actions = self.hosts[host].release(
+            grant, outcome=outcome, tokens=50.0, first_token_s=0.1, now=self.now
+        )
+        self._do(host, actions)
+
+    # Time and network.
+
+    def advance(self, seconds, step=0.05, deliver=True):
+        end = self.now + seconds
+        while self.now < end - 1e-9:
+            self.now = min(end, self.now + step)
+            self.tick()
+            if deliver:
+                self.settle()
+
+    def tick(self):
+        for name, dispatch in list(self.hosts.items()):
+            if name not in self.view.paused:
+                self._do(name, dispatch.tick(now=self.now))
+
+    def settle(self):
+        """Deliver all messages and obey all orders until nothing is left."""
+        for _ in range(10_000):
+            if self.network:
+                self.deliver(0)
+            elif self.orders:
+                self.obey(0)
+            else:
+                return
+        raise AssertionError("messages without end")
+
+    def deliver(self, index, *, keep=False):
+        recipient, sender, message = self.network[index]
+        if not keep:
+            del self.network[index]
+        if recipient in self.hosts and recipient not in self.view.paused:
+            dispatch = self.hosts[recipient]
+            self._do(recipient, dispatch.handle(message, sender=sender, now=self.now))
+
+    def obey(self, index, *, is_lost=False):
+        host, target, order, deadline = self.orders.pop(index)
+        if self.now > deadline:
+            ok, is_certain = False, False
+        else:
+            self._check_order(target, order)
+            ok, is_certain = self.engines[target].obey(order), not is_lost
+        if host in self.hosts and host not in self.view.paused:
+            actions = self.hosts[host].note_order_result(
+                target, order, ok=ok and is_certain, is_certain=is_certain, now=self.now
+            )
+            self._do(host, actions)
+
+    def report_all(self):
+        """Let every host read every target."""
+        for name, dispatch in list(self.hosts.items()):
+            if name in self.view.paused:
+                continue
+            for target, engine in self.engines.items():
+                report = engine.report(self.now)
+                self._do(
+                    name, dispatch.note_target_report(target, report, now=self.now)
+                )
+
+    def _do(self, host, actions):
+        for action in actions:
+            if isinstance(action, Send):
+                self.network.append((action.recipient, host, action.message))
+            elif isinstance(action, Order):
+                deadline = self.now + action.order.deadline_s
+                self.orders.append((host, action.target, action.order, deadline))
+            elif isinstance(action, Resolve):
+                self._resolve(host, action)
+            elif isinstance(action, Emit):
+                self.events.append((self.now, host, action.event))
+
+    def _resolve(self, host, action):
+        assert action.ticket not in self.results, "a ticket was resolved twice"
+        self.results[action.ticket] = action.value
+        if isinstance(action.value, Grant):
+            self._check_use(host, action.value)
+            self.uses[action.value.grant] = (host, action.value)
+
+    # History checks.
+
+    def _check_use(self, host, grant):
+        target = self.engines[grant.target].target
+        if grant.grant in self.uses:
+            self.violations.append(f"grant {grant.grant} used twice at once")
+        used = sum(g.target == grant.target for _, g in self.uses.values())
+        if used >= target.batch_slots:
+            self.violations.append(f"more than {target.batch_slots} on {grant.target}")
+        since = self.leaving_since.get(grant.target)
+        if since is not None and self.now > since + 5.0:
+            self.violations.append(f"new work on leaving {grant.target}")
+        if host in self.view.paused or host not in self.view.members:
+            self.violations.append(f"{host} used a grant without confirmation")
+
+    def _check_order(self, target, order):
+        if order.epoch < self.engines[target].highest_epoch:
+            self.violations.append(f"order with lower epoch on {target}")
+        if isinstance(order, LoadAdapter):
+            return
+        for host, grant in self.uses.values():
+            in_use = grant.target == target and grant.adapter == order.adapter
+            if in_use and grant.version == order.version:
+                self.violations.append(f"{host} uses evicted {order.adapter}")
+
+    def count_held(self):
+        """Return the grants that hosts hold, by target."""
+        return Counter(
+            right.granted.target
+            for dispatch in self.hosts.values()
+            for holder in dispatch.holders.values()
+            for right in holder.rights.values()
+        )
--- /dev/null
+++ b/src/thornlatch/dispatch/tests/test_dispatch.py
@@ -0,0 +1,89 @@
+import pytest
+
+from thornlatch.dispatch import DispatchSettings, Grant, Outcome
+from thornlatch.dispatch.tests.fleet import Fleet, make_spec, make_targets
+from thornlatch.exceptions import ErrorKind, RequestRefused
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet()
+    fleet.advance(0.1)
+    fleet.report_all()
+    fleet.settle()
+    return fleet
+
+
+def test_request_cold_adapter(fleet):
+    fleet.request("h2", make_spec("r1"))
+    fleet.settle()
+    grant = fleet.results["r1"]
+    assert isinstance(grant, Grant)
+    assert fleet.engines[grant.target].loaded
+
+
+def test_request_reuses_lingering_grant(fleet):
+    fleet.request("h2", make_spec("r1"))
+    fleet.settle()
+    fleet.request("h2", make_spec("r2"))
+    fleet.settle()
+    first = fleet.results["r2"]
+    fleet.finish(first.grant)
+    fleet.settle()
+    fleet.request("h2", make_spec("r3"))
+    assert fleet.results["r3"].grant == first.grant
+
+
+def test_release_returns_slot(fleet):
+    fleet.request("h2", make_spec("r1"))
+    fleet.settle()
+    fleet.finish(fleet.results["r1"].grant)
+    fleet.advance(1.0)
+    assert not fleet.count_held()
+    assert not fleet.hosts["h1"].schedulers["p"].table.grants
+
+
+def test_request_unreachable_deadline(fleet):
+    fleet.request("h2", make_spec("r1", deadline_in_s=0.01))
+    fleet.settle()
+    refusal = fleet.results["r1"]
+    assert isinstance(refusal, RequestRefused)
+    assert refusal.kind is ErrorKind.DEADLINE_UNREACHABLE
+    assert refusal.retry_after_s > 0
+
+
+def test_request_without_owner_is_refused():
+    fleet = Fleet(settings=DispatchSettings(owner_wait_s=2.0))
+    fleet.view.owner = None
+    fleet.request("h2", make_spec("r1"))
+    fleet.advance(2.5)
+    assert fleet.results["r1"].kind is ErrorKind.NO_TARGET
+
+
+def test_not_loaded_answer_asks_again(fleet):
+    fleet.request("h2", make_spec("r1"))
+    fleet.settle()
+    grant = fleet.results["r1"]
+    fleet.engines[grant.target].restart()
+    fleet.finish(grant.grant, Outcome.NOT_LOADED)
+    fleet.request("h2", make_spec("r1b", attempt=2))
+    fleet.advance(0.2)
+    fleet.report_all()
+    fleet.settle()
+    second = fleet.results["r1b"]
+    assert fleet.engines[second.target].loaded
+
+
+def test_close_refuses_pending(fleet):
+    fleet.network.clear()
+    fleet.request("h2", make_spec("r1"))
+    fleet._do("h2", fleet.hosts["h2"].close(fleet.now))
+    assert fleet.results["r1"].kind is ErrorKind.HOST_STOPPING
+
+
+def test_targets_all_leaving():
+    fleet = Fleet(targets=make_targets(is_leaving=True))
+    fleet.advance(0.1)
+    fleet.request("h2", make_spec("r1"))
+    fleet.settle()
+    assert fleet.results["r1"].kind is ErrorKind.NO_TARGET
--- /dev/null
+++ b/src/thornlatch/placement/_copies.py
@@ -0,0 +1,52 @@
+"""Which versions deserve a prefetch: lost favourites and second copies."""
+
+from collections.abc import Iterator, Sequence
+
+from thornlatch.placement._demand import DemandEstimate
+from thornlatch.placement._memory import TargetMemory
+from thornlatch.placement._orders import AdapterVersion, LoadNeed
+from thornlatch.placement._settings import PlacementSettings
+
+
+def find_copies(
+    settings: PlacementSettings,
+    demand: DemandEstimate,
+    memories: Sequence[TargetMemory],
+    now: float,
+) -> Iterator[LoadNeed]:
+    """Iterate over versions worth a prefetch, best first.
+
+    Parameters
+    ----------
+    settings : PlacementSettings
+    demand : DemandEstimate
+    memories : sequence of TargetMemory
+        Targets that take loads.
+    now : float
+
+    Yields
+    ------
+    LoadNeed
+    """
+    slots = sum(memory.target.adapter_slots for memory in memories)
+    domains = {memory.target.failure_domain for memory in memories}
+    copies_left = int(slots * settings.copy_slots_ratio)
+    for version in demand.iter_top(slots, now):
+        rate = demand.get_rate(version, now)
+        held = _find_domains(version, memories)
+        if not held:
+            yield LoadNeed(version, "", rate)
+            continue
+        if copies_left <= 0 or rate < settings.copy_demand_per_s:
+            continue
+        copies_left -= 1
+        if len(held) == 1 and len(domains) > 1:
+            yield LoadNeed(version, "", rate * settings.spare_copy_value, is_copy=True)
+
+
+def _find_domains(
+    version: AdapterVersion, memories: Sequence[TargetMemory]
+) -> set[str]:
+    return {
+        memory.target.failure_domain for memory in memories if memory.has_trace(version)
+    }
--- /dev/null
+++ b/src/thornlatch/placement/_memory.py
@@ -0,0 +1,170 @@
+"""What one target has loaded, as far as its owner knows."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass
+
+from thornlatch.configuration import Target
+from thornlatch.placement._orders import AdapterVersion
+
+
+@dataclass(frozen=True)
+class OpenOrder:
+    """An order whose result isn't known yet.
+
+    Parameters
+    ----------
+    version : AdapterVersion
+    settled_at : float
+        Time after which the target doesn't begin the order any more, seconds.
+    """
+
+    version: AdapterVersion
+    settled_at: float
+
+
+class TargetMemory:
+    """Adapter slots of one target.
+
+    A slot is resident, loading, evicting or unsure. Only resident versions may be
+    used. An order without a certain result leaves its slot unsure until a report asked
+    for after the order's deadline tells what happened.
+
+    Parameters
+    ----------
+    target : Target
+    """
+
+    def __init__(self, target: Target) -> None:
+        self.target = target
+        self.incarnation: str | None = None
+        self.read_at: float | None = None
+        self.resident: dict[AdapterVersion, float] = {}
+        self.loading: dict[AdapterVersion, OpenOrder] = {}
+        self.evicting: dict[AdapterVersion, OpenOrder] = {}
+        self.unsure: dict[AdapterVersion, OpenOrder] = {}
+        self.evicted_at: dict[AdapterVersion, float] = {}
+        self.idle_after = 0.0
+
+    @property
+    def is_read(self) -> bool:
+        """Whether the target has told what it holds."""
+        return self.read_at is not None
+
+    def count_empty(self) -> int:
+        """Return the number of slots known to be empty."""
+        if not self.is_read:
+            return 0
+        taken = len(self.resident) + len(self.loading)
+        taken += len(self.evicting) + len(self.unsure)
+        return self.target.adapter_slots - taken
+
+    def has_trace(self, version: AdapterVersion) -> bool:
+        """Return whether a slot may hold `version` now or soon."""
+        return (
+            version in self.resident
+            or version in self.loading
+            or version in self.evicting
+            or version in self.unsure
+        )
+
+    def begin_load(self, version: AdapterVersion, settled_at: float) -> None:
+        """Note a load order."""
+        self.loading[version] = OpenOrder(version, settled_at)
+
+    def begin_eviction(self, version: AdapterVersion, settled_at: float) -> None:
+        """Note an eviction order; the version is unusable from now on."""
+        del self.resident[version]
+        self.evicting[version] = OpenOrder(version, settled_at)
+
+    def end_load(self, version: AdapterVersion, *, ok: bool, now: float) -> bool:
+        """Note the certain result of a load; return whether it was open."""
+        is_known = self.loading.pop(version, None) is not None
+        if is_known and ok:
+            self.resident[version] = now
+        return is_known
+
+    def end_eviction(self, version: AdapterVersion, *, ok: bool, now: float) -> bool:
+        """Note the certain result of an eviction; return whether it was open."""
+        is_known = self.evicting.pop(version, None) is not None
+        if is_known and ok:
+            self.evicted_at[version] = now
+        elif is_known:
+            self.resident[version] = now
+        return is_known
+
+    def lose_result(self, version: AdapterVersion) -> None:
+        """Note that an order's result is lost; a later report decides."""
+        for orders in (self.loading, self.evicting):
+            order = orders.pop(version, None)
+            if order is not None:
+                self.unsure[version] = order
+
+    def expire_orders(self, grace_s: float, now: float) -> list[AdapterVersion]:
+        """Give up on results that are overdue by `grace_s` seconds."""
+        overdue = [
+            order.version
+            for orders in (self.loading, self.evicting)
+            for order in orders.values()
+            if now > order.settled_at + grace_s
+        ]
+        for version in overdue:
+            self.lose_result(version)
+        return overdue
+
+    def forget_resident(self, version: AdapterVersion, now: float) -> None:
+        """Note that the target denied having `version`; a later report decides."""
+        if self.resident.pop(version, None) is not None:
+            self.unsure[version] = OpenOrder(version, now)
+
+    def apply_report(
+        self,
+        loaded: Iterable[AdapterVersion],
+        incarnation: str,
+        asked_at: float,
+    ) -> None:
+        """Merge the target's list of loaded versions.
+
+        Parameters
+        ----------
+        loaded : iterable of AdapterVersion
+        incarnation : str
+            Identifies the life of the target's process.
+        asked_at : float
+            Time at which the list was asked for, seconds; it holds nothing older.
+        """
+        if self.read_at is not None and asked_at < self.read_at:
+            return
+        versions = set(loaded)
+        if incarnation != self.incarnation:
+            self._begin_incarnation(incarnation)
+        self.read_at = asked_at
+        self._settle_unsure(versions, asked_at)
+        for version, since in list(self.resident.items()):
+            if version not in versions and since <= asked_at:
+                del self.resident[version]
+        for version in versions:
+            if self._is_news(version, asked_at):
+                self.resident[version] = asked_at
+        self.evicted_at = {
+            version: at for version, at in self.evicted_at.items() if at > asked_at
+        }
+
+    def _begin_incarnation(self, incarnation: str) -> None:
+        if self.incarnation is not None:
+            self.resident.clear()
+            for version in [*self.loading, *self.evicting]:
+                self.lose_result(version)
+        self.incarnation = incarnation
+
+    def _settle_unsure(self, versions: set[AdapterVersion], asked_at: float) -> None:
+        for version, order in list(self.unsure.items()):
+            if asked_at <= order.settled_at:
+                continue
+            del self.unsure[version]
+            if version in versions:
+                self.resident[version] = asked_at
+
+    def _is_news(self, version: AdapterVersion, asked_at: float) -> bool:
+        if self.has_trace(version):
+            return False
+        return self.evicted_at.get(version, -1.0) < asked_at
--- /dev/null
+++ b/src/thornlatch/placement/_sites.py
@@ -0,0 +1,172 @@
+"""Choice of the target and the victim for a load."""
+
+from collections.abc import Iterable, Sequence
+from dataclasses import dataclass
+from typing import Protocol
+
+from thornlatch.placement._backoff import LoadBackoff
+from thornlatch.placement._demand import DemandEstimate
+from thornlatch.placement._memory import TargetMemory
+from thornlatch.placement._orders import AdapterVersion, LoadNeed
+from thornlatch.placement._settings import PlacementSettings
+
+
+class PinReader(Protocol):
+    """Tells which adapter versions may be in use."""
+
+    def is_pinned(self, target: str, version: AdapterVersion) -> bool:
+        """Return whether any host may use `version` on `target`."""
+
+
+@dataclass(frozen=True)
+class Site:
+    """Place for a load.
+
+    Parameters
+    ----------
+    target : str
+    victim : AdapterVersion or None
+        Version to evict first; None if a slot is known to be empty.
+    """
+
+    target: str
+    victim: AdapterVersion | None
+
+
+class SiteChooser:
+    """Chooses where to load, and what to give up for it.
+
+    The cost of a site is the demand of its victim, plus a small price for targets that
+    carry much demand already.
+
+    Parameters
+    ----------
+    settings : PlacementSettings
+    demand : DemandEstimate
+    memories : dict of str to TargetMemory
+    holders : dict of AdapterVersion to list of str
+        Targets by resident version.
+    backoff : LoadBackoff
+    """
+
+    def __init__(
+        self,
+        settings: PlacementSettings,
+        demand: DemandEstimate,
+        memories: dict[str, TargetMemory],
+        holders: dict[AdapterVersion, list[str]],
+        backoff: LoadBackoff,
+    ) -> None:
+        self.settings = settings
+        self.demand = demand
+        self.memories = memories
+        self.holders = holders
+        self.backoff = backoff
+
+    def find_for_need(
+        self,
+        need: LoadNeed,
+        pins: PinReader,
+        memories: Sequence[TargetMemory],
+        waiting: frozenset[AdapterVersion],
+        now: float,
+    ) -> Site | None:
+        """Return the cheapest place for a load that requests wait for."""
+        holders = self._find_holders(need.version)
+        if len(holders) >= self.settings.max_copies:
+            return None
+        usable = self._filter(need, memories, now)
+        return self._find_cheapest(usable, pins, waiting, holders, now)
+
+    def find_for_prefetch(
+        self,
+        need: LoadNeed,
+        pins: PinReader,
+        memories: Sequence[TargetMemory],
+        now: float,
+    ) -> Site | None:
+        """Return a place for a load that nobody waits for, if it's worth it."""
+        holders = self._find_holders(need.version)
+        domains = {memory.target.failure_domain for memory in holders}
+        usable = [
+            memory
+            for memory in self._filter(need, memories, now)
+            if memory.target.failure_domain not in domains
+        ]
+        site = self._find_cheapest(usable, pins, frozenset(), holders, now)
+        if site is None or site.victim is None:
+            return site
+        gain = self.demand.get_rate(need.version, now)
+        if holders:
+            gain *= self.settings.spare_copy_value
+        loss = self._get_value(site.victim, now)
+        return site if gain > loss * self.settings.hysteresis else None
+
+    def _find_holders(self, version: AdapterVersion) -> list[TargetMemory]:
+        return [
+            memory for memory in self.memories.values() if memory.has_trace(version)
+        ]
+
+    def _filter(
+        self, need: LoadNeed, memories: Iterable[TargetMemory], now: float
+    ) -> list[TargetMemory]:
+        return [
+            memory
+            for memory in memories
+            if memory.target.name not in need.excluded
+            and not memory.has_trace(need.version)
+            and self.backoff.may_try(need.version, memory.target.name, now)
+        ]
+
+    def _find_cheapest(
+        self,
+        memories: Sequence[TargetMemory],
+        pins: PinReader,
+        waiting: frozenset[AdapterVersion],
+        holders: Sequence[TargetMemory],
+        now: float,
+    ) -> Site | None:
+        domains = {memory.target.failure_domain for memory in holders}
+        best: tuple[tuple[bool, float, str], Site] | None = None
+        for memory in memories:
+            site, cost = self._find_victim(memory, pins, waiting, now)
+            if site is None:
+                continue
+            is_same_domain = memory.target.failure_domain in domains
+            cost += self.settings.heat_weight * self._get_heat(memory, now)
+            rank = (is_same_domain, cost, memory.target.name)
+            if best is None or rank < best[0]:
+                best = (rank, site)
+        return best[1] if best else None
+
+    def _find_victim(
+        self,
+        memory: TargetMemory,
+        pins: PinReader,
+        waiting: frozenset[AdapterVersion],
+        now: float,
+    ) -> tuple[Site | None, float]:
+        name = memory.target.name
+        if memory.count_empty() > 0:
+            return Site(name, None), 0.0
+        best: AdapterVersion | None = None
+        best_value = 0.0
+        for version in memory.resident:
+            value = self._get_value(version, now)
+            if best is not None and value >= best_value:
+                continue
+            if version in waiting or pins.is_pinned(name, version):
+                continue
+            best, best_value = version, value
+        if best is None:
+            return None, 0.0
+        return Site(name, best), best_value
+
+    def _get_value(self, version: AdapterVersion, now: float) -> float:
+        value = self.demand.get_rate(version, now)
+        is_spare = len(self.holders.get(version, ())) > 1
+        return value * self.settings.spare_copy_value if is_spare else value
+
+    def _get_heat(self, memory: TargetMemory, now: float) -> float:
+        total = sum(self.demand.get_rate(version, now) for version in memory.resident)
+        return total / memory.target.batch_slots
