--- /dev/null
+++ b/src/thornlatch/requests/_claim_fold.py
@@ -0,0 +1,158 @@
+"""The fold of stream ``claims``: the same on every host that reads it.
+
+A key belongs to the first claim in log order. Only a release by the claimer or the
+expiry, both read from the log, make room for another, so no two hosts can disagree.
+Not thread-safe; the control thread owns it.
+"""
+
+import heapq
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+
+from thornlatch.requests._claim_records import (
+    Claimed,
+    Claims,
+    Completed,
+    RecordedAnswer,
+)
+
+ClaimKey = tuple[str, str]
+
+
+@dataclass(slots=True)
+class Entry:
+    """State of the claim that holds a key.
+
+    Parameters
+    ----------
+    claim : str
+    host : str
+        Host id of the claimer.
+    body_digest : str
+    expires_at : float
+        Wall time.
+    answer : RecordedAnswer or None
+    is_unresolved : bool
+        Whether the claimer lost the outcome.
+    """
+
+    claim: str
+    host: str
+    body_digest: str
+    expires_at: float
+    answer: RecordedAnswer | None = None
+    is_unresolved: bool = False
+
+
+class ClaimFold:
+    """Folds stream ``claims``.
+
+    Parameters
+    ----------
+    clock_skew_s : float
+        Seconds added to each expiry.
+    answers_limit_bytes : int
+        Bytes of answers kept; the oldest bodies are dropped first.
+    """
+
+    def __init__(self, *, clock_skew_s: float, answers_limit_bytes: int) -> None:
+        self.clock_skew_s = clock_skew_s
+        self.answers_limit_bytes = answers_limit_bytes
+        self.clock = float("-inf")
+        self.entries: dict[ClaimKey, Entry] = {}
+        self.keys: dict[str, ClaimKey] = {}
+        self.expiries: list[tuple[float, str]] = []
+        self.bodies: OrderedDict[str, int] = OrderedDict()
+        self.bodies_size = 0
+
+    def find(self, claim: str) -> Entry | None:
+        """Return the entry that `claim` holds."""
+        key = self.keys.get(claim)
+        return self.entries.get(key) if key is not None else None
+
+    def has_room(self, limit: int, *, wall_time: float) -> bool:
+        """Return whether one more claim fits, counting what has expired."""
+        if len(self.entries) < limit:
+            return True
+        return self.expiries[0][0] + self.clock_skew_s <= wall_time
+
+    def apply(self, batch: Claims) -> set[ClaimKey]:
+        """Apply one record.
+
+        Returns
+        -------
+        set of (str, str)
+            Organisation and key of each claim that changed or was made.
+        """
+        touched: set[ClaimKey | None] = set()
+        for answered in batch.completed:
+            touched.add(self.complete(answered, host=batch.host))
+        for lost in batch.unresolved:
+            touched.add(self.mark_unresolved(lost.claim, host=batch.host))
+        for released in batch.released:
+            touched.add(self.release(released.claim, host=batch.host))
+        for claimed in batch.claims:
+            self._advance(claimed.claimed_at)
+            self._claim(claimed, batch.host)
+            touched.add((claimed.organisation, claimed.key))
+        return {key for key in touched if key is not None}
+
+    def complete(self, item: Completed, *, host: str) -> ClaimKey | None:
+        """Record the answer to a claimed call."""
+        entry = self._find_own(item.claim, host)
+        if entry is None or entry.answer is not None:
+            return None
+        entry.answer = item.answer
+        self._keep_body(item)
+        return self.keys[item.claim]
+
+    def mark_unresolved(self, claim: str, *, host: str) -> ClaimKey | None:
+        """Record that the outcome of a claimed call was lost."""
+        entry = self._find_own(claim, host)
+        if entry is None:
+            return None
+        entry.is_unresolved = True
+        return self.keys[claim]
+
+    def release(self, claim: str, *, host: str) -> ClaimKey | None:
+        """Free the key of a claim that was not run."""
+        entry = self._find_own(claim, host)
+        if entry is None or entry.answer is not None or entry.is_unresolved:
+            return None
+        key = self.keys.pop(claim)
+        del self.entries[key]
+        return key
+
+    def _claim(self, item: Claimed, host: str) -> None:
+        key = (item.organisation, item.key)
+        if key in self.entries:
+            return
+        self.entries[key] = Entry(item.claim, host, item.body_digest, item.expires_at)
+        self.keys[item.claim] = key
+        heapq.heappush(self.expiries, (item.expires_at, item.claim))
+
+    def _find_own(self, claim: str, host: str) -> Entry | None:
+        entry = self.find(claim)
+        return entry if entry is not None and entry.host == host else None
+
+    def _advance(self, wall_time: float) -> None:
+        self.clock = max(self.clock, wall_time)
+        while self.expiries and self.expiries[0][0] + self.clock_skew_s <= self.clock:
+            self._forget(heapq.heappop(self.expiries)[1])
+
+    def _forget(self, claim: str) -> None:
+        self.bodies_size -= self.bodies.pop(claim, 0)
+        key = self.keys.pop(claim, None)
+        if key is not None:
+            del self.entries[key]
+
+    def _keep_body(self, item: Completed) -> None:
+        size = len(item.answer.body)
+        self.bodies[item.claim] = size
+        self.bodies_size += size
+        while self.bodies_size > self.answers_limit_bytes:
+            claim, size = self.bodies.popitem(last=False)
+            self.bodies_size -= size
+            entry = self.find(claim)
+            if entry is not None and entry.answer is not None and size:
+                entry.answer = replace(entry.answer, body=b"", is_whole=False)
--- /dev/null
+++ b/src/thornlatch/requests/_settings.py
@@ -0,0 +1,154 @@
+"""Settings of claims, retries and quarantine."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+Seconds = Annotated[float, Meta(gt=0, le=604_800)]
+Bytes = Annotated[int, Meta(ge=0, le=1 << 30)]
+
+
+@dataclass(frozen=True)
+class RequestsSettings:
+    """Settings of at most once and of retries.
+
+    Parameters
+    ----------
+    claim_batch_s : float
+        Seconds for which claims are collected into one append.
+    claim_batch_items : int
+        Claims and outcomes per append.
+    claim_batch_bytes : int
+        Bytes of recorded answers per append.
+    appends_per_s : float
+        Appends per second that all hosts together spend on claims.
+    append_retry_s : float
+        Seconds after which what was not read back is appended again.
+    append_retry_limit_s : float
+        Longest delay between two appends of the same claim.
+    claim_timeout_s : float
+        Seconds after which a claim that was not read back is given up.
+    send_timeout_s : float
+        Seconds within which a won claim must be sent.
+    wait_s : float
+        Seconds for which a repeat waits for the first call.
+    gone_grace_s : float
+        Seconds for which a claimer must be missing from the members before the outcome
+        of its claims is unknown.
+    repeat_window_s : float
+        Seconds for which a claim is remembered.
+    log_retention_s : float
+        Seconds for which the log keeps records.
+    clock_skew_s : float
+        Largest difference between two wall clocks, of hosts or of callers that date
+        their idempotency keys.
+    refuses_undated_keys : bool
+        Whether an idempotency key that doesn't name its time (UUID version 7) is
+        refused.
+    claims_limit : int
+        Claims remembered, beyond which new ones are refused.
+    pending_limit : int
+        Claims and repeats waiting at this host, beyond which new ones are refused.
+    answer_limit_bytes : int
+        Largest answer that is recorded for repeats.
+    answers_limit_bytes : int
+        Bytes of recorded answers kept in memory.
+    outbox_limit_bytes : int
+        Bytes of answers that wait for the log; beyond, only digests are recorded.
+    retry_ratio : float
+        Retries allowed per request, for an organisation and for a target.
+    retry_burst : float
+        Retries allowed at once after a quiet time.
+    retry_base_s : float
+        Mean of the first delay before a retry.
+    retry_delay_limit_s : float
+        Longest delay before a retry.
+    attempts_limit : int
+        Attempts of one request, the first included.
+    """
+
+    claim_batch_s: Annotated[float, Meta(ge=0, le=1)] = 0.02
+    claim_batch_items: Annotated[int, Meta(ge=1, le=10_000)] = 500
+    claim_batch_bytes: Annotated[int, Meta(ge=1024, le=8 << 20)] = 1 << 20
+    appends_per_s: Annotated[float, Meta(gt=0, le=100_000)] = 300.0
+    append_retry_s: Seconds = 0.5
+    append_retry_limit_s: Seconds = 4.0
+    claim_timeout_s: Seconds = 3.0
+    send_timeout_s: Seconds = 60.0
+    wait_s: Seconds = 10.0
+    gone_grace_s: Seconds = 2.0
+    repeat_window_s: Seconds = 21_600.0
+    log_retention_s: Seconds = 86_400.0
+    clock_skew_s: Annotated[float, Meta(ge=0, le=3600)] = 5.0
+    refuses_undated_keys: bool = False
+    claims_limit: Annotated[int, Meta(ge=1, le=10_000_000)] = 100_000
+    pending_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
+    answer_limit_bytes: Bytes = 16 << 10
+    answers_limit_bytes: Bytes = 32 << 20
+    outbox_limit_bytes: Bytes = 8 << 20
+    retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
+    retry_burst: Annotated[float, Meta(ge=1, le=10_000)] = 10.0
+    retry_base_s: Annotated[float, Meta(gt=0, le=60)] = 0.05
+    retry_delay_limit_s: Annotated[float, Meta(gt=0, le=600)] = 2.0
+    attempts_limit: Annotated[int, Meta(ge=1, le=100)] = 4
+
+    def __post_init__(self) -> None:
+        """Refuse a window that the log's retention can't cover."""
+        needed = self.repeat_window_s + 2 * self.clock_skew_s + self.claim_timeout_s
+        if needed > self.log_retention_s:
+            raise ValueError(
+                "log_retention_s must be at least repeat_window_s + 2 * clock_skew_s"
+                f" + claim_timeout_s = {needed:g}"
+            )
+        if self.send_timeout_s + self.claim_timeout_s > self.repeat_window_s:
+            raise ValueError(
+                "repeat_window_s must be at least send_timeout_s + claim_timeout_s"
+            )
+
+
+@dataclass(frozen=True)
+class QuarantineSettings:
+    """Settings of the quarantine of requests that crash targets.
+
+    Parameters
+    ----------
+    suspect_s : float
+        Seconds after which a suspect that no longer arrives is forgotten.
+    refused_s : float
+        Seconds for which a request that crashed two targets is refused.
+    isolated_per_pool : int
+        Targets of a pool that run suspects at a time.
+    isolation_timeout_s : float
+        Seconds that an isolated run may take before its turn passes on.
+    wait_s : float
+        Seconds for which a suspect waits for its turn before it's told to come back.
+    gone_grace_s : float
+        Seconds for which the host of an isolated run must be missing from the members
+        before its turn passes on.
+    notice_retry_s : float
+        Seconds after which an unanswered notice to a peer is sent again.
+    notice_attempts : int
+        Notices sent to a silent peer.
+    append_batch_s : float
+        Seconds for which records are collected into one append.
+    append_retry_s : float
+        Seconds after which what was not read back is appended again.
+    append_retry_limit_s : float
+        Longest delay between two appends of the same record.
+    entries_limit : int
+        Fingerprints remembered; the one that expires first makes room.
+    """
+
+    suspect_s: Seconds = 600.0
+    refused_s: Seconds = 3600.0
+    isolated_per_pool: Annotated[int, Meta(ge=1, le=100)] = 1
+    isolation_timeout_s: Seconds = 120.0
+    wait_s: Seconds = 30.0
+    gone_grace_s: Seconds = 2.0
+    notice_retry_s: Seconds = 0.1
+    notice_attempts: Annotated[int, Meta(ge=1, le=100)] = 10
+    append_batch_s: Annotated[float, Meta(ge=0, le=1)] = 0.005
+    append_retry_s: Seconds = 0.5
+    append_retry_limit_s: Seconds = 4.0
+    entries_limit: Annotated[int, Meta(ge=16, le=1_000_000)] = 10_000
--- /dev/null
+++ b/src/thornlatch/requests/tests/claim_histories.py
@@ -0,0 +1,262 @@
+"""Seeded histories of callers, hosts and a log, for the claim table and its bench."""
+
+import random
+from dataclasses import dataclass, field
+
+from thornlatch.core import Append, Member, Resolve, decode_record, encode_record
+from thornlatch.exceptions import Execution, RequestRefused
+from thornlatch.requests import (
+    ClaimTable,
+    ClaimWon,
+    RecordedAnswer,
+    RequestsSettings,
+)
+
+STEP_S = 0.02
+SETTINGS = RequestsSettings(
+    claim_batch_s=0.02,
+    append_retry_s=0.1,
+    append_retry_limit_s=0.4,
+    claim_timeout_s=0.5,
+    send_timeout_s=0.5,
+    wait_s=1.0,
+    gone_grace_s=0.1,
+    clock_skew_s=0.1,
+    repeat_window_s=6.0,
+    log_retention_s=10.0,
+)
+
+
+@dataclass
+class View:
+    """Members as all hosts see them."""
+
+    hosts: list[str] = field(default_factory=list)
+
+    def iter_members(self):
+        return [Member(host, "", "d", 0) for host in self.hosts]
+
+
+@dataclass
+class Run:
+    key: str
+    ticket: str
+    at: float
+
+
+@dataclass
+class Node:
+    table: ClaimTable
+    read: int = 0
+    paused_until: float = 0.0
+    skew: float = 0.0
+    won: dict[str, tuple[str, float]] = field(default_factory=dict)
+    sent: dict[str, tuple[str, float]] = field(default_factory=dict)
+
+
+class History:
+    """Runs one seeded history; `check` names each broken promise.
+
+    Parameters
+    ----------
+    seed : int
+    table : type
+        `ClaimTable`, or a broken one.
+    duration_s : float
+        Simulated seconds before the faults stop.
+    """
+
+    def __init__(self, seed, table=ClaimTable, duration_s=3.0, keys=4):
+        self.random = random.Random(seed)
+        self.table = table
+        self.duration_s = duration_s
+        self.keys = keys
+        self.now = 100.0
+        self.view = View()
+        self.nodes: dict[str, Node] = {}
+        self.log: list[dict] = []
+        self.in_flight: list[tuple[float, dict]] = []
+        self.outage_until = 0.0
+        self.tickets: dict[str, tuple[str, str]] = {}
+        self.results: dict[str, object] = {}
+        self.runs: list[Run] = []
+        self.born = 0
+        for _ in range(3):
+            self.start_host()
+
+    def start_host(self):
+        self.born += 1
+        host = f"h{self.born}"
+        table = self.table(SETTINGS, host=host, leases=self.view)
+        self.view.hosts.append(host)
+        self.nodes[host] = Node(table, skew=self.random.uniform(-0.05, 0.05))
+
+    def run(self):
+        end = self.now + self.duration_s
+        while self.now < end:
+            self.break_things()
+            if self.random.random() < 0.25:
+                self.call()
+            self.step()
+        self.outage_until = 0.0
+        for _ in range(int(4.0 / STEP_S)):
+            self.step()
+        return self
+
+    def step(self):
+        self.now += STEP_S
+        self.land()
+        for host, node in list(self.nodes.items()):
+            if node.paused_until <= self.now:
+                self.read_log(host, node)
+                self.do(host, node.table.tick(now=self.now))
+                self.send_won(host, node)
+                self.finish_sent(host, node)
+
+    def break_things(self):
+        chance = self.random.random()
+        if chance < 0.01:
+            self.outage_until = self.now + self.random.choice([0.2, 1.2])
+        elif chance < 0.03:
+            node = self.random.choice(list(self.nodes.values()))
+            node.paused_until = self.now + self.random.choice([0.1, 0.8, 2.0])
+        elif chance < 0.045:
+            host = self.random.choice(list(self.nodes))
+            del self.nodes[host]
+            self.view.hosts.remove(host)
+            self.start_host()
+
+    def call(self):
+        host = self.random.choice(list(self.nodes))
+        node = self.nodes[host]
+        if node.paused_until > self.now:
+            return
+        key = f"k{self.random.randrange(self.keys)}"
+        ticket = f"r{len(self.tickets)}"
+        self.tickets[ticket] = (key, host)
+        actions = node.table.claim(
+            ticket,
+            organisation="o",
+            idempotency_key=key,
+            body_digest="d" + key,
+            now=self.now,
+            wall_time=self.now + node.skew,
+        )
+        self.do(host, actions)
+
+    def land(self):
+        if self.now < self.outage_until:
+            return
+        ready = [one for one in self.in_flight if one[0] <= self.now]
+        self.in_flight = [one for one in self.in_flight if one[0] > self.now]
+        self.log += [record for _, record in ready]
+
+    def read_log(self, host, node):
+        if self.now < self.outage_until or self.random.random() < 0.3:
+            return
+        end = len(self.log)
+        for offset in range(node.read, end):
+            record = decode_record(self.log[offset])
+            self.do(host, node.table.apply_record(offset, record, now=self.now))
+        node.read = end
+
+    def do(self, host, actions):
+        for action in actions:
+            if isinstance(action, Append):
+                self.append(encode_record(action.record))
+            elif isinstance(action, Resolve):
+                self.resolve(host, action)
+
+    def append(self, record):
+        chance = self.random.random()
+        if chance < 0.15 or (self.now < self.outage_until and chance < 0.7):
+            return
+        delay = self.random.choice([0.01, 0.02, 0.05, 0.3, 0.9])
+        self.in_flight.append((self.now + delay, record))
+
+    def resolve(self, host, action):
+        assert action.ticket not in self.results, "resolved twice"
+        self.results[action.ticket] = action.value
+        if isinstance(action.value, ClaimWon):
+            at = self.now + self.random.choice([0.0, 0.02, 0.2])
+            self.nodes[host].won[action.value.claim] = (action.ticket, at)
+
+    def send_won(self, host, node):
+        for claim, (ticket, at) in list(node.won.items()):
+            if at > self.now:
+                continue
+            del node.won[claim]
+            if not node.table.begin(claim, now=self.now):
+                refused = node.table.abandon(
+                    claim, is_certain_not_run=True, now=self.now
+                )
+                self.do(host, refused)
+                continue
+            self.send(host, node, claim, ticket)
+
+    def send(self, host, node, claim, ticket):
+        if self.random.random() < 0.25:
+            node.table.return_unsent(claim)
+            if self.random.random() < 0.5:
+                node.won[claim] = (ticket, self.now + 0.05)
+                return
+            self.do(
+                host, node.table.abandon(claim, is_certain_not_run=True, now=self.now)
+            )
+            return
+        self.runs.append(Run(self.tickets[ticket][0], ticket, self.now))
+        node.sent[claim] = (ticket, self.now + self.random.choice([0.02, 0.1, 0.6]))
+
+    def finish_sent(self, host, node):
+        for claim, (ticket, at) in list(node.sent.items()):
+            if at > self.now:
+                continue
+            del node.sent[claim]
+            if self.random.random() < 0.3:
+                actions = node.table.abandon(
+                    claim, is_certain_not_run=False, now=self.now
+                )
+            else:
+                actions = node.table.complete(
+                    claim,
+                    status=200,
+                    headers=(("Content-Type", "text/plain"),),
+                    body=ticket.encode(),
+                    now=self.now,
+                )
+            self.do(host, actions)
+
+    def check(self):
+        """Return one line per broken promise."""
+        return self.find_duplicate_runs() + self.find_false_answers()
+
+    def find_duplicate_runs(self):
+        last: dict[str, Run] = {}
+        found = []
+        for run in self.runs:
+            before = last.get(run.key)
+            if before and run.at - before.at < SETTINGS.repeat_window_s:
+                found.append(f"{run.key} ran for {before.ticket} and {run.ticket}")
+            last[run.key] = run
+        return found
+
+    def find_false_answers(self):
+        ran = {run.ticket: run.key for run in self.runs}
+        found = []
+        for ticket, value in self.results.items():
+            if isinstance(value, RequestRefused):
+                if value.execution is Execution.NOT_RUN and ticket in ran:
+                    found.append(f"{ticket} was told not run and ran")
+            elif isinstance(value, RecordedAnswer):
+                source = value.body.decode()
+                if ran.get(source) != self.tickets[ticket][0]:
+                    found.append(f"{ticket} got the answer of {source}")
+        return found
+
+    def find_unanswered(self):
+        """Return the tickets of living hosts that never resolved."""
+        return [
+            ticket
+            for ticket, (_, host) in self.tickets.items()
+            if ticket not in self.results and host in self.nodes
+        ]
