--- /dev/null
+++ b/src/thornlatch/requests/_streams.py
@@ -0,0 +1,127 @@
+"""Joins the parts of a stream that several attempts deliver into one answer."""
+
+from dataclasses import dataclass
+
+from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
+
+
+@dataclass(frozen=True, slots=True)
+class StreamPart:
+    """Tokens that a target sent for one attempt.
+
+    Parameters
+    ----------
+    request : str
+    attempt : int
+    adapter_version : str
+        Adapter and version that the target says it ran.
+    first_token : int
+        Index of the first token in the whole answer.
+    tokens : tuple of str
+        Text of each token.
+    is_last : bool
+        Whether the answer ends after these tokens.
+    """
+
+    request: str
+    attempt: int
+    adapter_version: str
+    first_token: int
+    tokens: tuple[str, ...]
+    is_last: bool = False
+
+
+class StreamCursor:
+    """Keeps the place in one answer over all attempts of its request.
+
+    Owned by the worker thread that serves the request.
+
+    Parameters
+    ----------
+    request : str
+    adapter_version : str
+        Adapter and version that the request runs on.
+    """
+
+    def __init__(self, request: str, *, adapter_version: str) -> None:
+        self.request = request
+        self.adapter_version = adapter_version
+        self.attempt = 0
+        self.sent: list[str] = []
+        self.is_complete = False
+
+    def start_attempt(self) -> int:
+        """Begin the next attempt, whose parts alone are accepted from now on.
+
+        Returns
+        -------
+        int
+            Number of the attempt; ask the target to resume at `next_token`.
+        """
+        self.attempt += 1
+        return self.attempt
+
+    @property
+    def next_token(self) -> int:
+        """Index of the token after the last one sent to the caller."""
+        return len(self.sent)
+
+    def accept(self, part: StreamPart) -> tuple[str, ...]:
+        """Return the tokens of a part that the caller hasn't received.
+
+        Parts of another request or attempt give no tokens.
+
+        Raises
+        ------
+        RequestRefused
+            `VERSION_MISMATCH` if the target ran another adapter or version.
+        TargetError
+            If tokens are missing, or those sent again differ from those sent before;
+            a further attempt may resume.
+        """
+        if part.request != self.request or part.attempt != self.attempt:
+            return ()
+        if self.is_complete:
+            return ()
+        if part.adapter_version != self.adapter_version:
+            raise RequestRefused(
+                ErrorKind.VERSION_MISMATCH,
+                f"asked for {self.adapter_version}, target ran {part.adapter_version}",
+            )
+        fresh = self._cut(part)
+        self._check_end(part)
+        self.sent += fresh
+        self.is_complete = part.is_last
+        return fresh
+
+    def _cut(self, part: StreamPart) -> tuple[str, ...]:
+        overlap = self.next_token - part.first_token
+        if overlap < 0 or part.first_token < 0:
+            raise TargetError(
+                f"expected token {self.next_token}, got {part.first_token}",
+                is_sent=True,
+            )
+        repeated = part.tokens[:overlap]
+        begin = part.first_token
+        if tuple(self.sent[begin : begin + len(repeated)]) != repeated:
+            raise TargetError("the resumed answer differs", is_sent=True)
+        return part.tokens[overlap:]
+
+    def _check_end(self, part: StreamPart) -> None:
+        end = part.first_token + len(part.tokens)
+        if part.is_last and end < self.next_token:
+            raise TargetError("the resumed answer ends too early", is_sent=True)
+
+    def finish(self) -> None:
+        """Check that the answer is whole when the target closes the stream.
+
+        Raises
+        ------
+        TargetError
+            If the last part is missing.
+        """
+        if not self.is_complete:
+            raise TargetError(
+                f"the stream ended after {self.next_token} tokens without its end",
+                is_sent=True,
+            )
