Keep the configuration in force as a pure fold of the log

Ruled out: tables copied whole on each change (63,000 entries a change); a map that is changed in place (readers on other threads would see half a change); a peer's unsolicited offset as proof of freshness (it may have been under way for long, so answers echo the time of the question); freshness by any one answer in an outage (needs a majority of the hosts asked).

Adapter gains `is_default`, so that several versions of a name may be listed; names no longer match with a trailing line end.

--- a/src/thornlatch/configuration/__init__.py
+++ b/src/thornlatch/configuration/__init__.py
@@ -11,15 +11,70 @@
     Target,
     digest_key,
 )
+from thornlatch.configuration._records import (
+    STREAM,
+    ConfigurationChanged,
+    ConfigurationPublished,
+    ConfigurationSnapshot,
+    KeyIssued,
+    KeyWithdrawn,
+    OffsetDigest,
+    OffsetQuery,
+    Record,
+    Removals,
+    TargetDrained,
+    UnreadableRecord,
+    Withdrawal,
+    decode_entry,
+)
+from thornlatch.configuration._settings import ConfigurationSettings
+from thornlatch.configuration._slice import Configuration, ConfigurationStatus
+from thornlatch.configuration._state import (
+    ConfigurationState,
+    Refusal,
+    apply_record,
+    build_snapshot,
+    load_snapshot,
+)
+from thornlatch.configuration._tables import Tables, find_changes, to_inventory
+from thornlatch.configuration._validation import build_tables
+from thornlatch.configuration._view import ConfigurationView
 
 __all__ = [
+    "STREAM",
     "Adapter",
+    "Configuration",
+    "ConfigurationChanged",
+    "ConfigurationPublished",
+    "ConfigurationSettings",
+    "ConfigurationSnapshot",
+    "ConfigurationState",
+    "ConfigurationStatus",
+    "ConfigurationView",
     "Inventory",
     "Key",
+    "KeyIssued",
+    "KeyWithdrawn",
+    "OffsetDigest",
+    "OffsetQuery",
     "Organisation",
     "Pool",
+    "Record",
+    "Refusal",
+    "Removals",
     "Route",
     "Store",
+    "Tables",
     "Target",
+    "TargetDrained",
+    "UnreadableRecord",
+    "Withdrawal",
+    "apply_record",
+    "build_snapshot",
+    "build_tables",
+    "decode_entry",
     "digest_key",
+    "find_changes",
+    "load_snapshot",
+    "to_inventory",
 ]
--- /dev/null
+++ b/src/thornlatch/configuration/_freshness.py
@@ -0,0 +1,139 @@
+"""Decides whether the state is new enough to take requests on it."""
+
+from collections.abc import Iterable, Iterator
+
+from thornlatch.configuration._records import OffsetDigest
+from thornlatch.configuration._settings import ConfigurationSettings
+from thornlatch.core import LeaseReader
+
+
+class Freshness:
+    """Tracks up to which time this host's state is known to be the newest.
+
+    The state is *confirmed* as of time t if it includes every record that was on the
+    log at t. A read of the log that was sent at t and reached the end confirms it,
+    and so does a peer that knows no more and was itself confirmed as of t.
+
+    Parameters
+    ----------
+    settings : ConfigurationSettings
+    leases : LeaseReader
+    host : str
+        This host's id.
+    """
+
+    def __init__(
+        self, settings: ConfigurationSettings, leases: LeaseReader, host: str
+    ) -> None:
+        self.settings = settings
+        self.leases = leases
+        self.host = host
+        self.confirmed_at: float | None = None
+        self.highest_known = -1
+        self.queried: dict[str, float] = {}
+        self.answered: dict[str, float] = {}
+
+    def note_offset(self, offset: int) -> None:
+        """Note that the log has a record at `offset`."""
+        self.highest_known = max(self.highest_known, offset)
+
+    def note_log_read(self, sent_at: float) -> None:
+        """Note a read that was sent at `sent_at` and found nothing newer."""
+        self._confirm(sent_at)
+
+    def note_queries(self, peers: Iterable[str], *, now: float) -> None:
+        """Note that peers are asked at `now`.
+
+        Parameters
+        ----------
+        peers : iterable of str
+            Host ids.
+        now : float
+            Seconds.
+        """
+        for times in (self.queried, self.answered):
+            for peer in set(times).difference(self._iter_recent(times, now=now)):
+                del times[peer]
+        self.queried.update((peer, now) for peer in peers)
+
+    def note_digest(
+        self, digest: OffsetDigest, peer: str, offset: int, *, now: float
+    ) -> None:
+        """Note a peer's answer.
+
+        Parameters
+        ----------
+        digest : OffsetDigest
+        peer : str
+            Host id.
+        offset : int
+            Highest offset that this host has applied.
+        now : float
+            Seconds.
+        """
+        if peer not in self.queried or digest.sent_at > now:
+            return
+        self.note_offset(digest.offset)
+        self.answered[peer] = max(self.answered.get(peer, 0.0), digest.sent_at)
+        if digest.age_s is not None and digest.offset <= offset:
+            self._confirm(digest.sent_at - digest.age_s)
+
+    def get_age(self, *, now: float) -> float | None:
+        """Return for how many seconds the state hasn't been confirmed.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float or None
+            None if it never was.
+        """
+        if self.confirmed_at is None:
+            return None
+        return max(0.0, now - self.confirmed_at)
+
+    def is_fresh(self, offset: int, *, now: float) -> bool:
+        """Return whether the host may take requests on its state.
+
+        Parameters
+        ----------
+        offset : int
+            Highest offset that this host has applied.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+        """
+        age = self.get_age(now=now)
+        if age is not None and age <= self.settings.stale_limit_s:
+            return True
+        return self._is_outage(offset, now=now)
+
+    def _is_outage(self, offset: int, *, now: float) -> bool:
+        """Return whether the log seems down for all rather than for this host.
+
+        Without an outage, a host among the majority of those that it asked would
+        have read the log and so confirm this one or know more.
+        """
+        if self.highest_known > offset or not self.leases.is_confirmed(now=now):
+            return False
+        members = self.leases.iter_members()
+        if all(member.host == self.host for member in members):
+            return True
+        queried = len(list(self._iter_recent(self.queried, now=now)))
+        answered = len(list(self._iter_recent(self.answered, now=now)))
+        return answered > 0 and 2 * (answered + 1) > queried + 1
+
+    def _iter_recent(self, times: dict[str, float], *, now: float) -> Iterator[str]:
+        for peer, time in times.items():
+            if now - time <= self.settings.stale_limit_s:
+                yield peer
+
+    def _confirm(self, time: float) -> None:
+        if self.confirmed_at is None or time > self.confirmed_at:
+            self.confirmed_at = time
--- a/src/thornlatch/configuration/_inventory.py
+++ b/src/thornlatch/configuration/_inventory.py
@@ -6,7 +6,9 @@
 
 from msgspec import Meta
 
-Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[\w.:/@-]+$")]
+Name = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[\w.:/@-]+\Z")]
+Version = Annotated[str, Meta(min_length=1, max_length=200, pattern=r"^[\w.:@-]+\Z")]
+Digest = Annotated[str, Meta(pattern=r"^[0-9a-f]{64}\Z")]
 Tokens = Annotated[float, Meta(gt=0, le=1e12)]
 Count = Annotated[int, Meta(ge=1, le=100_000)]
 
@@ -43,7 +45,7 @@
     organisation : str
     """
 
-    digest: Annotated[str, Meta(pattern=r"^[0-9a-f]{64}$")]
+    digest: Digest
     organisation: Name
 
 
@@ -114,7 +116,7 @@
 
     name: Name
     pool: Name
-    address: Annotated[str, Meta(pattern=r"^[0-9A-Fa-f.:\[\]]+:\d{1,5}$")]
+    address: Annotated[str, Meta(pattern=r"^[0-9A-Fa-f.:\[\]]+:[0-9]{1,5}\Z")]
     failure_domain: Name
     batch_slots: Count = 16
     adapter_slots: Annotated[int, Meta(ge=0, le=100_000)] = 0
@@ -122,25 +124,32 @@
     is_leaving: bool = False
 
 
-@dataclass(frozen=True)
+@dataclass(frozen=True, slots=True)
 class Adapter:
-    """A fine-tuned adapter of one organisation.
+    """One version of a fine-tuned adapter.
 
     Parameters
     ----------
     name : str
-        What callers send as ``model``.
+        What callers send as ``model``, alone or as ``name/version``.
     version : str
-        Version served when the caller names none.
     pool : str
     organisation : str
         Organisation that may call it; empty if open to all.
+    is_default : bool
+        Whether this version is served when the caller names none.
     """
 
     name: Name
-    version: Name
+    version: Version
     pool: Name
     organisation: str = ""
+    is_default: bool = True
+
+    @property
+    def label(self) -> str:
+        """Name and version as callers write them."""
+        return f"{self.name}/{self.version}"
 
 
 @dataclass(frozen=True)
@@ -163,7 +172,7 @@
         Tokens that one call counts against its organisation's rate.
     """
 
-    path: Annotated[str, Meta(pattern=r"^/[\w./-]*$", max_length=200)]
+    path: Annotated[str, Meta(pattern=r"^/[\w./-]*\Z", max_length=200)]
     pool: Name
     is_open: bool = False
     is_idempotent: bool = True
--- /dev/null
+++ b/src/thornlatch/configuration/_settings.py
@@ -0,0 +1,37 @@
+"""Settings of the configuration slice."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+
+@dataclass(frozen=True)
+class ConfigurationSettings:
+    """Settings of the configuration in force.
+
+    Parameters
+    ----------
+    stale_limit_s : float
+        Seconds after the last confirmation beyond which the host takes no requests.
+    query_after_s : float
+        Seconds without a read of the log after which peers are asked.
+    query_interval_s : float
+        Seconds between two queries to peers.
+    query_peers : int
+        Peers asked in each query.
+    snapshot_every_s : float
+        Seconds between snapshots on the log; far less than the log keeps records.
+    snapshot_every_records : int
+        Records after which a snapshot is due before its time.
+    snapshot_backoff_s : float
+        Seconds that the next host waits for the chosen one to write the snapshot.
+    """
+
+    stale_limit_s: Annotated[float, Meta(ge=0.5, le=60)] = 4.0
+    query_after_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.5
+    query_interval_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0
+    query_peers: Annotated[int, Meta(ge=1, le=64)] = 8
+    snapshot_every_s: Annotated[float, Meta(ge=1, le=604_800)] = 1800.0
+    snapshot_every_records: Annotated[int, Meta(ge=10, le=100_000)] = 1000
+    snapshot_backoff_s: Annotated[float, Meta(ge=1, le=3600)] = 30.0
--- /dev/null
+++ b/src/thornlatch/configuration/_slice.py
@@ -0,0 +1,493 @@
+"""The configuration slice: what is in force on this host, and whether it's fresh.
+
+The control thread calls everything that changes state. `Configuration.view` is
+replaced as a whole, so `authenticate`, `is_fresh` and `view` may be read from any
+thread.
+"""
+
+import hashlib
+from collections.abc import Iterator
+from dataclasses import dataclass
+from functools import singledispatchmethod
+from typing import Any
+
+from thornlatch.configuration._catch_up import HeldRecords
+from thornlatch.configuration._freshness import Freshness
+from thornlatch.configuration._inventory import Key, digest_key
+from thornlatch.configuration._records import (
+    STREAM,
+    ConfigurationSnapshot,
+    OffsetDigest,
+    OffsetQuery,
+    Record,
+)
+from thornlatch.configuration._settings import ConfigurationSettings
+from thornlatch.configuration._state import (
+    ConfigurationState,
+    Refusal,
+    add_refusal,
+    apply_record,
+    build_snapshot,
+    load_snapshot,
+)
+from thornlatch.configuration._view import ConfigurationView
+from thornlatch.core import Action, Append, Emit, Event, LeaseReader, Send
+from thornlatch.exceptions import ErrorKind, Execution, InvalidInput, RequestRefused
+
+RETRY_AFTER_S = 1.0
+
+
+@dataclass(frozen=True)
+class ConfigurationStatus:
+    """What operators see of the slice.
+
+    Parameters
+    ----------
+    offset : int
+        Highest offset applied.
+    inventory_offset : int
+        Offset of the inventory in force; -1 if there is none.
+    is_fresh : bool
+        Whether the host takes requests.
+    is_complete : bool
+        Whether no record is missing before `offset`.
+    age_s : float or None
+        Seconds since the state was known to be the newest; None if never.
+    highest_known : int
+        Highest offset that this host or a peer has seen.
+    refusals : tuple of Refusal
+        Records that were refused, the latest last.
+    """
+
+    offset: int
+    inventory_offset: int
+    is_fresh: bool
+    is_complete: bool
+    age_s: float | None
+    highest_known: int
+    refusals: tuple[Refusal, ...]
+
+
+class Configuration:
+    """Keeps the configuration in force; implements `thornlatch.core.Slice`.
+
+    Parameters
+    ----------
+    settings : ConfigurationSettings
+    host : str
+        This host's id.
+    leases : LeaseReader
+    """
+
+    def __init__(
+        self, settings: ConfigurationSettings, *, host: str, leases: LeaseReader
+    ) -> None:
+        self.settings = settings
+        self.host = host
+        self.leases = leases
+        self.view = ConfigurationView(ConfigurationState())
+        self.freshness = Freshness(settings, leases, host)
+        self.held = HeldRecords()
+        self.ended: list[tuple[int, str]] = []
+        self.queried_at: float | None = None
+        self.query_round = 0
+        self.snapshot_offset = -1
+        self.snapshot_at: float | None = None
+        self.was_fresh = False
+
+    @property
+    def state(self) -> ConfigurationState:
+        """State in force."""
+        return self.view.state
+
+    @property
+    def is_complete(self) -> bool:
+        """Whether no record is missing before the offset in force."""
+        return not self.held
+
+    def is_fresh(self, *, now: float) -> bool:
+        """Return whether this host may take requests.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        bool
+        """
+        return self.is_complete and self.freshness.is_fresh(self.state.offset, now=now)
+
+    def authenticate(self, key: str, *, now: float) -> Key:
+        """Return the key in force that a caller presented.
+
+        Parameters
+        ----------
+        key : str
+            Bearer key in clear.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        Key
+
+        Raises
+        ------
+        RequestRefused
+            If the host isn't fresh, or the key is unknown or withdrawn.
+        """
+        self.check_fresh(now=now)
+        view = self.view
+        digest = digest_key(key)
+        if view.is_withdrawn(digest):
+            raise RequestRefused(
+                ErrorKind.KEY_WITHDRAWN,
+                "the key was withdrawn",
+                execution=Execution.NOT_RUN,
+            )
+        found = view.get_key(digest)
+        if found is None:
+            raise RequestRefused(ErrorKind.UNKNOWN_KEY, "the key is unknown")
+        return found
+
+    def check_fresh(self, *, now: float) -> None:
+        """Check that this host may take requests.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Raises
+        ------
+        RequestRefused
+            If the host can't confirm that its configuration is the newest.
+        """
+        if not self.is_fresh(now=now):
+            raise RequestRefused(
+                ErrorKind.HOST_UNCONFIRMED,
+                "this host can't confirm the configuration in force",
+                retry_after_s=RETRY_AFTER_S,
+            )
+
+    def iter_withdrawn_since(self, offset: int) -> Iterator[str]:
+        """Iterate over digests of keys that ended after `offset`.
+
+        Parameters
+        ----------
+        offset : int
+
+        Yields
+        ------
+        str
+            Digest of a key that was withdrawn, or dropped with its inventory or
+            organisation; streams opened with it must end.
+        """
+        for ended_at, digest in self.ended:
+            if ended_at > offset and self.view.get_key(digest) is None:
+                yield digest
+
+    def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
+        """Apply a record of the stream ``configuration``; ignore other kinds.
+
+        Parameters
+        ----------
+        offset : int
+            Records arrive in this order; a repeated one is ignored.
+        record : object
+            `decode_entry` of the record's value.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        if not isinstance(record, Record):
+            return []
+        self.freshness.note_offset(offset)
+        following = self.state.offset + 1
+        if offset < following:
+            return []
+        if offset > following:
+            return self._hold(offset, record, now=now)
+        actions = self._apply(offset, record, now=now)
+        return actions + self._apply_held(now=now)
+
+    def note_log_read(
+        self, *, sent_at: float, now: float, next_offset: int
+    ) -> list[Action]:
+        """Note a read that reached the end of the stream, after its records.
+
+        A page with as many records as its limit hasn't reached the end.
+
+        Parameters
+        ----------
+        sent_at : float
+            Time in seconds at which the read was sent.
+        now : float
+            Seconds.
+        next_offset : int
+            Offset of the next record according to the log; a value that doesn't
+            follow the offset in force shows that records are missing.
+
+        Returns
+        -------
+        list of Action
+        """
+        if not self.is_complete:
+            return []
+        if next_offset == self.state.offset + 1:
+            self.freshness.note_log_read(min(sent_at, now))
+        return self._note_freshness(now=now)
+
+    def build_snapshot(self) -> ConfigurationSnapshot:
+        """Return a snapshot of the state in force, for the log or a peer.
+
+        Returns
+        -------
+        ConfigurationSnapshot
+        """
+        return build_snapshot(self.state, self.host)
+
+    def apply_snapshot(
+        self, snapshot: ConfigurationSnapshot, *, now: float
+    ) -> list[Action]:
+        """Catch up from a peer's snapshot; an older one changes nothing.
+
+        Parameters
+        ----------
+        snapshot : ConfigurationSnapshot
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        self.freshness.note_offset(snapshot.covered_offset)
+        return self._load(snapshot, snapshot.covered_offset, now=now)
+
+    def get_status(self, *, now: float) -> ConfigurationStatus:
+        """Return what operators see.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        ConfigurationStatus
+        """
+        return ConfigurationStatus(
+            offset=self.state.offset,
+            inventory_offset=self.state.inventory_offset,
+            is_fresh=self.is_fresh(now=now),
+            is_complete=self.is_complete,
+            age_s=self.freshness.get_age(now=now),
+            highest_known=self.freshness.highest_known,
+            refusals=self.state.refusals,
+        )
+
+    def handle(self, message: Any, *, sender: str, now: float) -> list[Action]:
+        """Handle a message from a peer; ignore unknown kinds.
+
+        Parameters
+        ----------
+        message : object
+        sender : str
+            Host id.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        return self._handle(message, sender, now)
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Ask peers if the log is silent, and write a snapshot if one is due.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        if self.snapshot_at is None:
+            self.snapshot_at = now
+        actions = self._query_peers(now=now)
+        actions += self._write_snapshot(now=now)
+        return actions + self._note_freshness(now=now)
+
+    @singledispatchmethod
+    def _handle(self, message: Any, sender: str, now: float) -> list[Action]:
+        return []
+
+    @_handle.register
+    def _(self, message: OffsetQuery, sender: str, now: float) -> list[Action]:
+        self.freshness.note_offset(message.offset)
+        age_s = self.freshness.get_age(now=now) if self.is_complete else None
+        digest = OffsetDigest(self.state.offset, age_s, message.sent_at)
+        return [Send(sender, digest)]
+
+    @_handle.register
+    def _(self, message: OffsetDigest, sender: str, now: float) -> list[Action]:
+        self.freshness.note_digest(message, sender, self.state.offset, now=now)
+        return self._note_freshness(now=now)
+
+    def _apply(self, offset: int, record: Record, *, now: float) -> list[Action]:
+        before = self.state
+        after = apply_record(before, offset, record)
+        if isinstance(record, ConfigurationSnapshot):
+            self._note_snapshot(record.covered_offset, now=now)
+        return self._replace(before, after, offset)
+
+    def _hold(self, offset: int, record: Record, *, now: float) -> list[Action]:
+        self.held.add(offset, record)
+        if not isinstance(record, ConfigurationSnapshot):
+            return []
+        if not self.held.is_bridged_by(record) or record.covered_offset >= offset:
+            return []
+        return self._load(record, offset, now=now)
+
+    def _load(
+        self, snapshot: ConfigurationSnapshot, offset: int, *, now: float
+    ) -> list[Action]:
+        before = self.state
+        try:
+            after = load_snapshot(before, snapshot)
+        except InvalidInput as error:
+            kind = type(snapshot).__name__
+            refusal = Refusal(
+                offset, kind, snapshot.author, "invalid-record", error.message
+            )
+            self.view = ConfigurationView(add_refusal(before, refusal))
+            return [_emit_refusal(refusal)]
+        if after is before:
+            return []
+        self._note_snapshot(snapshot.covered_offset, now=now)
+        actions = self._replace(before, after, snapshot.covered_offset)
+        return actions + self._apply_held(now=now)
+
+    def _apply_held(self, *, now: float) -> list[Action]:
+        actions: list[Action] = []
+        if not self.held or self.held.first > self.state.offset + 1:
+            return actions
+        for offset, record in self.held.iter_after(self.state.offset):
+            actions += self._apply(offset, record, now=now)
+        self.held.clear()
+        return actions
+
+    def _replace(
+        self, before: ConfigurationState, after: ConfigurationState, offset: int
+    ) -> list[Action]:
+        self.ended.extend((offset, digest) for digest in _iter_ended(before, after))
+        self.view = ConfigurationView(after)
+        event = Event(
+            "configuration.applied",
+            offset=after.offset,
+            detail={"inventory_offset": after.inventory_offset},
+        )
+        actions: list[Action] = [Emit(event)]
+        if after.refusals and after.refusals is not before.refusals:
+            actions.append(_emit_refusal(after.refusals[-1]))
+        return actions
+
+    def _query_peers(self, *, now: float) -> list[Action]:
+        age_s = self.freshness.get_age(now=now)
+        if age_s is not None and age_s < self.settings.query_after_s:
+            return []
+        waited_s = now - self.queried_at if self.queried_at is not None else None
+        if waited_s is not None and waited_s < self.settings.query_interval_s:
+            return []
+        self.queried_at = now
+        peers = self._choose_peers()
+        self.freshness.note_queries(peers, now=now)
+        query = OffsetQuery(self.state.offset, now)
+        return [Send(peer, query) for peer in peers]
+
+    def _choose_peers(self) -> list[str]:
+        """Return the next peers in an order of this host's own."""
+        members = (member.host for member in self.leases.iter_members())
+        peers = sorted(
+            (host for host in members if host != self.host),
+            key=lambda host: _rank(self.host, host),
+        )
+        count = min(self.settings.query_peers, len(peers))
+        start = self.query_round * count
+        self.query_round += 1
+        return [peers[(start + index) % len(peers)] for index in range(count)]
+
+    def _write_snapshot(self, *, now: float) -> list[Action]:
+        if self.state.offset < 0 or not self._is_snapshot_due(now=now):
+            return []
+        if not self.is_fresh(now=now):
+            return []
+        self.snapshot_at = now
+        self.snapshot_offset = self.state.offset
+        return [Append(STREAM, self.build_snapshot())]
+
+    def _is_snapshot_due(self, *, now: float) -> bool:
+        settings = self.settings
+        waited_s = now - (self.snapshot_at if self.snapshot_at is not None else now)
+        backoff_s = self._get_snapshot_turn() * settings.snapshot_backoff_s
+        if waited_s >= settings.snapshot_every_s + backoff_s:
+            return True
+        behind = self.state.offset - self.snapshot_offset
+        return behind >= settings.snapshot_every_records and waited_s >= max(
+            backoff_s, settings.snapshot_backoff_s
+        )
+
+    def _get_snapshot_turn(self) -> int:
+        """Return this host's place in the order that the last snapshot gives."""
+        salt = str(self.snapshot_offset)
+        hosts = [member.host for member in self.leases.iter_members()]
+        ranks = sorted(_rank(salt, host) for host in hosts)
+        own = _rank(salt, self.host)
+        return ranks.index(own) if own in ranks else len(ranks)
+
+    def _note_snapshot(self, covered_offset: int, *, now: float) -> None:
+        self.snapshot_at = now
+        self.snapshot_offset = max(self.snapshot_offset, covered_offset)
+
+    def _note_freshness(self, *, now: float) -> list[Action]:
+        is_fresh = self.is_fresh(now=now)
+        if is_fresh == self.was_fresh:
+            return []
+        self.was_fresh = is_fresh
+        name = "configuration.confirmed" if is_fresh else "configuration.stale"
+        return [Emit(Event(name, offset=self.state.offset))]
+
+
+def _rank(salt: str, host: str) -> str:
+    return hashlib.sha256(f"{salt}|{host}".encode()).hexdigest()
+
+
+def _iter_ended(before: ConfigurationState, after: ConfigurationState) -> Iterator[str]:
+    """Iterate over digests of keys in force before but not after."""
+    is_same = before.withdrawn is after.withdrawn and before.issued is after.issued
+    if is_same and before.tables is after.tables:
+        return
+    for digest in {*before.tables.keys, *before.issued}:
+        if before.get_key(digest) is not None and after.get_key(digest) is None:
+            yield digest
+
+
+def _emit_refusal(refusal: Refusal) -> Emit:
+    detail = {
+        "kind": refusal.kind,
+        "author": refusal.author,
+        "code": refusal.code,
+        "reason": refusal.reason,
+    }
+    return Emit(
+        Event("configuration.record_refused", offset=refusal.offset, detail=detail)
+    )
--- /dev/null
+++ b/src/thornlatch/configuration/tests/test_history.py
@@ -0,0 +1,182 @@
+"""Histories of racing operators, and seeded breakages that the checks must catch."""
+
+import random
+from dataclasses import replace
+
+import pytest
+from hypothesis import HealthCheck, Phase, given, settings
+from hypothesis import strategies as st
+
+from thornlatch.configuration import (
+    ConfigurationChanged,
+    ConfigurationPublished,
+    ConfigurationSnapshot,
+    ConfigurationState,
+    Inventory,
+    Key,
+    KeyIssued,
+    KeyWithdrawn,
+    Organisation,
+    TargetDrained,
+    _slice,
+    _state,
+    apply_record,
+    build_snapshot,
+    decode_entry,
+)
+from thornlatch.configuration.tests.builders import (
+    DIGESTS,
+    FakeStream,
+    build_host,
+    build_inventory,
+    describe,
+)
+
+KINDS = ("publish", "change", "issue", "withdraw", "drain", "snapshot", "repeat", "bad")
+OPERATIONS = st.lists(
+    st.tuples(st.sampled_from(KINDS), st.integers(0, 3), st.integers(0, 4)),
+    max_size=14,
+)
+
+
+def build_record(kind, number, state):
+    """Return what an operator or host that has read up to `state` appends."""
+    base = state.inventory_offset
+    if kind == "publish":
+        keys = tuple({0, number})
+        inventory = build_inventory(adapters=number, keys=keys, rate=1 + number)
+        return ConfigurationPublished(base, "ana", inventory)
+    if kind == "change":
+        organisation = Organisation("shop", 50.0 + number, 9.0)
+        return ConfigurationChanged(base, "bo", Inventory((organisation,)))
+    if kind == "issue":
+        return KeyIssued(Key(DIGESTS[number], "shop"), "ana")
+    if kind == "withdraw":
+        return KeyWithdrawn(DIGESTS[number], "ana")
+    if kind == "drain":
+        return TargetDrained("llm-1", "ana", number % 2 == 0)
+    if kind == "snapshot":
+        return build_snapshot(state, "h")
+    return {"kind": "KeyIssued", "body": {"key": number}}
+
+
+def write_history(operations):
+    """Return a stream written by operators that lag behind by some records."""
+    stream, states = FakeStream(), [ConfigurationState()]
+    for kind, number, lag in operations:
+        value = build_record(kind, number, states[max(0, len(states) - 1 - lag)])
+        if kind == "repeat" and stream.values:
+            value = stream.values[-1 - lag % len(stream.values)]
+        offset = stream.append(value)
+        states.append(fold(states[-1], offset, stream.values[offset]))
+    return stream
+
+
+def fold(state, offset, value):
+    """Fold with rules written down a second time, as the oracle of the test."""
+    record = decode_entry(value)
+    if not isinstance(record, ConfigurationPublished | ConfigurationChanged):
+        return apply_record(state, offset, record)
+    if record.base_offset != state.inventory_offset:
+        return replace(state, offset=offset)
+    return apply_record(state, offset, record)
+
+
+def check_history(operations, seed):
+    stream = write_history(operations)
+    states = check_fold(stream)
+    pick = random.Random(seed)
+    check_reader(stream, states, pick)
+    check_starter(stream, states, pick)
+
+
+def check_fold(stream):
+    """Check one winner a race, and that withdrawn keys stay so."""
+    states, oracle = [ConfigurationState()], ConfigurationState()
+    winners, withdrawn = {}, set()
+    for offset, value in enumerate(stream.values):
+        record = decode_entry(value)
+        before, after = states[-1], apply_record(states[-1], offset, record)
+        oracle = fold(oracle, offset, value)
+        assert after.offset == offset > before.offset
+        assert after.inventory_offset >= before.inventory_offset
+        assert after.inventory_offset == oracle.inventory_offset
+        if after.inventory_offset == offset:
+            assert winners.setdefault(record.base_offset, offset) == offset
+        withdrawn |= {record.digest} if isinstance(record, KeyWithdrawn) else set()
+        assert not any(after.get_key(digest) for digest in withdrawn)
+        states.append(after)
+    return states
+
+
+def check_reader(stream, states, pick):
+    """Check a host that reads on, gets old records again and old snapshots."""
+    host = build_host()
+    for offset in range(len(stream.values)):
+        host.apply_record(offset, decode_entry(stream.values[offset]), now=0.0)
+        again = pick.randrange(offset + 1)
+        host.apply_record(again, decode_entry(stream.values[again]), now=0.0)
+        host.apply_snapshot(build_snapshot(states[again], "p"), now=0.0)
+        assert describe(host.state) == describe(states[offset + 1])
+
+
+def check_starter(stream, states, pick):
+    """Check a host that starts late, from a snapshot of the log or of a peer."""
+    if not stream.values:
+        return
+    first = pick.randrange(len(stream.values))
+    end = pick.randrange(first, len(stream.values)) + 1
+    host = build_host()
+    for offset in range(first, end):
+        record = decode_entry(stream.values[offset])
+        host.apply_record(offset, record, now=0.0)
+        if isinstance(record, ConfigurationSnapshot) and pick.random() < 0.3:
+            host.apply_snapshot(record, now=0.0)
+    host.apply_snapshot(build_snapshot(states[first + 1], "p"), now=0.0)
+    assert host.is_complete
+    assert describe(host.state) == describe(states[end])
+
+
+@settings(max_examples=300, suppress_health_check=[HealthCheck.too_slow])
+@given(operations=OPERATIONS, seed=st.integers(0, 1000))
+def test_history(operations, seed):
+    check_history(operations, seed)
+
+
+def revert_offset(state, snapshot):
+    return _state.load_snapshot(ConfigurationState(), snapshot)
+
+
+def resurrect_key(state, snapshot):
+    return _state.load_snapshot(
+        replace(state, withdrawn=ConfigurationState().withdrawn),
+        replace(snapshot, withdrawn=()),
+    )
+
+
+@pytest.mark.parametrize(
+    ("module", "name", "broken"),
+    [
+        (_slice, "load_snapshot", revert_offset),
+        (_slice, "load_snapshot", resurrect_key),
+        (_state, "check_base", lambda base_offset, state: None),
+    ],
+    ids=["revert_offset", "resurrect_key", "ignore_base"],
+)
+def test_history_catches_breakage(monkeypatch, module, name, broken):
+    monkeypatch.setattr(module, name, broken)
+
+    @settings(
+        max_examples=500,
+        database=None,
+        derandomize=True,
+        phases=[Phase.generate],
+        report_multiple_bugs=False,
+        suppress_health_check=[HealthCheck.too_slow],
+    )
+    @given(operations=OPERATIONS, seed=st.integers(0, 1000))
+    def check(operations, seed):
+        check_history(operations, seed)
+
+    with pytest.raises(AssertionError):
+        check()
