--- a/examples/quickstart/client.py
+++ b/examples/quickstart/client.py
@@ -11,6 +11,7 @@
 from standins.engine import build_token
 from thornlatch.configuration import (
     Adapter,
+    ConfigurationPublished,
     Inventory,
     Key,
     Organisation,
@@ -21,7 +22,6 @@
     digest_key,
 )
 from thornlatch.core import encode_record
-from thornlatch.daemon._thin import InventoryPublished
 from thornlatch.platform import LogClient, PlatformSettings
 
 KEY = "quickstart-key"
@@ -64,7 +64,9 @@
 def publish(base: int) -> None:
     """Publish the inventory on the log."""
     client = LogClient(PlatformSettings(log=f"127.0.0.1:{base}"), client="operator")
-    record = encode_record(InventoryPublished(build_inventory(base)))
+    record = encode_record(
+        ConfigurationPublished(-1, "quickstart", build_inventory(base))
+    )
     retry(lambda: client.append("configuration", [record]))
 
 
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -98,6 +98,7 @@
         self.unconfirmed_since: float | None = None
         self.metrics = MetricsReporter(settings.metrics, self)
         self.control.on_tick += [
+            lambda now: self.node.tick(now=now),
             self._connect_members,
             self.orders.poll_reports,
             self._stop_unconfirmed,
@@ -244,7 +245,9 @@
     def _renew_session(self, now: float) -> list[Action]:
         if not self.node.membership.is_expelled or self.stop.is_requested:
             return []
-        self.journal.write(Event("daemon.session_lost", detail={"host": self.node.host}))
+        self.journal.write(
+            Event("daemon.session_lost", detail={"host": self.node.host})
+        )
         self.running.stop(ErrorKind.HOST_UNCONFIRMED, lambda one: True)
         self.node = self._build_node()
         self.generation = self.reader.restart()
--- a/src/thornlatch/daemon/_metrics.py
+++ b/src/thornlatch/daemon/_metrics.py
@@ -56,9 +56,7 @@
             "membership.members": members,
             "membership.is_confirmed": int(daemon.node.leases.is_confirmed(now=now)),
             "configuration.offset": daemon.node.configuration.state.offset,
-            "configuration.is_fresh": int(
-                daemon.node.configuration.is_fresh(now=now)
-            ),
+            "configuration.is_fresh": int(daemon.node.configuration.is_fresh(now=now)),
             "dispatch.owned_pools": len(daemon.node.dispatch.schedulers),
             "requests.running": len(daemon.running),
             "control.busy_s": daemon.control.busy_s,
--- a/src/thornlatch/daemon/_node.py
+++ b/src/thornlatch/daemon/_node.py
@@ -4,8 +4,14 @@
 from random import Random
 from typing import Any
 
-from thornlatch.admission import Admission, AdmissionSettings
-from thornlatch.configuration import Configuration, ConfigurationSettings, Store
+from thornlatch.admission import Admission, AdmissionSettings, Allowance
+from thornlatch.admission import LoadBudget as ShareBudget
+from thornlatch.configuration import (
+    Configuration,
+    ConfigurationSettings,
+    ConfigurationView,
+    Store,
+)
 from thornlatch.core import Action, Slice
 from thornlatch.dispatch import Dispatch, DispatchSettings
 from thornlatch.leases import LeaseTable
@@ -88,9 +94,7 @@
             make_budget=self._make_budget,
         )
         self.claims = ClaimTable(settings.requests, host=host, leases=self.leases)
-        self.quarantine = Quarantine(
-            settings.quarantine, host=host, leases=self.leases
-        )
+        self.quarantine = Quarantine(settings.quarantine, host=host, leases=self.leases)
         self.slices: tuple[Slice, ...] = (
             self.membership,
             self.configuration,
@@ -100,6 +104,7 @@
             self.quarantine,
         )
         self.offset_passed_on = -1
+        self.budgets: list[SharedLoadBudget] = []
 
     def apply_records(
         self, records: list[tuple[int, Any]], *, now: float
@@ -138,11 +143,10 @@
             return []
         self.offset_passed_on = view.offset
         organisations = tuple(view.iter_organisations())
-        allowances = {o.name: (o.rate, o.burst) for o in organisations}
-        actions = self.admission.set_allowances(
-            allowances, offset=view.offset, now=now
+        self.admission.set_allowances(
+            build_allowances(view), offset=view.offset, now=now
         )
-        return actions + self.dispatch.set_inventory(
+        return self.dispatch.set_inventory(
             view.iter_pools(),
             view.iter_targets(),
             view.find_adapter,
@@ -152,5 +156,105 @@
             now=now,
         )
 
+    def tick(self, *, now: float) -> list[Action]:
+        """Pass on what one slice wants of another.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        actions: list[Action] = []
+        for budget in self.budgets:
+            actions += budget.report_want(now=now)
+        return actions
+
     def _make_budget(self, store: Store) -> LoadBudget:
-        return self.admission.get_load_budget(store)
+        budget = SharedLoadBudget(self.admission, store.name)
+        self.budgets.append(budget)
+        return budget
+
+
+def build_allowances(view: ConfigurationView) -> dict[str, Allowance]:
+    """Build the allowances of all lease keys from the configuration in force.
+
+    Parameters
+    ----------
+    view : ConfigurationView
+
+    Returns
+    -------
+    dict
+        By lease key.
+    """
+    allowances = {
+        f"organisation:{o.name}": Allowance(o.rate, o.burst)
+        for o in view.iter_organisations()
+    }
+    for store in view.iter_stores():
+        allowances[f"store:{store.name}"] = Allowance(
+            store.loads_per_s, float(store.full_speed_loads), store.in_flight_loads
+        )
+    return allowances
+
+
+class SharedLoadBudget:
+    """Lends the fleet-wide budget of a store to the loads of this host's pools.
+
+    Parameters
+    ----------
+    admission : Admission
+    store : str
+    """
+
+    def __init__(self, admission: Admission, store: str) -> None:
+        self.admission = admission
+        self.store = store
+        self.is_wanted = False
+        self.was_wanted = False
+
+    def try_acquire(self, now: float) -> bool:
+        """Take the right to start one load, or ask for it.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        is_taken = self._get(now).try_acquire(now=now)
+        self.is_wanted = not is_taken
+        return is_taken
+
+    def release(self, now: float) -> None:
+        """Note that a load has ended, well or badly.
+
+        Parameters
+        ----------
+        now : float
+        """
+        self._get(now).release(now=now)
+
+    def report_want(self, *, now: float) -> list[Action]:
+        """Ask the store's owner for a load that was refused here.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        if not self.is_wanted and not self.was_wanted:
+            return []
+        self.was_wanted, self.is_wanted = self.is_wanted, False
+        return self._get(now).want(int(self.was_wanted), now=now)
+
+    def _get(self, now: float) -> ShareBudget:
+        return self.admission.get_load_budget(self.store, now=now)
--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -113,7 +113,7 @@
         -------
         Adapter
         """
-        adapter = self.node.configuration.view.find_adapter(model)
+        adapter = self.node.configuration.view.find_adapter(model.replace("@", "/"))
         if adapter is None:
             raise RequestRefused(ErrorKind.UNKNOWN_MODEL, "no such model")
         return adapter
@@ -208,7 +208,6 @@
         -------
         Grant
         """
-
         ticket = f"{spec.request}/{spec.attempt}"
 
         def build(ticket: str, now: float) -> list[Action]:
--- a/src/thornlatch/daemon/_stop.py
+++ b/src/thornlatch/daemon/_stop.py
@@ -114,4 +114,3 @@
     def _wait_for(self, is_met: Callable[[], bool]) -> None:
         while not is_met():
             time.sleep(POLL_S)
-
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -6,6 +6,7 @@
 from tests.fleet import Fleet, send_http, wait_until
 from thornlatch.configuration import (
     Adapter,
+    ConfigurationPublished,
     Inventory,
     Key,
     Organisation,
@@ -16,7 +17,6 @@
     digest_key,
 )
 from thornlatch.core import encode_record
-from thornlatch.daemon._thin import InventoryPublished
 
 SHOP_KEY = "shop-secret-key"
 LIBRARY_KEY = "library-secret-key"
@@ -38,6 +38,7 @@
     burst: float = 200_000.0
     load_s: float = 0.02
     settings: dict[str, dict[str, Any]] = field(default_factory=dict)
+    cut_files: dict[str, str] = field(default_factory=dict)
 
 
 def start_deployment(fleet: Fleet, deployment: Deployment) -> list[str]:
@@ -79,6 +80,8 @@
         "stop": {"rotation_s": 0.2},
         **deployment.settings,
     }
+    if name in deployment.cut_files:
+        tables["peers"] = {"cut_file": deployment.cut_files[name]}
     fleet.start_daemon(name, f"domain-{index % deployment.domains}", tables)
 
 
@@ -135,7 +138,7 @@
 
 
 def publish(fleet: Fleet, inventory: Inventory) -> None:
-    append(fleet, "configuration", InventoryPublished(inventory))
+    append(fleet, "configuration", ConfigurationPublished(-1, "tests", inventory))
 
 
 def append(fleet: Fleet, stream: str, record: Any) -> int:
--- /dev/null
+++ b/tests/test_chaos.py
@@ -0,0 +1,376 @@
+"""A whole fleet under a seeded schedule of failures, two at a time."""
+
+import json
+import random
+import threading
+import time
+from collections import Counter
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field, replace
+
+import pytest
+
+from tests.deployments import (
+    SHOP_KEY,
+    Deployment,
+    append,
+    start_deployment,
+    start_engine,
+    start_host,
+)
+from tests.fleet import Fleet, send_http
+from tests.streams import StreamCaller
+from thornlatch.configuration import (
+    Adapter,
+    ConfigurationChanged,
+    Inventory,
+    Key,
+    KeyIssued,
+    KeyWithdrawn,
+    TargetDrained,
+    digest_key,
+)
+from thornlatch.timeline import check_history, read_events
+
+RUN_S = 60.0
+CALLERS = 16
+FAULT_EVERY_S = 3.0
+HOSTS, ENGINES, SERVICES, DOMAINS = 8, 10, 3, 4
+
+
+@dataclass
+class Results:
+    """What the callers saw."""
+
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    counts: Counter = field(default_factory=Counter)
+    broken_promises: list = field(default_factory=list)
+
+    def count(self, what):
+        with self.lock:
+            self.counts[what] += 1
+
+    def note_broken(self, what):
+        with self.lock:
+            self.broken_promises.append(what)
+
+
+class Schedule:
+    """Draws faults from a seed and ends each after its time."""
+
+    def __init__(self, fleet, deployment, seed):
+        self.fleet = fleet
+        self.deployment = deployment
+        self.random = random.Random(seed)
+        self.hosts = [f"host-{i}" for i in range(HOSTS)]
+        self.engines = [f"engine-{i}" for i in range(ENGINES)]
+        self.open = []
+        self.busy = set()
+        self.log_faults = {}
+        self.cuts = {}
+        self.count = 0
+        self.issued = 0
+        self.serving_key = SHOP_KEY
+
+    def step(self):
+        now = time.monotonic()
+        for fault in [fault for fault in self.open if fault[0] <= now]:
+            self.open.remove(fault)
+            fault[1]()
+        if len(self.open) < 2:
+            kind = self.random.choice(FAULTS)
+            self.count += 1
+            getattr(self, kind)()
+
+    def finish(self):
+        for _, end in self.open:
+            end()
+        self.open.clear()
+
+    def later(self, seconds, end):
+        self.open.append((time.monotonic() + seconds, end))
+
+    def take(self, names):
+        free = [name for name in names if name not in self.busy]
+        name = self.random.choice(free)
+        self.busy.add(name)
+        return name
+
+    def kill_host(self):
+        name = self.take(self.hosts)
+        self.fleet.kill(name)
+        self.later(4, lambda: self.restart_host(name))
+
+    def restart_host(self, name):
+        index = int(name.partition("-")[2])
+        log = self.fleet.addresses["log"]
+        start_host(self.fleet, self.deployment, name, index, log)
+        self.busy.discard(name)
+
+    def stop_host(self):
+        name = self.take(self.hosts)
+        self.fleet.terminate(name)
+
+        def end():
+            status = self.fleet.wait_exit(name, timeout_s=60)
+            assert status == 0, f"{name} ended its planned stop with {status}"
+            self.restart_host(name)
+
+        self.later(4, end)
+
+    def pause_host(self):
+        name = self.take(self.hosts)
+        self.fleet.pause(name)
+
+        def end():
+            self.fleet.resume(name)
+            self.busy.discard(name)
+
+        self.later(self.random.choice([1, 3, 9]), end)
+
+    def cut_host(self):
+        name = self.take(self.hosts)
+        others = [other for other in self.hosts if other != name]
+        way = self.random.choice(["to", "from", "both"])
+        cut = {key: others for key in ("to", "from") if way in (key, "both")}
+        path = self.fleet.directory / f"{name}.cuts.json"
+        path.write_text(json.dumps(cut))
+
+        def end():
+            path.write_text("{}")
+            self.busy.discard(name)
+
+        self.later(5, end)
+
+    def set_log(self, seconds, **faults):
+        self.log_faults.update(faults)
+        self.fleet.set_faults("log", **self.log_faults)
+
+        def end():
+            for name in faults:
+                self.log_faults.pop(name, None)
+            self.fleet.set_faults("log", **self.log_faults)
+
+        self.later(seconds, end)
+
+    def stop_log(self):
+        self.set_log(6, is_down=True)
+
+    def slow_log(self):
+        self.set_log(5, delay_s=0.4)
+
+    def lose_replies(self):
+        self.set_log(3, lose_replies=10)
+
+    def cut_from_log(self):
+        self.set_log(5, refused_clients=[self.random.choice(self.hosts)])
+
+    def kill_engine(self):
+        name = self.take(self.engines)
+        self.fleet.kill(name)
+        self.later(3, lambda: self.restart_engine(name))
+
+    def restart_engine(self, name):
+        start_engine(self.fleet, self.deployment, name, self.fleet.addresses["store"])
+        self.busy.discard(name)
+
+    def lose_domain(self):
+        domain = self.random.randrange(DOMAINS)
+        lost = [
+            name
+            for i, name in enumerate(self.engines)
+            if i % DOMAINS == domain and name not in self.busy
+        ]
+        for name in lost:
+            self.busy.add(name)
+            self.fleet.kill(name)
+
+        def end():
+            for name in lost:
+                self.restart_engine(name)
+
+        self.later(5, end)
+
+    def withdraw_key(self):
+        self.issued += 1
+        fresh = f"shop-key-{self.issued}"
+        old, self.serving_key = self.serving_key, fresh
+        self.publish(KeyIssued(Key(digest_key(fresh), "shop"), "chaos"))
+        self.publish(KeyWithdrawn(digest_key(old), "chaos"))
+
+    def race_operators(self):
+        status = self.read_status()
+        if status is None:
+            return
+        base = status["configuration"]["inventory_offset"]
+        for author in ("first", "second"):
+            adapter = Adapter(f"raced-{self.count}-{author}", "1", "llm", "shop")
+            change = ConfigurationChanged(base, author, Inventory(adapters=(adapter,)))
+            self.publish(change)
+
+    def drain_engine(self):
+        name = self.take(self.engines)
+        self.publish(TargetDrained(name, "chaos", True))
+
+        def end():
+            self.publish(TargetDrained(name, "chaos", False))
+            self.busy.discard(name)
+
+        self.later(8, end)
+
+    def publish(self, record):
+        threading.Thread(
+            target=append, args=(self.fleet, "configuration", record), daemon=True
+        ).start()
+
+    def read_status(self):
+        for name in self.hosts:
+            try:
+                address = self.fleet.addresses[name]
+                return send_http(address, "GET", "/status", timeout_s=1).json
+            except (OSError, ValueError):
+                continue
+        return None
+
+
+FAULTS = [
+    "kill_host",
+    "kill_host",
+    "stop_host",
+    "pause_host",
+    "pause_host",
+    "cut_host",
+    "stop_log",
+    "slow_log",
+    "lose_replies",
+    "cut_from_log",
+    "kill_engine",
+    "kill_engine",
+    "lose_domain",
+    "withdraw_key",
+    "race_operators",
+    "drain_engine",
+]
+
+
+def run_caller(number, fleet, schedule, results, stop_at):
+    """Send requests to random hosts until time is up."""
+    rng = random.Random(number)
+    hosts = list(schedule.hosts)
+    while time.monotonic() < stop_at:
+        address = fleet.addresses[rng.choice(hosts)]
+        if rng.random() < 0.2:
+            reserve(
+                address, f"key-{number}-{rng.randrange(20)}", rng, schedule, results
+            )
+        else:
+            read_stream(address, rng, schedule, results)
+        time.sleep(rng.random() * 0.1)
+
+
+def read_stream(address, rng, schedule, results):
+    model = f"adapter-{min(int(rng.expovariate(0.2)), 23)}"
+    tokens = rng.choice([5, 20, 80])
+    headers = {"X-Deadline-Ms": "4000"}
+    prompt = f"p{rng.randrange(1000)}"
+    stream = StreamCaller(
+        address, model, prompt, tokens, key=schedule.serving_key, headers=headers
+    ).read()
+    if not stream.is_prefix:
+        results.note_broken(("wrong answer", model, prompt, stream.text))
+    if stream.is_done and stream.error is None and not stream.is_right:
+        results.note_broken(("incomplete answer", model, prompt, stream.text))
+    results.count(describe(stream))
+
+
+def describe(stream):
+    if stream.is_right:
+        return "right"
+    if stream.is_broken or (stream.status == 200 and stream.error is None):
+        return "broken"
+    return str((stream.error or {}).get("code"))
+
+
+def reserve(address, key, rng, schedule, results):
+    headers = {
+        "Authorization": f"Bearer {schedule.serving_key}",
+        "Idempotency-Key": key,
+        "X-Deadline-Ms": "4000",
+    }
+    body = {"key": key}
+    try:
+        answer = send_http(
+            address, "POST", "/reserve", body, headers=headers, timeout_s=20
+        )
+    except (OSError, ValueError):
+        results.count("reservation broken")
+        return
+    code = "right" if answer.status == 200 else answer.json["error"]["code"]
+    results.count(f"reservation {code}")
+
+
+@pytest.mark.chaos
+@pytest.mark.timeout(240)
+def test_fleet_keeps_its_promises_under_failures(tmp_path, request):
+    seed = request.config.getoption("--chaos-seed")
+    results = Results()
+    deployment = Deployment(
+        hosts=HOSTS,
+        engines=ENGINES,
+        plain=SERVICES,
+        domains=DOMAINS,
+        adapters=24,
+        adapter_slots=6,
+        token_s=0.005,
+        rate=30_000,
+        burst=60_000,
+    )
+    with Fleet(tmp_path) as fleet:
+        cuts = {
+            f"host-{i}": str(tmp_path / f"host-{i}.cuts.json") for i in range(HOSTS)
+        }
+        deployment = replace(deployment, cut_files=cuts)
+        start_deployment(fleet, deployment)
+        schedule = Schedule(fleet, deployment, seed)
+        stop_at = time.monotonic() + RUN_S
+        with ThreadPoolExecutor(CALLERS) as executor:
+            futures = [
+                executor.submit(run_caller, n, fleet, schedule, results, stop_at)
+                for n in range(CALLERS)
+            ]
+            while time.monotonic() < stop_at:
+                schedule.step()
+                time.sleep(FAULT_EVERY_S)
+            schedule.finish()
+            for future in futures:
+                future.result()
+        check_reservations(fleet, results)
+        violations = list(check_history(read_events(fleet.event_files())))
+    report = {
+        "seed": seed,
+        "requests": sum(results.counts.values()),
+        "faults": schedule.count,
+        "outcomes": dict(results.counts),
+        "violations": [str(violation) for violation in violations][:20],
+        "broken_promises": results.broken_promises[:20],
+    }
+    print(json.dumps(report, indent=1, default=str))
+    assert not results.broken_promises
+    assert not violations
+    assert results.counts["right"] > 0.5 * report["requests"]
+
+
+def check_reservations(fleet, results):
+    """Check that no reservation ran twice."""
+    keys = {}
+    for event in fleet.read_events():
+        if event["event"] == "requests.sent" and event["detail"].get("claim"):
+            keys[event["request"]] = event["detail"]["idempotency_key"]
+    ran = Counter(
+        keys[event["request"]]
+        for event in fleet.read_events()
+        if event["event"] == "target.request_run" and event["request"] in keys
+    )
+    for key, count in ran.items():
+        if count > 1:
+            results.note_broken(("reservation ran more than once", key, count))
