--- a/src/thornlatch/daemon/_app.py
+++ b/src/thornlatch/daemon/_app.py
@@ -313,6 +313,8 @@
         if self.admitted is not None:
             self.services.settle(self.admitted, used)
         self.on_end(self.request.caller.request)
+        if not self.stream.attempt:
+            return
         self.services.emit(
             Event(
                 "requests.answered" if self.stream.is_finished else "requests.ended",
--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -161,6 +161,7 @@
             priority=Priority(request.caller.priority),
             prefix=prefix,
             excluded=excluded,
+            is_stream=True,
         )
 
     def _run_attempt(self, grant: Grant, ask: str) -> Iterator[list[CompletionChunk]]:
--- a/src/thornlatch/daemon/_control.py
+++ b/src/thornlatch/daemon/_control.py
@@ -173,6 +173,7 @@
             if time.monotonic() >= next_tick:
                 self._tick()
                 next_tick = time.monotonic() + TICK_S
+            self._take_local_messages()
             self.busy_s += time.thread_time() - cpu_before
         self.peers.close()
 
@@ -206,6 +207,8 @@
     def _take_messages(self) -> None:
         for envelope in self.peers.iter_received():
             self._receive(envelope)
+
+    def _take_local_messages(self) -> None:
         while not self.local.empty():
             self._receive(self.local.get_nowait())
 
@@ -250,8 +253,6 @@
             self._execute(actions)
         for command in self.on_tick:
             self._run_command(command)
-        while not self.local.empty():
-            self._receive(self.local.get_nowait())
 
     def _execute(self, actions: list[Action], *, cause: str = "") -> None:
         for action in actions:
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -94,7 +94,6 @@
             self.client, STREAMS, on_page=self._on_page, on_failure=self._on_failure
         )
         self.generation = 0
-        self.members_offset = -1
         self.unconfirmed_since: float | None = None
         self.metrics = MetricsReporter(settings.metrics, self)
         self.control.on_tick += [
@@ -189,6 +188,7 @@
                 return []
             before = self.node.configuration.state.offset
             actions = self.node.apply_records(records, now=now)
+            self._connect_members(now)
             if is_end:
                 actions += self._note_read(stream, page.next_offset, sent_at, now)
             self._stop_withdrawn(before)
@@ -217,8 +217,9 @@
             )
 
     def _connect_members(self, now: float) -> list[Action]:
-        members = list(self.node.leases.iter_members())
-        self.peers.set_members({m.host: m.address for m in members})
+        addresses = {m.host: m.address for m in self.node.leases.iter_members()}
+        if addresses != self.peers.addresses:
+            self.peers.set_members(addresses)
         return []
 
     def _stop_withdrawn(self, offset_before: int) -> None:
--- a/src/thornlatch/daemon/_node.py
+++ b/src/thornlatch/daemon/_node.py
@@ -24,6 +24,8 @@
     RequestsSettings,
 )
 
+WANT_HOLD_S = 1.0
+
 
 @dataclass(frozen=True)
 class SliceSettings:
@@ -213,8 +215,7 @@
     def __init__(self, admission: Admission, store: str) -> None:
         self.admission = admission
         self.store = store
-        self.is_wanted = False
-        self.was_wanted = False
+        self.wanted_until: float | None = None
 
     def try_acquire(self, now: float) -> bool:
         """Take the right to start one load, or ask for it.
@@ -227,9 +228,10 @@
         -------
         bool
         """
-        is_taken = self._get(now).try_acquire(now=now)
-        self.is_wanted = not is_taken
-        return is_taken
+        if self._get(now).try_acquire(now=now):
+            return True
+        self.wanted_until = now + WANT_HOLD_S
+        return False
 
     def release(self, now: float) -> None:
         """Note that a load has ended, well or badly.
@@ -251,10 +253,12 @@
         -------
         list of Action
         """
-        if not self.is_wanted and not self.was_wanted:
+        if self.wanted_until is None:
             return []
-        self.was_wanted, self.is_wanted = self.is_wanted, False
-        return self._get(now).want(int(self.was_wanted), now=now)
+        is_wanted = now < self.wanted_until
+        if not is_wanted:
+            self.wanted_until = None
+        return self._get(now).want(int(is_wanted), now=now)
 
     def _get(self, now: float) -> ShareBudget:
         return self.admission.get_load_budget(self.store, now=now)
--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -18,11 +18,12 @@
 from thornlatch.requests import (
     AttemptFailed,
     ClaimWon,
+    MustWait,
     RecordedAnswer,
+    Refuse,
     RetryPolicy,
     RunIsolated,
     RunNormally,
-    Verdict,
 )
 from thornlatch.targets import read_report
 
@@ -336,7 +337,9 @@
             raise decision
         return decision.delay_s
 
-    def check_suspect(self, fingerprint: str) -> Verdict:
+    def check_suspect(
+        self, fingerprint: str
+    ) -> RunNormally | RunIsolated | MustWait | Refuse:
         """Return what the quarantine says of a request.
 
         Parameters
--- a/src/thornlatch/dispatch/_messages.py
+++ b/src/thornlatch/dispatch/_messages.py
@@ -39,7 +39,7 @@
     organisation : str
     pool : str
     deadline_in_s : float
-        Seconds until the whole answer is due.
+        Seconds until the answer is due.
     tokens : float
         Estimated tokens, prompt and completion together.
     adapter : str
@@ -51,6 +51,8 @@
         Digest of the prompt's beginning; empty if there is none.
     excluded : tuple of str
         Targets that must not run the request.
+    is_stream : bool
+        Whether the answer is due with its first token, not with its last.
     """
 
     request: str
@@ -64,6 +66,7 @@
     priority: Priority = Priority.INTERACTIVE
     prefix: str = ""
     excluded: tuple[str, ...] = ()
+    is_stream: bool = False
 
 
 @register
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -371,6 +371,8 @@
         )
 
     def _get_give_up_time(self, waiting: WaitingRequest) -> float:
+        if waiting.spec.is_stream:
+            return waiting.deadline
         service_s = self.service.predict(waiting.spec.tokens)
         return waiting.deadline - service_s * self.settings.refusal_margin
 
