Check lease histories of a fleet in memory, and follow the log through peers

Cause: the fold and the lease table had no proof. Change: a fleet with a lossy log and net, drifting clocks, pauses, cuts and joins; a history check (one holder a key, growing epochs, orders of the former holder ended, no host confirmed after a successor may act); ten seeded breakages; the log follower. Ruled out: breakages by random schedules alone.

--- /dev/null
+++ b/src/thornlatch/leases/tests/directed.py
@@ -0,0 +1,95 @@
+"""Schedules that single faults out; each returns its fleet after the last step."""
+
+from thornlatch.leases.tests.fleet import Classes, Faults, Fleet, Host
+from thornlatch.membership import Accused, Expelled
+
+START_S = 4.0
+QUIET = {"loss": 0.0, "duplication": 0.0, "slow": 0.0}
+QUIET_LOG = {"append_loss": 0.0, "append_repeat": 0.0, "append_late": 0.0}
+
+
+def start_fleet(
+    seed: int, count: int, classes: Classes, *, has_peer_tails: bool = False
+) -> tuple[Fleet, list[Host]]:
+    """Start hosts until all are voters."""
+    fleet = Fleet(
+        seed,
+        classes=classes,
+        has_peer_tails=has_peer_tails,
+        faults=Faults(**QUIET, **QUIET_LOG),
+    )
+    hosts = [fleet.start_host() for _ in range(count)]
+    fleet.run(START_S)
+    while any(len(host.membership.view.voters) < count for host in hosts):
+        fleet.run(0.5)
+        if fleet.time > 10 * START_S:
+            raise AssertionError("the hosts did not become voters")
+    return fleet, hosts
+
+
+def cut_majority_from_log(seed: int, classes: Classes) -> Fleet:
+    """A majority without the log goes on; its members are expelled one by one."""
+    fleet, hosts = start_fleet(seed, 5, classes)
+    lost, last, rest = hosts[:2], hosts[2], hosts[3:]
+    fleet.cut_log([*lost, last])
+    fleet.cut(lost, rest)
+    while len(fleet.read_records(Expelled)) < 2 and fleet.time < START_S + 12:
+        fleet.run(0.1)
+    fleet.cut([last], rest)
+    fleet.run(5.0)
+    return fleet
+
+
+def join_beside_cut_majority(seed: int, classes: Classes) -> Fleet:
+    """Two of three are cut from the log and the third, which sees two hosts join."""
+    fleet, hosts = start_fleet(seed, 3, classes)
+    part, rest = hosts[:2], hosts[2:]
+    fleet.cut_log(part)
+    fleet.cut(part, rest)
+    joiners = [fleet.start_host(), fleet.start_host()]
+    fleet.cut(part, joiners)
+    fleet.run(9.0)
+    return fleet
+
+
+def grow_past_cut_host(seed: int, classes: Classes) -> Fleet:
+    """A host hears one voter alone, which has read of more voters than it."""
+    fleet, hosts = start_fleet(seed, 3, classes)
+    lost, bridge, other = hosts
+    fleet.cut_log([lost])
+    fleet.cut([lost], [other])
+    joiners = [fleet.start_host(), fleet.start_host()]
+    fleet.cut([lost], joiners)
+    while len(bridge.membership.view.voters) < 5:
+        fleet.run(0.02)
+        if lost.name not in bridge.membership.view.members:
+            raise AssertionError("the host was expelled before the electorate grew")
+    fleet.cut_log([bridge])
+    fleet.run(9.0)
+    return fleet
+
+
+def cut_accusers(seed: int, classes: Classes) -> Fleet:
+    """Two accusers are cut from the log with the host that they accused."""
+    fleet, hosts = start_fleet(seed, 5, classes)
+    accused = hosts[0]
+    fleet.pause(accused, 3.0)
+    while len({record.by for record in fleet.read_records(Accused)}) < 3:
+        fleet.run(0.02)
+        if fleet.time > 20 * START_S:
+            raise AssertionError("the paused host was not accused")
+    accusers = {record.by for record in fleet.read_records(Accused)}
+    part = [accused, *(h for h in hosts if h.name in sorted(accusers)[:2])]
+    rest = [host for host in hosts if host not in part]
+    fleet.cut_log(part)
+    fleet.cut(part, rest)
+    fleet.run(8.0)
+    return fleet
+
+
+DIRECTED = {
+    "ghosts_uncounted": cut_majority_from_log,
+    "joiner_votes": join_beside_cut_majority,
+    "newer_view_counted": grow_past_cut_host,
+    "accused_supported": cut_accusers,
+}
--- /dev/null
+++ b/src/thornlatch/leases/tests/schedules.py
@@ -0,0 +1,193 @@
+"""Seeded schedules of faults for the fleet."""
+
+from random import Random
+
+from thornlatch.leases.tests.fleet import Classes, Fleet, Host
+
+HISTORY_S = 30.0
+HEAL_S = 30.0
+
+
+def run_history(
+    seed: int,
+    *,
+    classes: Classes = Classes(),  # noqa: B008
+    duration_s: float = HISTORY_S,
+) -> Fleet:
+    """Run one history of faults; its violations are in ``fleet.history``."""
+    random = Random(f"schedule {seed}")
+    fleet = Fleet(seed, classes=classes, has_peer_tails=random.random() < 0.6)
+    for _ in range(random.choice([3, 4, 5, 5, 6])):
+        fleet.start_host()
+        fleet.run(random.choice([0.0, 0.3]))
+    fleet.run(random.choice([1.0, 4.0]))
+    end = fleet.time + duration_s
+    while fleet.time < end:
+        if seed % 2:
+            run_partition(fleet, random)
+        else:
+            run_mixture(fleet, random)
+    return fleet
+
+
+def run_mixture(fleet: Fleet, random: Random) -> None:
+    """Add one fault of any kind and at times end all."""
+    random.choice(FAULTS)(fleet, random)
+    fleet.run(random.choice([0.2, 1.0, 2.5, 5.0]))
+    if random.random() < 0.3:
+        heal(fleet)
+
+
+def run_partition(fleet: Fleet, random: Random) -> None:
+    """Cut a part from the log and the rest for long, while the rest changes."""
+    keep_size(fleet)
+    names = [host.name for host in fleet.running()]
+    part = set(random.sample(names, random.randrange(1, len(names))))
+    bridges = set(random.sample(names, random.choice([0, 0, 1])))
+    fleet.faults.cut_from_log |= part
+    end = fleet.time + random.choice([8.0, 12.0, 20.0])
+    while fleet.time < end:
+        cut_part(fleet, part, bridges)
+        rest = [host for host in fleet.running() if host.name not in part]
+        change_rest(fleet, random, rest)
+        cut_part(fleet, part, bridges)
+        fleet.run(random.choice([0.3, 1.0, 2.5]))
+    heal(fleet)
+    fleet.run(random.choice([1.0, 5.0]))
+
+
+def cut_part(fleet: Fleet, part: set[str], bridges: set[str]) -> None:
+    """Cut the links between a part and the rest, but for the bridges."""
+    for one in part:
+        for other in fleet.hosts.keys() - part - bridges:
+            fleet.faults.cut_links |= {(one, other), (other, one)}
+
+
+def change_rest(fleet: Fleet, random: Random, rest: list[Host]) -> None:
+    """Let hosts of the rest join, crash, pause or close."""
+    choice = random.random()
+    if choice < 0.35 and len(fleet.running()) < 8:
+        fleet.start_host()
+    elif choice < 0.5 and len(rest) > 1:
+        fleet.crash(random.choice(rest))
+    elif choice < 0.6 and len(rest) > 1:
+        host = random.choice(rest)
+        fleet.close_host(host)
+        fleet.schedule(3.0, lambda: fleet.crash(host))
+    elif choice < 0.75 and rest:
+        fleet.pause(random.choice(rest), random.choice([0.7, 2.0, 4.0]))
+
+
+def heal(fleet: Fleet) -> None:
+    """End all faults but those of the past."""
+    fleet.faults.is_log_up = True
+    fleet.faults.cut_from_log.clear()
+    fleet.faults.cut_links.clear()
+
+
+def keep_size(fleet: Fleet, least: int = 3) -> None:
+    """Start hosts until `least` run."""
+    while len(fleet.running()) < least:
+        fleet.start_host()
+
+
+def _pick(fleet: Fleet, random: Random) -> Host:
+    keep_size(fleet)
+    return random.choice(fleet.running())
+
+
+def crash(fleet: Fleet, random: Random) -> None:
+    fleet.crash(_pick(fleet, random))
+
+
+def join(fleet: Fleet, random: Random) -> None:
+    if len(fleet.running()) < 7:
+        fleet.start_host()
+
+
+def close(fleet: Fleet, random: Random) -> None:
+    host = _pick(fleet, random)
+    fleet.close_host(host)
+    fleet.schedule(3.0, lambda: fleet.crash(host))
+
+
+def pause(fleet: Fleet, random: Random) -> None:
+    fleet.pause(_pick(fleet, random), random.choice([0.7, 1.5, 3.0, 6.0, 20.0]))
+
+
+def replace(fleet: Fleet, random: Random) -> None:
+    crash(fleet, random)
+    fleet.start_host()
+
+
+def log_outage(fleet: Fleet, random: Random) -> None:
+    fleet.faults.is_log_up = False
+    delay = random.choice([1.0, 4.0, 9.0, 18.0])
+    fleet.schedule(delay, lambda: setattr(fleet.faults, "is_log_up", True))
+
+
+def cut_from_log(fleet: Fleet, random: Random) -> None:
+    fleet.faults.cut_from_log.add(_pick(fleet, random).name)
+
+
+def cut_one_way(fleet: Fleet, random: Random) -> None:
+    host = _pick(fleet, random)
+    is_mute = random.random() < 0.5
+    for other in fleet.running():
+        link = (host.name, other.name) if is_mute else (other.name, host.name)
+        fleet.faults.cut_links.add(link)
+
+
+def cut_pair(fleet: Fleet, random: Random) -> None:
+    keep_size(fleet)
+    one, other = random.sample(fleet.running(), 2)
+    fleet.faults.cut_links.add((one.name, other.name))
+
+
+def partition(fleet: Fleet, random: Random) -> None:
+    """Cut a part of the fleet from the rest and, at times, from the log."""
+    keep_size(fleet)
+    names = [host.name for host in fleet.running()]
+    part = set(random.sample(names, random.randrange(1, len(names))))
+    for one in names:
+        for other in names:
+            if (one in part) != (other in part):
+                fleet.faults.cut_links.add((one, other))
+    if random.random() < 0.7:
+        fleet.faults.cut_from_log |= part
+
+
+FAULTS = (
+    crash,
+    join,
+    join,
+    close,
+    pause,
+    pause,
+    replace,
+    log_outage,
+    cut_from_log,
+    cut_one_way,
+    cut_pair,
+    partition,
+    partition,
+)
+
+
+def find_unheld_keys(fleet: Fleet, *, heal_s: float = HEAL_S) -> list[str]:
+    """Heal the fleet and return the keys that nobody held within `heal_s`."""
+    heal(fleet)
+    keep_size(fleet)
+    for host in fleet.running():
+        host.paused_until = fleet.time
+    unheld = set(fleet.keys)
+    end = fleet.time + heal_s
+    while unheld and fleet.time < end:
+        fleet.run(0.5)
+        unheld -= {
+            key
+            for key in unheld
+            for host in fleet.running()
+            if host.leases.get_held_epoch(key, now=host.now()) is not None
+        }
+    return sorted(unheld)
--- a/src/thornlatch/platform/__init__.py
+++ b/src/thornlatch/platform/__init__.py
@@ -7,5 +7,25 @@
     PlatformError,
     PlatformSettings,
 )
+from thornlatch.platform._follower import (
+    Delivery,
+    FollowerSettings,
+    LogFollower,
+    LogTail,
+    LogTailRequest,
+    ReadPlan,
+)
 
-__all__ = ["LogClient", "LogPage", "LogRecord", "PlatformError", "PlatformSettings"]
+__all__ = [
+    "Delivery",
+    "FollowerSettings",
+    "LogClient",
+    "LogFollower",
+    "LogPage",
+    "LogRecord",
+    "LogTail",
+    "LogTailRequest",
+    "PlatformError",
+    "PlatformSettings",
+    "ReadPlan",
+]
