Check random histories of grants, pins and slots

Cause: the first API had no proof under faults. Ruled out: no evictions at all for a while after each change, which would stall every planned move. Change: the inventory carries orders and pins in doubt and the epochs that tell a whole handover; after an owner died without one, versions stay pinned until the target reports that it's idle or the pins' time is over.

--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -7,6 +7,7 @@
 
 from thornlatch.configuration import Adapter, Organisation, Pool, Store, Target
 from thornlatch.core import Action, Emit, Event, LeaseReader, Owner, Resolve, Send
+from thornlatch.dispatch._former import FormerOwnerships
 from thornlatch.dispatch._holder import Grant, HeldRight, HostPool, PendingRequest
 from thornlatch.dispatch._messages import (
     GrantCancelled,
@@ -83,6 +84,7 @@
         self.holders: dict[str, HostPool] = {}
         self.tickets: dict[str, PendingRequest] = {}
         self.schedulers: dict[str, PoolScheduler] = {}
+        self.former: dict[str, FormerOwnerships] = {}
         self.is_closed = False
 
     # Inputs from the daemon.
@@ -283,6 +285,14 @@
                 actions += self._refuse(holder, key, ErrorKind.HOST_STOPPING, None, now)
         return actions + self._end_lingering(now)
 
+    def has_open_orders(self, *, now: float) -> bool:
+        """Return whether targets may still carry out orders of this host.
+
+        A host closes its session only when they are settled.
+        """
+        is_owner = any(s.list_open_orders(now) for s in self.schedulers.values())
+        return is_owner or any(f.list_orders(now) for f in self.former.values())
+
     # Slice.
 
     def handle(self, message: Any, *, sender: str, now: float) -> list[Action]:
@@ -407,7 +417,10 @@
         if holder is None:
             holder = HostPool(self.settings, self.host, message.pool)
             self.holders[message.pool] = holder
-        return [Send(sender, holder.make_inventory(message.epoch))]
+        scheduler = self.schedulers.get(message.pool)
+        if scheduler is not None and scheduler.epoch < message.epoch:
+            self._end_scheduler(scheduler, now)
+        return [Send(sender, self._make_inventory(holder, message.epoch, now))]
 
     # Owner's side.
 
@@ -416,8 +429,7 @@
         for name, scheduler in list(self.schedulers.items()):
             owner = self.leases.get_owner(scheduler.key)
             if name not in self.pools or owner != Owner(self.host, scheduler.epoch):
-                scheduler.close(now=now)
-                del self.schedulers[name]
+                self._end_scheduler(scheduler, now)
         for name, pool in self.pools.items():
             if name in self.schedulers:
                 continue
@@ -447,6 +459,28 @@
             actions += scheduler.note_target_leaving(target, is_leaving=True, now=now)
         return actions + self._set_targets(scheduler, now)
 
+    def _end_scheduler(self, scheduler: PoolScheduler, now: float) -> None:
+        scheduler.close(now=now)
+        del self.schedulers[scheduler.pool.name]
+        former = self.former.setdefault(scheduler.pool.name, FormerOwnerships())
+        former.add(scheduler.make_handover(now))
+
+    def _make_inventory(
+        self, holder: HostPool, epoch: int, now: float
+    ) -> GrantInventory:
+        former = self.former.get(holder.pool, FormerOwnerships())
+        holder.note_epoch(epoch)
+        return GrantInventory(
+            self.host,
+            holder.pool,
+            epoch,
+            holder.list_held(),
+            former.list_orders(now),
+            (*former.list_pins(now), *holder.list_unsettled(now)),
+            holder.former_epoch,
+            former.epoch,
+        )
+
     def _get_budget(self, store: Store | None) -> LoadBudget:
         store = store or NO_STORE
         if store.name not in self.budgets:
--- /dev/null
+++ b/src/thornlatch/dispatch/_former.py
@@ -0,0 +1,71 @@
+"""What an earlier owner must tell its successor."""
+
+from dataclasses import dataclass, replace
+
+from thornlatch.dispatch._messages import OrderInDoubt, PinInDoubt
+
+
+@dataclass(frozen=True)
+class Handover:
+    """State of an ownership that ended on this host.
+
+    Parameters
+    ----------
+    epoch : int
+        Epoch of the ownership if it knew all grants; -1 otherwise.
+    ended_at : float
+        Seconds.
+    orders : tuple of OrderInDoubt
+        Times are relative to `ended_at`.
+    pins : tuple of PinInDoubt
+        Times are relative to `ended_at`.
+    """
+
+    epoch: int
+    ended_at: float
+    orders: tuple[OrderInDoubt, ...]
+    pins: tuple[PinInDoubt, ...]
+
+
+class FormerOwnerships:
+    """Handovers of one pool that a successor may still ask for."""
+
+    def __init__(self) -> None:
+        self.handovers: list[Handover] = []
+        self.epoch = -1
+
+    def add(self, handover: Handover) -> None:
+        """Keep the state of an ownership that ended."""
+        self.epoch = max(self.epoch, handover.epoch)
+        self.handovers.append(handover)
+
+    def list_orders(self, now: float) -> tuple[OrderInDoubt, ...]:
+        """Return the orders that targets may still carry out at `now`."""
+        self._prune(now)
+        return tuple(
+            replace(order, settled_in_s=left_s)
+            for handover in self.handovers
+            for order in handover.orders
+            if (left_s := handover.ended_at + order.settled_in_s - now) > 0
+        )
+
+    def list_pins(self, now: float) -> tuple[PinInDoubt, ...]:
+        """Return the adapter versions that may still be in use at `now`."""
+        self._prune(now)
+        return tuple(
+            replace(pin, ends_in_s=left_s)
+            for handover in self.handovers
+            for pin in handover.pins
+            if (left_s := handover.ended_at + pin.ends_in_s - now) > 0
+        )
+
+    def _prune(self, now: float) -> None:
+        self.handovers = [
+            handover for handover in self.handovers if _find_end(handover) > now
+        ]
+
+
+def _find_end(handover: Handover) -> float:
+    times = [order.settled_in_s for order in handover.orders]
+    times += [pin.ends_in_s for pin in handover.pins]
+    return handover.ended_at + max(times, default=0.0)
--- a/src/thornlatch/dispatch/_holder.py
+++ b/src/thornlatch/dispatch/_holder.py
@@ -4,21 +4,22 @@
 
 from thornlatch.core import Action, Emit, Event, Send
 from thornlatch.dispatch._messages import (
+    SETTLED_OUTCOMES,
     GrantCancelled,
     Granted,
     GrantHeld,
-    GrantInventory,
     GrantReleased,
     GrantReleaseNoted,
     GrantRequest,
     HeldGrant,
     Outcome,
+    PinInDoubt,
     RequestSpec,
 )
 from thornlatch.dispatch._queue import RequestKey
 from thornlatch.dispatch._settings import DispatchSettings
-
-KEEPING_OUTCOMES = frozenset({Outcome.OK})
+from thornlatch.dispatch._table import Pin
+from thornlatch.placement import AdapterVersion
 
 
 @dataclass(frozen=True)
@@ -149,10 +150,12 @@
         self.host = host
         self.pool = pool
         self.epoch = -1
+        self.former_epoch = -1
         self.pending: dict[RequestKey, PendingRequest] = {}
         self.rights: dict[str, HeldRight] = {}
         self.releases: dict[str, Unacknowledged] = {}
         self.cancellations: dict[RequestKey, Unacknowledged] = {}
+        self.unsettled: dict[Pin, float] = {}
         self.unanswered_since: float | None = None
         self.owner = ""
         self.is_closed = False
@@ -176,6 +179,12 @@
             self.unanswered_since = now
         return [Send(self.owner, message)] if self.owner else []
 
+    def note_epoch(self, epoch: int) -> None:
+        """Note an owner's epoch; older owners' grants are refused from now on."""
+        if epoch > self.epoch:
+            self.former_epoch = self.epoch
+            self.epoch = epoch
+
     # Requests.
 
     def ask(self, pending: PendingRequest, epoch: int, now: float) -> list[Action]:
@@ -318,10 +327,16 @@
             last.duration_s,
         )
         self.rights.pop(granted.grant, None)
+        if last.outcome not in SETTLED_OUTCOMES:
+            version = AdapterVersion(granted.adapter, granted.version)
+            until = now + self.settings.orphan_pin_s
+            self.unsettled[Pin(granted.target, version)] = until
         return self._release(message, now)
 
     def give_back_unused(self, granted: Granted, now: float) -> list[Action]:
         """Give back a grant that no request waits for."""
+        if granted.grant in self.releases:
+            return []
         return self._release(self._make_empty_report(granted, 0), now)
 
     def note_release(self, noted: GrantReleaseNoted) -> None:
@@ -339,10 +354,9 @@
         """Tell the owner that a grant is held already."""
         return [Send(self.owner, GrantHeld(self.host, self.pool, granted.grant))]
 
-    def make_inventory(self, epoch: int) -> GrantInventory:
-        """Return all grants held; older owners' grants are refused from now on."""
-        self.epoch = max(self.epoch, epoch)
-        held = tuple(
+    def list_held(self) -> tuple[HeldGrant, ...]:
+        """Return all grants held."""
+        return tuple(
             HeldGrant(
                 right.granted.grant,
                 right.granted.target,
@@ -353,7 +367,18 @@
             )
             for right in self.rights.values()
         )
-        return GrantInventory(self.host, self.pool, epoch, held)
+
+    def list_unsettled(self, now: float) -> tuple[PinInDoubt, ...]:
+        """Return the adapter versions that unanswered requests may still use."""
+        self.unsettled = {
+            pin: until for pin, until in self.unsettled.items() if now < until
+        }
+        return tuple(
+            PinInDoubt(
+                pin.target, pin.version.adapter, pin.version.version, until - now
+            )
+            for pin, until in self.unsettled.items()
+        )
 
     # Time.
 
--- a/src/thornlatch/dispatch/_messages.py
+++ b/src/thornlatch/dispatch/_messages.py
@@ -19,6 +19,11 @@
     UNUSED = "unused"
 
 
+SETTLED_OUTCOMES = frozenset(
+    {Outcome.OK, Outcome.BUSY, Outcome.NOT_LOADED, Outcome.UNUSED}
+)
+
+
 class Priority(Enum):
     """Class of a request within its organisation."""
 
@@ -324,6 +329,44 @@
     is_idle: bool
 
 
+@dataclass(frozen=True)
+class OrderInDoubt:
+    """An order of an earlier owner that a target may still carry out.
+
+    Parameters
+    ----------
+    target : str
+    adapter : str
+    version : str
+    settled_in_s : float
+        Seconds after which the target doesn't begin it any more.
+    """
+
+    target: str
+    adapter: str
+    version: str
+    settled_in_s: float
+
+
+@dataclass(frozen=True)
+class PinInDoubt:
+    """An adapter version that a request without an answer may still use.
+
+    Parameters
+    ----------
+    target : str
+    adapter : str
+    version : str
+    ends_in_s : float
+        Seconds until the pin ends.
+    """
+
+    target: str
+    adapter: str
+    version: str
+    ends_in_s: float
+
+
 @register
 @dataclass(frozen=True)
 class GrantInventory:
@@ -335,9 +378,21 @@
     pool : str
     epoch : int
     grants : tuple of HeldGrant
+    orders : tuple of OrderInDoubt
+        Orders that this host sent as an earlier owner.
+    pins : tuple of PinInDoubt
+        Of this host's own requests, and those it knew as an earlier owner.
+    seen_epoch : int
+        Highest epoch of an earlier owner that asked this host; -1 if none did.
+    handover_epoch : int
+        Highest epoch at which this host itself knew all grants; -1 if it never did.
     """
 
     host: str
     pool: str
     epoch: int
     grants: tuple[HeldGrant, ...]
+    orders: tuple[OrderInDoubt, ...] = ()
+    pins: tuple[PinInDoubt, ...] = ()
+    seen_epoch: int = -1
+    handover_epoch: int = -1
--- a/src/thornlatch/dispatch/_recovery.py
+++ b/src/thornlatch/dispatch/_recovery.py
@@ -24,8 +24,15 @@
         self.answered: set[str] = set()
         self.asked_at: dict[str, float] = {}
         self.released: set[str] = set()
+        self.seen_epoch = -1
+        self.handover_epoch = -1
         self.is_complete = False
 
+    @property
+    def is_handed_over(self) -> bool:
+        """Whether the latest earlier owner has told all that it knew."""
+        return self.handover_epoch >= max(self.seen_epoch, 0)
+
     def find_due(self, holders: Iterable[str], now: float) -> list[str]:
         """Return the hosts to ask now; note completion when none is missing.
 
@@ -48,14 +55,20 @@
             self.asked_at[host] = now
         return due
 
-    def take(self, inventory: GrantInventory, sender: str) -> list[HeldGrant]:
-        """Return the grants to adopt from a host's first answer.
+    def is_first(self, inventory: GrantInventory, sender: str) -> bool:
+        """Return whether an answer is a host's first to this owner; note it."""
+        if inventory.epoch != self.epoch or sender in self.answered:
+            return False
+        self.answered.add(sender)
+        self.seen_epoch = max(self.seen_epoch, inventory.seen_epoch)
+        self.handover_epoch = max(self.handover_epoch, inventory.handover_epoch)
+        return True
+
+    def find_grants(self, inventory: GrantInventory) -> list[HeldGrant]:
+        """Return the grants to adopt from an answer.
 
         A release may overtake the answer that still names its grant.
         """
-        if inventory.epoch != self.epoch or sender in self.answered:
-            return []
-        self.answered.add(sender)
         return [held for held in inventory.grants if held.grant not in self.released]
 
     def note_released(self, grant: str) -> None:
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -15,7 +15,9 @@
 )
 from thornlatch.dispatch._estimate import ServiceEstimate
 from thornlatch.dispatch._fairness import FairShares
+from thornlatch.dispatch._former import Handover
 from thornlatch.dispatch._messages import (
+    SETTLED_OUTCOMES,
     GrantCancelled,
     GrantCancelNoted,
     Granted,
@@ -29,7 +31,9 @@
     GrantReleaseNoted,
     GrantRequest,
     HeldGrant,
+    OrderInDoubt,
     Outcome,
+    PinInDoubt,
 )
 from thornlatch.dispatch._needs import find_needs
 from thornlatch.dispatch._prefixes import PrefixMap
@@ -53,10 +57,6 @@
     PlacementSettings,
 )
 
-SETTLED_OUTCOMES = frozenset(
-    {Outcome.OK, Outcome.BUSY, Outcome.NOT_LOADED, Outcome.UNUSED}
-)
-
 
 def get_pool_key(pool: str) -> str:
     """Return the lease key of a pool."""
@@ -122,6 +122,8 @@
         self.give_up = GiveUpTimes()
         self.targets: dict[str, TargetState] = {}
         self.leaving: set[str] = set()
+        self.unknown_uses: set[str] = set()
+        self.known_at = 0.0
         self.grant_count = 0
         self.is_load_due = False
 
@@ -164,9 +166,11 @@
             self.prefixes.forget_target(target)
             state.failures = 0
         state.incarnation = report.incarnation
-        if not report.running and not report.waiting:
+        is_idle = not report.running and not report.waiting
+        if is_idle and self.recovery.is_complete and report.asked_at >= self.known_at:
             latest = report.asked_at + self.settings.orphan_pin_s
             self.table.drop_orphans(target, latest)
+            self.unknown_uses.discard(target)
         self.placement.note_loaded(
             target,
             report.loaded,
@@ -207,6 +211,36 @@
             self._update_placement(now)
         return []
 
+    def list_open_orders(self, now: float) -> list[OrderInDoubt]:
+        """Return the orders that targets may still carry out."""
+        return [
+            OrderInDoubt(
+                target,
+                order.version.adapter,
+                order.version.version,
+                order.settled_at - now,
+            )
+            for target, order in self.placement.iter_open_orders()
+            if order.settled_at > now
+        ]
+
+    def make_handover(self, now: float) -> Handover:
+        """Return what a successor must know of this ownership."""
+        limit_s = self.settings.orphan_pin_s
+        is_whole = self.recovery.is_complete and not self.unknown_uses
+        pins = dict.fromkeys(self.table.pins, now + limit_s) | self.table.orphans
+        return Handover(
+            self.epoch if is_whole else -1,
+            now,
+            tuple(self.list_open_orders(now)),
+            tuple(
+                PinInDoubt(
+                    pin.target, pin.version.adapter, pin.version.version, until - now
+                )
+                for pin, until in pins.items()
+            ),
+        )
+
     def close(self, *, now: float) -> None:
         """End this ownership; the loads in flight don't burden the budget any more."""
         self.placement.close(self.budget, now=now)
@@ -280,8 +314,17 @@
 
     @_handle.register
     def _(self, message: GrantInventory, sender: str, now: float) -> list[Action]:
-        for held in self.recovery.take(message, sender):
+        if not self.recovery.is_first(message, sender):
+            return []
+        for held in self.recovery.find_grants(message):
             self._adopt(held, sender, now)
+        for order in message.orders:
+            version = AdapterVersion(order.adapter, order.version)
+            settled_at = now + order.settled_in_s
+            self.placement.note_in_doubt(order.target, version, settled_at)
+        for pin in message.pins:
+            version = AdapterVersion(pin.adapter, pin.version)
+            self.table.add_orphan(Pin(pin.target, version), now + pin.ends_in_s)
         return self._recover(now)
 
     # Time.
@@ -294,7 +337,10 @@
         actions += self._drop_hosts(now)
         actions += self._refuse_late(now)
         actions += self._resend(now)
-        self.table.expire_orphans(now)
+        if self.recovery.is_complete:
+            self.table.expire_orphans(now)
+            if now >= self.known_at + self.settings.orphan_pin_s:
+                self.unknown_uses.clear()
         compare_speeds(self.targets.values())
         self._update_placement(now)
         for name in self.targets:
@@ -313,7 +359,7 @@
 
     def is_pinned(self, target: str, version: AdapterVersion) -> bool:
         """Return whether any host may use `version` on `target`."""
-        if not self.recovery.is_complete:
+        if not self.recovery.is_complete or target in self.unknown_uses:
             return True
         return self.table.is_pinned(target, version)
 
@@ -590,8 +636,17 @@
         holders = self.leases.iter_possible_holders(now=now)
         question = GrantInventoryRequest(self.pool.name, self.epoch)
         due = self.recovery.find_due(holders, now)
+        if self.recovery.is_complete:
+            self._end_recovery(now)
         return [Send(host, question) for host in due]
 
+    def _end_recovery(self, now: float) -> None:
+        # A holder may have been waited for until now; its requests may go on.
+        self.known_at = now
+        self.table.extend_orphans(now + self.settings.orphan_pin_s)
+        if not self.recovery.is_handed_over:
+            self.unknown_uses = set(self.targets)
+
     def _adopt(self, held: HeldGrant, host: str, now: float) -> None:
         record = GrantRecord(
             held.grant,
--- a/src/thornlatch/dispatch/_table.py
+++ b/src/thornlatch/dispatch/_table.py
@@ -115,6 +115,11 @@
         """Keep a pin whose use may go on without a grant."""
         self.orphans[pin] = max(until, self.orphans.get(pin, until))
 
+    def extend_orphans(self, until: float) -> None:
+        """Keep all orphan pins until a time at least, seconds."""
+        for pin in self.orphans:
+            self.add_orphan(pin, until)
+
     def drop_orphans(self, target: str, before: float) -> None:
         """Drop the orphan pins of a target that runs nothing any more.
 
--- a/src/thornlatch/dispatch/tests/fleet.py
+++ b/src/thornlatch/dispatch/tests/fleet.py
@@ -91,12 +91,13 @@
 
 
 class Engine:
-    """A target that obeys orders and checks nothing."""
+    """A target that obeys orders; some refuse those with an old fencing number."""
 
     def __init__(self, target):
         self.target = target
         self.incarnation = 0
         self.loaded = set()
+        self.issued_epoch = -1
         self.highest_epoch = -1
 
     def restart(self):
@@ -105,6 +106,8 @@
 
     def obey(self, order):
         version = AdapterVersion(order.adapter, order.version)
+        if self.target.checks_fencing and order.epoch < self.highest_epoch:
+            return False
         self.highest_epoch = max(self.highest_epoch, order.epoch)
         if not isinstance(order, LoadAdapter):
             self.loaded.discard(version)
@@ -114,9 +117,9 @@
         self.loaded.add(version)
         return True
 
-    def report(self, asked_at):
+    def report(self, running, asked_at):
         loaded = tuple(sorted(self.loaded))
-        return TargetReport(str(self.incarnation), loaded, 1, 0, asked_at)
+        return TargetReport(str(self.incarnation), loaded, running, 0, asked_at)
 
 
 class Fleet:
@@ -146,6 +149,7 @@
         self.orders = []
         self.results = {}
         self.uses = {}
+        self.zombies = []
         self.leaving_since = {}
         self.violations = []
         self.events = []
@@ -192,10 +196,14 @@
         """End a host's process; its uses end with its connections."""
         del self.hosts[host]
         self.view.paused.discard(host)
-        self.uses = {g: u for g, u in self.uses.items() if u[0] != host}
-        self.expel(host)
+        for grant, (user, _) in list(self.uses.items()):
+            if user == host:
+                del self.uses[grant]
+        if host in self.view.members:
+            self.expel(host)
 
     def expel(self, host):
+        """Expel a host; its requests end some time after its wait."""
         del self.view.members[host]
         self.view.expelled[host] = self.now + self.view.wait_s
         if self.view.owner.host == host:
@@ -222,6 +230,8 @@
 
     def finish(self, grant_id, outcome=Outcome.OK):
         host, grant = self.uses.pop(grant_id)
+        if outcome in (Outcome.UNKNOWN, Outcome.CANCELLED):
+            self.zombies.append((self.now + self.settings.orphan_pin_s / 2, grant))
         actions = self.hosts[host].release(
             grant, outcome=outcome, tokens=50.0, first_token_s=0.1, now=self.now
         )
@@ -238,6 +248,7 @@
                 self.settle()
 
     def tick(self):
+        self._end_expelled_uses()
         for name, dispatch in list(self.hosts.items()):
             if name not in self.view.paused:
                 self._do(name, dispatch.tick(now=self.now))
@@ -266,21 +277,29 @@
         if self.now > deadline:
             ok, is_certain = False, False
         else:
-            self._check_order(target, order)
+            was_loaded = set(self.engines[target].loaded)
             ok, is_certain = self.engines[target].obey(order), not is_lost
+            if was_loaded - self.engines[target].loaded:
+                self._check_eviction(target, order)
         if host in self.hosts and host not in self.view.paused:
             actions = self.hosts[host].note_order_result(
                 target, order, ok=ok and is_certain, is_certain=is_certain, now=self.now
             )
             self._do(host, actions)
 
+    def read(self, target):
+        """Read a target's report."""
+        grants = [g for _, g in [*self.uses.values(), *self.zombies]]
+        running = sum(grant.target == target for grant in grants)
+        return self.engines[target].report(running, self.now)
+
     def report_all(self):
         """Let every host read every target."""
         for name, dispatch in list(self.hosts.items()):
             if name in self.view.paused:
                 continue
-            for target, engine in self.engines.items():
-                report = engine.report(self.now)
+            for target in self.engines:
+                report = self.read(target)
                 self._do(
                     name, dispatch.note_target_report(target, report, now=self.now)
                 )
@@ -290,6 +309,7 @@
             if isinstance(action, Send):
                 self.network.append((action.recipient, host, action.message))
             elif isinstance(action, Order):
+                self._check_issue(action)
                 deadline = self.now + action.order.deadline_s
                 self.orders.append((host, action.target, action.order, deadline))
             elif isinstance(action, Resolve):
@@ -306,11 +326,24 @@
 
     # History checks.
 
+    def _end_expelled_uses(self):
+        grace_s = self.settings.orphan_pin_s / 2
+        for grant, (host, _) in list(self.uses.items()):
+            if self.now > self.view.expelled.get(host, self.now) + grace_s:
+                del self.uses[grant]
+        self.zombies = [(end, g) for end, g in self.zombies if self.now < end]
+
+    def _holds_right(self, host):
+        return self.now < self.view.expelled.get(host, float("inf"))
+
     def _check_use(self, host, grant):
         target = self.engines[grant.target].target
         if grant.grant in self.uses:
             self.violations.append(f"grant {grant.grant} used twice at once")
-        used = sum(g.target == grant.target for _, g in self.uses.values())
+        used = sum(
+            g.target == grant.target and self._holds_right(user)
+            for user, g in self.uses.values()
+        )
         if used >= target.batch_slots:
             self.violations.append(f"more than {target.batch_slots} on {grant.target}")
         since = self.leaving_since.get(grant.target)
@@ -319,12 +352,15 @@
         if host in self.view.paused or host not in self.view.members:
             self.violations.append(f"{host} used a grant without confirmation")
 
-    def _check_order(self, target, order):
-        if order.epoch < self.engines[target].highest_epoch:
-            self.violations.append(f"order with lower epoch on {target}")
-        if isinstance(order, LoadAdapter):
-            return
-        for host, grant in self.uses.values():
+    def _check_issue(self, action):
+        engine = self.engines[action.target]
+        if action.order.epoch < engine.issued_epoch:
+            self.violations.append(f"order with lower epoch to {action.target}")
+        engine.issued_epoch = max(engine.issued_epoch, action.order.epoch)
+
+    def _check_eviction(self, target, order):
+        zombies = [("request without an answer", grant) for _, grant in self.zombies]
+        for host, grant in [*self.uses.values(), *zombies]:
             in_use = grant.target == target and grant.adapter == order.adapter
             if in_use and grant.version == order.version:
                 self.violations.append(f"{host} uses evicted {order.adapter}")
--- /dev/null
+++ b/src/thornlatch/dispatch/tests/history.py
@@ -0,0 +1,168 @@
+"""Steps and seeded histories of a small fleet under faults."""
+
+from random import Random
+
+from thornlatch.dispatch import Dispatch, DispatchSettings, Outcome, Priority
+from thornlatch.dispatch.tests.fleet import Fleet, make_spec
+from thornlatch.placement import PlacementSettings
+
+ADAPTERS = "abcdef"
+OUTCOMES = [Outcome.OK] * 6 + [
+    Outcome.CANCELLED,
+    Outcome.UNKNOWN,
+    Outcome.FAILED,
+    Outcome.NOT_LOADED,
+    Outcome.BUSY,
+]
+SETTINGS = DispatchSettings(orphan_pin_s=10.0, owner_wait_s=3.0)
+PLACEMENT = PlacementSettings(order_limit_s=2.0, load_limit_s=1.0)
+
+
+class Driver:
+    """One step at a time of a fleet under faults."""
+
+    def __init__(self, make_dispatch=Dispatch):
+        self.fleet = Fleet(
+            hosts=3, settings=SETTINGS, placement=PLACEMENT, make_dispatch=make_dispatch
+        )
+        self.count = 0
+        self.stale = []
+
+    def get_running(self):
+        return sorted(set(self.fleet.hosts) - self.fleet.view.paused)
+
+    def request(self, choice, adapter, is_batch):
+        hosts = self.get_running()
+        self.count += 1
+        priority = Priority.BATCH if is_batch else Priority.INTERACTIVE
+        spec = make_spec(
+            f"r{self.count}", adapter, priority=priority, deadline_in_s=20.0
+        )
+        self.fleet.request(hosts[choice % len(hosts)], spec)
+
+    def finish(self, choice, outcome):
+        running = [
+            grant
+            for grant, (host, _) in self.fleet.uses.items()
+            if host in self.fleet.hosts and host not in self.fleet.view.paused
+        ]
+        if running:
+            self.fleet.finish(running[choice % len(running)], outcome)
+
+    def deliver(self, choice, *, keep=False):
+        if self.fleet.network:
+            self.fleet.deliver(choice % len(self.fleet.network), keep=keep)
+
+    def lose(self, choice):
+        if self.fleet.network:
+            del self.fleet.network[choice % len(self.fleet.network)]
+
+    def obey(self, choice, *, is_lost=False):
+        if self.fleet.orders:
+            index = choice % len(self.fleet.orders)
+            self.fleet.obey(index, is_lost=is_lost)
+
+    def advance(self, seconds):
+        self.fleet.now += seconds
+        self.fleet.tick()
+
+    def pass_time(self, seconds):
+        self.fleet.advance(seconds, step=0.25)
+
+    def report(self):
+        self.fleet.report_all()
+
+    def take_stale_report(self, choice):
+        names = sorted(self.fleet.engines)
+        name = names[choice % len(names)]
+        self.stale.append((name, self.fleet.read(name)))
+
+    def give_stale_report(self):
+        if not self.stale:
+            return
+        name, report = self.stale.pop(0)
+        for host in self.get_running():
+            dispatch = self.fleet.hosts[host]
+            actions = dispatch.note_target_report(name, report, now=self.fleet.now)
+            self.fleet._do(host, actions)
+
+    def restart_engine(self, choice):
+        names = sorted(self.fleet.engines)
+        self.fleet.engines[names[choice % len(names)]].restart()
+
+    def fail_engine(self, choice):
+        names = sorted(self.fleet.engines)
+        for host in self.get_running():
+            dispatch = self.fleet.hosts[host]
+            name = names[choice % len(names)]
+            self.fleet._do(host, dispatch.note_target_failed(name, now=self.fleet.now))
+
+    def pause(self, choice):
+        running = self.get_running()
+        host = running[choice % len(running)]
+        if len(running) > 1:
+            self.fleet.view.paused.add(host)
+
+    def resume(self):
+        if self.fleet.view.paused:
+            self.fleet.resume(min(self.fleet.view.paused))
+
+    def expel_paused(self):
+        members = set(self.fleet.view.members)
+        paused = sorted(self.fleet.view.paused & members)
+        if paused and members - self.fleet.view.paused:
+            self.fleet.expel(paused[0])
+
+    def kill(self, choice):
+        running = self.get_running()
+        host = running[choice % len(running)]
+        if set(self.fleet.view.members) - {host}:
+            self.fleet.kill(host)
+            self.fleet.add_host()
+
+    def move_owner(self, choice):
+        members = sorted(set(self.fleet.view.members) - self.fleet.view.paused)
+        if members and self.fleet.view.owner.host not in self.fleet.view.paused:
+            self.fleet.set_owner(members[choice % len(members)])
+
+    def leave(self, choice):
+        if not self.fleet.leaving_since:
+            names = sorted(self.fleet.engines)
+            self.fleet.leave(names[choice % len(names)])
+
+
+def run_history(seed, make_dispatch=Dispatch, steps=400):
+    """Run a seeded history and return the first violation, if any."""
+    random = Random(seed)
+    driver = Driver(make_dispatch)
+    steps_of = [
+        (
+            8,
+            lambda: driver.request(
+                random.randrange(9), random.choice(ADAPTERS), random.random() < 0.3
+            ),
+        ),
+        (6, lambda: driver.finish(random.randrange(9), random.choice(OUTCOMES))),
+        (12, lambda: driver.deliver(random.randrange(40), keep=random.random() < 0.1)),
+        (1, lambda: driver.lose(random.randrange(40))),
+        (6, lambda: driver.obey(random.randrange(9), is_lost=random.random() < 0.1)),
+        (6, lambda: driver.advance(random.choice([0.05, 0.3, 1.0]))),
+        (4, lambda: driver.pass_time(random.choice([0.25, 0.5, 1.0]))),
+        (4, driver.report),
+        (1, lambda: driver.take_stale_report(random.randrange(9))),
+        (1, driver.give_stale_report),
+        (0.3, lambda: driver.restart_engine(random.randrange(9))),
+        (0.2, lambda: driver.fail_engine(random.randrange(9))),
+        (0.5, lambda: driver.pause(random.randrange(9))),
+        (1, driver.resume),
+        (0.3, driver.expel_paused),
+        (0.3, lambda: driver.kill(random.randrange(9))),
+        (0.5, lambda: driver.move_owner(random.randrange(9))),
+        (0.05, lambda: driver.leave(random.randrange(9))),
+    ]
+    weights = [weight for weight, _ in steps_of]
+    for _ in range(steps):
+        random.choices([step for _, step in steps_of], weights)[0]()
+        if driver.fleet.violations:
+            return driver.fleet.violations[0]
+    return None
--- /dev/null
+++ b/src/thornlatch/dispatch/tests/test_breakages.py
@@ -0,0 +1,75 @@
+"""Each promise is shown failing with its rule broken, by the seed that shows it."""
+
+import pytest
+
+from thornlatch.dispatch import Dispatch
+from thornlatch.dispatch._holder import HostPool
+from thornlatch.dispatch._recovery import GrantRecovery
+from thornlatch.dispatch._scheduler import PoolScheduler
+from thornlatch.dispatch._table import GrantTable
+from thornlatch.dispatch.tests.fleet import FakeLeases
+from thornlatch.dispatch.tests.history import run_history
+from thornlatch.placement import TargetMemory
+
+
+def ask_no_holders(monkeypatch):
+    def find_due(self, holders, now):
+        self.is_complete = True
+        return []
+
+    monkeypatch.setattr(GrantRecovery, "find_due", find_due)
+
+
+def skip_wait_for_expelled(monkeypatch):
+    def iter_possible_holders(self, *, now):
+        return list(self.view.members)
+
+    monkeypatch.setattr(FakeLeases, "iter_possible_holders", iter_possible_holders)
+
+
+def ignore_leaving(monkeypatch):
+    monkeypatch.setattr(Dispatch, "_get_leaving", lambda self: set())
+    monkeypatch.setattr(PoolScheduler, "_update_leaving", lambda self, now: [])
+
+
+def forget_pins(monkeypatch):
+    monkeypatch.setattr(GrantTable, "is_pinned", lambda self, target, version: False)
+
+
+def forget_unanswered(monkeypatch):
+    monkeypatch.setattr(GrantTable, "add_orphan", lambda self, pin, until: None)
+
+
+def accept_old_grants(monkeypatch):
+    monkeypatch.setattr(HostPool, "note_epoch", lambda self, epoch: None)
+
+
+def trust_lost_results(monkeypatch):
+    def lose_result(self, version):
+        if self.evicting.pop(version, None):
+            self.resident[version] = 0.0
+        if self.loading.pop(version, None):
+            self.resident[version] = 0.0
+
+    monkeypatch.setattr(TargetMemory, "lose_result", lose_result)
+
+
+BREAKAGES = [
+    (ask_no_holders, 0),
+    (skip_wait_for_expelled, 9),
+    (ignore_leaving, 5),
+    (forget_pins, 0),
+    (forget_unanswered, 0),
+    (accept_old_grants, 83),
+    (trust_lost_results, 91),
+]
+
+
+@pytest.mark.parametrize(
+    ("break_rule", "seed"),
+    BREAKAGES,
+    ids=[break_rule.__name__ for break_rule, _ in BREAKAGES],
+)
+def test_history_breakage_is_caught(monkeypatch, break_rule, seed):
+    break_rule(monkeypatch)
+    assert run_history(seed) is not None
--- a/src/thornlatch/placement/_memory.py
+++ b/src/thornlatch/placement/_memory.py
@@ -99,6 +99,13 @@
             if order is not None:
                 self.unsure[version] = order
 
+    def doubt(self, version: AdapterVersion, settled_at: float) -> None:
+        """Make a version unusable until a report asked for after `settled_at`."""
+        self.resident.pop(version, None)
+        known = self.unsure.get(version)
+        if known is None or known.settled_at < settled_at:
+            self.unsure[version] = OpenOrder(version, settled_at)
+
     def expire_orders(self, grace_s: float, now: float) -> list[AdapterVersion]:
         """Give up on results that are overdue by `grace_s` seconds."""
         overdue = [
@@ -113,8 +120,8 @@
 
     def forget_resident(self, version: AdapterVersion, now: float) -> None:
         """Note that the target denied having `version`; a later report decides."""
-        if self.resident.pop(version, None) is not None:
-            self.unsure[version] = OpenOrder(version, now)
+        if version in self.resident:
+            self.doubt(version, now)
 
     def apply_report(
         self,
--- a/src/thornlatch/placement/_placement.py
+++ b/src/thornlatch/placement/_placement.py
@@ -1,6 +1,6 @@
 """Decisions on loads and evictions of one pool."""
 
-from collections.abc import Iterable, Sequence
+from collections.abc import Iterable, Iterator, Sequence
 from random import Random
 
 from thornlatch.configuration import Pool, Target
@@ -9,7 +9,7 @@
 from thornlatch.placement._budget import LoadBudget
 from thornlatch.placement._copies import find_copies
 from thornlatch.placement._demand import DemandEstimate
-from thornlatch.placement._memory import TargetMemory
+from thornlatch.placement._memory import OpenOrder, TargetMemory
 from thornlatch.placement._orders import (
     AdapterVersion,
     EvictAdapter,
@@ -113,6 +113,30 @@
             memory.forget_resident(version, now)
             self._index()
 
+    def note_in_doubt(
+        self, target: str, version: AdapterVersion, settled_at: float
+    ) -> None:
+        """Note an earlier owner's order that `target` may still carry out.
+
+        Parameters
+        ----------
+        target : str
+        version : AdapterVersion
+        settled_at : float
+            Time after which the target doesn't begin it any more, seconds.
+        """
+        memory = self.memories.get(target)
+        if memory is not None:
+            memory.doubt(version, settled_at)
+            self._index()
+
+    def iter_open_orders(self) -> Iterator[tuple[str, OpenOrder]]:
+        """Iterate over targets and their orders without a known result."""
+        for name, memory in self.memories.items():
+            for orders in (memory.loading, memory.evicting, memory.unsure):
+                for order in orders.values():
+                    yield name, order
+
     def note_order_result(
         self,
         target: str,
