Stop requests that crash targets on all hosts

Change: Quarantine with its fold, notices, isolated turns by log order, exoneration of those beside a culprit; CopiesInFlight for the pool's owner; rank_targets.

--- a/src/thornlatch/requests/__init__.py
+++ b/src/thornlatch/requests/__init__.py
@@ -2,6 +2,18 @@
 
 from thornlatch.requests._claim_records import Claims, ClaimWon, RecordedAnswer
 from thornlatch.requests._claims import ClaimTable
+from thornlatch.requests._exposure import CopiesInFlight, rank_targets
+from thornlatch.requests._quarantine import Quarantine
+from thornlatch.requests._quarantine_records import (
+    MustWait,
+    QuarantineRecord,
+    Refuse,
+    RunIsolated,
+    RunNormally,
+    SuspectNotice,
+    SuspectNoticeSeen,
+    make_fingerprint,
+)
 from thornlatch.requests._retries import (
     AttemptFailed,
     RetryAfter,
@@ -16,12 +28,23 @@
     "ClaimTable",
     "ClaimWon",
     "Claims",
+    "CopiesInFlight",
+    "MustWait",
+    "Quarantine",
+    "QuarantineRecord",
     "QuarantineSettings",
     "RecordedAnswer",
+    "Refuse",
     "RequestsSettings",
     "RetryAfter",
     "RetryBudget",
     "RetryPolicy",
+    "RunIsolated",
+    "RunNormally",
     "StreamCursor",
     "StreamPart",
+    "SuspectNotice",
+    "SuspectNoticeSeen",
+    "make_fingerprint",
+    "rank_targets",
 ]
--- /dev/null
+++ b/src/thornlatch/requests/_quarantine.py
@@ -0,0 +1,502 @@
+"""Finds requests that crash targets and stops them on all hosts.
+
+Whatever was in flight on a target that died is suspect. A suspect runs alone, at a turn
+that the log gives; if its target dies again, it is refused for good. The state is
+touched by the control thread alone.
+"""
+
+from collections import OrderedDict
+from dataclasses import dataclass, replace
+from functools import singledispatchmethod
+from typing import Any
+
+from thornlatch.core import (
+    Action,
+    Append,
+    Emit,
+    Event,
+    LeaseReader,
+    Resolve,
+    Send,
+)
+from thornlatch.exceptions import ErrorKind, Execution, RequestRefused
+from thornlatch.requests._notices import NoticeSender
+from thornlatch.requests._outbox import Outbox
+from thornlatch.requests._quarantine_fold import QuarantineFold
+from thornlatch.requests._quarantine_records import (
+    Cleared,
+    IsolationAsked,
+    IsolationEnded,
+    IsolationOutcome,
+    MustWait,
+    QuarantineItem,
+    QuarantineRecord,
+    Refuse,
+    RunIsolated,
+    RunNormally,
+    Suspected,
+    SuspectNotice,
+    SuspectNoticeSeen,
+    Verdict,
+    build_quarantine_record,
+)
+from thornlatch.requests._settings import QuarantineSettings
+
+STREAM = "quarantine"
+NOTICES_LIMIT = 10_000
+DOMAIN_LOSS_RATIO = 0.75
+
+
+@dataclass(frozen=True, slots=True)
+class Running:
+    """A request in flight on a target; `ask` is set for an isolated run."""
+
+    request: str
+    fingerprint: str
+    target: str
+    ask: str
+    started_at: float
+
+
+@dataclass(frozen=True, slots=True)
+class Waiting:
+    """A request that waits for its turn to run alone."""
+
+    ticket: str
+    ask: str
+    fingerprint: str
+    pool: str
+    deadline: float
+
+
+@dataclass(frozen=True, slots=True)
+class Death:
+    """A target's death, judged at `due`."""
+
+    target: str
+    failure_domain: str
+    domain_targets: int
+    at: float
+    due: float
+    running: tuple[Running, ...]
+
+    @property
+    def fingerprints(self) -> set[str]:
+        """Fingerprints that were in flight."""
+        return {one.fingerprint for one in self.running}
+
+
+class Quarantine:
+    """Decides whether a request may run beside others, alone or not at all.
+
+    Parameters
+    ----------
+    settings : QuarantineSettings
+    host : str
+    leases : LeaseReader
+    """
+
+    def __init__(
+        self, settings: QuarantineSettings, *, host: str, leases: LeaseReader
+    ) -> None:
+        self.settings = settings
+        self.host = host
+        self.leases = leases
+        self.fold = QuarantineFold(settings)
+        self.outbox: Outbox[QuarantineItem] = Outbox(
+            batch_s=settings.append_batch_s,
+            retry_s=settings.append_retry_s,
+            retry_limit_s=settings.append_retry_limit_s,
+        )
+        self.notices = NoticeSender(
+            retry_s=settings.notice_retry_s, attempts=settings.notice_attempts
+        )
+        self.early = QuarantineFold(settings)
+        self.running: dict[str, Running] = {}
+        self.waiting: dict[str, Waiting] = {}
+        self.deaths: list[Death] = []
+        self.seen: OrderedDict[tuple[str, int], None] = OrderedDict()
+        self.turns: dict[str, tuple[str, float]] = {}
+        self.missing: dict[str, float] = {}
+        self.numbers = 0
+
+    def check(self, fingerprint: str, *, now: float) -> Verdict:
+        """Return what to do with a request that arrives.
+
+        Parameters
+        ----------
+        fingerprint : str
+            See `make_fingerprint`.
+        now : float
+
+        Returns
+        -------
+        RunNormally, MustWait or Refuse
+            After `MustWait` the request calls `enter`.
+        """
+        for fold in (self.fold, self.early):
+            if fold.refused.get(fingerprint, now) > now:
+                return Refuse(_refuse_for_good())
+        is_clearing = "clear:" + fingerprint in self.outbox.entries
+        is_logged = fingerprint in self.fold.suspects and not is_clearing
+        is_suspect = is_logged or fingerprint in self.early.suspects
+        return MustWait() if is_suspect else RunNormally()
+
+    def enter(
+        self, ticket: str, fingerprint: str, *, pool: str, now: float
+    ) -> list[Action]:
+        """Queue a suspect for its turn to run alone.
+
+        The ticket resolves to `RunIsolated`, `RunNormally` or `RequestRefused`.
+        """
+        verdict = self.check(fingerprint, now=now)
+        if not isinstance(verdict, MustWait):
+            return [Resolve(ticket, _get_value(verdict))]
+        ask = f"{self.host}/{self._number()}"
+        deadline = now + self.settings.wait_s
+        waiting = Waiting(ticket, ask, fingerprint, pool, deadline)
+        self.waiting[ticket] = waiting
+        self._ask(waiting, now=now)
+        return []
+
+    def leave(self, ticket: str, *, now: float) -> list[Action]:
+        """Give up a turn that was not used, before or after it came."""
+        waiting = self.waiting.pop(ticket, None)
+        if waiting is not None:
+            self._end(waiting.ask, waiting.fingerprint, IsolationOutcome.NOT_RUN, now)
+        return []
+
+    def return_turn(self, ask: str, fingerprint: str, *, now: float) -> list[Action]:
+        """Give back a turn under which no target received a byte."""
+        self._end(ask, fingerprint, IsolationOutcome.NOT_RUN, now)
+        return []
+
+    def note_started(
+        self, request: str, fingerprint: str, *, target: str, now: float, ask: str = ""
+    ) -> None:
+        """Note that a request is about to be sent to a target."""
+        self.running[request] = Running(request, fingerprint, target, ask, now)
+
+    def note_finished(self, request: str, *, now: float) -> list[Action]:
+        """Note that a request ended while its target lived."""
+        running = self.running.pop(request, None)
+        if running is None or not running.ask:
+            return []
+        self._end(running.ask, running.fingerprint, IsolationOutcome.CLEARED, now)
+        return self._clear({running.fingerprint}, now=now)
+
+    def target_died(
+        self, target: str, *, failure_domain: str, domain_targets: int, now: float
+    ) -> list[Action]:
+        """Note an unplanned death of a target, whether requests ran on it here or not.
+
+        Whatever ran on it here is suspect at once; it is judged after
+        `domain_window_s`, when the loss of a failure domain would have shown.
+
+        Parameters
+        ----------
+        target : str
+        failure_domain : str
+        domain_targets : int
+            Targets in the failure domain; it is lost when three quarters of them die.
+        now : float
+        """
+        ran = tuple(one for one in self.running.values() if one.target == target)
+        for one in ran:
+            del self.running[one.request]
+        due = now + self.settings.domain_window_s
+        death = Death(target, failure_domain, domain_targets, now, due, ran)
+        self.deaths.append(death)
+        suspects = tuple(Suspected(one.fingerprint, target) for one in ran)
+        for suspected in suspects:
+            self.early.suspect(suspected, now=now)
+        actions: list[Action] = [
+            Emit(Event("quarantine.suspected", request=one.request, target=target))
+            for one in ran
+        ]
+        return actions + self._notify(suspects=suspects, now=now)
+
+    @singledispatchmethod
+    def handle(self, message: Any, *, sender: str, now: float) -> list[Action]:
+        """Handle a notice of a peer or its acknowledgement."""
+        return []
+
+    @handle.register
+    def _(self, message: SuspectNotice, *, sender: str, now: float) -> list[Action]:
+        seen: list[Action] = [Send(sender, SuspectNoticeSeen(message.notice))]
+        if not self._is_new(sender, message.notice):
+            return seen
+        for suspected in message.suspects:
+            self.early.suspect(suspected, now=now)
+        for fingerprint in message.refused:
+            self.early.refuse(fingerprint, now=now)
+        for fingerprint in message.cleared:
+            self.early.clear(fingerprint)
+        return seen + self._settle(now=now)
+
+    @handle.register
+    def _(self, message: SuspectNoticeSeen, *, sender: str, now: float) -> list[Action]:
+        self.notices.note_seen(message.notice, sender)
+        return []
+
+    def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
+        """Apply a record of stream ``quarantine``."""
+        if not isinstance(record, QuarantineRecord):
+            return []
+        self.fold.apply(record, now=now)
+        if record.host == self.host:
+            self._read_back(record, now=now)
+        for ended in record.ended:
+            self.early.end(ended, now=now)
+        for cleared in record.cleared:
+            self.early.clear(cleared.fingerprint)
+        return self._settle(now=now)
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Judge deaths, pass turns on, send notices and append records."""
+        actions = self._judge(now=now)
+        actions += self._clear_slow(now=now)
+        self._pass_lost_turns(now=now)
+        self.fold.expire(now=now)
+        self.early.expire(now=now)
+        actions += self._settle(now=now)
+        actions += self.notices.tick(now=now)
+        items = self.outbox.take(now=now)
+        if items:
+            actions.append(Append(STREAM, build_quarantine_record(self.host, items)))
+        return actions
+
+    def _judge(self, *, now: float) -> list[Action]:
+        actions: list[Action] = []
+        window = self.settings.domain_window_s
+        due = [death for death in self.deaths if death.due <= now and death.running]
+        for death in due:
+            actions += self._judge_death(death, now=now)
+        judged = {id(death) for death in due}
+        self.deaths = [
+            replace(death, running=()) if id(death) in judged else death
+            for death in self.deaths
+            if death.due + window > now or (death.running and id(death) not in judged)
+        ]
+        return actions
+
+    def _judge_death(self, death: Death, *, now: float) -> list[Action]:
+        beside = self._find_domain_loss(death)
+        innocent: set[str] = set()
+        refused: list[str] = []
+        for one in death.running:
+            if beside and not self._is_common(one.fingerprint, beside):
+                self._end_turn(one, IsolationOutcome.LOST, now=now)
+                if not one.ask:
+                    innocent.add(one.fingerprint)
+            elif one.ask:
+                self._end_turn(one, IsolationOutcome.CRASHED, now=now)
+                self.early.suspect(Suspected(one.fingerprint, death.target), now=now)
+                self.early.refuse(one.fingerprint, now=now)
+                refused.append(one.fingerprint)
+            else:
+                self._put_suspected(one.fingerprint, now=now)
+        actions = self._clear(innocent, now=now) if innocent else []
+        return actions + self._tell_refused(refused, death, now=now)
+
+    def _find_domain_loss(self, death: Death) -> list[Death]:
+        """Return the other deaths if the whole failure domain was lost."""
+        beside = [other for other in self.deaths if self._is_beside(death, other)]
+        died = len({other.target for other in beside}) + 1
+        is_lost = died >= DOMAIN_LOSS_RATIO * death.domain_targets
+        return beside if is_lost else []
+
+    def _is_beside(self, death: Death, other: Death) -> bool:
+        return (
+            other.target != death.target
+            and other.failure_domain == death.failure_domain
+            and abs(other.at - death.at) <= self.settings.domain_window_s
+        )
+
+    def _is_common(self, fingerprint: str, deaths: list[Death]) -> bool:
+        """Return whether the request was on another target that died, at any host."""
+        targets = set(self._get_targets(fingerprint))
+        return any(
+            death.target in targets or fingerprint in death.fingerprints
+            for death in deaths
+        )
+
+    def _get_targets(self, fingerprint: str) -> tuple[str, ...]:
+        found: dict[str, None] = {}
+        for fold in (self.fold, self.early):
+            suspect = fold.suspects.get(fingerprint)
+            found.update(dict.fromkeys(suspect.targets if suspect else ()))
+        return tuple(found)
+
+    def _end_turn(
+        self, running: Running, outcome: IsolationOutcome, *, now: float
+    ) -> None:
+        if running.ask:
+            self._end(running.ask, running.fingerprint, outcome, now)
+
+    def _tell_refused(
+        self, refused: list[str], death: Death, *, now: float
+    ) -> list[Action]:
+        if not refused:
+            return []
+        actions: list[Action] = [
+            Emit(Event("quarantine.refused", target=death.target, detail={"fp": one}))
+            for one in refused
+        ]
+        return actions + self._notify(refused=tuple(refused), now=now)
+
+    def _clear(self, fingerprints: set[str], *, now: float) -> list[Action]:
+        for fingerprint in fingerprints:
+            targets = self._get_targets(fingerprint)
+            keys = [_suspect_key(fingerprint, target) for target in targets]
+            removed = [self.outbox.remove(key) for key in keys]
+            may_be_on_log = any(removed)
+            self.early.clear(fingerprint)
+            if may_be_on_log or fingerprint in self.fold.suspects:
+                self._put("clear:" + fingerprint, Cleared(fingerprint), now=now)
+        return self._notify(cleared=tuple(sorted(fingerprints)), now=now)
+
+    def _clear_slow(self, *, now: float) -> list[Action]:
+        # A request that has run alone for so long doesn't crash its target at sight.
+        late = now - self.settings.isolation_timeout_s
+        slow = [one for one in self.running.values() if one.ask in self.turns]
+        slow = [one for one in slow if one.started_at <= late]
+        for one in slow:
+            self._end_turn(one, IsolationOutcome.CLEARED, now=now)
+        return self._clear({one.fingerprint for one in slow}, now=now) if slow else []
+
+    def _pass_lost_turns(self, *, now: float) -> None:
+        members = {member.host for member in self.leases.iter_members()}
+        for waiting in self.waiting.values():
+            for name, ask in self.fold.iter_ahead(waiting.ask):
+                if ask.host == self.host or not self._is_gone(ask.host, members, now):
+                    continue
+                item = IsolationEnded(name, ask.fingerprint, IsolationOutcome.LOST)
+                if "end:" + name not in self.outbox.entries:
+                    self._put("end:" + name, item, now=now)
+
+    def _is_gone(self, host: str, members: set[str], now: float) -> bool:
+        if host in members:
+            self.missing.pop(host, None)
+            return False
+        since = self.missing.setdefault(host, now)
+        return now - since >= self.settings.gone_grace_s
+
+    def _settle(self, *, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for waiting in list(self.waiting.values()):
+            actions += self._settle_one(waiting, now=now)
+        return actions
+
+    def _settle_one(self, waiting: Waiting, *, now: float) -> list[Action]:
+        verdict = self.check(waiting.fingerprint, now=now)
+        if self._is_being_judged(waiting.fingerprint):
+            return []
+        if isinstance(verdict, MustWait) and self.fold.has_turn(waiting.ask):
+            del self.waiting[waiting.ticket]
+            self.turns[waiting.ask] = (waiting.fingerprint, now)
+            targets = self._get_targets(waiting.fingerprint)
+            return [Resolve(waiting.ticket, RunIsolated(waiting.ask, targets))]
+        if isinstance(verdict, MustWait) and now < waiting.deadline:
+            self._ask(waiting, now=now)
+            return []
+        self.leave(waiting.ticket, now=now)
+        value = _get_value(verdict)
+        if isinstance(verdict, MustWait):
+            value = _refuse_for_now(self.settings.wait_s)
+        return [Resolve(waiting.ticket, value)]
+
+    def _is_being_judged(self, fingerprint: str) -> bool:
+        return any(fingerprint in death.fingerprints for death in self.deaths)
+
+    def _ask(self, waiting: Waiting, *, now: float) -> None:
+        # The log may clear a suspect between its notice and the landing of the ask.
+        is_asked = waiting.ask in self.fold.asks
+        if not is_asked and "ask:" + waiting.ask not in self.outbox.entries:
+            self._put_suspected(waiting.fingerprint, now=now)
+            item = IsolationAsked(waiting.ask, waiting.fingerprint, waiting.pool)
+            self._put("ask:" + waiting.ask, item, now=now)
+
+    def _end(
+        self, ask: str, fingerprint: str, outcome: IsolationOutcome, now: float
+    ) -> None:
+        self.turns.pop(ask, None)
+        may_be_on_log = self.outbox.remove("ask:" + ask) or ask in self.fold.asks
+        if may_be_on_log:
+            item = IsolationEnded(ask, fingerprint, outcome)
+            self._put("end:" + ask, item, now=now)
+
+    def _read_back(self, record: QuarantineRecord, *, now: float) -> None:
+        for suspected in record.suspected:
+            self.outbox.remove(_suspect_key(suspected.fingerprint, suspected.target))
+        wanted = {waiting.ask for waiting in self.waiting.values()} | set(self.turns)
+        for asked in record.asked:
+            self.outbox.remove("ask:" + asked.ask)
+            if asked.ask in self.fold.asks and asked.ask not in wanted:
+                outcome = IsolationOutcome.NOT_RUN
+                self._end(asked.ask, asked.fingerprint, outcome, now)
+        for ended in record.ended:
+            self.outbox.remove("end:" + ended.ask)
+        for cleared in record.cleared:
+            self.outbox.remove("clear:" + cleared.fingerprint)
+
+    def _put_suspected(self, fingerprint: str, *, now: float) -> None:
+        logged = self.fold.suspects.get(fingerprint)
+        for target in self._get_targets(fingerprint):
+            key = _suspect_key(fingerprint, target)
+            if logged is not None and target in logged.targets:
+                continue
+            if key not in self.outbox.entries:
+                self._put(key, Suspected(fingerprint, target), now=now)
+
+    def _put(self, key: str, item: QuarantineItem, *, now: float) -> None:
+        self.outbox.put(key, item, now=now)
+
+    def _notify(
+        self,
+        *,
+        suspects: tuple[Suspected, ...] = (),
+        refused: tuple[str, ...] = (),
+        cleared: tuple[str, ...] = (),
+        now: float,
+    ) -> list[Action]:
+        if not (suspects or refused or cleared):
+            return []
+        notice = SuspectNotice(self._number(), suspects, refused, cleared)
+        peers = {member.host for member in self.leases.iter_members()} - {self.host}
+        return self.notices.send(notice, peers, now=now)
+
+    def _number(self) -> int:
+        self.numbers += 1
+        return self.numbers
+
+    def _is_new(self, sender: str, notice: int) -> bool:
+        if (sender, notice) in self.seen:
+            return False
+        self.seen[sender, notice] = None
+        if len(self.seen) > NOTICES_LIMIT:
+            self.seen.popitem(last=False)
+        return True
+
+
+def _suspect_key(fingerprint: str, target: str) -> str:
+    return f"suspect:{fingerprint}:{target}"
+
+
+def _get_value(verdict: Verdict) -> Any:
+    return verdict.refusal if isinstance(verdict, Refuse) else verdict
+
+
+def _refuse_for_good() -> RequestRefused:
+    return RequestRefused(
+        ErrorKind.QUARANTINED, "two targets died while they ran this request"
+    )
+
+
+def _refuse_for_now(retry_after_s: float) -> RequestRefused:
+    return RequestRefused(
+        ErrorKind.TARGET_FAILED,
+        "a target died while it ran this request; no turn to run it alone came in time",
+        retry_after_s=retry_after_s,
+        execution=Execution.OUTCOME_UNKNOWN,
+    )
--- /dev/null
+++ b/src/thornlatch/requests/_quarantine_records.py
@@ -0,0 +1,162 @@
+"""Records of stream ``quarantine``, notices between hosts, and verdicts."""
+
+import hashlib
+from dataclasses import dataclass
+from enum import Enum
+
+from thornlatch.core import register
+from thornlatch.exceptions import RequestRefused
+
+
+def make_fingerprint(organisation: str, adapter_version: str, body: bytes) -> str:
+    """Return what equal requests have in common, in hexadecimal.
+
+    Parameters
+    ----------
+    organisation : str
+    adapter_version : str
+        Adapter and version, or the route of a plain service.
+    body : bytes
+    """
+    digest = hashlib.sha256(body)
+    digest.update(f"\0{organisation}\0{adapter_version}".encode())
+    return digest.hexdigest()
+
+
+class IsolationOutcome(Enum):
+    """How an isolated run ended."""
+
+    CLEARED = "cleared"
+    CRASHED = "crashed"
+    NOT_RUN = "not-run"
+    LOST = "lost"
+
+
+@dataclass(frozen=True, slots=True)
+class Suspected:
+    """A target died while it ran the request.
+
+    Parameters
+    ----------
+    fingerprint : str
+    target : str
+    """
+
+    fingerprint: str
+    target: str
+
+
+@dataclass(frozen=True, slots=True)
+class IsolationAsked:
+    """A host queues for an isolated run of a suspect."""
+
+    ask: str
+    fingerprint: str
+    pool: str
+
+
+@dataclass(frozen=True, slots=True)
+class IsolationEnded:
+    """The turn of an isolated run is over."""
+
+    ask: str
+    fingerprint: str
+    outcome: IsolationOutcome
+
+
+@dataclass(frozen=True, slots=True)
+class Cleared:
+    """The request is no longer suspect."""
+
+    fingerprint: str
+
+
+QuarantineItem = Suspected | IsolationAsked | IsolationEnded | Cleared
+
+
+@register
+@dataclass(frozen=True, slots=True)
+class QuarantineRecord:
+    """One append of a host to stream ``quarantine``, applied in field order."""
+
+    host: str
+    suspected: tuple[Suspected, ...] = ()
+    asked: tuple[IsolationAsked, ...] = ()
+    ended: tuple[IsolationEnded, ...] = ()
+    cleared: tuple[Cleared, ...] = ()
+
+
+def build_quarantine_record(host: str, items: list[QuarantineItem]) -> QuarantineRecord:
+    """Sort the items of one append by class."""
+    return QuarantineRecord(
+        host,
+        suspected=tuple(item for item in items if isinstance(item, Suspected)),
+        asked=tuple(item for item in items if isinstance(item, IsolationAsked)),
+        ended=tuple(item for item in items if isinstance(item, IsolationEnded)),
+        cleared=tuple(item for item in items if isinstance(item, Cleared)),
+    )
+
+
+@register
+@dataclass(frozen=True, slots=True)
+class SuspectNotice:
+    """Tells a peer of suspects before the log does; sent until acknowledged.
+
+    Parameters
+    ----------
+    notice : int
+        Number of the notice, unique for the sender.
+    suspects : tuple of Suspected
+    refused : tuple of str
+        Fingerprints that crashed two targets.
+    cleared : tuple of str
+    """
+
+    notice: int
+    suspects: tuple[Suspected, ...] = ()
+    refused: tuple[str, ...] = ()
+    cleared: tuple[str, ...] = ()
+
+
+@register
+@dataclass(frozen=True, slots=True)
+class SuspectNoticeSeen:
+    """Acknowledges a notice."""
+
+    notice: int
+
+
+@dataclass(frozen=True, slots=True)
+class RunNormally:
+    """The request may run beside others."""
+
+
+@dataclass(frozen=True, slots=True)
+class RunIsolated:
+    """The request may run alone on one target.
+
+    Parameters
+    ----------
+    ask : str
+        To be passed to `Quarantine.note_started`.
+    excluded : tuple of str
+        Targets that died under it.
+    """
+
+    ask: str
+    excluded: tuple[str, ...]
+
+
+@dataclass(frozen=True, slots=True)
+class MustWait:
+    """The request is suspect and has to enter the queue for an isolated run."""
+
+
+@dataclass(frozen=True, slots=True)
+class Refuse:
+    """The request is refused for good."""
+
+    refusal: RequestRefused
+
+
+Verdict = RunNormally | RunIsolated | MustWait | Refuse
--- a/src/thornlatch/requests/_settings.py
+++ b/src/thornlatch/requests/_settings.py
@@ -126,6 +126,9 @@
     gone_grace_s : float
         Seconds for which the host of an isolated run must be missing from the members
         before its turn passes on.
+    domain_window_s : float
+        Seconds within which the deaths of several targets of one failure domain count
+        as the loss of the domain.
     notice_retry_s : float
         Seconds after which an unanswered notice to a peer is sent again.
     notice_attempts : int
@@ -142,10 +145,11 @@
 
     suspect_s: Seconds = 600.0
     refused_s: Seconds = 3600.0
-    isolated_per_pool: Annotated[int, Meta(ge=1, le=100)] = 1
+    isolated_per_pool: Annotated[int, Meta(ge=1, le=100)] = 2
     isolation_timeout_s: Seconds = 120.0
     wait_s: Seconds = 30.0
     gone_grace_s: Seconds = 2.0
+    domain_window_s: Seconds = 0.25
     notice_retry_s: Seconds = 0.1
     notice_attempts: Annotated[int, Meta(ge=1, le=100)] = 10
     append_batch_s: Annotated[float, Meta(ge=0, le=1)] = 0.005
--- /dev/null
+++ b/src/thornlatch/requests/tests/quarantine_fleets.py
@@ -0,0 +1,357 @@
+"""Seeded fleets in which a caller repeats a request that crashes its target."""
+
+import heapq
+import random
+from dataclasses import dataclass, field
+
+from thornlatch.core import (
+    Append,
+    Member,
+    Resolve,
+    Send,
+    decode_envelope,
+    decode_record,
+    encode_envelope,
+    encode_record,
+)
+from thornlatch.core import Envelope as Packet
+from thornlatch.exceptions import ErrorKind, RequestRefused
+from thornlatch.requests import (
+    CopiesInFlight,
+    MustWait,
+    Quarantine,
+    QuarantineSettings,
+    Refuse,
+    RunIsolated,
+    rank_targets,
+)
+
+STEP_S = 0.005
+SETTINGS = QuarantineSettings(wait_s=20.0)
+
+
+@dataclass(frozen=True)
+class Plan:
+    """What one fleet is tried with."""
+
+    settings: QuarantineSettings = SETTINGS
+    hosts: int = 8
+    targets: int = 10
+    domains: int = 3
+    crashers: int = 1
+    is_concurrent: bool = False
+    keeps_copies_together: bool = True
+    pod_targets: int = 0
+    message_loss: float = 0.05
+    outage: tuple[float, float] = (0.0, 0.0)
+    domain_loss_at: float = -1.0
+    host_loss_at: float = -1.0
+    arrivals_per_s: float = 60.0
+    duration_s: float = 2.0
+
+
+@dataclass
+class Call:
+    name: str
+    fingerprint: str
+    host: str
+    born: float
+    is_crasher: bool = False
+    run: int = 0
+    delayed_since: float = -1.0
+
+
+@dataclass
+class Target:
+    name: str
+    domain: str
+    back_at: float = 0.0
+    calls: dict[str, Call] = field(default_factory=dict)
+    reserved_for: str = ""
+
+
+class Fleet:
+    """Runs one plan with one seed and counts what it cost."""
+
+    def __init__(self, seed, plan=None, quarantine=Quarantine):
+        self.plan = plan or Plan()
+        self.random = random.Random(seed)
+        self.now = 50.0
+        self.events = []
+        self.turn = 0
+        names = [f"h{index}" for index in range(self.plan.hosts)]
+        self.view = list(names)
+        self.nodes = {
+            name: quarantine(self.plan.settings, host=name, leases=self)
+            for name in names
+        }
+        self.targets = {
+            f"t{index}": Target(f"t{index}", f"d{index % self.plan.domains}")
+            for index in range(self.plan.targets)
+        }
+        self.read = dict.fromkeys(names, 0)
+        self.log = []
+        self.calls = {}
+        self.copies = CopiesInFlight()
+        self.lost: dict[str, int] = {}
+        self.repeats: dict[str, int] = {}
+        self.final: list[Call] = []
+        self.delays: dict[str, float] = {}
+        self.made = 0
+
+    def iter_members(self):
+        return [Member(name, "", "d", 0) for name in self.view]
+
+    def later(self, delay, action, *arguments):
+        self.turn += 1
+        heapq.heappush(self.events, (self.now + delay, self.turn, action, arguments))
+
+    def run(self):
+        plan = self.plan
+        start = self.now
+        for index in range(plan.crashers):
+            self.later(0.5 + 0.01 * index, self.begin_crasher, f"crash{index}")
+        if plan.domain_loss_at >= 0:
+            self.later(plan.domain_loss_at, self.lose_domain, "d0")
+        if plan.host_loss_at >= 0:
+            self.later(plan.host_loss_at, self.lose_host, "h0")
+        while self.now < start + plan.duration_s or (
+            (self.calls or self.events) and self.now < start + plan.duration_s + 20
+        ):
+            self.now += STEP_S
+            is_busy = self.now < start + plan.duration_s
+            if is_busy and self.random.random() < plan.arrivals_per_s * STEP_S:
+                self.arrive(self.random.choice(sorted(self.nodes)), False)
+            while self.events and self.events[0][0] <= self.now:
+                _, _, action, arguments = heapq.heappop(self.events)
+                action(*arguments)
+            for name in list(self.nodes):
+                self.read_log(name, start)
+                self.do(name, self.nodes[name].tick(now=self.now))
+        return self
+
+    def begin_crasher(self, fingerprint):
+        hosts = sorted(self.nodes)
+        if not self.plan.is_concurrent:
+            hosts = hosts[:1]
+        for host in hosts:
+            self.arrive(host, True, fingerprint)
+
+    def arrive(self, host, is_crasher, fingerprint=""):
+        if host not in self.nodes:
+            return
+        self.made += 1
+        name = f"c{self.made}"
+        fingerprint = fingerprint or f"f{self.made}"
+        call = Call(name, fingerprint, host, self.now, is_crasher)
+        self.calls[name] = call
+        self.route(call)
+
+    def route(self, call):
+        node = self.nodes[call.host]
+        verdict = node.check(call.fingerprint, now=self.now)
+        if isinstance(verdict, Refuse):
+            self.refuse(call, verdict.refusal)
+        elif isinstance(verdict, MustWait):
+            self.begin_delay(call)
+            actions = node.enter(call.name, call.fingerprint, pool="p", now=self.now)
+            self.do(call.host, actions)
+        else:
+            self.place(call)
+
+    def place(self, call):
+        names = [
+            target.name
+            for target in self.targets.values()
+            if target.back_at <= self.now and not target.reserved_for
+        ]
+        names = self.confine(call, names)
+        together = self.copies.find_target(call.fingerprint)
+        if self.plan.keeps_copies_together and together in names:
+            names = [together]
+        if not names:
+            self.later(0.05, self.retry, call)
+            return
+        self.start(call, self.random.choice(names), "")
+
+    def confine(self, call, names):
+        if not self.plan.pod_targets:
+            return names
+        pod = rank_targets(call.fingerprint, self.targets)[: self.plan.pod_targets]
+        return [name for name in names if name in pod]
+
+    def retry(self, call):
+        if call.name in self.calls and call.host in self.nodes:
+            self.route(call)
+
+    def start(self, call, target, ask):
+        self.end_delay(call)
+        call.run += 1
+        self.targets[target].calls[call.name] = call
+        self.copies.note_granted(call.fingerprint, target)
+        self.nodes[call.host].note_started(
+            call.name, call.fingerprint, target=target, now=self.now, ask=ask
+        )
+        if call.is_crasher:
+            self.later(self.random.uniform(0.02, 0.3), self.crash, call, target)
+        else:
+            duration = self.random.uniform(0.2, 1.0)
+            self.later(duration, self.finish, call, target, call.run)
+
+    def isolate(self, call, verdict):
+        if call.name not in self.calls or call.host not in self.nodes:
+            return
+        alive = [
+            target.name
+            for target in self.targets.values()
+            if target.back_at <= self.now
+            and target.name not in verdict.excluded
+            and target.reserved_for in ("", verdict.ask)
+        ]
+        alive = self.confine(call, alive)
+        ranked = rank_targets(call.fingerprint, alive)
+        held = [name for name in ranked if self.targets[name].reserved_for]
+        chosen = self.targets[(held or ranked)[0]] if ranked else None
+        if chosen is None or chosen.calls:
+            if chosen is not None:
+                chosen.reserved_for = verdict.ask
+            self.later(0.01, self.isolate, call, verdict)
+            return
+        chosen.reserved_for = verdict.ask
+        self.start(call, chosen.name, verdict.ask)
+
+    def crash(self, call, target):
+        if call.name in self.targets[target].calls:
+            self.lost[call.fingerprint] = self.lost.get(call.fingerprint, 0) + 1
+            self.kill(target)
+
+    def kill(self, name):
+        target = self.targets[name]
+        target.back_at = self.now + 30.0
+        target.reserved_for = ""
+        hit = list(target.calls.values())
+        target.calls.clear()
+        for call in hit:
+            self.copies.note_released(call.fingerprint)
+        for host in self.nodes:
+            mine = [call for call in hit if call.host == host]
+            self.later(self.random.uniform(0.001, 0.01), self.learn, host, name, mine)
+
+    def learn(self, host, target, calls):
+        if host not in self.nodes:
+            return
+        domain = self.targets[target].domain
+        self.do(
+            host,
+            self.nodes[host].target_died(
+                target,
+                failure_domain=domain,
+                domain_targets=sum(t.domain == domain for t in self.targets.values()),
+                now=self.now,
+            ),
+        )
+        for call in calls:
+            self.route(call)
+
+    def finish(self, call, target, run):
+        here = self.targets[target].calls
+        if here.get(call.name) is not call or call.run != run:
+            return
+        del here[call.name]
+        self.copies.note_released(call.fingerprint)
+        self.targets[target].reserved_for = ""
+        self.calls.pop(call.name, None)
+        if call.host in self.nodes:
+            actions = self.nodes[call.host].note_finished(call.name, now=self.now)
+            self.do(call.host, actions)
+
+    def refuse(self, call, refusal):
+        self.calls.pop(call.name, None)
+        if not call.is_crasher:
+            if refusal.kind is ErrorKind.QUARANTINED:
+                self.final.append(call)
+            self.end_delay(call)
+            return
+        count = self.repeats[call.fingerprint] = (
+            self.repeats.get(call.fingerprint, 0) + 1
+        )
+        if count <= 2 * self.plan.hosts:
+            host = f"h{count % self.plan.hosts}"
+            self.later(0.001, self.arrive, host, True, call.fingerprint)
+
+    def begin_delay(self, call):
+        if call.delayed_since < 0:
+            call.delayed_since = self.now
+
+    def end_delay(self, call):
+        if call.delayed_since >= 0 and not call.is_crasher:
+            spent = self.now - call.delayed_since
+            self.delays[call.name] = self.delays.get(call.name, 0.0) + spent
+        call.delayed_since = -1.0
+
+    def lose_domain(self, domain):
+        for target in self.targets.values():
+            if target.domain == domain:
+                self.later(self.random.uniform(0, 0.05), self.kill, target.name)
+
+    def lose_host(self, host):
+        del self.nodes[host]
+        self.view.remove(host)
+        for target in self.targets.values():
+            if target.reserved_for.startswith(host + "/"):
+                target.reserved_for = ""
+        self.calls = {n: c for n, c in self.calls.items() if c.host != host}
+
+    def read_log(self, host, start):
+        if self.is_out(start):
+            return
+        for offset in range(self.read[host], len(self.log)):
+            record = decode_record(self.log[offset])
+            actions = self.nodes[host].apply_record(offset, record, now=self.now)
+            self.do(host, actions)
+        self.read[host] = len(self.log)
+
+    def is_out(self, start=50.0):
+        begin, end = self.plan.outage
+        return begin <= self.now - start < end
+
+    def land(self, record):
+        if not self.is_out() and self.random.random() > 0.05:
+            self.log.append(record)
+
+    def deliver(self, recipient, data):
+        if recipient in self.nodes:
+            packet = decode_envelope(data)
+            node = self.nodes[recipient]
+            self.do(
+                recipient,
+                node.handle(packet.message, sender=packet.sender, now=self.now),
+            )
+
+    def do(self, host, actions):
+        for action in actions:
+            if isinstance(action, Append):
+                delay = self.random.uniform(0.005, 0.03)
+                self.later(delay, self.land, encode_record(action.record))
+            elif isinstance(action, Send):
+                if self.random.random() >= self.plan.message_loss:
+                    data = encode_envelope(Packet(host, 0, action.message))
+                    delay = self.random.uniform(0.0005, 0.0015)
+                    self.later(delay, self.deliver, action.recipient, data)
+            elif isinstance(action, Resolve):
+                self.resolve(host, action)
+
+    def resolve(self, host, action):
+        call = self.calls.get(action.ticket)
+        if call is None:
+            return
+        if isinstance(action.value, RequestRefused):
+            self.refuse(call, action.value)
+        elif isinstance(action.value, RunIsolated):
+            self.isolate(call, action.value)
+        else:
+            self.place(call)
+
+    def get_delay(self):
+        """Return the innocents delayed and the seconds that they waited together."""
+        return len(self.delays), sum(self.delays.values())
