Add the operators' commands, inventory files and reference pages

Ruled out: options by inheritance of command classes (the parser's decorator makes them look unfrozen to the type checker; they are destructured instead); an append without reading it back (a lost race or a refused record would look like success); a key as an argument (others on the machine can read it).

Change: one module a command; each append is read back, and repeated where that is harmless, before the command says what became of it (4 conflict, 5 outcome unknown); a small change is published as a delta. Errors in settings name the whole allowed range. Inventories may name a CSV or JSON-lines file of adapters. Routes must name a plain pool. Reference pages are generated and compared in a test.

Conclusion: done but for `status`, whose page the daemon doesn't fill yet.

--- a/src/thornlatch/cli/_main.py
+++ b/src/thornlatch/cli/_main.py
@@ -1,4 +1,4 @@
-"""Root command and exit statuses."""
+"""Root command."""
 
 import sys
 from dataclasses import dataclass
@@ -6,21 +6,23 @@
 import cappa
 
 import thornlatch
+from thornlatch.cli._check import Check
+from thornlatch.cli._docs import Docs
+from thornlatch.cli._exits import EXIT_FAILED, EXIT_OK, get_status
+from thornlatch.cli._groups import Config, HostGroup, KeyGroup, TargetGroup
 from thornlatch.cli._serve import Serve
+from thornlatch.cli._status import Status
 from thornlatch.exceptions import ThornlatchError
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-EXIT_USAGE = 2
-EXIT_INVALID = 3
-
 
 @cappa.command(name="thornlatch", help="Serve many LoRA adapters on few engines.")
 @dataclass(frozen=True)
 class Thornlatch:
     """Root of the command line."""
 
-    command: cappa.Subcommands[Serve]
+    command: cappa.Subcommands[
+        Serve | Check | Config | KeyGroup | TargetGroup | HostGroup | Status | Docs
+    ]
 
 
 def run(arguments: list[str]) -> int:
@@ -33,13 +35,16 @@
     Returns
     -------
     int
-        Exit status: 0 done, 1 failed, 2 wrong usage, 3 invalid input.
+        Exit status: 0 done, 1 failed, 2 wrong usage, 3 invalid input, 4 conflict,
+        5 outcome unknown.
     """
     try:
         result = cappa.invoke(
             Thornlatch, argv=arguments, version=thornlatch.__version__
         )
+    except SystemExit as error:
+        return error.code if isinstance(error.code, int) else EXIT_FAILED
     except ThornlatchError as error:
         sys.stderr.write(error.format() + "\n")
-        return EXIT_INVALID
+        return get_status(error)
     return result if isinstance(result, int) else EXIT_OK
--- /dev/null
+++ b/src/thornlatch/cli/tests/test_docs.py
@@ -0,0 +1,23 @@
+from pathlib import Path
+
+import pytest
+
+from thornlatch.cli import run
+from thornlatch.cli._docs import PAGES
+from thornlatch.cli._exits import EXIT_FAILED, EXIT_OK
+
+REFERENCE = Path(__file__).parents[4] / "docs" / "reference"
+
+
+@pytest.mark.parametrize("name", PAGES)
+def test_committed_page_is_current(name):
+    text = (REFERENCE / name).read_text(encoding="utf-8")
+    assert text == PAGES[name](), "run `thornlatch docs`"
+
+
+def test_docs(tmp_path):
+    directory = ["--directory", str(tmp_path / "reference")]
+    assert run(["docs", "--check", *directory]) == EXIT_FAILED
+    assert not (tmp_path / "reference").exists()
+    assert run(["docs", *directory]) == EXIT_OK
+    assert run(["docs", "--check", *directory]) == EXIT_OK
--- a/src/thornlatch/configuration/__init__.py
+++ b/src/thornlatch/configuration/__init__.py
@@ -36,11 +36,18 @@
     build_snapshot,
     load_snapshot,
 )
-from thornlatch.configuration._tables import Tables, find_changes, to_inventory
+from thornlatch.configuration._tables import (
+    KINDS,
+    Tables,
+    find_changes,
+    get_identity,
+    to_inventory,
+)
 from thornlatch.configuration._validation import build_tables
 from thornlatch.configuration._view import ConfigurationView
 
 __all__ = [
+    "KINDS",
     "STREAM",
     "Adapter",
     "Configuration",
@@ -75,6 +82,7 @@
     "decode_entry",
     "digest_key",
     "find_changes",
+    "get_identity",
     "load_snapshot",
     "to_inventory",
 ]
--- a/src/thornlatch/configuration/_validation.py
+++ b/src/thornlatch/configuration/_validation.py
@@ -165,8 +165,9 @@
 
 @find_problem.register
 def _(item: Route, tables: Tables) -> str:
-    if item.pool not in tables.pools:
-        return f"route {item.path!r} names unknown pool {item.pool!r}"
+    pool = tables.pools.get(item.pool)
+    if pool is None or pool.kind != "plain":
+        return f"route {item.path!r} names {item.pool!r}, not a plain pool"
     if item.is_open and item.organisations:
         return f"route {item.path!r} is open to all and limited to organisations"
     if "//" in item.path or {".", ".."} & set(item.path.split("/")):
--- a/src/thornlatch/configuration/tests/test_state.py
+++ b/src/thornlatch/configuration/tests/test_state.py
@@ -63,7 +63,8 @@
         (change(targets=(replace(ENGINE, address="10.0.0.1:8000"),)), "of 'llm-1'"),
         (change(targets=(replace(ENGINE, address="1.2.3:80"),)), "not ip:port"),
         (change(targets=(replace(ENGINE, address="1.2.3.4:99999"),)), "not ip:port"),
-        (change(routes=(Route("/x", "nope"),)), "unknown pool 'nope'"),
+        (change(routes=(Route("/x", "nope"),)), "'nope', not a plain pool"),
+        (change(routes=(Route("/x", "llm"),)), "'llm', not a plain pool"),
         (change(routes=(Route("/x/../y", "api"),)), "dotted segment"),
         (change(routes=(Route("/x/", "api"),)), "ends with a slash"),
         (
--- a/src/thornlatch/settings/__init__.py
+++ b/src/thornlatch/settings/__init__.py
@@ -1,5 +1,19 @@
-"""Settings of a daemon: one TOML file, one frozen class per slice."""
+"""Settings of a daemon and inventory files: TOML, checked against frozen classes."""
 
-from thornlatch.settings._load import load_settings, parse_table
+from thornlatch.settings._describe import describe_hint
+from thornlatch.settings._inventory_file import (
+    InventoryFile,
+    load_adapters,
+    load_inventory,
+)
+from thornlatch.settings._load import load_settings, parse_table, read_toml
 
-__all__ = ["load_settings", "parse_table"]
+__all__ = [
+    "InventoryFile",
+    "describe_hint",
+    "load_adapters",
+    "load_inventory",
+    "load_settings",
+    "parse_table",
+    "read_toml",
+]
--- /dev/null
+++ b/src/thornlatch/settings/_describe.py
@@ -0,0 +1,86 @@
+"""Allowed types and ranges of settings in words, for errors and the reference."""
+
+import dataclasses
+import re
+from types import NoneType, UnionType
+from typing import Annotated, Any, Literal, get_args, get_origin, get_type_hints
+
+from msgspec import Meta
+
+_BOUNDS = (("gt", ">"), ("ge", ">="), ("lt", "<"), ("le", "<="))
+
+
+def describe_hint(hint: Any) -> str:
+    """Return the allowed type and range of an annotation.
+
+    Parameters
+    ----------
+    hint : object
+        Type annotation, with `msgspec.Meta` for ranges.
+
+    Returns
+    -------
+    str
+        Such as ``float, > 0, <= 30``.
+    """
+    origin = get_origin(hint)
+    if origin is Annotated:
+        inner, *notes = get_args(hint)
+        metas = [note for note in notes if isinstance(note, Meta)]
+        return ", ".join([describe_hint(inner), *map(_describe_meta, metas)])
+    if origin is Literal:
+        return "one of " + ", ".join(f'"{value}"' for value in get_args(hint))
+    if origin is tuple:
+        inner = get_args(hint)[0]
+        if dataclasses.is_dataclass(inner):
+            return f"array of tables ({getattr(inner, '__name__', '')})"
+        return f"array of {describe_hint(inner)}"
+    if origin is UnionType:
+        return " or ".join(map(describe_hint, get_args(hint)))
+    if hint is NoneType:
+        return "nothing"
+    if dataclasses.is_dataclass(hint):
+        return "table"
+    return getattr(hint, "__name__", str(hint))
+
+
+def find_hint(cls: Any, path: str) -> Any:
+    """Return the annotation of a key, or None if there's no such key.
+
+    Parameters
+    ----------
+    cls : type
+        Settings class.
+    path : str
+        Such as ``organisations[0].rate``.
+
+    Returns
+    -------
+    object
+    """
+    hint = cls
+    for part in re.findall(r"[^.\[\]]+|\[[^\]]*\]", path):
+        while get_origin(hint) is Annotated:
+            hint = get_args(hint)[0]
+        if part.startswith("["):
+            hint = (get_args(hint) or (None,))[0]
+        elif dataclasses.is_dataclass(hint):
+            known = get_type_hints(hint, include_extras=True)
+            hint = known.get(part)
+        else:
+            return None
+    return hint
+
+
+def _describe_meta(meta: Meta) -> str:
+    parts = []
+    for name, sign in _BOUNDS:
+        bound = getattr(meta, name)
+        if bound is not None:
+            parts.append(f"{sign} {bound:,}" if bound < 1e9 else f"{sign} {bound:g}")
+    if meta.min_length is not None or meta.max_length is not None:
+        low, high = meta.min_length or 0, meta.max_length
+        parts.append(f"{low} to {high} characters" if high else f"{low}+ characters")
+    if meta.pattern is not None:
+        parts.append(f"matching {meta.pattern}")
+    return ", ".join(parts)
--- /dev/null
+++ b/src/thornlatch/settings/_inventory_file.py
@@ -0,0 +1,196 @@
+"""Loading and checking of inventory files."""
+
+import csv
+import re
+import sys
+from collections.abc import Iterator
+from dataclasses import dataclass, fields
+from pathlib import Path
+from typing import Any
+
+import msgspec
+
+from thornlatch.configuration import (
+    Adapter,
+    Inventory,
+    Key,
+    Organisation,
+    Pool,
+    Route,
+    Store,
+    Target,
+    build_tables,
+)
+from thornlatch.exceptions import InvalidInput, SettingsError
+from thornlatch.settings._describe import describe_hint, find_hint
+from thornlatch.settings._load import load_settings
+
+COLUMNS = tuple(f.name for f in fields(Adapter))
+HINT = "See docs/reference/settings.md."
+
+
+@dataclass(frozen=True)
+class InventoryFile:
+    """Layout of an inventory file: one array of tables per kind.
+
+    Parameters
+    ----------
+    organisations : tuple of Organisation
+    keys : tuple of Key
+    stores : tuple of Store
+    pools : tuple of Pool
+    targets : tuple of Target
+    adapters : tuple of Adapter
+    routes : tuple of Route
+    adapters_file : str
+        CSV file with a header line, or JSON lines (``.jsonl``), of further adapters;
+        relative to the inventory file.
+    """
+
+    organisations: tuple[Organisation, ...] = ()
+    keys: tuple[Key, ...] = ()
+    stores: tuple[Store, ...] = ()
+    pools: tuple[Pool, ...] = ()
+    targets: tuple[Target, ...] = ()
+    adapters: tuple[Adapter, ...] = ()
+    routes: tuple[Route, ...] = ()
+    adapters_file: str = ""
+
+
+def load_inventory(path: Path) -> Inventory:
+    """Read and check an inventory file and the adapters file that it names.
+
+    Parameters
+    ----------
+    path : Path
+
+    Returns
+    -------
+    Inventory
+
+    Raises
+    ------
+    SettingsError
+        Names file, key, value and what is allowed.
+    """
+    content = load_settings(path, InventoryFile)
+    adapters = content.adapters
+    if content.adapters_file:
+        adapters += load_adapters(path.parent / content.adapters_file)
+    parts = {f.name: getattr(content, f.name) for f in fields(Inventory)}
+    inventory = Inventory(**{**parts, "adapters": adapters})
+    try:
+        build_tables(inventory)
+    except InvalidInput as error:
+        raise SettingsError(
+            error.message, context=str(path), hint="Correct the inventory."
+        ) from error
+    return inventory
+
+
+def load_adapters(path: Path) -> tuple[Adapter, ...]:
+    """Read adapters from a CSV or JSON-lines file.
+
+    Parameters
+    ----------
+    path : Path
+
+    Returns
+    -------
+    tuple of Adapter
+
+    Raises
+    ------
+    SettingsError
+        Names file, line, column, value and what is allowed.
+    """
+    read = _iter_json_lines if path.suffix == ".jsonl" else _iter_csv
+    lines: list[int] = []
+    rows: list[dict[str, Any]] = []
+    try:
+        with path.open(encoding="utf-8", newline="") as file:
+            for line, row in read(path, file):
+                _check_columns(path, line, row)
+                lines.append(line)
+                rows.append(row)
+    except OSError as error:
+        raise SettingsError(
+            f"can't read adapters: {error}", context=str(path)
+        ) from error
+    except (UnicodeDecodeError, csv.Error) as error:
+        raise SettingsError(f"not valid text: {error}", context=str(path)) from error
+    try:
+        return msgspec.convert(
+            rows, type=tuple[Adapter, ...], strict=path.suffix == ".jsonl"
+        )
+    except msgspec.ValidationError as error:
+        raise _locate(path, lines, rows, str(error)) from error
+
+
+def _iter_csv(path: Path, file: Any) -> Iterator[tuple[int, dict[str, Any]]]:
+    reader = csv.reader(file, strict=True)
+    header = next(reader, [])
+    if len(set(header)) != len(header):
+        raise SettingsError("a column is named twice", context=f"{path}:1")
+    for cells in reader:
+        if not cells:
+            continue
+        if len(cells) != len(header):
+            raise SettingsError(
+                f"{len(cells)} cells in place of {len(header)}",
+                context=f"{path}:{reader.line_num}",
+                hint="Give one cell per column of the header.",
+            )
+        row = {
+            name: sys.intern(cell)
+            for name, cell in zip(header, cells, strict=True)
+            if cell
+        }
+        yield reader.line_num, row
+
+
+def _iter_json_lines(path: Path, file: Any) -> Iterator[tuple[int, dict[str, Any]]]:
+    for line, text in enumerate(file, start=1):
+        if not text.strip():
+            continue
+        try:
+            row = msgspec.json.decode(text)
+        except (msgspec.DecodeError, RecursionError) as error:
+            raise SettingsError(
+                f"not valid JSON: {error}",
+                context=f"{path}:{line}",
+                hint="Write one JSON object a line.",
+            ) from error
+        if not isinstance(row, dict):
+            raise SettingsError(
+                f"expected an object, got {text.strip():.40}",
+                context=f"{path}:{line}",
+                hint="Write one JSON object a line.",
+            )
+        yield line, row
+
+
+def _check_columns(path: Path, line: int, row: dict[str, Any]) -> None:
+    for name in row.keys() - set(COLUMNS):
+        raise SettingsError(
+            f"unknown key {name!r} with value {row[name]!r:.80}",
+            context=f"{path}:{line}: {name}",
+            note="Known keys here: " + ", ".join(COLUMNS),
+            hint="Correct or remove the key.",
+        )
+
+
+def _locate(
+    path: Path, lines: list[int], rows: list[dict[str, Any]], text: str
+) -> SettingsError:
+    message, _, where = text.partition(" - at ")
+    match = re.match(r"`\$\[(\d+)\](?:\.(\w+))?", where)
+    index = int(match.group(1)) if match else 0
+    column = match.group(2) if match else None
+    value = rows[index].get(column) if column else rows[index]
+    return SettingsError(
+        f"{message}; got {value!r:.200}",
+        context=f"{path}:{lines[index]}" + (f": {column}" if column else ""),
+        note=f"Allowed: {describe_hint(find_hint(Adapter, column))}" if column else "",
+        hint=HINT,
+    )
--- a/src/thornlatch/settings/_load.py
+++ b/src/thornlatch/settings/_load.py
@@ -8,6 +8,7 @@
 import msgspec
 
 from thornlatch.exceptions import SettingsError
+from thornlatch.settings._describe import describe_hint, find_hint
 
 T = TypeVar("T")
 
@@ -31,16 +32,34 @@
     SettingsError
         If the file can't be read or a key, type or value is wrong.
     """
+    return parse_table(read_toml(path), cls, source=str(path))
+
+
+def read_toml(path: Path) -> dict[str, Any]:
+    """Read a TOML file without checking its keys.
+
+    Parameters
+    ----------
+    path : Path
+
+    Returns
+    -------
+    dict
+
+    Raises
+    ------
+    SettingsError
+        If the file can't be read or isn't TOML.
+    """
     try:
         with path.open("rb") as file:
-            table = tomllib.load(file)
+            return tomllib.load(file)
     except OSError as error:
         raise SettingsError(
             f"can't read settings: {error}", context=str(path)
         ) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError) as error:
+    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
         raise SettingsError(f"not valid TOML: {error}", context=str(path)) from error
-    return parse_table(table, cls, source=str(path))
 
 
 def parse_table(table: dict[str, Any], cls: type[T], *, source: str) -> T:
@@ -73,10 +92,16 @@
         raise SettingsError(
             f"{message}; got {_find_value(table, key)!r}",
             context=f"{source}: {key}",
-            hint="See docs/reference/settings.md for the allowed range.",
+            note=_describe_allowed(cls, key),
+            hint="See docs/reference/settings.md.",
         ) from error
 
 
+def _describe_allowed(cls: Any, key: str) -> str:
+    hint = find_hint(cls, key)
+    return f"Allowed: {describe_hint(hint)}" if hint is not None else ""
+
+
 def _refuse_unknown_keys(table: Any, cls: Any, *, path: str, source: str) -> None:
     if get_origin(cls) is tuple and isinstance(table, list):
         for index, item in enumerate(table):
--- a/src/thornlatch/settings/tests/test_load.py
+++ b/src/thornlatch/settings/tests/test_load.py
@@ -2,10 +2,12 @@
 from typing import Annotated
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 from msgspec import Meta
 
 from thornlatch.exceptions import SettingsError
-from thornlatch.settings import load_settings
+from thornlatch.settings import load_settings, parse_table
 
 
 @dataclass(frozen=True)
@@ -41,3 +43,17 @@
     path = tmp_path / "s.toml"
     path.write_text("")
     assert load_settings(path, Outer) == Outer()
+
+
+SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text()
+VALUES = st.recursive(
+    SCALARS, lambda inner: st.lists(inner) | st.dictionaries(st.text(), inner)
+)
+
+
+@given(table=st.dictionaries(st.sampled_from(["inner", "x"]), VALUES))
+def test_parse_table_any_value(table):
+    try:
+        assert isinstance(parse_table(table, Outer, source="s.toml"), Outer)
+    except SettingsError as error:
+        assert "s.toml" in error.format()
