--- a/src/thornlatch/configuration/_slice.py
+++ b/src/thornlatch/configuration/_slice.py
@@ -438,13 +438,14 @@
     def _is_snapshot_due(self, *, now: float) -> bool:
         settings = self.settings
         waited_s = now - (self.snapshot_at if self.snapshot_at is not None else now)
-        backoff_s = self._get_snapshot_turn() * settings.snapshot_backoff_s
-        if waited_s >= settings.snapshot_every_s + backoff_s:
-            return True
         behind = self.state.offset - self.snapshot_offset
-        return behind >= settings.snapshot_every_records and waited_s >= max(
-            backoff_s, settings.snapshot_backoff_s
-        )
+        due_s = settings.snapshot_every_s
+        if behind >= settings.snapshot_every_records:
+            due_s = min(due_s, settings.snapshot_backoff_s)
+        if waited_s < due_s:
+            return False
+        turn = self._get_snapshot_turn()
+        return waited_s >= due_s + turn * settings.snapshot_backoff_s
 
     def _get_snapshot_turn(self) -> int:
         """Return this host's place in the order that the last snapshot gives."""
