--- a/src/thornlatch/cli/tests/test_check.py
+++ b/src/thornlatch/cli/tests/test_check.py
@@ -1,9 +1,13 @@
 from pathlib import Path
 
 import pytest
+from hypothesis import given
+from hypothesis import strategies as st
 
 from thornlatch.cli import run
+from thornlatch.cli._check import check_file
 from thornlatch.cli._exits import EXIT_INVALID, EXIT_OK
+from thornlatch.exceptions import SettingsError
 
 ROOT = Path(__file__).parents[4]
 SETTINGS = """
@@ -60,3 +64,14 @@
     status, out, err = check(path, capsys)
     assert (status, err) == (EXIT_OK, "")
     assert "valid inventory: 5 organisations" in out
+
+
+@given(position=st.integers(0, len(SETTINGS)), text=st.text(max_size=6))
+def test_check_damaged_settings(tmp_path_factory, position, text):
+    path = tmp_path_factory.mktemp("fuzz") / "s.toml"
+    damaged = SETTINGS[:position] + text + SETTINGS[position + len(text) :]
+    path.write_bytes(damaged.encode(errors="replace"))
+    try:
+        assert check_file(path).startswith("valid")
+    except SettingsError as error:
+        assert str(path) in error.format()
--- a/src/thornlatch/configuration/__init__.py
+++ b/src/thornlatch/configuration/__init__.py
@@ -43,6 +43,7 @@
     get_identity,
     to_inventory,
 )
+from thornlatch.configuration._transfer import SnapshotPart, SnapshotQuery
 from thornlatch.configuration._validation import build_tables
 from thornlatch.configuration._view import ConfigurationView
 
@@ -70,6 +71,8 @@
     "Refusal",
     "Removals",
     "Route",
+    "SnapshotPart",
+    "SnapshotQuery",
     "Store",
     "Tables",
     "Target",
--- a/src/thornlatch/configuration/_settings.py
+++ b/src/thornlatch/configuration/_settings.py
@@ -20,6 +20,8 @@
         Seconds between two queries to peers.
     query_peers : int
         Peers asked in each query.
+    catch_up_after_s : float
+        Seconds for which a peer knows more before its snapshot is fetched.
     snapshot_every_s : float
         Seconds between snapshots on the log; far less than the log keeps records.
     snapshot_every_records : int
@@ -32,6 +34,7 @@
     query_after_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.5
     query_interval_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0
     query_peers: Annotated[int, Meta(ge=1, le=64)] = 8
+    catch_up_after_s: Annotated[float, Meta(ge=0.1, le=600)] = 2.0
     snapshot_every_s: Annotated[float, Meta(ge=1, le=604_800)] = 3600.0
     snapshot_every_records: Annotated[int, Meta(ge=10, le=100_000)] = 1000
     snapshot_backoff_s: Annotated[float, Meta(ge=1, le=3600)] = 30.0
--- a/src/thornlatch/configuration/_slice.py
+++ b/src/thornlatch/configuration/_slice.py
@@ -30,6 +30,12 @@
     build_snapshot,
     load_snapshot,
 )
+from thornlatch.configuration._transfer import (
+    SnapshotDownload,
+    SnapshotPart,
+    SnapshotQuery,
+    SnapshotSource,
+)
 from thornlatch.configuration._view import ConfigurationView
 from thornlatch.core import Action, Append, Emit, Event, LeaseReader, Send
 from thornlatch.exceptions import ErrorKind, Execution, InvalidInput, RequestRefused
@@ -88,6 +94,8 @@
         self.view = ConfigurationView(ConfigurationState())
         self.freshness = Freshness(settings, leases, host)
         self.held = HeldRecords()
+        self.source = SnapshotSource(host)
+        self.download = SnapshotDownload(settings)
         self.ended: list[tuple[int, str]] = []
         self.queried_at: float | None = None
         self.query_round = 0
@@ -310,7 +318,7 @@
         return self._handle(message, sender, now)
 
     def tick(self, *, now: float) -> list[Action]:
-        """Ask peers if the log is silent, and write a snapshot if one is due.
+        """Ask peers while the log is silent, and write a snapshot if one is due.
 
         Parameters
         ----------
@@ -324,6 +332,7 @@
         if self.snapshot_at is None:
             self.snapshot_at = now
         actions = self._query_peers(now=now)
+        actions += self._fetch_snapshot(now=now)
         actions += self._write_snapshot(now=now)
         return actions + self._note_freshness(now=now)
 
@@ -340,9 +349,28 @@
 
     @_handle.register
     def _(self, message: OffsetDigest, sender: str, now: float) -> list[Action]:
-        self.freshness.note_digest(message, sender, self.state.offset, now=now)
+        offset = self.state.offset
+        self.freshness.note_digest(message, sender, offset, now=now)
+        self.download.note_digest(sender, message.offset, offset)
         return self._note_freshness(now=now)
 
+    @_handle.register
+    def _(self, message: SnapshotQuery, sender: str, now: float) -> list[Action]:
+        parts = self.source.answer(message, self.state)
+        return [Send(sender, part) for part in parts]
+
+    @_handle.register
+    def _(self, message: SnapshotPart, sender: str, now: float) -> list[Action]:
+        offset = self.state.offset
+        try:
+            snapshot, actions = self.download.add(message, sender, offset, now=now)
+        except InvalidInput as error:
+            detail = {"peer": sender, "reason": error.message}
+            return [Emit(Event("configuration.snapshot_refused", detail=detail))]
+        if snapshot is None:
+            return actions
+        return actions + self.apply_snapshot(snapshot, now=now)
+
     def _apply(self, offset: int, record: Record, *, now: float) -> list[Action]:
         before = self.state
         after = apply_record(before, offset, record)
@@ -414,6 +442,11 @@
         query = OffsetQuery(self.state.offset, now)
         return [Send(peer, query) for peer in peers]
 
+    def _fetch_snapshot(self, *, now: float) -> list[Action]:
+        offset = self.state.offset
+        is_behind = self.freshness.highest_known > offset
+        return self.download.tick(offset, is_behind=is_behind, now=now)
+
     def _choose_peers(self) -> list[str]:
         """Return the next peers in an order of this host's own."""
         members = (member.host for member in self.leases.iter_members())
