Follow the log through peers in the daemon

Cause: a host cut off from the log alone would stop. Change: the daemon carries out the reads that LogFollower plans, with two threads a stream, and takes tails from peers.

--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -9,11 +9,11 @@
 import logbook
 import waitress
 
-from thornlatch.core import Action, Event
+from thornlatch.core import Action, Event, Slice
 from thornlatch.daemon._app import Application, Pages
 from thornlatch.daemon._control import ControlLoop
 from thornlatch.daemon._journal import Journal, build_handler
-from thornlatch.daemon._log_io import LogAppender, LogReader, decode_page
+from thornlatch.daemon._log_io import LogAppender, LogFollowing, decode_records
 from thornlatch.daemon._metrics import MetricsReporter
 from thornlatch.daemon._node import Node
 from thornlatch.daemon._orders import OrderRunner
@@ -24,13 +24,12 @@
 from thornlatch.daemon._status import build_status
 from thornlatch.daemon._stop import StopSequence
 from thornlatch.exceptions import ErrorKind
-from thornlatch.platform import LogClient, LogPage, PlatformError
+from thornlatch.platform import Delivery, LogClient, LogFollower
 from thornlatch.requests import RetryPolicy
 
 logger = logbook.Logger("thornlatch.daemon")
 
 STREAMS = ("control", "configuration", "claims", "quarantine")
-PAGE_LIMIT = 1000
 
 
 class Daemon:
@@ -90,10 +89,15 @@
             running=self.running,
             pages=Pages(self.get_status, self.is_ready),
         )
-        self.reader = LogReader(
-            self.client, STREAMS, on_page=self._on_page, on_failure=self._on_failure
+        self.reader = LogFollowing(
+            self.client,
+            self._build_follower(),
+            submit=self.control.submit,
+            on_delivery=self._take_delivery,
+            on_failure=self._note_log_failure,
+            iter_peers=lambda: [m.host for m in self.node.leases.iter_members()],
         )
-        self.generation = 0
+        self.control.replace_slices(self.node.host, self._get_slices())
         self.unconfirmed_since: float | None = None
         self.metrics = MetricsReporter(settings.metrics, self)
         self.control.on_tick += [
@@ -119,7 +123,6 @@
             self.stop.install()
             self.executor.submit(self.control.run)
             self.control.submit(lambda now: self.node.membership.open_session(now=now))
-            self.reader.start()
             self.executor.submit(server.run)
             address = self.settings.host.http_address
             self.journal.write(Event("daemon.started", detail={"http": address}))
@@ -177,44 +180,41 @@
         server.close()
         server.task_dispatcher.shutdown(timeout=2)
 
-    def _on_page(
-        self, stream: str, page: LogPage, sent_at: float, generation: int
-    ) -> None:
-        records = decode_page(stream, page)
-        is_end = len(page.records) < PAGE_LIMIT
+    def _build_follower(self) -> LogFollower:
+        return LogFollower(
+            self.settings.slices.follower,
+            STREAMS,
+            host=self.node.host,
+            random=self.random,
+        )
 
-        def apply(now: float) -> list[Action]:
-            if generation != self.generation:
-                return []
-            before = self.node.configuration.state.offset
-            actions = self.node.apply_records(records, now=now)
-            self._connect_members(now)
-            if is_end:
-                actions += self._note_read(stream, page.next_offset, sent_at, now)
-            self._stop_withdrawn(before)
-            return actions
+    def _get_slices(self) -> tuple[Slice, ...]:
+        return (self.reader, *self.node.slices)
 
-        self.control.submit(apply)
+    def _take_delivery(self, delivery: Delivery, now: float) -> list[Action]:
+        before = self.node.configuration.state.offset
+        records = decode_records(delivery.stream, delivery.records)
+        actions = self.node.apply_records(records, now=now)
+        if delivery.tail_sent_at is not None:
+            actions += self._note_read(delivery.stream, delivery.tail_sent_at, now)
+        self._connect_members(now)
+        self._stop_withdrawn(before)
+        return actions
 
-    def _note_read(
-        self, stream: str, next_offset: int, sent_at: float, now: float
-    ) -> list[Action]:
+    def _note_read(self, stream: str, sent_at: float, now: float) -> list[Action]:
         if stream == "control":
             return self.node.membership.note_log_read(sent_at=sent_at, now=now)
         if stream == "configuration":
+            next_offset = self.reader.follower.get_next_offset(stream)
             return self.node.configuration.note_log_read(
                 sent_at=sent_at, now=now, next_offset=next_offset
             )
         return []
 
-    def _on_failure(self, stream: str, error: PlatformError) -> None:
-        logger.warning(
-            "log.read_failed", extra={"stream": stream, "error": error.message}
-        )
-        if stream == "control":
-            self.control.submit(
-                lambda now: self.node.membership.note_log_unavailable(now=now)
-            )
+    def _note_log_failure(self, stream: str, now: float) -> list[Action]:
+        if stream != "control":
+            return []
+        return self.node.membership.note_log_unavailable(now=now)
 
     def _connect_members(self, now: float) -> list[Action]:
         addresses = {m.host: m.address for m in self.node.leases.iter_members()}
@@ -251,10 +251,10 @@
         )
         self.running.stop(ErrorKind.HOST_UNCONFIRMED, lambda one: True)
         self.node = self._build_node()
-        self.generation = self.reader.restart()
+        self.reader.replace_follower(self._build_follower())
         self.handler.host = self.node.host
         self.peers.host = self.node.host
-        self.control.replace_slices(self.node.host, self.node.slices)
+        self.control.replace_slices(self.node.host, self._get_slices())
         self.orders.dispatch = self.node.dispatch
         self.services.node = self.node
         return self.node.membership.open_session(now=now)
--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -1,111 +1,153 @@
 """Threads that read and append to the log on behalf of the control thread."""
 
 import queue
-import threading
 import time
-from collections.abc import Callable
+from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
 from typing import Any
 
 import logbook
 
 from thornlatch.configuration import decode_entry
-from thornlatch.core import decode_record, encode_record
+from thornlatch.core import Action, decode_record, encode_record
 from thornlatch.exceptions import InvalidInput
-from thornlatch.platform import LogClient, LogPage, PlatformError
+from thornlatch.platform import (
+    Delivery,
+    LogClient,
+    LogFollower,
+    LogPage,
+    LogRecord,
+    PlatformError,
+    ReadPlan,
+)
 
 logger = logbook.Logger("thornlatch.log")
 
-RETRY_PAUSE_S = 0.2
 APPEND_BATCH = 500
 CONFIGURATION_STREAM = "configuration"
-ReadCallback = Callable[[str, LogPage, float, int], None]
-FailCallback = Callable[[str, PlatformError], None]
+Submit = Callable[[Callable[[float], list[Action]]], None]
+DeliveryHandler = Callable[[Delivery, float], list[Action]]
 
 
-class LogReader:
-    """Follows streams by long polls, one thread a stream.
+class LogFollowing:
+    """Carries out the reads that a `LogFollower` plans; offers it to the control loop.
+
+    All methods are called by the control thread; reads run in threads of their own.
 
     Parameters
     ----------
     client : LogClient
-    streams : tuple of str
-    on_page : callable
-        Called with stream, page, the time at which the read was sent, and the
-        reader's generation.
+    follower : LogFollower
+    submit : callable
+        Runs a command in the control thread.
+    on_delivery : callable
+        Takes a delivery and `now` and returns actions.
     on_failure : callable
-        Called with stream and error.
+        Takes stream and `now` and returns actions.
+    iter_peers : callable
+        Returns the host ids that may be asked for the log's tail.
     """
 
     def __init__(
         self,
         client: LogClient,
-        streams: tuple[str, ...],
+        follower: LogFollower,
         *,
-        on_page: ReadCallback,
-        on_failure: FailCallback,
+        submit: Submit,
+        on_delivery: DeliveryHandler,
+        on_failure: Callable[[str, float], list[Action]],
+        iter_peers: Callable[[], Sequence[str]],
     ) -> None:
         self.client = client
-        self.on_page = on_page
+        self.follower = follower
+        self.submit = submit
+        self.on_delivery = on_delivery
         self.on_failure = on_failure
-        self.offsets = dict.fromkeys(streams, 0)
-        self.generation = 0
-        self.lock = threading.Lock()
+        self.iter_peers = iter_peers
         self.is_stopping = False
-        self.executor = ThreadPoolExecutor(len(streams), "log-reader")
-
-    def start(self) -> None:
-        """Start one reading thread a stream."""
-        for stream in self.offsets:
-            self.executor.submit(self._follow, stream)
+        self.executor = ThreadPoolExecutor(2 * len(follower.streams), "log-reader")
 
-    def restart(self) -> int:
+    def replace_follower(self, follower: LogFollower) -> None:
         """Read every stream again from its beginning, for a new session.
 
-        Returns
-        -------
-        int
-            Generation of the pages from now on; older ones must be ignored.
+        Parameters
+        ----------
+        follower : LogFollower
         """
-        with self.lock:
-            self.generation += 1
-            self.offsets = dict.fromkeys(self.offsets, 0)
-            return self.generation
+        self.follower = follower
 
     def stop(self) -> None:
-        """Ask the threads to end after their present read."""
+        """Start no further read."""
         self.is_stopping = True
         self.executor.shutdown(wait=False, cancel_futures=True)
 
-    def _follow(self, stream: str) -> None:
-        wait_s = 0.0
-        while not self.is_stopping:
-            with self.lock:
-                offset, generation = self.offsets[stream], self.generation
-            sent_at = time.monotonic()
-            try:
-                page = self.client.read(stream, offset, wait_s=wait_s)
-            except PlatformError as error:
-                self._handle_failure(stream, error, generation)
-                wait_s = 0.0
-                continue
-            self._advance(stream, page.next_offset, generation)
-            self.on_page(stream, page, sent_at, generation)
-            wait_s = self.client.settings.poll_wait_s
-
-    def _advance(self, stream: str, offset: int, generation: int) -> None:
-        with self.lock:
-            if generation == self.generation:
-                self.offsets[stream] = max(self.offsets[stream], offset)
-
-    def _handle_failure(
-        self, stream: str, error: PlatformError, generation: int
-    ) -> None:
-        if error.first_offset is not None:
-            self._advance(stream, error.first_offset, generation)
+    def handle(self, message: Any, *, sender: str, now: float) -> list[Action]:
+        """Handle a question or an answer of a peer."""
+        deliveries, actions = self.follower.handle(message, sender=sender, now=now)
+        for delivery in deliveries:
+            actions += self.on_delivery(delivery, now)
+        return actions
+
+    def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
+        """Ignore records; they come from here."""
+        return []
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Start the reads that are due and ask peers while the log is silent."""
+        if self.is_stopping:
+            return []
+        for stream in self.follower.streams:
+            self._start_read(stream, now)
+        return self.follower.tick(peers=self.iter_peers(), now=now)
+
+    def _start_read(self, stream: str, now: float) -> None:
+        plan = self.follower.plan_read(stream, now=now)
+        if plan is not None and not self.is_stopping:
+            self.executor.submit(self._read, self.follower, plan)
+
+    def _read(self, follower: LogFollower, plan: ReadPlan) -> None:
+        sent_at = time.monotonic()
+        try:
+            page = self.client.read(
+                plan.stream, plan.offset, limit=plan.limit, wait_s=plan.wait_s
+            )
+        except PlatformError as error:
+            self._report_failure(follower, plan, error)
             return
-        self.on_failure(stream, error)
-        time.sleep(RETRY_PAUSE_S)
+        self.submit(lambda now: self._take_page(follower, plan, page, sent_at, now))
+
+    def _take_page(
+        self,
+        follower: LogFollower,
+        plan: ReadPlan,
+        page: LogPage,
+        sent_at: float,
+        now: float,
+    ) -> list[Action]:
+        if follower is not self.follower:
+            return []
+        delivery, actions = follower.note_page(plan, page, sent_at=sent_at, now=now)
+        actions += self.on_delivery(delivery, now)
+        self._start_read(plan.stream, now)
+        return actions
+
+    def _report_failure(
+        self, follower: LogFollower, plan: ReadPlan, error: PlatformError
+    ) -> None:
+        is_trimmed = error.first_offset is not None
+        if not is_trimmed:
+            logger.warning(
+                "log.read_failed",
+                extra={"stream": plan.stream, "error": error.message},
+            )
+
+        def note(now: float) -> list[Action]:
+            if follower is not self.follower:
+                return []
+            follower.note_failure(plan, now=now, first_offset=error.first_offset)
+            return [] if is_trimmed else self.on_failure(plan.stream, now)
+
+        self.submit(note)
 
 
 class LogAppender:
@@ -185,13 +227,13 @@
             )
 
 
-def decode_page(stream: str, page: LogPage) -> list[tuple[int, Any]]:
-    """Decode the records of a page.
+def decode_records(stream: str, records: Iterable[LogRecord]) -> list[tuple[int, Any]]:
+    """Decode records read from a stream.
 
     Parameters
     ----------
     stream : str
-    page : LogPage
+    records : iterable of LogRecord
 
     Returns
     -------
@@ -200,9 +242,9 @@
         the configuration it's an `UnreadableRecord`, which that slice names.
     """
     if stream == CONFIGURATION_STREAM:
-        return [(entry.offset, decode_entry(entry.value)) for entry in page.records]
+        return [(entry.offset, decode_entry(entry.value)) for entry in records]
     decoded: list[tuple[int, Any]] = []
-    for entry in page.records:
+    for entry in records:
         try:
             decoded.append((entry.offset, decode_record(entry.value)))
         except InvalidInput as error:
--- a/src/thornlatch/daemon/_node.py
+++ b/src/thornlatch/daemon/_node.py
@@ -17,6 +17,7 @@
 from thornlatch.leases import LeaseTable
 from thornlatch.membership import Membership, MembershipSettings
 from thornlatch.placement import LoadBudget, PlacementSettings
+from thornlatch.platform import FollowerSettings
 from thornlatch.requests import (
     ClaimTable,
     Quarantine,
@@ -40,6 +41,7 @@
     dispatch : DispatchSettings
     requests : RequestsSettings
     quarantine : QuarantineSettings
+    follower : FollowerSettings
     """
 
     membership: MembershipSettings = field(default_factory=MembershipSettings)
@@ -49,6 +51,7 @@
     dispatch: DispatchSettings = field(default_factory=DispatchSettings)
     requests: RequestsSettings = field(default_factory=RequestsSettings)
     quarantine: QuarantineSettings = field(default_factory=QuarantineSettings)
+    follower: FollowerSettings = field(default_factory=FollowerSettings)
 
 
 class Node:
--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -411,12 +411,19 @@
         ----------
         target : str
         """
-        known = self.node.dispatch.targets.get(target)
+        targets = self.node.dispatch.targets
+        known = targets.get(target)
         failure_domain = known.failure_domain if known is not None else ""
+        domain_targets = sum(
+            other.failure_domain == failure_domain for other in targets.values()
+        )
 
         def tell(now: float) -> list[Action]:
             actions = self.node.quarantine.target_died(
-                target, failure_domain=failure_domain, now=now
+                target,
+                failure_domain=failure_domain,
+                domain_targets=domain_targets,
+                now=now,
             )
             return actions + self.node.dispatch.note_target_failed(target, now=now)
 
--- a/src/thornlatch/platform/_clients.py
+++ b/src/thornlatch/platform/_clients.py
@@ -55,14 +55,11 @@
         ``ip:port`` of the host list; empty if there is none.
     timeout_s : float
         Seconds after which a call without an answer has failed.
-    poll_wait_s : float
-        Seconds that a read of the log's tail waits for a new record.
     """
 
     log: str
     host_list: str = ""
     timeout_s: Annotated[float, Meta(gt=0, le=30)] = 2.0
-    poll_wait_s: Annotated[float, Meta(ge=0, le=10)] = 0.5
 
 
 @dataclass(frozen=True)
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -248,8 +248,13 @@
     if fault == "pause":
         wait_until(lambda: not is_member(addresses[1], "host-0"), what="expulsion")
         fleet.resume("host-0")
-        fleet.wait_ready("host-0")
-        assert complete(addresses[0], 3).status == 200
+        wait_until(
+            lambda: (
+                is_member(addresses[1], "host-0")
+                and complete(addresses[0], 3).status == 200
+            ),
+            what="host-0 to serve under a new session",
+        )
 
 
 def is_member(address, name):
