Carry the view over the log's retention, and test each fault by itself

Cause: the log keeps records for a limited time; a host that starts later would fold a part of the stream and elect itself. Change: ViewRecorded repeats the view; a host that meets a gap is unconfirmed until it has loaded one that covers the gap. Ruled out: re-opening sessions on the log, which loses acknowledgements and ownership epochs. Conclusion: retention no longer ends membership.

--- a/src/thornlatch/leases/tests/directed.py
+++ b/src/thornlatch/leases/tests/directed.py
@@ -1,7 +1,7 @@
 """Schedules that single faults out; each returns its fleet after the last step."""
 
 from thornlatch.leases.tests.fleet import Classes, Faults, Fleet, Host
-from thornlatch.membership import Accused, Expelled
+from thornlatch.membership import Accused, Defended, Expelled
 
 START_S = 4.0
 QUIET = {"loss": 0.0, "duplication": 0.0, "slow": 0.0}
@@ -72,21 +72,25 @@
 def cut_accusers(seed: int, classes: Classes) -> Fleet:
     """Two accusers are cut from the log with the host that they accused."""
     fleet, hosts = start_fleet(seed, 5, classes)
-    accused = hosts[0]
-    fleet.pause(accused, 3.0)
-    while len({record.by for record in fleet.read_records(Accused)}) < 3:
-        fleet.run(0.02)
-        if fleet.time > 20 * START_S:
-            raise AssertionError("the paused host was not accused")
-    accusers = {record.by for record in fleet.read_records(Accused)}
-    part = [accused, *(h for h in hosts if h.name in sorted(accusers)[:2])]
-    rest = [host for host in hosts if host not in part]
+    accused, accusers, rest = hosts[0], hosts[1:3], hosts[3:]
+    part = [accused, *accusers]
+    fleet.cut([accused], accusers)
+    while len(fleet.read_records(Accused)) < 2 or not _have_read_all(fleet, part):
+        fleet.run(0.01)
+        if fleet.time > 20 * START_S or fleet.read_records(Defended):
+            raise AssertionError("the host was not accused, or defended itself early")
     fleet.cut_log(part)
+    fleet.faults.cut_links.clear()
     fleet.cut(part, rest)
     fleet.run(8.0)
     return fleet
 
 
+def _have_read_all(fleet: Fleet, hosts: list[Host]) -> bool:
+    last = len(fleet.log) - 1
+    return all(host.membership.view.offset == last for host in hosts)
+
+
 DIRECTED = {
     "ghosts_uncounted": cut_majority_from_log,
     "joiner_votes": join_beside_cut_majority,
--- a/src/thornlatch/leases/tests/fleet.py
+++ b/src/thornlatch/leases/tests/fleet.py
@@ -27,6 +27,7 @@
     order_limit_s=0.4,
     outage_limit_s=15.0,
     acknowledge_s=4.0,
+    record_view_s=4.0,
 )
 FOLLOWER = FollowerSettings(poll_wait_s=0.1, overdue_s=0.5, answer_s=0.4)
 KEYS = tuple(f"pool:{n}" for n in range(6))
@@ -115,6 +116,10 @@
         if page is None:
             self.follower.note_failure(plan, now=now)
             return
+        if plan.offset < page.first_offset:
+            first = page.first_offset
+            self.follower.note_failure(plan, now=now, first_offset=first)
+            return
         delivery, actions = self.follower.note_page(
             plan, page, sent_at=sent_at, now=now
         )
@@ -124,6 +129,11 @@
     def deliver(self, deliveries: list[Delivery]) -> None:
         now = self.now()
         for delivery in deliveries:
+            if delivery.gap_until is not None:
+                first = delivery.gap_until
+                self.carry_out(
+                    self.membership.note_log_gap(first_offset=first, now=now)
+                )
             for entry in delivery.records:
                 record = decode_record(entry.value)
                 self.carry_out(
@@ -175,6 +185,7 @@
         self.heap: list[tuple[float, int, Callable[[], None]]] = []
         self.hosts: dict[str, Host] = {}
         self.log: list[Any] = []
+        self.first_offset = 0
         self.history = History(self.settings)
         self.incarnations = itertools.count(1)
         self.sent_count = 0
@@ -249,6 +260,12 @@
         """Cut hosts from the log."""
         self.faults.cut_from_log |= {host.name for host in hosts}
 
+    def trim_log(self) -> None:
+        """Drop all records before the last recorded view but one."""
+        kinds = [value["kind"] for value in self.log]
+        views = [n for n, kind in enumerate(kinds) if kind == "ViewRecorded"]
+        self.first_offset = views[-2] if len(views) > 1 else 0
+
     def read_records(self, kind: type) -> list[Any]:
         """Return the records of one kind on the log."""
         records = map(decode_record, self.log)
@@ -290,7 +307,7 @@
                 LogRecord(plan.offset + index, 0.0, value)
                 for index, value in enumerate(values)
             )
-            page = LogPage(records, plan.offset + len(records), 0)
+            page = LogPage(records, plan.offset + len(records), self.first_offset)
         delay = 0.005 + 0.05 * self.random.random()
         if self.random.random() < self.faults.slow:
             delay = 1.5 * self.random.random()
--- a/src/thornlatch/leases/tests/schedules.py
+++ b/src/thornlatch/leases/tests/schedules.py
@@ -74,7 +74,9 @@
         host = random.choice(rest)
         fleet.close_host(host)
         fleet.schedule(3.0, lambda: fleet.crash(host))
-    elif choice < 0.75 and rest:
+    elif choice < 0.65:
+        fleet.trim_log()
+    elif choice < 0.8 and rest:
         fleet.pause(random.choice(rest), random.choice([0.7, 2.0, 4.0]))
 
 
@@ -157,6 +159,12 @@
         fleet.faults.cut_from_log |= part
 
 
+def trim(fleet: Fleet, random: Random) -> None:
+    """Let the log's retention end for old records, and a host start."""
+    fleet.trim_log()
+    join(fleet, random)
+
+
 FAULTS = (
     crash,
     join,
@@ -171,6 +179,7 @@
     cut_pair,
     partition,
     partition,
+    trim,
 )
 
 
--- a/src/thornlatch/membership/__init__.py
+++ b/src/thornlatch/membership/__init__.py
@@ -11,6 +11,7 @@
     SessionClosed,
     SessionOpened,
     ViewAcknowledged,
+    ViewRecorded,
 )
 from thornlatch.membership._settings import MembershipSettings
 from thornlatch.membership._view import Accusation, Departure, ViewFold, Wait
@@ -31,5 +32,6 @@
     "SessionOpened",
     "ViewAcknowledged",
     "ViewFold",
+    "ViewRecorded",
     "Wait",
 ]
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -14,6 +14,7 @@
 from thornlatch.membership._confirmation import Confirmation
 from thornlatch.membership._messages import Heartbeat, HeartbeatAnswer
 from thornlatch.membership._peers import choose_watched
+from thornlatch.membership._recorded import ViewLoader, record_state
 from thornlatch.membership._records import (
     CONTROL_STREAM,
     Accused,
@@ -23,6 +24,7 @@
     SessionClosed,
     SessionOpened,
     ViewAcknowledged,
+    ViewRecorded,
 )
 from thornlatch.membership._settings import MembershipSettings
 from thornlatch.membership._suspicion import PeerWatch
@@ -31,7 +33,7 @@
 from thornlatch.membership._waits import Waits
 
 RETRY_S = 1.0
-REMOVAL_STAGGER_S = 2.0
+RANK_STAGGER_S = 2.0
 ACKNOWLEDGEMENTS_PER_S = 100.0
 ISOLATED_FACTOR = 3.0
 HINTED_FACTOR = 0.5
@@ -71,6 +73,11 @@
         self.watch = PeerWatch(settings.suspect_s)
         self.accuser = Accuser(host)
         self.waits = Waits(settings)
+        self.loader = ViewLoader()
+        self.loaded_at = -math.inf
+        self.view_recorded_at: float | None = None
+        self.was_member = False
+        self.watched_for: tuple[int, frozenset[str]] | None = None
         self.timers = RetryTimers(RETRY_S)
         self.is_opening = False
         self.is_closing = False
@@ -95,7 +102,8 @@
     @property
     def is_expelled(self) -> bool:
         """Whether others ended this session; the process needs a new host id."""
-        return self.host in self.view.departed and not self.is_closing
+        is_gone = self.was_member and not self.is_member
+        return (is_gone or self.host in self.view.departed) and not self.is_closing
 
     def is_confirmed(self, *, now: float) -> bool:
         """Return whether this host may use its rights at `now`.
@@ -109,7 +117,7 @@
         -------
         bool
         """
-        if self.is_closing or not self.is_member:
+        if self.is_closing or not self.is_member or self.loader.is_loading:
             return False
         return self.confirmation.is_confirmed(self.view, now=now)
 
@@ -125,6 +133,8 @@
 
     def is_past_takeover(self, *, now: float) -> bool:
         """Return whether orders of owners that acknowledged this host have ended."""
+        if now < self.loaded_at + self.settings.fast_wait_s:
+            return False
         return self.act_from is not None and now >= self.act_from
 
     def iter_waiting(self, *, now: float) -> Iterator[Departure]:
@@ -180,6 +190,26 @@
         self.confirmation.note_read(sent_at=sent_at)
         return self._report_confirmation(now)
 
+    def note_log_gap(self, *, first_offset: int, now: float) -> list[Action]:
+        """Note that the log keeps no records before `first_offset` any more.
+
+        The view is then loaded from the next `ViewRecorded` that covers the gap;
+        until then this host is not confirmed.
+
+        Parameters
+        ----------
+        first_offset : int
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        self._note_time(now)
+        if first_offset > self.view.offset + 1:
+            self.loader.start(first_offset)
+        return self._report_confirmation(now)
+
     def note_log_unavailable(self, *, now: float) -> list[Action]:
         """Note that the log answers neither this host nor its peers.
 
@@ -238,7 +268,7 @@
         list of Action
         """
         self._note_time(now)
-        if self.is_closing or not self.is_member:
+        if self.is_closing or not self.is_member or self.loader.is_loading:
             return []
         return self._handle(message, sender, now)
 
@@ -256,8 +286,13 @@
         list of Action
         """
         self._note_time(now)
+        if self.loader.is_loading:
+            return self._load(offset, record, now)
         if not self.view.apply(offset, record):
             return []
+        self.was_member = self.was_member or self.is_member
+        if isinstance(record, ViewRecorded):
+            self.view_recorded_at = now
         self.waits.update(self.view, now=now)
         self._note_established(now)
         for host in self.accuser.update(self.view, now=now):
@@ -282,7 +317,7 @@
         self._note_time(now)
         if self.is_closing:
             return self._close(now)
-        if not self.is_member:
+        if not self.is_member or self.loader.is_loading:
             return self._open(now)
         actions = [*self._send_heartbeats(now)]
         if self._is_log_usable(now):
@@ -291,6 +326,7 @@
             actions += self._accuse(now)
             actions += self._expel(now)
             actions += self._remove(now)
+            actions += self._record_view(now)
         return actions + self._report_confirmation(now)
 
     @singledispatchmethod
@@ -402,9 +438,31 @@
             actions += self._append(f"expel {host}", record, now)
         return actions
 
+    def _load(self, offset: int, record: Any, now: float) -> list[Action]:
+        replayed = self.loader.load(offset, record, self.view)
+        if replayed:
+            self.loaded_at = now
+        return [
+            action
+            for earlier_offset, earlier in replayed
+            for action in self.apply_record(earlier_offset, earlier, now=now)
+        ]
+
+    def _record_view(self, now: float) -> list[Action]:
+        if self.view_recorded_at is None:
+            self.view_recorded_at = now
+        rank = list(self.view.members).index(self.host)
+        due_s = self.settings.record_view_s + rank * RANK_STAGGER_S
+        if now - self.view_recorded_at < due_s:
+            return []
+        record = ViewRecorded(self.host, self.view.offset, record_state(self.view))
+        return self._append("record view", record, now)
+
     def _remove(self, now: float) -> list[Action]:
+        if not self.waits.waiting:
+            return []
         rank = list(self.view.members).index(self.host)
-        overdue_s = rank * REMOVAL_STAGGER_S
+        overdue_s = rank * RANK_STAGGER_S
         actions: list[Action] = []
         for host in self.waits.iter_elapsed(overdue_s=overdue_s, now=now):
             record = HostRemoved(host, self.host)
@@ -447,6 +505,13 @@
             return
         for host in [h for h, until in self.probed_until.items() if until <= now]:
             del self.probed_until[host]
+        self.joined_at = {
+            joiner: self.joined_at.get(joiner, now) for joiner in self.view.awaiting
+        }
+        chosen_for = (self.view.version, frozenset(self.probed_until))
+        if chosen_for == self.watched_for:
+            return
+        self.watched_for = chosen_for
         watched = choose_watched(
             self.host,
             self.view,
@@ -454,9 +519,6 @@
             probed=self.probed_until,
         )
         self.watch.set_watched(watched, now=now)
-        self.joined_at = {
-            joiner: self.joined_at.get(joiner, now) for joiner in self.view.awaiting
-        }
 
     def _note_established(self, now: float) -> None:
         offset = self.view.established.get(self.host)
--- a/src/thornlatch/membership/_peers.py
+++ b/src/thornlatch/membership/_peers.py
@@ -1,5 +1,6 @@
 """Which members a host sends heartbeats to, bounded in large fleets."""
 
+import functools
 import hashlib
 from collections.abc import Iterable
 
@@ -50,6 +51,7 @@
     return {name for _, name in ring[:count]}
 
 
+@functools.lru_cache(maxsize=4096)
 def _get_position(host: str) -> int:
     digest = hashlib.blake2b(host.encode(), digest_size=8).digest()
     return int.from_bytes(digest)
--- /dev/null
+++ b/src/thornlatch/membership/_recorded.py
@@ -0,0 +1,139 @@
+"""The view as a record, for hosts that start after older records are gone."""
+
+from typing import Any
+
+from thornlatch.core import Member
+from thornlatch.membership._records import MemberState, ViewRecorded, ViewState
+from thornlatch.membership._view import Accusation, Departure, ViewFold, Wait
+
+
+def record_state(view: ViewFold) -> ViewState:
+    """Return the whole state of `view`.
+
+    Parameters
+    ----------
+    view : ViewFold
+
+    Returns
+    -------
+    ViewState
+    """
+    return ViewState(
+        view.electorate_offset,
+        [_record_member(view, member) for member in view.members.values()],
+        list(view.voters.items()),
+        sorted(view.ghosts),
+        [
+            (a.host, a.by, a.offset, a.view_offset)
+            for open_ in view.accusations.values()
+            for a in open_.values()
+        ],
+        [
+            (d.host, d.offset, d.established_offset, d.wait.value)
+            for d in view.departures
+        ],
+        [(host, wait.value) for host, wait in view.departed.items()],
+        list(view.removed),
+    )
+
+
+def load_state(view: ViewFold, offset: int, state: ViewState) -> None:
+    """Replace the whole state of `view`.
+
+    Parameters
+    ----------
+    view : ViewFold
+    offset : int
+        Offset that `state` covers.
+    state : ViewState
+    """
+    view.offset = offset
+    view.version += 1
+    view.electorate_offset = state.electorate_offset
+    _load_members(view, state.members)
+    view.voters = dict(state.voters)
+    view.ghosts = set(state.ghosts)
+    view.accusations = {}
+    for host, by, first, newest in state.accusations:
+        open_ = view.accusations.setdefault(host, {})
+        open_[by] = Accusation(host, by, first, newest)
+    view.departures = [
+        Departure(host, at, established, Wait(wait))
+        for host, at, established, wait in state.departures
+    ]
+    view.departed = {host: Wait(wait) for host, wait in state.departed}
+    view.removed = dict.fromkeys(state.removed)
+
+
+class ViewLoader:
+    """Keeps records after a gap until a recorded view covers the gap."""
+
+    def __init__(self) -> None:
+        self.first_offset = 0
+        self.is_loading = False
+        self.kept: list[tuple[int, Any]] = []
+
+    def start(self, first_offset: int) -> None:
+        """Begin to wait for a recorded view.
+
+        Parameters
+        ----------
+        first_offset : int
+            Oldest offset of the control stream that can be read.
+        """
+        self.first_offset = first_offset
+        self.is_loading = True
+        self.kept = []
+
+    def load(self, offset: int, record: Any, view: ViewFold) -> list[tuple[int, Any]]:
+        """Keep a record, or load the view that it repeats.
+
+        Parameters
+        ----------
+        offset : int
+        record : object
+        view : ViewFold
+            Its state is replaced once a record covers the gap.
+
+        Returns
+        -------
+        list of (int, object)
+            The records to apply to the loaded view, this one included; empty while
+            there is none.
+        """
+        self.kept.append((offset, record))
+        if not isinstance(record, ViewRecorded):
+            return []
+        if record.view_offset + 1 < self.first_offset or record.view_offset >= offset:
+            return []
+        load_state(view, record.view_offset, record.state)
+        kept, self.kept, self.is_loading = self.kept, [], False
+        return kept
+
+
+def _record_member(view: ViewFold, member: Member) -> MemberState:
+    host = member.host
+    return MemberState(
+        host,
+        member.address,
+        member.failure_domain,
+        member.offset,
+        view.acknowledged[host],
+        view.established.get(host, -1),
+        view.fences.get(host, -1),
+        sorted(view.awaiting.get(host, ())),
+    )
+
+
+def _load_members(view: ViewFold, members: list[MemberState]) -> None:
+    view.members = {
+        m.host: Member(m.host, m.address, m.failure_domain, m.offset) for m in members
+    }
+    view.acknowledged = {m.host: m.acknowledged for m in members}
+    view.fences = {m.host: m.fence for m in members if m.fence >= 0}
+    pending = [m for m in members if m.established < 0]
+    view.awaiting = {m.host: set(m.awaiting) for m in pending}
+    done = sorted(
+        (m for m in members if m.established >= 0), key=lambda m: m.established
+    )
+    view.established = {m.host: m.established for m in done}
--- a/src/thornlatch/membership/_records.py
+++ b/src/thornlatch/membership/_records.py
@@ -125,6 +125,90 @@
     by: str
 
 
+@dataclass(frozen=True)
+class ViewState:
+    """The whole view at an offset, as tables in the order in which they grew.
+
+    Parameters
+    ----------
+    electorate_offset : int
+        Offset of the last change of the voters.
+    members : list of MemberState
+        Sessions in log order.
+    voters : list of tuple of str
+        Host id and failure domain of each voter, ghosts included.
+    ghosts : list of str
+        Slowly expelled voters that may still support others.
+    accusations : list of tuple
+        Host, accuser, offset and view offset.
+    departures : list of tuple
+        Host, offset, established offset and kind of wait.
+    departed : list of tuple of str
+        Host id and kind of wait.
+    removed : list of str
+        Departed hosts that can act no more.
+    """
+
+    electorate_offset: int
+    members: list["MemberState"]
+    voters: list[tuple[str, str]]
+    ghosts: list[str]
+    accusations: list[tuple[str, str, int, int]]
+    departures: list[tuple[str, int, int, str]]
+    departed: list[tuple[str, str]]
+    removed: list[str]
+
+
+@dataclass(frozen=True)
+class MemberState:
+    """One session in a `ViewState`.
+
+    Parameters
+    ----------
+    host : str
+    address : str
+    failure_domain : str
+    offset : int
+        Offset of the record that opened the session.
+    acknowledged : int
+        Greatest view offset that the host acknowledged.
+    established : int
+        Offset at which the host could first own keys; -1 if it can't yet.
+    fence : int
+        Offset of the host's last defence; -1 if there is none.
+    awaiting : list of str
+        Members that have not acknowledged the join.
+    """
+
+    host: str
+    address: str
+    failure_domain: str
+    offset: int
+    acknowledged: int
+    established: int
+    fence: int
+    awaiting: list[str]
+
+
+@register
+@dataclass(frozen=True)
+class ViewRecorded:
+    """Repeats the view, for hosts that start after older records are gone.
+
+    Parameters
+    ----------
+    host : str
+        Host that wrote the record.
+    view_offset : int
+        Offset up to which `state` covers the control stream.
+    state : ViewState
+    """
+
+    host: str
+    view_offset: int
+    state: ViewState
+
+
 Record = (
     SessionOpened
     | SessionClosed
@@ -133,4 +217,5 @@
     | Expelled
     | ViewAcknowledged
     | HostRemoved
+    | ViewRecorded
 )
--- a/src/thornlatch/membership/_view.py
+++ b/src/thornlatch/membership/_view.py
@@ -1,7 +1,7 @@
 """The view: a pure fold of stream ``control``, equal on all hosts at an offset."""
 
 from collections.abc import Iterator
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from enum import Enum
 from functools import singledispatchmethod
 from typing import Any
@@ -18,7 +18,7 @@
     ViewAcknowledged,
 )
 
-DEPARTED_IDS_KEPT = 65_536
+DEPARTED_IDS_KEPT = 4096
 
 
 class Wait(Enum):
@@ -92,7 +92,8 @@
         self.established: dict[str, int] = {}
         self.departures: list[Departure] = []
         self.departed: dict[str, Wait] = {}
-        self.removed: set[str] = set()
+        self.removed: dict[str, None] = {}
+        self.version = 0
 
     def apply(self, offset: int, record: Any) -> bool:
         """Apply one record of the control stream.
@@ -171,6 +172,7 @@
             record.host, record.address, record.failure_domain, offset
         )
         self.acknowledged[record.host] = -1
+        self.version += 1
         self._establish(offset)
         self._elect_first(offset)
 
@@ -228,7 +230,13 @@
             self.ghosts.discard(record.host)
             self._remove_voter(record.host, offset)
         if record.host in self.departed:
-            self.removed.add(record.host)
+            self.removed[record.host] = None
+            self.departures = [
+                replace(departure, wait=Wait.NONE)
+                if departure.host == record.host
+                else departure
+                for departure in self.departures
+            ]
 
     def _is_valid_accusation(self, record: Accused, offset: int) -> bool:
         host, by = record.host, record.by
@@ -245,6 +253,7 @@
 
     def _depart(self, host: str, offset: int, wait: Wait) -> None:
         member = self.members.pop(host)
+        self.version += 1
         established = self.established.pop(member.host, -1)
         self.departures.append(Departure(host, offset, established, wait))
         self.departed[host] = wait
@@ -295,13 +304,18 @@
 
     def _add_voter(self, member: Member, offset: int) -> None:
         self.voters[member.host] = member.failure_domain
+        self.version += 1
         self.electorate_offset = offset
 
     def _compact(self) -> None:
         """Drop departures that no current ownership can have followed."""
         oldest = min(self.established.values(), default=-1)
-        self.departures = [d for d in self.departures if d.offset >= oldest]
+        self.departures = [
+            departure
+            for departure in self.departures
+            if departure.offset >= oldest or departure.wait is Wait.SLOW
+        ]
         while len(self.departed) > DEPARTED_IDS_KEPT:
             oldest_id = next(iter(self.departed))
             del self.departed[oldest_id]
-            self.removed.discard(oldest_id)
+            self.removed.pop(oldest_id, None)
--- /dev/null
+++ b/src/thornlatch/membership/tests/test_view.py
@@ -0,0 +1,212 @@
+"""The fold of the control stream, record by record."""
+
+import pytest
+from hypothesis import given, settings
+from hypothesis import strategies as st
+
+from thornlatch.core import decode_record, encode_record
+from thornlatch.membership import (
+    Accused,
+    Defended,
+    Expelled,
+    HostRemoved,
+    SessionClosed,
+    SessionOpened,
+    ViewAcknowledged,
+    ViewFold,
+    ViewRecorded,
+    Wait,
+)
+from thornlatch.membership._recorded import ViewLoader, record_state
+
+HOSTS = ["a.1", "b.1", "c.1", "d.1", "e.1"]
+
+
+def opened(host):
+    return SessionOpened(host, "10.0.0.1:1", "domain-1")
+
+
+def make_view(count=3):
+    """A view in which the first `count` hosts are voters."""
+    view = ViewFold(voter_limit=15)
+    for host in HOSTS[:count]:
+        view.apply(view.offset + 1, opened(host))
+    for _ in range(count):
+        for host in HOSTS[:count]:
+            add(view, ViewAcknowledged(host, view.offset))
+    assert list(view.voters) == HOSTS[:count]
+    return view
+
+
+def add(view, *records):
+    for record in records:
+        view.apply(view.offset + 1, record)
+    return view
+
+
+AT = make_view().offset
+ACCUSED = Accused("a.1", "b.1", AT)
+
+REPEATED = {
+    "opened": opened("d.1"),
+    "accused": ACCUSED,
+    "closed": SessionClosed("a.1"),
+    "acknowledged": ViewAcknowledged("a.1", 11),
+    "removed": HostRemoved("a.1", "operator"),
+}
+
+
+@pytest.mark.parametrize("name", REPEATED)
+def test_record_repeated(name):
+    once = add(make_view(), REPEATED[name])
+    twice = add(make_view(), REPEATED[name], REPEATED[name])
+    assert record_state(once) == record_state(twice)
+
+
+IGNORED = {
+    "unknown_kind": object(),
+    "opened_after_close": opened("z.1"),
+    "accused_by_itself": Accused("a.1", "a.1", AT),
+    "accused_by_stranger": Accused("a.1", "x.1", AT),
+    "accused_stranger": Accused("x.1", "a.1", AT),
+    "accused_from_the_future": Accused("a.1", "b.1", 99),
+    "accused_before_joining": Accused("a.1", "b.1", -1),
+    "defended_without_accusation": Defended("a.1", AT),
+    "expelled_without_accusation": Expelled("a.1", AT, "b.1"),
+    "acknowledged_by_stranger": ViewAcknowledged("x.1", 3),
+    "closed_by_stranger": SessionClosed("x.1"),
+}
+
+
+@pytest.mark.parametrize("name", IGNORED)
+def test_record_ignored(name):
+    view = add(make_view(), opened("z.1"), SessionClosed("z.1"))
+    before = record_state(view)
+    add(view, IGNORED[name])
+    assert record_state(view) == before
+
+
+def test_offset_read_twice_changes_nothing():
+    view = make_view()
+    assert not view.apply(view.offset, SessionClosed("a.1"))
+    assert "a.1" in view.members
+
+
+def test_expelled_fast_by_majority():
+    view = add(make_view(), Accused("a.1", "b.1", AT))
+    assert "a.1" in view.members
+    add(view, Accused("a.1", "c.1", AT))
+    assert view.departed["a.1"] is Wait.FAST
+    assert list(view.voters) == ["b.1", "c.1"]
+
+
+def test_expelled_slowly_stays_in_the_count():
+    view = make_view()
+    add(view, Accused("a.1", "b.1", view.offset))
+    add(view, Expelled("a.1", view.offset, "b.1"))
+    assert view.departed["a.1"] is Wait.SLOW
+    assert list(view.voters) == ["a.1", "b.1", "c.1"]
+    assert not view.is_voter("a.1")
+    add(view, HostRemoved("a.1", "b.1"))
+    assert list(view.voters) == ["b.1", "c.1"]
+
+
+def test_defence_voids_records_sent_before_it():
+    view = make_view()
+    sent = Accused("a.1", "b.1", view.offset)
+    add(view, sent)
+    add(view, Defended("a.1", view.offset), sent)
+    assert view.find_accusation("a.1", "b.1") is None
+    add(view, Accused("a.1", "b.1", view.offset))
+    assert view.find_accusation("a.1", "b.1") is not None
+
+
+def test_defence_late_repeat_clears_nothing():
+    view = make_view()
+    add(view, Accused("a.1", "b.1", view.offset))
+    defence = Defended("a.1", view.offset)
+    add(view, defence)
+    add(view, Accused("a.1", "b.1", view.offset), defence)
+    assert view.find_accusation("a.1", "b.1") is not None
+
+
+def test_accusations_count_only_after_last_change_of_voters():
+    view = make_view(5)
+    at = view.offset
+    add(view, Accused("a.1", "b.1", at), Accused("a.1", "c.1", at))
+    add(view, SessionClosed("e.1"), Accused("a.1", "d.1", at))
+    assert "a.1" in view.members
+    at = view.offset
+    for host in ("b.1", "c.1", "d.1"):
+        add(view, Accused("a.1", host, at))
+    assert view.departed["a.1"] is Wait.FAST
+
+
+def test_joiner_votes_after_majority_of_acknowledgements():
+    view = add(make_view(), opened("d.1"))
+    joined = view.offset
+    add(view, ViewAcknowledged("a.1", joined))
+    assert "d.1" not in view.voters
+    add(view, ViewAcknowledged("b.1", joined))
+    assert "d.1" in view.voters
+
+
+def test_joiners_become_voters_one_at_a_time():
+    view = add(make_view(), opened("d.1"), opened("e.1"))
+    joined = view.offset
+    for host in ("a.1", "b.1", "c.1"):
+        add(view, ViewAcknowledged(host, joined))
+    assert len(view.voters) == 4
+
+
+def test_voters_bounded():
+    view = ViewFold(voter_limit=2)
+    add(view, *map(opened, HOSTS))
+    for _ in range(5):
+        for host in HOSTS:
+            add(view, ViewAcknowledged(host, view.offset))
+    assert len(view.voters) == 2
+
+
+host_names = st.sampled_from(HOSTS)
+offsets = st.integers(-1, 60)
+records = st.one_of(
+    st.builds(opened, host_names),
+    st.builds(SessionClosed, host_names),
+    st.builds(Accused, host_names, host_names, offsets),
+    st.builds(Defended, host_names, offsets),
+    st.builds(Expelled, host_names, offsets, host_names),
+    st.builds(ViewAcknowledged, host_names, offsets),
+    st.builds(HostRemoved, host_names, host_names),
+)
+
+
+@settings(max_examples=60, deadline=None, derandomize=True)
+@given(before=st.lists(records, max_size=30), after=st.lists(records, max_size=20))
+def test_recorded_view_equals_folded_view(before, after):
+    folded = add(ViewFold(voter_limit=4), opened("a.1"), *before)
+    first = folded.offset
+    record = ViewRecorded("a.1", folded.offset, record_state(folded))
+    record = decode_record(encode_record(record))
+    loaded, loader = ViewFold(voter_limit=4), ViewLoader()
+    loader.start(first + 1)
+    replayed = loader.load(first + 1, record, loaded)
+    for offset, item in [*replayed, *enumerate(after, first + 2)]:
+        loaded.apply(offset, item)
+    add(folded, record, *after)
+    assert record_state(loaded) == record_state(folded)
+    assert list(loaded.established) == list(folded.established)
+    assert loaded.offset == folded.offset
+
+
+@pytest.mark.parametrize(
+    ("view_offset", "is_loaded"), [(8, False), (9, True), (11, True), (12, False)]
+)
+def test_recorded_view_must_cover_the_gap(view_offset, is_loaded):
+    loader, view = ViewLoader(), ViewFold(voter_limit=4)
+    loader.start(10)
+    record = ViewRecorded("a.1", view_offset, record_state(make_view()))
+    loader.load(10, SessionClosed("c.1"), view)
+    loader.load(11, SessionClosed("c.1"), view)
+    assert bool(loader.load(12, record, view)) is is_loaded
+    assert loader.is_loading is not is_loaded
--- a/src/thornlatch/platform/_follower.py
+++ b/src/thornlatch/platform/_follower.py
@@ -129,14 +129,14 @@
     tail_sent_at : float or None
         Seconds at which the read of the tail was sent that these records complete;
         None if more may follow.
-    gap_from : int or None
-        First of the offsets before `records` that the log no longer keeps.
+    gap_until : int or None
+        Oldest offset that the log keeps, if records before it were missed.
     """
 
     stream: str
     records: tuple[LogRecord, ...]
     tail_sent_at: float | None = None
-    gap_from: int | None = None
+    gap_until: int | None = None
 
 
 @dataclass
@@ -155,7 +155,7 @@
     next_offset: int = 0
     kept_from: int = 0
     kept: deque[LogRecord] = field(default_factory=deque)
-    gap_from: int | None = None
+    gap_until: int | None = None
     is_reading: bool = False
     read_at: float = -math.inf
     retry_at: float = -math.inf
@@ -246,11 +246,11 @@
         state.is_reading = False
         is_tail = len(page.records) < plan.limit
         records = self._advance(state, plan.offset, page.records, page.next_offset)
-        gap_from, state.gap_from = state.gap_from, None
+        gap_until, state.gap_until = state.gap_until, None
         if is_tail:
             state.tail_read_at = max(state.tail_read_at, sent_at)
         delivery = Delivery(
-            plan.stream, records, sent_at if is_tail else None, gap_from
+            plan.stream, records, sent_at if is_tail else None, gap_until
         )
         return delivery, self._answer_after_read(state, sent_at, is_tail, now)
 
@@ -269,7 +269,7 @@
         state = self.streams[plan.stream]
         state.is_reading = False
         if first_offset is not None and first_offset > state.next_offset:
-            state.gap_from = state.next_offset
+            state.gap_until = first_offset
             state.next_offset = state.kept_from = first_offset
             state.kept.clear()
             return
@@ -363,8 +363,8 @@
         if not records and not message.is_current:
             return []
         sent_at = asked_at if message.is_current else None
-        gap_from, state.gap_from = state.gap_from, None
-        return [Delivery(message.stream, records, sent_at, gap_from)]
+        gap_until, state.gap_until = state.gap_until, None
+        return [Delivery(message.stream, records, sent_at, gap_until)]
 
     def _note_question(
         self, request: LogTailRequest, sender: str, now: float
