--- /dev/null
+++ b/src/thornlatch/timeline/_history.py
@@ -0,0 +1,64 @@
+"""Checks a merged history against all promises."""
+
+from collections.abc import Iterable
+
+from thornlatch.timeline import _fleet_checks as fleet
+from thornlatch.timeline import _names as names
+from thornlatch.timeline import _request_checks as requests
+from thornlatch.timeline._events import LoggedEvent
+from thornlatch.timeline._promises import Check, Violation
+
+CHECKS: tuple[type[Check], ...] = (
+    fleet.AllowanceCheck,
+    fleet.OwnerCheck,
+    fleet.PinCheck,
+    fleet.LeavingCheck,
+    fleet.RevertCheck,
+    fleet.WithdrawnKeyCheck,
+    requests.AtMostOnceCheck,
+    requests.NotRunCheck,
+    requests.VersionCheck,
+    requests.WholeAnswerCheck,
+    requests.PlannedStopCheck,
+    requests.OrganisationCheck,
+    requests.NoKeyCheck,
+)
+
+
+def check_history(
+    events: Iterable[LoggedEvent],
+    allowances: Iterable[tuple[str, float, float]] = (),
+) -> list[Violation]:
+    """Check a history against the promises.
+
+    Parameters
+    ----------
+    events : iterable of LoggedEvent
+        In the order of `merge_events`.
+    allowances : iterable of (str, float, float)
+        Organisation, rate in tokens per second and burst in tokens in force at the
+        beginning, where no event tells them.
+
+    Returns
+    -------
+    list of Violation
+        Ordered by promise; empty if all hold as far as the events show.
+    """
+    checks = [cls() for cls in CHECKS]
+    readers: dict[str, list[Check]] = {}
+    for check in checks:
+        for name in check.names:
+            readers.setdefault(name, []).append(check)
+    for organisation, rate, burst in allowances:
+        detail = {"rate": rate, "burst": burst}
+        checks[0].observe(
+            LoggedEvent(
+                names.ALLOWANCE_IN_FORCE, "", organisation=organisation, detail=detail
+            )
+        )
+    for event in events:
+        for check in readers.get(event.event, ()):
+            check.observe(event)
+    for check in checks:
+        check.finish()
+    return [violation for check in checks for violation in check.violations]
--- /dev/null
+++ b/src/thornlatch/timeline/_request_checks.py
@@ -0,0 +1,177 @@
+"""Checks of runs, refusals, answers and planned stops."""
+
+from thornlatch.timeline import _names as names
+from thornlatch.timeline._events import LoggedEvent
+from thornlatch.timeline._promises import Check, Promise
+
+NOT_RUN = "not-run"
+
+
+class AtMostOnceCheck(Check):
+    """Finds calls that ran twice, for one request or for one idempotency key."""
+
+    promise = Promise.AT_MOST_ONCE
+    names = (names.REQUEST_SENT, names.REQUEST_RUN)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.groups: dict[str, str] = {}
+        self.runs: dict[str, list[LoggedEvent]] = {}
+
+    def observe(self, event: LoggedEvent) -> None:
+        """Collect runs, and requests that may not repeat."""
+        if event.event == names.REQUEST_RUN:
+            self.runs.setdefault(event.request, []).append(event)
+        elif event.detail.get("idempotent") is False:
+            key = event.detail.get("idempotency_key")
+            group = f"{event.organisation}\0{key}" if key else event.request
+            self.groups[event.request] = group
+
+    def finish(self) -> None:
+        """Count the runs of each group; files of targets may have other clocks."""
+        ran: dict[str, list[LoggedEvent]] = {}
+        for request, group in self.groups.items():
+            ran.setdefault(group, []).extend(self.runs.get(request, ()))
+        for runs in ran.values():
+            if len(runs) > 1:
+                requests = ", ".join(sorted({run.request for run in runs}))
+                self.report(requests, f"ran {len(runs)} times", *runs)
+
+
+class NotRunCheck(Check):
+    """Finds requests refused as "not run" that a target ran."""
+
+    promise = Promise.NOT_RUN
+    names = (names.REQUEST_REFUSED, names.REQUEST_RUN)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.refused: dict[str, LoggedEvent] = {}
+        self.ran: dict[str, LoggedEvent] = {}
+
+    def observe(self, event: LoggedEvent) -> None:
+        """Collect refusals and runs."""
+        if event.event == names.REQUEST_RUN:
+            self.ran.setdefault(event.request, event)
+        elif event.detail.get("execution") == NOT_RUN:
+            self.refused[event.request] = event
+
+    def finish(self) -> None:
+        """Compare refusals and runs."""
+        for request in self.refused.keys() & self.ran.keys():
+            run, refused = self.ran[request], self.refused[request]
+            message = f"was refused as not run and ran at {run.target}"
+            self.report(request, message, run, refused)
+
+
+class VersionCheck(Check):
+    """Finds answers of another adapter or version than the requested one."""
+
+    promise = Promise.RIGHT_VERSION
+    names = (names.REQUEST_ANSWERED,)
+
+    def observe(self, event: LoggedEvent) -> None:
+        """Compare the version that answered with the requested one."""
+        version, requested = event.detail.get("version"), event.detail.get("requested")
+        if version != requested:
+            message = f"asked for {requested}, answered by {version}"
+            self.report(event.request, message, event)
+
+
+class WholeAnswerCheck(Check):
+    """Finds streams with gaps, repeats or a missing end."""
+
+    promise = Promise.WHOLE_ANSWER
+    names = (names.TOKENS_PASSED, names.REQUEST_ANSWERED)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.last: dict[tuple[str, str], LoggedEvent] = {}
+
+    def observe(self, event: LoggedEvent) -> None:
+        """Check that tokens go on where the last ones ended."""
+        stream = (event.host, event.request)
+        last = self.last.get(stream)
+        expected = _get_end(last) if last is not None else 0
+        shown = (last, event) if last is not None else (event,)
+        if event.event == names.TOKENS_PASSED:
+            first = event.get_number("first")
+            if first != expected:
+                message = f"token {expected} was due, {first} was passed on"
+                self.report(event.request, message, *shown)
+            self.last[stream] = event
+        elif last is not None and event.detail.get("tokens", expected) != expected:
+            message = f"{expected} of {event.detail['tokens']} tokens were passed on"
+            self.report(event.request, message, *shown)
+
+
+class PlannedStopCheck(Check):
+    """Finds requests that a stopping host left without an end."""
+
+    promise = Promise.PLANNED_STOP
+    names = (
+        names.REQUEST_ACCEPTED,
+        names.REQUEST_ANSWERED,
+        names.REQUEST_REFUSED,
+        names.STOPPED,
+    )
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.open: dict[str, dict[str, LoggedEvent]] = {}
+
+    def observe(self, event: LoggedEvent) -> None:
+        """Follow open requests and judge a stop."""
+        requests = self.open.setdefault(event.host, {})
+        if event.event == names.REQUEST_ACCEPTED:
+            requests[event.request] = event
+        elif event.event == names.STOPPED:
+            for request, accepted in requests.items():
+                message = f"{event.host} stopped without answering"
+                self.report(request, message, accepted, event)
+        else:
+            requests.pop(event.request, None)
+
+
+class OrganisationCheck(Check):
+    """Finds requests that ran for another organisation than their key's."""
+
+    promise = Promise.OWN_ORGANISATION
+    names = (names.REQUEST_ACCEPTED, names.REQUEST_RUN)
+
+    def __init__(self) -> None:
+        super().__init__()
+        self.accepted: dict[str, LoggedEvent] = {}
+        self.ran: dict[str, list[LoggedEvent]] = {}
+
+    def observe(self, event: LoggedEvent) -> None:
+        """Collect acceptances and runs."""
+        if event.event == names.REQUEST_ACCEPTED:
+            self.accepted[event.request] = event
+        elif event.organisation:
+            self.ran.setdefault(event.request, []).append(event)
+
+    def finish(self) -> None:
+        """Compare the organisations of each request."""
+        for request, runs in self.ran.items():
+            accepted = self.accepted.get(request)
+            for run in runs:
+                if accepted and accepted.organisation != run.organisation:
+                    message = f"of {accepted.organisation} ran for {run.organisation}"
+                    self.report(request, message, accepted, run)
+
+
+class NoKeyCheck(Check):
+    """Finds targets that saw a caller's key."""
+
+    promise = Promise.NO_KEY
+    names = (names.REQUEST_RUN,)
+
+    def observe(self, event: LoggedEvent) -> None:
+        """Read what the target says that it saw."""
+        if event.detail.get("has_key"):
+            self.report(event.request, f"{event.target} saw a caller's key", event)
+
+
+def _get_end(event: LoggedEvent) -> float:
+    return event.get_number("first") + event.get_number("count")
