--- a/src/thornlatch/cli/_status.py
+++ b/src/thornlatch/cli/_status.py
@@ -114,6 +114,9 @@
     page = status.page
     readiness = "ready" if page.get("ready") is True else "not ready"
     lines = [f"{status.url}: {page.get('host', '?')}: {readiness}"]
+    if "confirmed" in page:
+        word = "confirmed" if page["confirmed"] is True else "not confirmed"
+        lines.append(f"  session: {word}")
     configuration = page.get("configuration")
     if isinstance(configuration, dict):
         lines += _describe_configuration(configuration)
--- a/src/thornlatch/cli/tests/test_status.py
+++ b/src/thornlatch/cli/tests/test_status.py
@@ -10,6 +10,7 @@
 READY = {
     "host": "a.1",
     "ready": True,
+    "confirmed": True,
     "configuration": {
         "offset": 5,
         "inventory_offset": 3,
@@ -31,12 +32,13 @@
     with serve(json.dumps(READY).encode()) as server:
         assert run(["status", server.address, f"http://{server.address}/"]) == EXIT_OK
     lines = capsys.readouterr().out.splitlines()
-    assert lines[:3] == [
+    assert lines[:4] == [
         f"{server.address}: a.1: ready",
+        "  session: confirmed",
         "  configuration: offset 5, inventory of offset 3, confirmed",
         "  refused: offset 4, KeyIssued: invalid-record: cut",
     ]
-    assert len(lines) == 6
+    assert len(lines) == 8
 
 
 @pytest.mark.parametrize(
--- a/src/thornlatch/configuration/_freshness.py
+++ b/src/thornlatch/configuration/_freshness.py
@@ -120,7 +120,9 @@
         Without an outage, a host among the majority of those that it asked would
         have read the log and so confirm this one or know more.
         """
-        if self.highest_known > offset or not self.leases.is_confirmed(now=now):
+        if offset < 0 or self.highest_known > offset:
+            return False
+        if not self.leases.is_confirmed(now=now):
             return False
         members = self.leases.iter_members()
         if all(member.host == self.host for member in members):
--- a/src/thornlatch/configuration/_slice.py
+++ b/src/thornlatch/configuration/_slice.py
@@ -374,7 +374,8 @@
     def _apply(self, offset: int, record: Record, *, now: float) -> list[Action]:
         before = self.state
         after = apply_record(before, offset, record)
-        if isinstance(record, ConfigurationSnapshot):
+        is_accepted = after.refusals is before.refusals
+        if is_accepted and isinstance(record, ConfigurationSnapshot):
             self._note_snapshot(record.covered_offset, now=now)
         return self._replace(before, after, offset)
 
--- a/src/thornlatch/configuration/tests/test_slice.py
+++ b/src/thornlatch/configuration/tests/test_slice.py
@@ -146,6 +146,12 @@
     assert host.is_fresh(now=3600.0)
 
 
+def test_is_fresh_needs_a_record_in_outage():
+    host = build_host(leases=FakeLeases(("a",)))
+    assert not host.is_fresh(now=0.0)
+    assert refuse(host, KEYS[0], now=0.0) is ErrorKind.HOST_UNCONFIRMED
+
+
 def test_note_log_read_behind(stream):
     host = build_host(leases=FakeLeases(confirmed=False))
     host.note_log_read(sent_at=1.0, now=1.0, next_offset=1)
@@ -292,6 +298,15 @@
     assert times == [100, 130, 160]
 
 
+def test_refused_snapshot_does_not_put_off_the_next(stream):
+    host = build_host(leases=FakeLeases(("a",)), snapshot_every_s=100.0)
+    host.tick(now=0.0)
+    stream.append(ConfigurationSnapshot(0, 0, "h", build_inventory(adapters=1)))
+    read_all(host, stream, now=90.0)
+    assert "differs" in host.get_status(now=90.0).refusals[0].reason
+    assert pick(host.tick(now=100.0), Append)
+
+
 def test_snapshot_not_written_when_stale(stream):
     host = build_host(leases=FakeLeases(("a", "b"), False), snapshot_every_s=1.0)
     read_all(host, stream)
