Make a target's death known before the next attempt

Cause: an innocent stream that ran beside a crashing request was tried again beside it, since its thread looked at the quarantine before the death was noted. Change: the thread waits until the control thread has noted it.

--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -427,7 +427,9 @@
             )
             return actions + self.node.dispatch.note_target_failed(target, now=now)
 
+        # The caller's next look at the quarantine must see its own suspicion.
         self.control.submit(tell)
+        self.run(lambda now: None)
 
     def run(self, command: Callable[[float], T]) -> T:
         """Run a command of a slice in the control thread and return its value.
