--- a/src/thornlatch/admission/__init__.py
+++ b/src/thornlatch/admission/__init__.py
@@ -1,1 +1,16 @@
 """Keys to organisations; rate and burst over the fleet."""
+
+from thornlatch.admission._admission import Admission, Admitted
+from thornlatch.admission._bucket import TokenBucket
+from thornlatch.admission._load_budget import LoadBudget
+from thornlatch.admission._parts import Allowance
+from thornlatch.admission._settings import AdmissionSettings
+
+__all__ = [
+    "Admission",
+    "AdmissionSettings",
+    "Admitted",
+    "Allowance",
+    "LoadBudget",
+    "TokenBucket",
+]
--- /dev/null
+++ b/src/thornlatch/admission/_accounts.py
@@ -0,0 +1,105 @@
+"""What an owner knows of the hosts that hold parts of its key."""
+
+from dataclasses import dataclass
+
+from thornlatch.admission._messages import DemandReport
+from thornlatch.admission._parts import (
+    MICROTOKENS,
+    NOTHING,
+    UNITS,
+    Allowance,
+    Part,
+    compute_depth,
+)
+
+NEED_VALID_S = 0.35
+RECALL_GAP_S = 0.02
+
+
+@dataclass
+class Account:
+    """The owner's knowledge of one host; good for dividing, never for safety.
+
+    Parameters
+    ----------
+    host : str
+        Host id.
+    part : Part
+    level : int
+        Microtokens in the host's bucket at `level_at`.
+    level_at : float
+        Seconds.
+    """
+
+    host: str
+    part: Part = NOTHING
+    level: int = 0
+    level_at: float = 0.0
+    demand: int = 0
+    need: int = 0
+    slots: int = 0
+    need_since: float = 0.0
+    need_at: float = float("-inf")
+    report_number: int = 0
+    answered_number: int = 0
+    recall_number: int = 0
+    recalled_at: float = float("-inf")
+    recalled: Part = NOTHING
+    recalled_level: int = 0
+
+    def apply_report(self, report: DemandReport, *, now: float) -> bool:
+        """Take over a report; return whether it was newer than the last."""
+        if report.number <= self.report_number:
+            return False
+        self.report_number = report.number
+        self.part = report.part
+        self.level = report.level
+        self.level_at = now
+        self.demand = report.demand
+        self.need = report.need
+        self.slots = report.slots
+        self.need_since = now - report.waited_ms / 1000
+        self.need_at = now
+        return True
+
+    def compute_level(self, allowance: Allowance, *, now: float) -> int:
+        """Return the estimated level: last known, plus refill, less demand."""
+        age_s = max(0.0, now - self.level_at)
+        refill = allowance.rate * MICROTOKENS * self.part.rate / UNITS
+        level = self.level + int((refill - self.demand) * age_s)
+        return max(0, min(level, compute_depth(allowance, self.part.depth)))
+
+    def compute_need(self, *, now: float) -> int:
+        """Return the microtokens that waiting requests cost; old news is void."""
+        return self.need if now - self.need_at < NEED_VALID_S else 0
+
+    def compute_wanted_slots(self, *, now: float) -> int:
+        """Return the slots in use and waited for."""
+        return self.slots if now - self.need_at < NEED_VALID_S else 0
+
+    def note_granted(self, part: Part, level: int) -> None:
+        """Count a grant; a need that it covers is served."""
+        self.part += part
+        self.level += level
+        self.answered_number = self.report_number
+        if self.level >= self.need:
+            self.need = 0
+
+    def note_returned(self, part: Part, level: int) -> None:
+        """Count a return, which ends the recall."""
+        self.part -= part
+        self.level = max(0, self.level - level)
+        self.recalled = NOTHING
+        self.recalled_level = 0
+
+    def note_recalled(self, part: Part, level: int, *, now: float) -> None:
+        """Count a recall that was sent."""
+        self.recall_number += 1
+        self.recalled_at = now
+        self.recalled = part
+        self.recalled_level = level
+
+    def is_recalled(self, retry_s: float, *, now: float) -> bool:
+        """Return whether it's too early for another recall."""
+        gap_s = RECALL_GAP_S if self.recalled.is_empty else retry_s
+        return now - self.recalled_at < gap_s
--- /dev/null
+++ b/src/thornlatch/admission/_admission.py
@@ -0,0 +1,317 @@
+"""The admission slice: who may run how many tokens, and how many loads may start.
+
+One control thread touches its state.
+"""
+
+from collections.abc import Mapping
+from dataclasses import dataclass
+from typing import Any
+
+from thornlatch.admission._key_shares import KeyShares
+from thornlatch.admission._load_budget import LoadBudget
+from thornlatch.admission._messages import (
+    DemandAnswer,
+    DemandReport,
+    PeerRequest,
+    ShareInventory,
+    ShareInventoryRequest,
+    ShareMove,
+    ShareMoveAccepted,
+    ShareRecall,
+)
+from thornlatch.admission._parts import MICROTOKENS, Allowance, to_microtokens
+from thornlatch.admission._settings import AdmissionSettings
+from thornlatch.admission._waiting import Waiting, WaitingQueue
+from thornlatch.core import Action, Emit, Event, LeaseReader, Resolve
+from thornlatch.exceptions import ErrorKind, RequestRefused
+
+RETRY_AFTER_MIN_S = 0.05
+RETRY_AFTER_MAX_S = 60.0
+
+MESSAGES = (
+    DemandAnswer,
+    DemandReport,
+    PeerRequest,
+    ShareInventory,
+    ShareInventoryRequest,
+    ShareMove,
+    ShareMoveAccepted,
+    ShareRecall,
+)
+
+
+@dataclass(frozen=True)
+class Admitted:
+    """Says that a request may run.
+
+    Parameters
+    ----------
+    ticket : str
+    organisation : str
+    tokens : float
+        Tokens that were spent for it.
+    serial : int
+        Place in the host's spendings, for `Admission.settle`.
+    """
+
+    ticket: str
+    organisation: str
+    tokens: float
+    serial: int
+
+
+class Admission:
+    """Admits requests within their organisation's rate and burst over the fleet.
+
+    Parameters
+    ----------
+    settings : AdmissionSettings
+    host : str
+        This host's id.
+    leases : LeaseReader
+    """
+
+    def __init__(
+        self, settings: AdmissionSettings, *, host: str, leases: LeaseReader
+    ) -> None:
+        self.settings = settings
+        self.host = host
+        self.leases = leases
+        self.keys: dict[str, KeyShares] = {}
+        self.queues: dict[str, WaitingQueue] = {}
+        self.offset = -1
+        self.is_closed = False
+
+    # Configuration
+
+    def set_allowances(
+        self, allowances: Mapping[str, Allowance], *, offset: int, now: float
+    ) -> None:
+        """Put the organisations' and stores' allowances in force.
+
+        Parameters
+        ----------
+        allowances : mapping of str to Allowance
+            By lease key, ``organisation:<name>`` or ``store:<name>``; a key that is
+            left out has no allowance any more.
+        offset : int
+            Log offset of the configuration; a lower one than in force is ignored.
+        now : float
+            Seconds.
+        """
+        if offset < self.offset:
+            return
+        self.offset = offset
+        for key, allowance in allowances.items():
+            if self.get_shares(key, now=now).allowance != allowance:
+                self.keys[key].set_allowance(allowance, now=now)
+        for key in self.keys.keys() - allowances.keys():
+            self.keys[key].set_allowance(Allowance(), now=now)
+
+    def get_shares(self, key: str, *, now: float) -> KeyShares:
+        """Return the shares of a key, made when it is first named."""
+        shares = self.keys.get(key)
+        if shares is None:
+            shares = KeyShares(key, self.settings, self.host, self.leases, now=now)
+            self.keys[key] = shares
+            if self.is_closed:
+                shares.borrower.close(now=now)
+        return shares
+
+    def get_queue(self, key: str, *, now: float) -> WaitingQueue:
+        """Return the waiting requests of a key."""
+        queue = self.queues.get(key)
+        if queue is None:
+            borrower = self.get_shares(key, now=now).borrower
+            queue = self.queues[key] = WaitingQueue(borrower, self.settings)
+        return queue
+
+    def get_load_budget(self, store: str, *, now: float) -> LoadBudget:
+        """Return the load budget of a weight store."""
+        return LoadBudget(self.get_shares(f"store:{store}", now=now))
+
+    # The slice
+
+    def handle(self, message: Any, *, sender: str, now: float) -> list[Action]:
+        """Handle a message from a peer or from this host itself."""
+        if not isinstance(message, MESSAGES):
+            return []
+        shares = self.get_shares(message.key, now=now)
+        actions = shares.handle(message, sender=sender, now=now)
+        return actions + self.serve(message.key, now=now)
+
+    def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
+        """Ignore records; `set_allowances` brings the configuration."""
+        return []
+
+    def tick(self, *, now: float) -> list[Action]:
+        """Act on the passage of time."""
+        holders = list(self.leases.iter_possible_holders(now=now))
+        peers = [
+            member.host
+            for member in self.leases.iter_members()
+            if member.host != self.host
+        ]
+        actions: list[Action] = []
+        for key, shares in self.keys.items():
+            actions += self.serve(key, now=now)
+            actions += shares.tick(holders, peers, now=now)
+        return actions
+
+    # Requests
+
+    def admit(
+        self,
+        ticket: str,
+        *,
+        organisation: str,
+        tokens: float,
+        deadline: float,
+        now: float,
+    ) -> list[Action]:
+        """Admit a request, now or within the time that it may wait.
+
+        Parameters
+        ----------
+        ticket : str
+            Identifier that comes back in `Resolve`.
+        organisation : str
+        tokens : float
+            Tokens of the prompt plus the most that may be generated.
+        deadline : float
+            Seconds; the answer comes before.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+            A `Resolve` with `Admitted` or `RequestRefused` at once, or messages and
+            later a `Resolve` from another call.
+        """
+        key = f"organisation:{organisation}"
+        shares = self.get_shares(key, now=now)
+        cost = to_microtokens(tokens)
+        if self.is_closed:
+            error = RequestRefused(ErrorKind.HOST_STOPPING, "the host is stopping")
+            return [Resolve(ticket, error)]
+        if not shares.is_configured:
+            message = "the organisation has no allowance"
+            return [Resolve(ticket, RequestRefused(ErrorKind.NOT_ALLOWED, message))]
+        if cost > shares.allowance.depth:
+            message = "the request costs more tokens than its organisation's burst"
+            return [Resolve(ticket, RequestRefused(ErrorKind.RATE_EXCEEDED, message))]
+        shares.borrower.demand.record(cost, now=now)
+        queue = self.get_queue(key, now=now)
+        until = min(now + self.settings.share_wait_s, deadline)
+        queue.append(Waiting(ticket, tokens, cost, now, until))
+        actions = self.serve(key, now=now)
+        if queue.requests and queue.requests[-1].ticket == ticket:
+            actions += shares.report(self.count_members(), now=now)
+        return actions
+
+    def count_members(self) -> int:
+        """Return the number of hosts in the view."""
+        return sum(1 for _ in self.leases.iter_members())
+
+    def serve(self, key: str, *, now: float) -> list[Action]:
+        """Admit and refuse waiting requests of a key."""
+        queue = self.queues.get(key)
+        if queue is None or not queue.requests:
+            return []
+        actions: list[Action] = []
+        is_confirmed = self.leases.is_confirmed(now=now)
+        if is_confirmed:
+            for request in queue.pop_admitted(now=now):
+                actions += self.accept(key, request, now=now)
+            for request in queue.pop_hopeless(now=now):
+                actions.append(self.refuse_rate(queue, request, now=now))
+        for request in queue.pop_expired(now=now):
+            if is_confirmed:
+                actions.append(self.refuse_rate(queue, request, now=now))
+            else:
+                message = "the host can't confirm that it is a member of the fleet"
+                error = RequestRefused(ErrorKind.HOST_UNCONFIRMED, message)
+                actions.append(Resolve(request.ticket, error))
+        return actions
+
+    def accept(self, key: str, request: Waiting, *, now: float) -> list[Action]:
+        """Return the actions for a request whose tokens were spent."""
+        borrower = self.keys[key].borrower
+        organisation = key.partition(":")[2]
+        serial = borrower.holding.bucket.headroom.serial
+        admitted = Admitted(request.ticket, organisation, request.tokens, serial)
+        event = Event(
+            "admission.tokens_spent",
+            request=request.ticket,
+            organisation=organisation,
+            key=key,
+            epoch=borrower.stamp.epoch,
+            detail={
+                "tokens": request.tokens,
+                "round": borrower.stamp.round_number,
+                "waited_s": now - request.since,
+            },
+        )
+        return [Emit(event), Resolve(request.ticket, admitted)]
+
+    def refuse_rate(
+        self, queue: WaitingQueue, request: Waiting, *, now: float
+    ) -> Resolve:
+        """Return the refusal of a request over its organisation's rate."""
+        wait_s = queue.compute_wait(request.cost, now=now)
+        retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
+        message = "the organisation's rate over the fleet is used up"
+        error = RequestRefused(
+            ErrorKind.RATE_EXCEEDED, message, retry_after_s=retry_after_s
+        )
+        return Resolve(request.ticket, error)
+
+    def settle(self, admitted: Admitted, *, used: float, now: float) -> list[Action]:
+        """Give back what an admitted request did not use.
+
+        Parameters
+        ----------
+        admitted : Admitted
+        used : float
+            Tokens of the prompt and those generated.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        key = f"organisation:{admitted.organisation}"
+        shares = self.get_shares(key, now=now)
+        unused = to_microtokens(admitted.tokens) - to_microtokens(used)
+        if unused <= 0:
+            return []
+        bucket = shares.borrower.holding.bucket
+        added = bucket.refund(unused, admitted.serial, now=now)
+        event = Event(
+            "admission.tokens_returned",
+            request=admitted.ticket,
+            organisation=admitted.organisation,
+            key=key,
+            epoch=shares.borrower.stamp.epoch,
+            detail={"tokens": added / MICROTOKENS, "unused": unused / MICROTOKENS},
+        )
+        return [Emit(event), *self.serve(key, now=now)]
+
+    def cancel(self, ticket: str, *, now: float) -> None:
+        """Forget a request that waits; one that was admitted is settled instead."""
+        for queue in self.queues.values():
+            queue.remove(ticket)
+
+    def close(self, *, now: float) -> list[Action]:
+        """Refuse what waits and return all parts, for a graceful stop."""
+        self.is_closed = True
+        actions: list[Action] = []
+        for queue in self.queues.values():
+            for request in queue.drop(list(queue.requests)):
+                error = RequestRefused(ErrorKind.HOST_STOPPING, "the host is stopping")
+                actions.append(Resolve(request.ticket, error))
+        for shares in self.keys.values():
+            actions += shares.borrower.close(now=now)
+        return actions
--- /dev/null
+++ b/src/thornlatch/admission/_borrower.py
@@ -0,0 +1,372 @@
+"""A host's part of one key: spending it, giving it up, asking for more."""
+
+from dataclasses import dataclass
+
+from thornlatch.admission._demand import DemandEstimate
+from thornlatch.admission._holding import Holding
+from thornlatch.admission._messages import (
+    DemandAnswer,
+    DemandReport,
+    Lane,
+    PeerRequest,
+    ShareInventory,
+    ShareInventoryRequest,
+    ShareMove,
+    ShareMoveAccepted,
+    ShareRecall,
+)
+from thornlatch.admission._parts import MICROTOKENS, UNITS, Allowance, Part
+from thornlatch.admission._parts import compute_depth_units as to_depth_units
+from thornlatch.admission._settings import AdmissionSettings
+from thornlatch.admission._transfers import Inbox, Outbox, Stamp
+from thornlatch.core import Action, Send
+
+CHANGED_DEMAND_RATIO = 0.25
+CHANGED_DEMAND_FLOOR = 0.02
+SPARE_DEMAND_S = 0.25
+
+
+@dataclass(frozen=True)
+class Need:
+    """What waits for a share at this host.
+
+    Parameters
+    ----------
+    level : int
+        Microtokens that all waiting requests cost.
+    slots : int
+        Uses in flight that are waited for.
+    since : float
+        Seconds at which the oldest request began to wait.
+    """
+
+    level: int = 0
+    slots: int = 0
+    since: float = 0.0
+
+    @property
+    def is_waiting(self) -> bool:
+        """Whether anything waits."""
+        return bool(self.level or self.slots)
+
+
+class ShareBorrower:
+    """Holds this host's part of one key.
+
+    A part changes only here, by a move that this host makes or accepts. It never
+    expires; whoever spends from it first checks that the host is confirmed.
+
+    Parameters
+    ----------
+    key : str
+        Lease key.
+    host : str
+        This host's id.
+    settings : AdmissionSettings
+    allowance : Allowance
+    now : float
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        host: str,
+        settings: AdmissionSettings,
+        allowance: Allowance,
+        *,
+        now: float,
+    ) -> None:
+        self.key = key
+        self.host = host
+        self.settings = settings
+        self.holding = Holding(allowance, settings.drift_margin, now=now)
+        self.stamp = Stamp()
+        self.outbox = Outbox(key, settings.retry_s)
+        self.inbox = Inbox()
+        self.inventory: ShareInventory | None = None
+        self.recall_number = 0
+        self.demand = DemandEstimate(settings.demand_time_s)
+        self.need = Need()
+        self.used_slots = 0
+        self.report_number = 0
+        self.reported_demand = 0
+        self.reported_need = Need()
+        self.reported_at = float("-inf")
+        self.unanswered_since: float | None = None
+        self.asked_peers_at = float("-inf")
+        self.peer_index = 0
+        self.exhausted_until = float("-inf")
+        self.owner = ""
+        self.is_closed = False
+
+    @property
+    def allowance(self) -> Allowance:
+        """That of the whole fleet, by this host's configuration."""
+        return self.holding.allowance
+
+    def is_current(self, message: object) -> bool:
+        """Return whether a message carries the stamp of this host's part."""
+        return self.stamp == Stamp(
+            getattr(message, "epoch", -1), getattr(message, "round_number", -1)
+        )
+
+    def spend(self, amount: int, *, now: float) -> bool:
+        """Take microtokens from the bucket; return whether it had as many."""
+        return self.holding.bucket.spend(amount, now=now)
+
+    # Inventories
+
+    def adopt(
+        self,
+        request: ShareInventoryRequest,
+        *,
+        pool_level: int,
+        sender: str,
+        now: float,
+    ) -> list[Action]:
+        """Answer an inventory and fence off all earlier rounds.
+
+        Parameters
+        ----------
+        request : ShareInventoryRequest
+        pool_level : int
+            Microtokens handed over by the pool that this host kept as the owner.
+        sender : str
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        stamp = Stamp(request.epoch, request.round_number)
+        if stamp.is_above(self.stamp):
+            self.stamp = stamp
+            self.owner = sender
+            self.outbox.clear()
+            self.inbox.clear()
+            self.recall_number = 0
+            self.holding.bucket.refresh(now=now)
+            self.inventory = ShareInventory(
+                self.key,
+                stamp.epoch,
+                stamp.round_number,
+                self.holding.part,
+                pool_level,
+                self.holding.bucket.level,
+            )
+        if stamp != self.stamp or self.inventory is None:
+            return []
+        self.mark_answered()
+        return [Send(sender, self.inventory)]
+
+    # Moves
+
+    def accept_move(self, move: ShareMove, *, sender: str, now: float) -> list[Action]:
+        """Add a part that the pool or a peer gave up."""
+        if not self.is_current(move):
+            return []
+        if move.lane == "grant":
+            self.mark_answered()
+        if self.inbox.is_new(move, sender):
+            self.holding.add(move.part, move.level, now=now)
+        accepted = ShareMoveAccepted(
+            self.key, move.epoch, move.round_number, move.lane, move.number
+        )
+        return [Send(sender, accepted), *self.return_all_if_closed(now=now)]
+
+    def handle_accepted(
+        self, message: ShareMoveAccepted, *, sender: str, now: float
+    ) -> list[Action]:
+        """Forget a move that arrived."""
+        if self.is_current(message):
+            self.outbox.accept(message.lane, sender, message.number)
+        return self.return_all_if_closed(now=now)
+
+    def handle_recall(
+        self, recall: ShareRecall, *, sender: str, now: float
+    ) -> list[Action]:
+        """Return what the owner asks for, as far as it is free."""
+        if not self.is_current(recall) or recall.number <= self.recall_number:
+            return []
+        self.mark_answered()
+        if not self.outbox.is_free("return", sender):
+            return []
+        self.recall_number = recall.number
+        return [self.give("return", sender, recall.part, recall.level, now=now)]
+
+    def give(
+        self, lane: Lane, recipient: str, part: Part, level: int, *, now: float
+    ) -> Action:
+        """Give up a part and send it; slots in use stay."""
+        free_slots = max(0, self.holding.part.slots - self.used_slots)
+        part = Part(part.rate, part.depth, min(part.slots, free_slots))
+        given, given_level = self.holding.take(part, level, now=now)
+        return self.outbox.send(
+            self.stamp,
+            lane,
+            recipient,
+            given,
+            given_level,
+            now=now,
+        )
+
+    def close(self, *, now: float) -> list[Action]:
+        """Return the whole part to the owner and keep nothing from now on."""
+        self.is_closed = True
+        self.need = Need()
+        return self.return_all_if_closed(now=now)
+
+    def return_all_if_closed(self, *, now: float) -> list[Action]:
+        """Return what a closed host still has."""
+        if not self.is_closed or not self.owner:
+            return []
+        if not self.outbox.is_free("return", self.owner):
+            return []
+        part = self.holding.part
+        if Part(part.rate, part.depth, part.slots - self.used_slots).is_empty:
+            return []
+        level = self.holding.bucket.level
+        return [self.give("return", self.owner, part, level, now=now)]
+
+    # Peers
+
+    def handle_peer_request(
+        self, request: PeerRequest, *, sender: str, now: float
+    ) -> list[Action]:
+        """Give a peer what this host can spare while the owner is silent."""
+        if not self.is_current(request) or not self.outbox.is_free("peer", sender):
+            return []
+        part, level = self.compute_spare(request, now=now)
+        if level <= 0 and not part.slots and part.rate < UNITS // 100:
+            return []
+        return [self.give("peer", sender, part, level, now=now)]
+
+    def compute_spare(self, request: PeerRequest, *, now: float) -> tuple[Part, int]:
+        """Return the part and level that a peer's request may have."""
+        bucket = self.holding.bucket
+        bucket.refresh(now=now)
+        demand = self.demand.compute_rate(now=now)
+        spare_level = bucket.level - self.need.level - int(demand * SPARE_DEMAND_S)
+        level = max(0, min(request.need, spare_level))
+        whole_rate = self.allowance.rate * MICROTOKENS
+        kept_rate = int(demand * UNITS / whole_rate) if whole_rate else 0
+        rate = max(0, min(request.rate, self.holding.part.rate - kept_rate))
+        depth = to_depth_units(self.allowance, level)
+        slots = max(0, request.slots if not self.need.slots else 0)
+        return Part(rate, depth, slots), level
+
+    def ask_peers(self, peers: list[str], *, now: float) -> list[Action]:
+        """Ask some peers, in turn, if the owner is silent while a request waits."""
+        settings = self.settings
+        since = self.unanswered_since
+        if since is None or now - since < settings.owner_silence_s or not peers:
+            return []
+        if now - self.asked_peers_at < settings.peer_interval_s:
+            return []
+        self.asked_peers_at = now
+        request = self.make_peer_request(now=now)
+        count = min(settings.peer_count, len(peers))
+        chosen = [peers[(self.peer_index + i) % len(peers)] for i in range(count)]
+        self.peer_index += count
+        return [Send(peer, request) for peer in chosen]
+
+    def make_peer_request(self, *, now: float) -> PeerRequest:
+        """Return the request that names what is missing here."""
+        demand = self.demand.compute_rate(now=now)
+        whole_rate = self.allowance.rate * MICROTOKENS
+        wanted = int(demand * UNITS / whole_rate) if whole_rate else 0
+        return PeerRequest(
+            self.key,
+            self.stamp.epoch,
+            self.stamp.round_number,
+            max(0, min(UNITS, wanted) - self.holding.part.rate),
+            max(0, self.need.level + demand // 4 - self.holding.bucket.level),
+            self.need.slots,
+        )
+
+    # Reports
+
+    def mark_answered(self) -> None:
+        """Note that the owner is alive."""
+        self.unanswered_since = None
+
+    def handle_answer(self, answer: DemandAnswer, *, now: float) -> None:
+        """Note what the owner says on the fleet's spare tokens."""
+        if not self.is_current(answer):
+            return
+        self.mark_answered()
+        valid_s = self.settings.exhaustion_valid_s
+        self.exhausted_until = now + valid_s if answer.is_exhausted else now
+
+    def report(self, owner: str, members: int, *, now: float) -> list[Action]:
+        """Report demand to the owner if it is due.
+
+        Parameters
+        ----------
+        owner : str
+            Host id.
+        members : int
+            Hosts in the view; large fleets report less often.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        self.owner = owner
+        if self.is_closed:
+            return []
+        demand = self.demand.compute_rate(now=now)
+        if not self.is_report_due(demand, members, now=now):
+            return []
+        self.report_number += 1
+        self.reported_at = now
+        self.reported_demand = demand
+        self.reported_need = self.need
+        if self.need.is_waiting and self.unanswered_since is None:
+            self.unanswered_since = now
+        return [Send(owner, self.make_report(demand, now=now))]
+
+    def is_report_due(self, demand: int, members: int, *, now: float) -> bool:
+        """Return whether the owner should hear from this host now."""
+        settings = self.settings
+        age_s = now - self.reported_at
+        if self.need.is_waiting:
+            spread_s = members / settings.reports_per_s / 10
+            is_larger = (
+                self.need.level > self.reported_need.level
+                or self.need.slots > self.reported_need.slots
+            )
+            urgent_s = settings.urgent_interval_s if is_larger else settings.retry_s
+            return age_s >= max(urgent_s, spread_s)
+        interval_s = max(settings.report_interval_s, members / settings.reports_per_s)
+        return age_s >= interval_s and self.is_demand_changed(demand)
+
+    def is_demand_changed(self, demand: int) -> bool:
+        """Return whether demand differs enough from what the owner knows."""
+        if bool(demand) != bool(self.reported_demand):
+            return True
+        change = abs(demand - self.reported_demand)
+        floor = CHANGED_DEMAND_FLOOR * self.allowance.rate * MICROTOKENS
+        return change > max(CHANGED_DEMAND_RATIO * self.reported_demand, floor)
+
+    def make_report(self, demand: int, *, now: float) -> DemandReport:
+        """Return the report of what this host has and needs."""
+        need = self.need
+        self.holding.bucket.refresh(now=now)
+        waited_s = max(0.0, now - need.since) if need.is_waiting else 0.0
+        return DemandReport(
+            self.key,
+            self.stamp.epoch,
+            self.stamp.round_number,
+            self.report_number,
+            demand,
+            min(need.level, self.allowance.depth),
+            self.used_slots + need.slots,
+            int(waited_s * 1000),
+            self.holding.part,
+            self.holding.bucket.level,
+        )
--- /dev/null
+++ b/src/thornlatch/admission/_holding.py
@@ -0,0 +1,85 @@
+"""A part together with the bucket that it feeds."""
+
+from thornlatch.admission._bucket import TokenBucket
+from thornlatch.admission._parts import (
+    MICROTOKENS,
+    NOTHING,
+    UNITS,
+    Allowance,
+    Part,
+    compute_depth,
+)
+
+
+class Holding:
+    """One holder's part of an allowance and the level that it has.
+
+    Parameters
+    ----------
+    allowance : Allowance
+        That of the whole fleet, by this host's configuration.
+    drift_margin : float
+        Factor by which the local clock may run ahead of real time.
+    now : float
+        Seconds.
+    """
+
+    def __init__(
+        self, allowance: Allowance, drift_margin: float, *, now: float
+    ) -> None:
+        self.allowance = allowance
+        self.drift_margin = drift_margin
+        self.part = NOTHING
+        self.bucket = TokenBucket(0.0, 0, 0, now=now)
+
+    def set_allowance(self, allowance: Allowance, *, now: float) -> None:
+        """Apply a changed allowance to the same part."""
+        self.allowance = allowance
+        self.set_part(self.part, now=now)
+
+    def set_part(self, part: Part, *, now: float) -> None:
+        """Replace the part; the level is cut to the new depth, never raised."""
+        self.part = part
+        micro_rate = self.allowance.rate * MICROTOKENS / self.drift_margin
+        self.bucket.resize(
+            micro_rate * max(0, part.rate) / UNITS,
+            compute_depth(self.allowance, max(0, part.depth)),
+            now=now,
+        )
+
+    def add(self, part: Part, level: int, *, now: float) -> None:
+        """Add a part that another holder gave up, with its level."""
+        self.set_part(self.part + part, now=now)
+        # The sender may know an older, larger burst than this host.
+        level = min(level, compute_depth(self.allowance, part.depth))
+        bucket = self.bucket
+        bucket.level = min(bucket.depth, bucket.level + level)
+        bucket.refresh(now=now)
+
+    def take(self, part: Part, level: int, *, now: float) -> tuple[Part, int]:
+        """Give up at most a part and a level.
+
+        Parameters
+        ----------
+        part : Part
+            Cut to what is held.
+        level : int
+            Microtokens; cut to what there is and to what the depth given up holds.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        tuple of (Part, int)
+            What was given up.
+        """
+        self.bucket.refresh(now=now)
+        given = part.limit_to(self.part)
+        carried = compute_depth(self.allowance, given.depth)
+        kept = compute_depth(self.allowance, max(0, self.part.depth - given.depth))
+        # A level above the depth that is kept would be lost.
+        wanted = max(level, self.bucket.level - kept)
+        given_level = max(0, min(wanted, self.bucket.level, carried))
+        self.bucket.level -= given_level
+        self.set_part(self.part - given, now=now)
+        return given, given_level
--- /dev/null
+++ b/src/thornlatch/admission/_lender.py
@@ -0,0 +1,310 @@
+"""The owner's side of lending one key: inventories, the pool, grants and recalls."""
+
+from collections.abc import Iterable
+
+from thornlatch.admission._accounts import Account
+from thornlatch.admission._division import Grant, Plan, Recall, plan_division
+from thornlatch.admission._holding import Holding
+from thornlatch.admission._messages import (
+    DemandAnswer,
+    DemandReport,
+    ShareInventory,
+    ShareInventoryRequest,
+    ShareMove,
+    ShareMoveAccepted,
+    ShareRecall,
+)
+from thornlatch.admission._parts import NOTHING, Allowance, Part, make_whole
+from thornlatch.admission._settings import AdmissionSettings
+from thornlatch.admission._transfers import Inbox, Outbox, Stamp
+from thornlatch.core import Action, Emit, Event, Send
+
+
+class ShareLender:
+    """Divides one key's allowance while this host owns the key.
+
+    What the pool holds was either returned under this stamp or found free by a complete
+    inventory. A grant leaves the pool before it is sent.
+
+    Parameters
+    ----------
+    key : str
+        Lease key.
+    epoch : int
+        Epoch of the ownership.
+    settings : AdmissionSettings
+    allowance : Allowance
+    now : float
+        Seconds.
+    """
+
+    def __init__(
+        self,
+        key: str,
+        epoch: int,
+        settings: AdmissionSettings,
+        allowance: Allowance,
+        *,
+        now: float,
+    ) -> None:
+        self.key = key
+        self.settings = settings
+        self.stamp = Stamp(epoch, 0)
+        self.pool = Holding(allowance, settings.drift_margin, now=now)
+        self.outbox = Outbox(key, settings.retry_s)
+        self.inbox = Inbox()
+        self.accounts: dict[str, Account] = {}
+        self.asked: dict[str, float] = {}
+        self.answers: dict[str, ShareInventory] = {}
+        self.base = NOTHING
+        self.is_complete = False
+        self.is_retired = False
+        self.divided_at = float("-inf")
+
+    @property
+    def allowance(self) -> Allowance:
+        """That of the whole fleet, by this host's configuration."""
+        return self.pool.allowance
+
+    def set_allowance(self, allowance: Allowance, *, now: float) -> None:
+        """Apply a changed allowance; rights to slots follow it through the pool."""
+        added = Part(slots=allowance.slots - self.allowance.slots)
+        self.pool.set_allowance(allowance, now=now)
+        self.pool.set_part(self.pool.part + added, now=now)
+        self.base += added
+
+    def retire(self, *, now: float) -> int:
+        """Stop lending for good and hand over the pool's level in microtokens."""
+        if self.is_retired:
+            return 0
+        self.is_retired = True
+        self.pool.bucket.refresh(now=now)
+        return self.pool.bucket.level
+
+    def is_current(self, message: object) -> bool:
+        """Return whether a message carries this lender's stamp."""
+        return self.stamp == Stamp(
+            getattr(message, "epoch", -1), getattr(message, "round_number", -1)
+        )
+
+    # Inventories
+
+    def run(self, possible_holders: Iterable[str], *, now: float) -> list[Action]:
+        """Act on the passage of time while this host may act as the owner.
+
+        Parameters
+        ----------
+        possible_holders : iterable of str
+            Host ids that may hold parts.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        holders = set(possible_holders)
+        actions: list[Action] = []
+        if not self.asked or not self.asked.keys() <= holders:
+            actions += self.begin_round(holders, now=now)
+        actions += self.repeat_requests(now=now)
+        actions += self.outbox.resend(now=now)
+        if now - self.divided_at >= self.settings.division_interval_s:
+            actions += self.divide(now=now)
+        return actions
+
+    def begin_round(self, holders: set[str], *, now: float) -> list[Action]:
+        """Ask every possible holder for its part.
+
+        A part of a host that has left is free only after a round that began since then:
+        the round's stamp voids what that host may yet send.
+        """
+        self.stamp = Stamp(self.stamp.epoch, self.stamp.round_number + 1)
+        self.outbox.clear()
+        self.inbox.clear()
+        self.answers.clear()
+        self.is_complete = False
+        self.base = self.pool.part
+        self.asked = dict.fromkeys(holders, float("-inf"))
+        self.accounts = {
+            host: account for host, account in self.accounts.items() if host in holders
+        }
+        for account in self.accounts.values():
+            account.recall_number = 0
+            account.recalled_at = float("-inf")
+        event = Event(
+            "admission.inventory_begun",
+            key=self.key,
+            epoch=self.stamp.epoch,
+            detail={"round": self.stamp.round_number, "hosts": len(holders)},
+        )
+        return [Emit(event)]
+
+    def repeat_requests(self, *, now: float) -> list[Action]:
+        """Ask the hosts that have not answered in time."""
+        actions: list[Action] = []
+        for host, sent_at in self.asked.items():
+            if host in self.answers or now - sent_at < self.settings.retry_s:
+                continue
+            self.asked[host] = now
+            actions.append(Send(host, self.make_request()))
+        return actions
+
+    def make_request(self) -> ShareInventoryRequest:
+        """Return the inventory request of the present round."""
+        stamp = self.stamp
+        return ShareInventoryRequest(self.key, stamp.epoch, stamp.round_number)
+
+    def handle_inventory(
+        self, answer: ShareInventory, *, sender: str, now: float
+    ) -> list[Action]:
+        """Count a holder's part; find what is free when all have answered."""
+        if not self.is_current(answer) or sender in self.answers:
+            return []
+        account = self.accounts.setdefault(sender, Account(sender))
+        account.part = answer.part
+        account.level = answer.level
+        account.level_at = now
+        self.answers[sender] = answer
+        if self.is_complete or not self.is_round_answered():
+            return []
+        return self.complete_round(now=now)
+
+    def is_round_answered(self) -> bool:
+        """Return whether every possible holder of the round has answered."""
+        return self.asked.keys() <= self.answers.keys()
+
+    def complete_round(self, *, now: float) -> list[Action]:
+        """Add to the pool what no possible holder has."""
+        held = self.base
+        for answer in self.answers.values():
+            held += answer.part
+        free = make_whole(self.allowance) - held
+        free = Part(max(0, free.rate), max(0, free.depth), free.slots)
+        level = sum(answer.pool_level for answer in self.answers.values())
+        self.pool.add(free, level, now=now)
+        self.is_complete = True
+        event = Event(
+            "admission.inventory_completed",
+            key=self.key,
+            epoch=self.stamp.epoch,
+            detail={
+                "round": self.stamp.round_number,
+                "free_rate": free.rate,
+                "free_depth": free.depth,
+                "free_slots": free.slots,
+            },
+        )
+        return [Emit(event), *self.divide(now=now)]
+
+    # Moves
+
+    def accept_move(self, move: ShareMove, *, sender: str, now: float) -> list[Action]:
+        """Add a returned part to the pool."""
+        if not self.is_current(move):
+            return []
+        accepted = ShareMoveAccepted(
+            self.key, move.epoch, move.round_number, move.lane, move.number
+        )
+        if not self.inbox.is_new(move, sender):
+            return [Send(sender, accepted)]
+        self.pool.add(move.part, move.level, now=now)
+        account = self.accounts.get(sender)
+        if account is not None:
+            account.note_returned(move.part, move.level)
+        return [Send(sender, accepted), *self.divide(now=now)]
+
+    def handle_accepted(
+        self, message: ShareMoveAccepted, *, sender: str, now: float
+    ) -> list[Action]:
+        """Note that a grant arrived."""
+        if self.is_current(message):
+            self.outbox.accept(message.lane, sender, message.number)
+        return []
+
+    # Division
+
+    def handle_report(
+        self, report: DemandReport, *, sender: str, now: float
+    ) -> list[Action]:
+        """Take over a host's demand; divide at once if a request waits."""
+        if not self.is_current(report):
+            return self.invite(sender, now=now)
+        account = self.accounts.get(sender)
+        if account is None or not account.apply_report(report, now=now):
+            return []
+        if not report.need and report.slots <= report.part.slots:
+            return []
+        return self.divide(now=now)
+
+    def invite(self, host: str, *, now: float) -> list[Action]:
+        """Ask a host that has not adopted the present round."""
+        sent_at = self.asked.get(host, float("-inf"))
+        if self.stamp.round_number == 0 or now - sent_at < self.settings.retry_s:
+            return []
+        self.asked[host] = now
+        return [Send(host, self.make_request())]
+
+    def divide(self, *, now: float) -> list[Action]:
+        """Grant and recall parts by need and demand."""
+        self.divided_at = now
+        self.pool.bucket.refresh(now=now)
+        hosts = [
+            account for host, account in self.accounts.items() if host in self.answers
+        ]
+        plan = plan_division(self.pool, hosts, self.settings, now=now)
+        return self.carry_out(plan, now=now)
+
+    def carry_out(self, plan: Plan, *, now: float) -> list[Action]:
+        """Turn a plan into messages."""
+        actions: list[Action] = []
+        for recall in plan.recalls:
+            actions += self.recall(recall, now=now)
+        granted = set()
+        for grant in plan.grants:
+            if self.outbox.is_free("grant", grant.host):
+                actions += self.grant(grant, now=now)
+                granted.add(grant.host)
+        for account in self.accounts.values():
+            if account.host not in granted:
+                actions += self.answer(account, plan, now=now)
+        return actions
+
+    def grant(self, grant: Grant, *, now: float) -> list[Action]:
+        """Take a part out of the pool and send it."""
+        given, level = self.pool.take(grant.part, grant.level, now=now)
+        if given.is_empty:
+            return []
+        self.accounts[grant.host].note_granted(given, level)
+        return [
+            self.outbox.send(self.stamp, "grant", grant.host, given, level, now=now)
+        ]
+
+    def recall(self, recall: Recall, *, now: float) -> list[Action]:
+        """Ask a host to return a part."""
+        account = self.accounts[recall.host]
+        account.note_recalled(recall.part, recall.level, now=now)
+        message = ShareRecall(
+            self.key,
+            self.stamp.epoch,
+            self.stamp.round_number,
+            account.recall_number,
+            recall.part,
+            recall.level,
+        )
+        return [Send(recall.host, message)]
+
+    def answer(self, account: Account, plan: Plan, *, now: float) -> list[Action]:
+        """Answer a waiting host that gets nothing yet: its owner is alive."""
+        is_answered = account.answered_number >= account.report_number
+        if is_answered or not account.compute_need(now=now):
+            return []
+        account.answered_number = account.report_number
+        message = DemandAnswer(
+            self.key,
+            self.stamp.epoch,
+            self.stamp.round_number,
+            account.report_number,
+            account.host in plan.exhausted,
+        )
+        return [Send(account.host, message)]
--- /dev/null
+++ b/src/thornlatch/admission/_load_budget.py
@@ -0,0 +1,67 @@
+"""The weight store's budget of loads, lent over the fleet."""
+
+from thornlatch.admission._borrower import Need
+from thornlatch.admission._key_shares import KeyShares
+from thornlatch.admission._parts import MICROTOKENS
+from thornlatch.core import Action
+
+
+class LoadBudget:
+    """Keeps this host's part of a store's loads per second and loads in flight.
+
+    A load that a dead host began stays counted: its slot comes back only when the host
+    is no longer a possible holder.
+
+    Parameters
+    ----------
+    shares : KeyShares
+        Those of ``store:<name>``.
+    """
+
+    def __init__(self, shares: KeyShares) -> None:
+        self.shares = shares
+        self.wanted_since: float | None = None
+
+    def try_acquire(self, *, now: float) -> bool:
+        """Begin a load if the budget has room; return whether it has."""
+        borrower = self.shares.borrower
+        if not self.shares.leases.is_confirmed(now=now):
+            return False
+        slots = min(borrower.holding.part.slots, borrower.allowance.slots)
+        if borrower.used_slots >= slots:
+            return False
+        if not borrower.spend(MICROTOKENS, now=now):
+            return False
+        borrower.used_slots += 1
+        borrower.demand.record(MICROTOKENS, now=now)
+        return True
+
+    def release(self, *, now: float) -> None:
+        """End a load that `try_acquire` began."""
+        borrower = self.shares.borrower
+        borrower.used_slots = max(0, borrower.used_slots - 1)
+
+    def want(self, count: int, *, now: float) -> list[Action]:
+        """Say how many loads wait; the budget is asked for on their behalf.
+
+        Parameters
+        ----------
+        count : int
+            Loads that wait, not counting those in flight.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Action
+        """
+        if count <= 0:
+            self.wanted_since = None
+            self.shares.borrower.need = Need()
+            self.shares.borrower.mark_answered()
+            return []
+        if self.wanted_since is None:
+            self.wanted_since = now
+        self.shares.borrower.need = Need(count * MICROTOKENS, count, self.wanted_since)
+        members = sum(1 for _ in self.shares.leases.iter_members())
+        return self.shares.report(members, now=now)
--- /dev/null
+++ b/src/thornlatch/admission/_parts.py
@@ -0,0 +1,103 @@
+"""Parts of an allowance, as whole numbers so that sums are exact."""
+
+from dataclasses import dataclass
+
+UNITS = 1 << 30
+MICROTOKENS = 1_000_000
+
+
+@dataclass(frozen=True)
+class Allowance:
+    """What one key may use over the whole fleet.
+
+    Parameters
+    ----------
+    rate : float
+        Tokens (or loads) per second.
+    burst : float
+        Tokens (or loads) that may be used at once after a pause.
+    slots : int
+        Uses that may be in flight at once; 0 for organisations, whose requests are
+        bounded by tokens alone.
+    """
+
+    rate: float = 0.0
+    burst: float = 0.0
+    slots: int = 0
+
+    @property
+    def depth(self) -> int:
+        """Burst in microtokens."""
+        return int(self.burst * MICROTOKENS)
+
+
+@dataclass(frozen=True)
+class Part:
+    """A holder's part of an allowance.
+
+    Parameters
+    ----------
+    rate : int
+        Part of the rate in units of 1 / `UNITS`.
+    depth : int
+        Part of the burst in units of 1 / `UNITS`.
+    slots : int
+        Uses in flight.
+    """
+
+    rate: int = 0
+    depth: int = 0
+    slots: int = 0
+
+    def __add__(self, other: "Part") -> "Part":
+        return Part(
+            self.rate + other.rate,
+            self.depth + other.depth,
+            self.slots + other.slots,
+        )
+
+    def __sub__(self, other: "Part") -> "Part":
+        return Part(
+            self.rate - other.rate,
+            self.depth - other.depth,
+            self.slots - other.slots,
+        )
+
+    def limit_to(self, other: "Part") -> "Part":
+        """Return the lower of both in each component, not below zero."""
+        return Part(
+            max(0, min(self.rate, other.rate)),
+            max(0, min(self.depth, other.depth)),
+            max(0, min(self.slots, other.slots)),
+        )
+
+    @property
+    def is_empty(self) -> bool:
+        """Whether nothing is held."""
+        return not (self.rate or self.depth or self.slots)
+
+
+NOTHING = Part()
+
+
+def make_whole(allowance: Allowance) -> Part:
+    """Return the part that is the whole of an allowance."""
+    return Part(UNITS, UNITS, allowance.slots)
+
+
+def compute_depth(allowance: Allowance, units: int) -> int:
+    """Return the microtokens of burst that `units` stand for, rounded down."""
+    return allowance.depth * units // UNITS
+
+
+def compute_depth_units(allowance: Allowance, level: int) -> int:
+    """Return the units of depth that hold `level` microtokens, rounded up."""
+    if not allowance.depth:
+        return UNITS
+    return min(UNITS, -(-level * UNITS // allowance.depth))
+
+
+def to_microtokens(tokens: float) -> int:
+    """Return tokens as microtokens, rounded up."""
+    whole = int(tokens * MICROTOKENS)
+    return whole if whole >= tokens * MICROTOKENS else whole + 1
--- /dev/null
+++ b/src/thornlatch/admission/_waiting.py
@@ -0,0 +1,125 @@
+"""Requests of one organisation that wait at one host for a share."""
+
+from collections import deque
+from dataclasses import dataclass
+
+from thornlatch.admission._borrower import Need, ShareBorrower
+from thornlatch.admission._parts import MICROTOKENS
+from thornlatch.admission._settings import AdmissionSettings
+
+
+@dataclass(frozen=True)
+class Waiting:
+    """A request that waits.
+
+    Parameters
+    ----------
+    ticket : str
+    tokens : float
+    cost : int
+        Microtokens.
+    since : float
+        Seconds.
+    until : float
+        Seconds at which it is refused.
+    """
+
+    ticket: str
+    tokens: float
+    cost: int
+    since: float
+    until: float
+
+
+class WaitingQueue:
+    """Serves requests first come, first served, so that large ones don't starve.
+
+    Parameters
+    ----------
+    borrower : ShareBorrower
+    settings : AdmissionSettings
+    """
+
+    def __init__(self, borrower: ShareBorrower, settings: AdmissionSettings) -> None:
+        self.borrower = borrower
+        self.settings = settings
+        self.requests: deque[Waiting] = deque()
+        self.cost = 0
+
+    def append(self, request: Waiting) -> None:
+        """Add a request at the end."""
+        self.requests.append(request)
+        self.cost += request.cost
+        self.update_need()
+
+    def remove(self, ticket: str) -> None:
+        """Remove a request, if it waits."""
+        self.drop([r for r in self.requests if r.ticket == ticket])
+
+    def pop_admitted(self, *, now: float) -> list[Waiting]:
+        """Spend for the requests at the head while the bucket lasts."""
+        admitted: list[Waiting] = []
+        while self.requests:
+            request = self.requests[0]
+            if not self.borrower.spend(request.cost, now=now):
+                break
+            self.requests.popleft()
+            self.cost -= request.cost
+            admitted.append(request)
+        if admitted:
+            self.update_need()
+        return admitted
+
+    def pop_expired(self, *, now: float) -> list[Waiting]:
+        """Remove the requests that have waited as long as they may."""
+        return self.drop([r for r in self.requests if r.until <= now])
+
+    def pop_hopeless(self, *, now: float) -> list[Waiting]:
+        """Remove the requests that can't be admitted in time."""
+        hopeless = []
+        ahead = 0
+        for request in self.requests:
+            if self.is_hopeless(request, ahead, now=now):
+                hopeless.append(request)
+            else:
+                ahead += request.cost
+        return self.drop(hopeless)
+
+    def is_hopeless(self, request: Waiting, ahead: int, *, now: float) -> bool:
+        """Return whether a request behind `ahead` microtokens will be too late."""
+        allowance = self.borrower.allowance
+        left_s = request.until - now
+        whole_rate = allowance.rate * MICROTOKENS
+        if ahead + request.cost > allowance.depth + whole_rate * left_s:
+            return True
+        if now >= self.borrower.exhausted_until:
+            return False
+        bucket = self.borrower.holding.bucket
+        bucket.refresh(now=now)
+        if request.cost > bucket.depth:
+            return True
+        return ahead + request.cost - bucket.level > bucket.rate * left_s
+
+    def compute_wait(self, cost: int, *, now: float) -> float:
+        """Return the seconds after which such a request would be admitted."""
+        bucket = self.borrower.holding.bucket
+        bucket.refresh(now=now)
+        whole_rate = self.borrower.allowance.rate * MICROTOKENS
+        rate = max(bucket.rate, whole_rate / 100)
+        return max(0.0, self.cost + cost - bucket.level) / rate if rate else 0.0
+
+    def drop(self, requests: list[Waiting]) -> list[Waiting]:
+        """Remove requests and return them."""
+        for request in requests:
+            self.requests.remove(request)
+            self.cost -= request.cost
+        if requests:
+            self.update_need()
+        return requests
+
+    def update_need(self) -> None:
+        """Tell the borrower what waits."""
+        since = self.requests[0].since if self.requests else 0.0
+        self.borrower.need = Need(self.cost, 0, since)
+        if not self.requests:
+            self.borrower.mark_answered()
