--- /dev/null
+++ b/bench/requests.py
@@ -0,0 +1,159 @@
+"""Measures claims, streams, quarantine and the time line.
+
+The histories and fleets are the ones that the tests of the slices run.
+"""
+
+import random
+import tempfile
+import time
+from pathlib import Path
+
+from thornlatch.core import Append, Resolve, decode_record, encode_record
+from thornlatch.requests import ClaimTable, ClaimWon, RequestsSettings
+from thornlatch.requests.tests.claim_histories import History, View
+from thornlatch.requests.tests.quarantine_fleets import Fleet, Plan
+from thornlatch.requests.tests.stream_histories import StreamHistory
+from thornlatch.timeline import LoggedEvent, encode_event, merge_events, read_events
+
+HISTORIES = 500
+FLEETS = 15
+SEED = 20_000
+APPENDS_PER_S = 300
+CLAIMS_PER_S_OFFERED = 3_000
+HOSTS = 8
+EVENTS = 160_000
+
+
+def measure() -> list[dict]:
+    """Return the figures of this slice."""
+    return [
+        *measure_histories(),
+        measure_claim_throughput(),
+        *measure_quarantine(),
+        measure_timeline(),
+    ]
+
+
+def measure_histories():
+    duplicates = mixed = 0
+    for seed in range(SEED, SEED + HISTORIES):
+        history = History(seed).run()
+        duplicates += len(history.find_duplicate_runs())
+        mixed += len(history.find_false_answers())
+        mixed += len(StreamHistory(seed).run().check())
+    return [
+        row("requests.duplicate_runs", duplicates, "runs", 0),
+        row("requests.mixed_answers", mixed, "answers", 0),
+    ]
+
+
+class ThrottledLog:
+    """Accepts a bounded number of appends a second, in order of arrival."""
+
+    def __init__(self):
+        self.queue = []
+        self.records = []
+        self.credit = 0.0
+
+    def step(self, seconds):
+        self.credit = min(self.credit + APPENDS_PER_S * seconds, 30.0)
+        while self.queue and self.credit >= 1:
+            self.credit -= 1
+            self.records.append(self.queue.pop(0))
+
+
+def measure_claim_throughput():
+    """Offer claims to all hosts over one log; count calls won and completed."""
+    rng = random.Random(SEED)
+    view = View([f"h{index}" for index in range(HOSTS)])
+    settings = RequestsSettings(appends_per_s=APPENDS_PER_S)
+    tables = [ClaimTable(settings, host=host, leases=view) for host in view.hosts]
+    read = [0] * HOSTS
+    log = ThrottledLog()
+    won = made = 0
+    step = 0.01
+    seconds = 3.0
+    for tick in range(int(seconds / step)):
+        now = 10 + tick * step
+        log.step(step)
+        for index, table in enumerate(tables):
+            actions = []
+            for record in log.records[read[index] :]:
+                actions += table.apply_record(0, decode_record(record), now=now)
+            read[index] = len(log.records)
+            for _ in range(int(CLAIMS_PER_S_OFFERED * step / HOSTS + rng.random())):
+                made += 1
+                actions += table.claim(
+                    f"r{made}",
+                    organisation="o",
+                    idempotency_key=f"k{made}",
+                    body_digest="d",
+                    now=now,
+                    wall_time=now,
+                )
+            for action in [*actions, *table.tick(now=now)]:
+                if isinstance(action, Append):
+                    log.queue.append(encode_record(action.record))
+                elif isinstance(action, Resolve) and isinstance(action.value, ClaimWon):
+                    won += complete(table, action.value.claim, now)
+    return row("requests.claims_per_second", won / seconds, "claims/s", 2000)
+
+
+def complete(table, claim, now):
+    if not table.begin(claim, now=now):
+        return 0
+    table.complete(claim, status=200, headers=(), body=b"x" * 200, now=now)
+    return 1
+
+
+def measure_quarantine():
+    plans = [Plan(), Plan(is_concurrent=True), Plan(crashers=2), Plan(message_loss=0.5)]
+    lost = final = 0
+    for plan in plans:
+        for seed in range(SEED, SEED + FLEETS):
+            fleet = Fleet(seed, plan).run()
+            lost = max(lost, *fleet.lost.values())
+            final += len(fleet.final)
+    return [
+        row("quarantine.targets_lost", lost, "targets per crashing request", 2),
+        row("quarantine.innocent_final_refusals", final, "requests", 0),
+    ]
+
+
+def measure_timeline():
+    with tempfile.TemporaryDirectory() as directory:
+        paths = write_logs(Path(directory))
+        start = time.perf_counter()
+        count = sum(1 for _ in merge_events(read_events(paths)))
+        spent = time.perf_counter() - start
+    return row("timeline.events_per_second", count / spent, "events/s", 100_000)
+
+
+def write_logs(directory):
+    rng = random.Random(SEED)
+    lines = {f"h{index}": [] for index in range(HOSTS)}
+    skew = {host: rng.uniform(-0.05, 0.05) for host in lines}
+    for number in range(EVENTS // 2):
+        sender, recipient = rng.sample(sorted(lines), 2)
+        cause = f"{sender}:{number}"
+        for host, name in ((sender, "sent"), (recipient, "received")):
+            wall = 1000 + number * 1e-4 + skew[host]
+            event = LoggedEvent(f"peer.message_{name}", host, wall=wall, cause=cause)
+            lines[host].append(encode_event(event))
+    paths = []
+    for host, written in lines.items():
+        path = directory / host
+        path.write_bytes(b"\n".join(written))
+        paths.append(path)
+    return paths
+
+
+def row(name, value, unit, bound):
+    return {
+        "name": name,
+        "value": value,
+        "unit": unit,
+        "bound": bound,
+        "baseline": None,
+        "seed": SEED,
+    }
