--- a/bench/requests.py
+++ b/bench/requests.py
@@ -4,6 +4,7 @@
 """
 
 import random
+import statistics
 import tempfile
 import time
 from pathlib import Path
@@ -123,10 +124,15 @@
 def measure_timeline():
     with tempfile.TemporaryDirectory() as directory:
         paths = write_logs(Path(directory))
-        start = time.perf_counter()
-        count = sum(1 for _ in merge_events(read_events(paths)))
-        spent = time.perf_counter() - start
-    return row("timeline.events_per_second", count / spent, "events/s", 100_000)
+        rates = [time_merge(paths) for _ in range(3)]
+    rate = statistics.median(rates)
+    return row("timeline.events_per_second", rate, "events/s", 100_000)
+
+
+def time_merge(paths):
+    start = time.perf_counter()
+    count = sum(1 for _ in merge_events(read_events(paths)))
+    return count / (time.perf_counter() - start)
 
 
 def write_logs(directory):
--- a/src/thornlatch/timeline/_merge.py
+++ b/src/thornlatch/timeline/_merge.py
@@ -32,14 +32,13 @@
 
     def __iter__(self) -> Iterator[LoggedEvent]:
         self._read_heads()
-        while True:
-            if not self.ready and not self._release_oldest():
-                return
-            time, index = heapq.heappop(self.ready)
-            self._release_late(time)
-            if self.ready and self.ready[0] < (time, index):
-                time, index = heapq.heapreplace(self.ready, (time, index))
-            event = self.heads[index]
+        ready, heads, parked_times = self.ready, self.heads, self.parked_times
+        while ready or self._release_oldest():
+            if parked_times and parked_times[0][0] + self.skew_limit_s < ready[0][0]:
+                self._release(heapq.heappop(parked_times)[2])
+                continue
+            index = heapq.heappop(ready)[1]
+            event = heads[index]
             assert event is not None
             yield event
             if event.event == MESSAGE_SENT:
@@ -56,16 +55,16 @@
                 self._place(index, head)
 
     def _advance(self, index: int) -> None:
-        last = self.heads[index]
         self.heads[index] = head = next(self.streams[index], None)
         if head is not None:
             self._place(index, head)
-        elif last is not None:
+        else:
             self._end_stream(index)
 
     def _place(self, index: int, head: LoggedEvent) -> None:
         # A clock that was set back mustn't reorder the events of one process.
-        time = self.clocks[index] = max(self.clocks[index], head.wall)
+        time = head.wall if head.wall > self.clocks[index] else self.clocks[index]
+        self.clocks[index] = time
         if head.event == MESSAGE_RECEIVED and self._must_wait(index, head.cause):
             self.parked.setdefault(head.cause, []).append(index)
             heapq.heappush(self.parked_times, (time, index, head.cause))
@@ -80,8 +79,8 @@
 
     def _note_sent(self, cause: str) -> None:
         self.sent.add(cause)
-        for index in self.parked.pop(cause, ()):
-            heapq.heappush(self.ready, (self.clocks[index], index))
+        if cause in self.parked:
+            self._release(cause)
 
     def _end_stream(self, index: int) -> None:
         for host, streams in self.live.items():
@@ -93,10 +92,6 @@
         for cause in [one for one in self.parked if one.rpartition(":")[0] == host]:
             self._release(cause)
 
-    def _release_late(self, time: float) -> None:
-        while self.parked_times and self.parked_times[0][0] + self.skew_limit_s < time:
-            self._release(heapq.heappop(self.parked_times)[2])
-
     def _release_oldest(self) -> bool:
         while self.parked_times:
             cause = heapq.heappop(self.parked_times)[2]
