Give what waits a rate, wait for a silent owner, end streams of a stale host

Causes, found by the failure tests: (1) a store's borrower got depth but no rate once its demand fell below one load a second, so the fifth load never began; (2) a request inside its rate was refused with 429 when its organisation's owner had just changed; (3) a second join was acknowledged a second late, so a host's death soon after found no majority of voters; (4) dispatch dropped is_stream when it sent a request on; (5) a host whose configuration is stale let its streams run on past 5 s; (6) a key withdrawn between look-up and registration was missed; (7) a page over the read limit blocked the reader. Changes: as named. Ruled out: a longer share wait for all, which would hold back true refusals.

--- a/src/thornlatch/admission/_admission.py
+++ b/src/thornlatch/admission/_admission.py
@@ -204,7 +204,8 @@
         shares.borrower.demand.record(cost, now=now)
         queue = self.get_queue(key, now=now)
         until = min(now + self.settings.share_wait_s, deadline)
-        queue.append(Waiting(ticket, tokens, cost, now, until))
+        latest = max(until, min(now + self.settings.owner_wait_s, deadline))
+        queue.append(Waiting(ticket, tokens, cost, now, until, latest))
         actions = self.serve(key, now=now)
         if queue.requests and queue.requests[-1].ticket == ticket:
             actions += shares.report(self.count_members(), now=now)
@@ -226,7 +227,8 @@
                 actions += self.accept(key, request, now=now)
             for request in queue.pop_hopeless(now=now):
                 actions.append(self.refuse_rate(queue, request, now=now))
-        for request in queue.pop_expired(now=now):
+        is_silent = self.is_owner_silent(key, now=now)
+        for request in queue.pop_expired(is_owner_silent=is_silent, now=now):
             if is_confirmed:
                 actions.append(self.refuse_rate(queue, request, now=now))
             else:
@@ -235,6 +237,12 @@
                 actions.append(Resolve(request.ticket, error))
         return actions
 
+    def is_owner_silent(self, key: str, *, now: float) -> bool:
+        """Return whether no owner of the key answers this host at present."""
+        if self.leases.get_owner(key) is None:
+            return True
+        return self.keys[key].borrower.is_owner_silent(now=now)
+
     def accept(self, key: str, request: Waiting, *, now: float) -> list[Action]:
         """Return the actions for a request whose tokens were spent."""
         borrower = self.keys[key].borrower
--- a/src/thornlatch/admission/_borrower.py
+++ b/src/thornlatch/admission/_borrower.py
@@ -260,8 +260,7 @@
     def ask_peers(self, peers: list[str], *, now: float) -> list[Action]:
         """Ask some peers, in turn, if the owner is silent while a request waits."""
         settings = self.settings
-        since = self.unanswered_since
-        if since is None or now - since < settings.owner_silence_s or not peers:
+        if not peers or not self.is_owner_silent(now=now):
             return []
         if now - self.asked_peers_at < settings.peer_interval_s:
             return []
@@ -292,6 +291,11 @@
         """Note that the owner is alive."""
         self.unanswered_since = None
 
+    def is_owner_silent(self, *, now: float) -> bool:
+        """Return whether a report of what waits has had no answer for too long."""
+        since = self.unanswered_since
+        return since is not None and now - since >= self.settings.owner_silence_s
+
     def handle_answer(self, answer: DemandAnswer, *, now: float) -> None:
         """Note what the owner says on the fleet's spare tokens."""
         if not self.is_current(answer):
@@ -319,7 +323,8 @@
         self.owner = owner
         if self.is_closed:
             return []
-        demand = self.demand.compute_rate(now=now)
+        # What waits needs a rate too: depth without a rate never refills.
+        demand = max(self.demand.compute_rate(now=now), self.need.level)
         if not self.is_report_due(demand, members, now=now):
             return []
         self.report_number += 1
--- a/src/thornlatch/admission/_settings.py
+++ b/src/thornlatch/admission/_settings.py
@@ -14,6 +14,8 @@
     ----------
     share_wait_s : float
         Longest time in seconds that a request waits for a share.
+    owner_wait_s : float
+        Seconds that a request waits while no owner of its organisation answers.
     drift_margin : float
         Factor by which the fastest clock of the fleet may run ahead of real time; rates
         are divided by it. It must equal that of the leases.
@@ -41,6 +43,7 @@
     """
 
     share_wait_s: Annotated[float, Meta(ge=0, le=10)] = 0.8
+    owner_wait_s: Annotated[float, Meta(ge=0, le=60)] = 8.0
     drift_margin: Annotated[float, Meta(ge=1.0001, le=1.5)] = 1.05
     report_interval_s: Annotated[float, Meta(ge=0.02, le=5)] = 0.2
     urgent_interval_s: Annotated[float, Meta(ge=0.005, le=1)] = 0.02
--- a/src/thornlatch/admission/_waiting.py
+++ b/src/thornlatch/admission/_waiting.py
@@ -21,7 +21,9 @@
     since : float
         Seconds.
     until : float
-        Seconds at which it is refused.
+        Seconds at which it is refused if the key's owner answers.
+    latest : float
+        Seconds at which it is refused in any case.
     """
 
     ticket: str
@@ -29,6 +31,7 @@
     cost: int
     since: float
     until: float
+    latest: float
 
 
 class WaitingQueue:
@@ -70,8 +73,23 @@
             self.update_need()
         return admitted
 
-    def pop_expired(self, *, now: float) -> list[Waiting]:
-        """Remove the requests that have waited as long as they may."""
+    def pop_expired(self, *, is_owner_silent: bool, now: float) -> list[Waiting]:
+        """Remove the requests that have waited as long as they may.
+
+        Parameters
+        ----------
+        is_owner_silent : bool
+            Whether nobody can say now if the rate is used up; requests that are inside
+            it would be refused wrongly, so they wait for the next owner.
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        list of Waiting
+        """
+        if is_owner_silent:
+            return self.drop([r for r in self.requests if r.latest <= now])
         return self.drop([r for r in self.requests if r.until <= now])
 
     def pop_hopeless(self, *, now: float) -> list[Waiting]:
--- a/src/thornlatch/daemon/_app.py
+++ b/src/thornlatch/daemon/_app.py
@@ -229,6 +229,9 @@
                 "this host runs as many requests as it can",
                 retry_after_s=BUSY_RETRY_S,
             )
+        # The key may have been withdrawn before the request was known as running.
+        if digest and not self.services.is_key_in_force(digest):
+            running.stop(ErrorKind.KEY_WITHDRAWN)
         return running
 
     def _end(self, request: str) -> None:
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -99,10 +99,12 @@
         )
         self.control.replace_slices(self.node.host, self._get_slices())
         self.unconfirmed_since: float | None = None
+        self.withdrawn_offset = -1
         self.metrics = MetricsReporter(settings.metrics, self)
         self.control.on_tick += [
             lambda now: self.node.tick(now=now),
             self._connect_members,
+            self._follow_configuration,
             self.orders.poll_reports,
             self._stop_unconfirmed,
             self._renew_session,
@@ -192,15 +194,19 @@
         return (self.reader, *self.node.slices)
 
     def _take_delivery(self, delivery: Delivery, now: float) -> list[Action]:
-        before = self.node.configuration.state.offset
         records = decode_records(delivery.stream, delivery.records)
         actions = self.node.apply_records(records, now=now)
         if delivery.tail_sent_at is not None:
             actions += self._note_read(delivery.stream, delivery.tail_sent_at, now)
         self._connect_members(now)
-        self._stop_withdrawn(before)
+        self._stop_withdrawn()
         return actions
 
+    def _follow_configuration(self, now: float) -> list[Action]:
+        # A peer's snapshot changes the configuration without a delivery.
+        self._stop_withdrawn()
+        return self.node.pass_on_configuration(now=now)
+
     def _note_read(self, stream: str, sent_at: float, now: float) -> list[Action]:
         if stream == "control":
             return self.node.membership.note_log_read(sent_at=sent_at, now=now)
@@ -222,17 +228,23 @@
             self.peers.set_members(addresses)
         return []
 
-    def _stop_withdrawn(self, offset_before: int) -> None:
-        digests = frozenset(self.node.configuration.iter_withdrawn_since(offset_before))
-        if digests:
+    def _stop_withdrawn(self) -> None:
+        configuration = self.node.configuration
+        if configuration.state.offset == self.withdrawn_offset:
+            return
+        ended = frozenset(configuration.iter_withdrawn_since(self.withdrawn_offset))
+        self.withdrawn_offset = configuration.state.offset
+        if ended:
             self.running.stop(
-                ErrorKind.KEY_WITHDRAWN, lambda one: one.key_digest in digests
+                ErrorKind.KEY_WITHDRAWN, lambda one: one.key_digest in ended
             )
 
     def _stop_unconfirmed(self, now: float) -> list[Action]:
-        is_confirmed = self.node.leases.is_confirmed(now=now)
-        is_fresh = self.node.configuration.is_fresh(now=now)
-        if is_confirmed and is_fresh:
+        if not self.node.configuration.is_fresh(now=now):
+            # A key may have been withdrawn that this host can't know of.
+            self.running.stop(ErrorKind.HOST_UNCONFIRMED, lambda one: True)
+            return []
+        if self.node.leases.is_confirmed(now=now):
             self.unconfirmed_since = None
             return []
         if self.unconfirmed_since is None:
@@ -251,6 +263,7 @@
         )
         self.running.stop(ErrorKind.HOST_UNCONFIRMED, lambda one: True)
         self.node = self._build_node()
+        self.withdrawn_offset = -1
         self.reader.replace_follower(self._build_follower())
         self.handler.host = self.node.host
         self.peers.host = self.node.host
--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -4,6 +4,7 @@
 import time
 from collections.abc import Callable, Iterable, Sequence
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
 from typing import Any
 
 import logbook
@@ -65,6 +66,7 @@
         self.on_failure = on_failure
         self.iter_peers = iter_peers
         self.is_stopping = False
+        self.limits: dict[str, int] = {}
         self.executor = ThreadPoolExecutor(2 * len(follower.streams), "log-reader")
 
     def replace_follower(self, follower: LogFollower) -> None:
@@ -102,8 +104,10 @@
 
     def _start_read(self, stream: str, now: float) -> None:
         plan = self.follower.plan_read(stream, now=now)
-        if plan is not None and not self.is_stopping:
-            self.executor.submit(self._read, self.follower, plan)
+        if plan is None or self.is_stopping:
+            return
+        limit = min(plan.limit, self.limits.get(stream, plan.limit))
+        self.executor.submit(self._read, self.follower, replace(plan, limit=limit))
 
     def _read(self, follower: LogFollower, plan: ReadPlan) -> None:
         sent_at = time.monotonic()
@@ -126,6 +130,7 @@
     ) -> list[Action]:
         if follower is not self.follower:
             return []
+        self.limits.pop(plan.stream, None)
         delivery, actions = follower.note_page(plan, page, sent_at=sent_at, now=now)
         actions += self.on_delivery(delivery, now)
         self._start_read(plan.stream, now)
@@ -145,6 +150,9 @@
             if follower is not self.follower:
                 return []
             follower.note_failure(plan, now=now, first_offset=error.first_offset)
+            if error.status == 200:
+                # The page was too long to be read whole; fewer records may fit.
+                self.limits[plan.stream] = max(1, plan.limit // 2)
             return [] if is_trimmed else self.on_failure(plan.stream, now)
 
         self.submit(note)
--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -102,6 +102,19 @@
         """
         return self.node.configuration.authenticate(key, now=time.monotonic())
 
+    def is_key_in_force(self, digest: str) -> bool:
+        """Return whether a key is known and not withdrawn.
+
+        Parameters
+        ----------
+        digest : str
+
+        Returns
+        -------
+        bool
+        """
+        return self.node.configuration.view.get_key(digest) is not None
+
     def find_adapter(self, model: str) -> Adapter:
         """Return the adapter version that a model name means.
 
--- a/src/thornlatch/dispatch/_holder.py
+++ b/src/thornlatch/dispatch/_holder.py
@@ -1,6 +1,6 @@
 """The host's side: requests that wait for grants, and grants held."""
 
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from thornlatch.core import Action, Emit, Event, Send
 from thornlatch.dispatch._messages import (
@@ -192,20 +192,8 @@
         pending.sent_to = self.owner
         pending.sent_epoch = epoch
         pending.sent_at = now
-        spec = pending.spec
-        remaining = RequestSpec(
-            spec.request,
-            spec.attempt,
-            spec.organisation,
-            spec.pool,
-            max(0.0, pending.deadline - now),
-            spec.tokens,
-            spec.adapter,
-            spec.version,
-            spec.priority,
-            spec.prefix,
-            spec.excluded,
-        )
+        deadline_in_s = max(0.0, pending.deadline - now)
+        remaining = replace(pending.spec, deadline_in_s=deadline_in_s)
         return self.send(GrantRequest(self.host, remaining), now)
 
     def drop_pending(self, key: RequestKey, now: float) -> list[Action]:
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -392,11 +392,13 @@
         if self.acknowledge_at is None:
             spread = len(self.view.members) / ACKNOWLEDGEMENTS_PER_S
             self.acknowledge_at = now + spread * self.random.random()
-        if now < self.acknowledge_at or not self.timers.is_due("acknowledge", now=now):
+        # An acknowledgement that was read back must not delay that of a later join.
+        purpose = f"acknowledge {self.view.acknowledged[self.host]}"
+        if now < self.acknowledge_at or not self.timers.is_due(purpose, now=now):
             return []
         self.acknowledged_offset = self.view.offset
         record = ViewAcknowledged(self.host, self.view.offset)
-        return self._append("acknowledge", record, now)
+        return self._append(purpose, record, now)
 
     def _defend(self, now: float) -> list[Action]:
         open_ = self.view.accusations.get(self.host)
