--- a/src/thornlatch/configuration/_catch_up.py
+++ b/src/thornlatch/configuration/_catch_up.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Iterator
 
-from thornlatch.configuration._records import ConfigurationSnapshot, Record
+from thornlatch.configuration._records import Record
 
 
 class HeldRecords:
@@ -36,19 +36,6 @@
             self.records = []
         self.records.append(record)
 
-    def is_bridged_by(self, snapshot: ConfigurationSnapshot) -> bool:
-        """Return whether no record is missing between `snapshot` and the held ones.
-
-        Parameters
-        ----------
-        snapshot : ConfigurationSnapshot
-
-        Returns
-        -------
-        bool
-        """
-        return not self.records or snapshot.covered_offset >= self.first - 1
-
     def iter_after(self, offset: int) -> Iterator[tuple[int, Record]]:
         """Iterate over the held records after `offset`.
 
--- a/src/thornlatch/configuration/_slice.py
+++ b/src/thornlatch/configuration/_slice.py
@@ -5,7 +5,6 @@
 thread.
 """
 
-import hashlib
 from collections.abc import Iterator
 from dataclasses import dataclass
 from functools import singledispatchmethod
@@ -21,6 +20,7 @@
     OffsetQuery,
     Record,
 )
+from thornlatch.configuration._schedule import QuerySchedule, SnapshotSchedule
 from thornlatch.configuration._settings import ConfigurationSettings
 from thornlatch.configuration._state import (
     ConfigurationState,
@@ -97,10 +97,8 @@
         self.source = SnapshotSource(host)
         self.download = SnapshotDownload(settings)
         self.ended: list[tuple[int, str]] = []
-        self.queried_at: float | None = None
-        self.query_round = 0
-        self.snapshot_offset = -1
-        self.snapshot_at: float | None = None
+        self.queries = QuerySchedule(settings, host, leases)
+        self.snapshots = SnapshotSchedule(settings, host, leases)
         self.was_fresh = False
 
     @property
@@ -329,8 +327,7 @@
         -------
         list of Action
         """
-        if self.snapshot_at is None:
-            self.snapshot_at = now
+        self.snapshots.start(now=now)
         actions = self._query_peers(now=now)
         actions += self._fetch_snapshot(now=now)
         actions += self._write_snapshot(now=now)
@@ -376,14 +373,14 @@
         after = apply_record(before, offset, record)
         is_accepted = after.refusals is before.refusals
         if is_accepted and isinstance(record, ConfigurationSnapshot):
-            self._note_snapshot(record.covered_offset, now=now)
+            self.snapshots.note(record.covered_offset, now=now)
         return self._replace(before, after, offset)
 
     def _hold(self, offset: int, record: Record, *, now: float) -> list[Action]:
         self.held.add(offset, record)
         if not isinstance(record, ConfigurationSnapshot):
             return []
-        if not self.held.is_bridged_by(record) or record.covered_offset >= offset:
+        if record.covered_offset >= offset:
             return []
         return self._load(record, offset, now=now)
 
@@ -402,7 +399,7 @@
             return [_emit_refusal(refusal)]
         if after is before:
             return []
-        self._note_snapshot(snapshot.covered_offset, now=now)
+        self.snapshots.note(snapshot.covered_offset, now=now)
         actions = self._replace(before, after, snapshot.covered_offset)
         return actions + self._apply_held(now=now)
 
@@ -431,14 +428,9 @@
         return actions
 
     def _query_peers(self, *, now: float) -> list[Action]:
-        age_s = self.freshness.get_age(now=now)
-        if age_s is not None and age_s < self.settings.query_after_s:
+        peers = self.queries.choose_peers(self.freshness.get_age(now=now), now=now)
+        if not peers:
             return []
-        waited_s = now - self.queried_at if self.queried_at is not None else None
-        if waited_s is not None and waited_s < self.settings.query_interval_s:
-            return []
-        self.queried_at = now
-        peers = self._choose_peers()
         self.freshness.note_queries(peers, now=now)
         query = OffsetQuery(self.state.offset, now)
         return [Send(peer, query) for peer in peers]
@@ -448,51 +440,13 @@
         is_behind = self.freshness.highest_known > offset
         return self.download.tick(offset, is_behind=is_behind, now=now)
 
-    def _choose_peers(self) -> list[str]:
-        """Return the next peers in an order of this host's own."""
-        members = (member.host for member in self.leases.iter_members())
-        peers = sorted(
-            (host for host in members if host != self.host),
-            key=lambda host: _rank(self.host, host),
-        )
-        count = min(self.settings.query_peers, len(peers))
-        start = self.query_round * count
-        self.query_round += 1
-        return [peers[(start + index) % len(peers)] for index in range(count)]
-
     def _write_snapshot(self, *, now: float) -> list[Action]:
-        if self.state.offset < 0 or not self._is_snapshot_due(now=now):
-            return []
-        if not self.is_fresh(now=now):
+        offset = self.state.offset
+        if not self.snapshots.is_due(offset, now=now) or not self.is_fresh(now=now):
             return []
-        self.snapshot_at = now
-        self.snapshot_offset = self.state.offset
+        self.snapshots.note(offset, now=now)
         return [Append(STREAM, self.build_snapshot())]
 
-    def _is_snapshot_due(self, *, now: float) -> bool:
-        settings = self.settings
-        waited_s = now - (self.snapshot_at if self.snapshot_at is not None else now)
-        behind = self.state.offset - self.snapshot_offset
-        due_s = settings.snapshot_every_s
-        if behind >= settings.snapshot_every_records:
-            due_s = min(due_s, settings.snapshot_backoff_s)
-        if waited_s < due_s:
-            return False
-        turn = self._get_snapshot_turn()
-        return waited_s >= due_s + turn * settings.snapshot_backoff_s
-
-    def _get_snapshot_turn(self) -> int:
-        """Return this host's place in the order that the last snapshot gives."""
-        salt = str(self.snapshot_offset)
-        hosts = [member.host for member in self.leases.iter_members()]
-        ranks = sorted(_rank(salt, host) for host in hosts)
-        own = _rank(salt, self.host)
-        return ranks.index(own) if own in ranks else len(ranks)
-
-    def _note_snapshot(self, covered_offset: int, *, now: float) -> None:
-        self.snapshot_at = now
-        self.snapshot_offset = max(self.snapshot_offset, covered_offset)
-
     def _note_freshness(self, *, now: float) -> list[Action]:
         is_fresh = self.is_fresh(now=now)
         if is_fresh == self.was_fresh:
@@ -502,16 +456,13 @@
         return [Emit(Event(name, offset=self.state.offset))]
 
 
-def _rank(salt: str, host: str) -> str:
-    return hashlib.sha256(f"{salt}|{host}".encode()).hexdigest()
-
-
 def _iter_ended(before: ConfigurationState, after: ConfigurationState) -> Iterator[str]:
     """Iterate over digests of keys in force before but not after."""
+    old, new = before.tables, after.tables
     is_same = before.withdrawn is after.withdrawn and before.issued is after.issued
-    if is_same and before.tables is after.tables:
+    if is_same and old.keys is new.keys and old.organisations is new.organisations:
         return
-    for digest in {*before.tables.keys, *before.issued}:
+    for digest in {*old.keys, *before.issued}:
         if before.get_key(digest) is not None and after.get_key(digest) is None:
             yield digest
 
--- a/src/thornlatch/configuration/tests/test_slice.py
+++ b/src/thornlatch/configuration/tests/test_slice.py
@@ -252,6 +252,21 @@
     assert host.view.offset == 4
 
 
+def test_gap_stops_requests_at_once(stream):
+    host = build_host()
+    read_all(host, stream)
+    assert host.is_fresh(now=1.0)
+    host.apply_record(5, KeyWithdrawn(DIGESTS[1], "ana"), now=1.0)
+    assert refuse(host, KEYS[0], now=1.0) is ErrorKind.HOST_UNCONFIRMED
+
+
+def test_held_snapshot_of_the_future_is_not_used():
+    host = build_host()
+    snapshot = ConfigurationSnapshot(7, 0, "h", build_inventory())
+    host.apply_record(5, snapshot, now=0.0)
+    assert (host.view.offset, host.view.inventory_offset) == (-1, -1)
+
+
 def test_catch_up_from_peer():
     stream = build_trimmed(first=4)
     peer, host = build_host("p"), build_host(leases=FakeLeases(("a",)))
--- a/src/thornlatch/configuration/tests/test_state.py
+++ b/src/thornlatch/configuration/tests/test_state.py
@@ -169,3 +169,11 @@
     loaded = load_snapshot(ConfigurationState(), build_snapshot(state, "h"))
     assert describe(loaded) == describe(state)
     assert loaded.get_key(DIGESTS[0]) is None
+
+
+def test_snapshot_without_withdrawal_keeps_it(state):
+    forgetful = replace(build_snapshot(state, "h"), covered_offset=9)
+    state = apply_record(state, 1, KeyWithdrawn(DIGESTS[0], "ana"))
+    loaded = load_snapshot(state, forgetful)
+    assert loaded.offset == 9
+    assert loaded.get_key(DIGESTS[0]) is None
