--- /dev/null
+++ b/src/thornlatch/membership/_duties.py
@@ -0,0 +1,170 @@
+"""What a member writes to the control stream while it can read the log."""
+
+from random import Random
+from typing import Any
+
+from thornlatch.core import Action, Append
+from thornlatch.membership._accuser import Accuser
+from thornlatch.membership._recorded import record_state
+from thornlatch.membership._records import (
+    CONTROL_STREAM,
+    Accused,
+    Defended,
+    Expelled,
+    HostRemoved,
+    ViewAcknowledged,
+    ViewRecorded,
+)
+from thornlatch.membership._settings import MembershipSettings
+from thornlatch.membership._suspects import Suspects
+from thornlatch.membership._timers import RetryTimers
+from thornlatch.membership._view import ViewFold
+from thornlatch.membership._waits import Waits
+
+RETRY_S = 1.0
+RANK_STAGGER_S = 2.0
+ACKNOWLEDGEMENTS_PER_S = 100.0
+
+
+class Duties:
+    """Records that this host owes; each is repeated until it is read back.
+
+    Parameters
+    ----------
+    settings : MembershipSettings
+    host : str
+        Host id of this process.
+    random : random.Random
+        Seeded generator for jitter.
+    """
+
+    def __init__(
+        self, settings: MembershipSettings, *, host: str, random: Random
+    ) -> None:
+        self.settings = settings
+        self.host = host
+        self.random = random
+        self.timers = RetryTimers(RETRY_S)
+        self.accuser = Accuser(host)
+        self.acknowledged_offset = -1
+        self.acknowledge_at: float | None = None
+        self.defend_at: float | None = None
+        self.view_recorded_at: float | None = None
+
+    def append(self, purpose: str, record: Any, *, now: float) -> list[Action]:
+        """Append a record unless it was appended for `purpose` just before.
+
+        Parameters
+        ----------
+        purpose : str
+        record : object
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        if not self.timers.start(purpose, now=now):
+            return []
+        return [Append(CONTROL_STREAM, record)]
+
+    def tick(
+        self, view: ViewFold, suspects: Suspects, waits: Waits, *, now: float
+    ) -> list[Action]:
+        """Append what is due.
+
+        Parameters
+        ----------
+        view : ViewFold
+        suspects : Suspects
+        waits : Waits
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        return [
+            *self._acknowledge(view, now),
+            *self._defend(view, now),
+            *self._accuse(view, suspects, now),
+            *self._expel(view, suspects, now),
+            *self._remove(view, waits, now),
+            *self._record_view(view, now),
+        ]
+
+    def _acknowledge(self, view: ViewFold, now: float) -> list[Action]:
+        required = view.get_required_acknowledgement(self.host)
+        if view.acknowledged[self.host] >= required:
+            self.acknowledge_at = None
+            return []
+        if self.acknowledge_at is None:
+            spread_s = len(view.members) / ACKNOWLEDGEMENTS_PER_S
+            self.acknowledge_at = now + spread_s * self.random.random()
+        if now < self.acknowledge_at or not self.timers.is_due("acknowledge", now=now):
+            return []
+        self.acknowledged_offset = view.offset
+        record = ViewAcknowledged(self.host, view.offset)
+        return self.append("acknowledge", record, now=now)
+
+    def _defend(self, view: ViewFold, now: float) -> list[Action]:
+        open_ = view.accusations.get(self.host)
+        if not open_:
+            self.defend_at = None
+            return []
+        if self.defend_at is None:
+            # A majority that doesn't hear this host gets time to say so.
+            self.defend_at = now + self.settings.defence_s / 2
+        if now < self.defend_at:
+            return []
+        newest = max(accusation.offset for accusation in open_.values())
+        return self.append("defend", Defended(self.host, newest), now=now)
+
+    def _accuse(self, view: ViewFold, suspects: Suspects, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for host in suspects.find_accusable(view, now=now):
+            is_suspect = suspects.is_suspect(
+                host, view, now=now
+            ) and not suspects.watch.is_quiet(host, now=now)
+            if self.accuser.is_due(host, view, is_suspect=is_suspect, now=now):
+                self.accuser.note_sent(host, view, now=now)
+                record = Accused(host, self.host, view.offset)
+                actions.append(Append(CONTROL_STREAM, record))
+        return actions
+
+    def _expel(self, view: ViewFold, suspects: Suspects, now: float) -> list[Action]:
+        actions: list[Action] = []
+        for host in self.accuser.unanswered_since:
+            accusation = self.accuser.find_unanswered(
+                host, view, patience_s=self.settings.patience_s, now=now
+            )
+            if accusation is None or not suspects.is_suspect(host, view, now=now):
+                continue
+            record = Expelled(host, accusation.offset, self.host)
+            actions += self.append(f"expel {host}", record, now=now)
+        return actions
+
+    def _remove(self, view: ViewFold, waits: Waits, now: float) -> list[Action]:
+        if not waits.waiting:
+            return []
+        actions: list[Action] = []
+        overdue_s = self._get_stagger(view)
+        for host in waits.iter_elapsed(overdue_s=overdue_s, now=now):
+            record = HostRemoved(host, self.host)
+            actions += self.append(f"remove {host}", record, now=now)
+        return actions
+
+    def _record_view(self, view: ViewFold, now: float) -> list[Action]:
+        if self.view_recorded_at is None:
+            self.view_recorded_at = now
+        elapsed_s = now - self.view_recorded_at
+        if elapsed_s < self.settings.record_view_s:
+            return []
+        if elapsed_s < self.settings.record_view_s + self._get_stagger(view):
+            return []
+        record = ViewRecorded(self.host, view.offset, record_state(view))
+        return self.append("record view", record, now=now)
+
+    def _get_stagger(self, view: ViewFold) -> float:
+        """Return seconds to wait so that earlier members write a record first."""
+        return list(view.members).index(self.host) * RANK_STAGGER_S
