Keep claims when one machine's clock is wrong

Cause: the fold's clock was the highest time in the log, so one clock ahead by more than the window made all hosts forget claims and a call run twice.

Ruled out: the median of all machines (needs state for each); refusing claims while clocks disagree (one wrong clock would stop all keyed calls).

Change: the clock is the second highest of the machines' latest times; a claimer whose clock is behind gets its window from the fold's clock. Orders of sets no longer reach actions or reports.

Conclusion: one wrong clock is covered once two machines with right ones have written; two wrong clocks are not.

--- a/src/thornlatch/requests/_claim_fold.py
+++ b/src/thornlatch/requests/_claim_fold.py
@@ -58,13 +58,22 @@
     def __init__(self, *, clock_skew_s: float, answers_limit_bytes: int) -> None:
         self.clock_skew_s = clock_skew_s
         self.answers_limit_bytes = answers_limit_bytes
-        self.clock = float("-inf")
+        self.times: list[tuple[float, str]] = []
         self.entries: dict[ClaimKey, Entry] = {}
         self.keys: dict[str, ClaimKey] = {}
         self.expiries: list[tuple[float, str]] = []
         self.bodies: OrderedDict[str, int] = OrderedDict()
         self.bodies_size = 0
 
+    @property
+    def clock(self) -> float:
+        """Wall time that two machines agree has passed.
+
+        It is the second highest of the latest times that each machine has written, so
+        one wrong clock doesn't make all hosts forget claims too early.
+        """
+        return self.times[1][0] if len(self.times) > 1 else float("-inf")
+
     def find(self, claim: str) -> Entry | None:
         """Return the entry that `claim` holds."""
         key = self.keys.get(claim)
@@ -92,7 +101,7 @@
         for released in batch.released:
             touched.add(self.release(released.claim, host=batch.host))
         for claimed in batch.claims:
-            self._advance(claimed.claimed_at)
+            self._advance(claimed.claimed_at, batch.host)
             self._claim(claimed, batch.host)
             touched.add((claimed.organisation, claimed.key))
         return {key for key in touched if key is not None}
@@ -127,17 +136,23 @@
         key = (item.organisation, item.key)
         if key in self.entries:
             return
-        self.entries[key] = Entry(item.claim, host, item.body_digest, item.expires_at)
+        # A claimer whose clock is behind gets the whole window all the same.
+        expires_at = item.expires_at + max(self.clock - item.claimed_at, 0.0)
+        self.entries[key] = Entry(item.claim, host, item.body_digest, expires_at)
         self.keys[item.claim] = key
-        heapq.heappush(self.expiries, (item.expires_at, item.claim))
+        heapq.heappush(self.expiries, (expires_at, item.claim))
 
     def _find_own(self, claim: str, host: str) -> Entry | None:
         entry = self.find(claim)
         return entry if entry is not None and entry.host == host else None
 
-    def _advance(self, wall_time: float) -> None:
-        self.clock = max(self.clock, wall_time)
-        while self.expiries and self.expiries[0][0] + self.clock_skew_s <= self.clock:
+    def _advance(self, wall_time: float, host: str) -> None:
+        machine = host.rpartition(".")[0] or host
+        known = {name: time for time, name in self.times}
+        known[machine] = max(known.get(machine, wall_time), wall_time)
+        self.times = heapq.nlargest(2, ((time, name) for name, time in known.items()))
+        clock = self.clock - self.clock_skew_s
+        while self.expiries and self.expiries[0][0] <= clock:
             self._forget(heapq.heappop(self.expiries)[1])
 
     def _forget(self, claim: str) -> None:
--- a/src/thornlatch/requests/_claims.py
+++ b/src/thornlatch/requests/_claims.py
@@ -268,8 +268,9 @@
             return idempotency.refuse_key("the Idempotency-Key is no UUID of version 7")
         # The claim lands later than this check, on a fold whose clock may be ahead.
         margin = settings.clock_skew_s + settings.claim_timeout_s
-        if made_at is not None and wall_time >= (
-            made_at + settings.repeat_window_s - margin
+        wall_time = max(wall_time, self.fold.clock)
+        if made_at is not None and (
+            wall_time >= made_at + settings.repeat_window_s - margin
         ):
             return idempotency.refuse_old()
         if self._is_log_silent(now=now):
--- a/src/thornlatch/requests/_quarantine.py
+++ b/src/thornlatch/requests/_quarantine.py
@@ -346,7 +346,7 @@
         return actions + self._notify(refused=tuple(refused), now=now)
 
     def _clear(self, fingerprints: set[str], *, now: float) -> list[Action]:
-        for fingerprint in fingerprints:
+        for fingerprint in sorted(fingerprints):
             targets = self._get_targets(fingerprint)
             keys = [_suspect_key(fingerprint, target) for target in targets]
             removed = [self.outbox.remove(key) for key in keys]
--- a/src/thornlatch/requests/tests/claim_histories.py
+++ b/src/thornlatch/requests/tests/claim_histories.py
@@ -64,9 +64,12 @@
         `ClaimTable`, or a broken one.
     duration_s : float
         Simulated seconds before the faults stop.
+    keys : int
+    skew : float
+        Seconds by which the clock of the first machine is wrong.
     """
 
-    def __init__(self, seed, table=ClaimTable, duration_s=3.0, keys=4):
+    def __init__(self, seed, table=ClaimTable, duration_s=3.0, keys=4, skew=0.0):
         self.random = random.Random(seed)
         self.table = table
         self.duration_s = duration_s
@@ -81,17 +84,33 @@
         self.results: dict[str, object] = {}
         self.runs: list[Run] = []
         self.born = 0
+        self.skew = skew
         for _ in range(3):
             self.start_host()
 
     def start_host(self):
         self.born += 1
-        host = f"h{self.born}"
+        machine = self.born if self.born <= 3 else self.find_free_machine()
+        host = f"m{machine}.{self.born}"
         table = self.table(SETTINGS, host=host, leases=self.view)
         self.view.hosts.append(host)
-        self.nodes[host] = Node(table, skew=self.random.uniform(-0.05, 0.05))
+        skew = self.random.uniform(-0.05, 0.05) + (self.skew if machine == 1 else 0)
+        self.nodes[host] = Node(table, skew=skew)
+
+    def find_free_machine(self):
+        used = {host.split(".")[0] for host in self.nodes}
+        return next(number for number in (1, 2, 3) if f"m{number}" not in used)
+
+    def warm_up(self):
+        """Let two machines with right clocks claim before faults begin."""
+        for host in list(self.nodes)[1:]:
+            self.call(host)
+        for _ in range(int(2.0 / STEP_S)):
+            self.step()
 
     def run(self):
+        if self.skew:
+            self.warm_up()
         end = self.now + self.duration_s
         while self.now < end:
             self.break_things()
@@ -126,8 +145,8 @@
             self.view.hosts.remove(host)
             self.start_host()
 
-    def call(self):
-        host = self.random.choice(list(self.nodes))
+    def call(self, host=""):
+        host = host or self.random.choice(list(self.nodes))
         node = self.nodes[host]
         if node.paused_until > self.now:
             return
--- a/src/thornlatch/requests/tests/test_claims.py
+++ b/src/thornlatch/requests/tests/test_claims.py
@@ -27,6 +27,27 @@
     assert len(keys) > len(set(keys)), "keys run again after the window"
 
 
+@pytest.mark.parametrize("skew", [-60.0, 60.0], ids=["behind", "ahead"])
+@pytest.mark.parametrize("seed", range(6))
+def test_history_one_wrong_clock(seed, skew):
+    history = History(seed, duration_s=12.0, keys=12, skew=skew).run()
+    assert history.check() == []
+
+
+class FoldTrustsAnyClock(ClaimFold):
+    @property
+    def clock(self):
+        return self.times[0][0] if self.times else float("-inf")
+
+
+def test_history_one_wrong_clock_trusted():
+    broken = break_fold(FoldTrustsAnyClock)
+    histories = [
+        History(seed, broken, duration_s=12.0, keys=12, skew=60.0) for seed in range(6)
+    ]
+    assert any(history.run().find_duplicate_runs() for history in histories)
+
+
 class SendsBeforeReadBack(ClaimTable):
     def _make_claim(self, waiter, *, now):
         super()._make_claim(waiter, now=now)
@@ -50,8 +71,8 @@
 
 
 class FoldForgetsEarly(ClaimFold):
-    def _advance(self, wall_time):
-        super()._advance(wall_time + 5.5)
+    def _advance(self, wall_time, host):
+        super()._advance(wall_time + 5.5, host)
 
 
 class FoldFreesByAnyHost(ClaimFold):
--- a/src/thornlatch/timeline/_request_checks.py
+++ b/src/thornlatch/timeline/_request_checks.py
@@ -58,7 +58,7 @@
 
     def finish(self) -> None:
         """Compare refusals and runs."""
-        for request in self.refused.keys() & self.ran.keys():
+        for request in sorted(self.refused.keys() & self.ran.keys()):
             run, refused = self.ran[request], self.refused[request]
             message = f"was refused as not run and ran at {run.target}"
             self.report(request, message, run, refused)
