Split the judging of deaths from the quarantine

Change: Deaths holds deaths and tells a domain's loss; bench/requests.py can print the table of the design page (compare_rules). No behaviour changed.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -7,12 +7,13 @@
 import statistics
 import tempfile
 import time
+from dataclasses import replace
 from pathlib import Path
 
 from thornlatch.core import Append, Resolve, decode_record, encode_record
 from thornlatch.requests import ClaimTable, ClaimWon, RequestsSettings
 from thornlatch.requests.tests.claim_histories import History, View
-from thornlatch.requests.tests.quarantine_fleets import Fleet, Plan
+from thornlatch.requests.tests.quarantine_fleets import SETTINGS, Fleet, Plan
 from thornlatch.requests.tests.stream_histories import StreamHistory
 from thornlatch.timeline import LoggedEvent, encode_event, merge_events, read_events
 
@@ -121,6 +122,37 @@
     ]
 
 
+RULES = {
+    "chosen": Plan(),
+    "1 isolated per pool": Plan(settings=replace(SETTINGS, isolated_per_pool=1)),
+    "4 isolated per pool": Plan(settings=replace(SETTINGS, isolated_per_pool=4)),
+    "copies at once, together": Plan(is_concurrent=True),
+    "copies at once, apart": Plan(is_concurrent=True, keeps_copies_together=False),
+    "pods of 2": Plan(pod_targets=2),
+    "pods of 3": Plan(pod_targets=3),
+    "pods of 2, copies at once, apart": Plan(
+        pod_targets=2, is_concurrent=True, keeps_copies_together=False
+    ),
+    "half of all messages lost": Plan(message_loss=0.5),
+    "two crashing requests": Plan(crashers=2),
+    "log out": Plan(outage=(0.4, 3.0)),
+    "domain lost": Plan(crashers=0, domain_loss_at=0.6),
+    "domain lost and crash": Plan(domain_loss_at=0.6),
+}
+
+
+def compare_rules(seeds=20):
+    """Print the table of docs/design/0005-requests.md; takes minutes."""
+    for name, plan in RULES.items():
+        fleets = [Fleet(seed, plan).run() for seed in range(seeds)]
+        lost = max(max(fleet.lost.values(), default=0) for fleet in fleets)
+        delays = [fleet.get_delay() for fleet in fleets]
+        delayed = sum(count for count, _ in delays) / seeds
+        spent = sum(seconds for _, seconds in delays) / seeds
+        unserved = sum(len(fleet.calls) for fleet in fleets)
+        print(f"{name} | {lost} | {delayed:.1f} | {spent:.1f} | {unserved}")
+
+
 def measure_timeline():
     with tempfile.TemporaryDirectory() as directory:
         paths = write_logs(Path(directory))
--- a/src/thornlatch/requests/_quarantine.py
+++ b/src/thornlatch/requests/_quarantine.py
@@ -6,7 +6,7 @@
 """
 
 from collections import OrderedDict
-from dataclasses import dataclass, replace
+from dataclasses import dataclass
 from functools import singledispatchmethod
 from typing import Any
 
@@ -20,6 +20,7 @@
     Send,
 )
 from thornlatch.exceptions import ErrorKind, Execution, RequestRefused
+from thornlatch.requests._deaths import Death, Deaths, Running
 from thornlatch.requests._notices import NoticeSender
 from thornlatch.requests._outbox import Outbox
 from thornlatch.requests._quarantine_fold import QuarantineFold
@@ -44,18 +45,6 @@
 
 STREAM = "quarantine"
 NOTICES_LIMIT = 10_000
-DOMAIN_LOSS_RATIO = 0.75
-
-
-@dataclass(frozen=True, slots=True)
-class Running:
-    """A request in flight on a target; `ask` is set for an isolated run."""
-
-    request: str
-    fingerprint: str
-    target: str
-    ask: str
-    started_at: float
 
 
 @dataclass(frozen=True, slots=True)
@@ -69,23 +58,6 @@
     deadline: float
 
 
-@dataclass(frozen=True, slots=True)
-class Death:
-    """A target's death, judged at `due`."""
-
-    target: str
-    failure_domain: str
-    domain_targets: int
-    at: float
-    due: float
-    running: tuple[Running, ...]
-
-    @property
-    def fingerprints(self) -> set[str]:
-        """Fingerprints that were in flight."""
-        return {one.fingerprint for one in self.running}
-
-
 class Quarantine:
     """Decides whether a request may run beside others, alone or not at all.
 
@@ -114,7 +86,7 @@
         self.early = QuarantineFold(settings)
         self.running: dict[str, Running] = {}
         self.waiting: dict[str, Waiting] = {}
-        self.deaths: list[Death] = []
+        self.deaths = Deaths(settings.domain_window_s)
         self.seen: OrderedDict[tuple[str, int], None] = OrderedDict()
         self.turns: dict[str, tuple[str, float]] = {}
         self.missing: dict[str, float] = {}
@@ -204,9 +176,7 @@
         ran = tuple(one for one in self.running.values() if one.target == target)
         for one in ran:
             del self.running[one.request]
-        due = now + self.settings.domain_window_s
-        death = Death(target, failure_domain, domain_targets, now, due, ran)
-        self.deaths.append(death)
+        self.deaths.add(Death(target, failure_domain, domain_targets, now, ran))
         suspects = tuple(Suspected(one.fingerprint, target) for one in ran)
         for suspected in suspects:
             self.early.suspect(suspected, now=now)
@@ -268,20 +238,12 @@
 
     def _judge(self, *, now: float) -> list[Action]:
         actions: list[Action] = []
-        window = self.settings.domain_window_s
-        due = [death for death in self.deaths if death.due <= now and death.running]
-        for death in due:
+        for death in self.deaths.take_due(now=now):
             actions += self._judge_death(death, now=now)
-        judged = {id(death) for death in due}
-        self.deaths = [
-            replace(death, running=()) if id(death) in judged else death
-            for death in self.deaths
-            if death.due + window > now or (death.running and id(death) not in judged)
-        ]
         return actions
 
     def _judge_death(self, death: Death, *, now: float) -> list[Action]:
-        beside = self._find_domain_loss(death)
+        beside = self.deaths.find_domain_loss(death)
         innocent: set[str] = set()
         refused: list[str] = []
         for one in death.running:
@@ -299,20 +261,6 @@
         actions = self._clear(innocent, now=now) if innocent else []
         return actions + self._tell_refused(refused, death, now=now)
 
-    def _find_domain_loss(self, death: Death) -> list[Death]:
-        """Return the other deaths if the whole failure domain was lost."""
-        beside = [other for other in self.deaths if self._is_beside(death, other)]
-        died = len({other.target for other in beside}) + 1
-        is_lost = died >= DOMAIN_LOSS_RATIO * death.domain_targets
-        return beside if is_lost else []
-
-    def _is_beside(self, death: Death, other: Death) -> bool:
-        return (
-            other.target != death.target
-            and other.failure_domain == death.failure_domain
-            and abs(other.at - death.at) <= self.settings.domain_window_s
-        )
-
     def _is_common(self, fingerprint: str, deaths: list[Death]) -> bool:
         """Return whether the request was on another target that died, at any host."""
         targets = set(self._get_targets(fingerprint))
@@ -390,7 +338,7 @@
 
     def _settle_one(self, waiting: Waiting, *, now: float) -> list[Action]:
         verdict = self.check(waiting.fingerprint, now=now)
-        if self._is_being_judged(waiting.fingerprint):
+        if self.deaths.is_judging(waiting.fingerprint):
             return []
         if isinstance(verdict, MustWait) and self.fold.has_turn(waiting.ask):
             del self.waiting[waiting.ticket]
@@ -406,9 +354,6 @@
             value = _refuse_for_now(self.settings.wait_s)
         return [Resolve(waiting.ticket, value)]
 
-    def _is_being_judged(self, fingerprint: str) -> bool:
-        return any(fingerprint in death.fingerprints for death in self.deaths)
-
     def _ask(self, waiting: Waiting, *, now: float) -> None:
         # The log may clear a suspect between its notice and the landing of the ask.
         is_asked = waiting.ask in self.fold.asks
