Hold waiting requests in one place and keep less per claim

Cause: _claims.py kept waiting requests in two maps by hand; a claim with its answer took more memory than 128 MB allow at the limits.

Change: Waiters; the digest is recorded only for a body that was too large; the clock advances once per record; answers_limit_bytes 16 MB (was 32 MB).

--- a/src/thornlatch/requests/_claim_fold.py
+++ b/src/thornlatch/requests/_claim_fold.py
@@ -100,8 +100,9 @@
             touched.add(self.mark_unresolved(lost.claim, host=batch.host))
         for released in batch.released:
             touched.add(self.release(released.claim, host=batch.host))
+        if batch.claims:
+            self._advance(max(item.claimed_at for item in batch.claims), batch.host)
         for claimed in batch.claims:
-            self._advance(claimed.claimed_at, batch.host)
             self._claim(claimed, batch.host)
             touched.add((claimed.organisation, claimed.key))
         return {key for key in touched if key is not None}
--- a/src/thornlatch/requests/_claim_records.py
+++ b/src/thornlatch/requests/_claim_records.py
@@ -45,7 +45,7 @@
     body : bytes
         Empty if it was too large to record.
     body_digest : str
-        Hexadecimal SHA-256 of the whole body.
+        Hexadecimal SHA-256 of a body that was too large; empty otherwise.
     is_whole : bool
         Whether `body` is the whole body.
     """
@@ -53,7 +53,7 @@
     status: int
     headers: tuple[tuple[str, str], ...]
     body: bytes
-    body_digest: str
+    body_digest: str = ""
     is_whole: bool = True
 
 
--- a/src/thornlatch/requests/_claims.py
+++ b/src/thornlatch/requests/_claims.py
@@ -25,6 +25,7 @@
 )
 from thornlatch.requests._outbox import Outbox
 from thornlatch.requests._settings import RequestsSettings
+from thornlatch.requests._waiters import Waiter, Waiters
 
 STREAM = "claims"
 
@@ -47,17 +48,6 @@
     state: OwnState = OwnState.PENDING
 
 
-@dataclass(frozen=True, slots=True)
-class Waiter:
-    """A local request that waits for the outcome of its key."""
-
-    ticket: str
-    key: ClaimKey
-    body_digest: str
-    wall_offset: float
-    deadline: float
-
-
 class ClaimTable:
     """Decides which host runs a non-idempotent call.
 
@@ -89,8 +79,7 @@
         )
         self.own: dict[str, OwnClaim] = {}
         self.pending: dict[ClaimKey, str] = {}
-        self.waiters: dict[ClaimKey, list[Waiter]] = {}
-        self.tickets: dict[str, ClaimKey] = {}
+        self.waiters = Waiters()
         self.missing: dict[str, float] = {}
         self.made = 0
         self.unread_since: float | None = None
@@ -134,8 +123,7 @@
         waiter = Waiter(
             ticket, key, body_digest, wall_time - now, now + self.settings.wait_s
         )
-        self.tickets[ticket] = key
-        self.waiters.setdefault(key, []).append(waiter)
+        self.waiters.add(waiter)
         return self._settle(key, now=now)
 
     def cancel(self, ticket: str, *, now: float) -> list[Action]:
@@ -143,15 +131,11 @@
 
         After `ClaimWon` the request calls `abandon` instead.
         """
-        key = self.tickets.pop(ticket, None)
-        if key is None:
+        waiter = self.waiters.remove(ticket)
+        if waiter is None or waiter.key in self.waiters:
             return []
-        waiters = [one for one in self.waiters.pop(key) if one.ticket != ticket]
-        if waiters:
-            self.waiters[key] = waiters
-        elif key in self.pending:
-            return self._give_up(self.pending[key], now=now)
-        return []
+        claim = self.pending.get(waiter.key)
+        return self._give_up(claim, now=now) if claim is not None else []
 
     def begin(self, claim: str, *, now: float) -> bool:
         """Take the only permission to send; call directly before the first byte.
@@ -259,7 +243,7 @@
         settings = self.settings
         if not idempotency.is_valid_key(key[1]):
             return idempotency.refuse_key("the Idempotency-Key is empty or too long")
-        if len(self.tickets) >= settings.pending_limit:
+        if len(self.waiters) >= settings.pending_limit:
             return idempotency.refuse_busy(settings.claim_timeout_s)
         if key in self.fold.entries or key in self.pending:
             return None
@@ -289,14 +273,14 @@
         if entry is not None:
             return self._settle_by_entry(key, entry, now=now)
         if key in self.waiters and key not in self.pending:
-            self._make_claim(self.waiters[key][0], now=now)
+            self._make_claim(self.waiters.get(key)[0], now=now)
         return []
 
     def _settle_by_entry(
         self, key: ClaimKey, entry: Entry, *, now: float
     ) -> list[Action]:
         actions: list[Action] = []
-        for waiter in list(self.waiters.get(key, ())):
+        for waiter in self.waiters.get(key):
             value = self._judge(entry, waiter, now=now)
             if value is not None:
                 actions += self._resolve(waiter, value)
@@ -363,7 +347,7 @@
             return self._emit(record.claim, "requests.claim_lost", record=record)
         own.state = OwnState.WON
         winner = next(
-            (one for one in self.waiters.get(key, ()) if self._fits(one, record)), None
+            (one for one in self.waiters.get(key) if self._fits(one, record)), None
         )
         if winner is None:
             return self.abandon(record.claim, is_certain_not_run=True, now=now)
@@ -418,19 +402,17 @@
             if entry is None or entry.queued_at > late:
                 continue
             actions += self._give_up(claim, now=now)
-            for waiter in list(self.waiters.get(key, ())):
+            for waiter in self.waiters.get(key):
                 refusal = idempotency.refuse_log(self.settings.append_retry_limit_s)
                 actions += self._resolve(waiter, refusal)
-        for key in [one for one in self.waiters if one not in self.pending]:
+        for key in self.waiters.get_keys():
+            if key in self.pending:
+                continue
             actions += self._settle(key, now=now)
         return actions
 
     def _resolve(self, waiter: Waiter, value: Any) -> list[Action]:
-        self.tickets.pop(waiter.ticket, None)
-        waiters = self.waiters[waiter.key]
-        waiters.remove(waiter)
-        if not waiters:
-            del self.waiters[waiter.key]
+        self.waiters.remove(waiter.ticket)
         actions: list[Action] = [Resolve(waiter.ticket, value)]
         if isinstance(value, RecordedAnswer):
             event = Event(
--- a/src/thornlatch/requests/_idempotency.py
+++ b/src/thornlatch/requests/_idempotency.py
@@ -53,8 +53,10 @@
     """
     kept = tuple(pair for pair in headers if pair[0].lower() in RECORDED_HEADERS)
     is_whole = len(body) <= limit_bytes
+    if is_whole:
+        return RecordedAnswer(status, kept, body)
     digest = hashlib.sha256(body).hexdigest()
-    return RecordedAnswer(status, kept, body if is_whole else b"", digest, is_whole)
+    return RecordedAnswer(status, kept, b"", digest, is_whole=False)
 
 
 def refuse_conflict() -> RequestRefused:
--- a/src/thornlatch/requests/_settings.py
+++ b/src/thornlatch/requests/_settings.py
@@ -85,7 +85,7 @@
     claims_limit: Annotated[int, Meta(ge=1, le=10_000_000)] = 100_000
     pending_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
     answer_limit_bytes: Bytes = 16 << 10
-    answers_limit_bytes: Bytes = 32 << 20
+    answers_limit_bytes: Bytes = 16 << 20
     outbox_limit_bytes: Bytes = 8 << 20
     retry_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.1
     retry_burst: Annotated[float, Meta(ge=1, le=10_000)] = 10.0
--- a/src/thornlatch/requests/tests/test_claims.py
+++ b/src/thornlatch/requests/tests/test_claims.py
@@ -1,3 +1,4 @@
+import hashlib
 from dataclasses import replace
 
 import pytest
@@ -6,6 +7,7 @@
 from thornlatch.exceptions import ErrorKind, Execution, RequestRefused
 from thornlatch.requests import ClaimTable, ClaimWon, RecordedAnswer, RequestsSettings
 from thornlatch.requests._claim_fold import ClaimFold, Entry
+from thornlatch.requests._idempotency import record_answer
 from thornlatch.requests.tests.claim_histories import SETTINGS, History, View
 
 WALL = 1_700_000_000.0
@@ -466,5 +468,10 @@
         RequestsSettings(**changes)
 
 
-def test_recorded_answer_is_whole_by_default():
-    assert RecordedAnswer(200, (), b"", "").is_whole
+@pytest.mark.parametrize(("size", "is_whole"), [(0, True), (9, True), (10, False)])
+def test_record_answer_bounded(size, is_whole):
+    body = b"x" * size
+    answer = record_answer(200, (), body, limit_bytes=9)
+    digest = "" if is_whole else hashlib.sha256(body).hexdigest()
+    kept = body if is_whole else b""
+    assert answer == RecordedAnswer(200, (), kept, digest, is_whole)
