--- a/src/thornlatch/requests/tests/test_claims.py
+++ b/src/thornlatch/requests/tests/test_claims.py
@@ -1,3 +1,4 @@
+import hashlib
 from dataclasses import replace
 
 import pytest
@@ -6,6 +7,7 @@
 from thornlatch.exceptions import ErrorKind, Execution, RequestRefused
 from thornlatch.requests import ClaimTable, ClaimWon, RecordedAnswer, RequestsSettings
 from thornlatch.requests._claim_fold import ClaimFold, Entry
+from thornlatch.requests._idempotency import record_answer
 from thornlatch.requests.tests.claim_histories import SETTINGS, History, View
 
 WALL = 1_700_000_000.0
@@ -27,6 +29,27 @@
     assert len(keys) > len(set(keys)), "keys run again after the window"
 
 
+@pytest.mark.parametrize("skew", [-60.0, 60.0], ids=["behind", "ahead"])
+@pytest.mark.parametrize("seed", range(6))
+def test_history_one_wrong_clock(seed, skew):
+    history = History(seed, duration_s=12.0, keys=12, skew=skew).run()
+    assert history.check() == []
+
+
+class FoldTrustsAnyClock(ClaimFold):
+    @property
+    def clock(self):
+        return self.times[0][0] if self.times else float("-inf")
+
+
+def test_history_one_wrong_clock_trusted():
+    broken = break_fold(FoldTrustsAnyClock)
+    histories = [
+        History(seed, broken, duration_s=12.0, keys=12, skew=60.0) for seed in range(6)
+    ]
+    assert any(history.run().find_duplicate_runs() for history in histories)
+
+
 class SendsBeforeReadBack(ClaimTable):
     def _make_claim(self, waiter, *, now):
         super()._make_claim(waiter, now=now)
@@ -50,8 +73,8 @@
 
 
 class FoldForgetsEarly(ClaimFold):
-    def _advance(self, wall_time):
-        super()._advance(wall_time + 5.5)
+    def _advance(self, wall_time, host):
+        super()._advance(wall_time + 5.5, host)
 
 
 class FoldFreesByAnyHost(ClaimFold):
@@ -445,5 +468,10 @@
         RequestsSettings(**changes)
 
 
-def test_recorded_answer_is_whole_by_default():
-    assert RecordedAnswer(200, (), b"", "").is_whole
+@pytest.mark.parametrize(("size", "is_whole"), [(0, True), (9, True), (10, False)])
+def test_record_answer_bounded(size, is_whole):
+    body = b"x" * size
+    answer = record_answer(200, (), body, limit_bytes=9)
+    digest = "" if is_whole else hashlib.sha256(body).hexdigest()
+    kept = body if is_whole else b""
+    assert answer == RecordedAnswer(200, (), kept, digest, is_whole)
