Count an owner in its inventory as silent; tell one death from a domain's loss

Causes: a new owner that still counts parts repeats its request for inventories, and each one made it look alive, so a request inside its rate was refused after 0.8 s; the only target of a failure domain made every death look like the domain's loss, which cleared the crashing request. Changes: as named.

--- a/src/thornlatch/admission/_borrower.py
+++ b/src/thornlatch/admission/_borrower.py
@@ -158,7 +158,7 @@
             )
         if stamp != self.stamp or self.inventory is None:
             return []
-        self.mark_answered()
+        # An owner that still counts parts can't lend, so it counts as silent.
         return [Send(sender, self.inventory)]
 
     # Moves
--- a/src/thornlatch/requests/_deaths.py
+++ b/src/thornlatch/requests/_deaths.py
@@ -66,7 +66,8 @@
         """Return the other deaths if the whole failure domain was lost."""
         near = [one for one in self.judged + self.waiting if self._is_near(death, one)]
         died = len({one.target for one in near}) + 1
-        is_lost = died >= DOMAIN_LOSS_RATIO * death.domain_targets
+        # One death alone is no loss of a domain, however few targets it has.
+        is_lost = died > 1 and died >= DOMAIN_LOSS_RATIO * death.domain_targets
         return near if is_lost else []
 
     def _is_near(self, death: Death, other: Death) -> bool:
