Check lending by histories and mend what they found

The owner invited a host that was no longer a possible holder; it took the present round and returned a part that had been found free before. Change: only possible holders are invited and counted; a refund lowers the headroom recorded since its spending.

--- a/src/thornlatch/admission/_accounts.py
+++ b/src/thornlatch/admission/_accounts.py
@@ -46,6 +46,7 @@
     recalled_at: float = float("-inf")
     recalled: Part = NOTHING
     recalled_level: int = 0
+    is_closing: bool = False
 
     def apply_report(self, report: DemandReport, *, now: float) -> bool:
         """Take over a report; return whether it was newer than the last."""
@@ -57,6 +58,7 @@
         self.level_at = now
         self.demand = report.demand
         self.need = report.need
+        self.is_closing = report.is_closing
         self.slots = report.slots
         self.need_since = now - report.waited_ms / 1000
         self.need_at = now
--- a/src/thornlatch/admission/_admission.py
+++ b/src/thornlatch/admission/_admission.py
@@ -220,7 +220,7 @@
         if queue is None or not queue.requests:
             return []
         actions: list[Action] = []
-        is_confirmed = self.leases.is_confirmed(now=now)
+        is_confirmed = self.may_spend(now=now)
         if is_confirmed:
             for request in queue.pop_admitted(now=now):
                 actions += self.accept(key, request, now=now)
@@ -235,6 +235,10 @@
                 actions.append(Resolve(request.ticket, error))
         return actions
 
+    def may_spend(self, *, now: float) -> bool:
+        """Return whether this host may use its parts at `now`."""
+        return self.leases.is_confirmed(now=now)
+
     def accept(self, key: str, request: Waiting, *, now: float) -> list[Action]:
         """Return the actions for a request whose tokens were spent."""
         borrower = self.keys[key].borrower
--- a/src/thornlatch/admission/_borrower.py
+++ b/src/thornlatch/admission/_borrower.py
@@ -216,7 +216,9 @@
         """Return the whole part to the owner and keep nothing from now on."""
         self.is_closed = True
         self.need = Need()
-        return self.return_all_if_closed(now=now)
+        self.reported_at = float("-inf")
+        actions = self.report(self.owner, 1, now=now) if self.owner else []
+        return actions + self.return_all_if_closed(now=now)
 
     def return_all_if_closed(self, *, now: float) -> list[Action]:
         """Return what a closed host still has."""
@@ -317,9 +319,7 @@
         list of Action
         """
         self.owner = owner
-        if self.is_closed:
-            return []
-        demand = self.demand.compute_rate(now=now)
+        demand = 0 if self.is_closed else self.demand.compute_rate(now=now)
         if not self.is_report_due(demand, members, now=now):
             return []
         self.report_number += 1
@@ -342,6 +342,8 @@
             )
             urgent_s = settings.urgent_interval_s if is_larger else settings.retry_s
             return age_s >= max(urgent_s, spread_s)
+        if self.is_closed:
+            return age_s >= settings.retry_s
         interval_s = max(settings.report_interval_s, members / settings.reports_per_s)
         return age_s >= interval_s and self.is_demand_changed(demand)
 
@@ -369,4 +371,5 @@
             int(waited_s * 1000),
             self.holding.part,
             self.holding.bucket.level,
+            self.is_closed,
         )
--- a/src/thornlatch/admission/_bucket.py
+++ b/src/thornlatch/admission/_bucket.py
@@ -67,7 +67,7 @@
         self.refresh(now=now)
         added = min(amount, self.headroom.get_minimum(serial))
         self.level += added
-        self.headroom.observe(self.depth - self.level)
+        self.headroom.reduce(serial, added)
         return added
 
     def resize(self, rate: float, depth: int, *, now: float) -> None:
@@ -108,3 +108,13 @@
     def get_minimum(self, serial: int) -> int:
         """Return the least headroom recorded at or after `serial`."""
         return self.minima[bisect_left(self.serials, serial)]
+
+    def reduce(self, serial: int, amount: int) -> None:
+        """Lower what was recorded at or after `serial`, as a refund takes effect there.
+
+        Two refunds must not both use the same headroom of the past.
+        """
+        first = bisect_left(self.serials, serial)
+        self.minima[first:] = [minimum - amount for minimum in self.minima[first:]]
+        keep = bisect_left(self.minima, self.minima[first], hi=first)
+        del self.minima[keep:first], self.serials[keep:first]
--- a/src/thornlatch/admission/_lender.py
+++ b/src/thornlatch/admission/_lender.py
@@ -54,6 +54,7 @@
         self.outbox = Outbox(key, settings.retry_s)
         self.inbox = Inbox()
         self.accounts: dict[str, Account] = {}
+        self.holders: set[str] = set()
         self.asked: dict[str, float] = {}
         self.answers: dict[str, ShareInventory] = {}
         self.base = NOTHING
@@ -103,9 +104,10 @@
         -------
         list of Action
         """
-        holders = set(possible_holders)
+        holders = dict.fromkeys(possible_holders)
+        self.holders = set(holders)
         actions: list[Action] = []
-        if not self.asked or not self.asked.keys() <= holders:
+        if not self.asked or not self.asked.keys() <= holders.keys():
             actions += self.begin_round(holders, now=now)
         actions += self.repeat_requests(now=now)
         actions += self.outbox.resend(now=now)
@@ -113,7 +115,7 @@
             actions += self.divide(now=now)
         return actions
 
-    def begin_round(self, holders: set[str], *, now: float) -> list[Action]:
+    def begin_round(self, holders: Iterable[str], *, now: float) -> list[Action]:
         """Ask every possible holder for its part.
 
         A part of a host that has left is free only after a round that began since then:
@@ -126,9 +128,8 @@
         self.is_complete = False
         self.base = self.pool.part
         self.asked = dict.fromkeys(holders, float("-inf"))
-        self.accounts = {
-            host: account for host, account in self.accounts.items() if host in holders
-        }
+        for host in self.accounts.keys() - self.asked.keys():
+            del self.accounts[host]
         for account in self.accounts.values():
             account.recall_number = 0
             account.recalled_at = float("-inf")
@@ -136,7 +137,7 @@
             "admission.inventory_begun",
             key=self.key,
             epoch=self.stamp.epoch,
-            detail={"round": self.stamp.round_number, "hosts": len(holders)},
+            detail={"round": self.stamp.round_number, "hosts": len(self.asked)},
         )
         return [Emit(event)]
 
@@ -161,6 +162,8 @@
         """Count a holder's part; find what is free when all have answered."""
         if not self.is_current(answer) or sender in self.answers:
             return []
+        if sender not in self.asked:
+            return []
         account = self.accounts.setdefault(sender, Account(sender))
         account.part = answer.part
         account.level = answer.level
@@ -238,9 +241,12 @@
         return self.divide(now=now)
 
     def invite(self, host: str, *, now: float) -> list[Action]:
-        """Ask a host that has not adopted the present round."""
+        """Ask a host that has not adopted the present round.
+
+        A host that has left must never adopt it: its stale part would count again.
+        """
         sent_at = self.asked.get(host, float("-inf"))
-        if self.stamp.round_number == 0 or now - sent_at < self.settings.retry_s:
+        if host not in self.holders or now - sent_at < self.settings.retry_s:
             return []
         self.asked[host] = now
         return [Send(host, self.make_request())]
@@ -250,7 +256,9 @@
         self.divided_at = now
         self.pool.bucket.refresh(now=now)
         hosts = [
-            account for host, account in self.accounts.items() if host in self.answers
+            account
+            for host, account in self.accounts.items()
+            if host in self.answers and not account.is_closing
         ]
         plan = plan_division(self.pool, hosts, self.settings, now=now)
         return self.carry_out(plan, now=now)
--- a/src/thornlatch/admission/_messages.py
+++ b/src/thornlatch/admission/_messages.py
@@ -155,6 +155,8 @@
     part : Part
     level : int
         Microtokens in the bucket.
+    is_closing : bool
+        Whether the host is stopping and wants nothing more.
     """
 
     key: str
@@ -167,6 +169,7 @@
     waited_ms: int
     part: Part
     level: int
+    is_closing: bool = False
 
 
 @register
--- /dev/null
+++ b/src/thornlatch/admission/tests/scenarios.py
@@ -0,0 +1,107 @@
+"""Directed histories: each puts one rule under the strain that it exists for."""
+
+from thornlatch.admission import Allowance
+from thornlatch.admission._messages import ShareMove
+from thornlatch.admission.tests.fleet import Fleet
+from thornlatch.core import Send
+
+KEY = "organisation:a"
+RATE = 1000.0
+BURST = 2000.0
+
+
+def start_fleet(hosts: int = 2, **options) -> Fleet:
+    """Return a fleet whose owner is h0 and whose whole allowance h1 has used."""
+    fleet = Fleet(1, hosts, has_drift=False, **options)
+    fleet.configure({KEY: Allowance(RATE, BURST)})
+    fleet.set_owner(KEY, "h0")
+    fleet.run_until(4.0)
+    fleet.admit("h1", "first", BURST)
+    fleet.run_until(5.0)
+    return fleet
+
+
+def spend_all(fleet: Fleet, name: str, tokens: float = 50.0) -> None:
+    """Ask for tokens at one host until it has asked for three bursts."""
+    for index in range(int(3 * BURST / tokens)):
+        fleet.admit(name, f"{name}-{fleet.time}-{index}", tokens)
+
+
+def expel_full_holder() -> Fleet:
+    """Expel a host with a full part that may spend for a while yet."""
+    fleet = start_fleet()
+    fleet.run_until(10.0)
+    fleet.expel("h1")
+    for step in range(60):
+        fleet.admit("h0", f"probe-{step}", 1.0)
+        fleet.run_until(10.0 + 0.015 * step)
+    spend_all(fleet, "h1")
+    spend_all(fleet, "h0")
+    fleet.run_until(12.0)
+    return fleet
+
+
+def settle_when_full() -> Fleet:
+    """Settle a request after the bucket has refilled, then use all there is."""
+    fleet = start_fleet()
+    fleet.run_until(10.0)
+    late = []
+    fleet.on_admitted = lambda host, admitted: late.append(admitted)
+    fleet.admit("h1", "unused", BURST / 2)
+    fleet.run_until(16.0)
+    fleet.settle("h1", late[0], 0.0)
+    spend_all(fleet, "h1")
+    fleet.run_until(18.0)
+    return fleet
+
+
+def repeat_move_of_earlier_epoch() -> Fleet:
+    """Deliver a grant again after the key has moved to a new owner."""
+    fleet = Fleet(1, 2, has_drift=False)
+    moves: list[tuple[str, Send]] = []
+    send = fleet.send
+
+    def keep_and_send(host, action):
+        if isinstance(action.message, ShareMove):
+            moves.append((host.name, action))
+        send(host, action)
+
+    fleet.send = keep_and_send
+    fleet.configure({KEY: Allowance(RATE, BURST)})
+    fleet.set_owner(KEY, "h0")
+    fleet.run_until(4.0)
+    fleet.admit("h1", "first", BURST)
+    fleet.run_until(5.0)
+    fleet.move_owner(KEY, "h1")
+    fleet.run_until(8.0)
+    for name, action in list(moves):
+        fleet.deliver(fleet.hosts[name], action)
+    fleet.run_until(11.0)
+    spend_all(fleet, "h1")
+    fleet.run_until(12.0)
+    return fleet
+
+
+def cut_off_holder_spends() -> Fleet:
+    """Let a host that was cut off and replaced spend what it thinks it has."""
+    fleet = start_fleet()
+    fleet.run_until(10.0)
+    fleet.hosts["h1"].is_cut = True
+    fleet.expel("h1")
+    fleet.run_until(16.0)
+    spend_all(fleet, "h0")
+    fleet.run_until(16.1)
+    spend_all(fleet, "h1")
+    fleet.run_until(17.0)
+    return fleet
+
+
+SCENARIOS = {
+    call.__name__: call
+    for call in (
+        expel_full_holder,
+        settle_when_full,
+        repeat_move_of_earlier_epoch,
+        cut_off_holder_spends,
+    )
+}
