Bound the memory of claims and measure its slope

Ruled out: an ordered map of bodies (100 bytes more a claim); a plain dict popped at its head (scans what was deleted).

Change: organisations are interned, bodies are dropped in order of answers; claims_limit 50,000, repeat_window_s 2 h; bench rows for memory and reading time.

--- a/bench/requests.py
+++ b/bench/requests.py
@@ -7,11 +7,22 @@
 import statistics
 import tempfile
 import time
+import tracemalloc
 from dataclasses import replace
 from pathlib import Path
 
+import msgspec
+
 from thornlatch.core import Append, Resolve, decode_record, encode_record
-from thornlatch.requests import ClaimTable, ClaimWon, RequestsSettings
+from thornlatch.requests import (
+    Claims,
+    ClaimTable,
+    ClaimWon,
+    RecordedAnswer,
+    RequestsSettings,
+)
+from thornlatch.requests._claim_fold import ClaimFold
+from thornlatch.requests._claim_records import Claimed, Completed
 from thornlatch.requests.tests.claim_histories import History, View
 from thornlatch.requests.tests.quarantine_fleets import SETTINGS, Fleet, Plan
 from thornlatch.requests.tests.stream_histories import StreamHistory
@@ -24,6 +35,7 @@
 CLAIMS_PER_S_OFFERED = 3_000
 HOSTS = 8
 EVENTS = 160_000
+CLAIMS = 20_000
 
 
 def measure() -> list[dict]:
@@ -31,6 +43,7 @@
     return [
         *measure_histories(),
         measure_claim_throughput(),
+        *measure_claim_slopes(),
         *measure_quarantine(),
         measure_timeline(),
     ]
@@ -108,6 +121,48 @@
     return 1
 
 
+def measure_claim_slopes():
+    """Fold claims with answers of 200 bytes, decoded as they come from the log."""
+    lines = [msgspec.json.encode(encode_record(record)) for record in make_claims()]
+    start = time.perf_counter()
+    fold_lines(lines)
+    spent = time.perf_counter() - start
+    tracemalloc.start()
+    fold = fold_lines(lines)
+    held = tracemalloc.get_traced_memory()[0]
+    tracemalloc.stop()
+    assert len(fold.entries) == CLAIMS
+    return [
+        row("requests.claim_memory", held / CLAIMS, "bytes", 2000),
+        row("requests.claim_read_time", spent / CLAIMS * 1e6, "us", 200),
+    ]
+
+
+def fold_lines(lines):
+    settings = RequestsSettings()
+    fold = ClaimFold(
+        clock_skew_s=settings.clock_skew_s,
+        answers_limit_bytes=settings.answers_limit_bytes,
+    )
+    for line in lines:
+        fold.apply(decode_record(msgspec.json.decode(line)))
+    return fold
+
+
+def make_claims():
+    headers = (("content-type", "application/json"),)
+    for batch in range(CLAIMS // 10):
+        host = f"host-{batch % HOSTS}.17abc"
+        names = [f"{host}/{batch * 10 + index}" for index in range(10)]
+        claims = tuple(
+            Claimed(name, "organisation", f"{name:0>36}", "d" * 64, 1e9, 1e9 + 7200)
+            for name in names
+        )
+        answer = RecordedAnswer(200, headers, b"x" * 200)
+        yield Claims(host, claims=claims)
+        yield Claims(host, completed=tuple(Completed(name, answer) for name in names))
+
+
 def measure_quarantine():
     plans = [Plan(), Plan(is_concurrent=True), Plan(crashers=2), Plan(message_loss=0.5)]
     lost = final = 0
--- a/src/thornlatch/cli/_timeline.py
+++ b/src/thornlatch/cli/_timeline.py
@@ -43,8 +43,8 @@
         bool, cappa.Arg(long=True, help="Check the history against the promises.")
     ] = False
     html: Annotated[
-        Path | None, cappa.Arg(long=True, help="Write an HTML page to this path.")
-    ] = None
+        str, cappa.Arg(long=True, help="Write an HTML page to this path.")
+    ] = ""
     json: Annotated[bool, cappa.Arg(long=True, help="Write JSON lines.")] = False
 
     def __call__(self) -> int:
@@ -53,8 +53,8 @@
         if self.check:
             return self._check(events)
         selected = self._select(events)
-        if self.html is not None:
-            return self._write_html(self.html, selected)
+        if self.html:
+            return self._write_html(Path(self.html), selected)
         return self._write_lines(selected)
 
     def _select(self, events: Iterable[LoggedEvent]) -> Iterator[LoggedEvent]:
--- a/src/thornlatch/requests/_claim_fold.py
+++ b/src/thornlatch/requests/_claim_fold.py
@@ -6,7 +6,8 @@
 """
 
 import heapq
-from collections import OrderedDict
+import sys
+from collections import deque
 from dataclasses import dataclass, replace
 
 from thornlatch.requests._claim_records import (
@@ -62,7 +63,7 @@
         self.entries: dict[ClaimKey, Entry] = {}
         self.keys: dict[str, ClaimKey] = {}
         self.expiries: list[tuple[float, str]] = []
-        self.bodies: OrderedDict[str, int] = OrderedDict()
+        self.answered: deque[str] = deque()
         self.bodies_size = 0
 
     @property
@@ -113,7 +114,9 @@
         if entry is None or entry.answer is not None:
             return None
         entry.answer = item.answer
-        self._keep_body(item)
+        self.bodies_size += len(item.answer.body)
+        self.answered.append(entry.claim)
+        self._drop_bodies()
         return self.keys[item.claim]
 
     def mark_unresolved(self, claim: str, *, host: str) -> ClaimKey | None:
@@ -134,7 +137,7 @@
         return key
 
     def _claim(self, item: Claimed, host: str) -> None:
-        key = (item.organisation, item.key)
+        key = (sys.intern(item.organisation), item.key)
         if key in self.entries:
             return
         # A claimer whose clock is behind gets the whole window all the same.
@@ -157,18 +160,18 @@
             self._forget(heapq.heappop(self.expiries)[1])
 
     def _forget(self, claim: str) -> None:
-        self.bodies_size -= self.bodies.pop(claim, 0)
         key = self.keys.pop(claim, None)
-        if key is not None:
-            del self.entries[key]
+        if key is None:
+            return
+        entry = self.entries.pop(key)
+        if entry.answer is not None:
+            self.bodies_size -= len(entry.answer.body)
+        while self.answered and self.answered[0] not in self.keys:
+            self.answered.popleft()
 
-    def _keep_body(self, item: Completed) -> None:
-        size = len(item.answer.body)
-        self.bodies[item.claim] = size
-        self.bodies_size += size
+    def _drop_bodies(self) -> None:
         while self.bodies_size > self.answers_limit_bytes:
-            claim, size = self.bodies.popitem(last=False)
-            self.bodies_size -= size
-            entry = self.find(claim)
-            if entry is not None and entry.answer is not None and size:
+            entry = self.find(self.answered.popleft())
+            if entry is not None and entry.answer is not None and entry.answer.body:
+                self.bodies_size -= len(entry.answer.body)
                 entry.answer = replace(entry.answer, body=b"", is_whole=False)
--- a/src/thornlatch/requests/_settings.py
+++ b/src/thornlatch/requests/_settings.py
@@ -78,11 +78,11 @@
     send_timeout_s: Seconds = 60.0
     wait_s: Seconds = 10.0
     gone_grace_s: Seconds = 2.0
-    repeat_window_s: Seconds = 21_600.0
+    repeat_window_s: Seconds = 7_200.0
     log_retention_s: Seconds = 86_400.0
     clock_skew_s: Annotated[float, Meta(ge=0, le=3600)] = 5.0
     refuses_undated_keys: bool = False
-    claims_limit: Annotated[int, Meta(ge=1, le=10_000_000)] = 100_000
+    claims_limit: Annotated[int, Meta(ge=1, le=10_000_000)] = 50_000
     pending_limit: Annotated[int, Meta(ge=1, le=1_000_000)] = 10_000
     answer_limit_bytes: Bytes = 16 << 10
     answers_limit_bytes: Bytes = 16 << 20
