--- a/src/thornlatch/admission/_waiting.py
+++ b/src/thornlatch/admission/_waiting.py
@@ -106,7 +106,7 @@
     def is_hopeless(self, request: Waiting, ahead: int, *, now: float) -> bool:
         """Return whether a request behind `ahead` microtokens will be too late."""
         allowance = self.borrower.allowance
-        left_s = request.until - now
+        left_s = max(0.0, request.until - now)
         whole_rate = allowance.rate * MICROTOKENS
         if ahead + request.cost > allowance.depth + whole_rate * left_s:
             return True
