Draw harsher faults for the histories, and start anew after a whole stop

Cause: all histories had the same light noise, and a fleet that was away for longer than the log's retention could never load a view. Ruled out: a new fleet starting by itself on a trimmed stream, which is two fleets if an old one still runs.

--- a/src/thornlatch/leases/tests/fleet.py
+++ b/src/thornlatch/leases/tests/fleet.py
@@ -46,6 +46,7 @@
     append_loss: float = 0.05
     append_repeat: float = 0.1
     append_late: float = 0.05
+    late_s: float = 6.0
     cut_links: set[tuple[str, str]] = field(default_factory=set)
     cut_from_log: set[str] = field(default_factory=set)
 
@@ -285,7 +286,7 @@
         for _ in range(copies):
             delay = 0.005 + 0.05 * self.random.random()
             if self.random.random() < self.faults.append_late:
-                delay = 6 * self.random.random()
+                delay = self.faults.late_s * self.random.random()
             self.schedule(delay, lambda: self._land(record))
 
     def _land(self, record: Any) -> None:
--- a/src/thornlatch/leases/tests/schedules.py
+++ b/src/thornlatch/leases/tests/schedules.py
@@ -2,7 +2,7 @@
 
 from random import Random
 
-from thornlatch.leases.tests.fleet import Classes, Fleet, Host
+from thornlatch.leases.tests.fleet import Classes, Faults, Fleet, Host
 
 HISTORY_S = 30.0
 HEAL_S = 30.0
@@ -16,7 +16,15 @@
 ) -> Fleet:
     """Run one history of faults; its violations are in ``fleet.history``."""
     random = Random(f"schedule {seed}")
-    fleet = Fleet(seed, classes=classes, has_peer_tails=random.random() < 0.6)
+    faults = Faults(
+        loss=random.choice([0.02, 0.02, 0.15]),
+        slow=random.choice([0.02, 0.1]),
+        append_late=random.choice([0.05, 0.3]),
+        late_s=random.choice([6.0, 25.0]),
+    )
+    fleet = Fleet(
+        seed, classes=classes, faults=faults, has_peer_tails=random.random() < 0.6
+    )
     for _ in range(random.choice([3, 4, 5, 5, 6])):
         fleet.start_host()
         fleet.run(random.choice([0.0, 0.3]))
@@ -185,7 +193,7 @@
 
 def find_unheld_keys(fleet: Fleet, *, heal_s: float = HEAL_S) -> list[str]:
     """Heal the fleet and return the keys that nobody held within `heal_s`."""
-    heal(fleet)
+    fleet.faults = Faults()
     keep_size(fleet)
     for host in fleet.running():
         host.paused_until = fleet.time
--- a/src/thornlatch/leases/tests/test_table.py
+++ b/src/thornlatch/leases/tests/test_table.py
@@ -137,8 +137,8 @@
     return next(key for key, owner in view.owners().items() if owner.host == host)
 
 
-def find_inherited_key(view, departed, heir):
-    """Return a key of `departed` that `heir` owns after the last record."""
+def find_inherited_key(view, heir):
+    """Return a key that `heir` owns since the last record."""
     scratch = [key for key, owner in view.owners().items() if owner.host == heir]
     return next(
         key for key in scratch if view.table.get_owner(key).epoch == view.offset
@@ -165,7 +165,7 @@
         expel_slowly(view, "a.1", "b.1", start)
     else:
         view.apply(HostRemoved("a.1", "operator"), now=start)
-    key = find_inherited_key(view, "a.1", "b.1")
+    key = find_inherited_key(view, "b.1")
 
     def held(now):
         view.membership.note_log_read(sent_at=now, now=now)
@@ -179,7 +179,7 @@
 def test_operator_ends_slow_wait():
     view = make_successor()
     expel_slowly(view, "a.1", "b.1", 50.0)
-    key = find_inherited_key(view, "a.1", "b.1")
+    key = find_inherited_key(view, "b.1")
     epoch = view.offset
     view.apply(HostRemoved("a.1", "operator"), now=51.0)
     view.membership.note_log_read(sent_at=51.0, now=51.0)
--- a/src/thornlatch/membership/__init__.py
+++ b/src/thornlatch/membership/__init__.py
@@ -2,6 +2,7 @@
 
 from thornlatch.membership._membership import Membership
 from thornlatch.membership._messages import Heartbeat, HeartbeatAnswer
+from thornlatch.membership._recorded import build_empty_view
 from thornlatch.membership._records import (
     CONTROL_STREAM,
     Accused,
@@ -34,4 +35,5 @@
     "ViewFold",
     "ViewRecorded",
     "Wait",
+    "build_empty_view",
 ]
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -16,6 +16,7 @@
 from thornlatch.membership._recorded import ViewLoader
 from thornlatch.membership._records import (
     Accused,
+    Record,
     SessionClosed,
     SessionOpened,
     ViewRecorded,
@@ -264,7 +265,7 @@
         list of Action
         """
         self._note_time(now)
-        if self.loader.is_loading:
+        if self.loader.is_loading and isinstance(record, Record):
             return self._load(offset, record, now)
         if not self.view.apply(offset, record):
             return []
--- a/src/thornlatch/membership/_recorded.py
+++ b/src/thornlatch/membership/_recorded.py
@@ -65,6 +65,26 @@
     view.removed = dict.fromkeys(state.removed)
 
 
+def build_empty_view(by: str, *, view_offset: int) -> ViewRecorded:
+    """Build the record from which a fleet starts anew on a trimmed stream.
+
+    Appending it states that every earlier process of the fleet has ended.
+
+    Parameters
+    ----------
+    by : str
+        Operator.
+    view_offset : int
+        Offset of the last record of the control stream.
+
+    Returns
+    -------
+    ViewRecorded
+    """
+    state = ViewState(view_offset, [], [], [], [], [], [], [])
+    return ViewRecorded(by, view_offset, state)
+
+
 class ViewLoader:
     """Keeps records after a gap until a recorded view covers the gap."""
 
--- a/src/thornlatch/membership/tests/test_membership.py
+++ b/src/thornlatch/membership/tests/test_membership.py
@@ -18,6 +18,7 @@
     SessionOpened,
     ViewAcknowledged,
     ViewRecorded,
+    build_empty_view,
 )
 
 SETTINGS = MembershipSettings(outage_limit_s=100.0)
@@ -327,6 +328,29 @@
     assert newcomer.is_confirmed(now=0.0)
 
 
+def test_gap_of_log_after_a_whole_stop_starts_from_an_empty_view():
+    newcomer = Membership(
+        SETTINGS, host="d.1", address="x", failure_domain="d", random=Random(1)
+    )
+    newcomer.note_log_gap(first_offset=9, now=0.0)
+    newcomer.apply_record(9, SessionOpened("d.1", "x", "d"), now=0.0)
+    empty = build_empty_view("operator", view_offset=9)
+    newcomer.apply_record(10, empty, now=0.0)
+    newcomer.apply_record(11, SessionOpened("d.1", "x", "d"), now=0.0)
+    newcomer.note_log_read(sent_at=0.0, now=0.0)
+    assert newcomer.is_confirmed(now=0.0)
+    assert list(newcomer.view.voters) == ["d.1"]
+
+
+def test_gap_of_log_ignores_records_of_other_streams():
+    newcomer = Membership(
+        SETTINGS, host="d.1", address="x", failure_domain="d", random=Random(1)
+    )
+    newcomer.note_log_gap(first_offset=9, now=0.0)
+    newcomer.apply_record(10_000, object(), now=0.0)
+    assert newcomer.loader.kept == []
+
+
 def test_gap_of_log_without_recorded_view_confirms_nobody():
     newcomer = Membership(
         SETTINGS, host="d.1", address="x", failure_domain="d", random=Random(1)
