Acknowledge a join when orders have ended; reuse only open connections

Causes, found by the failure tests: a joiner waited 3.15 s although nothing was under way, so requests for its keys stood still at each join; a crash on a reused connection was taken for a stale one and the call sent again, which reported 'not sent' for a call that had crashed its target; two suspects ran alone on the same target; requests expired in the instant in which an owner answered again. Changes: the host that gives keys up waits for its own open orders before it acknowledges (the histories model the worst case, orders always under way, and the joiner waits no more); an idle connection is checked and a failure after sending counts as sent; one suspect of a pool at a time; a grace of one share wait after silence.

--- a/src/thornlatch/admission/_waiting.py
+++ b/src/thornlatch/admission/_waiting.py
@@ -48,6 +48,7 @@
         self.settings = settings
         self.requests: deque[Waiting] = deque()
         self.cost = 0
+        self.grace_until = float("-inf")
 
     def append(self, request: Waiting) -> None:
         """Add a request at the end."""
@@ -89,6 +90,9 @@
         list of Waiting
         """
         if is_owner_silent:
+            # Once an owner answers, it gets the usual time to lend.
+            self.grace_until = now + self.settings.share_wait_s
+        if now < self.grace_until:
             return self.drop([r for r in self.requests if r.latest <= now])
         return self.drop([r for r in self.requests if r.until <= now])
 
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -195,6 +195,8 @@
 
     def _take_delivery(self, delivery: Delivery, now: float) -> list[Action]:
         records = decode_records(delivery.stream, delivery.records)
+        if delivery.gap_until is not None and delivery.stream == "control":
+            self.node.membership.note_log_gap(first_offset=delivery.gap_until, now=now)
         actions = self.node.apply_records(records, now=now)
         if delivery.tail_sent_at is not None:
             actions += self._note_read(delivery.stream, delivery.tail_sent_at, now)
--- a/src/thornlatch/daemon/_node.py
+++ b/src/thornlatch/daemon/_node.py
@@ -98,6 +98,9 @@
             placement=settings.placement,
             make_budget=self._make_budget,
         )
+        self.membership.duties.has_open_orders = lambda now: (
+            self.dispatch.has_open_orders(now=now)
+        )
         self.claims = ClaimTable(settings.requests, host=host, leases=self.leases)
         self.quarantine = Quarantine(settings.quarantine, host=host, leases=self.leases)
         self.slices: tuple[Slice, ...] = (
--- a/src/thornlatch/leases/tests/fleet.py
+++ b/src/thornlatch/leases/tests/fleet.py
@@ -67,6 +67,8 @@
             failure_domain=domain,
             random=random,
         )
+        # The worst case: orders are always under way, for as long as they may be.
+        self.membership.duties.has_open_orders = lambda now: True
         self.leases = classes.table(self.membership)
         self.follower = LogFollower(
             FOLLOWER, (CONTROL_STREAM,), host=name, random=random
--- a/src/thornlatch/membership/_duties.py
+++ b/src/thornlatch/membership/_duties.py
@@ -1,5 +1,7 @@
 """What a member writes to the control stream while it can read the log."""
 
+from collections.abc import Callable
+from math import inf
 from random import Random
 from typing import Any
 
@@ -36,6 +38,12 @@
         Host id of this process.
     random : random.Random
         Seeded generator for jitter.
+
+    Attributes
+    ----------
+    has_open_orders : callable
+        Takes `now` and returns whether targets may still begin orders that this host
+        sent; a join is acknowledged only when those from before it have ended.
     """
 
     def __init__(
@@ -46,7 +54,9 @@
         self.random = random
         self.timers = RetryTimers(RETRY_S)
         self.accuser = Accuser(host)
+        self.has_open_orders: Callable[[float], bool] = lambda now: False
         self.acknowledged_offset = -1
+        self.given_up_at = -inf
         self.acknowledge_at: float | None = None
         self.defend_at: float | None = None
         self.view_recorded_at: float | None = None
@@ -105,10 +115,19 @@
         purpose = f"acknowledge {view.acknowledged[self.host]}"
         if now < self.acknowledge_at or not self.timers.is_due(purpose, now=now):
             return []
-        self.acknowledged_offset = view.offset
-        record = ViewAcknowledged(self.host, view.offset)
+        if self.acknowledged_offset < required:
+            # From here on this host doesn't act on the keys that move.
+            self.acknowledged_offset = view.offset
+            self.given_up_at = now
+        if self._has_orders_under_way(now):
+            return []
+        record = ViewAcknowledged(self.host, self.acknowledged_offset)
         return self.append(purpose, record, now=now)
 
+    def _has_orders_under_way(self, now: float) -> bool:
+        has_ended = now - self.given_up_at >= self.settings.order_limit_s
+        return not has_ended and self.has_open_orders(now)
+
     def _defend(self, view: ViewFold, now: float) -> list[Action]:
         open_ = view.accusations.get(self.host)
         if not open_:
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -116,7 +116,10 @@
             yield departure.host
 
     def is_past_takeover(self, *, now: float) -> bool:
-        """Return whether orders of owners that acknowledged this host have ended."""
+        """Return whether this host may act as an owner.
+
+        Owners that acknowledged its joining did so when their orders had ended.
+        """
         if now < self.loaded_at + self.settings.fast_wait_s:
             return False
         return self.act_from is not None and now >= self.act_from
@@ -371,11 +374,8 @@
         return self.is_log_available and self.confirmation.is_read(now=now)
 
     def _note_established(self, now: float) -> None:
-        offset = self.view.established.get(self.host)
-        if offset is None or self.act_from is not None:
-            return
-        is_first = offset == self.view.members[self.host].offset
-        self.act_from = now if is_first else now + self.settings.takeover_wait_s
+        if self.act_from is None and self.host in self.view.established:
+            self.act_from = now
 
     def _note_time(self, now: float) -> None:
         last, self.last_now = self.last_now, now
--- a/src/thornlatch/membership/_settings.py
+++ b/src/thornlatch/membership/_settings.py
@@ -93,11 +93,6 @@
         """Seconds that a successor waits after an unanswered accusation."""
         return (self.outage_limit_s + self.order_limit_s) * self.drift_margin
 
-    @property
-    def takeover_wait_s(self) -> float:
-        """Seconds that a joiner waits for orders of owners that acknowledged it."""
-        return self.order_limit_s * self.drift_margin
-
 
 def _check(is_valid: bool, key: str, value: float, allowed: str) -> None:
     if not is_valid:
--- a/src/thornlatch/requests/_settings.py
+++ b/src/thornlatch/requests/_settings.py
@@ -145,7 +145,7 @@
 
     suspect_s: Seconds = 600.0
     refused_s: Seconds = 3600.0
-    isolated_per_pool: Annotated[int, Meta(ge=1, le=100)] = 2
+    isolated_per_pool: Annotated[int, Meta(ge=1, le=100)] = 1
     isolation_timeout_s: Seconds = 120.0
     wait_s: Seconds = 30.0
     gone_grace_s: Seconds = 2.0
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import select
 import socket
 import threading
 from dataclasses import dataclass, field
@@ -114,9 +115,13 @@
         self.idle: dict[str, list[http.client.HTTPConnection]] = {}
 
     def take(self, address: str) -> http.client.HTTPConnection | None:
-        with self.lock:
-            idle = self.idle.get(address)
-            return idle.pop() if idle else None
+        while True:
+            with self.lock:
+                idle = self.idle.get(address)
+                connection = idle.pop() if idle else None
+            if connection is None or _is_open(connection):
+                return connection
+            connection.close()
 
     def put(self, address: str, connection: http.client.HTTPConnection) -> None:
         with self.lock:
@@ -137,9 +142,9 @@
     ----------
     call : TargetCall
     may_reuse : bool
-        Whether an idle connection may serve. A target may close it as the call is
-        sent, which leaves the outcome unknown, so calls that may not be repeated
-        use a new connection.
+        Whether an idle connection may serve. The target may close it as the call is
+        sent, which leaves the outcome unknown, so calls that may not be repeated use a
+        new connection.
 
     Returns
     -------
@@ -151,10 +156,16 @@
         `is_sent` tells whether the target may have received the call.
     """
     connection = _connections.take(call.address) if may_reuse else None
-    if connection is not None:
-        with contextlib.suppress(OSError, http.client.HTTPException):
-            return _send(call, connection)
+    if connection is None:
+        connection = _connect(call)
+    try:
+        return _send(call, connection)
+    except (OSError, http.client.HTTPException) as error:
         connection.close()
+        raise TargetError(f"no answer: {error!r}", is_sent=True) from error
+
+
+def _connect(call: TargetCall) -> http.client.HTTPConnection:
     connection = http.client.HTTPConnection(call.address, timeout=call.timeout_s)
     try:
         connection.connect()
@@ -162,11 +173,13 @@
             connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     except OSError as error:
         raise TargetError(f"can't connect: {error!r}", is_sent=False) from error
-    try:
-        return _send(call, connection)
-    except (OSError, http.client.HTTPException) as error:
-        connection.close()
-        raise TargetError(f"no answer: {error!r}", is_sent=True) from error
+    return connection
+
+
+def _is_open(connection: http.client.HTTPConnection) -> bool:
+    # An idle connection that can be read was closed by the target.
+    sock = connection.sock
+    return sock is not None and not select.select([sock], [], [], 0)[0]
 
 
 def _send(call: TargetCall, connection: http.client.HTTPConnection) -> TargetResponse:
