Exercise few voters and ring watching, and trim the test log as retention does

Cause: no history ran with bounded voters or ring watching. Ruled out: a lease fault; no history had a violation.

--- a/src/thornlatch/leases/tests/fleet.py
+++ b/src/thornlatch/leases/tests/fleet.py
@@ -9,7 +9,12 @@
 
 from thornlatch.core import Append, Send, decode_record, encode_record
 from thornlatch.leases import LeaseTable
-from thornlatch.membership import CONTROL_STREAM, Membership, MembershipSettings
+from thornlatch.membership import (
+    CONTROL_STREAM,
+    Membership,
+    MembershipSettings,
+    ViewRecorded,
+)
 from thornlatch.platform import (
     Delivery,
     FollowerSettings,
@@ -262,10 +267,12 @@
         self.faults.cut_from_log |= {host.name for host in hosts}
 
     def trim_log(self) -> None:
-        """Drop all records before the last recorded view but one."""
-        kinds = [value["kind"] for value in self.log]
-        views = [n for n, kind in enumerate(kinds) if kind == "ViewRecorded"]
-        self.first_offset = views[-2] if len(views) > 1 else 0
+        """Drop old records; two recorded views that cover the rest stay."""
+        covered = sorted(
+            {record.view_offset for record in self.read_records(ViewRecorded)}
+        )
+        if len(covered) > 1:
+            self.first_offset = max(self.first_offset, covered[-2] + 1)
 
     def read_records(self, kind: type) -> list[Any]:
         """Return the records of one kind on the log."""
--- a/src/thornlatch/leases/tests/schedules.py
+++ b/src/thornlatch/leases/tests/schedules.py
@@ -1,9 +1,11 @@
 """Seeded schedules of faults for the fleet."""
 
+from dataclasses import replace
 from random import Random
 
-from thornlatch.leases.tests.fleet import Classes, Faults, Fleet, Host
+from thornlatch.leases.tests.fleet import SETTINGS, Classes, Faults, Fleet, Host
 
+FEW_VOTERS = replace(SETTINGS, full_mesh_limit=2, voter_limit=3)
 HISTORY_S = 30.0
 HEAL_S = 30.0
 
@@ -23,7 +25,11 @@
         late_s=random.choice([6.0, 25.0]),
     )
     fleet = Fleet(
-        seed, classes=classes, faults=faults, has_peer_tails=random.random() < 0.6
+        seed,
+        classes=classes,
+        settings=random.choice([SETTINGS, SETTINGS, FEW_VOTERS]),
+        faults=faults,
+        has_peer_tails=random.random() < 0.6,
     )
     for _ in range(random.choice([3, 4, 5, 5, 6])):
         fleet.start_host()
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -295,7 +295,9 @@
         self._note_time(now)
         if self.is_closing:
             return self._close(now)
-        if not self.is_member or self.loader.is_loading:
+        if self.loader.is_loading:
+            return self._report_confirmation(now)
+        if not self.is_member:
             return self._open(now)
         actions = [*self._send_heartbeats(now)]
         if self._is_log_usable(now):
