--- a/src/thornlatch/requests/_claims.py
+++ b/src/thornlatch/requests/_claims.py
@@ -80,6 +80,7 @@
         self.own: dict[str, OwnClaim] = {}
         self.pending: dict[ClaimKey, str] = {}
         self.waiters = Waiters()
+        self.members = self._read_members()
         self.missing: dict[str, float] = {}
         self.made = 0
         self.unread_since: float | None = None
@@ -228,9 +229,9 @@
 
     def tick(self, *, now: float) -> list[Action]:
         """Append what is due, give up late claims and answer late repeats."""
+        self.members = self._read_members()
         actions = self._expire(now=now)
-        members = sum(1 for _ in self.leases.iter_members())
-        interval = max(members, 1) / self.settings.appends_per_s
+        interval = len(self.members) / self.settings.appends_per_s
         items = self.outbox.take(now=now, interval_s=interval)
         if items:
             self.unread_since = now if self.unread_since is None else self.unread_since
@@ -298,10 +299,11 @@
             return idempotency.refuse_running(self.settings.wait_s)
         return None
 
+    def _read_members(self) -> set[str]:
+        return {self.host, *(member.host for member in self.leases.iter_members())}
+
     def _is_gone(self, host: str, *, now: float) -> bool:
-        if host == self.host or any(
-            member.host == host for member in self.leases.iter_members()
-        ):
+        if host in self.members:
             self.missing.pop(host, None)
             return False
         since = self.missing.setdefault(host, now)
--- a/src/thornlatch/requests/_quarantine.py
+++ b/src/thornlatch/requests/_quarantine.py
@@ -227,6 +227,7 @@
         actions = self._judge(now=now)
         actions += self._clear_slow(now=now)
         self._pass_lost_turns(now=now)
+        self._return_unused_turns(now=now)
         self.fold.expire(now=now)
         self.early.expire(now=now)
         actions += self._settle(now=now)
@@ -313,6 +314,13 @@
             self._end_turn(one, IsolationOutcome.CLEARED, now=now)
         return self._clear({one.fingerprint for one in slow}, now=now) if slow else []
 
+    def _return_unused_turns(self, *, now: float) -> None:
+        started = {one.ask for one in self.running.values()}
+        late = now - self.settings.isolation_timeout_s
+        for ask, (fingerprint, since) in list(self.turns.items()):
+            if since <= late and ask not in started:
+                self._end(ask, fingerprint, IsolationOutcome.NOT_RUN, now)
+
     def _pass_lost_turns(self, *, now: float) -> None:
         members = {member.host for member in self.leases.iter_members()}
         for waiting in self.waiting.values():
--- a/src/thornlatch/requests/_quarantine_fold.py
+++ b/src/thornlatch/requests/_quarantine_fold.py
@@ -78,14 +78,15 @@
         self.asks.pop(item.ask, None)
 
     def refuse(self, fingerprint: str, *, now: float) -> None:
-        """Refuse a request for good and clear those that died beside it."""
-        suspect = self.suspects.get(fingerprint)
+        """Refuse a request for good.
+
+        Those that were beside it stay suspect: two crashing requests may have shared
+        the target.
+        """
         self.clear(fingerprint)
         self.refused[fingerprint] = now + self.settings.refused_s
         self.refused.move_to_end(fingerprint)
         _trim(self.refused, self.settings.entries_limit)
-        if suspect is not None:
-            self._clear_beside(suspect)
 
     def clear(self, fingerprint: str) -> None:
         """Forget a suspect and all who wait to run it alone."""
@@ -135,11 +136,6 @@
         if item.fingerprint in self.suspects:
             self.asks[item.ask] = Ask(host, item.fingerprint, item.pool)
 
-    def _clear_beside(self, guilty: Suspect) -> None:
-        for fingerprint, suspect in list(self.suspects.items()):
-            if set(suspect.targets) <= set(guilty.targets):
-                self.clear(fingerprint)
-
 
 def _trim(entries: OrderedDict, limit: int) -> None:
     while len(entries) > limit:
--- a/src/thornlatch/requests/tests/test_quarantine.py
+++ b/src/thornlatch/requests/tests/test_quarantine.py
@@ -199,19 +199,36 @@
     assert isinstance(bench.values["next"], expected)
 
 
-def test_innocents_cleared_when_culprit_is_found():
+def test_suspect_beside_culprit_runs_alone():
     bench = Bench(replace(SETTINGS, isolated_per_pool=1))
-    for name in ("bad", "good"):
+    for name in ("bad", "other"):
         bench.start("a", name, name, "t1")
     bench.kill("t1")
     bench.enter("a", "bad", "bad")
-    bench.enter("a", "good", "good")
+    bench.enter("a", "other", "other")
     bench.wait()
     bench.start("a", "bad", "bad", "t2", ask=bench.values["bad"].ask)
-    assert "good" not in bench.values
+    assert "other" not in bench.values
     bench.kill("t2", "e")
     bench.wait()
-    assert isinstance(bench.values["good"], RunNormally)
+    assert isinstance(bench.values["other"], RunIsolated)
+
+
+class ClearsBeside(Quarantine):
+    def _tell_refused(self, refused, death, *, now):
+        beside = {
+            fingerprint
+            for fingerprint in self.fold.suspects
+            if refused and fingerprint not in refused
+        }
+        return self._clear(beside, now=now) if beside else []
+
+
+@pytest.mark.parametrize("seed", [509, 579])
+def test_two_crashers_on_one_target(seed):
+    plan = Plan(crashers=2)
+    assert max(Fleet(seed, plan).run().lost.values()) <= 2
+    assert max(Fleet(seed, plan, ClearsBeside).run().lost.values()) > 2
 
 
 @pytest.mark.parametrize(("died", "is_clear"), [(1, False), (2, False), (3, True)])
@@ -249,6 +266,19 @@
     assert isinstance(bench.check("b", "f"), RunNormally)
 
 
+def test_unused_turn_passes_on():
+    bench = Bench(replace(SETTINGS, isolation_timeout_s=5.0))
+    bench.start("a", "r", "f", "t1")
+    bench.kill("t1")
+    bench.enter("a", "r", "f")
+    bench.wait()
+    bench.enter("b", "next", "f")
+    bench.wait(4.0)
+    assert "next" not in bench.values
+    bench.wait(2.0)
+    assert isinstance(bench.values["next"], RunIsolated)
+
+
 def test_wait_bounded():
     bench = Bench()
     bench.start("a", "r", "f", "t1")
