--- a/src/thornlatch/cli/_timeline.py
+++ b/src/thornlatch/cli/_timeline.py
@@ -31,7 +31,9 @@
 
     files: Annotated[
         list[Path],
-        cappa.Arg(num_args=-1, help="JSON-lines logs, one per process life."),
+        cappa.Arg(
+            num_args=-1, required=True, help="JSON-lines logs, one per process life."
+        ),
     ]
     request: Annotated[str, cappa.Arg(long=True, help="Show one request.")] = ""
     organisation: Annotated[
--- a/src/thornlatch/requests/_quarantine.py
+++ b/src/thornlatch/requests/_quarantine.py
@@ -132,7 +132,7 @@
         return []
 
     def leave(self, ticket: str, *, now: float) -> list[Action]:
-        """Give up a turn that was not used, before or after it came."""
+        """Leave the queue before the turn came; afterwards call `return_turn`."""
         waiting = self.waiting.pop(ticket, None)
         if waiting is not None:
             self._end(waiting.ask, waiting.fingerprint, IsolationOutcome.NOT_RUN, now)
--- a/src/thornlatch/timeline/tests/test_timeline.py
+++ b/src/thornlatch/timeline/tests/test_timeline.py
@@ -93,6 +93,12 @@
     assert "requests.refused" in output
 
 
+def test_command_needs_files(capsys):
+    with pytest.raises(SystemExit) as caught:
+        run()
+    assert caught.value.code != 0
+
+
 def test_command_json(logs, capsys):
     assert run(*logs, "--key", "pool:p", "--json") == 0
     assert capsys.readouterr().out.count('"key":"pool:p"') == 3
