Measure the scheduler on replayed traces

Cause: no decision was measured. Change: traces, an event model of engines and store, two baselines and Belady's MIN; demand with less weight of the short memory (0.06), empty slots before victims, needs from running sums, so that a decision stays cheap with thousands waiting.

--- /dev/null
+++ b/bench/scheduling.py
@@ -0,0 +1,156 @@
+"""Load stalls, batch occupancy, fairness and overload on replayed traces."""
+
+from bench.policies import (
+    BaselineRun,
+    ThornlatchRun,
+    choose_by_hash,
+    choose_least_loaded,
+    count_offline_loads,
+)
+from bench.simulation import TOKEN_S
+from bench.traces import KITABU, MANDACARU, TraceSettings, make_trace
+
+SEED = 11
+# Requests per load that the store allows: the offline bound takes about two thirds.
+REQUESTS_PER_LOAD = 3.6
+STALL_DURATION_S = 500.0
+SATURATED_RATE = 110.0
+SATURATED_DURATION_S = 120.0
+FAIR_DURATION_S = 200.0
+WARM_UP_S = 40.0
+
+
+def measure():
+    """Return all measurements of the scheduler.
+
+    Returns
+    -------
+    list of dict
+        Keys name, value, unit, bound, baseline and seed.
+    """
+    rows = []
+    for deployment in (KITABU, MANDACARU):
+        rows += measure_stalls(deployment)
+        rows += measure_occupancy(deployment)
+    rows += measure_fairness(KITABU)
+    rows += measure_overload(KITABU)
+    return rows
+
+
+def measure_stalls(deployment, seed=SEED):
+    rate = REQUESTS_PER_LOAD * deployment.store.loads_per_s
+    trace = make_trace(TraceSettings(seed, rate, STALL_DURATION_S))
+    ours = ThornlatchRun(deployment, trace).run()
+    baselines = [
+        BaselineRun(deployment, trace, choose).run().count_stall_per_1000()
+        for choose in (choose_least_loaded, choose_by_hash)
+    ]
+    slots = sum(target.adapter_slots for target in deployment.targets)
+    offline = count_offline_loads([arrival.adapter for arrival in trace], slots)
+    best = min(baselines)
+    return [
+        make_row(
+            f"placement.stall_seconds_per_1000_requests.{deployment.name}",
+            ours.count_stall_per_1000(),
+            "s",
+            best / 2,
+            best,
+            seed,
+        ),
+        make_row(
+            f"placement.loads_over_offline_bound.{deployment.name}",
+            ours.loads / offline,
+            "ratio",
+            1.3,
+            offline,
+            seed,
+        ),
+    ]
+
+
+def measure_occupancy(deployment, seed=SEED):
+    trace = make_trace(TraceSettings(seed, SATURATED_RATE, SATURATED_DURATION_S))
+    ours = ThornlatchRun(deployment, trace).run()
+    name = f"dispatch.batch_occupancy_ratio.{deployment.name}"
+    ratio = get_occupancy(deployment, ours)
+    return [make_row(name, ratio, "ratio", 0.9, None, seed)]
+
+
+def get_occupancy(deployment, result):
+    slots = sum(target.batch_slots for target in deployment.targets)
+    busy_s = result.count_busy_s(WARM_UP_S, SATURATED_DURATION_S)
+    return busy_s / slots / (SATURATED_DURATION_S - WARM_UP_S)
+
+
+def measure_fairness(deployment, seed=SEED):
+    boosted = "organisation-0"
+    rate = REQUESTS_PER_LOAD * deployment.store.loads_per_s
+    settings = TraceSettings(seed, rate, FAIR_DURATION_S)
+    usual = get_waits(deployment, settings)
+    flooded = get_waits(
+        deployment, TraceSettings(seed, rate, FAIR_DURATION_S, boosted, 5.0)
+    )
+    before = max(wait for name, wait in usual.items() if name != boosted)
+    after = max(wait for name, wait in flooded.items() if name != boosted)
+    name = "fairness.worst_organisation_p95_ratio"
+    return [make_row(name, after / before, "ratio", 1.2, before, seed)]
+
+
+def get_waits(deployment, settings):
+    """Return each organisation's 95th percentile of the wait for a slot."""
+    trace = make_trace(settings)
+    result = ThornlatchRun(deployment, trace).run()
+    waits = {}
+    for arrival in trace:
+        if arrival.at >= WARM_UP_S:
+            waits.setdefault(arrival.organisation, []).append(
+                result.wait_s[arrival.index]
+            )
+    return {name: sorted(own)[int(len(own) * 0.95)] for name, own in waits.items()}
+
+
+def measure_overload(deployment, seed=SEED):
+    trace = make_trace(
+        TraceSettings(seed, 2 * get_capacity(deployment), SATURATED_DURATION_S)
+    )
+    result = ThornlatchRun(deployment, trace).run()
+    good_tokens = sum(
+        arrival.tokens
+        for arrival in trace
+        if WARM_UP_S
+        <= result.finished_at.get(arrival.index, 0.0)
+        <= min(arrival.at + arrival.deadline_s, SATURATED_DURATION_S)
+    )
+    slots = sum(target.batch_slots for target in deployment.targets)
+    best_tokens = slots / TOKEN_S * (SATURATED_DURATION_S - WARM_UP_S)
+    false_refusals = len(result.refused & result.started)
+    return [
+        make_row(
+            "overload.goodput_ratio",
+            good_tokens / best_tokens,
+            "ratio",
+            0.9,
+            None,
+            seed,
+        ),
+        make_row("overload.false_not_run", false_refusals, "count", 0, None, seed),
+    ]
+
+
+def get_capacity(deployment):
+    """Return the requests per second that fill all batch slots."""
+    slots = sum(target.batch_slots for target in deployment.targets)
+    trace = make_trace(TraceSettings(SEED, 100.0, 100.0))
+    mean_s = sum(a.tokens for a in trace) / len(trace) * TOKEN_S
+    return slots / mean_s
+
+
+def make_row(name, value, unit, bound, baseline, seed):
+    return {
+        "name": name,
+        "value": round(value, 4),
+        "unit": unit,
+        "bound": bound if bound is None else round(bound, 4),
+        "baseline": baseline if baseline is None else round(baseline, 4),
+        "seed": seed,
+    }
--- /dev/null
+++ b/bench/simulation.py
@@ -0,0 +1,108 @@
+"""An event queue, engines and a weight store, shared by all policies."""
+
+import heapq
+import itertools
+from collections import deque
+from dataclasses import dataclass, field
+
+PREFILL_S = 0.05
+TOKEN_S = 0.01
+
+
+def get_service_s(arrival):
+    """Return the seconds for which a request holds a batch slot."""
+    return PREFILL_S + arrival.tokens * TOKEN_S
+
+
+class Clock:
+    """Event queue in simulated seconds."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.events = []
+        self.sequence = itertools.count()
+
+    def call_at(self, at, function, *arguments):
+        heapq.heappush(self.events, (at, next(self.sequence), function, arguments))
+
+    def call_in(self, delay_s, function, *arguments):
+        self.call_at(self.now + delay_s, function, *arguments)
+
+    def run(self, until):
+        while self.events and self.events[0][0] <= until:
+            self.now, _, function, arguments = heapq.heappop(self.events)
+            function(*arguments)
+
+
+class StoreModel:
+    """Starts loads first come, first served, at the store's rate.
+
+    A load takes longer in proportion to the loads in flight beyond the limit.
+    """
+
+    def __init__(self, clock, store):
+        self.clock = clock
+        self.store = store
+        self.level = float(store.full_speed_loads)
+        self.updated_at = 0.0
+        self.queue = deque()
+        self.in_flight = 0
+        self.loads = 0
+        self.is_waking = False
+
+    def load(self, done, *arguments):
+        self.queue.append((done, arguments))
+        if not self.is_waking:
+            self._start()
+
+    def _start(self):
+        self.is_waking = False
+        gained = (self.clock.now - self.updated_at) * self.store.loads_per_s
+        self.level = min(self.store.full_speed_loads, self.level + gained)
+        self.updated_at = self.clock.now
+        while self.queue and self.level >= 1.0 - 1e-6:
+            self.level -= 1.0
+            self._begin(*self.queue.popleft())
+        if self.queue:
+            self.is_waking = True
+            missing = (1.0 - self.level) / self.store.loads_per_s
+            self.clock.call_in(missing + 1e-6, self._start)
+
+    def _begin(self, done, arguments):
+        self.in_flight += 1
+        self.loads += 1
+        slowdown = max(1.0, self.in_flight / self.store.in_flight_loads)
+        self.clock.call_in(self.store.load_s * slowdown, self._end, done, arguments)
+
+    def _end(self, done, arguments):
+        self.in_flight -= 1
+        done(*arguments)
+
+
+@dataclass
+class Result:
+    """What one run of a policy measured; times are in seconds."""
+
+    arrivals: list
+    loads: int = 0
+    stall_s: dict = field(default_factory=dict)
+    wait_s: dict = field(default_factory=dict)
+    finished_at: dict = field(default_factory=dict)
+    refused: set = field(default_factory=set)
+    started: set = field(default_factory=set)
+    busy: list = field(default_factory=list)
+
+    def begin(self, arrival, now):
+        self.started.add(arrival.index)
+        self.wait_s[arrival.index] = now - arrival.at
+        end = now + get_service_s(arrival)
+        self.busy.append((now, end))
+        return end
+
+    def count_stall_per_1000(self):
+        return sum(self.stall_s.values()) / len(self.arrivals) * 1000.0
+
+    def count_busy_s(self, since, until):
+        return sum(
+            max(0.0, min(end, until) - max(begin, since)) for begin, end in self.busy
+        )
--- a/src/thornlatch/dispatch/_deadlines.py
+++ b/src/thornlatch/dispatch/_deadlines.py
@@ -2,7 +2,6 @@
 
 import heapq
 import itertools
-from collections.abc import Iterable
 
 from thornlatch.configuration import Store
 from thornlatch.dispatch._estimate import ServiceEstimate
@@ -31,6 +30,7 @@
 
 def estimate_queue_wait(
     waiting: WaitingRequest,
+    ahead_tokens: float,
     queue: RequestQueue,
     service: ServiceEstimate,
     shares: FairShares,
@@ -42,6 +42,8 @@
     ----------
     waiting : WaitingRequest
         A request that can't be served at once.
+    ahead_tokens : float
+        Tokens of the organisation's requests that wait for slots alone.
     queue : RequestQueue
     service : ServiceEstimate
     shares : FairShares
@@ -57,8 +59,7 @@
     own = waiting.spec.organisation
     weights = {name: shares.get_weight(name) for name in {own, *queue.counts}}
     share = weights[own] / sum(weights.values())
-    ahead_s = queue.count_ahead(waiting) * service.token_s
-    return (ahead_s + service.hold_s) / (slots * share)
+    return (ahead_tokens * service.token_s + service.hold_s) / (slots * share)
 
 
 def estimate_load_wait(loads_ahead: int, store: Store | None) -> float:
@@ -66,8 +67,3 @@
     if store is None:
         return 0.0
     return loads_ahead / store.loads_per_s + store.load_s
-
-
-def count_loads_ahead(waiting: WaitingRequest, needs: Iterable[float]) -> int:
-    """Return how many of the needs, by order of their first request, come first."""
-    return sum(order < waiting.order for order in needs)
--- a/src/thornlatch/dispatch/_needs.py
+++ b/src/thornlatch/dispatch/_needs.py
@@ -3,12 +3,11 @@
 from collections.abc import Callable
 
 from thornlatch.dispatch._fairness import FairShares
-from thornlatch.dispatch._messages import Priority
-from thornlatch.dispatch._queue import RequestQueue, WaitingRequest
+from thornlatch.dispatch._queue import RequestQueue, VersionWait
 from thornlatch.dispatch._settings import DispatchSettings
 from thornlatch.placement import AdapterVersion, LoadNeed, Placement
 
-BATCH_WEIGHT = 0.1
+AGING_FACTOR = 10.0
 
 
 def find_needs(
@@ -40,48 +39,49 @@
     list of LoadNeed
     """
     needs = []
-    for version in queue.lines:
-        if placement.is_loading(version):
+    loading = placement.list_loading()
+    for version, wait in queue.waits.items():
+        if version in loading:
             continue
         targets = {name for name in placement.get_targets(version) if is_open(name)}
-        need = _find_need(queue, placement, version, targets, settings, now)
-        if need is not None:
-            needs.append(need)
+        if _is_blocked(queue, placement, version, wait, targets, now):
+            needs.append(_make_need(queue, version, wait, targets, settings, now))
     needs.sort(
         key=lambda need: (shares.get_tag(need.organisation), -need.weight, need.version)
     )
     return needs
 
 
-def _find_need(
+def _is_blocked(
     queue: RequestQueue,
     placement: Placement,
     version: AdapterVersion,
+    wait: VersionWait,
+    targets: set[str],
+    now: float,
+) -> bool:
+    if not targets or wait.get_age(now) >= placement.settings.copy_wait_s:
+        return True
+    if not wait.excluding:
+        return False
+    waiting = queue.iter_version(version)
+    return any(targets <= set(entry.spec.excluded) for entry in waiting)
+
+
+def _make_need(
+    queue: RequestQueue,
+    version: AdapterVersion,
+    wait: VersionWait,
     targets: set[str],
     settings: DispatchSettings,
     now: float,
-) -> LoadNeed | None:
-    copy_wait_s = placement.settings.copy_wait_s
-    blocked = [
-        waiting
-        for waiting in queue.iter_version(version)
-        if targets <= set(waiting.spec.excluded)
-        or now - waiting.arrived_at >= copy_wait_s
-    ]
-    if not blocked:
-        return None
-    first = min(blocked, key=lambda waiting: waiting.order)
-    weight = sum(_weigh(waiting, settings, now) for waiting in blocked)
+) -> LoadNeed:
+    first = queue.get_first(version)
+    aging = 1.0 + wait.get_age(now) / settings.batch_aging_s * AGING_FACTOR
     return LoadNeed(
         version,
         first.spec.organisation,
-        weight,
+        wait.weight * aging,
         is_copy=bool(targets),
         excluded=frozenset(first.spec.excluded),
     )
-
-
-def _weigh(waiting: WaitingRequest, settings: DispatchSettings, now: float) -> float:
-    is_batch = waiting.spec.priority is Priority.BATCH
-    base = BATCH_WEIGHT if is_batch else 1.0
-    return base * (1.0 + (now - waiting.arrived_at) / settings.batch_aging_s * 10.0)
--- a/src/thornlatch/dispatch/_queue.py
+++ b/src/thornlatch/dispatch/_queue.py
@@ -1,13 +1,14 @@
 """Requests that wait for a grant."""
 
 import bisect
-import itertools
 from collections.abc import Iterator
 from dataclasses import dataclass
 
 from thornlatch.dispatch._messages import Priority, RequestSpec
 from thornlatch.placement import AdapterVersion
 
+BATCH_WEIGHT = 0.1
+
 
 @dataclass(frozen=True, slots=True, order=True)
 class RequestKey:
@@ -73,15 +74,55 @@
     )
 
 
+@dataclass
+class VersionWait:
+    """Weighted wait of the requests for one adapter version.
+
+    Parameters
+    ----------
+    count : int
+        Requests.
+    excluding : int
+        Requests that exclude targets.
+    weight : float
+        Sum of the requests' weights.
+    weighted_arrival : float
+        Sum of weight times time of arrival, seconds.
+    tokens : float
+        Announced tokens.
+    """
+
+    count: int = 0
+    excluding: int = 0
+    weight: float = 0.0
+    weighted_arrival: float = 0.0
+    tokens: float = 0.0
+
+    def add(self, waiting: WaitingRequest, sign: int) -> None:
+        """Add a request, or take it out with a `sign` of -1."""
+        is_batch = waiting.spec.priority is Priority.BATCH
+        weight = sign * (BATCH_WEIGHT if is_batch else 1.0)
+        self.count += sign
+        self.excluding += sign * bool(waiting.spec.excluded)
+        self.weight += weight
+        self.weighted_arrival += weight * waiting.arrived_at
+        self.tokens += sign * waiting.spec.tokens
+
+    def get_age(self, now: float) -> float:
+        """Return the weighted mean of the seconds waited."""
+        if self.weight <= 0:
+            return 0.0
+        return now - self.weighted_arrival / self.weight
+
+
 class RequestQueue:
     """Lines of waiting requests by adapter version and organisation."""
 
     def __init__(self) -> None:
         self.requests: dict[RequestKey, WaitingRequest] = {}
         self.lines: dict[AdapterVersion, dict[str, list[WaitingRequest]]] = {}
+        self.waits: dict[AdapterVersion, VersionWait] = {}
         self.counts: dict[str, int] = {}
-        self.tokens: dict[str, float] = {}
-        self.sequence = itertools.count()
 
     def __len__(self) -> int:
         return len(self.requests)
@@ -96,7 +137,7 @@
         bisect.insort_right(line, waiting, key=_get_order)
         self.requests[waiting.key] = waiting
         self.counts[name] = self.counts.get(name, 0) + 1
-        self.tokens[name] = self.tokens.get(name, 0.0) + waiting.spec.tokens
+        self.waits.setdefault(waiting.version, VersionWait()).add(waiting, 1)
 
     def remove(self, key: RequestKey) -> WaitingRequest | None:
         """Remove a request; return it if it was waiting."""
@@ -108,9 +149,13 @@
         _remove_from_line(lines[name], waiting)
         if not lines[name]:
             del lines[name]
+        self.waits[waiting.version].add(waiting, -1)
         if not lines:
             del self.lines[waiting.version]
-        self._count_removal(name, waiting.spec.tokens)
+            del self.waits[waiting.version]
+        self.counts[name] -= 1
+        if not self.counts[name]:
+            del self.counts[name]
         return waiting
 
     def iter_heads(
@@ -128,24 +173,10 @@
         for line in self.lines.get(version, {}).values():
             yield from line
 
-    def count_ahead(self, waiting: WaitingRequest) -> float:
-        """Return the tokens of the organisation's requests before `waiting`."""
-        name = waiting.spec.organisation
-        if waiting.spec.priority is Priority.BATCH:
-            return self.tokens.get(name, 0.0) - waiting.spec.tokens
-        return sum(
-            other.spec.tokens
-            for lines in self.lines.values()
-            for other in lines.get(name, ())
-            if other.order < waiting.order
-        )
-
-    def _count_removal(self, name: str, tokens: float) -> None:
-        self.counts[name] -= 1
-        self.tokens[name] -= tokens
-        if not self.counts[name]:
-            del self.counts[name]
-            del self.tokens[name]
+    def get_first(self, version: AdapterVersion) -> WaitingRequest:
+        """Return the first request that waits for `version`."""
+        lines = self.lines[version]
+        return min((line[0] for line in lines.values()), key=_get_order)
 
 
 def _get_order(waiting: WaitingRequest) -> float:
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -124,6 +124,9 @@
         self.leaving: set[str] = set()
         self.unknown_uses: set[str] = set()
         self.known_at = 0.0
+        self.loads_ahead = 0
+        self.ahead_tokens: dict[str, float] = {}
+        self.holders: set[str] = set()
         self.grant_count = 0
         self.is_load_due = False
 
@@ -266,6 +269,8 @@
         if key in self.queue:
             queued = GrantQueued(key.request, key.attempt, self.pool.name)
             return [Send(sender, queued)]
+        if not self._is_holder(sender, now):
+            return []
         waiting = make_waiting(
             sender, message.spec, aging_s=self.settings.batch_aging_s, now=now
         )
@@ -342,6 +347,7 @@
             if now >= self.known_at + self.settings.orphan_pin_s:
                 self.unknown_uses.clear()
         compare_speeds(self.targets.values())
+        self._measure_queue()
         self._update_placement(now)
         for name in self.targets:
             actions += self._serve_target(name, now)
@@ -363,6 +369,11 @@
             return True
         return self.table.is_pinned(target, version)
 
+    def _is_holder(self, host: str, now: float) -> bool:
+        if host in self.holders:
+            return True
+        return host in set(self.leases.iter_possible_holders(now=now))
+
     # Queue.
 
     def _enter(self, waiting: WaitingRequest, now: float) -> list[Action]:
@@ -402,19 +413,29 @@
     def _estimate_lateness(self, waiting: WaitingRequest, now: float) -> float:
         slots = sum(state.count_usable(now) for state in self.targets.values())
         wait_s = estimate_queue_wait(
-            waiting, self.queue, self.service, self.shares, slots
+            waiting,
+            self.ahead_tokens.get(waiting.spec.organisation, 0.0),
+            self.queue,
+            self.service,
+            self.shares,
+            slots,
         )
         if waiting.version.adapter and not self._find_states(waiting.version):
-            ahead = self._count_loads_ahead(waiting)
-            wait_s = max(wait_s, estimate_load_wait(ahead, self.store))
+            wait_s = max(wait_s, estimate_load_wait(self.loads_ahead, self.store))
         wait_s *= self.settings.refusal_margin
         return now + wait_s - self._get_give_up_time(waiting)
 
-    def _count_loads_ahead(self, waiting: WaitingRequest) -> int:
-        return sum(
-            version != waiting.version and not self.placement.get_targets(version)
-            for version in self.queue.lines
-        )
+    def _measure_queue(self) -> None:
+        """Update the estimates' view of the queue."""
+        self.loads_ahead = 0
+        self.ahead_tokens = {}
+        for version, lines in self.queue.lines.items():
+            if version.adapter and not self.placement.get_targets(version):
+                self.loads_ahead += 1
+                continue
+            for name, line in lines.items():
+                tokens = sum(waiting.spec.tokens for waiting in line)
+                self.ahead_tokens[name] = self.ahead_tokens.get(name, 0.0) + tokens
 
     def _get_give_up_time(self, waiting: WaitingRequest) -> float:
         service_s = self.service.predict(waiting.spec.tokens)
@@ -676,6 +697,9 @@
 
     def _drop_hosts(self, now: float) -> list[Action]:
         holders = set(self.leases.iter_possible_holders(now=now))
+        if holders == self.holders:
+            return []
+        self.holders = holders
         for key, waiting in list(self.queue.requests.items()):
             if waiting.host not in holders:
                 self.queue.remove(key)
@@ -691,6 +715,8 @@
     def _order_loads(self, now: float) -> list[Action]:
         if self.pool.kind == "plain" or not self.is_load_due:
             return []
+        if self.placement.blocked_until > now:
+            return []
         if not self.is_acting(now):
             return []
         self.is_load_due = False
--- a/src/thornlatch/placement/_copies.py
+++ b/src/thornlatch/placement/_copies.py
@@ -31,9 +31,10 @@
     slots = sum(memory.target.adapter_slots for memory in memories)
     domains = {memory.target.failure_domain for memory in memories}
     copies_left = int(slots * settings.copy_slots_ratio)
+    held_domains = _find_domains(memories)
     for version in demand.iter_top(slots, now):
         rate = demand.get_rate(version, now)
-        held = _find_domains(version, memories)
+        held = held_domains.get(version, ())
         if not held:
             yield LoadNeed(version, "", rate)
             continue
@@ -45,8 +46,10 @@
 
 
 def _find_domains(
-    version: AdapterVersion, memories: Sequence[TargetMemory]
-) -> set[str]:
-    return {
-        memory.target.failure_domain for memory in memories if memory.has_trace(version)
-    }
+    memories: Sequence[TargetMemory],
+) -> dict[AdapterVersion, set[str]]:
+    domains: dict[AdapterVersion, set[str]] = {}
+    for memory in memories:
+        for version in memory.iter_traces():
+            domains.setdefault(version, set()).add(memory.target.failure_domain)
+    return domains
--- a/src/thornlatch/placement/_demand.py
+++ b/src/thornlatch/placement/_demand.py
@@ -23,6 +23,8 @@
         self.half_life_s = half_life_s
         self.reference = 0.0
         self.counts: dict[AdapterVersion, float] = {}
+        self.factor = 0.0
+        self.factor_at = -1.0
 
     def add(self, version: AdapterVersion, amount: float, now: float) -> None:
         """Count `amount` events of `version` at `now`."""
@@ -35,11 +37,11 @@
 
     def get_rate(self, version: AdapterVersion, now: float) -> float:
         """Return the estimated events per second."""
-        count = self.counts.get(version)
-        if not count:
-            return 0.0
-        decay = 2.0 ** ((self.reference - now) / self.half_life_s)
-        return count * decay * math.log(2.0) / self.half_life_s
+        if now != self.factor_at:
+            decay = 2.0 ** ((self.reference - now) / self.half_life_s)
+            self.factor = decay * math.log(2.0) / self.half_life_s
+            self.factor_at = now
+        return self.counts.get(version, 0.0) * self.factor
 
     def _rescale(self, now: float) -> None:
         factor = 2.0 ** ((self.reference - now) / self.half_life_s)
@@ -49,6 +51,7 @@
             if count * factor > 1e-6
         }
         self.reference = now
+        self.factor_at = -1.0
 
 
 class DemandEstimate:
@@ -70,16 +73,26 @@
         self.long = DecayedRates(half_life_s)
         self.recent = DecayedRates(recent_half_life_s)
         self.recent_weight = recent_weight
+        self.rates: dict[AdapterVersion, float] = {}
+        self.rates_at = -1.0
 
     def add(self, version: AdapterVersion, now: float) -> None:
         """Count one request."""
         self.long.add(version, 1.0, now)
         self.recent.add(version, 1.0, now)
+        self.rates.pop(version, None)
 
     def get_rate(self, version: AdapterVersion, now: float) -> float:
         """Return the weighted estimate in requests per second."""
-        recent = self.recent.get_rate(version, now) * self.recent_weight
-        return self.long.get_rate(version, now) + recent
+        if now != self.rates_at:
+            self.rates.clear()
+            self.rates_at = now
+        rate = self.rates.get(version)
+        if rate is None:
+            recent = self.recent.get_rate(version, now) * self.recent_weight
+            rate = self.long.get_rate(version, now) + recent
+            self.rates[version] = rate
+        return rate
 
     def iter_top(self, count: int, now: float) -> list[AdapterVersion]:
         """Return the `count` versions with the highest estimate, highest first."""
--- a/src/thornlatch/placement/_memory.py
+++ b/src/thornlatch/placement/_memory.py
@@ -1,6 +1,6 @@
 """What one target has loaded, as far as its owner knows."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 from dataclasses import dataclass
 
 from thornlatch.configuration import Target
@@ -67,6 +67,13 @@
             or version in self.unsure
         )
 
+    def iter_traces(self) -> Iterator[AdapterVersion]:
+        """Iterate over the versions that slots may hold now or soon."""
+        yield from self.resident
+        yield from self.loading
+        yield from self.evicting
+        yield from self.unsure
+
     def begin_load(self, version: AdapterVersion, settled_at: float) -> None:
         """Note a load order."""
         self.loading[version] = OpenOrder(version, settled_at)
--- a/src/thornlatch/placement/_placement.py
+++ b/src/thornlatch/placement/_placement.py
@@ -19,6 +19,8 @@
 from thornlatch.placement._settings import PlacementSettings
 from thornlatch.placement._sites import PinReader, Site, SiteChooser
 
+BUDGET_RETRY_S = 0.04
+
 
 class Placement:
     """Places adapter versions on the targets of one pool.
@@ -46,6 +48,8 @@
         self.holders: dict[AdapterVersion, list[str]] = {}
         self.on_demand: set[tuple[str, AdapterVersion]] = set()
         self.plans: dict[AdapterVersion, Site] = {}
+        self.prefetch_at = 0.0
+        self.blocked_until = 0.0
         self.prefetching: set[tuple[str, AdapterVersion]] = set()
         self.sites = SiteChooser(
             settings, self.demand, self.memories, self.holders, self.backoff
@@ -208,9 +212,11 @@
         memory = self.memories.get(target)
         return memory.resident if memory is not None and memory.is_read else ()
 
-    def is_loading(self, version: AdapterVersion) -> bool:
-        """Return whether a load of `version` is under way."""
-        return any(version in memory.loading for memory in self.memories.values())
+    def list_loading(self) -> set[AdapterVersion]:
+        """Return the versions whose load is under way on some target."""
+        return {
+            version for memory in self.memories.values() for version in memory.loading
+        }
 
     def decide(
         self,
@@ -240,8 +246,9 @@
         actions = self._expire_orders(budget, now)
         self._drop_plans()
         waiting = frozenset(need.version for need in needs)
+        loading = self.list_loading()
         for need in needs:
-            if need.version in self.plans or self.is_loading(need.version):
+            if need.version in self.plans or need.version in loading:
                 continue
             site = self.sites.find_for_need(
                 need, pins, self._open_targets(), waiting, now
@@ -255,6 +262,7 @@
                 actions.append(self._evict(site, epoch, now))
                 continue
             if not budget.try_acquire(now):
+                self.blocked_until = now + BUDGET_RETRY_S
                 break
             actions.append(self._load(site, need.version, epoch, now))
             self.on_demand.add((site.target, need.version))
@@ -280,9 +288,13 @@
     ) -> list[Action]:
         if self.on_demand or len(self.prefetching) >= self.settings.prefetch_loads:
             return []
+        if now < self.prefetch_at:
+            return []
+        self.prefetch_at = now + self.settings.prefetch_interval_s
         memories = self._open_targets()
+        loading = self.list_loading()
         for need in find_copies(self.settings, self.demand, memories, now):
-            if self.is_loading(need.version):
+            if need.version in loading:
                 continue
             site = self.sites.find_for_prefetch(need, pins, memories, now)
             if site is None:
--- a/src/thornlatch/placement/_settings.py
+++ b/src/thornlatch/placement/_settings.py
@@ -41,6 +41,8 @@
         Evictions in flight for loads that wait for the store's budget.
     prefetch_loads : int
         Prefetches in flight; 0 turns prefetch off.
+    prefetch_interval_s : float
+        Seconds between decisions on prefetches.
     order_limit_s : float
         Seconds after which a target must not begin an order.
     load_limit_s : float
@@ -55,7 +57,7 @@
 
     demand_half_life_s: Seconds = 900.0
     recent_half_life_s: Seconds = 60.0
-    recent_weight: Annotated[float, Meta(ge=0, le=100)] = 0.25
+    recent_weight: Annotated[float, Meta(ge=0, le=100)] = 0.06
     max_copies: Annotated[int, Meta(ge=1, le=1000)] = 4
     copy_wait_s: Seconds = 0.3
     copy_demand_per_s: Annotated[float, Meta(ge=0, le=1e6)] = 0.2
@@ -65,6 +67,7 @@
     hysteresis: Annotated[float, Meta(ge=1, le=1000)] = 4.0
     eviction_lead: Annotated[int, Meta(ge=1, le=1000)] = 2
     prefetch_loads: Annotated[int, Meta(ge=0, le=1000)] = 1
+    prefetch_interval_s: Seconds = 0.5
     order_limit_s: Seconds = 5.0
     load_limit_s: Seconds = 10.0
     retry_min_s: Seconds = 0.5
--- a/src/thornlatch/placement/_sites.py
+++ b/src/thornlatch/placement/_sites.py
@@ -62,6 +62,8 @@
         self.memories = memories
         self.holders = holders
         self.backoff = backoff
+        self.heats: dict[str, float] = {}
+        self.heats_at = -1.0
 
     def find_for_need(
         self,
@@ -127,16 +129,21 @@
         now: float,
     ) -> Site | None:
         domains = {memory.target.failure_domain for memory in holders}
-        best: tuple[tuple[bool, float, str], Site] | None = None
-        for memory in memories:
-            site, cost = self._find_victim(memory, pins, waiting, now)
-            if site is None:
+        others = [m for m in memories if m.target.failure_domain not in domains]
+        usable = others or memories
+        empty = [memory for memory in usable if memory.count_empty() > 0]
+        if empty:
+            coolest = min(empty, key=lambda memory: self._get_heat(memory, now))
+            return Site(coolest.target.name, None)
+        best: tuple[float, Site] | None = None
+        for memory in usable:
+            found = self._find_victim(memory, pins, waiting, now)
+            if found is None:
                 continue
-            is_same_domain = memory.target.failure_domain in domains
-            cost += self.settings.heat_weight * self._get_heat(memory, now)
-            rank = (is_same_domain, cost, memory.target.name)
-            if best is None or rank < best[0]:
-                best = (rank, site)
+            victim, value = found
+            cost = value + self.settings.heat_weight * self._get_heat(memory, now)
+            if best is None or cost < best[0]:
+                best = (cost, Site(memory.target.name, victim))
         return best[1] if best else None
 
     def _find_victim(
@@ -145,22 +152,16 @@
         pins: PinReader,
         waiting: frozenset[AdapterVersion],
         now: float,
-    ) -> tuple[Site | None, float]:
+    ) -> tuple[AdapterVersion, float] | None:
         name = memory.target.name
-        if memory.count_empty() > 0:
-            return Site(name, None), 0.0
-        best: AdapterVersion | None = None
-        best_value = 0.0
+        best: tuple[AdapterVersion, float] | None = None
         for version in memory.resident:
             value = self._get_value(version, now)
-            if best is not None and value >= best_value:
+            if best is not None and value >= best[1]:
                 continue
-            if version in waiting or pins.is_pinned(name, version):
-                continue
-            best, best_value = version, value
-        if best is None:
-            return None, 0.0
-        return Site(name, best), best_value
+            if version not in waiting and not pins.is_pinned(name, version):
+                best = (version, value)
+        return best
 
     def _get_value(self, version: AdapterVersion, now: float) -> float:
         value = self.demand.get_rate(version, now)
@@ -168,5 +169,12 @@
         return value * self.settings.spare_copy_value if is_spare else value
 
     def _get_heat(self, memory: TargetMemory, now: float) -> float:
-        total = sum(self.demand.get_rate(version, now) for version in memory.resident)
-        return total / memory.target.batch_slots
+        if now != self.heats_at:
+            self.heats.clear()
+            self.heats_at = now
+        heat = self.heats.get(memory.target.name)
+        if heat is None:
+            rates = (self.demand.get_rate(version, now) for version in memory.resident)
+            heat = sum(rates) / memory.target.batch_slots
+            self.heats[memory.target.name] = heat
+        return heat
