--- a/src/thornlatch/admission/_accounts.py
+++ b/src/thornlatch/admission/_accounts.py
@@ -16,6 +16,26 @@
 RECALL_GAP_S = 0.02
 
 
+@dataclass(frozen=True)
+class Recall:
+    """A part to ask back from a host.
+
+    Parameters
+    ----------
+    host : str
+    part : Part
+    level : int
+        Microtokens.
+    spare_level : int
+        Microtokens that the host may return besides if it can spare them.
+    """
+
+    host: str
+    part: Part
+    level: int
+    spare_level: int = 0
+
+
 @dataclass
 class Account:
     """The owner's knowledge of one host; good for dividing, never for safety.
@@ -46,6 +66,7 @@
     recalled_at: float = float("-inf")
     recalled: Part = NOTHING
     recalled_level: int = 0
+    is_recall_open: bool = False
     is_closing: bool = False
 
     def apply_report(self, report: DemandReport, *, now: float) -> bool:
@@ -93,15 +114,17 @@
         self.level = max(0, self.level - level)
         self.recalled = NOTHING
         self.recalled_level = 0
+        self.is_recall_open = False
 
-    def note_recalled(self, part: Part, level: int, *, now: float) -> None:
+    def note_recalled(self, recall: Recall, *, now: float) -> None:
         """Count a recall that was sent."""
         self.recall_number += 1
         self.recalled_at = now
-        self.recalled = part
-        self.recalled_level = level
+        self.recalled = recall.part
+        self.recalled_level = recall.level
+        self.is_recall_open = True
 
     def is_recalled(self, retry_s: float, *, now: float) -> bool:
         """Return whether it's too early for another recall."""
-        gap_s = RECALL_GAP_S if self.recalled.is_empty else retry_s
+        gap_s = retry_s if self.is_recall_open else RECALL_GAP_S
         return now - self.recalled_at < gap_s
--- a/src/thornlatch/admission/_admission.py
+++ b/src/thornlatch/admission/_admission.py
@@ -138,7 +138,10 @@
             return []
         shares = self.get_shares(message.key, now=now)
         actions = shares.handle(message, sender=sender, now=now)
-        return actions + self.serve(message.key, now=now)
+        actions += self.serve(message.key, now=now)
+        if isinstance(message, DemandAnswer):
+            actions += self.refuse_hopeless(message.key, now=now)
+        return actions
 
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Ignore records; `set_allowances` brings the configuration."""
@@ -155,6 +158,7 @@
         actions: list[Action] = []
         for key, shares in self.keys.items():
             actions += self.serve(key, now=now)
+            actions += self.refuse_hopeless(key, now=now)
             actions += shares.tick(holders, peers, now=now)
         return actions
 
@@ -206,6 +210,8 @@
         until = min(now + self.settings.share_wait_s, deadline)
         queue.append(Waiting(ticket, tokens, cost, now, until))
         actions = self.serve(key, now=now)
+        for request in queue.pop_hopeless_last(now=now):
+            actions.append(self.refuse_rate(queue, request, now=now))
         if queue.requests and queue.requests[-1].ticket == ticket:
             actions += shares.report(self.count_members(), now=now)
         return actions
@@ -224,8 +230,6 @@
         if is_confirmed:
             for request in queue.pop_admitted(now=now):
                 actions += self.accept(key, request, now=now)
-            for request in queue.pop_hopeless(now=now):
-                actions.append(self.refuse_rate(queue, request, now=now))
         for request in queue.pop_expired(now=now):
             if is_confirmed:
                 actions.append(self.refuse_rate(queue, request, now=now))
@@ -235,6 +239,16 @@
                 actions.append(Resolve(request.ticket, error))
         return actions
 
+    def refuse_hopeless(self, key: str, *, now: float) -> list[Action]:
+        """Refuse the waiting requests that can't be admitted in time."""
+        queue = self.queues.get(key)
+        if queue is None or not self.may_spend(now=now):
+            return []
+        return [
+            self.refuse_rate(queue, request, now=now)
+            for request in queue.pop_hopeless(now=now)
+        ]
+
     def may_spend(self, *, now: float) -> bool:
         """Return whether this host may use its parts at `now`."""
         return self.leases.is_confirmed(now=now)
@@ -261,7 +275,7 @@
 
     def refuse_rate(
         self, queue: WaitingQueue, request: Waiting, *, now: float
-    ) -> Resolve:
+    ) -> Action:
         """Return the refusal of a request over its organisation's rate."""
         wait_s = queue.compute_wait(request.cost, now=now)
         retry_after_s = min(max(wait_s, RETRY_AFTER_MIN_S), RETRY_AFTER_MAX_S)
--- a/src/thornlatch/admission/_borrower.py
+++ b/src/thornlatch/admission/_borrower.py
@@ -1,6 +1,6 @@
 """A host's part of one key: spending it, giving it up, asking for more."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from thornlatch.admission._demand import DemandEstimate
 from thornlatch.admission._holding import Holding
@@ -23,7 +23,7 @@
 
 CHANGED_DEMAND_RATIO = 0.25
 CHANGED_DEMAND_FLOOR = 0.02
-SPARE_DEMAND_S = 0.25
+SPARE_DEMAND_S = 0.1
 
 
 @dataclass(frozen=True)
@@ -194,7 +194,11 @@
         if not self.outbox.is_free("return", sender):
             return []
         self.recall_number = recall.number
-        return [self.give("return", sender, recall.part, recall.level, now=now)]
+        spare = self.compute_spare_level(now=now) - recall.level
+        level = recall.level + max(0, min(recall.spare_level, spare))
+        depth = max(recall.part.depth, to_depth_units(self.allowance, level))
+        part = replace(recall.part, depth=depth if level else recall.part.depth)
+        return [self.give("return", sender, part, level, now=now)]
 
     def give(
         self, lane: Lane, recipient: str, part: Part, level: int, *, now: float
@@ -247,11 +251,8 @@
 
     def compute_spare(self, request: PeerRequest, *, now: float) -> tuple[Part, int]:
         """Return the part and level that a peer's request may have."""
-        bucket = self.holding.bucket
-        bucket.refresh(now=now)
         demand = self.demand.compute_rate(now=now)
-        spare_level = bucket.level - self.need.level - int(demand * SPARE_DEMAND_S)
-        level = max(0, min(request.need, spare_level))
+        level = max(0, min(request.need, self.compute_spare_level(now=now)))
         whole_rate = self.allowance.rate * MICROTOKENS
         kept_rate = int(demand * UNITS / whole_rate) if whole_rate else 0
         rate = max(0, min(request.rate, self.holding.part.rate - kept_rate))
@@ -259,6 +260,13 @@
         slots = max(0, request.slots if not self.need.slots else 0)
         return Part(rate, depth, slots), level
 
+    def compute_spare_level(self, *, now: float) -> int:
+        """Return the microtokens that this host won't miss at once."""
+        bucket = self.holding.bucket
+        bucket.refresh(now=now)
+        kept = int(self.demand.compute_rate(now=now) * SPARE_DEMAND_S)
+        return bucket.level - self.need.level - kept
+
     def ask_peers(self, peers: list[str], *, now: float) -> list[Action]:
         """Ask some peers, in turn, if the owner is silent while a request waits."""
         settings = self.settings
--- a/src/thornlatch/admission/_division.py
+++ b/src/thornlatch/admission/_division.py
@@ -1,8 +1,8 @@
 """How an owner divides an allowance: waiting requests first, then demand."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
-from thornlatch.admission._accounts import Account
+from thornlatch.admission._accounts import Account, Recall
 from thornlatch.admission._holding import Holding
 from thornlatch.admission._parts import (
     MICROTOKENS,
@@ -19,6 +19,7 @@
 MOVE_RATIO = 0.15
 KEPT_DEMAND_S = 0.1
 PIECES = 8
+SPARE_DONORS = 4
 
 
 @dataclass(frozen=True)
@@ -38,23 +39,6 @@
     level: int
 
 
-@dataclass(frozen=True)
-class Recall:
-    """A part to ask back from a host.
-
-    Parameters
-    ----------
-    host : str
-    part : Part
-    level : int
-        Microtokens.
-    """
-
-    host: str
-    part: Part
-    level: int
-
-
 @dataclass(frozen=True)
 class Plan:
     """The moves of one division.
@@ -225,11 +209,30 @@
                 missing = _subtract(missing, donor.recalled)
                 continue
             part, given_level = self.choose_recall(donor, needy, missing, level)
-            if given_level * PIECES < level and not (part.slots or part.depth):
+            is_small = given_level * PIECES < level and not part.slots
+            if is_small and not missing.depth:
                 continue
             self.recall(donor, part, given_level)
             level -= given_level
             missing = _subtract(missing, part)
+        if level > 0:
+            self.ask_spare(donors, level)
+
+    def ask_spare(self, donors: list[Account], level: int) -> None:
+        """Ask for level that by estimate isn't there: hosts know better.
+
+        A host whose demand has just ended looks as busy as in its last report.
+        """
+        donors = [
+            donor
+            for donor in donors
+            if donor.part.depth
+            and not donor.is_recalled(self.settings.retry_s, now=self.now)
+        ]
+        donors.sort(key=lambda donor: donor.part.depth, reverse=True)
+        for donor in donors[:SPARE_DONORS]:
+            earlier = self.recalls.get(donor.host, Recall(donor.host, NOTHING, 0))
+            self.recalls[donor.host] = replace(earlier, spare_level=level)
 
     def choose_recall(
         self, donor: Account, needy: Account, missing: Part, level: int
@@ -262,6 +265,7 @@
             account.host,
             (earlier.part + part).limit_to(account.part),
             earlier.level + level,
+            earlier.spare_level,
         )
         self.levels[account.host] = max(0, self.levels[account.host] - level)
 
--- a/src/thornlatch/admission/_lender.py
+++ b/src/thornlatch/admission/_lender.py
@@ -19,6 +19,8 @@
 from thornlatch.admission._transfers import Inbox, Outbox, Stamp
 from thornlatch.core import Action, Emit, Event, Send
 
+DIVISION_GAP_S = 0.003
+
 
 class ShareLender:
     """Divides one key's allowance while this host owns the key.
@@ -61,6 +63,7 @@
         self.is_complete = False
         self.is_retired = False
         self.divided_at = float("-inf")
+        self.is_division_due = False
 
     @property
     def allowance(self) -> Allowance:
@@ -111,7 +114,8 @@
             actions += self.begin_round(holders, now=now)
         actions += self.repeat_requests(now=now)
         actions += self.outbox.resend(now=now)
-        if now - self.divided_at >= self.settings.division_interval_s:
+        age_s = now - self.divided_at
+        if self.is_division_due or age_s >= self.settings.division_interval_s:
             actions += self.divide(now=now)
         return actions
 
@@ -215,7 +219,7 @@
         account = self.accounts.get(sender)
         if account is not None:
             account.note_returned(move.part, move.level)
-        return [Send(sender, accepted), *self.divide(now=now)]
+        return [Send(sender, accepted), *self.divide_soon(now=now)]
 
     def handle_accepted(
         self, message: ShareMoveAccepted, *, sender: str, now: float
@@ -238,7 +242,14 @@
             return []
         if not report.need and report.slots <= report.part.slots:
             return []
-        return self.divide(now=now)
+        return self.divide_soon(now=now)
+
+    def divide_soon(self, *, now: float) -> list[Action]:
+        """Divide now, or at the next tick if the last division was just before."""
+        if now - self.divided_at >= DIVISION_GAP_S:
+            return self.divide(now=now)
+        self.is_division_due = True
+        return []
 
     def invite(self, host: str, *, now: float) -> list[Action]:
         """Ask a host that has not adopted the present round.
@@ -254,6 +265,7 @@
     def divide(self, *, now: float) -> list[Action]:
         """Grant and recall parts by need and demand."""
         self.divided_at = now
+        self.is_division_due = False
         self.pool.bucket.refresh(now=now)
         hosts = [
             account
@@ -291,7 +303,7 @@
     def recall(self, recall: Recall, *, now: float) -> list[Action]:
         """Ask a host to return a part."""
         account = self.accounts[recall.host]
-        account.note_recalled(recall.part, recall.level, now=now)
+        account.note_recalled(recall, now=now)
         message = ShareRecall(
             self.key,
             self.stamp.epoch,
@@ -299,6 +311,7 @@
             account.recall_number,
             recall.part,
             recall.level,
+            recall.spare_level,
         )
         return [Send(recall.host, message)]
 
--- a/src/thornlatch/admission/_messages.py
+++ b/src/thornlatch/admission/_messages.py
@@ -121,6 +121,8 @@
         What to return at most.
     level : int
         Microtokens to return at most.
+    spare_level : int
+        Microtokens to return besides, as far as the host won't miss them at once.
     """
 
     key: str
@@ -129,6 +131,7 @@
     number: int
     part: Part
     level: int
+    spare_level: int
 
 
 @register
--- a/src/thornlatch/admission/_waiting.py
+++ b/src/thornlatch/admission/_waiting.py
@@ -45,11 +45,13 @@
         self.settings = settings
         self.requests: deque[Waiting] = deque()
         self.cost = 0
+        self.next_expiry = float("inf")
 
     def append(self, request: Waiting) -> None:
         """Add a request at the end."""
         self.requests.append(request)
         self.cost += request.cost
+        self.next_expiry = min(self.next_expiry, request.until)
         self.update_need()
 
     def remove(self, ticket: str) -> None:
@@ -72,7 +74,21 @@
 
     def pop_expired(self, *, now: float) -> list[Waiting]:
         """Remove the requests that have waited as long as they may."""
-        return self.drop([r for r in self.requests if r.until <= now])
+        if now < self.next_expiry:
+            return []
+        expired = [r for r in self.requests if r.until <= now]
+        self.drop(expired)
+        self.next_expiry = min((r.until for r in self.requests), default=float("inf"))
+        return expired
+
+    def pop_hopeless_last(self, *, now: float) -> list[Waiting]:
+        """Remove the request at the end if it can't be admitted in time."""
+        if not self.requests:
+            return []
+        request = self.requests[-1]
+        if not self.is_hopeless(request, self.cost - request.cost, now=now):
+            return []
+        return self.drop([request])
 
     def pop_hopeless(self, *, now: float) -> list[Waiting]:
         """Remove the requests that can't be admitted in time."""
@@ -110,11 +126,12 @@
 
     def drop(self, requests: list[Waiting]) -> list[Waiting]:
         """Remove requests and return them."""
-        for request in requests:
-            self.requests.remove(request)
-            self.cost -= request.cost
-        if requests:
-            self.update_need()
+        if not requests:
+            return []
+        tickets = {request.ticket for request in requests}
+        self.requests = deque(r for r in self.requests if r.ticket not in tickets)
+        self.cost = sum(request.cost for request in self.requests)
+        self.update_need()
         return requests
 
     def update_need(self) -> None:
