--- a/src/thornlatch/admission/_waiting.py
+++ b/src/thornlatch/admission/_waiting.py
@@ -2,6 +2,7 @@
 
 from collections import deque
 from dataclasses import dataclass
+from math import inf
 
 from thornlatch.admission._borrower import Need, ShareBorrower
 from thornlatch.admission._parts import MICROTOKENS
@@ -48,12 +49,14 @@
         self.settings = settings
         self.requests: deque[Waiting] = deque()
         self.cost = 0
-        self.grace_until = float("-inf")
+        self.grace_until = -inf
+        self.next_expiry = inf
 
     def append(self, request: Waiting) -> None:
         """Add a request at the end."""
         self.requests.append(request)
         self.cost += request.cost
+        self.next_expiry = min(self.next_expiry, request.until)
         self.update_need()
 
     def remove(self, ticket: str) -> None:
@@ -92,9 +95,26 @@
         if is_owner_silent:
             # Once an owner answers, it gets the usual time to lend.
             self.grace_until = now + self.settings.share_wait_s
-        if now < self.grace_until:
-            return self.drop([r for r in self.requests if r.latest <= now])
-        return self.drop([r for r in self.requests if r.until <= now])
+        if now < self.next_expiry:
+            return []
+        is_extended = now < self.grace_until
+        expired = [
+            request
+            for request in self.requests
+            if (request.latest if is_extended else request.until) <= now
+        ]
+        self.drop(expired)
+        self.next_expiry = min((r.until for r in self.requests), default=inf)
+        return expired
+
+    def pop_hopeless_last(self, *, now: float) -> list[Waiting]:
+        """Remove the request at the end if it can't be admitted in time."""
+        if not self.requests:
+            return []
+        request = self.requests[-1]
+        if not self.is_hopeless(request, self.cost - request.cost, now=now):
+            return []
+        return self.drop([request])
 
     def pop_hopeless(self, *, now: float) -> list[Waiting]:
         """Remove the requests that can't be admitted in time."""
@@ -132,11 +152,12 @@
 
     def drop(self, requests: list[Waiting]) -> list[Waiting]:
         """Remove requests and return them."""
-        for request in requests:
-            self.requests.remove(request)
-            self.cost -= request.cost
-        if requests:
-            self.update_need()
+        if not requests:
+            return []
+        tickets = {request.ticket for request in requests}
+        self.requests = deque(r for r in self.requests if r.ticket not in tickets)
+        self.cost = sum(request.cost for request in self.requests)
+        self.update_need()
         return requests
 
     def update_need(self) -> None:
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -142,11 +142,15 @@
 
     def wait_ready(self, name: str, *, timeout_s: float = READY_TIMEOUT_S) -> None:
         address = self.addresses[name]
-        wait_until(
-            lambda: send_http(address, "GET", "/readyz", timeout_s=2).status == 200,
-            timeout_s=timeout_s,
-            what=f"{name} to be ready",
-        )
+        process = self.processes[name]
+
+        def is_ready() -> bool:
+            if process.poll() is not None:
+                return True
+            return send_http(address, "GET", "/readyz", timeout_s=2).status == 200
+
+        wait_until(is_ready, timeout_s=timeout_s, what=f"{name} to be ready")
+        assert process.poll() is None, f"{name} ended with {process.poll()}"
 
     def kill(self, name: str) -> None:
         self.processes[name].kill()
