--- a/src/thornlatch/admission/_borrower.py
+++ b/src/thornlatch/admission/_borrower.py
@@ -362,8 +362,7 @@
         self.owner = owner
         demand = 0
         if not self.is_closed:
-            # What waits needs a rate too: depth without a rate never refills.
-            demand = self.demand.compute_rate(now=now) or self.need.level
+            demand = self.demand.compute_rate(now=now)
         if not self.is_report_due(demand, members, now=now):
             return []
         self.report_number += 1
