--- a/src/thornlatch/admission/_borrower.py
+++ b/src/thornlatch/admission/_borrower.py
@@ -24,7 +24,7 @@
 CHANGED_DEMAND_RATIO = 0.25
 CHANGED_DEMAND_FLOOR = 0.02
 SPARE_DEMAND_S = 0.1
-RATE_PER_DEPTH = 2
+RATE_PER_DEPTH = 1
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/admission/tests/scenarios.py
+++ b/src/thornlatch/admission/tests/scenarios.py
@@ -96,6 +96,28 @@
     return fleet
 
 
+def join_after_expulsion() -> Fleet:
+    """Let a late joiner own the key while it still counts an expelled host.
+
+    The expelled host resumes with the part that the earlier owner has found free.
+    """
+    fleet = start_fleet(3)
+    fleet.run_until(10.0)
+    fleet.pause("h1", 2.1)
+    fleet.expel("h1")
+    fleet.run_until(11.25)
+    fleet.admit("h0", "takes-the-free-part", 10.0)
+    fleet.run_until(11.5)
+    fleet.add_host("h3")
+    fleet.move_owner(KEY, "h3")
+    fleet.run_until(12.3)
+    for step in range(30):
+        spend_all(fleet, "h2")
+        spend_all(fleet, "h0")
+        fleet.run_until(12.3 + 0.02 * step)
+    return fleet
+
+
 SCENARIOS = {
     call.__name__: call
     for call in (
@@ -103,5 +125,6 @@
         settle_when_full,
         repeat_move_of_earlier_epoch,
         cut_off_holder_spends,
+        join_after_expulsion,
     )
 }
