--- a/src/thornlatch/admission/tests/test_admission.py
+++ b/src/thornlatch/admission/tests/test_admission.py
@@ -229,3 +229,19 @@
     admitted = [v for v in fleet.outcomes.values() if isinstance(v, Admitted)]
     assert len(admitted) > 250
     assert compute_excess(fleet) == 0
+
+
+def test_owner_dead_for_a_minute_others_follow_demand_by_themselves():
+    fleet = start_fleet(4)
+    for step in range(500):
+        fleet.admit(f"h{step % 4}", f"warm-{step}", 5.0)
+        fleet.run_until(5.0 + 0.01 * step)
+    fleet.kill("h0")
+    for step in range(3000):
+        host = f"h{1 + step // 500 % 3}"
+        fleet.admit(host, f"r{step}", RATE * 0.5 * 0.02)
+        fleet.run_until(12.0 + 0.02 * step)
+    fleet.run_until(fleet.time + 1.0)
+    values = [fleet.outcomes[f"r{step}"] for step in range(3000)]
+    assert all(isinstance(value, Admitted) for value in values)
+    assert compute_excess(fleet) == 0
