Keep a flooding organisation from pushing the others out

Change: demand above the median of requests over weight doesn't count when victims are chosen; organisations may lag by 100 loads; the wait for a load counts an organisation's own turns.

--- a/bench/policies.py
+++ b/bench/policies.py
@@ -6,6 +6,7 @@
 from random import Random
 
 from bench.simulation import Clock, Result, StoreModel, get_service_s
+from bench.traces import get_weight
 from thornlatch.core import Order, Owner, Send
 from thornlatch.dispatch import (
     DispatchSettings,
@@ -75,6 +76,7 @@
             budget=StoreBudget(deployment.store),
             random=Random(1),
             store=deployment.store,
+            get_weight=get_weight,
         )
 
     def run(self):
--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -16,7 +16,8 @@
 STALL_DURATION_S = 500.0
 SATURATED_RATE = 110.0
 SATURATED_DURATION_S = 120.0
-FAIR_DURATION_S = 200.0
+FAIR_DURATION_S = 300.0
+FLOOD_FROM_S = 150.0
 WARM_UP_S = 40.0
 
 
@@ -88,7 +89,8 @@
     settings = TraceSettings(seed, rate, FAIR_DURATION_S)
     usual = get_waits(deployment, settings)
     flooded = get_waits(
-        deployment, TraceSettings(seed, rate, FAIR_DURATION_S, boosted, 5.0)
+        deployment,
+        TraceSettings(seed, rate, FAIR_DURATION_S, boosted, 5.0, FLOOD_FROM_S),
     )
     before = max(wait for name, wait in usual.items() if name != boosted)
     after = max(wait for name, wait in flooded.items() if name != boosted)
@@ -102,7 +104,7 @@
     result = ThornlatchRun(deployment, trace).run()
     waits = {}
     for arrival in trace:
-        if arrival.at >= WARM_UP_S:
+        if arrival.at >= FLOOD_FROM_S:
             waits.setdefault(arrival.organisation, []).append(
                 result.wait_s[arrival.index]
             )
--- a/bench/traces.py
+++ b/bench/traces.py
@@ -47,6 +47,7 @@
     duration_s: float
     boosted: str = ""
     boost: float = 1.0
+    boosted_from_s: float = 0.0
 
 
 def make_deployment(name, store, domains, engines=10, batch_slots=16, adapter_slots=32):
@@ -93,6 +94,11 @@
             order[rank], order[other] = order[other], order[rank]
 
 
+def get_weight(organisation):
+    """Return the weight that operators give an organisation: its usual share."""
+    return ORGANISATION_SHARES[int(organisation[-1])]
+
+
 def make_trace(settings):
     """Return the arrivals of a trace in the order of time."""
     random = Random(settings.seed)
@@ -109,7 +115,8 @@
         adapter = popularity.draw()
         arrival = _draw_arrival(random, now, owners[adapter], adapter)
         arrivals.append(arrival)
-        if arrival.organisation == settings.boosted:
+        is_boosted = now >= settings.boosted_from_s
+        if is_boosted and arrival.organisation == settings.boosted:
             arrivals += _repeat(boosts, arrival, settings, popularity, owners)
     arrivals.sort(key=lambda arrival: arrival.at)
     return [
--- a/src/thornlatch/dispatch/_deadlines.py
+++ b/src/thornlatch/dispatch/_deadlines.py
@@ -2,6 +2,7 @@
 
 import heapq
 import itertools
+from collections.abc import Mapping
 
 from thornlatch.configuration import Store
 from thornlatch.dispatch._estimate import ServiceEstimate
@@ -62,8 +63,33 @@
     return (ahead_tokens * service.token_s + service.hold_s) / (slots * share)
 
 
-def estimate_load_wait(loads_ahead: int, store: Store | None) -> float:
-    """Return the seconds until a load that isn't ordered yet has ended."""
+def estimate_load_wait(
+    organisation: str,
+    loads_ahead: Mapping[str, int],
+    shares: FairShares,
+    store: Store | None,
+) -> float:
+    """Return the seconds until a load that isn't ordered yet has ended.
+
+    Parameters
+    ----------
+    organisation : str
+        Organisation of the request.
+    loads_ahead : mapping of str to int
+        Loads that each organisation waits for.
+    shares : FairShares
+        Counts loads.
+    store : Store or None
+        None if nothing is loaded.
+
+    Returns
+    -------
+    float
+    """
     if store is None:
         return 0.0
-    return loads_ahead / store.loads_per_s + store.load_s
+    weights = {name: shares.get_weight(name) for name in {organisation, *loads_ahead}}
+    share = weights[organisation] / sum(weights.values())
+    own = loads_ahead.get(organisation, 0) / share
+    ahead = min(own, float(sum(loads_ahead.values())))
+    return ahead / store.loads_per_s + store.load_s
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -111,11 +111,13 @@
         self.budget = budget
         self.random = random
         self.store = store
-        self.placement = Placement(placement_settings, pool, random=random)
+        self.placement = Placement(
+            placement_settings, pool, random=random, get_weight=get_weight
+        )
         self.queue = RequestQueue()
         self.table = GrantTable()
         self.shares = FairShares(get_weight, settings.credit_tokens)
-        self.load_shares = FairShares(get_weight, 1.0)
+        self.load_shares = FairShares(get_weight, settings.credit_loads)
         self.service = ServiceEstimate(settings)
         self.prefixes = PrefixMap(settings.prefix_entries)
         self.recovery = GrantRecovery(epoch, settings.resend_s)
@@ -124,7 +126,7 @@
         self.leaving: set[str] = set()
         self.unknown_uses: set[str] = set()
         self.known_at = 0.0
-        self.loads_ahead = 0
+        self.loads_ahead: dict[str, int] = {}
         self.ahead_tokens: dict[str, float] = {}
         self.holders: set[str] = set()
         self.grant_count = 0
@@ -384,7 +386,8 @@
         if retry_after_s is not None and not self._find_states(waiting.version):
             return self._refuse(waiting, ErrorKind.LOAD_FAILED, retry_after_s, now)
         if waiting.version.adapter:
-            self.placement.note_demand(waiting.version, now=now)
+            name = waiting.spec.organisation
+            self.placement.note_demand(waiting.version, name, now=now)
         actions = self._grant_at_once(waiting, now)
         if actions:
             return actions
@@ -421,17 +424,24 @@
             slots,
         )
         if waiting.version.adapter and not self._find_states(waiting.version):
-            wait_s = max(wait_s, estimate_load_wait(self.loads_ahead, self.store))
+            load_s = estimate_load_wait(
+                waiting.spec.organisation,
+                self.loads_ahead,
+                self.load_shares,
+                self.store,
+            )
+            wait_s = max(wait_s, load_s)
         wait_s *= self.settings.refusal_margin
         return now + wait_s - self._get_give_up_time(waiting)
 
     def _measure_queue(self) -> None:
         """Update the estimates' view of the queue."""
-        self.loads_ahead = 0
+        self.loads_ahead = {}
         self.ahead_tokens = {}
         for version, lines in self.queue.lines.items():
             if version.adapter and not self.placement.get_targets(version):
-                self.loads_ahead += 1
+                for name in lines:
+                    self.loads_ahead[name] = self.loads_ahead.get(name, 0) + 1
                 continue
             for name, line in lines.items():
                 tokens = sum(waiting.spec.tokens for waiting in line)
--- a/src/thornlatch/dispatch/_settings.py
+++ b/src/thornlatch/dispatch/_settings.py
@@ -39,6 +39,8 @@
         Shortest time to come back that a refusal names.
     credit_tokens : float
         Tokens by which an organisation's counter may lag behind the pool's.
+    credit_loads : float
+        The same for the loads made for an organisation.
     slow_ratio : float
         Times the pool's typical seconds per token from which a target counts as slow.
     failure_limit : int
@@ -67,6 +69,7 @@
     refusal_margin: Annotated[float, Meta(gt=0, le=10)] = 0.8
     retry_min_s: Seconds = 0.5
     credit_tokens: Annotated[float, Meta(ge=0, le=1e9)] = 2000.0
+    credit_loads: Annotated[float, Meta(ge=0, le=1e6)] = 100.0
     slow_ratio: Annotated[float, Meta(gt=1, le=100)] = 2.0
     failure_limit: Annotated[int, Meta(ge=1, le=1000)] = 3
     failure_rest_s: Seconds = 1.0
--- a/src/thornlatch/placement/_demand.py
+++ b/src/thornlatch/placement/_demand.py
@@ -1,14 +1,20 @@
 """Estimate of demand by adapter version, with exponential decay."""
 
 import math
+from collections.abc import Callable, Hashable
+from statistics import median_low
+from typing import Generic, TypeVar
 
 from thornlatch.placement._orders import AdapterVersion
 
 RESCALE_EXPONENT = 200.0
+EXCESS_TOLERANCE = 1.0
 
+K = TypeVar("K", bound=Hashable)
 
-class DecayedRates:
-    """Event rates by adapter version that decay with one half-life.
+
+class DecayedRates(Generic[K]):
+    """Event rates by key that decay with one half-life.
 
     Counts are kept in the units of a moving reference time, so that reading needs no
     update of all versions.
@@ -22,26 +28,26 @@
     def __init__(self, half_life_s: float) -> None:
         self.half_life_s = half_life_s
         self.reference = 0.0
-        self.counts: dict[AdapterVersion, float] = {}
+        self.counts: dict[K, float] = {}
         self.factor = 0.0
         self.factor_at = -1.0
 
-    def add(self, version: AdapterVersion, amount: float, now: float) -> None:
-        """Count `amount` events of `version` at `now`."""
+    def add(self, key: K, amount: float, now: float) -> None:
+        """Count `amount` events of `key` at `now`."""
         exponent = (now - self.reference) / self.half_life_s
         if exponent > RESCALE_EXPONENT:
             self._rescale(now)
             exponent = 0.0
         gain = amount * 2.0**exponent
-        self.counts[version] = self.counts.get(version, 0.0) + gain
+        self.counts[key] = self.counts.get(key, 0.0) + gain
 
-    def get_rate(self, version: AdapterVersion, now: float) -> float:
+    def get_rate(self, key: K, now: float) -> float:
         """Return the estimated events per second."""
         if now != self.factor_at:
             decay = 2.0 ** ((self.reference - now) / self.half_life_s)
             self.factor = decay * math.log(2.0) / self.half_life_s
             self.factor_at = now
-        return self.counts.get(version, 0.0) * self.factor
+        return self.counts.get(key, 0.0) * self.factor
 
     def _rescale(self, now: float) -> None:
         factor = 2.0 ** ((self.reference - now) / self.half_life_s)
@@ -65,19 +71,32 @@
         Half-life of the short memory in seconds.
     recent_weight : float
         Weight of the short memory relative to the long one.
+    get_weight : callable
+        Weight of an organisation by name.
     """
 
     def __init__(
-        self, half_life_s: float, recent_half_life_s: float, recent_weight: float
+        self,
+        half_life_s: float,
+        recent_half_life_s: float,
+        recent_weight: float,
+        get_weight: Callable[[str], float],
     ) -> None:
-        self.long = DecayedRates(half_life_s)
-        self.recent = DecayedRates(recent_half_life_s)
+        self.long: DecayedRates[AdapterVersion] = DecayedRates(half_life_s)
+        self.recent: DecayedRates[AdapterVersion] = DecayedRates(recent_half_life_s)
+        self.organisations: DecayedRates[str] = DecayedRates(recent_half_life_s)
+        self.get_weight = get_weight
+        self.owners: dict[AdapterVersion, str] = {}
+        self.scales: dict[str, float] = {}
+        self.scales_at = -1.0
         self.recent_weight = recent_weight
         self.rates: dict[AdapterVersion, float] = {}
         self.rates_at = -1.0
 
-    def add(self, version: AdapterVersion, now: float) -> None:
-        """Count one request."""
+    def add(self, version: AdapterVersion, organisation: str, now: float) -> None:
+        """Count one request of an organisation."""
+        self.owners[version] = organisation
+        self.organisations.add(organisation, 1.0, now)
         self.long.add(version, 1.0, now)
         self.recent.add(version, 1.0, now)
         self.rates.pop(version, None)
@@ -94,6 +113,31 @@
             self.rates[version] = rate
         return rate
 
+    def get_value(self, version: AdapterVersion, now: float) -> float:
+        """Return the rate less what exceeds its organisation's share.
+
+        An organisation far above its weight's share of the requests must not push the
+        adapters of the others out.
+        """
+        if now != self.scales_at:
+            self.scales = self._make_scales(now)
+            self.scales_at = now
+        scale = self.scales.get(self.owners.get(version, ""), 1.0)
+        return self.get_rate(version, now) * scale
+
+    def _make_scales(self, now: float) -> dict[str, float]:
+        levels = {
+            name: self.organisations.get_rate(name, now) / self.get_weight(name)
+            for name in self.organisations.counts
+        }
+        if not levels:
+            return {}
+        limit = median_low(levels.values()) * EXCESS_TOLERANCE
+        return {
+            name: min(1.0, limit / level) if level > 0 else 1.0
+            for name, level in levels.items()
+        }
+
     def iter_top(self, count: int, now: float) -> list[AdapterVersion]:
         """Return the `count` versions with the highest estimate, highest first."""
         versions = sorted(
--- a/src/thornlatch/placement/_placement.py
+++ b/src/thornlatch/placement/_placement.py
@@ -1,6 +1,6 @@
 """Decisions on loads and evictions of one pool."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from random import Random
 
 from thornlatch.configuration import Pool, Target
@@ -30,10 +30,17 @@
     settings : PlacementSettings
     pool : Pool
     random : random.Random
+    get_weight : callable
+        Weight of an organisation by name.
     """
 
     def __init__(
-        self, settings: PlacementSettings, pool: Pool, *, random: Random
+        self,
+        settings: PlacementSettings,
+        pool: Pool,
+        *,
+        random: Random,
+        get_weight: Callable[[str], float] = lambda name: 1.0,
     ) -> None:
         self.settings = settings
         self.pool = pool
@@ -41,6 +48,7 @@
             settings.demand_half_life_s,
             settings.recent_half_life_s,
             settings.recent_weight,
+            get_weight,
         )
         self.backoff = LoadBackoff(settings, random)
         self.memories: dict[str, TargetMemory] = {}
@@ -79,9 +87,11 @@
         else:
             self.closed.add(target)
 
-    def note_demand(self, version: AdapterVersion, *, now: float) -> None:
-        """Count one request for `version`."""
-        self.demand.add(version, now)
+    def note_demand(
+        self, version: AdapterVersion, organisation: str, *, now: float
+    ) -> None:
+        """Count one request of `organisation` for `version`."""
+        self.demand.add(version, organisation, now)
 
     def note_loaded(
         self,
--- a/src/thornlatch/placement/_sites.py
+++ b/src/thornlatch/placement/_sites.py
@@ -98,7 +98,7 @@
         site = self._find_cheapest(usable, pins, frozenset(), holders, now)
         if site is None or site.victim is None:
             return site
-        gain = self.demand.get_rate(need.version, now)
+        gain = self.demand.get_value(need.version, now)
         if holders:
             gain *= self.settings.spare_copy_value
         loss = self._get_value(site.victim, now)
@@ -164,7 +164,7 @@
         return best
 
     def _get_value(self, version: AdapterVersion, now: float) -> float:
-        value = self.demand.get_rate(version, now)
+        value = self.demand.get_value(version, now)
         is_spare = len(self.holders.get(version, ())) > 1
         return value * self.settings.spare_copy_value if is_spare else value
 
