Move the estimate of lateness out of the scheduler

Change: LatenessEstimate holds what the refusals need; prefetch skips adapters that left the inventory.

--- a/src/thornlatch/dispatch/_deadlines.py
+++ b/src/thornlatch/dispatch/_deadlines.py
@@ -2,12 +2,14 @@
 
 import heapq
 import itertools
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from thornlatch.configuration import Store
 from thornlatch.dispatch._estimate import ServiceEstimate
 from thornlatch.dispatch._fairness import FairShares
 from thornlatch.dispatch._queue import RequestKey, RequestQueue, WaitingRequest
+from thornlatch.dispatch._settings import DispatchSettings
+from thornlatch.placement import AdapterVersion
 
 
 class GiveUpTimes:
@@ -93,3 +95,87 @@
     own = loads_ahead.get(organisation, 0) / share
     ahead = min(own, float(sum(loads_ahead.values())))
     return ahead / store.loads_per_s + store.load_s
+
+
+class LatenessEstimate:
+    """Estimates by how much waiting requests will miss their deadlines.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+    queue : RequestQueue
+    service : ServiceEstimate
+    shares : FairShares
+        Counts tokens.
+    load_shares : FairShares
+        Counts loads.
+    store : Store or None
+        None if nothing is loaded.
+    """
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        queue: RequestQueue,
+        service: ServiceEstimate,
+        shares: FairShares,
+        load_shares: FairShares,
+        store: Store | None,
+    ) -> None:
+        self.settings = settings
+        self.queue = queue
+        self.service = service
+        self.shares = shares
+        self.load_shares = load_shares
+        self.store = store
+        self.loads_ahead: dict[str, int] = {}
+        self.ahead_tokens: dict[str, float] = {}
+
+    def measure_queue(self, is_loaded: Callable[[AdapterVersion], bool]) -> None:
+        """Update the loads and tokens that organisations wait for."""
+        self.loads_ahead = {}
+        self.ahead_tokens = {}
+        for version, lines in self.queue.lines.items():
+            if not is_loaded(version):
+                for name in lines:
+                    self.loads_ahead[name] = self.loads_ahead.get(name, 0) + 1
+                continue
+            for name, line in lines.items():
+                tokens = sum(waiting.spec.tokens for waiting in line)
+                self.ahead_tokens[name] = self.ahead_tokens.get(name, 0.0) + tokens
+
+    def get_give_up_time(self, waiting: WaitingRequest) -> float:
+        """Return the last useful starting time of a request, seconds."""
+        service_s = self.service.predict(waiting.spec.tokens)
+        return waiting.deadline - service_s * self.settings.refusal_margin
+
+    def estimate(
+        self, waiting: WaitingRequest, slots: int, now: float, *, is_loaded: bool
+    ) -> float:
+        """Return the seconds by which a request will be late, if positive.
+
+        Parameters
+        ----------
+        waiting : WaitingRequest
+        slots : int
+            Batch slots that may be used over the pool.
+        now : float
+        is_loaded : bool
+            Whether some target has loaded the request's version.
+
+        Returns
+        -------
+        float
+        """
+        name = waiting.spec.organisation
+        ahead_tokens = self.ahead_tokens.get(name, 0.0)
+        wait_s = estimate_queue_wait(
+            waiting, ahead_tokens, self.queue, self.service, self.shares, slots
+        )
+        if not is_loaded:
+            load_s = estimate_load_wait(
+                name, self.loads_ahead, self.load_shares, self.store
+            )
+            wait_s = max(wait_s, load_s)
+        wait_s *= self.settings.refusal_margin
+        return now + wait_s - self.get_give_up_time(waiting)
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -451,6 +451,7 @@
             random=self.random,
             store=store,
             get_weight=lambda name: self.weights.get(name, 1.0),
+            is_known=lambda adapter: self.get_adapter(adapter) is not None,
         )
         self.schedulers[pool.name] = scheduler
         event = Event("dispatch.pool_owned", key=scheduler.key, epoch=epoch)
--- a/src/thornlatch/dispatch/_queue.py
+++ b/src/thornlatch/dispatch/_queue.py
@@ -175,8 +175,8 @@
 
     def get_first(self, version: AdapterVersion) -> WaitingRequest:
         """Return the first request that waits for `version`."""
-        lines = self.lines[version]
-        return min((line[0] for line in lines.values()), key=_get_order)
+        heads = [line[0] for line in self.lines[version].values()]
+        return heads[0] if len(heads) == 1 else min(heads, key=_get_order)
 
 
 def _get_order(waiting: WaitingRequest) -> float:
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -8,11 +8,7 @@
 from thornlatch.configuration import Pool, Store, Target
 from thornlatch.core import Action, Emit, Event, LeaseReader, Order, Send
 from thornlatch.dispatch._choice import choose_request, choose_target
-from thornlatch.dispatch._deadlines import (
-    GiveUpTimes,
-    estimate_load_wait,
-    estimate_queue_wait,
-)
+from thornlatch.dispatch._deadlines import GiveUpTimes, LatenessEstimate
 from thornlatch.dispatch._estimate import ServiceEstimate
 from thornlatch.dispatch._fairness import FairShares
 from thornlatch.dispatch._former import Handover
@@ -86,6 +82,8 @@
         None for plain services.
     get_weight : callable
         Weight of an organisation by name.
+    is_known : callable
+        Whether an adapter is in the inventory.
     """
 
     def __init__(
@@ -101,6 +99,7 @@
         random: Random,
         store: Store | None = None,
         get_weight: Callable[[str], float] = lambda name: 1.0,
+        is_known: Callable[[str], bool] = lambda adapter: True,
     ) -> None:
         self.settings = settings
         self.pool = pool
@@ -110,15 +109,21 @@
         self.leases = leases
         self.budget = budget
         self.random = random
-        self.store = store
         self.placement = Placement(
-            placement_settings, pool, random=random, get_weight=get_weight
+            placement_settings,
+            pool,
+            random=random,
+            get_weight=get_weight,
+            is_known=is_known,
         )
         self.queue = RequestQueue()
         self.table = GrantTable()
         self.shares = FairShares(get_weight, settings.credit_tokens)
         self.load_shares = FairShares(get_weight, settings.credit_loads)
         self.service = ServiceEstimate(settings)
+        self.lateness = LatenessEstimate(
+            settings, self.queue, self.service, self.shares, self.load_shares, store
+        )
         self.prefixes = PrefixMap(settings.prefix_entries)
         self.recovery = GrantRecovery(epoch, settings.resend_s)
         self.give_up = GiveUpTimes()
@@ -126,8 +131,6 @@
         self.leaving: set[str] = set()
         self.unknown_uses: set[str] = set()
         self.known_at = 0.0
-        self.loads_ahead: dict[str, int] = {}
-        self.ahead_tokens: dict[str, float] = {}
         self.holders: set[str] = set()
         self.grant_count = 0
         self.is_load_due = False
@@ -349,7 +352,7 @@
             if now >= self.known_at + self.settings.orphan_pin_s:
                 self.unknown_uses.clear()
         compare_speeds(self.targets.values())
-        self._measure_queue()
+        self.lateness.measure_queue(self._is_loaded)
         self._update_placement(now)
         for name in self.targets:
             actions += self._serve_target(name, now)
@@ -397,7 +400,7 @@
             kind = ErrorKind.DEADLINE_UNREACHABLE
             return self._refuse(waiting, kind, retry_after_s, now)
         self.queue.add(waiting)
-        self.give_up.add(waiting.key, self._get_give_up_time(waiting))
+        self.give_up.add(waiting.key, self.lateness.get_give_up_time(waiting))
         self.is_load_due = True
         return self._recall_for(waiting, now) + self._order_loads(now)
 
@@ -409,47 +412,17 @@
             state.is_leaving or name in excluded for name, state in self.targets.items()
         ):
             return ErrorKind.NO_TARGET
-        if self._get_give_up_time(waiting) < now:
+        if self.lateness.get_give_up_time(waiting) < now:
             return ErrorKind.DEADLINE_UNREACHABLE
         return None
 
     def _estimate_lateness(self, waiting: WaitingRequest, now: float) -> float:
         slots = sum(state.count_usable(now) for state in self.targets.values())
-        wait_s = estimate_queue_wait(
-            waiting,
-            self.ahead_tokens.get(waiting.spec.organisation, 0.0),
-            self.queue,
-            self.service,
-            self.shares,
-            slots,
-        )
-        if waiting.version.adapter and not self._find_states(waiting.version):
-            load_s = estimate_load_wait(
-                waiting.spec.organisation,
-                self.loads_ahead,
-                self.load_shares,
-                self.store,
-            )
-            wait_s = max(wait_s, load_s)
-        wait_s *= self.settings.refusal_margin
-        return now + wait_s - self._get_give_up_time(waiting)
-
-    def _measure_queue(self) -> None:
-        """Update the estimates' view of the queue."""
-        self.loads_ahead = {}
-        self.ahead_tokens = {}
-        for version, lines in self.queue.lines.items():
-            if version.adapter and not self.placement.get_targets(version):
-                for name in lines:
-                    self.loads_ahead[name] = self.loads_ahead.get(name, 0) + 1
-                continue
-            for name, line in lines.items():
-                tokens = sum(waiting.spec.tokens for waiting in line)
-                self.ahead_tokens[name] = self.ahead_tokens.get(name, 0.0) + tokens
+        is_loaded = self._is_loaded(waiting.version)
+        return self.lateness.estimate(waiting, slots, now, is_loaded=is_loaded)
 
-    def _get_give_up_time(self, waiting: WaitingRequest) -> float:
-        service_s = self.service.predict(waiting.spec.tokens)
-        return waiting.deadline - service_s * self.settings.refusal_margin
+    def _is_loaded(self, version: AdapterVersion) -> bool:
+        return not version.adapter or bool(self.placement.get_targets(version))
 
     def _refuse(
         self,
@@ -479,7 +452,7 @@
             waiting = self.queue.requests.get(key)
             if waiting is None:
                 continue
-            give_up_at = self._get_give_up_time(waiting)
+            give_up_at = self.lateness.get_give_up_time(waiting)
             if give_up_at > now:
                 self.give_up.add(key, give_up_at)
                 continue
--- a/src/thornlatch/placement/_placement.py
+++ b/src/thornlatch/placement/_placement.py
@@ -32,6 +32,8 @@
     random : random.Random
     get_weight : callable
         Weight of an organisation by name.
+    is_known : callable
+        Whether an adapter is in the inventory; others aren't prefetched.
     """
 
     def __init__(
@@ -41,9 +43,11 @@
         *,
         random: Random,
         get_weight: Callable[[str], float] = lambda name: 1.0,
+        is_known: Callable[[str], bool] = lambda adapter: True,
     ) -> None:
         self.settings = settings
         self.pool = pool
+        self.is_known = is_known
         self.demand = DemandEstimate(
             settings.demand_half_life_s,
             settings.recent_half_life_s,
@@ -304,7 +308,7 @@
         memories = self._open_targets()
         loading = self.list_loading()
         for need in find_copies(self.settings, self.demand, memories, now):
-            if need.version in loading:
+            if need.version in loading or not self.is_known(need.version.adapter):
                 continue
             site = self.sites.find_for_prefetch(need, pins, memories, now)
             if site is None:
