--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -21,7 +21,6 @@
     GrantInventory,
     GrantInventoryRequest,
     GrantQueued,
-    GrantRecalled,
     GrantRefused,
     GrantReleased,
     GrantReleaseNoted,
@@ -39,6 +38,7 @@
     WaitingRequest,
     make_waiting,
 )
+from thornlatch.dispatch._recalls import Recalls
 from thornlatch.dispatch._recovery import GrantRecovery
 from thornlatch.dispatch._settings import DispatchSettings
 from thornlatch.dispatch._table import GrantRecord, GrantTable, Pin
@@ -125,6 +125,7 @@
             settings, self.queue, self.service, self.shares, self.load_shares, store
         )
         self.prefixes = PrefixMap(settings.prefix_entries)
+        self.recalls = Recalls(settings, pool.name, self.table)
         self.recovery = GrantRecovery(epoch, settings.resend_s)
         self.give_up = GiveUpTimes()
         self.targets: dict[str, TargetState] = {}
@@ -312,7 +313,7 @@
             return actions + self._free(record, now)
         self.table.keep(record)
         if self.queue or not self._is_open(record.target, now):
-            actions += self._recall(record, now)
+            actions += self.recalls.recall(record, now)
         return actions
 
     @_handle.register
@@ -356,7 +357,7 @@
         self._update_placement(now)
         for name in self.targets:
             actions += self._serve_target(name, now)
-        actions += self._recall_idle(now)
+        actions += self._recall_all(now)
         self.is_load_due = True
         return actions + self._order_loads(now)
 
@@ -594,39 +595,25 @@
         state = self.targets.get(target)
         return state is not None and state.is_open(now)
 
-    def _recall(self, record: GrantRecord, now: float) -> list[Action]:
-        record.recalled_at = now
-        recalled = GrantRecalled(self.pool.name, record.grant)
-        return [Send(record.host, recalled)]
+    def _is_leaving(self, target: str) -> bool:
+        state = self.targets.get(target)
+        return state is None or state.is_leaving
 
-    def _is_recall_due(self, record: GrantRecord, now: float) -> bool:
-        sent_at = record.recalled_at
-        return sent_at is None or now - sent_at >= self.settings.resend_s
+    def _recall_all(self, now: float) -> list[Action]:
+        is_contended = bool(self.queue)
+        return self.recalls.recall_all(
+            self._is_leaving, is_contended=is_contended, now=now
+        )
 
     def _recall_for(self, waiting: WaitingRequest, now: float) -> list[Action]:
         names = {state.target.name for state in self._find_states(waiting.version)}
-        for record in self.table.grants.values():
-            is_useful = record.is_idle and record.target in names
-            if is_useful and self._is_recall_due(record, now):
-                return self._recall(record, now)
-        return []
-
-    def _recall_idle(self, now: float) -> list[Action]:
-        actions: list[Action] = []
-        for record in self.table.grants.values():
-            state = self.targets.get(record.target)
-            is_gone = state is None or state.is_leaving
-            if not is_gone and not (record.is_idle and self.queue):
-                continue
-            if self._is_recall_due(record, now):
-                actions += self._recall(record, now)
-        return actions
+        return self.recalls.recall_idle(names, now)
 
     def _update_leaving(self, now: float) -> list[Action]:
         for name, state in self.targets.items():
             state.is_leaving = state.target.is_leaving or name in self.leaving
         self._update_placement(now)
-        return self._recall_idle(now) if self.is_acting(now) else []
+        return self._recall_all(now) if self.is_acting(now) else []
 
     def _update_placement(self, now: float) -> None:
         for name, state in self.targets.items():
