--- a/examples/quickstart.sh
+++ b/examples/quickstart.sh
@@ -74,5 +74,5 @@
   unset "PIDS[$name]"
 done
 echo "== time line (last 12 events)"
-client timeline "$WORK"/*.jsonl
+thornlatch timeline "$WORK"/*.jsonl | tail -n 12
 echo "every answer was right; logs are in $WORK"
--- a/src/thornlatch/cli/_main.py
+++ b/src/thornlatch/cli/_main.py
@@ -12,6 +12,7 @@
 from thornlatch.cli._groups import Config, HostGroup, KeyGroup, TargetGroup
 from thornlatch.cli._serve import Serve
 from thornlatch.cli._status import Status
+from thornlatch.cli._timeline import Timeline
 from thornlatch.exceptions import ThornlatchError
 
 
@@ -21,7 +22,15 @@
     """Root of the command line."""
 
     command: cappa.Subcommands[
-        Serve | Check | Config | KeyGroup | TargetGroup | HostGroup | Status | Docs
+        Serve
+        | Check
+        | Config
+        | KeyGroup
+        | TargetGroup
+        | HostGroup
+        | Status
+        | Timeline
+        | Docs
     ]
 
 
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -8,11 +8,7 @@
 from thornlatch.configuration import Pool, Store, Target
 from thornlatch.core import Action, Emit, Event, LeaseReader, Order, Send
 from thornlatch.dispatch._choice import choose_request, choose_target
-from thornlatch.dispatch._deadlines import (
-    GiveUpTimes,
-    estimate_load_wait,
-    estimate_queue_wait,
-)
+from thornlatch.dispatch._deadlines import GiveUpTimes, LatenessEstimate
 from thornlatch.dispatch._estimate import ServiceEstimate
 from thornlatch.dispatch._fairness import FairShares
 from thornlatch.dispatch._former import Handover
@@ -25,7 +21,6 @@
     GrantInventory,
     GrantInventoryRequest,
     GrantQueued,
-    GrantRecalled,
     GrantRefused,
     GrantReleased,
     GrantReleaseNoted,
@@ -43,6 +38,7 @@
     WaitingRequest,
     make_waiting,
 )
+from thornlatch.dispatch._recalls import Recalls
 from thornlatch.dispatch._recovery import GrantRecovery
 from thornlatch.dispatch._settings import DispatchSettings
 from thornlatch.dispatch._table import GrantRecord, GrantTable, Pin
@@ -86,6 +82,8 @@
         None for plain services.
     get_weight : callable
         Weight of an organisation by name.
+    is_known : callable
+        Whether an adapter is in the inventory.
     """
 
     def __init__(
@@ -101,6 +99,7 @@
         random: Random,
         store: Store | None = None,
         get_weight: Callable[[str], float] = lambda name: 1.0,
+        is_known: Callable[[str], bool] = lambda adapter: True,
     ) -> None:
         self.settings = settings
         self.pool = pool
@@ -110,22 +109,29 @@
         self.leases = leases
         self.budget = budget
         self.random = random
-        self.store = store
-        self.placement = Placement(placement_settings, pool, random=random)
+        self.placement = Placement(
+            placement_settings,
+            pool,
+            random=random,
+            get_weight=get_weight,
+            is_known=is_known,
+        )
         self.queue = RequestQueue()
         self.table = GrantTable()
         self.shares = FairShares(get_weight, settings.credit_tokens)
-        self.load_shares = FairShares(get_weight, 1.0)
+        self.load_shares = FairShares(get_weight, settings.credit_loads)
         self.service = ServiceEstimate(settings)
+        self.lateness = LatenessEstimate(
+            settings, self.queue, self.service, self.shares, self.load_shares, store
+        )
         self.prefixes = PrefixMap(settings.prefix_entries)
+        self.recalls = Recalls(settings, pool.name, self.table)
         self.recovery = GrantRecovery(epoch, settings.resend_s)
         self.give_up = GiveUpTimes()
         self.targets: dict[str, TargetState] = {}
         self.leaving: set[str] = set()
         self.unknown_uses: set[str] = set()
         self.known_at = 0.0
-        self.loads_ahead = 0
-        self.ahead_tokens: dict[str, float] = {}
         self.holders: set[str] = set()
         self.grant_count = 0
         self.is_load_due = False
@@ -307,7 +313,7 @@
             return actions + self._free(record, now)
         self.table.keep(record)
         if self.queue or not self._is_open(record.target, now):
-            actions += self._recall(record, now)
+            actions += self.recalls.recall(record, now)
         return actions
 
     @_handle.register
@@ -347,11 +353,11 @@
             if now >= self.known_at + self.settings.orphan_pin_s:
                 self.unknown_uses.clear()
         compare_speeds(self.targets.values())
-        self._measure_queue()
+        self.lateness.measure_queue(self._is_loaded)
         self._update_placement(now)
         for name in self.targets:
             actions += self._serve_target(name, now)
-        actions += self._recall_idle(now)
+        actions += self._recall_all(now)
         self.is_load_due = True
         return actions + self._order_loads(now)
 
@@ -384,7 +390,8 @@
         if retry_after_s is not None and not self._find_states(waiting.version):
             return self._refuse(waiting, ErrorKind.LOAD_FAILED, retry_after_s, now)
         if waiting.version.adapter:
-            self.placement.note_demand(waiting.version, now=now)
+            name = waiting.spec.organisation
+            self.placement.note_demand(waiting.version, name, now=now)
         actions = self._grant_at_once(waiting, now)
         if actions:
             return actions
@@ -394,7 +401,7 @@
             kind = ErrorKind.DEADLINE_UNREACHABLE
             return self._refuse(waiting, kind, retry_after_s, now)
         self.queue.add(waiting)
-        self.give_up.add(waiting.key, self._get_give_up_time(waiting))
+        self.give_up.add(waiting.key, self.lateness.get_give_up_time(waiting))
         self.is_load_due = True
         return self._recall_for(waiting, now) + self._order_loads(now)
 
@@ -406,42 +413,17 @@
             state.is_leaving or name in excluded for name, state in self.targets.items()
         ):
             return ErrorKind.NO_TARGET
-        if self._get_give_up_time(waiting) < now:
+        if self.lateness.get_give_up_time(waiting) < now:
             return ErrorKind.DEADLINE_UNREACHABLE
         return None
 
     def _estimate_lateness(self, waiting: WaitingRequest, now: float) -> float:
         slots = sum(state.count_usable(now) for state in self.targets.values())
-        wait_s = estimate_queue_wait(
-            waiting,
-            self.ahead_tokens.get(waiting.spec.organisation, 0.0),
-            self.queue,
-            self.service,
-            self.shares,
-            slots,
-        )
-        if waiting.version.adapter and not self._find_states(waiting.version):
-            wait_s = max(wait_s, estimate_load_wait(self.loads_ahead, self.store))
-        wait_s *= self.settings.refusal_margin
-        return now + wait_s - self._get_give_up_time(waiting)
-
-    def _measure_queue(self) -> None:
-        """Update the estimates' view of the queue."""
-        self.loads_ahead = 0
-        self.ahead_tokens = {}
-        for version, lines in self.queue.lines.items():
-            if version.adapter and not self.placement.get_targets(version):
-                self.loads_ahead += 1
-                continue
-            for name, line in lines.items():
-                tokens = sum(waiting.spec.tokens for waiting in line)
-                self.ahead_tokens[name] = self.ahead_tokens.get(name, 0.0) + tokens
+        is_loaded = self._is_loaded(waiting.version)
+        return self.lateness.estimate(waiting, slots, now, is_loaded=is_loaded)
 
-    def _get_give_up_time(self, waiting: WaitingRequest) -> float:
-        if waiting.spec.is_stream:
-            return waiting.deadline
-        service_s = self.service.predict(waiting.spec.tokens)
-        return waiting.deadline - service_s * self.settings.refusal_margin
+    def _is_loaded(self, version: AdapterVersion) -> bool:
+        return not version.adapter or bool(self.placement.get_targets(version))
 
     def _refuse(
         self,
@@ -471,7 +453,7 @@
             waiting = self.queue.requests.get(key)
             if waiting is None:
                 continue
-            give_up_at = self._get_give_up_time(waiting)
+            give_up_at = self.lateness.get_give_up_time(waiting)
             if give_up_at > now:
                 self.give_up.add(key, give_up_at)
                 continue
@@ -613,39 +595,25 @@
         state = self.targets.get(target)
         return state is not None and state.is_open(now)
 
-    def _recall(self, record: GrantRecord, now: float) -> list[Action]:
-        record.recalled_at = now
-        recalled = GrantRecalled(self.pool.name, record.grant)
-        return [Send(record.host, recalled)]
+    def _is_leaving(self, target: str) -> bool:
+        state = self.targets.get(target)
+        return state is None or state.is_leaving
 
-    def _is_recall_due(self, record: GrantRecord, now: float) -> bool:
-        sent_at = record.recalled_at
-        return sent_at is None or now - sent_at >= self.settings.resend_s
+    def _recall_all(self, now: float) -> list[Action]:
+        is_contended = bool(self.queue)
+        return self.recalls.recall_all(
+            self._is_leaving, is_contended=is_contended, now=now
+        )
 
     def _recall_for(self, waiting: WaitingRequest, now: float) -> list[Action]:
         names = {state.target.name for state in self._find_states(waiting.version)}
-        for record in self.table.grants.values():
-            is_useful = record.is_idle and record.target in names
-            if is_useful and self._is_recall_due(record, now):
-                return self._recall(record, now)
-        return []
-
-    def _recall_idle(self, now: float) -> list[Action]:
-        actions: list[Action] = []
-        for record in self.table.grants.values():
-            state = self.targets.get(record.target)
-            is_gone = state is None or state.is_leaving
-            if not is_gone and not (record.is_idle and self.queue):
-                continue
-            if self._is_recall_due(record, now):
-                actions += self._recall(record, now)
-        return actions
+        return self.recalls.recall_idle(names, now)
 
     def _update_leaving(self, now: float) -> list[Action]:
         for name, state in self.targets.items():
             state.is_leaving = state.target.is_leaving or name in self.leaving
         self._update_placement(now)
-        return self._recall_idle(now) if self.is_acting(now) else []
+        return self._recall_all(now) if self.is_acting(now) else []
 
     def _update_placement(self, now: float) -> None:
         for name, state in self.targets.items():
--- a/src/thornlatch/placement/_placement.py
+++ b/src/thornlatch/placement/_placement.py
@@ -1,6 +1,6 @@
 """Decisions on loads and evictions of one pool."""
 
-from collections.abc import Iterable, Iterator, Sequence
+from collections.abc import Callable, Iterable, Iterator, Sequence
 from random import Random
 
 from thornlatch.configuration import Pool, Target
@@ -30,17 +30,29 @@
     settings : PlacementSettings
     pool : Pool
     random : random.Random
+    get_weight : callable
+        Weight of an organisation by name.
+    is_known : callable
+        Whether an adapter is in the inventory; others aren't prefetched.
     """
 
     def __init__(
-        self, settings: PlacementSettings, pool: Pool, *, random: Random
+        self,
+        settings: PlacementSettings,
+        pool: Pool,
+        *,
+        random: Random,
+        get_weight: Callable[[str], float] = lambda name: 1.0,
+        is_known: Callable[[str], bool] = lambda adapter: True,
     ) -> None:
         self.settings = settings
         self.pool = pool
+        self.is_known = is_known
         self.demand = DemandEstimate(
             settings.demand_half_life_s,
             settings.recent_half_life_s,
             settings.recent_weight,
+            get_weight,
         )
         self.backoff = LoadBackoff(settings, random)
         self.memories: dict[str, TargetMemory] = {}
@@ -79,9 +91,11 @@
         else:
             self.closed.add(target)
 
-    def note_demand(self, version: AdapterVersion, *, now: float) -> None:
-        """Count one request for `version`."""
-        self.demand.add(version, now)
+    def note_demand(
+        self, version: AdapterVersion, organisation: str, *, now: float
+    ) -> None:
+        """Count one request of `organisation` for `version`."""
+        self.demand.add(version, organisation, now)
 
     def note_loaded(
         self,
@@ -294,7 +308,7 @@
         memories = self._open_targets()
         loading = self.list_loading()
         for need in find_copies(self.settings, self.demand, memories, now):
-            if need.version in loading:
+            if need.version in loading or not self.is_known(need.version.adapter):
                 continue
             site = self.sites.find_for_prefetch(need, pins, memories, now)
             if site is None:
--- a/tests/test_callers.py
+++ b/tests/test_callers.py
@@ -224,8 +224,11 @@
         )
 
     wait_until(is_idle, what="the engines to be idle")
-    status = send_http(address, "GET", "/status").json
-    assert status["running_requests"] == 0
+    wait_until(
+        lambda: send_http(address, "GET", "/status").json["running_requests"] == 0,
+        timeout_s=5,
+        what="the request to end",
+    )
 
 
 def test_no_target_sees_a_key(fleet, address):
