Emit what the history checks read; end a daemon that can't start

Causes: the checks named events that no slice wrote (ownership, allowance in force, key withdrawal, evictions ordered, tokens passed, leaving targets), so a clean report said little; a daemon whose port was taken lived on without serving. Changes: the daemon writes them; the checks read the names that slices use, count tokens given back, and take a target's own word on evictions in use; serve exits 1 with the reason.

--- a/src/thornlatch/cli/_serve.py
+++ b/src/thornlatch/cli/_serve.py
@@ -8,6 +8,7 @@
 
 import cappa
 
+from thornlatch.cli._exits import EXIT_FAILED
 from thornlatch.daemon import Daemon, DaemonSettings
 from thornlatch.settings import load_settings
 
@@ -30,8 +31,13 @@
 
     def __call__(self) -> int:
         """Run the daemon and return its exit status."""
-        daemon = Daemon(load_settings(self.settings, DaemonSettings))
-        status = daemon.run()
+        settings = load_settings(self.settings, DaemonSettings)
+        status = EXIT_FAILED
+        try:
+            status = Daemon(settings).run()
+        except Exception as error:
+            # Threads that were started already must not keep a broken process alive.
+            sys.stderr.write(f"error: the daemon can't run: {error!r}\n")
         sys.stderr.flush()
         # Threads that wait for a slow caller or target must not delay the exit.
         os._exit(status)
--- a/src/thornlatch/daemon/_app.py
+++ b/src/thornlatch/daemon/_app.py
@@ -148,7 +148,7 @@
             raise RequestRefused(
                 ErrorKind.NOT_ALLOWED, "the model belongs to another organisation"
             )
-        running = self._begin(caller, key.digest)
+        running = self._begin(caller, key.digest, key.organisation)
         request = CompletionRequest(
             caller=caller,
             call=call,
@@ -158,7 +158,9 @@
             running=running,
             is_disconnected=environ.get("waitress.client_disconnected", lambda: False),
         )
-        session = _CompletionSession(request, self.services, self.targets, self._end)
+        session = _CompletionSession(
+            request, self.services, self.targets, self._end, self._note_refusal
+        )
         try:
             first = session.read_first()
         except BaseException:
@@ -197,7 +199,7 @@
             content_type=environ.get("CONTENT_TYPE", ""),
             organisation=organisation,
             deadline=time.monotonic() + caller.deadline_s,
-            running=self._begin(caller, digest),
+            running=self._begin(caller, digest, organisation),
         )
         try:
             return self._run_admitted(request)
@@ -213,7 +215,11 @@
             )
         used = tokens
         try:
-            return PlainCall(request, self.services, self.targets).run()
+            answer = PlainCall(request, self.services, self.targets).run()
+            self.services.emit(
+                Event("requests.answered", request=request.caller.request)
+            )
+            return answer
         except RequestRefused as error:
             used = 0.0 if error.execution.value == "not-run" else tokens
             raise
@@ -221,7 +227,7 @@
             if admitted is not None:
                 self.services.settle(admitted, used)
 
-    def _begin(self, caller: Caller, digest: str) -> RunningRequest:
+    def _begin(self, caller: Caller, digest: str, organisation: str) -> RunningRequest:
         running = RunningRequest(caller.request, digest)
         if not self.running.try_add(running):
             raise RequestRefused(
@@ -232,6 +238,10 @@
         # The key may have been withdrawn before the request was known as running.
         if digest and not self.services.is_key_in_force(digest):
             running.stop(ErrorKind.KEY_WITHDRAWN)
+        event = Event(
+            "requests.accepted", request=caller.request, organisation=organisation
+        )
+        self.services.emit(event)
         return running
 
     def _end(self, request: str) -> None:
@@ -251,12 +261,14 @@
         services: Services,
         settings: TargetSettings,
         on_end: Callable[[str], None],
+        on_refused: Callable[[RequestRefused, str], None],
     ) -> None:
         self.request = request
         self.services = services
         self.stream = CompletionStream(request, services, settings)
         self.chunks = self.stream.iter_chunks()
         self.on_end = on_end
+        self.on_refused = on_refused
         self.admitted: Any = None
         self.is_ended = False
 
@@ -296,6 +308,7 @@
                 yield _frame(chunks)
             yield b"data: [DONE]\n\n"
         except RequestRefused as error:
+            self.on_refused(error, self.request.caller.request)
             text = json.dumps(describe_refusal(error, self.request.caller.request))
             yield f"data: {text}\n\n".encode()
         except CallerGone:
@@ -325,7 +338,8 @@
                 attempt=self.stream.attempt,
                 organisation=self.request.organisation,
                 detail={
-                    "adapter_version": self.request.model,
+                    "version": self.stream.answered_model,
+                    "requested": self.request.model,
                     "tokens": self.stream.sent_tokens,
                     "max_tokens": call.fields.max_tokens,
                 },
--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -92,6 +92,7 @@
             body=self.body,
         )
         self.may_have_run = False
+        self.answered_model = ""
         self.excluded: tuple[str, ...] = ()
 
     @property
@@ -198,6 +199,7 @@
                 if outcome is not Outcome.OK:
                     response.abort()
                 response.close()
+            self._emit_passed(grant, sent_before)
             self.gate.note_ended(grant, outcome)
             self.services.release_grant(
                 grant,
@@ -206,6 +208,13 @@
                 first_token_s=first_token_s,
             )
 
+    def _emit_passed(self, grant: Grant, first: int) -> None:
+        count = self.sent_tokens - first
+        if count:
+            self._emit(
+                "requests.tokens_passed", grant, {"first": first, "count": count}
+            )
+
     def _open(self, grant: Grant) -> TargetResponse:
         request = self.request
         if not self.services.is_confirmed():
@@ -214,7 +223,7 @@
                 "this host can't confirm that it may use its grant",
                 retry_after_s=1.0,
             )
-        self._emit("requests.sent", grant, {"is_idempotent": True})
+        self._emit("requests.sent", grant, {"idempotent": True})
         response = open_call(self._build_call(grant))
         request.running.attach(response)
         if response.status != 200:
@@ -275,6 +284,7 @@
             is_last=any(chunk.is_finish for chunk in chunks),
         )
         fresh = self.cursor.accept(part)
+        self.answered_model = part.adapter_version
         repeated = len(tokens) - len(fresh)
         return chunks[repeated:] if repeated else chunks
 
@@ -313,6 +323,7 @@
                 epoch=grant.epoch,
                 detail={
                     "adapter_version": self.request.model,
+                    "key_digest": self.request.running.short_digest,
                     "grant": grant.grant,
                     **detail,
                 },
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -18,7 +18,7 @@
 from thornlatch.daemon._node import Node
 from thornlatch.daemon._orders import OrderRunner
 from thornlatch.daemon._peers import PeerMesh
-from thornlatch.daemon._running import RunningRequests
+from thornlatch.daemon._running import SHORT_DIGEST, RunningRequests
 from thornlatch.daemon._services import Services
 from thornlatch.daemon._settings import DaemonSettings
 from thornlatch.daemon._status import build_status
@@ -236,6 +236,9 @@
             return
         ended = frozenset(configuration.iter_withdrawn_since(self.withdrawn_offset))
         self.withdrawn_offset = configuration.state.offset
+        for digest in sorted(ended):
+            detail = {"digest": digest[:SHORT_DIGEST]}
+            self.journal.write(Event("configuration.key_withdrawn", detail=detail))
         if ended:
             self.running.stop(
                 ErrorKind.KEY_WITHDRAWN, lambda one: one.key_digest in ended
--- a/src/thornlatch/daemon/_node.py
+++ b/src/thornlatch/daemon/_node.py
@@ -10,9 +10,10 @@
     Configuration,
     ConfigurationSettings,
     ConfigurationView,
+    Organisation,
     Store,
 )
-from thornlatch.core import Action, Slice
+from thornlatch.core import Action, Emit, Event, Slice
 from thornlatch.dispatch import Dispatch, DispatchSettings
 from thornlatch.leases import LeaseTable
 from thornlatch.membership import Membership, MembershipSettings
@@ -113,6 +114,8 @@
         )
         self.offset_passed_on = -1
         self.budgets: list[SharedLoadBudget] = []
+        self.organisations: dict[str, Organisation] = {}
+        self.leaving: set[str] = set()
 
     def apply_records(
         self, records: list[tuple[int, Any]], *, now: float
@@ -154,7 +157,8 @@
         self.admission.set_allowances(
             build_allowances(view), offset=view.offset, now=now
         )
-        return self.dispatch.set_inventory(
+        actions = self._tell_changes(view)
+        return actions + self.dispatch.set_inventory(
             view.iter_pools(),
             view.iter_targets(),
             view.find_adapter,
@@ -164,6 +168,20 @@
             now=now,
         )
 
+    def _tell_changes(self, view: ConfigurationView) -> list[Action]:
+        actions: list[Action] = []
+        for one in view.iter_organisations():
+            if self.organisations.get(one.name) != one:
+                actions.append(_tell_allowance(one, view.offset))
+        self.organisations = {one.name: one for one in view.iter_organisations()}
+        leaving = {one.name for one in view.iter_targets() if one.is_leaving}
+        for target in sorted(leaving ^ self.leaving):
+            what = "leaving" if target in leaving else "returned"
+            event = Event(f"dispatch.target_{what}", target=target, offset=view.offset)
+            actions.append(Emit(event))
+        self.leaving = leaving
+        return actions
+
     def tick(self, *, now: float) -> list[Action]:
         """Pass on what one slice wants of another.
 
@@ -186,6 +204,18 @@
         return budget
 
 
+def _tell_allowance(organisation: Organisation, offset: int) -> Action:
+    detail = {"rate": organisation.rate, "burst": organisation.burst}
+    return Emit(
+        Event(
+            "configuration.allowance_in_force",
+            organisation=organisation.name,
+            offset=offset,
+            detail=detail,
+        )
+    )
+
+
 def build_allowances(view: ConfigurationView) -> dict[str, Allowance]:
     """Build the allowances of all lease keys from the configuration in force.
 
--- a/src/thornlatch/daemon/_orders.py
+++ b/src/thornlatch/daemon/_orders.py
@@ -98,6 +98,7 @@
         target = self.dispatch.targets.get(order.target)
         if target is None:
             return
+        self._write_order(order.order, target, f"{_name(order.order)}_ordered", {})
         pool = self.dispatch.pools[target.pool]
         self.executor.submit(self._run, order.order, target, pool.store, decided_at)
 
@@ -130,21 +131,26 @@
 
     def _run(self, order: Any, target: Target, store: str, decided_at: float) -> None:
         is_ok, is_certain, error = self._try(order, target, store, decided_at)
+        detail = {"is_certain": is_certain, "error": error}
+        name = f"{_name(order)}_{'done' if is_ok else 'failed'}"
+        self._write_order(order, target, name, detail)
+        self.submit(
+            lambda now: self.dispatch.note_order_result(
+                target.name, order, ok=is_ok, is_certain=is_certain, now=now
+            )
+        )
+
+    def _write_order(
+        self, order: Any, target: Target, name: str, detail: dict[str, Any]
+    ) -> None:
+        version = f"{order.adapter}@{order.version}"
         self.journal.write(
             Event(
-                f"placement.{_name(order)}_{'done' if is_ok else 'failed'}",
+                f"placement.{name}",
                 target=target.name,
+                key=f"pool:{target.pool}",
                 epoch=order.epoch,
-                detail={
-                    "adapter": f"{order.adapter}@{order.version}",
-                    "is_certain": is_certain,
-                    "error": error,
-                },
-            )
-        )
-        self.submit(
-            lambda now: self.dispatch.note_order_result(
-                target.name, order, ok=is_ok, is_certain=is_certain, now=now
+                detail={"adapter_version": version, **detail},
             )
         )
 
@@ -224,4 +230,4 @@
 
 
 def _name(order: Any) -> str:
-    return "load" if isinstance(order, LoadAdapter) else "eviction"
+    return "load" if isinstance(order, LoadAdapter) else "evict"
--- a/src/thornlatch/daemon/_plain.py
+++ b/src/thornlatch/daemon/_plain.py
@@ -292,9 +292,10 @@
                 target=grant.target,
                 epoch=grant.epoch,
                 detail={
-                    "is_idempotent": request.route.is_idempotent,
+                    "idempotent": request.route.is_idempotent,
                     "idempotency_key": request.caller.idempotency_key,
                     "claim": claim,
+                    "key_digest": request.running.short_digest,
                     "grant": grant.grant,
                     "path": request.path,
                 },
--- a/src/thornlatch/daemon/_running.py
+++ b/src/thornlatch/daemon/_running.py
@@ -7,6 +7,7 @@
 from thornlatch.exceptions import ErrorKind, RequestRefused
 from thornlatch.targets import TargetResponse
 
+SHORT_DIGEST = 16
 STOP_MESSAGES = {
     ErrorKind.KEY_WITHDRAWN: "the key was withdrawn",
     ErrorKind.HOST_UNCONFIRMED: "this host lost contact with the fleet",
@@ -33,6 +34,11 @@
     response: TargetResponse | None = None
     lock: threading.Lock = field(default_factory=threading.Lock)
 
+    @property
+    def short_digest(self) -> str:
+        """Beginning of the key's digest, as logs name it."""
+        return self.key_digest[:SHORT_DIGEST]
+
     def attach(self, response: TargetResponse | None) -> None:
         """Set the answer that is being read; breaks it if the request must stop.
 
--- a/src/thornlatch/daemon/_stop.py
+++ b/src/thornlatch/daemon/_stop.py
@@ -59,7 +59,7 @@
             0 if every running request ended by itself, 1 after a second signal.
         """
         self._wait_for(lambda: self.is_requested)
-        self.journal.write(Event("daemon.stop_requested"))
+        self.journal.write(Event("daemon.stop_began"))
         self._pause(self.settings.rotation_s)
         self.services.is_stopping = True
         if not self._finish_requests():
--- a/src/thornlatch/timeline/_fleet_checks.py
+++ b/src/thornlatch/timeline/_fleet_checks.py
@@ -28,7 +28,7 @@
     """
 
     promise = Promise.ALLOWANCE
-    names = (names.TOKENS_SPENT, names.ALLOWANCE_IN_FORCE)
+    names = (names.TOKENS_SPENT, names.TOKENS_RETURNED, names.ALLOWANCE_IN_FORCE)
 
     def __init__(self) -> None:
         super().__init__()
@@ -58,6 +58,8 @@
         burst = max([bucket.burst, *(one[2] for one in bucket.changes)])
         drained = rate * max(event.wall - bucket.at, 0.0)
         tokens = event.get_number("tokens")
+        if event.event == names.TOKENS_RETURNED:
+            tokens = -tokens
         bucket.at = max(bucket.at, event.wall)
         bucket.level = max(max(bucket.level - drained, 0.0) + tokens, 0.0)
         limit = burst + rate * CLOCK_SKEW_S
@@ -76,7 +78,12 @@
     """Finds two owners of one epoch and orders of an owner that was replaced."""
 
     promise = Promise.ONE_OWNER
-    names = (names.OWNERSHIP_BEGAN, names.LOAD_ORDERED, names.EVICT_ORDERED)
+    names = (
+        names.OWNERSHIP_BEGAN,
+        names.INVENTORY_BEGUN,
+        names.LOAD_ORDERED,
+        names.EVICT_ORDERED,
+    )
 
     def __init__(self) -> None:
         super().__init__()
@@ -103,7 +110,12 @@
     """Finds evictions of an adapter version that is granted."""
 
     promise = Promise.PINNED
-    names = (names.GRANTED, names.RELEASED, names.EVICT_ORDERED)
+    names = (
+        names.GRANTED,
+        names.RELEASED,
+        names.EVICT_ORDERED,
+        names.ADAPTER_UNLOADED,
+    )
 
     def __init__(self) -> None:
         super().__init__()
@@ -111,6 +123,11 @@
 
     def observe(self, event: LoggedEvent) -> None:
         """Follow grants and judge evictions."""
+        if event.event == names.ADAPTER_UNLOADED:
+            for request in event.detail.get("used") or ():
+                message = f"its adapter version was evicted from {event.target}"
+                self.report(str(request), message, event)
+            return
         place = (event.target, str(event.detail.get("adapter_version", "")))
         grants = self.grants.setdefault(place, {})
         if event.event == names.GRANTED:
--- a/src/thornlatch/timeline/_names.py
+++ b/src/thornlatch/timeline/_names.py
@@ -3,10 +3,12 @@
 MESSAGE_SENT = "peer.message_sent"
 MESSAGE_RECEIVED = "peer.message_received"
 TOKENS_SPENT = "admission.tokens_spent"
+TOKENS_RETURNED = "admission.tokens_returned"
+INVENTORY_BEGUN = "admission.inventory_begun"
 ALLOWANCE_IN_FORCE = "configuration.allowance_in_force"
-CONFIGURATION_IN_FORCE = "configuration.in_force"
+CONFIGURATION_IN_FORCE = "configuration.applied"
 KEY_WITHDRAWN = "configuration.key_withdrawn"
-OWNERSHIP_BEGAN = "leases.ownership_began"
+OWNERSHIP_BEGAN = "dispatch.pool_owned"
 LOAD_ORDERED = "placement.load_ordered"
 EVICT_ORDERED = "placement.evict_ordered"
 GRANTED = "dispatch.granted"
@@ -17,6 +19,7 @@
 REQUEST_SENT = "requests.sent"
 REQUEST_ANSWERED = "requests.answered"
 REQUEST_REFUSED = "requests.refused"
+REQUEST_ENDED = "requests.ended"
 TOKENS_PASSED = "requests.tokens_passed"
 CLAIM_WON = "requests.claim_won"
 CLAIM_LOST = "requests.claim_lost"
@@ -29,12 +32,14 @@
 STOP_BEGAN = "daemon.stop_began"
 STOPPED = "daemon.stopped"
 REQUEST_RUN = "target.request_run"
+ADAPTER_UNLOADED = "target.adapter_unloaded"
 
 EVENT_NAMES: dict[str, str] = {
     MESSAGE_SENT: "A message left for a peer; `cause` names it.",
     MESSAGE_RECEIVED: "A message of a peer arrived; `cause` names it.",
-    TOKENS_SPENT: "Tokens of an organisation were spent, or given back if negative:"
-    " `tokens`.",
+    TOKENS_SPENT: "Tokens of an organisation were spent: `tokens`.",
+    TOKENS_RETURNED: "Tokens that a request didn't use were given back: `tokens`.",
+    INVENTORY_BEGUN: "A new owner of `key` at `epoch` began to count the parts.",
     ALLOWANCE_IN_FORCE: "An organisation's allowance came into force: `rate`, `burst`.",
     CONFIGURATION_IN_FORCE: "The configuration at `offset` came into force at a host.",
     KEY_WITHDRAWN: "The withdrawal of a key came into force at a host: `digest`.",
@@ -50,7 +55,8 @@
     " `idempotency_key`, `key_digest`.",
     REQUEST_ANSWERED: "The whole answer was passed on: `version`, `requested`,"
     " `tokens`.",
-    REQUEST_REFUSED: "A request was refused: `kind`, `execution`.",
+    REQUEST_REFUSED: "A request was refused: `code`, `execution`.",
+    REQUEST_ENDED: "A request ended without an answer, since its caller left.",
     TOKENS_PASSED: "Tokens of a stream were passed on: `first`, `count`, `key_digest`.",
     CLAIM_WON: "A call may be sent under its claim: `claim`.",
     CLAIM_LOST: "Another claim holds the key: `claim`.",
@@ -62,5 +68,6 @@
     QUARANTINE_REFUSED: "A request is refused for good on all hosts: `fp`.",
     STOP_BEGAN: "A planned stop of a host began.",
     STOPPED: "A planned stop of a host ended.",
+    ADAPTER_UNLOADED: "A target evicted `adapter` while requests `used` it.",
     REQUEST_RUN: "A target ran a request: `has_key` if it saw a caller's key.",
 }
--- a/src/thornlatch/timeline/_request_checks.py
+++ b/src/thornlatch/timeline/_request_checks.py
@@ -113,6 +113,7 @@
         names.REQUEST_ACCEPTED,
         names.REQUEST_ANSWERED,
         names.REQUEST_REFUSED,
+        names.REQUEST_ENDED,
         names.STOPPED,
     )
 
--- a/src/thornlatch/timeline/tests/histories.py
+++ b/src/thornlatch/timeline/tests/histories.py
@@ -18,8 +18,8 @@
             organisation="o",
             detail={"rate": 10.0, "burst": 100.0},
         ),
-        "configuration": make("configuration.in_force", offset=7),
-        "owner": make("leases.ownership_began", key="pool:p", epoch=3),
+        "configuration": make("configuration.applied", offset=7),
+        "owner": make("dispatch.pool_owned", key="pool:p", epoch=3),
         "accept": make("requests.accepted", wall=1, request="r", organisation="o"),
         "spend": make(
             "admission.tokens_spent",
@@ -86,8 +86,8 @@
             epoch=3,
             detail={"adapter_version": "a@1"},
         ),
-        "configuration-2": make("configuration.in_force", wall=3, offset=9),
-        "new-owner": make("leases.ownership_began", "h2", 4, key="pool:p", epoch=8),
+        "configuration-2": make("configuration.applied", wall=3, offset=9),
+        "new-owner": make("dispatch.pool_owned", "h2", 4, key="pool:p", epoch=8),
         "refuse": make(
             "requests.refused",
             wall=5,
@@ -142,7 +142,7 @@
     "two-owners-of-epoch": (
         Promise.ONE_OWNER,
         "pool:p",
-        add("leases.ownership_began", "h3", 4, key="pool:p", epoch=8),
+        add("dispatch.pool_owned", "h3", 4, key="pool:p", epoch=8),
     ),
     "order-of-replaced-owner": (
         Promise.ONE_OWNER,
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -159,7 +159,11 @@
             "target.request_run",
             request=request,
             attempt=attempt,
-            detail={"model": model, "resume_after": value.get("resume_after", 0)},
+            detail={
+                "model": model,
+                "resume_after": value.get("resume_after", 0),
+                "has_key": "HTTP_AUTHORIZATION" in headers,
+            },
         )
         tokens = self._generate(environ, value, request)
         is_chat = "messages" in value
--- a/standins/plain_service.py
+++ b/standins/plain_service.py
@@ -51,7 +51,10 @@
             request=request,
             attempt=int(environ.get("HTTP_X_ATTEMPT", "0")),
             target=self.name,
-            detail={"path": environ["PATH_INFO"]},
+            detail={
+                "path": environ["PATH_INFO"],
+                "has_key": "HTTP_AUTHORIZATION" in headers,
+            },
         )
         time.sleep(self.delay_s)
         if is_lost:
--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -30,12 +30,14 @@
     TargetDrained,
     digest_key,
 )
-from thornlatch.timeline import check_history, read_events
+from thornlatch.timeline import check_history, merge_events, read_events
 
 RUN_S = 60.0
 CALLERS = 16
 FAULT_EVERY_S = 3.0
 HOSTS, ENGINES, SERVICES, DOMAINS = 8, 10, 3, 4
+RATE, BURST = 30_000.0, 60_000.0
+ALLOWANCES = [("shop", RATE, BURST), ("library", RATE, BURST)]
 
 
 @dataclass
@@ -322,8 +324,8 @@
         adapters=24,
         adapter_slots=6,
         token_s=0.005,
-        rate=30_000,
-        burst=60_000,
+        rate=RATE,
+        burst=BURST,
     )
     with Fleet(tmp_path) as fleet:
         cuts = {
@@ -345,7 +347,9 @@
             for future in futures:
                 future.result()
         check_reservations(fleet, results)
-        violations = list(check_history(read_events(fleet.event_files())))
+        violations = check_history(
+            merge_events(read_events(fleet.event_files())), ALLOWANCES
+        )
     report = {
         "seed": seed,
         "requests": sum(results.counts.values()),
