--- a/src/thornlatch/placement/_demand.py
+++ b/src/thornlatch/placement/_demand.py
@@ -8,7 +8,7 @@
 from thornlatch.placement._orders import AdapterVersion
 
 RESCALE_EXPONENT = 200.0
-EXCESS_TOLERANCE = 1.0
+EXCESS_TOLERANCE = 1.5
 
 K = TypeVar("K", bound=Hashable)
 
@@ -114,7 +114,7 @@
         return rate
 
     def get_value(self, version: AdapterVersion, now: float) -> float:
-        """Return the rate less what exceeds its organisation's share.
+        """Return the rate, cut back if its organisation floods the pool.
 
         An organisation far above its weight's share of the requests must not push the
         adapters of the others out.
@@ -132,10 +132,11 @@
         }
         if not levels:
             return {}
-        limit = median_low(levels.values()) * EXCESS_TOLERANCE
+        typical = median_low(levels.values())
         return {
-            name: min(1.0, limit / level) if level > 0 else 1.0
+            name: typical / level
             for name, level in levels.items()
+            if level > typical * EXCESS_TOLERANCE
         }
 
     def iter_top(self, count: int, now: float) -> list[AdapterVersion]:
