Probe a target that broke off until it answers or refuses

Ruled out: the queue of isolated runs (the fold holds one turn). Change: the probe is repeated until the target answers or refuses.

--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -31,6 +31,8 @@
 CLAIM_WAIT_S = 15.0
 COMMAND_TIMEOUT_S = 10.0
 PROBE_TIMEOUT_S = 0.5
+PROBE_ATTEMPTS = 5
+PROBE_PAUSE_S = 0.05
 
 T = TypeVar("T")
 
@@ -409,13 +411,20 @@
         bool
             True if it refuses connections or answers as a new incarnation.
         """
-        known = self.incarnations.get(target)
-        try:
-            report = read_report(address, timeout_s=PROBE_TIMEOUT_S)
-        except TargetError as error:
-            return not error.is_sent
-        current = str(report.get("incarnation", ""))
-        return bool(known) and current != known
+        for attempt in range(PROBE_ATTEMPTS):
+            if attempt:
+                time.sleep(PROBE_PAUSE_S)
+            try:
+                report = read_report(address, timeout_s=PROBE_TIMEOUT_S)
+            except TargetError as error:
+                if not error.is_sent:
+                    return True
+                # A dying process may still take a connection that it never answers.
+                continue
+            known = self.incarnations.get(target)
+            current = str(report.get("incarnation", ""))
+            return bool(known) and current != known
+        return False
 
     def note_target_died(self, target: str) -> None:
         """Tell the slices of a target's death.
