--- /dev/null
+++ b/bench/control.py
@@ -0,0 +1,168 @@
+"""What a daemon spends on control, by the number of daemons."""
+
+import tempfile
+import time
+from pathlib import Path
+from typing import Any
+
+from bench.path import read_processor_s
+from tests.deployments import Deployment, append, complete, start_deployment
+from tests.fleet import Fleet, send_http, wait_until
+from thornlatch.configuration import (
+    ConfigurationChanged,
+    Inventory,
+    Key,
+    KeyWithdrawn,
+    digest_key,
+)
+
+SIZES = (8, 16, 32)
+MEASURED_S = 12.0
+SETTLE_S = 4.0
+CHANGES = 20
+SEED = 0
+
+
+def measure() -> list[dict[str, Any]]:
+    """Measure cost at several sizes, and changes in force among 8 daemons."""
+    rows: list[dict[str, Any]] = []
+    for size in SIZES:
+        with (
+            tempfile.TemporaryDirectory() as directory,
+            Fleet(Path(directory)) as fleet,
+        ):
+            hosts = start_deployment(fleet, Deployment(hosts=size, engines=2))
+            rows += measure_cost(fleet, hosts, size)
+            if size == SIZES[0]:
+                rows += measure_changes(fleet, hosts)
+                rows.append(measure_takeover(fleet, hosts))
+    return rows
+
+
+def measure_cost(fleet: Fleet, hosts: list[str], size: int) -> list[dict[str, Any]]:
+    """Measure processor time, memory and bytes of each daemon without requests."""
+    for host in hosts[:4]:
+        complete(fleet.addresses[host])
+    time.sleep(SETTLE_S)
+    before = [read_costs(fleet, host) for host in hosts]
+    time.sleep(MEASURED_S)
+    after = [read_costs(fleet, host) for host in hosts]
+    spent = [
+        {name: (new[name] - old[name]) / MEASURED_S for name in new}
+        for old, new in zip(before, after, strict=True)
+    ]
+    worst = {name: max(one[name] for one in spent) for name in spent[0]}
+    memory = max(read_memory_mb(fleet.processes[host].pid) for host in hosts)
+    appends = sum(one["appends"] for one in spent)
+    return [
+        build_row(f"control.core_ratio.{size}", worst["processor"], "cores", 0.012),
+        build_row(f"control.rss_mb.{size}", memory, "MB", 128),
+        build_row(f"control.bytes_per_s.{size}", worst["bytes"], "B/s", 4096),
+        build_row(f"control.peer_bytes_per_s.{size}", worst["peer_bytes"], "B/s", 4096),
+        build_row(f"control.messages_per_s.{size}", worst["messages"], "1/s", 0),
+        build_row(f"control.fleet_appends_per_s.{size}", appends, "1/s", 300),
+    ]
+
+
+def read_costs(fleet: Fleet, host: str) -> dict[str, float]:
+    """Read the counters of one daemon."""
+    control = send_http(fleet.addresses[host], "GET", "/status").json["control"]
+    peer_bytes = control["sent_bytes"] + control["received_bytes"]
+    return {
+        "processor": read_processor_s(fleet.processes[host].pid),
+        "peer_bytes": peer_bytes,
+        "bytes": peer_bytes + control["log_bytes"],
+        "messages": control["sent"] + control["received"],
+        "appends": control["appends"],
+    }
+
+
+def read_memory_mb(pid: int) -> float:
+    """Return the resident memory of a process."""
+    for line in Path(f"/proc/{pid}/status").read_text().splitlines():
+        if line.startswith("VmRSS"):
+            return int(line.split()[1]) / 1024
+    return 0.0
+
+
+def measure_changes(fleet: Fleet, hosts: list[str]) -> list[dict[str, Any]]:
+    """Time changes and withdrawn keys until in force on all, one host cut off."""
+    cut = hosts[-1]
+    fleet.set_faults("log", refused_clients=[cut])
+    time.sleep(SETTLE_S)
+    addresses = [fleet.addresses[host] for host in hosts]
+    changed = sorted(time_change(fleet, addresses, n) for n in range(CHANGES))
+    withdrawn = sorted(time_withdrawal(fleet, addresses, n) for n in range(CHANGES))
+    fleet.set_faults("log")
+    return [
+        build_row("configuration.in_force_p99_s", changed[-1], "s", 5),
+        build_row("keys.withdrawn_p99_s", withdrawn[-1], "s", 5),
+    ]
+
+
+def time_change(fleet: Fleet, addresses: list[str], number: int) -> float:
+    """Publish a key by a change of the inventory; return seconds until in force."""
+    status = send_http(addresses[0], "GET", "/status").json["configuration"]
+    key = f"key-{number}"
+    upserts = Inventory(keys=(Key(digest_key(key), "shop"),))
+    started = time.monotonic()
+    append(
+        fleet,
+        "configuration",
+        ConfigurationChanged(status["inventory_offset"], "bench", upserts),
+    )
+    for address in addresses:
+        wait_until(lambda a=address: list_models(a, key) == 200, timeout_s=20)
+    return time.monotonic() - started
+
+
+def time_withdrawal(fleet: Fleet, addresses: list[str], number: int) -> float:
+    """Withdraw a key; return seconds until every host refuses it."""
+    key = f"key-{number}"
+    started = time.monotonic()
+    append(fleet, "configuration", KeyWithdrawn(digest_key(key), "bench"))
+    for address in addresses:
+        wait_until(lambda a=address: list_models(a, key) == 401, timeout_s=20)
+    return time.monotonic() - started
+
+
+def list_models(address: str, key: str) -> int:
+    """Return the status that a key gets."""
+    headers = {"Authorization": f"Bearer {key}"}
+    return send_http(address, "GET", "/v1/models", headers=headers).status
+
+
+def measure_takeover(fleet: Fleet, hosts: list[str]) -> dict[str, Any]:
+    """Kill the owner of the engines' pool; return seconds until another owns it."""
+    times = []
+    alive = list(hosts)
+    for _ in range(3):
+        owner = wait_until(lambda: find_owner(fleet, alive), what="an owner")
+        time.sleep(SETTLE_S)
+        fleet.kill(owner)
+        alive.remove(owner)
+        started = time.monotonic()
+        wait_until(lambda: find_owner(fleet, alive), what="a successor")
+        times.append(time.monotonic() - started)
+    return build_row("leases.takeover_max_of_3_s", max(times), "s", 8)
+
+
+def find_owner(fleet: Fleet, hosts: list[str]) -> str | None:
+    """Return the host that schedules the engines' pool."""
+    for host in hosts:
+        status = send_http(fleet.addresses[host], "GET", "/status").json
+        if "llm" in status["owned_pools"]:
+            return host
+    return None
+
+
+def build_row(name: str, value: float, unit: str, bound: float) -> dict[str, Any]:
+    """Build one line of the output."""
+    return {
+        "name": name,
+        "value": round(value, 4),
+        "unit": unit,
+        "bound": bound,
+        "baseline": 0,
+        "seed": SEED,
+    }
--- a/src/thornlatch/daemon/_metrics.py
+++ b/src/thornlatch/daemon/_metrics.py
@@ -10,6 +10,22 @@
 if TYPE_CHECKING:
     from thornlatch.daemon._daemon import Daemon
 
+METRICS = {
+    "membership.members": "Sessions in this host's view.",
+    "membership.is_confirmed": "1 while this host may use its rights, else 0.",
+    "configuration.offset": "Offset of the last record applied.",
+    "configuration.is_fresh": "1 while the configuration is known to be current.",
+    "dispatch.owned_pools": "Pools that this host schedules.",
+    "requests.running": "Requests in progress at this host.",
+    "control.busy_s": "Processor seconds of the control thread since the start.",
+    "control.sent_messages": "Messages sent to peers since the start.",
+    "control.sent_bytes": "Bytes of them.",
+    "control.received_bytes": "Bytes received from peers since the start.",
+    "control.refused_messages": "Messages that couldn't be decoded.",
+    "platform.appends": "Appends to the log since the start.",
+    "platform.append_failures": "Appends that failed or whose reply was lost.",
+}
+
 
 class MetricsReporter:
     """Sends gauges at intervals.
@@ -44,8 +60,9 @@
         if self.client is None or now < self.due:
             return []
         self.due = now + self.settings.every_s
-        for name, value in self._collect(now).items():
-            self.client.gauge(name, value)
+        values = self._collect(now)
+        for name in METRICS:
+            self.client.gauge(name, values[name])
         return []
 
     def _collect(self, now: float) -> dict[str, float]:
--- a/src/thornlatch/platform/_clients.py
+++ b/src/thornlatch/platform/_clients.py
@@ -11,6 +11,8 @@
 from thornlatch.exceptions import ErrorKind, ThornlatchError
 
 RESPONSE_LIMIT_BYTES = 64 << 20
+# Method, version, host and encoding of a request, about.
+REQUEST_LINE_BYTES = 90
 
 
 class PlatformError(ThornlatchError):
@@ -111,6 +113,9 @@
         self.settings = settings
         self.client = client
         self.local = threading.local()
+        self.count_lock = threading.Lock()
+        self.call_count = 0
+        self.byte_count = 0
 
     def append(self, stream: str, records: list[Any]) -> int:
         """Append records to a stream in one call.
@@ -188,6 +193,7 @@
             connection.request(method, path, body, headers)
             response = connection.getresponse()
             data = response.read(RESPONSE_LIMIT_BYTES)
+            self._count(path, body, headers, response, data)
         except (OSError, http.client.HTTPException) as error:
             self._drop_connection()
             raise PlatformError(
@@ -196,6 +202,20 @@
             ) from error
         return _check_answer(response.status, data)
 
+    def _count(
+        self,
+        path: str,
+        body: str | None,
+        headers: dict[str, str],
+        response: http.client.HTTPResponse,
+        data: bytes,
+    ) -> None:
+        sent = REQUEST_LINE_BYTES + len(path) + len(body or "") + len(str(headers))
+        received = len(str(response.headers)) + len(data)
+        with self.count_lock:
+            self.call_count += 1
+            self.byte_count += sent + received
+
     def _get_connection(self, timeout_s: float) -> http.client.HTTPConnection:
         connection = getattr(self.local, "connection", None)
         if connection is None:
--- /dev/null
+++ b/tests/test_documents.py
@@ -0,0 +1,40 @@
+"""Documents that name tests, commands or metrics must name real ones."""
+
+import re
+from pathlib import Path
+
+import pytest
+
+from thornlatch.daemon._metrics import METRICS
+
+ROOT = Path(__file__).parent.parent
+NODE_IDS = sorted(
+    set(
+        re.findall(
+            r"`((?:src|tests)/[\w/]+\.py::\w+)`",
+            (ROOT / "docs/INVARIANTS.md").read_text(),
+        )
+    )
+)
+
+
+def test_invariants_name_tests():
+    assert len(NODE_IDS) > 30
+
+
+@pytest.mark.parametrize("node_id", NODE_IDS)
+def test_invariants_test_exists(node_id):
+    path, _, name = node_id.partition("::")
+    assert re.search(rf"^def {name}\(", (ROOT / path).read_text(), re.MULTILINE)
+
+
+def test_metrics_reference_is_complete():
+    page = (ROOT / "docs/operators/metrics.md").read_text()
+    named = dict(re.findall(r"^\| `([\w.]+)` \| (.*) \|$", page, re.MULTILINE))
+    assert named == METRICS
+
+
+def test_links_lead_somewhere():
+    for page in [ROOT / "README.md", *(ROOT / "docs").rglob("*.md")]:
+        for link in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
+            assert (page.parent / link).exists(), (page, link)
