--- a/src/thornlatch/daemon/_stop.py
+++ b/src/thornlatch/daemon/_stop.py
@@ -12,6 +12,7 @@
 from thornlatch.daemon._settings import StopSettings
 
 POLL_S = 0.02
+IDLE_POLL_S = 0.2
 SETTLE_LIMIT_S = 5.0
 
 
@@ -58,7 +59,8 @@
         int
             0 if every running request ended by itself, 1 after a second signal.
         """
-        self._wait_for(lambda: self.is_requested)
+        while not self.is_requested:
+            time.sleep(IDLE_POLL_S)
         self.journal.write(Event("daemon.stop_began"))
         self._pause(self.settings.rotation_s)
         self.services.is_stopping = True
--- a/src/thornlatch/platform/_follower.py
+++ b/src/thornlatch/platform/_follower.py
@@ -93,7 +93,7 @@
 
     page_limit: Annotated[int, Meta(ge=1, le=100_000)] = 1000
     poll_wait_s: Annotated[float, Meta(ge=0, le=10)] = 0.5
-    overdue_s: Annotated[float, Meta(gt=0, le=60)] = 0.9
+    overdue_s: Annotated[float, Meta(gt=0, le=60)] = 1.2
     retry_s: Annotated[float, Meta(gt=0, le=60)] = 0.2
     answer_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
     peers_asked: Annotated[int, Meta(ge=1, le=16)] = 2
