--- a/src/thornlatch/platform/tests/test_follower.py
+++ b/src/thornlatch/platform/tests/test_follower.py
@@ -81,9 +81,9 @@
 def test_peers_asked_only_while_log_is_silent():
     follower = make_follower()
     read(follower, 3, sent_at=10.0)
-    overdue_at = 10.0 + SETTINGS.overdue_s
+    overdue_at = 10.01 + SETTINGS.overdue_s
     assert follower.tick(peers=["b.1"], now=10.0 + 2 * SETTINGS.poll_wait_s) == []
-    assert follower.tick(peers=["b.1"], now=overdue_at - 0.01) == []
+    assert follower.tick(peers=["b.1"], now=overdue_at - 0.02) == []
     assert ask(follower, now=overdue_at) == LogTailRequest(STREAM, 3, 1)
     assert follower.tick(peers=["b.1"], now=overdue_at + 0.1) == []
 
