--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -217,12 +217,7 @@
 
     def _open(self, grant: Grant) -> TargetResponse:
         request = self.request
-        if not self.services.is_confirmed():
-            raise RequestRefused(
-                ErrorKind.HOST_UNCONFIRMED,
-                "this host can't confirm that it may use its grant",
-                retry_after_s=1.0,
-            )
+        self.services.check_confirmed()
         self._emit("requests.sent", grant, {"idempotent": True})
         response = open_call(self._build_call(grant))
         request.running.attach(response)
--- a/src/thornlatch/daemon/_plain.py
+++ b/src/thornlatch/daemon/_plain.py
@@ -196,12 +196,7 @@
             raise
 
     def _check_may_send(self, claim: str) -> None:
-        if not self.services.is_confirmed():
-            raise RequestRefused(
-                ErrorKind.HOST_UNCONFIRMED,
-                "this host can't confirm that it may use its grant",
-                retry_after_s=1.0,
-            )
+        self.services.check_confirmed()
         claims = self.services.node.claims
         if claim and not self.services.run(lambda now: claims.begin(claim, now=now)):
             raise RequestRefused(
--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -13,8 +13,9 @@
 from thornlatch.daemon._control import ControlLoop
 from thornlatch.daemon._journal import Journal
 from thornlatch.daemon._node import Node
+from thornlatch.daemon._probe import probe_death
 from thornlatch.dispatch import Grant, Outcome, RequestSpec
-from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
+from thornlatch.exceptions import ErrorKind, RequestRefused
 from thornlatch.requests import (
     AttemptFailed,
     ClaimWon,
@@ -25,14 +26,10 @@
     RunIsolated,
     RunNormally,
 )
-from thornlatch.targets import read_report
 
 DECISION_SLACK_S = 1.0
 CLAIM_WAIT_S = 15.0
 COMMAND_TIMEOUT_S = 10.0
-PROBE_TIMEOUT_S = 0.5
-PROBE_ATTEMPTS = 5
-PROBE_PAUSE_S = 0.05
 
 T = TypeVar("T")
 
@@ -79,17 +76,23 @@
             raise RequestRefused(
                 ErrorKind.HOST_STOPPING, "this host stops", retry_after_s=1.0
             )
-        if not self.is_confirmed():
+        self.check_confirmed()
+        self.node.configuration.check_fresh(now=time.monotonic())
+
+    def check_confirmed(self) -> None:
+        """Check that rights granted earlier may be used now.
+
+        Raises
+        ------
+        RequestRefused
+            If this host can't confirm its session.
+        """
+        if not self.node.leases.is_confirmed(now=time.monotonic()):
             raise RequestRefused(
                 ErrorKind.HOST_UNCONFIRMED,
                 "this host can't confirm that it is a member of the fleet",
                 retry_after_s=1.0,
             )
-        self.node.configuration.check_fresh(now=time.monotonic())
-
-    def is_confirmed(self) -> bool:
-        """Return whether rights granted earlier may be used now."""
-        return self.node.leases.is_confirmed(now=time.monotonic())
 
     def authenticate(self, key: str) -> Key:
         """Return the record of a bearer key.
@@ -409,22 +412,8 @@
         Returns
         -------
         bool
-            True if it refuses connections or answers as a new incarnation.
         """
-        for attempt in range(PROBE_ATTEMPTS):
-            if attempt:
-                time.sleep(PROBE_PAUSE_S)
-            try:
-                report = read_report(address, timeout_s=PROBE_TIMEOUT_S)
-            except TargetError as error:
-                if not error.is_sent:
-                    return True
-                # A dying process may still take a connection that it never answers.
-                continue
-            known = self.incarnations.get(target)
-            current = str(report.get("incarnation", ""))
-            return bool(known) and current != known
-        return False
+        return probe_death(address, incarnation=self.incarnations.get(target, ""))
 
     def note_target_died(self, target: str) -> None:
         """Tell the slices of a target's death.
