Don't blame the rate when nobody can compare with it

Ruled out: a lent share that was lost (the inventories count every part). Change: such a refusal says host-unconfirmed, 'not run', come back in 1 s, since other hosts hold parts. Left: such a host can't borrow from peers.

--- a/src/thornlatch/admission/_admission.py
+++ b/src/thornlatch/admission/_admission.py
@@ -27,6 +27,7 @@
 
 RETRY_AFTER_MIN_S = 0.05
 RETRY_AFTER_MAX_S = 60.0
+SILENT_RETRY_S = 1.0
 
 MESSAGES = (
     DemandAnswer,
@@ -233,12 +234,10 @@
                 actions += self.accept(key, request, now=now)
         is_silent = is_confirmed and self.is_owner_silent(key, now=now)
         for request in queue.pop_expired(is_owner_silent=is_silent, now=now):
-            if is_confirmed:
+            if is_confirmed and not is_silent:
                 actions.append(self.refuse_rate(queue, request, now=now))
             else:
-                message = "the host can't confirm that it is a member of the fleet"
-                error = RequestRefused(ErrorKind.HOST_UNCONFIRMED, message)
-                actions.append(Resolve(request.ticket, error))
+                actions.append(refuse_unknown(request, is_confirmed=is_confirmed))
         return actions
 
     def is_owner_silent(self, key: str, *, now: float) -> bool:
@@ -341,3 +340,14 @@
         for shares in self.keys.values():
             actions += shares.borrower.close(now=now)
         return actions
+
+
+def refuse_unknown(request: Waiting, *, is_confirmed: bool) -> Resolve:
+    """Return the refusal of a request that nobody could compare with the rate."""
+    message = "the host can't confirm that it is a member of the fleet"
+    if is_confirmed:
+        message = "no owner of the organisation's rate answers this host"
+    error = RequestRefused(
+        ErrorKind.HOST_UNCONFIRMED, message, retry_after_s=SILENT_RETRY_S
+    )
+    return Resolve(request.ticket, error)
--- a/src/thornlatch/admission/tests/test_admission.py
+++ b/src/thornlatch/admission/tests/test_admission.py
@@ -245,3 +245,13 @@
     values = [fleet.outcomes[f"r{step}"] for step in range(3000)]
     assert all(isinstance(value, Admitted) for value in values)
     assert compute_excess(fleet) == 0
+
+
+def test_refuse_under_a_dead_owner_does_not_blame_the_rate():
+    """Found by make chaos SEED=1: 429 far below the rate, since nobody could lend."""
+    fleet = start_fleet()
+    fleet.run_until(6.0)
+    kill_owner(fleet)
+    fleet.admit("h1", "r", BURST, deadline_s=2.0)
+    fleet.run_until(9.0)
+    assert fleet.outcomes["r"].kind is ErrorKind.HOST_UNCONFIRMED
