Drop messages that were meant for a former session

Cause, found by reading: queued messages go to whoever binds the address next, so a host that restarted under a new id could take a part of a rate that was sent to its former session, which the inventory gives back to the pool: lent twice. Change: an envelope names its recipient and a daemon drops what isn't for its session. Ruled out: dropping the queue at the sender, since the reconnection may come first.

--- a/src/thornlatch/core/_codec.py
+++ b/src/thornlatch/core/_codec.py
@@ -26,11 +26,15 @@
         Number of the message, unique for the sender.
     message : object
         Registered frozen data class.
+    recipient : str
+        Host id; a new session at the same address must not take what was meant for
+        the former one.
     """
 
     sender: str
     sequence: int
     message: Any
+    recipient: str = ""
 
     @property
     def cause(self) -> str:
@@ -77,9 +81,8 @@
     bytes
     """
     message = envelope.message
-    return msgspec.msgpack.encode(
-        (envelope.sender, envelope.sequence, type(message).__name__, message)
-    )
+    head = (envelope.sender, envelope.recipient, envelope.sequence)
+    return msgspec.msgpack.encode((*head, type(message).__name__, message))
 
 
 def decode_envelope(data: bytes) -> Envelope:
@@ -101,13 +104,13 @@
     if len(data) > MESSAGE_LIMIT_BYTES:
         raise InvalidInput(f"message of {len(data)} bytes is over the limit")
     try:
-        sender, sequence, kind, body = msgspec.msgpack.decode(
-            data, type=tuple[str, int, str, msgspec.Raw]
+        sender, recipient, sequence, kind, body = msgspec.msgpack.decode(
+            data, type=tuple[str, str, int, str, msgspec.Raw]
         )
         message: Any = msgspec.msgpack.decode(body, type=_get_class(kind))
     except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
         raise InvalidInput(f"malformed message: {error}") from error
-    return Envelope(sender, sequence, message)
+    return Envelope(sender, sequence, message, recipient)
 
 
 def encode_record(record: Any) -> dict[str, Any]:
--- a/src/thornlatch/daemon/_peers.py
+++ b/src/thornlatch/daemon/_peers.py
@@ -118,7 +118,7 @@
         str
             The message's cause identifier.
         """
-        envelope = Envelope(self.host, next(self.sequence), message)
+        envelope = Envelope(self.host, next(self.sequence), message, recipient)
         address = self.addresses.get(recipient)
         if address is None or _get_name(recipient) in self.cuts.get("to", ()):
             return envelope.cause
@@ -145,7 +145,8 @@
             except InvalidInput:
                 self.refused += 1
                 continue
-            if _get_name(envelope.sender) not in self.cuts.get("from", ()):
+            is_cut = _get_name(envelope.sender) in self.cuts.get("from", ())
+            if envelope.recipient == self.host and not is_cut:
                 yield envelope
 
     def refresh_cuts(self) -> None:
