Let an owner that counts parts say nothing of the rate

Cause: an owner in the middle of an inventory (here: waiting for a host that had just been killed) went on dividing an empty pool and answered every report with DemandAnswer. The asking host took the owner for alive and refused with 429 'rate used up' after 0.8 s, although no token had been spent. The borrower's own comment said that such an owner counts as silent; the lender didn't keep it.

Ruled out: stranded parts (nobody held any), a wrong allowance (in force at all hosts), the claim (not reached).

Change: no DemandAnswer before the inventory is complete. The asker then borrows from peers, waits for the owner up to owner_wait_s and is told host-unconfirmed.

Shown: 3 new cases of admission/tests/test_admission.py fail before, pass after.

--- a/src/thornlatch/admission/_lender.py
+++ b/src/thornlatch/admission/_lender.py
@@ -316,7 +316,13 @@
         return [Send(recall.host, message)]
 
     def answer(self, account: Account, plan: Plan, *, now: float) -> list[Action]:
-        """Answer a waiting host that gets nothing yet: its owner is alive."""
+        """Answer a waiting host that gets nothing yet: its owner is alive.
+
+        An owner that still counts parts can't say if the rate is used up, so it counts
+        as silent.
+        """
+        if not self.is_complete:
+            return []
         is_answered = account.answered_number >= account.report_number
         if is_answered or not account.compute_need(now=now):
             return []
--- a/src/thornlatch/admission/tests/test_admission.py
+++ b/src/thornlatch/admission/tests/test_admission.py
@@ -255,3 +255,27 @@
     fleet.admit("h1", "r", BURST, deadline_s=2.0)
     fleet.run_until(9.0)
     assert fleet.outcomes["r"].kind is ErrorKind.HOST_UNCONFIRMED
+
+
+@pytest.mark.parametrize("asker", ["h1", "h2"])
+def test_refuse_while_the_owner_counts_parts_does_not_blame_the_rate(asker):
+    """Found in CI: a new owner that waits for a dead host's answer can't lend."""
+    fleet = start_fleet()
+    fleet.kill("h0")
+    fleet.set_owner(KEY, "h1")
+    fleet.run_until(6.0)
+    fleet.admit(asker, "r", 1.0, deadline_s=2.0)
+    fleet.run_until(9.0)
+    assert fleet.outcomes["r"].kind is ErrorKind.HOST_UNCONFIRMED
+
+
+def test_admit_once_the_owner_has_counted_parts():
+    fleet = start_fleet()
+    fleet.kill("h0")
+    fleet.set_owner(KEY, "h1")
+    fleet.run_until(6.0)
+    fleet.admit("h2", "r", 1.0)
+    fleet.run_until(9.0)
+    fleet.expel("h0")
+    fleet.run_until(12.0)
+    assert isinstance(fleet.outcomes["r"], Admitted)
