Free the keys of half the voters within seconds, not after an hour

One accuser is no majority of two, so host-0 was expelled slowly and its keys stayed reserved for (outage_limit_s + order_limit_s) * drift_margin = 4,203 s. All hosts answered 503 host-unconfirmed until then. The same held for ever for a fleet of two hosts, and for the loss of half of an even electorate.

Ruled out: a lost ViewAcknowledged (all landed), the owner's inventory (never begun), the claims (not reached); expelling at once by half the voters (two hosts that don't hear each other but read the log would expel each other for ever).

Change: an expulsion after the time to answer is fast too if half the voters accuse a voter that acknowledged the last change of the voters; such expulsions are sent one at a time and are void if the voters changed (is_fast). Even electorates acknowledge their last change. A host is ready only once the voters are elected (settle_s, 3 s at most), which closes the window in which the first voter doesn't know the second.

Shown failing before, passing after: leases test_history_half_of_the_voters_die (9 cases), test_breakage_directed of both breakages, membership test_view cases.

--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -141,6 +141,7 @@
             and self.node.leases.is_confirmed(now=now)
             and self.node.configuration.view.inventory_offset >= 0
             and self.node.configuration.is_fresh(now=now)
+            and self.node.membership.has_settled(now=now)
         )
 
     def get_status(self) -> dict[str, Any]:
--- a/src/thornlatch/leases/tests/breakages.py
+++ b/src/thornlatch/leases/tests/breakages.py
@@ -51,6 +51,20 @@
         super()._depart(host, offset, Wait.FAST if is_slow else wait)
 
 
+class ForgetfulTieView(ViewFold):
+    """Lets half the voters expel a host that may not know of all voters."""
+
+    def _knows_voters(self, host):
+        return self.is_voter(host)
+
+
+class HalfOfAnyView(ViewFold):
+    """Lets half the voters expel a host, rounded down."""
+
+    def is_cut_off(self, host):
+        return 2 * self._count_accusers(host) >= len(self.voters) - 1
+
+
 def with_view(view_class):
     class WithView(Membership):
         def __init__(self, settings, **options):
@@ -106,6 +120,8 @@
     ),
     "ghosts_uncounted": Classes(membership=with_view(GhostlessView)),
     "slow_taken_for_fast": Classes(membership=with_view(HastyView)),
+    "tie_unacknowledged": Classes(membership=with_view(ForgetfulTieView)),
+    "less_than_half": Classes(membership=with_view(HalfOfAnyView)),
     "accused_supported": Classes(membership=SupportingTheAccused),
     "keys_kept": Classes(table=KeepingGivenUpKeys),
 }
--- a/src/thornlatch/leases/tests/directed.py
+++ b/src/thornlatch/leases/tests/directed.py
@@ -86,6 +86,34 @@
     return fleet
 
 
+def accuse_beside_unread_promotion(seed: int, classes: Classes) -> Fleet:
+    """The first voter doesn't read that there is a second, and goes on by itself."""
+    for attempt in range(seed, seed + 50):
+        fleet = Fleet(attempt, classes=classes, faults=Faults(**QUIET, **QUIET_LOG))
+        first = fleet.start_host()
+        while not first.membership.view.voters:
+            fleet.run(0.01)
+        second = fleet.start_host()
+        while len(second.membership.view.voters) < 2:
+            fleet.run(0.002)
+        fleet.cut_log([first])
+        fleet.cut([first], [second])
+        fleet.run(12.0)
+        if len(first.membership.view.voters) < 2:
+            return fleet
+    raise AssertionError("the first host read of the second voter too soon")
+
+
+def expel_beside_supporter(seed: int, classes: Classes) -> Fleet:
+    """One of three expels a host that another one goes on supporting."""
+    fleet, hosts = start_fleet(seed, 3, classes)
+    lost, supporter, rest = hosts
+    fleet.cut_log([lost, supporter])
+    fleet.cut([lost, supporter], [rest])
+    fleet.run(9.0)
+    return fleet
+
+
 def _have_read_all(fleet: Fleet, hosts: list[Host]) -> bool:
     last = len(fleet.log) - 1
     return all(host.membership.view.offset == last for host in hosts)
@@ -96,4 +124,6 @@
     "joiner_votes": join_beside_cut_majority,
     "newer_view_counted": grow_past_cut_host,
     "accused_supported": cut_accusers,
+    "tie_unacknowledged": accuse_beside_unread_promotion,
+    "less_than_half": expel_beside_supporter,
 }
--- a/src/thornlatch/leases/tests/test_history.py
+++ b/src/thornlatch/leases/tests/test_history.py
@@ -5,7 +5,7 @@
 from hypothesis import strategies as st
 
 from thornlatch.leases.tests.breakages import BREAKAGES
-from thornlatch.leases.tests.directed import DIRECTED
+from thornlatch.leases.tests.directed import DIRECTED, start_fleet
 from thornlatch.leases.tests.fleet import Classes, Faults, Fleet
 from thornlatch.leases.tests.schedules import (
     FAULTS,
@@ -76,3 +76,22 @@
     host = fleet.start_host()
     fleet.run(3.0)
     assert host.leases.get_held_epoch("pool:0", now=host.now()) == 0
+
+
+@pytest.mark.parametrize("seed", range(3))
+@pytest.mark.parametrize(("count", "lost"), [(2, 1), (4, 2), (6, 3)])
+def test_history_half_of_the_voters_die(count, lost, seed):
+    """Found in CI: one of two voters was lost and keys had no owner for an hour."""
+    fleet, hosts = start_fleet(seed, count, Classes())
+    fleet.run(1.0)
+    for host in hosts[:lost]:
+        fleet.crash(host)
+    fleet.run(12.0)
+    held = {
+        key
+        for key in fleet.keys
+        for host in hosts[lost:]
+        if host.leases.get_held_epoch(key, now=host.now()) is not None
+    }
+    assert held == set(fleet.keys)
+    assert fleet.history.violations == []
--- a/src/thornlatch/membership/_duties.py
+++ b/src/thornlatch/membership/_duties.py
@@ -154,16 +154,21 @@
         return actions
 
     def _expel(self, view: ViewFold, suspects: Suspects, now: float) -> list[Action]:
-        actions: list[Action] = []
-        for host in self.accuser.unanswered_since:
+        for host in [h for h in view.members if h in self.accuser.unanswered_since]:
+            patience_s = self.settings.patience_s
+            is_fast = view.is_cut_off(host)
+            if view.has_outdated_accusation(host) and not is_fast:
+                # Its accusers get time to repeat their word for the present electorate.
+                patience_s *= 2
             accusation = self.accuser.find_unanswered(
-                host, view, patience_s=self.settings.patience_s, now=now
+                host, view, patience_s=patience_s, now=now
             )
             if accusation is None or not suspects.is_suspect(host, view, now=now):
                 continue
-            record = Expelled(host, accusation.offset, self.host)
-            actions += self.append(f"expel {host}", record, now=now)
-        return actions
+            # One at a time: it changes the voters, on whom the next one's wait depends.
+            record = Expelled(host, accusation.offset, self.host, is_fast)
+            return self.append(f"expel {host} {is_fast}", record, now=now)
+        return []
 
     def _remove(self, view: ViewFold, waits: Waits, now: float) -> list[Action]:
         if not waits.waiting:
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -64,6 +64,8 @@
         self.loader = ViewLoader()
         self.loaded_at = -math.inf
         self.was_member = False
+        self.joined_at: float | None = None
+        self.is_settled = False
         self.is_opening = False
         self.is_closing = False
         self.act_from: float | None = None
@@ -105,6 +107,19 @@
             return False
         return self.confirmation.is_confirmed(self.view, now=now)
 
+    def has_settled(self, *, now: float) -> bool:
+        """Return whether the voters have been elected since this host joined.
+
+        A host that takes requests before may be lost before the others can expel it
+        soon. It doesn't wait longer than `settle_s`, as a voter may be lost already.
+        """
+        if self.joined_at is None:
+            return False
+        if not self.is_settled:
+            is_late = now - self.joined_at >= self.settings.settle_s
+            self.is_settled = is_late or self.view.is_settled()
+        return self.is_settled
+
     def iter_members(self) -> Iterator[Member]:
         """Iterate over the sessions in the view, in log order."""
         return iter(tuple(self.view.members.values()))
@@ -273,6 +288,8 @@
         if not self.view.apply(offset, record):
             return []
         self.was_member = self.was_member or self.is_member
+        if self.joined_at is None and self.is_member:
+            self.joined_at = now
         if isinstance(record, ViewRecorded):
             self.duties.view_recorded_at = now
         self.waits.update(self.view, now=now)
--- a/src/thornlatch/membership/_records.py
+++ b/src/thornlatch/membership/_records.py
@@ -86,11 +86,15 @@
     accusation_offset : int
         Offset of the accusation by `by`.
     by : str
+    is_fast : bool
+        Whether the record is void unless it cuts the host off from every majority; the
+        voters may have changed since it was sent.
     """
 
     host: str
     accusation_offset: int
     by: str
+    is_fast: bool = False
 
 
 @register
--- a/src/thornlatch/membership/_settings.py
+++ b/src/thornlatch/membership/_settings.py
@@ -32,6 +32,9 @@
         Seconds without the log for which peers may confirm a host.
     acknowledge_s : float
         Seconds that a member has to acknowledge a join.
+    settle_s : float
+        Longest time in seconds for which a host that joined isn't ready because the
+        voters are still being elected.
     record_view_s : float
         Seconds after which the view is appended again, so that it stays on the log;
         well below the time for which the log keeps records.
@@ -49,6 +52,7 @@
     order_limit_s: ShortTime = 3.0
     outage_limit_s: Annotated[float, Meta(gt=0, le=86_400)] = 4000.0
     acknowledge_s: ShortTime = 10.0
+    settle_s: ShortTime = 3.0
     record_view_s: Annotated[float, Meta(gt=0, le=86_400)] = 600.0
     voter_limit: Annotated[int, Meta(ge=1, le=31)] = 15
     full_mesh_limit: Annotated[int, Meta(ge=1, le=64)] = 16
--- a/src/thornlatch/membership/_view.py
+++ b/src/thornlatch/membership/_view.py
@@ -123,6 +123,30 @@
         """Return whether `count` voters are a majority, ghosts being counted."""
         return 2 * count > len(self.voters)
 
+    def is_cut_off(self, host: str) -> bool:
+        """Return whether no majority that `host` may count supports it any more.
+
+        Half the voters are in every majority that has another one in it, and a voter
+        that has read of all voters counts no older electorate.
+        """
+        is_half = 2 * self._count_accusers(host) >= len(self.voters)
+        return is_half and self._knows_voters(host)
+
+    def is_settled(self) -> bool:
+        """Return whether the electorate outlives the loss of any one host."""
+        if self.find_candidate() is not None:
+            return False
+        return len(self.voters) % 2 == 1 or all(
+            self._knows_voters(host) for host in self.voters if host in self.members
+        )
+
+    def has_outdated_accusation(self, host: str) -> bool:
+        """Return whether an accuser of `host` spoke of an earlier electorate."""
+        return any(
+            self.is_voter(accusation.by) and not self._is_counted(accusation)
+            for accusation in self.accusations.get(host, {}).values()
+        )
+
     def find_accusation(self, host: str, by: str) -> Accusation | None:
         """Return the open accusation against `host` by `by`, if any."""
         return self.accusations.get(host, {}).get(by)
@@ -154,9 +178,14 @@
         own = self.members[host].offset
         newest = next(reversed(self.members.values())).offset
         required = newest if newest > own else -1
+        if not self.is_voter(host):
+            return required
         candidate = self.find_candidate()
-        if candidate is not None and self.is_voter(host):
+        if candidate is not None:
             required = max(required, candidate.offset, self.electorate_offset)
+        if len(self.voters) % 2 == 0:
+            # Half the voters can end this host's rights soon if it knows of them all.
+            required = max(required, self.electorate_offset)
         return required
 
     @singledispatchmethod
@@ -190,8 +219,7 @@
         first = known.offset if known else offset
         newest = max(known.view_offset if known else -1, record.view_offset)
         open_[record.by] = Accusation(record.host, record.by, first, newest)
-        accusers = sum(map(self._is_counted, open_.values()))
-        if self.is_majority(accusers):
+        if self.is_majority(self._count_accusers(record.host)):
             self._depart(record.host, offset, Wait.FAST)
 
     @_fold.register
@@ -207,7 +235,11 @@
     @_fold.register
     def _expel(self, record: Expelled, offset: int) -> None:
         accusation = self.find_accusation(record.host, record.by)
-        if accusation and accusation.offset == record.accusation_offset:
+        if not accusation or accusation.offset != record.accusation_offset:
+            return
+        if self.is_cut_off(record.host):
+            self._depart(record.host, offset, Wait.FAST)
+        elif not record.is_fast:
             self._depart(record.host, offset, Wait.SLOW)
 
     @_fold.register
@@ -245,6 +277,14 @@
         oldest = max(self.members[host].offset, self.fences.get(host, -1))
         return oldest <= record.view_offset < offset
 
+    def _count_accusers(self, host: str) -> int:
+        return sum(map(self._is_counted, self.accusations.get(host, {}).values()))
+
+    def _knows_voters(self, host: str) -> bool:
+        return self.is_voter(host) and (
+            self.acknowledged[host] >= self.electorate_offset
+        )
+
     def _is_counted(self, accusation: Accusation) -> bool:
         return (
             self.is_voter(accusation.by)
--- a/src/thornlatch/membership/tests/test_membership.py
+++ b/src/thornlatch/membership/tests/test_membership.py
@@ -360,3 +360,42 @@
     newcomer.note_log_read(sent_at=0.0, now=0.0)
     assert not newcomer.is_confirmed(now=0.0)
     assert not newcomer.is_member
+
+
+def start_alone(*records):
+    """Return a host that has read its own session after `records`."""
+    membership = Membership(
+        SETTINGS, host="a.1", address="x", failure_domain="d", random=Random(3)
+    )
+    membership.open_session(now=0.0)
+    for offset, record in enumerate((*records, SessionOpened("a.1", "x", "d"))):
+        membership.apply_record(offset, record, now=0.0)
+    return membership
+
+
+def test_settled_first_host_at_once():
+    assert start_alone().has_settled(now=0.0)
+
+
+def test_settled_once_voters_know_each_other():
+    membership = start_alone(SessionOpened("b.1", "x", "d"))
+    for offset, (host, view_offset) in enumerate(
+        [("b.1", 1), ("a.1", 2), ("b.1", 3)], start=2
+    ):
+        assert not membership.has_settled(now=0.1)
+        record = ViewAcknowledged(host, view_offset)
+        membership.apply_record(offset, record, now=0.1)
+    assert membership.has_settled(now=0.1)
+
+
+def test_settled_in_any_case_after_a_while():
+    membership = start_alone(SessionOpened("b.1", "x", "d"))
+    assert not membership.has_settled(now=SETTINGS.settle_s - 0.1)
+    assert membership.has_settled(now=SETTINGS.settle_s)
+
+
+def test_settled_stays_when_another_host_joins():
+    membership = start_alone()
+    assert membership.has_settled(now=0.0)
+    membership.apply_record(1, SessionOpened("b.1", "x", "d"), now=0.1)
+    assert membership.has_settled(now=0.1)
--- a/src/thornlatch/membership/tests/test_view.py
+++ b/src/thornlatch/membership/tests/test_view.py
@@ -111,6 +111,51 @@
     assert list(view.voters) == ["b.1", "c.1"]
 
 
+@pytest.mark.parametrize(
+    ("count", "accusers", "is_known", "wait"),
+    [
+        (2, 1, True, Wait.FAST),
+        (2, 1, False, Wait.SLOW),
+        (3, 1, True, Wait.SLOW),
+        (4, 1, True, Wait.SLOW),
+        (4, 2, True, Wait.FAST),
+        (4, 2, False, Wait.SLOW),
+    ],
+)
+def test_expelled_by_half_of_the_voters(count, accusers, is_known, wait):
+    view = make_view(count)
+    if is_known:
+        add(view, ViewAcknowledged("a.1", view.electorate_offset))
+    else:
+        view.acknowledged["a.1"] = view.electorate_offset - 1
+    for by in HOSTS[1 : 1 + accusers]:
+        add(view, Accused("a.1", by, view.offset))
+    assert "a.1" in view.members
+    accusation = view.find_accusation("a.1", "b.1")
+    add(view, Expelled("a.1", accusation.offset, "b.1"))
+    assert view.departed["a.1"] is wait
+
+
+def test_expelled_fast_is_void_once_the_voters_changed():
+    view = make_view(4)
+    for by in ("b.1", "c.1"):
+        add(view, Accused("a.1", by, view.offset))
+    accusation = view.find_accusation("a.1", "b.1")
+    add(view, ViewAcknowledged("a.1", view.electorate_offset), SessionClosed("d.1"))
+    assert not view.is_cut_off("a.1")
+    add(view, Expelled("a.1", accusation.offset, "b.1", is_fast=True))
+    assert "a.1" in view.members
+
+
+def test_expelled_by_half_does_not_count_for_other_members():
+    view = make_view(2)
+    add(view, opened("c.1"))
+    add(view, Accused("c.1", "b.1", view.offset))
+    accusation = view.find_accusation("c.1", "b.1")
+    add(view, Expelled("c.1", accusation.offset, "b.1"))
+    assert view.departed["c.1"] is Wait.SLOW
+
+
 def test_defence_voids_records_sent_before_it():
     view = make_view()
     sent = Accused("a.1", "b.1", view.offset)
