Describe the slices' settings in the reference

Cause: the page was made from the first level of tables alone, so that none of the keys under slices.* (times of membership, admission, dispatch and so on) was in it, although the operators' pages name them. Shown: test_settings_page_describes_every_table[slices.*] fails before, passes after.

--- a/src/thornlatch/cli/_reference.py
+++ b/src/thornlatch/cli/_reference.py
@@ -45,7 +45,7 @@
         Markdown.
     """
     lines = [SETTINGS_INTRODUCTION]
-    for name, hint in get_type_hints(DaemonSettings).items():
+    for name, hint in _iter_tables(DaemonSettings):
         lines += _describe_table(f"`[{name}]`", hint)
     lines.append(INVENTORY_INTRODUCTION)
     lines += _describe_table("Top level", InventoryFile)
@@ -77,6 +77,13 @@
     return "\n".join(lines) + "\n"
 
 
+def _iter_tables(cls: Any, prefix: str = "") -> Iterator[tuple[str, Any]]:
+    for name, hint in get_type_hints(cls).items():
+        if dataclasses.is_dataclass(hint):
+            yield prefix + name, hint
+            yield from _iter_tables(hint, f"{prefix}{name}.")
+
+
 def _describe_table(title: str, cls: Any) -> list[str]:
     summary, notes = parse_docstring(cls)
     hints = get_type_hints(cls, include_extras=True)
--- a/src/thornlatch/cli/tests/test_docs.py
+++ b/src/thornlatch/cli/tests/test_docs.py
@@ -21,3 +21,8 @@
     assert not (tmp_path / "reference").exists()
     assert run(["docs", *directory]) == EXIT_OK
     assert run(["docs", "--check", *directory]) == EXIT_OK
+
+
+@pytest.mark.parametrize("table", ["host", "slices.membership", "slices.follower"])
+def test_settings_page_describes_every_table(table):
+    assert f"## `[{table}]`\n" in PAGES["settings.md"]()
