Remove the second table of keys

Cause: admission.KeyTable was a library part that the daemon never called; keys are held and checked by the configuration slice. The two disagreed: KeyTable let a withdrawn key be issued again, the configuration never does, which is the promise. Change: KeyTable and its five tests go. What they checked is checked of the code that runs, one by one: organisation named and unknown refused (configuration test_slice.py::test_authenticate), withdrawn refused and named for open streams (test_authenticate_withdrawn, test_iter_withdrawn_since), an older configuration brings nothing back (test_state.py::test_withdrawn_key_stays_withdrawn, test_record_repeated_offset), issued again stays withdrawn, which is stricter (test_withdrawal_before_issue).

--- a/src/thornlatch/admission/__init__.py
+++ b/src/thornlatch/admission/__init__.py
@@ -2,7 +2,6 @@
 
 from thornlatch.admission._admission import Admission, Admitted
 from thornlatch.admission._bucket import TokenBucket
-from thornlatch.admission._keys import KeyTable
 from thornlatch.admission._load_budget import LoadBudget
 from thornlatch.admission._parts import Allowance
 from thornlatch.admission._settings import AdmissionSettings
@@ -12,7 +11,6 @@
     "AdmissionSettings",
     "Admitted",
     "Allowance",
-    "KeyTable",
     "LoadBudget",
     "TokenBucket",
 ]
