--- /dev/null
+++ b/src/thornlatch/cli/_control_log.py
@@ -0,0 +1,128 @@
+"""Reading the sessions of hosts from the log, and appending to their stream."""
+
+import time
+from typing import Any
+
+from thornlatch.cli._exits import AppendUnknown, CommandFailed
+from thornlatch.cli._log import APPEND_ATTEMPTS, RETRY_PAUSE_S, Log
+from thornlatch.core import decode_record, encode_record
+from thornlatch.membership import CONTROL_STREAM, ViewFold, ViewLoader
+from thornlatch.platform import LogPage, PlatformError
+
+PAGE_LIMIT = 1000
+
+
+def read_view(log: Log, *, voter_limit: int) -> ViewFold:
+    """Read the control stream to its end.
+
+    Parameters
+    ----------
+    log : Log
+    voter_limit : int
+        That of the fleet's settings.
+
+    Returns
+    -------
+    ViewFold
+
+    Raises
+    ------
+    CommandFailed
+        If the log dropped records that no recorded view covers.
+    PlatformError
+        If the log service fails.
+    """
+    view = ViewFold(voter_limit=voter_limit)
+    loader = ViewLoader()
+    offset = 0
+    while True:
+        page = _read_page(log, offset, loader)
+        for entry in page.records:
+            _apply(view, loader, entry.offset, decode_record(entry.value))
+        offset = page.next_offset
+        if not page.records:
+            break
+    if loader.is_loading:
+        raise CommandFailed(
+            "the log dropped records of sessions that no recorded view covers",
+            context=f"stream {CONTROL_STREAM}, offset {loader.first_offset}",
+            hint="If every daemon of the fleet ended, give `thornlatch host clear`.",
+        )
+    return view
+
+
+def find_end(log: Log) -> int:
+    """Return the offset after the last record of the control stream.
+
+    Parameters
+    ----------
+    log : Log
+
+    Returns
+    -------
+    int
+    """
+    offset = 0
+    while True:
+        page = _read_page(log, offset, ViewLoader())
+        if not page.records:
+            return page.next_offset
+        offset = page.next_offset
+
+
+def append_until_confirmed(log: Log, records: list[Any]) -> int:
+    """Append records, which may be repeated, until the log gives their offset.
+
+    Parameters
+    ----------
+    log : Log
+    records : list of object
+        Registered frozen data classes.
+
+    Returns
+    -------
+    int
+        Offset of the first.
+
+    Raises
+    ------
+    AppendUnknown
+        If no attempt was confirmed but one may have taken effect.
+    PlatformError
+        If the records certainly weren't appended.
+    """
+    is_possibly_appended = False
+    for attempt in range(APPEND_ATTEMPTS):
+        if attempt:
+            time.sleep(RETRY_PAUSE_S)
+        try:
+            return log.append(CONTROL_STREAM, list(map(encode_record, records)))
+        except PlatformError as error:
+            is_possibly_appended |= error.is_outcome_unknown
+            if not is_possibly_appended:
+                raise
+    raise AppendUnknown(
+        "the log service didn't confirm the record",
+        context=f"{type(records[0]).__name__} on stream {CONTROL_STREAM}",
+        hint="Give the command again; a repetition is harmless.",
+    )
+
+
+def _read_page(log: Log, offset: int, loader: ViewLoader) -> LogPage:
+    try:
+        return log.read(CONTROL_STREAM, offset, limit=PAGE_LIMIT, wait_s=0.0)
+    except PlatformError as error:
+        if error.first_offset is None:
+            raise
+        loader.start(error.first_offset)
+        return log.read(
+            CONTROL_STREAM, error.first_offset, limit=PAGE_LIMIT, wait_s=0.0
+        )
+
+
+def _apply(view: ViewFold, loader: ViewLoader, offset: int, record: Any) -> None:
+    if not loader.is_loading:
+        view.apply(offset, record)
+        return
+    for earlier_offset, earlier in loader.load(offset, record, view):
+        view.apply(earlier_offset, earlier)
--- a/src/thornlatch/cli/_groups.py
+++ b/src/thornlatch/cli/_groups.py
@@ -7,6 +7,8 @@
 from thornlatch.cli._config_diff import Diff
 from thornlatch.cli._config_publish import Publish
 from thornlatch.cli._config_show import Show
+from thornlatch.cli._host_clear import Clear
+from thornlatch.cli._host_list import List
 from thornlatch.cli._host_remove import Remove
 from thornlatch.cli._key_issue import Issue
 from thornlatch.cli._key_withdraw import Withdraw
@@ -37,9 +39,9 @@
     command: cappa.Subcommands[Drain]
 
 
-@cappa.command(name="host", help="Remove hosts.")
+@cappa.command(name="host", help="List and remove hosts.")
 @dataclass(frozen=True)
 class HostGroup:
     """Commands on hosts."""
 
-    command: cappa.Subcommands[Remove]
+    command: cappa.Subcommands[List | Remove | Clear]
--- a/src/thornlatch/cli/tests/conftest.py
+++ b/src/thornlatch/cli/tests/conftest.py
@@ -2,7 +2,7 @@
 
 from standins._http import BackgroundServer
 from standins.log_service import LogService
-from thornlatch.cli import _host_remove, _log, run
+from thornlatch.cli import _control_log, _log, run
 
 INVENTORY = """
 [[organisations]]
@@ -39,7 +39,7 @@
 @pytest.fixture
 def service(monkeypatch):
     monkeypatch.setattr(_log, "RETRY_PAUSE_S", 0.0)
-    monkeypatch.setattr(_host_remove, "RETRY_PAUSE_S", 0.0)
+    monkeypatch.setattr(_control_log, "RETRY_PAUSE_S", 0.0)
     return HookedLog(appends_per_s=10_000)
 
 
--- a/src/thornlatch/cli/tests/test_commands.py
+++ b/src/thornlatch/cli/tests/test_commands.py
@@ -2,13 +2,11 @@
 import json
 import threading
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass
 from functools import partial
 
 import pytest
 
 from standins._http import Response
-from thornlatch import membership
 from thornlatch.cli._exits import (
     EXIT_CONFLICT,
     EXIT_FAILED,
@@ -255,12 +253,6 @@
     assert len(read(service)) == 1
 
 
-@dataclass(frozen=True)
-class HostRemoved:
-    host: str
-    by: str
-
-
 @pytest.mark.parametrize(
     ("faults", "status", "appends"),
     [
@@ -271,8 +263,7 @@
     ],
     ids=["done", "lost-reply", "lost-replies", "outage"],
 )
-def test_remove_host(call, service, monkeypatch, faults, status, appends):
-    monkeypatch.setattr(membership, "HostRemoved", HostRemoved, raising=False)
+def test_remove_host(call, service, faults, status, appends):
     service.set_faults({}, faults)
     assert call("host", "remove", "host-1.abc")[0] == status
     values = [entry["value"] for entry in service.streams.get("control", [])]
--- a/src/thornlatch/cli/tests/test_help.py
+++ b/src/thornlatch/cli/tests/test_help.py
@@ -16,7 +16,9 @@
     "target",
     "target drain",
     "host",
+    "host list",
     "host remove",
+    "host clear",
     "status",
     "docs",
 )
--- a/src/thornlatch/membership/__init__.py
+++ b/src/thornlatch/membership/__init__.py
@@ -2,7 +2,7 @@
 
 from thornlatch.membership._membership import Membership
 from thornlatch.membership._messages import Heartbeat, HeartbeatAnswer
-from thornlatch.membership._recorded import build_empty_view
+from thornlatch.membership._recorded import ViewLoader, build_empty_view
 from thornlatch.membership._records import (
     CONTROL_STREAM,
     Accused,
@@ -33,6 +33,7 @@
     "SessionOpened",
     "ViewAcknowledged",
     "ViewFold",
+    "ViewLoader",
     "ViewRecorded",
     "Wait",
     "build_empty_view",
