Refuse senseless pages of the log and reports of targets

Cause: found by fuzzing the two parsers that weren't fuzzed yet. A page with an offset of Infinity or a report with an age of 10**400 raised OverflowError outside the kinds that the reader thread catches; a page whose offsets go back was taken, so that a host could skip or repeat a decision; a negative count of running requests was taken; a report without a readable age counted as fresh, although its pins then end early. Change: parse_page checks type, order and range; parse_report refuses negative counts and takes an unreadable age as an hour.

--- a/src/thornlatch/daemon/_orders.py
+++ b/src/thornlatch/daemon/_orders.py
@@ -19,6 +19,9 @@
 
 logger = logbook.Logger("thornlatch.orders")
 
+# A report whose age makes no sense counts as this old: it proves nothing recent.
+AGE_LIMIT_S = 3600.0
+
 Submit = Callable[[Callable[[float], list[Action]]], None]
 
 
@@ -212,20 +215,22 @@
     loaded = value.get("loaded", [])
     running, waiting = value.get("running", 0), value.get("waiting", 0)
     is_sound = isinstance(loaded, list) and all(isinstance(n, str) for n in loaded)
-    if not is_sound or not isinstance(running, int) or not isinstance(waiting, int):
+    counts = running, waiting
+    if not is_sound or not all(isinstance(n, int) and n >= 0 for n in counts):
         raise TargetError("malformed report", is_sent=True)
     versions = []
     for name in loaded:
         adapter, _, version = name.rpartition("@")
         versions.append(AdapterVersion(adapter, version))
     lag_s = value.get("age_s", 0.0)
-    age_s = float(lag_s) if isinstance(lag_s, int | float) else 0.0
+    is_number = isinstance(lag_s, int | float) and 0 <= lag_s <= AGE_LIMIT_S
+    age_s = float(lag_s) if is_number else AGE_LIMIT_S
     return TargetReport(
         str(value.get("incarnation", "")),
         tuple(versions),
         running,
         waiting,
-        asked_at - max(0.0, age_s),
+        asked_at - age_s,
     )
 
 
--- a/src/thornlatch/platform/_clients.py
+++ b/src/thornlatch/platform/_clients.py
@@ -4,8 +4,10 @@
 import json
 import threading
 from dataclasses import dataclass
+from itertools import pairwise
 from typing import Annotated, Any
 
+import msgspec
 from msgspec import Meta
 
 from thornlatch.exceptions import ErrorKind, ThornlatchError
@@ -13,6 +15,8 @@
 RESPONSE_LIMIT_BYTES = 64 << 20
 # Method, version, host and encoding of a request, about.
 REQUEST_LINE_BYTES = 90
+# Integers of JSON are exact up to here.
+OFFSET_LIMIT = 1 << 53
 
 
 class PlatformError(ThornlatchError):
@@ -170,18 +174,7 @@
             f"/streams/{stream}/records?offset={offset}&limit={limit}&wait_s={wait_s}"
         )
         answer = self._call("GET", path, None, extra_s=wait_s)
-        try:
-            records = tuple(
-                LogRecord(int(item["offset"]), float(item["time"]), item["value"])
-                for item in answer["records"]
-            )
-            return LogPage(
-                records, int(answer["next_offset"]), int(answer["first_offset"])
-            )
-        except (KeyError, TypeError, ValueError) as error:
-            raise PlatformError(
-                f"malformed page: {error}", is_outcome_unknown=False
-            ) from error
+        return parse_page(answer, offset=offset)
 
     def _call(
         self, method: str, path: str, body: str | None, *, extra_s: float
@@ -200,7 +193,7 @@
                 f"log service didn't answer: {error!r}",
                 is_outcome_unknown=not isinstance(error, ConnectionRefusedError),
             ) from error
-        return _check_answer(response.status, data)
+        return check_answer(response.status, data)
 
     def _count(
         self,
@@ -233,7 +226,45 @@
             self.local.connection = None
 
 
-def _check_answer(status: int, data: bytes) -> dict[str, Any]:
+def parse_page(answer: Any, *, offset: int) -> LogPage:
+    """Check the records that the log service sent.
+
+    Parameters
+    ----------
+    answer : object
+        JSON value.
+    offset : int
+        Offset from which they were asked for.
+
+    Returns
+    -------
+    LogPage
+
+    Raises
+    ------
+    PlatformError
+        If a field is missing or malformed, or the offsets go back; a host that took
+        such records would miss or repeat a decision.
+    """
+    try:
+        page = msgspec.convert(answer, LogPage)
+    except (msgspec.MsgspecError, RecursionError) as error:
+        raise PlatformError(
+            f"malformed page: {error}", is_outcome_unknown=False
+        ) from error
+    offsets = [record.offset for record in page.records]
+    bounds = [offset - 1, *offsets, max(page.next_offset, offset), OFFSET_LIMIT]
+    is_ascending = all(low < high for low, high in pairwise(bounds))
+    if not is_ascending or page.next_offset < offset or page.first_offset < 0:
+        raise PlatformError(
+            f"malformed page: offsets go back in {offsets[:4]}... from {offset} to "
+            f"{page.next_offset}",
+            is_outcome_unknown=False,
+        )
+    return page
+
+
+def check_answer(status: int, data: bytes) -> dict[str, Any]:
     try:
         answer = json.loads(data)
     except (ValueError, RecursionError):
