--- a/tests/test_chaos.py
+++ b/tests/test_chaos.py
@@ -314,7 +314,15 @@
 @pytest.mark.chaos
 @pytest.mark.timeout(240)
 def test_fleet_keeps_its_promises_under_failures(tmp_path, request):
-    seed = request.config.getoption("--chaos-seed")
+    report = run_chaos(tmp_path, request.config.getoption("--chaos-seed"))
+    print(json.dumps(report, indent=1, default=str))
+    assert not report["broken_promises"]
+    assert not report["violations"]
+    assert report["outcomes"]["right"] > 0.5 * report["requests"]
+
+
+def run_chaos(directory, seed):
+    """Run the fleet under a seed's failures and report what was seen."""
     results = Results()
     deployment = Deployment(
         hosts=HOSTS,
@@ -327,9 +335,9 @@
         rate=RATE,
         burst=BURST,
     )
-    with Fleet(tmp_path) as fleet:
+    with Fleet(directory) as fleet:
         cuts = {
-            f"host-{i}": str(tmp_path / f"host-{i}.cuts.json") for i in range(HOSTS)
+            f"host-{i}": str(directory / f"host-{i}.cuts.json") for i in range(HOSTS)
         }
         deployment = replace(deployment, cut_files=cuts)
         start_deployment(fleet, deployment)
@@ -350,7 +358,7 @@
         violations = check_history(
             merge_events(read_events(fleet.event_files())), ALLOWANCES
         )
-    report = {
+    return {
         "seed": seed,
         "requests": sum(results.counts.values()),
         "faults": schedule.count,
@@ -358,10 +366,6 @@
         "violations": [str(violation) for violation in violations][:20],
         "broken_promises": results.broken_promises[:20],
     }
-    print(json.dumps(report, indent=1, default=str))
-    assert not results.broken_promises
-    assert not violations
-    assert results.counts["right"] > 0.5 * report["requests"]
 
 
 def check_reservations(fleet, results):
