Send no new work to targets that the platform lists as leaving

Cause: the platform gives a lagging list of live and leaving hosts, and a leaving target must get no new work after a few seconds; dispatch and membership could take the list in, but no daemon read it, so only an operator's drain counted. Ruled out: reading it at the pools' owners alone (each host ends its own lingering grants); matching by name alone (lists may hold addresses or IP numbers); ending a leave when the list can't be read (nobody can be asked, so the last list holds). Change: HostListClient (ETag, so an unchanged list costs no body), HostListReader (a thread of its own), Node.note_host_list. For daemons it is a hint, and only if it names this one.

--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -12,6 +12,7 @@
 from thornlatch.core import Action, Event, Slice
 from thornlatch.daemon._app import Application, Pages
 from thornlatch.daemon._control import ControlLoop
+from thornlatch.daemon._host_list import HostListReader
 from thornlatch.daemon._journal import Journal, build_handler
 from thornlatch.daemon._log_io import LogAppender, LogFollowing, decode_records
 from thornlatch.daemon._metrics import MetricsReporter
@@ -97,6 +98,11 @@
             on_failure=self._note_log_failure,
             iter_peers=lambda: [m.host for m in self.node.leases.iter_members()],
         )
+        self.host_list = HostListReader(
+            settings.platform,
+            submit=self.control.submit,
+            on_list=lambda hosts, now: self.node.note_host_list(hosts, now=now),
+        )
         self.control.replace_slices(self.node.host, self._get_slices())
         self.unconfirmed_since: float | None = None
         self.withdrawn_offset = -1
@@ -126,6 +132,7 @@
             self.executor.submit(self.control.run)
             self.control.submit(lambda now: self.node.membership.open_session(now=now))
             self.executor.submit(server.run)
+            self.host_list.start()
             address = self.settings.host.http_address
             self.journal.write(Event("daemon.started", detail={"http": address}))
             status = self.stop.wait()
@@ -176,6 +183,7 @@
         )
 
     def _shut_down(self, server: Any) -> None:
+        self.host_list.stop()
         self.reader.stop()
         self.orders.stop()
         self.appender.stop(timeout_s=2.0)
--- a/src/thornlatch/daemon/_node.py
+++ b/src/thornlatch/daemon/_node.py
@@ -18,7 +18,7 @@
 from thornlatch.leases import LeaseTable
 from thornlatch.membership import Membership, MembershipSettings
 from thornlatch.placement import LoadBudget, PlacementSettings
-from thornlatch.platform import FollowerSettings
+from thornlatch.platform import FollowerSettings, HostList
 from thornlatch.requests import (
     ClaimTable,
     Quarantine,
@@ -116,6 +116,7 @@
         self.budgets: list[SharedLoadBudget] = []
         self.organisations: dict[str, Organisation] = {}
         self.leaving: set[str] = set()
+        self.listed_leaving: set[str] = set()
 
     def apply_records(
         self, records: list[tuple[int, Any]], *, now: float
@@ -174,7 +175,12 @@
             if self.organisations.get(one.name) != one:
                 actions.append(_tell_allowance(one, view.offset))
         self.organisations = {one.name: one for one in view.iter_organisations()}
-        leaving = {one.name for one in view.iter_targets() if one.is_leaving}
+        return actions + self._tell_leaving(view)
+
+    def _tell_leaving(self, view: ConfigurationView) -> list[Action]:
+        drained = {one.name for one in view.iter_targets() if one.is_leaving}
+        leaving = drained | self.listed_leaving
+        actions: list[Action] = []
         for target in sorted(leaving ^ self.leaving):
             what = "leaving" if target in leaving else "returned"
             event = Event(f"dispatch.target_{what}", target=target, offset=view.offset)
@@ -182,6 +188,40 @@
         self.leaving = leaving
         return actions
 
+    def note_host_list(self, hosts: HostList, *, now: float) -> list[Action]:
+        """Take in the platform's lagging list of hosts.
+
+        Targets that it names as leaving get no new work. For daemons it is a hint at
+        most, and only if it names this one, which surely lives.
+
+        Parameters
+        ----------
+        hosts : HostList
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        actions: list[Action] = []
+        name = self.host.rpartition(".")[0]
+        if name in hosts.live:
+            actions += self.membership.note_host_list(
+                hosts.live, hosts.leaving, now=now
+            )
+        view = self.configuration.view
+        listed = {
+            target.name
+            for target in view.iter_targets()
+            if hosts.is_leaving(target.name, target.address)
+        }
+        for target in sorted(listed ^ self.listed_leaving):
+            actions += self.dispatch.note_target_leaving(
+                target, is_leaving=target in listed, now=now
+            )
+        self.listed_leaving = listed
+        return actions + self._tell_leaving(view)
+
     def tick(self, *, now: float) -> list[Action]:
         """Pass on what one slice wants of another.
 
--- a/src/thornlatch/platform/__init__.py
+++ b/src/thornlatch/platform/__init__.py
@@ -15,10 +15,13 @@
     LogTailRequest,
     ReadPlan,
 )
+from thornlatch.platform._host_list import HostList, HostListClient
 
 __all__ = [
     "Delivery",
     "FollowerSettings",
+    "HostList",
+    "HostListClient",
     "LogClient",
     "LogFollower",
     "LogPage",
--- a/src/thornlatch/platform/_clients.py
+++ b/src/thornlatch/platform/_clients.py
@@ -59,12 +59,16 @@
         ``ip:port`` of the log service.
     host_list : str
         ``ip:port`` of the host list; empty if there is none.
+    host_list_every_s : float
+        Seconds between reads of the host list; an unchanged list is not sent again if
+        the service gives it an ``ETag``.
     timeout_s : float
         Seconds after which a call without an answer has failed.
     """
 
     log: str
     host_list: str = ""
+    host_list_every_s: Annotated[float, Meta(ge=0.1, le=60)] = 1.0
     timeout_s: Annotated[float, Meta(gt=0, le=30)] = 2.0
 
 
--- a/standins/_http.py
+++ b/standins/_http.py
@@ -61,7 +61,8 @@
             headers = [("Content-Type", "text/event-stream"), *response.headers.items()]
             start_response(f"{response.status} -", headers)
             return response.body
-        data = json.dumps(response.body).encode()
+        is_unchanged = response.status == 304
+        data = b"" if is_unchanged else json.dumps(response.body).encode()
         headers = [
             ("Content-Type", "application/json"),
             ("Content-Length", str(len(data))),
--- a/standins/host_list.py
+++ b/standins/host_list.py
@@ -22,16 +22,33 @@
         self.history: list[tuple[float, dict[str, list[str]]]] = [
             (float("-inf"), {"live": [], "leaving": []})
         ]
+        self.is_down = False
         self.app = build_app(
-            {("GET", "/hosts"): self.get_hosts, ("POST", "/hosts"): self.set_hosts}
+            {
+                ("GET", "/hosts"): self.get_hosts,
+                ("POST", "/hosts"): self.set_hosts,
+                ("POST", "/faults"): self.set_faults,
+            }
         )
 
-    def get_hosts(self, _environ: Environ, _value: Any) -> Response:
-        """Return the lagging list."""
+    def get_hosts(self, environ: Environ, _value: Any) -> Response:
+        """Return the lagging list, or 304 if the reader has it."""
         horizon = time.monotonic() - self.lag_s
         with self.lock:
             known = [hosts for at, hosts in self.history if at <= horizon]
-        return Response(known[-1])
+            is_down = self.is_down
+        if is_down:
+            return Response({"error": "down"}, 503)
+        tag = f'"{len(known)}"'
+        if environ.get("HTTP_IF_NONE_MATCH") == tag:
+            return Response(None, 304, headers={"ETag": tag})
+        return Response(known[-1], headers={"ETag": tag})
+
+    def set_faults(self, _environ: Environ, value: Any) -> Response:
+        """Let the service fail, or not: ``{"is_down": true}``."""
+        with self.lock:
+            self.is_down = bool(value.get("is_down", False))
+        return Response({})
 
     def set_hosts(self, _environ: Environ, value: Any) -> Response:
         """Replace the list; readers see it after the lag."""
--- a/tests/deployments.py
+++ b/tests/deployments.py
@@ -76,9 +76,9 @@
     fleet: Fleet, deployment: Deployment, name: str, index: int, log: str
 ) -> None:
     tables = {
-        "platform": {"log": log},
         "stop": {"rotation_s": 0.2},
         **deployment.settings,
+        "platform": {"log": log, **deployment.settings.get("platform", {})},
     }
     if name in deployment.cut_files:
         tables["peers"] = {"cut_file": deployment.cut_files[name]}
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -149,6 +149,36 @@
     assert len(reserved) == 1
 
 
+def test_target_that_the_platform_lists_as_leaving_gets_no_new_work(fleet):
+    hosts = fleet.start_standin("host_list", "hosts", "--lag-s", "0.5")
+    settings = {"platform": {"host_list": hosts, "host_list_every_s": 0.2}}
+    deployment = Deployment(hosts=2, engines=2, settings=settings)
+    addresses = get_addresses(fleet, start_deployment(fleet, deployment))
+    for number in range(12):
+        assert complete(addresses[number % 2], number % 6).status == 200
+    engines = {"engine-0", "engine-1"}
+    assert {run["host"] for run in read_runs(fleet)} == engines
+
+    def serve_without(target, since):
+        for number in range(12):
+            assert complete(addresses[number % 2], number % 6).status == 200
+        late = [run for run in read_runs(fleet) if run["wall"] > since]
+        return target not in {run["host"] for run in late}
+
+    listed_at = time.time()
+    send_http(hosts, "POST", "/hosts", {"live": [], "leaving": ["engine-0"]})
+    wait_until(lambda: serve_without("engine-0", time.time()), what="no new work")
+    assert time.time() - listed_at < LEAVING_LIMIT_S
+    # Nobody can be asked, so nothing comes back.
+    fleet.set_faults("hosts", is_down=True)
+    assert serve_without("engine-0", time.time())
+    fleet.set_faults("hosts", is_down=False)
+    send_http(hosts, "POST", "/hosts", {"live": [], "leaving": []})
+    wait_until(
+        lambda: not serve_without("engine-0", time.time()), what="the target's return"
+    )
+
+
 def reserve(address, key, value=1):
     headers = {"Authorization": f"Bearer {SHOP_KEY}", "Idempotency-Key": key}
     return send_http(address, "POST", "/reserve", {"n": value}, headers=headers)
