Show on real processes that one of two hosts takes over

The fold's rule on half the voters was shown in histories; here two daemons serve, one is killed, and the other serves completions and reservations again.

--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -19,7 +19,9 @@
 )
 from tests.fleet import Fleet, send_http, wait_until
 from tests.streams import StreamCaller
+from thornlatch.admission import AdmissionSettings
 from thornlatch.configuration import KeyWithdrawn, TargetDrained, digest_key
+from thornlatch.membership import MembershipSettings
 from thornlatch.timeline import check_history, merge_events, read_events
 
 WITHDRAWN_LIMIT_S = 5.0
@@ -149,6 +151,28 @@
     assert len(reserved) == 1
 
 
+def test_one_of_two_hosts_takes_over_when_the_other_dies(fleet):
+    """The lone voter left can't be a majority; see design note 2 on half the voters."""
+    settings = MembershipSettings()
+    limit_s = 3 * settings.suspect_s + settings.patience_s + settings.fast_wait_s
+    hosts = start_deployment(fleet, Deployment(hosts=2, engines=2))
+    addresses = get_addresses(fleet, hosts)
+    for number in range(4):
+        assert complete(addresses[number % 2], number).status == 200
+    fleet.kill("host-0")
+    killed_at = time.monotonic()
+
+    def is_served():
+        headers = {"X-Deadline-Ms": "500"}
+        answers = [complete(addresses[1], n, headers=headers) for n in range(3)]
+        answers.append(reserve(addresses[1], f"k-{time.monotonic()}"))
+        return all(answer.status == 200 for answer in answers)
+
+    wait_until(is_served, what="the other host to serve all")
+    # What a host waits for an owner, and the requests above, come on top.
+    assert time.monotonic() - killed_at < limit_s + AdmissionSettings().owner_wait_s
+
+
 def test_target_that_the_platform_lists_as_leaving_gets_no_new_work(fleet):
     hosts = fleet.start_standin("host_list", "hosts", "--lag-s", "0.5")
     settings = {"platform": {"host_list": hosts, "host_list_every_s": 0.2}}
