Tick a slice when it asks for it

Change: each slice names when its tick next has something to do; the loop ticks it then, at most every 50 ms and at least every 200 ms. Open work (a waiting request, an accusation, a move, an append, a silent log) keeps 50 ms. The sockets are read only when ready. Ruled out: a longer tick for all, as requests that wait for tokens are served by it.

--- a/bench/control.py
+++ b/bench/control.py
@@ -1,5 +1,10 @@
-"""What a daemon spends on control, by the number of daemons."""
+"""What a daemon spends on control, by the number of daemons.
 
+``python -m bench.control 8 64`` measures the cost alone, at the sizes named.
+"""
+
+import json
+import sys
 import tempfile
 import time
 from pathlib import Path
@@ -25,20 +30,23 @@
 
 def measure() -> list[dict[str, Any]]:
     """Measure cost at several sizes, and changes in force among 8 daemons."""
-    rows: list[dict[str, Any]] = []
-    for size in SIZES:
-        with (
-            tempfile.TemporaryDirectory() as directory,
-            Fleet(Path(directory)) as fleet,
-        ):
-            hosts = start_deployment(fleet, Deployment(hosts=size, engines=2))
-            rows += measure_cost(fleet, hosts, size)
-            if size == SIZES[0]:
-                rows += measure_changes(fleet, hosts)
-                rows.append(measure_takeover(fleet, hosts))
+    rows = measure_size(SIZES[0], with_changes=True)
+    for size in SIZES[1:]:
+        rows += measure_size(size)
     return rows
 
 
+def measure_size(size: int, *, with_changes: bool = False) -> list[dict[str, Any]]:
+    """Measure a fleet of `size` daemons."""
+    with tempfile.TemporaryDirectory() as directory, Fleet(Path(directory)) as fleet:
+        hosts = start_deployment(fleet, Deployment(hosts=size, engines=2))
+        rows = measure_cost(fleet, hosts, size)
+        if with_changes:
+            rows += measure_changes(fleet, hosts)
+            rows.append(measure_takeover(fleet, hosts))
+        return rows
+
+
 def measure_cost(fleet: Fleet, hosts: list[str], size: int) -> list[dict[str, Any]]:
     """Measure processor time, memory and bytes of each daemon without requests."""
     for host in hosts[:4]:
@@ -166,3 +174,9 @@
         "baseline": 0,
         "seed": SEED,
     }
+
+
+if __name__ == "__main__":
+    for argument in sys.argv[1:]:
+        for row in measure_size(int(argument)):
+            print(json.dumps(row))
--- a/src/thornlatch/admission/_admission.py
+++ b/src/thornlatch/admission/_admission.py
@@ -3,6 +3,7 @@
 One control thread touches its state.
 """
 
+import math
 from collections.abc import Mapping
 from dataclasses import dataclass
 from typing import Any
@@ -82,6 +83,7 @@
         self.queues: dict[str, WaitingQueue] = {}
         self.offset = -1
         self.is_closed = False
+        self.active_until = -math.inf
 
     # Configuration
 
@@ -129,6 +131,7 @@
 
     def get_load_budget(self, store: str, *, now: float) -> LoadBudget:
         """Return the load budget of a weight store."""
+        self.note_activity(now=now)
         return LoadBudget(self.get_shares(f"store:{store}", now=now))
 
     # The slice
@@ -137,6 +140,7 @@
         """Handle a message from a peer or from this host itself."""
         if not isinstance(message, MESSAGES):
             return []
+        self.note_activity(now=now)
         shares = self.get_shares(message.key, now=now)
         actions = shares.handle(message, sender=sender, now=now)
         actions += self.serve(message.key, now=now)
@@ -163,6 +167,17 @@
             actions += shares.tick(holders, peers, now=now)
         return actions
 
+    def next_due(self, *, now: float) -> float:
+        """Return `now` while a request waits or shares were used of late."""
+        if now < self.active_until or any(q.requests for q in self.queues.values()):
+            return now
+        is_open = any(shares.is_busy for shares in self.keys.values())
+        return now if is_open else math.inf
+
+    def note_activity(self, *, now: float) -> None:
+        """Note a request or a message; demand decays for a while after it."""
+        self.active_until = now + self.settings.demand_time_s
+
     # Requests
 
     def admit(
@@ -206,6 +221,7 @@
         if cost > shares.allowance.depth:
             message = "the request costs more tokens than its organisation's burst"
             return [Resolve(ticket, RequestRefused(ErrorKind.RATE_EXCEEDED, message))]
+        self.note_activity(now=now)
         shares.borrower.demand.record(cost, now=now)
         queue = self.get_queue(key, now=now)
         until = min(now + self.settings.share_wait_s, deadline)
@@ -309,6 +325,7 @@
         """
         key = f"organisation:{admitted.organisation}"
         shares = self.get_shares(key, now=now)
+        self.note_activity(now=now)
         unused = to_microtokens(admitted.tokens) - to_microtokens(used)
         if unused <= 0:
             return []
--- a/src/thornlatch/admission/_key_shares.py
+++ b/src/thornlatch/admission/_key_shares.py
@@ -52,6 +52,17 @@
         self.lender: ShareLender | None = None
         self.is_configured = False
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a need, a move or a round of inventories is open."""
+        borrower, lender = self.borrower, self.lender
+        if borrower.need.is_waiting or borrower.outbox.pending or borrower.is_closed:
+            return True
+        if lender is None or lender.is_retired:
+            return False
+        is_open = not lender.is_complete or lender.is_division_due
+        return is_open or bool(lender.outbox.pending)
+
     @property
     def allowance(self) -> Allowance:
         """That of the whole fleet, by this host's configuration."""
--- a/src/thornlatch/configuration/_slice.py
+++ b/src/thornlatch/configuration/_slice.py
@@ -333,6 +333,24 @@
         actions += self._write_snapshot(now=now)
         return actions + self._note_freshness(now=now)
 
+    def next_due(self, *, now: float) -> float:
+        """Return when peers are to be asked, at the earliest.
+
+        Parameters
+        ----------
+        now : float
+            Seconds.
+
+        Returns
+        -------
+        float
+        """
+        confirmed_at = self.freshness.confirmed_at
+        is_behind = self.freshness.highest_known > self.state.offset
+        if confirmed_at is None or is_behind or not self.is_complete:
+            return now
+        return confirmed_at + self.settings.query_after_s
+
     @singledispatchmethod
     def _handle(self, message: Any, sender: str, now: float) -> list[Action]:
         return []
--- a/src/thornlatch/core/_slices.py
+++ b/src/thornlatch/core/_slices.py
@@ -18,4 +18,11 @@
         """Apply a record of a log stream, in offset order, each once."""
 
     def tick(self, *, now: float) -> list[Action]:
-        """Act on the passage of time; called every 50 ms or more often."""
+        """Act on the passage of time; called when due, and at least every 200 ms."""
+
+    def next_due(self, *, now: float) -> float:
+        """Return the time, in seconds, at which `tick` has something to do.
+
+        Asked again after every input. A time that has passed asks for a tick at once,
+        which comes 50 ms after the last; infinity leaves it to the longest interval.
+        """
--- a/src/thornlatch/daemon/_control.py
+++ b/src/thornlatch/daemon/_control.py
@@ -24,11 +24,11 @@
 )
 from thornlatch.daemon._journal import Journal
 from thornlatch.daemon._peers import PeerMesh
+from thornlatch.daemon._schedule import TickSchedule
 from thornlatch.exceptions import ErrorKind, RequestRefused
 
 logger = logbook.Logger("thornlatch.control")
 
-TICK_S = 0.05
 INBOX_BATCH = 500
 Command = Callable[[float], list[Action]]
 
@@ -72,6 +72,7 @@
     ) -> None:
         self.host = host
         self.slices = slices
+        self.schedule = TickSchedule(slices, now=time.monotonic())
         self.peers = peers
         self.appender = appender
         self.journal = journal
@@ -163,16 +164,16 @@
         poller = zmq.Poller()
         poller.register(self.peers.router, zmq.POLLIN)
         poller.register(self.wake_receiver.fileno(), zmq.POLLIN)
-        next_tick = time.monotonic()
         while not self.is_stopping:
-            timeout_s = max(0.0, next_tick - time.monotonic())
-            poller.poll(int(timeout_s * 1000) + 1)
+            now = time.monotonic()
+            timeout_s = max(0.0, self.schedule.get_next(now=now) - now)
+            ready = dict(poller.poll(int(timeout_s * 1000) + 1))
             cpu_before = time.thread_time()
-            self._take_messages()
-            self._take_commands()
-            if time.monotonic() >= next_tick:
-                self._tick()
-                next_tick = time.monotonic() + TICK_S
+            if self.peers.router in ready:
+                self._take_messages()
+            if self.wake_receiver.fileno() in ready:
+                self._take_commands()
+            self._tick()
             self._take_local_messages()
             self.busy_s += time.thread_time() - cpu_before
         self.peers.close()
@@ -188,6 +189,7 @@
         """
         self.host = host
         self.slices = slices
+        self.schedule = TickSchedule(slices, now=time.monotonic())
         for future in self.waiting.values():
             if not future.done():
                 future.set_exception(
@@ -213,6 +215,7 @@
             self._receive(self.local.get_nowait())
 
     def _receive(self, envelope: Envelope) -> None:
+        self.schedule.note_inputs()
         for part in self.slices:
             try:
                 actions = part.handle(
@@ -235,6 +238,7 @@
         self.submit(lambda now: [])
 
     def _run_command(self, command: Command) -> None:
+        self.schedule.note_inputs()
         try:
             actions = command(time.monotonic())
         except Exception:
@@ -243,8 +247,11 @@
         self._execute(actions)
 
     def _tick(self) -> None:
+        due = self.schedule.pop_due(now=time.monotonic())
+        if not due:
+            return
         self.peers.refresh_cuts()
-        for part in self.slices:
+        for part in due:
             try:
                 actions = part.tick(now=time.monotonic())
             except Exception:
--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -102,6 +102,10 @@
             self._start_read(stream, now)
         return self.follower.tick(peers=self.iter_peers(), now=now)
 
+    def next_due(self, *, now: float) -> float:
+        """Return when a read, a question or an answer is next due."""
+        return self.follower.next_due(now=now)
+
     def _start_read(self, stream: str, now: float) -> None:
         plan = self.follower.plan_read(stream, now=now)
         if plan is None or self.is_stopping:
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -1,5 +1,6 @@
 """The slice: grants for local requests, and schedulers of the pools owned here."""
 
+import math
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 from random import Random
@@ -314,6 +315,13 @@
             actions += holder.repeat(now)
         return actions + self._end_lingering(now)
 
+    def next_due(self, *, now: float) -> float:
+        """Return `now` while a request, a right or a recovery is open."""
+        is_open = any(s.is_busy for s in self.schedulers.values()) or any(
+            holder.is_busy for holder in self.holders.values()
+        )
+        return now if is_open else math.inf
+
     @singledispatchmethod
     def _handle(self, message: Any, sender: str, now: float) -> list[Action]:
         return []
--- a/src/thornlatch/dispatch/_holder.py
+++ b/src/thornlatch/dispatch/_holder.py
@@ -162,6 +162,11 @@
 
     # Owner.
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request, a right or a message to the owner is open."""
+        return bool(self.pending or self.rights or self.releases or self.cancellations)
+
     def note_heard(self) -> None:
         """Note that the owner answers."""
         self.unanswered_since = None
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -361,6 +361,12 @@
         self.is_load_due = True
         return actions + self._order_loads(now)
 
+    @property
+    def is_busy(self) -> bool:
+        """Whether a request, a grant or the recovery of grants is open."""
+        is_open = bool(self.queue.requests or self.table.grants)
+        return is_open or not self.recovery.is_complete
+
     def is_acting(self, now: float) -> bool:
         """Return whether this ownership is safe to act on."""
         return self.leases.get_held_epoch(self.key, now=now) == self.epoch
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -307,6 +307,33 @@
             actions += self.duties.tick(self.view, self.suspects, self.waits, now=now)
         return actions + self._report_confirmation(now)
 
+    def next_due(self, *, now: float) -> float:
+        """Return when a heartbeat is due, or a peer has been silent for too long.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        float
+        """
+        if not self._is_settled(now):
+            return now
+        last = now if self.last_now is None else self.last_now
+        # A longer interval would count as a pause of this process.
+        due = min(self.next_round_at, last + self.settings.heartbeat_s / 2)
+        return min(due, self.suspects.get_next_silence())
+
+    def _is_settled(self, now: float) -> bool:
+        view = self.view
+        if not self.is_member or self.is_closing or not self._is_log_usable(now):
+            return False
+        is_accused = any(view.accusations.values())
+        if is_accused or view.awaiting or self.duties.accuser.sent_view:
+            return False
+        return next(self.waits.iter_waiting(now=now), None) is None
+
     @singledispatchmethod
     def _handle(self, message: Any, sender: str, now: float) -> list[Action]:
         return []
--- a/src/thornlatch/membership/_suspects.py
+++ b/src/thornlatch/membership/_suspects.py
@@ -1,5 +1,6 @@
 """Which members this host watches and which of them it would accuse."""
 
+import math
 from collections.abc import Collection
 
 from thornlatch.membership._peers import choose_watched
@@ -88,6 +89,12 @@
         is_silent = self.watch.is_silent(host, limit_s=limit_s, now=now)
         return is_silent or host in self._find_late(view, now)
 
+    def get_next_silence(self) -> float:
+        """Return the time at which the first watched member would be silent."""
+        heard_at = self.watch.heard_at.values()
+        hint = HINTED_FACTOR if self.hinted_gone else 1.0
+        return min(heard_at, default=math.inf) + self.settings.suspect_s * hint
+
     def find_accusable(self, view: ViewFold, *, now: float) -> list[str]:
         """Return the watched and late members in a fixed order."""
         candidates = self.watch.heard_at.keys() | self._find_late(view, now)
--- a/src/thornlatch/membership/tests/test_membership.py
+++ b/src/thornlatch/membership/tests/test_membership.py
@@ -360,3 +360,15 @@
     newcomer.note_log_read(sent_at=0.0, now=0.0)
     assert not newcomer.is_confirmed(now=0.0)
     assert not newcomer.is_member
+
+
+def test_next_due_names_silence_and_follows_accusations():
+    session = Session()
+    session.run(3.0)
+    assert session.now < session.membership.next_due(now=session.now)
+    silent_at = session.membership.suspects.get_next_silence()
+    session.run(SETTINGS.suspect_s - 0.1, answering=())
+    assert session.membership.suspects.get_next_silence() == silent_at
+    assert session.membership.next_due(now=session.now) <= silent_at
+    session.apply(Accused("b.1", "c.1", session.offset))
+    assert session.membership.next_due(now=session.now) == session.now
--- a/src/thornlatch/platform/_follower.py
+++ b/src/thornlatch/platform/_follower.py
@@ -317,6 +317,27 @@
                 actions += self._ask(stream, state, peers, now)
         return actions
 
+    def next_due(self, *, now: float) -> float:
+        """Return the time at which a read, a question or an answer is next due.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        float
+        """
+        return min(self._next_due(state) for state in self.streams.values())
+
+    def _next_due(self, state: StreamState) -> float:
+        due = max(state.tail_read_at + self.settings.overdue_s, state.ask_at)
+        if not state.is_reading:
+            due = min(due, state.retry_at)
+        if state.questions:
+            due = min(due, state.questions[0].arrived_at + self.settings.answer_s)
+        return due
+
     def _advance(
         self,
         state: StreamState,
--- a/src/thornlatch/platform/tests/test_follower.py
+++ b/src/thornlatch/platform/tests/test_follower.py
@@ -183,3 +183,15 @@
     follower = make_follower()
     follower.streams[STREAM].asked[1] = ("b.1", 20.0)
     assert follower.handle(tail, sender="b.1", now=21.0) == ([], [])
+
+
+def test_next_due_names_retry_question_and_answer():
+    follower = make_follower()
+    read(follower, 0, sent_at=1.0)
+    plan = follower.plan_read(STREAM, now=1.0)
+    assert follower.next_due(now=1.0) == 1.0 + SETTINGS.overdue_s
+    request = LogTailRequest(STREAM, 0, 1)
+    follower.handle(request, sender="b.1", now=1.1)
+    assert follower.next_due(now=1.1) == 1.1 + SETTINGS.answer_s
+    follower.note_failure(plan, now=1.2)
+    assert follower.next_due(now=1.2) == 1.2 + SETTINGS.retry_s
--- a/src/thornlatch/requests/_claims.py
+++ b/src/thornlatch/requests/_claims.py
@@ -4,6 +4,7 @@
 is touched by the control thread alone.
 """
 
+import math
 from dataclasses import dataclass
 from enum import Enum, auto
 from typing import Any
@@ -238,6 +239,11 @@
             actions.append(Append(STREAM, build_claims(self.host, items)))
         return actions
 
+    def next_due(self, *, now: float) -> float:
+        """Return `now` while a claim or an append is open."""
+        is_open = self.pending or self.outbox.entries or self.waiters.get_keys()
+        return now if is_open else math.inf
+
     def _refuse(
         self, key: ClaimKey, *, now: float, wall_time: float
     ) -> RequestRefused | None:
--- a/src/thornlatch/requests/_quarantine.py
+++ b/src/thornlatch/requests/_quarantine.py
@@ -5,6 +5,7 @@
 touched by the control thread alone.
 """
 
+import math
 from collections import OrderedDict
 from dataclasses import dataclass
 from functools import singledispatchmethod
@@ -244,6 +245,17 @@
             actions.append(Append(STREAM, build_quarantine_record(self.host, items)))
         return actions
 
+    def next_due(self, *, now: float) -> float:
+        """Return `now` while a death, a turn, a notice or an append is open."""
+        is_open = (
+            self.deaths.waiting
+            or self.waiting
+            or self.turns
+            or self.notices.unseen
+            or self.outbox.entries
+        )
+        return now if is_open else math.inf
+
     def _judge(self, *, now: float) -> list[Action]:
         actions: list[Action] = []
         for death in self.deaths.take_due(now=now):
