Send a message's fields without their names

Change: the body of a message is an array in the order of its class; fields are only added at the end, with defaults, so hosts of two versions understand each other. Records on the log keep their names. Ruled out: leaving out sender and recipient, as a new session at the same address must not take what was meant for the former one. New tests of older, newer and malformed bodies.

--- a/src/thornlatch/core/_codec.py
+++ b/src/thornlatch/core/_codec.py
@@ -1,7 +1,7 @@
 """Encoding of messages between daemons and of records on the log."""
 
-from dataclasses import dataclass, is_dataclass
-from typing import Any, TypeVar
+from dataclasses import MISSING, dataclass, fields, is_dataclass
+from typing import Any, TypeVar, get_type_hints
 
 import msgspec
 
@@ -12,6 +12,7 @@
 
 T = TypeVar("T")
 _classes: dict[str, type] = {}
+_layouts: dict[type, Any] = {}
 
 
 @dataclass(frozen=True)
@@ -70,7 +71,7 @@
 
 
 def encode_envelope(envelope: Envelope) -> bytes:
-    """Encode an envelope for a peer.
+    """Encode an envelope for a peer; the message is an array of its fields.
 
     Parameters
     ----------
@@ -82,7 +83,9 @@
     """
     message = envelope.message
     head = (envelope.sender, envelope.recipient, envelope.sequence)
-    return msgspec.msgpack.encode((*head, type(message).__name__, message))
+    layout = _get_layout(type(message))
+    body = layout(*[getattr(message, name) for name in layout.__struct_fields__])
+    return msgspec.msgpack.encode((*head, type(message).__name__, body))
 
 
 def decode_envelope(data: bytes) -> Envelope:
@@ -107,8 +110,16 @@
         sender, recipient, sequence, kind, body = msgspec.msgpack.decode(
             data, type=tuple[str, str, int, str, msgspec.Raw]
         )
-        message: Any = msgspec.msgpack.decode(body, type=_get_class(kind))
-    except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+        cls = _get_class(kind)
+        values = msgspec.msgpack.decode(body, type=_get_layout(cls))
+        message = cls(*msgspec.structs.astuple(values))
+    except (
+        msgspec.MsgspecError,
+        UnicodeDecodeError,
+        RecursionError,
+        ValueError,
+        TypeError,
+    ) as error:
         raise InvalidInput(f"malformed message: {error}") from error
     return Envelope(sender, sequence, message, recipient)
 
@@ -155,6 +166,26 @@
         raise InvalidInput(f"malformed {value['kind']} record: {error}") from error
 
 
+def _get_layout(cls: type) -> Any:
+    layout = _layouts.get(cls)
+    if layout is None:
+        layout = _layouts[cls] = _build_layout(cls)
+    return layout
+
+
+def _build_layout(cls: type) -> Any:
+    """Return the array of a class's fields; new ones are appended with defaults."""
+    hints = get_type_hints(cls, include_extras=True)
+    layout: list[Any] = []
+    for one in fields(cls):
+        default = one.default
+        if one.default_factory is not MISSING:
+            default = msgspec.field(default_factory=one.default_factory)
+        entry = (one.name, hints[one.name])
+        layout.append(entry if default is MISSING else (*entry, default))
+    return msgspec.defstruct(cls.__name__, layout, array_like=True, frozen=True)
+
+
 def _get_class(kind: str) -> type:
     cls = _classes.get(kind)
     if cls is None:
--- a/src/thornlatch/core/tests/test_codec.py
+++ b/src/thornlatch/core/tests/test_codec.py
@@ -1,6 +1,7 @@
 import contextlib
 from dataclasses import dataclass
 
+import msgspec
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
@@ -21,6 +22,7 @@
 class CodecProbe:
     name: str
     amount: float
+    later: int = 0
 
 
 def test_envelope_round_trip():
@@ -28,6 +30,26 @@
     assert decode_envelope(encode_envelope(envelope)) == envelope
 
 
+@pytest.mark.parametrize(
+    ("body", "expected"),
+    [
+        pytest.param(["a", 1.5, 7], CodecProbe("a", 1.5, 7), id="all"),
+        pytest.param(["a", 1.5], CodecProbe("a", 1.5), id="from-an-older-host"),
+        pytest.param(["a", 1.5, 7, 8], CodecProbe("a", 1.5, 7), id="from-a-newer-host"),
+    ],
+)
+def test_envelope_of_another_version(body, expected):
+    data = msgspec.msgpack.encode(("host-1", "host-2", 3, "CodecProbe", body))
+    assert decode_envelope(data).message == expected
+
+
+@pytest.mark.parametrize("body", [None, [], ["a"], [1, 1.5], {"name": "a"}])
+def test_envelope_malformed(body):
+    data = msgspec.msgpack.encode(("host-1", "host-2", 3, "CodecProbe", body))
+    with pytest.raises(InvalidInput):
+        decode_envelope(data)
+
+
 def test_record_round_trip():
     record = CodecProbe("a", 1.5)
     assert decode_record(encode_record(record)) == record
