Answer a watched peer's heartbeat with the next one

Change: a heartbeat carries the answer to the peer's last one. A host that can't read the log answers at once, as rights may hang on it; so does one that isn't going to send a heartbeat. Support stays dated by the asker's own sending, so the later answer can't lengthen a right. Ruled out: longer intervals, as silence and support would rest on fewer messages. Unit tests of core, membership, leases and daemon pass; three new ones.

--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -70,6 +70,7 @@
         self.is_log_available = False
         self.round_number = 0
         self.next_round_at = -math.inf
+        self.unanswered: dict[str, int] = {}
         self.last_now: float | None = None
         self.was_confirmed = False
 
@@ -340,10 +341,17 @@
 
     @_handle.register
     def _answer(self, message: Heartbeat, sender: str, now: float) -> list[Action]:
-        answer = HeartbeatAnswer(
-            message.number, self.view.offset, self._is_supporting(sender, now)
-        )
-        return [Send(sender, answer)]
+        actions: list[Action] = []
+        if message.answered >= 0:
+            answer = HeartbeatAnswer(
+                message.answered, message.view_offset, message.is_supporting
+            )
+            actions += self._note_answer(answer, sender, now)
+        self.unanswered[sender] = message.number
+        # Rights may hang on the answer while a host can't read the log.
+        if self._is_log_usable(now) and sender in self.suspects.watch.heard_at:
+            return actions
+        return [*actions, self._build_answer(sender, now)]
 
     @_handle.register
     def _note_answer(
@@ -353,6 +361,21 @@
             self.suspects.watch.note_heard(sender, now=now)
         return self._report_confirmation(now)
 
+    def _build_answer(self, recipient: str, now: float) -> Action:
+        number = self.unanswered.pop(recipient)
+        is_supporting = self._is_supporting(recipient, now)
+        return Send(recipient, HeartbeatAnswer(number, self.view.offset, is_supporting))
+
+    def _build_heartbeat(self, recipient: str, now: float) -> Action:
+        answered = self.unanswered.pop(recipient, None)
+        if answered is None:
+            return Send(recipient, Heartbeat(self.round_number))
+        is_supporting = self._is_supporting(recipient, now)
+        return Send(
+            recipient,
+            Heartbeat(self.round_number, answered, self.view.offset, is_supporting),
+        )
+
     def _is_supporting(self, sender: str, now: float) -> bool:
         if sender in self.view.departed:
             return False
@@ -381,7 +404,9 @@
         self.suspects.update(self.view, now=now)
         self.confirmation.note_round(self.round_number, now=now)
         for host in sorted(self._choose_recipients(now)):
-            yield Send(host, Heartbeat(self.round_number))
+            yield self._build_heartbeat(host, now)
+        for host in sorted(self.unanswered):
+            yield self._build_answer(host, now)
 
     def _choose_recipients(self, now: float) -> set[str]:
         recipients = set(self.suspects.watch.heard_at)
--- a/src/thornlatch/membership/_messages.py
+++ b/src/thornlatch/membership/_messages.py
@@ -8,15 +8,22 @@
 @register
 @dataclass(frozen=True)
 class Heartbeat:
-    """Asks a peer for a sign of life and for its support.
+    """Asks a peer for a sign of life and for its support, and may answer its own.
 
     Parameters
     ----------
     number : int
         Number of the round, growing for the sender.
+    answered : int
+        Number of the recipient's heartbeat that this one answers; -1 if none.
+    view_offset, is_supporting
+        As in `HeartbeatAnswer`.
     """
 
     number: int
+    answered: int = -1
+    view_offset: int = -1
+    is_supporting: bool = False
 
 
 @register
--- a/src/thornlatch/membership/tests/test_membership.py
+++ b/src/thornlatch/membership/tests/test_membership.py
@@ -372,3 +372,37 @@
     assert session.membership.next_due(now=session.now) <= silent_at
     session.apply(Accused("b.1", "c.1", session.offset))
     assert session.membership.next_due(now=session.now) == session.now
+
+
+def test_heartbeat_of_a_watched_peer_is_answered_by_the_next_one():
+    session = Session()
+    session.run(1.0)
+    for number in (7, 8):
+        beat = Heartbeat(number)
+        assert session.membership.handle(beat, sender="b.1", now=session.now) == []
+    for expected in (8, -1):
+        session.now = session.membership.next_round_at
+        session.read()
+        beats = {a.recipient: a.message for a in session.tick()}
+        assert beats["b.1"].answered == expected
+        assert beats["c.1"].answered == -1
+
+
+def test_answer_on_a_heartbeat_supports():
+    session = Session()
+    session.run(1.0, answering=())
+    number = session.membership.round_number
+    beat = Heartbeat(3, number, session.offset, True)
+    session.membership.handle(beat, sender="b.1", now=session.now)
+    session.membership.note_log_unavailable(now=session.now)
+    session.now += SETTINGS.safe_s - 0.4
+    assert session.membership.confirmation.is_supported(
+        session.membership.view, now=session.now
+    )
+
+
+def test_heartbeat_is_answered_at_once_while_the_log_is_silent():
+    session = Session()
+    session.membership.note_log_unavailable(now=session.now)
+    actions = session.membership.handle(Heartbeat(7), sender="b.1", now=session.now)
+    assert actions == [Send("b.1", HeartbeatAnswer(7, session.offset, True))]
