Let reads of claims and quarantine wait longer

Cause: 8 reads of the log a second a daemon, four of them on streams that carry no freshness; a read returns at once when a record comes, so a shorter wait buys nothing but the proof. Change: reads of such streams wait 2 s (patient_wait_s). That the log is silent shows on the other streams; from then on peers are asked for all, until each stream's own read ends. A peer's question on such a stream is answered at once, as the open read brings records. A read no longer names a content type. Ruled out: longer waits for control and configuration, whose reads confirm the session and the keys in force. Unit tests of platform and leases pass; three new ones.

--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -29,7 +29,8 @@
 
 logger = logbook.Logger("thornlatch.daemon")
 
-STREAMS = ("control", "configuration", "claims", "quarantine")
+PATIENT_STREAMS = ("claims", "quarantine")
+STREAMS = ("control", "configuration", *PATIENT_STREAMS)
 
 
 class Daemon:
@@ -188,6 +189,7 @@
             STREAMS,
             host=self.node.host,
             random=self.random,
+            patient_streams=PATIENT_STREAMS,
         )
 
     def _get_slices(self) -> tuple[Slice, ...]:
--- a/src/thornlatch/platform/_clients.py
+++ b/src/thornlatch/platform/_clients.py
@@ -188,7 +188,9 @@
     ) -> dict[str, Any]:
         timeout_s = self.settings.timeout_s + extra_s
         connection = self._get_connection(timeout_s)
-        headers = {"X-Client": self.client, "Content-Type": "application/json"}
+        headers = {"X-Client": self.client}
+        if body is not None:
+            headers["Content-Type"] = "application/json"
         try:
             connection.request(method, path, body, headers)
             response = connection.getresponse()
--- a/src/thornlatch/platform/_follower.py
+++ b/src/thornlatch/platform/_follower.py
@@ -5,7 +5,7 @@
 
 import math
 from collections import deque
-from collections.abc import Sequence
+from collections.abc import Collection, Sequence
 from dataclasses import dataclass, field
 from random import Random
 from typing import Annotated, Any
@@ -79,6 +79,8 @@
         what the log service gives in one answer.
     poll_wait_s : float
         Seconds that a read waits for a new record.
+    patient_wait_s : float
+        The same for streams whose reads prove nothing but bring records.
     overdue_s : float
         Seconds without a complete read after which peers are asked.
     retry_s : float
@@ -93,6 +95,7 @@
 
     page_limit: Annotated[int, Meta(ge=1, le=100_000)] = 1000
     poll_wait_s: Annotated[float, Meta(ge=0, le=10)] = 0.5
+    patient_wait_s: Annotated[float, Meta(ge=0, le=10)] = 2.0
     overdue_s: Annotated[float, Meta(gt=0, le=60)] = 1.2
     retry_s: Annotated[float, Meta(gt=0, le=60)] = 0.2
     answer_s: Annotated[float, Meta(gt=0, le=60)] = 1.0
@@ -152,6 +155,8 @@
 class StreamState:
     """What is known of one stream."""
 
+    is_patient: bool = False
+    is_silent: bool = False
     next_offset: int = 0
     kept_from: int = 0
     kept: deque[LogRecord] = field(default_factory=deque)
@@ -176,6 +181,9 @@
         Host id of this process.
     random : random.Random
         Seeded generator for the choice of peers.
+    patient_streams : collection of str
+        Those of `streams` whose reads prove nothing but bring records. That the log is
+        silent shows on the others.
     """
 
     def __init__(
@@ -185,11 +193,15 @@
         *,
         host: str,
         random: Random,
+        patient_streams: Collection[str] = (),
     ) -> None:
         self.settings = settings
         self.host = host
         self.random = random
-        self.streams = {stream: StreamState() for stream in streams}
+        self.streams = {
+            stream: StreamState(is_patient=stream in patient_streams)
+            for stream in streams
+        }
         self.sequence = 0
 
     def get_next_offset(self, stream: str) -> int:
@@ -198,7 +210,29 @@
 
     def is_overdue(self, stream: str, *, now: float) -> bool:
         """Return whether no read of the tail was sent and answered of late."""
-        return now - self.streams[stream].tail_read_at >= self.settings.overdue_s
+        return self._is_overdue(self.streams[stream], now)
+
+    def _is_overdue(self, state: StreamState, now: float) -> bool:
+        age_s = now - state.tail_read_at
+        if age_s < self.settings.overdue_s:
+            return False
+        if not state.is_patient or state.is_silent or age_s >= self._get_patience():
+            return True
+        return any(
+            self._is_overdue(other, now)
+            for other in self.streams.values()
+            if not other.is_patient
+        )
+
+    def _get_limit(self, state: StreamState) -> float:
+        is_prompt = state.is_silent or not state.is_patient
+        return self.settings.overdue_s if is_prompt else self._get_patience()
+
+    def _get_patience(self) -> float:
+        settings = self.settings
+        longer_s = max(0.0, settings.patient_wait_s - settings.poll_wait_s)
+        # A read that has just begun when a record comes doubles the age of the last.
+        return settings.overdue_s + 2 * longer_s
 
     def plan_read(self, stream: str, *, now: float) -> ReadPlan | None:
         """Return the read to send at `now`, if one is due.
@@ -220,7 +254,9 @@
         state.is_reading = True
         state.read_at = now
         is_behind = self.is_overdue(stream, now=now) or bool(state.questions)
-        wait_s = 0.0 if is_behind else self.settings.poll_wait_s
+        settings = self.settings
+        wait_s = settings.patient_wait_s if state.is_patient else settings.poll_wait_s
+        wait_s = 0.0 if is_behind else wait_s
         return ReadPlan(stream, state.next_offset, self.settings.page_limit, wait_s)
 
     def note_page(
@@ -249,6 +285,7 @@
         gap_until, state.gap_until = state.gap_until, None
         if is_tail:
             state.tail_read_at = max(state.tail_read_at, sent_at)
+            state.is_silent = False
         delivery = Delivery(
             plan.stream, records, sent_at if is_tail else None, gap_until
         )
@@ -313,7 +350,11 @@
         actions: list[Action] = []
         for stream, state in self.streams.items():
             actions += self._answer_overdue(state, now)
-            if self.is_overdue(stream, now=now) and now >= state.ask_at:
+            if not self._is_overdue(state, now):
+                continue
+            # Until its own read ends, this stream relies on peers.
+            state.is_silent = True
+            if now >= state.ask_at:
                 actions += self._ask(stream, state, peers, now)
         return actions
 
@@ -331,7 +372,7 @@
         return min(self._next_due(state) for state in self.streams.values())
 
     def _next_due(self, state: StreamState) -> float:
-        due = max(state.tail_read_at + self.settings.overdue_s, state.ask_at)
+        due = max(state.tail_read_at + self._get_limit(state), state.ask_at)
         if not state.is_reading:
             due = min(due, state.retry_at)
         if state.questions:
@@ -393,6 +434,10 @@
         state = self.streams.get(request.stream)
         if state is None:
             return []
+        if state.is_patient and not self._is_overdue(state, now):
+            # The read that is open brings records at once; waiting for its end doesn't.
+            question = Question(sender, request, now)
+            return [self._build_answer(state, question, is_current=False)]
         if len(state.questions) >= QUESTIONS_KEPT:
             state.questions.popleft()
         state.questions.append(Question(sender, request, now))
--- a/src/thornlatch/platform/tests/test_follower.py
+++ b/src/thornlatch/platform/tests/test_follower.py
@@ -195,3 +195,58 @@
     assert follower.next_due(now=1.1) == 1.1 + SETTINGS.answer_s
     follower.note_failure(plan, now=1.2)
     assert follower.next_due(now=1.2) == 1.2 + SETTINGS.retry_s
+
+
+def make_patient():
+    streams = (STREAM, "claims")
+    return LogFollower(
+        SETTINGS, streams, host="a.1", random=Random(1), patient_streams=("claims",)
+    )
+
+
+def read_stream(follower, stream, *, now):
+    plan = follower.plan_read(stream, now=now)
+    follower.note_page(plan, make_page(plan.offset, 0), sent_at=now, now=now)
+
+
+def find_asked(follower, *, now):
+    actions = follower.tick(peers=["b.1"], now=now)
+    return {action.message.stream for action in actions}
+
+
+def test_patient_stream_waits_while_others_are_read():
+    follower = make_patient()
+    for stream in (STREAM, "claims"):
+        read_stream(follower, stream, now=1.0)
+    assert follower.plan_read("claims", now=1.0).wait_s == SETTINGS.patient_wait_s
+    read_stream(follower, STREAM, now=2.0)
+    assert find_asked(follower, now=1.0 + SETTINGS.overdue_s) == set()
+    for now in (3.0, 4.0, 5.0, 6.0):
+        read_stream(follower, STREAM, now=now)
+    assert find_asked(follower, now=6.0) == {"claims"}
+
+
+def test_patient_stream_asks_with_the_others_until_read_again():
+    follower = make_patient()
+    for stream in (STREAM, "claims"):
+        read_stream(follower, stream, now=1.0)
+    hanging = follower.plan_read("claims", now=1.0)
+    silent_at = 1.0 + SETTINGS.overdue_s
+    assert follower.next_due(now=1.0) <= silent_at
+    assert find_asked(follower, now=silent_at) == {STREAM, "claims"}
+    read_stream(follower, STREAM, now=silent_at + 0.1)
+    assert find_asked(follower, now=silent_at + 0.3) == {"claims"}
+    follower.note_page(hanging, make_page(0, 0), sent_at=2.6, now=2.6)
+    assert find_asked(follower, now=silent_at + 0.6) == set()
+
+
+def test_patient_stream_answers_at_once():
+    follower = make_patient()
+    read_stream(follower, "claims", now=1.0)
+    plan = follower.plan_read("claims", now=1.1)
+    follower.note_page(plan, make_page(0, 2), sent_at=1.1, now=1.2)
+    request = LogTailRequest("claims", 1, 9)
+    _, actions = follower.handle(request, sender="b.1", now=1.3)
+    (answer,) = actions
+    assert [record.offset for record in answer.message.records] == [1]
+    assert not answer.message.is_current
