Offer a message only to the slices that handle it

Change: a slice says which classes it takes, from its registered handlers, and is alone asked again; suspects are found in one pass, and not before the first peer can be silent. Mended on the way: membership's next tick also comes when the last read stops confirming the host, so that streams of an unconfirmed host end as early as before. Ruled out: skipping the question for the next tick after commands, as any slice may change. Unit tests of membership, leases and daemon pass; two new ones.

--- a/src/thornlatch/admission/_admission.py
+++ b/src/thornlatch/admission/_admission.py
@@ -148,6 +148,10 @@
             actions += self.refuse_hopeless(message.key, now=now)
         return actions
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return issubclass(kind, MESSAGES)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Ignore records; `set_allowances` brings the configuration."""
         return []
--- a/src/thornlatch/configuration/_slice.py
+++ b/src/thornlatch/configuration/_slice.py
@@ -37,7 +37,7 @@
     SnapshotSource,
 )
 from thornlatch.configuration._view import ConfigurationView
-from thornlatch.core import Action, Append, Emit, Event, LeaseReader, Send
+from thornlatch.core import Action, Append, Emit, Event, LeaseReader, Send, has_handler
 from thornlatch.exceptions import ErrorKind, Execution, InvalidInput, RequestRefused
 
 RETRY_AFTER_S = 1.0
@@ -195,6 +195,10 @@
             if ended_at > offset and self.view.get_key(digest) is None:
                 yield digest
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return has_handler(Configuration, "_handle", kind)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Apply a record of the stream ``configuration``; ignore other kinds.
 
--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -18,7 +18,7 @@
 )
 from thornlatch.core._events import Event
 from thornlatch.core._leases import LeaseReader, Member, Owner
-from thornlatch.core._slices import Slice
+from thornlatch.core._slices import Slice, has_handler
 
 __all__ = [
     "Action",
@@ -37,5 +37,6 @@
     "decode_record",
     "encode_envelope",
     "encode_record",
+    "has_handler",
     "register",
 ]
--- a/src/thornlatch/daemon/_control.py
+++ b/src/thornlatch/daemon/_control.py
@@ -215,8 +215,7 @@
             self._receive(self.local.get_nowait())
 
     def _receive(self, envelope: Envelope) -> None:
-        self.schedule.note_inputs()
-        for part in self.slices:
+        for part in self.schedule.iter_takers(type(envelope.message)):
             try:
                 actions = part.handle(
                     envelope.message, sender=envelope.sender, now=time.monotonic()
@@ -234,11 +233,11 @@
                 command = self.inbox.get_nowait()
             except queue.Empty:
                 return
+            self.schedule.note_inputs()
             self._run_command(command)
         self.submit(lambda now: [])
 
     def _run_command(self, command: Command) -> None:
-        self.schedule.note_inputs()
         try:
             actions = command(time.monotonic())
         except Exception:
@@ -250,6 +249,8 @@
         due = self.schedule.pop_due(now=time.monotonic())
         if not due:
             return
+        # What one slice does in its tick may be work for another.
+        self.schedule.note_inputs()
         self.peers.refresh_cuts()
         for part in due:
             try:
--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -18,6 +18,8 @@
     LogFollower,
     LogPage,
     LogRecord,
+    LogTail,
+    LogTailRequest,
     PlatformError,
     ReadPlan,
 )
@@ -90,6 +92,10 @@
             actions += self.on_delivery(delivery, now)
         return actions
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return issubclass(kind, LogTailRequest | LogTail)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Ignore records; they come from here."""
         return []
--- a/src/thornlatch/daemon/_schedule.py
+++ b/src/thornlatch/daemon/_schedule.py
@@ -1,6 +1,6 @@
-"""When each slice is ticked next; used by the control thread alone."""
+"""Which slice is ticked or given a message; used by the control thread alone."""
 
-from collections.abc import Iterable
+from collections.abc import Iterable, Iterator
 
 from thornlatch.core import Slice
 
@@ -23,10 +23,28 @@
         self.ticked_at = [now - IDLE_TICK_S] * len(self.slices)
         self.due_at = [now] * len(self.slices)
         self.changed: set[int] = set()
+        self.takers: dict[type, tuple[int, ...]] = {}
 
-    def note_input(self, index: int) -> None:
-        """Note that a slice was given something and may want an earlier tick."""
-        self.changed.add(index)
+    def iter_takers(self, kind: type) -> Iterator[Slice]:
+        """Iterate over the slices that act on messages of a class.
+
+        Parameters
+        ----------
+        kind : type
+
+        Yields
+        ------
+        Slice
+            Asked for its next tick afterwards.
+        """
+        takers = self.takers.get(kind)
+        if takers is None:
+            parts = enumerate(self.slices)
+            takers = tuple(index for index, part in parts if part.takes(kind))
+            self.takers[kind] = takers
+        for index in takers:
+            self.changed.add(index)
+            yield self.slices[index]
 
     def note_inputs(self) -> None:
         """Note that any slice may have been given something."""
--- a/src/thornlatch/daemon/tests/test_schedule.py
+++ b/src/thornlatch/daemon/tests/test_schedule.py
@@ -1,15 +1,36 @@
 import math
+from random import Random
 
 import pytest
 
+from thornlatch.admission._messages import DemandReport
+from thornlatch.configuration._records import OffsetDigest
+from thornlatch.daemon._node import Node, SliceSettings
 from thornlatch.daemon._schedule import IDLE_TICK_S, TICK_S, TickSchedule
+from thornlatch.dispatch._messages import GrantRequest
+from thornlatch.membership import Heartbeat
+from thornlatch.platform import LogTail
+from thornlatch.requests._quarantine_records import SuspectNotice
+
+EXPECTED = {
+    Heartbeat: {"Membership"},
+    OffsetDigest: {"Configuration"},
+    DemandReport: {"Admission"},
+    GrantRequest: {"Dispatch"},
+    SuspectNotice: {"Quarantine"},
+    LogTail: set(),
+}
 
 
 class Part:
     """A slice that asks for its next tick at `due`."""
 
-    def __init__(self, due):
+    def __init__(self, due, kind=object):
         self.due = due
+        self.kind = kind
+
+    def takes(self, kind):
+        return issubclass(kind, self.kind)
 
     def next_due(self, *, now):
         return self.due
@@ -47,3 +68,23 @@
     schedule = TickSchedule([first, second], now=0.0)
     schedule.pop_due(now=0.0)
     assert schedule.pop_due(now=0.1) == [first, second]
+
+
+def test_message_goes_to_its_takers_and_brings_their_ticks_forward():
+    parts = [Part(math.inf, int), Part(math.inf, str)]
+    schedule = TickSchedule(parts, now=0.0)
+    schedule.pop_due(now=0.0)
+    schedule.get_next(now=0.0)
+    for part in parts:
+        part.due = 0.0
+    assert list(schedule.iter_takers(str)) == [parts[1]]
+    assert schedule.pop_due(now=TICK_S) == [parts[1]]
+
+
+def test_messages_go_to_the_slices_that_handle_them():
+    settings = SliceSettings()
+    node = Node(settings, host="a.1", address="x", failure_domain="d", random=Random(1))
+    kinds = {kind: {type(p) for p in node.slices if p.takes(kind)} for kind in EXPECTED}
+    assert {kind: {t.__name__ for t in found} for kind, found in kinds.items()} == (
+        EXPECTED
+    )
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -7,7 +7,16 @@
 from typing import Any
 
 from thornlatch.configuration import Adapter, Organisation, Pool, Store, Target
-from thornlatch.core import Action, Emit, Event, LeaseReader, Owner, Resolve, Send
+from thornlatch.core import (
+    Action,
+    Emit,
+    Event,
+    LeaseReader,
+    Owner,
+    Resolve,
+    Send,
+    has_handler,
+)
 from thornlatch.dispatch._former import FormerOwnerships
 from thornlatch.dispatch._holder import Grant, HeldRight, HostPool, PendingRequest
 from thornlatch.dispatch._messages import (
@@ -300,6 +309,10 @@
         """Handle a message from a peer or from this host itself."""
         return self._handle(message, sender, now)
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return has_handler(Dispatch, "_handle", kind)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Ignore records; the daemon passes the inventory in force."""
         return []
--- a/src/thornlatch/membership/_duties.py
+++ b/src/thornlatch/membership/_duties.py
@@ -143,10 +143,9 @@
 
     def _accuse(self, view: ViewFold, suspects: Suspects, now: float) -> list[Action]:
         actions: list[Action] = []
+        found = suspects.find_suspects(view, now=now)
         for host in suspects.find_accusable(view, now=now):
-            is_suspect = suspects.is_suspect(
-                host, view, now=now
-            ) and not suspects.watch.is_quiet(host, now=now)
+            is_suspect = host in found and not suspects.watch.is_quiet(host, now=now)
             if self.accuser.is_due(host, view, is_suspect=is_suspect, now=now):
                 self.accuser.note_sent(host, view, now=now)
                 record = Accused(host, self.host, view.offset)
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any
 
-from thornlatch.core import Action, Emit, Event, Member, Send
+from thornlatch.core import Action, Emit, Event, Member, Send, has_handler
 from thornlatch.membership._confirmation import Confirmation
 from thornlatch.membership._duties import Duties
 from thornlatch.membership._messages import Heartbeat, HeartbeatAnswer
@@ -255,6 +255,10 @@
             return []
         return self._handle(message, sender, now)
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return has_handler(Membership, "_handle", kind)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Apply a record; records of other slices are ignored.
 
@@ -324,7 +328,8 @@
         last = now if self.last_now is None else self.last_now
         # A longer interval would count as a pause of this process.
         due = min(self.next_round_at, last + self.settings.heartbeat_s / 2)
-        return min(due, self.suspects.get_next_silence())
+        lapse = self.confirmation.read_sent_at + self.settings.safe_s
+        return min(due, lapse, self.suspects.get_next_silence())
 
     def _is_settled(self, now: float) -> bool:
         view = self.view
--- a/src/thornlatch/membership/_suspects.py
+++ b/src/thornlatch/membership/_suspects.py
@@ -85,9 +85,19 @@
 
     def is_suspect(self, host: str, view: ViewFold, *, now: float) -> bool:
         """Return whether `host` is silent or late to acknowledge a join."""
-        limit_s = self._get_limit(host, now)
-        is_silent = self.watch.is_silent(host, limit_s=limit_s, now=now)
-        return is_silent or host in self._find_late(view, now)
+        return host in self.find_suspects(view, now=now)
+
+    def find_suspects(self, view: ViewFold, *, now: float) -> set[str]:
+        """Return the hosts that are silent or late to acknowledge a join."""
+        suspects = self._find_late(view, now)
+        if now < self.get_next_silence():
+            return suspects
+        is_in_touch = self._is_in_touch(now)
+        for host in self.watch.heard_at:
+            limit_s = self._get_limit(host, is_in_touch=is_in_touch)
+            if self.watch.is_silent(host, limit_s=limit_s, now=now):
+                suspects.add(host)
+        return suspects
 
     def get_next_silence(self) -> float:
         """Return the time at which the first watched member would be silent."""
@@ -100,9 +110,9 @@
         candidates = self.watch.heard_at.keys() | self._find_late(view, now)
         return sorted(candidates & view.members.keys())
 
-    def _get_limit(self, host: str, now: float) -> float:
+    def _get_limit(self, host: str, *, is_in_touch: bool) -> float:
         settings = self.settings
-        if not self._is_in_touch(now):
+        if not is_in_touch:
             # More likely this host is cut off; the others may accuse it first.
             return settings.suspect_s * ISOLATED_FACTOR
         if host in self.hinted_gone:
--- a/src/thornlatch/requests/_claims.py
+++ b/src/thornlatch/requests/_claims.py
@@ -215,6 +215,10 @@
         """Ignore messages; claims travel on the log alone."""
         return []
 
+    def takes(self, kind: type) -> bool:
+        """Return False; claims travel on the log alone."""
+        return False
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Apply a record of stream ``claims``."""
         if not isinstance(record, Claims):
--- a/src/thornlatch/requests/_quarantine.py
+++ b/src/thornlatch/requests/_quarantine.py
@@ -19,6 +19,7 @@
     LeaseReader,
     Resolve,
     Send,
+    has_handler,
 )
 from thornlatch.exceptions import ErrorKind, Execution, RequestRefused
 from thornlatch.requests._deaths import Death, Deaths, Running
@@ -217,6 +218,10 @@
         self.notices.note_seen(message.notice, sender)
         return []
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return has_handler(Quarantine, "handle", kind)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Apply a record of stream ``quarantine``."""
         if not isinstance(record, QuarantineRecord):
