--- a/bench/control.py
+++ b/bench/control.py
@@ -4,6 +4,7 @@
 """
 
 import json
+import statistics
 import sys
 import tempfile
 import time
@@ -60,10 +61,12 @@
         for old, new in zip(before, after, strict=True)
     ]
     worst = {name: max(one[name] for one in spent) for name in spent[0]}
+    median = statistics.median(one["processor"] for one in spent)
     memory = max(read_memory_mb(fleet.processes[host].pid) for host in hosts)
     appends = sum(one["appends"] for one in spent)
     return [
         build_row(f"control.core_ratio.{size}", worst["processor"], "cores", 0.012),
+        build_row(f"control.core_ratio_median.{size}", median, "cores", 0.012),
         build_row(f"control.rss_mb.{size}", memory, "MB", 128),
         build_row(f"control.bytes_per_s.{size}", worst["bytes"], "B/s", 4096),
         build_row(f"control.peer_bytes_per_s.{size}", worst["peer_bytes"], "B/s", 4096),
