Send heartbeats in common rounds

Change: a heartbeat brings the own round forward if that is due within a quarter of the interval. Rounds of hosts that watch each other come together, so their heartbeats arrive in one burst and their answers follow at once. Ruled out: polling peers less often while idle, as the first request of another host would wait for it. Membership's and leases' tests pass, one new; tests/test_failures.py passes (16).

--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -26,6 +26,8 @@
 from thornlatch.membership._view import Departure, ViewFold, Wait
 from thornlatch.membership._waits import Waits
 
+JOIN_RATIO = 0.25
+
 
 class Membership:
     """State machine of this host's session.
@@ -353,6 +355,7 @@
             )
             actions += self._note_answer(answer, sender, now)
         self.unanswered[sender] = message.number
+        self._join_round(now)
         # Rights may hang on the answer while a host can't read the log.
         if self._is_log_usable(now) and sender in self.suspects.watch.heard_at:
             return actions
@@ -366,6 +369,11 @@
             self.suspects.watch.note_heard(sender, now=now)
         return self._report_confirmation(now)
 
+    def _join_round(self, now: float) -> None:
+        # Rounds at the same time wake each host once and are answered at once.
+        if self.next_round_at - now <= JOIN_RATIO * self.settings.heartbeat_s:
+            self.next_round_at = now
+
     def _build_answer(self, recipient: str, now: float) -> Action:
         number = self.unanswered.pop(recipient)
         is_supporting = self._is_supporting(recipient, now)
--- a/src/thornlatch/membership/tests/test_membership.py
+++ b/src/thornlatch/membership/tests/test_membership.py
@@ -406,3 +406,14 @@
     session.membership.note_log_unavailable(now=session.now)
     actions = session.membership.handle(Heartbeat(7), sender="b.1", now=session.now)
     assert actions == [Send("b.1", HeartbeatAnswer(7, session.offset, True))]
+
+
+@pytest.mark.parametrize(("left_s", "is_joined"), [(0.09, True), (0.11, False)])
+def test_heartbeat_brings_a_round_that_is_nearly_due_forward(left_s, is_joined):
+    session = Session()
+    session.run(1.0)
+    session.now = session.membership.next_round_at - left_s
+    session.membership.handle(Heartbeat(9), sender="b.1", now=session.now)
+    session.read()
+    sent = [a.message for a in session.tick() if isinstance(a, Send)]
+    assert [one.answered for one in sent] == ([9, -1] if is_joined else [])
