--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -30,7 +30,8 @@
 
 logger = logbook.Logger("thornlatch.daemon")
 
-STREAMS = ("control", "configuration", "claims", "quarantine")
+PATIENT_STREAMS = ("claims", "quarantine")
+STREAMS = ("control", "configuration", *PATIENT_STREAMS)
 
 
 class Daemon:
@@ -197,6 +198,7 @@
             STREAMS,
             host=self.node.host,
             random=self.random,
+            patient_streams=PATIENT_STREAMS,
         )
 
     def _get_slices(self) -> tuple[Slice, ...]:
--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -18,6 +18,8 @@
     LogFollower,
     LogPage,
     LogRecord,
+    LogTail,
+    LogTailRequest,
     PlatformError,
     ReadPlan,
 )
@@ -90,6 +92,10 @@
             actions += self.on_delivery(delivery, now)
         return actions
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return issubclass(kind, LogTailRequest | LogTail)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Ignore records; they come from here."""
         return []
@@ -102,6 +108,10 @@
             self._start_read(stream, now)
         return self.follower.tick(peers=self.iter_peers(), now=now)
 
+    def next_due(self, *, now: float) -> float:
+        """Return when a read, a question or an answer is next due."""
+        return self.follower.next_due(now=now)
+
     def _start_read(self, stream: str, now: float) -> None:
         plan = self.follower.plan_read(stream, now=now)
         if plan is None or self.is_stopping:
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -1,12 +1,22 @@
 """The slice: grants for local requests, and schedulers of the pools owned here."""
 
+import math
 from collections.abc import Callable, Iterable
 from functools import singledispatchmethod
 from random import Random
 from typing import Any
 
 from thornlatch.configuration import Adapter, Organisation, Pool, Store, Target
-from thornlatch.core import Action, Emit, Event, LeaseReader, Owner, Resolve, Send
+from thornlatch.core import (
+    Action,
+    Emit,
+    Event,
+    LeaseReader,
+    Owner,
+    Resolve,
+    Send,
+    has_handler,
+)
 from thornlatch.dispatch._former import FormerOwnerships
 from thornlatch.dispatch._holder import Grant, HeldRight, HostPool, PendingRequest
 from thornlatch.dispatch._messages import (
@@ -299,6 +309,10 @@
         """Handle a message from a peer or from this host itself."""
         return self._handle(message, sender, now)
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return has_handler(Dispatch, "_handle", kind)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Ignore records; the daemon passes the inventory in force."""
         return []
@@ -314,6 +328,13 @@
             actions += holder.repeat(now)
         return actions + self._end_lingering(now)
 
+    def next_due(self, *, now: float) -> float:
+        """Return `now` while a request, a right or a recovery is open."""
+        is_open = any(s.is_busy for s in self.schedulers.values()) or any(
+            holder.is_busy for holder in self.holders.values()
+        )
+        return now if is_open else math.inf
+
     @singledispatchmethod
     def _handle(self, message: Any, sender: str, now: float) -> list[Action]:
         return []
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -9,7 +9,7 @@
 from random import Random
 from typing import Any
 
-from thornlatch.core import Action, Emit, Event, Member, Send
+from thornlatch.core import Action, Emit, Event, Member, Send, has_handler
 from thornlatch.membership._confirmation import Confirmation
 from thornlatch.membership._duties import Duties
 from thornlatch.membership._messages import Heartbeat, HeartbeatAnswer
@@ -26,6 +26,8 @@
 from thornlatch.membership._view import Departure, ViewFold, Wait
 from thornlatch.membership._waits import Waits
 
+JOIN_RATIO = 0.25
+
 
 class Membership:
     """State machine of this host's session.
@@ -72,6 +74,7 @@
         self.is_log_available = False
         self.round_number = 0
         self.next_round_at = -math.inf
+        self.unanswered: dict[str, int] = {}
         self.last_now: float | None = None
         self.was_confirmed = False
 
@@ -269,6 +272,10 @@
             return []
         return self._handle(message, sender, now)
 
+    def takes(self, kind: type) -> bool:
+        """Return whether `handle` acts on messages of a class."""
+        return has_handler(Membership, "_handle", kind)
+
     def apply_record(self, offset: int, record: Any, *, now: float) -> list[Action]:
         """Apply a record; records of other slices are ignored.
 
@@ -324,16 +331,54 @@
             actions += self.duties.tick(self.view, self.suspects, self.waits, now=now)
         return actions + self._report_confirmation(now)
 
+    def next_due(self, *, now: float) -> float:
+        """Return when a heartbeat is due, or a peer has been silent for too long.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        float
+        """
+        if not self._is_idle(now):
+            return now
+        last = now if self.last_now is None else self.last_now
+        # A longer interval would count as a pause of this process.
+        due = min(self.next_round_at, last + self.settings.heartbeat_s / 2)
+        lapse = self.confirmation.read_sent_at + self.settings.safe_s
+        return min(due, lapse, self.suspects.get_next_silence())
+
+    def _is_idle(self, now: float) -> bool:
+        view = self.view
+        if not self.is_member or self.is_closing or not self._is_log_usable(now):
+            return False
+        is_accused = any(view.accusations.values())
+        if is_accused or view.awaiting or self.duties.accuser.sent_view:
+            return False
+        if view.acknowledged[self.host] < view.get_required_acknowledgement(self.host):
+            return False
+        return next(self.waits.iter_waiting(now=now), None) is None
+
     @singledispatchmethod
     def _handle(self, message: Any, sender: str, now: float) -> list[Action]:
         return []
 
     @_handle.register
     def _answer(self, message: Heartbeat, sender: str, now: float) -> list[Action]:
-        answer = HeartbeatAnswer(
-            message.number, self.view.offset, self._is_supporting(sender, now)
-        )
-        return [Send(sender, answer)]
+        actions: list[Action] = []
+        if message.answered >= 0:
+            answer = HeartbeatAnswer(
+                message.answered, message.view_offset, message.is_supporting
+            )
+            actions += self._note_answer(answer, sender, now)
+        self.unanswered[sender] = message.number
+        self._join_round(now)
+        # Rights may hang on the answer while a host can't read the log.
+        if self._is_log_usable(now) and sender in self.suspects.watch.heard_at:
+            return actions
+        return [*actions, self._build_answer(sender, now)]
 
     @_handle.register
     def _note_answer(
@@ -343,6 +388,26 @@
             self.suspects.watch.note_heard(sender, now=now)
         return self._report_confirmation(now)
 
+    def _join_round(self, now: float) -> None:
+        # Rounds at the same time wake each host once and are answered at once.
+        if self.next_round_at - now <= JOIN_RATIO * self.settings.heartbeat_s:
+            self.next_round_at = now
+
+    def _build_answer(self, recipient: str, now: float) -> Action:
+        number = self.unanswered.pop(recipient)
+        is_supporting = self._is_supporting(recipient, now)
+        return Send(recipient, HeartbeatAnswer(number, self.view.offset, is_supporting))
+
+    def _build_heartbeat(self, recipient: str, now: float) -> Action:
+        answered = self.unanswered.pop(recipient, None)
+        if answered is None:
+            return Send(recipient, Heartbeat(self.round_number))
+        is_supporting = self._is_supporting(recipient, now)
+        return Send(
+            recipient,
+            Heartbeat(self.round_number, answered, self.view.offset, is_supporting),
+        )
+
     def _is_supporting(self, sender: str, now: float) -> bool:
         if sender in self.view.departed:
             return False
@@ -371,7 +436,9 @@
         self.suspects.update(self.view, now=now)
         self.confirmation.note_round(self.round_number, now=now)
         for host in sorted(self._choose_recipients(now)):
-            yield Send(host, Heartbeat(self.round_number))
+            yield self._build_heartbeat(host, now)
+        for host in sorted(self.unanswered):
+            yield self._build_answer(host, now)
 
     def _choose_recipients(self, now: float) -> set[str]:
         recipients = set(self.suspects.watch.heard_at)
