Accept an engine's end mark that arrives by itself

Cause: iter_chunks yielded the chunks read before "[DONE]" even if there were none, and the completion took the first of an empty list: IndexError, and the caller's stream was cut without its end. The stand-in sent the last event and the mark in one piece, so the two nearly always arrived together and no test showed it. Engines send them apart.

Change: no empty list is yielded, and the stand-in sends the mark by itself.

Shown failing first, with the stand-in changed and the client not: `pytest -q -p no:xdist tests/test_callers.py -k stream`: test_openai_completion_stream and test_openai_chat[stream] failed with APIConnectionError; both pass now.

--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -91,7 +91,8 @@
         for event in events:
             payload = event.removeprefix(b"data: ")
             if payload == DONE:
-                yield chunks
+                if chunks:
+                    yield chunks
                 _drain(response)
                 return
             chunks.append(_parse_chunk(payload))
--- a/standins/engine.py
+++ b/standins/engine.py
@@ -270,7 +270,8 @@
             "choices": [choice],
             "usage": {"completion_tokens": index},
         }
-        yield b"data: " + json.dumps(chunk).encode() + b"\n\ndata: [DONE]\n\n"
+        yield b"data: " + json.dumps(chunk).encode() + b"\n\n"
+        yield b"data: [DONE]\n\n"
 
     def _name_model(self, model: str) -> str:
         return model + "-other" if self.wrong_version else model
