Pass streams on in one thread

Cause (24 streams; strace -c -f, /proc/<pid>/task/*/status and a single-threaded trial of the layers, all on a busy machine): 14 futex calls and 4.3 to 4.7 voluntary context switches a token at 270 tokens a request. Reading, parsing, checking and writing a token take some 32 us of one thread without others (read and parse 13, check 7, write 10); a token cost 196 to 225 us. The difference was threads: each token woke the thread of its stream, which gave the interpreter's lock up three times (poll, recv, send) and fought for it with 23 others.

Ruled out: waitress's main thread (its send_bytes is 1, so the worker sends; the trigger is pulled only if the caller's socket is full), Nagle (TCP_NODELAY is set both ways), idle control work (0.03 of a core, 0.2 s of 2.5 s).

Change: after the first part of an answer, its worker leaves the stream to one relay thread and waits for a future. That thread selects over all engine sockets, reads what has arrived without waiting, checks it by the same code as before and writes it to the caller by WSGI's write. A stream goes back to its worker at its end, at any error, and where http.client would wait (the head of a chunk cut in two), so nothing waits for more and no stream waits for another. Attempts, resumption and refusals stay in the worker.

Another registered the socket without reading what http.client had buffered: test_pass_on_nothing_waits_for_a_cut_chunk failed with a timeout, and passes now.

--- a/src/thornlatch/daemon/_app.py
+++ b/src/thornlatch/daemon/_app.py
@@ -1,12 +1,14 @@
 """The callers' HTTP interface as a WSGI application."""
 
+import contextlib
 import json
 import time
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Iterable
 from dataclasses import dataclass
 from typing import Any
 
 import logbook
+from waitress.channel import ClientDisconnected
 
 from thornlatch.core import Event
 from thornlatch.daemon._answers import (
@@ -23,6 +25,7 @@
     CompletionStream,
 )
 from thornlatch.daemon._plain import PlainCall, PlainRequest
+from thornlatch.daemon._relay import StreamRelay
 from thornlatch.daemon._running import RunningRequest, RunningRequests
 from thornlatch.daemon._services import Services
 from thornlatch.daemon._settings import HttpSettings, TargetSettings
@@ -61,6 +64,7 @@
     targets : TargetSettings
     services : Services
     running : RunningRequests
+    relay : StreamRelay
     pages : Pages
     """
 
@@ -71,12 +75,14 @@
         targets: TargetSettings,
         services: Services,
         running: RunningRequests,
+        relay: StreamRelay,
         pages: Pages,
     ) -> None:
         self.http = http
         self.targets = targets
         self.services = services
         self.running = running
+        self.relay = relay
         self.pages = pages
 
     def __call__(
@@ -172,8 +178,8 @@
                 ("Cache-Control", "no-cache"),
                 ("X-Request-Id", caller.request),
             ]
-            start_response("200 OK", headers)
-            return _StreamBody(session, first)
+            session.send_stream(first, self.relay, start_response("200 OK", headers))
+            return []
         return session.read_whole(first).send(start_response)
 
     def _call_plain(self, environ: Environ, caller: Caller, path: str) -> HttpAnswer:
@@ -300,21 +306,47 @@
             _assemble(self.request, chunks), request=self.request.caller.request
         )
 
-    def iter_rest(self, first: list[CompletionChunk]) -> Iterator[bytes]:
-        """Iterate over the bytes of the stream, its end or its error included."""
+    def send_stream(
+        self,
+        first: list[CompletionChunk],
+        relay: StreamRelay,
+        write: Callable[[bytes], None],
+    ) -> None:
+        """Send the stream to the caller, its end or its error included.
+
+        Parameters
+        ----------
+        first : list of CompletionChunk
+        relay : StreamRelay
+        write : callable
+            The server's, safe to call from another thread while this one waits.
+        """
+
+        def send(data: bytes) -> None:
+            try:
+                write(data)
+            except ClientDisconnected:
+                raise CallerGone from None
+
+        self.stream.relay_to(relay, lambda chunks: send(_frame(chunks)))
+        try:
+            with contextlib.suppress(CallerGone):
+                self._send_parts(first, send)
+        finally:
+            self.finish()
+
+    def _send_parts(
+        self, first: list[CompletionChunk], send: Callable[[bytes], None]
+    ) -> None:
         try:
-            yield _frame(first)
+            send(_frame(first))
             for chunks in self.chunks:
-                yield _frame(chunks)
-            yield b"data: [DONE]\n\n"
+                send(_frame(chunks))
+            send(b"data: [DONE]\n\n")
         except RequestRefused as error:
             self.on_refused(error, self.request.caller.request)
             text = json.dumps(describe_refusal(error, self.request.caller.request))
-            yield f"data: {text}\n\n".encode()
-        except CallerGone:
-            return
-        finally:
-            self.finish()
+            send(f"data: {text}\n\n".encode())
 
     def finish(self) -> None:
         """Return what the request held; further calls do nothing."""
@@ -347,24 +379,6 @@
         )
 
 
-class _StreamBody:
-    """WSGI body whose close ends the request also when nothing was read."""
-
-    def __init__(
-        self, session: _CompletionSession, first: list[CompletionChunk]
-    ) -> None:
-        self.session = session
-        self.parts = session.iter_rest(first)
-
-    def __iter__(self) -> Iterator[bytes]:
-        return self.parts
-
-    def close(self) -> None:
-        """End the request; the server calls this in every case."""
-        self.parts.close()  # type: ignore[attr-defined]
-        self.session.finish()
-
-
 def _frame(chunks: list[CompletionChunk]) -> bytes:
     return b"".join(b"data: " + chunk.data + b"\n\n" for chunk in chunks)
 
--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -9,6 +9,7 @@
 from thornlatch.configuration import Adapter
 from thornlatch.core import Event
 from thornlatch.daemon._calls import Caller, CompletionCall
+from thornlatch.daemon._relay import Send, StreamRelay
 from thornlatch.daemon._running import RunningRequest
 from thornlatch.daemon._services import Services
 from thornlatch.daemon._settings import TargetSettings
@@ -17,10 +18,10 @@
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
 from thornlatch.requests import AttemptFailed, StreamCursor, StreamPart
 from thornlatch.targets import (
+    ChunkReader,
     CompletionChunk,
     TargetCall,
     TargetResponse,
-    iter_chunks,
     open_call,
 )
 
@@ -91,6 +92,8 @@
             pool=request.adapter.pool,
             body=self.body,
         )
+        self.relay: StreamRelay | None = None
+        self.send: Send | None = None
         self.may_have_run = False
         self.answered_model = ""
         self.excluded: tuple[str, ...] = ()
@@ -110,6 +113,19 @@
         """Whether the whole answer was sent."""
         return self.cursor.is_complete
 
+    def relay_to(self, relay: StreamRelay, send: Send) -> None:
+        """Let the relay thread pass on what it can, past the iteration over chunks.
+
+        Parameters
+        ----------
+        relay : StreamRelay
+        send : callable
+            Sends chunks to the caller without waiting; they follow those that the
+            iteration has given, and it gives the ones after them.
+        """
+        self.relay = relay
+        self.send = send
+
     def iter_chunks(self) -> Iterator[list[CompletionChunk]]:
         """Iterate over chunks; each token comes once, in order.
 
@@ -178,13 +194,15 @@
         self.gate.note_started(grant.target, ask)
         try:
             response = self._open(grant)
-            for chunks in iter_chunks(response):
-                self._check_still_wanted()
+            reader = ChunkReader(response)
+            while not reader.is_done:
+                fresh = self._take(reader.read())
                 if first_token_s is None:
                     first_token_s = time.monotonic() - started
-                fresh = self._accept(chunks)
                 if fresh:
                     yield fresh
+                self._relay_rest(reader)
+            reader.drain()
             self.cursor.finish()
             outcome = Outcome.OK
         except TargetError as error:
@@ -264,6 +282,22 @@
         if self.request.is_disconnected():
             raise CallerGone
 
+    def _relay_rest(self, reader: ChunkReader) -> None:
+        relay, send = self.relay, self.send
+        if relay is None or send is None:
+            return
+
+        def take_and_send(chunks: list[CompletionChunk]) -> None:
+            fresh = self._take(chunks)
+            if fresh:
+                send(fresh)
+
+        relay.pass_on(reader, take_and_send)
+
+    def _take(self, chunks: list[CompletionChunk]) -> list[CompletionChunk]:
+        self._check_still_wanted()
+        return self._accept(chunks) if chunks else []
+
     def _accept(self, chunks: list[CompletionChunk]) -> list[CompletionChunk]:
         tokens = [chunk for chunk in chunks if chunk.token_index is not None]
         first = tokens[0].token_index if tokens else self.sent_tokens
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -18,6 +18,7 @@
 from thornlatch.daemon._node import Node
 from thornlatch.daemon._orders import OrderRunner
 from thornlatch.daemon._peers import PeerMesh
+from thornlatch.daemon._relay import StreamRelay
 from thornlatch.daemon._running import SHORT_DIGEST, RunningRequests
 from thornlatch.daemon._services import Services
 from thornlatch.daemon._settings import DaemonSettings
@@ -75,6 +76,7 @@
             incarnations=self.orders.incarnations,
         )
         http = settings.http
+        self.relay = StreamRelay()
         self.running = RunningRequests(http.threads - http.spare_threads)
         self.stop = StopSequence(
             settings.stop,
@@ -87,6 +89,7 @@
             targets=settings.targets,
             services=self.services,
             running=self.running,
+            relay=self.relay,
             pages=Pages(self.get_status, self.is_ready),
         )
         self.reader = LogFollowing(
@@ -126,6 +129,7 @@
             self.executor.submit(self.control.run)
             self.control.submit(lambda now: self.node.membership.open_session(now=now))
             self.executor.submit(server.run)
+            self.executor.submit(self.relay.run)
             address = self.settings.host.http_address
             self.journal.write(Event("daemon.started", detail={"http": address}))
             status = self.stop.wait()
@@ -179,6 +183,7 @@
         self.orders.stop()
         self.appender.stop(timeout_s=2.0)
         self.control.stop()
+        self.relay.stop()
         server.close()
         server.task_dispatcher.shutdown(timeout=2)
 
--- /dev/null
+++ b/src/thornlatch/daemon/tests/test_relay.py
@@ -0,0 +1,175 @@
+"""The relay thread, shown on targets whose every byte the test sends."""
+
+import json
+import socket
+import time
+from concurrent.futures import ThreadPoolExecutor
+from contextlib import closing
+
+import pytest
+
+from thornlatch.daemon._relay import StreamRelay
+from thornlatch.exceptions import TargetError
+from thornlatch.targets import ChunkReader, TargetCall, open_call
+
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+WAIT_S = 5.0
+
+
+class RawTarget:
+    """A target that sends what the test says."""
+
+    def __init__(self, head=CHUNKED, timeout_s=WAIT_S):
+        with closing(socket.create_server(("127.0.0.1", 0))) as server:
+            host, port = server.getsockname()
+            call = TargetCall(f"{host}:{port}", "POST", "/", timeout_s=timeout_s)
+            with ThreadPoolExecutor(1) as executor:
+                opening = executor.submit(open_call, call, may_reuse=False)
+                self.sock, _ = server.accept()
+                self.sock.sendall(head)
+                self.response = opening.result(WAIT_S)
+        self.reader = ChunkReader(self.response)
+
+    def send(self, data):
+        self.sock.sendall(data)
+
+    def close(self):
+        self.response.abort()
+        self.response.close()
+        self.sock.close()
+
+
+@pytest.fixture
+def relay():
+    relay = StreamRelay()
+    with ThreadPoolExecutor(1) as executor:
+        executor.submit(relay.run)
+        yield relay
+        relay.stop()
+
+
+@pytest.fixture
+def executor():
+    with ThreadPoolExecutor(4) as executor:
+        yield executor
+
+
+def build_event(index):
+    fields = {"model": "a@1", "choices": [{"text": f"{index} "}], "token_index": index}
+    return b"data: " + json.dumps(fields).encode() + b"\n\n"
+
+
+def frame(data):
+    return f"{len(data):x}\r\n".encode() + data + b"\r\n"
+
+
+def build_body(count, build_part=frame):
+    events = [*map(build_event, range(count)), b"data: [DONE]\n\n"]
+    end = build_part(b"") if build_part is frame else b""
+    return b"".join(map(build_part, events)) + end
+
+
+def pass_on_whole(relay, reader, indexes):
+    """Do as a worker does: read one part, then leave the stream to the relay."""
+
+    def take(chunks):
+        indexes.extend(chunk.token_index for chunk in chunks)
+
+    while not reader.is_done:
+        take(reader.read())
+        relay.pass_on(reader, take)
+    reader.drain()
+    return indexes
+
+
+def wait_for(is_reached):
+    deadline = time.monotonic() + WAIT_S
+    while not is_reached():
+        assert time.monotonic() < deadline
+        time.sleep(0.005)
+
+
+@pytest.mark.parametrize(
+    ("head", "build_part"),
+    [(CHUNKED, frame), (HEAD + b"\r\n", bytes)],
+    ids=["chunked", "until_close"],
+)
+@pytest.mark.parametrize("piece", [1, 7, 61, 1000])
+def test_pass_on_any_pieces(relay, executor, head, build_part, piece):
+    body = build_body(12, build_part)
+    target = RawTarget(head)
+    indexes = []
+    passing = executor.submit(pass_on_whole, relay, target.reader, indexes)
+    for begin in range(0, len(body), piece):
+        target.send(body[begin : begin + piece])
+        if piece < 100:
+            time.sleep(0.0002)
+    target.sock.shutdown(socket.SHUT_WR)
+    assert passing.result(WAIT_S) == list(range(12))
+    target.close()
+
+
+@pytest.mark.parametrize("cut", range(1, len(frame(build_event(1))), 9))
+def test_pass_on_nothing_waits_for_a_cut_chunk(relay, executor, cut):
+    halted, other = RawTarget(), RawTarget()
+    seen, others = [], []
+    passing = [
+        executor.submit(pass_on_whole, relay, halted.reader, seen),
+        executor.submit(pass_on_whole, relay, other.reader, others),
+    ]
+    second = frame(build_event(1))
+    halted.send(frame(build_event(0)))
+    wait_for(lambda: seen == [0])
+    halted.send(second + frame(build_event(2))[:cut])
+    wait_for(lambda: seen == [0, 1])
+    other.send(build_body(3))
+    assert passing[1].result(WAIT_S) == [0, 1, 2]
+    halted.send(frame(build_event(2))[cut:] + frame(b"data: [DONE]\n\n") + frame(b""))
+    assert passing[0].result(WAIT_S) == [0, 1, 2]
+    halted.close()
+    other.close()
+
+
+def test_pass_on_connection_serves_again(relay, executor):
+    target = RawTarget()
+    target.send(build_body(3))
+    executor.submit(pass_on_whole, relay, target.reader, []).result(WAIT_S)
+    assert target.response.response.isclosed()
+    assert not target.response.response.will_close
+    target.close()
+
+
+@pytest.mark.parametrize("fault", ["cut_off", "aborted", "silent", "malformed"])
+def test_pass_on_broken_stream(relay, executor, fault):
+    target = RawTarget(timeout_s=0.5 if fault == "silent" else WAIT_S)
+    seen = []
+    passing = executor.submit(pass_on_whole, relay, target.reader, seen)
+    target.send(frame(build_event(0)))
+    wait_for(lambda: seen == [0])
+    if fault == "cut_off":
+        target.sock.close()
+    elif fault == "aborted":
+        target.response.abort()
+    elif fault == "malformed":
+        target.send(frame(b"data: {}\n\n"))
+    with pytest.raises(TargetError):
+        passing.result(WAIT_S)
+    target.close()
+
+
+def test_pass_on_error_of_send(relay, executor):
+    target, other = RawTarget(), RawTarget()
+
+    def refuse(chunks):
+        raise ValueError(chunks[0].text)
+
+    passing = executor.submit(relay.pass_on, target.reader, refuse)
+    target.send(frame(build_event(0)))
+    with pytest.raises(ValueError, match="0 "):
+        passing.result(WAIT_S)
+    other.send(build_body(2))
+    passing = executor.submit(pass_on_whole, relay, other.reader, [])
+    assert passing.result(WAIT_S) == [0, 1]
+    target.close()
+    other.close()
--- a/src/thornlatch/targets/__init__.py
+++ b/src/thornlatch/targets/__init__.py
@@ -2,6 +2,7 @@
 
 from thornlatch.targets._calls import TargetCall, TargetResponse, open_call
 from thornlatch.targets._engine import (
+    ChunkReader,
     CompletionChunk,
     evict_adapter,
     iter_chunks,
@@ -10,6 +11,7 @@
 )
 
 __all__ = [
+    "ChunkReader",
     "CompletionChunk",
     "TargetCall",
     "TargetResponse",
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -10,6 +10,7 @@
 from thornlatch.exceptions import TargetError
 
 READ_BYTES = 1 << 16
+CHUNK_END = b"\r\n"
 IDLE_CONNECTIONS_PER_TARGET = 8
 
 
@@ -45,6 +46,8 @@
     ----------
     call : TargetCall
     connection : http.client.HTTPConnection
+    sock : socket.socket
+        Socket of the connection, which lets go of it if the target will close it.
     response : http.client.HTTPResponse
     """
 
@@ -52,12 +55,15 @@
         self,
         call: TargetCall,
         connection: http.client.HTTPConnection,
+        sock: socket.socket,
         response: http.client.HTTPResponse,
     ) -> None:
         self.call = call
         self.connection = connection
+        self.sock = sock
         self.response = response
         self.status = response.status
+        self.must_wait = False
 
     def read_some(self) -> bytes:
         """Return the bytes that have arrived; empty at the end.
@@ -72,6 +78,80 @@
         except (OSError, ValueError, http.client.HTTPException) as error:
             raise TargetError(f"answer broke off: {error!r}", is_sent=True) from error
 
+    def set_waiting(self, *, waits: bool) -> None:
+        """Set whether reads wait for bytes, as they do at first.
+
+        Parameters
+        ----------
+        waits : bool
+        """
+        self.sock.settimeout(self.call.timeout_s if waits else 0.0)
+
+    def read_arrived(self) -> bytes:
+        """Return the bytes of the body that have arrived, without waiting.
+
+        `must_wait` tells afterwards whether only `read_some` can go on, which waits: if
+        the head of a chunk of the transfer coding isn't whole, or is the last.
+
+        Returns
+        -------
+        bytes
+            Empty also at the end.
+
+        Raises
+        ------
+        TargetError
+            If the connection broke.
+        """
+        parts: list[bytes] = []
+        place = 0
+        try:
+            arrived = self._peek()
+            while place < len(arrived):
+                head_end = self._skip_head(arrived, place)
+                if head_end is None:
+                    break
+                place = head_end
+                if place < len(arrived):
+                    parts.append(self.response.read1(READ_BYTES))
+                    place += len(parts[-1])
+        except (OSError, ValueError, http.client.HTTPException) as error:
+            raise TargetError(f"answer broke off: {error!r}", is_sent=True) from error
+        self.must_wait = place < len(arrived)
+        return b"".join(parts)
+
+    def _peek(self) -> bytes:
+        response = self.response
+        if response.isclosed():
+            return b""
+        arrived: bytes = response.fp.peek()
+        if arrived != CHUNK_END or response.chunk_left != 0:
+            return arrived
+        # A buffer that isn't empty is not filled up, so that the end of the last chunk
+        # would hide the next one.
+        self._read_chunk_end()
+        return response.fp.peek()
+
+    def _skip_head(self, arrived: bytes, place: int) -> int | None:
+        # Where data begins, or None if http.client would wait while it looks for it.
+        response = self.response
+        if not response.chunked or response.chunk_left:
+            return place
+        if response.chunk_left == 0:
+            if len(arrived) - place < len(CHUNK_END):
+                return None
+            self._read_chunk_end()
+            place += len(CHUNK_END)
+            if place == len(arrived):
+                return place
+        data = arrived.find(b"\n", place) + 1
+        is_whole = 0 < data < len(arrived)
+        return data if is_whole and not arrived.startswith(b"0", place) else None
+
+    def _read_chunk_end(self) -> None:
+        self.response.fp.read(len(CHUNK_END))
+        self.response.chunk_left = None
+
     def read_all(self, limit: int) -> bytes:
         """Return the whole body.
 
@@ -95,10 +175,8 @@
 
     def abort(self) -> None:
         """Break the connection, which cancels the call at the target."""
-        sock = self.connection.sock
-        if sock is not None:
-            with contextlib.suppress(OSError):
-                sock.shutdown(socket.SHUT_RDWR)
+        with contextlib.suppress(OSError):
+            self.sock.shutdown(socket.SHUT_RDWR)
 
     def close(self) -> None:
         """Give the connection back if the answer was read whole, else close it."""
@@ -183,7 +261,7 @@
 
 
 def _send(call: TargetCall, connection: http.client.HTTPConnection) -> TargetResponse:
-    if connection.sock is not None:
-        connection.sock.settimeout(call.timeout_s)
+    sock = connection.sock
+    sock.settimeout(call.timeout_s)
     connection.request(call.method, call.path, call.body, call.headers)
-    return TargetResponse(call, connection, connection.getresponse())
+    return TargetResponse(call, connection, sock, connection.getresponse())
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -62,6 +62,72 @@
 _chunk_decoder = msgspec.json.Decoder(_ChunkFields)
 
 
+class ChunkReader:
+    """Reads the events of a stream; used by one thread at a time.
+
+    Parameters
+    ----------
+    response : TargetResponse
+    """
+
+    def __init__(self, response: TargetResponse) -> None:
+        self.response = response
+        self.buffer = b""
+        self.read_bytes = 0
+        self.is_done = False
+
+    def read(self) -> list[CompletionChunk]:
+        """Wait for events and return those that have arrived.
+
+        Returns
+        -------
+        list of CompletionChunk
+            Empty if only a part of an event has arrived, or the end.
+
+        Raises
+        ------
+        TargetError
+            If the stream breaks off before its end or is malformed.
+        """
+        data = self.response.read_some()
+        if not data:
+            raise TargetError("stream ended before its last event", is_sent=True)
+        return self._parse(data)
+
+    def read_arrived(self) -> list[CompletionChunk]:
+        """Return the events that have arrived, without waiting.
+
+        Returns
+        -------
+        list of CompletionChunk
+
+        Raises
+        ------
+        TargetError
+            If the stream breaks off or is malformed.
+        """
+        return self._parse(self.response.read_arrived())
+
+    def drain(self) -> None:
+        """Read the end of the body, so that the connection can serve another call."""
+        while self.response.read_some():
+            pass
+
+    def _parse(self, data: bytes) -> list[CompletionChunk]:
+        self.read_bytes += len(data)
+        *events, self.buffer = (self.buffer + data).split(b"\n\n")
+        if len(self.buffer) > EVENT_LIMIT_BYTES:
+            raise TargetError("stream event is too long", is_sent=True)
+        chunks: list[CompletionChunk] = []
+        for event in events:
+            payload = event.removeprefix(b"data: ")
+            if payload == DONE:
+                self.is_done = True
+                break
+            chunks.append(_parse_chunk(payload))
+        return chunks
+
+
 def iter_chunks(response: TargetResponse) -> Iterator[list[CompletionChunk]]:
     """Iterate over the events of a stream, as many at a time as have arrived.
 
@@ -78,26 +144,12 @@
     TargetError
         If the stream breaks off before its end or is malformed.
     """
-    buffer = b""
-    while True:
-        data = response.read_some()
-        if not data:
-            raise TargetError("stream ended before its last event", is_sent=True)
-        buffer += data
-        if len(buffer) > EVENT_LIMIT_BYTES:
-            raise TargetError("stream event is too long", is_sent=True)
-        *events, buffer = buffer.split(b"\n\n")
-        chunks: list[CompletionChunk] = []
-        for event in events:
-            payload = event.removeprefix(b"data: ")
-            if payload == DONE:
-                if chunks:
-                    yield chunks
-                _drain(response)
-                return
-            chunks.append(_parse_chunk(payload))
+    reader = ChunkReader(response)
+    while not reader.is_done:
+        chunks = reader.read()
         if chunks:
             yield chunks
+    reader.drain()
 
 
 def _parse_chunk(payload: bytes) -> CompletionChunk:
@@ -113,13 +165,6 @@
     return CompletionChunk(payload, fields.model, fields.token_index, is_finish, text)
 
 
-def _drain(response: TargetResponse) -> None:
-    # The last chunk of the transfer coding must be read before the connection
-    # can serve another call.
-    while response.read_some():
-        pass
-
-
 def load_adapter(
     address: str, model: str, *, epoch: int, store: str, timeout_s: float
 ) -> None:
