Check a burst of tokens in one pass

Cause: per token the check built three lists and, for each event, the adapter version's name; reading walked over each chunk twice (cProfile of the relay thread in a trial daemon: 0.91 of 5.1 s in _accept, 0.39 s in _skip_head).

Change: one loop builds the part; the end of a chunk is read with its data; a part that repeats nothing isn't compared.

--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -299,26 +299,37 @@
         return self._accept(chunks) if chunks else []
 
     def _accept(self, chunks: list[CompletionChunk]) -> list[CompletionChunk]:
-        tokens = [chunk for chunk in chunks if chunk.token_index is not None]
-        first = tokens[0].token_index if tokens else self.sent_tokens
-        assert first is not None
-        for place, chunk in enumerate(tokens):
-            if chunk.token_index != first + place:
-                raise TargetError("stream has a gap", is_sent=True)
-        wrong = [chunk for chunk in chunks if chunk.model != self.request.model]
-        part = StreamPart(
-            request=self.request.caller.request,
-            attempt=self.attempt,
-            adapter_version=(wrong or chunks)[0].model,
-            first_token=first,
-            tokens=tuple(chunk.text for chunk in tokens),
-            is_last=any(chunk.is_finish for chunk in chunks),
-        )
+        part = self._build_part(chunks)
         fresh = self.cursor.accept(part)
         self.answered_model = part.adapter_version
-        repeated = len(tokens) - len(fresh)
+        repeated = len(part.tokens) - len(fresh)
         return chunks[repeated:] if repeated else chunks
 
+    def _build_part(self, chunks: list[CompletionChunk]) -> StreamPart:
+        first = self.sent_tokens
+        texts: list[str] = []
+        version = self.cursor.adapter_version
+        is_last = False
+        for chunk in chunks:
+            index = chunk.token_index
+            if index is not None:
+                if not texts:
+                    first = index
+                elif index != first + len(texts):
+                    raise TargetError("stream has a gap", is_sent=True)
+                texts.append(chunk.text)
+            if chunk.model != self.cursor.adapter_version:
+                version = chunk.model
+            is_last = is_last or chunk.is_finish
+        return StreamPart(
+            request=self.cursor.request,
+            attempt=self.attempt,
+            adapter_version=version,
+            first_token=first,
+            tokens=tuple(texts),
+            is_last=is_last,
+        )
+
     def _handle_failure(self, grant: Grant, error: TargetError) -> None:
         self._emit("requests.attempt_failed", grant, {"error": error.message})
         self._check_still_wanted()
--- a/src/thornlatch/requests/_streams.py
+++ b/src/thornlatch/requests/_streams.py
@@ -34,7 +34,8 @@
 class StreamCursor:
     """Keeps the place in one answer over all attempts of its request.
 
-    Owned by the worker thread that serves the request.
+    Owned by the worker thread that serves the request, or by the relay thread while the
+    worker waits for it.
 
     Parameters
     ----------
@@ -101,6 +102,8 @@
                 f"expected token {self.next_token}, got {part.first_token}",
                 is_sent=True,
             )
+        if overlap == 0:
+            return part.tokens
         repeated = part.tokens[:overlap]
         begin = part.first_token
         if tuple(self.sent[begin : begin + len(repeated)]) != repeated:
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -104,53 +104,51 @@
             If the connection broke.
         """
         parts: list[bytes] = []
+        response = self.response
         place = 0
         try:
             arrived = self._peek()
-            while place < len(arrived):
-                head_end = self._skip_head(arrived, place)
-                if head_end is None:
-                    break
-                place = head_end
-                if place < len(arrived):
-                    parts.append(self.response.read1(READ_BYTES))
-                    place += len(parts[-1])
+            size = len(arrived)
+            while place < size:
+                if response.chunked and not response.chunk_left:
+                    head_end = arrived.find(b"\n", place) + 1
+                    if not self._is_head_whole(arrived, place, head_end):
+                        break
+                    place = head_end
+                data = response.read1(READ_BYTES)
+                parts.append(data)
+                place += len(data)
+                place += self._read_chunk_end(arrived, place)
         except (OSError, ValueError, http.client.HTTPException) as error:
             raise TargetError(f"answer broke off: {error!r}", is_sent=True) from error
-        self.must_wait = place < len(arrived)
+        self.must_wait = place < size
         return b"".join(parts)
 
     def _peek(self) -> bytes:
-        response = self.response
-        if response.isclosed():
+        if self.response.isclosed():
             return b""
-        arrived: bytes = response.fp.peek()
-        if arrived != CHUNK_END or response.chunk_left != 0:
-            return arrived
-        # A buffer that isn't empty is not filled up, so that the end of the last chunk
-        # would hide the next one.
-        self._read_chunk_end()
-        return response.fp.peek()
-
-    def _skip_head(self, arrived: bytes, place: int) -> int | None:
-        # Where data begins, or None if http.client would wait while it looks for it.
-        response = self.response
-        if not response.chunked or response.chunk_left:
-            return place
-        if response.chunk_left == 0:
-            if len(arrived) - place < len(CHUNK_END):
-                return None
-            self._read_chunk_end()
-            place += len(CHUNK_END)
-            if place == len(arrived):
-                return place
-        data = arrived.find(b"\n", place) + 1
-        is_whole = 0 < data < len(arrived)
-        return data if is_whole and not arrived.startswith(b"0", place) else None
-
-    def _read_chunk_end(self) -> None:
+        arrived: bytes = self.response.fp.peek()
+        if self._read_chunk_end(arrived, 0):
+            arrived = self.response.fp.peek()
+        return arrived
+
+    def _is_head_whole(self, arrived: bytes, place: int, head_end: int) -> bool:
+        # After the size of the next chunk there must be data, or http.client waits.
+        # That of the last chunk is 0.
+        return (
+            self.response.chunk_left is None
+            and 0 < head_end < len(arrived)
+            and not arrived.startswith(b"0", place)
+        )
+
+    def _read_chunk_end(self, arrived: bytes, place: int) -> int:
+        # Left in the buffer, which isn't filled up unless empty, the end of the last
+        # chunk would hide the next one.
+        if self.response.chunk_left != 0 or not arrived.startswith(CHUNK_END, place):
+            return 0
         self.response.fp.read(len(CHUNK_END))
         self.response.chunk_left = None
+        return len(CHUNK_END)
 
     def read_all(self, limit: int) -> bytes:
         """Return the whole body.
