Keep the relay thread from files and test its limits

Cause: with a caller that reads nothing, waitress writes unsent bytes beyond 1 MB into a file, in the thread that writes; the relay thread left a stream only after 8 MB. Change: the worker goes on alone after 512 KiB (some 2,300 tokens) of an answer.

pytest of daemon, targets and tests/test_callers.py passes.

--- a/src/thornlatch/daemon/_relay.py
+++ b/src/thornlatch/daemon/_relay.py
@@ -16,8 +16,9 @@
 
 TURN_S = 0.25
 WAIT_S = 5.0
-# Below waitress's limit of unsent bytes, beyond which a write waits for the caller.
-RELAY_LIMIT_BYTES = 8 << 20
+# Waitress puts unsent bytes beyond 1 MB into a file, and beyond 16 MB a write waits for
+# the caller; the relay thread must do neither.
+RELAY_LIMIT_BYTES = 1 << 19
 Send = Callable[[list[CompletionChunk]], None]
 
 
--- a/src/thornlatch/daemon/tests/test_relay.py
+++ b/src/thornlatch/daemon/tests/test_relay.py
@@ -8,12 +8,14 @@
 
 import pytest
 
-from thornlatch.daemon._relay import StreamRelay
+from thornlatch.daemon import _relay
+from thornlatch.daemon._relay import StreamRelay, send_arrived
 from thornlatch.exceptions import TargetError
 from thornlatch.targets import ChunkReader, TargetCall, open_call
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+CLOSING = HEAD + b"Connection: close\r\nTransfer-Encoding: chunked\r\n\r\n"
 WAIT_S = 5.0
 
 
@@ -140,9 +142,10 @@
     target.close()
 
 
+@pytest.mark.parametrize("head", [CHUNKED, CLOSING], ids=["stays_open", "will_close"])
 @pytest.mark.parametrize("fault", ["cut_off", "aborted", "silent", "malformed"])
-def test_pass_on_broken_stream(relay, executor, fault):
-    target = RawTarget(timeout_s=0.5 if fault == "silent" else WAIT_S)
+def test_pass_on_broken_stream(relay, executor, fault, head):
+    target = RawTarget(head, timeout_s=0.5 if fault == "silent" else 2 * WAIT_S)
     seen = []
     passing = executor.submit(pass_on_whole, relay, target.reader, seen)
     target.send(frame(build_event(0)))
@@ -158,6 +161,29 @@
     target.close()
 
 
+def test_pass_on_long_answer_ends_in_its_worker(relay, executor, monkeypatch):
+    monkeypatch.setattr(_relay, "RELAY_LIMIT_BYTES", 300)
+    target = RawTarget()
+    passed_on = []
+    monkeypatch.setattr(_relay, "send_arrived", note_calls(passed_on))
+    passing = executor.submit(pass_on_whole, relay, target.reader, [])
+    for part in map(frame, map(build_event, range(9))):
+        target.send(part)
+        time.sleep(0.01)
+    target.send(frame(b"data: [DONE]\n\n") + frame(b""))
+    assert passing.result(WAIT_S) == list(range(9))
+    assert max(passed_on) <= 300
+    target.close()
+
+
+def note_calls(passed_on):
+    def note(reader, send):
+        passed_on.append(reader.read_bytes)
+        send_arrived(reader, send)
+
+    return note
+
+
 def test_pass_on_error_of_send(relay, executor):
     target, other = RawTarget(), RawTarget()
 
