Hand a stopping owner's keys over while its requests run

Cause: a planned stop gave up leases and shares only after the last running request, so a host with a long stream stayed the owner of its pools and organisations until the stream's end.

Ruled out: closing the session early (its rights would be found free while in use, and it could no longer be confirmed); waiting for the record of the last order without a bound.

Change: a control record KeysReleased ends a session's ownerships but not the session. The host acts as no owner from its decision on, appends the record once its orders have ended (at most order_limit_s), stays a member, a voter and a possible holder, and answers its successors' inventories. The stop sequence releases keys, then returns shares once no request waits for one, then waits for the running requests, then closes.

Before: tests/test_outages.py::test_stopping_owner_hands_its_keys_over_while_its_stream_runs failed, no takeover within 8 s while the stream (10 s) ran. After: the same command passes (PYTEST_XDIST_WORKER=gw8 pytest -p no:xdist tests/test_outages.py).

Seeded breakage released_keys_kept (an owner that goes on until it reads its record) is caught by test_breakage_random. The histories' schedules draw releases too.

Also: tests/test_outages.py::test_rate_is_kept_while_its_owner_stops.

--- a/src/thornlatch/admission/_admission.py
+++ b/src/thornlatch/admission/_admission.py
@@ -324,6 +324,10 @@
         )
         return [Emit(event), *self.serve(key, now=now)]
 
+    def has_waiting(self) -> bool:
+        """Return whether a request waits for a share."""
+        return any(queue.requests for queue in self.queues.values())
+
     def cancel(self, ticket: str, *, now: float) -> None:
         """Forget a request that waits; one that was admitted is settled instead."""
         for queue in self.queues.values():
--- a/src/thornlatch/daemon/_stop.py
+++ b/src/thornlatch/daemon/_stop.py
@@ -1,4 +1,4 @@
-"""The planned stop: leave the rotation, finish, give rights up, end the session."""
+"""The planned stop: leave the rotation, hand over, finish, end the session."""
 
 import signal
 import time
@@ -14,6 +14,7 @@
 POLL_S = 0.02
 IDLE_POLL_S = 0.2
 SETTLE_LIMIT_S = 5.0
+ADMIT_GRACE_S = 0.2
 
 
 class StopSequence:
@@ -64,6 +65,7 @@
         self.journal.write(Event("daemon.stop_began"))
         self._pause(self.settings.rotation_s)
         self.services.is_stopping = True
+        self._hand_over()
         if not self._finish_requests():
             self.journal.write(
                 Event("daemon.stop_forced", detail={"running": len(self.running)})
@@ -87,6 +89,17 @@
                 self.journal.write(Event("daemon.stop_late", detail=detail))
         return False
 
+    def _hand_over(self) -> None:
+        """Give up keys and shares; running requests keep their grants."""
+        node = self.services.node
+        self.services.submit(lambda now: node.membership.release_keys(now=now))
+        # Requests that came before the refusals still need their tokens.
+        self._pause(ADMIT_GRACE_S)
+        self._settle(
+            lambda: not self.services.run(lambda now: node.admission.has_waiting())
+        )
+        self.services.submit(lambda now: node.admission.close(now=now))
+
     def _give_up_rights(self) -> None:
         node = self.services.node
         self.services.submit(lambda now: node.dispatch.close(now))
--- a/src/thornlatch/leases/_table.py
+++ b/src/thornlatch/leases/_table.py
@@ -35,7 +35,8 @@
     A member can own keys once it is *established*: each member that joined before
     it has acknowledged its join or is gone. The established member with the highest
     score owns a key; members that outrank this host but are not established yet
-    take the key away as soon as this host has sent its acknowledgement.
+    take the key away as soon as this host has sent its acknowledgement. A member that
+    has released its keys stays a possible holder of rights and owns nothing.
 
     Parameters
     ----------
@@ -77,6 +78,8 @@
         """
         if not self.membership.is_confirmed(now=now):
             return None
+        if self.membership.has_released_keys:
+            return None
         entry = self._get_entry(key)
         if entry is None or entry.owner.host != self.membership.host:
             return None
--- a/src/thornlatch/leases/tests/breakages.py
+++ b/src/thornlatch/leases/tests/breakages.py
@@ -96,6 +96,17 @@
         return False
 
 
+class KeepingReleasedKeys(LeaseTable):
+    """Goes on as an owner until it reads its own record."""
+
+    def get_held_epoch(self, key, *, now):
+        duties = self.membership.duties
+        released_at, duties.released_at = duties.released_at, None
+        epoch = super().get_held_epoch(key, now=now)
+        duties.released_at = released_at
+        return epoch
+
+
 BREAKAGES = {
     "no_wait": Classes(membership=WaitingForNobody),
     "epoch_ignored": Classes(table=EpochOfSession),
@@ -108,4 +119,5 @@
     "slow_taken_for_fast": Classes(membership=with_view(HastyView)),
     "accused_supported": Classes(membership=SupportingTheAccused),
     "keys_kept": Classes(table=KeepingGivenUpKeys),
+    "released_keys_kept": Classes(table=KeepingReleasedKeys),
 }
--- a/src/thornlatch/leases/tests/fleet.py
+++ b/src/thornlatch/leases/tests/fleet.py
@@ -230,6 +230,9 @@
             delay += host.paused_until - self.time
         self.schedule(delay, lambda: self.tick_host(host))
 
+    def release_keys(self, host: Host) -> None:
+        host.call(lambda: host.carry_out(host.membership.release_keys(now=host.now())))
+
     def close_host(self, host: Host) -> None:
         host.call(lambda: host.carry_out(host.membership.close(now=host.now())))
 
--- a/src/thornlatch/leases/tests/schedules.py
+++ b/src/thornlatch/leases/tests/schedules.py
@@ -127,6 +127,15 @@
     fleet.schedule(3.0, lambda: fleet.crash(host))
 
 
+def release(fleet: Fleet, random: Random) -> None:
+    """Let a host release its keys and end its session after a while."""
+    host = _pick(fleet, random)
+    fleet.release_keys(host)
+    delay = random.choice([0.5, 4.0, 12.0])
+    fleet.schedule(delay, lambda: fleet.close_host(host))
+    fleet.schedule(delay + 3.0, lambda: fleet.crash(host))
+
+
 def pause(fleet: Fleet, random: Random) -> None:
     fleet.pause(_pick(fleet, random), random.choice([0.7, 1.5, 3.0, 6.0, 20.0]))
 
@@ -184,6 +193,7 @@
     join,
     join,
     close,
+    release,
     pause,
     pause,
     replace,
--- a/src/thornlatch/leases/tests/test_table.py
+++ b/src/thornlatch/leases/tests/test_table.py
@@ -10,6 +10,7 @@
     Accused,
     Expelled,
     HostRemoved,
+    KeysReleased,
     Membership,
     MembershipSettings,
     SessionClosed,
@@ -214,3 +215,45 @@
     key = find_key(view, "b.1")
     assert view.table.get_held_epoch(key, now=11.9) is not None
     assert view.table.get_held_epoch(key, now=12.1) is None
+
+
+def test_released_keys_move_and_their_holder_stays_a_possible_holder():
+    view = View("b.1")
+    view.join("a.1")
+    view.join("b.1")
+    view.membership.note_log_read(sent_at=1.0, now=1.0)
+    before = view.owners()
+    view.apply(KeysReleased("a.1"), now=1.0)
+    released_at = view.offset
+    for key, owner in view.owners().items():
+        assert owner.host == "b.1"
+        is_moved = before[key].host == "a.1"
+        assert owner.epoch == (released_at if is_moved else before[key].epoch)
+        assert view.table.get_held_epoch(key, now=1.0) == owner.epoch
+    assert "a.1" in view.table.iter_possible_holders(now=1.0)
+    view.apply(SessionClosed("a.1"), now=1.0)
+    assert {owner.epoch for owner in view.owners().values()} <= {
+        released_at,
+        *(owner.epoch for owner in before.values()),
+    }
+    assert list(view.table.iter_possible_holders(now=1.0)) == ["b.1"]
+
+
+def test_released_keys_are_acted_on_by_nobody_before_the_record():
+    view = View("a.1")
+    view.join("a.1")
+    view.join("b.1")
+    view.membership.note_log_read(sent_at=1.0, now=1.0)
+    owned = [key for key, owner in view.owners().items() if owner.host == "a.1"]
+    assert view.table.get_held_epoch(owned[0], now=1.0) is not None
+    assert view.membership.release_keys(now=1.0)
+    assert view.table.get_held_epoch(owned[0], now=1.0) is None
+    assert view.membership.is_confirmed(now=1.0)
+
+
+def test_keys_of_the_only_member_are_not_released():
+    view = View("a.1")
+    view.join("a.1")
+    view.membership.note_log_read(sent_at=1.0, now=1.0)
+    view.membership.release_keys(now=1.0)
+    assert view.table.get_held_epoch(KEYS[0], now=1.0) is not None
--- a/src/thornlatch/membership/_duties.py
+++ b/src/thornlatch/membership/_duties.py
@@ -14,6 +14,7 @@
     Defended,
     Expelled,
     HostRemoved,
+    KeysReleased,
     ViewAcknowledged,
     ViewRecorded,
 )
@@ -57,6 +58,8 @@
         self.has_open_orders: Callable[[float], bool] = lambda now: False
         self.acknowledged_offset = -1
         self.given_up_at = -inf
+        self.is_releasing = False
+        self.released_at: float | None = None
         self.acknowledge_at: float | None = None
         self.defend_at: float | None = None
         self.view_recorded_at: float | None = None
@@ -95,6 +98,7 @@
         list of Action
         """
         return [
+            *self._release_keys(view, now),
             *self._acknowledge(view, now),
             *self._defend(view, now),
             *self._accuse(view, suspects, now),
@@ -119,13 +123,26 @@
             # From here on this host doesn't act on the keys that move.
             self.acknowledged_offset = view.offset
             self.given_up_at = now
-        if self._has_orders_under_way(now):
+        if self._has_orders_under_way(self.given_up_at, now):
             return []
         record = ViewAcknowledged(self.host, self.acknowledged_offset)
         return self.append(purpose, record, now=now)
 
-    def _has_orders_under_way(self, now: float) -> bool:
-        has_ended = now - self.given_up_at >= self.settings.order_limit_s
+    def _release_keys(self, view: ViewFold, now: float) -> list[Action]:
+        if not self.is_releasing or self.host in view.released:
+            return []
+        if self.released_at is None:
+            if not view.established.keys() - {self.host}:
+                return []
+            # From here on this host acts as no key's owner, whatever comes of the
+            # record: a repeated append may land late.
+            self.released_at = now
+        if self._has_orders_under_way(self.released_at, now):
+            return []
+        return self.append("release keys", KeysReleased(self.host), now=now)
+
+    def _has_orders_under_way(self, given_up_at: float, now: float) -> bool:
+        has_ended = now - given_up_at >= self.settings.order_limit_s
         return not has_ended and self.has_open_orders(now)
 
     def _defend(self, view: ViewFold, now: float) -> list[Action]:
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -89,6 +89,11 @@
         """Greatest view offset of an acknowledgement that this host has sent."""
         return self.duties.acknowledged_offset
 
+    @property
+    def has_released_keys(self) -> bool:
+        """Whether this host has stopped to act as any key's owner, for good."""
+        return self.duties.released_at is not None
+
     def is_confirmed(self, *, now: float) -> bool:
         """Return whether this host may use its rights at `now`.
 
@@ -142,6 +147,23 @@
         self.is_opening = True
         return self._open(now)
 
+    def release_keys(self, *, now: float) -> list[Action]:
+        """Hand this host's keys over to other members; its session goes on.
+
+        Done by `tick` as soon as the log is readable and another member can own
+        keys; rights that this host was granted stay its own.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        self.duties.is_releasing = True
+        return self.tick(now=now)
+
     def close(self, *, now: float) -> list[Action]:
         """End the session; this host acts on nothing from here on.
 
--- a/src/thornlatch/membership/_records.py
+++ b/src/thornlatch/membership/_records.py
@@ -1,6 +1,6 @@
 """Records of stream ``control``: sessions, accusations and acknowledgements."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from thornlatch.core import register
 
@@ -39,6 +39,19 @@
     host: str
 
 
+@register
+@dataclass(frozen=True)
+class KeysReleased:
+    """States that a host acts as no key's owner from here on; its session goes on.
+
+    Parameters
+    ----------
+    host : str
+    """
+
+    host: str
+
+
 @register
 @dataclass(frozen=True)
 class Accused:
@@ -147,6 +160,8 @@
         Host id and kind of wait.
     removed : list of str
         Departed hosts that can act no more.
+    released : list of str
+        Members that own no keys any more.
     """
 
     electorate_offset: int
@@ -157,6 +172,7 @@
     departures: list[tuple[str, int, int, str]]
     departed: list[tuple[str, str]]
     removed: list[str]
+    released: list[str] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -212,6 +228,7 @@
 Record = (
     SessionOpened
     | SessionClosed
+    | KeysReleased
     | Accused
     | Defended
     | Expelled
--- a/src/thornlatch/membership/_view.py
+++ b/src/thornlatch/membership/_view.py
@@ -12,6 +12,7 @@
     Defended,
     Expelled,
     HostRemoved,
+    KeysReleased,
     Record,
     SessionClosed,
     SessionOpened,
@@ -51,15 +52,16 @@
 
 @dataclass(frozen=True)
 class Departure:
-    """The end of a session.
+    """The end of a session, or of its ownerships alone.
 
     Parameters
     ----------
     host : str
     offset : int
-        Offset of the record that ended the session.
+        Offset of the record that ended the session or released the keys.
     established_offset : int
-        Offset at which the host could first own keys; -1 if never.
+        Offset at which the host could first own keys; -1 if never, or if it had
+        released them before.
     wait : Wait
     """
 
@@ -90,6 +92,7 @@
         self.acknowledged: dict[str, int] = {}
         self.awaiting: dict[str, set[str]] = {}
         self.established: dict[str, int] = {}
+        self.released: set[str] = set()
         self.departures: list[Departure] = []
         self.departed: dict[str, Wait] = {}
         self.removed: dict[str, None] = {}
@@ -181,6 +184,18 @@
         if record.host in self.members:
             self._depart(record.host, offset, Wait.NONE)
 
+    @_fold.register
+    def _release(self, record: KeysReleased, offset: int) -> None:
+        host = record.host
+        if host not in self.members or host in self.released:
+            return
+        self.released.add(host)
+        self.awaiting.pop(host, None)
+        established = self.established.pop(host, -1)
+        # Successors' epochs follow it, as if the session had been closed.
+        self.departures.append(Departure(host, offset, established, Wait.NONE))
+        self.version += 1
+
     @_fold.register
     def _accuse(self, record: Accused, offset: int) -> None:
         if not self._is_valid_accusation(record, offset):
@@ -257,6 +272,7 @@
         established = self.established.pop(member.host, -1)
         self.departures.append(Departure(host, offset, established, wait))
         self.departed[host] = wait
+        self.released.discard(host)
         self._forget(host)
         if host in self.voters and wait is Wait.SLOW:
             # It may still support hosts that are cut off from the log with it, so
--- a/src/thornlatch/membership/tests/test_view.py
+++ b/src/thornlatch/membership/tests/test_view.py
@@ -10,6 +10,7 @@
     Defended,
     Expelled,
     HostRemoved,
+    KeysReleased,
     SessionClosed,
     SessionOpened,
     ViewAcknowledged,
@@ -51,6 +52,7 @@
     "opened": opened("d.1"),
     "accused": ACCUSED,
     "closed": SessionClosed("a.1"),
+    "released": KeysReleased("a.1"),
     "acknowledged": ViewAcknowledged("a.1", 11),
     "removed": HostRemoved("a.1", "operator"),
 }
@@ -173,6 +175,7 @@
 records = st.one_of(
     st.builds(opened, host_names),
     st.builds(SessionClosed, host_names),
+    st.builds(KeysReleased, host_names),
     st.builds(Accused, host_names, host_names, offsets),
     st.builds(Defended, host_names, offsets),
     st.builds(Expelled, host_names, offsets, host_names),
--- /dev/null
+++ b/tests/test_outages.py
@@ -0,0 +1,188 @@
+"""Planned stops of owners, long outages of the log and races, over real processes."""
+
+import threading
+import time
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import replace
+
+from tests.deployments import (
+    Deployment,
+    append,
+    build_inventory,
+    complete,
+    start_deployment,
+)
+from tests.fleet import send_http, wait_until
+from tests.streams import StreamCaller
+from tests.test_failures import find_excess
+from thornlatch.configuration import (
+    Adapter,
+    ConfigurationPublished,
+    Key,
+    Organisation,
+    digest_key,
+)
+
+EXTRA_ORGANISATIONS = 20
+GAP_LIMIT_S = 1.0
+
+
+def get_organisation_key(name):
+    return f"{name}-secret-key"
+
+
+def add_organisations(inventory, rate):
+    """Add so many organisations that each host owns one, with an adapter each."""
+    names = [f"org-{i}" for i in range(EXTRA_ORGANISATIONS)]
+    organisations = [Organisation(name, rate, 2 * rate) for name in names]
+    keys = [Key(digest_key(get_organisation_key(name)), name) for name in names]
+    adapters = [Adapter(f"of-{name}", "1", "llm", name) for name in names]
+    return replace(
+        inventory,
+        organisations=(*inventory.organisations, *organisations),
+        keys=(*inventory.keys, *keys),
+        adapters=(*inventory.adapters, *adapters),
+    )
+
+
+def start_with_organisations(fleet, deployment):
+    hosts = start_deployment(fleet, deployment)
+    status = send_http(fleet.addresses[hosts[0]], "GET", "/status").json
+    inventory = add_organisations(build_inventory(fleet, deployment), deployment.rate)
+    base = status["configuration"]["inventory_offset"]
+    append(fleet, "configuration", ConfigurationPublished(base, "tests", inventory))
+    wait_until(lambda: len(find_owners(fleet)) >= EXTRA_ORGANISATIONS)
+    return hosts
+
+
+def find_owners(fleet):
+    """Return the host that owns each organisation that was added."""
+    return {
+        event["key"].removeprefix("organisation:"): event["host"].partition(".")[0]
+        for event in sorted(fleet.read_events(), key=lambda e: e["wall"])
+        if event["event"] == "admission.inventory_completed"
+        and event["key"].startswith("organisation:org-")
+    }
+
+
+def find_pool_owner(fleet, hosts, pool):
+    for host in hosts:
+        status = send_http(fleet.addresses[host], "GET", "/status").json
+        if pool in status["owned_pools"]:
+            return host
+    return None
+
+
+class Load:
+    """Callers that send one request after another and note each one's wait."""
+
+    def __init__(self, addresses, organisation, max_tokens=2):
+        self.addresses = addresses
+        self.organisation = organisation
+        self.max_tokens = max_tokens
+        self.waits = []
+        self.answers = []
+        self.is_stopped = threading.Event()
+        self.executor = ThreadPoolExecutor(len(addresses))
+
+    def __enter__(self):
+        for address in self.addresses:
+            self.executor.submit(self.run, address)
+        return self
+
+    def __exit__(self, *_):
+        self.is_stopped.set()
+        self.executor.shutdown()
+
+    def run(self, address):
+        while not self.is_stopped.is_set():
+            began_at = time.monotonic()
+            answer = complete(
+                address,
+                key=get_organisation_key(self.organisation),
+                model=f"of-{self.organisation}",
+                max_tokens=self.max_tokens,
+            )
+            self.waits.append(time.monotonic() - began_at)
+            self.answers.append(answer)
+            self.is_stopped.wait(0.0 if answer.status == 200 else 0.02)
+
+
+def test_stopping_owner_hands_its_keys_over_while_its_stream_runs(fleet):
+    deployment = Deployment(hosts=3, engines=2, token_s=0.02, rate=5000.0)
+    hosts = start_with_organisations(fleet, deployment)
+    leaver = wait_until(lambda: find_pool_owner(fleet, hosts, "llm"))
+    owners = find_owners(fleet)
+    organisation = next(name for name, host in owners.items() if host == leaver)
+    others = [host for host in hosts if host != leaver]
+    stream = StreamCaller(
+        fleet.addresses[leaver],
+        f"of-{organisation}",
+        "p",
+        500,
+        key=get_organisation_key(organisation),
+    ).start()
+    assert stream.first_token.wait(20)
+    addresses = [fleet.addresses[host] for host in others] * 2
+    with Load(addresses, organisation) as load:
+        time.sleep(0.5)
+        fleet.terminate(leaver)
+        wait_until(
+            lambda: (
+                find_pool_owner(fleet, others, "llm")
+                and find_owners(fleet)[organisation] != leaver
+            ),
+            timeout_s=8,
+            what="another host to own the pool and the organisation",
+        )
+        assert stream.thread.is_alive()
+        # More adapters than the engines hold, so that the new owner must evict.
+        for number, name in enumerate(owners):
+            answer = complete(
+                fleet.addresses[others[number % 2]],
+                key=get_organisation_key(name),
+                model=f"of-{name}",
+                max_tokens=2,
+            )
+            assert answer.status == 200
+    assert stream.thread.is_alive()
+    assert {answer.status for answer in load.answers} == {200}
+    assert max(load.waits) < GAP_LIMIT_S
+    assert stream.join().is_right, (stream.error, stream.text[-40:])
+    assert fleet.wait_exit(leaver) == 0
+    names = [event["event"] for event in fleet.read_events()]
+    assert "target.adapter_unloaded" in names
+
+
+def test_rate_is_kept_while_its_owner_stops(fleet):
+    rate = 400.0
+    deployment = Deployment(hosts=3, engines=2, token_s=0.01, rate=rate)
+    hosts = start_with_organisations(fleet, deployment)
+    organisation, leaver = next(iter(find_owners(fleet).items()))
+    addresses = [fleet.addresses[host] for host in hosts if host != leaver] * 12
+    time.sleep(2.5)  # Parts begin empty; the stream costs 1.5 s of the rate.
+    stream = StreamCaller(
+        fleet.addresses[leaver],
+        f"of-{organisation}",
+        "p",
+        550,
+        key=get_organisation_key(organisation),
+    ).start()
+    assert stream.first_token.wait(20)
+    began_at = time.monotonic()
+    with Load(addresses, organisation, max_tokens=40) as load:
+        time.sleep(1)
+        fleet.terminate(leaver)
+        time.sleep(5)
+    duration_s = time.monotonic() - began_at
+    assert {answer.status for answer in load.answers} == {200, 429}
+    assert stream.join().is_right, (stream.error, stream.text[-40:])
+    assert fleet.wait_exit(leaver) == 0
+    spent = sorted(
+        (event["monotonic"], event["detail"]["tokens"])
+        for event in fleet.read_events()
+        if event["event"] == "admission.tokens_spent"
+        and event["organisation"] == organisation
+    )
+    assert find_excess(spent, rate, 2 * rate) <= 0
+    assert sum(tokens for _, tokens in spent) > 0.5 * rate * duration_s
