Keep one owner until the queues of stopping hosts are served

Cause: with the release of keys before the requests' end, hosts that stop at once could all release and leave their queued requests without an owner; and the last owner could close before the others' queues were served, or give up its shares of the loads while it still owned pools.

Change: the first KeysReleased of a session decides for good and has no effect if no other member is established; the host then goes on as the owner, keeps its shares, and closes only after the members that released theirs are gone (while the log is readable). Shares are returned only once other members own the keys.

Failed first: test_fleet_stopping_at_once_serves_its_queue (503 in place of 200 for part of 12 requests) and test_last_owner_waits_for_the_queues_of_hosts_that_released_theirs (3 of 5 got 503). Both drafts with one adapter passed by chance, since a kept grant serves its adapter's queue without an owner. A first try that kept the owner but closed its shares failed too (loads starved until the callers' time-outs).

--- a/src/thornlatch/daemon/_stop.py
+++ b/src/thornlatch/daemon/_stop.py
@@ -65,7 +65,11 @@
         self.journal.write(Event("daemon.stop_began"))
         self._pause(self.settings.rotation_s)
         self.services.is_stopping = True
-        self._hand_over()
+        self.services.submit(
+            lambda now: self.services.node.membership.release_keys(now=now)
+        )
+        # Requests that came before the refusals still need their tokens.
+        self._pause(ADMIT_GRACE_S)
         if not self._finish_requests():
             self.journal.write(
                 Event("daemon.stop_forced", detail={"running": len(self.running)})
@@ -80,8 +84,12 @@
     def _finish_requests(self) -> bool:
         started = time.monotonic()
         is_late = False
+        is_returned = False
         while self.requests < 2:
-            if self.running.wait_until_empty(POLL_S):
+            if not is_returned and self.services.run(self._may_return_shares):
+                is_returned = True
+                self._return_shares()
+            if self.running.wait_until_empty(POLL_S) and not self._is_needed():
                 return True
             if not is_late and time.monotonic() - started > self.settings.limit_s:
                 is_late = True
@@ -89,21 +97,26 @@
                 self.journal.write(Event("daemon.stop_late", detail=detail))
         return False
 
-    def _hand_over(self) -> None:
-        """Give up keys and shares; running requests keep their grants."""
+    def _is_needed(self) -> bool:
+        """Return whether requests of other stopping hosts need this one's duties."""
         node = self.services.node
-        self.services.submit(lambda now: node.membership.release_keys(now=now))
-        # Requests that came before the refusals still need their tokens.
-        self._pause(ADMIT_GRACE_S)
-        self._settle(
-            lambda: not self.services.run(lambda now: node.admission.has_waiting())
+        return self.services.run(
+            lambda now: node.membership.is_needed_as_owner(now=now)
         )
+
+    def _may_return_shares(self, now: float) -> bool:
+        # An owner of pools needs its share of the loads until others own them.
+        node = self.services.node
+        return node.membership.has_handed_over and not node.admission.has_waiting()
+
+    def _return_shares(self) -> None:
+        node = self.services.node
         self.services.submit(lambda now: node.admission.close(now=now))
 
     def _give_up_rights(self) -> None:
         node = self.services.node
         self.services.submit(lambda now: node.dispatch.close(now))
-        self.services.submit(lambda now: node.admission.close(now=now))
+        self._return_shares()
         self._settle(lambda: not node.claims.has_unwritten)
         self._settle(
             lambda: (
--- a/src/thornlatch/leases/tests/test_table.py
+++ b/src/thornlatch/leases/tests/test_table.py
@@ -251,6 +251,22 @@
     assert view.membership.is_confirmed(now=1.0)
 
 
+def test_last_of_the_hosts_that_release_at_once_keeps_its_keys():
+    view = View("b.1")
+    for host in ("a.1", "b.1"):
+        view.join(host)
+    view.membership.note_log_read(sent_at=1.0, now=1.0)
+    view.membership.release_keys(now=1.0)
+    view.apply(KeysReleased("a.1"), KeysReleased("b.1"), now=1.0)
+    view.membership.tick(now=1.1)
+    assert view.table.get_held_epoch(KEYS[0], now=1.1) is not None
+    view.join("c.1", now=1.2)
+    before = view.owners()
+    view.apply(KeysReleased("b.1"), now=1.3)
+    assert view.owners() == before
+    assert {owner.host for owner in before.values()} == {"b.1", "c.1"}
+
+
 def test_keys_of_the_only_member_are_not_released():
     view = View("a.1")
     view.join("a.1")
--- a/src/thornlatch/membership/_duties.py
+++ b/src/thornlatch/membership/_duties.py
@@ -129,13 +129,17 @@
         return self.append(purpose, record, now=now)
 
     def _release_keys(self, view: ViewFold, now: float) -> list[Action]:
-        if not self.is_releasing or self.host in view.released:
+        is_released = view.releases.get(self.host)
+        if is_released is False:
+            # Nobody can take the keys over, and a repeat of the record changes nothing.
+            self.released_at = None
+        if not self.is_releasing or is_released is not None:
             return []
         if self.released_at is None:
             if not view.established.keys() - {self.host}:
                 return []
-            # From here on this host acts as no key's owner, whatever comes of the
-            # record: a repeated append may land late.
+            # From here on this host acts as no key's owner unless it reads that the
+            # record had no effect: a repeated append may land late.
             self.released_at = now
         if self._has_orders_under_way(self.released_at, now):
             return []
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -91,9 +91,30 @@
 
     @property
     def has_released_keys(self) -> bool:
-        """Whether this host has stopped to act as any key's owner, for good."""
+        """Whether this host doesn't act as any key's owner, as it hands them over."""
         return self.duties.released_at is not None
 
+    @property
+    def has_handed_over(self) -> bool:
+        """Whether other members own the keys that this host released."""
+        return self.view.releases.get(self.host, False)
+
+    def is_needed_as_owner(self, *, now: float) -> bool:
+        """Return whether members that released their keys have no other owner left.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        bool
+            False while the log can't be read, since then nobody can leave either.
+        """
+        if not self._is_log_usable(now) or self.view.established.keys() != {self.host}:
+            return False
+        return any(self.view.releases.values())
+
     def is_confirmed(self, *, now: float) -> bool:
         """Return whether this host may use its rights at `now`.
 
--- a/src/thornlatch/membership/_recorded.py
+++ b/src/thornlatch/membership/_recorded.py
@@ -34,7 +34,7 @@
         ],
         [(host, wait.value) for host, wait in view.departed.items()],
         list(view.removed),
-        sorted(view.released),
+        list(view.releases.items()),
     )
 
 
@@ -51,7 +51,7 @@
     view.offset = offset
     view.version += 1
     view.electorate_offset = state.electorate_offset
-    view.released = set(state.released)
+    view.releases = dict(state.releases)
     _load_members(view, state.members)
     view.voters = dict(state.voters)
     view.ghosts = set(state.ghosts)
@@ -153,7 +153,9 @@
     }
     view.acknowledged = {m.host: m.acknowledged for m in members}
     view.fences = {m.host: m.fence for m in members if m.fence >= 0}
-    pending = [m for m in members if m.established < 0 and m.host not in view.released]
+    pending = [
+        m for m in members if m.established < 0 and not view.releases.get(m.host)
+    ]
     view.awaiting = {m.host: set(m.awaiting) for m in pending}
     done = sorted(
         (m for m in members if m.established >= 0), key=lambda m: m.established
--- a/src/thornlatch/membership/_records.py
+++ b/src/thornlatch/membership/_records.py
@@ -44,6 +44,9 @@
 class KeysReleased:
     """States that a host acts as no key's owner from here on; its session goes on.
 
+    The first such record of a session decides: it has no effect, and no later one has,
+    if no other member is established then.
+
     Parameters
     ----------
     host : str
@@ -160,8 +163,8 @@
         Host id and kind of wait.
     removed : list of str
         Departed hosts that can act no more.
-    released : list of str
-        Members that own no keys any more.
+    releases : list of tuple of str and bool
+        Members whose `KeysReleased` was read, and whether they own no keys since.
     """
 
     electorate_offset: int
@@ -172,7 +175,7 @@
     departures: list[tuple[str, int, int, str]]
     departed: list[tuple[str, str]]
     removed: list[str]
-    released: list[str] = field(default_factory=list)
+    releases: list[tuple[str, bool]] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/membership/_view.py
+++ b/src/thornlatch/membership/_view.py
@@ -92,7 +92,7 @@
         self.acknowledged: dict[str, int] = {}
         self.awaiting: dict[str, set[str]] = {}
         self.established: dict[str, int] = {}
-        self.released: set[str] = set()
+        self.releases: dict[str, bool] = {}
         self.departures: list[Departure] = []
         self.departed: dict[str, Wait] = {}
         self.removed: dict[str, None] = {}
@@ -187,9 +187,12 @@
     @_fold.register
     def _release(self, record: KeysReleased, offset: int) -> None:
         host = record.host
-        if host not in self.members or host in self.released:
+        if host not in self.members or host in self.releases:
+            return
+        # Hosts that stop at once must not leave the keys without an owner.
+        self.releases[host] = bool(self.established.keys() - {host})
+        if not self.releases[host]:
             return
-        self.released.add(host)
         self.awaiting.pop(host, None)
         established = self.established.pop(host, -1)
         # Successors' epochs follow it, as if the session had been closed.
@@ -272,7 +275,7 @@
         established = self.established.pop(member.host, -1)
         self.departures.append(Departure(host, offset, established, wait))
         self.departed[host] = wait
-        self.released.discard(host)
+        self.releases.pop(host, None)
         self._forget(host)
         if host in self.voters and wait is Wait.SLOW:
             # It may still support hosts that are cut off from the log with it, so
--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -66,11 +66,11 @@
 
 
 def find_pool_owner(fleet, hosts, pool):
-    for host in hosts:
-        status = send_http(fleet.addresses[host], "GET", "/status").json
-        if pool in status["owned_pools"]:
-            return host
-    return None
+    return next((host for host in hosts if pool in list_owned_pools(fleet, host)), None)
+
+
+def list_owned_pools(fleet, host):
+    return send_http(fleet.addresses[host], "GET", "/status").json["owned_pools"]
 
 
 class Load:
@@ -186,3 +186,44 @@
     )
     assert find_excess(spent, rate, 2 * rate) <= 0
     assert sum(tokens for _, tokens in spent) > 0.5 * rate * duration_s
+
+
+def test_fleet_stopping_at_once_serves_its_queue(fleet):
+    deployment = Deployment(hosts=3, engines=1, batch_slots=2, token_s=0.02)
+    hosts = start_deployment(fleet, deployment)
+    addresses = [fleet.addresses[host] for host in hosts] * 4
+    headers = {"X-Deadline-Ms": "20000"}
+
+    def call(address, number):
+        return complete(address, number, max_tokens=50, headers=headers)
+
+    with ThreadPoolExecutor(len(addresses)) as executor:
+        answers = [
+            executor.submit(call, address, number % 6)
+            for number, address in enumerate(addresses)
+        ]
+        time.sleep(0.5)
+        for host in hosts:
+            fleet.terminate(host)
+        assert [answer.result().status for answer in answers] == [200] * 12
+    assert [fleet.wait_exit(host) for host in hosts] == [0, 0, 0]
+
+
+def test_last_owner_waits_for_the_queues_of_hosts_that_released_theirs(fleet):
+    deployment = Deployment(hosts=2, engines=1, batch_slots=1, token_s=0.02)
+    hosts = start_deployment(fleet, deployment)
+    addresses = [fleet.addresses[host] for host in hosts]
+    headers = {"X-Deadline-Ms": "20000"}
+
+    def call(number):
+        # A grant for one adapter would serve its whole queue without an owner.
+        return complete(addresses[0], number, max_tokens=50, headers=headers)
+
+    with ThreadPoolExecutor(5) as executor:
+        answers = executor.map(call, range(5))
+        time.sleep(0.5)
+        fleet.terminate(hosts[0])
+        wait_until(lambda: not list_owned_pools(fleet, hosts[0]), what="hand-over")
+        fleet.terminate(hosts[1])
+        assert [answer.status for answer in answers] == [200] * 5
+    assert [fleet.wait_exit(host) for host in hosts] == [0, 0]
