--- a/tests/test_outages.py
+++ b/tests/test_outages.py
@@ -1,10 +1,16 @@
 """Planned stops of owners, long outages of the log and races, over real processes."""
 
+import json
+import os
+import subprocess
+import sys
 import threading
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import replace
 
+import msgspec
+
 from tests.deployments import (
     Deployment,
     append,
@@ -12,7 +18,7 @@
     complete,
     start_deployment,
 )
-from tests.fleet import send_http, wait_until
+from tests.fleet import ROOT, send_http, wait_until
 from tests.streams import StreamCaller
 from tests.test_failures import find_excess
 from thornlatch.configuration import (
@@ -227,3 +233,78 @@
         fleet.terminate(hosts[1])
         assert [answer.status for answer in answers] == [200] * 5
     assert [fleet.wait_exit(host) for host in hosts] == [0, 0]
+
+
+def test_one_of_two_racing_operators_wins_on_every_host(fleet, tmp_path):
+    deployment = Deployment(hosts=3, engines=1)
+    hosts = start_deployment(fleet, deployment)
+    inventory = build_inventory(fleet, deployment)
+    base = find_offset(fleet, hosts[0])
+    for round_number in range(4):
+        rates = {"anna": 1000.0 + round_number, "bert": 2000.0 + round_number}
+        changed = {}
+        for author, rate in rates.items():
+            organisations = (
+                replace(inventory.organisations[0], rate=rate),
+                *inventory.organisations[1:],
+            )
+            changed[author] = replace(inventory, organisations=organisations)
+            write_inventory(tmp_path / f"{author}.toml", changed[author])
+        processes = {
+            author: start_publish(fleet, tmp_path / f"{author}.toml", author, base)
+            for author in rates
+        }
+        results = {name: p.communicate(timeout=20) for name, p in processes.items()}
+        statuses = {name: p.returncode for name, p in processes.items()}
+        assert sorted(statuses.values()) == [0, 4], (statuses, results)
+        winner = next(name for name in statuses if statuses[name] == 0)
+        loser = next(name for name in statuses if statuses[name] == 4)
+        assert "configuration-conflict" in results[loser][1]
+        base = int(results[winner][0].split("offset ")[1].split(":")[0])
+        wait_for_offset(fleet, hosts, base)
+        inventory = changed[winner]
+        assert read_rates_in_force(fleet, hosts, base) == {rates[winner]}
+
+
+def find_offset(fleet, host):
+    status = send_http(fleet.addresses[host], "GET", "/status").json
+    return status["configuration"]["inventory_offset"]
+
+
+def wait_for_offset(fleet, hosts, offset):
+    wait_until(lambda: {find_offset(fleet, host) for host in hosts} == {offset})
+
+
+def read_rates_in_force(fleet, hosts, offset):
+    events = [
+        event
+        for event in fleet.read_events()
+        if event["event"] == "configuration.allowance_in_force"
+        and event["organisation"] == "shop"
+        and event["offset"] == offset
+    ]
+    assert {event["host"].partition(".")[0] for event in events} == set(hosts)
+    return {event["detail"]["rate"] for event in events}
+
+
+def write_inventory(path, inventory):
+    """Write an inventory file as operators do."""
+    lines = []
+    for kind, items in msgspec.to_builtins(inventory).items():
+        for item in items:
+            lines.append(f"[[{kind}]]")
+            lines += [f"{name} = {json.dumps(value)}" for name, value in item.items()]
+    path.write_text("\n".join(lines) + "\n")
+
+
+def start_publish(fleet, path, author, base):
+    command = [sys.executable, "-m", "thornlatch", "config", "publish", str(path)]
+    options = ["--log", fleet.addresses["log"], "--author", author]
+    return subprocess.Popen(
+        [*command, *options, "--base", str(base)],
+        cwd=ROOT,
+        env={**os.environ, "PYTHONPATH": f"{ROOT / 'src'}:{ROOT}"},
+        stdout=subprocess.PIPE,
+        stderr=subprocess.PIPE,
+        text=True,
+    )
