--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -194,6 +194,7 @@
         self.gate.note_started(grant.target, ask)
         try:
             response = self._open(grant)
+            self.may_have_run = True
             reader = ChunkReader(response)
             while not reader.is_done:
                 fresh = self._take(reader.read())
@@ -278,7 +279,7 @@
         )
 
     def _check_still_wanted(self) -> None:
-        self.request.running.check_stopped()
+        self.request.running.check_stopped(may_have_run=self.may_have_run)
         if self.request.is_disconnected():
             raise CallerGone
 
--- a/src/thornlatch/membership/_membership.py
+++ b/src/thornlatch/membership/_membership.py
@@ -94,6 +94,32 @@
         """Greatest view offset of an acknowledgement that this host has sent."""
         return self.duties.acknowledged_offset
 
+    @property
+    def has_released_keys(self) -> bool:
+        """Whether this host doesn't act as any key's owner, as it hands them over."""
+        return self.duties.released_at is not None
+
+    @property
+    def has_handed_over(self) -> bool:
+        """Whether other members own the keys that this host released."""
+        return self.view.releases.get(self.host, False)
+
+    def is_needed_as_owner(self, *, now: float) -> bool:
+        """Return whether members that released their keys have no other owner left.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        bool
+            False while the log can't be read, since then nobody can leave either.
+        """
+        if not self._is_log_usable(now) or self.view.established.keys() != {self.host}:
+            return False
+        return any(self.view.releases.values())
+
     def is_confirmed(self, *, now: float) -> bool:
         """Return whether this host may use its rights at `now`.
 
@@ -160,6 +186,23 @@
         self.is_opening = True
         return self._open(now)
 
+    def release_keys(self, *, now: float) -> list[Action]:
+        """Hand this host's keys over to other members; its session goes on.
+
+        Done by `tick` as soon as the log is readable and another member can own
+        keys; rights that this host was granted stay its own.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of Action
+        """
+        self.duties.is_releasing = True
+        return self.tick(now=now)
+
     def close(self, *, now: float) -> list[Action]:
         """End the session; this host acts on nothing from here on.
 
@@ -357,6 +400,8 @@
         is_accused = any(view.accusations.values())
         if is_accused or view.awaiting or self.duties.accuser.sent_view:
             return False
+        if self.duties.is_releasing and self.host not in view.releases:
+            return False
         if view.acknowledged[self.host] < view.get_required_acknowledgement(self.host):
             return False
         return next(self.waits.iter_waiting(now=now), None) is None
--- a/src/thornlatch/membership/_records.py
+++ b/src/thornlatch/membership/_records.py
@@ -1,6 +1,6 @@
 """Records of stream ``control``: sessions, accusations and acknowledgements."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from thornlatch.core import register
 
@@ -39,6 +39,22 @@
     host: str
 
 
+@register
+@dataclass(frozen=True)
+class KeysReleased:
+    """States that a host acts as no key's owner from here on; its session goes on.
+
+    The first such record of a session decides: it has no effect, and no later one has,
+    if no other member is established then.
+
+    Parameters
+    ----------
+    host : str
+    """
+
+    host: str
+
+
 @register
 @dataclass(frozen=True)
 class Accused:
@@ -151,6 +167,8 @@
         Host id and kind of wait.
     removed : list of str
         Departed hosts that can act no more.
+    releases : list of tuple of str and bool
+        Members whose `KeysReleased` was read, and whether they own no keys since.
     """
 
     electorate_offset: int
@@ -161,6 +179,7 @@
     departures: list[tuple[str, int, int, str]]
     departed: list[tuple[str, str]]
     removed: list[str]
+    releases: list[tuple[str, bool]] = field(default_factory=list)
 
 
 @dataclass(frozen=True)
@@ -216,6 +235,7 @@
 Record = (
     SessionOpened
     | SessionClosed
+    | KeysReleased
     | Accused
     | Defended
     | Expelled
