Acquire attempts in one place

Cause: daemon/_completions.py and daemon/_plain.py each held the same sequence of turn, excluded targets, grant and return of an unused turn, so a rule for copies of a request would have had to be written twice. Change: SuspectGate.acquire holds it; no change of behaviour. Measured: pytest -p no:xdist tests/test_failures.py -k "crash or dies or kill or reservation": 7 passed.

--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -93,7 +93,6 @@
         )
         self.may_have_run = False
         self.answered_model = ""
-        self.excluded: tuple[str, ...] = ()
 
     @property
     def attempt(self) -> int:
@@ -125,23 +124,17 @@
             If the caller disconnected.
         """
         while not self.is_finished:
-            turn = self.gate.enter()
-            self.cursor.start_attempt()
-            excluded = tuple(dict.fromkeys((*self.excluded, *turn.excluded)))
-            try:
-                grant = self.services.acquire_grant(self._build_spec(excluded))
-            except RequestRefused as error:
-                self.gate.leave_unused(turn)
-                raise self._complete_refusal(error) from error
+            permit = self.gate.acquire(self._begin_attempt, self._complete_refusal)
             failure = None
             try:
-                yield from self._run_attempt(grant, turn.ask)
+                yield from self._run_attempt(permit.grant, permit.ask)
             except TargetError as error:
                 failure = error
             if failure is not None:
-                self._handle_failure(grant, failure)
+                self._handle_failure(permit.grant, failure)
 
-    def _build_spec(self, excluded: tuple[str, ...]) -> RequestSpec:
+    def _begin_attempt(self, excluded: tuple[str, ...]) -> RequestSpec:
+        self.cursor.start_attempt()
         request = self.request
         messages = request.call.body.get("messages")
         prompt = request.call.fields.prompt or json.dumps(messages)
@@ -299,7 +292,7 @@
             deadline=time.monotonic() + request.caller.deadline_s,
         )
         time.sleep(self.services.decide_retry(failure))
-        self.excluded = (*self.excluded, grant.target)
+        self.gate.exclude(grant.target)
 
     def _complete_refusal(self, error: RequestRefused) -> RequestRefused:
         if not self.may_have_run:
--- a/src/thornlatch/daemon/_plain.py
+++ b/src/thornlatch/daemon/_plain.py
@@ -83,7 +83,6 @@
         )
         self.attempt = 0
         self.may_have_run = False
-        self.excluded: tuple[str, ...] = ()
 
     def run(self) -> HttpAnswer:
         """Run the call, under a claim if it may not be repeated.
@@ -134,19 +133,12 @@
 
     def _run_attempts(self, claim: str) -> HttpAnswer:
         while True:
-            turn = self.gate.enter()
-            self.attempt += 1
-            excluded = tuple(dict.fromkeys((*self.excluded, *turn.excluded)))
+            permit = self.gate.acquire(self._begin_attempt, self._complete_refusal)
             try:
-                grant = self.services.acquire_grant(self._build_spec(excluded))
-            except RequestRefused as error:
-                self.gate.leave_unused(turn)
-                raise self._complete_refusal(error) from error
-            try:
-                return self._run_attempt(grant, turn.ask, claim)
+                return self._run_attempt(permit.grant, permit.ask, claim)
             except TargetError as error:
-                time.sleep(self._decide_retry(grant, error))
-                self.excluded = (*self.excluded, grant.target)
+                time.sleep(self._decide_retry(permit.grant, error))
+                self.gate.exclude(permit.grant.target)
 
     def _run_attempt(self, grant: Grant, ask: str, claim: str) -> HttpAnswer:
         request = self.request
@@ -230,7 +222,8 @@
             kind = ErrorKind.OUTCOME_UNKNOWN
         return RequestRefused(kind, error.message, retry_after_s=error.retry_after_s)
 
-    def _build_spec(self, excluded: tuple[str, ...]) -> RequestSpec:
+    def _begin_attempt(self, excluded: tuple[str, ...]) -> RequestSpec:
+        self.attempt += 1
         request = self.request
         return RequestSpec(
             request=request.caller.request,
--- a/src/thornlatch/daemon/_suspects.py
+++ b/src/thornlatch/daemon/_suspects.py
@@ -1,9 +1,11 @@
 """Passes requests through the quarantine of those that crash targets."""
 
+from collections.abc import Callable
 from dataclasses import dataclass
 
 from thornlatch.daemon._services import Services
-from thornlatch.dispatch import Grant, Outcome
+from thornlatch.dispatch import Grant, Outcome, RequestSpec
+from thornlatch.exceptions import RequestRefused
 from thornlatch.requests import (
     Refuse,
     RunIsolated,
@@ -28,8 +30,23 @@
     excluded: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class Permit:
+    """A grant, and the turn under which it is used.
+
+    Parameters
+    ----------
+    grant : Grant
+    ask : str
+        Names an isolated run; empty for a normal one.
+    """
+
+    grant: Grant
+    ask: str
+
+
 class SuspectGate:
-    """What one request asks of the quarantine.
+    """What one request asks of the quarantine and of the scheduler for its attempts.
 
     Parameters
     ----------
@@ -57,6 +74,48 @@
         self.pool = pool
         self.fingerprint = make_fingerprint(organisation, adapter_version, body)
         self.entered = 0
+        self.excluded: tuple[str, ...] = ()
+
+    def exclude(self, target: str) -> None:
+        """Send no further attempt to a target.
+
+        Parameters
+        ----------
+        target : str
+        """
+        self.excluded = (*self.excluded, target)
+
+    def acquire(
+        self,
+        begin_attempt: Callable[[tuple[str, ...]], RequestSpec],
+        complete_refusal: Callable[[RequestRefused], RequestRefused],
+    ) -> Permit:
+        """Wait until an attempt may be sent to a target.
+
+        Parameters
+        ----------
+        begin_attempt : callable
+            Counts a new attempt and returns its needs; takes the excluded targets.
+        complete_refusal : callable
+            Says in a refusal of the scheduler what earlier attempts have done.
+
+        Returns
+        -------
+        Permit
+
+        Raises
+        ------
+        RequestRefused
+            If no attempt may be sent in time.
+        """
+        turn = self.enter()
+        excluded = tuple(dict.fromkeys((*self.excluded, *turn.excluded)))
+        try:
+            grant = self.services.acquire_grant(begin_attempt(excluded))
+        except RequestRefused as error:
+            self.leave_unused(turn)
+            raise complete_refusal(error) from error
+        return Permit(grant, turn.ask)
 
     def enter(self) -> Turn:
         """Wait until the request may be sent.
