Keep copies of an unproven request on one target

Cause: copies of a crashing request that several hosts get at once were granted on several targets before the first died; CopiesInFlight of requests/ wasn't wired, and hosts used kept grants that the owner doesn't see. Ruled out: a copy alone until it ended (waits for its whole answer), a message at the first token (one for each request), no end by time (long streams hold their copies). Change: RequestSpec carries a fingerprint; the owner grants copies on one target until one ended well, for copy_hold_s at most, and none for copy_hold_s after one ended without an answer; hosts check the quarantine again between grant and send, and use kept grants only for proven requests. CopiesInFlight moved to dispatch/; rank_targets, which only bench rules use, moved to the test fleets.

--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -133,7 +133,7 @@
             if failure is not None:
                 self._handle_failure(permit.grant, failure)
 
-    def _begin_attempt(self, excluded: tuple[str, ...]) -> RequestSpec:
+    def _begin_attempt(self) -> RequestSpec:
         self.cursor.start_attempt()
         request = self.request
         messages = request.call.body.get("messages")
@@ -154,7 +154,6 @@
             version=request.adapter.version,
             priority=Priority(request.caller.priority),
             prefix=prefix,
-            excluded=excluded,
             is_stream=True,
         )
 
--- a/src/thornlatch/daemon/_plain.py
+++ b/src/thornlatch/daemon/_plain.py
@@ -222,7 +222,7 @@
             kind = ErrorKind.OUTCOME_UNKNOWN
         return RequestRefused(kind, error.message, retry_after_s=error.retry_after_s)
 
-    def _begin_attempt(self, excluded: tuple[str, ...]) -> RequestSpec:
+    def _begin_attempt(self) -> RequestSpec:
         self.attempt += 1
         request = self.request
         return RequestSpec(
@@ -233,7 +233,6 @@
             deadline_in_s=max(0.0, request.deadline - time.monotonic()),
             tokens=request.route.tokens,
             priority=Priority(request.route.priority),
-            excluded=excluded,
         )
 
     def _build_call(self, grant: Grant) -> TargetCall:
--- a/src/thornlatch/daemon/_suspects.py
+++ b/src/thornlatch/daemon/_suspects.py
@@ -1,7 +1,7 @@
 """Passes requests through the quarantine of those that crash targets."""
 
 from collections.abc import Callable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 
 from thornlatch.daemon._services import Services
 from thornlatch.dispatch import Grant, Outcome, RequestSpec
@@ -13,6 +13,9 @@
     make_fingerprint,
 )
 
+# Enough for the scheduler, for which a collision only means a shared target.
+FINGERPRINT_DIGITS = 16
+
 
 @dataclass(frozen=True)
 class Turn:
@@ -87,7 +90,7 @@
 
     def acquire(
         self,
-        begin_attempt: Callable[[tuple[str, ...]], RequestSpec],
+        begin_attempt: Callable[[], RequestSpec],
         complete_refusal: Callable[[RequestRefused], RequestRefused],
     ) -> Permit:
         """Wait until an attempt may be sent to a target.
@@ -95,7 +98,7 @@
         Parameters
         ----------
         begin_attempt : callable
-            Counts a new attempt and returns its needs; takes the excluded targets.
+            Counts a new attempt and returns its needs.
         complete_refusal : callable
             Says in a refusal of the scheduler what earlier attempts have done.
 
@@ -108,14 +111,33 @@
         RequestRefused
             If no attempt may be sent in time.
         """
-        turn = self.enter()
-        excluded = tuple(dict.fromkeys((*self.excluded, *turn.excluded)))
-        try:
-            grant = self.services.acquire_grant(begin_attempt(excluded))
-        except RequestRefused as error:
-            self.leave_unused(turn)
-            raise complete_refusal(error) from error
-        return Permit(grant, turn.ask)
+        while True:
+            turn = self.enter()
+            spec = self._complete_spec(begin_attempt(), turn)
+            try:
+                grant = self.services.acquire_grant(spec)
+            except RequestRefused as error:
+                self.leave_unused(turn)
+                raise complete_refusal(error) from error
+            if turn.ask or not self.is_suspect():
+                return Permit(grant, turn.ask)
+            # A copy took its target down while this request waited for the grant.
+            self.services.release_grant(
+                grant, outcome=Outcome.UNUSED, tokens=0.0, first_token_s=None
+            )
+
+    def is_suspect(self) -> bool:
+        """Return whether the request must not run beside others now."""
+        verdict = self.services.check_suspect(self.fingerprint)
+        return not isinstance(verdict, RunNormally)
+
+    def _complete_spec(self, spec: RequestSpec, turn: Turn) -> RequestSpec:
+        return replace(
+            spec,
+            excluded=tuple(dict.fromkeys((*self.excluded, *turn.excluded))),
+            fingerprint=self.fingerprint[:FINGERPRINT_DIGITS],
+            is_isolated=bool(turn.ask),
+        )
 
     def enter(self) -> Turn:
         """Wait until the request may be sent.
--- a/src/thornlatch/dispatch/_choice.py
+++ b/src/thornlatch/dispatch/_choice.py
@@ -1,6 +1,6 @@
 """Choice of the target for a request and of the request for a free slot."""
 
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 from random import Random
 
 from thornlatch.dispatch._fairness import FairShares
@@ -54,19 +54,20 @@
 
 def choose_request(
     queue: RequestQueue,
-    target: str,
     versions: Iterable[AdapterVersion],
     shares: FairShares,
+    may_run: Callable[[WaitingRequest], bool],
 ) -> WaitingRequest | None:
-    """Return the request that is next for a free slot of `target`.
+    """Return the request that is next for a free slot of a target.
 
     Parameters
     ----------
     queue : RequestQueue
-    target : str
     versions : iterable of AdapterVersion
         Versions that may be used on the target.
     shares : FairShares
+    may_run : callable
+        Whether the target may run a request.
 
     Returns
     -------
@@ -76,7 +77,7 @@
     for version in versions:
         if version not in queue.lines:
             continue
-        for waiting in queue.iter_heads(version, target):
+        for waiting in queue.iter_heads(version, may_run):
             tag = shares.get_tag(waiting.spec.organisation)
             if best is None or (tag, waiting.order) < best[:2]:
                 best = (tag, waiting.order, waiting)
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -211,11 +211,14 @@
         deadline = now + spec.deadline_in_s
         pending = PendingRequest(ticket, spec, now, deadline)
         idle = holder.find_idle(spec, self._get_leaving())
+        actions: list[Action] = []
         if idle is not None:
-            return self._use(holder, idle, pending, now)
+            if holder.may_use_kept(spec, now):
+                return self._use(holder, idle, pending, now)
+            actions = holder.give_back(idle, None, now)
         holder.pending[pending.key] = pending
         self.tickets[ticket] = pending
-        return self._ask(holder, pending, now)
+        return actions + self._ask(holder, pending, now)
 
     def release(
         self,
@@ -258,8 +261,11 @@
         )
         if not is_kept or not self.leases.is_confirmed(now=now):
             return holder.give_back(right, report, now)
+        pending = holder.find_pending(right, now)
+        if pending is None and holder.list_pending(right):
+            # The owner serves them sooner with a free slot than after a recall.
+            return holder.give_back(right, report, now)
         actions = holder.keep(right, report, now)
-        pending = holder.find_pending(right)
         if pending is None:
             return actions
         actions += self._use(holder, right, pending, now)
--- a/src/thornlatch/dispatch/_holder.py
+++ b/src/thornlatch/dispatch/_holder.py
@@ -3,6 +3,7 @@
 from dataclasses import dataclass, field, replace
 
 from thornlatch.core import Action, Emit, Event, Send
+from thornlatch.dispatch._copies import ProvenRequests
 from thornlatch.dispatch._messages import (
     SETTLED_OUTCOMES,
     GrantCancelled,
@@ -107,6 +108,8 @@
         Report of the last use that the owner hasn't acknowledged.
     sent_at : float
         Time at which `report` was sent last, seconds.
+    fingerprint : str
+        Digest of the request that uses the grant or used it last.
     """
 
     granted: Granted
@@ -116,6 +119,7 @@
     is_recalled: bool = False
     report: GrantReleased | None = None
     sent_at: float = 0.0
+    fingerprint: str = ""
 
 
 @dataclass
@@ -157,6 +161,7 @@
         self.cancellations: dict[RequestKey, Unacknowledged] = {}
         self.unsettled: dict[Pin, float] = {}
         self.unanswered_since: float | None = None
+        self.proven = ProvenRequests()
         self.owner = ""
         self.is_closed = False
 
@@ -224,6 +229,7 @@
             granted.epoch,
         )
         right.begun_at = now
+        right.fingerprint = spec.fingerprint
         return right.user
 
     def find_idle(self, spec: RequestSpec, leaving: set[str]) -> HeldRight | None:
@@ -238,18 +244,30 @@
                 return right
         return None
 
-    def find_pending(self, right: HeldRight) -> PendingRequest | None:
-        """Return the local request that should use a grant that became free."""
+    def may_use_kept(self, spec: RequestSpec, now: float) -> bool:
+        """Return whether a request may run under a kept grant.
+
+        The owner doesn't see such a use, so it can't keep copies of a request that may
+        crash its target on one. A request of a silent owner's pool has no other way.
+        """
+        is_proven = not spec.fingerprint or spec.fingerprint in self.proven
+        return is_proven or self.is_owner_silent(now)
+
+    def list_pending(self, right: HeldRight) -> list[PendingRequest]:
+        """Return the local requests that a grant suits."""
         granted = right.granted
-        suitable = [
+        return [
             pending
             for pending in self.pending.values()
             if pending.spec.adapter == granted.adapter
             and pending.spec.version == granted.version
             and granted.target not in pending.spec.excluded
         ]
+
+    def find_pending(self, right: HeldRight, now: float) -> PendingRequest | None:
+        """Return the local request that should use a grant that became free."""
         return min(
-            suitable,
+            (p for p in self.list_pending(right) if self.may_use_kept(p.spec, now)),
             key=lambda pending: (
                 (pending.spec.priority.value != "interactive",) + (pending.deadline,)
             ),
@@ -267,6 +285,7 @@
     ) -> GrantReleased:
         """End the use under way and return its report, as for a kept grant."""
         assert right.user is not None
+        self.proven.note_ended(right.fingerprint, outcome)
         right.use += 1
         report = GrantReleased(
             self.host,
@@ -352,6 +371,7 @@
                 right.granted.version,
                 right.use,
                 right.user is None,
+                right.fingerprint if right.user is not None else "",
             )
             for right in self.rights.values()
         )
--- a/src/thornlatch/dispatch/_messages.py
+++ b/src/thornlatch/dispatch/_messages.py
@@ -58,6 +58,10 @@
         Targets that must not run the request.
     is_stream : bool
         Whether the answer is due with its first token, not with its last.
+    fingerprint : str
+        Digest of the whole request, equal for its copies; empty if there is none.
+    is_isolated : bool
+        Whether the quarantine gave it a turn to run isolated.
     """
 
     request: str
@@ -72,6 +76,8 @@
     prefix: str = ""
     excluded: tuple[str, ...] = ()
     is_stream: bool = False
+    fingerprint: str = ""
+    is_isolated: bool = False
 
 
 @register
@@ -322,6 +328,8 @@
         Finished uses.
     is_idle : bool
         Whether it's kept for a next request.
+    fingerprint : str
+        Digest of the request that uses it; empty if there is none.
     """
 
     grant: str
@@ -330,6 +338,7 @@
     version: str
     use: int
     is_idle: bool
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/dispatch/_queue.py
+++ b/src/thornlatch/dispatch/_queue.py
@@ -1,7 +1,7 @@
 """Requests that wait for a grant."""
 
 import bisect
-from collections.abc import Iterator
+from collections.abc import Callable, Iterator
 from dataclasses import dataclass
 
 from thornlatch.dispatch._messages import Priority, RequestSpec
@@ -159,12 +159,12 @@
         return waiting
 
     def iter_heads(
-        self, version: AdapterVersion, target: str
+        self, version: AdapterVersion, may_run: Callable[[WaitingRequest], bool]
     ) -> Iterator[WaitingRequest]:
-        """Iterate over each organisation's first request that `target` may run."""
+        """Iterate over each organisation's first request that may run."""
         for line in self.lines.get(version, {}).values():
             for waiting in line:
-                if target not in waiting.spec.excluded:
+                if may_run(waiting):
                     yield waiting
                     break
 
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -8,6 +8,7 @@
 from thornlatch.configuration import Pool, Store, Target
 from thornlatch.core import Action, Emit, Event, LeaseReader, Order, Send
 from thornlatch.dispatch._choice import choose_request, choose_target
+from thornlatch.dispatch._copies import CopiesInFlight
 from thornlatch.dispatch._deadlines import GiveUpTimes, LatenessEstimate
 from thornlatch.dispatch._estimate import ServiceEstimate
 from thornlatch.dispatch._fairness import FairShares
@@ -128,6 +129,7 @@
         self.recalls = Recalls(settings, pool.name, self.table)
         self.recovery = GrantRecovery(epoch, settings.resend_s)
         self.give_up = GiveUpTimes()
+        self.copies = CopiesInFlight(settings.copy_hold_s)
         self.targets: dict[str, TargetState] = {}
         self.leaving: set[str] = set()
         self.unknown_uses: set[str] = set()
@@ -306,7 +308,7 @@
                 self.recovery.note_released(message.grant)
             return actions
         if message.use > record.use:
-            self._learn(record, message, now)
+            actions += self._learn(record, message, now)
         elif message.outcome is Outcome.UNUSED and not record.is_idle:
             self.shares.correct(record.organisation, -record.tokens)
         if not message.is_kept:
@@ -352,6 +354,7 @@
             self.table.expire_orphans(now)
             if now >= self.known_at + self.settings.orphan_pin_s:
                 self.unknown_uses.clear()
+        self.copies.expire(now)
         compare_speeds(self.targets.values())
         self.lateness.measure_queue(self._is_loaded)
         self._update_placement(now)
@@ -489,9 +492,10 @@
     def _grant_at_once(self, waiting: WaitingRequest, now: float) -> list[Action]:
         if not self.may_grant(now):
             return []
+        states = self._find_states(waiting.version)
         state = choose_target(
             waiting,
-            self._find_states(waiting.version),
+            [one for one in states if self._may_run(waiting, one.target.name, now)],
             self.prefixes,
             self.settings,
             self.random,
@@ -506,7 +510,10 @@
         actions: list[Action] = []
         while state.count_free(now) > 0:
             waiting = choose_request(
-                self.queue, name, self._get_versions(name), self.shares
+                self.queue,
+                self._get_versions(name),
+                self.shares,
+                lambda waiting: self._may_run(waiting, name, now),
             )
             if waiting is None:
                 break
@@ -514,6 +521,11 @@
             actions += self._grant(waiting, state, now)
         return actions
 
+    def _may_run(self, waiting: WaitingRequest, target: str, now: float) -> bool:
+        if target in waiting.spec.excluded:
+            return False
+        return self.copies.may_run(waiting.spec, target, now)
+
     def _get_versions(self, target: str) -> Iterable[AdapterVersion]:
         if self.pool.kind == "plain":
             return (AdapterVersion("", ""),)
@@ -545,8 +557,10 @@
             spec.tokens,
             granted,
             now,
+            fingerprint=spec.fingerprint,
         )
         self.table.add(record)
+        self.copies.note_granted(spec.fingerprint, granted.target, now)
         state.grants.add(granted.grant)
         self.shares.charge(spec.organisation, spec.tokens)
         self.prefixes.note(spec.prefix, granted.target)
@@ -562,7 +576,9 @@
         )
         return [Send(waiting.host, granted), Emit(event)]
 
-    def _learn(self, record: GrantRecord, message: GrantReleased, now: float) -> None:
+    def _learn(
+        self, record: GrantRecord, message: GrantReleased, now: float
+    ) -> list[Action]:
         is_first = record.use == 0 and record.message is not None
         charged = record.tokens if is_first else 0.0
         record.use = message.use
@@ -577,12 +593,24 @@
             self.placement.note_missing(record.target, record.version, now=now)
         if message.outcome not in SETTLED_OUTCOMES:
             self._orphan(record, now)
+        if not self._end_copy(record, message.outcome, now):
+            return []
+        actions: list[Action] = []
+        for name in self.targets:
+            actions += self._serve_target(name, now)
+        return actions
 
     def _orphan(self, record: GrantRecord, now: float) -> None:
         pin = Pin(record.target, record.version)
         self.table.add_orphan(pin, now + self.settings.orphan_pin_s)
 
+    def _end_copy(self, record: GrantRecord, outcome: Outcome, now: float) -> bool:
+        # A kept grant has further uses, of which the owner only learns the end.
+        fingerprint, record.fingerprint = record.fingerprint, ""
+        return self.copies.note_ended(fingerprint, outcome, now)
+
     def _free(self, record: GrantRecord, now: float) -> list[Action]:
+        self._end_copy(record, Outcome.UNUSED, now)
         self.table.remove(record.grant)
         state = self.targets.get(record.target)
         if state is not None:
@@ -651,8 +679,10 @@
             use=held.use,
             is_idle=held.is_idle,
             is_confirmed=True,
+            fingerprint=held.fingerprint,
         )
         self.table.add(record)
+        self.copies.note_granted(held.fingerprint, held.target, now)
         state = self.targets.get(held.target)
         if state is not None:
             state.grants.add(held.grant)
--- a/src/thornlatch/dispatch/_settings.py
+++ b/src/thornlatch/dispatch/_settings.py
@@ -56,6 +56,9 @@
         Prompt prefixes remembered by their last target.
     prefix_bonus : float
         Share of a target's batch slots that a probable prefix hit outweighs.
+    copy_hold_s : float
+        Seconds for which copies of a request that never ended well share a target at
+        most, and wait after one of them ended without an answer.
     """
 
     linger_s: Annotated[float, Meta(ge=0, le=60)] = 0.2
@@ -77,3 +80,4 @@
     orphan_pin_s: Seconds = 30.0
     prefix_entries: Annotated[int, Meta(ge=0, le=10_000_000)] = 20_000
     prefix_bonus: Annotated[float, Meta(ge=0, le=1)] = 0.25
+    copy_hold_s: Seconds = 1.0
--- a/src/thornlatch/dispatch/_table.py
+++ b/src/thornlatch/dispatch/_table.py
@@ -32,6 +32,8 @@
         Whether the host is known to have got the grant.
     recalled_at : float or None
         Time of the last recall, seconds.
+    fingerprint : str
+        Digest of the request that runs under it; empty if there is none.
     """
 
     grant: str
@@ -46,6 +48,7 @@
     is_idle: bool = False
     is_confirmed: bool = False
     recalled_at: float | None = None
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True, slots=True)
--- a/src/thornlatch/requests/__init__.py
+++ b/src/thornlatch/requests/__init__.py
@@ -2,7 +2,6 @@
 
 from thornlatch.requests._claim_records import Claims, ClaimWon, RecordedAnswer
 from thornlatch.requests._claims import ClaimTable
-from thornlatch.requests._exposure import CopiesInFlight, rank_targets
 from thornlatch.requests._quarantine import Quarantine
 from thornlatch.requests._quarantine_records import (
     MustWait,
@@ -28,7 +27,6 @@
     "ClaimTable",
     "ClaimWon",
     "Claims",
-    "CopiesInFlight",
     "MustWait",
     "Quarantine",
     "QuarantineRecord",
@@ -46,5 +44,4 @@
     "SuspectNotice",
     "SuspectNoticeSeen",
     "make_fingerprint",
-    "rank_targets",
 ]
--- a/src/thornlatch/requests/tests/quarantine_fleets.py
+++ b/src/thornlatch/requests/tests/quarantine_fleets.py
@@ -1,5 +1,6 @@
 """Seeded fleets in which a caller repeats a request that crashes its target."""
 
+import hashlib
 import heapq
 import random
 from dataclasses import dataclass, field
@@ -15,15 +16,14 @@
     encode_record,
 )
 from thornlatch.core import Envelope as Packet
+from thornlatch.dispatch import CopiesInFlight, DispatchSettings, Outcome, RequestSpec
 from thornlatch.exceptions import ErrorKind, RequestRefused
 from thornlatch.requests import (
-    CopiesInFlight,
     MustWait,
     Quarantine,
     QuarantineSettings,
     Refuse,
     RunIsolated,
-    rank_targets,
 )
 
 STEP_S = 0.005
@@ -60,6 +60,11 @@
     run: int = 0
     delayed_since: float = -1.0
 
+    def make_spec(self):
+        return RequestSpec(
+            self.name, self.run + 1, "o", "p", 60.0, 1.0, fingerprint=self.fingerprint
+        )
+
 
 @dataclass
 class Target:
@@ -70,6 +75,15 @@
     reserved_for: str = ""
 
 
+def rank_targets(fingerprint, targets):
+    """Order targets by rendezvous hashing, the same on each host."""
+    return sorted(targets, key=lambda target: _score(fingerprint, target), reverse=True)
+
+
+def _score(fingerprint, target):
+    return hashlib.sha256(f"{fingerprint}\0{target}".encode()).digest()
+
+
 class Fleet:
     """Runs one plan with one seed and counts what it cost."""
 
@@ -92,7 +106,7 @@
         self.read = dict.fromkeys(names, 0)
         self.log = []
         self.calls = {}
-        self.copies = CopiesInFlight()
+        self.copies = CopiesInFlight(DispatchSettings().copy_hold_s)
         self.lost: dict[str, int] = {}
         self.repeats: dict[str, int] = {}
         self.final: list[Call] = []
@@ -166,9 +180,9 @@
             if target.back_at <= self.now and not target.reserved_for
         ]
         names = self.confine(call, names)
-        together = self.copies.find_target(call.fingerprint)
-        if self.plan.keeps_copies_together and together in names:
-            names = [together]
+        if self.plan.keeps_copies_together:
+            spec = call.make_spec()
+            names = [n for n in names if self.copies.may_run(spec, n, self.now)]
         if not names:
             self.later(0.05, self.retry, call)
             return
@@ -188,7 +202,7 @@
         self.end_delay(call)
         call.run += 1
         self.targets[target].calls[call.name] = call
-        self.copies.note_granted(call.fingerprint, target)
+        self.copies.note_granted(call.fingerprint, target, self.now)
         self.nodes[call.host].note_started(
             call.name, call.fingerprint, target=target, now=self.now, ask=ask
         )
@@ -232,7 +246,7 @@
         hit = list(target.calls.values())
         target.calls.clear()
         for call in hit:
-            self.copies.note_released(call.fingerprint)
+            self.copies.note_ended(call.fingerprint, Outcome.UNKNOWN, self.now)
         for host in self.nodes:
             mine = [call for call in hit if call.host == host]
             self.later(self.random.uniform(0.001, 0.01), self.learn, host, name, mine)
@@ -258,7 +272,7 @@
         if here.get(call.name) is not call or call.run != run:
             return
         del here[call.name]
-        self.copies.note_released(call.fingerprint)
+        self.copies.note_ended(call.fingerprint, Outcome.OK, self.now)
         self.targets[target].reserved_for = ""
         self.calls.pop(call.name, None)
         if call.host in self.nodes:
--- a/src/thornlatch/requests/tests/test_quarantine.py
+++ b/src/thornlatch/requests/tests/test_quarantine.py
@@ -5,17 +5,20 @@
 from thornlatch.core import Append, Resolve, Send, decode_record, encode_record
 from thornlatch.exceptions import ErrorKind, RequestRefused
 from thornlatch.requests import (
-    CopiesInFlight,
     MustWait,
     Quarantine,
     Refuse,
     RunIsolated,
     RunNormally,
     make_fingerprint,
-    rank_targets,
 )
 from thornlatch.requests.tests.claim_histories import View
-from thornlatch.requests.tests.quarantine_fleets import SETTINGS, Fleet, Plan
+from thornlatch.requests.tests.quarantine_fleets import (
+    SETTINGS,
+    Fleet,
+    Plan,
+    rank_targets,
+)
 
 PLANS = {
     "repeated": Plan(),
@@ -319,16 +322,6 @@
     assert rank_targets("f", names[1:]) == [name for name in ranked if name != "t0"]
 
 
-def test_copies_in_flight_share_a_target():
-    copies = CopiesInFlight()
-    copies.note_granted("f", "t1")
-    copies.note_granted("f", "t1")
-    copies.note_released("f")
-    assert copies.find_target("f") == "t1"
-    copies.note_released("f")
-    assert copies.find_target("f") is None
-
-
 def test_unsent_isolated_run_is_no_death():
     """Found by repeated CI runs: the set-aside target was dead before the send."""
     bench = Bench()
--- a/tests/test_failures.py
+++ b/tests/test_failures.py
@@ -242,6 +242,40 @@
     assert all(stream.join().is_right for stream in innocent)
 
 
+def test_copies_of_a_crashing_request_sent_at_once_take_at_most_two_engines(fleet):
+    hosts = start_deployment(fleet, Deployment(hosts=4, engines=4))
+    addresses = get_addresses(fleet, hosts)
+    # With traffic on the adapter its version is loaded at several engines, and hosts
+    # keep grants for it.
+    for _ in range(3):
+        warm = [
+            StreamCaller(a, "adapter-0", f"w{i}", 20).start()
+            for i, a in enumerate(addresses * 6)
+        ]
+        assert all(stream.join().is_right for stream in warm)
+    innocent = [
+        StreamCaller(a, f"adapter-{i}", f"p{i}", 60).start()
+        for i, a in enumerate(addresses)
+    ]
+
+    def send_copy(address):
+        headers = {"X-Deadline-Ms": "8000"}
+        return complete(address, 0, headers=headers, prompt=CRASH_MARK, max_tokens=5)
+
+    with ThreadPoolExecutor(8) as executor:
+        answers = list(executor.map(send_copy, addresses * 2))
+    assert all(answer.status != 200 for answer in answers)
+    for address in addresses:
+        wait_until(lambda a=address: is_quarantined(send_copy(a)), what="quarantine")
+    dead = [n for n in fleet.processes if fleet.processes[n].poll() is not None]
+    assert len(dead) <= 2, dead
+    assert all(stream.join().is_right for stream in innocent)
+
+
+def is_quarantined(answer):
+    return answer.json["error"]["code"] == "quarantined"
+
+
 @pytest.mark.parametrize("fault", ["kill", "pause"])
 def test_fleet_goes_on_when_a_host_stops_answering(fleet, fault):
     hosts = start_deployment(fleet, Deployment(hosts=3, engines=3))
