Report a target's death to the owner of its pool

Cause: a death that another host saw reached the owner only by released grants and polls, so it went on granting the target's free slots. Ruled out: believing the report (a host that can't reach a target would stop it for all). Change: grants name the target's incarnation; TargetDeathReported goes to the owner, who holds new work back for death_check_s at most and polls the target out of turn; a host whose report was refuted isn't believed again in this life. The probe after a failed attempt compares with the grant's incarnation, so hosts that don't poll notice a quick restart too. The gain in time over real processes was not measured.

--- a/src/thornlatch/daemon/_services.py
+++ b/src/thornlatch/daemon/_services.py
@@ -401,27 +401,29 @@
         deadline = time.monotonic() + quarantine.settings.wait_s
         return self._ask(ticket, build, deadline, cancel, undo)
 
-    def is_target_dead(self, target: str, address: str) -> bool:
+    def is_target_dead(self, grant: Grant) -> bool:
         """Find out whether a target that broke off an answer has died.
 
         Parameters
         ----------
-        target : str
-        address : str
+        grant : Grant
 
         Returns
         -------
         bool
         """
-        return probe_death(address, incarnation=self.incarnations.get(target, ""))
+        # The poll of an owner may have met the target's next life already.
+        known = grant.incarnation or self.incarnations.get(grant.target, "")
+        return probe_death(grant.address, incarnation=known)
 
-    def note_target_died(self, target: str) -> None:
-        """Tell the slices of a target's death.
+    def note_target_died(self, grant: Grant) -> None:
+        """Tell the slices of the death of a grant's target.
 
         Parameters
         ----------
-        target : str
+        grant : Grant
         """
+        target = grant.target
         targets = self.node.dispatch.targets
         known = targets.get(target)
         failure_domain = known.failure_domain if known is not None else ""
@@ -436,7 +438,7 @@
                 domain_targets=domain_targets,
                 now=now,
             )
-            return actions + self.node.dispatch.note_target_failed(target, now=now)
+            return actions + self.node.dispatch.note_target_died(grant, now=now)
 
         # The caller's next look at the quarantine must see its own suspicion.
         self.control.submit(tell)
--- a/src/thornlatch/daemon/_suspects.py
+++ b/src/thornlatch/daemon/_suspects.py
@@ -211,8 +211,8 @@
                 lambda now: quarantine.note_unsent(self.request, now=now)
             )
         is_suspicious = outcome in (Outcome.UNKNOWN, Outcome.FAILED)
-        if is_suspicious and self.services.is_target_dead(grant.target, grant.address):
-            self.services.note_target_died(grant.target)
+        if is_suspicious and self.services.is_target_dead(grant):
+            self.services.note_target_died(grant)
             return
         self.services.submit(
             lambda now: quarantine.note_finished(self.request, now=now)
--- a/src/thornlatch/dispatch/__init__.py
+++ b/src/thornlatch/dispatch/__init__.py
@@ -21,6 +21,7 @@
     Outcome,
     Priority,
     RequestSpec,
+    TargetDeathReported,
 )
 from thornlatch.dispatch._scheduler import PoolScheduler, get_pool_key
 from thornlatch.dispatch._settings import DispatchSettings
@@ -49,6 +50,7 @@
     "PoolScheduler",
     "Priority",
     "RequestSpec",
+    "TargetDeathReported",
     "TargetReport",
     "get_pool_key",
 ]
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -24,6 +24,7 @@
     GrantRequest,
     Outcome,
     RequestSpec,
+    TargetDeathReported,
 )
 from thornlatch.dispatch._queue import RequestKey
 from thornlatch.dispatch._scheduler import PoolScheduler, get_pool_key
@@ -179,6 +180,39 @@
             target, order, ok=ok, is_certain=is_certain, now=now
         )
 
+    def note_target_died(self, grant: Grant, *, now: float) -> list[Action]:
+        """Note that a target died under a grant of this host.
+
+        Parameters
+        ----------
+        grant : Grant
+        now : float
+
+        Returns
+        -------
+        list of Action
+            Tells the pool's owner at once.
+        """
+        if grant.pool in self.schedulers:
+            return self.note_target_failed(grant.target, now=now)
+        owner = self.leases.get_owner(get_pool_key(grant.pool))
+        if owner is None or not grant.incarnation:
+            return []
+        report = TargetDeathReported(grant.pool, grant.target, grant.incarnation)
+        return [Send(owner.host, report)]
+
+    def is_check_due(self, target: str, polled_at: float) -> bool:
+        """Return whether a target of a pool owned here must be asked at once.
+
+        Parameters
+        ----------
+        target : str
+        polled_at : float
+            Time at which it was asked last, seconds.
+        """
+        scheduler = self._get_scheduler_of(target)
+        return scheduler is not None and scheduler.is_check_due(target, polled_at)
+
     def note_target_failed(self, target: str, *, now: float) -> list[Action]:
         """Note that a target is known to be down."""
         scheduler = self._get_scheduler_of(target)
@@ -344,6 +378,10 @@
     def _(self, message: GrantCancelled, sender: str, now: float) -> list[Action]:
         return self._pass_to_scheduler(message.pool, message, sender, now)
 
+    @_handle.register
+    def _(self, message: TargetDeathReported, sender: str, now: float) -> list[Action]:
+        return self._pass_to_scheduler(message.pool, message, sender, now)
+
     @_handle.register
     def _(self, message: GrantCancelNoted, sender: str, now: float) -> list[Action]:
         holder = self.holders.get(message.pool)
--- a/src/thornlatch/dispatch/_holder.py
+++ b/src/thornlatch/dispatch/_holder.py
@@ -41,6 +41,9 @@
     adapter : str
     version : str
     epoch : int
+    incarnation : str
+        Life of the target's process at the grant; empty if unknown, as for later uses
+        of a kept grant.
     """
 
     grant: str
@@ -53,6 +56,7 @@
     adapter: str
     version: str
     epoch: int
+    incarnation: str = ""
 
 
 @dataclass
@@ -227,6 +231,7 @@
             granted.adapter,
             granted.version,
             granted.epoch,
+            "" if right.use else granted.incarnation,
         )
         right.begun_at = now
         right.fingerprint = spec.fingerprint
--- a/src/thornlatch/dispatch/_messages.py
+++ b/src/thornlatch/dispatch/_messages.py
@@ -118,6 +118,8 @@
         Epoch of the owner; hosts that answered a newer owner ignore it.
     linger_s : float
         Seconds that the host may keep the grant after use.
+    incarnation : str
+        Life of the target's process that the owner knows; empty if it knows none.
     """
 
     request: str
@@ -130,6 +132,7 @@
     version: str
     epoch: int
     linger_s: float
+    incarnation: str = ""
 
 
 @register
@@ -298,6 +301,26 @@
     attempt: int
 
 
+@register
+@dataclass(frozen=True)
+class TargetDeathReported:
+    """Tells the owner that a target has died; the owner finds out for itself.
+
+    Sent once: if it's lost, the released grant and the next poll tell the owner.
+
+    Parameters
+    ----------
+    pool : str
+    target : str
+    incarnation : str
+        Life of the target's process that ended.
+    """
+
+    pool: str
+    target: str
+    incarnation: str
+
+
 @register
 @dataclass(frozen=True)
 class GrantInventoryRequest:
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -30,6 +30,7 @@
     OrderInDoubt,
     Outcome,
     PinInDoubt,
+    TargetDeathReported,
 )
 from thornlatch.dispatch._needs import find_needs
 from thornlatch.dispatch._prefixes import PrefixMap
@@ -175,8 +176,8 @@
             return []
         if state.incarnation not in ("", report.incarnation):
             self.prefixes.forget_target(target)
-            state.failures = 0
-        state.incarnation = report.incarnation
+        state.note_life(report)
+        self.placement.set_open(target, is_open=state.is_open(now))
         is_idle = not report.running and not report.waiting
         if is_idle and self.recovery.is_complete and report.asked_at >= self.known_at:
             latest = report.asked_at + self.settings.orphan_pin_s
@@ -325,6 +326,30 @@
             self.table.confirm(record)
         return []
 
+    @_handle.register
+    def _(self, message: TargetDeathReported, sender: str, now: float) -> list[Action]:
+        state = self.targets.get(message.target)
+        is_current = state is not None and message.incarnation == state.incarnation
+        if state is None or not is_current or not state.deaths.add(sender, now):
+            return []
+        self._update_placement(now)
+        detail: dict[str, object] = {"reporter": sender}
+        event = Event(
+            "dispatch.death_reported",
+            target=message.target,
+            key=self.key,
+            epoch=self.epoch,
+            detail=detail,
+        )
+        return [Emit(event)]
+
+    def is_check_due(self, target: str, polled_at: float) -> bool:
+        """Return whether a target was reported dead since it was asked last."""
+        state = self.targets.get(target)
+        if state is None or not state.deaths.reporters:
+            return False
+        return state.deaths.reported_at > polled_at
+
     @_handle.register
     def _(self, message: GrantInventory, sender: str, now: float) -> list[Action]:
         if not self.recovery.is_first(message, sender):
@@ -547,6 +572,7 @@
             spec.version,
             self.epoch,
             0.0 if self.queue else self.settings.linger_s,
+            state.incarnation,
         )
         record = GrantRecord(
             granted.grant,
--- a/src/thornlatch/dispatch/_settings.py
+++ b/src/thornlatch/dispatch/_settings.py
@@ -56,6 +56,9 @@
         Prompt prefixes remembered by their last target.
     prefix_bonus : float
         Share of a target's batch slots that a probable prefix hit outweighs.
+    death_check_s : float
+        Seconds for which a target that a host reported dead gets no new work at most
+        while the owner asks it.
     copy_hold_s : float
         Seconds for which copies of a request that never ended well share a target at
         most, and wait after one of them ended without an answer.
@@ -80,4 +83,5 @@
     orphan_pin_s: Seconds = 30.0
     prefix_entries: Annotated[int, Meta(ge=0, le=10_000_000)] = 20_000
     prefix_bonus: Annotated[float, Meta(ge=0, le=1)] = 0.25
+    death_check_s: Seconds = 1.0
     copy_hold_s: Seconds = 1.0
--- a/src/thornlatch/dispatch/_targets.py
+++ b/src/thornlatch/dispatch/_targets.py
@@ -5,6 +5,7 @@
 from statistics import median_low
 
 from thornlatch.configuration import Target
+from thornlatch.dispatch._deaths import DeathReports
 from thornlatch.dispatch._estimate import MovingAverage
 from thornlatch.dispatch._messages import Outcome
 from thornlatch.dispatch._settings import DispatchSettings
@@ -58,10 +59,12 @@
         self.rests_until = 0.0
         self.is_leaving = False
         self.incarnation = ""
+        self.deaths = DeathReports(settings.death_check_s)
 
     def is_open(self, now: float) -> bool:
         """Return whether the target may get new work."""
-        return not self.is_leaving and now >= self.rests_until
+        is_held = now < self.rests_until or self.deaths.is_holding(now)
+        return not self.is_leaving and not is_held
 
     def count_usable(self, now: float) -> int:
         """Return the batch slots that may be used at `now`."""
@@ -90,6 +93,14 @@
         elif outcome is Outcome.BUSY:
             self.rest(self.settings.retry_min_s, now)
 
+    def note_life(self, report: TargetReport) -> None:
+        """Learn from a report which life of its process the target is in."""
+        if self.incarnation not in ("", report.incarnation):
+            self.failures = 0
+            self.deaths.clear()
+        self.incarnation = report.incarnation
+        self.deaths.note_answer(report.asked_at)
+
     def note_failure(self, now: float) -> None:
         """Count a failure; several in a row make the target rest."""
         self.failures += 1
--- /dev/null
+++ b/src/thornlatch/dispatch/tests/test_target_deaths.py
@@ -0,0 +1,144 @@
+"""Fault table of deaths that hosts report to the owner of a pool."""
+
+import pytest
+
+from thornlatch.dispatch import Grant, TargetDeathReported
+from thornlatch.dispatch.tests.fleet import Fleet, make_spec, make_targets
+
+
+def start():
+    """Return a fleet whose host h2 runs a request on t0, the only target."""
+    fleet = Fleet(hosts=3, targets=make_targets(1, batch_slots=4))
+    fleet.advance(0.1)
+    fleet.report_all()
+    fleet.settle()
+    fleet.request("h2", make_spec("r1"))
+    fleet.settle()
+    return fleet
+
+
+def report_death(fleet, host="h2"):
+    grant = fleet.results["r1"]
+    actions = fleet.hosts[host].note_target_died(grant, now=fleet.now)
+    fleet._do(host, actions)
+
+
+def is_open(fleet, owner="h1"):
+    state = fleet.hosts[owner].schedulers["p"].targets["t0"]
+    return state.is_open(fleet.now)
+
+
+def is_check_due(fleet, polled_at):
+    return fleet.hosts["h1"].is_check_due("t0", polled_at)
+
+
+def test_owner_learns_at_once_and_asks_the_target():
+    fleet = start()
+    polled_at = fleet.now
+    fleet.now += 0.01
+    report_death(fleet)
+    fleet.deliver(0)
+    assert not is_open(fleet)
+    assert is_check_due(fleet, polled_at)
+    assert not is_check_due(fleet, fleet.now)
+    fleet.request("h3", make_spec("r2"))
+    fleet.advance(0.2)
+    assert "r2" not in fleet.results
+
+
+def test_live_target_works_again_with_its_answer():
+    fleet = start()
+    report_death(fleet)
+    fleet.settle()
+    fleet.request("h3", make_spec("r2"))
+    fleet.settle()
+    fleet.report_all()
+    fleet.settle()
+    assert isinstance(fleet.results["r2"], Grant)
+
+
+def test_unanswered_report_holds_for_a_bounded_time():
+    fleet = start()
+    report_death(fleet)
+    fleet.settle()
+    fleet.request("h3", make_spec("r2"))
+    fleet.advance(fleet.settings.death_check_s + 0.1)
+    assert isinstance(fleet.results["r2"], Grant)
+
+
+def test_duplicate_changes_nothing():
+    fleet = start()
+    report_death(fleet)
+    fleet.deliver(0, keep=True)
+    fleet.report_all()
+    fleet.deliver(0)
+    assert is_open(fleet)
+
+
+def test_host_that_was_wrong_is_not_believed_again():
+    fleet = start()
+    for _ in range(3):
+        report_death(fleet)
+        fleet.settle()
+        fleet.report_all()
+    report_death(fleet)
+    fleet.settle()
+    assert is_open(fleet)
+    report_death(fleet, "h3")
+    fleet.settle()
+    assert not is_open(fleet)
+
+
+def test_late_report_of_an_earlier_life():
+    fleet = start()
+    report_death(fleet)
+    fleet.engines["t0"].restart()
+    fleet.report_all()
+    fleet.deliver(0)
+    assert is_open(fleet)
+
+
+def test_restart_clears_what_was_reported():
+    fleet = start()
+    report_death(fleet)
+    fleet.settle()
+    fleet.engines["t0"].restart()
+    fleet.report_all()
+    assert is_open(fleet)
+
+
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_report_under_a_former_epoch(is_restarted):
+    fleet = start()
+    fleet.set_owner("h3")
+    fleet.advance(0.2)
+    if is_restarted:
+        fleet.engines["t0"].restart()
+    fleet.report_all()
+    fleet._do(
+        "h2", fleet.hosts["h2"].note_target_died(fleet.results["r1"], now=fleet.now)
+    )
+    fleet.settle()
+    assert is_open(fleet, "h3") == is_restarted
+
+
+def test_report_to_a_former_owner_is_dropped():
+    fleet = start()
+    report_death(fleet)
+    fleet.set_owner("h3")
+    fleet.advance(0.2)
+    fleet.report_all()
+    fleet.settle()
+    assert is_open(fleet, "h3")
+
+
+def test_report_of_an_unknown_target_or_life():
+    fleet = start()
+    for message in (
+        TargetDeathReported("p", "t9", "0"),
+        TargetDeathReported("p", "t0", "9"),
+        TargetDeathReported("q", "t0", "0"),
+    ):
+        actions = fleet.hosts["h1"].handle(message, sender="h2", now=fleet.now)
+        assert actions == []
+    assert is_open(fleet)
