--- a/src/thornlatch/daemon/_orders.py
+++ b/src/thornlatch/daemon/_orders.py
@@ -119,9 +119,9 @@
         """
         pools = set(self.dispatch.schedulers)
         for target in self.dispatch.targets.values():
-            is_due = now - self.polled_at.get(target.name, -1e9) >= (
-                self.settings.report_every_s
-            )
+            polled_at = self.polled_at.get(target.name, -1e9)
+            is_due = now - polled_at >= self.settings.report_every_s
+            is_due = is_due or self.dispatch.is_check_due(target.name, polled_at)
             if target.pool in pools and is_due and target.name not in self.polling:
                 self.polled_at[target.name] = now
                 self.polling.add(target.name)
@@ -214,25 +214,32 @@
     """
     loaded = value.get("loaded", [])
     running, waiting = value.get("running", 0), value.get("waiting", 0)
-    is_sound = isinstance(loaded, list) and all(isinstance(n, str) for n in loaded)
+    in_use = value.get("in_use")
+    are_names = _is_names(loaded) and (in_use is None or _is_names(in_use))
     counts = running, waiting
-    if not is_sound or not all(isinstance(n, int) and n >= 0 for n in counts):
+    if not are_names or not all(isinstance(n, int) and n >= 0 for n in counts):
         raise TargetError("malformed report", is_sent=True)
-    versions = []
-    for name in loaded:
-        adapter, _, version = name.rpartition("@")
-        versions.append(AdapterVersion(adapter, version))
     lag_s = value.get("age_s", 0.0)
     is_number = isinstance(lag_s, int | float) and 0 <= lag_s <= AGE_LIMIT_S
     age_s = float(lag_s) if is_number else AGE_LIMIT_S
     return TargetReport(
         str(value.get("incarnation", "")),
-        tuple(versions),
+        _parse_versions(loaded),
         running,
         waiting,
         asked_at - age_s,
+        _parse_versions(in_use) if in_use is not None else None,
     )
 
 
+def _is_names(value: Any) -> bool:
+    return isinstance(value, list) and all(isinstance(name, str) for name in value)
+
+
+def _parse_versions(names: list[str]) -> tuple[AdapterVersion, ...]:
+    parts = (name.rpartition("@") for name in names)
+    return tuple(AdapterVersion(adapter, version) for adapter, _, version in parts)
+
+
 def _name(order: Any) -> str:
     return "load" if isinstance(order, LoadAdapter) else "evict"
--- a/src/thornlatch/daemon/_suspects.py
+++ b/src/thornlatch/daemon/_suspects.py
@@ -1,9 +1,11 @@
 """Passes requests through the quarantine of those that crash targets."""
 
-from dataclasses import dataclass
+from collections.abc import Callable
+from dataclasses import dataclass, replace
 
 from thornlatch.daemon._services import Services
-from thornlatch.dispatch import Grant, Outcome
+from thornlatch.dispatch import Grant, Outcome, RequestSpec
+from thornlatch.exceptions import RequestRefused
 from thornlatch.requests import (
     Refuse,
     RunIsolated,
@@ -11,6 +13,9 @@
     make_fingerprint,
 )
 
+# Enough for the scheduler, for which a collision only means a shared target.
+FINGERPRINT_DIGITS = 16
+
 
 @dataclass(frozen=True)
 class Turn:
@@ -28,8 +33,23 @@
     excluded: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class Permit:
+    """A grant, and the turn under which it is used.
+
+    Parameters
+    ----------
+    grant : Grant
+    ask : str
+        Names an isolated run; empty for a normal one.
+    """
+
+    grant: Grant
+    ask: str
+
+
 class SuspectGate:
-    """What one request asks of the quarantine.
+    """What one request asks of the quarantine and of the scheduler for its attempts.
 
     Parameters
     ----------
@@ -57,6 +77,67 @@
         self.pool = pool
         self.fingerprint = make_fingerprint(organisation, adapter_version, body)
         self.entered = 0
+        self.excluded: tuple[str, ...] = ()
+
+    def exclude(self, target: str) -> None:
+        """Send no further attempt to a target.
+
+        Parameters
+        ----------
+        target : str
+        """
+        self.excluded = (*self.excluded, target)
+
+    def acquire(
+        self,
+        begin_attempt: Callable[[], RequestSpec],
+        complete_refusal: Callable[[RequestRefused], RequestRefused],
+    ) -> Permit:
+        """Wait until an attempt may be sent to a target.
+
+        Parameters
+        ----------
+        begin_attempt : callable
+            Counts a new attempt and returns its needs.
+        complete_refusal : callable
+            Says in a refusal of the scheduler what earlier attempts have done.
+
+        Returns
+        -------
+        Permit
+
+        Raises
+        ------
+        RequestRefused
+            If no attempt may be sent in time.
+        """
+        while True:
+            turn = self.enter()
+            spec = self._complete_spec(begin_attempt(), turn)
+            try:
+                grant = self.services.acquire_grant(spec)
+            except RequestRefused as error:
+                self.leave_unused(turn)
+                raise complete_refusal(error) from error
+            if turn.ask or not self.is_suspect():
+                return Permit(grant, turn.ask)
+            # A copy took its target down while this request waited for the grant.
+            self.services.release_grant(
+                grant, outcome=Outcome.UNUSED, tokens=0.0, first_token_s=None
+            )
+
+    def is_suspect(self) -> bool:
+        """Return whether the request must not run beside others now."""
+        verdict = self.services.check_suspect(self.fingerprint)
+        return not isinstance(verdict, RunNormally)
+
+    def _complete_spec(self, spec: RequestSpec, turn: Turn) -> RequestSpec:
+        return replace(
+            spec,
+            excluded=tuple(dict.fromkeys((*self.excluded, *turn.excluded))),
+            fingerprint=self.fingerprint[:FINGERPRINT_DIGITS],
+            is_isolated=bool(turn.ask),
+        )
 
     def enter(self) -> Turn:
         """Wait until the request may be sent.
@@ -130,8 +211,8 @@
                 lambda now: quarantine.note_unsent(self.request, now=now)
             )
         is_suspicious = outcome in (Outcome.UNKNOWN, Outcome.FAILED)
-        if is_suspicious and self.services.is_target_dead(grant.target, grant.address):
-            self.services.note_target_died(grant.target)
+        if is_suspicious and self.services.is_target_dead(grant):
+            self.services.note_target_died(grant)
             return
         self.services.submit(
             lambda now: quarantine.note_finished(self.request, now=now)
--- a/src/thornlatch/dispatch/__init__.py
+++ b/src/thornlatch/dispatch/__init__.py
@@ -1,5 +1,6 @@
 """Queues, fairness, choice of target and grants."""
 
+from thornlatch.dispatch._copies import CopiesInFlight
 from thornlatch.dispatch._dispatch import Dispatch
 from thornlatch.dispatch._holder import Grant
 from thornlatch.dispatch._messages import (
@@ -20,12 +21,14 @@
     Outcome,
     Priority,
     RequestSpec,
+    TargetDeathReported,
 )
 from thornlatch.dispatch._scheduler import PoolScheduler, get_pool_key
 from thornlatch.dispatch._settings import DispatchSettings
 from thornlatch.dispatch._targets import TargetReport
 
 __all__ = [
+    "CopiesInFlight",
     "Dispatch",
     "DispatchSettings",
     "Grant",
@@ -47,6 +50,7 @@
     "PoolScheduler",
     "Priority",
     "RequestSpec",
+    "TargetDeathReported",
     "TargetReport",
     "get_pool_key",
 ]
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -34,6 +34,7 @@
     GrantRequest,
     Outcome,
     RequestSpec,
+    TargetDeathReported,
 )
 from thornlatch.dispatch._queue import RequestKey
 from thornlatch.dispatch._scheduler import PoolScheduler, get_pool_key
@@ -189,6 +190,39 @@
             target, order, ok=ok, is_certain=is_certain, now=now
         )
 
+    def note_target_died(self, grant: Grant, *, now: float) -> list[Action]:
+        """Note that a target died under a grant of this host.
+
+        Parameters
+        ----------
+        grant : Grant
+        now : float
+
+        Returns
+        -------
+        list of Action
+            Tells the pool's owner at once.
+        """
+        if grant.pool in self.schedulers:
+            return self.note_target_failed(grant.target, now=now)
+        owner = self.leases.get_owner(get_pool_key(grant.pool))
+        if owner is None or not grant.incarnation:
+            return []
+        report = TargetDeathReported(grant.pool, grant.target, grant.incarnation)
+        return [Send(owner.host, report)]
+
+    def is_check_due(self, target: str, polled_at: float) -> bool:
+        """Return whether a target of a pool owned here must be asked at once.
+
+        Parameters
+        ----------
+        target : str
+        polled_at : float
+            Time at which it was asked last, seconds.
+        """
+        scheduler = self._get_scheduler_of(target)
+        return scheduler is not None and scheduler.is_check_due(target, polled_at)
+
     def note_target_failed(self, target: str, *, now: float) -> list[Action]:
         """Note that a target is known to be down."""
         scheduler = self._get_scheduler_of(target)
@@ -221,11 +255,14 @@
         deadline = now + spec.deadline_in_s
         pending = PendingRequest(ticket, spec, now, deadline)
         idle = holder.find_idle(spec, self._get_leaving())
+        actions: list[Action] = []
         if idle is not None:
-            return self._use(holder, idle, pending, now)
+            if holder.may_use_kept(spec, now):
+                return self._use(holder, idle, pending, now)
+            actions = holder.give_back(idle, None, now)
         holder.pending[pending.key] = pending
         self.tickets[ticket] = pending
-        return self._ask(holder, pending, now)
+        return actions + self._ask(holder, pending, now)
 
     def release(
         self,
@@ -268,8 +305,11 @@
         )
         if not is_kept or not self.leases.is_confirmed(now=now):
             return holder.give_back(right, report, now)
+        pending = holder.find_pending(right, now)
+        if pending is None and holder.list_pending(right):
+            # The owner serves them sooner with a free slot than after a recall.
+            return holder.give_back(right, report, now)
         actions = holder.keep(right, report, now)
-        pending = holder.find_pending(right)
         if pending is None:
             return actions
         actions += self._use(holder, right, pending, now)
@@ -359,6 +399,10 @@
     def _(self, message: GrantCancelled, sender: str, now: float) -> list[Action]:
         return self._pass_to_scheduler(message.pool, message, sender, now)
 
+    @_handle.register
+    def _(self, message: TargetDeathReported, sender: str, now: float) -> list[Action]:
+        return self._pass_to_scheduler(message.pool, message, sender, now)
+
     @_handle.register
     def _(self, message: GrantCancelNoted, sender: str, now: float) -> list[Action]:
         holder = self.holders.get(message.pool)
@@ -500,7 +544,7 @@
             former.list_orders(now),
             (*former.list_pins(now), *holder.list_unsettled(now)),
             holder.former_epoch,
-            former.epoch,
+            former.get_epoch(now),
         )
 
     def _get_budget(self, store: Store | None) -> LoadBudget:
--- a/src/thornlatch/dispatch/_messages.py
+++ b/src/thornlatch/dispatch/_messages.py
@@ -58,6 +58,10 @@
         Targets that must not run the request.
     is_stream : bool
         Whether the answer is due with its first token, not with its last.
+    fingerprint : str
+        Digest of the whole request, equal for its copies; empty if there is none.
+    is_isolated : bool
+        Whether the quarantine gave it a turn to run isolated.
     """
 
     request: str
@@ -72,6 +76,8 @@
     prefix: str = ""
     excluded: tuple[str, ...] = ()
     is_stream: bool = False
+    fingerprint: str = ""
+    is_isolated: bool = False
 
 
 @register
@@ -112,6 +118,8 @@
         Epoch of the owner; hosts that answered a newer owner ignore it.
     linger_s : float
         Seconds that the host may keep the grant after use.
+    incarnation : str
+        Life of the target's process that the owner knows; empty if it knows none.
     """
 
     request: str
@@ -124,6 +132,7 @@
     version: str
     epoch: int
     linger_s: float
+    incarnation: str = ""
 
 
 @register
@@ -292,6 +301,26 @@
     attempt: int
 
 
+@register
+@dataclass(frozen=True)
+class TargetDeathReported:
+    """Tells the owner that a target has died; the owner finds out for itself.
+
+    Sent once: if it's lost, the released grant and the next poll tell the owner.
+
+    Parameters
+    ----------
+    pool : str
+    target : str
+    incarnation : str
+        Life of the target's process that ended.
+    """
+
+    pool: str
+    target: str
+    incarnation: str
+
+
 @register
 @dataclass(frozen=True)
 class GrantInventoryRequest:
@@ -322,6 +351,8 @@
         Finished uses.
     is_idle : bool
         Whether it's kept for a next request.
+    fingerprint : str
+        Digest of the request that uses it; empty if there is none.
     """
 
     grant: str
@@ -330,6 +361,7 @@
     version: str
     use: int
     is_idle: bool
+    fingerprint: str = ""
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -8,6 +8,7 @@
 from thornlatch.configuration import Pool, Store, Target
 from thornlatch.core import Action, Emit, Event, LeaseReader, Order, Send
 from thornlatch.dispatch._choice import choose_request, choose_target
+from thornlatch.dispatch._copies import CopiesInFlight
 from thornlatch.dispatch._deadlines import GiveUpTimes, LatenessEstimate
 from thornlatch.dispatch._estimate import ServiceEstimate
 from thornlatch.dispatch._fairness import FairShares
@@ -29,6 +30,7 @@
     OrderInDoubt,
     Outcome,
     PinInDoubt,
+    TargetDeathReported,
 )
 from thornlatch.dispatch._needs import find_needs
 from thornlatch.dispatch._prefixes import PrefixMap
@@ -128,6 +130,7 @@
         self.recalls = Recalls(settings, pool.name, self.table)
         self.recovery = GrantRecovery(epoch, settings.resend_s)
         self.give_up = GiveUpTimes()
+        self.copies = CopiesInFlight(settings.copy_hold_s)
         self.targets: dict[str, TargetState] = {}
         self.leaving: set[str] = set()
         self.unknown_uses: set[str] = set()
@@ -173,13 +176,10 @@
             return []
         if state.incarnation not in ("", report.incarnation):
             self.prefixes.forget_target(target)
-            state.failures = 0
-        state.incarnation = report.incarnation
-        is_idle = not report.running and not report.waiting
-        if is_idle and self.recovery.is_complete and report.asked_at >= self.known_at:
-            latest = report.asked_at + self.settings.orphan_pin_s
-            self.table.drop_orphans(target, latest)
-            self.unknown_uses.discard(target)
+        state.note_life(report)
+        self.placement.set_open(target, is_open=state.is_open(now))
+        if self.recovery.is_complete and report.asked_at >= self.known_at:
+            self._settle_orphans(target, report)
         self.placement.note_loaded(
             target,
             report.loaded,
@@ -237,7 +237,7 @@
         """Return what a successor must know of this ownership."""
         limit_s = self.settings.orphan_pin_s
         is_whole = self.recovery.is_complete and not self.unknown_uses
-        pins = dict.fromkeys(self.table.pins, now + limit_s) | self.table.orphans
+        pins = dict.fromkeys((*self.table.orphans, *self.table.pins), now + limit_s)
         return Handover(
             self.epoch if is_whole else -1,
             now,
@@ -306,7 +306,7 @@
                 self.recovery.note_released(message.grant)
             return actions
         if message.use > record.use:
-            self._learn(record, message, now)
+            actions += self._learn(record, message, now)
         elif message.outcome is Outcome.UNUSED and not record.is_idle:
             self.shares.correct(record.organisation, -record.tokens)
         if not message.is_kept:
@@ -323,6 +323,30 @@
             self.table.confirm(record)
         return []
 
+    @_handle.register
+    def _(self, message: TargetDeathReported, sender: str, now: float) -> list[Action]:
+        state = self.targets.get(message.target)
+        is_current = state is not None and message.incarnation == state.incarnation
+        if state is None or not is_current or not state.deaths.add(sender, now):
+            return []
+        self._update_placement(now)
+        detail: dict[str, object] = {"reporter": sender}
+        event = Event(
+            "dispatch.death_reported",
+            target=message.target,
+            key=self.key,
+            epoch=self.epoch,
+            detail=detail,
+        )
+        return [Emit(event)]
+
+    def is_check_due(self, target: str, polled_at: float) -> bool:
+        """Return whether a target was reported dead since it was asked last."""
+        state = self.targets.get(target)
+        if state is None or not state.deaths.reporters:
+            return False
+        return state.deaths.reported_at > polled_at
+
     @_handle.register
     def _(self, message: GrantInventory, sender: str, now: float) -> list[Action]:
         if not self.recovery.is_first(message, sender):
@@ -349,9 +373,11 @@
         actions += self._refuse_late(now)
         actions += self._resend(now)
         if self.recovery.is_complete:
-            self.table.expire_orphans(now)
+            self.table.expire_orphans(now, self._is_timed)
             if now >= self.known_at + self.settings.orphan_pin_s:
-                self.unknown_uses.clear()
+                timed = {name for name in self.unknown_uses if self._is_timed(name)}
+                self.unknown_uses -= timed
+        self.copies.expire(now)
         compare_speeds(self.targets.values())
         self.lateness.measure_queue(self._is_loaded)
         self._update_placement(now)
@@ -495,9 +521,10 @@
     def _grant_at_once(self, waiting: WaitingRequest, now: float) -> list[Action]:
         if not self.may_grant(now):
             return []
+        states = self._find_states(waiting.version)
         state = choose_target(
             waiting,
-            self._find_states(waiting.version),
+            [one for one in states if self._may_run(waiting, one.target.name, now)],
             self.prefixes,
             self.settings,
             self.random,
@@ -512,7 +539,10 @@
         actions: list[Action] = []
         while state.count_free(now) > 0:
             waiting = choose_request(
-                self.queue, name, self._get_versions(name), self.shares
+                self.queue,
+                self._get_versions(name),
+                self.shares,
+                lambda waiting: self._may_run(waiting, name, now),
             )
             if waiting is None:
                 break
@@ -520,6 +550,11 @@
             actions += self._grant(waiting, state, now)
         return actions
 
+    def _may_run(self, waiting: WaitingRequest, target: str, now: float) -> bool:
+        if target in waiting.spec.excluded:
+            return False
+        return self.copies.may_run(waiting.spec, target, now)
+
     def _get_versions(self, target: str) -> Iterable[AdapterVersion]:
         if self.pool.kind == "plain":
             return (AdapterVersion("", ""),)
@@ -541,6 +576,7 @@
             spec.version,
             self.epoch,
             0.0 if self.queue else self.settings.linger_s,
+            state.incarnation,
         )
         record = GrantRecord(
             granted.grant,
@@ -551,8 +587,10 @@
             spec.tokens,
             granted,
             now,
+            fingerprint=spec.fingerprint,
         )
         self.table.add(record)
+        self.copies.note_granted(spec.fingerprint, granted.target, now)
         state.grants.add(granted.grant)
         self.shares.charge(spec.organisation, spec.tokens)
         self.prefixes.note(spec.prefix, granted.target)
@@ -568,7 +606,9 @@
         )
         return [Send(waiting.host, granted), Emit(event)]
 
-    def _learn(self, record: GrantRecord, message: GrantReleased, now: float) -> None:
+    def _learn(
+        self, record: GrantRecord, message: GrantReleased, now: float
+    ) -> list[Action]:
         is_first = record.use == 0 and record.message is not None
         charged = record.tokens if is_first else 0.0
         record.use = message.use
@@ -583,12 +623,24 @@
             self.placement.note_missing(record.target, record.version, now=now)
         if message.outcome not in SETTLED_OUTCOMES:
             self._orphan(record, now)
+        if not self._end_copy(record, message.outcome, now):
+            return []
+        actions: list[Action] = []
+        for name in self.targets:
+            actions += self._serve_target(name, now)
+        return actions
 
     def _orphan(self, record: GrantRecord, now: float) -> None:
         pin = Pin(record.target, record.version)
         self.table.add_orphan(pin, now + self.settings.orphan_pin_s)
 
+    def _end_copy(self, record: GrantRecord, outcome: Outcome, now: float) -> bool:
+        # A kept grant has further uses, of which the owner only learns the end.
+        fingerprint, record.fingerprint = record.fingerprint, ""
+        return self.copies.note_ended(fingerprint, outcome, now)
+
     def _free(self, record: GrantRecord, now: float) -> list[Action]:
+        self._end_copy(record, Outcome.UNUSED, now)
         self.table.remove(record.grant)
         state = self.targets.get(record.target)
         if state is not None:
@@ -625,6 +677,25 @@
         for name, state in self.targets.items():
             self.placement.set_open(name, is_open=state.is_open(now))
 
+    # Uses whose end isn't known.
+
+    def _is_timed(self, target: str) -> bool:
+        """Return whether only time can end the pins of such uses."""
+        state = self.targets.get(target)
+        return state is None or state.names_uses is False
+
+    def _settle_orphans(self, target: str, report: TargetReport) -> None:
+        is_idle = not report.running and not report.waiting
+        in_use = () if is_idle else report.in_use
+        if in_use is None:
+            return
+        latest = report.asked_at + self.settings.orphan_pin_s
+        if target in self.unknown_uses:
+            self.unknown_uses.discard(target)
+            for version in in_use:
+                self.table.add_orphan(Pin(target, version), latest)
+        self.table.drop_orphans(target, latest, in_use)
+
     # Recovery and repetition.
 
     def _recover(self, now: float) -> list[Action]:
@@ -657,8 +728,10 @@
             use=held.use,
             is_idle=held.is_idle,
             is_confirmed=True,
+            fingerprint=held.fingerprint,
         )
         self.table.add(record)
+        self.copies.note_granted(held.fingerprint, held.target, now)
         state = self.targets.get(held.target)
         if state is not None:
             state.grants.add(held.grant)
--- a/src/thornlatch/dispatch/_targets.py
+++ b/src/thornlatch/dispatch/_targets.py
@@ -5,6 +5,7 @@
 from statistics import median_low
 
 from thornlatch.configuration import Target
+from thornlatch.dispatch._deaths import DeathReports
 from thornlatch.dispatch._estimate import MovingAverage
 from thornlatch.dispatch._messages import Outcome
 from thornlatch.dispatch._settings import DispatchSettings
@@ -30,6 +31,8 @@
     asked_at : float
         Monotonic time of this host at which the report was asked for, or the time of
         receipt less the known lag; the report holds nothing older. Seconds.
+    in_use : tuple of AdapterVersion or None
+        Versions that running and waiting requests use; None if the target doesn't say.
     """
 
     incarnation: str
@@ -37,6 +40,7 @@
     running: int
     waiting: int
     asked_at: float
+    in_use: tuple[AdapterVersion, ...] | None = None
 
 
 class TargetState:
@@ -58,10 +62,13 @@
         self.rests_until = 0.0
         self.is_leaving = False
         self.incarnation = ""
+        self.deaths = DeathReports(settings.death_check_s)
+        self.names_uses: bool | None = None
 
     def is_open(self, now: float) -> bool:
         """Return whether the target may get new work."""
-        return not self.is_leaving and now >= self.rests_until
+        is_held = now < self.rests_until or self.deaths.is_holding(now)
+        return not self.is_leaving and not is_held
 
     def count_usable(self, now: float) -> int:
         """Return the batch slots that may be used at `now`."""
@@ -90,6 +97,15 @@
         elif outcome is Outcome.BUSY:
             self.rest(self.settings.retry_min_s, now)
 
+    def note_life(self, report: TargetReport) -> None:
+        """Learn from a report which life of its process the target is in."""
+        if self.incarnation not in ("", report.incarnation):
+            self.failures = 0
+            self.deaths.clear()
+        self.incarnation = report.incarnation
+        self.names_uses = report.in_use is not None
+        self.deaths.note_answer(report.asked_at)
+
     def note_failure(self, now: float) -> None:
         """Count a failure; several in a row make the target rest."""
         self.failures += 1
