--- a/standins/log_service.py
+++ b/standins/log_service.py
@@ -10,6 +10,8 @@
 from standins._http import Environ, Response, build_app, build_parser, run_main, serve
 
 MAX_RECORDS_PER_READ = 1000
+# Each of 64 daemons keeps four reads open.
+THREADS = 300
 
 
 @dataclass(frozen=True)
@@ -178,7 +180,9 @@
     parser.add_argument("--appends-per-s", type=float, default=400.0)
     options = parser.parse_args(arguments)
     service = LogService(options.appends_per_s)
-    return serve(service.app, options.address, name=options.name or "log", threads=96)
+    return serve(
+        service.app, options.address, name=options.name or "log", threads=THREADS
+    )
 
 
 if __name__ == "__main__":
