Watch neighbours on both sides of the ring

Cause: beyond 16 members a host watched the next 4 and 2, which didn't watch it, so that heartbeats couldn't carry answers: twice the messages. Change: 2 neighbours on each side, and 1 on each side in the failure domain: as many watchers as before, and mutual. Tests of membership and leases pass; the one of the ring now also demands that watching is mutual.

--- a/src/thornlatch/membership/_peers.py
+++ b/src/thornlatch/membership/_peers.py
@@ -7,8 +7,8 @@
 from thornlatch.core import Member
 from thornlatch.membership._view import ViewFold
 
-RING_SUCCESSORS = 4
-DOMAIN_SUCCESSORS = 2
+RING_REACH = 2
+DOMAIN_REACH = 1
 
 
 def choose_watched(
@@ -28,27 +28,28 @@
     Returns
     -------
     set of str
-        In larger fleets the next members on a hash ring of the fleet and of the
-        failure domain and, if `host` is a voter, the probed members.
+        In larger fleets the neighbours on both sides of a hash ring of the fleet and
+        of one of the failure domain, so that these watch `host` as well, and, if
+        `host` is a voter, the probed members.
     """
     others = [member for member in view.members.values() if member.host != host]
     if len(view.members) <= full_mesh_limit:
         return {member.host for member in others}
     domain = view.members[host].failure_domain
     near = [member for member in others if member.failure_domain == domain]
-    watched = _find_successors(host, others, RING_SUCCESSORS)
-    watched |= _find_successors(host, near, DOMAIN_SUCCESSORS)
+    watched = _find_neighbours(host, others, RING_REACH)
+    watched |= _find_neighbours(host, near, DOMAIN_REACH)
     if view.is_voter(host):
         watched |= view.members.keys() & set(probed)
     return watched - {host}
 
 
-def _find_successors(host: str, members: Iterable[Member], count: int) -> set[str]:
+def _find_neighbours(host: str, members: Iterable[Member], reach: int) -> set[str]:
     own = _get_position(host)
     ring = sorted(
         (((_get_position(m.host) - own) % (1 << 64)), m.host) for m in members
     )
-    return {name for _, name in ring[:count]}
+    return {name for _, name in ring[:reach] + ring[-reach:]}
 
 
 @functools.lru_cache(maxsize=4096)
--- a/src/thornlatch/membership/tests/test_peers.py
+++ b/src/thornlatch/membership/tests/test_peers.py
@@ -4,8 +4,8 @@
 
 from thornlatch.membership import SessionOpened, ViewFold
 from thornlatch.membership._peers import (
-    DOMAIN_SUCCESSORS,
-    RING_SUCCESSORS,
+    DOMAIN_REACH,
+    RING_REACH,
     choose_watched,
 )
 
@@ -33,13 +33,21 @@
 @pytest.mark.parametrize("count", [17, 60, 340])
 def test_watched_bounded_and_everybody_watched(count):
     watched = choose_all(make_view(count))
-    most = RING_SUCCESSORS + DOMAIN_SUCCESSORS
+    most = 2 * (RING_REACH + DOMAIN_REACH)
+    assert most == 6
     assert all(len(others) <= most for others in watched.values())
     watchers = Counter(host for others in watched.values() for host in others)
-    assert min(watchers.values()) >= RING_SUCCESSORS
+    assert min(watchers.values()) >= 4
     assert len(watchers) == count
 
 
+@pytest.mark.parametrize("count", [17, 60, 340])
+def test_watching_is_mutual(count):
+    watched = choose_all(make_view(count))
+    pairs = {(host, other) for host, others in watched.items() for other in others}
+    assert {(other, host) for host, other in pairs} == pairs
+
+
 def test_watched_accused_by_voters_only():
     view = make_view(60)
     watched = choose_all(view, probed=["h.59", "h.gone"])
