Find a probed host suspect sooner, and watch all of 8 members only

Change: a host watched only as it was accused is suspect after half of suspect_s, 0.8 s by default: later than where all watch, as its watcher has waited 1.5 s before. Members all watch each other up to 8. Ruled out: shorter silence for all, since a pause of a host would then be accused at once.

--- a/src/thornlatch/membership/_settings.py
+++ b/src/thornlatch/membership/_settings.py
@@ -51,7 +51,7 @@
     acknowledge_s: ShortTime = 10.0
     record_view_s: Annotated[float, Meta(gt=0, le=86_400)] = 600.0
     voter_limit: Annotated[int, Meta(ge=1, le=31)] = 15
-    full_mesh_limit: Annotated[int, Meta(ge=1, le=64)] = 16
+    full_mesh_limit: Annotated[int, Meta(ge=1, le=64)] = 8
 
     def __post_init__(self) -> None:
         """Check the settings against each other."""
--- a/src/thornlatch/membership/_suspects.py
+++ b/src/thornlatch/membership/_suspects.py
@@ -29,6 +29,7 @@
         self.joined_at: dict[str, float] = {}
         self.probed_until: dict[str, float] = {}
         self.hinted_gone: set[str] = set()
+        self.probed_only: set[str] = set()
         self.chosen_for: tuple[int, frozenset[str]] | None = None
 
     def update(self, view: ViewFold, *, now: float) -> None:
@@ -50,12 +51,12 @@
         if chosen_for == self.chosen_for:
             return
         self.chosen_for = chosen_for
+        limit = self.settings.full_mesh_limit
+        usual = choose_watched(self.host, view, full_mesh_limit=limit)
         watched = choose_watched(
-            self.host,
-            view,
-            full_mesh_limit=self.settings.full_mesh_limit,
-            probed=self.probed_until,
+            self.host, view, full_mesh_limit=limit, probed=self.probed_until
         )
+        self.probed_only = watched - usual
         self.watch.set_watched(watched, now=now)
 
     def note_hint(
@@ -102,7 +103,7 @@
     def get_next_silence(self) -> float:
         """Return the time at which the first watched member would be silent."""
         heard_at = self.watch.heard_at.values()
-        hint = HINTED_FACTOR if self.hinted_gone else 1.0
+        hint = HINTED_FACTOR if self.hinted_gone or self.probed_only else 1.0
         return min(heard_at, default=math.inf) + self.settings.suspect_s * hint
 
     def find_accusable(self, view: ViewFold, *, now: float) -> list[str]:
@@ -115,7 +116,8 @@
         if not is_in_touch:
             # More likely this host is cut off; the others may accuse it first.
             return settings.suspect_s * ISOLATED_FACTOR
-        if host in self.hinted_gone:
+        # A probed host was silent to its watcher for the whole time before.
+        if host in self.hinted_gone or host in self.probed_only:
             return max(settings.suspect_s * HINTED_FACTOR, 2 * settings.heartbeat_s)
         return settings.suspect_s
 
--- a/src/thornlatch/membership/tests/test_peers.py
+++ b/src/thornlatch/membership/tests/test_peers.py
@@ -2,12 +2,13 @@
 
 import pytest
 
-from thornlatch.membership import SessionOpened, ViewFold
+from thornlatch.membership import MembershipSettings, SessionOpened, ViewFold
 from thornlatch.membership._peers import (
     DOMAIN_REACH,
     RING_REACH,
     choose_watched,
 )
+from thornlatch.membership._suspects import HINTED_FACTOR, Suspects
 
 
 def make_view(count):
@@ -55,3 +56,21 @@
     assert "h.59" in watched[voter]
     assert "h.gone" not in watched[voter]
     assert sum("h.59" in others for others in watched.values()) < 10
+
+
+def test_probed_host_is_suspect_sooner_than_a_usual_one():
+    view = make_view(60)
+    settings = MembershipSettings()
+    host = next(iter(view.voters))
+    suspects = Suspects(settings, host)
+    suspects.update(view, now=0.0)
+    usual = set(suspects.watch.heard_at)
+    probed = min(view.members.keys() - usual - {host})
+    suspects.note_accused(probed, now=0.0)
+    suspects.update(view, now=0.0)
+    for peer in usual:
+        suspects.watch.note_heard(peer, now=0.1)
+    soon = max(settings.suspect_s * HINTED_FACTOR, 2 * settings.heartbeat_s)
+    assert suspects.find_suspects(view, now=soon - 0.01) == set()
+    assert suspects.get_next_silence() <= soon
+    assert suspects.find_suspects(view, now=soon) == {probed}
