--- a/src/thornlatch/membership/tests/test_membership.py
+++ b/src/thornlatch/membership/tests/test_membership.py
@@ -417,3 +417,12 @@
     session.read()
     sent = [a.message for a in session.tick() if isinstance(a, Send)]
     assert [one.answered for one in sent] == ([9, -1] if is_joined else [])
+
+
+def test_next_due_names_the_end_of_the_confirmation_by_reads():
+    session = Session()
+    session.run(1.0)
+    read_at = session.now
+    session.run(SETTINGS.safe_s - 0.15, is_log_up=False)
+    due = session.membership.next_due(now=session.now)
+    assert due <= read_at + SETTINGS.safe_s
