Load for the most waiting requests; let age add to the weight

Change: a need's weight is the sum over its requests of their weight plus age / batch_aging_s, which keeps batch work from starving. test_needs: 2 of 6 cases fail on the old code (two-before-one-that-waited-a-little, batch-never-starves); all pass now.

--- a/src/thornlatch/dispatch/_needs.py
+++ b/src/thornlatch/dispatch/_needs.py
@@ -7,8 +7,6 @@
 from thornlatch.dispatch._settings import DispatchSettings
 from thornlatch.placement import AdapterVersion, LoadNeed, Placement
 
-AGING_FACTOR = 10.0
-
 
 def find_needs(
     queue: RequestQueue,
@@ -77,11 +75,10 @@
     now: float,
 ) -> LoadNeed:
     first = queue.get_first(version)
-    aging = 1.0 + wait.get_age(now) / settings.batch_aging_s * AGING_FACTOR
     return LoadNeed(
         version,
         first.spec.organisation,
-        wait.weight * aging,
+        wait.get_urgency(settings.batch_aging_s, now),
         is_copy=bool(targets),
         excluded=frozenset(first.spec.excluded),
     )
--- a/src/thornlatch/dispatch/_queue.py
+++ b/src/thornlatch/dispatch/_queue.py
@@ -88,6 +88,8 @@
         Sum of the requests' weights.
     weighted_arrival : float
         Sum of weight times time of arrival, seconds.
+    arrival : float
+        Sum of times of arrival, seconds.
     tokens : float
         Announced tokens.
     """
@@ -96,6 +98,7 @@
     excluding: int = 0
     weight: float = 0.0
     weighted_arrival: float = 0.0
+    arrival: float = 0.0
     tokens: float = 0.0
 
     def add(self, waiting: WaitingRequest, sign: int) -> None:
@@ -106,6 +109,7 @@
         self.excluding += sign * bool(waiting.spec.excluded)
         self.weight += weight
         self.weighted_arrival += weight * waiting.arrived_at
+        self.arrival += sign * waiting.arrived_at
         self.tokens += sign * waiting.spec.tokens
 
     def get_age(self, now: float) -> float:
@@ -114,6 +118,10 @@
             return 0.0
         return now - self.weighted_arrival / self.weight
 
+    def get_urgency(self, aging_s: float, now: float) -> float:
+        """Return the sum of the weights; each grows by 1 in `aging_s` seconds."""
+        return self.weight + (self.count * now - self.arrival) / aging_s
+
 
 class RequestQueue:
     """Lines of waiting requests by adapter version and organisation."""
