--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -13,6 +13,7 @@
 from bench.traces import KITABU, MANDACARU, TraceSettings, make_trace
 
 SEED = 11
+FAIR_SEEDS = (11, 12, 13)
 WORKERS = 4
 JOB_LIMIT_S = 120.0
 # Requests per load that the store allows: the offline bound takes about two thirds.
@@ -35,14 +36,26 @@
         Keys name, value, unit, bound, baseline and seed.
     """
     with ProcessPoolExecutor(WORKERS) as pool:
-        jobs = []
+        jobs, fair_jobs = [], []
         for deployment in (KITABU, MANDACARU):
             jobs.append(pool.submit(measure_stalls, deployment))
             jobs.append(pool.submit(measure_light_stalls, deployment))
             jobs.append(pool.submit(measure_occupancy, deployment))
-        jobs.append(pool.submit(measure_fairness, KITABU))
-        jobs.append(pool.submit(measure_overload, KITABU))
-        return [row for job in jobs for row in job.result(JOB_LIMIT_S)]
+            jobs.append(pool.submit(measure_overload, deployment))
+            fair_jobs.append(
+                [pool.submit(measure_fairness, deployment, s) for s in FAIR_SEEDS]
+            )
+        rows = [row for job in jobs for row in job.result(JOB_LIMIT_S)]
+        for own in fair_jobs:
+            rows += choose_worst([job.result(JOB_LIMIT_S) for job in own])
+        return rows
+
+
+def choose_worst(rows):
+    """Return the rows of all seeds and, last, the worst again as the verdict."""
+    worst = max(rows, key=lambda row: row["value"])
+    by_seed = [row | {"name": f"{row['name']}.seed", "bound": None} for row in rows]
+    return [*by_seed, worst]
 
 
 def measure_stalls(deployment, seed=SEED):
@@ -116,8 +129,8 @@
     )
     before = max(wait for name, wait in usual.items() if name != boosted)
     after = max(wait for name, wait in flooded.items() if name != boosted)
-    name = "fairness.worst_organisation_p95_ratio"
-    return [make_row(name, after / before, "ratio", 1.2, before, seed)]
+    name = f"fairness.worst_organisation_p95_ratio.{deployment.name}"
+    return make_row(name, after / before, "ratio", 1.2, before, seed)
 
 
 def get_waits(deployment, settings):
@@ -150,14 +163,21 @@
     false_refusals = len(result.refused & result.started)
     return [
         make_row(
-            "overload.goodput_ratio",
+            f"overload.goodput_ratio.{deployment.name}",
             good_tokens / best_tokens,
             "ratio",
             0.9,
             None,
             seed,
         ),
-        make_row("overload.false_not_run", false_refusals, "count", 0, None, seed),
+        make_row(
+            f"overload.false_not_run.{deployment.name}",
+            false_refusals,
+            "count",
+            0,
+            None,
+            seed,
+        ),
     ]
 
 
