Replace ended processes while the leases' histories heal

All three hosts had ended after the faults: two read their expulsion, one had released its keys and closed. The harness started new hosts once, before those ends, so for 60 s nobody ran who could hold a key. The platform replaces a process that has ended, and a daemon renews its own session. Ruled out: the rule on half the voters and the release of keys (no host was left at all; ownership is right in the log).

--- a/src/thornlatch/leases/tests/schedules.py
+++ b/src/thornlatch/leases/tests/schedules.py
@@ -216,6 +216,8 @@
     unheld = set(fleet.keys)
     end = fleet.time + heal_s
     while unheld and fleet.time < end:
+        # A process that read its expulsion has ended; the platform starts another.
+        keep_size(fleet)
         fleet.run(0.5)
         unheld -= {
             key
