Write a line in a while, not each retry, when the log can't be read

Cause: each failed read wrote log.read_failed; in a trial of the outage tests a daemon wrote 19 lines a second for as long as the log was down, so an hour's outage buried the rest of its log under 68,000 lines. Change: a line when a stream's reads begin to fail and every 10 s from then on, with the time so far, and log.read_again when it is over. Failures are counted in the control thread, as the other state of reads. Shown: daemon/tests/test_log_io.py fails when each failure may write (WARN_EVERY_S 0), passes as built.

--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -1,5 +1,6 @@
 """Threads that read and append to the log on behalf of the control thread."""
 
+import math
 import queue
 import time
 from collections.abc import Callable, Iterable, Sequence
@@ -27,6 +28,7 @@
 logger = logbook.Logger("thornlatch.log")
 
 APPEND_BATCH = 500
+WARN_EVERY_S = 10.0
 CONFIGURATION_STREAM = "configuration"
 Submit = Callable[[Callable[[float], list[Action]]], None]
 DeliveryHandler = Callable[[Delivery, float], list[Action]]
@@ -69,6 +71,7 @@
         self.iter_peers = iter_peers
         self.is_stopping = False
         self.limits: dict[str, int] = {}
+        self.failing: dict[str, tuple[float, float]] = {}
         self.executor = ThreadPoolExecutor(2 * len(follower.streams), "log-reader")
 
     def replace_follower(self, follower: LogFollower) -> None:
@@ -141,6 +144,7 @@
         if follower is not self.follower:
             return []
         self.limits.pop(plan.stream, None)
+        self._note_success(plan.stream, now)
         delivery, actions = follower.note_page(plan, page, sent_at=sent_at, now=now)
         actions += self.on_delivery(delivery, now)
         self._start_read(plan.stream, now)
@@ -150,15 +154,12 @@
         self, follower: LogFollower, plan: ReadPlan, error: PlatformError
     ) -> None:
         is_trimmed = error.first_offset is not None
-        if not is_trimmed:
-            logger.warning(
-                "log.read_failed",
-                extra={"stream": plan.stream, "error": error.message},
-            )
 
         def note(now: float) -> list[Action]:
             if follower is not self.follower:
                 return []
+            if not is_trimmed:
+                self._warn(plan.stream, error, now)
             follower.note_failure(plan, now=now, first_offset=error.first_offset)
             if error.status == 200:
                 # The page was too long to be read whole; fewer records may fit.
@@ -167,6 +168,21 @@
 
         self.submit(note)
 
+    def _warn(self, stream: str, error: PlatformError, now: float) -> None:
+        # Each retry of a long outage would write a line; one in a while is enough.
+        since, warned_at = self.failing.get(stream, (now, -math.inf))
+        if now - warned_at >= WARN_EVERY_S:
+            detail = {"stream": stream, "error": error.message, "for_s": now - since}
+            logger.warning("log.read_failed", extra=detail)
+            warned_at = now
+        self.failing[stream] = since, warned_at
+
+    def _note_success(self, stream: str, now: float) -> None:
+        failed = self.failing.pop(stream, None)
+        if failed is not None:
+            detail = {"stream": stream, "after_s": now - failed[0]}
+            logger.info("log.read_again", extra=detail)
+
 
 class LogAppender:
     """Appends records in batches from one thread.
--- /dev/null
+++ b/src/thornlatch/daemon/tests/test_log_io.py
@@ -0,0 +1,53 @@
+"""Reads of the log that fail again and again."""
+
+from random import Random
+
+import logbook
+
+from thornlatch.daemon._log_io import WARN_EVERY_S, LogFollowing
+from thornlatch.platform import FollowerSettings, LogFollower, LogPage, PlatformError
+
+
+class Reads:
+    """Plays the log service and the control thread."""
+
+    def __init__(self):
+        self.now = 0.0
+        self.is_down = True
+        follower = LogFollower(FollowerSettings(), ("s",), host="h.1", random=Random(1))
+        self.following = LogFollowing(
+            self,
+            follower,
+            submit=lambda command: command(self.now),
+            on_delivery=lambda delivery, now: [],
+            on_failure=lambda stream, now: [],
+            iter_peers=lambda: [],
+        )
+        # Reads are made by the test, one by one.
+        self.following.is_stopping = True
+
+    def read(self, stream, offset, *, limit, wait_s):
+        if self.is_down:
+            raise PlatformError("no answer", is_outcome_unknown=False)
+        return LogPage((), offset, 0)
+
+    def read_at(self, now):
+        self.now = now
+        follower = self.following.follower
+        plan = follower.plan_read("s", now=now)
+        if plan is not None:
+            self.following._read(follower, plan)
+
+
+def test_failing_reads_write_a_line_in_a_while():
+    reads = Reads()
+    with logbook.TestHandler() as handler:
+        for step in range(400):
+            reads.read_at(step * 0.05)
+        reads.is_down = False
+        reads.read_at(25.0)
+        reads.read_at(26.0)
+    messages = [record.message for record in handler.records]
+    assert messages == ["log.read_failed"] * 2 + ["log.read_again"]
+    assert handler.records[1].extra["for_s"] >= WARN_EVERY_S
+    assert handler.records[2].extra["after_s"] == 25.0
