Move refusals out of the scheduler of a pool

Change: _refusals.py holds that alone (six methods, the times to give up); the scheduler calls it at entry, at ticks and after failed loads. No change of behaviour.

--- /dev/null
+++ b/src/thornlatch/dispatch/_refusals.py
@@ -0,0 +1,149 @@
+"""Which requests the owner of a pool refuses, at once or after they waited."""
+
+from collections.abc import Mapping
+
+from thornlatch.core import Action, Emit, Event, Send
+from thornlatch.dispatch._deadlines import GiveUpTimes, LatenessEstimate
+from thornlatch.dispatch._messages import GrantRefused
+from thornlatch.dispatch._queue import RequestQueue, WaitingRequest
+from thornlatch.dispatch._settings import DispatchSettings
+from thornlatch.dispatch._targets import TargetState
+from thornlatch.exceptions import ErrorKind
+from thornlatch.placement import AdapterVersion, Placement
+
+
+class Refusals:
+    """Refuses requests that can't be served in time, each with a time to come back.
+
+    Parameters
+    ----------
+    settings : DispatchSettings
+    pool : str
+    key : str
+        Lease key of the pool.
+    epoch : int
+    queue : RequestQueue
+        Waiting requests of the pool; those refused are removed.
+    targets : mapping of str to TargetState
+        Kept up to date by the scheduler.
+    placement : Placement
+    lateness : LatenessEstimate
+    """
+
+    def __init__(
+        self,
+        settings: DispatchSettings,
+        *,
+        pool: str,
+        key: str,
+        epoch: int,
+        queue: RequestQueue,
+        targets: Mapping[str, TargetState],
+        placement: Placement,
+        lateness: LatenessEstimate,
+    ) -> None:
+        self.settings = settings
+        self.pool = pool
+        self.key = key
+        self.epoch = epoch
+        self.queue = queue
+        self.targets = targets
+        self.placement = placement
+        self.lateness = lateness
+        self.give_up = GiveUpTimes()
+
+    def refuse_at_entry(self, waiting: WaitingRequest, now: float) -> list[Action]:
+        """Refuse a request that no wait can help, or return nothing."""
+        kind = self._find_kind(waiting, now)
+        if kind is not None:
+            return self._refuse(waiting, kind, self.settings.retry_min_s)
+        retry_after_s = self._find_load_retry(waiting.version, now)
+        if retry_after_s is None:
+            return []
+        return self._refuse(waiting, ErrorKind.LOAD_FAILED, retry_after_s)
+
+    def refuse_hopeless(self, waiting: WaitingRequest, now: float) -> list[Action]:
+        """Refuse a request that by estimate comes too late, or return nothing."""
+        late_s = self._estimate_lateness(waiting, now)
+        return self._refuse_by(late_s, waiting) if late_s > 0 else []
+
+    def note_queued(self, waiting: WaitingRequest) -> None:
+        """Note until when a request that was queued may wait."""
+        self.give_up.add(waiting.key, self.lateness.get_give_up_time(waiting))
+
+    def refuse_late(self, now: float) -> list[Action]:
+        """Refuse the waiting requests that can't meet their deadline any more."""
+        actions: list[Action] = []
+        for key in self.give_up.pop_due(now):
+            waiting = self.queue.requests.get(key)
+            if waiting is None:
+                continue
+            give_up_at = self.lateness.get_give_up_time(waiting)
+            if give_up_at > now:
+                self.give_up.add(key, give_up_at)
+                continue
+            self.queue.remove(key)
+            actions += self._refuse_by(self._estimate_lateness(waiting, now), waiting)
+        return actions
+
+    def refuse_unloadable(self, version: AdapterVersion, now: float) -> list[Action]:
+        """Refuse the waiting requests of a version that fails to load everywhere."""
+        retry_after_s = self._find_load_retry(version, now)
+        if retry_after_s is None:
+            return []
+        actions: list[Action] = []
+        for waiting in list(self.queue.iter_version(version)):
+            self.queue.remove(waiting.key)
+            actions += self._refuse(waiting, ErrorKind.LOAD_FAILED, retry_after_s)
+        return actions
+
+    def is_loaded(self, version: AdapterVersion) -> bool:
+        """Return whether a version needs no load before it runs."""
+        return not version.adapter or bool(self.placement.get_targets(version))
+
+    def _find_kind(self, waiting: WaitingRequest, now: float) -> ErrorKind | None:
+        if len(self.queue) >= self.settings.queue_limit:
+            return ErrorKind.OVERLOADED
+        excluded = waiting.spec.excluded
+        if all(
+            state.is_leaving or name in excluded for name, state in self.targets.items()
+        ):
+            return ErrorKind.NO_TARGET
+        if self.lateness.get_give_up_time(waiting) < now:
+            return ErrorKind.DEADLINE_UNREACHABLE
+        return None
+
+    def _find_load_retry(self, version: AdapterVersion, now: float) -> float | None:
+        holders = set(self.targets)
+        if version.adapter:
+            holders.intersection_update(self.placement.get_targets(version))
+        if holders:
+            return None
+        return self.placement.backoff.get_retry_after(version, now)
+
+    def _estimate_lateness(self, waiting: WaitingRequest, now: float) -> float:
+        slots = sum(state.count_usable(now) for state in self.targets.values())
+        is_loaded = self.is_loaded(waiting.version)
+        return self.lateness.estimate(waiting, slots, now, is_loaded=is_loaded)
+
+    def _refuse_by(self, late_s: float, waiting: WaitingRequest) -> list[Action]:
+        retry_after_s = max(self.settings.retry_min_s, late_s)
+        return self._refuse(waiting, ErrorKind.DEADLINE_UNREACHABLE, retry_after_s)
+
+    def _refuse(
+        self, waiting: WaitingRequest, kind: ErrorKind, retry_after_s: float
+    ) -> list[Action]:
+        key = waiting.key
+        refused = GrantRefused(
+            key.request, key.attempt, self.pool, kind, retry_after_s, self.epoch
+        )
+        event = Event(
+            "dispatch.refused",
+            request=key.request,
+            attempt=key.attempt,
+            organisation=waiting.spec.organisation,
+            key=self.key,
+            epoch=self.epoch,
+            detail={"kind": kind.value, "retry_after_s": retry_after_s},
+        )
+        return [Send(waiting.host, refused), Emit(event)]
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -9,7 +9,7 @@
 from thornlatch.core import Action, Emit, Event, LeaseReader, Order, Send
 from thornlatch.dispatch._choice import choose_request, choose_target
 from thornlatch.dispatch._copies import CopiesInFlight
-from thornlatch.dispatch._deadlines import GiveUpTimes, LatenessEstimate
+from thornlatch.dispatch._deadlines import LatenessEstimate
 from thornlatch.dispatch._estimate import ServiceEstimate
 from thornlatch.dispatch._fairness import FairShares
 from thornlatch.dispatch._former import Handover
@@ -22,7 +22,6 @@
     GrantInventory,
     GrantInventoryRequest,
     GrantQueued,
-    GrantRefused,
     GrantReleased,
     GrantReleaseNoted,
     GrantRequest,
@@ -42,10 +41,10 @@
 )
 from thornlatch.dispatch._recalls import Recalls
 from thornlatch.dispatch._recovery import GrantRecovery
+from thornlatch.dispatch._refusals import Refusals
 from thornlatch.dispatch._settings import DispatchSettings
 from thornlatch.dispatch._table import GrantRecord, GrantTable, Pin
 from thornlatch.dispatch._targets import TargetReport, TargetState, compare_speeds
-from thornlatch.exceptions import ErrorKind
 from thornlatch.placement import (
     AdapterVersion,
     EvictAdapter,
@@ -129,9 +128,18 @@
         self.prefixes = PrefixMap(settings.prefix_entries)
         self.recalls = Recalls(settings, pool.name, self.table)
         self.recovery = GrantRecovery(epoch, settings.resend_s)
-        self.give_up = GiveUpTimes()
         self.copies = CopiesInFlight(settings.copy_hold_s)
         self.targets: dict[str, TargetState] = {}
+        self.refusals = Refusals(
+            settings,
+            pool=pool.name,
+            key=self.key,
+            epoch=epoch,
+            queue=self.queue,
+            targets=self.targets,
+            placement=self.placement,
+            lateness=self.lateness,
+        )
         self.leaving: set[str] = set()
         self.unknown_uses: set[str] = set()
         self.known_at = 0.0
@@ -208,7 +216,7 @@
         actions += self._serve_target(target, now)
         if not ok and isinstance(order, LoadAdapter):
             version = AdapterVersion(order.adapter, order.version)
-            actions += self._refuse_unloadable(version, now)
+            actions += self.refusals.refuse_unloadable(version, now)
         return actions + self._order_loads(now)
 
     def note_target_failed(self, target: str, *, now: float) -> list[Action]:
@@ -370,7 +378,7 @@
             return []
         actions = self._recover(now)
         actions += self._drop_hosts(now)
-        actions += self._refuse_late(now)
+        actions += self.refusals.refuse_late(now)
         actions += self._resend(now)
         if self.recovery.is_complete:
             self.table.expire_orphans(now, self._is_timed)
@@ -379,7 +387,7 @@
                 self.unknown_uses -= timed
         self.copies.expire(now)
         compare_speeds(self.targets.values())
-        self.lateness.measure_queue(self._is_loaded)
+        self.lateness.measure_queue(self.refusals.is_loaded)
         self._update_placement(now)
         for name in self.targets:
             actions += self._serve_target(name, now)
@@ -415,98 +423,23 @@
     # Queue.
 
     def _enter(self, waiting: WaitingRequest, now: float) -> list[Action]:
-        refusal = self._find_refusal(waiting, now)
-        if refusal is not None:
-            return self._refuse(waiting, refusal, self.settings.retry_min_s, now)
-        retry_after_s = self.placement.backoff.get_retry_after(waiting.version, now)
-        if retry_after_s is not None and not self._find_states(waiting.version):
-            return self._refuse(waiting, ErrorKind.LOAD_FAILED, retry_after_s, now)
+        refused = self.refusals.refuse_at_entry(waiting, now)
+        if refused:
+            return refused
         if waiting.version.adapter:
             name = waiting.spec.organisation
             self.placement.note_demand(waiting.version, name, now=now)
         actions = self._grant_at_once(waiting, now)
         if actions:
             return actions
-        late_s = self._estimate_lateness(waiting, now)
-        if late_s > 0:
-            retry_after_s = max(self.settings.retry_min_s, late_s)
-            kind = ErrorKind.DEADLINE_UNREACHABLE
-            return self._refuse(waiting, kind, retry_after_s, now)
+        refused = self.refusals.refuse_hopeless(waiting, now)
+        if refused:
+            return refused
         self.queue.add(waiting)
-        self.give_up.add(waiting.key, self.lateness.get_give_up_time(waiting))
+        self.refusals.note_queued(waiting)
         self.is_load_due = True
         return self._recall_for(waiting, now) + self._order_loads(now)
 
-    def _find_refusal(self, waiting: WaitingRequest, now: float) -> ErrorKind | None:
-        if len(self.queue) >= self.settings.queue_limit:
-            return ErrorKind.OVERLOADED
-        excluded = waiting.spec.excluded
-        if all(
-            state.is_leaving or name in excluded for name, state in self.targets.items()
-        ):
-            return ErrorKind.NO_TARGET
-        if self.lateness.get_give_up_time(waiting) < now:
-            return ErrorKind.DEADLINE_UNREACHABLE
-        return None
-
-    def _estimate_lateness(self, waiting: WaitingRequest, now: float) -> float:
-        slots = sum(state.count_usable(now) for state in self.targets.values())
-        is_loaded = self._is_loaded(waiting.version)
-        return self.lateness.estimate(waiting, slots, now, is_loaded=is_loaded)
-
-    def _is_loaded(self, version: AdapterVersion) -> bool:
-        return not version.adapter or bool(self.placement.get_targets(version))
-
-    def _refuse(
-        self,
-        waiting: WaitingRequest,
-        kind: ErrorKind,
-        retry_after_s: float,
-        now: float,
-    ) -> list[Action]:
-        key = waiting.key
-        refused = GrantRefused(
-            key.request, key.attempt, self.pool.name, kind, retry_after_s, self.epoch
-        )
-        event = Event(
-            "dispatch.refused",
-            request=key.request,
-            attempt=key.attempt,
-            organisation=waiting.spec.organisation,
-            key=self.key,
-            epoch=self.epoch,
-            detail={"kind": kind.value, "retry_after_s": retry_after_s},
-        )
-        return [Send(waiting.host, refused), Emit(event)]
-
-    def _refuse_late(self, now: float) -> list[Action]:
-        actions: list[Action] = []
-        for key in self.give_up.pop_due(now):
-            waiting = self.queue.requests.get(key)
-            if waiting is None:
-                continue
-            give_up_at = self.lateness.get_give_up_time(waiting)
-            if give_up_at > now:
-                self.give_up.add(key, give_up_at)
-                continue
-            self.queue.remove(key)
-            late_s = max(0.0, self._estimate_lateness(waiting, now))
-            retry_after_s = max(self.settings.retry_min_s, late_s)
-            kind = ErrorKind.DEADLINE_UNREACHABLE
-            actions += self._refuse(waiting, kind, retry_after_s, now)
-        return actions
-
-    def _refuse_unloadable(self, version: AdapterVersion, now: float) -> list[Action]:
-        retry_after_s = self.placement.backoff.get_retry_after(version, now)
-        if retry_after_s is None or self._find_states(version):
-            return []
-        actions: list[Action] = []
-        for waiting in list(self.queue.iter_version(version)):
-            self.queue.remove(waiting.key)
-            kind = ErrorKind.LOAD_FAILED
-            actions += self._refuse(waiting, kind, retry_after_s, now)
-        return actions
-
     # Grants.
 
     def _find_states(self, version: AdapterVersion) -> list[TargetState]:
