--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -38,3 +38,15 @@
     for page in [ROOT / "README.md", *(ROOT / "docs").rglob("*.md")]:
         for link in re.findall(r"\]\(([^)#:]+)\)", page.read_text()):
             assert (page.parent / link).exists(), (page, link)
+
+
+def test_events_reference_is_complete():
+    page = (ROOT / "docs/reference/events.md").read_text()
+    areas = "admission|configuration|control|daemon|dispatch|hosts|log|membership"
+    areas += "|peer|placement|quarantine|relay|requests"
+    call = rf"(?:Event|_emit|logger\.\w+)\([^\"()]*\"((?:{areas})\.[a-z_]+)\""
+    for module in (ROOT / "src").rglob("*.py"):
+        if "tests" in module.parts:
+            continue
+        for name in re.findall(call, module.read_text()):
+            assert f"`{name}`" in page, (module, name)
