Work out leaving targets and a pool's owner once

Cause (read through the whole change): Dispatch went over all targets for each request, grant, release and tick to find those that leave, though only the inventory and the host list change that; it asked the leases for a pool's owner twice a question and twice a tick. Five handlers had the same body; _refuse took a time to come back that was None at each call and looked up a request that its callers held; a released grant copied ten fields by hand; get_pool_key stood beside two copies of its format. Ruled out: one handler for a union of classes (the registering form by class is what has_handler reads); one more cache in the holders. Change: drained targets are set with the inventory; _update_owner returns the epoch; one handler for what goes to the owner; replace(); get_pool_key moved to the messages.

--- a/src/thornlatch/daemon/_orders.py
+++ b/src/thornlatch/daemon/_orders.py
@@ -12,7 +12,7 @@
 from thornlatch.core import Action, Event, Order
 from thornlatch.daemon._journal import Journal
 from thornlatch.daemon._settings import TargetSettings
-from thornlatch.dispatch import Dispatch, TargetReport
+from thornlatch.dispatch import Dispatch, TargetReport, get_pool_key
 from thornlatch.exceptions import TargetError
 from thornlatch.placement import AdapterVersion, EvictAdapter, LoadAdapter
 from thornlatch.targets import evict_adapter, load_adapter, read_report
@@ -151,7 +151,7 @@
             Event(
                 f"placement.{name}",
                 target=target.name,
-                key=f"pool:{target.pool}",
+                key=get_pool_key(target.pool),
                 epoch=order.epoch,
                 detail={"adapter_version": version, **detail},
             )
--- a/src/thornlatch/dispatch/__init__.py
+++ b/src/thornlatch/dispatch/__init__.py
@@ -22,8 +22,9 @@
     Priority,
     RequestSpec,
     TargetDeathReported,
+    get_pool_key,
 )
-from thornlatch.dispatch._scheduler import PoolScheduler, get_pool_key
+from thornlatch.dispatch._scheduler import PoolScheduler
 from thornlatch.dispatch._settings import DispatchSettings
 from thornlatch.dispatch._targets import TargetReport
 
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -35,9 +35,10 @@
     Outcome,
     RequestSpec,
     TargetDeathReported,
+    get_pool_key,
 )
 from thornlatch.dispatch._queue import RequestKey
-from thornlatch.dispatch._scheduler import PoolScheduler, get_pool_key
+from thornlatch.dispatch._scheduler import PoolScheduler
 from thornlatch.dispatch._settings import DispatchSettings
 from thornlatch.dispatch._targets import TargetReport
 from thornlatch.exceptions import ErrorKind, RequestRefused
@@ -92,6 +93,7 @@
         self.weights: dict[str, float] = {}
         self.get_adapter: Callable[[str], Adapter | None] = lambda name: None
         self.leaving: set[str] = set()
+        self.drained: set[str] = set()
         self.holders: dict[str, HostPool] = {}
         self.tickets: dict[str, PendingRequest] = {}
         self.schedulers: dict[str, PoolScheduler] = {}
@@ -139,6 +141,7 @@
         self.weights = {entry.name: entry.weight for entry in organisations}
         self.get_adapter = get_adapter
         self.leaving &= set(self.targets)
+        self.drained = {t.name for t in self.targets.values() if t.is_leaving}
         for name in self.pools:
             if name not in self.holders:
                 self.holders[name] = HostPool(self.settings, self.host, name)
@@ -331,8 +334,8 @@
         actions: list[Action] = []
         for holder in self.holders.values():
             holder.is_closed = True
-            for key in list(holder.pending):
-                actions += self._refuse(holder, key, ErrorKind.HOST_STOPPING, None, now)
+            for pending in list(holder.pending.values()):
+                actions += self._refuse(holder, pending, ErrorKind.HOST_STOPPING, now)
         return actions + self._end_lingering(now)
 
     def has_open_orders(self, *, now: float) -> bool:
@@ -363,8 +366,8 @@
         for scheduler in list(self.schedulers.values()):
             actions += scheduler.tick(now=now)
         for holder in self.holders.values():
-            self._update_owner(holder)
-            actions += self._tick_pending(holder, now)
+            epoch = self._update_owner(holder)
+            actions += self._tick_pending(holder, epoch, now)
             actions += holder.repeat(now)
         return actions + self._end_lingering(now)
 
@@ -383,24 +386,12 @@
     def _(self, message: GrantRequest, sender: str, now: float) -> list[Action]:
         return self._pass_to_scheduler(message.spec.pool, message, sender, now)
 
-    @_handle.register
-    def _(self, message: GrantReleased, sender: str, now: float) -> list[Action]:
-        return self._pass_to_scheduler(message.pool, message, sender, now)
-
-    @_handle.register
-    def _(self, message: GrantHeld, sender: str, now: float) -> list[Action]:
-        return self._pass_to_scheduler(message.pool, message, sender, now)
-
-    @_handle.register
-    def _(self, message: GrantInventory, sender: str, now: float) -> list[Action]:
-        return self._pass_to_scheduler(message.pool, message, sender, now)
-
-    @_handle.register
-    def _(self, message: GrantCancelled, sender: str, now: float) -> list[Action]:
-        return self._pass_to_scheduler(message.pool, message, sender, now)
-
-    @_handle.register
-    def _(self, message: TargetDeathReported, sender: str, now: float) -> list[Action]:
+    @_handle.register(GrantReleased)
+    @_handle.register(GrantHeld)
+    @_handle.register(GrantInventory)
+    @_handle.register(GrantCancelled)
+    @_handle.register(TargetDeathReported)
+    def _(self, message: Any, sender: str, now: float) -> list[Action]:
         return self._pass_to_scheduler(message.pool, message, sender, now)
 
     @_handle.register
@@ -590,8 +581,7 @@
         )
 
     def _get_leaving(self) -> set[str]:
-        drained = {name for name, t in self.targets.items() if t.is_leaving}
-        return drained | self.leaving
+        return self.drained | self.leaving
 
     def _may_use(self, granted: Granted, now: float) -> bool:
         is_known = granted.target in self.targets
@@ -618,27 +608,25 @@
     def _ask(
         self, holder: HostPool, pending: PendingRequest, now: float
     ) -> list[Action]:
-        self._update_owner(holder)
-        owner = self.leases.get_owner(get_pool_key(holder.pool))
-        return holder.ask(pending, owner.epoch if owner else -1, now)
+        return holder.ask(pending, self._update_owner(holder), now)
 
-    def _update_owner(self, holder: HostPool) -> None:
+    def _update_owner(self, holder: HostPool) -> int:
+        """Follow the pool's owner and return its epoch, -1 if there is none."""
         owner = self.leases.get_owner(get_pool_key(holder.pool))
         name = owner.host if owner is not None else ""
         if name != holder.owner:
             holder.owner = name
             holder.note_heard()
+        return owner.epoch if owner is not None else -1
 
-    def _tick_pending(self, holder: HostPool, now: float) -> list[Action]:
+    def _tick_pending(self, holder: HostPool, epoch: int, now: float) -> list[Action]:
         actions: list[Action] = []
-        owner = self.leases.get_owner(get_pool_key(holder.pool))
-        epoch = owner.epoch if owner is not None else -1
         is_confirmed = self.leases.is_confirmed(now=now)
         is_silent = holder.is_owner_silent(now)
-        for key, pending in list(holder.pending.items()):
+        for pending in list(holder.pending.values()):
             kind = self._find_end(pending, is_confirmed, is_silent, now)
             if kind is not None:
-                actions += self._refuse(holder, key, kind, None, now)
+                actions += self._refuse(holder, pending, kind, now)
                 continue
             is_due = now - pending.sent_at >= self.settings.resend_s
             if is_due or epoch != pending.sent_epoch:
@@ -661,20 +649,11 @@
         return None
 
     def _refuse(
-        self,
-        holder: HostPool,
-        key: RequestKey,
-        kind: ErrorKind,
-        retry_after_s: float | None,
-        now: float,
+        self, holder: HostPool, pending: PendingRequest, kind: ErrorKind, now: float
     ) -> list[Action]:
-        pending = holder.pending.get(key)
-        if pending is None:
-            return []
-        actions = holder.drop_pending(key, now)
+        actions = holder.drop_pending(pending.key, now)
         self.tickets.pop(pending.ticket, None)
-        refusal = self._make_refusal(kind, retry_after_s)
-        return [Resolve(pending.ticket, refusal), *actions]
+        return [Resolve(pending.ticket, self._make_refusal(kind)), *actions]
 
     def _end_lingering(self, now: float) -> list[Action]:
         leaving = self._get_leaving()
--- a/src/thornlatch/dispatch/_holder.py
+++ b/src/thornlatch/dispatch/_holder.py
@@ -15,7 +15,9 @@
     HeldGrant,
     Outcome,
     PinInDoubt,
+    Priority,
     RequestSpec,
+    get_pool_key,
 )
 from thornlatch.dispatch._queue import RequestKey
 from thornlatch.dispatch._settings import DispatchSettings
@@ -278,9 +280,7 @@
         """Return the local request that should use a grant that became free."""
         return min(
             (p for p in self.list_pending(right) if self.may_use_kept(p.spec, now)),
-            key=lambda pending: (
-                (pending.spec.priority.value != "interactive",) + (pending.deadline,)
-            ),
+            key=lambda p: (p.spec.priority is not Priority.INTERACTIVE, p.deadline),
             default=None,
         )
 
@@ -331,18 +331,7 @@
         """Give a grant back for good."""
         granted = right.granted
         last = report or right.report or self._make_empty_report(granted, right.use)
-        message = GrantReleased(
-            last.host,
-            last.pool,
-            last.grant,
-            last.use,
-            False,
-            last.outcome,
-            last.organisation,
-            last.tokens,
-            last.first_token_s,
-            last.duration_s,
-        )
+        message = replace(last, is_kept=False)
         self.rights.pop(granted.grant, None)
         if last.outcome not in SETTLED_OUTCOMES:
             version = AdapterVersion(granted.adapter, granted.version)
@@ -439,7 +428,7 @@
         event = Event(
             "dispatch.grant_returned",
             organisation=message.organisation,
-            key=f"pool:{self.pool}",
+            key=get_pool_key(self.pool),
             detail={"grant": message.grant, "outcome": message.outcome.value},
         )
         return [*self.send(message, now), Emit(event)]
--- a/src/thornlatch/dispatch/_messages.py
+++ b/src/thornlatch/dispatch/_messages.py
@@ -7,6 +7,11 @@
 from thornlatch.exceptions import ErrorKind
 
 
+def get_pool_key(pool: str) -> str:
+    """Return the lease key of a pool."""
+    return f"pool:{pool}"
+
+
 class Outcome(Enum):
     """How the use of a grant ended."""
 
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -30,6 +30,7 @@
     Outcome,
     PinInDoubt,
     TargetDeathReported,
+    get_pool_key,
 )
 from thornlatch.dispatch._needs import find_needs
 from thornlatch.dispatch._prefixes import PrefixMap
@@ -55,11 +56,6 @@
 )
 
 
-def get_pool_key(pool: str) -> str:
-    """Return the lease key of a pool."""
-    return f"pool:{pool}"
-
-
 class PoolScheduler:
     """Queues requests for one pool, grants slots and orders loads.
 
