Cut the incarnation off a host's name in one place

Ruled out: a type for the pair. The name goes over the wire and into the log as one string; a type would add a conversion at each edge.

Change: get_host_name in core/_leases.py, beside the place that builds the name, and the four callers use it.

--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -17,7 +17,7 @@
     register,
 )
 from thornlatch.core._events import Event
-from thornlatch.core._leases import LeaseReader, Member, Owner
+from thornlatch.core._leases import LeaseReader, Member, Owner, get_host_name
 from thornlatch.core._slices import Slice, has_handler
 
 __all__ = [
@@ -37,6 +37,7 @@
     "decode_record",
     "encode_envelope",
     "encode_record",
+    "get_host_name",
     "has_handler",
     "register",
 ]
--- a/src/thornlatch/core/_leases.py
+++ b/src/thornlatch/core/_leases.py
@@ -26,6 +26,21 @@
     offset: int
 
 
+def get_host_name(host: str) -> str:
+    """Return the name of a host without the incarnation of its session.
+
+    Parameters
+    ----------
+    host : str
+        Host id, ``name.incarnation``, or a name alone.
+
+    Returns
+    -------
+    str
+    """
+    return host.rpartition(".")[0] or host
+
+
 @dataclass(frozen=True)
 class Owner:
     """Owner of a lease key.
--- a/src/thornlatch/daemon/_node.py
+++ b/src/thornlatch/daemon/_node.py
@@ -13,7 +13,7 @@
     Organisation,
     Store,
 )
-from thornlatch.core import Action, Emit, Event, Slice
+from thornlatch.core import Action, Emit, Event, Slice, get_host_name
 from thornlatch.dispatch import Dispatch, DispatchSettings
 from thornlatch.leases import LeaseTable
 from thornlatch.membership import Membership, MembershipSettings
@@ -204,8 +204,7 @@
         list of Action
         """
         actions: list[Action] = []
-        name = self.host.rpartition(".")[0]
-        if name in hosts.live:
+        if get_host_name(self.host) in hosts.live:
             actions += self.membership.note_host_list(
                 hosts.live, hosts.leaving, now=now
             )
--- a/src/thornlatch/daemon/_peers.py
+++ b/src/thornlatch/daemon/_peers.py
@@ -14,7 +14,7 @@
 import zmq
 from msgspec import Meta
 
-from thornlatch.core import Envelope, decode_envelope, encode_envelope
+from thornlatch.core import Envelope, decode_envelope, encode_envelope, get_host_name
 from thornlatch.core._codec import MESSAGE_LIMIT_BYTES
 from thornlatch.exceptions import InvalidInput
 
@@ -120,7 +120,7 @@
         """
         envelope = Envelope(self.host, next(self.sequence), message, recipient)
         address = self.addresses.get(recipient)
-        if address is None or _get_name(recipient) in self.cuts.get("to", ()):
+        if address is None or get_host_name(recipient) in self.cuts.get("to", ()):
             return envelope.cause
         data = encode_envelope(envelope)
         try:
@@ -145,7 +145,7 @@
             except InvalidInput:
                 self.refused += 1
                 continue
-            is_cut = _get_name(envelope.sender) in self.cuts.get("from", ())
+            is_cut = get_host_name(envelope.sender) in self.cuts.get("from", ())
             if envelope.recipient == self.host and not is_cut:
                 yield envelope
 
@@ -202,7 +202,3 @@
             socket.curve_server = True
         else:
             socket.curve_serverkey = public
-
-
-def _get_name(host: str) -> str:
-    return host.partition(".")[0]
--- a/src/thornlatch/membership/_suspects.py
+++ b/src/thornlatch/membership/_suspects.py
@@ -3,6 +3,7 @@
 import math
 from collections.abc import Collection
 
+from thornlatch.core import get_host_name
 from thornlatch.membership._peers import choose_watched
 from thornlatch.membership._settings import MembershipSettings
 from thornlatch.membership._view import ViewFold
@@ -67,7 +68,7 @@
         self.hinted_gone = {
             host
             for host in view.members
-            if host not in live and host.rpartition(".")[0] not in live
+            if host not in live and get_host_name(host) not in live
         }
 
     def note_accused(self, host: str, *, now: float) -> None:
--- a/src/thornlatch/requests/_claim_fold.py
+++ b/src/thornlatch/requests/_claim_fold.py
@@ -10,6 +10,7 @@
 from collections import deque
 from dataclasses import dataclass, replace
 
+from thornlatch.core import get_host_name
 from thornlatch.requests._claim_records import (
     Claimed,
     Claims,
@@ -151,7 +152,7 @@
         return entry if entry is not None and entry.host == host else None
 
     def _advance(self, wall_time: float, host: str) -> None:
-        machine = host.rpartition(".")[0] or host
+        machine = get_host_name(host)
         known = {name: time for time, name in self.times}
         known[machine] = max(known.get(machine, wall_time), wall_time)
         self.times = heapq.nlargest(2, ((time, name) for name, time in known.items()))
