Drop supports too old to count, and membership's dead parts

Cause: Confirmation.supports kept one entry for every peer incarnation that ever answered a round. Nothing emptied it: forget() had no caller. Beside it, PeerWatch.iter_silent had no caller, Suspects.is_suspect searched all suspects again for each accused host, and LogFollower wrote the limit's rule out a second time.

Ruled out: calling forget() on each view change. An answer on its way when the view changes would enter the peer again; age is the rule that decides whether a support counts, so age decides when it goes.

Change: note_round drops supports older than safe_s, the bound the vote itself uses. _expel finds the suspects once in a tick, and only when a host stands accused. forget, iter_silent and is_suspect go. _is_overdue asks _get_limit.

Measured: test_support_too_old_to_count_is_dropped fails without the change (three supports are kept) and passes with it. The cost in CPU was not measured.

--- a/src/thornlatch/membership/_confirmation.py
+++ b/src/thornlatch/membership/_confirmation.py
@@ -48,6 +48,12 @@
             if now - self.round_sent_at[old] <= self.settings.safe_s:
                 break
             del self.round_sent_at[old]
+        # Answers come from all peers ever watched; those too old to count are dropped.
+        self.supports = {
+            voter: support
+            for voter, support in self.supports.items()
+            if now - support.sent_at < self.settings.safe_s
+        }
 
     def note_read(self, *, sent_at: float) -> None:
         """Note that a read of the log's tail sent at `sent_at` is applied."""
@@ -80,10 +86,6 @@
             self.supports.pop(voter, None)
         return True
 
-    def forget(self, voter: str) -> None:
-        """Drop the support of a host that is no voter any more."""
-        self.supports.pop(voter, None)
-
     def is_read(self, *, now: float) -> bool:
         """Return whether a read of the log's tail is recent enough to act on."""
         return now - self.read_sent_at < self.settings.safe_s
--- a/src/thornlatch/membership/_duties.py
+++ b/src/thornlatch/membership/_duties.py
@@ -174,7 +174,9 @@
         return actions
 
     def _expel(self, view: ViewFold, suspects: Suspects, now: float) -> list[Action]:
-        for host in [h for h in view.members if h in self.accuser.unanswered_since]:
+        accused = [h for h in view.members if h in self.accuser.unanswered_since]
+        found = suspects.find_suspects(view, now=now) if accused else set()
+        for host in accused:
             patience_s = self.settings.patience_s
             is_fast = view.is_cut_off(host)
             if view.has_outdated_accusation(host) and not is_fast:
@@ -183,7 +185,7 @@
             accusation = self.accuser.find_unanswered(
                 host, view, patience_s=patience_s, now=now
             )
-            if accusation is None or not suspects.is_suspect(host, view, now=now):
+            if accusation is None or host not in found:
                 continue
             # One at a time: it changes the voters, on whom the next one's wait depends.
             record = Expelled(host, accusation.offset, self.host, is_fast)
--- a/src/thornlatch/membership/_suspects.py
+++ b/src/thornlatch/membership/_suspects.py
@@ -85,10 +85,6 @@
         self.watch.note_pause(now=now)
         self.joined_at = dict.fromkeys(self.joined_at, now)
 
-    def is_suspect(self, host: str, view: ViewFold, *, now: float) -> bool:
-        """Return whether `host` is silent or late to acknowledge a join."""
-        return host in self.find_suspects(view, now=now)
-
     def find_suspects(self, view: ViewFold, *, now: float) -> set[str]:
         """Return the hosts that are silent or late to acknowledge a join."""
         suspects = self._find_late(view, now)
--- a/src/thornlatch/membership/_watch.py
+++ b/src/thornlatch/membership/_watch.py
@@ -1,6 +1,6 @@
 """Which watched peers have been silent for too long."""
 
-from collections.abc import Iterable, Iterator
+from collections.abc import Iterable
 
 BACKOFF_LIMIT_S = 60.0
 
@@ -68,9 +68,3 @@
     def is_quiet(self, host: str, *, now: float) -> bool:
         """Return whether `host` defended itself too recently to be accused again."""
         return now < self.quiet_until.get(host, now)
-
-    def iter_silent(self, *, limit_s: float, now: float) -> Iterator[str]:
-        """Iterate over the watched peers that are silent."""
-        for host in self.heard_at:
-            if self.is_silent(host, limit_s=limit_s, now=now):
-                yield host
--- a/src/thornlatch/membership/tests/test_membership.py
+++ b/src/thornlatch/membership/tests/test_membership.py
@@ -465,3 +465,11 @@
     session.run(SETTINGS.safe_s - 0.15, is_log_up=False)
     due = session.membership.next_due(now=session.now)
     assert due <= read_at + SETTINGS.safe_s
+
+
+def test_support_too_old_to_count_is_dropped():
+    session = Session()
+    session.run(1.0)
+    assert set(session.membership.confirmation.supports) == set(PEERS)
+    session.run(2 * SETTINGS.safe_s, answering=("b.1",))
+    assert set(session.membership.confirmation.supports) == {"b.1"}
--- a/src/thornlatch/platform/_follower.py
+++ b/src/thornlatch/platform/_follower.py
@@ -214,11 +214,9 @@
 
     def _is_overdue(self, state: StreamState, now: float) -> bool:
         age_s = now - state.tail_read_at
-        if age_s < self.settings.overdue_s:
-            return False
-        if not state.is_patient or state.is_silent or age_s >= self._get_patience():
+        if age_s >= self._get_limit(state):
             return True
-        return any(
+        return age_s >= self.settings.overdue_s and any(
             self._is_overdue(other, now)
             for other in self.streams.values()
             if not other.is_patient
