Build a whole answer from the chunks as they were read

Cause: each event of a completion is decoded once by targets/_engine, which keeps its text. For a caller that wants no stream _assemble then decoded every event a second time and looked for the text by a rule of its own. The second rule had a fault that the first has not: an event without choices, as engines send for the usage, raised IndexError, and the caller got "internal error" after the request had run.

Ruled out: a field for the finish reason in CompletionChunk. Every streamed token would carry it, and one event in an answer has one.

Change: build_completion joins chunk.text and decodes the event that ends the answer, no other. The function has a public name within the internal module, so that its test needs no engine.

Measured: test_build_completion_event_without_choices (text and chat) fails on the old code with IndexError, passes now. Tests of the daemon and all process tests pass (206).

--- a/src/thornlatch/daemon/_app.py
+++ b/src/thornlatch/daemon/_app.py
@@ -303,7 +303,7 @@
         finally:
             self.finish()
         return build_json(
-            _assemble(self.request, chunks), request=self.request.caller.request
+            build_completion(self.request, chunks), request=self.request.caller.request
         )
 
     def send_stream(
@@ -383,21 +383,29 @@
     return b"".join([b"data: %b\n\n" % chunk.data for chunk in chunks])
 
 
-def _assemble(
+def build_completion(
     request: CompletionRequest, chunks: list[CompletionChunk]
 ) -> dict[str, Any]:
-    parts: list[str] = []
+    """Build the answer for a caller that wants no stream.
+
+    Parameters
+    ----------
+    request : CompletionRequest
+    chunks : list of CompletionChunk
+
+    Returns
+    -------
+    dict
+        JSON value of the answer.
+    """
     finish_reason = None
-    tokens = 0
     for chunk in chunks:
-        choice = json.loads(chunk.data)["choices"][0]
-        text = choice.get("text") or choice.get("delta", {}).get("content") or ""
-        parts.append(text)
-        finish_reason = choice.get("finish_reason") or finish_reason
-        tokens += int(chunk.token_index is not None)
+        if chunk.is_finish:
+            finish_reason = json.loads(chunk.data)["choices"][0]["finish_reason"]
+    tokens = sum(chunk.token_index is not None for chunk in chunks)
     prompt_tokens = request.call.prompt_tokens
     choice = {"index": 0, "finish_reason": finish_reason, "logprobs": None}
-    text = "".join(parts)
+    text = "".join(chunk.text for chunk in chunks)
     if request.call.is_chat:
         choice["message"] = {"role": "assistant", "content": text}
     else:
