Take out the daemon's dead parts and its doubled loops

Cause: reading the whole change again found, in the daemon: a `cause` passed through ControlLoop._execute that nothing used; loggers of _daemon and _orders with no line to write; the encoded body of a completion kept for the life of the stream though only the constructor's gate reads it; three forms of one waiting loop in the stop sequence; the rule for "the relay thread is done with this stream" written twice. TargetSettings.attempts is read nowhere: the limit is slices.requests.attempts_limit.

Ruled out: removing the setting `attempts`.

Change: as above; _wait_for and is_over serve both places each.

--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -83,14 +83,13 @@
         self.cursor = StreamCursor(
             request.caller.request, adapter_version=request.model
         )
-        self.body = json.dumps(request.call.body, sort_keys=True).encode()
         self.gate = SuspectGate(
             services,
             request=request.caller.request,
             organisation=request.organisation,
             adapter_version=request.model,
             pool=request.adapter.pool,
-            body=self.body,
+            body=json.dumps(request.call.body, sort_keys=True).encode(),
         )
         self.relay: StreamRelay | None = None
         self.send: Send | None = None
--- a/src/thornlatch/daemon/_control.py
+++ b/src/thornlatch/daemon/_control.py
@@ -223,7 +223,7 @@
             except Exception:
                 self._report_failure(type(envelope.message).__name__)
                 continue
-            self._execute(actions, cause=envelope.cause)
+            self._execute(actions)
 
     def _take_commands(self) -> None:
         with contextlib.suppress(BlockingIOError):
@@ -262,11 +262,11 @@
         for command in self.on_tick:
             self._run_command(command)
 
-    def _execute(self, actions: list[Action], *, cause: str = "") -> None:
+    def _execute(self, actions: list[Action]) -> None:
         for action in actions:
-            self._execute_one(action, cause)
+            self._execute_one(action)
 
-    def _execute_one(self, action: Action, cause: str) -> None:
+    def _execute_one(self, action: Action) -> None:
         match action:
             case Send(recipient, message) if recipient == self.host:
                 self.local.put(Envelope(self.host, 0, message))
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -6,7 +6,6 @@
 from random import Random
 from typing import Any
 
-import logbook
 import waitress
 
 from thornlatch.core import Action, Event, Slice
@@ -29,8 +28,6 @@
 from thornlatch.platform import Delivery, LogClient, LogFollower
 from thornlatch.requests import RetryPolicy
 
-logger = logbook.Logger("thornlatch.daemon")
-
 PATIENT_STREAMS = ("claims", "quarantine")
 STREAMS = ("control", "configuration", *PATIENT_STREAMS)
 
--- a/src/thornlatch/daemon/_orders.py
+++ b/src/thornlatch/daemon/_orders.py
@@ -6,8 +6,6 @@
 from functools import singledispatch
 from typing import Any
 
-import logbook
-
 from thornlatch.configuration import Target
 from thornlatch.core import Action, Event, Order
 from thornlatch.daemon._journal import Journal
@@ -17,8 +15,6 @@
 from thornlatch.placement import AdapterVersion, EvictAdapter, LoadAdapter
 from thornlatch.targets import evict_adapter, load_adapter, read_report
 
-logger = logbook.Logger("thornlatch.orders")
-
 # A report whose age makes no sense counts as this old: it proves nothing recent.
 AGE_LIMIT_S = 3600.0
 
--- a/src/thornlatch/daemon/_relay.py
+++ b/src/thornlatch/daemon/_relay.py
@@ -62,8 +62,7 @@
         Exception
             Whatever `send` raised.
         """
-        is_over = reader.is_done or reader.read_bytes > RELAY_LIMIT_BYTES
-        if is_over or self.has_ended:
+        if is_over(reader) or self.has_ended:
             return
         reader.response.set_waiting(waits=False)
         try:
@@ -156,6 +155,20 @@
         send(chunks)
 
 
+def is_over(reader: ChunkReader) -> bool:
+    """Return whether a stream has ended or is too long for the relay thread.
+
+    Parameters
+    ----------
+    reader : ChunkReader
+
+    Returns
+    -------
+    bool
+    """
+    return reader.is_done or reader.read_bytes > RELAY_LIMIT_BYTES
+
+
 def can_relay(reader: ChunkReader) -> bool:
     """Return whether the rest of a stream can be passed on without waiting.
 
@@ -167,5 +180,4 @@
     -------
     bool
     """
-    is_over = reader.is_done or reader.read_bytes > RELAY_LIMIT_BYTES
-    return not is_over and not reader.response.must_wait
+    return not is_over(reader) and not reader.response.must_wait
--- a/src/thornlatch/daemon/_settings.py
+++ b/src/thornlatch/daemon/_settings.py
@@ -78,7 +78,7 @@
     order_threads : int
         Orders and report reads that run at once.
     attempts : int
-        Most attempts of one request.
+        Not in use: `slices.requests.attempts_limit` limits a request's attempts.
     """
 
     silence_limit_s: Annotated[float, Meta(gt=0, le=600)] = 10.0
--- a/src/thornlatch/daemon/_stop.py
+++ b/src/thornlatch/daemon/_stop.py
@@ -115,30 +115,26 @@
 
     def _give_up_rights(self) -> None:
         node = self.services.node
+
+        def are_orders_closed() -> bool:
+            return not self.services.run(
+                lambda now: node.dispatch.has_open_orders(now=now)
+            )
+
         self.services.submit(lambda now: node.dispatch.close(now))
         self._return_shares()
-        self._settle(lambda: not node.claims.has_unwritten)
-        self._settle(
-            lambda: (
-                not self.services.run(
-                    lambda now: node.dispatch.has_open_orders(now=now)
-                )
-            )
-        )
+        _wait_for(lambda: not node.claims.has_unwritten, limit_s=SETTLE_LIMIT_S)
+        _wait_for(are_orders_closed, limit_s=SETTLE_LIMIT_S)
         # Peers get a moment for the messages that return shares and grants.
         time.sleep(self.settings.hand_over_s)
         self.services.submit(lambda now: node.membership.close(now=now))
         self.services.run(lambda now: None)
 
-    def _settle(self, is_settled: Callable[[], bool]) -> None:
-        deadline = time.monotonic() + SETTLE_LIMIT_S
-        while not is_settled() and time.monotonic() < deadline:
-            time.sleep(POLL_S)
-
     def _pause(self, duration_s: float) -> None:
-        deadline = time.monotonic() + duration_s
-        self._wait_for(lambda: time.monotonic() >= deadline or self.requests > 1)
+        _wait_for(lambda: self.requests > 1, limit_s=duration_s)
+
 
-    def _wait_for(self, is_met: Callable[[], bool]) -> None:
-        while not is_met():
-            time.sleep(POLL_S)
+def _wait_for(is_met: Callable[[], bool], *, limit_s: float) -> None:
+    deadline = time.monotonic() + limit_s
+    while not is_met() and time.monotonic() < deadline:
+        time.sleep(POLL_S)
