Build the rows of all measurements in one place

Ruled out: one rounding for all. Three places hide admission's ratios beside their bound of 0.001, so a module names its own number of places.

Change: bench/output.py has build_row; a module fixes its seed and its places by functools.partial. No bound, seed or name of a row is changed.

--- a/bench/admission.py
+++ b/bench/admission.py
@@ -5,6 +5,7 @@
 from collections.abc import Callable
 from dataclasses import dataclass
 
+from bench.output import build_row
 from thornlatch.admission import Admission, Admitted, Allowance
 from thornlatch.admission.tests.fleet import Fleet, Network, compute_excess
 from thornlatch.admission.tests.schedules import STORE, History
@@ -215,37 +216,18 @@
     return worst, admitted
 
 
-def make_entry(
-    name: str,
-    value: float,
-    unit: str,
-    seed: str,
-    *,
-    bound: float | None = None,
-    baseline: float | None = None,
-) -> dict:
-    return {
-        "name": name,
-        "value": value,
-        "unit": unit,
-        "bound": bound,
-        "baseline": baseline,
-        "seed": seed,
-    }
-
-
 def measure_ratio(
     name: str, run: Callable[[int], tuple[Result, Result]], seeds: range, bound: float
 ) -> dict:
     """Measure a ratio of wrongful refusals over several seeds."""
     pairs = [run(seed) for seed in seeds]
-    return make_entry(
+    return build_row(
         name,
         add_up([pair[0] for pair in pairs]),
         "ratio",
-        f"{seeds.start}-{seeds.stop - 1}",
-        bound=bound,
-        baseline=add_up([pair[1] for pair in pairs]),
+        bound,
+        add_up([pair[1] for pair in pairs]),
+        seed=f"{seeds.start}-{seeds.stop - 1}",
     )
 
 
@@ -265,12 +247,12 @@
         values = {hosts: figures[what] for hosts, figures in traffic.items()}
         unit = {"messages": "1/s", "bytes": "B/s", "us": "us"}[what.split("_")[-1]]
         entries += [
-            make_entry(f"admission.{what}_{hosts}_hosts", value, unit, "1")
+            build_row(f"admission.{what}_{hosts}_hosts", value, unit, seed="1")
             for hosts, value in values.items()
         ]
         slope = compute_slope(values)
         entries.append(
-            make_entry(f"admission.{what}_slope", slope, f"{unit}/host", "1")
+            build_row(f"admission.{what}_slope", slope, f"{unit}/host", seed="1")
         )
     return entries
 
@@ -279,8 +261,8 @@
     """Return all figures of admission."""
     excess, _ = measure_excess(0, HISTORIES)
     return [
-        make_entry(
-            "admission.excess_tokens", excess, "tokens", f"0-{HISTORIES - 1}", bound=0.0
+        build_row(
+            "admission.excess_tokens", excess, "tokens", 0.0, seed=f"0-{HISTORIES - 1}"
         ),
         measure_ratio(
             "admission.wrongful_refusal_ratio", measure_steady, range(1, 16), 0.001
@@ -291,7 +273,7 @@
             range(1, 21),
             0.01,
         ),
-        make_entry("admission.admit_cpu_us", measure_local_cpu(1), "us", "1"),
+        build_row("admission.admit_cpu_us", measure_local_cpu(1), "us", seed="1"),
         *measure_scale(),
     ]
 
--- a/bench/chaos.py
+++ b/bench/chaos.py
@@ -4,6 +4,7 @@
 from pathlib import Path
 from typing import Any
 
+from bench.output import build_row
 from tests.test_chaos import run_chaos
 
 SEED = 1
@@ -15,19 +16,7 @@
         report = run_chaos(Path(directory), SEED)
     broken = len(report["broken_promises"]) + len(report["violations"])
     return [
-        build_row("chaos.broken_promises", broken, "promises", 0),
-        build_row("chaos.requests", report["requests"], "requests", None),
-        build_row("chaos.faults", report["faults"], "faults", None),
+        build_row("chaos.broken_promises", broken, "promises", 0, seed=SEED),
+        build_row("chaos.requests", report["requests"], "requests", seed=SEED),
+        build_row("chaos.faults", report["faults"], "faults", seed=SEED),
     ]
-
-
-def build_row(name: str, value: int, unit: str, bound: int | None) -> dict[str, Any]:
-    """Build one line of the output."""
-    return {
-        "name": name,
-        "value": value,
-        "unit": unit,
-        "bound": bound,
-        "baseline": None,
-        "seed": SEED,
-    }
--- a/bench/configuration.py
+++ b/bench/configuration.py
@@ -5,8 +5,10 @@
 import statistics
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 
+from bench import output
 from thornlatch.configuration import (
     Adapter,
     ConfigurationChanged,
@@ -47,6 +49,8 @@
 store = "weights"
 """
 
+build_row = partial(output.build_row, digits=4)
+
 
 def measure() -> list[dict]:
     """Return the measurements."""
@@ -111,14 +115,14 @@
             statistics.median(in_order) * 1000,
             "ms",
             5,
-            baseline=round(whole_s * 1000, 4),
+            baseline=whole_s * 1000,
         ),
         build_row(
             "configuration.delta_63000_p99_ms",
             in_order[len(in_order) * 99 // 100] * 1000,
             "ms",
             50,
-            baseline=round(whole_s * 1000, 4),
+            baseline=whole_s * 1000,
         ),
         build_row("configuration.delta_day_s", sum(spent_s), "s", 30),
         build_row(
@@ -194,22 +198,3 @@
 def read_rss_mb() -> float:
     pages = int(Path("/proc/self/statm").read_text().split()[1])
     return pages * PAGE_BYTES / 2**20
-
-
-def build_row(
-    name: str,
-    value: float,
-    unit: str,
-    bound: float,
-    *,
-    baseline: float | None = None,
-    seed: int | None = None,
-) -> dict:
-    return {
-        "name": name,
-        "value": round(value, 4),
-        "unit": unit,
-        "bound": bound,
-        "baseline": baseline,
-        "seed": seed,
-    }
--- a/bench/control.py
+++ b/bench/control.py
@@ -8,9 +8,11 @@
 import sys
 import tempfile
 import time
+from functools import partial
 from pathlib import Path
 from typing import Any
 
+from bench import output
 from bench.path import read_processor_s
 from tests.deployments import Deployment, append, complete, start_deployment
 from tests.fleet import Fleet, send_http, wait_until
@@ -28,6 +30,8 @@
 CHANGES = 20
 SEED = 0
 
+build_row = partial(output.build_row, baseline=0, seed=SEED, digits=4)
+
 
 def measure() -> list[dict[str, Any]]:
     """Measure cost at several sizes, and changes in force among 8 daemons."""
@@ -167,18 +171,6 @@
     return None
 
 
-def build_row(name: str, value: float, unit: str, bound: float) -> dict[str, Any]:
-    """Build one line of the output."""
-    return {
-        "name": name,
-        "value": round(value, 4),
-        "unit": unit,
-        "bound": bound,
-        "baseline": 0,
-        "seed": SEED,
-    }
-
-
 if __name__ == "__main__":
     for argument in sys.argv[1:]:
         for row in measure_size(int(argument)):
--- a/bench/leases.py
+++ b/bench/leases.py
@@ -3,10 +3,12 @@
 import time
 from collections.abc import Iterator
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 from random import Random
 from statistics import median
 from typing import Any
 
+from bench import output
 from thornlatch.core import Send
 from thornlatch.leases import LeaseTable, score_key
 from thornlatch.leases.tests.breakages import BREAKAGES
@@ -26,6 +28,9 @@
 KEYS = [f"organisation:{number}" for number in range(500)]
 SETTINGS = MembershipSettings()
 
+# Seeds count up from 0.
+build_row = partial(output.build_row, seed=0, digits=3)
+
 
 def measure() -> list[dict[str, Any]]:
     """Return one row for each figure of membership and leases."""
@@ -146,17 +151,3 @@
     for key in KEYS:
         table.get_owner(key)
     return (time.perf_counter() - start) * 1000
-
-
-def build_row(
-    name: str, value: float, unit: str, bound: float, baseline: float
-) -> dict[str, Any]:
-    """Build one line of the output; seeds count up from 0."""
-    return {
-        "name": name,
-        "value": round(value, 3),
-        "unit": unit,
-        "bound": bound,
-        "baseline": round(baseline, 3),
-        "seed": 0,
-    }
--- a/bench/path.py
+++ b/bench/path.py
@@ -7,10 +7,12 @@
 import time
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import dataclass
+from functools import partial
 from pathlib import Path
 from statistics import quantiles
 from typing import Any
 
+from bench import output
 from standins.engine import build_token
 from tests.deployments import SHOP_KEY, Deployment, start_deployment
 from tests.fleet import Fleet, send_http
@@ -23,6 +25,8 @@
 MODELS = 6
 SEED = 0
 
+build_row = partial(output.build_row, seed=SEED, digits=3)
+
 
 @dataclass(frozen=True)
 class Timing:
@@ -197,17 +201,3 @@
             return True
         time.sleep(0.2)
     return False
-
-
-def build_row(
-    name: str, value: float, unit: str, bound: float, baseline: float
-) -> dict[str, Any]:
-    """Build one line of the output."""
-    return {
-        "name": name,
-        "value": round(value, 3),
-        "unit": unit,
-        "bound": bound,
-        "baseline": round(baseline, 3),
-        "seed": SEED,
-    }
--- a/bench/requests.py
+++ b/bench/requests.py
@@ -9,10 +9,12 @@
 import time
 import tracemalloc
 from dataclasses import replace
+from functools import partial
 from pathlib import Path
 
 import msgspec
 
+from bench import output
 from thornlatch.core import Append, Resolve, decode_record, encode_record
 from thornlatch.requests import (
     Claims,
@@ -31,6 +33,8 @@
 HISTORIES = 500
 FLEETS = 15
 SEED = 20_000
+
+build_row = partial(output.build_row, seed=SEED)
 APPENDS_PER_S = 300
 CLAIMS_PER_S_OFFERED = 3_000
 HOSTS = 8
@@ -57,8 +61,8 @@
         mixed += len(history.find_false_answers())
         mixed += len(StreamHistory(seed).run().check())
     return [
-        row("requests.duplicate_runs", duplicates, "runs", 0),
-        row("requests.mixed_answers", mixed, "answers", 0),
+        build_row("requests.duplicate_runs", duplicates, "runs", 0),
+        build_row("requests.mixed_answers", mixed, "answers", 0),
     ]
 
 
@@ -111,7 +115,7 @@
                     log.queue.append(encode_record(action.record))
                 elif isinstance(action, Resolve) and isinstance(action.value, ClaimWon):
                     won += complete(table, action.value.claim, now)
-    return row("requests.claims_per_second", won / seconds, "claims/s", 2000)
+    return build_row("requests.claims_per_second", won / seconds, "claims/s", 2000)
 
 
 def complete(table, claim, now):
@@ -133,8 +137,8 @@
     tracemalloc.stop()
     assert len(fold.entries) == CLAIMS
     return [
-        row("requests.claim_memory", held / CLAIMS, "bytes", 2000),
-        row("requests.claim_read_time", spent / CLAIMS * 1e6, "us", 200),
+        build_row("requests.claim_memory", held / CLAIMS, "bytes", 2000),
+        build_row("requests.claim_read_time", spent / CLAIMS * 1e6, "us", 200),
     ]
 
 
@@ -172,8 +176,8 @@
             lost = max(lost, *fleet.lost.values())
             final += len(fleet.final)
     return [
-        row("quarantine.targets_lost", lost, "targets per crashing request", 2),
-        row("quarantine.innocent_final_refusals", final, "requests", 0),
+        build_row("quarantine.targets_lost", lost, "targets per crashing request", 2),
+        build_row("quarantine.innocent_final_refusals", final, "requests", 0),
     ]
 
 
@@ -213,7 +217,7 @@
         paths = write_logs(Path(directory))
         rates = [time_merge(paths) for _ in range(3)]
     rate = statistics.median(rates)
-    return row("timeline.events_per_second", rate, "events/s", 100_000)
+    return build_row("timeline.events_per_second", rate, "events/s", 100_000)
 
 
 def time_merge(paths):
@@ -239,14 +243,3 @@
         path.write_bytes(b"\n".join(written))
         paths.append(path)
     return paths
-
-
-def row(name, value, unit, bound):
-    return {
-        "name": name,
-        "value": value,
-        "unit": unit,
-        "bound": bound,
-        "baseline": None,
-        "seed": SEED,
-    }
--- a/bench/scheduling.py
+++ b/bench/scheduling.py
@@ -1,7 +1,9 @@
 """Load stalls, batch occupancy, fairness and overload on replayed traces."""
 
 from concurrent.futures import ProcessPoolExecutor
+from functools import partial
 
+from bench import output
 from bench.policies import (
     BaselineRun,
     ThornlatchRun,
@@ -13,6 +15,7 @@
 from bench.traces import KITABU, MANDACARU, TraceSettings, make_trace
 
 SEED = 11
+build_row = partial(output.build_row, digits=4)
 FAIR_SEEDS = (11, 12, 13)
 WORKERS = 8
 JOB_LIMIT_S = 120.0
@@ -64,21 +67,21 @@
     stall_s = ours.count_stall_per_1000()
     name = deployment.name
     return [
-        make_row(
+        build_row(
             f"placement.stall_seconds_per_1000_requests.{name}",
             stall_s,
             "s",
             best / 2,
             best,
-            seed,
+            seed=seed,
         ),
-        make_row(
+        build_row(
             f"placement.loads_over_offline_bound.{name}",
             ours.loads / offline,
             "ratio",
             1.3,
             offline,
-            seed,
+            seed=seed,
         ),
     ]
 
@@ -87,7 +90,9 @@
     """Measure where the store keeps up with the better baseline too."""
     ours, best, _ = compare_stalls(deployment, LIGHT_REQUESTS_PER_LOAD, seed)
     name = f"placement.light_stall_seconds_per_1000_requests.{deployment.name}"
-    return [make_row(name, ours.count_stall_per_1000(), "s", best / 2, best, seed)]
+    return [
+        build_row(name, ours.count_stall_per_1000(), "s", best / 2, best, seed=seed)
+    ]
 
 
 def compare_stalls(deployment, requests_per_load, seed):
@@ -109,7 +114,7 @@
     ours = ThornlatchRun(deployment, trace).run()
     name = f"dispatch.batch_occupancy_ratio.{deployment.name}"
     ratio = get_occupancy(deployment, ours)
-    return [make_row(name, ratio, "ratio", 0.9, None, seed)]
+    return [build_row(name, ratio, "ratio", 0.9, None, seed=seed)]
 
 
 def get_occupancy(deployment, result):
@@ -130,7 +135,7 @@
     before = max(wait for name, wait in usual.items() if name != boosted)
     after = max(wait for name, wait in flooded.items() if name != boosted)
     name = f"fairness.worst_organisation_p95_ratio.{deployment.name}"
-    return make_row(name, after / before, "ratio", 1.2, before, seed)
+    return build_row(name, after / before, "ratio", 1.2, before, seed=seed)
 
 
 def get_waits(deployment, settings):
@@ -162,21 +167,21 @@
     best_tokens = slots / TOKEN_S * (SATURATED_DURATION_S - WARM_UP_S)
     false_refusals = len(result.refused & result.started)
     return [
-        make_row(
+        build_row(
             f"overload.goodput_ratio.{deployment.name}",
             good_tokens / best_tokens,
             "ratio",
             0.9,
             None,
-            seed,
+            seed=seed,
         ),
-        make_row(
+        build_row(
             f"overload.false_not_run.{deployment.name}",
             false_refusals,
             "count",
             0,
             None,
-            seed,
+            seed=seed,
         ),
     ]
 
@@ -187,14 +192,3 @@
     trace = make_trace(TraceSettings(SEED, 100.0, 100.0))
     mean_s = sum(a.tokens for a in trace) / len(trace) * TOKEN_S
     return slots / mean_s
-
-
-def make_row(name, value, unit, bound, baseline, seed):
-    return {
-        "name": name,
-        "value": round(value, 4),
-        "unit": unit,
-        "bound": bound if bound is None else round(bound, 4),
-        "baseline": baseline if baseline is None else round(baseline, 4),
-        "seed": seed,
-    }
