Judge in one place whether a host has gone

Cause: ClaimTable and Quarantine each had `missing` and `_is_gone`, word for word the same rule: a host counts as gone when it has been missing from the members for gone_grace_s. Each forgot that a host had been missing only if it was asked about the host while that was back. A host missing at 0 s, back at 1 s unasked, and missing again at 5 s was gone at once, without its grace: its calls were answered "outcome unknown" early, its turn in the quarantine was passed on.

Ruled out: mending both copies; putting the rule on LeaseReader, whose implementations are three and whose settings have no such grace.

Change: GoneHosts in requests/_gone_hosts.py serves both. The members are noted at each tick, and those that are back lose their entry then.

Whether a fleet ever loses and regains one incarnation of a host in its members was not looked for.

--- a/src/thornlatch/requests/_claims.py
+++ b/src/thornlatch/requests/_claims.py
@@ -24,6 +24,7 @@
     Unresolved,
     build_claims,
 )
+from thornlatch.requests._gone_hosts import GoneHosts
 from thornlatch.requests._outbox import Outbox
 from thornlatch.requests._settings import RequestsSettings
 from thornlatch.requests._waiters import Waiter, Waiters
@@ -81,8 +82,8 @@
         self.own: dict[str, OwnClaim] = {}
         self.pending: dict[ClaimKey, str] = {}
         self.waiters = Waiters()
-        self.members = self._read_members()
-        self.missing: dict[str, float] = {}
+        self.gone_hosts = GoneHosts(settings.gone_grace_s)
+        self.gone_hosts.note_members(self._read_members())
         self.made = 0
         self.unread_since: float | None = None
 
@@ -234,9 +235,10 @@
 
     def tick(self, *, now: float) -> list[Action]:
         """Append what is due, give up late claims and answer late repeats."""
-        self.members = self._read_members()
+        members = self._read_members()
+        self.gone_hosts.note_members(members)
         actions = self._expire(now=now)
-        interval = len(self.members) / self.settings.appends_per_s
+        interval = len(members) / self.settings.appends_per_s
         items = self.outbox.take(now=now, interval_s=interval)
         if items:
             self.unread_since = now if self.unread_since is None else self.unread_since
@@ -303,7 +305,7 @@
         if entry.answer is not None:
             is_whole = entry.answer.is_whole
             return entry.answer if is_whole else idempotency.refuse_large(entry.answer)
-        if entry.is_unresolved or self._is_gone(entry.host, now=now):
+        if entry.is_unresolved or self.gone_hosts.is_gone(entry.host, now=now):
             return idempotency.refuse_unknown()
         if now >= waiter.deadline:
             return idempotency.refuse_running(self.settings.wait_s)
@@ -312,13 +314,6 @@
     def _read_members(self) -> set[str]:
         return {self.host, *(member.host for member in self.leases.iter_members())}
 
-    def _is_gone(self, host: str, *, now: float) -> bool:
-        if host in self.members:
-            self.missing.pop(host, None)
-            return False
-        since = self.missing.setdefault(host, now)
-        return now - since >= self.settings.gone_grace_s
-
     def _make_claim(self, waiter: Waiter, *, now: float) -> None:
         self.made += 1
         claim = f"{self.host}/{self.made}"
--- a/src/thornlatch/requests/_quarantine.py
+++ b/src/thornlatch/requests/_quarantine.py
@@ -23,6 +23,7 @@
 )
 from thornlatch.exceptions import ErrorKind, Execution, RequestRefused
 from thornlatch.requests._deaths import Death, Deaths, Running
+from thornlatch.requests._gone_hosts import GoneHosts
 from thornlatch.requests._notices import NoticeSender
 from thornlatch.requests._outbox import Outbox
 from thornlatch.requests._quarantine_fold import QuarantineFold
@@ -91,7 +92,7 @@
         self.deaths = Deaths(settings.domain_window_s)
         self.seen: OrderedDict[tuple[str, int], None] = OrderedDict()
         self.turns: dict[str, tuple[str, float]] = {}
-        self.missing: dict[str, float] = {}
+        self.gone_hosts = GoneHosts(settings.gone_grace_s)
         self.numbers = 0
 
     def check(self, fingerprint: str, *, now: float) -> Verdict:
@@ -346,22 +347,16 @@
                 self._end(ask, fingerprint, IsolationOutcome.NOT_RUN, now)
 
     def _pass_lost_turns(self, *, now: float) -> None:
-        members = {member.host for member in self.leases.iter_members()}
+        members = {self.host, *(member.host for member in self.leases.iter_members())}
+        self.gone_hosts.note_members(members)
         for waiting in self.waiting.values():
             for name, ask in self.fold.iter_ahead(waiting.ask):
-                if ask.host == self.host or not self._is_gone(ask.host, members, now):
+                if not self.gone_hosts.is_gone(ask.host, now=now):
                     continue
                 item = IsolationEnded(name, ask.fingerprint, IsolationOutcome.LOST)
                 if "end:" + name not in self.outbox.entries:
                     self._put("end:" + name, item, now=now)
 
-    def _is_gone(self, host: str, members: set[str], now: float) -> bool:
-        if host in members:
-            self.missing.pop(host, None)
-            return False
-        since = self.missing.setdefault(host, now)
-        return now - since >= self.settings.gone_grace_s
-
     def _settle(self, *, now: float) -> list[Action]:
         actions: list[Action] = []
         for waiting in list(self.waiting.values()):
--- a/src/thornlatch/requests/tests/test_claims.py
+++ b/src/thornlatch/requests/tests/test_claims.py
@@ -124,7 +124,7 @@
 class GoneClaimersRunAgain(ClaimTable):
     def _settle(self, key, *, now):
         entry = self.fold.entries.get(key)
-        if entry and not entry.answer and self._is_gone(entry.host, now=now):
+        if entry and not entry.answer and self.gone_hosts.is_gone(entry.host, now=now):
             self.fold.keys.pop(self.fold.entries.pop(key).claim)
         return super()._settle(key, now=now)
 
