Let twins in admission, placement, settings and commands share code

Cause: reading the whole change found twins. is_current of borrower and lender compared stamps in the same four lines; the borrower counted its free slots in three places; LoadAdapter and EvictAdapter had the same fields and the same page of documentation; InventoryFile repeated the seven fields of Inventory; each of two command modules walked the pages of a stream twice; the time line's command had its own exit statuses; one hint stood twice. TargetMemory.idle_after and RECORD_LIMIT_BYTES were read nowhere.

Ruled out: one class for both orders with a kind, since singledispatch picks what to do by the class; one walk over pages for both streams, as they answer a cut-off page and a trimmed log differently; removing the unused look-ups of ConfigurationView, which are part of the library's face.

Change: Stamp.is_on, ShareBorrower.free_slots, AdapterOrder as the common base, InventoryFile(Inventory), _iter_records and _iter_pages, the statuses of cli/_exits, REFERENCE_HINT.

--- a/src/thornlatch/admission/_borrower.py
+++ b/src/thornlatch/admission/_borrower.py
@@ -107,11 +107,14 @@
         """That of the whole fleet, by this host's configuration."""
         return self.holding.allowance
 
+    @property
+    def free_slots(self) -> int:
+        """Slots of the part that no request uses."""
+        return max(0, self.holding.part.slots - self.used_slots)
+
     def is_current(self, message: object) -> bool:
         """Return whether a message carries the stamp of this host's part."""
-        return self.stamp == Stamp(
-            getattr(message, "epoch", -1), getattr(message, "round_number", -1)
-        )
+        return self.stamp.is_on(message)
 
     def spend(self, amount: int, *, now: float) -> bool:
         """Take microtokens from the bucket; return whether it had as many."""
@@ -210,14 +213,12 @@
         level = recall.level + max(0, min(recall.spare_level, spare))
         depth = max(recall.part.depth, to_depth_units(self.allowance, level))
         part = replace(recall.part, depth=depth if level else recall.part.depth)
-        free_slots = max(0, self.holding.part.slots - self.used_slots)
-        self.owed_slots = max(0, recall.part.slots - free_slots)
+        self.owed_slots = max(0, recall.part.slots - self.free_slots)
         return [self.give("return", sender, part, level, now=now)]
 
     def return_owed_slots(self, *, now: float) -> list[Action]:
         """Return recalled slots as the uses that held them end."""
-        free_slots = max(0, self.holding.part.slots - self.used_slots)
-        slots = min(self.owed_slots, free_slots)
+        slots = min(self.owed_slots, self.free_slots)
         if not slots or not self.outbox.is_free("return", self.owner):
             return []
         self.owed_slots -= slots
@@ -227,9 +228,8 @@
         self, lane: Lane, recipient: str, part: Part, level: int, *, now: float
     ) -> Action:
         """Give up a part and send it; slots in use stay."""
-        free_slots = max(0, self.holding.part.slots - self.used_slots)
         rate = max(part.rate, self.compute_useless_rate(part.depth))
-        part = Part(rate, part.depth, min(part.slots, free_slots))
+        part = Part(rate, part.depth, min(part.slots, self.free_slots))
         given, given_level = self.holding.take(part, level, now=now)
         return self.outbox.send(
             self.stamp,
--- a/src/thornlatch/admission/_lender.py
+++ b/src/thornlatch/admission/_lender.py
@@ -87,9 +87,7 @@
 
     def is_current(self, message: object) -> bool:
         """Return whether a message carries this lender's stamp."""
-        return self.stamp == Stamp(
-            getattr(message, "epoch", -1), getattr(message, "round_number", -1)
-        )
+        return self.stamp.is_on(message)
 
     # Inventories
 
--- a/src/thornlatch/admission/_transfers.py
+++ b/src/thornlatch/admission/_transfers.py
@@ -24,6 +24,12 @@
         """Return whether this one is later than `other`."""
         return (self.epoch, self.round_number) > (other.epoch, other.round_number)
 
+    def is_on(self, message: object) -> bool:
+        """Return whether `message` carries this stamp."""
+        return self == Stamp(
+            getattr(message, "epoch", -1), getattr(message, "round_number", -1)
+        )
+
 
 @dataclass(frozen=True)
 class PendingMove:
--- a/src/thornlatch/cli/_control_log.py
+++ b/src/thornlatch/cli/_control_log.py
@@ -1,6 +1,7 @@
 """Reading the sessions of hosts from the log, and appending to their stream."""
 
 import time
+from collections.abc import Iterator
 from typing import Any
 
 from thornlatch.cli._exits import AppendUnknown, CommandFailed
@@ -34,14 +35,9 @@
     """
     view = ViewFold(voter_limit=voter_limit)
     loader = ViewLoader()
-    offset = 0
-    while True:
-        page = _read_page(log, offset, loader)
+    for page in _iter_pages(log, loader):
         for entry in page.records:
             _apply(view, loader, entry.offset, decode_record(entry.value))
-        offset = page.next_offset
-        if not page.records:
-            break
     if loader.is_loading:
         raise CommandFailed(
             "the log dropped records of sessions that no recorded view covers",
@@ -62,12 +58,8 @@
     -------
     int
     """
-    offset = 0
-    while True:
-        page = _read_page(log, offset, ViewLoader())
-        if not page.records:
-            return page.next_offset
-        offset = page.next_offset
+    *_, last = _iter_pages(log, ViewLoader())
+    return last.next_offset
 
 
 def append_until_confirmed(log: Log, records: list[Any]) -> int:
@@ -108,6 +100,17 @@
     )
 
 
+def _iter_pages(log: Log, loader: ViewLoader) -> Iterator[LogPage]:
+    """Iterate over the pages of the control stream; the last one is empty."""
+    offset = 0
+    while True:
+        page = _read_page(log, offset, loader)
+        yield page
+        if not page.records:
+            return
+        offset = page.next_offset
+
+
 def _read_page(log: Log, offset: int, loader: ViewLoader) -> LogPage:
     try:
         return log.read(CONTROL_STREAM, offset, limit=PAGE_LIMIT, wait_s=0.0)
--- a/src/thornlatch/cli/_log.py
+++ b/src/thornlatch/cli/_log.py
@@ -1,6 +1,7 @@
 """Reading the configuration from the log, and appending to it safely."""
 
 import time
+from collections.abc import Iterator
 from dataclasses import dataclass, field
 from typing import Any, Protocol
 
@@ -74,13 +75,8 @@
         PlatformError
             If the log service fails.
         """
-        while True:
-            page = self._read_page()
-            for entry in page.records:
-                self._apply(entry.offset, decode_entry(entry.value))
-            self.next_offset = page.next_offset
-            if not page.records:
-                return
+        for offset, record in self._iter_records():
+            self._apply(offset, record)
 
     def check_complete(self) -> None:
         """Check that the log still has everything that is in force.
@@ -150,16 +146,10 @@
         start = self.next_offset
         found: list[int] = []
         try:
-            while True:
-                page = self._read_page()
-                for entry in page.records:
-                    decoded = decode_entry(entry.value)
-                    self._apply(entry.offset, decoded)
-                    if entry.offset >= start and decoded == record:
-                        found.append(entry.offset)
-                self.next_offset = page.next_offset
-                if not page.records:
-                    break
+            for offset, read in self._iter_records():
+                self._apply(offset, read)
+                if offset >= start and read == record:
+                    found.append(offset)
         except PlatformError:
             return None
         accepted = [offset for offset in found if offset not in self.refusals]
@@ -175,6 +165,15 @@
         if self.state.refusals is not before:
             self.refusals.update((item.offset, item) for item in self.state.refusals)
 
+    def _iter_records(self) -> Iterator[tuple[int, Record]]:
+        while True:
+            page = self._read_page()
+            for entry in page.records:
+                yield entry.offset, decode_entry(entry.value)
+            self.next_offset = page.next_offset
+            if not page.records:
+                return
+
     def _read_page(self) -> LogPage:
         while True:
             try:
--- a/src/thornlatch/cli/_timeline.py
+++ b/src/thornlatch/cli/_timeline.py
@@ -8,6 +8,7 @@
 
 import cappa
 
+from thornlatch.cli._exits import EXIT_FAILED, EXIT_OK
 from thornlatch.exceptions import InvalidInput
 from thornlatch.timeline import (
     EventFilter,
@@ -20,9 +21,6 @@
     render_text,
 )
 
-EXIT_OK = 0
-EXIT_FAILED = 1
-
 
 @cappa.command(name="timeline", help="Show the events of all processes in one order.")
 @dataclass(frozen=True)
--- a/src/thornlatch/core/_codec.py
+++ b/src/thornlatch/core/_codec.py
@@ -8,7 +8,6 @@
 from thornlatch.exceptions import InvalidInput
 
 MESSAGE_LIMIT_BYTES = 1 << 20
-RECORD_LIMIT_BYTES = 16 << 20
 
 T = TypeVar("T")
 _classes: dict[str, type] = {}
--- a/src/thornlatch/placement/_memory.py
+++ b/src/thornlatch/placement/_memory.py
@@ -43,7 +43,6 @@
         self.evicting: dict[AdapterVersion, OpenOrder] = {}
         self.unsure: dict[AdapterVersion, OpenOrder] = {}
         self.evicted_at: dict[AdapterVersion, float] = {}
-        self.idle_after = 0.0
 
     @property
     def is_read(self) -> bool:
--- a/src/thornlatch/placement/_orders.py
+++ b/src/thornlatch/placement/_orders.py
@@ -19,8 +19,8 @@
 
 
 @dataclass(frozen=True)
-class LoadAdapter:
-    """Orders a target to load an adapter version into an empty slot.
+class AdapterOrder:
+    """What orders to load and to evict an adapter version have in common.
 
     Parameters
     ----------
@@ -39,23 +39,13 @@
 
 
 @dataclass(frozen=True)
-class EvictAdapter:
-    """Orders a target to evict an adapter version that nobody may use.
+class LoadAdapter(AdapterOrder):
+    """Orders a target to load an adapter version into an empty slot."""
 
-    Parameters
-    ----------
-    adapter : str
-    version : str
-    epoch : int
-        Fencing number.
-    deadline_s : float
-        Seconds from the sending after which the target must not begin.
-    """
 
-    adapter: str
-    version: str
-    epoch: int
-    deadline_s: float
+@dataclass(frozen=True)
+class EvictAdapter(AdapterOrder):
+    """Orders a target to evict an adapter version that nobody may use."""
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/settings/_inventory_file.py
+++ b/src/thornlatch/settings/_inventory_file.py
@@ -10,27 +10,16 @@
 
 import msgspec
 
-from thornlatch.configuration import (
-    Adapter,
-    Inventory,
-    Key,
-    Organisation,
-    Pool,
-    Route,
-    Store,
-    Target,
-    build_tables,
-)
+from thornlatch.configuration import Adapter, Inventory, build_tables
 from thornlatch.exceptions import InvalidInput, SettingsError
 from thornlatch.settings._describe import describe_hint, find_hint
-from thornlatch.settings._load import load_settings
+from thornlatch.settings._load import REFERENCE_HINT, load_settings
 
 COLUMNS = tuple(f.name for f in fields(Adapter))
-HINT = "See docs/reference/settings.md."
 
 
 @dataclass(frozen=True)
-class InventoryFile:
+class InventoryFile(Inventory):
     """Layout of an inventory file: one array of tables per kind.
 
     Parameters
@@ -47,13 +36,6 @@
         relative to the inventory file.
     """
 
-    organisations: tuple[Organisation, ...] = ()
-    keys: tuple[Key, ...] = ()
-    stores: tuple[Store, ...] = ()
-    pools: tuple[Pool, ...] = ()
-    targets: tuple[Target, ...] = ()
-    adapters: tuple[Adapter, ...] = ()
-    routes: tuple[Route, ...] = ()
     adapters_file: str = ""
 
 
@@ -192,5 +174,5 @@
         f"{message}; got {value!r:.200}",
         context=f"{path}:{lines[index]}" + (f": {column}" if column else ""),
         note=f"Allowed: {describe_hint(find_hint(Adapter, column))}" if column else "",
-        hint=HINT,
+        hint=REFERENCE_HINT,
     )
--- a/src/thornlatch/settings/_load.py
+++ b/src/thornlatch/settings/_load.py
@@ -10,6 +10,8 @@
 from thornlatch.exceptions import SettingsError
 from thornlatch.settings._describe import describe_hint, find_hint
 
+REFERENCE_HINT = "See docs/reference/settings.md."
+
 T = TypeVar("T")
 
 
@@ -93,7 +95,7 @@
             f"{message}; got {_find_value(table, key)!r}",
             context=f"{source}: {key}",
             note=_describe_allowed(cls, key),
-            hint="See docs/reference/settings.md.",
+            hint=REFERENCE_HINT,
         ) from error
 
 
