--- a/examples/quickstart/client.py
+++ b/examples/quickstart/client.py
@@ -22,7 +22,7 @@
     digest_key,
 )
 from thornlatch.core import encode_record
-from thornlatch.platform import LogClient, PlatformSettings
+from thornlatch.logservice import LogClient, PlatformSettings
 
 KEY = "quickstart-key"
 TRIES = 8
--- a/src/thornlatch/cli/_control_log.py
+++ b/src/thornlatch/cli/_control_log.py
@@ -7,8 +7,8 @@
 from thornlatch.cli._exits import AppendUnknown, CommandFailed
 from thornlatch.cli._log import APPEND_ATTEMPTS, RETRY_PAUSE_S, Log
 from thornlatch.core import decode_record, encode_record
+from thornlatch.logservice import LogPage, PlatformError
 from thornlatch.membership import CONTROL_STREAM, ViewFold, ViewLoader
-from thornlatch.platform import LogPage, PlatformError
 
 PAGE_LIMIT = 1000
 
--- a/src/thornlatch/cli/_log.py
+++ b/src/thornlatch/cli/_log.py
@@ -18,7 +18,7 @@
 )
 from thornlatch.core import encode_record
 from thornlatch.exceptions import ConfigurationConflict, ThornlatchError
-from thornlatch.platform import LogPage, PlatformError
+from thornlatch.logservice import LogPage, PlatformError
 
 PAGE_LIMIT = 64
 APPEND_ATTEMPTS = 3
--- a/src/thornlatch/cli/_options.py
+++ b/src/thornlatch/cli/_options.py
@@ -10,7 +10,7 @@
 from thornlatch.cli._exits import EXIT_USAGE
 from thornlatch.cli._log import ConfigurationLog, Log
 from thornlatch.daemon import DaemonSettings
-from thornlatch.platform import LogClient, PlatformSettings
+from thornlatch.logservice import LogClient, PlatformSettings
 from thornlatch.settings import load_settings
 
 TIMEOUT_S = 10.0
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -25,7 +25,7 @@
 from thornlatch.daemon._status import build_status
 from thornlatch.daemon._stop import StopSequence
 from thornlatch.exceptions import ErrorKind
-from thornlatch.platform import Delivery, LogClient, LogFollower
+from thornlatch.logservice import Delivery, LogClient, LogFollower
 from thornlatch.requests import RetryPolicy
 
 PATIENT_STREAMS = ("claims", "quarantine")
--- a/src/thornlatch/daemon/_host_list.py
+++ b/src/thornlatch/daemon/_host_list.py
@@ -7,7 +7,7 @@
 import logbook
 
 from thornlatch.core import Action
-from thornlatch.platform import (
+from thornlatch.logservice import (
     HostList,
     HostListClient,
     PlatformError,
--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -13,7 +13,7 @@
 from thornlatch.configuration import decode_entry
 from thornlatch.core import Action, decode_record, encode_record
 from thornlatch.exceptions import InvalidInput
-from thornlatch.platform import (
+from thornlatch.logservice import (
     Delivery,
     LogClient,
     LogFollower,
--- a/src/thornlatch/daemon/_node.py
+++ b/src/thornlatch/daemon/_node.py
@@ -16,9 +16,9 @@
 from thornlatch.core import Action, Emit, Event, Slice, get_host_name
 from thornlatch.dispatch import Dispatch, DispatchSettings
 from thornlatch.leases import LeaseTable
+from thornlatch.logservice import FollowerSettings, HostList
 from thornlatch.membership import Membership, MembershipSettings
 from thornlatch.placement import LoadBudget, PlacementSettings
-from thornlatch.platform import FollowerSettings, HostList
 from thornlatch.requests import (
     ClaimTable,
     Quarantine,
--- a/src/thornlatch/daemon/_settings.py
+++ b/src/thornlatch/daemon/_settings.py
@@ -7,7 +7,7 @@
 
 from thornlatch.daemon._node import SliceSettings
 from thornlatch.daemon._peers import PeerSettings
-from thornlatch.platform import PlatformSettings
+from thornlatch.logservice import PlatformSettings
 
 Address = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f.:\[\]]+:\d{1,5}$")]
 
--- a/src/thornlatch/daemon/tests/test_log_io.py
+++ b/src/thornlatch/daemon/tests/test_log_io.py
@@ -5,7 +5,7 @@
 import logbook
 
 from thornlatch.daemon._log_io import WARN_EVERY_S, LogFollowing
-from thornlatch.platform import FollowerSettings, LogFollower, LogPage, PlatformError
+from thornlatch.logservice import FollowerSettings, LogFollower, LogPage, PlatformError
 
 
 class Reads:
--- a/src/thornlatch/daemon/tests/test_schedule.py
+++ b/src/thornlatch/daemon/tests/test_schedule.py
@@ -8,8 +8,8 @@
 from thornlatch.daemon._node import Node, SliceSettings
 from thornlatch.daemon._schedule import IDLE_TICK_S, TICK_S, TickSchedule
 from thornlatch.dispatch._messages import GrantRequest
+from thornlatch.logservice import LogTail
 from thornlatch.membership import Heartbeat
-from thornlatch.platform import LogTail
 from thornlatch.requests._quarantine_records import SuspectNotice
 
 EXPECTED = {
--- a/src/thornlatch/leases/tests/fleet.py
+++ b/src/thornlatch/leases/tests/fleet.py
@@ -9,13 +9,7 @@
 
 from thornlatch.core import Append, Send, decode_record, encode_record
 from thornlatch.leases import LeaseTable
-from thornlatch.membership import (
-    CONTROL_STREAM,
-    Membership,
-    MembershipSettings,
-    ViewRecorded,
-)
-from thornlatch.platform import (
+from thornlatch.logservice import (
     Delivery,
     FollowerSettings,
     LogFollower,
@@ -23,6 +17,12 @@
     LogRecord,
     LogTail,
 )
+from thornlatch.membership import (
+    CONTROL_STREAM,
+    Membership,
+    MembershipSettings,
+    ViewRecorded,
+)
 
 SETTINGS = MembershipSettings(
     safe_s=1.2,
--- a/src/thornlatch/platform/__init__.py
+++ b/src/thornlatch/logservice/__init__.py
@@ -1,13 +1,13 @@
 """Clients of the platform's log service, weight store and host list."""
 
-from thornlatch.platform._clients import (
+from thornlatch.logservice._clients import (
     LogClient,
     LogPage,
     LogRecord,
     PlatformError,
     PlatformSettings,
 )
-from thornlatch.platform._follower import (
+from thornlatch.logservice._follower import (
     Delivery,
     FollowerSettings,
     LogFollower,
@@ -15,7 +15,7 @@
     LogTailRequest,
     ReadPlan,
 )
-from thornlatch.platform._host_list import HostList, HostListClient
+from thornlatch.logservice._host_list import HostList, HostListClient
 
 __all__ = [
     "Delivery",
--- a/src/thornlatch/platform/_follower.py
+++ b/src/thornlatch/logservice/_follower.py
@@ -14,7 +14,7 @@
 from msgspec import Meta
 
 from thornlatch.core import Action, Send, register
-from thornlatch.platform._clients import LogPage, LogRecord
+from thornlatch.logservice._clients import LogPage, LogRecord
 
 ANSWER_LIMIT_BYTES = 512 << 10
 ENTRY_OVERHEAD_BYTES = 40
--- a/src/thornlatch/platform/_host_list.py
+++ b/src/thornlatch/logservice/_host_list.py
@@ -7,7 +7,7 @@
 
 import msgspec
 
-from thornlatch.platform._clients import PlatformError, PlatformSettings
+from thornlatch.logservice._clients import PlatformError, PlatformSettings
 
 LIST_LIMIT_BYTES = 4 << 20
 
--- a/src/thornlatch/platform/tests/test_follower.py
+++ b/src/thornlatch/logservice/tests/test_follower.py
@@ -5,7 +5,7 @@
 import pytest
 
 from thornlatch.core import Envelope, Send, decode_envelope, encode_envelope
-from thornlatch.platform import (
+from thornlatch.logservice import (
     FollowerSettings,
     LogFollower,
     LogPage,
--- a/src/thornlatch/platform/tests/test_host_list.py
+++ b/src/thornlatch/logservice/tests/test_host_list.py
@@ -8,13 +8,13 @@
 
 from standins._http import BackgroundServer
 from standins.host_list import HostList as Service
-from thornlatch.platform import (
+from thornlatch.logservice import (
     HostList,
     HostListClient,
     PlatformError,
     PlatformSettings,
 )
-from thornlatch.platform._host_list import parse_host_list
+from thornlatch.logservice._host_list import parse_host_list
 
 LEAVING = {"live": ["a"], "leaving": ["b"]}
 
--- a/src/thornlatch/platform/tests/test_log_contract.py
+++ b/src/thornlatch/logservice/tests/test_log_contract.py
@@ -4,7 +4,7 @@
 
 from standins._http import BackgroundServer
 from standins.log_service import LogService
-from thornlatch.platform import LogClient, PlatformError, PlatformSettings
+from thornlatch.logservice import LogClient, PlatformError, PlatformSettings
 
 
 @pytest.fixture
--- a/src/thornlatch/platform/tests/test_pages.py
+++ b/src/thornlatch/logservice/tests/test_pages.py
@@ -6,8 +6,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from thornlatch.platform import LogPage, LogRecord, PlatformError
-from thornlatch.platform._clients import check_answer, parse_page
+from thornlatch.logservice import LogPage, LogRecord, PlatformError
+from thornlatch.logservice._clients import check_answer, parse_page
 
 SCALARS = st.none() | st.booleans() | st.integers() | st.floats() | st.text(max_size=5)
 VALUES = st.recursive(
