--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -8,6 +8,7 @@
     Resolve,
     Send,
 )
+from thornlatch.core._clock import read_clock
 from thornlatch.core._codec import (
     Envelope,
     decode_envelope,
@@ -39,5 +40,6 @@
     "encode_record",
     "get_host_name",
     "has_handler",
+    "read_clock",
     "register",
 ]
--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -37,6 +37,7 @@
     LOAD_FAILED = "load-failed"
     TARGET_FAILED = "target-failed"
     VERSION_MISMATCH = "version-mismatch"
+    TIMED_OUT = "timed-out"
     OUTCOME_UNKNOWN = "outcome-unknown"
     IDEMPOTENCY_CONFLICT = "idempotency-conflict"
     QUARANTINED = "quarantined"
@@ -123,6 +124,9 @@
     ErrorKind.VERSION_MISMATCH: Answer(
         502, _UNKNOWN, True, "Retry; the target served another version."
     ),
+    ErrorKind.TIMED_OUT: Answer(
+        504, _UNKNOWN, True, "Retry if the request is idempotent."
+    ),
     ErrorKind.OUTCOME_UNKNOWN: Answer(
         409, _UNKNOWN, False, "Look up the effect before sending a new request."
     ),
--- /dev/null
+++ b/src/thornlatch/fleet/__init__.py
@@ -0,0 +1,29 @@
+"""Targets that registered themselves, and what the hosts tell each other."""
+
+from thornlatch.fleet._digests import (
+    HeldTarget,
+    HostDigest,
+    LoadRequested,
+    PeerView,
+    PeerViewSettings,
+    ResidentAdapter,
+)
+from thornlatch.fleet._registry import (
+    Holding,
+    RegistrySettings,
+    Target,
+    TargetRegistry,
+)
+
+__all__ = [
+    "HeldTarget",
+    "Holding",
+    "HostDigest",
+    "LoadRequested",
+    "PeerView",
+    "PeerViewSettings",
+    "RegistrySettings",
+    "ResidentAdapter",
+    "Target",
+    "TargetRegistry",
+]
--- /dev/null
+++ b/src/thornlatch/fleet/_digests.py
@@ -0,0 +1,276 @@
+"""What each host tells the others several times a second, and the view from it."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+from thornlatch.core import register
+
+
+@dataclass(frozen=True)
+class ResidentAdapter:
+    """An adapter that a target holds or fetches.
+
+    Parameters
+    ----------
+    name : str
+    version : int
+    ready_in_s : float
+        Seconds from the digest until it can be used; 0 or less if it can now.
+    """
+
+    name: str
+    version: int
+    ready_in_s: float = 0.0
+
+
+@dataclass(frozen=True)
+class HeldTarget:
+    """A target whose adapters the sender orders.
+
+    Parameters
+    ----------
+    target : str
+    started_ms : int
+    fencing_token : int
+    ordered_ago_s : float
+        Seconds since the sender's last order to it.
+    adapters : tuple of ResidentAdapter
+    """
+
+    target: str
+    started_ms: int
+    fencing_token: int
+    ordered_ago_s: float
+    adapters: tuple[ResidentAdapter, ...]
+
+
+@register
+@dataclass(frozen=True)
+class HostDigest:
+    """A host's own work, as of its sending.
+
+    Parameters
+    ----------
+    sent_at : float
+        Seconds of the sender's clock.
+    running : tuple of (str, str, int)
+        Target, adapter or empty, and requests of the sender that are there.
+    spent : dict of str to int
+        Organisation to tokens that the sender has spent since its start.
+    levels : dict of str to int
+        Organisation to tokens that the sender believes are left over all hosts.
+    held : tuple of HeldTarget or None
+        None if nothing changed since the digest before.
+    held_names : tuple of str
+        Targets whose adapters the sender orders.
+    is_stopping : bool
+    """
+
+    sent_at: float
+    running: tuple[tuple[str, str, int], ...]
+    spent: dict[str, int]
+    levels: dict[str, int]
+    held: tuple[HeldTarget, ...] | None
+    held_names: tuple[str, ...]
+    is_stopping: bool
+
+
+@register
+@dataclass(frozen=True)
+class LoadRequested:
+    """Asks a target's holder to load an adapter.
+
+    Parameters
+    ----------
+    target : str
+    adapter : str
+        ``model/adapter``.
+    version : int
+        Lowest version that will do; 0 for any.
+    was_missing : bool
+        Whether the target denied holding it.
+    """
+
+    target: str
+    adapter: str
+    version: int
+    was_missing: bool = False
+
+
+@dataclass(frozen=True)
+class PeerViewSettings:
+    """How long a peer's digest is believed.
+
+    Parameters
+    ----------
+    period_s : float
+        Seconds between two digests of a host.
+    silent_s : float
+        Seconds without a digest after which a peer is taken as unreachable.
+    """
+
+    period_s: Annotated[float, Meta(gt=0)] = 0.1
+    silent_s: Annotated[float, Meta(gt=0)] = 0.45
+
+
+@dataclass(frozen=True)
+class _Heard:
+    digest: HostDigest
+    heard_at: float
+
+
+class PeerView:
+    """The newest digest of each peer; touched by the peer thread, read by all.
+
+    Parameters
+    ----------
+    settings : PeerViewSettings
+    """
+
+    def __init__(self, settings: PeerViewSettings) -> None:
+        self.settings = settings
+        self.heard: dict[str, _Heard] = {}
+        self.held: dict[str, dict[str, HeldTarget]] = {}
+        self.held_at: dict[str, float] = {}
+        self.running: dict[str, dict[str, int]] = {}
+        self.holders: dict[str, str] = {}
+
+    def take(self, host: str, digest: HostDigest, *, now: float) -> None:
+        """Take a digest of a peer.
+
+        Parameters
+        ----------
+        host : str
+        digest : HostDigest
+        now : float
+        """
+        former = self.heard.get(host)
+        if former is not None and digest.sent_at <= former.digest.sent_at:
+            return
+        self.heard = {**self.heard, host: _Heard(digest, now)}
+        if digest.held is not None:
+            self.held[host] = {one.target: one for one in digest.held}
+            self.held_at[host] = now
+        self._sum_up(now)
+
+    def forget(self, host: str) -> None:
+        """Drop what a host that was replaced or has gone said.
+
+        Parameters
+        ----------
+        host : str
+        """
+        self.heard = {name: one for name, one in self.heard.items() if name != host}
+        self.held.pop(host, None)
+
+    def iter_live(self, *, now: float) -> list[str]:
+        """Return the hosts heard of recently.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of str
+        """
+        return [h for h in self.heard if self.is_live(h, now=now)]
+
+    def is_live(self, host: str, *, now: float) -> bool:
+        """Return whether a host was heard of recently.
+
+        Parameters
+        ----------
+        host : str
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        heard = self.heard.get(host)
+        return heard is not None and now - heard.heard_at < self.settings.silent_s
+
+    def get_holder(self, target: str, *, now: float) -> str | None:
+        """Return the live host that orders a target's adapters.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+
+        Returns
+        -------
+        str or None
+        """
+        holder = self.holders.get(target)
+        if holder is None or not self.is_live(holder, now=now):
+            return None
+        return holder
+
+    def get_running(self, target: str) -> int:
+        """Return how many requests of all peers are at a target.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        int
+        """
+        return self.running.get(target, {}).get("", 0)
+
+    def get_adapter_use(self, target: str) -> dict[str, int]:
+        """Return requests of all peers at a target by adapter.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        dict of str to int
+            The sum stands under the empty name.
+        """
+        return self.running.get(target, {})
+
+    def get_held(self, target: str) -> tuple[HeldTarget, float] | None:
+        """Return what a target's holder said of it last, and when it was heard.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        (HeldTarget, float) or None
+        """
+        holder = self.holders.get(target)
+        held = self.held.get(holder, {}).get(target) if holder else None
+        if held is None or holder is None:
+            return None
+        return held, self.held_at[holder]
+
+    def _sum_up(self, now: float) -> None:
+        running: dict[str, dict[str, int]] = {}
+        tokens: dict[str, int] = {}
+        holders: dict[str, str] = {}
+        for host, heard in self.heard.items():
+            if not self.is_live(host, now=now):
+                continue
+            for target, adapter, count in heard.digest.running:
+                uses = running.setdefault(target, {})
+                uses[adapter] = uses.get(adapter, 0) + count
+                if adapter:
+                    uses[""] = uses.get("", 0) + count
+            for name in heard.digest.held_names:
+                held = self.held.get(host, {}).get(name)
+                token = held.fencing_token if held else 0
+                if token >= tokens.get(name, -1):
+                    tokens[name] = token
+                    holders[name] = host
+        self.running = running
+        self.holders = holders
--- /dev/null
+++ b/src/thornlatch/gateway/__init__.py
@@ -0,0 +1,30 @@
+"""The path from a caller to a target: admission, choice, sending and answering."""
+
+from thornlatch.gateway._app import GatewayApplication
+from thornlatch.gateway._gateway import Gateway
+from thornlatch.gateway._logs import LogSettings
+from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._ports import (
+    AnswerHead,
+    CallerRequest,
+    CallerWire,
+    OrderReply,
+    SendContext,
+    TargetWire,
+)
+from thornlatch.gateway._settings import GatewaySettings, HostAddresses
+
+__all__ = [
+    "AnswerHead",
+    "CallerRequest",
+    "CallerWire",
+    "Gateway",
+    "GatewayApplication",
+    "GatewayMetrics",
+    "GatewaySettings",
+    "HostAddresses",
+    "LogSettings",
+    "OrderReply",
+    "SendContext",
+    "TargetWire",
+]
--- /dev/null
+++ b/src/thornlatch/gateway/_app.py
@@ -0,0 +1,147 @@
+"""The callers' interface of a gateway as a WSGI application."""
+
+import json
+from collections.abc import Callable, Iterable, Iterator
+from typing import Any
+
+import logbook
+
+from thornlatch.core import read_clock
+from thornlatch.exceptions import ANSWERS, ErrorKind, RequestRefused
+from thornlatch.gateway._forwarder import Forwarder, GatewayAnswer
+from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._ports import CallerWire
+
+logger = logbook.Logger("thornlatch.gateway")
+
+StartResponse = Callable[[str, list[tuple[str, str]]], Any]
+REASONS = {
+    200: "OK",
+    400: "Bad Request",
+    401: "Unauthorized",
+    403: "Forbidden",
+    404: "Not Found",
+    409: "Conflict",
+    413: "Content Too Large",
+    422: "Unprocessable Content",
+    429: "Too Many Requests",
+    500: "Internal Server Error",
+    502: "Bad Gateway",
+    503: "Service Unavailable",
+    504: "Gateway Timeout",
+}
+
+
+class GatewayApplication:
+    """Answers callers' requests.
+
+    Parameters
+    ----------
+    wire : CallerWire
+    forwarder : Forwarder
+    metrics : GatewayMetrics
+    """
+
+    def __init__(
+        self, wire: CallerWire, forwarder: Forwarder, metrics: GatewayMetrics
+    ) -> None:
+        self.wire = wire
+        self.forwarder = forwarder
+        self.metrics = metrics
+        self.is_stopping = False
+
+    def __call__(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> Iterable[bytes]:
+        """Answer one request.
+
+        Parameters
+        ----------
+        environ : dict
+        start_response : callable
+
+        Returns
+        -------
+        iterable of bytes
+        """
+        request_id = ""
+        is_caller_gone = environ["waitress.client_disconnected"]
+        try:
+            request = self.wire.read_request(environ)
+            request_id = request.id
+            answer = self.forwarder.serve(request, is_caller_gone=is_caller_gone)
+        except RequestRefused as error:
+            return self._refuse(error, request_id, start_response)
+        except Exception:
+            logger.exception("request.crashed", extra={"request": request_id})
+            error = RequestRefused(ErrorKind.INTERNAL, "internal error")
+            return self._refuse(error, request_id, start_response)
+        headers = list(answer.headers)
+        self._set_length(headers, answer.length)
+        start_response(describe_status(answer.status), headers)
+        return self._iterate(answer)
+
+    def _set_length(self, headers: list[tuple[str, str]], length: int | None) -> None:
+        # Without a length, waitress closes the connection after the answer, which
+        # sends the callers of a stopping host elsewhere.
+        if length is not None and not self.is_stopping:
+            headers.append(("Content-Length", str(length)))
+
+    def _iterate(self, answer: GatewayAnswer) -> Iterator[bytes]:
+        try:
+            yield from answer.body
+        except RequestRefused as error:
+            logger.info("request.broken_off", extra={"why": error.message})
+            raise
+
+    def _refuse(
+        self, error: RequestRefused, request: str, start_response: StartResponse
+    ) -> Iterable[bytes]:
+        answer = ANSWERS[error.kind]
+        body = json.dumps(
+            {
+                "error": {
+                    "code": error.reference,
+                    "message": error.message,
+                    "execution": error.execution.value,
+                }
+            }
+        ).encode()
+        headers = self.wire.build_refusal_headers(request)
+        headers.append(("Content-Type", "application/json"))
+        if error.retry_after_s is not None:
+            headers.append(("Retry-After", f"{error.retry_after_s:.2f}"))
+        self._set_length(headers, len(body))
+        self.metrics.answers.labels("", error.reference).inc()
+        logger.info(
+            "request.refused",
+            extra={
+                "request": request,
+                "code": error.reference,
+                "status": answer.status,
+                "why": error.message,
+                "execution": error.execution.value,
+                "retry_after_s": error.retry_after_s,
+                "at": round(read_clock(), 3),
+            },
+        )
+        start_response(describe_status(answer.status), headers)
+        return _as_iterator(body)
+
+
+def describe_status(status: int) -> str:
+    """Return the status line of an answer without its version.
+
+    Parameters
+    ----------
+    status : int
+
+    Returns
+    -------
+    str
+    """
+    return f"{status} {REASONS.get(status, 'Status')}"
+
+
+def _as_iterator(body: bytes) -> Iterator[bytes]:
+    yield body
--- /dev/null
+++ b/src/thornlatch/gateway/_choice.py
@@ -0,0 +1,189 @@
+"""Which target a request goes to, and what has to be loaded there before.
+
+Every host decides alone, from the requests that all hosts say they have at each target;
+no request waits for another host's word.
+"""
+
+import zlib
+from collections.abc import Callable, Sequence
+from dataclasses import dataclass
+from enum import Enum
+
+from thornlatch.fleet import Target
+from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.residency import Resident
+
+
+class Step(Enum):
+    """What comes next for a request."""
+
+    SEND = "send"
+    AWAIT_LOAD = "await-load"
+    ASK_LOAD = "ask-load"
+
+
+@dataclass(frozen=True)
+class Option:
+    """A target with the time that a request would wait there.
+
+    Parameters
+    ----------
+    target : Target
+    step : Step
+    wait_s : float
+        Estimated seconds until the request begins to run.
+    cost_s : float
+        The same with what the choice costs besides.
+    version : int
+        Adapter version to insist on; 0 for any.
+    """
+
+    target: Target
+    step: Step
+    wait_s: float
+    cost_s: float
+    version: int = 0
+
+
+@dataclass(frozen=True)
+class TargetState:
+    """What is known of a target when a choice is made.
+
+    Parameters
+    ----------
+    requests : int
+        Requests of all hosts there.
+    is_avoided : bool
+        Whether it failed lately.
+    resident : Resident or None
+        The adapter's state there.
+    is_held : bool
+        Whether a host that is heard of orders its adapters.
+    in_transit : int
+        Adapters on their way to it.
+    prefix_tokens : int
+        Tokens of the prompt that it keeps, as far as is known.
+    """
+
+    requests: int
+    is_avoided: bool = False
+    resident: Resident | None = None
+    is_held: bool = True
+    in_transit: int = 0
+    prefix_tokens: int = 0
+
+
+@dataclass(frozen=True)
+class Demand:
+    """What a request needs of a target.
+
+    Parameters
+    ----------
+    adapter : str
+        Empty if none.
+    version : int
+        Lowest adapter version that will do.
+    failure_domain : str
+        Where the request came in.
+    excluded : frozenset of str
+        Targets that have failed it.
+    load_s : float
+        Seconds that a load is expected to take.
+    service_s : float
+        Mean seconds of a request at the service's targets.
+    """
+
+    adapter: str
+    version: int
+    failure_domain: str
+    excluded: frozenset[str]
+    load_s: float
+    service_s: float
+
+
+def list_options(
+    targets: Sequence[Target],
+    demand: Demand,
+    get_state: Callable[[Target], TargetState],
+    settings: ForwardingSettings,
+    *,
+    now: float,
+) -> list[Option]:
+    """Return the ways to serve a request, the best first.
+
+    Parameters
+    ----------
+    targets : sequence of Target
+        Those that take new work.
+    demand : Demand
+    get_state : callable
+    settings : ForwardingSettings
+    now : float
+
+    Returns
+    -------
+    list of Option
+    """
+    options = []
+    for target in targets:
+        if target.id in demand.excluded:
+            continue
+        option = _rate(target, get_state(target), demand, settings, now)
+        if option is not None:
+            options.append(option)
+    return sorted(options, key=lambda option: option.cost_s)
+
+
+def rank_home(adapter: str, target: str) -> float:
+    """Return a target's place, from 0 to 1, among the homes of an adapter.
+
+    All hosts agree on it without a word, so that they load an adapter at one target
+    and find it again where it was before.
+
+    Parameters
+    ----------
+    adapter, target : str
+
+    Returns
+    -------
+    float
+    """
+    return zlib.crc32(f"{adapter}@{target}".encode()) / (1 << 32)
+
+
+def _rate(
+    target: Target,
+    state: TargetState,
+    demand: Demand,
+    settings: ForwardingSettings,
+    now: float,
+) -> Option | None:
+    slots = max(target.slots, 1)
+    over = state.requests + 1 - slots
+    queue_s = max(over, 0) * demand.service_s / slots
+    # Fuller batches are slower even below the limit.
+    cost_s = queue_s + state.requests / slots * demand.service_s * 0.1
+    if target.failure_domain != demand.failure_domain:
+        cost_s += settings.domain_penalty_s
+    if state.is_avoided:
+        cost_s += settings.avoid_limit_s
+    if not demand.adapter:
+        return Option(target, Step.SEND, queue_s, cost_s)
+    resident = state.resident
+    if resident is not None and _will_do(resident.version, demand.version):
+        load_s = max(resident.ready_at - now, 0.0)
+        step = Step.AWAIT_LOAD if load_s > 0 else Step.SEND
+        wait_s = max(load_s, queue_s)
+        cost_s += wait_s - queue_s
+        return Option(target, step, wait_s, cost_s, resident.version)
+    if not state.is_held:
+        return None
+    load_s = demand.load_s * (1 + state.in_transit / 4)
+    wait_s = max(load_s, queue_s)
+    cost_s += wait_s - queue_s + settings.load_penalty_s
+    cost_s += rank_home(demand.adapter, target.id) * demand.load_s
+    return Option(target, Step.ASK_LOAD, wait_s, cost_s)
+
+
+def _will_do(version: int, lowest: int) -> bool:
+    return version >= lowest
--- /dev/null
+++ b/src/thornlatch/gateway/_gateway.py
@@ -0,0 +1,484 @@
+"""Assembly of a gateway host: settings, threads, sockets and decisions."""
+
+import os
+import signal
+import threading
+import uuid
+from collections.abc import Callable, Iterable
+from concurrent.futures import ThreadPoolExecutor
+from typing import Any
+
+import logbook
+import waitress
+from prometheus_client import generate_latest
+
+from thornlatch.core import read_clock
+from thornlatch.fleet import (
+    HostDigest,
+    LoadRequested,
+    PeerView,
+    Target,
+    TargetRegistry,
+)
+from thornlatch.gateway._app import GatewayApplication, StartResponse, describe_status
+from thornlatch.gateway._forwarder import Forwarder
+from thornlatch.gateway._health import TargetHealth
+from thornlatch.gateway._logs import LineLog
+from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._ordering import OrderManager
+from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
+from thornlatch.gateway._ports import CallerWire, TargetWire
+from thornlatch.gateway._settings import GatewaySettings
+from thornlatch.gateway._work import WorkTable
+from thornlatch.quota import RetryBudget, SharedQuota
+from thornlatch.residency import AdapterVersions, Resident, ResidentTable, Tenure
+from thornlatch.routing import Configuration, ConfigurationInForce
+
+logger = logbook.Logger("thornlatch.gateway")
+
+DUE_PERIOD_S = 0.05  # between two looks for callers that left or ran out of time
+STOP_TURN_S = 0.05  # between two looks for the end of running requests
+HEADER_LIMIT_BYTES = 1 << 16
+BODY_LIMIT_BYTES = 1 << 23
+IDLE_S = 75  # longer than callers keep idle connections
+CONNECTION_LIMIT = 2000
+BACKLOG = 1024
+
+
+class Gateway:
+    """One gateway host's process.
+
+    The methods `take_...` and `announce_...` are what an adapter feeds.
+
+    Parameters
+    ----------
+    settings : GatewaySettings
+    callers : CallerWire
+    targets : TargetWire
+    partitions : int
+        Partitions over which targets are spread among the hosts.
+    """
+
+    def __init__(
+        self,
+        settings: GatewaySettings,
+        *,
+        callers: CallerWire,
+        targets: TargetWire,
+        partitions: int,
+    ) -> None:
+        now = read_clock()
+        self.settings = settings
+        self.host = f"{settings.host.name}.{uuid.uuid4().hex[:8]}"
+        self.log = LineLog(settings.logs, host=self.host)
+        self.metrics = GatewayMetrics()
+        self.in_force = ConfigurationInForce(settings.freshness)
+        self.registry = TargetRegistry(settings.registry)
+        self.peers = PeerView(settings.peer_view)
+        self.quota = SharedQuota(settings.quota, now=now)
+        self.retries = RetryBudget(settings.retries)
+        self.versions = AdapterVersions(settings.versions)
+        self.residents = ResidentTable()
+        self.tenure = Tenure(settings.tenure)
+        self.work = WorkTable()
+        self.health = TargetHealth(settings.forwarding)
+        self.orders = OrderManager(
+            settings.holder,
+            partitions=partitions,
+            wire=targets,
+            in_force=self.in_force,
+            registry=self.registry,
+            peers=self.peers,
+            versions=self.versions,
+            residents=self.residents,
+            tenure=self.tenure,
+            work=self.work,
+            metrics=self.metrics,
+            send=self._send,
+        )
+        self.forwarder = Forwarder(
+            settings.forwarding,
+            failure_domain=settings.host.failure_domain,
+            wire=targets,
+            in_force=self.in_force,
+            registry=self.registry,
+            peers=self.peers,
+            quota=self.quota,
+            retries=self.retries,
+            versions=self.versions,
+            residents=self.residents,
+            orders=self.orders,
+            work=self.work,
+            health=self.health,
+            metrics=self.metrics,
+        )
+        self.app = GatewayApplication(callers, self.forwarder, self.metrics)
+        self.peer_loop = PeerLoop(
+            settings.peers,
+            host=self.host,
+            address=settings.host.peer_address,
+            view=self.peers,
+            handlers=PeerHandlers(
+                self._build_digest,
+                self._take_digest,
+                self._take_load_request,
+                self._tick,
+            ),
+        )
+        self.stopping = threading.Event()
+        self.targets_known = False
+        self.reported_ready = False
+        self.live_peers: frozenset[str] = frozenset()
+        self.executor = ThreadPoolExecutor(16, "gateway")
+
+    def run(self, feeds: Iterable[Callable[[], None]] = ()) -> int:
+        """Serve until a planned stop.
+
+        Parameters
+        ----------
+        feeds : iterable of callable
+            Loops of the adapter, each run in a thread of its own until `stopping`.
+
+        Returns
+        -------
+        int
+            Exit status.
+        """
+        with self.log.applicationbound():
+            for number in (signal.SIGTERM, signal.SIGINT):
+                signal.signal(number, lambda *_: self.stopping.set())
+            logger.info("host.started", extra={"pid": os.getpid()})
+            servers = self._build_servers()
+            loops = [self.log.run, self.peer_loop.run, self._end_due_requests]
+            for loop in (*loops, *feeds, *[server.run for server in servers]):
+                self.executor.submit(self._run_loop, loop)
+            self.stopping.wait()
+            self._stop()
+            logger.info("host.stopped", extra={"running": len(self.work.running)})
+            self.log.close()
+        return 0
+
+    def is_ready(self) -> bool:
+        """Return whether the balancer may send requests here."""
+        return (
+            not self.stopping.is_set()
+            and self.targets_known
+            and self.in_force.configuration is not None
+            and self.in_force.is_fresh(now=read_clock())
+        )
+
+    def take_configuration(self, configuration: Configuration) -> None:
+        """Bring a configuration into force.
+
+        Parameters
+        ----------
+        configuration : Configuration
+        """
+        now = read_clock()
+        is_in_force = self.in_force.install(configuration)
+        logger.info(
+            "configuration.read",
+            extra={
+                "version": configuration.version,
+                "routes": len(configuration.routes),
+                "in_force": is_in_force,
+            },
+        )
+        if not is_in_force:
+            return
+        self.quota.set_organisations(configuration.organisations.values(), now=now)
+        self._share_model_loads()
+        self._stop_withdrawn(configuration)
+
+    def confirm_configuration(self, *, asked_at: float) -> None:
+        """Note that the newest configuration is known as of a moment.
+
+        Parameters
+        ----------
+        asked_at : float
+        """
+        self.in_force.confirm(asked_at=asked_at)
+
+    def announce_version(self, adapter: str, version: int, *, at: float) -> None:
+        """Note a new version of an adapter.
+
+        Parameters
+        ----------
+        adapter : str
+        version : int
+        at : float
+        """
+        if self.versions.announce(adapter, version, now=at):
+            logger.info(
+                "version.announced", extra={"adapter": adapter, "version": version}
+            )
+
+    def take_target(self, name: str, target: Target | None) -> None:
+        """Apply a target's registration, or its end.
+
+        Parameters
+        ----------
+        name : str
+        target : Target or None
+        """
+        now = read_clock()
+        former = self.registry.get(name)
+        if self.registry.apply(name, target, now=now):
+            self._note_target(name, target, former)
+        if target is not None and target.holdings:
+            self.residents.put_registered(name, _list_residents(target, now), now=now)
+
+    def take_all_targets(self, targets: dict[str, Target]) -> None:
+        """Apply a listing of all registrations.
+
+        Parameters
+        ----------
+        targets : dict of str to Target
+        """
+        for name in [name for name in self.registry.targets if name not in targets]:
+            self.take_target(name, None)
+        for name, target in targets.items():
+            self.take_target(name, target)
+        self.targets_known = True
+
+    def take_hosts(self, hosts: dict[str, str]) -> None:
+        """Set the other hosts.
+
+        Parameters
+        ----------
+        hosts : dict of str to str
+            Host id to ``ip:port``; this host itself is left out.
+        """
+        others = {host: address for host, address in hosts.items() if host != self.host}
+        now = read_clock()
+        for host in self.peer_loop.members.keys() - others.keys():
+            self.peers.forget(host)
+        self.quota.set_peers(others, now=now)
+        self.retries.hosts = len(others) + 1
+        self._share_model_loads()
+        self.peer_loop.set_members(others)
+        logger.info("fleet.hosts_known", extra={"hosts": sorted(others)})
+
+    def renew_tenure(
+        self, partitions: frozenset[int], generation: int, *, asked_at: float
+    ) -> None:
+        """Take the store's word on which partitions this host holds.
+
+        Parameters
+        ----------
+        partitions : frozenset of int
+        generation : int
+        asked_at : float
+        """
+        if self.stopping.is_set():
+            return
+        gained, lost = self.tenure.renew(partitions, generation, asked_at=asked_at)
+        if gained or lost:
+            logger.info(
+                "tenure.changed",
+                extra={
+                    "generation": generation,
+                    "gained": sorted(gained),
+                    "lost": sorted(lost),
+                },
+            )
+        self.orders.follow_tenure(now=read_clock())
+
+    def note_store_failure(self) -> None:
+        """Note that the platform's store couldn't be read."""
+        self.registry.note_failure(now=read_clock())
+
+    def _share_model_loads(self) -> None:
+        configuration = self.in_force.configuration
+        if configuration is None:
+            return
+        engines = [one.engine for one in configuration.services.values() if one.engine]
+        rate = min((engine.loads_per_s for engine in engines), default=1.0)
+        self.orders.model_loads.set_rate(rate / self.retries.hosts)
+
+    def _send(self, host: str, message: object) -> None:
+        self.peer_loop.send(host, message)
+
+    def _run_loop(self, loop: Callable[[], None]) -> None:
+        # A thread doesn't inherit the handlers of the one that started it.
+        with self.log.threadbound():
+            try:
+                loop()
+            except Exception:
+                logger.exception("host.loop_ended")
+                self.stopping.set()
+
+    def _end_due_requests(self) -> None:
+        while not self.stopping.wait(DUE_PERIOD_S):
+            self.work.end_due(now=read_clock())
+        while True:
+            self.work.end_due(now=read_clock())
+            threading.Event().wait(DUE_PERIOD_S)
+
+    def _build_servers(self) -> list[Any]:
+        host = self.settings.host
+        servers = [
+            self._build_server(
+                self.app, host.caller_address, threads=self.settings.forwarding.threads
+            ),
+            self._build_server(
+                self._answer_readiness, host.readiness_address, threads=1
+            ),
+        ]
+        if host.metrics_address:
+            servers.append(
+                self._build_server(
+                    self._answer_metrics, host.metrics_address, threads=1
+                )
+            )
+        return servers
+
+    def _build_server(self, app: Any, address: str, *, threads: int) -> Any:
+        host, _, port = address.rpartition(":")
+        return waitress.create_server(
+            app,
+            map={},
+            host=host,
+            port=int(port),
+            threads=threads,
+            backlog=BACKLOG,
+            connection_limit=CONNECTION_LIMIT,
+            channel_timeout=IDLE_S,
+            channel_request_lookahead=1,
+            max_request_header_size=HEADER_LIMIT_BYTES,
+            max_request_body_size=BODY_LIMIT_BYTES,
+            asyncore_use_poll=True,
+            ident=None,
+        )
+
+    def _answer_readiness(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> list[bytes]:
+        is_ready = self.is_ready()
+        if is_ready != self.reported_ready:
+            self.reported_ready = is_ready
+            logger.info("host.readiness", extra={"ready": is_ready})
+        body = b"ready\n" if is_ready else b"not ready\n"
+        start_response(
+            describe_status(200 if is_ready else 503),
+            [("Content-Type", "text/plain"), ("Content-Length", str(len(body)))],
+        )
+        return [body]
+
+    def _answer_metrics(
+        self, environ: dict[str, Any], start_response: StartResponse
+    ) -> list[bytes]:
+        body = generate_latest(self.metrics.registry)
+        start_response(
+            describe_status(200),
+            [
+                ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+                ("Content-Length", str(len(body))),
+            ],
+        )
+        return [body]
+
+    def _build_digest(self, now: float) -> HostDigest:
+        spent, levels = self.quota.get_spent(now=now)
+        return HostDigest(
+            now,
+            self.work.list_counts(),
+            spent,
+            levels,
+            self.orders.build_held(now=now),
+            self.orders.list_names(),
+            self.stopping.is_set(),
+        )
+
+    def _take_digest(self, host: str, digest: HostDigest, now: float) -> None:
+        self.peers.take(host, digest, now=now)
+        self.quota.take_digest(host, digest.spent, digest.levels, now=now)
+        for held in digest.held or ():
+            if self.peers.get_holder(held.target, now=now) != host:
+                continue
+            residents = {
+                one.name: Resident(one.version, now + one.ready_in_s)
+                for one in held.adapters
+            }
+            self.residents.put(held.target, residents, now=now)
+
+    def _take_load_request(self, message: LoadRequested, now: float) -> None:
+        if message.target in self.orders.held:
+            self.orders.ask(
+                message.target,
+                message.adapter,
+                message.version,
+                now=now,
+                was_missing=message.was_missing,
+            )
+
+    def _tick(self, now: float) -> None:
+        for name in self.registry.expire(now=now):
+            self._note_target(name, None, None)
+        live = frozenset(self.peers.iter_live(now=now))
+        if live != self.live_peers:
+            logger.info(
+                "fleet.peers_changed",
+                extra={
+                    "gained": sorted(live - self.live_peers),
+                    "lost": sorted(self.live_peers - live),
+                },
+            )
+            self.live_peers = live
+        self.orders.follow_tenure(now=now)
+        self.orders.republish(now=now)
+        self.orders.tick(now=now)
+        self.metrics.running.set(len(self.work.running))
+        self.metrics.live_peers.set(len(live))
+
+    def _note_target(
+        self, name: str, target: Target | None, former: Target | None
+    ) -> None:
+        logger.info(
+            "target.changed",
+            extra={
+                "target": name,
+                "service": target.service if target else "",
+                "address": target.address if target else "",
+                "leaving": target.is_leaving if target else None,
+                "gone": target is None,
+            },
+        )
+        is_other = target is None or (
+            former is not None and former.incarnation != target.incarnation
+        )
+        if is_other:
+            self.residents.remove(name)
+            self.health.forget(name)
+
+    def _stop_withdrawn(self, configuration: Configuration) -> None:
+        """Wake requests that wait under a key that has been withdrawn."""
+        for running in list(self.work.running):
+            if running.key and running.key not in configuration.organisations_by_key:
+                logger.info("request.key_withdrawn", extra={"request": running.id})
+
+    def _stop(self) -> None:
+        settings = self.settings.stop
+        began_at = read_clock()
+        self.app.is_stopping = True
+        logger.info("host.stopping", extra={"running": len(self.work.running)})
+        self.orders.stop()
+        self.peer_loop.send_digest_now()
+        pause = threading.Event()
+        while True:
+            elapsed = read_clock() - began_at
+            if elapsed >= settings.grace_s - settings.margin_s:
+                break
+            if elapsed >= settings.linger_s and not self.work.running:
+                break
+            pause.wait(STOP_TURN_S)
+        self.peer_loop.stop()
+        pause.wait(STOP_TURN_S)
+
+
+def _list_residents(target: Target, now: float) -> dict[str, Resident]:
+    return {
+        f"{holding.model}/{name}": Resident(version, now)
+        for holding in target.holdings
+        for name, version in holding.adapters.items()
+    }
--- /dev/null
+++ b/src/thornlatch/gateway/_metrics.py
@@ -0,0 +1,60 @@
+"""Counters and latency histograms, served as text on the metrics address."""
+
+from prometheus_client import CollectorRegistry, Counter, Gauge, Histogram
+
+LATENCY_BUCKETS_S = (0.005, 0.02, 0.05, 0.1, 0.2, 0.4, 0.6, 0.8, 1, 1.5, 2, 4, 8, 16)
+
+
+class GatewayMetrics:
+    """All metrics of a gateway host, in a registry of their own."""
+
+    def __init__(self) -> None:
+        self.registry = CollectorRegistry()
+        self.answers = Counter(
+            "thornlatch_gateway_answers",
+            "Requests answered, by route and outcome.",
+            ["route", "outcome"],
+            registry=self.registry,
+        )
+        self.sends = Counter(
+            "thornlatch_gateway_sends",
+            "Requests sent to targets, by service and what the target answered.",
+            ["service", "outcome"],
+            registry=self.registry,
+        )
+        self.first_answer = Histogram(
+            "thornlatch_gateway_first_answer_seconds",
+            "Seconds from a request to the first event or the answer.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.waits = Histogram(
+            "thornlatch_gateway_wait_seconds",
+            "Seconds that a request waited before it was sent.",
+            ["route"],
+            buckets=LATENCY_BUCKETS_S,
+            registry=self.registry,
+        )
+        self.orders = Counter(
+            "thornlatch_residency_orders",
+            "Orders to targets, by kind and outcome.",
+            ["kind", "outcome"],
+            registry=self.registry,
+        )
+        self.store_calls = Counter(
+            "thornlatch_store_calls",
+            "Calls to the platform's store, by call and outcome.",
+            ["call", "outcome"],
+            registry=self.registry,
+        )
+        self.running = Gauge(
+            "thornlatch_gateway_running_requests",
+            "Requests that are being served.",
+            registry=self.registry,
+        )
+        self.live_peers = Gauge(
+            "thornlatch_fleet_live_peers",
+            "Other hosts heard of lately.",
+            registry=self.registry,
+        )
--- /dev/null
+++ b/src/thornlatch/gateway/_ordering.py
@@ -0,0 +1,456 @@
+"""Sends orders to the targets that this host holds, one at a time each."""
+
+import threading
+import zlib
+from collections.abc import Callable
+from concurrent.futures import ThreadPoolExecutor
+from dataclasses import dataclass, field
+
+import logbook
+
+from thornlatch.core import read_clock
+from thornlatch.exceptions import TargetError
+from thornlatch.fleet import (
+    HeldTarget,
+    LoadRequested,
+    PeerView,
+    Target,
+    TargetRegistry,
+)
+from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._ports import TargetWire
+from thornlatch.gateway._work import WorkTable
+from thornlatch.residency import (
+    AdapterVersions,
+    HolderSettings,
+    NumberedOrder,
+    OrderOutcome,
+    Resident,
+    ResidentTable,
+    TargetHolder,
+    Tenure,
+)
+from thornlatch.routing import ConfigurationInForce, EngineLimits
+
+logger = logbook.Logger("thornlatch.residency")
+
+ORDER_THREADS = 8  # targets that get an order at the same moment
+FULL_PERIOD_S = 1.0  # between two full accounts of held targets to the peers
+
+
+@dataclass(eq=False)
+class _Held:
+    target: Target
+    partition: int
+    holder: TargetHolder
+    orders_from: float
+    lock: threading.Lock = field(default_factory=threading.Lock)
+    is_running: bool = False
+
+
+class OrderManager:
+    """Decides and sends orders for held targets; asks other holders for theirs.
+
+    Parameters
+    ----------
+    settings : HolderSettings
+    partitions : int
+        Partitions over which targets are spread.
+    wire : TargetWire
+    in_force : ConfigurationInForce
+    registry : TargetRegistry
+    peers : PeerView
+    versions : AdapterVersions
+    residents : ResidentTable
+    tenure : Tenure
+    work : WorkTable
+    metrics : GatewayMetrics
+    send : callable
+        Sends a message to a peer.
+    """
+
+    def __init__(
+        self,
+        settings: HolderSettings,
+        *,
+        partitions: int,
+        wire: TargetWire,
+        in_force: ConfigurationInForce,
+        registry: TargetRegistry,
+        peers: PeerView,
+        versions: AdapterVersions,
+        residents: ResidentTable,
+        tenure: Tenure,
+        work: WorkTable,
+        metrics: GatewayMetrics,
+        send: Callable[[str, object], None],
+    ) -> None:
+        self.settings = settings
+        self.partitions = partitions
+        self.wire = wire
+        self.in_force = in_force
+        self.registry = registry
+        self.peers = peers
+        self.versions = versions
+        self.residents = residents
+        self.tenure = tenure
+        self.work = work
+        self.metrics = metrics
+        self.send = send
+        self.lock = threading.Lock()
+        self.held: dict[str, _Held] = {}
+        self.changed = threading.Event()
+        self.full_at = float("-inf")
+        self.model_loads = _LoadAllowance()
+        self.executor = ThreadPoolExecutor(ORDER_THREADS, "orders")
+
+    def get_partition(self, target: str) -> int:
+        """Return the partition that decides who holds a target.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        int
+        """
+        return zlib.crc32(target.encode()) % self.partitions
+
+    def is_held(self, target: str, *, now: float) -> bool:
+        """Return whether a live host orders a target's adapters.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        held = self.held.get(target)
+        if held is not None:
+            return now >= held.orders_from and held.holder.sequence is not None
+        return self.peers.get_holder(target, now=now) is not None
+
+    def count_in_transit(self, target: str, *, now: float) -> int:
+        """Return the adapters on their way to a target.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+
+        Returns
+        -------
+        int
+        """
+        residents = self.residents.residents.get(target, {})
+        return sum(1 for one in residents.values() if one.ready_at > now)
+
+    def ask(
+        self,
+        target: str,
+        adapter: str,
+        version: int,
+        *,
+        now: float,
+        was_missing: bool = False,
+    ) -> None:
+        """Have an adapter loaded at a target, by its holder.
+
+        Parameters
+        ----------
+        target, adapter : str
+        version : int
+        now : float
+        was_missing : bool
+            Whether the target denied holding the adapter.
+        """
+        held = self.held.get(target)
+        if held is not None:
+            with held.lock:
+                held.holder.want(adapter, version, now=now, was_missing=was_missing)
+            self._start(held)
+            return
+        holder = self.peers.get_holder(target, now=now)
+        if holder is not None:
+            self.send(holder, LoadRequested(target, adapter, version, was_missing))
+
+    def follow_tenure(self, *, now: float) -> None:
+        """Take up targets whose partition this host holds and drop others.
+
+        Parameters
+        ----------
+        now : float
+        """
+        configuration = self.in_force.configuration
+        if configuration is None:
+            return
+        wanted: dict[str, tuple[Target, EngineLimits]] = {}
+        for target in list(self.registry.targets.values()):
+            service = configuration.services.get(target.service)
+            if service is None or service.engine is None or target.is_leaving:
+                continue
+            if self.get_partition(target.id) in self.tenure.tokens:
+                wanted[target.id] = (target, service.engine)
+        with self.lock:
+            for name in [n for n in self.held if not self._keeps(n, wanted)]:
+                del self.held[name]
+                self.changed.set()
+                logger.info("residency.released", extra={"target": name})
+            for name, (target, limits) in wanted.items():
+                if name not in self.held:
+                    self._take_up(target, limits, now)
+
+    def _keeps(self, name: str, wanted: dict[str, tuple[Target, EngineLimits]]) -> bool:
+        kept = wanted.get(name)
+        held = self.held[name]
+        return kept is not None and kept[0].incarnation == held.target.incarnation
+
+    def _take_up(self, target: Target, limits: EngineLimits, now: float) -> None:
+        partition = self.get_partition(target.id)
+        orders_from = now
+        former = self.peers.get_held(target.id)
+        if former is not None and self.peers.get_holder(target.id, now=now):
+            # The former holder lives: two hosts must not take turns within a lease.
+            last, heard_at = former
+            ordered_at = heard_at - last.ordered_ago_s
+            orders_from = max(now, ordered_at + self.tenure.settings.lease_s)
+        holder = TargetHolder(self.settings, limits, self.versions)
+        self.held[target.id] = _Held(target, partition, holder, orders_from)
+        self.changed.set()
+        logger.info(
+            "residency.taken_up",
+            extra={
+                "target": target.id,
+                "fencing_token": self.tenure.tokens.get(partition),
+                "orders_in_s": round(orders_from - now, 3),
+            },
+        )
+
+    def tick(self, *, now: float) -> None:
+        """Start orders that are due.
+
+        Parameters
+        ----------
+        now : float
+        """
+        for held in list(self.held.values()):
+            uses = self._get_uses(held.target.id)
+            with held.lock:
+                held.holder.note_use(uses, now=now)
+            self._start(held)
+
+    def build_held(self, *, now: float) -> tuple[HeldTarget, ...] | None:
+        """Return what peers are to know of held targets, or None if nothing changed.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        tuple of HeldTarget or None
+        """
+        if not self.changed.is_set() and now - self.full_at < FULL_PERIOD_S:
+            return None
+        self.changed.clear()
+        self.full_at = now
+        accounts = []
+        for held in list(self.held.values()):
+            token = self.tenure.get_token(held.partition, now=now)
+            if token is None or held.holder.sequence is None:
+                continue
+            with held.lock:
+                adapters = held.holder.get_residents(now=now)
+            target = held.target
+            ago_s = min(now - held.holder.ordered_at, 1e6)
+            accounts.append(
+                HeldTarget(target.id, target.started_ms, token, ago_s, adapters)
+            )
+        return tuple(accounts)
+
+    def list_names(self) -> tuple[str, ...]:
+        """Return the targets that this host orders."""
+        now = read_clock()
+        return tuple(name for name in self.held if self.is_held(name, now=now))
+
+    def stop(self) -> None:
+        """Send no further orders."""
+        self.tenure.drop_all()
+        with self.lock:
+            self.held.clear()
+        self.executor.shutdown(wait=False, cancel_futures=True)
+
+    def _get_uses(self, target: str) -> dict[str, int]:
+        uses = dict(self.peers.get_adapter_use(target))
+        for adapter, count in self.work.get_uses(target).items():
+            uses[adapter] = uses.get(adapter, 0) + count
+        return uses
+
+    def _start(self, held: _Held) -> None:
+        now = read_clock()
+        with held.lock:
+            if held.is_running or now < held.orders_from:
+                return
+            has_report_due = held.holder.needs_report(now=now)
+            if not has_report_due and self._next(held, now) is None:
+                return
+            held.is_running = True
+        try:
+            self.executor.submit(self._run, held)
+        except RuntimeError:
+            # The process stops.
+            held.is_running = False
+
+    def _next(self, held: _Held, now: float) -> NumberedOrder | None:
+        return held.holder.next_order(
+            self._get_uses(held.target.id),
+            now=now,
+            may_load_model=self.model_loads.has_room(now=now),
+        )
+
+    def _run(self, held: _Held) -> None:
+        try:
+            while self._step(held):
+                pass
+        except Exception:
+            logger.exception("residency.failed", extra={"target": held.target.id})
+        finally:
+            held.is_running = False
+
+    def _step(self, held: _Held) -> bool:
+        """Send one order or ask for a report; return whether more may follow."""
+        now = read_clock()
+        if self.held.get(held.target.id) is not held:
+            return False
+        token = self.tenure.get_token(held.partition, now=now)
+        if token is None:
+            return False
+        with held.lock:
+            must_report = held.holder.needs_report(now=now)
+            numbered = None if must_report else self._next(held, now)
+        if must_report:
+            return self._report(held)
+        if numbered is None:
+            return False
+        reply = self.wire.send_order(
+            held.target.address, held.target.id, numbered, token
+        )
+        self._note_order(held, numbered, reply.outcome, reply.detail, token)
+        return reply.outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS)
+
+    def _note_order(
+        self,
+        held: _Held,
+        numbered: NumberedOrder,
+        outcome: OrderOutcome,
+        detail: str,
+        token: int,
+    ) -> None:
+        now = read_clock()
+        kind = type(numbered.order).__name__
+        with held.lock:
+            held.holder.take_outcome(numbered, outcome, now=now)
+        if kind == "LoadModel" and outcome is not OrderOutcome.FENCED:
+            self.model_loads.note(now=now)
+        if outcome is OrderOutcome.FENCED:
+            self.tenure.note_fenced(held.partition)
+        self.publish(held, now)
+        self.metrics.orders.labels(kind, outcome.value).inc()
+        logger.info(
+            "residency.ordered",
+            extra={
+                "target": held.target.id,
+                "order": kind,
+                "adapter": getattr(numbered.order, "adapter", ""),
+                "expected": numbered.expected,
+                "fencing_token": token,
+                "outcome": outcome.value,
+                "detail": detail,
+            },
+        )
+
+    def _report(self, held: _Held) -> bool:
+        try:
+            report = self.wire.read_report(held.target.address, held.target.id)
+        except TargetError as error:
+            now = read_clock()
+            with held.lock:
+                held.holder.report_due_at = now + self.settings.retry_s
+            logger.info(
+                "residency.report_failed",
+                extra={"target": held.target.id, "error": error.message},
+            )
+            return False
+        now = read_clock()
+        with held.lock:
+            held.holder.take_report(report, now=now)
+        self.publish(held, now)
+        logger.info(
+            "residency.report_taken",
+            extra={
+                "target": held.target.id,
+                "sequence": report.sequence,
+                "adapters": sum(len(one.adapters) for one in report.holdings),
+                "pending": len(report.pending),
+            },
+        )
+        return True
+
+    def publish(self, held: _Held, now: float) -> None:
+        """Show this host's requests what a held target holds.
+
+        Parameters
+        ----------
+        held : _Held
+        now : float
+        """
+        with held.lock:
+            residents = {
+                one.name: Resident(one.version, now + one.ready_in_s)
+                for one in held.holder.get_residents(now=now)
+            }
+        self.residents.put(held.target.id, residents, now=now)
+        self.changed.set()
+
+    def republish(self, *, now: float) -> None:
+        """Confirm what held targets hold, so that it isn't taken as outdated.
+
+        Parameters
+        ----------
+        now : float
+        """
+        for held in list(self.held.values()):
+            if held.holder.sequence is not None:
+                self.residents.owned_at[held.target.id] = now
+
+
+class _LoadAllowance:
+    """Part of the model loads that this host may order."""
+
+    def __init__(self) -> None:
+        self.lock = threading.Lock()
+        self.rate = 1.0
+        self.tokens = 1.0
+        self.filled_at = float("-inf")
+
+    def set_rate(self, rate: float) -> None:
+        self.rate = rate
+
+    def has_room(self, *, now: float) -> bool:
+        with self.lock:
+            self._fill(now)
+            return self.tokens >= 1
+
+    def note(self, *, now: float) -> None:
+        with self.lock:
+            self._fill(now)
+            self.tokens -= 1
+
+    def _fill(self, now: float) -> None:
+        elapsed = min(now - self.filled_at, 3600.0)
+        self.tokens = min(1.0, self.tokens + elapsed * self.rate)
+        self.filled_at = now
--- /dev/null
+++ b/src/thornlatch/gateway/_settings.py
@@ -0,0 +1,147 @@
+"""Settings of a gateway host."""
+
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta
+
+from thornlatch.daemon._peers import PeerSettings
+from thornlatch.fleet import PeerViewSettings, RegistrySettings
+from thornlatch.gateway._logs import LogSettings
+from thornlatch.quota import QuotaSettings, RetryBudgetSettings
+from thornlatch.residency import HolderSettings, TenureSettings, VersionSettings
+from thornlatch.routing import FreshnessSettings
+
+Seconds = Annotated[float, Meta(gt=0)]
+
+
+@dataclass(frozen=True)
+class HostAddresses:
+    """Identity of this host and where it listens.
+
+    Parameters
+    ----------
+    name : str
+    failure_domain : str
+    caller_address : str
+        ``ip:port`` for callers.
+    readiness_address : str
+        ``ip:port`` that the balancer asks.
+    peer_address : str
+        ``ip:port`` for other hosts.
+    metrics_address : str
+        ``ip:port``; empty for none.
+    readiness_path : str
+    """
+
+    name: str
+    failure_domain: str
+    caller_address: str
+    readiness_address: str
+    peer_address: str
+    metrics_address: str = ""
+    readiness_path: str = "/readyz"
+
+
+@dataclass(frozen=True)
+class ForwardingSettings:
+    """Waits and bounds on the way of a request.
+
+    Parameters
+    ----------
+    threads : int
+        Requests that are served at once.
+    connect_s : float
+        Seconds to connect to a target; two round trips take a few ms.
+    plain_head_s : float
+        Seconds without an answer after which a plain request that may be repeated is
+        sent to another target.
+    stream_head_objectives : float
+        Latency objectives without a first event after which a stream that may be
+        repeated is sent to another target.
+    wait_objectives : float
+        Latency objectives for which a request may wait before it is sent.
+    stream_silence_s : float
+        Seconds without an event after which a running stream is taken as broken;
+        callers leave after 2.4 s at the least.
+    avoid_s : float
+        Seconds for which a target that failed is avoided; doubles with each failure.
+    avoid_limit_s : float
+    default_deadline_s : float
+        Time for requests that name no deadline.
+    queue_ratio : float
+        Requests beyond its slots that are sent to a target, as part of its slots.
+    load_penalty_s : float
+        Seconds of waiting that one load from the weight store is worth.
+    domain_penalty_s : float
+        Seconds of waiting that staying in the failure domain is worth.
+    """
+
+    threads: Annotated[int, Meta(ge=8, le=2000)] = 320
+    connect_s: Seconds = 0.3
+    plain_head_s: Seconds = 0.35
+    stream_head_objectives: Seconds = 2.5
+    wait_objectives: Seconds = 1.0
+    stream_silence_s: Seconds = 1.8
+    avoid_s: Seconds = 0.5
+    avoid_limit_s: Seconds = 4.0
+    default_deadline_s: Seconds = 10.0
+    queue_ratio: Annotated[float, Meta(ge=0)] = 0.25
+    load_penalty_s: Annotated[float, Meta(ge=0)] = 0.15
+    domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
+
+
+@dataclass(frozen=True)
+class StopSettings:
+    """A planned stop.
+
+    Parameters
+    ----------
+    grace_s : float
+        Seconds after which the platform kills the process.
+    margin_s : float
+        Seconds of `grace_s` that are left for the exit.
+    linger_s : float
+        Seconds for which new connections may still come after the host has said that
+        it isn't ready.
+    """
+
+    grace_s: Seconds = 8.0
+    margin_s: Annotated[float, Meta(ge=0)] = 0.5
+    linger_s: Annotated[float, Meta(ge=0)] = 2.5
+
+
+@dataclass(frozen=True)
+class GatewaySettings:
+    """All settings of a gateway host.
+
+    Parameters
+    ----------
+    host : HostAddresses
+    freshness : FreshnessSettings
+    registry : RegistrySettings
+    peers : PeerSettings
+    peer_view : PeerViewSettings
+    quota : QuotaSettings
+    retries : RetryBudgetSettings
+    holder : HolderSettings
+    tenure : TenureSettings
+    versions : VersionSettings
+    forwarding : ForwardingSettings
+    stop : StopSettings
+    logs : LogSettings
+    """
+
+    host: HostAddresses
+    freshness: FreshnessSettings = field(default_factory=FreshnessSettings)
+    registry: RegistrySettings = field(default_factory=RegistrySettings)
+    peers: PeerSettings = field(default_factory=PeerSettings)
+    peer_view: PeerViewSettings = field(default_factory=PeerViewSettings)
+    quota: QuotaSettings = field(default_factory=QuotaSettings)
+    retries: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
+    holder: HolderSettings = field(default_factory=HolderSettings)
+    tenure: TenureSettings = field(default_factory=TenureSettings)
+    versions: VersionSettings = field(default_factory=VersionSettings)
+    forwarding: ForwardingSettings = field(default_factory=ForwardingSettings)
+    stop: StopSettings = field(default_factory=StopSettings)
+    logs: LogSettings = field(default_factory=LogSettings)
--- /dev/null
+++ b/src/thornlatch/quota/_shared.py
@@ -0,0 +1,235 @@
+"""One token bucket an organisation, of which each host keeps its own copy.
+
+Every host tells the others what it has spent so far, and takes what they spent off its
+copy. A host that isn't heard of is taken to spend an equal part of the rate, and spends
+no more than that itself while it hears of nobody, so that the sum stays within the
+quota on both sides of any partition without a holder that could fail.
+"""
+
+import threading
+from collections.abc import Iterable, Mapping
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta
+
+from thornlatch.routing import Organisation
+
+
+@dataclass(frozen=True)
+class QuotaSettings:
+    """How copies of a bucket begin and how long a peer's figures hold.
+
+    Parameters
+    ----------
+    first_fill_s : float
+        Seconds of the rate that a bucket holds when its host starts; the hosts before
+        may have used the whole burst just then.
+    settle_s : float
+        Seconds after the start in which peers' figures are taken as a beginning.
+    silent_s : float
+        Seconds without a digest after which a peer's spending is assumed.
+    """
+
+    first_fill_s: Annotated[float, Meta(ge=0)] = 0.25
+    settle_s: Annotated[float, Meta(ge=0)] = 1.5
+    silent_s: Annotated[float, Meta(gt=0)] = 0.45
+
+
+@dataclass
+class _Peer:
+    heard_at: float
+    spent: dict[str, int]
+    is_silent: bool = False
+
+
+@dataclass
+class _Bucket:
+    rate: float
+    burst: float
+    level: float
+    updated_at: float
+    spent: int = 0
+    is_adopted: bool = False
+    # What silent peers are taken to have spent since they were last heard of.
+    assumed: dict[str, float] = field(default_factory=dict)
+
+
+class SharedQuota:
+    """Decides whether an organisation may spend tokens now; safe for threads.
+
+    Parameters
+    ----------
+    settings : QuotaSettings
+    now : float
+        Start of this host.
+    """
+
+    def __init__(self, settings: QuotaSettings, *, now: float) -> None:
+        self.settings = settings
+        self.started_at = now
+        self.lock = threading.Lock()
+        self.buckets: dict[str, _Bucket] = {}
+        self.peers: dict[str, _Peer] = {}
+
+    def set_organisations(
+        self, organisations: Iterable[Organisation], *, now: float
+    ) -> None:
+        """Bring rates and bursts into force.
+
+        Parameters
+        ----------
+        organisations : iterable of Organisation
+        now : float
+        """
+        with self.lock:
+            self._advance(now)
+            for one in organisations:
+                bucket = self.buckets.get(one.name)
+                if bucket is None:
+                    first = min(one.burst, one.rate * self.settings.first_fill_s)
+                    bucket = _Bucket(one.rate, one.burst, first, now)
+                    self.buckets[one.name] = bucket
+                bucket.rate, bucket.burst = one.rate, one.burst
+                bucket.level = min(bucket.level, one.burst)
+
+    def set_peers(self, peers: Iterable[str], *, now: float) -> None:
+        """Say which other hosts may be spending.
+
+        Parameters
+        ----------
+        peers : iterable of str
+        now : float
+        """
+        with self.lock:
+            self._advance(now)
+            known = set(peers)
+            for name in self.peers.keys() - known:
+                del self.peers[name]
+                for bucket in self.buckets.values():
+                    # It has gone; what it was taken to have spent, it may have.
+                    bucket.assumed.pop(name, None)
+            for name in known - self.peers.keys():
+                self.peers[name] = _Peer(now, {})
+
+    def take_digest(
+        self, host: str, spent: Mapping[str, int], levels: Mapping[str, int], now: float
+    ) -> None:
+        """Take off what a peer has spent since its digest before.
+
+        Parameters
+        ----------
+        host : str
+        spent : mapping of str to int
+            Tokens since the peer's start.
+        levels : mapping of str to int
+            Tokens left in the peer's copy.
+        now : float
+        """
+        with self.lock:
+            self._advance(now)
+            peer = self.peers.get(host)
+            is_settling = now - self.started_at < self.settings.settle_s
+            if peer is None:
+                peer = self.peers[host] = _Peer(now, {})
+            for name, bucket in self.buckets.items():
+                total = spent.get(name, 0)
+                if name not in peer.spent and is_settling:
+                    self._adopt(bucket, levels.get(name))
+                else:
+                    bucket.level -= total - peer.spent.get(name, 0)
+                    bucket.level += bucket.assumed.pop(host, 0.0)
+                peer.spent[name] = total
+                bucket.level = min(bucket.level, bucket.burst)
+            peer.heard_at = now
+            peer.is_silent = False
+
+    def take(self, organisation: str, tokens: int, *, now: float) -> float | None:
+        """Spend tokens, or return when there will be enough.
+
+        Parameters
+        ----------
+        organisation : str
+        tokens : int
+        now : float
+
+        Returns
+        -------
+        float or None
+            None if they were spent; else seconds until they can be.
+        """
+        with self.lock:
+            self._advance(now)
+            bucket = self.buckets.get(organisation)
+            if bucket is None or bucket.rate <= 0:
+                return None
+            # A request larger than the burst would never get through otherwise.
+            needed = min(tokens, bucket.burst)
+            if bucket.level < needed:
+                return (needed - bucket.level) / bucket.rate
+            bucket.level -= tokens
+            bucket.spent += tokens
+            return None
+
+    def give_back(self, organisation: str, tokens: int, *, now: float) -> None:
+        """Return tokens of a request that has not run.
+
+        Parameters
+        ----------
+        organisation : str
+        tokens : int
+        now : float
+        """
+        with self.lock:
+            self._advance(now)
+            bucket = self.buckets.get(organisation)
+            if bucket is None or bucket.rate <= 0:
+                return
+            bucket.level = min(bucket.level + tokens, bucket.burst)
+            bucket.spent -= tokens
+
+    def get_spent(self, *, now: float) -> tuple[dict[str, int], dict[str, int]]:
+        """Return tokens spent since the start, and left, by organisation.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        (dict, dict)
+        """
+        with self.lock:
+            self._advance(now)
+            limited = {n: b for n, b in self.buckets.items() if b.rate > 0}
+            return (
+                {name: bucket.spent for name, bucket in limited.items()},
+                {name: int(bucket.level) for name, bucket in limited.items()},
+            )
+
+    def _adopt(self, bucket: _Bucket, level: int | None) -> None:
+        if level is None or bucket.is_adopted:
+            return
+        bucket.is_adopted = True
+        bucket.level = min(level - bucket.spent, bucket.burst)
+
+    def _advance(self, now: float) -> None:
+        part = 1 / (len(self.peers) + 1)
+        for name, peer in self.peers.items():
+            if peer.is_silent or now - peer.heard_at < self.settings.silent_s:
+                continue
+            peer.is_silent = True
+            for bucket in self.buckets.values():
+                # It may use up its part of what was left.
+                self._assume(bucket, name, max(bucket.level, 0.0) * part)
+        for bucket in self.buckets.values():
+            elapsed = max(now - bucket.updated_at, 0.0)
+            bucket.updated_at = now
+            bucket.level = min(bucket.level + bucket.rate * elapsed, bucket.burst)
+            for name, peer in self.peers.items():
+                if peer.is_silent:
+                    self._assume(bucket, name, bucket.rate * elapsed * part)
+
+    def _assume(self, bucket: _Bucket, peer: str, tokens: float) -> None:
+        bucket.level -= tokens
+        bucket.assumed[peer] = bucket.assumed.get(peer, 0.0) + tokens
--- /dev/null
+++ b/src/thornlatch/residency/_table.py
@@ -0,0 +1,110 @@
+"""Which adapters sit where, from holders' digests and targets' registrations."""
+
+import threading
+from dataclasses import dataclass
+
+OWNED_S = 3.0  # a holder repeats what it knows at least once a second
+
+
+@dataclass(frozen=True)
+class Resident:
+    """An adapter at a target.
+
+    Parameters
+    ----------
+    version : int
+        0 if it isn't known.
+    ready_at : float
+        When it can be used, in seconds of `read_clock`.
+    """
+
+    version: int
+    ready_at: float
+
+
+class ResidentTable:
+    """Adapters by target, with a condition to wait for changes; safe for threads."""
+
+    def __init__(self) -> None:
+        self.changed = threading.Condition()
+        self.residents: dict[str, dict[str, Resident]] = {}
+        self.owned_at: dict[str, float] = {}
+
+    def put(self, target: str, residents: dict[str, Resident], *, now: float) -> None:
+        """Take what a target's holder says of it.
+
+        Parameters
+        ----------
+        target : str
+        residents : dict of str to Resident
+        now : float
+        """
+        with self.changed:
+            self.owned_at[target] = now
+            if self.residents.get(target) != residents:
+                self.residents[target] = residents
+                self.changed.notify_all()
+
+    def put_registered(
+        self, target: str, residents: dict[str, Resident], *, now: float
+    ) -> None:
+        """Take what a target said of itself, unless its holder has spoken lately.
+
+        Parameters
+        ----------
+        target : str
+        residents : dict of str to Resident
+        now : float
+        """
+        if now - self.owned_at.get(target, float("-inf")) >= OWNED_S:
+            with self.changed:
+                self.residents[target] = residents
+                self.changed.notify_all()
+
+    def remove(self, target: str) -> None:
+        """Forget a target that has gone or restarted.
+
+        Parameters
+        ----------
+        target : str
+        """
+        with self.changed:
+            self.residents.pop(target, None)
+            self.owned_at.pop(target, None)
+
+    def remove_adapter(self, target: str, adapter: str) -> None:
+        """Forget an adapter that a target denied holding.
+
+        Parameters
+        ----------
+        target, adapter : str
+        """
+        with self.changed:
+            former = self.residents.get(target, {})
+            if adapter in former:
+                self.residents[target] = {
+                    name: one for name, one in former.items() if name != adapter
+                }
+
+    def get(self, target: str, adapter: str) -> Resident | None:
+        """Return an adapter's state at a target.
+
+        Parameters
+        ----------
+        target, adapter : str
+
+        Returns
+        -------
+        Resident or None
+        """
+        return self.residents.get(target, {}).get(adapter)
+
+    def wait(self, timeout_s: float) -> None:
+        """Wait until something changes.
+
+        Parameters
+        ----------
+        timeout_s : float
+        """
+        with self.changed:
+            self.changed.wait(timeout_s)
--- /dev/null
+++ b/src/thornlatch/routing/_table.py
@@ -0,0 +1,64 @@
+"""Choice of a route by host name and path, and of a service by weight."""
+
+import zlib
+
+from thornlatch.routing._configuration import Route
+
+
+class RouteTable:
+    """Finds the route of a request.
+
+    Parameters
+    ----------
+    routes : tuple of Route
+    """
+
+    def __init__(self, routes: tuple[Route, ...]) -> None:
+        self.routes_by_prefix = {(r.host, r.path_prefix): r for r in routes}
+
+    def match(self, host: str, path: str) -> Route | None:
+        """Return the route with the longest prefix of a path.
+
+        Parameters
+        ----------
+        host : str
+            Host name, with or without a port.
+        path : str
+            Path without the query.
+
+        Returns
+        -------
+        Route or None
+        """
+        name = host.partition(":")[0]
+        end = path.rfind("/")
+        while end >= 0:
+            route = self.routes_by_prefix.get((name, path[: end + 1]))
+            if route is not None:
+                return route
+            end = path.rfind("/", 0, end)
+        return None
+
+
+def choose_service(route: Route, request: str) -> str:
+    """Return the service that a request goes to, by weight.
+
+    Parameters
+    ----------
+    route : Route
+    request : str
+        Request id; the same one goes to the same service.
+
+    Returns
+    -------
+    str
+    """
+    if len(route.services) == 1:
+        return route.services[0][0]
+    total = sum(weight for _, weight in route.services)
+    point = zlib.crc32(request.encode()) / (1 << 32) * total
+    for name, weight in route.services:
+        point -= weight
+        if point < 0:
+            return name
+    return route.services[-1][0]
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -7,11 +7,15 @@
 import threading
 from dataclasses import dataclass, field
 
+from thornlatch.core import read_clock
 from thornlatch.exceptions import TargetError
 
 READ_BYTES = 1 << 16
 CHUNK_END = b"\r\n"
-IDLE_CONNECTIONS_PER_TARGET = 8
+IDLE_CONNECTIONS_PER_TARGET = 32
+DEFAULT_IDLE_S = 4.0  # targets without a Keep-Alive header close after 5 s or more
+IDLE_RATIO = 0.6  # of the target's own limit, so that it doesn't close as we send
+FRESH_IDLE_S = 0.5  # a call that may not be repeated uses nothing idle for longer
 
 
 @dataclass(frozen=True)
@@ -29,6 +33,8 @@
         Never holds the caller's key: headers are built, not copied.
     timeout_s : float
         Seconds without a byte after which the call has failed.
+    connect_s : float or None
+        Seconds to connect; `timeout_s` if None.
     """
 
     address: str
@@ -37,6 +43,7 @@
     body: bytes = b""
     headers: dict[str, str] = field(default_factory=dict)
     timeout_s: float = 30.0
+    connect_s: float | None = None
 
 
 class TargetResponse:
@@ -179,31 +186,47 @@
     def close(self) -> None:
         """Give the connection back if the answer was read whole, else close it."""
         if self.response.isclosed() and not self.response.will_close:
-            _connections.put(self.call.address, self.connection)
+            limit_s = _read_idle_limit_s(self.response)
+            _connections.put(self.call.address, self.connection, limit_s)
         else:
             self.response.close()
             self.connection.close()
 
 
+@dataclass(frozen=True)
+class _Idle:
+    connection: http.client.HTTPConnection
+    since: float
+    limit_s: float
+
+
 class _ConnectionCache:
     def __init__(self) -> None:
         self.lock = threading.Lock()
-        self.idle: dict[str, list[http.client.HTTPConnection]] = {}
+        self.idle: dict[str, list[_Idle]] = {}
 
-    def take(self, address: str) -> http.client.HTTPConnection | None:
+    def take(
+        self, address: str, *, idle_limit_s: float = float("inf")
+    ) -> http.client.HTTPConnection | None:
         while True:
             with self.lock:
                 idle = self.idle.get(address)
-                connection = idle.pop() if idle else None
-            if connection is None or _is_open(connection):
-                return connection
-            connection.close()
-
-    def put(self, address: str, connection: http.client.HTTPConnection) -> None:
+                newest = idle.pop() if idle else None
+            if newest is None:
+                return None
+            limit_s = min(newest.limit_s, idle_limit_s)
+            is_recent = read_clock() - newest.since < limit_s
+            if is_recent and _is_open(newest.connection):
+                return newest.connection
+            newest.connection.close()
+
+    def put(
+        self, address: str, connection: http.client.HTTPConnection, limit_s: float
+    ) -> None:
         with self.lock:
             idle = self.idle.setdefault(address, [])
             if len(idle) < IDLE_CONNECTIONS_PER_TARGET:
-                idle.append(connection)
+                idle.append(_Idle(connection, read_clock(), limit_s))
                 return
         connection.close()
 
@@ -218,9 +241,9 @@
     ----------
     call : TargetCall
     may_reuse : bool
-        Whether an idle connection may serve. The target may close it as the call is
-        sent, which leaves the outcome unknown, so calls that may not be repeated use a
-        new connection.
+        Whether a connection that was idle for long may serve. The target may close it
+        as the call is sent, which leaves the outcome unknown, so calls that may not be
+        repeated use a new one.
 
     Returns
     -------
@@ -231,7 +254,8 @@
     TargetError
         `is_sent` tells whether the target may have received the call.
     """
-    connection = _connections.take(call.address) if may_reuse else None
+    idle_limit_s = float("inf") if may_reuse else FRESH_IDLE_S
+    connection = _connections.take(call.address, idle_limit_s=idle_limit_s)
     if connection is None:
         connection = _connect(call)
     try:
@@ -242,7 +266,8 @@
 
 
 def _connect(call: TargetCall) -> http.client.HTTPConnection:
-    connection = http.client.HTTPConnection(call.address, timeout=call.timeout_s)
+    connect_s = call.timeout_s if call.connect_s is None else call.connect_s
+    connection = http.client.HTTPConnection(call.address, timeout=connect_s)
     try:
         connection.connect()
         if connection.sock is not None:
@@ -252,6 +277,15 @@
     return connection
 
 
+def _read_idle_limit_s(response: http.client.HTTPResponse) -> float:
+    # Keep-Alive: timeout=5, max=100
+    for part in response.getheader("Keep-Alive", "").split(","):
+        name, _, value = part.strip().partition("=")
+        if name.lower() == "timeout" and value.isdigit():
+            return int(value) * IDLE_RATIO
+    return DEFAULT_IDLE_S
+
+
 def _is_open(connection: http.client.HTTPConnection) -> bool:
     # An idle connection that can be read was closed by the target.
     sock = connection.sock
@@ -261,5 +295,6 @@
 def _send(call: TargetCall, connection: http.client.HTTPConnection) -> TargetResponse:
     sock = connection.sock
     sock.settimeout(call.timeout_s)
-    connection.request(call.method, call.path, call.body, call.headers)
+    body = call.body or None
+    connection.request(call.method, call.path, body, call.headers)
     return TargetResponse(call, connection, sock, connection.getresponse())
