Fetch one adapter at a time for each target, and announce what waits

Several loads in transit share the weight store's bandwidth, so each was later than expected; a 421 of a load that was merely late was taken as a loss, and the request had the adapter fetched at the next target, which evicted others. Ruled out: too few places (LRU over the same requests with 162 places misses 439 times). Change: one adapter in transit a target; queued loads are announced with the time at which they will be ready; a late load is waited for; requests may wait for a quarter of their deadline.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -89,6 +89,8 @@
         ``model/adapter``.
     version : int
         Lowest version that will do; 0 for any.
+    priority : int
+        Rank of the request that needs it, 0 first.
     was_missing : bool
         Whether the target denied holding it.
     """
@@ -96,6 +98,7 @@
     target: str
     adapter: str
     version: int
+    priority: int
     was_missing: bool = False
 
 
--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -74,8 +74,8 @@
             return self._refuse(error, request_id, start_response)
         except Exception:
             logger.exception("request.crashed", extra={"request": request_id})
-            error = RequestRefused(ErrorKind.INTERNAL, "internal error")
-            return self._refuse(error, request_id, start_response)
+            crash = RequestRefused(ErrorKind.INTERNAL, "internal error")
+            return self._refuse(crash, request_id, start_response)
         headers = list(answer.headers)
         self._set_length(headers, answer.length)
         start_response(describe_status(answer.status), headers)
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -178,10 +178,10 @@
         return Option(target, step, wait_s, cost_s, resident.version)
     if not state.is_held:
         return None
-    load_s = demand.load_s * (1 + state.in_transit / 4)
+    load_s = demand.load_s * (1 + state.in_transit)
     wait_s = max(load_s, queue_s)
     cost_s += wait_s - queue_s + settings.load_penalty_s
-    cost_s += rank_home(demand.adapter, target.id) * demand.load_s
+    cost_s += rank_home(demand.adapter, target.id) * settings.home_penalty_s
     return Option(target, Step.ASK_LOAD, wait_s, cost_s)
 
 
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -7,7 +7,7 @@
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
-from thornlatch.fleet import PeerView, Target, TargetRegistry
+from thornlatch.fleet import LoadRequested, PeerView, Target, TargetRegistry
 from thornlatch.gateway._choice import (
     Demand,
     Option,
@@ -41,10 +41,9 @@
 logger = logbook.Logger("thornlatch.gateway")
 
 BODY_LIMIT_BYTES = 1 << 24  # longest answer of a plain service
-SEND_LIMIT = 4  # sends of one request, those that targets rejected included
+SEND_LIMIT = 6  # sends of one request, those that targets rejected included
 ASK_AGAIN_S = 0.1  # a holder that hasn't loaded by then is taken as not answering
 WAIT_TURN_S = 0.05  # longest sleep of a waiting request between two looks
-MISSING_PAUSE_S = 0.03  # before a target that denied an adapter is asked once more
 SHORTEST_RETRY_S = 0.1  # shortest time that callers are told to wait
 NOT_OFFERED_MARGIN_S = 0.05  # time left below which sending is pointless
 
@@ -308,7 +307,7 @@
         return (
             opened.head.status >= 500
             and call.route.kind is CallKind.IDEMPOTENT
-            and call.runs < call.route.max_attempts
+            and call.runs + 1 < call.route.max_attempts
             and call.sends < SEND_LIMIT
             and self._has_other_target(call, opened.option.target.id)
         )
@@ -320,10 +319,7 @@
     def _choose(self, call: _Call) -> Option:
         """Return a target that can take the request now; wait for a load if need be."""
         asked: dict[str, float] = {}
-        wait_until = call.began_at + (
-            call.route.objective_s * self.settings.wait_objectives
-        )
-        wait_until = min(wait_until, call.running.ends_at - NOT_OFFERED_MARGIN_S)
+        wait_until = self._get_wait_until(call)
         while True:
             self._check_running(call)
             now = read_clock()
@@ -341,6 +337,10 @@
                 self.residents.wait(WAIT_TURN_S)
                 continue
             best = options[0]
+            if best.step is Step.ASK_LOAD and best.target.id not in asked:
+                # Also if the caller is told to come back: it is there by then.
+                asked[best.target.id] = now
+                self._ask_load(call, best.target, now, was_missing=False)
             if now + best.wait_s >= max(wait_until, now + NOT_OFFERED_MARGIN_S):
                 raise self._refuse(
                     call,
@@ -351,12 +351,19 @@
             if best.step is Step.SEND:
                 call.waited_s = now - call.began_at
                 return best
-            if best.step is Step.ASK_LOAD and best.target.id not in asked:
-                asked[best.target.id] = now
-                self._ask_load(call, best.target, now, was_missing=False)
             left_s = max(min(best.wait_s, wait_until - now), 0.001)
             self.residents.wait(min(left_s, WAIT_TURN_S))
 
+    def _get_wait_until(self, call: _Call) -> float:
+        """Return until when a request may wait before it is sent."""
+        settings = self.settings
+        budget_s = call.running.ends_at - call.began_at
+        wait_s = max(
+            call.route.objective_s * settings.wait_objectives,
+            budget_s * settings.wait_budget_ratio,
+        )
+        return min(call.began_at + wait_s, call.running.ends_at - NOT_OFFERED_MARGIN_S)
+
     def _list_options(
         self, call: _Call, asked: dict[str, float], now: float
     ) -> list[Option]:
@@ -396,7 +403,8 @@
     ) -> None:
         adapter = call.request.adapter
         version = self.versions.get_required(adapter, now=now)
-        self.orders.ask(target.id, adapter, version, now=now, was_missing=was_missing)
+        wish = LoadRequested(target.id, adapter, version, call.priority, was_missing)
+        self.orders.ask(wish, now=now)
         logger.info(
             "adapter.requested",
             extra={
@@ -591,9 +599,10 @@
         )
         is_other = head.answering_target not in ("", target.id)
         if head.is_misdirected and not is_other and call.request.adapter:
-            self.residents.remove_adapter(target.id, call.request.adapter)
+            adapter = call.request.adapter
+            pause_s = self.orders.settings.late_step_s
+            self.residents.delay(target.id, adapter, until=now + pause_s)
             self._ask_load(call, target, now, was_missing=True)
-            call.excluded.add(target.id)
             return
         if is_other:
             self.health.note_failure(target.id, now=now, is_unreachable=True)
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -95,6 +95,7 @@
             work=self.work,
             metrics=self.metrics,
             send=self._send,
+            announce=self._announce,
         )
         self.forwarder = Forwarder(
             settings.forwarding,
@@ -299,6 +300,9 @@
     def _send(self, host: str, message: object) -> None:
         self.peer_loop.send(host, message)
 
+    def _announce(self) -> None:
+        self.peer_loop.send_digest_now()
+
     def _run_loop(self, loop: Callable[[], None]) -> None:
         # A thread doesn't inherit the handlers of the one that started it.
         with self.log.threadbound():
@@ -404,13 +408,7 @@
 
     def _take_load_request(self, message: LoadRequested, now: float) -> None:
         if message.target in self.orders.held:
-            self.orders.ask(
-                message.target,
-                message.adapter,
-                message.version,
-                now=now,
-                was_missing=message.was_missing,
-            )
+            self.orders.ask(message, now=now)
 
     def _tick(self, now: float) -> None:
         for name in self.registry.expire(now=now):
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -67,6 +67,8 @@
     metrics : GatewayMetrics
     send : callable
         Sends a message to a peer.
+    announce : callable
+        Has the peers told soon of what changed.
     """
 
     def __init__(
@@ -84,6 +86,7 @@
         work: WorkTable,
         metrics: GatewayMetrics,
         send: Callable[[str, object], None],
+        announce: Callable[[], None],
     ) -> None:
         self.settings = settings
         self.partitions = partitions
@@ -97,6 +100,7 @@
         self.work = work
         self.metrics = metrics
         self.send = send
+        self.announce = announce
         self.lock = threading.Lock()
         self.held: dict[str, _Held] = {}
         self.changed = threading.Event()
@@ -135,7 +139,7 @@
         return self.peers.get_holder(target, now=now) is not None
 
     def count_in_transit(self, target: str, *, now: float) -> int:
-        """Return the adapters on their way to a target.
+        """Return the adapters that a target fetches or will fetch.
 
         Parameters
         ----------
@@ -149,34 +153,30 @@
         residents = self.residents.residents.get(target, {})
         return sum(1 for one in residents.values() if one.ready_at > now)
 
-    def ask(
-        self,
-        target: str,
-        adapter: str,
-        version: int,
-        *,
-        now: float,
-        was_missing: bool = False,
-    ) -> None:
+    def ask(self, wish: LoadRequested, *, now: float) -> None:
         """Have an adapter loaded at a target, by its holder.
 
         Parameters
         ----------
-        target, adapter : str
-        version : int
+        wish : LoadRequested
         now : float
-        was_missing : bool
-            Whether the target denied holding the adapter.
         """
-        held = self.held.get(target)
-        if held is not None:
-            with held.lock:
-                held.holder.want(adapter, version, now=now, was_missing=was_missing)
-            self._start(held)
+        held = self.held.get(wish.target)
+        if held is None:
+            holder = self.peers.get_holder(wish.target, now=now)
+            if holder is not None:
+                self.send(holder, wish)
             return
-        holder = self.peers.get_holder(target, now=now)
-        if holder is not None:
-            self.send(holder, LoadRequested(target, adapter, version, was_missing))
+        with held.lock:
+            held.holder.want(
+                wish.adapter,
+                wish.version,
+                priority=wish.priority,
+                now=now,
+                was_missing=wish.was_missing,
+            )
+        self.publish(held, now)
+        self._start(held)
 
     def follow_tenure(self, *, now: float) -> None:
         """Take up targets whose partition this host holds and drop others.
@@ -415,6 +415,7 @@
             }
         self.residents.put(held.target.id, residents, now=now)
         self.changed.set()
+        self.announce()
 
     def republish(self, *, now: float) -> None:
         """Confirm what held targets hold, so that it isn't taken as outdated.
--- a/src/thornlatch/gateway/_peer_loop.py
+++ b/src/thornlatch/gateway/_peer_loop.py
@@ -111,7 +111,7 @@
         while not self.is_stopping:
             wait_s = max(due - read_clock(), 0.0)
             try:
-                ready = dict(poller.poll(wait_s * 1000))
+                ready = dict(poller.poll(int(wait_s * 1000) + 1))
                 if self.wake_reader in ready:
                     os.read(self.wake_reader, 4096)
                 self._take_messages()
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -61,6 +61,8 @@
         repeated is sent to another target.
     wait_objectives : float
         Latency objectives for which a request may wait before it is sent.
+    wait_budget_ratio : float
+        Part of its deadline for which a request may wait before it is sent.
     stream_silence_s : float
         Seconds without an event after which a running stream is taken as broken;
         callers leave after 2.4 s at the least.
@@ -73,6 +75,8 @@
         Requests beyond its slots that are sent to a target, as part of its slots.
     load_penalty_s : float
         Seconds of waiting that one load from the weight store is worth.
+    home_penalty_s : float
+        Seconds of waiting that the first home of an adapter is worth over the last.
     domain_penalty_s : float
         Seconds of waiting that staying in the failure domain is worth.
     """
@@ -82,12 +86,14 @@
     plain_head_s: Seconds = 0.35
     stream_head_objectives: Seconds = 2.5
     wait_objectives: Seconds = 1.0
+    wait_budget_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.25
     stream_silence_s: Seconds = 1.8
     avoid_s: Seconds = 0.5
     avoid_limit_s: Seconds = 4.0
     default_deadline_s: Seconds = 10.0
     queue_ratio: Annotated[float, Meta(ge=0)] = 0.25
     load_penalty_s: Annotated[float, Meta(ge=0)] = 0.15
+    home_penalty_s: Annotated[float, Meta(ge=0)] = 0.5
     domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
 
 
--- a/src/thornlatch/residency/_holder.py
+++ b/src/thornlatch/residency/_holder.py
@@ -34,7 +34,8 @@
     former_load_ratio : float
         Part of that for an adapter that the target held before.
     transit_limit : int
-        Adapters that may be on their way to one target at once.
+        Adapters that are fetched for one target at once; further ones in transit
+        share the weight store's bandwidth and delay each other.
     report_lag_s : float
         Age that a target's report may have.
     retry_s : float
@@ -44,15 +45,31 @@
         target lets its requests finish first.
     recent_use_s : float
         Seconds after its last use for which an adapter isn't evicted.
+    wanted_s : float
+        Seconds after the last request for an adapter for which it is still loaded.
+    late_s : float
+        Seconds after its expected end in which a load may merely be late.
+    late_step_s : float
+        Seconds by which a late load is expected later.
+    slower_ratio, faster_ratio : float
+        Change of the expected time after a late load, and after any load.
+    load_limit_s : float
+        Longest time that a load is expected to take.
     """
 
     adapter_load_s: Annotated[float, Meta(gt=0)] = 0.27
     former_load_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.15
-    transit_limit: Annotated[int, Meta(ge=1)] = 4
+    transit_limit: Annotated[int, Meta(ge=1)] = 1
     report_lag_s: Annotated[float, Meta(ge=0)] = 0.35
     retry_s: Annotated[float, Meta(ge=0)] = 0.2
     replace_after_s: Annotated[float, Meta(ge=0)] = 1.5
     recent_use_s: Annotated[float, Meta(ge=0)] = 0.3
+    wanted_s: Annotated[float, Meta(gt=0)] = 4.0
+    late_s: Annotated[float, Meta(ge=0)] = 2.0
+    late_step_s: Annotated[float, Meta(gt=0)] = 0.06
+    slower_ratio: Annotated[float, Meta(ge=1)] = 1.12
+    faster_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.97
+    load_limit_s: Annotated[float, Meta(gt=0)] = 2.0
 
 
 @dataclass
@@ -65,6 +82,7 @@
 @dataclass
 class _Wanted:
     version: int
+    priority: int
     since: float
     asked_at: float
 
@@ -115,10 +133,19 @@
     report_due_at: float = 0.0
     ordered_at: float = float("-inf")
     paused_until: float = 0.0
-    changed: bool = True
+    load_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.load_s = self.settings.adapter_load_s
 
     def want(
-        self, adapter: str, version: int, *, now: float, was_missing: bool = False
+        self,
+        adapter: str,
+        version: int,
+        *,
+        priority: int,
+        now: float,
+        was_missing: bool = False,
     ) -> None:
         """Ask for an adapter.
 
@@ -128,26 +155,38 @@
             ``model/adapter``.
         version : int
             Lowest version that will do; 0 for any.
+        priority : int
+            Rank of the request that needs it, 0 first.
         now : float
         was_missing : bool
             Whether the target just denied holding it.
         """
         place = self.places.get(adapter)
-        if place is not None and was_missing and now >= place.ready_at:
-            # Belief and target differ; a report decides.
-            self.report_due_at = min(self.report_due_at, now)
-            if self.sequence is not None:
-                self.sequence = None
-                self.report_due_at = now + self.settings.report_lag_s
-        elif place is not None and place.version >= version:
+        if place is not None and was_missing:
+            self._note_missing(place, now)
+            return
+        if place is not None and place.version >= version:
             return
         known = self.wanted.get(adapter)
         if known is None:
-            self.wanted[adapter] = _Wanted(version, now, now)
+            self.wanted[adapter] = _Wanted(version, priority, now, now)
         else:
+            known.priority = min(known.priority, priority)
             known.version = max(known.version, version)
             known.asked_at = now
 
+    def _note_missing(self, place: _Place, now: float) -> None:
+        settings = self.settings
+        if now < place.ready_at:
+            return
+        if now - place.ready_at < settings.late_s:
+            place.ready_at = now + settings.late_step_s
+            longer_s = self.load_s * settings.slower_ratio
+            self.load_s = min(longer_s, settings.load_limit_s)
+        elif self.sequence is not None:
+            # Belief and target differ; a report decides.
+            self._doubt(now)
+
     def note_use(self, uses: Mapping[str, int], *, now: float) -> None:
         """Note which adapters requests use now.
 
@@ -239,7 +278,6 @@
             return
         self.sequence = report.sequence
         self.unanswered = None
-        self.changed = True
         former = self.places
         self.places = {}
         self.model = ""
@@ -255,7 +293,7 @@
             self.paused_until = now + self.settings.retry_s
 
     def get_residents(self, *, now: float) -> tuple[ResidentAdapter, ...]:
-        """Return the adapters that the target holds or fetches.
+        """Return the adapters that the target holds, fetches or will fetch.
 
         Parameters
         ----------
@@ -265,10 +303,18 @@
         -------
         tuple of ResidentAdapter
         """
-        return tuple(
+        known = [
             ResidentAdapter(name, place.version, round(place.ready_at - now, 3))
             for name, place in self.places.items()
-        )
+        ]
+        ready_in_s = max((one.ready_in_s for one in known), default=0.0)
+        ready_in_s = max(ready_in_s, self.model_ready_at - now, 0.0)
+        for name, wanted in self._iter_wanted(now):
+            ready_in_s += self._expect_load_s(name)
+            version = max(wanted.version, self.versions.get_newest(name))
+            if name not in self.places:
+                known.append(ResidentAdapter(name, version, round(ready_in_s, 3)))
+        return tuple(known)
 
     def _choose(
         self, uses: Mapping[str, int], now: float, may_load_model: bool
@@ -299,7 +345,7 @@
     def _load_wanted(
         self, uses: Mapping[str, int], now: float
     ) -> ResidencyOrder | None:
-        for adapter, wanted in list(self.wanted.items()):
+        for adapter, wanted in self._iter_wanted(now):
             place = self.places.get(adapter)
             newest = self.versions.get_newest(adapter)
             if place is not None and place.version >= wanted.version:
@@ -315,6 +361,20 @@
             return self._evict(uses, now)
         return None
 
+    def _iter_wanted(self, now: float) -> list[tuple[str, _Wanted]]:
+        """Return wanted adapters, those of the most urgent requests first."""
+        for name, wanted in list(self.wanted.items()):
+            if now - wanted.asked_at >= self.settings.wanted_s:
+                del self.wanted[name]
+        return sorted(
+            self.wanted.items(), key=lambda item: (item[1].priority, item[1].since)
+        )
+
+    def _expect_load_s(self, adapter: str) -> float:
+        is_former = adapter in self.former and not self.versions.get_newest(adapter)
+        ratio = self.settings.former_load_ratio if is_former else 1.0
+        return self.load_s * ratio
+
     def count_places(self) -> int:
         """Return how many adapters fit beside the model."""
         for model in self.limits.models:
@@ -337,7 +397,6 @@
         return UnloadAdapter(model, name)
 
     def _apply(self, order: ResidencyOrder, now: float) -> None:
-        self.changed = True
         if isinstance(order, LoadModel):
             self.model = order.model
             size = next(m for m in self.limits.models if m.name == order.model)
@@ -354,9 +413,10 @@
             place = self.places[adapter]
             if place.version == order.version and place.ready_at > now:
                 return
-        load_s = self.settings.adapter_load_s
-        if adapter in self.former and self.versions.get_newest(adapter) == 0:
-            load_s *= self.settings.former_load_ratio
+        load_s = self._expect_load_s(adapter)
+        if adapter not in self.former:
+            shorter_s = self.load_s * self.settings.faster_ratio
+            self.load_s = max(shorter_s, self.settings.adapter_load_s)
         self.places[adapter] = _Place(order.version, now + load_s, now)
         self.former.add(adapter)
 
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -72,19 +72,20 @@
             self.residents.pop(target, None)
             self.owned_at.pop(target, None)
 
-    def remove_adapter(self, target: str, adapter: str) -> None:
-        """Forget an adapter that a target denied holding.
+    def delay(self, target: str, adapter: str, *, until: float) -> None:
+        """Note that a target doesn't have an adapter yet.
 
         Parameters
         ----------
         target, adapter : str
+        until : float
+            When it may have it.
         """
         with self.changed:
             former = self.residents.get(target, {})
             if adapter in former:
-                self.residents[target] = {
-                    name: one for name, one in former.items() if name != adapter
-                }
+                resident = Resident(former[adapter].version, until)
+                self.residents[target] = {**former, adapter: resident}
 
     def get(self, target: str, adapter: str) -> Resident | None:
         """Return an adapter's state at a target.
