--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -18,11 +18,14 @@
     version : int
     ready_in_s : float
         Seconds from the digest until it can be used; 0 or less if it can now.
+    is_queued : bool
+        Whether its fetching hasn't begun.
     """
 
     name: str
     version: int
     ready_in_s: float = 0.0
+    is_queued: bool = False
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -5,6 +5,7 @@
 from typing import Any
 
 import logbook
+from waitress.channel import ClientDisconnected
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import ANSWERS, ErrorKind, RequestRefused
@@ -40,6 +41,13 @@
     wire : CallerWire
     forwarder : Forwarder
     metrics : GatewayMetrics
+
+    Attributes
+    ----------
+    is_stopping : bool
+        Whether connections are closed after their answer.
+    is_closing : bool
+        Whether requests are refused, since they might not end before the process.
     """
 
     def __init__(
@@ -49,6 +57,7 @@
         self.forwarder = forwarder
         self.metrics = metrics
         self.is_stopping = False
+        self.is_closing = False
 
     def __call__(
         self, environ: dict[str, Any], start_response: StartResponse
@@ -69,6 +78,10 @@
         try:
             request = self.wire.read_request(environ)
             request_id = request.id
+            if self.is_closing:
+                raise RequestRefused(
+                    ErrorKind.HOST_STOPPING, "this host stops", retry_after_s=0.1
+                )
             answer = self.forwarder.serve(request, is_caller_gone=is_caller_gone)
         except RequestRefused as error:
             return self._refuse(error, request_id, start_response)
@@ -92,7 +105,8 @@
             yield from answer.body
         except RequestRefused as error:
             logger.info("request.broken_off", extra={"why": error.message})
-            raise
+            # Makes waitress close the connection without an end mark or a traceback.
+            raise ClientDisconnected from error
 
     def _refuse(
         self, error: RequestRefused, request: str, start_response: StartResponse
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -1,18 +1,22 @@
 """Assembly of a gateway host: settings, threads, sockets and decisions."""
 
+import logging
 import os
 import signal
 import threading
 import uuid
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
+from dataclasses import fields
 from typing import Any
 
 import logbook
+import logbook.compat
 import waitress
 from prometheus_client import generate_latest
 
 from thornlatch.core import read_clock
+from thornlatch.exceptions import ThornlatchError
 from thornlatch.fleet import (
     HostDigest,
     LoadRequested,
@@ -37,6 +41,7 @@
 logger = logbook.Logger("thornlatch.gateway")
 
 DUE_PERIOD_S = 0.05  # between two looks for callers that left or ran out of time
+RELOAD_TURN_S = 0.25  # between two looks for a SIGHUP
 STOP_TURN_S = 0.05  # between two looks for the end of running requests
 HEADER_LIMIT_BYTES = 1 << 16
 BODY_LIMIT_BYTES = 1 << 23
@@ -127,18 +132,25 @@
             ),
         )
         self.stopping = threading.Event()
+        self.reloading = threading.Event()
         self.targets_known = False
         self.reported_ready = False
         self.live_peers: frozenset[str] = frozenset()
         self.executor = ThreadPoolExecutor(16, "gateway")
 
-    def run(self, feeds: Iterable[Callable[[], None]] = ()) -> int:
+    def run(
+        self,
+        feeds: Iterable[Callable[[], None]] = (),
+        read_settings: Callable[[], GatewaySettings] | None = None,
+    ) -> int:
         """Serve until a planned stop.
 
         Parameters
         ----------
         feeds : iterable of callable
             Loops of the adapter, each run in a thread of its own until `stopping`.
+        read_settings : callable or None
+            Reads the settings anew at SIGHUP.
 
         Returns
         -------
@@ -148,12 +160,18 @@
         with self.log.applicationbound():
             for number in (signal.SIGTERM, signal.SIGINT):
                 signal.signal(number, lambda *_: self.stopping.set())
+            signal.signal(signal.SIGHUP, lambda *_: self.reloading.set())
+            redirect = logbook.compat.RedirectLoggingHandler()
+            logging.getLogger("waitress").addHandler(redirect)
             logger.info("host.started", extra={"pid": os.getpid()})
             servers = self._build_servers()
             loops = [self.log.run, self.peer_loop.run, self._end_due_requests]
             for loop in (*loops, *feeds, *[server.run for server in servers]):
                 self.executor.submit(self._run_loop, loop)
-            self.stopping.wait()
+            while not self.stopping.wait(RELOAD_TURN_S):
+                if self.reloading.is_set():
+                    self.reloading.clear()
+                    self._reload(read_settings)
             self._stop()
             logger.info("host.stopped", extra={"running": len(self.work.running)})
             self.log.close()
@@ -289,6 +307,28 @@
         """Note that the platform's store couldn't be read."""
         self.registry.note_failure(now=read_clock())
 
+    def _reload(self, read_settings: Callable[[], GatewaySettings] | None) -> None:
+        """Take over the settings that can change while the host runs."""
+        if read_settings is None:
+            return
+        try:
+            settings = read_settings()
+        except ThornlatchError as error:
+            # The settings in force go on.
+            logger.warning("host.reload_failed", extra={"error": error.message})
+            return
+        self.in_force.settings = settings.freshness
+        self.registry.settings = settings.registry
+        self.retries.settings = settings.retries
+        self.versions.settings = settings.versions
+        changed = [
+            one.name
+            for one in fields(settings)
+            if getattr(settings, one.name) != getattr(self.settings, one.name)
+        ]
+        self.settings = settings
+        logger.info("host.reloaded", extra={"changed": changed})
+
     def _share_model_loads(self) -> None:
         configuration = self.in_force.configuration
         if configuration is None:
@@ -401,7 +441,7 @@
             if self.peers.get_holder(held.target, now=now) != host:
                 continue
             residents = {
-                one.name: Resident(one.version, now + one.ready_in_s)
+                one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
                 for one in held.adapters
             }
             self.residents.put(held.target, residents, now=now)
@@ -467,8 +507,10 @@
             elapsed = read_clock() - began_at
             if elapsed >= settings.grace_s - settings.margin_s:
                 break
-            if elapsed >= settings.linger_s and not self.work.running:
-                break
+            if elapsed >= settings.linger_s:
+                self.app.is_closing = True
+                if not self.work.running:
+                    break
             pause.wait(STOP_TURN_S)
         self.peer_loop.stop()
         pause.wait(STOP_TURN_S)
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -178,6 +178,20 @@
         self.publish(held, now)
         self._start(held)
 
+    def count_engines(self) -> int:
+        """Return the engines that take new work.
+
+        The weight store keeps its speed for about as many adapters in transit.
+        """
+        configuration = self.in_force.configuration
+        if configuration is None:
+            return 0
+        return sum(
+            len(self.registry.get_ready(service.name))
+            for service in configuration.services.values()
+            if service.engine is not None
+        )
+
     def follow_tenure(self, *, now: float) -> None:
         """Take up targets whose partition this host holds and drop others.
 
@@ -310,6 +324,7 @@
             self._get_uses(held.target.id),
             now=now,
             may_load_model=self.model_loads.has_room(now=now),
+            may_share=self.residents.count_in_transit(now=now) < self.count_engines(),
         )
 
     def _run(self, held: _Held) -> None:
@@ -410,7 +425,7 @@
         """
         with held.lock:
             residents = {
-                one.name: Resident(one.version, now + one.ready_in_s)
+                one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
                 for one in held.holder.get_residents(now=now)
             }
         self.residents.put(held.target.id, residents, now=now)
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -39,7 +39,6 @@
 @dataclass
 class _Peer:
     heard_at: float
-    spent: dict[str, int]
     is_silent: bool = False
 
 
@@ -71,6 +70,8 @@
         self.lock = threading.Lock()
         self.buckets: dict[str, _Bucket] = {}
         self.peers: dict[str, _Peer] = {}
+        # Kept after a peer has gone: one that is stopping still speaks for a while.
+        self.totals: dict[str, dict[str, int]] = {}
 
     def set_organisations(
         self, organisations: Iterable[Organisation], *, now: float
@@ -110,7 +111,7 @@
                     # It has gone; what it was taken to have spent, it may have.
                     bucket.assumed.pop(name, None)
             for name in known - self.peers.keys():
-                self.peers[name] = _Peer(now, {})
+                self.peers[name] = _Peer(now)
 
     def take_digest(
         self, host: str, spent: Mapping[str, int], levels: Mapping[str, int], now: float
@@ -128,21 +129,25 @@
         """
         with self.lock:
             self._advance(now)
-            peer = self.peers.get(host)
             is_settling = now - self.started_at < self.settings.settle_s
-            if peer is None:
-                peer = self.peers[host] = _Peer(now, {})
+            totals = self.totals.setdefault(host, {})
             for name, bucket in self.buckets.items():
                 total = spent.get(name, 0)
-                if name not in peer.spent and is_settling:
+                if name not in totals and is_settling:
                     self._adopt(bucket, levels.get(name))
                 else:
-                    bucket.level -= total - peer.spent.get(name, 0)
-                    bucket.level += bucket.assumed.pop(host, 0.0)
-                peer.spent[name] = total
+                    fresh = total - totals.get(name, 0)
+                    if name not in totals:
+                        # What it spent long ago has been made up for by the rate.
+                        fresh = min(fresh, int(bucket.burst))
+                    bucket.level -= fresh
+                bucket.level += bucket.assumed.pop(host, 0.0)
+                totals[name] = total
                 bucket.level = min(bucket.level, bucket.burst)
-            peer.heard_at = now
-            peer.is_silent = False
+            peer = self.peers.get(host)
+            if peer is not None:
+                peer.heard_at = now
+                peer.is_silent = False
 
     def take(self, organisation: str, tokens: int, *, now: float) -> float | None:
         """Spend tokens, or return when there will be enough.
--- a/src/thornlatch/residency/_holder.py
+++ b/src/thornlatch/residency/_holder.py
@@ -34,8 +34,7 @@
     former_load_ratio : float
         Part of that for an adapter that the target held before.
     transit_limit : int
-        Adapters that are fetched for one target at once; further ones in transit
-        share the weight store's bandwidth and delay each other.
+        Adapters that a target accepts in transit at once.
     report_lag_s : float
         Age that a target's report may have.
     retry_s : float
@@ -59,7 +58,7 @@
 
     adapter_load_s: Annotated[float, Meta(gt=0)] = 0.27
     former_load_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.15
-    transit_limit: Annotated[int, Meta(ge=1)] = 1
+    transit_limit: Annotated[int, Meta(ge=1)] = 4
     report_lag_s: Annotated[float, Meta(ge=0)] = 0.35
     retry_s: Annotated[float, Meta(ge=0)] = 0.2
     replace_after_s: Annotated[float, Meta(ge=0)] = 1.5
@@ -214,7 +213,12 @@
         return self.sequence is None and now >= self.report_due_at
 
     def next_order(
-        self, uses: Mapping[str, int], *, now: float, may_load_model: bool
+        self,
+        uses: Mapping[str, int],
+        *,
+        now: float,
+        may_load_model: bool,
+        may_share: bool = False,
     ) -> NumberedOrder | None:
         """Return the order to send now, if there is one.
 
@@ -225,6 +229,9 @@
         now : float
         may_load_model : bool
             Whether the weight store's rate allows another model.
+        may_share : bool
+            Whether another adapter may be fetched beside one in transit: if the
+            weight store is busy, they would only delay each other.
 
         Returns
         -------
@@ -234,7 +241,7 @@
             return None
         if self.unanswered is not None:
             return NumberedOrder(self.unanswered.order, self.unanswered.expected)
-        order = self._choose(uses, now, may_load_model)
+        order = self._choose(uses, now, may_load_model, may_share)
         return NumberedOrder(order, self.sequence) if order is not None else None
 
     def take_outcome(
@@ -313,11 +320,15 @@
             ready_in_s += self._expect_load_s(name)
             version = max(wanted.version, self.versions.get_newest(name))
             if name not in self.places:
-                known.append(ResidentAdapter(name, version, round(ready_in_s, 3)))
+                known.append(ResidentAdapter(name, version, round(ready_in_s, 3), True))
         return tuple(known)
 
     def _choose(
-        self, uses: Mapping[str, int], now: float, may_load_model: bool
+        self,
+        uses: Mapping[str, int],
+        now: float,
+        may_load_model: bool,
+        may_share: bool,
     ) -> ResidencyOrder | None:
         if not self.model:
             if may_load_model and self.limits.models:
@@ -326,7 +337,7 @@
         if now < self.model_ready_at:
             return None
         in_transit = sum(1 for place in self.places.values() if place.ready_at > now)
-        if in_transit >= self.settings.transit_limit:
+        if in_transit >= (self.settings.transit_limit if may_share else 1):
             return None
         return self._replace_old(uses, now) or self._load_wanted(uses, now)
 
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -16,10 +16,13 @@
         0 if it isn't known.
     ready_at : float
         When it can be used, in seconds of `read_clock`.
+    is_queued : bool
+        Whether its fetching hasn't begun.
     """
 
     version: int
     ready_at: float
+    is_queued: bool = False
 
 
 class ResidentTable:
@@ -100,6 +103,24 @@
         """
         return self.residents.get(target, {}).get(adapter)
 
+    def count_in_transit(self, *, now: float) -> int:
+        """Return the adapters that all targets together fetch.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        int
+        """
+        return sum(
+            1
+            for residents in list(self.residents.values())
+            for one in residents.values()
+            if one.ready_at > now and not one.is_queued
+        )
+
     def wait(self, timeout_s: float) -> None:
         """Wait until something changes.
 
