--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -61,8 +61,8 @@
         Whether a host that is heard of orders its adapters.
     in_transit : int
         Adapters on their way to it.
-    prefix_tokens : int
-        Tokens of the prompt that it keeps, as far as is known.
+    was_resident : bool
+        Whether it held the adapter before, and so loads it faster.
     """
 
     requests: int
@@ -70,7 +70,7 @@
     resident: Resident | None = None
     is_held: bool = True
     in_transit: int = 0
-    prefix_tokens: int = 0
+    was_resident: bool = False
 
 
 @dataclass(frozen=True)
@@ -89,6 +89,8 @@
         Targets that have failed it.
     load_s : float
         Seconds that a load is expected to take.
+    former_load_s : float
+        The same at a target that held the adapter before.
     service_s : float
         Mean seconds of a request at the service's targets.
     """
@@ -98,6 +100,7 @@
     failure_domain: str
     excluded: frozenset[str]
     load_s: float
+    former_load_s: float
     service_s: float
 
 
@@ -178,9 +181,14 @@
         return Option(target, step, wait_s, cost_s, resident.version)
     if not state.is_held:
         return None
-    load_s = demand.load_s * (1 + state.in_transit)
+    load_s = demand.load_s * state.in_transit
+    if state.was_resident:
+        load_s += demand.former_load_s
+    else:
+        load_s += demand.load_s
+        cost_s += settings.load_penalty_s
     wait_s = max(load_s, queue_s)
-    cost_s += wait_s - queue_s + settings.load_penalty_s
+    cost_s += wait_s - queue_s
     cost_s += rank_home(demand.adapter, target.id) * settings.home_penalty_s
     return Option(target, Step.ASK_LOAD, wait_s, cost_s)
 
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -216,6 +216,10 @@
             raise RequestRefused(
                 ErrorKind.HOST_UNCONFIRMED, "no configuration yet", retry_after_s=0.5
             )
+        if not self.quota.knows_peers:
+            raise RequestRefused(
+                ErrorKind.HOST_UNCONFIRMED, "no list of hosts yet", retry_after_s=0.2
+            )
         route = table.match(request.host, request.path)
         if route is None:
             if not self.in_force.is_fresh(now=now):
@@ -332,7 +336,7 @@
                     continue
                 if call.may_have_run:
                     raise self._build_failure(call)
-                if now + WAIT_TURN_S >= wait_until or not asked:
+                if now + WAIT_TURN_S >= wait_until:
                     raise self._refuse(call, ErrorKind.NO_TARGET, 0.5, "no target")
                 self.residents.wait(WAIT_TURN_S)
                 continue
@@ -369,12 +373,14 @@
     ) -> list[Option]:
         adapter = call.request.adapter
         required = self.versions.get_required(adapter, now=now) if adapter else 0
+        holder = self.orders.settings
         demand = Demand(
             adapter,
             required,
             self.failure_domain,
             frozenset(call.excluded),
-            self.orders.settings.adapter_load_s,
+            holder.adapter_load_s,
+            holder.adapter_load_s * holder.former_load_ratio,
             self.health.get_service_s(call.service),
         )
 
@@ -393,6 +399,7 @@
                 self.residents.get(target.id, adapter),
                 has_answered and self.orders.is_held(target.id, now=now),
                 self.orders.count_in_transit(target.id, now=now),
+                self.residents.was_at(target.id, adapter),
             )
 
         targets = self.registry.get_ready(call.service)
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -233,6 +233,7 @@
             ordered_at = heard_at - last.ordered_ago_s
             orders_from = max(now, ordered_at + self.tenure.settings.lease_s)
         holder = TargetHolder(self.settings, limits, self.versions)
+        holder.former |= self.residents.formers.get(target.id, set())
         self.held[target.id] = _Held(target, partition, holder, orders_from)
         self.changed.set()
         logger.info(
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -86,13 +86,13 @@
     plain_head_s: Seconds = 0.35
     stream_head_objectives: Seconds = 2.5
     wait_objectives: Seconds = 1.0
-    wait_budget_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.25
+    wait_budget_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.35
     stream_silence_s: Seconds = 1.8
     avoid_s: Seconds = 0.5
     avoid_limit_s: Seconds = 4.0
     default_deadline_s: Seconds = 10.0
     queue_ratio: Annotated[float, Meta(ge=0)] = 0.25
-    load_penalty_s: Annotated[float, Meta(ge=0)] = 0.15
+    load_penalty_s: Annotated[float, Meta(ge=0)] = 0.5
     home_penalty_s: Annotated[float, Meta(ge=0)] = 0.5
     domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
 
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -31,7 +31,7 @@
         Seconds without a digest after which a peer's spending is assumed.
     """
 
-    first_fill_s: Annotated[float, Meta(ge=0)] = 0.25
+    first_fill_s: Annotated[float, Meta(ge=0)] = 0.8
     settle_s: Annotated[float, Meta(ge=0)] = 1.5
     silent_s: Annotated[float, Meta(gt=0)] = 0.45
 
@@ -67,6 +67,7 @@
     def __init__(self, settings: QuotaSettings, *, now: float) -> None:
         self.settings = settings
         self.started_at = now
+        self.knows_peers = False
         self.lock = threading.Lock()
         self.buckets: dict[str, _Bucket] = {}
         self.peers: dict[str, _Peer] = {}
@@ -104,6 +105,7 @@
         """
         with self.lock:
             self._advance(now)
+            self.knows_peers = True
             known = set(peers)
             for name in self.peers.keys() - known:
                 del self.peers[name]
@@ -111,7 +113,8 @@
                     # It has gone; what it was taken to have spent, it may have.
                     bucket.assumed.pop(name, None)
             for name in known - self.peers.keys():
-                self.peers[name] = _Peer(now)
+                # Until it is heard of it may spend its part.
+                self.peers[name] = _Peer(float("-inf"))
 
     def take_digest(
         self, host: str, spent: Mapping[str, int], levels: Mapping[str, int], now: float
--- a/src/thornlatch/residency/_holder.py
+++ b/src/thornlatch/residency/_holder.py
@@ -22,6 +22,8 @@
 from thornlatch.residency._versions import AdapterVersions
 from thornlatch.routing import EngineLimits
 
+PRIORITY_WEIGHT = 1.5  # of a request over one that is a rank less urgent
+
 
 @dataclass(frozen=True)
 class HolderSettings:
@@ -81,9 +83,9 @@
 @dataclass
 class _Wanted:
     version: int
-    priority: int
     since: float
     asked_at: float
+    weight: float = 0.0
 
 
 @dataclass
@@ -168,11 +170,10 @@
             return
         known = self.wanted.get(adapter)
         if known is None:
-            self.wanted[adapter] = _Wanted(version, priority, now, now)
-        else:
-            known.priority = min(known.priority, priority)
-            known.version = max(known.version, version)
-            known.asked_at = now
+            known = self.wanted[adapter] = _Wanted(version, now, now)
+        known.version = max(known.version, version)
+        known.asked_at = now
+        known.weight += PRIORITY_WEIGHT**-priority
 
     def _note_missing(self, place: _Place, now: float) -> None:
         settings = self.settings
@@ -373,12 +374,12 @@
         return None
 
     def _iter_wanted(self, now: float) -> list[tuple[str, _Wanted]]:
-        """Return wanted adapters, those of the most urgent requests first."""
+        """Return wanted adapters, those that most and urgent requests need first."""
         for name, wanted in list(self.wanted.items()):
             if now - wanted.asked_at >= self.settings.wanted_s:
                 del self.wanted[name]
         return sorted(
-            self.wanted.items(), key=lambda item: (item[1].priority, item[1].since)
+            self.wanted.items(), key=lambda item: (-item[1].weight, item[1].since)
         )
 
     def _expect_load_s(self, adapter: str) -> float:
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -32,6 +32,7 @@
         self.changed = threading.Condition()
         self.residents: dict[str, dict[str, Resident]] = {}
         self.owned_at: dict[str, float] = {}
+        self.formers: dict[str, set[str]] = {}
 
     def put(self, target: str, residents: dict[str, Resident], *, now: float) -> None:
         """Take what a target's holder says of it.
@@ -44,6 +45,8 @@
         """
         with self.changed:
             self.owned_at[target] = now
+            arrived = {name for name, one in residents.items() if not one.is_queued}
+            self.formers.setdefault(target, set()).update(arrived)
             if self.residents.get(target) != residents:
                 self.residents[target] = residents
                 self.changed.notify_all()
@@ -74,6 +77,20 @@
         with self.changed:
             self.residents.pop(target, None)
             self.owned_at.pop(target, None)
+            self.formers.pop(target, None)
+
+    def was_at(self, target: str, adapter: str) -> bool:
+        """Return whether a target held an adapter before, and so loads it faster.
+
+        Parameters
+        ----------
+        target, adapter : str
+
+        Returns
+        -------
+        bool
+        """
+        return adapter in self.formers.get(target, ())
 
     def delay(self, target: str, adapter: str, *, until: float) -> None:
         """Note that a target doesn't have an adapter yet.
--- a/src/thornlatch/residency/_tenure.py
+++ b/src/thornlatch/residency/_tenure.py
@@ -22,7 +22,7 @@
     """
 
     lease_s: Annotated[float, Meta(ge=0)] = 3.0
-    ttl_s: Annotated[float, Meta(gt=0)] = 2.5
+    ttl_s: Annotated[float, Meta(gt=0)] = 2.0
     is_fenced: bool = True
 
 
