Load no second copy of an adapter while the first one has room

Change: a fetch isn't offered while a resident copy has free slots, and a holder drops a wish that another target answers meanwhile.

--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -127,12 +127,21 @@
     -------
     list of Option
     """
+    states = {t.id: get_state(t) for t in targets if t.id not in demand.excluded}
+    has_room = any(
+        _has_room(t, states[t.id], demand) for t in targets if t.id in states
+    )
     options = []
     for target in targets:
-        if target.id in demand.excluded:
+        if target.id not in states:
             continue
-        option = _rate(target, get_state(target), demand, settings, now)
-        if option is not None:
+        option = _rate(target, states[target.id], demand, settings, now)
+        if option is None:
+            continue
+        is_fetch = option.step is Step.ASK_LOAD and not states[target.id].was_resident
+        # The weight store is the bottleneck when much is asked for: a second copy
+        # would delay what others wait for.
+        if not (is_fetch and has_room):
             options.append(option)
     return sorted(options, key=lambda option: option.cost_s)
 
@@ -154,6 +163,16 @@
     return zlib.crc32(f"{adapter}@{target}".encode()) / (1 << 32)
 
 
+def _has_room(target: Target, state: TargetState, demand: Demand) -> bool:
+    resident = state.resident
+    return (
+        resident is not None
+        and _will_do(resident.version, demand.version)
+        and not state.is_avoided
+        and state.requests < target.slots
+    )
+
+
 def _rate(
     target: Target,
     state: TargetState,
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -167,6 +167,8 @@
             if holder is not None:
                 self.send(holder, wish)
             return
+        if not wish.was_missing and self._is_served_elsewhere(wish):
+            return
         with held.lock:
             held.holder.want(
                 wish.adapter,
@@ -178,6 +180,24 @@
         self.publish(held, now)
         self._start(held)
 
+    def _is_served_elsewhere(self, wish: LoadRequested) -> bool:
+        """Return whether a target with room got the adapter in the meantime.
+
+        Two hosts that miss it at the same moment may choose different targets.
+        """
+        service = self.held[wish.target].target.service
+        for target in self.registry.get_ready(service):
+            if target.id == wish.target:
+                continue
+            resident = self.residents.get(target.id, wish.adapter)
+            if resident is None or resident.version < wish.version:
+                continue
+            requests = self.work.get_total(target.id)
+            requests += self.peers.get_running(target.id)
+            if requests < target.slots:
+                return True
+        return False
+
     def count_engines(self) -> int:
         """Return the engines that take new work.
 
