Count a restarted host's copy of a quota down, never up

Cause: the new history test over seeded cuts and restarts found windows over the quota at the start: a host that took over its peers' level got the parts back that it had set aside for them as well (10,500 tokens where 10,183 are allowed). Refused callers were all told the same few ms.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -69,6 +69,8 @@
     held_names : tuple of str
         Targets whose adapters the sender orders.
     is_stopping : bool
+    broken : dict of str to int
+        Fingerprints of requests to the runs of them that broke off.
     """
 
     sent_at: float
@@ -78,6 +80,7 @@
     held: tuple[HeldTarget, ...] | None
     held_names: tuple[str, ...]
     is_stopping: bool
+    broken: dict[str, int]
 
 
 @register
--- /dev/null
+++ b/src/thornlatch/fleet/tests/test_digests.py
@@ -0,0 +1,60 @@
+"""The view that a host has of its peers."""
+
+from thornlatch.fleet import (
+    HeldTarget,
+    HostDigest,
+    PeerView,
+    PeerViewSettings,
+    ResidentAdapter,
+)
+
+
+def digest(at, running=(), held=None, names=()):
+    return HostDigest(at, running, {}, {}, held, names, False, {})
+
+
+def held(token, ago_s=1.0):
+    return HeldTarget("t", 1, token, ago_s, (ResidentAdapter("m/a", 1),))
+
+
+def build():
+    return PeerView(PeerViewSettings(silent_s=0.45))
+
+
+def test_requests_of_all_live_peers_are_summed():
+    view = build()
+    view.take("a", digest(1, (("t", "m/a", 2), ("t", "", 1))), now=1.0)
+    view.take("b", digest(1, (("t", "m/a", 3),)), now=1.0)
+    assert view.get_running("t") == 6
+    assert view.get_adapter_use("t")["m/a"] == 5
+    view.take("b", digest(2, (("t", "m/a", 1),)), now=2.0)
+    assert view.get_running("t") == 1
+
+
+def test_older_digest_changes_nothing():
+    view = build()
+    view.take("a", digest(2, (("t", "", 1),)), now=1.0)
+    view.take("a", digest(1, (("t", "", 9),)), now=1.1)
+    assert view.get_running("t") == 1
+
+
+def test_holder_with_the_higher_token_wins():
+    view = build()
+    view.take("a", digest(1, held=(held(5),), names=("t",)), now=1.0)
+    view.take("b", digest(1, held=(held(7),), names=("t",)), now=1.0)
+    view.take("a", digest(2, names=("t",)), now=1.1)
+    assert view.get_holder("t", now=1.1) == "b"
+
+
+def test_silent_holder_is_none():
+    view = build()
+    view.take("a", digest(1, held=(held(5),), names=("t",)), now=1.0)
+    assert view.get_holder("t", now=1.4) == "a"
+    assert view.get_holder("t", now=1.5) is None
+
+
+def test_forgotten_host_is_no_longer_live():
+    view = build()
+    view.take("a", digest(1), now=1.0)
+    view.forget("a")
+    assert view.iter_live(now=1.0) == []
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -26,6 +26,7 @@
     TargetWire,
 )
 from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.gateway._suspects import CrashSuspects, fingerprint_request
 from thornlatch.gateway._work import Running, WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import AdapterVersions, ResidentTable
@@ -44,6 +45,7 @@
 SEND_LIMIT = 6  # sends of one request, those that targets rejected included
 ASK_AGAIN_S = 0.1  # a holder that hasn't loaded by then is taken as not answering
 WAIT_TURN_S = 0.05  # longest sleep of a waiting request between two looks
+NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SHORTEST_RETRY_S = 0.1  # shortest time that callers are told to wait
 NOT_OFFERED_MARGIN_S = 0.05  # time left below which sending is pointless
 
@@ -77,6 +79,7 @@
     running: Running
     began_at: float
     tokens: int
+    fingerprint: str
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
@@ -134,6 +137,7 @@
     orders : OrderManager
     work : WorkTable
     health : TargetHealth
+    suspects : CrashSuspects
     metrics : GatewayMetrics
     """
 
@@ -153,6 +157,7 @@
         orders: OrderManager,
         work: WorkTable,
         health: TargetHealth,
+        suspects: CrashSuspects,
         metrics: GatewayMetrics,
     ) -> None:
         self.settings = settings
@@ -168,6 +173,7 @@
         self.orders = orders
         self.work = work
         self.health = health
+        self.suspects = suspects
         self.metrics = metrics
 
     def serve(
@@ -239,6 +245,11 @@
             is_caller_gone,
             key=request.key or "",
         )
+        fingerprint = fingerprint_request(request)
+        if self.suspects.must_keep_away(fingerprint):
+            raise RequestRefused(
+                ErrorKind.TARGET_FAILED, "targets broke off its runs before"
+            )
         tokens = _count_tokens(request, organisation)
         if organisation is not None:
             wait_s = self.quota.take(organisation.name, tokens, now=now)
@@ -256,6 +267,7 @@
             running,
             now,
             tokens,
+            fingerprint,
             last_event=request.last_event,
         )
 
@@ -303,7 +315,11 @@
             call.is_first_sent = True
             self.retries.note_first(call.service, now=now)
             return
-        is_exhausted = call.sends >= SEND_LIMIT or call.runs >= call.route.max_attempts
+        is_exhausted = (
+            call.sends >= SEND_LIMIT
+            or call.runs >= call.route.max_attempts
+            or self.suspects.must_keep_away(call.fingerprint)
+        )
         if is_exhausted or not self.retries.take(call.service, now=now):
             raise self._build_failure(call)
 
@@ -470,6 +486,9 @@
             if head.is_not_run:
                 response.read_all(BODY_LIMIT_BYTES)
                 raise _Rejected(head)
+            if head.status in NOT_RUN_STATUSES:
+                # Callers would take it as a promise that the target hasn't made.
+                raise TargetError(f"unconfirmed {head.status}", is_sent=True)
             if head.request and head.request != call.request.id:
                 raise TargetError("answer to another request", is_sent=True)
             if head.status < 300 and not head.is_signed:
@@ -632,6 +651,8 @@
         avoided_s = 0.0
         if call.running.stop_reason is None:
             now = read_clock()
+            if error.is_sent:
+                self.suspects.note_broken(call.fingerprint, now=now)
             avoided_s = self.health.note_failure(
                 target.id, now=now, is_unreachable=True
             )
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -15,7 +15,7 @@
 import waitress
 from prometheus_client import generate_latest
 
-from thornlatch.core import read_clock
+from thornlatch.core import get_host_name, read_clock
 from thornlatch.exceptions import ThornlatchError
 from thornlatch.fleet import (
     HostDigest,
@@ -33,6 +33,7 @@
 from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
 from thornlatch.gateway._ports import CallerWire, TargetWire
 from thornlatch.gateway._settings import GatewaySettings
+from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import AdapterVersions, Resident, ResidentTable, Tenure
@@ -87,6 +88,7 @@
         self.tenure = Tenure(settings.tenure)
         self.work = WorkTable()
         self.health = TargetHealth(settings.forwarding)
+        self.suspects = CrashSuspects(settings.suspects)
         self.orders = OrderManager(
             settings.holder,
             partitions=partitions,
@@ -116,6 +118,7 @@
             orders=self.orders,
             work=self.work,
             health=self.health,
+            suspects=self.suspects,
             metrics=self.metrics,
         )
         self.app = GatewayApplication(callers, self.forwarder, self.metrics)
@@ -134,6 +137,8 @@
         self.stopping = threading.Event()
         self.reloading = threading.Event()
         self.targets_known = False
+        self.missing_since: dict[str, float] = {}
+        self.absent: set[str] = set()
         self.reported_ready = False
         self.live_peers: frozenset[str] = frozenset()
         self.executor = ThreadPoolExecutor(16, "gateway")
@@ -272,10 +277,9 @@
         now = read_clock()
         for host in self.peer_loop.members.keys() - others.keys():
             self.peers.forget(host)
-        self.quota.set_peers(others, now=now)
-        self.retries.hosts = len(others) + 1
-        self._share_model_loads()
+        self.suspects.forget_others(others)
         self.peer_loop.set_members(others)
+        self._share_among(others, now)
         logger.info("fleet.hosts_known", extra={"hosts": sorted(others)})
 
     def renew_tenure(
@@ -292,6 +296,7 @@
         if self.stopping.is_set():
             return
         gained, lost = self.tenure.renew(partitions, generation, asked_at=asked_at)
+        self.in_force.note_renewal(asked_at=asked_at)
         if gained or lost:
             logger.info(
                 "tenure.changed",
@@ -303,6 +308,60 @@
             )
         self.orders.follow_tenure(now=read_clock())
 
+    def has_silent_peers(self, *, now: float) -> bool:
+        """Return whether a known host isn't heard of.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        members = list(self.peer_loop.members)
+        return any(not self.peers.is_live(host, now=now) for host in members)
+
+    def take_store_members(self, names: frozenset[str], *, asked_at: float) -> None:
+        """Stop setting aside a part for hosts that can't serve any more.
+
+        A host that isn't in the store's group can't confirm the configuration, and so
+        takes no requests with keys, some seconds after its last renewal.
+
+        Parameters
+        ----------
+        names : frozenset of str
+            Names of the hosts that the store's group holds.
+        asked_at : float
+        """
+        members = list(self.peer_loop.members)
+        if len(members) + 1 > self.orders.partitions:
+            # Members of the group without a partition aren't listed.
+            return
+        missing = {
+            host
+            for host in members
+            if get_host_name(host) not in names
+            and not self.peers.is_live(host, now=asked_at)
+        }
+        self.missing_since = {
+            host: self.missing_since.get(host, asked_at) for host in missing
+        }
+        limit_s = self.in_force.settings.revocation_s
+        limit_s -= self.tenure.settings.ttl_s
+        absent = {h for h, at in self.missing_since.items() if asked_at - at >= limit_s}
+        if absent != self.absent:
+            self.absent = absent
+            logger.info("fleet.hosts_absent", extra={"hosts": sorted(absent)})
+            self._share_among(members, asked_at)
+
+    def _share_among(self, others: Iterable[str], now: float) -> None:
+        """Divide what all hosts together may use."""
+        sharing = [host for host in others if host not in self.absent]
+        self.quota.set_peers(sharing, now=now)
+        self.retries.hosts = len(sharing) + 1
+        self._share_model_loads()
+
     def note_store_failure(self) -> None:
         """Note that the platform's store couldn't be read."""
         self.registry.note_failure(now=read_clock())
@@ -432,11 +491,17 @@
             self.orders.build_held(now=now),
             self.orders.list_names(),
             self.stopping.is_set(),
+            self.suspects.list_own(now=now),
         )
 
     def _take_digest(self, host: str, digest: HostDigest, now: float) -> None:
+        if host in self.absent:
+            self.absent.discard(host)
+            self.missing_since.pop(host, None)
+            self._share_among(list(self.peer_loop.members), now)
         self.peers.take(host, digest, now=now)
         self.quota.take_digest(host, digest.spent, digest.levels, now=now)
+        self.suspects.take_peer(host, digest.broken)
         for held in digest.held or ():
             if self.peers.get_holder(held.target, now=now) != host:
                 continue
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -8,6 +8,7 @@
 from thornlatch.daemon._peers import PeerSettings
 from thornlatch.fleet import PeerViewSettings, RegistrySettings
 from thornlatch.gateway._logs import LogSettings
+from thornlatch.gateway._suspects import SuspectSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
 from thornlatch.residency import HolderSettings, TenureSettings, VersionSettings
 from thornlatch.routing import FreshnessSettings
@@ -134,6 +135,7 @@
     tenure : TenureSettings
     versions : VersionSettings
     forwarding : ForwardingSettings
+    suspects : SuspectSettings
     stop : StopSettings
     logs : LogSettings
     """
@@ -149,5 +151,6 @@
     tenure: TenureSettings = field(default_factory=TenureSettings)
     versions: VersionSettings = field(default_factory=VersionSettings)
     forwarding: ForwardingSettings = field(default_factory=ForwardingSettings)
+    suspects: SuspectSettings = field(default_factory=SuspectSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -29,11 +29,14 @@
         Seconds after the start in which peers' figures are taken as a beginning.
     silent_s : float
         Seconds without a digest after which a peer's spending is assumed.
+    wait_limit_s : float
+        Longest time that a refused caller is told to wait.
     """
 
     first_fill_s: Annotated[float, Meta(ge=0)] = 0.8
     settle_s: Annotated[float, Meta(ge=0)] = 1.5
     silent_s: Annotated[float, Meta(gt=0)] = 0.45
+    wait_limit_s: Annotated[float, Meta(gt=0)] = 5.0
 
 
 @dataclass
@@ -49,7 +52,8 @@
     level: float
     updated_at: float
     spent: int = 0
-    is_adopted: bool = False
+    # Tokens of refused callers who were told to come back later.
+    promised: float = 0.0
     # What silent peers are taken to have spent since they were last heard of.
     assumed: dict[str, float] = field(default_factory=dict)
 
@@ -136,15 +140,17 @@
             totals = self.totals.setdefault(host, {})
             for name, bucket in self.buckets.items():
                 total = spent.get(name, 0)
+                bucket.level += bucket.assumed.pop(host, 0.0)
                 if name not in totals and is_settling:
-                    self._adopt(bucket, levels.get(name))
+                    # What was spent before this host's start stands in the level.
+                    level = levels.get(name, bucket.burst) - bucket.spent
+                    bucket.level = min(bucket.level, level)
                 else:
                     fresh = total - totals.get(name, 0)
                     if name not in totals:
                         # What it spent long ago has been made up for by the rate.
                         fresh = min(fresh, int(bucket.burst))
                     bucket.level -= fresh
-                bucket.level += bucket.assumed.pop(host, 0.0)
                 totals[name] = total
                 bucket.level = min(bucket.level, bucket.burst)
             peer = self.peers.get(host)
@@ -174,7 +180,10 @@
             # A request larger than the burst would never get through otherwise.
             needed = min(tokens, bucket.burst)
             if bucket.level < needed:
-                return (needed - bucket.level) / bucket.rate
+                # Told the same time, all refused callers would come back at once.
+                missing = needed + bucket.promised - bucket.level
+                bucket.promised += tokens
+                return min(missing / bucket.rate, self.settings.wait_limit_s)
             bucket.level -= tokens
             bucket.spent += tokens
             return None
@@ -215,12 +224,6 @@
                 {name: int(bucket.level) for name, bucket in limited.items()},
             )
 
-    def _adopt(self, bucket: _Bucket, level: int | None) -> None:
-        if level is None or bucket.is_adopted:
-            return
-        bucket.is_adopted = True
-        bucket.level = min(level - bucket.spent, bucket.burst)
-
     def _advance(self, now: float) -> None:
         part = 1 / (len(self.peers) + 1)
         for name, peer in self.peers.items():
@@ -234,6 +237,7 @@
             elapsed = max(now - bucket.updated_at, 0.0)
             bucket.updated_at = now
             bucket.level = min(bucket.level + bucket.rate * elapsed, bucket.burst)
+            bucket.promised = max(bucket.promised - bucket.rate * elapsed, 0.0)
             for name, peer in self.peers.items():
                 if peer.is_silent:
                     self._assume(bucket, name, bucket.rate * elapsed * part)
--- /dev/null
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -0,0 +1,141 @@
+"""Quotas over all hosts, under the loads and faults that they are meant for."""
+
+import random
+
+import pytest
+
+from thornlatch.quota import QuotaSettings, SharedQuota
+from thornlatch.routing import Organisation
+
+RATE, BURST = 1000.0, 1000.0
+
+
+def build(now=0.0, peers=(), rate=RATE, burst=BURST):
+    quota = SharedQuota(QuotaSettings(), now=now)
+    quota.set_organisations([organisation(rate, burst)], now=now)
+    quota.set_peers(peers, now=now)
+    return quota
+
+
+def organisation(rate=RATE, burst=BURST):
+    return Organisation("shop", frozenset({"k"}), None, rate, burst)
+
+
+def tell(sender, receiver, name, now):
+    spent, levels = sender.get_spent(now=now)
+    receiver.take_digest(name, spent, levels, now)
+
+
+def test_bucket_refills_to_the_burst():
+    quota = build()
+    assert quota.take("shop", 1000, now=10.0) is None
+    assert quota.take("shop", 500, now=10.0) == pytest.approx(0.5)
+    assert quota.take("shop", 500, now=10.6) is None
+
+
+def test_refused_callers_are_told_to_come_back_one_after_the_other():
+    quota = build()
+    quota.take("shop", 1000, now=10.0)
+    waits = [quota.take("shop", 500, now=10.0) for _ in range(4)]
+    assert waits == pytest.approx([0.5, 1.0, 1.5, 2.0])
+
+
+def test_request_larger_than_the_burst_runs_when_the_bucket_is_full():
+    quota = build()
+    assert quota.take("shop", 5000, now=10.0) is None
+    assert quota.take("shop", 1, now=10.0) is not None
+
+
+def test_organisation_without_limit_is_never_refused():
+    quota = build(rate=0.0, burst=0.0)
+    assert quota.take("shop", 10**9, now=1.0) is None
+
+
+def test_peers_spending_is_taken_off():
+    a, b = build(peers=["b"]), build(peers=["a"])
+    for now in (2.0, 2.1):
+        tell(a, b, "a", now)
+        tell(b, a, "b", now)
+    assert b.take("shop", 1000, now=2.1) is None
+    tell(b, a, "b", 2.1)
+    assert a.take("shop", 500, now=2.1) is not None
+
+
+def test_give_back_reaches_the_peers():
+    a, b = build(peers=["b"]), build(peers=["a"])
+    for now in (2.0, 2.1):
+        tell(a, b, "a", now)
+        tell(b, a, "b", now)
+    b.take("shop", 1000, now=2.1)
+    tell(b, a, "b", 2.1)
+    b.give_back("shop", 1000, now=2.1)
+    tell(b, a, "b", 2.1)
+    assert a.take("shop", 900, now=2.1) is None
+
+
+def test_stopping_peer_that_was_removed_is_counted_once():
+    a, b = build(peers=["b"]), build(peers=["a"])
+    for now in (2.0, 2.1):
+        tell(a, b, "a", now)
+        tell(b, a, "b", now)
+    b.take("shop", 900, now=2.1)
+    tell(b, a, "b", 2.1)
+    a.set_peers([], now=2.2)
+    tell(b, a, "b", 2.2)
+    a.set_peers([], now=2.3)
+    tell(b, a, "b", 2.3)
+    assert a.take("shop", 250, now=2.3) is None
+
+
+def test_restarted_host_takes_over_what_its_peers_know():
+    a = build(peers=["b"])
+    b = build(now=100.0, peers=["a"])
+    a.set_peers([], now=99.0)
+    a.take("shop", 1000, now=100.0)
+    tell(a, b, "a", 100.1)
+    assert b.take("shop", 400, now=100.1) is not None
+
+
+def test_host_that_hears_of_nobody_spends_its_part_only():
+    quota = build(peers=["b", "c", "d"])
+    taken = 0
+    for step in range(100, 1100):
+        if quota.take("shop", 10, now=step / 100) is None:
+            taken += 10
+    assert taken <= RATE * 10 / 4 + BURST
+
+
+@pytest.mark.parametrize("seed", range(20))
+def test_no_window_goes_over_the_quota_while_hosts_are_cut_and_killed(seed):
+    rng = random.Random(seed)
+    names = [f"{n}.0" for n in "abcd"]
+    hosts = {n: build(peers=[m for m in names if m != n]) for n in names}
+    cut = set()
+    spends = []
+    for step in range(1, 4000):
+        now = step / 100
+        if step % 300 == 0:
+            cut = set(rng.sample(sorted(hosts), rng.choice([0, 0, 1, 2])))
+        if step % 500 == 0:
+            restart(hosts, rng.choice(sorted(hosts)), now)
+        if step % 10 == 0:
+            for x in hosts:
+                for y in hosts:
+                    if x != y and not {x, y} & cut:
+                        tell(hosts[x], hosts[y], x, now)
+        name = rng.choice(sorted(hosts))
+        if hosts[name].take("shop", 60, now=now) is None:
+            spends.append((now, 60))
+    window_s, allowed = 8.0, (RATE * 8 + BURST) * 1.1 + 17_000 / 60
+    for start, _ in spends:
+        total = sum(t for at, t in spends if start <= at < start + window_s)
+        assert total <= allowed, start
+
+
+def restart(hosts, name, now):
+    """Replace a host by a new incarnation of it."""
+    del hosts[name]
+    letter, _, number = name.partition(".")
+    hosts[f"{letter}.{int(number) + 1}"] = build(now=now)
+    for one, quota in hosts.items():
+        quota.set_peers([other for other in hosts if other != one], now=now)
--- a/src/thornlatch/residency/_holder.py
+++ b/src/thornlatch/residency/_holder.py
@@ -292,11 +292,12 @@
         for holding in report.holdings:
             self.model = holding.model
             for name, version in holding.adapters.items():
-                self._note_place(f"{holding.model}/{name}", version, now, former)
+                key = f"{holding.model}/{name}"
+                self._note_place(key, version, now, now, former)
         for model, name, version in report.pending:
             key = f"{model}/{name}"
             ready_at = now + self.settings.adapter_load_s
-            self._note_place(key, version, ready_at, former)
+            self._note_place(key, version, ready_at, now, former)
         if report.is_busy:
             self.paused_until = now + self.settings.retry_s
 
@@ -439,9 +440,15 @@
             self.places[f"{order.model}/{order.adapter}"].ready_at = now
 
     def _note_place(
-        self, adapter: str, version: int, ready_at: float, former: dict[str, _Place]
+        self,
+        adapter: str,
+        version: int,
+        ready_at: float,
+        now: float,
+        former: dict[str, _Place],
     ) -> None:
-        used_at = former[adapter].used_at if adapter in former else float("-inf")
+        # One that is in use is seen to be before it could be evicted.
+        used_at = former[adapter].used_at if adapter in former else now
         self.places[adapter] = _Place(version, ready_at, used_at)
         self.former.add(adapter)
         self.wanted.pop(adapter, None)
--- a/src/thornlatch/routing/_in_force.py
+++ b/src/thornlatch/routing/_in_force.py
@@ -50,6 +50,7 @@
         self.settings = settings
         self.published: _Published | None = None
         self.confirmed_at = float("-inf")
+        self.renewed_at = float("-inf")
 
     @property
     def configuration(self) -> Configuration | None:
@@ -91,6 +92,18 @@
         """
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
+    def note_renewal(self, *, asked_at: float) -> None:
+        """Note that the store knew of this host when a renewal began.
+
+        Hosts that the store has dropped are no longer counted by the others, so they
+        must not accept keys either.
+
+        Parameters
+        ----------
+        asked_at : float
+        """
+        self.renewed_at = max(self.renewed_at, asked_at)
+
     def is_fresh(self, *, now: float) -> bool:
         """Return whether keys may still be accepted.
 
@@ -103,4 +116,5 @@
         -------
         bool
         """
-        return now - self.confirmed_at < self.settings.limit_s
+        known_at = min(self.confirmed_at, self.renewed_at)
+        return now - known_at < self.settings.limit_s
--- /dev/null
+++ b/src/thornlatch/routing/tests/test_table.py
@@ -0,0 +1,83 @@
+"""Routes by host name and prefix."""
+
+import pytest
+
+from thornlatch.routing import (
+    CallKind,
+    Configuration,
+    ConfigurationInForce,
+    FreshnessSettings,
+    Route,
+    RouteTable,
+    choose_service,
+)
+
+
+def route(prefix, host="a.example", services=(("s", 1.0),), **more):
+    kind = more.pop("kind", CallKind.IDEMPOTENT)
+    return Route(prefix, host, prefix, kind, services, 1.0, 0.1, **more)
+
+
+TABLE = RouteTable((route("/x/"), route("/x/y/"), route("/", host="b.example")))
+
+
+@pytest.mark.parametrize(
+    ("host", "path", "expected"),
+    [
+        ("a.example", "/x/1", "/x/"),
+        ("a.example:80", "/x/1", "/x/"),
+        ("a.example", "/x/y/1", "/x/y/"),
+        ("a.example", "/x/y", "/x/"),
+        ("a.example", "/xy/1", None),
+        ("a.example", "/", None),
+        ("b.example", "/any/thing", "/"),
+        ("c.example", "/x/1", None),
+        ("a.example", "", None),
+    ],
+)
+def test_longest_prefix_wins(host, path, expected):
+    found = TABLE.match(host, path)
+    assert (found.name if found else None) == expected
+
+
+def test_services_get_their_weights():
+    split = route("/x/", services=(("a", 90.0), ("b", 10.0)))
+    chosen = [choose_service(split, str(i)) for i in range(5000)]
+    assert 0.07 < chosen.count("b") / len(chosen) < 0.13
+    assert choose_service(split, "7") == choose_service(split, "7")
+
+
+@pytest.mark.parametrize(
+    ("kind", "is_resumable", "expected"),
+    [
+        (CallKind.IDEMPOTENT, False, True),
+        (CallKind.AT_MOST_ONCE, False, False),
+        (CallKind.STREAM, False, False),
+        (CallKind.STREAM, True, True),
+    ],
+)
+def test_what_may_be_repeated(kind, is_resumable, expected):
+    assert route("/", kind=kind, is_resumable=is_resumable).may_repeat is expected
+
+
+def version(number):
+    return Configuration(number, (), {}, {})
+
+
+def test_versions_never_go_back():
+    in_force = ConfigurationInForce(FreshnessSettings())
+    assert in_force.install(version(3))
+    assert not in_force.install(version(2))
+    assert in_force.configuration.version == 3
+    assert in_force.install(version(9))
+
+
+def test_keys_stop_when_neither_store_nor_group_confirms():
+    in_force = ConfigurationInForce(FreshnessSettings(revocation_s=5.0, margin_s=0.6))
+    in_force.confirm(asked_at=10.0)
+    assert not in_force.is_fresh(now=10.1)
+    in_force.note_renewal(asked_at=10.0)
+    assert in_force.is_fresh(now=14.3)
+    assert not in_force.is_fresh(now=14.5)
+    in_force.confirm(asked_at=14.0)
+    assert not in_force.is_fresh(now=14.5)
