--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -7,6 +7,8 @@
 
 from thornlatch.core import register
 
+SUM_PERIOD_S = 0.02  # between two sums over all peers, a fifth of a digest's period
+
 
 @dataclass(frozen=True)
 class ResidentAdapter:
@@ -145,6 +147,7 @@
         self.held_at: dict[str, float] = {}
         self.running: dict[str, dict[str, int]] = {}
         self.holders: dict[str, str] = {}
+        self.sum_due_at = float("-inf")
 
     def take(self, host: str, digest: HostDigest, *, now: float) -> None:
         """Take a digest of a peer.
@@ -162,7 +165,9 @@
         if digest.held is not None:
             self.held[host] = {one.target: one for one in digest.held}
             self.held_at[host] = now
-        self._sum_up(now)
+        if former is None or digest.held is not None or now >= self.sum_due_at:
+            self.sum_due_at = now + SUM_PERIOD_S
+            self._sum_up(now)
 
     def forget(self, host: str) -> None:
         """Drop what a host that was replaced or has gone said.
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -354,7 +354,7 @@
                     raise self._build_failure(call)
                 if now + WAIT_TURN_S >= wait_until:
                     raise self._refuse(call, ErrorKind.NO_TARGET, 0.5, "no target")
-                self.residents.wait(WAIT_TURN_S)
+                self.residents.wait(call.request.adapter, WAIT_TURN_S)
                 continue
             best = options[0]
             if best.step is Step.ASK_LOAD and best.target.id not in asked:
@@ -372,7 +372,7 @@
                 call.waited_s = now - call.began_at
                 return best
             left_s = max(min(best.wait_s, wait_until - now), 0.001)
-            self.residents.wait(min(left_s, WAIT_TURN_S))
+            self.residents.wait(call.request.adapter, min(left_s, WAIT_TURN_S))
 
     def _get_wait_until(self, call: _Call) -> float:
         """Return until when a request may wait before it is sent."""
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -187,6 +187,7 @@
         return (
             not self.stopping.is_set()
             and self.targets_known
+            and self.quota.knows_peers
             and self.in_force.configuration is not None
             and self.in_force.is_fresh(now=read_clock())
         )
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -33,6 +33,7 @@
         self.residents: dict[str, dict[str, Resident]] = {}
         self.owned_at: dict[str, float] = {}
         self.formers: dict[str, set[str]] = {}
+        self.revisions: dict[str, int] = {}
 
     def put(self, target: str, residents: dict[str, Resident], *, now: float) -> None:
         """Take what a target's holder says of it.
@@ -47,9 +48,7 @@
             self.owned_at[target] = now
             arrived = {name for name, one in residents.items() if not one.is_queued}
             self.formers.setdefault(target, set()).update(arrived)
-            if self.residents.get(target) != residents:
-                self.residents[target] = residents
-                self.changed.notify_all()
+            self._replace(target, residents)
 
     def put_registered(
         self, target: str, residents: dict[str, Resident], *, now: float
@@ -64,8 +63,20 @@
         """
         if now - self.owned_at.get(target, float("-inf")) >= OWNED_S:
             with self.changed:
-                self.residents[target] = residents
-                self.changed.notify_all()
+                self._replace(target, residents)
+
+    def _replace(self, target: str, residents: dict[str, Resident]) -> None:
+        former = self.residents.get(target, {})
+        changed = [
+            name
+            for name in former.keys() | residents.keys()
+            if former.get(name) != residents.get(name)
+        ]
+        self.residents[target] = residents
+        for name in changed:
+            self.revisions[name] = self.revisions.get(name, 0) + 1
+        if changed:
+            self.changed.notify_all()
 
     def remove(self, target: str) -> None:
         """Forget a target that has gone or restarted.
@@ -138,12 +149,16 @@
             if one.ready_at > now and not one.is_queued
         )
 
-    def wait(self, timeout_s: float) -> None:
-        """Wait until something changes.
+    def wait(self, adapter: str, timeout_s: float) -> None:
+        """Wait until something changes for an adapter.
 
         Parameters
         ----------
+        adapter : str
         timeout_s : float
         """
         with self.changed:
-            self.changed.wait(timeout_s)
+            seen = self.revisions.get(adapter, 0)
+            self.changed.wait_for(
+                lambda: self.revisions.get(adapter, 0) != seen, timeout_s
+            )
