Take peers to go on spending between their digests

In fleets of more than 70 hosts digests were rarer than the limit after which a host counts as silent. Change: a peer's rate of spending is taken on until its next digest tells; the limit for silence grows with the digest period.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -119,7 +119,8 @@
     period_s : float
         Seconds between two digests of a host.
     silent_s : float
-        Seconds without a digest after which a peer is taken as unreachable.
+        Seconds without a digest after which a peer is taken as unreachable; longer
+        where a large fleet makes digests rarer.
     """
 
     period_s: Annotated[float, Meta(gt=0)] = 0.1
@@ -148,6 +149,7 @@
         self.running: dict[str, dict[str, int]] = {}
         self.holders: dict[str, str] = {}
         self.sum_due_at = float("-inf")
+        self.silent_s = settings.silent_s
 
     def take(self, host: str, digest: HostDigest, *, now: float) -> None:
         """Take a digest of a peer.
@@ -205,7 +207,7 @@
         bool
         """
         heard = self.heard.get(host)
-        return heard is not None and now - heard.heard_at < self.settings.silent_s
+        return heard is not None and now - heard.heard_at < self.silent_s
 
     def get_holder(self, target: str, *, now: float) -> str | None:
         """Return the live host that orders a target's adapters.
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -46,6 +46,7 @@
 STOP_TURN_S = 0.05  # between two looks for the end of running requests
 HEADER_LIMIT_BYTES = 1 << 16
 BODY_LIMIT_BYTES = 1 << 23
+SILENT_PERIODS = 4.5  # without a digest until a host counts as silent
 IDLE_S = 75  # longer than callers keep idle connections
 CONNECTION_LIMIT = 2000
 BACKLOG = 1024
@@ -362,6 +363,9 @@
         self.quota.set_peers(sharing, now=now)
         self.retries.hosts = len(sharing) + 1
         self._share_model_loads()
+        silent_s = self.peer_loop.get_period_s() * SILENT_PERIODS
+        self.peers.silent_s = max(self.settings.peer_view.silent_s, silent_s)
+        self.quota.silent_s = max(self.settings.quota.silent_s, silent_s)
 
     def note_store_failure(self) -> None:
         """Note that the platform's store couldn't be read."""
--- a/src/thornlatch/gateway/_peer_loop.py
+++ b/src/thornlatch/gateway/_peer_loop.py
@@ -119,7 +119,7 @@
                 now = read_clock()
                 if now >= due or self.sends_now:
                     self.sends_now = False
-                    due = now + self._get_period_s()
+                    due = now + self.get_period_s()
                     self._send_digest(now)
                     self.handlers.on_tick(now)
             except Exception:
@@ -127,7 +127,8 @@
         self._send_digest(read_clock())
         self.mesh.close()
 
-    def _get_period_s(self) -> float:
+    def get_period_s(self) -> float:
+        """Return the seconds between two digests of a host."""
         # Beyond a full mesh of this size each host's traffic stays about the same.
         factor = max(1.0, (len(self.members) + 1) / FULL_MESH_HOSTS / 2)
         return self.view.settings.period_s * factor
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -1,9 +1,10 @@
 """One token bucket an organisation, of which each host keeps its own copy.
 
 Every host tells the others what it has spent so far, and takes what they spent off its
-copy. A host that isn't heard of is taken to spend an equal part of the rate, and spends
-no more than that itself while it hears of nobody, so that the sum stays within the
-quota on both sides of any partition without a holder that could fail.
+copy; until its next digest, a host is taken to go on spending as it did. A host that
+isn't heard of is taken to spend an equal part of the rate, and spends no more than that
+itself while it hears of nobody, so that the sum stays within the quota on both sides of
+any partition without a holder that could fail.
 """
 
 import threading
@@ -39,10 +40,16 @@
     wait_limit_s: Annotated[float, Meta(gt=0)] = 5.0
 
 
+RATE_SMOOTHING = 0.5  # weight of the newest digest in a peer's rate of spending
+ADVANCE_PERIOD_S = 0.005  # between two accounts of what peers are spending
+
+
 @dataclass
 class _Peer:
     heard_at: float
     is_silent: bool = False
+    # Tokens a second that it spent lately, by organisation.
+    rates: dict[str, float] = field(default_factory=dict)
 
 
 @dataclass
@@ -50,7 +57,6 @@
     rate: float
     burst: float
     level: float
-    updated_at: float
     spent: int = 0
     # Tokens of refused callers who were told to come back later.
     promised: float = 0.0
@@ -72,6 +78,8 @@
         self.settings = settings
         self.started_at = now
         self.knows_peers = False
+        self.silent_s = settings.silent_s
+        self.advanced_at = now
         self.lock = threading.Lock()
         self.buckets: dict[str, _Bucket] = {}
         self.peers: dict[str, _Peer] = {}
@@ -94,7 +102,7 @@
                 bucket = self.buckets.get(one.name)
                 if bucket is None:
                     first = min(one.burst, one.rate * self.settings.first_fill_s)
-                    bucket = _Bucket(one.rate, one.burst, first, now)
+                    bucket = _Bucket(one.rate, one.burst, first)
                     self.buckets[one.name] = bucket
                 bucket.rate, bucket.burst = one.rate, one.burst
                 bucket.level = min(bucket.level, one.burst)
@@ -138,6 +146,7 @@
             self._advance(now)
             is_settling = now - self.started_at < self.settings.settle_s
             totals = self.totals.setdefault(host, {})
+            peer = self.peers.get(host)
             for name, bucket in self.buckets.items():
                 total = spent.get(name, 0)
                 bucket.level += bucket.assumed.pop(host, 0.0)
@@ -151,9 +160,12 @@
                         # What it spent long ago has been made up for by the rate.
                         fresh = min(fresh, int(bucket.burst))
                     bucket.level -= fresh
+                    if peer is not None and now > peer.heard_at:
+                        rate = fresh / (now - peer.heard_at)
+                        former = peer.rates.get(name, 0.0)
+                        peer.rates[name] = former + RATE_SMOOTHING * (rate - former)
                 totals[name] = total
                 bucket.level = min(bucket.level, bucket.burst)
-            peer = self.peers.get(host)
             if peer is not None:
                 peer.heard_at = now
                 peer.is_silent = False
@@ -225,22 +237,27 @@
             )
 
     def _advance(self, now: float) -> None:
+        elapsed = now - self.advanced_at
+        if elapsed < ADVANCE_PERIOD_S:
+            return
+        self.advanced_at = now
         part = 1 / (len(self.peers) + 1)
         for name, peer in self.peers.items():
-            if peer.is_silent or now - peer.heard_at < self.settings.silent_s:
+            if peer.is_silent or now - peer.heard_at < self.silent_s:
                 continue
             peer.is_silent = True
             for bucket in self.buckets.values():
                 # It may use up its part of what was left.
                 self._assume(bucket, name, max(bucket.level, 0.0) * part)
-        for bucket in self.buckets.values():
-            elapsed = max(now - bucket.updated_at, 0.0)
-            bucket.updated_at = now
+        for organisation, bucket in self.buckets.items():
             bucket.level = min(bucket.level + bucket.rate * elapsed, bucket.burst)
             bucket.promised = max(bucket.promised - bucket.rate * elapsed, 0.0)
             for name, peer in self.peers.items():
+                rate = peer.rates.get(organisation, 0.0)
                 if peer.is_silent:
-                    self._assume(bucket, name, bucket.rate * elapsed * part)
+                    rate = bucket.rate * part
+                if rate > 0:
+                    self._assume(bucket, name, rate * elapsed)
 
     def _assume(self, bucket: _Bucket, peer: str, tokens: float) -> None:
         bucket.level -= tokens
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -61,6 +61,21 @@
     assert a.take("shop", 500, now=2.1) is not None
 
 
+def test_hot_organisation_s_spending_goes_on_between_digests():
+    a, b = build(peers=["b"]), build(peers=["a"])
+    for step in range(10):
+        now = 2.0 + step / 10
+        b.take("shop", 90, now=now)
+        tell(a, b, "a", now)
+        tell(b, a, "b", now)
+    for _ in range(9):
+        a.take("shop", 100, now=2.9)
+    left = a.buckets["shop"].level
+    a.take("shop", 10**9, now=3.1)
+    # The rate brings 200 tokens in 0.2 s, of which b is taken to spend 180.
+    assert a.buckets["shop"].level - left == pytest.approx(20, abs=15)
+
+
 def test_give_back_reaches_the_peers():
     a, b = build(peers=["b"]), build(peers=["a"])
     for now in (2.0, 2.1):
