--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -6,6 +6,7 @@
 import pytest
 
 from thornlatch.daemon._metrics import METRICS
+from thornlatch.gateway import GatewayMetrics
 
 ROOT = Path(__file__).parent.parent
 NODE_IDS = sorted(
@@ -42,11 +43,19 @@
 
 def test_events_reference_is_complete():
     page = (ROOT / "docs/reference/events.md").read_text()
-    areas = "admission|configuration|control|daemon|dispatch|hosts|log|membership"
-    areas += "|peer|placement|quarantine|relay|requests"
+    areas = "adapter|admission|configuration|control|daemon|dispatch|fleet|host|hosts"
+    areas += "|log|membership|peer|placement|quarantine|relay|request|requests"
+    areas += "|residency|store|target|tenure|version"
     call = rf"(?:Event|_emit|logger\.\w+)\([^\"()]*\"((?:{areas})\.[a-z_]+)\""
-    for module in (ROOT / "src").rglob("*.py"):
+    modules = [*(ROOT / "src").rglob("*.py"), *(ROOT / "platform").rglob("*.py")]
+    for module in modules:
         if "tests" in module.parts:
             continue
         for name in re.findall(call, module.read_text()):
             assert f"`{name}`" in page, (module, name)
+
+
+def test_gateway_metrics_are_on_the_page():
+    page = (ROOT / "docs/reference/events.md").read_text()
+    for metric in GatewayMetrics().registry.collect():
+        assert re.search(rf"`{metric.name}(_total)?`", page), metric.name
