--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -44,6 +44,7 @@
 BODY_LIMIT_BYTES = 1 << 24  # longest answer of a plain service
 SEND_LIMIT = 6  # sends of one request, those that targets rejected included
 ASK_AGAIN_S = 0.1  # a holder that hasn't loaded by then is taken as not answering
+OTHER_HOST_S = 0.05  # until a caller may try again and reach another host
 WAIT_TURN_S = 0.05  # longest sleep of a waiting request between two looks
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 SHORTEST_RETRY_S = 0.1  # shortest time that callers are told to wait
@@ -230,7 +231,9 @@
         if route is None:
             if not self.in_force.is_fresh(now=now):
                 raise RequestRefused(
-                    ErrorKind.HOST_UNCONFIRMED, "no fresh configuration"
+                    ErrorKind.HOST_UNCONFIRMED,
+                    "no fresh configuration",
+                    retry_after_s=OTHER_HOST_S,
                 )
             raise RequestRefused(ErrorKind.UNKNOWN_ROUTE, "no route for this path")
         organisation = None
@@ -276,7 +279,7 @@
             raise RequestRefused(
                 ErrorKind.HOST_UNCONFIRMED,
                 "keys can't be confirmed now",
-                retry_after_s=1.0,
+                retry_after_s=OTHER_HOST_S,
             )
         configuration = self.in_force.configuration
         organisation = (
--- /dev/null
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -0,0 +1,131 @@
+"""Which target a request goes to, by the load pattern that the rule answers."""
+
+import pytest
+
+from thornlatch.fleet import Target
+from thornlatch.gateway._choice import (
+    Demand,
+    Step,
+    TargetState,
+    list_options,
+    rank_home,
+)
+from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.residency import Resident
+
+SETTINGS = ForwardingSettings()
+NOW = 100.0
+READY = Resident(1, 0.0)
+
+
+def target(name, domain="z1", slots=8):
+    return Target(name, "llm", "1.2.3.4:5", domain, slots)
+
+
+TARGETS = [target("t1"), target("t2"), target("t3")]
+
+
+def demand(adapter="m/a", version=0, excluded=()):
+    return Demand(adapter, version, "z1", frozenset(excluded), 0.27, 0.04, 1.6)
+
+
+def choose(states, wish=None, targets=TARGETS):
+    default = TargetState(0)
+    return list_options(
+        targets,
+        wish or demand(),
+        lambda t: states.get(t.id, default),
+        SETTINGS,
+        now=NOW,
+    )
+
+
+def test_request_goes_where_its_adapter_is():
+    options = choose({"t2": TargetState(5, resident=READY)})
+    assert (options[0].target.id, options[0].step) == ("t2", Step.SEND)
+
+
+def test_flash_crowd_on_one_adapter_gets_no_second_copy_while_there_is_room():
+    options = choose({"t2": TargetState(7, resident=READY)})
+    assert [option.target.id for option in options] == ["t2"]
+
+
+def test_flash_crowd_beyond_the_slots_of_one_target_gets_a_second_copy():
+    options = choose({"t2": TargetState(20, resident=READY)})
+    assert options[0].step is Step.ASK_LOAD
+    assert {option.target.id for option in options} == {"t1", "t2", "t3"}
+
+
+def test_crowd_on_a_cold_adapter_waits_for_the_load_that_is_under_way():
+    loading = Resident(1, NOW + 0.2)
+    options = choose({"t3": TargetState(0, resident=loading)})
+    assert options[0].step is Step.AWAIT_LOAD
+    assert options[0].wait_s == pytest.approx(0.2)
+    assert len(options) == 1
+
+
+def test_all_hosts_choose_the_same_home_for_a_rare_adapter():
+    first = choose({})[0].target.id
+    again = choose({}, targets=list(reversed(TARGETS)))[0].target.id
+    assert first == again == min(TARGETS, key=lambda t: rank_home("m/a", t.id)).id
+
+
+def test_returning_adapter_goes_to_a_former_target():
+    for name in ("t1", "t2", "t3"):
+        options = choose({name: TargetState(0, was_resident=True)})
+        assert options[0].target.id == name
+        assert options[0].wait_s == pytest.approx(0.04)
+
+
+def test_long_queue_of_loads_sends_a_rare_adapter_elsewhere():
+    home = min(TARGETS, key=lambda t: rank_home("m/a", t.id)).id
+    options = choose({home: TargetState(0, in_transit=6)})
+    assert options[0].target.id != home
+
+
+def test_half_of_the_targets_gone_leaves_the_others():
+    options = choose({}, demand(excluded=("t1", "t2")))
+    assert [option.target.id for option in options] == ["t3"]
+
+
+def test_failing_target_is_the_last_resort():
+    states = {
+        "t1": TargetState(0, is_avoided=True, resident=READY),
+        "t2": TargetState(7, resident=READY),
+    }
+    assert choose(states)[0].target.id == "t2"
+
+
+def test_target_that_nobody_orders_gets_no_loads():
+    states = {t.id: TargetState(0, is_held=False) for t in TARGETS}
+    assert choose(states) == []
+
+
+def test_target_that_nobody_orders_still_serves_what_it_holds():
+    states = {t.id: TargetState(0, is_held=False) for t in TARGETS}
+    states["t1"] = TargetState(0, resident=READY, is_held=False)
+    assert choose(states)[0].step is Step.SEND
+
+
+def test_older_version_isn_t_used_once_the_newer_one_is_required():
+    states = {"t1": TargetState(0, resident=READY)}
+    assert choose(states)[0].target.id == "t1"
+    options = choose(states, demand(version=2))
+    assert all(option.step is Step.ASK_LOAD for option in options)
+
+
+def test_plain_request_goes_to_the_least_loaded_target_of_its_own_domain():
+    targets = [target("near"), target("far", domain="z2")]
+    plain = demand(adapter="")
+    assert choose({}, plain, targets)[0].target.id == "near"
+    busy = {"near": TargetState(8)}
+    assert choose(busy, plain, targets)[0].target.id == "far"
+
+
+def test_wait_grows_with_the_queue_beyond_the_slots():
+    waits = [
+        choose({"t1": TargetState(n)}, demand("", excluded=("t2", "t3")))[0].wait_s
+        for n in (0, 7, 8, 16)
+    ]
+    assert waits[:2] == [0, 0]
+    assert waits[3] > waits[2] > 0
--- /dev/null
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -0,0 +1,183 @@
+"""Small parts of the path: events, health, work, suspects, log lines."""
+
+import contextlib
+import json
+import os
+import threading
+
+import logbook
+import pytest
+
+from thornlatch.exceptions import ErrorKind
+from thornlatch.gateway import CallerRequest, LogSettings
+from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
+from thornlatch.gateway._health import TargetHealth
+from thornlatch.gateway._logs import LineLog
+from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.gateway._suspects import (
+    CrashSuspects,
+    SuspectSettings,
+    fingerprint_request,
+)
+from thornlatch.gateway._work import Running, WorkTable
+
+
+@pytest.mark.parametrize("size", [1, 2, 7, 1000])
+def test_events_are_cut_out_whole_whatever_the_reads(size):
+    data = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\ndata: c\n\nid: 4\nda"
+    splitter, events = EventSplitter(), []
+    for start in range(0, len(data), size):
+        events += splitter.feed(data[start : start + size])
+    assert [event.id for event in events] == [1, 2, None]
+    assert b"".join(event.data for event in events) + splitter.rest == data
+
+
+def test_endless_event_is_an_error():
+    with pytest.raises(ValueError, match="longer"):
+        EventSplitter().feed(b"x" * (EVENT_LIMIT_BYTES + 1))
+
+
+def test_unreachable_target_is_avoided_for_longer_each_time():
+    health = TargetHealth(ForwardingSettings())
+    waits = [
+        health.note_failure("t", now=n * 10.0, is_unreachable=True) for n in range(5)
+    ]
+    assert waits == [0.5, 1.0, 2.0, 4.0, 4.0]
+    assert health.is_avoided("t", now=43.0)
+    health.note_success("t", None, now=45.0)
+    assert health.note_failure("t", now=50.0, is_unreachable=True) == 0.5
+
+
+def test_target_that_fails_part_of_its_requests_is_avoided():
+    health = TargetHealth(ForwardingSettings())
+    avoided = 0.0
+    for number in range(40):
+        if number % 2:
+            health.note_success("t", None, now=number)
+        else:
+            avoided = max(
+                avoided, health.note_failure("t", now=number, is_unreachable=False)
+            )
+    assert avoided > 0
+
+
+def test_single_error_of_a_target_changes_nothing():
+    health = TargetHealth(ForwardingSettings())
+    assert health.note_failure("t", now=1.0, is_unreachable=False) == 0
+    assert not health.is_avoided("t", now=1.0)
+
+
+def test_caller_that_left_and_request_out_of_time_are_stopped():
+    work, stopped = WorkTable(), []
+    gone = Running("a", 100.0, lambda: True)
+    late = Running("b", 5.0, lambda: False)
+    fine = Running("c", 100.0, lambda: False)
+    for one in (gone, late, fine):
+        one.set_abort(lambda name=one.id: stopped.append(name))
+        work.add(one)
+    work.end_due(now=6.0)
+    assert sorted(stopped) == ["a", "b"]
+    assert late.stop_reason is ErrorKind.DEADLINE_UNREACHABLE
+    assert fine.stop_reason is None
+
+
+def test_call_that_begins_after_the_stop_is_aborted_at_once():
+    running, stopped = Running("a", 1.0, lambda: False), []
+    running.stop(ErrorKind.DEADLINE_UNREACHABLE)
+    running.set_abort(lambda: stopped.append("a"))
+    assert stopped == ["a"]
+
+
+def test_work_is_counted_by_target_and_adapter():
+    work = WorkTable()
+    work.begin("t", "m/a")
+    work.begin("t", "m/a")
+    work.begin("t", "")
+    assert work.get_total("t") == 3
+    assert work.get_uses("t") == {"m/a": 2, "": 1}
+    for adapter in ("m/a", "m/a", ""):
+        work.end("t", adapter)
+    assert work.list_counts() == ()
+    assert work.get_total("t") == 0
+
+
+def request(number="1", body=b"x"):
+    return CallerRequest(
+        number, "POST", "/p", "h", "k", 1.0, "", "", 1, 1, (), "", (), body
+    )
+
+
+def test_repetition_of_a_request_has_its_fingerprint():
+    assert fingerprint_request(request("1")) == fingerprint_request(request("2"))
+    assert fingerprint_request(request()) != fingerprint_request(request(body=b"y"))
+
+
+def test_request_that_broke_three_runs_over_all_hosts_is_kept_away():
+    suspects = CrashSuspects(SuspectSettings())
+    suspects.note_broken("f", now=1.0)
+    assert not suspects.must_keep_away("f")
+    suspects.take_peer("b", {"f": 1})
+    suspects.take_peer("c", {"f": 1, "g": 2})
+    assert suspects.must_keep_away("f")
+    assert not suspects.must_keep_away("g")
+    suspects.forget_others(["b"])
+    assert not suspects.must_keep_away("f")
+
+
+def test_broken_runs_are_forgotten_in_time_and_bounded():
+    suspects = CrashSuspects(SuspectSettings(memory_s=60.0, size=2))
+    for number, name in enumerate("fgh"):
+        suspects.note_broken(name, now=float(number))
+    assert suspects.list_own(now=10.0) == {"g": 1, "h": 1}
+    assert suspects.list_own(now=61.5) == {"h": 1}
+
+
+@pytest.fixture
+def pipe():
+    reader, writer = os.pipe()
+    yield reader, writer
+    os.close(reader)
+    os.close(writer)
+
+
+def write_lines(log, event, count):
+    logger = logbook.Logger("test")
+    with log.applicationbound():
+        for number in range(count):
+            logger.info(event, extra={"request": str(number)})
+
+
+def test_volume_of_the_log_is_bounded_and_what_is_left_out_is_counted(pipe):
+    reader, writer = pipe
+    log = LineLog(LogSettings(lines_per_s=50), host="h", descriptor=writer)
+    write_lines(log, "request.answered", 100)
+    write_lines(log, "request.failed", 100)
+    log.close()
+    log.run()
+    lines = [json.loads(x) for x in os.read(reader, 1 << 20).splitlines()]
+    counts = lines[-1]["counts"]
+    assert lines[-1]["event"] == "log.lines_left_out"
+    assert len(lines) - 1 + sum(counts.values()) == 200
+    assert len(lines) <= 60
+    # Lines of failures have a part of the allowance to themselves.
+    assert sum(line["event"] == "request.failed" for line in lines) >= 15
+
+
+def test_reader_that_stops_reading_delays_nobody(pipe):
+    _, writer = pipe
+    settings = LogSettings(lines_per_s=1e6, routine_ratio=1.0, queue_lines=100)
+    log = LineLog(settings, host="h", descriptor=writer)
+    os.set_blocking(writer, True)
+    # The pipe takes 64 KiB; the writer's thread then waits for ever.
+    thread = threading.Thread(target=log.run, daemon=True)
+    thread.start()
+    write_lines(log, "request.failed", 5000)
+    assert log.left_out["request.failed"] > 1000
+    assert len(log.lines) <= settings.queue_lines
+    assert thread.is_alive()
+    log.close()
+    os.set_blocking(pipe[0], False)
+    while thread.is_alive():
+        with contextlib.suppress(BlockingIOError):
+            os.read(pipe[0], 1 << 16)
+        thread.join(0.01)
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -34,7 +34,7 @@
         Longest time that a refused caller is told to wait.
     """
 
-    first_fill_s: Annotated[float, Meta(ge=0)] = 0.8
+    first_fill_s: Annotated[float, Meta(ge=0)] = 1.0
     settle_s: Annotated[float, Meta(ge=0)] = 1.5
     silent_s: Annotated[float, Meta(gt=0)] = 0.45
     wait_limit_s: Annotated[float, Meta(gt=0)] = 5.0
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -147,6 +147,29 @@
         assert total <= allowed, start
 
 
+def test_no_window_goes_over_the_quota_when_all_hosts_lose_power_under_pressure():
+    names = [f"{n}.0" for n in "abcd"]
+    hosts = {n: build(peers=[m for m in names if m != n]) for n in names}
+    spends = []
+    for step in range(1, 3000):
+        now = step / 100
+        if step == 1500:
+            for name in list(hosts):
+                restart(hosts, name, now)
+        if step % 10 == 0:
+            for x in hosts:
+                for y in hosts:
+                    if x != y:
+                        tell(hosts[x], hosts[y], x, now)
+        is_dark = 1450 <= step < 1500
+        for quota in hosts.values():
+            if not is_dark and quota.take("shop", 60, now=now) is None:
+                spends.append((now, 60))
+    allowed = (RATE * 8 + BURST) * 1.1 + 17_000 / 60
+    for start, _ in spends:
+        assert sum(t for at, t in spends if start <= at < start + 8.0) <= allowed, start
+
+
 def restart(hosts, name, now):
     """Replace a host by a new incarnation of it."""
     del hosts[name]
--- a/src/thornlatch/routing/_in_force.py
+++ b/src/thornlatch/routing/_in_force.py
@@ -19,10 +19,14 @@
         Seconds after which a withdrawn key must have stopped everywhere.
     margin_s : float
         Seconds of `revocation_s` that are left for a request to reach its target.
+    ready_ratio : float
+        Part of the limit after which a host asks the balancer for no more callers;
+        the balancer takes some 2 s to send them elsewhere.
     """
 
     revocation_s: Annotated[float, Meta(gt=0)] = 5.0
     margin_s: Annotated[float, Meta(ge=0)] = 0.6
+    ready_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.5
 
     @property
     def limit_s(self) -> float:
@@ -118,3 +122,18 @@
         """
         known_at = min(self.confirmed_at, self.renewed_at)
         return now - known_at < self.settings.limit_s
+
+    def is_fresh_for_long(self, *, now: float) -> bool:
+        """Return whether callers who come now can still be served.
+
+        Parameters
+        ----------
+        now : float
+            Seconds of `read_clock`.
+
+        Returns
+        -------
+        bool
+        """
+        limit_s = self.settings.limit_s * self.settings.ready_ratio
+        return now - min(self.confirmed_at, self.renewed_at) < limit_s
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -14,7 +14,7 @@
 CHUNK_END = b"\r\n"
 IDLE_CONNECTIONS_PER_TARGET = 32
 DEFAULT_IDLE_S = 4.0  # targets without a Keep-Alive header close after 5 s or more
-IDLE_RATIO = 0.6  # of the target's own limit, so that it doesn't close as we send
+IDLE_RATIO = 0.75  # of the target's own limit, so that it doesn't close as we send
 FRESH_IDLE_S = 2.0  # a call that may not be repeated uses nothing idle for longer
 
 
