--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -214,7 +214,7 @@
             return
         self.quota.set_organisations(configuration.organisations.values(), now=now)
         self._share_model_loads()
-        self._stop_withdrawn(configuration)
+        self._note_withdrawn(configuration)
 
     def confirm_configuration(self, *, asked_at: float) -> None:
         """Note that the newest configuration is known as of a moment.
@@ -559,8 +559,8 @@
             self.residents.remove(name)
             self.health.forget(name)
 
-    def _stop_withdrawn(self, configuration: Configuration) -> None:
-        """Wake requests that wait under a key that has been withdrawn."""
+    def _note_withdrawn(self, configuration: Configuration) -> None:
+        """Log requests under a withdrawn key; each is checked again before a send."""
         for running in list(self.work.running):
             if running.key and running.key not in configuration.organisations_by_key:
                 logger.info("request.key_withdrawn", extra={"request": running.id})
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -27,12 +27,11 @@
     caller_address : str
         ``ip:port`` for callers.
     readiness_address : str
-        ``ip:port`` that the balancer asks.
+        ``ip:port`` that the balancer asks; any path is answered.
     peer_address : str
         ``ip:port`` for other hosts.
     metrics_address : str
         ``ip:port``; empty for none.
-    readiness_path : str
     """
 
     name: str
@@ -41,7 +40,6 @@
     readiness_address: str
     peer_address: str
     metrics_address: str = ""
-    readiness_path: str = "/readyz"
 
 
 @dataclass(frozen=True)
