Don't say not run of a request that may have run when its key can't be confirmed

Cause, found by reading: a request that may be repeated and broke off at one target was answered 503, a promise that it hasn't run, if the host couldn't confirm its key before the second send. Change: it gets the failure of its first send.

--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -312,8 +312,7 @@
         """Check the budget and the key just before a request leaves."""
         now = read_clock()
         if call.organisation is not None:
-            # The host may have been suspended since the request was admitted.
-            self._authenticate(call.request, now)
+            self._confirm_key(call, now)
         if not call.is_first_sent:
             call.is_first_sent = True
             self.retries.note_first(call.service, now=now)
@@ -326,6 +325,16 @@
         if is_exhausted or not self.retries.take(call.service, now=now):
             raise self._build_failure(call)
 
+    def _confirm_key(self, call: _Call, now: float) -> None:
+        # The host may have been suspended since the request was admitted.
+        try:
+            self._authenticate(call.request, now)
+        except RequestRefused as error:
+            if not call.may_have_run:
+                raise
+            # Only a request that hasn't run may be refused as such.
+            raise self._build_failure(call) from error
+
     def _should_repeat(self, call: _Call, opened: _Opened) -> bool:
         return (
             opened.head.status >= 500
