--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -110,6 +110,7 @@
     events: list[StreamEvent] = field(default_factory=list)
     body: bytes = b""
     has_ended: bool = False
+    is_counted: bool = True
 
 
 class _Rejected(Exception):
@@ -604,7 +605,7 @@
     def _abandon(self, call: _Call, opened: _Opened) -> None:
         call.running.set_abort(None)
         _discard(opened.response)
-        self.work.end(opened.option.target.id, call.request.adapter)
+        self._count_off(call, opened)
 
     def _end_send(self, call: _Call, opened: _Opened) -> None:
         call.running.set_abort(None)
@@ -612,12 +613,18 @@
         call.may_have_run = True
         opened.response.close()
         target = opened.option.target.id
-        self.work.end(target, call.request.adapter)
+        self._count_off(call, opened)
         now = read_clock()
         self.health.note_service(call.service, now - opened.sent_at)
         if opened.head.status >= 500:
             self.health.note_failure(target, now=now, is_unreachable=False)
 
+    def _count_off(self, call: _Call, opened: _Opened) -> None:
+        # A stream that broke was counted off before its resumption failed.
+        if opened.is_counted:
+            opened.is_counted = False
+            self.work.end(opened.option.target.id, call.request.adapter)
+
     def _note_rejection(self, call: _Call, option: Option, head: AnswerHead) -> None:
         """Note that a target hasn't run the request, and why."""
         target = option.target
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -1,13 +1,20 @@
 """What callers are told when a host loses the store in the middle of a request."""
 
+from dataclasses import replace
+
 import pytest
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import ANSWERS, Execution, RequestRefused
-from thornlatch.gateway import CallerRequest
-from thornlatch.gateway._forwarder import Forwarder, _Call
+from thornlatch.exceptions import ANSWERS, Execution, RequestRefused, TargetError
+from thornlatch.fleet import Target
+from thornlatch.gateway import AnswerHead, CallerRequest, GatewayMetrics
+from thornlatch.gateway._choice import Option, Step
+from thornlatch.gateway._forwarder import Forwarder, _Call, _Opened
+from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._settings import ForwardingSettings
-from thornlatch.gateway._work import Running
+from thornlatch.gateway._suspects import CrashSuspects, SuspectSettings
+from thornlatch.gateway._work import Running, WorkTable
+from thornlatch.quota import QuotaSettings, SharedQuota
 from thornlatch.routing import (
     CallKind,
     Configuration,
@@ -21,7 +28,23 @@
 ROUTE = Route("r", "h", "/", CallKind.IDEMPOTENT, (("s", 1.0),), 1.0, 0.1)
 
 
-def build_forwarder():
+class Response:
+    """An answer whose connection breaks."""
+
+    def __init__(self):
+        self.response = self.connection = self
+
+    def read_some(self):
+        raise TargetError("answer broke off", is_sent=True)
+
+    def abort(self):
+        pass
+
+    def close(self):
+        pass
+
+
+def build_forwarder(**parts):
     in_force = ConfigurationInForce(FreshnessSettings())
     in_force.install(Configuration(1, (ROUTE,), {}, {"shop": SHOP}))
     unused = dict.fromkeys(
@@ -41,7 +64,7 @@
         ]
     )
     return Forwarder(
-        ForwardingSettings(), failure_domain="z", in_force=in_force, **unused
+        ForwardingSettings(), failure_domain="z", in_force=in_force, **unused | parts
     )
 
 
@@ -66,3 +89,26 @@
         build_forwarder()._check_may_send(call)
     assert ANSWERS[error.value.kind].status == status
     assert error.value.execution is execution
+
+
+def test_broken_stream_that_can_t_be_resumed_is_counted_off_once():
+    """Counted off twice, it would break the next stream at its target."""
+    work = WorkTable()
+    settings = ForwardingSettings()
+    forwarder = build_forwarder(
+        work=work,
+        health=TargetHealth(settings),
+        suspects=CrashSuspects(SuspectSettings()),
+        metrics=GatewayMetrics(),
+        quota=SharedQuota(QuotaSettings(), now=0.0),
+    )
+    call = build_call(may_have_run=True)
+    call.route = replace(ROUTE, kind=CallKind.STREAM)
+    for _ in range(2):
+        work.begin("t", "")
+    target = Target("t", "s", "1.2.3.4:5", "z", 8)
+    head = AnswerHead(200, "1", True, False, False, "t", None, ())
+    opened = _Opened(Option(target, Step.SEND, 0, 0), head, Response(), 0.0)
+    with pytest.raises(RequestRefused):
+        list(forwarder._pass_on(call, opened))
+    assert work.get_total("t") == 1
