--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -87,6 +87,9 @@
     def wait_ready(self, *, expected=200):
         wait_until(lambda: self.ask_ready() == expected, self.read_log)
 
+    def is_decided(self):
+        return self.ask_ready() == 200 or self.process.poll() is not None
+
     def ask_ready(self):
         try:
             connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=2)
@@ -124,6 +127,16 @@
         return self.process.wait(timeout=WAIT_S)
 
 
+def start_host(folder, store, name="edge-1"):
+    """Start a host; on other ports if a connection has taken one in the meantime."""
+    while True:
+        host = Host(folder, store, name)
+        wait_until(host.is_decided, host.read_log)
+        if host.process.poll() is None:
+            return host
+        assert "in use" in host.read_log(), host.read_log()
+
+
 def wait_until(condition, explain=lambda: ""):
     deadline = time.monotonic() + WAIT_S
     while not condition():
@@ -143,8 +156,7 @@
     store.put("keyed.op", "config", build_config())
     for name, server in servers.items():
         store.put("keyed.servers", name, server.describe())
-    host = Host(tmp_path, store)
-    host.wait_ready()
+    host = start_host(tmp_path, store)
     wait_until(lambda: len(host.list_events("target.changed")) >= len(servers))
     yield store, servers, host
     if host.process.poll() is None:
@@ -395,8 +407,7 @@
 
 def test_reader_that_stops_reading_the_log_stops_nothing(world, tmp_path):
     store, _, _ = world
-    other = Host(tmp_path, store, name="edge-2")
-    other.wait_ready()
+    other = start_host(tmp_path, store, name="edge-2")
     os.kill(other.process.pid, 0)
     assert other.call("/many/x")[0].status == 200
     assert other.stop() == 0
