Count the requests at a target in one place; remove what nothing reads

Cause, found by reading the whole change: the sum of this host's and its peers' requests at a target stood in the forwarder and in the order manager; the forwarder needed the peers for nothing else. Tenure.since, PeerLoop.live and TargetRegistry.mark_leaving were read by nothing. Ruled out: merging the candidates that share their shape only (settings, docstrings, message classes), which have different contents. Change: OrderManager.count_requests; the dead parts are gone. Behaviour stays.

--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -1,7 +1,7 @@
 """Targets by service, as they registered themselves in the platform's store."""
 
 import threading
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 from typing import Annotated
 
 from msgspec import Meta
@@ -173,19 +173,6 @@
                 self._publish()
         return gone
 
-    def mark_leaving(self, name: str) -> None:
-        """Note that a target said itself that it leaves.
-
-        Parameters
-        ----------
-        name : str
-        """
-        with self.lock:
-            target = self.targets.get(name)
-            if target is not None and not target.is_leaving:
-                self.targets[name] = replace(target, is_leaving=True)
-                self._publish()
-
     def get(self, name: str) -> Target | None:
         """Return a target by its id.
 
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -7,7 +7,7 @@
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
-from thornlatch.fleet import LoadRequested, PeerView, Target, TargetRegistry
+from thornlatch.fleet import LoadRequested, Target, TargetRegistry
 from thornlatch.gateway._choice import (
     Demand,
     Option,
@@ -131,7 +131,6 @@
     wire : TargetWire
     in_force : ConfigurationInForce
     registry : TargetRegistry
-    peers : PeerView
     quota : SharedQuota
     retries : RetryBudget
     versions : AdapterVersions
@@ -151,7 +150,6 @@
         wire: TargetWire,
         in_force: ConfigurationInForce,
         registry: TargetRegistry,
-        peers: PeerView,
         quota: SharedQuota,
         retries: RetryBudget,
         versions: AdapterVersions,
@@ -167,7 +165,6 @@
         self.wire = wire
         self.in_force = in_force
         self.registry = registry
-        self.peers = peers
         self.quota = quota
         self.retries = retries
         self.versions = versions
@@ -414,17 +411,16 @@
         )
 
         def get_state(target: Target) -> TargetState:
-            requests = self.work.get_total(target.id)
-            requests += self.peers.get_running(target.id)
+            requests = self.orders.count_requests(target.id)
             requests = max(requests, self.health.get_load(target.id, now=now))
+            is_avoided = self.health.is_avoided(target.id, now=now)
             if not adapter:
-                is_avoided = self.health.is_avoided(target.id, now=now)
                 return TargetState(requests, is_avoided)
             asked_at = asked.get(target.id)
             has_answered = asked_at is None or now - asked_at < ASK_AGAIN_S
             return TargetState(
                 requests,
-                self.health.is_avoided(target.id, now=now),
+                is_avoided,
                 self.residents.get(target.id, adapter),
                 has_answered and self.orders.is_held(target.id, now=now),
                 self.orders.count_in_transit(target.id, now=now),
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -111,7 +111,6 @@
             wire=targets,
             in_force=self.in_force,
             registry=self.registry,
-            peers=self.peers,
             quota=self.quota,
             retries=self.retries,
             versions=self.versions,
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -138,6 +138,19 @@
             return now >= held.orders_from and held.holder.sequence is not None
         return self.peers.get_holder(target, now=now) is not None
 
+    def count_requests(self, target: str) -> int:
+        """Return the requests of all hosts at a target.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        int
+        """
+        return self.work.get_total(target) + self.peers.get_running(target)
+
     def count_in_transit(self, target: str, *, now: float) -> int:
         """Return the adapters that a target fetches or will fetch.
 
@@ -192,9 +205,7 @@
             resident = self.residents.get(target.id, wish.adapter)
             if resident is None or resident.version < wish.version:
                 continue
-            requests = self.work.get_total(target.id)
-            requests += self.peers.get_running(target.id)
-            if requests < target.slots:
+            if self.count_requests(target.id) < target.slots:
                 return True
         return False
 
--- a/src/thornlatch/gateway/_peer_loop.py
+++ b/src/thornlatch/gateway/_peer_loop.py
@@ -66,7 +66,6 @@
         self.wake_reader, self.wake_writer = os.pipe()
         os.set_blocking(self.wake_writer, False)
         self.members: dict[str, str] = {}
-        self.live: frozenset[str] = frozenset()
         self.is_stopping = False
         self.sends_now = False
 
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -51,7 +51,6 @@
         [
             "wire",
             "registry",
-            "peers",
             "quota",
             "retries",
             "versions",
--- a/src/thornlatch/residency/_tenure.py
+++ b/src/thornlatch/residency/_tenure.py
@@ -37,7 +37,6 @@
     def __init__(self, settings: TenureSettings) -> None:
         self.settings = settings
         self.tokens: dict[int, int] = {}
-        self.since: dict[int, float] = {}
         self.renewed_at = float("-inf")
         self.fenced_tokens: dict[int, int] = {}
 
@@ -64,16 +63,13 @@
         lost = frozenset(self.tokens.keys() - partitions)
         for partition in lost:
             del self.tokens[partition]
-            del self.since[partition]
         for partition in gained:
             # The holder before knew of an earlier generation only.
             self.tokens[partition] = generation
-            self.since[partition] = asked_at
         for partition, fenced in self.fenced_tokens.items():
             # Another host ordered in between, and the group has changed since.
             if self.tokens.get(partition, generation) <= fenced < generation:
                 self.tokens[partition] = generation
-                self.since[partition] = asked_at
         return gained, lost
 
     def note_fenced(self, partition: int) -> None:
@@ -90,7 +86,6 @@
     def drop_all(self) -> None:
         """End every tenure, as at a planned stop."""
         self.tokens = {}
-        self.since = {}
 
     def get_token(self, partition: int, *, now: float) -> int | None:
         """Return the fencing token to order with, or None if this host must not.
