--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -9,7 +9,8 @@
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import ANSWERS, ErrorKind, RequestRefused
-from thornlatch.gateway._forwarder import Forwarder, GatewayAnswer
+from thornlatch.gateway._call import GatewayAnswer
+from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._ports import CallerWire
 
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -24,7 +24,9 @@
     Target,
     TargetRegistry,
 )
+from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._app import GatewayApplication, StartResponse, describe_status
+from thornlatch.gateway._dispatcher import GrowingDispatcher
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._logs import LineLog
@@ -32,6 +34,8 @@
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
 from thornlatch.gateway._ports import CallerWire, TargetWire
+from thornlatch.gateway._selector import TargetSelector
+from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._settings import GatewaySettings
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import WorkTable
@@ -50,6 +54,9 @@
 IDLE_S = 75  # longer than callers keep idle connections
 CONNECTION_LIMIT = 2000
 BACKLOG = 1024
+FIRST_THREADS = (
+    8  # of the callers' server, more than a calm host of a large fleet needs
+)
 
 
 class Gateway:
@@ -105,22 +112,7 @@
             send=self._send,
             announce=self._announce,
         )
-        self.forwarder = Forwarder(
-            settings.forwarding,
-            failure_domain=settings.host.failure_domain,
-            wire=targets,
-            in_force=self.in_force,
-            registry=self.registry,
-            quota=self.quota,
-            retries=self.retries,
-            versions=self.versions,
-            residents=self.residents,
-            orders=self.orders,
-            work=self.work,
-            health=self.health,
-            suspects=self.suspects,
-            metrics=self.metrics,
-        )
+        self.forwarder = self._build_forwarder(targets)
         self.app = GatewayApplication(callers, self.forwarder, self.metrics)
         self.peer_loop = PeerLoop(
             settings.peers,
@@ -143,6 +135,41 @@
         self.live_peers: frozenset[str] = frozenset()
         self.executor = ThreadPoolExecutor(16, "gateway")
 
+    def _build_forwarder(self, targets: TargetWire) -> Forwarder:
+        settings = self.settings.forwarding
+        return Forwarder(
+            admission=Admission(
+                settings,
+                in_force=self.in_force,
+                quota=self.quota,
+                suspects=self.suspects,
+            ),
+            selector=TargetSelector(
+                settings,
+                failure_domain=self.settings.host.failure_domain,
+                registry=self.registry,
+                versions=self.versions,
+                residents=self.residents,
+                orders=self.orders,
+                health=self.health,
+            ),
+            sender=TargetSender(
+                settings,
+                wire=targets,
+                work=self.work,
+                health=self.health,
+                metrics=self.metrics,
+            ),
+            in_force=self.in_force,
+            quota=self.quota,
+            retries=self.retries,
+            residents=self.residents,
+            work=self.work,
+            health=self.health,
+            suspects=self.suspects,
+            metrics=self.metrics,
+        )
+
     def run(
         self,
         feeds: Iterable[Callable[[], None]] = (),
@@ -445,6 +472,7 @@
         return waitress.create_server(
             app,
             map={},
+            _dispatcher=GrowingDispatcher(first=FIRST_THREADS, limit=threads),
             host=host,
             port=int(port),
             threads=threads,
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -49,7 +49,7 @@
     Parameters
     ----------
     threads : int
-        Requests that are served at once.
+        Most requests that are served at once.
     connect_s : float
         Seconds to connect to a target; two round trips take a few ms.
     plain_head_s : float
--- /dev/null
+++ b/src/thornlatch/gateway/tests/test_dispatcher.py
@@ -0,0 +1,70 @@
+"""Threads of the callers' server, by the load pattern that they answer."""
+
+import threading
+import time
+
+import pytest
+
+from thornlatch.gateway._dispatcher import GrowingDispatcher
+
+WAIT_S = 10.0
+
+
+class Request:
+    """Occupies its thread until released."""
+
+    def __init__(self):
+        self.began = threading.Event()
+        self.released = threading.Event()
+
+    def service(self):
+        self.began.set()
+        self.released.wait(WAIT_S)
+
+    def cancel(self):
+        self.released.set()
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + WAIT_S
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.001)
+
+
+@pytest.fixture
+def dispatcher():
+    one = GrowingDispatcher(first=2, limit=20)
+    yield one
+    one.shutdown(timeout=WAIT_S)
+
+
+def test_burst_of_long_streams_waits_for_no_thread(dispatcher):
+    requests = [Request() for _ in range(20)]
+    for request in requests:
+        dispatcher.add_task(request)
+    assert all(request.began.wait(WAIT_S) for request in requests)
+    for request in requests:
+        request.released.set()
+
+
+def test_calm_load_of_one_request_after_another_starts_no_thread(dispatcher):
+    for _ in range(30):
+        wait_until(lambda: dispatcher.active_count == 0)
+        request = Request()
+        request.released.set()
+        dispatcher.add_task(request)
+        assert request.began.wait(WAIT_S)
+    assert len(dispatcher.threads) == 2
+
+
+def test_load_beyond_the_limit_waits_for_a_thread_that_ends_its_request(dispatcher):
+    requests = [Request() for _ in range(21)]
+    for request in requests:
+        dispatcher.add_task(request)
+    assert all(request.began.wait(WAIT_S) for request in requests[:20])
+    assert not requests[20].began.is_set()
+    requests[7].released.set()
+    assert requests[20].began.wait(WAIT_S)
+    for request in requests:
+        request.released.set()
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -8,9 +8,12 @@
 from thornlatch.exceptions import ANSWERS, Execution, RequestRefused, TargetError
 from thornlatch.fleet import Target
 from thornlatch.gateway import AnswerHead, CallerRequest, GatewayMetrics
+from thornlatch.gateway._admission import Admission
+from thornlatch.gateway._call import Call, Opened
 from thornlatch.gateway._choice import Option, Step
-from thornlatch.gateway._forwarder import Forwarder, _Call, _Opened
+from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
+from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._suspects import CrashSuspects, SuspectSettings
 from thornlatch.gateway._work import Running, WorkTable
@@ -47,23 +50,21 @@
 def build_forwarder(**parts):
     in_force = ConfigurationInForce(FreshnessSettings())
     in_force.install(Configuration(1, (ROUTE,), {}, {"shop": SHOP}))
-    unused = dict.fromkeys(
-        [
-            "wire",
-            "registry",
-            "quota",
-            "retries",
-            "versions",
-            "residents",
-            "orders",
-            "work",
-            "health",
-            "suspects",
-            "metrics",
-        ]
-    )
+    names = ("quota", "retries", "residents", "work", "health", "suspects", "metrics")
+    unused = dict.fromkeys(names)
+    settings = ForwardingSettings()
     return Forwarder(
-        ForwardingSettings(), failure_domain="z", in_force=in_force, **unused | parts
+        admission=Admission(settings, in_force=in_force, quota=None, suspects=None),
+        selector=None,
+        sender=TargetSender(
+            settings,
+            wire=None,
+            work=parts.get("work"),
+            health=parts.get("health"),
+            metrics=parts.get("metrics"),
+        ),
+        in_force=in_force,
+        **unused | parts,
     )
 
 
@@ -73,7 +74,7 @@
     )
     now = read_clock()
     running = Running("1", now + 1, lambda: False)
-    return _Call(request, ROUTE, SHOP, "s", running, now, 1, "f", **more)
+    return Call(request, ROUTE, SHOP, "s", running, now, 1, "f", **more)
 
 
 @pytest.mark.parametrize(
@@ -107,7 +108,7 @@
         work.begin("t", "")
     target = Target("t", "s", "1.2.3.4:5", "z", 8)
     head = AnswerHead(200, "1", True, False, False, "t", None, ())
-    opened = _Opened(Option(target, Step.SEND, 0, 0), head, Response(), 0.0)
+    opened = Opened(Option(target, Step.SEND, 0, 0), head, Response(), 0.0)
     with pytest.raises(RequestRefused):
         list(forwarder._pass_on(call, opened))
     assert work.get_total("t") == 1
