Copy adapters away from crowded targets; count prompts that targets still read

Cause: an adapter sat at one target, and requests stayed there while it had a slot free.

Ruled out: preemption (31 requests); the host's relay (gaps fall together at a target).

Change: the holder of a crowded target has its busiest adapter copied to the calmest one, a former one first; requests choose by the prompts that a target still reads, their own hosts' and, by digest, all others'; a former target's quick load is taken before a crowd.

What is left are pile-ups that form within a digest's 100 ms, and waits for the weight store after crashes.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -1,6 +1,6 @@
 """What each host tells the others several times a second, and the view from it."""
 
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 from typing import Annotated
 
 from msgspec import Meta
@@ -73,6 +73,8 @@
     is_stopping : bool
     broken : dict of str to int
         Fingerprints of requests to the runs of them that broke off.
+    reading : dict of str to int
+        Target to prompt tokens of the sender's requests that it still reads.
     """
 
     sent_at: float
@@ -83,6 +85,7 @@
     held_names: tuple[str, ...]
     is_stopping: bool
     broken: dict[str, int]
+    reading: dict[str, int] = field(default_factory=dict)
 
 
 @register
@@ -101,6 +104,8 @@
         Rank of the request that needs it, 0 first.
     was_missing : bool
         Whether the target denied holding it.
+    is_copy : bool
+        Whether another target holds it too, which is crowded.
     """
 
     target: str
@@ -108,6 +113,7 @@
     version: int
     priority: int
     was_missing: bool = False
+    is_copy: bool = False
 
 
 @dataclass(frozen=True)
@@ -148,6 +154,7 @@
         self.held_at: dict[str, float] = {}
         self.running: dict[str, dict[str, int]] = {}
         self.holders: dict[str, str] = {}
+        self.reading: dict[str, int] = {}
         self.sum_due_at = float("-inf")
         self.silent_s = settings.silent_s
 
@@ -239,6 +246,19 @@
         """
         return self.running.get(target, {}).get("", 0)
 
+    def get_reading(self, target: str) -> int:
+        """Return the prompt tokens of all peers that a target still reads.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        int
+        """
+        return self.reading.get(target, 0)
+
     def get_adapter_use(self, target: str) -> dict[str, int]:
         """Return requests of all peers at a target by adapter.
 
@@ -274,6 +294,7 @@
         running: dict[str, dict[str, int]] = {}
         tokens: dict[str, int] = {}
         holders: dict[str, str] = {}
+        reading: dict[str, int] = {}
         for host, heard in self.heard.items():
             if not self.is_live(host, now=now):
                 continue
@@ -282,6 +303,8 @@
                 uses[adapter] = uses.get(adapter, 0) + count
                 if adapter:
                     uses[""] = uses.get("", 0) + count
+            for target, prompt_tokens in heard.digest.reading.items():
+                reading[target] = reading.get(target, 0) + prompt_tokens
             for name in heard.digest.held_names:
                 held = self.held.get(host, {}).get(name)
                 token = held.fencing_token if held else 0
@@ -289,4 +312,5 @@
                     tokens[name] = token
                     holders[name] = host
         self.running = running
+        self.reading = reading
         self.holders = holders
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -7,7 +7,7 @@
 from thornlatch.gateway._choice import Option
 from thornlatch.gateway._events import EventSplitter, StreamEvent
 from thornlatch.gateway._ports import AnswerHead, CallerRequest
-from thornlatch.gateway._work import Running
+from thornlatch.gateway._work import Running, TargetUse
 from thornlatch.routing import Organisation, Route
 from thornlatch.targets import TargetResponse
 
@@ -133,6 +133,8 @@
     head : AnswerHead
     response : TargetResponse
     sent_at : float
+    use : TargetUse
+        The request's part of the work at the target.
     splitter : EventSplitter
     events : list of StreamEvent
         Whole events that haven't been passed on.
@@ -140,19 +142,17 @@
         The whole body, if it isn't a stream.
     has_ended : bool
         Whether a stream has ended completely.
-    is_counted : bool
-        Whether the request still counts among those at the target.
     """
 
     option: Option
     head: AnswerHead
     response: TargetResponse
     sent_at: float
+    use: TargetUse
     splitter: EventSplitter = field(default_factory=EventSplitter)
     events: list[StreamEvent] = field(default_factory=list)
     body: bytes = b""
     has_ended: bool = False
-    is_counted: bool = True
 
 
 def build_failure(call: Call) -> RequestRefused:
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -53,6 +53,8 @@
     ----------
     requests : int
         Requests of all hosts there.
+    reading : int
+        Prompt tokens of all hosts that it still reads.
     is_avoided : bool
         Whether it failed lately.
     resident : Resident or None
@@ -66,6 +68,7 @@
     """
 
     requests: int
+    reading: int = 0
     is_avoided: bool = False
     resident: Resident | None = None
     is_held: bool = True
@@ -93,6 +96,8 @@
         The same at a target that held the adapter before.
     service_s : float
         Mean seconds of a request at the service's targets.
+    prefill_s : float
+        Seconds that a target takes for a prompt token.
     """
 
     adapter: str
@@ -102,6 +107,7 @@
     load_s: float
     former_load_s: float
     service_s: float
+    prefill_s: float = 0.0
 
 
 def list_options(
@@ -183,8 +189,9 @@
     slots = max(target.slots, 1)
     over = state.requests + 1 - slots
     queue_s = max(over, 0) * demand.service_s / slots
-    # Fuller batches are slower even below the limit.
-    cost_s = queue_s + state.requests / slots * demand.service_s * 0.1
+    # A prompt waits for those before it and then delays all streams of the target.
+    cost_s = queue_s + state.requests / slots * settings.crowd_penalty_s
+    cost_s += state.reading * demand.prefill_s * settings.prefill_ratio
     if target.failure_domain != demand.failure_domain:
         cost_s += settings.domain_penalty_s
     if state.is_avoided:
@@ -208,7 +215,10 @@
         cost_s += settings.load_penalty_s
     wait_s = max(load_s, queue_s)
     cost_s += wait_s - queue_s
-    cost_s += rank_home(demand.adapter, target.id) * settings.home_penalty_s
+    home_s = settings.former_home_penalty_s
+    if not state.was_resident:
+        home_s = settings.home_penalty_s
+    cost_s += rank_home(demand.adapter, target.id) * home_s
     return Option(target, Step.ASK_LOAD, wait_s, cost_s)
 
 
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -99,6 +99,7 @@
         self.suspects = CrashSuspects(settings.suspects)
         self.orders = OrderManager(
             settings.holder,
+            relief=settings.relief,
             partitions=partitions,
             wire=targets,
             in_force=self.in_force,
@@ -524,6 +525,7 @@
             self.orders.list_names(),
             self.stopping.is_set(),
             self.suspects.list_own(now=now),
+            self.work.list_reading(),
         )
 
     def _take_digest(self, host: str, digest: HostDigest, now: float) -> None:
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -8,6 +8,10 @@
 SMOOTHING = 0.1  # weight of the newest observation in a running mean
 FIRST_SERVICE_S = 1.5  # of a request, until one has been observed
 FAILURE_RATIO_LIMIT = 0.3  # share of failed requests above which a target is avoided
+FIRST_PREFILL_S = 3e-5  # a prompt token, until prompts have been observed
+PREFILL_TOKENS = 300  # shortest prompt that says something of the time a token takes
+# The fastest observations are those of prompts that waited for no others.
+PREFILL_FASTER, PREFILL_SLOWER = 0.2, 0.01
 LOAD_AGE_S = 0.5  # a target's own figure is as old as its last answer
 
 
@@ -33,6 +37,7 @@
         self.lock = threading.Lock()
         self.seen: dict[str, _Seen] = {}
         self.service_s: dict[str, float] = {}
+        self.prefill_s: dict[str, float] = {}
 
     def note_success(
         self, target: str, load: tuple[int, int, int] | None, *, now: float
@@ -92,6 +97,37 @@
             mean = self.service_s.get(service, FIRST_SERVICE_S)
             self.service_s[service] = mean + SMOOTHING * (elapsed_s - mean)
 
+    def note_prefill(self, service: str, tokens: int, elapsed_s: float) -> None:
+        """Note how long a prompt took from its sending to the first event.
+
+        Parameters
+        ----------
+        service : str
+        tokens : int
+        elapsed_s : float
+        """
+        if tokens < PREFILL_TOKENS:
+            return
+        with self.lock:
+            known = self.prefill_s.get(service, FIRST_PREFILL_S)
+            seen = elapsed_s / tokens
+            weight = PREFILL_FASTER if seen < known else PREFILL_SLOWER
+            # One slow answer says little, however slow it was.
+            self.prefill_s[service] = known + weight * (min(seen, 2 * known) - known)
+
+    def get_prefill_s(self, service: str) -> float:
+        """Return the seconds that a service's targets take for a prompt token.
+
+        Parameters
+        ----------
+        service : str
+
+        Returns
+        -------
+        float
+        """
+        return self.prefill_s.get(service, FIRST_PREFILL_S)
+
     def get_service_s(self, service: str) -> float:
         """Return the mean time of a request at a service's targets, in seconds.
 
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -4,7 +4,7 @@
 import zlib
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import logbook
 
@@ -25,10 +25,13 @@
     HolderSettings,
     NumberedOrder,
     OrderOutcome,
+    ReliefSettings,
     Resident,
     ResidentTable,
     TargetHolder,
+    TargetLoad,
     Tenure,
+    advise_copy,
 )
 from thornlatch.routing import ConfigurationInForce, EngineLimits
 
@@ -36,6 +39,7 @@
 
 ORDER_THREADS = 8  # targets that get an order at the same moment
 FULL_PERIOD_S = 1.0  # between two full accounts of held targets to the peers
+COPY_PRIORITY = 1  # behind the loads that urgent requests wait for
 
 
 @dataclass(eq=False)
@@ -44,6 +48,7 @@
     partition: int
     holder: TargetHolder
     orders_from: float
+    relief_due_at: float = 0.0
     lock: threading.Lock = field(default_factory=threading.Lock)
     is_running: bool = False
 
@@ -54,6 +59,7 @@
     Parameters
     ----------
     settings : HolderSettings
+    relief : ReliefSettings
     partitions : int
         Partitions over which targets are spread.
     wire : TargetWire
@@ -75,6 +81,7 @@
         self,
         settings: HolderSettings,
         *,
+        relief: ReliefSettings,
         partitions: int,
         wire: TargetWire,
         in_force: ConfigurationInForce,
@@ -89,6 +96,7 @@
         announce: Callable[[], None],
     ) -> None:
         self.settings = settings
+        self.relief = relief
         self.partitions = partitions
         self.wire = wire
         self.in_force = in_force
@@ -151,6 +159,19 @@
         """
         return self.work.get_total(target) + self.peers.get_running(target)
 
+    def count_reading(self, target: str) -> int:
+        """Return the prompt tokens of all hosts that a target still reads.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        int
+        """
+        return self.work.get_reading(target) + self.peers.get_reading(target)
+
     def count_in_transit(self, target: str, *, now: float) -> int:
         """Return the adapters that a target fetches or will fetch.
 
@@ -180,7 +201,8 @@
             if holder is not None:
                 self.send(holder, wish)
             return
-        if not wish.was_missing and self._is_served_elsewhere(wish):
+        is_first = not wish.was_missing and not wish.is_copy
+        if is_first and self._is_served_elsewhere(wish):
             return
         with held.lock:
             held.holder.want(
@@ -288,6 +310,54 @@
             with held.lock:
                 held.holder.note_use(uses, now=now)
             self._start(held)
+            self._relieve(held, uses, now)
+
+    def _relieve(self, held: _Held, uses: dict[str, int], now: float) -> None:
+        """Have a copy loaded elsewhere if the target is crowded."""
+        if now < held.relief_due_at:
+            return
+        held.relief_due_at = now + self.relief.period_s
+        loads = [
+            self._describe_load(target, now)
+            for target in self.registry.get_ready(held.target.service)
+        ]
+        crowded = [load for load in loads if load.target == held.target.id]
+        if not crowded:
+            return
+        advice = advise_copy(
+            replace(crowded[0], uses=uses),
+            [load for load in loads if load.target != held.target.id],
+            self.relief,
+            may_fetch=self.residents.count_in_transit(now=now) < self.count_engines(),
+        )
+        if advice is None:
+            return
+        version = self.versions.get_newest(advice.adapter)
+        wish = LoadRequested(
+            advice.target, advice.adapter, version, COPY_PRIORITY, is_copy=True
+        )
+        self.ask(wish, now=now)
+        logger.info(
+            "adapter.copied",
+            extra={
+                "adapter": advice.adapter,
+                "target": advice.target,
+                "crowded": held.target.id,
+                "requests": crowded[0].requests,
+                "adapter_requests": uses.get(advice.adapter, 0),
+            },
+        )
+
+    def _describe_load(self, target: Target, now: float) -> TargetLoad:
+        return TargetLoad(
+            target.id,
+            self.count_requests(target.id),
+            target.slots,
+            {},
+            self.residents.residents.get(target.id, {}),
+            self.residents.formers.get(target.id, set()),
+            self.is_held(target.id, now=now),
+        )
 
     def build_held(self, *, now: float) -> tuple[HeldTarget, ...] | None:
         """Return what peers are to know of held targets, or None if nothing changed.
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -156,18 +156,21 @@
             holder.adapter_load_s,
             holder.adapter_load_s * holder.former_load_ratio,
             self.health.get_service_s(call.service),
+            self.health.get_prefill_s(call.service),
         )
 
         def get_state(target: Target) -> TargetState:
             requests = self.orders.count_requests(target.id)
             requests = max(requests, self.health.get_load(target.id, now=now))
             is_avoided = self.health.is_avoided(target.id, now=now)
+            reading = self.orders.count_reading(target.id)
             if not adapter:
-                return TargetState(requests, is_avoided)
+                return TargetState(requests, reading, is_avoided)
             asked_at = asked.get(target.id)
             has_answered = asked_at is None or now - asked_at < ASK_AGAIN_S
             return TargetState(
                 requests,
+                reading,
                 is_avoided,
                 self.residents.get(target.id, adapter),
                 has_answered and self.orders.is_held(target.id, now=now),
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -10,7 +10,7 @@
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._ports import AnswerHead, SendContext, TargetWire
 from thornlatch.gateway._settings import ForwardingSettings
-from thornlatch.gateway._work import WorkTable
+from thornlatch.gateway._work import TargetUse, WorkTable
 from thornlatch.routing import CallKind
 from thornlatch.targets import TargetCall, TargetResponse, open_call
 
@@ -96,26 +96,35 @@
             timeout_s=head_s,
             connect_s=min(self.settings.connect_s, left_s),
         )
-        self.work.begin(target.id, request.adapter)
+        tokens = request.prompt_tokens or 0
+        use = self.work.begin(target.id, request.adapter, tokens)
         call.sends += 1
         call.target = target.id
         try:
             response = open_call(target_call, may_reuse=call.route.may_repeat)
-            opened = self._open(call, option, response, now)
+            opened = self._open(call, option, response, use, now)
         except BaseException:
-            self.work.end(target.id, request.adapter)
+            self.work.end(use)
             raise
+        self.work.note_answer(use)
+        if call.route.kind is CallKind.STREAM:
+            self.health.note_prefill(call.service, tokens, read_clock() - now)
         self.metrics.sends.labels(call.service, str(opened.head.status)).inc()
         self.health.note_success(target.id, opened.head.load, now=read_clock())
         return opened
 
     def _open(
-        self, call: Call, option: Option, response: TargetResponse, sent_at: float
+        self,
+        call: Call,
+        option: Option,
+        response: TargetResponse,
+        use: TargetUse,
+        sent_at: float,
     ) -> Opened:
         call.running.set_abort(response.abort)
         try:
             head = self.wire.read_head(response.status, response.response.getheaders())
-            opened = Opened(option, head, response, sent_at)
+            opened = Opened(option, head, response, sent_at, use)
             if head.is_not_run:
                 response.read_all(BODY_LIMIT_BYTES)
                 raise Rejected(head)
@@ -188,7 +197,7 @@
         call.may_have_run = True
         opened.response.close()
         target = opened.option.target.id
-        self._count_off(call, opened)
+        self.work.end(opened.use)
         now = read_clock()
         self.health.note_service(call.service, now - opened.sent_at)
         if opened.head.status >= 500:
@@ -204,13 +213,7 @@
         """
         call.running.set_abort(None)
         _discard(opened.response)
-        self._count_off(call, opened)
-
-    def _count_off(self, call: Call, opened: Opened) -> None:
-        # A stream that broke was counted off before its resumption failed.
-        if opened.is_counted:
-            opened.is_counted = False
-            self.work.end(opened.option.target.id, call.request.adapter)
+        self.work.end(opened.use)
 
 
 def _read_whole(response: TargetResponse) -> bytes:
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -10,7 +10,12 @@
 from thornlatch.gateway._logs import LogSettings
 from thornlatch.gateway._suspects import SuspectSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
-from thornlatch.residency import HolderSettings, TenureSettings, VersionSettings
+from thornlatch.residency import (
+    HolderSettings,
+    ReliefSettings,
+    TenureSettings,
+    VersionSettings,
+)
 from thornlatch.routing import FreshnessSettings
 
 Seconds = Annotated[float, Meta(gt=0)]
@@ -76,6 +81,13 @@
         Seconds of waiting that one load from the weight store is worth.
     home_penalty_s : float
         Seconds of waiting that the first home of an adapter is worth over the last.
+    former_home_penalty_s : float
+        The same among targets that held the adapter before.
+    crowd_penalty_s : float
+        Seconds of waiting that a target without requests is worth over a full one.
+    prefill_ratio : float
+        Times that reading the prompts before it counts for a request; they delay the
+        streams that run there too.
     domain_penalty_s : float
         Seconds of waiting that staying in the failure domain is worth.
     """
@@ -93,6 +105,9 @@
     queue_ratio: Annotated[float, Meta(ge=0)] = 0.25
     load_penalty_s: Annotated[float, Meta(ge=0)] = 0.5
     home_penalty_s: Annotated[float, Meta(ge=0)] = 0.5
+    former_home_penalty_s: Annotated[float, Meta(ge=0)] = 0.03
+    crowd_penalty_s: Annotated[float, Meta(ge=0)] = 0.3
+    prefill_ratio: Annotated[float, Meta(ge=0)] = 2.0
     domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
 
 
@@ -132,6 +147,7 @@
     holder : HolderSettings
     tenure : TenureSettings
     versions : VersionSettings
+    relief : ReliefSettings
     forwarding : ForwardingSettings
     suspects : SuspectSettings
     stop : StopSettings
@@ -148,6 +164,7 @@
     holder: HolderSettings = field(default_factory=HolderSettings)
     tenure: TenureSettings = field(default_factory=TenureSettings)
     versions: VersionSettings = field(default_factory=VersionSettings)
+    relief: ReliefSettings = field(default_factory=ReliefSettings)
     forwarding: ForwardingSettings = field(default_factory=ForwardingSettings)
     suspects: SuspectSettings = field(default_factory=SuspectSettings)
     stop: StopSettings = field(default_factory=StopSettings)
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -63,6 +63,27 @@
             abort()
 
 
+@dataclass(eq=False)
+class TargetUse:
+    """A request's part of the work at a target.
+
+    Parameters
+    ----------
+    target, adapter : str
+    prompt_tokens : int
+        Tokens that the target reads before the first event.
+    is_reading : bool
+        Whether it hasn't answered yet.
+    has_ended : bool
+    """
+
+    target: str
+    adapter: str
+    prompt_tokens: int = 0
+    is_reading: bool = True
+    has_ended: bool = False
+
+
 class WorkTable:
     """Counts requests by target and adapter, and ends those that must end.
 
@@ -73,6 +94,7 @@
         self.lock = threading.Lock()
         self.counts: dict[tuple[str, str], int] = {}
         self.totals: dict[str, int] = {}
+        self.reading: dict[str, int] = {}
         self.running: set[Running] = set()
 
     def add(self, running: Running) -> None:
@@ -95,33 +117,79 @@
         with self.lock:
             self.running.discard(running)
 
-    def begin(self, target: str, adapter: str) -> None:
-        """Count a request at a target.
+    def begin(self, target: str, adapter: str, prompt_tokens: int = 0) -> TargetUse:
+        """Count a request at a target until `end`.
 
         Parameters
         ----------
         target, adapter : str
+        prompt_tokens : int
+
+        Returns
+        -------
+        TargetUse
         """
         with self.lock:
             key = (target, adapter)
             self.counts[key] = self.counts.get(key, 0) + 1
             self.totals[target] = self.totals.get(target, 0) + 1
+            self.reading[target] = self.reading.get(target, 0) + prompt_tokens
+        return TargetUse(target, adapter, prompt_tokens)
 
-    def end(self, target: str, adapter: str) -> None:
-        """Count a request at a target no more.
+    def note_answer(self, use: TargetUse) -> None:
+        """Note that a target has read a request's prompt.
 
         Parameters
         ----------
-        target, adapter : str
+        use : TargetUse
         """
         with self.lock:
-            key = (target, adapter)
+            self._end_reading(use)
+
+    def end(self, use: TargetUse) -> None:
+        """Count a request at a target no more; a second call changes nothing.
+
+        Parameters
+        ----------
+        use : TargetUse
+        """
+        with self.lock:
+            if use.has_ended:
+                return
+            use.has_ended = True
+            self._end_reading(use)
+            target = use.target
+            key = (target, use.adapter)
             self.counts[key] -= 1
             self.totals[target] -= 1
             if not self.counts[key]:
                 del self.counts[key]
             if not self.totals[target]:
                 del self.totals[target]
+                del self.reading[target]
+
+    def _end_reading(self, use: TargetUse) -> None:
+        if use.is_reading:
+            use.is_reading = False
+            self.reading[use.target] -= use.prompt_tokens
+
+    def get_reading(self, target: str) -> int:
+        """Return the prompt tokens of this host that a target still reads.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        int
+        """
+        return self.reading.get(target, 0)
+
+    def list_reading(self) -> dict[str, int]:
+        """Return prompt tokens that targets still read, as digests carry them."""
+        with self.lock:
+            return {target: tokens for target, tokens in self.reading.items() if tokens}
 
     def get_total(self, target: str) -> int:
         """Return the requests of this host at a target.
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -26,7 +26,7 @@
 
 
 def demand(adapter="m/a", version=0, excluded=()):
-    return Demand(adapter, version, "z1", frozenset(excluded), 0.27, 0.04, 1.6)
+    return Demand(adapter, version, "z1", frozenset(excluded), 0.27, 0.04, 1.6, 3e-5)
 
 
 def choose(states, wish=None, targets=TARGETS):
@@ -83,6 +83,28 @@
     assert options[0].target.id != home
 
 
+def test_pile_of_long_prompts_at_one_target_sends_the_next_to_another_copy():
+    states = {
+        "t1": TargetState(1, reading=9000, resident=READY),
+        "t2": TargetState(3, resident=READY),
+    }
+    assert choose(states)[0].target.id == "t2"
+
+
+def test_pile_of_long_prompts_is_worth_a_quick_load_at_a_former_target():
+    states = {
+        "t1": TargetState(4, reading=9000, resident=READY),
+        "t3": TargetState(0, was_resident=True),
+    }
+    best = choose(states)[0]
+    assert (best.target.id, best.step) == ("t3", Step.ASK_LOAD)
+
+
+def test_pile_of_long_prompts_is_no_reason_to_fetch_from_the_weight_store():
+    states = {"t1": TargetState(4, reading=9000, resident=READY)}
+    assert [option.target.id for option in choose(states)] == ["t1"]
+
+
 def test_half_of_the_targets_gone_leaves_the_others():
     options = choose({}, demand(excluded=("t1", "t2")))
     assert [option.target.id for option in options] == ["t3"]
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -104,11 +104,10 @@
     )
     call = build_call(may_have_run=True)
     call.route = replace(ROUTE, kind=CallKind.STREAM)
-    for _ in range(2):
-        work.begin("t", "")
+    use, _ = work.begin("t", ""), work.begin("t", "")
     target = Target("t", "s", "1.2.3.4:5", "z", 8)
     head = AnswerHead(200, "1", True, False, False, "t", None, ())
-    opened = Opened(Option(target, Step.SEND, 0, 0), head, Response(), 0.0)
+    opened = Opened(Option(target, Step.SEND, 0, 0), head, Response(), 0.0, use)
     with pytest.raises(RequestRefused):
         list(forwarder._pass_on(call, opened))
     assert work.get_total("t") == 1
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -23,6 +23,7 @@
     HolderSettings,
     LoadAdapter,
     OrderOutcome,
+    ReliefSettings,
     Resident,
     ResidentTable,
     Tenure,
@@ -75,6 +76,7 @@
     sent = []
     manager = OrderManager(
         HolderSettings(),
+        relief=ReliefSettings(),
         partitions=12,
         wire=Wire(),
         in_force=in_force,
@@ -99,9 +101,9 @@
     manager.tick(now=read_clock())
 
 
-def tell_of_holder(manager, ordered_ago_s, *, heard_ago_s=0.0):
-    held = HeldTarget("t1", 1, 4, ordered_ago_s, ())
-    digest = HostDigest(1.0, (), {}, {}, (held,), ("t1",), False, {})
+def tell_of_holder(manager, ordered_ago_s, *, heard_ago_s=0.0, target="t1"):
+    held = HeldTarget(target, 1, 4, ordered_ago_s, ())
+    digest = HostDigest(1.0, (), {}, {}, (held,), (target,), False, {})
     manager.peers.take("other", digest, now=read_clock() - heard_ago_s)
 
 
@@ -173,6 +175,29 @@
     assert [order[0] for order in manager.wire.orders] == ["t1", "t2"]
 
 
+def test_crowded_target_has_its_busiest_adapter_copied_to_the_calmest(world):
+    manager, sent = world
+    hold(manager, "t1")
+    manager.ask(wish("t1"), now=read_clock())
+    tell_of_holder(manager, 1.0, target="t2")
+    for _ in range(4):
+        manager.work.begin("t1", "m/a1")
+    manager.held["t1"].relief_due_at = 0.0
+    manager.tick(now=read_clock())
+    (host, message), *others = sent
+    assert (host, message.target, message.adapter) == ("other", "t2", "m/a1")
+    assert message.is_copy
+    assert not others
+
+
+def test_wish_for_a_copy_isn_t_dropped_for_the_target_that_is_crowded(world):
+    manager, _ = world
+    hold(manager, "t1", "t2")
+    manager.ask(wish("t1"), now=read_clock())
+    manager.ask(wish("t2", is_copy=True), now=read_clock())
+    assert [order[0] for order in manager.wire.orders] == ["t1", "t2"]
+
+
 def test_restarted_target_is_taken_up_anew(world):
     manager, _ = world
     hold(manager, "t1")
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -90,17 +90,42 @@
 
 def test_work_is_counted_by_target_and_adapter():
     work = WorkTable()
-    work.begin("t", "m/a")
-    work.begin("t", "m/a")
-    work.begin("t", "")
+    uses = [work.begin("t", "m/a", 100), work.begin("t", "m/a"), work.begin("t", "")]
     assert work.get_total("t") == 3
     assert work.get_uses("t") == {"m/a": 2, "": 1}
-    for adapter in ("m/a", "m/a", ""):
-        work.end("t", adapter)
+    for use in uses:
+        work.end(use)
     assert work.list_counts() == ()
     assert work.get_total("t") == 0
 
 
+def test_use_that_is_ended_twice_is_counted_off_once():
+    work = WorkTable()
+    use, _ = work.begin("t", "m/a"), work.begin("t", "m/a")
+    work.end(use)
+    work.end(use)
+    assert work.get_uses("t") == {"m/a": 1}
+
+
+def test_prompts_count_until_the_target_answers_or_fails():
+    work = WorkTable()
+    first, second = work.begin("t", "", 100), work.begin("t", "", 30)
+    assert work.get_reading("t") == 130
+    work.note_answer(first)
+    assert work.list_reading() == {"t": 30}
+    work.end(second)
+    work.end(first)
+    assert work.list_reading() == {}
+
+
+def test_time_of_a_prompt_token_follows_the_prompts_that_waited_for_none():
+    health = TargetHealth(ForwardingSettings())
+    for _ in range(30):
+        health.note_prefill("llm", 1000, 0.02)
+        health.note_prefill("llm", 1000, 0.8)
+    assert 1.5e-5 < health.get_prefill_s("llm") < 4e-5
+
+
 def request(number="1", body=b"x"):
     return CallerRequest(
         number, "POST", "/p", "h", "k", 1.0, "", "", 1, 1, (), "", (), body
--- a/src/thornlatch/residency/__init__.py
+++ b/src/thornlatch/residency/__init__.py
@@ -9,24 +9,34 @@
     ResidencyOrder,
     UnloadAdapter,
 )
+from thornlatch.residency._relief import (
+    CopyAdvised,
+    ReliefSettings,
+    TargetLoad,
+    advise_copy,
+)
 from thornlatch.residency._table import Resident, ResidentTable
 from thornlatch.residency._tenure import Tenure, TenureSettings
 from thornlatch.residency._versions import AdapterVersions, VersionSettings
 
 __all__ = [
     "AdapterVersions",
+    "CopyAdvised",
     "EngineReport",
     "HolderSettings",
     "LoadAdapter",
     "LoadModel",
     "NumberedOrder",
     "OrderOutcome",
+    "ReliefSettings",
     "Resident",
     "ResidencyOrder",
     "ResidentTable",
     "TargetHolder",
+    "TargetLoad",
     "Tenure",
     "TenureSettings",
     "UnloadAdapter",
     "VersionSettings",
+    "advise_copy",
 ]
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -1,148 +1,16 @@
 """The whole path in a real process, before stand-ins of the store and of servers."""
 
 import http.client
-import itertools
 import json
 import os
 import signal
-import socket
-import subprocess
-import sys
 import time
-from pathlib import Path
 
 import pytest
 
+from hosts import WAIT_S, start_host, wait_until
 from stand_ins import ModelServer, Store, build_config, build_route
 
-ROOT = Path(__file__).resolve().parent.parent.parent
-WAIT_S = 20.0
-
-
-PORTS_PER_HOST = 4  # callers, readiness, peers, metrics
-# Below the ephemeral ports, and another block for each worker of pytest.
-WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-PORTS = itertools.count(21000 + 600 * (WORKER % 12), PORTS_PER_HOST)
-
-
-def find_ports():
-    """Return the first of some ports that are free."""
-    return next(first for first in PORTS if all(map(is_free, range(first, first + 4))))
-
-
-def is_free(port):
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
-
-
-class Host:
-    """A gateway process."""
-
-    def __init__(self, folder, store, name="edge-1"):
-        self.name = name
-        self.callers = find_ports()
-        self.ready, self.internal = self.callers + 1, self.callers + 2
-        path = folder / f"{name}.toml"
-        path.write_text(self.describe(store))
-        self.log = (folder / f"{name}.log").open("w+")
-        self.process = subprocess.Popen(
-            [sys.executable, "platform/main.py"],
-            cwd=ROOT,
-            env={**os.environ, "THORNLATCH_NODE_FILE": str(path)},
-            stdout=self.log,
-            stderr=subprocess.STDOUT,
-        )
-
-    def describe(self, store):
-        return f"""
-nodeName = "{self.name}"
-ip = "127.0.0.1"
-zone = "z1"
-internalPortRange = [{self.internal}, {self.internal + 5}]
-somethingNew = 1
-[listenersConfig]
-frontend = "127.0.0.1:{self.callers}"
-readiness = "127.0.0.1:{self.ready}"
-[bounds]
-addressReuseS = 2
-contactTimeoutMs = 3000
-drainTimeoutMs = 2000
-gracePeriodS = 8
-revokeTimeoutMs = 5000
-retryBudgetRatio = 0.2
-retryWindowS = 10
-budgetSlack = 56
-fencingEnabled = true
-leaseMs = 3000
-[platform]
-address = "{store.address}"
-parts = 12
-"""
-
-    def wait_ready(self, *, expected=200):
-        wait_until(lambda: self.ask_ready() == expected, self.read_log)
-
-    def is_decided(self):
-        return self.ask_ready() == 200 or self.process.poll() is not None
-
-    def ask_ready(self):
-        try:
-            connection = http.client.HTTPConnection("127.0.0.1", self.ready, timeout=2)
-            connection.request("GET", "/api/readyz")
-            return connection.getresponse().status
-        except OSError:
-            return None
-
-    def call(self, path, *, method="POST", key="key-1", host="a.example", **headers):
-        connection = http.client.HTTPConnection("127.0.0.1", self.callers, timeout=10)
-        sent = {"Host": host, "Thornlatch-Request-Id": os.urandom(8).hex()}
-        if key:
-            sent["Authorization"] = f"Token {key}"
-        sent.update({k.replace("_", "-"): v for k, v in headers.items()})
-        connection.request(method, path, b"body" if method == "POST" else None, sent)
-        response = connection.getresponse()
-        try:
-            body = response.read()
-        except http.client.IncompleteRead as error:
-            return response, error
-        finally:
-            connection.close()
-        return response, body
-
-    def read_log(self):
-        self.log.flush()
-        return Path(self.log.name).read_text()
-
-    def list_events(self, name):
-        lines = [json.loads(x) for x in self.read_log().splitlines() if x[:1] == "{"]
-        return [line for line in lines if line["event"] == name]
-
-    def stop(self):
-        self.process.send_signal(signal.SIGTERM)
-        return self.process.wait(timeout=WAIT_S)
-
-
-def start_host(folder, store, name="edge-1"):
-    """Start a host; on other ports if a connection has taken one in the meantime."""
-    while True:
-        host = Host(folder, store, name)
-        wait_until(host.is_decided, host.read_log)
-        if host.process.poll() is None:
-            return host
-        assert "in use" in host.read_log(), host.read_log()
-
-
-def wait_until(condition, explain=lambda: ""):
-    deadline = time.monotonic() + WAIT_S
-    while not condition():
-        assert time.monotonic() < deadline, explain()
-        time.sleep(0.02)
-
 
 @pytest.fixture
 def world(tmp_path):
@@ -156,7 +24,7 @@
     store.put("keyed.op", "config", build_config())
     for name, server in servers.items():
         store.put("keyed.servers", name, server.describe())
-    host = start_host(tmp_path, store)
+    host = start_host(tmp_path, store.address)
     wait_until(lambda: len(host.list_events("target.changed")) >= len(servers))
     yield store, servers, host
     if host.process.poll() is None:
@@ -407,7 +275,7 @@
 
 def test_reader_that_stops_reading_the_log_stops_nothing(world, tmp_path):
     store, _, _ = world
-    other = start_host(tmp_path, store, name="edge-2")
+    other = start_host(tmp_path, store.address, name="edge-2")
     os.kill(other.process.pid, 0)
     assert other.call("/many/x")[0].status == 200
     assert other.stop() == 0
