Ask other targets when a crashed one holds the adapter; charge refused connections to no budget

And a refused connection drew on the retry budget, though nothing arrives at a target (59 requests).

Ruled out: the streams' resumption itself; max_attempts; the weight store (34 of 64 fetches in 2 s at that time).

Change: a wish names the copies that have failed its host; digests name the targets that failed a host, and two such hosts are believed; only sends that may have arrived are charged. The number of adapters in transit no longer falls with the engines that are down for a moment. A repeated order that conflicts is taken as done. Prompts are paced by a decaying sum over all hosts. Longer peer messages are compressed.

--- a/src/thornlatch/core/_codec.py
+++ b/src/thornlatch/core/_codec.py
@@ -1,5 +1,6 @@
 """Encoding of messages between daemons and of records on the log."""
 
+import zlib
 from dataclasses import MISSING, dataclass, fields, is_dataclass
 from typing import Any, TypeVar, get_type_hints
 
@@ -8,6 +9,10 @@
 from thornlatch.exceptions import InvalidInput
 
 MESSAGE_LIMIT_BYTES = 1 << 20
+# Names come again and again in longer messages; shorter ones gain little.
+COMPRESSED_BYTES = 400
+COMPRESSION_LEVEL = 1
+ZLIB_MARK = b"\x78"  # a message that isn't compressed begins as a short array, 0x95
 
 T = TypeVar("T")
 _classes: dict[str, type] = {}
@@ -84,7 +89,10 @@
     head = (envelope.sender, envelope.recipient, envelope.sequence)
     layout = _get_layout(type(message))
     body = layout(*[getattr(message, name) for name in layout.__struct_fields__])
-    return msgspec.msgpack.encode((*head, type(message).__name__, body))
+    data = msgspec.msgpack.encode((*head, type(message).__name__, body))
+    if len(data) < COMPRESSED_BYTES:
+        return data
+    return zlib.compress(data, COMPRESSION_LEVEL)
 
 
 def decode_envelope(data: bytes) -> Envelope:
@@ -106,6 +114,8 @@
     if len(data) > MESSAGE_LIMIT_BYTES:
         raise InvalidInput(f"message of {len(data)} bytes is over the limit")
     try:
+        if data.startswith(ZLIB_MARK):
+            data = _decompress(data)
         sender, recipient, sequence, kind, body = msgspec.msgpack.decode(
             data, type=tuple[str, str, int, str, msgspec.Raw]
         )
@@ -114,6 +124,7 @@
         message = cls(*msgspec.structs.astuple(values))
     except (
         msgspec.MsgspecError,
+        zlib.error,
         UnicodeDecodeError,
         RecursionError,
         ValueError,
@@ -123,6 +134,14 @@
     return Envelope(sender, sequence, message, recipient)
 
 
+def _decompress(data: bytes) -> bytes:
+    decompressor = zlib.decompressobj()
+    whole = decompressor.decompress(data, MESSAGE_LIMIT_BYTES)
+    if not decompressor.eof:
+        raise ValueError("compressed message is cut or over the limit")
+    return whole
+
+
 def encode_record(record: Any) -> dict[str, Any]:
     """Encode a record as the JSON object that the log keeps.
 
--- a/src/thornlatch/core/tests/test_codec.py
+++ b/src/thornlatch/core/tests/test_codec.py
@@ -1,4 +1,5 @@
 import contextlib
+import zlib
 from dataclasses import dataclass
 
 import msgspec
@@ -14,6 +15,7 @@
     encode_record,
     register,
 )
+from thornlatch.core._codec import MESSAGE_LIMIT_BYTES
 from thornlatch.exceptions import InvalidInput, ThornlatchError
 
 
@@ -30,6 +32,26 @@
     assert decode_envelope(encode_envelope(envelope)) == envelope
 
 
+def test_long_message_is_compressed():
+    envelope = Envelope("host-1", 7, CodecProbe("target-1 " * 500, 1.5))
+    data = encode_envelope(envelope)
+    assert len(data) < 500
+    assert decode_envelope(data) == envelope
+
+
+@pytest.mark.parametrize(
+    "data",
+    [
+        pytest.param(zlib.compress(b"\0" * (MESSAGE_LIMIT_BYTES + 1)), id="too-long"),
+        pytest.param(zlib.compress(b"x" * 9000)[:-3], id="cut"),
+        pytest.param(b"\x78nothing", id="not-compressed"),
+    ],
+)
+def test_compressed_message_malformed(data):
+    with pytest.raises(InvalidInput):
+        decode_envelope(data)
+
+
 @pytest.mark.parametrize(
     ("body", "expected"),
     [
--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -1,5 +1,6 @@
 """Targets that registered themselves, and what the hosts tell each other."""
 
+from thornlatch.fleet._decay import DecayingSum, count_until_decayed
 from thornlatch.fleet._digests import (
     HeldTarget,
     HostDigest,
@@ -16,6 +17,7 @@
 )
 
 __all__ = [
+    "DecayingSum",
     "HeldTarget",
     "Holding",
     "HostDigest",
@@ -26,4 +28,5 @@
     "ResidentAdapter",
     "Target",
     "TargetRegistry",
+    "count_until_decayed",
 ]
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -1,11 +1,13 @@
 """What each host tells the others several times a second, and the view from it."""
 
+from collections import Counter
 from dataclasses import dataclass, field
 from typing import Annotated
 
 from msgspec import Meta
 
 from thornlatch.core import register
+from thornlatch.fleet._decay import DecayingSum
 
 SUM_PERIOD_S = 0.02  # between two sums over all peers, a fifth of a digest's period
 
@@ -73,8 +75,10 @@
     is_stopping : bool
     broken : dict of str to int
         Fingerprints of requests to the runs of them that broke off.
-    reading : dict of str to int
-        Target to prompt tokens of the sender's requests that it still reads.
+    prompts : dict of str to int
+        Target to prompt tokens that the sender sent to it lately.
+    avoided : tuple of str
+        Targets that failed the sender lately.
     """
 
     sent_at: float
@@ -85,7 +89,8 @@
     held_names: tuple[str, ...]
     is_stopping: bool
     broken: dict[str, int]
-    reading: dict[str, int] = field(default_factory=dict)
+    prompts: dict[str, int] = field(default_factory=dict)
+    avoided: tuple[str, ...] = ()
 
 
 @register
@@ -106,6 +111,8 @@
         Whether the target denied holding it.
     is_copy : bool
         Whether another target holds it too, which is crowded.
+    unusable : tuple of str
+        Targets that hold it but have failed the asking host.
     """
 
     target: str
@@ -114,6 +121,7 @@
     priority: int
     was_missing: bool = False
     is_copy: bool = False
+    unusable: tuple[str, ...] = ()
 
 
 @dataclass(frozen=True)
@@ -129,7 +137,7 @@
         where a large fleet makes digests rarer.
     """
 
-    period_s: Annotated[float, Meta(gt=0)] = 0.1
+    period_s: Annotated[float, Meta(gt=0)] = 0.05
     silent_s: Annotated[float, Meta(gt=0)] = 0.45
 
 
@@ -154,7 +162,8 @@
         self.held_at: dict[str, float] = {}
         self.running: dict[str, dict[str, int]] = {}
         self.holders: dict[str, str] = {}
-        self.reading: dict[str, int] = {}
+        self.prompts: dict[str, DecayingSum] = {}
+        self.avoiding: Counter[str] = Counter()
         self.sum_due_at = float("-inf")
         self.silent_s = settings.silent_s
 
@@ -246,8 +255,24 @@
         """
         return self.running.get(target, {}).get("", 0)
 
-    def get_reading(self, target: str) -> int:
-        """Return the prompt tokens of all peers that a target still reads.
+    def get_prompts(self, target: str, *, now: float) -> float:
+        """Return the prompt tokens that all peers sent to a target lately.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+
+        Returns
+        -------
+        float
+            The older a prompt, the less it counts.
+        """
+        prompts = self.prompts.get(target)
+        return prompts.get(now=now) if prompts is not None else 0.0
+
+    def count_avoiding(self, target: str) -> int:
+        """Return how many peers a target failed lately.
 
         Parameters
         ----------
@@ -257,7 +282,7 @@
         -------
         int
         """
-        return self.reading.get(target, 0)
+        return self.avoiding[target]
 
     def get_adapter_use(self, target: str) -> dict[str, int]:
         """Return requests of all peers at a target by adapter.
@@ -294,7 +319,8 @@
         running: dict[str, dict[str, int]] = {}
         tokens: dict[str, int] = {}
         holders: dict[str, str] = {}
-        reading: dict[str, int] = {}
+        prompts: dict[str, DecayingSum] = {}
+        avoiding: Counter[str] = Counter()
         for host, heard in self.heard.items():
             if not self.is_live(host, now=now):
                 continue
@@ -303,8 +329,10 @@
                 uses[adapter] = uses.get(adapter, 0) + count
                 if adapter:
                     uses[""] = uses.get("", 0) + count
-            for target, prompt_tokens in heard.digest.reading.items():
-                reading[target] = reading.get(target, 0) + prompt_tokens
+            avoiding.update(heard.digest.avoided)
+            for target, sent in heard.digest.prompts.items():
+                left = DecayingSum(sent, heard.heard_at).get(now=now)
+                prompts[target] = prompts.get(target, DecayingSum()).add(left, now=now)
             for name in heard.digest.held_names:
                 held = self.held.get(host, {}).get(name)
                 token = held.fencing_token if held else 0
@@ -312,5 +340,6 @@
                     tokens[name] = token
                     holders[name] = host
         self.running = running
-        self.reading = reading
+        self.prompts = prompts
+        self.avoiding = avoiding
         self.holders = holders
--- a/src/thornlatch/fleet/tests/test_digests.py
+++ b/src/thornlatch/fleet/tests/test_digests.py
@@ -1,5 +1,9 @@
 """The view that a host has of its peers."""
 
+from dataclasses import replace
+
+import pytest
+
 from thornlatch.fleet import (
     HeldTarget,
     HostDigest,
@@ -58,3 +62,22 @@
     view.take("a", digest(1), now=1.0)
     view.forget("a")
     assert view.iter_live(now=1.0) == []
+
+
+def test_prompts_that_peers_sent_lately_count_less_and_less():
+    view = build()
+    for host in ("a", "b"):
+        sent = replace(digest(1), prompts={"t": 1000})
+        view.take(host, sent, now=1.0)
+    assert view.get_prompts("t", now=1.0) == pytest.approx(2000)
+    assert view.get_prompts("t", now=1.3) == pytest.approx(2000 / 2.718, rel=0.01)
+    assert view.get_prompts("other", now=1.0) == 0
+
+
+def test_peers_that_a_target_failed_are_counted_while_they_are_heard():
+    view = build()
+    view.take("a", replace(digest(1), avoided=("t",)), now=1.0)
+    view.take("b", replace(digest(1), avoided=("t", "u")), now=1.0)
+    assert (view.count_avoiding("t"), view.count_avoiding("u")) == (2, 1)
+    view.take("b", digest(2), now=2.0)
+    assert view.count_avoiding("t") == 0
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -51,11 +51,12 @@
         What it counts for in the organisation's quota.
     fingerprint : str
         What it has in common with its repetitions.
-    sends, runs : int
-        Sends to targets, and those of them that began or may have begun to run.
+    tries, sends, runs : int
+        Tries to reach a target, those that arrived or may have, and those of them that
+        began or may have begun to run.
     may_have_run : bool
     is_first_sent : bool
-        Whether further sends draw on the retry budget.
+        Whether it counts as a request in the retry budget.
     excluded : set of str
         Targets that have failed it.
     waits_since : float
@@ -84,6 +85,7 @@
     began_at: float
     tokens: int
     fingerprint: str
+    tries: int = 0
     sends: int = 0
     runs: int = 0
     may_have_run: bool = False
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -9,7 +9,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from thornlatch.fleet import Target
+from thornlatch.fleet import Target, count_until_decayed
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.residency import Resident
 
@@ -19,6 +19,7 @@
 
     SEND = "send"
     AWAIT_LOAD = "await-load"
+    AWAIT_PROMPTS = "await-prompts"
     ASK_LOAD = "ask-load"
 
 
@@ -53,8 +54,8 @@
     ----------
     requests : int
         Requests of all hosts there.
-    reading : int
-        Prompt tokens of all hosts that it still reads.
+    prompts : float
+        Prompt tokens that all hosts sent to it lately.
     is_avoided : bool
         Whether it failed lately.
     resident : Resident or None
@@ -68,7 +69,7 @@
     """
 
     requests: int
-    reading: int = 0
+    prompts: float = 0.0
     is_avoided: bool = False
     resident: Resident | None = None
     is_held: bool = True
@@ -98,6 +99,8 @@
         Mean seconds of a request at the service's targets.
     prefill_s : float
         Seconds that a target takes for a prompt token.
+    may_pace : bool
+        Whether the request may wait until a target has read the prompts before it.
     """
 
     adapter: str
@@ -108,6 +111,7 @@
     former_load_s: float
     service_s: float
     prefill_s: float = 0.0
+    may_pace: bool = False
 
 
 def list_options(
@@ -190,8 +194,9 @@
     over = state.requests + 1 - slots
     queue_s = max(over, 0) * demand.service_s / slots
     # A prompt waits for those before it and then delays all streams of the target.
+    prefill_s = state.prompts * demand.prefill_s
     cost_s = queue_s + state.requests / slots * settings.crowd_penalty_s
-    cost_s += state.reading * demand.prefill_s * settings.prefill_ratio
+    cost_s += prefill_s * settings.prefill_ratio
     if target.failure_domain != demand.failure_domain:
         cost_s += settings.domain_penalty_s
     if state.is_avoided:
@@ -204,6 +209,11 @@
         step = Step.AWAIT_LOAD if load_s > 0 else Step.SEND
         wait_s = max(load_s, queue_s)
         cost_s += wait_s - queue_s
+        if step is Step.SEND and demand.may_pace:
+            pace_s = count_until_decayed(prefill_s, settings.prefill_limit_s)
+            if pace_s > 0:
+                step = Step.AWAIT_PROMPTS
+                wait_s = max(wait_s, pace_s)
         return Option(target, step, wait_s, cost_s, resident.version)
     if not state.is_held:
         return None
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -23,7 +23,7 @@
 
 logger = logbook.Logger("thornlatch.gateway")
 
-SEND_LIMIT = 6  # sends of one request, those that targets rejected included
+TRY_LIMIT = 6  # of one request, rejected sends and refused connections included
 
 
 class Forwarder:
@@ -134,11 +134,13 @@
             self.retries.note_first(call.service, now=now)
             return
         is_exhausted = (
-            call.sends >= SEND_LIMIT
+            call.tries >= TRY_LIMIT
             or call.runs >= call.route.max_attempts
             or self.suspects.must_keep_away(call.fingerprint)
         )
-        if is_exhausted or not self.retries.take(call.service, now=now):
+        if is_exhausted:
+            raise build_failure(call)
+        if call.sends and not self.retries.take(call.service, now=now):
             raise build_failure(call)
 
     def _should_repeat(self, call: Call, opened: Opened) -> bool:
@@ -146,7 +148,7 @@
             opened.head.status >= 500
             and call.route.kind is CallKind.IDEMPOTENT
             and call.runs + 1 < call.route.max_attempts
-            and call.sends < SEND_LIMIT
+            and call.tries < TRY_LIMIT
             and self.selector.has_other(call, opened.option.target.id)
         )
 
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -525,7 +525,8 @@
             self.orders.list_names(),
             self.stopping.is_set(),
             self.suspects.list_own(now=now),
-            self.work.list_reading(),
+            self.work.list_prompts(now=now),
+            self.health.list_avoided(now=now),
         )
 
     def _take_digest(self, host: str, digest: HostDigest, now: float) -> None:
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -156,6 +156,20 @@
         seen = self.seen.get(target)
         return seen is not None and now < seen.avoid_until
 
+    def list_avoided(self, *, now: float) -> tuple[str, ...]:
+        """Return the targets that failed lately, as digests carry them.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        tuple of str
+        """
+        with self.lock:
+            return tuple(n for n, seen in self.seen.items() if now < seen.avoid_until)
+
     def get_failure_ratio(self, target: str) -> float:
         """Return the share of requests that failed lately.
 
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -39,6 +39,7 @@
 
 ORDER_THREADS = 8  # targets that get an order at the same moment
 FULL_PERIOD_S = 1.0  # between two full accounts of held targets to the peers
+ENGINES_MEMORY_S = 60.0  # engines that crashed are back within some seconds
 COPY_PRIORITY = 1  # behind the loads that urgent requests wait for
 
 
@@ -113,6 +114,8 @@
         self.held: dict[str, _Held] = {}
         self.changed = threading.Event()
         self.full_at = float("-inf")
+        self.most_engines = 0
+        self.most_engines_at = float("-inf")
         self.model_loads = _LoadAllowance()
         self.executor = ThreadPoolExecutor(ORDER_THREADS, "orders")
 
@@ -159,18 +162,21 @@
         """
         return self.work.get_total(target) + self.peers.get_running(target)
 
-    def count_reading(self, target: str) -> int:
-        """Return the prompt tokens of all hosts that a target still reads.
+    def count_prompts(self, target: str, *, now: float) -> float:
+        """Return the prompt tokens that all hosts sent to a target lately.
 
         Parameters
         ----------
         target : str
+        now : float
 
         Returns
         -------
-        int
+        float
+            The older a prompt, the less it counts.
         """
-        return self.work.get_reading(target) + self.peers.get_reading(target)
+        own = self.work.get_prompts(target, now=now)
+        return own + self.peers.get_prompts(target, now=now)
 
     def count_in_transit(self, target: str, *, now: float) -> int:
         """Return the adapters that a target fetches or will fetch.
@@ -222,7 +228,7 @@
         """
         service = self.held[wish.target].target.service
         for target in self.registry.get_ready(service):
-            if target.id == wish.target:
+            if target.id == wish.target or target.id in wish.unusable:
                 continue
             resident = self.residents.get(target.id, wish.adapter)
             if resident is None or resident.version < wish.version:
@@ -232,18 +238,23 @@
         return False
 
     def count_engines(self) -> int:
-        """Return the engines that take new work.
+        """Return the engines that take new work, or did until lately.
 
-        The weight store keeps its speed for about as many adapters in transit.
+        The weight store keeps its speed for about as many adapters in transit, also
+        while some of them are down and the others have to load what those held.
         """
         configuration = self.in_force.configuration
         if configuration is None:
             return 0
-        return sum(
+        now = read_clock()
+        count = sum(
             len(self.registry.get_ready(service.name))
             for service in configuration.services.values()
             if service.engine is not None
         )
+        if count >= self.most_engines or now - self.most_engines_at >= ENGINES_MEMORY_S:
+            self.most_engines, self.most_engines_at = count, now
+        return self.most_engines
 
     def follow_tenure(self, *, now: float) -> None:
         """Take up targets whose partition this host holds and drop others.
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -26,6 +26,7 @@
 logger = logbook.Logger("thornlatch.gateway")
 
 ASK_AGAIN_S = 0.1  # a holder that hasn't loaded by then is taken as not answering
+AVOIDING_PEERS = 2  # hosts that avoid a target until this one does, too
 WAIT_TURN_S = 0.05  # longest sleep of a waiting request between two looks
 
 
@@ -89,7 +90,7 @@
             if not options:
                 if call.excluded and not call.may_have_run:
                     call.excluded.clear()
-                    if call.sends:
+                    if call.tries:
                         raise build_failure(call)
                     continue
                 if call.may_have_run:
@@ -148,6 +149,7 @@
         adapter = call.request.adapter
         required = self.versions.get_required(adapter, now=now) if adapter else 0
         holder = self.orders.settings
+        pace_s = call.route.objective_s * self.settings.pace_objectives
         demand = Demand(
             adapter,
             required,
@@ -157,20 +159,21 @@
             holder.adapter_load_s * holder.former_load_ratio,
             self.health.get_service_s(call.service),
             self.health.get_prefill_s(call.service),
+            may_pace=now - call.waits_since < pace_s,
         )
 
         def get_state(target: Target) -> TargetState:
             requests = self.orders.count_requests(target.id)
             requests = max(requests, self.health.get_load(target.id, now=now))
-            is_avoided = self.health.is_avoided(target.id, now=now)
-            reading = self.orders.count_reading(target.id)
+            is_avoided = self._is_avoided(target.id, now)
+            prompts = self.orders.count_prompts(target.id, now=now)
             if not adapter:
-                return TargetState(requests, reading, is_avoided)
+                return TargetState(requests, prompts, is_avoided)
             asked_at = asked.get(target.id)
             has_answered = asked_at is None or now - asked_at < ASK_AGAIN_S
             return TargetState(
                 requests,
-                reading,
+                prompts,
                 is_avoided,
                 self.residents.get(target.id, adapter),
                 has_answered and self.orders.is_held(target.id, now=now),
@@ -181,6 +184,21 @@
         targets = self.registry.get_ready(call.service)
         return list_options(targets, demand, get_state, self.settings, now=now)
 
+    def _is_avoided(self, target: str, now: float) -> bool:
+        if self.health.is_avoided(target, now=now):
+            return True
+        # One host alone may have lost its own way to the target.
+        return self.orders.peers.count_avoiding(target) >= AVOIDING_PEERS
+
+    def _list_unusable(self, call: Call, now: float) -> tuple[str, ...]:
+        """Return targets whose copy of a request's adapter doesn't help it."""
+        return tuple(
+            target.id
+            for target in self.registry.get_ready(call.service)
+            if self.residents.get(target.id, call.request.adapter) is not None
+            and (target.id in call.excluded or self._is_avoided(target.id, now))
+        )
+
     def ask_load(
         self, call: Call, target: Target, now: float, *, was_missing: bool
     ) -> None:
@@ -196,7 +214,14 @@
         """
         adapter = call.request.adapter
         version = self.versions.get_required(adapter, now=now)
-        wish = LoadRequested(target.id, adapter, version, call.priority, was_missing)
+        wish = LoadRequested(
+            target.id,
+            adapter,
+            version,
+            call.priority,
+            was_missing,
+            unusable=self._list_unusable(call, now),
+        )
         self.orders.ask(wish, now=now)
         logger.info(
             "adapter.requested",
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -97,22 +97,31 @@
             connect_s=min(self.settings.connect_s, left_s),
         )
         tokens = request.prompt_tokens or 0
-        use = self.work.begin(target.id, request.adapter, tokens)
-        call.sends += 1
+        use = self.work.begin(target.id, request.adapter, tokens, now=now)
+        call.tries += 1
         call.target = target.id
         try:
-            response = open_call(target_call, may_reuse=call.route.may_repeat)
+            response = self._open_call(call, target_call)
             opened = self._open(call, option, response, use, now)
         except BaseException:
             self.work.end(use)
             raise
-        self.work.note_answer(use)
         if call.route.kind is CallKind.STREAM:
             self.health.note_prefill(call.service, tokens, read_clock() - now)
         self.metrics.sends.labels(call.service, str(opened.head.status)).inc()
         self.health.note_success(target.id, opened.head.load, now=read_clock())
         return opened
 
+    def _open_call(self, call: Call, target_call: TargetCall) -> TargetResponse:
+        try:
+            response = open_call(target_call, may_reuse=call.route.may_repeat)
+        except TargetError as error:
+            # A connection that was refused brings nothing to a target.
+            call.sends += error.is_sent
+            raise
+        call.sends += 1
+        return response
+
     def _open(
         self,
         call: Call,
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -88,6 +88,11 @@
     prefill_ratio : float
         Times that reading the prompts before it counts for a request; they delay the
         streams that run there too.
+    prefill_limit_s : float
+        Seconds of prompts read lately at a target from which a request waits; streams
+        there pause too long if their target reads prompts most of the time.
+    pace_objectives : float
+        Latency objectives for which it waits for that.
     domain_penalty_s : float
         Seconds of waiting that staying in the failure domain is worth.
     """
@@ -107,7 +112,9 @@
     home_penalty_s: Annotated[float, Meta(ge=0)] = 0.5
     former_home_penalty_s: Annotated[float, Meta(ge=0)] = 0.03
     crowd_penalty_s: Annotated[float, Meta(ge=0)] = 0.3
-    prefill_ratio: Annotated[float, Meta(ge=0)] = 2.0
+    prefill_ratio: Annotated[float, Meta(ge=0)] = 1.5
+    prefill_limit_s: Seconds = 0.12
+    pace_objectives: Annotated[float, Meta(ge=0)] = 0.6
     domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
 
 
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -5,6 +5,7 @@
 from dataclasses import dataclass, field
 
 from thornlatch.exceptions import ErrorKind
+from thornlatch.fleet import DecayingSum
 
 
 @dataclass(eq=False)
@@ -70,17 +71,11 @@
     Parameters
     ----------
     target, adapter : str
-    prompt_tokens : int
-        Tokens that the target reads before the first event.
-    is_reading : bool
-        Whether it hasn't answered yet.
     has_ended : bool
     """
 
     target: str
     adapter: str
-    prompt_tokens: int = 0
-    is_reading: bool = True
     has_ended: bool = False
 
 
@@ -94,7 +89,7 @@
         self.lock = threading.Lock()
         self.counts: dict[tuple[str, str], int] = {}
         self.totals: dict[str, int] = {}
-        self.reading: dict[str, int] = {}
+        self.prompts: dict[str, DecayingSum] = {}
         self.running: set[Running] = set()
 
     def add(self, running: Running) -> None:
@@ -117,13 +112,17 @@
         with self.lock:
             self.running.discard(running)
 
-    def begin(self, target: str, adapter: str, prompt_tokens: int = 0) -> TargetUse:
+    def begin(
+        self, target: str, adapter: str, prompt_tokens: int = 0, *, now: float = 0.0
+    ) -> TargetUse:
         """Count a request at a target until `end`.
 
         Parameters
         ----------
         target, adapter : str
         prompt_tokens : int
+            Tokens that the target reads before the first event.
+        now : float
 
         Returns
         -------
@@ -133,18 +132,10 @@
             key = (target, adapter)
             self.counts[key] = self.counts.get(key, 0) + 1
             self.totals[target] = self.totals.get(target, 0) + 1
-            self.reading[target] = self.reading.get(target, 0) + prompt_tokens
-        return TargetUse(target, adapter, prompt_tokens)
-
-    def note_answer(self, use: TargetUse) -> None:
-        """Note that a target has read a request's prompt.
-
-        Parameters
-        ----------
-        use : TargetUse
-        """
-        with self.lock:
-            self._end_reading(use)
+            if prompt_tokens:
+                former = self.prompts.get(target, DecayingSum())
+                self.prompts[target] = former.add(prompt_tokens, now=now)
+        return TargetUse(target, adapter)
 
     def end(self, use: TargetUse) -> None:
         """Count a request at a target no more; a second call changes nothing.
@@ -157,7 +148,6 @@
             if use.has_ended:
                 return
             use.has_ended = True
-            self._end_reading(use)
             target = use.target
             key = (target, use.adapter)
             self.counts[key] -= 1
@@ -166,30 +156,38 @@
                 del self.counts[key]
             if not self.totals[target]:
                 del self.totals[target]
-                del self.reading[target]
 
-    def _end_reading(self, use: TargetUse) -> None:
-        if use.is_reading:
-            use.is_reading = False
-            self.reading[use.target] -= use.prompt_tokens
-
-    def get_reading(self, target: str) -> int:
-        """Return the prompt tokens of this host that a target still reads.
+    def get_prompts(self, target: str, *, now: float) -> float:
+        """Return the prompt tokens that this host sent to a target lately.
 
         Parameters
         ----------
         target : str
+        now : float
 
         Returns
         -------
-        int
+        float
+            The older a prompt, the less it counts.
         """
-        return self.reading.get(target, 0)
+        prompts = self.prompts.get(target)
+        return prompts.get(now=now) if prompts is not None else 0.0
+
+    def list_prompts(self, *, now: float) -> dict[str, int]:
+        """Return prompt tokens sent lately by target, as digests carry them.
+
+        Parameters
+        ----------
+        now : float
 
-    def list_reading(self) -> dict[str, int]:
-        """Return prompt tokens that targets still read, as digests carry them."""
+        Returns
+        -------
+        dict of str to int
+        """
         with self.lock:
-            return {target: tokens for target, tokens in self.reading.items() if tokens}
+            sums = {t: int(one.get(now=now)) for t, one in self.prompts.items()}
+            self.prompts = {t: one for t, one in self.prompts.items() if sums[t]}
+        return {target: tokens for target, tokens in sums.items() if tokens}
 
     def get_total(self, target: str) -> int:
         """Return the requests of this host at a target.
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -1,5 +1,7 @@
 """Which target a request goes to, by the load pattern that the rule answers."""
 
+from dataclasses import replace
+
 import pytest
 
 from thornlatch.fleet import Target
@@ -85,7 +87,7 @@
 
 def test_pile_of_long_prompts_at_one_target_sends_the_next_to_another_copy():
     states = {
-        "t1": TargetState(1, reading=9000, resident=READY),
+        "t1": TargetState(1, prompts=9000, resident=READY),
         "t2": TargetState(3, resident=READY),
     }
     assert choose(states)[0].target.id == "t2"
@@ -93,7 +95,7 @@
 
 def test_pile_of_long_prompts_is_worth_a_quick_load_at_a_former_target():
     states = {
-        "t1": TargetState(4, reading=9000, resident=READY),
+        "t1": TargetState(4, prompts=9000, resident=READY),
         "t3": TargetState(0, was_resident=True),
     }
     best = choose(states)[0]
@@ -101,10 +103,21 @@
 
 
 def test_pile_of_long_prompts_is_no_reason_to_fetch_from_the_weight_store():
-    states = {"t1": TargetState(4, reading=9000, resident=READY)}
+    states = {"t1": TargetState(4, prompts=9000, resident=READY)}
     assert [option.target.id for option in choose(states)] == ["t1"]
 
 
+@pytest.mark.parametrize(("prompts", "waits"), [(3000, False), (9000, True)])
+def test_clump_of_prompts_is_spread_over_the_pauses_that_streams_may_make(
+    prompts, waits
+):
+    states = {"t1": TargetState(4, prompts=prompts, resident=READY)}
+    best = choose(states, replace(demand(), may_pace=True))[0]
+    assert best.step is (Step.AWAIT_PROMPTS if waits else Step.SEND)
+    assert (0.05 < best.wait_s < 0.3) is waits
+    assert choose(states)[0].step is Step.SEND
+
+
 def test_half_of_the_targets_gone_leaves_the_others():
     options = choose({}, demand(excluded=("t1", "t2")))
     assert [option.target.id for option in options] == ["t3"]
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -91,6 +91,43 @@
     assert error.value.execution is execution
 
 
+class Retries:
+    """A retry budget that is used up."""
+
+    def __init__(self):
+        self.firsts = 0
+
+    def note_first(self, service, *, now):
+        self.firsts += 1
+
+    def take(self, service, *, now):
+        return False
+
+
+def test_crash_of_many_targets_costs_no_retries_for_refused_connections():
+    retries, suspects = Retries(), CrashSuspects(SuspectSettings())
+    forwarder = build_forwarder(retries=retries, suspects=suspects)
+    forwarder.in_force.confirm(asked_at=read_clock())
+    forwarder.in_force.note_renewal(asked_at=read_clock())
+    call = build_call()
+    for _ in range(3):
+        forwarder._check_may_send(call)
+        call.tries += 1
+    assert retries.firsts == 1
+    call.sends = 1
+    with pytest.raises(RequestRefused):
+        forwarder._check_may_send(call)
+
+
+def test_refused_connections_are_tried_a_few_times_only():
+    retries, suspects = Retries(), CrashSuspects(SuspectSettings())
+    forwarder = build_forwarder(retries=retries, suspects=suspects)
+    forwarder.in_force.confirm(asked_at=read_clock())
+    forwarder.in_force.note_renewal(asked_at=read_clock())
+    with pytest.raises(RequestRefused):
+        forwarder._check_may_send(build_call(is_first_sent=True, tries=6))
+
+
 def test_broken_stream_that_can_t_be_resumed_is_counted_off_once():
     """Counted off twice, it would break the next stream at its target."""
     work = WorkTable()
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -165,6 +165,15 @@
     assert [order[0] for order in manager.wire.orders] == ["t1"]
 
 
+def test_crash_of_a_target_doesn_t_keep_its_adapters_from_the_others(world):
+    """Its entry and its places are known for seconds after it has gone."""
+    manager, _ = world
+    hold(manager, "t1", "t2")
+    manager.ask(wish("t1"), now=read_clock())
+    manager.ask(wish("t2", unusable=("t1",)), now=read_clock())
+    assert [order[0] for order in manager.wire.orders] == ["t1", "t2"]
+
+
 def test_crowd_beyond_the_slots_gets_its_second_copy(world):
     manager, _ = world
     hold(manager, "t1", "t2")
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -90,7 +90,7 @@
 
 def test_work_is_counted_by_target_and_adapter():
     work = WorkTable()
-    uses = [work.begin("t", "m/a", 100), work.begin("t", "m/a"), work.begin("t", "")]
+    uses = [work.begin("t", "m/a"), work.begin("t", "m/a"), work.begin("t", "")]
     assert work.get_total("t") == 3
     assert work.get_uses("t") == {"m/a": 2, "": 1}
     for use in uses:
@@ -107,15 +107,14 @@
     assert work.get_uses("t") == {"m/a": 1}
 
 
-def test_prompts_count_until_the_target_answers_or_fails():
+def test_prompts_sent_lately_count_less_and_less():
     work = WorkTable()
-    first, second = work.begin("t", "", 100), work.begin("t", "", 30)
-    assert work.get_reading("t") == 130
-    work.note_answer(first)
-    assert work.list_reading() == {"t": 30}
-    work.end(second)
-    work.end(first)
-    assert work.list_reading() == {}
+    work.begin("t", "", 100, now=1.0)
+    work.begin("t", "", 30, now=1.0)
+    assert work.get_prompts("t", now=1.0) == pytest.approx(130)
+    assert work.get_prompts("t", now=1.3) == pytest.approx(130 / 2.718, rel=0.01)
+    assert work.list_prompts(now=1.0) == {"t": 130}
+    assert work.list_prompts(now=9.0) == {}
 
 
 def test_time_of_a_prompt_token_follows_the_prompts_that_waited_for_none():
--- a/src/thornlatch/residency/_holder.py
+++ b/src/thornlatch/residency/_holder.py
@@ -262,7 +262,11 @@
             self.unanswered = _Unanswered(numbered.order, numbered.expected)
             self._apply(numbered.order, now)
             return
+        is_repeated = self.unanswered is not None
         self.unanswered = None
+        if outcome is OrderOutcome.CONFLICT and is_repeated:
+            # The one that got no answer has taken effect under the same number.
+            outcome = OrderOutcome.ACCEPTED
         if outcome is OrderOutcome.ACCEPTED:
             self.sequence = numbered.expected + 1
             self._apply(numbered.order, now)
@@ -272,6 +276,11 @@
             self._apply(numbered.order, now)
             self._note_held(numbered.order, now)
         else:
+            if isinstance(numbered.order, UnloadAdapter):
+                # Something uses it that this host hasn't heard of; another one goes.
+                key = f"{numbered.order.model}/{numbered.order.adapter}"
+                if key in self.places:
+                    self.places[key].used_at = now
             self._doubt(now)
 
     def take_report(self, report: EngineReport, *, now: float) -> None:
--- a/src/thornlatch/residency/tests/test_holder.py
+++ b/src/thornlatch/residency/tests/test_holder.py
@@ -117,6 +117,28 @@
     assert step(holder, 1.7).expected == first.expected + 1
 
 
+def test_repeated_order_that_conflicts_took_effect_the_first_time():
+    """Without this each lost answer would hold up its target for a report's lag."""
+    holder = build()
+    want(holder, "a1", 1.0)
+    want(holder, "a2", 1.0)
+    first = step(holder, 1.0, outcome=OrderOutcome.UNKNOWN)
+    assert step(holder, 1.1, outcome=OrderOutcome.CONFLICT) == first
+    assert holder.sequence == first.expected + 1
+    following = step(holder, 1.4)
+    assert following.expected == first.expected + 1
+    assert following.order == LoadAdapter("m", "a2", 0)
+
+
+def test_adapter_that_can_t_be_evicted_now_isn_t_tried_again_and_again():
+    holder = build({"a1": 1, "a2": 1, "a3": 1})
+    want(holder, "new", 4.0)
+    first = step(holder, 4.0, outcome=OrderOutcome.CONFLICT)
+    holder.take_report(report({"a1": 1, "a2": 1, "a3": 1}, sequence=0), now=4.5)
+    want(holder, "new", 4.5)
+    assert step(holder, 4.5).order != first.order
+
+
 def test_conflict_is_settled_by_a_report_that_is_late_enough():
     holder = build()
     want(holder, "a1", 1.0)
--- /dev/null
+++ b/tests/soak/faults.py
@@ -0,0 +1,227 @@
+"""Faults of a soak: each begins at a moment, lasts, and ends."""
+
+import signal
+import time
+from dataclasses import dataclass
+
+from stand_ins import build_config, build_route
+from tests.soak.proxy import Link
+
+
+@dataclass(frozen=True)
+class Span:
+    """A fault's time; `scope` names the host, the server, the store or all."""
+
+    kind: str
+    scope: str
+    is_planned: bool
+    began_at: float
+    ended_at: float
+
+
+def kill_host(world, rng):
+    with world.take_host(rng) as host:
+        host.process.send_signal(signal.SIGKILL)
+        host.process.wait()
+        yield host.name, rng.uniform(0.2, 3.0)
+        world.start_again(host)
+
+
+def pause_host(world, rng):
+    with world.take_host(rng) as host:
+        host.process.send_signal(signal.SIGSTOP)
+        yield host.name, rng.uniform(0.3, 5.0)
+        host.process.send_signal(signal.SIGCONT)
+
+
+def stop_host(world, rng):
+    with world.take_host(rng) as host:
+        yield from _stop(world, host)
+
+
+def roll_hosts(world, rng):
+    for _ in world.hosts:
+        with world.take_host(rng) as host:
+            yield from _stop(world, host)
+            world.wait_ready(host)
+
+
+def _stop(world, host):
+    began_at = time.monotonic()
+    host.process.send_signal(signal.SIGTERM)
+    yield host.name, 0.0
+    status = host.process.wait(timeout=30)
+    world.note_exit(host, status, began_at, time.monotonic())
+    world.start_again(host)
+
+
+def reload_hosts(world, rng):
+    for host in rng.sample(world.hosts, 2):
+        if host.process.poll() is None and host.is_in_rotation:
+            host.process.send_signal(signal.SIGHUP)
+        yield host.name, rng.uniform(0.0, 0.3)
+
+
+def break_store_link(world, rng):
+    host = rng.choice(world.hosts)
+    proxy = world.store_proxies[host.name]
+    yield from _break_link(proxy, host.name, rng)
+
+
+def break_server_link(world, rng):
+    server = rng.choice(list(world.servers.values()))
+    yield from _break_link(server.proxy, server.name, rng)
+
+
+def break_peer_link(world, rng):
+    proxies = world.store.peer_proxies
+    if proxies:
+        name = rng.choice(sorted(proxies))
+        yield from _break_link(proxies[name], name, rng)
+
+
+def _break_link(proxy, scope, rng):
+    fault = rng.choice(("reset", "silence", *list(Link)[1:]))
+    if fault == "reset":
+        proxy.reset()
+    elif fault == "silence":
+        proxy.silence()
+    else:
+        proxy.set_link(fault)
+    yield scope, rng.uniform(0.3, 4.0)
+    proxy.set_link(Link.PASS)
+    if fault == "silence":
+        proxy.reset()
+
+
+def refuse_store(world, rng):
+    world.store.status = rng.choice((429, 503))
+    yield "store", rng.uniform(0.5, 6.0)
+    world.store.status = 200
+
+
+def slow_store(world, rng):
+    world.store.slow_s = rng.uniform(0.05, 0.5)
+    yield "store", rng.uniform(0.5, 4.0)
+    world.store.slow_s = 0.0
+
+
+def lose_store_answers(world, rng):
+    world.store.lost_ratio = 0.3
+    yield "store", rng.uniform(0.5, 4.0)
+    world.store.lost_ratio = 0.0
+
+
+def compact_store(world, rng):
+    for topic in ("keyed.op", "keyed.servers", "keyed.hosts"):
+        world.store.forget_history(topic)
+    world.store.rebalance()
+    yield "store", 0.0
+
+
+def crash_server(world, rng):
+    server = rng.choice(list(world.servers.values()))
+    server.proxy.set_link(Link.REFUSED)
+    server.restart()
+    yield server.name, rng.uniform(0.2, 3.0)
+    server.proxy.set_link(Link.PASS)
+    world.store.put("keyed.servers", server.name, server.describe())
+
+
+def spoil_server(world, rng):
+    server = rng.choice(list(world.servers.values()))
+    name = rng.choice(("fail_ratio", "late_ratio"))
+    setattr(server, name, 0.4)
+    yield server.name, rng.uniform(0.5, 4.0)
+    setattr(server, name, 0.0)
+
+
+def hang_server(world, rng):
+    server = rng.choice(list(world.servers.values()))
+    server.is_hung = True
+    yield server.name, rng.uniform(0.3, 2.0)
+    server.is_hung = False
+
+
+def drain_server(world, rng):
+    server = rng.choice(list(world.servers.values()))
+    world.store.put("keyed.servers", server.name, server.describe("draining"))
+    world.note_leaving(server.name)
+    yield server.name, rng.uniform(2.5, 5.0)
+    world.note_back(server.name)
+    world.store.put("keyed.servers", server.name, server.describe())
+
+
+def change_routes(world, rng):
+    for _ in range(rng.randrange(1, 5)):
+        world.publish(new=not world.has_new)
+        yield "configuration", rng.uniform(0.05, 1.5)
+
+
+def withdraw_key(world, rng):
+    world.publish(keys=["key-1"])
+    yield "configuration", rng.uniform(1.0, 7.0)
+    world.publish(keys=["key-1", "key-2"])
+
+
+def bump_version(world, rng):
+    for _ in range(rng.randrange(1, 4)):
+        world.bump(f"a{rng.randrange(6)}")
+        yield "configuration", rng.uniform(0.1, 1.0)
+
+
+FAULTS = (
+    kill_host,
+    pause_host,
+    stop_host,
+    roll_hosts,
+    reload_hosts,
+    break_store_link,
+    break_server_link,
+    break_peer_link,
+    refuse_store,
+    slow_store,
+    lose_store_answers,
+    compact_store,
+    crash_server,
+    spoil_server,
+    hang_server,
+    drain_server,
+    change_routes,
+    withdraw_key,
+    bump_version,
+)
+PLANNED = {
+    "stop_host",
+    "roll_hosts",
+    "reload_hosts",
+    "change_routes",
+    "withdraw_key",
+    "bump_version",
+    "drain_server",
+}
+
+
+def build_soak_config(version, *, has_new, keys):
+    """Return a configuration of the soak, with or without the route that comes."""
+    config = build_config(version)
+    config["routes"] = [
+        build_route("llm", "/llm/", "streaming", "llm", resumable=True),
+        build_route("once", "/once/", "non_idempotent", "api", maxAttempts=1),
+        build_route("many", "/many/", "idempotent", "api"),
+        build_route("open", "/open/", "idempotent", "api", public=True),
+    ]
+    if has_new:
+        config["routes"].append(build_route("new", "/new/", "idempotent", "api"))
+    config["services"][1]["runtime"]["maxAdapters"] = 4
+    config["tenants"] = [
+        {**config["tenants"][0], "apiKeys": keys},
+        {
+            **config["tenants"][0],
+            "name": "small",
+            "apiKeys": ["key-3"],
+            "ratePerS": 600,
+            "burst": 1200,
+        },
+    ]
+    return config
--- /dev/null
+++ b/tests/soak/servers.py
@@ -0,0 +1,223 @@
+"""Stand-ins of the store and of servers that misbehave, and say what they saw."""
+
+import json
+import random
+import threading
+import time
+from dataclasses import dataclass
+
+from stand_ins import ModelServer, Store
+from tests.soak.proxy import Proxy
+
+PLACES = 4  # adapters that an engine holds at most
+
+
+@dataclass(frozen=True)
+class Arrival:
+    """A request as a server saw it; `ran` tells whether it began to work on it."""
+
+    at: float
+    server: str
+    request: str
+    path: str
+    ran: bool
+    organisation: str
+    tokens: int
+    deadline_ms: int
+    has_key: bool
+    after_event: int
+
+
+class Journal:
+    """What all servers saw, and what no single answer shows."""
+
+    def __init__(self):
+        self.lock = threading.Lock()
+        self.arrivals = []
+        self.broken = []
+
+    def note(self, arrival):
+        with self.lock:
+            self.arrivals.append(arrival)
+
+    def note_broken(self, promise, detail):
+        with self.lock:
+            self.broken.append((promise, detail))
+
+
+class SoakStore(Store):
+    """A store that drops silent members and whose answers may be lost or late."""
+
+    def __init__(self, loop):
+        super().__init__()
+        self.loop = loop
+        self.rng = random.Random(1)
+        self.guard = threading.Lock()
+        self.renewed = {}
+        self.peer_proxies = {}
+        self.lost_ratio = 0.0
+        self.slow_s = 0.0
+
+    def answer(self, handler):
+        if self.slow_s:
+            time.sleep(self.slow_s)
+        if self.rng.random() < self.lost_ratio and handler.command == "POST":
+            # Done, but nobody hears of it.
+            handler.wfile = open("/dev/null", "wb")  # noqa: SIM115
+            super().answer(handler)
+            handler.wfile.close()
+            handler.connection.close()
+            handler.close_connection = True
+            return
+        super().answer(handler)
+
+    def append(self, topic, content):
+        """Put a proxy before each host, so that links between them can fail."""
+        if topic == "keyed.hosts":
+            size = content[0]
+            key, value = content[1 : 1 + size], content[1 + size :]
+            if value:
+                entry = json.loads(value)
+                entry["address"] = self._get_proxy(key.decode(), entry["address"])
+                content = bytes([size]) + key + json.dumps(entry).encode()
+        super().append(topic, content)
+
+    def _get_proxy(self, host, address):
+        with self.guard:
+            if host not in self.peer_proxies:
+                self.peer_proxies[host] = Proxy(self.loop, address)
+            return self.peer_proxies[host].address
+
+    def log_join(self, query, body):
+        call = json.loads(body)
+        with self.guard:
+            now = time.monotonic()
+            self.renewed[call["memberId"]] = now
+            for name in list(self.members):
+                if now - self.renewed.get(name, now) > self.members[name] / 1000:
+                    del self.members[name]
+                    self.generation += 1
+            return super().log_join(query, body)
+
+    def log_leave(self, query, body):
+        with self.guard:
+            return super().log_leave(query, body)
+
+    def rebalance(self):
+        """Deal all partitions anew under a higher generation."""
+        with self.guard:
+            self.generation += 1
+
+
+class SoakServer(ModelServer):
+    """A server that checks fences and places, and may lose answers and orders."""
+
+    def __init__(self, name, service, journal, loop, *, model=""):
+        self.journal = journal
+        self.events = 12
+        self.fence = (0, "")
+        self.late_ratio = 0.0
+        self.fail_ratio = 0.0
+        self.is_hung = False
+        self.rng = random.Random(name)
+        self.started_ms = 1
+        super().__init__(name, service, model=model)
+        self.pause_s = 0.05
+        self.events = 12
+        self.proxy = Proxy(loop, self.address, random.Random(name))
+
+    def describe(self, state="ready"):
+        return super().describe(state) | {
+            "address": self.proxy.address,
+            "born": self.started_ms,
+        }
+
+    def restart(self):
+        """Lose everything, as a crash does."""
+        with self.lock:
+            self.started_ms += 1
+            self.sequence = 0
+            self.fence = (0, "")
+            self.adapters = {}
+        self.proxy.reset()
+
+    def take_order(self, handler, order):
+        if self.rng.random() < self.late_ratio:
+            delay_s = self.rng.uniform(0.5, 4.0)
+            timer = threading.Timer(delay_s, self._carry_out, (order, self.started_ms))
+            timer.daemon = True
+            timer.start()
+            time.sleep(1.0)
+            handler.close_connection = True
+            handler.connection.close()
+            return
+        status = self._carry_out(order, self.started_ms)
+        handler.send(status, json.dumps({"sequence": self.sequence}).encode())
+
+    def _carry_out(self, order, life):
+        with self.lock:
+            token, owner = order["fencingToken"], order["owner"]
+            if life != self.started_ms:
+                return 421
+            if token < self.fence[0]:
+                return 412
+            if token == self.fence[0] and owner != self.fence[1]:
+                self.journal.note_broken(
+                    "one holder", f"{self.name}: {owner} and {self.fence[1]} at {token}"
+                )
+            self.fence = (token, owner)
+            if order["expected"] != self.sequence:
+                return 409
+            self.sequence += 1
+            name = order["adapterId"]
+            if order["operation"] == "unloading":
+                self.adapters.pop(name, None)
+                return 200
+            self.adapters[name] = order.get("version", 1)
+            if len(self.adapters) > PLACES:
+                self.journal.note_broken(
+                    "places", f"{self.name} was ordered {sorted(self.adapters)}"
+                )
+            return 202
+
+    def take_request(self, handler, body):
+        if self.is_hung:
+            time.sleep(3.0)
+        headers = dict(handler.headers.items())
+        request = headers.get("Thornlatch-Request-Id", "")
+        adapter = headers.get("Thornlatch-Model", "").partition("/")[2]
+        is_known = not adapter or adapter in self.adapters
+        is_meant = headers.get("Thornlatch-Expect-Instance") == self.name
+        usage = headers.get("Thornlatch-Token-Usage", "10").split(",")
+        self.journal.note(
+            Arrival(
+                time.monotonic(),
+                self.name,
+                request,
+                handler.path,
+                is_known and is_meant,
+                headers.get("Thornlatch-Tenant", ""),
+                sum(map(int, usage)),
+                int(headers.get("Thornlatch-Deadline-Ms", 1 << 30)),
+                "Authorization" in headers,
+                int(headers.get("Last-Event-Id", 0)),
+            )
+        )
+        if not (is_known and is_meant):
+            handler.send(
+                421, Thornlatch_Instance_Id=self.name, Thornlatch_Not_Executed="1"
+            )
+            return
+        signed = {
+            "Thornlatch_Request_Id": request,
+            "Thornlatch_Server_Signature": f"sig-{self.name}",
+        }
+        if self.rng.random() < self.fail_ratio:
+            handler.close_connection = True
+            handler.connection.close()
+        elif self.model:
+            step = "cut-stream" if self.rng.random() < self.fail_ratio else ""
+            self.stream(handler, headers, signed, step)
+        else:
+            time.sleep(self.rng.uniform(0, 0.03))
+            handler.send(200, f"{request} {self.name}".encode(), **signed)
