Let domains exchange digests in large fleets, and one host of each read the store

Each host sent its digest to 75 others, and read the store by itself.

Ruled out: rarer digests; a period of 2 s would place by stale figures, and the calls would stay.

Change: beyond 16 hosts each sends its digest to two relays of its domain (those with the widest link), which add up and tell the other domains' relays and their own hosts. The first relay reads operators' and targets' topics; others ask it, and read the store themselves if it doesn't answer or lost the store. An answer's age counts from the asking. Up to 16 hosts nothing changes.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -9,6 +9,15 @@
     PeerViewSettings,
     ResidentAdapter,
 )
+from thornlatch.fleet._domain_view import DomainUpdate, DomainView
+from thornlatch.fleet._domains import (
+    DomainDigest,
+    DomainExchange,
+    ExchangeSettings,
+    FleetDigest,
+    Member,
+    TargetUses,
+)
 from thornlatch.fleet._registry import (
     Holding,
     RegistrySettings,
@@ -18,15 +27,23 @@
 
 __all__ = [
     "DecayingSum",
+    "DomainDigest",
+    "DomainExchange",
+    "DomainUpdate",
+    "DomainView",
+    "ExchangeSettings",
+    "FleetDigest",
     "HeldTarget",
     "Holding",
     "HostDigest",
     "LoadRequested",
+    "Member",
     "PeerView",
     "PeerViewSettings",
     "RegistrySettings",
     "ResidentAdapter",
     "Target",
     "TargetRegistry",
+    "TargetUses",
     "count_until_decayed",
 ]
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -158,8 +158,8 @@
     def __init__(self, settings: PeerViewSettings) -> None:
         self.settings = settings
         self.heard: dict[str, _Heard] = {}
-        self.held: dict[str, dict[str, HeldTarget]] = {}
-        self.held_at: dict[str, float] = {}
+        self.live_at: dict[str, float] = {}
+        self.held: dict[str, dict[str, tuple[HeldTarget, float]]] = {}
         self.running: dict[str, dict[str, int]] = {}
         self.holders: dict[str, str] = {}
         self.prompts: dict[str, DecayingSum] = {}
@@ -180,9 +180,9 @@
         if former is not None and digest.sent_at <= former.digest.sent_at:
             return
         self.heard = {**self.heard, host: _Heard(digest, now)}
+        self.live_at = {**self.live_at, host: now}
         if digest.held is not None:
-            self.held[host] = {one.target: one for one in digest.held}
-            self.held_at[host] = now
+            self.held[host] = {one.target: (one, now) for one in digest.held}
         if former is None or digest.held is not None or now >= self.sum_due_at:
             self.sum_due_at = now + SUM_PERIOD_S
             self._sum_up(now)
@@ -195,6 +195,7 @@
         host : str
         """
         self.heard = {name: one for name, one in self.heard.items() if name != host}
+        self.live_at = {name: at for name, at in self.live_at.items() if name != host}
         self.held.pop(host, None)
 
     def iter_live(self, *, now: float) -> list[str]:
@@ -208,7 +209,7 @@
         -------
         list of str
         """
-        return [h for h in self.heard if self.is_live(h, now=now)]
+        return [h for h in self.live_at if self.is_live(h, now=now)]
 
     def is_live(self, host: str, *, now: float) -> bool:
         """Return whether a host was heard of recently.
@@ -222,8 +223,7 @@
         -------
         bool
         """
-        heard = self.heard.get(host)
-        return heard is not None and now - heard.heard_at < self.silent_s
+        return now - self.live_at.get(host, float("-inf")) < self.silent_s
 
     def get_holder(self, target: str, *, now: float) -> str | None:
         """Return the live host that orders a target's adapters.
@@ -310,10 +310,7 @@
         (HeldTarget, float) or None
         """
         holder = self.holders.get(target)
-        held = self.held.get(holder, {}).get(target) if holder else None
-        if held is None or holder is None:
-            return None
-        return held, self.held_at[holder]
+        return self.held.get(holder, {}).get(target) if holder else None
 
     def _sum_up(self, now: float) -> None:
         running: dict[str, dict[str, int]] = {}
@@ -335,7 +332,7 @@
                 prompts[target] = prompts.get(target, DecayingSum()).add(left, now=now)
             for name in heard.digest.held_names:
                 held = self.held.get(host, {}).get(name)
-                token = held.fencing_token if held else 0
+                token = held[0].fencing_token if held else 0
                 if token >= tokens.get(name, -1):
                     tokens[name] = token
                     holders[name] = host
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -18,11 +18,17 @@
 from thornlatch.core import get_host_name, read_clock
 from thornlatch.exceptions import ThornlatchError
 from thornlatch.fleet import (
+    DomainExchange,
+    DomainView,
+    FleetDigest,
+    HeldTarget,
     HostDigest,
     LoadRequested,
+    Member,
     PeerView,
     Target,
     TargetRegistry,
+    TargetUses,
 )
 from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._app import GatewayApplication, StartResponse, describe_status
@@ -38,6 +44,7 @@
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._settings import GatewaySettings
 from thornlatch.gateway._suspects import CrashSuspects
+from thornlatch.gateway._topic_share import TopicShare
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import AdapterVersions, Resident, ResidentTable, Tenure
@@ -115,15 +122,31 @@
         )
         self.forwarder = self._build_forwarder(targets)
         self.app = GatewayApplication(callers, self.forwarder, self.metrics)
+        domain = settings.host.failure_domain
+        self.exchange = DomainExchange(
+            settings.exchange,
+            host=self.host,
+            domain=domain,
+            capacity=settings.host.capacity,
+        )
+        self.domain_view = DomainView(
+            settings.exchange, self.peers, host=self.host, domain=domain
+        )
+        self.share = TopicShare(settings.share, self.exchange, self._send)
         self.peer_loop = PeerLoop(
             settings.peers,
             host=self.host,
             address=settings.host.peer_address,
             view=self.peers,
+            exchange=self.exchange,
             handlers=PeerHandlers(
                 self._build_digest,
                 self._take_digest,
+                self.domain_view.note_sent,
+                self._take_fleet,
+                self._take_uses,
                 self._take_load_request,
+                self._take_other,
                 self._tick,
             ),
         )
@@ -294,15 +317,15 @@
             self.take_target(name, target)
         self.targets_known = True
 
-    def take_hosts(self, hosts: dict[str, str]) -> None:
+    def take_hosts(self, hosts: dict[str, Member]) -> None:
         """Set the other hosts.
 
         Parameters
         ----------
-        hosts : dict of str to str
-            Host id to ``ip:port``; this host itself is left out.
+        hosts : dict of str to Member
+            This host itself is left out.
         """
-        others = {host: address for host, address in hosts.items() if host != self.host}
+        others = {host: member for host, member in hosts.items() if host != self.host}
         now = read_clock()
         for host in self.peer_loop.members.keys() - others.keys():
             self.peers.forget(host)
@@ -391,6 +414,8 @@
         self.retries.hosts = len(sharing) + 1
         self._share_model_loads()
         silent_s = self.peer_loop.get_period_s() * SILENT_PERIODS
+        if self.exchange.is_large:
+            silent_s = max(silent_s, self.settings.exchange.silent_s)
         self.peers.silent_s = max(self.settings.peer_view.silent_s, silent_s)
         self.quota.silent_s = max(self.settings.quota.silent_s, silent_s)
 
@@ -538,13 +563,37 @@
         self.quota.take_digest(host, digest.spent, digest.levels, now=now)
         self.suspects.take_peer(host, digest.broken)
         for held in digest.held or ():
-            if self.peers.get_holder(held.target, now=now) != host:
-                continue
-            residents = {
-                one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
-                for one in held.adapters
-            }
-            self.residents.put(held.target, residents, now=now)
+            self._take_held(host, held, now)
+
+    def _take_held(self, holder: str, held: HeldTarget, now: float) -> None:
+        if self.peers.get_holder(held.target, now=now) != holder:
+            return
+        residents = {
+            one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
+            for one in held.adapters
+        }
+        self.residents.put(held.target, residents, now=now)
+
+    def _take_fleet(self, message: FleetDigest, now: float) -> None:
+        for update in self.domain_view.take(message, now=now):
+            if update.spent is not None:
+                self.quota.take_stream(
+                    update.stream,
+                    update.spent,
+                    update.levels,
+                    hosts=update.live,
+                    is_used=update.is_used,
+                    now=now,
+                )
+            for holder, held in update.held:
+                self._take_held(holder, held, now)
+        self.suspects.take_all_peers(self.domain_view.broken)
+
+    def _take_uses(self, message: TargetUses, now: float) -> None:
+        self.domain_view.take_uses(message, now=now)
+
+    def _take_other(self, sender: str, message: object, now: float) -> None:
+        self.share.take(sender, message, now=now)
 
     def _take_load_request(self, message: LoadRequested, now: float) -> None:
         if message.target in self.orders.held:
--- a/src/thornlatch/gateway/_peer_loop.py
+++ b/src/thornlatch/gateway/_peer_loop.py
@@ -11,12 +11,18 @@
 
 from thornlatch.core import read_clock
 from thornlatch.daemon._peers import PeerMesh, PeerSettings
-from thornlatch.fleet import HostDigest, LoadRequested, PeerView
+from thornlatch.fleet import (
+    DomainExchange,
+    FleetDigest,
+    HostDigest,
+    LoadRequested,
+    Member,
+    PeerView,
+    TargetUses,
+)
 
 logger = logbook.Logger("thornlatch.fleet")
 
-FULL_MESH_HOSTS = 8  # up to which each digest goes out every period
-
 
 @dataclass(frozen=True)
 class PeerHandlers:
@@ -26,13 +32,23 @@
     ----------
     build_digest : callable
     on_digest : callable
+    on_own_digest : callable
+        Called with each digest that goes to relays.
+    on_fleet : callable
+    on_uses : callable
     on_load_requested : callable
+    on_other : callable
+        Called with messages that aren't the fleet's.
     on_tick : callable
     """
 
     build_digest: Callable[[float], HostDigest]
     on_digest: Callable[[str, HostDigest, float], None]
+    on_own_digest: Callable[[HostDigest], None]
+    on_fleet: Callable[[FleetDigest, float], None]
+    on_uses: Callable[[TargetUses, float], None]
     on_load_requested: Callable[[LoadRequested, float], None]
+    on_other: Callable[[str, Any, float], None]
     on_tick: Callable[[float], None]
 
 
@@ -47,6 +63,8 @@
     address : str
         ``ip:port`` to listen on.
     view : PeerView
+    exchange : DomainExchange
+        Decides what goes to whom in a large fleet.
     handlers : PeerHandlers
     """
 
@@ -57,27 +75,29 @@
         host: str,
         address: str,
         view: PeerView,
+        exchange: DomainExchange,
         handlers: PeerHandlers,
     ) -> None:
         self.view = view
+        self.exchange = exchange
         self.handlers = handlers
         self.mesh = PeerMesh(settings, host=host, address=address)
         self.outgoing: queue.SimpleQueue[tuple[str, Any]] = queue.SimpleQueue()
         self.wake_reader, self.wake_writer = os.pipe()
         os.set_blocking(self.wake_writer, False)
-        self.members: dict[str, str] = {}
+        self.members: dict[str, Member] = {}
         self.is_stopping = False
         self.sends_now = False
 
-    def set_members(self, members: dict[str, str]) -> None:
+    def set_members(self, members: dict[str, Member]) -> None:
         """Set the other hosts.
 
         Parameters
         ----------
-        members : dict of str to str
-            Host id to ``ip:port``.
+        members : dict of str to Member
         """
         self.members = members
+        self.exchange.set_members(members)
         self._wake()
 
     def send(self, host: str, message: Any) -> None:
@@ -116,7 +136,8 @@
                 self._take_messages()
                 self._send_queued()
                 now = read_clock()
-                if now >= due or self.sends_now:
+                is_early = self.sends_now and not self.exchange.is_large
+                if now >= due or is_early:
                     self.sends_now = False
                     due = now + self.get_period_s()
                     self._send_digest(now)
@@ -128,21 +149,40 @@
 
     def get_period_s(self) -> float:
         """Return the seconds between two digests of a host."""
-        # Beyond a full mesh of this size each host's traffic stays about the same.
-        factor = max(1.0, (len(self.members) + 1) / FULL_MESH_HOSTS / 2)
-        return self.view.settings.period_s * factor
+        if self.exchange.is_large:
+            return self.exchange.settings.period_s
+        return self.view.settings.period_s
 
     def _take_messages(self) -> None:
         now = read_clock()
         for envelope in self.mesh.iter_received():
-            if isinstance(envelope.message, HostDigest):
-                self.handlers.on_digest(envelope.sender, envelope.message, now)
-            elif isinstance(envelope.message, LoadRequested):
-                self.handlers.on_load_requested(envelope.message, now)
+            self._take(envelope.sender, envelope.message, now)
+
+    def _take(self, sender: str, message: Any, now: float) -> None:
+        if isinstance(message, LoadRequested):
+            self.handlers.on_load_requested(message, now)
+        elif self.exchange.is_large and self.exchange.take(sender, message, now=now):
+            return
+        elif isinstance(message, HostDigest):
+            self.handlers.on_digest(sender, message, now)
+        elif isinstance(message, FleetDigest | TargetUses):
+            self._take_sums(message, now)
+        else:
+            self.handlers.on_other(sender, message, now)
+
+    def _take_sums(self, message: FleetDigest | TargetUses, now: float) -> None:
+        # In a full mesh the hosts' own digests say the same already.
+        if not self.exchange.is_large:
+            return
+        if isinstance(message, FleetDigest):
+            self.handlers.on_fleet(message, now)
+        else:
+            self.handlers.on_uses(message, now)
 
     def _send_queued(self) -> None:
-        if self.members != self.mesh.addresses:
-            self.mesh.set_members(dict(self.members))
+        addresses = {host: one.address for host, one in self.members.items()}
+        if addresses != self.mesh.addresses:
+            self.mesh.set_members(addresses)
         while True:
             try:
                 host, message = self.outgoing.get_nowait()
@@ -152,6 +192,14 @@
 
     def _send_digest(self, now: float) -> None:
         digest = self.handlers.build_digest(now)
+        if self.exchange.is_large:
+            self.handlers.on_own_digest(digest)
+            outgoing, own = self.exchange.run_turn(digest, now=now)
+            for host, message in outgoing:
+                self.mesh.send(host, message)
+            for message in own:
+                self._take_sums(message, now)
+            return
         for host in self.mesh.addresses:
             self.mesh.send(host, digest)
 
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -6,9 +6,10 @@
 from msgspec import Meta
 
 from thornlatch.daemon._peers import PeerSettings
-from thornlatch.fleet import PeerViewSettings, RegistrySettings
+from thornlatch.fleet import ExchangeSettings, PeerViewSettings, RegistrySettings
 from thornlatch.gateway._logs import LogSettings
 from thornlatch.gateway._suspects import SuspectSettings
+from thornlatch.gateway._topic_share import TopicShareSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
 from thornlatch.residency import (
     HolderSettings,
@@ -37,6 +38,8 @@
         ``ip:port`` for other hosts.
     metrics_address : str
         ``ip:port``; empty for none.
+    capacity : float
+        The larger, the sooner this host speaks for its domain in a large fleet.
     """
 
     name: str
@@ -45,6 +48,7 @@
     readiness_address: str
     peer_address: str
     metrics_address: str = ""
+    capacity: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -149,6 +153,8 @@
     registry : RegistrySettings
     peers : PeerSettings
     peer_view : PeerViewSettings
+    exchange : ExchangeSettings
+    share : TopicShareSettings
     quota : QuotaSettings
     retries : RetryBudgetSettings
     holder : HolderSettings
@@ -166,6 +172,8 @@
     registry: RegistrySettings = field(default_factory=RegistrySettings)
     peers: PeerSettings = field(default_factory=PeerSettings)
     peer_view: PeerViewSettings = field(default_factory=PeerViewSettings)
+    exchange: ExchangeSettings = field(default_factory=ExchangeSettings)
+    share: TopicShareSettings = field(default_factory=TopicShareSettings)
     quota: QuotaSettings = field(default_factory=QuotaSettings)
     retries: RetryBudgetSettings = field(default_factory=RetryBudgetSettings)
     holder: HolderSettings = field(default_factory=HolderSettings)
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -127,6 +127,15 @@
         """
         self.peers = {**self.peers, host: counts}
 
+    def take_all_peers(self, counts: dict[str, int]) -> None:
+        """Take the counts of all other hosts together.
+
+        Parameters
+        ----------
+        counts : dict of str to int
+        """
+        self.peers = {"": counts}
+
     def forget_others(self, hosts: Iterable[str]) -> None:
         """Forget the counts of hosts that aren't among those known.
 
--- /dev/null
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -0,0 +1,228 @@
+"""Reads of the platform's store that one host makes for others of its domain."""
+
+import itertools
+import threading
+from collections import deque
+from collections.abc import Callable
+from dataclasses import dataclass, field
+from typing import Annotated, Any
+
+from msgspec import Meta
+
+from thornlatch.core import read_clock, register
+from thornlatch.fleet import DomainExchange
+
+KEPT_RECORDS = 3000  # about 20 s of registrations of 600 targets in 8 domains
+ANSWER_RECORDS = 400  # keeps an answer below the limit of a message
+
+
+@dataclass(frozen=True)
+class TopicShareSettings:
+    """How hosts of a large fleet read through each other.
+
+    Parameters
+    ----------
+    answer_s : float
+        Seconds after which a host that doesn't answer is passed over.
+    age_limit_s : float
+        Seconds since the read of the answering host began, above which a host reads
+        the store itself: the other one may have lost it.
+    period_s : float
+        Seconds between two questions for a topic.
+    """
+
+    answer_s: Annotated[float, Meta(gt=0)] = 0.25
+    age_limit_s: Annotated[float, Meta(gt=0)] = 1.8
+    period_s: Annotated[float, Meta(gt=0)] = 0.4
+
+
+@register
+@dataclass(frozen=True)
+class TopicAsked:
+    """Asks for a topic's records from an offset on.
+
+    Parameters
+    ----------
+    topic : str
+    offset : int
+    number : int
+        Of the question, in the asking process.
+    """
+
+    topic: str
+    offset: int
+    number: int
+
+
+@register
+@dataclass(frozen=True)
+class TopicAnswered:
+    """Answers `TopicAsked`.
+
+    Parameters
+    ----------
+    number : int
+        Of the question.
+    next_offset : int
+        Where to read on; -1 if the records aren't known.
+    records : tuple of (str, bytes or None)
+        Keys and values.
+    age_s : float
+        Seconds since the read began that confirmed that there is nothing else.
+    """
+
+    number: int
+    next_offset: int
+    records: tuple[tuple[str, bytes | None], ...]
+    age_s: float
+
+
+@dataclass
+class _Kept:
+    begin: int
+    end: int
+    asked_at: float
+    records: deque[tuple[str, bytes | None]] = field(
+        default_factory=lambda: deque(maxlen=KEPT_RECORDS)
+    )
+
+
+class _Question:
+    def __init__(self, number: int) -> None:
+        self.number = number
+        self.answered = threading.Event()
+        self.answer: TopicAnswered | None = None
+
+
+class TopicShare:
+    """Answers other hosts' questions and asks its own; safe for threads.
+
+    An answer can't make old knowledge look new, however long it takes: its age counts
+    back from the moment at which the question was sent.
+
+    Parameters
+    ----------
+    settings : TopicShareSettings
+    exchange : DomainExchange
+    send : callable
+        Sends a message to a host.
+    """
+
+    def __init__(
+        self,
+        settings: TopicShareSettings,
+        exchange: DomainExchange,
+        send: Callable[[str, Any], None],
+    ) -> None:
+        self.settings = settings
+        self.exchange = exchange
+        self.send = send
+        self.lock = threading.Lock()
+        self.kept: dict[str, _Kept] = {}
+        self.questions: dict[int, _Question] = {}
+        self.numbers = itertools.count(1)
+
+    def must_read(self) -> bool:
+        """Return whether this host reads the store itself."""
+        if not self.exchange.is_large:
+            return True
+        relays = self.exchange.get_relays(self.exchange.domain, now=read_clock())
+        return not relays or relays[0] == self.exchange.host
+
+    def publish(
+        self,
+        topic: str,
+        offset: int,
+        records: list[tuple[str, bytes | None]],
+        next_offset: int,
+        *,
+        asked_at: float,
+    ) -> None:
+        """Keep what was read from the store for other hosts.
+
+        Parameters
+        ----------
+        topic : str
+        offset : int
+            Where the read began.
+        records : list of (str, bytes or None)
+        next_offset : int
+        asked_at : float
+            When the read began.
+        """
+        if not self.exchange.is_large:
+            return
+        with self.lock:
+            kept = self.kept.get(topic)
+            if kept is None or kept.end != offset:
+                kept = self.kept[topic] = _Kept(offset, offset, asked_at)
+            kept.records.extend(records)
+            kept.end = next_offset
+            kept.begin = kept.end - len(kept.records)
+            kept.asked_at = asked_at
+
+    def ask(self, topic: str, offset: int) -> TopicAnswered | None:
+        """Ask a relay of this host's domain for a topic's records.
+
+        Parameters
+        ----------
+        topic : str
+        offset : int
+
+        Returns
+        -------
+        TopicAnswered or None
+            None if the store has to be read.
+        """
+        domain = self.exchange.domain
+        for host in self.exchange.get_relays(domain, now=read_clock()):
+            if host == self.exchange.host:
+                continue
+            answer = self._ask_one(host, topic, offset)
+            if answer is None or answer.next_offset < 0:
+                continue
+            if answer.age_s < self.settings.age_limit_s:
+                return answer
+        return None
+
+    def _ask_one(self, host: str, topic: str, offset: int) -> TopicAnswered | None:
+        question = _Question(next(self.numbers))
+        self.questions[question.number] = question
+        try:
+            self.send(host, TopicAsked(topic, offset, question.number))
+            question.answered.wait(self.settings.answer_s)
+            return question.answer
+        finally:
+            del self.questions[question.number]
+
+    def take(self, sender: str, message: object, *, now: float) -> None:
+        """Take a question or an answer of another host.
+
+        Parameters
+        ----------
+        sender : str
+        message : object
+        now : float
+        """
+        if isinstance(message, TopicAsked):
+            self.send(sender, self._answer(message, now))
+        elif isinstance(message, TopicAnswered):
+            question = self.questions.get(message.number)
+            if question is not None:
+                question.answer = message
+                question.answered.set()
+
+    def _answer(self, message: TopicAsked, now: float) -> TopicAnswered:
+        with self.lock:
+            kept = self.kept.get(message.topic)
+            if kept is None or not kept.begin <= message.offset <= kept.end:
+                return TopicAnswered(message.number, -1, (), 0.0)
+            first = message.offset - kept.begin
+            last = min(first + ANSWER_RECORDS, len(kept.records))
+            records = tuple(itertools.islice(kept.records, first, last))
+            return TopicAnswered(
+                message.number,
+                message.offset + len(records),
+                records,
+                now - kept.asked_at,
+            )
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -52,6 +52,15 @@
     rates: dict[str, float] = field(default_factory=dict)
 
 
+@dataclass
+class _Stream:
+    """Tokens that the hosts of a domain have spent, as one relay tells."""
+
+    heard_at: float
+    totals: dict[str, int] = field(default_factory=dict)
+    rates: dict[str, float] = field(default_factory=dict)
+
+
 @dataclass
 class _Bucket:
     rate: float
@@ -83,6 +92,7 @@
         self.lock = threading.Lock()
         self.buckets: dict[str, _Bucket] = {}
         self.peers: dict[str, _Peer] = {}
+        self.streams: dict[str, _Stream] = {}
         # Kept after a peer has gone: one that is stopping still speaks for a while.
         self.totals: dict[str, dict[str, int]] = {}
 
@@ -170,6 +180,72 @@
                 peer.heard_at = now
                 peer.is_silent = False
 
+    def take_stream(
+        self,
+        name: str,
+        spent: Mapping[str, int],
+        levels: Mapping[str, int],
+        *,
+        hosts: Iterable[str],
+        is_used: bool,
+        now: float,
+    ) -> None:
+        """Take off what a domain's other hosts have spent since its digest before.
+
+        Parameters
+        ----------
+        name : str
+            Domain and relay. The totals of two relays of a domain begin at different
+            moments, so each is counted on by itself, and one of them is used.
+        spent, levels : mapping of str to int
+            As in `take_digest`, of all of these hosts together.
+        hosts : iterable of str
+            Those that the relay hears of.
+        is_used : bool
+        now : float
+        """
+        with self.lock:
+            self._advance(now)
+            is_settling = now - self.started_at < self.settings.settle_s
+            stream = self.streams.get(name)
+            is_new = stream is None
+            if stream is None:
+                stream = self.streams[name] = _Stream(now)
+            for organisation, bucket in self.buckets.items():
+                total = spent.get(organisation, 0)
+                bucket.level += bucket.assumed.pop(name, 0.0)
+                if is_new and is_used and is_settling:
+                    # What was spent before this host's start stands in the level.
+                    level = levels.get(organisation, bucket.burst) - bucket.spent
+                    bucket.level = min(bucket.level, level)
+                elif not is_new and is_used:
+                    fresh = total - stream.totals.get(organisation, 0)
+                    bucket.level -= fresh
+                    if now > stream.heard_at:
+                        rate = max(fresh, 0) / (now - stream.heard_at)
+                        former = stream.rates.get(organisation, 0.0)
+                        smoothed = former + RATE_SMOOTHING * (rate - former)
+                        stream.rates[organisation] = smoothed
+                stream.totals[organisation] = total
+                bucket.level = min(bucket.level, bucket.burst)
+            if not is_used:
+                stream.rates = {}
+            stream.heard_at = now
+            self._hear(hosts, now)
+
+    def _hear(self, hosts: Iterable[str], now: float) -> None:
+        for host in hosts:
+            peer = self.peers.get(host)
+            if peer is None:
+                continue
+            peer.heard_at = now
+            if peer.is_silent:
+                peer.is_silent = False
+                for bucket in self.buckets.values():
+                    # What it has spent meanwhile stands in its domain's digest.
+                    bucket.level += bucket.assumed.pop(host, 0.0)
+                    bucket.level = min(bucket.level, bucket.burst)
+
     def take(self, organisation: str, tokens: int, *, now: float) -> float | None:
         """Spend tokens, or return when there will be enough.
 
@@ -258,6 +334,11 @@
                     rate = bucket.rate * part
                 if rate > 0:
                     self._assume(bucket, name, rate * elapsed)
+            for name, stream in self.streams.items():
+                # Once a relay is silent, its hosts are, each for itself.
+                if now - stream.heard_at < self.silent_s:
+                    rate = stream.rates.get(organisation, 0.0)
+                    self._assume(bucket, name, rate * elapsed)
 
     def _assume(self, bucket: _Bucket, peer: str, tokens: float) -> None:
         bucket.level -= tokens
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -117,7 +117,10 @@
             parts.append(part)
     except (TimeoutError, OSError, http.client.HTTPException):
         return b"".join(parts), False
-    return b"".join(parts), response.length in (None, 0)
+    is_whole = response.length in (None, 0)
+    # http.client takes no further request while it counts this one as unread.
+    response.close()
+    return b"".join(parts), is_whole
 
 
 def list_events(body):
