--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -410,6 +410,7 @@
     def _share_among(self, others: Iterable[str], now: float) -> None:
         """Divide what all hosts together may use."""
         sharing = [host for host in others if host not in self.absent]
+        self.quota.set_large(self.exchange.is_large, now=now)
         self.quota.set_peers(sharing, now=now)
         self.retries.hosts = len(sharing) + 1
         self._share_model_loads()
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -32,12 +32,16 @@
         Seconds without a digest after which a peer's spending is assumed.
     wait_limit_s : float
         Longest time that a refused caller is told to wait.
+    large_fleet_ratio : float
+        Part of a burst that is used in a large fleet. Its hosts hear of each other's
+        spending later, so that several may use up the same tokens.
     """
 
     first_fill_s: Annotated[float, Meta(ge=0)] = 1.0
     settle_s: Annotated[float, Meta(ge=0)] = 1.5
     silent_s: Annotated[float, Meta(gt=0)] = 0.45
     wait_limit_s: Annotated[float, Meta(gt=0)] = 5.0
+    large_fleet_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.5
 
 
 RATE_SMOOTHING = 0.5  # weight of the newest digest in a peer's rate of spending
@@ -88,6 +92,8 @@
         self.started_at = now
         self.knows_peers = False
         self.silent_s = settings.silent_s
+        self.burst_ratio = 1.0
+        self.organisations: tuple[Organisation, ...] = ()
         self.advanced_at = now
         self.lock = threading.Lock()
         self.buckets: dict[str, _Bucket] = {}
@@ -108,14 +114,31 @@
         """
         with self.lock:
             self._advance(now)
-            for one in organisations:
-                bucket = self.buckets.get(one.name)
-                if bucket is None:
-                    first = min(one.burst, one.rate * self.settings.first_fill_s)
-                    bucket = _Bucket(one.rate, one.burst, first)
-                    self.buckets[one.name] = bucket
-                bucket.rate, bucket.burst = one.rate, one.burst
-                bucket.level = min(bucket.level, one.burst)
+            self.organisations = tuple(organisations)
+            self._fit_buckets()
+
+    def set_large(self, is_large: bool, *, now: float) -> None:
+        """Say whether the fleet is large, so that hosts hear of each other late.
+
+        Parameters
+        ----------
+        is_large : bool
+        now : float
+        """
+        with self.lock:
+            self._advance(now)
+            self.burst_ratio = self.settings.large_fleet_ratio if is_large else 1.0
+            self._fit_buckets()
+
+    def _fit_buckets(self) -> None:
+        for one in self.organisations:
+            burst = one.burst * self.burst_ratio
+            bucket = self.buckets.get(one.name)
+            if bucket is None:
+                first = min(burst, one.rate * self.settings.first_fill_s)
+                bucket = self.buckets[one.name] = _Bucket(one.rate, burst, first)
+            bucket.rate, bucket.burst = one.rate, burst
+            bucket.level = min(bucket.level, burst)
 
     def set_peers(self, peers: Iterable[str], *, now: float) -> None:
         """Say which other hosts may be spending.
@@ -231,9 +254,9 @@
             if not is_used:
                 stream.rates = {}
             stream.heard_at = now
-            self._hear(hosts, now)
+            self._hear(hosts, now, are_counted=is_used and not is_new)
 
-    def _hear(self, hosts: Iterable[str], now: float) -> None:
+    def _hear(self, hosts: Iterable[str], now: float, *, are_counted: bool) -> None:
         for host in hosts:
             peer = self.peers.get(host)
             if peer is None:
@@ -242,9 +265,10 @@
             if peer.is_silent:
                 peer.is_silent = False
                 for bucket in self.buckets.values():
-                    # What it has spent meanwhile stands in its domain's digest.
-                    bucket.level += bucket.assumed.pop(host, 0.0)
-                    bucket.level = min(bucket.level, bucket.burst)
+                    assumed = bucket.assumed.pop(host, 0.0)
+                    if are_counted:
+                        # What it has spent meanwhile stands in its domain's digest.
+                        bucket.level = min(bucket.level + assumed, bucket.burst)
 
     def take(self, organisation: str, tokens: int, *, now: float) -> float | None:
         """Spend tokens, or return when there will be enough.
