Wake less often for callers that left and for signals

Change: due requests are looked for every 0.1 s (0.5 s are allowed), the main thread sleeps until a signal wakes it, shared topics are asked for every 0.6 s.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -52,8 +52,8 @@
 
 logger = logbook.Logger("thornlatch.gateway")
 
-DUE_PERIOD_S = 0.05  # between two looks for callers that left or ran out of time
-RELOAD_TURN_S = 0.25  # between two looks for a SIGHUP
+DUE_PERIOD_S = 0.1  # between two looks for callers that left or ran out of time
+MAIN_TURN_S = 10.0  # signals wake the main thread; this is for one that got lost
 STOP_TURN_S = 0.05  # between two looks for the end of running requests
 HEADER_LIMIT_BYTES = 1 << 16
 BODY_LIMIT_BYTES = 1 << 23
@@ -152,6 +152,7 @@
         )
         self.stopping = threading.Event()
         self.reloading = threading.Event()
+        self.signalled = threading.Event()
         self.targets_known = False
         self.missing_since: dict[str, float] = {}
         self.absent: set[str] = set()
@@ -215,8 +216,8 @@
         """
         with self.log.applicationbound():
             for number in (signal.SIGTERM, signal.SIGINT):
-                signal.signal(number, lambda *_: self.stopping.set())
-            signal.signal(signal.SIGHUP, lambda *_: self.reloading.set())
+                signal.signal(number, lambda *_: self._note_signal(self.stopping))
+            signal.signal(signal.SIGHUP, lambda *_: self._note_signal(self.reloading))
             redirect = logbook.compat.RedirectLoggingHandler()
             logging.getLogger("waitress").addHandler(redirect)
             logger.info("host.started", extra={"pid": os.getpid()})
@@ -224,7 +225,9 @@
             loops = [self.log.run, self.peer_loop.run, self._end_due_requests]
             for loop in (*loops, *feeds, *[server.run for server in servers]):
                 self.executor.submit(self._run_loop, loop)
-            while not self.stopping.wait(RELOAD_TURN_S):
+            while not self.stopping.is_set():
+                self.signalled.wait(MAIN_TURN_S)
+                self.signalled.clear()
                 if self.reloading.is_set():
                     self.reloading.clear()
                     self._reload(read_settings)
@@ -233,6 +236,10 @@
             self.log.close()
         return 0
 
+    def _note_signal(self, event: threading.Event) -> None:
+        event.set()
+        self.signalled.set()
+
     def is_ready(self) -> bool:
         """Return whether the balancer may send requests here."""
         return (
@@ -467,7 +474,7 @@
                 loop()
             except Exception:
                 logger.exception("host.loop_ended")
-                self.stopping.set()
+                self._note_signal(self.stopping)
 
     def _end_due_requests(self) -> None:
         while not self.stopping.wait(DUE_PERIOD_S):
--- a/src/thornlatch/gateway/_topic_share.py
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -33,7 +33,7 @@
 
     answer_s: Annotated[float, Meta(gt=0)] = 0.25
     age_limit_s: Annotated[float, Meta(gt=0)] = 1.8
-    period_s: Annotated[float, Meta(gt=0)] = 0.4
+    period_s: Annotated[float, Meta(gt=0)] = 0.6
 
 
 @register
