Add thornlatch explain: a request's story from the logs of all gateway hosts

Cause: from an id to a cause took greps over several hosts' logs and knowledge of what stands beside what.

Change: a slice that reads the logs, puts the request's lines beside what its host and targets went through, names the cause by a table of recognisers, and says what is missing.

--- a/src/thornlatch/cli/_main.py
+++ b/src/thornlatch/cli/_main.py
@@ -9,6 +9,7 @@
 from thornlatch.cli._check import Check
 from thornlatch.cli._docs import Docs
 from thornlatch.cli._exits import EXIT_FAILED, EXIT_OK, get_status
+from thornlatch.cli._explain import Explain
 from thornlatch.cli._groups import Config, HostGroup, KeyGroup, TargetGroup
 from thornlatch.cli._serve import Serve
 from thornlatch.cli._status import Status
@@ -30,6 +31,7 @@
         | HostGroup
         | Status
         | Timeline
+        | Explain
         | Docs
     ]
 
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -69,6 +69,8 @@
         Longest pause between two parts, and when it ended, from the beginning.
     target : str
         Where it was sent last.
+    status : int
+        Of the target's answer; 0 if there was none.
     last_event : str
         Event after which a stream goes on.
     last_id : int or None
@@ -98,6 +100,7 @@
     longest_gap_s: float = 0.0
     gap_ended_s: float = 0.0
     target: str = ""
+    status: int = 0
     last_event: str = ""
     last_id: int | None = None
     last_failure: str = ""
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -119,6 +119,7 @@
             except TargetError as error:
                 self._note_failure(call, option, error)
                 continue
+            call.status = opened.head.status
             if not self._should_repeat(call, opened):
                 return opened
             self.sender.end(call, opened)
@@ -306,6 +307,8 @@
                 "prompt_tokens": call.request.prompt_tokens,
                 "target": call.target,
                 "outcome": outcome,
+                "status": call.status,
+                "objective_s": call.route.objective_s,
                 "why": call.last_failure,
                 "detail": str(error) if error is not None else "",
                 "sends": call.sends,
--- /dev/null
+++ b/src/thornlatch/story/_lines.py
@@ -0,0 +1,92 @@
+"""Log lines of gateway hosts, read back."""
+
+import json
+from collections.abc import Iterable, Iterator
+from dataclasses import dataclass, field
+from pathlib import Path
+from typing import Any
+
+from thornlatch.exceptions import InvalidInput
+
+
+@dataclass(frozen=True)
+class LogLine:
+    """One event of a host.
+
+    Parameters
+    ----------
+    event : str
+    host : str
+        Host id, which a restart changes.
+    wall : float
+        Seconds since the epoch, by the host's clock.
+    fields : dict
+        What else the line says.
+    """
+
+    event: str
+    host: str
+    wall: float
+    fields: dict[str, Any] = field(default_factory=dict)
+
+    def get(self, name: str, default: Any = "") -> Any:
+        """Return a field.
+
+        Parameters
+        ----------
+        name : str
+        default : object
+
+        Returns
+        -------
+        object
+        """
+        return self.fields.get(name, default)
+
+
+def read_lines(paths: Iterable[Path]) -> list[LogLine]:
+    """Read the events in logs; lines that aren't events are passed over.
+
+    Parameters
+    ----------
+    paths : iterable of Path
+
+    Returns
+    -------
+    list of LogLine
+        In the order of the hosts' clocks.
+
+    Raises
+    ------
+    InvalidInput
+        If a file can't be read.
+    """
+    lines: list[LogLine] = []
+    for path in paths:
+        try:
+            with path.open(encoding="utf-8", errors="replace") as file:
+                lines.extend(_iter_events(file))
+        except OSError as error:
+            raise InvalidInput(
+                f"can't read the log: {error.strerror}", context=str(path)
+            ) from error
+    return sorted(lines, key=lambda line: line.wall)
+
+
+def _iter_events(file: Iterable[str]) -> Iterator[LogLine]:
+    for text in file:
+        # Collectors put a time or a host name before the line.
+        start = text.find("{")
+        if start < 0:
+            continue
+        try:
+            value = json.loads(text[start:])
+        except ValueError:
+            continue
+        if not isinstance(value, dict):
+            continue
+        event, host = value.pop("event", None), value.pop("host", None)
+        wall = value.pop("wall", None)
+        if isinstance(event, str) and isinstance(host, str) and wall is not None:
+            value.pop("level", None)
+            yield LogLine(event, host, float(wall), value)
