Look first at targets that hold an adapter or did before

Change: the targets of an adapter are indexed; if one of them has room the others, which would have to fetch it, aren't looked at. A waiting request looks every 0.1 s besides being woken by changes. The same options result.

--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -5,7 +5,7 @@
 """
 
 import zlib
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
 from enum import Enum
 
@@ -120,6 +120,7 @@
     get_state: Callable[[Target], TargetState],
     settings: ForwardingSettings,
     *,
+    likely: Collection[str],
     now: float,
 ) -> list[Option]:
     """Return the ways to serve a request, the best first.
@@ -131,18 +132,24 @@
     demand : Demand
     get_state : callable
     settings : ForwardingSettings
+    likely : collection of str
+        Targets that hold the adapter or did before. If one of them has room, the
+        others, which would have to fetch it, aren't looked at.
     now : float
 
     Returns
     -------
     list of Option
     """
-    states = {t.id: get_state(t) for t in targets if t.id not in demand.excluded}
+    able = [target for target in targets if target.id not in demand.excluded]
+    states = {one.id: get_state(one) for one in able if one.id in likely}
     has_room = any(
-        _has_room(t, states[t.id], demand) for t in targets if t.id in states
+        _has_room(one, states[one.id], demand) for one in able if one.id in states
     )
+    if not has_room:
+        states |= {one.id: get_state(one) for one in able if one.id not in states}
     options = []
-    for target in targets:
+    for target in able:
         if target.id not in states:
             continue
         option = _rate(target, states[target.id], demand, settings, now)
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -27,7 +27,7 @@
 
 ASK_AGAIN_S = 0.1  # a holder that hasn't loaded by then is taken as not answering
 AVOIDING_PEERS = 2  # hosts that avoid a target until this one does, too
-WAIT_TURN_S = 0.05  # longest sleep of a waiting request between two looks
+WAIT_TURN_S = 0.1  # longest sleep of a waiting request between two looks
 
 
 class TargetSelector:
@@ -169,20 +169,27 @@
             prompts = self.orders.count_prompts(target.id, now=now)
             if not adapter:
                 return TargetState(requests, prompts, is_avoided)
+            resident = self.residents.get(target.id, adapter)
+            in_transit = 0
+            if resident is None:
+                in_transit = self.orders.count_in_transit(target.id, now=now)
             asked_at = asked.get(target.id)
             has_answered = asked_at is None or now - asked_at < ASK_AGAIN_S
             return TargetState(
                 requests,
                 prompts,
                 is_avoided,
-                self.residents.get(target.id, adapter),
+                resident,
                 has_answered and self.orders.is_held(target.id, now=now),
-                self.orders.count_in_transit(target.id, now=now),
+                in_transit,
                 self.residents.was_at(target.id, adapter),
             )
 
         targets = self.registry.get_ready(call.service)
-        return list_options(targets, demand, get_state, self.settings, now=now)
+        likely = self.residents.list_places(adapter)
+        return list_options(
+            targets, demand, get_state, self.settings, likely=likely, now=now
+        )
 
     def _is_avoided(self, target: str, now: float) -> bool:
         if self.health.is_avoided(target, now=now):
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -31,6 +31,10 @@
     return Demand(adapter, version, "z1", frozenset(excluded), 0.27, 0.04, 1.6, 3e-5)
 
 
+def is_likely(state):
+    return state.resident is not None or state.was_resident
+
+
 def choose(states, wish=None, targets=TARGETS):
     default = TargetState(0)
     return list_options(
@@ -38,6 +42,7 @@
         wish or demand(),
         lambda t: states.get(t.id, default),
         SETTINGS,
+        likely=[name for name, one in states.items() if is_likely(one)],
         now=NOW,
     )
 
@@ -52,6 +57,21 @@
     assert [option.target.id for option in options] == ["t2"]
 
 
+def test_large_service_isn_t_looked_through_while_a_holder_has_room():
+    looked = []
+    states = {"t2": TargetState(7, resident=READY)}
+
+    def get_state(target):
+        looked.append(target.id)
+        return states.get(target.id, TargetState(0))
+
+    for requests, expected in ((7, ["t2"]), (20, ["t2", "t1", "t3"])):
+        looked.clear()
+        states["t2"] = TargetState(requests, resident=READY)
+        list_options(TARGETS, demand(), get_state, SETTINGS, likely={"t2"}, now=NOW)
+        assert looked == expected
+
+
 def test_flash_crowd_beyond_the_slots_of_one_target_gets_a_second_copy():
     options = choose({"t2": TargetState(20, resident=READY)})
     assert options[0].step is Step.ASK_LOAD
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -34,6 +34,8 @@
         self.owned_at: dict[str, float] = {}
         self.formers: dict[str, set[str]] = {}
         self.revisions: dict[str, int] = {}
+        # Adapter to the targets where it is, is coming or was.
+        self.places: dict[str, set[str]] = {}
 
     def put(self, target: str, residents: dict[str, Resident], *, now: float) -> None:
         """Take what a target's holder says of it.
@@ -73,6 +75,8 @@
             if former.get(name) != residents.get(name)
         ]
         self.residents[target] = residents
+        for name in residents.keys() - former.keys():
+            self.places.setdefault(name, set()).add(target)
         for name in changed:
             self.revisions[name] = self.revisions.get(name, 0) + 1
         if changed:
@@ -89,6 +93,22 @@
             self.residents.pop(target, None)
             self.owned_at.pop(target, None)
             self.formers.pop(target, None)
+            for targets in self.places.values():
+                targets.discard(target)
+
+    def list_places(self, adapter: str) -> frozenset[str]:
+        """Return the targets where an adapter is, is coming or was.
+
+        Parameters
+        ----------
+        adapter : str
+
+        Returns
+        -------
+        frozenset of str
+        """
+        with self.changed:
+            return frozenset(self.places.get(adapter, ()))
 
     def was_at(self, target: str, adapter: str) -> bool:
         """Return whether a target held an adapter before, and so loads it faster.
