--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -233,7 +233,8 @@
         is_other = head.answering_target not in ("", target.id)
         if head.is_misdirected and not is_other and call.request.adapter:
             adapter = call.request.adapter
-            pause_s = self.selector.orders.settings.late_step_s
+            # Each rejected send is charged, so the next one waits longer.
+            pause_s = self.selector.orders.settings.late_step_s * call.sends
             self.residents.delay(target.id, adapter, until=now + pause_s)
             self.selector.ask_load(call, target, now, was_missing=True)
             return
--- a/src/thornlatch/residency/_holder.py
+++ b/src/thornlatch/residency/_holder.py
@@ -52,6 +52,9 @@
         Seconds after its expected end in which a load may merely be late.
     late_step_s : float
         Seconds by which a late load is expected later.
+    unanswered_s : float
+        Seconds by which a load is expected later if its order got no answer: that many
+        pass until it is sent again.
     slower_ratio, faster_ratio : float
         Change of the expected time after a late load, and after any load.
     load_limit_s : float
@@ -68,6 +71,7 @@
     wanted_s: Annotated[float, Meta(gt=0)] = 4.0
     late_s: Annotated[float, Meta(ge=0)] = 2.0
     late_step_s: Annotated[float, Meta(gt=0)] = 0.06
+    unanswered_s: Annotated[float, Meta(ge=0)] = 0.15
     slower_ratio: Annotated[float, Meta(ge=1)] = 1.12
     faster_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.97
     load_limit_s: Annotated[float, Meta(gt=0)] = 2.0
@@ -92,6 +96,9 @@
 class _Unanswered:
     order: ResidencyOrder
     expected: int
+    sent_at: float
+    # Expected of the load, if it is one.
+    load_s: float
 
 
 @dataclass(frozen=True)
@@ -259,17 +266,18 @@
         self.ordered_at = now
         if outcome is OrderOutcome.UNKNOWN:
             # Sent again under the same number, only one of the two can take effect.
-            self.unanswered = _Unanswered(numbered.order, numbered.expected)
-            self._apply(numbered.order, now)
+            self._note_unanswered(numbered, now)
             return
-        is_repeated = self.unanswered is not None
-        self.unanswered = None
-        if outcome is OrderOutcome.CONFLICT and is_repeated:
+        former, self.unanswered = self.unanswered, None
+        if outcome is OrderOutcome.CONFLICT and former is not None:
             # The one that got no answer has taken effect under the same number.
-            outcome = OrderOutcome.ACCEPTED
-        if outcome is OrderOutcome.ACCEPTED:
+            self.sequence = numbered.expected + 1
+            self._settle(former, former.sent_at)
+        elif outcome is OrderOutcome.ACCEPTED:
             self.sequence = numbered.expected + 1
             self._apply(numbered.order, now)
+            if former is not None:
+                self._settle(former, now)
         elif outcome is OrderOutcome.HOLDS:
             if isinstance(numbered.order, UnloadAdapter):
                 self.sequence = numbered.expected + 1
@@ -283,6 +291,27 @@
                     self.places[key].used_at = now
             self._doubt(now)
 
+    def _note_unanswered(self, numbered: NumberedOrder, now: float) -> None:
+        order, former = numbered.order, self.unanswered
+        load_s = 0.0
+        if former is not None:
+            load_s = former.load_s
+        elif isinstance(order, LoadAdapter):
+            load_s = self._expect_load_s(f"{order.model}/{order.adapter}")
+        self.unanswered = _Unanswered(order, numbered.expected, now, load_s)
+        if former is None:
+            self._apply(order, now)
+        if isinstance(order, LoadAdapter):
+            place = self.places[f"{order.model}/{order.adapter}"]
+            place.ready_at = now + load_s + self.settings.unanswered_s
+
+    def _settle(self, unanswered: _Unanswered, began_at: float) -> None:
+        """Note when an order that got no answer at first took effect."""
+        order = unanswered.order
+        if isinstance(order, LoadAdapter):
+            place = self.places[f"{order.model}/{order.adapter}"]
+            place.ready_at = began_at + unanswered.load_s
+
     def take_report(self, report: EngineReport, *, now: float) -> None:
         """Take a report as the new belief.
 
--- a/src/thornlatch/residency/tests/test_holder.py
+++ b/src/thornlatch/residency/tests/test_holder.py
@@ -117,6 +117,15 @@
     assert step(holder, 1.7).expected == first.expected + 1
 
 
+def test_load_without_an_answer_is_expected_later():
+    """Requests sent at the usual time would be rejected, and charged as retries."""
+    holder = build()
+    want(holder, "a1", 1.0)
+    step(holder, 1.0, outcome=OrderOutcome.UNKNOWN)
+    (resident,) = holder.get_residents(now=1.0)
+    assert resident.ready_in_s == pytest.approx(0.27 + 0.15, abs=0.01)
+
+
 def test_repeated_order_that_conflicts_took_effect_the_first_time():
     """Without this each lost answer would hold up its target for a report's lag."""
     holder = build()
