Let one host of a small fleet read the store for the others

Ruled out: rarer reads by each host; a leaving target must be known within 2 s.

Change: the shared reads of large fleets serve small ones, too, with one reader that is heard of; the others ask it every 0.4 s and read the store themselves as before when it is silent, slow or behind.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -17,6 +17,7 @@
     FleetDigest,
     Member,
     TargetUses,
+    choose_relays,
 )
 from thornlatch.fleet._registry import (
     Holding,
@@ -45,5 +46,6 @@
     "Target",
     "TargetRegistry",
     "TargetUses",
+    "choose_relays",
     "count_until_decayed",
 ]
--- a/src/thornlatch/fleet/_domains.py
+++ b/src/thornlatch/fleet/_domains.py
@@ -377,7 +377,7 @@
 
 def choose_relays(
     members: dict[str, Member],
-    domain: str,
+    domain: str | None,
     suspects: Iterable[str],
     settings: ExchangeSettings,
 ) -> list[str]:
@@ -386,7 +386,8 @@
     Parameters
     ----------
     members : dict of str to Member
-    domain : str
+    domain : str or None
+        None for the whole fleet.
     suspects : iterable of str
         Hosts that haven't answered as relays.
     settings : ExchangeSettings
@@ -395,7 +396,7 @@
     -------
     list of str
     """
-    candidates = [host for host, one in members.items() if one.domain == domain]
+    candidates = [host for host, one in members.items() if domain in (None, one.domain)]
     candidates.sort(key=lambda host: (-members[host].capacity, host))
     passed_over = set(suspects)
     able = [host for host in candidates if host not in passed_over]
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -132,7 +132,12 @@
         self.domain_view = DomainView(
             settings.exchange, self.peers, host=self.host, domain=domain
         )
-        self.share = TopicShare(settings.share, self.exchange, self._send)
+        self.share = TopicShare(
+            settings.share,
+            self.exchange,
+            lambda host: self.peers.is_live(host, now=read_clock()),
+            self._send,
+        )
         self.peer_loop = PeerLoop(
             settings.peers,
             host=self.host,
--- a/src/thornlatch/gateway/_topic_share.py
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -1,4 +1,7 @@
-"""Reads of the platform's store that one host makes for others of its domain."""
+"""Reads of the platform's store that one host makes for others.
+
+In a large fleet that is the first relay of each domain, else one host of the fleet.
+"""
 
 import itertools
 import threading
@@ -10,7 +13,7 @@
 from msgspec import Meta
 
 from thornlatch.core import read_clock, register
-from thornlatch.fleet import DomainExchange
+from thornlatch.fleet import DomainExchange, choose_relays
 
 KEPT_RECORDS = 3000  # about 20 s of registrations of 600 targets in 8 domains
 ANSWER_RECORDS = 400  # keeps an answer below the limit of a message
@@ -18,7 +21,7 @@
 
 @dataclass(frozen=True)
 class TopicShareSettings:
-    """How hosts of a large fleet read through each other.
+    """How hosts read through each other.
 
     Parameters
     ----------
@@ -28,12 +31,13 @@
         Seconds since the read of the answering host began, above which a host reads
         the store itself: the other one may have lost it.
     period_s : float
-        Seconds between two questions for a topic.
+        Seconds between two questions for a topic. With the reader's own period it must
+        stay below the time in which a leaving target must be known.
     """
 
     answer_s: Annotated[float, Meta(gt=0)] = 0.25
     age_limit_s: Annotated[float, Meta(gt=0)] = 1.8
-    period_s: Annotated[float, Meta(gt=0)] = 0.6
+    period_s: Annotated[float, Meta(gt=0)] = 0.4
 
 
 @register
@@ -104,6 +108,8 @@
     ----------
     settings : TopicShareSettings
     exchange : DomainExchange
+    is_live : callable
+        Whether a host is heard of.
     send : callable
         Sends a message to a host.
     """
@@ -112,10 +118,12 @@
         self,
         settings: TopicShareSettings,
         exchange: DomainExchange,
+        is_live: Callable[[str], bool],
         send: Callable[[str, Any], None],
     ) -> None:
         self.settings = settings
         self.exchange = exchange
+        self.is_live = is_live
         self.send = send
         self.lock = threading.Lock()
         self.kept: dict[str, _Kept] = {}
@@ -124,10 +132,17 @@
 
     def must_read(self) -> bool:
         """Return whether this host reads the store itself."""
-        if not self.exchange.is_large:
-            return True
-        relays = self.exchange.get_relays(self.exchange.domain, now=read_clock())
-        return not relays or relays[0] == self.exchange.host
+        readers = self._list_readers()
+        return not readers or readers[0] == self.exchange.host
+
+    def _list_readers(self) -> list[str]:
+        """Return the hosts that may read for this one, the first one first."""
+        exchange = self.exchange
+        if exchange.is_large:
+            return exchange.get_relays(exchange.domain, now=read_clock())
+        members = exchange.members
+        silent = [h for h in members if h != exchange.host and not self.is_live(h)]
+        return choose_relays(members, None, silent, exchange.settings)
 
     def publish(
         self,
@@ -150,8 +165,6 @@
         asked_at : float
             When the read began.
         """
-        if not self.exchange.is_large:
-            return
         with self.lock:
             kept = self.kept.get(topic)
             if kept is None or kept.end != offset:
@@ -162,7 +175,7 @@
             kept.asked_at = asked_at
 
     def ask(self, topic: str, offset: int) -> TopicAnswered | None:
-        """Ask a relay of this host's domain for a topic's records.
+        """Ask the host that reads for this one for a topic's records.
 
         Parameters
         ----------
@@ -174,8 +187,7 @@
         TopicAnswered or None
             None if the store has to be read.
         """
-        domain = self.exchange.domain
-        for host in self.exchange.get_relays(domain, now=read_clock()):
+        for host in self._list_readers():
             if host == self.exchange.host:
                 continue
             answer = self._ask_one(host, topic, offset)
--- a/src/thornlatch/gateway/tests/test_large_fleet.py
+++ b/src/thornlatch/gateway/tests/test_large_fleet.py
@@ -257,7 +257,9 @@
             if receiver in ends:
                 ends[receiver].take(name, message, now=clock.now)
 
-        ends[name] = TopicShare(settings, fleet.hosts[name].exchange, send)
+        ends[name] = TopicShare(
+            settings, fleet.hosts[name].exchange, lambda _: True, send
+        )
         return ends[name]
 
     return connect("h0-0"), connect("h0-4"), clock
@@ -306,8 +308,15 @@
     assert other.questions == {}
 
 
-def test_small_fleets_read_the_store_themselves():
-    exchange = DomainExchange(SETTINGS, host="a", domain="d", capacity=1.0)
-    exchange.set_members({"b": Member("", "d", 2.0)})
-    share = TopicShare(TopicShareSettings(), exchange, lambda *_: None)
+def test_one_host_of_a_small_fleet_reads_for_all_while_it_is_heard_of():
+    live = {"b"}
+    exchange = DomainExchange(SETTINGS, host="c", domain="d", capacity=1.0)
+    exchange.set_members({"a": Member("", "e", 1.0), "b": Member("", "f", 1.0)})
+    share = TopicShare(
+        TopicShareSettings(), exchange, live.__contains__, lambda *_: None
+    )
+    assert not share.must_read()
+    live.add("a")
+    assert share._list_readers() == ["a", "b"]
+    live.clear()
     assert share.must_read()
