--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -99,9 +99,8 @@
         Mean seconds of a request at the service's targets.
     prefill_s : float
         Seconds that a target takes for a prompt token.
-    pace_limit_s : float
-        Seconds of prompts sent lately to a target above which the request waits until
-        they are read; 0 if it may not wait any more.
+    may_pace : bool
+        Whether the request may wait until a target has read the prompts before it.
     """
 
     adapter: str
@@ -112,7 +111,7 @@
     former_load_s: float
     service_s: float
     prefill_s: float = 0.0
-    pace_limit_s: float = 0.0
+    may_pace: bool = False
 
 
 def list_options(
@@ -217,8 +216,8 @@
         step = Step.AWAIT_LOAD if load_s > 0 else Step.SEND
         wait_s = max(load_s, queue_s)
         cost_s += wait_s - queue_s
-        if step is Step.SEND:
-            pace_s = count_until_decayed(prefill_s, demand.pace_limit_s)
+        if step is Step.SEND and demand.may_pace:
+            pace_s = count_until_decayed(prefill_s, settings.prefill_limit_s)
             if pace_s > 0:
                 step = Step.AWAIT_PROMPTS
                 wait_s = max(wait_s, pace_s)
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -27,7 +27,6 @@
 
 ASK_AGAIN_S = 0.1  # a holder that hasn't loaded by then is taken as not answering
 AVOIDING_PEERS = 2  # hosts that avoid a target until this one does, too
-MEAN_PERIOD_S = 0.05  # between two means over a service's targets
 WAIT_TURN_S = 0.1  # longest sleep of a waiting request between two looks
 
 
@@ -63,8 +62,6 @@
         self.residents = residents
         self.orders = orders
         self.health = health
-        # Prompt tokens sent lately to a target of a service on average, and since when.
-        self.mean_prompts: dict[str, tuple[float, float]] = {}
 
     def choose(self, call: Call) -> Option:
         """Return a target that can take a request now; wait for a load if need be.
@@ -146,27 +143,13 @@
         wait_until = call.waits_since + wait_s
         return min(wait_until, call.running.ends_at - NOT_OFFERED_MARGIN_S)
 
-    def _get_pace_limit_s(self, call: Call, now: float) -> float:
-        """Return from which load of prompts on a request waits; 0 if it may not."""
-        pace_s = call.route.objective_s * self.settings.pace_objectives
-        if now - call.waits_since >= pace_s:
-            return 0.0
-        mean, at = self.mean_prompts.get(call.service, (0.0, float("-inf")))
-        if now - at >= MEAN_PERIOD_S:
-            targets = self.registry.get_ready(call.service)
-            total = sum(self.orders.count_prompts(one.id, now=now) for one in targets)
-            mean = total / max(len(targets), 1)
-            self.mean_prompts[call.service] = (mean, now)
-        mean_s = mean * self.health.get_prefill_s(call.service)
-        settings = self.settings
-        return max(settings.prefill_limit_s, mean_s * settings.prefill_mean_ratio)
-
     def _list_options(
         self, call: Call, asked: dict[str, float], now: float
     ) -> list[Option]:
         adapter = call.request.adapter
         required = self.versions.get_required(adapter, now=now) if adapter else 0
         holder = self.orders.settings
+        pace_s = call.route.objective_s * self.settings.pace_objectives
         demand = Demand(
             adapter,
             required,
@@ -176,7 +159,7 @@
             holder.adapter_load_s * holder.former_load_ratio,
             self.health.get_service_s(call.service),
             self.health.get_prefill_s(call.service),
-            self._get_pace_limit_s(call, now),
+            may_pace=now - call.waits_since < pace_s,
         )
 
         def get_state(target: Target) -> TargetState:
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -95,9 +95,6 @@
     prefill_limit_s : float
         Seconds of prompts read lately at a target from which a request waits; streams
         there pause too long if their target reads prompts most of the time.
-    prefill_mean_ratio : float
-        The same in means of the service's targets, if that is more: where all of them
-        read prompts most of the time, waiting helps nobody.
     pace_objectives : float
         Latency objectives for which it waits for that.
     domain_penalty_s : float
@@ -121,7 +118,6 @@
     crowd_penalty_s: Annotated[float, Meta(ge=0)] = 0.3
     prefill_ratio: Annotated[float, Meta(ge=0)] = 1.5
     prefill_limit_s: Seconds = 0.12
-    prefill_mean_ratio: Annotated[float, Meta(ge=1)] = 1.5
     pace_objectives: Annotated[float, Meta(ge=0)] = 0.6
     domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
 
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -132,7 +132,7 @@
     prompts, waits
 ):
     states = {"t1": TargetState(4, prompts=prompts, resident=READY)}
-    best = choose(states, replace(demand(), pace_limit_s=0.12))[0]
+    best = choose(states, replace(demand(), may_pace=True))[0]
     assert best.step is (Step.AWAIT_PROMPTS if waits else Step.SEND)
     assert (0.05 < best.wait_s < 0.3) is waits
     assert choose(states)[0].step is Step.SEND
