Tell the host that asked for an adapter when its load will be done

And a host that had read the store itself was ahead of its relay and read the store again and again.

Change: the holder answers the asking host as soon as the order is out; the word stands for 0.7 s against older digests. A relay that is behind answers with nothing new.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -4,6 +4,7 @@
 from thornlatch.fleet._digests import (
     HeldTarget,
     HostDigest,
+    LoadExpected,
     LoadRequested,
     PeerView,
     PeerViewSettings,
@@ -37,6 +38,7 @@
     "HeldTarget",
     "Holding",
     "HostDigest",
+    "LoadExpected",
     "LoadRequested",
     "Member",
     "PeerView",
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -124,6 +124,21 @@
     unusable: tuple[str, ...] = ()
 
 
+@register
+@dataclass(frozen=True)
+class LoadExpected:
+    """Tells a host that asked for an adapter when it can use it.
+
+    Parameters
+    ----------
+    target : str
+    adapter : ResidentAdapter
+    """
+
+    target: str
+    adapter: ResidentAdapter
+
+
 @dataclass(frozen=True)
 class PeerViewSettings:
     """How long a peer's digest is believed.
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -23,6 +23,7 @@
     FleetDigest,
     HeldTarget,
     HostDigest,
+    LoadExpected,
     LoadRequested,
     Member,
     PeerView,
@@ -606,11 +607,21 @@
         self.domain_view.take_uses(message, now=now)
 
     def _take_other(self, sender: str, message: object, now: float) -> None:
-        self.share.take(sender, message, now=now)
+        if isinstance(message, LoadExpected):
+            self._take_load_expected(message, now)
+        else:
+            self.share.take(sender, message, now=now)
 
-    def _take_load_request(self, message: LoadRequested, now: float) -> None:
+    def _take_load_request(
+        self, sender: str, message: LoadRequested, now: float
+    ) -> None:
         if message.target in self.orders.held:
-            self.orders.ask(message, now=now)
+            self.orders.ask(message, now=now, asker=sender)
+
+    def _take_load_expected(self, message: LoadExpected, now: float) -> None:
+        one = message.adapter
+        resident = Resident(one.version, now + one.ready_in_s, one.is_queued)
+        self.residents.note(message.target, one.name, resident, now=now)
 
     def _tick(self, now: float) -> None:
         for name in self.registry.expire(now=now):
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -12,6 +12,7 @@
 from thornlatch.exceptions import TargetError
 from thornlatch.fleet import (
     HeldTarget,
+    LoadExpected,
     LoadRequested,
     PeerView,
     Target,
@@ -50,6 +51,8 @@
     holder: TargetHolder
     orders_from: float
     relief_due_at: float = 0.0
+    # Hosts that asked for an adapter and haven't been told when it is there.
+    askers: dict[str, set[str]] = field(default_factory=dict)
     lock: threading.Lock = field(default_factory=threading.Lock)
     is_running: bool = False
 
@@ -193,13 +196,15 @@
         residents = self.residents.residents.get(target, {})
         return sum(1 for one in residents.values() if one.ready_at > now)
 
-    def ask(self, wish: LoadRequested, *, now: float) -> None:
+    def ask(self, wish: LoadRequested, *, now: float, asker: str = "") -> None:
         """Have an adapter loaded at a target, by its holder.
 
         Parameters
         ----------
         wish : LoadRequested
         now : float
+        asker : str
+            The host that is to be told; empty for this one.
         """
         held = self.held.get(wish.target)
         if held is None:
@@ -218,7 +223,10 @@
                 now=now,
                 was_missing=wish.was_missing,
             )
+            if asker:
+                held.askers.setdefault(wish.adapter, set()).add(asker)
         self.publish(held, now)
+        self._tell_askers(held, now)
         self._start(held)
 
     def _is_served_elsewhere(self, wish: LoadRequested) -> bool:
@@ -487,6 +495,7 @@
         if outcome is OrderOutcome.FENCED:
             self.tenure.note_fenced(held.partition)
         self.publish(held, now)
+        self._tell_askers(held, now)
         self.metrics.orders.labels(kind, outcome.value).inc()
         logger.info(
             "residency.ordered",
@@ -545,6 +554,26 @@
         self.changed.set()
         self.announce()
 
+    def _tell_askers(self, held: _Held, now: float) -> None:
+        """Tell the hosts that asked when a load that was ordered will be done."""
+        if not held.askers:
+            return
+        with held.lock:
+            residents = {one.name: one for one in held.holder.get_residents(now=now)}
+            told = [
+                (residents[adapter], hosts)
+                for adapter, hosts in held.askers.items()
+                if adapter in residents and not residents[adapter].is_queued
+            ]
+            for resident, _ in told:
+                del held.askers[resident.name]
+            # Wishes that were dropped have no load to tell of.
+            for adapter in [a for a in held.askers if a not in residents]:
+                del held.askers[adapter]
+        for resident, hosts in told:
+            for host in hosts:
+                self.send(host, LoadExpected(held.target.id, resident))
+
     def republish(self, *, now: float) -> None:
         """Confirm what held targets hold, so that it isn't taken as outdated.
 
--- a/src/thornlatch/gateway/_peer_loop.py
+++ b/src/thornlatch/gateway/_peer_loop.py
@@ -47,7 +47,7 @@
     on_own_digest: Callable[[HostDigest], None]
     on_fleet: Callable[[FleetDigest, float], None]
     on_uses: Callable[[TargetUses, float], None]
-    on_load_requested: Callable[[LoadRequested, float], None]
+    on_load_requested: Callable[[str, LoadRequested, float], None]
     on_other: Callable[[str, Any, float], None]
     on_tick: Callable[[float], None]
 
@@ -160,7 +160,7 @@
 
     def _take(self, sender: str, message: Any, now: float) -> None:
         if isinstance(message, LoadRequested):
-            self.handlers.on_load_requested(message, now)
+            self.handlers.on_load_requested(sender, message, now)
         elif self.exchange.is_large and self.exchange.take(sender, message, now=now):
             return
         elif isinstance(message, HostDigest):
--- a/src/thornlatch/gateway/_topic_share.py
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -227,8 +227,12 @@
     def _answer(self, message: TopicAsked, now: float) -> TopicAnswered:
         with self.lock:
             kept = self.kept.get(message.topic)
-            if kept is None or not kept.begin <= message.offset <= kept.end:
+            if kept is None or message.offset < kept.begin:
                 return TopicAnswered(message.number, -1, (), 0.0)
+            if message.offset > kept.end:
+                # The other host has just read the store itself.
+                age_s = now - kept.asked_at
+                return TopicAnswered(message.number, message.offset, (), age_s)
             first = message.offset - kept.begin
             last = min(first + ANSWER_RECORDS, len(kept.records))
             records = tuple(itertools.islice(kept.records, first, last))
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -121,6 +121,28 @@
     assert manager.residents.get("t1", "m/a1") is not None
 
 
+def test_asking_host_is_told_by_the_holder_itself_when_the_load_is_done(world):
+    """Digests of a large fleet take longer than the load of a former adapter."""
+    manager, sent = world
+    hold(manager, "t1")
+    manager.ask(wish(), now=read_clock(), asker="other")
+    ((host, message),) = sent
+    assert (host, message.target, message.adapter.name) == ("other", "t1", "m/a1")
+    assert 0.1 < message.adapter.ready_in_s < 0.4
+    manager.ask(wish(), now=read_clock(), asker="third")
+    assert sent[1][0] == "third"
+
+
+def test_asking_host_is_told_once_its_turn_in_the_queue_has_come(world):
+    manager, sent = world
+    hold(manager, "t1")
+    manager.ask(wish(), now=read_clock())
+    manager.ask(wish(adapter="m/a2"), now=read_clock(), asker="other")
+    manager.ask(wish(adapter="m/a3"), now=read_clock(), asker="other")
+    assert {message.adapter.name for _, message in sent} <= {"m/a2", "m/a3"}
+    assert all(not message.adapter.is_queued for _, message in sent)
+
+
 def test_wish_for_a_target_of_another_holder_goes_there(world):
     manager, sent = world
     tell_of_holder(manager, 1.0)
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -3,6 +3,7 @@
 import threading
 from dataclasses import dataclass
 
+NOTED_S = 0.7  # until a holder's word to this host alone stands in its digests, too
 OWNED_S = 3.0  # a holder repeats what it knows at least once a second
 
 
@@ -33,6 +34,7 @@
         self.residents: dict[str, dict[str, Resident]] = {}
         self.owned_at: dict[str, float] = {}
         self.formers: dict[str, set[str]] = {}
+        self.noted: dict[str, dict[str, tuple[Resident, float]]] = {}
         self.revisions: dict[str, int] = {}
         # Adapter to the targets where it is, is coming or was.
         self.places: dict[str, set[str]] = {}
@@ -50,7 +52,31 @@
             self.owned_at[target] = now
             arrived = {name for name, one in residents.items() if not one.is_queued}
             self.formers.setdefault(target, set()).update(arrived)
-            self._replace(target, residents)
+            # What was said before a load was ordered may arrive after word of it.
+            self.noted[target] = {
+                name: (one, until)
+                for name, (one, until) in self.noted.get(target, {}).items()
+                if now < until and name not in residents
+            }
+            noted = {name: one for name, (one, _) in self.noted[target].items()}
+            self._replace(target, {**residents, **noted})
+
+    def note(
+        self, target: str, adapter: str, resident: Resident, *, now: float
+    ) -> None:
+        """Take what a target's holder says to this host alone.
+
+        Parameters
+        ----------
+        target, adapter : str
+        resident : Resident
+        now : float
+        """
+        with self.changed:
+            until = now + NOTED_S
+            self.noted.setdefault(target, {})[adapter] = (resident, until)
+            former = self.residents.get(target, {})
+            self._replace(target, {**former, adapter: resident})
 
     def put_registered(
         self, target: str, residents: dict[str, Resident], *, now: float
@@ -93,6 +119,7 @@
             self.residents.pop(target, None)
             self.owned_at.pop(target, None)
             self.formers.pop(target, None)
+            self.noted.pop(target, None)
             for targets in self.places.values():
                 targets.discard(target)
 
--- /dev/null
+++ b/src/thornlatch/residency/tests/test_table.py
@@ -0,0 +1,34 @@
+"""What a host believes of where adapters are."""
+
+from thornlatch.residency import Resident, ResidentTable
+
+HERE = Resident(1, 10.0)
+
+
+def test_word_to_this_host_alone_outlives_an_older_digest():
+    table = ResidentTable()
+    table.put("t", {"m/a": HERE}, now=10.0)
+    table.note("t", "m/b", Resident(1, 10.3), now=10.1)
+    table.put("t", {"m/a": HERE}, now=10.3)
+    assert table.get("t", "m/b") == Resident(1, 10.3)
+    table.put("t", {"m/a": HERE}, now=10.9)
+    assert table.get("t", "m/b") is None
+
+
+def test_digest_that_has_the_adapter_replaces_the_word():
+    table = ResidentTable()
+    table.note("t", "m/b", Resident(1, 10.3), now=10.1)
+    table.put("t", {"m/b": Resident(2, 10.4)}, now=10.3)
+    table.put("t", {}, now=10.4)
+    assert table.get("t", "m/b") is None
+
+
+def test_places_are_found_by_adapter():
+    table = ResidentTable()
+    table.put("t", {"m/a": HERE}, now=10.0)
+    table.put("u", {"m/a": HERE, "m/b": HERE}, now=10.0)
+    table.put("u", {"m/b": HERE}, now=11.0)
+    assert table.list_places("m/a") == {"t", "u"}
+    table.remove("t")
+    assert table.list_places("m/a") == {"u"}
+    assert table.list_places("m/c") == frozenset()
