--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -35,9 +35,16 @@
         return asyncio.run_coroutine_threadsafe(coroutine, self.loop).result(10)
 
     def close(self):
+        self.call(self._cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(10)
 
+    async def _cancel_all(self):
+        tasks = asyncio.all_tasks() - {asyncio.current_task()}
+        for task in tasks:
+            task.cancel()
+        await asyncio.gather(*tasks, return_exceptions=True)
+
 
 class _Pair:
     """A client's connection and the one to the server behind the proxy."""
