--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -131,19 +131,6 @@
             self._publish()
             return former is None or _has_changed(former, target)
 
-    def replace_all(self, targets: dict[str, Target], *, now: float) -> None:
-        """Apply a listing of all entries; those not in it were removed.
-
-        Parameters
-        ----------
-        targets : dict of str to Target
-        now : float
-        """
-        for name in [name for name in self.targets if name not in targets]:
-            self.apply(name, None, now=now)
-        for name, target in targets.items():
-            self.apply(name, target, now=now)
-
     def note_failure(self, *, now: float) -> None:
         """Note that the store couldn't be read.
 
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -170,20 +170,6 @@
         with self.lock:
             return tuple(n for n, seen in self.seen.items() if now < seen.avoid_until)
 
-    def get_failure_ratio(self, target: str) -> float:
-        """Return the share of requests that failed lately.
-
-        Parameters
-        ----------
-        target : str
-
-        Returns
-        -------
-        float
-        """
-        seen = self.seen.get(target)
-        return seen.failure_ratio if seen is not None else 0.0
-
     def get_load(self, target: str, *, now: float) -> int:
         """Return the requests that a target named as its own, if lately.
 
