Answer asking hosts directly in large fleets only

The cause isn't traced: the word adds nothing in a full mesh, where a digest follows each order at once.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -616,7 +616,9 @@
         self, sender: str, message: LoadRequested, now: float
     ) -> None:
         if message.target in self.orders.held:
-            self.orders.ask(message, now=now, asker=sender)
+            # In a full mesh the digest that follows an order is as quick.
+            asker = sender if self.exchange.is_large else ""
+            self.orders.ask(message, now=now, asker=asker)
 
     def _take_load_expected(self, message: LoadExpected, now: float) -> None:
         one = message.adapter
