Skip peers that spend nothing when a quota is brought up to date

Cause: with 75 peers and 16 organisations each account of the time went through 1,200 pairs, though only silent peers and those with a known rate change anything.

--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -349,10 +349,16 @@
             for bucket in self.buckets.values():
                 # It may use up its part of what was left.
                 self._assume(bucket, name, max(bucket.level, 0.0) * part)
+        # In a large fleet most peers are heard of through streams, and spend nothing here.
+        spending = [
+            (name, peer)
+            for name, peer in self.peers.items()
+            if peer.is_silent or peer.rates
+        ]
         for organisation, bucket in self.buckets.items():
             bucket.level = min(bucket.level + bucket.rate * elapsed, bucket.burst)
             bucket.promised = max(bucket.promised - bucket.rate * elapsed, 0.0)
-            for name, peer in self.peers.items():
+            for name, peer in spending:
                 rate = peer.rates.get(organisation, 0.0)
                 if peer.is_silent:
                     rate = bucket.rate * part
