--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -349,7 +349,7 @@
             for bucket in self.buckets.values():
                 # It may use up its part of what was left.
                 self._assume(bucket, name, max(bucket.level, 0.0) * part)
-        # In a large fleet most peers are heard of through streams, and spend nothing here.
+        # In a large fleet most peers spend in streams, and nothing by themselves.
         spending = [
             (name, peer)
             for name, peer in self.peers.items()
