--- a/src/thornlatch/cli/_docs.py
+++ b/src/thornlatch/cli/_docs.py
@@ -8,9 +8,17 @@
 
 from thornlatch.cli._exits import EXIT_FAILED, EXIT_OK
 from thornlatch.cli._output import write_line
-from thornlatch.cli._reference import build_errors_page, build_settings_page
+from thornlatch.cli._reference import (
+    build_errors_page,
+    build_gateway_page,
+    build_settings_page,
+)
 
-PAGES = {"settings.md": build_settings_page, "errors.md": build_errors_page}
+PAGES = {
+    "settings.md": build_settings_page,
+    "gateway-settings.md": build_gateway_page,
+    "errors.md": build_errors_page,
+}
 
 
 @cappa.command(
--- a/src/thornlatch/cli/_reference.py
+++ b/src/thornlatch/cli/_reference.py
@@ -8,6 +8,7 @@
 
 from thornlatch.daemon import DaemonSettings
 from thornlatch.exceptions import ANSWERS
+from thornlatch.gateway import GatewaySettings
 from thornlatch.settings import InventoryFile, describe_hint
 
 SETTINGS_INTRODUCTION = """\
@@ -19,6 +20,15 @@
 key, a wrong type or a value out of range is an error that names file, key, value and
 what is allowed, and nothing starts.
 """
+GATEWAY_INTRODUCTION = """\
+# Settings of gateway hosts
+
+Written by `thornlatch docs` from the settings classes; edit those.
+
+The adapter builds them from the platform's settings file, of which it takes addresses,
+bounds and the width of the link (`platform/adapter/_node_file.py`). What that file doesn't
+say has the default below; a change of a default is a change of the program.
+"""
 INVENTORY_INTRODUCTION = """\
 # Inventory
 
@@ -55,6 +65,20 @@
     return "\n".join(lines).rstrip() + "\n"
 
 
+def build_gateway_page() -> str:
+    """Return the reference of a gateway host's settings.
+
+    Returns
+    -------
+    str
+        Markdown.
+    """
+    lines = [GATEWAY_INTRODUCTION]
+    for name, hint in _iter_tables(GatewaySettings):
+        lines += _describe_table(f"`{name}`", hint)
+    return "\n".join(lines).rstrip() + "\n"
+
+
 def build_errors_page() -> str:
     """Return the errors reference.
 
--- a/src/thornlatch/cli/tests/test_docs.py
+++ b/src/thornlatch/cli/tests/test_docs.py
@@ -23,6 +23,11 @@
     assert run(["docs", "--check", *directory]) == EXIT_OK
 
 
+@pytest.mark.parametrize("table", ["host", "forwarding", "exchange", "relief"])
+def test_gateway_page_describes_every_table(table):
+    assert f"## `{table}`\n" in PAGES["gateway-settings.md"]()
+
+
 @pytest.mark.parametrize("table", ["host", "slices.membership", "slices.follower"])
 def test_settings_page_describes_every_table(table):
     assert f"## `[{table}]`\n" in PAGES["settings.md"]()
