--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -85,7 +85,9 @@
         self.pairs.add(pair)
         forth = self._pump(pair, reader, there[1], Link.CUT_THERE)
         back = self._pump(pair, there[0], writer, Link.CUT_BACK)
-        await asyncio.gather(forth, back)
+        # Cancelled at the end of the run only, and then there is nobody to tell.
+        with contextlib.suppress(asyncio.CancelledError):
+            await asyncio.gather(forth, back)
         self.pairs.discard(pair)
 
     async def _pump(self, pair, reader, writer, own_cut):
