--- a/src/thornlatch/cli/_reference.py
+++ b/src/thornlatch/cli/_reference.py
@@ -26,8 +26,8 @@
 Written by `thornlatch docs` from the settings classes; edit those.
 
 The adapter (`platform/adapter/_node_file.py`) builds them from the platform's settings
-file, of which it takes addresses, bounds and the width of the link. What that file doesn't
-say has the default below; a change of a default is a change of the program.
+file, of which it takes addresses, bounds and the width of the link. What isn't in that
+file has the default below; a change of a default is a change of the program.
 """
 INVENTORY_INTRODUCTION = """\
 # Inventory
