Move relief, the load allowance and the servers' set-up into modules of their own

Change: moves only; the relief of targets is ticked after the orders, as before. Tests of the gateway, the adapter and the documents pass.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -12,7 +12,6 @@
 
 import logbook
 import logbook.compat
-import waitress
 from prometheus_client import generate_latest
 
 from thornlatch.core import get_host_name, read_clock
@@ -33,7 +32,6 @@
 )
 from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._app import GatewayApplication, StartResponse, describe_status
-from thornlatch.gateway._dispatcher import GrowingDispatcher
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._logs import LineLog
@@ -41,8 +39,10 @@
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
 from thornlatch.gateway._ports import CallerWire, TargetWire
+from thornlatch.gateway._relief import TargetRelief
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._sender import TargetSender
+from thornlatch.gateway._servers import build_server
 from thornlatch.gateway._settings import GatewaySettings
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._topic_share import TopicShare
@@ -56,8 +56,6 @@
 DUE_PERIOD_S = 0.1  # between two looks for callers that left or ran out of time
 MAIN_TURN_S = 10.0  # signals wake the main thread; this is for one that got lost
 STOP_TURN_S = 0.05  # between two looks for the end of running requests
-HEADER_LIMIT_BYTES = 1 << 16
-BODY_LIMIT_BYTES = 1 << 23
 SILENT_PERIODS = 4.5  # without a digest until a host counts as silent
 IDLE_S = 75  # longer than callers keep idle connections
 CONNECTION_LIMIT = 2000
@@ -107,7 +105,6 @@
         self.suspects = CrashSuspects(settings.suspects)
         self.orders = OrderManager(
             settings.holder,
-            relief=settings.relief,
             partitions=partitions,
             wire=targets,
             in_force=self.in_force,
@@ -121,6 +118,13 @@
             send=self._send,
             announce=self._announce,
         )
+        self.relief = TargetRelief(
+            settings.relief,
+            orders=self.orders,
+            registry=self.registry,
+            residents=self.residents,
+            versions=self.versions,
+        )
         self.forwarder = self._build_forwarder(targets)
         self.app = GatewayApplication(callers, self.forwarder, self.metrics)
         domain = settings.host.failure_domain
@@ -492,40 +496,17 @@
     def _build_servers(self) -> list[Any]:
         host = self.settings.host
         servers = [
-            self._build_server(
+            build_server(
                 self.app, host.caller_address, threads=self.settings.forwarding.threads
             ),
-            self._build_server(
-                self._answer_readiness, host.readiness_address, threads=1
-            ),
+            build_server(self._answer_readiness, host.readiness_address, threads=1),
         ]
         if host.metrics_address:
             servers.append(
-                self._build_server(
-                    self._answer_metrics, host.metrics_address, threads=1
-                )
+                build_server(self._answer_metrics, host.metrics_address, threads=1)
             )
         return servers
 
-    def _build_server(self, app: Any, address: str, *, threads: int) -> Any:
-        host, _, port = address.rpartition(":")
-        return waitress.create_server(
-            app,
-            map={},
-            _dispatcher=GrowingDispatcher(first=FIRST_THREADS, limit=threads),
-            host=host,
-            port=int(port),
-            threads=threads,
-            backlog=BACKLOG,
-            connection_limit=CONNECTION_LIMIT,
-            channel_timeout=IDLE_S,
-            channel_request_lookahead=1,
-            max_request_header_size=HEADER_LIMIT_BYTES,
-            max_request_body_size=BODY_LIMIT_BYTES,
-            asyncore_use_poll=True,
-            ident=None,
-        )
-
     def _answer_readiness(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> list[bytes]:
@@ -641,6 +622,7 @@
         self.orders.follow_tenure(now=now)
         self.orders.republish(now=now)
         self.orders.tick(now=now)
+        self.relief.tick(now=now)
         self.metrics.running.set(len(self.work.running))
         self.metrics.live_peers.set(len(live))
 
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -4,7 +4,7 @@
 import zlib
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import logbook
 
@@ -18,6 +18,7 @@
     Target,
     TargetRegistry,
 )
+from thornlatch.gateway._allowance import LoadAllowance
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._ports import TargetWire
 from thornlatch.gateway._work import WorkTable
@@ -26,13 +27,10 @@
     HolderSettings,
     NumberedOrder,
     OrderOutcome,
-    ReliefSettings,
     Resident,
     ResidentTable,
     TargetHolder,
-    TargetLoad,
     Tenure,
-    advise_copy,
 )
 from thornlatch.routing import ConfigurationInForce, EngineLimits
 
@@ -41,7 +39,6 @@
 ORDER_THREADS = 8  # targets that get an order at the same moment
 FULL_PERIOD_S = 1.0  # between two full accounts of held targets to the peers
 ENGINES_MEMORY_S = 60.0  # engines that crashed are back within some seconds
-COPY_PRIORITY = 1  # behind the loads that urgent requests wait for
 
 
 @dataclass(eq=False)
@@ -50,7 +47,6 @@
     partition: int
     holder: TargetHolder
     orders_from: float
-    relief_due_at: float = 0.0
     # Hosts that asked for an adapter and haven't been told when it is there.
     askers: dict[str, set[str]] = field(default_factory=dict)
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -63,7 +59,6 @@
     Parameters
     ----------
     settings : HolderSettings
-    relief : ReliefSettings
     partitions : int
         Partitions over which targets are spread.
     wire : TargetWire
@@ -85,7 +80,6 @@
         self,
         settings: HolderSettings,
         *,
-        relief: ReliefSettings,
         partitions: int,
         wire: TargetWire,
         in_force: ConfigurationInForce,
@@ -100,7 +94,6 @@
         announce: Callable[[], None],
     ) -> None:
         self.settings = settings
-        self.relief = relief
         self.partitions = partitions
         self.wire = wire
         self.in_force = in_force
@@ -119,7 +112,7 @@
         self.full_at = float("-inf")
         self.most_engines = 0
         self.most_engines_at = float("-inf")
-        self.model_loads = _LoadAllowance()
+        self.model_loads = LoadAllowance()
         self.executor = ThreadPoolExecutor(ORDER_THREADS, "orders")
 
     def get_partition(self, target: str) -> int:
@@ -325,58 +318,10 @@
         now : float
         """
         for held in list(self.held.values()):
-            uses = self._get_uses(held.target.id)
+            uses = self.get_uses(held.target.id)
             with held.lock:
                 held.holder.note_use(uses, now=now)
             self._start(held)
-            self._relieve(held, uses, now)
-
-    def _relieve(self, held: _Held, uses: dict[str, int], now: float) -> None:
-        """Have a copy loaded elsewhere if the target is crowded."""
-        if now < held.relief_due_at:
-            return
-        held.relief_due_at = now + self.relief.period_s
-        loads = [
-            self._describe_load(target, now)
-            for target in self.registry.get_ready(held.target.service)
-        ]
-        crowded = [load for load in loads if load.target == held.target.id]
-        if not crowded:
-            return
-        advice = advise_copy(
-            replace(crowded[0], uses=uses),
-            [load for load in loads if load.target != held.target.id],
-            self.relief,
-            may_fetch=self.residents.count_in_transit(now=now) < self.count_engines(),
-        )
-        if advice is None:
-            return
-        version = self.versions.get_newest(advice.adapter)
-        wish = LoadRequested(
-            advice.target, advice.adapter, version, COPY_PRIORITY, is_copy=True
-        )
-        self.ask(wish, now=now)
-        logger.info(
-            "adapter.copied",
-            extra={
-                "adapter": advice.adapter,
-                "target": advice.target,
-                "crowded": held.target.id,
-                "requests": crowded[0].requests,
-                "adapter_requests": uses.get(advice.adapter, 0),
-            },
-        )
-
-    def _describe_load(self, target: Target, now: float) -> TargetLoad:
-        return TargetLoad(
-            target.id,
-            self.count_requests(target.id),
-            target.slots,
-            {},
-            self.residents.residents.get(target.id, {}),
-            self.residents.formers.get(target.id, set()),
-            self.is_held(target.id, now=now),
-        )
 
     def build_held(self, *, now: float) -> tuple[HeldTarget, ...] | None:
         """Return what peers are to know of held targets, or None if nothing changed.
@@ -419,7 +364,17 @@
             self.held.clear()
         self.executor.shutdown(wait=False, cancel_futures=True)
 
-    def _get_uses(self, target: str) -> dict[str, int]:
+    def get_uses(self, target: str) -> dict[str, int]:
+        """Return the requests of all hosts at a held target, by adapter.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        dict of str to int
+        """
         uses = dict(self.peers.get_adapter_use(target))
         for adapter, count in self.work.get_uses(target).items():
             uses[adapter] = uses.get(adapter, 0) + count
@@ -442,7 +397,7 @@
 
     def _next(self, held: _Held, now: float) -> NumberedOrder | None:
         return held.holder.next_order(
-            self._get_uses(held.target.id),
+            self.get_uses(held.target.id),
             now=now,
             may_load_model=self.model_loads.has_room(now=now),
             may_share=self.residents.count_in_transit(now=now) < self.count_engines(),
@@ -584,31 +539,3 @@
         for held in list(self.held.values()):
             if held.holder.sequence is not None:
                 self.residents.owned_at[held.target.id] = now
-
-
-class _LoadAllowance:
-    """Part of the model loads that this host may order."""
-
-    def __init__(self) -> None:
-        self.lock = threading.Lock()
-        self.rate = 1.0
-        self.tokens = 1.0
-        self.filled_at = float("-inf")
-
-    def set_rate(self, rate: float) -> None:
-        self.rate = rate
-
-    def has_room(self, *, now: float) -> bool:
-        with self.lock:
-            self._fill(now)
-            return self.tokens >= 1
-
-    def note(self, *, now: float) -> None:
-        with self.lock:
-            self._fill(now)
-            self.tokens -= 1
-
-    def _fill(self, now: float) -> None:
-        elapsed = min(now - self.filled_at, 3600.0)
-        self.tokens = min(1.0, self.tokens + elapsed * self.rate)
-        self.filled_at = now
--- /dev/null
+++ b/src/thornlatch/gateway/_servers.py
@@ -0,0 +1,49 @@
+"""HTTP servers of a gateway host."""
+
+from typing import Any
+
+import waitress
+
+from thornlatch.gateway._dispatcher import GrowingDispatcher
+
+HEADER_LIMIT_BYTES = 1 << 16
+BODY_LIMIT_BYTES = 1 << 23
+IDLE_S = 75  # longer than callers keep idle connections
+CONNECTION_LIMIT = 2000
+BACKLOG = 1024
+FIRST_THREADS = 8  # more than a calm host of a large fleet needs
+
+
+def build_server(app: Any, address: str, *, threads: int) -> Any:
+    """Return a server that listens; `run` serves.
+
+    Parameters
+    ----------
+    app : callable
+        WSGI application.
+    address : str
+        ``ip:port``.
+    threads : int
+        Most requests that are served at once.
+
+    Returns
+    -------
+    waitress.server.TcpWSGIServer
+    """
+    host, _, port = address.rpartition(":")
+    return waitress.create_server(
+        app,
+        map={},
+        _dispatcher=GrowingDispatcher(first=FIRST_THREADS, limit=threads),
+        host=host,
+        port=int(port),
+        threads=threads,
+        backlog=BACKLOG,
+        connection_limit=CONNECTION_LIMIT,
+        channel_timeout=IDLE_S,
+        channel_request_lookahead=1,
+        max_request_header_size=HEADER_LIMIT_BYTES,
+        max_request_body_size=BODY_LIMIT_BYTES,
+        asyncore_use_poll=True,
+        ident=None,
+    )
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -16,6 +16,7 @@
 )
 from thornlatch.gateway import GatewayMetrics, OrderReply
 from thornlatch.gateway._ordering import OrderManager
+from thornlatch.gateway._relief import TargetRelief
 from thornlatch.gateway._work import WorkTable
 from thornlatch.residency import (
     AdapterVersions,
@@ -76,7 +77,6 @@
     sent = []
     manager = OrderManager(
         HolderSettings(),
-        relief=ReliefSettings(),
         partitions=12,
         wire=Wire(),
         in_force=in_force,
@@ -213,8 +213,15 @@
     tell_of_holder(manager, 1.0, target="t2")
     for _ in range(4):
         manager.work.begin("t1", "m/a1")
-    manager.held["t1"].relief_due_at = 0.0
-    manager.tick(now=read_clock())
+    relief = TargetRelief(
+        ReliefSettings(),
+        orders=manager,
+        registry=manager.registry,
+        residents=manager.residents,
+        versions=manager.versions,
+    )
+    relief.tick(now=read_clock())
+    relief.tick(now=read_clock())
     (host, message), *others = sent
     assert (host, message.target, message.adapter) == ("other", "t2", "m/a1")
     assert message.is_copy
