--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -8,6 +8,7 @@
 # Each seed that ever failed, with the cause that was found.
 REGRESSIONS = {
     4: "a process stopped before it was ready ends by the signal, which is allowed",
+    13: "the soak's own caller sent a request while it counted an answer as unread",
 }
 
 
