Read registrations on until the last request of a stop

Cause: a host in a planned stop takes requests for 2.5 s more, but its feeds ended at SIGTERM. Ruled out: the drain bound itself; the registry had no entry to apply. Change: the feeds of configuration and registrations run until the gateway's new event 'ended'; the host list and the group are left at SIGTERM as before. The thread that ends due requests stops on the same event. Figures: two new tests; the first hangs on the code before, as it never turns.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -163,6 +163,7 @@
         self.stopping = threading.Event()
         self.reloading = threading.Event()
         self.signalled = threading.Event()
+        self.ended = threading.Event()  # after `stopping`, when no request runs
         self.targets_known = False
         self.missing_since: dict[str, float] = {}
         self.absent: set[str] = set()
@@ -215,7 +216,8 @@
         Parameters
         ----------
         feeds : iterable of callable
-            Loops of the adapter, each run in a thread of its own until `stopping`.
+            Loops of the adapter, each run in a thread of its own. Those that a request
+            needs run until `ended`, the others until `stopping`.
         read_settings : callable or None
             Reads the settings anew at SIGHUP.
 
@@ -487,11 +489,8 @@
                 self._note_signal(self.stopping)
 
     def _end_due_requests(self) -> None:
-        while not self.stopping.wait(DUE_PERIOD_S):
+        while not self.ended.wait(DUE_PERIOD_S):
             self.work.end_due(now=read_clock())
-        while True:
-            self.work.end_due(now=read_clock())
-            threading.Event().wait(DUE_PERIOD_S)
 
     def _build_servers(self) -> list[Any]:
         host = self.settings.host
@@ -669,6 +668,7 @@
                 if not self.work.running:
                     break
             pause.wait(STOP_TURN_S)
+        self.ended.set()
         self.peer_loop.stop()
         pause.wait(STOP_TURN_S)
 
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -1,6 +1,21 @@
-"""Bounds in time of the adapter's reads."""
+"""Bounds in time of the adapter's reads, and how long it goes on with them."""
 
-from adapter._feeds import OPERATOR_WAIT_S, SERVER_PERIOD_S
+import threading
+from types import SimpleNamespace
+
+import pytest
+
+from adapter._feeds import (
+    HOST_TOPIC,
+    OPERATOR_TOPIC,
+    OPERATOR_WAIT_S,
+    SERVER_PERIOD_S,
+    SERVER_TOPIC,
+    HostFeed,
+    OperatorFeed,
+    ServerFeed,
+    TenureFeed,
+)
 from thornlatch.gateway import GatewaySettings, HostAddresses
 
 SETTINGS = GatewaySettings(HostAddresses("", "", "", "", "")).share
@@ -18,3 +33,44 @@
 def test_reader_s_own_reads_are_young_enough_for_the_others():
     for period_s in (OPERATOR_WAIT_S, SERVER_PERIOD_S):
         assert period_s + READ_S < SETTINGS.age_limit_s
+
+
+def build_gateway():
+    return SimpleNamespace(
+        stopping=threading.Event(), ended=threading.Event(), settings=None
+    )
+
+
+@pytest.mark.parametrize(
+    ("feed_class", "topic"),
+    [(OperatorFeed, OPERATOR_TOPIC), (ServerFeed, SERVER_TOPIC)],
+)
+def test_news_are_read_until_the_last_request_of_a_stop(feed_class, topic):
+    """Found by the soak, seed 130: a stopping host sent to a server that had left."""
+    gateway = build_gateway()
+    gateway.stopping.set()
+    turns = []
+
+    class Counted(feed_class):
+        def turn(self):
+            turns.append(self.name)
+            if len(turns) == 3:
+                gateway.ended.set()
+            return 0.0
+
+    Counted(gateway, None, topic).run()
+    assert turns == [topic] * 3
+
+
+def test_host_that_stops_leaves_the_list_and_the_group_at_once():
+    gateway = build_gateway()
+    gateway.settings = SimpleNamespace(host=SimpleNamespace(name="edge-1"))
+    gateway.stopping.set()
+    goodbyes = []
+    client = SimpleNamespace(
+        append=lambda topic, record: goodbyes.append((topic, record.value)),
+        leave=lambda group, member: goodbyes.append((group, member)),
+    )
+    HostFeed(gateway, client).run()
+    TenureFeed(gateway, client).run()
+    assert goodbyes == [(HOST_TOPIC, None), ("targets", "edge-1")]
