Count targets that a request broke, not broken runs

Cause: one crash breaks all runs at its target. Ruled out: a longer limit, which would let a request that crashes targets reach more of them than the platform's rule allows. Change: a fingerprint keeps the targets (id, incarnation, number of the crash) that broke it off; digests carry their names, and hosts unite them. A target that answers a later request within 1 s has not crashed; one that answers after that is cleared when the store still names the same incarnation 3 s later. With it, in large fleets: a holder takes its own requests off the sums by adapter (they were counted twice), and uses of relays that are gone are dropped.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -73,8 +73,8 @@
     held_names : tuple of str
         Targets whose adapters the sender orders.
     is_stopping : bool
-    broken : dict of str to int
-        Fingerprints of requests to the runs of them that broke off.
+    broken : dict of str to tuple of str
+        Fingerprints of requests to the targets that broke them off.
     prompts : dict of str to int
         Target to prompt tokens that the sender sent to it lately.
     avoided : tuple of str
@@ -88,7 +88,7 @@
     held: tuple[HeldTarget, ...] | None
     held_names: tuple[str, ...]
     is_stopping: bool
-    broken: dict[str, int]
+    broken: dict[str, tuple[str, ...]]
     prompts: dict[str, int] = field(default_factory=dict)
     avoided: tuple[str, ...] = ()
 
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -12,6 +12,7 @@
     ExchangeSettings,
     FleetDigest,
     TargetUses,
+    unite_broken,
 )
 
 SENT_DIGESTS = 30  # own digests that are remembered; a relay echoes one of the last few
@@ -66,7 +67,7 @@
         self.sent: OrderedDict[float, HostDigest] = OrderedDict()
         self.echoes: dict[str, float] = {}
         self.uses: dict[tuple[str, str], TargetUses] = {}
-        self.broken: Counter[str] = Counter()
+        self.broken: dict[str, tuple[str, ...]] = {}
 
     def note_sent(self, digest: HostDigest) -> None:
         """Remember an own digest until a relay has echoed it.
@@ -99,6 +100,8 @@
                     self.echoes[digest.relay] = message.echoed_at
             self._take_held(digest.held, now)
         chosen = self.choice.choose(now=now)
+        heard = self.choice.heard
+        self.uses = {key: one for key, one in self.uses.items() if key in heard}
         self._sum_up([one for one, _ in chosen.values()], now)
         return [self._describe(digest) for digest in fresh]
 
@@ -149,14 +152,14 @@
         totals: Counter[str] = Counter()
         prompts: Counter[str] = Counter()
         avoiding: Counter[str] = Counter()
-        broken: Counter[str] = Counter()
         holders: dict[str, str] = {}
-        live: dict[str, float] = dict(self.peers.live_at)
+        live = {
+            host: self.peers.live_at[host] for host in self.peers.iter_live(now=now)
+        }
         for digest in digests:
             totals.update(digest.running)
             prompts.update(digest.prompts)
             avoiding.update(digest.avoided)
-            broken.update(digest.broken)
             holders.update(digest.held_names)
             live.update(dict.fromkeys(digest.live, now))
             own = self._get_own(digest)
@@ -164,14 +167,12 @@
                 totals.subtract(_sum_by_target(own))
                 prompts.subtract(own.prompts)
                 avoiding.subtract(own.avoided)
-                broken.subtract(own.broken)
         running: dict[str, dict[str, int]] = {
             target: {"": max(count, 0)} for target, count in totals.items()
         }
-        for target, adapter, count in self._iter_uses(digests):
+        for (target, adapter), count in self._count_uses(digests).items():
             if adapter and count > 0:
-                uses = running.setdefault(target, {"": 0})
-                uses[adapter] = uses.get(adapter, 0) + count
+                running.setdefault(target, {"": 0})[adapter] = count
         live.pop(self.host, None)
         peers = self.peers
         peers.running = running
@@ -179,20 +180,24 @@
         peers.avoiding = avoiding
         peers.holders = {t: h for t, h in holders.items() if h != self.host}
         peers.live_at = live
-        self.broken = +broken
+        self.broken = unite_broken(digest.broken for digest in digests)
 
-    def _iter_uses(self, digests: list[DomainDigest]) -> Iterable[tuple[str, str, int]]:
+    def _count_uses(self, digests: list[DomainDigest]) -> Counter[tuple[str, str]]:
+        """Return the other hosts' requests by target and adapter."""
+        counts: Counter[tuple[str, str]] = Counter()
         for digest in digests:
             message = self.uses.get((digest.domain, digest.relay))
             if message is None:
                 continue
-            yield from message.uses
+            for target, adapter, count in message.uses:
+                counts[target, adapter] += count
             own = self.sent.get(message.echoed_at)
             if digest.domain == self.domain and own is not None:
                 targets = {target for target, _, _ in message.uses}
                 for target, adapter, count in own.running:
                     if target in targets:
-                        yield target, adapter, -count
+                        counts[target, adapter] -= count
+        return counts
 
 
 def _sum_by_target(digest: HostDigest) -> Counter[str]:
--- a/src/thornlatch/fleet/_domains.py
+++ b/src/thornlatch/fleet/_domains.py
@@ -87,8 +87,8 @@
         Target to prompt tokens sent to it lately.
     avoided : dict of str to int
         Target to hosts that it failed lately.
-    broken : dict of str to int
-        Fingerprints of requests to the runs of them that broke off.
+    broken : dict of str to tuple of str
+        Fingerprints of requests to the targets that broke them off.
     held : tuple of (str, HeldTarget)
         Holder and what it says of a target, if that is new.
     held_names : dict of str to str
@@ -104,7 +104,7 @@
     levels: dict[str, int]
     prompts: dict[str, int]
     avoided: dict[str, int]
-    broken: dict[str, int]
+    broken: dict[str, tuple[str, ...]]
     held: tuple[tuple[str, HeldTarget], ...]
     held_names: dict[str, str]
 
@@ -232,7 +232,6 @@
         running: Counter[str] = Counter()
         prompts: Counter[str] = Counter()
         avoided: Counter[str] = Counter()
-        broken: Counter[str] = Counter()
         holders: dict[str, str] = {}
         tokens: dict[str, int] = {}
         for host, digest in live.items():
@@ -240,7 +239,6 @@
                 running[target] += count
             prompts.update(digest.prompts)
             avoided.update(digest.avoided)
-            broken.update(digest.broken)
             for name in digest.held_names:
                 token = self.tokens.get((host, name), 0)
                 if token >= tokens.get(name, -1):
@@ -258,7 +256,7 @@
             own.levels if own is not None else {},
             dict(prompts),
             dict(avoided),
-            dict(broken),
+            unite_broken(digest.broken for digest in live.values()),
             held,
             holders,
         )
@@ -375,6 +373,27 @@
         return (len(digest.live), is_former, digest.relay)
 
 
+def unite_broken(
+    parts: Iterable[dict[str, tuple[str, ...]]],
+) -> dict[str, tuple[str, ...]]:
+    """Return the targets that each request broke off at, over several hosts.
+
+    Parameters
+    ----------
+    parts : iterable of dict of str to tuple of str
+        Fingerprint to targets.
+
+    Returns
+    -------
+    dict of str to tuple of str
+    """
+    united: dict[str, set[str]] = {}
+    for part in parts:
+        for fingerprint, targets in part.items():
+            united.setdefault(fingerprint, set()).update(targets)
+    return {fingerprint: tuple(sorted(some)) for fingerprint, some in united.items()}
+
+
 def choose_relays(
     members: dict[str, Member],
     domain: str | None,
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -119,6 +119,7 @@
             except TargetError as error:
                 self._note_failure(call, option, error)
                 continue
+            self._note_alive(option, opened.sent_at)
             call.status = opened.head.status
             if not self._should_repeat(call, opened):
                 return opened
@@ -260,7 +261,7 @@
         if call.running.stop_reason is None:
             now = read_clock()
             if error.is_sent:
-                self.suspects.note_broken(call.fingerprint, now=now)
+                self.suspects.note_broken(call.fingerprint, target, now=now)
             avoided_s = self.health.note_failure(
                 target.id, now=now, is_unreachable=True
             )
@@ -276,6 +277,9 @@
             },
         )
 
+    def _note_alive(self, option: Option, sent_at: float) -> None:
+        self.suspects.note_answered(option.target, sent_at=sent_at, now=read_clock())
+
     def _note_first(self, call: Call) -> None:
         now = read_clock()
         call.note_passed(now)
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -102,7 +102,7 @@
         self.tenure = Tenure(settings.tenure)
         self.work = WorkTable()
         self.health = TargetHealth(settings.forwarding)
-        self.suspects = CrashSuspects(settings.suspects)
+        self.suspects = CrashSuspects(settings.suspects, self.registry)
         self.orders = OrderManager(
             settings.holder,
             partitions=partitions,
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -9,6 +9,7 @@
 
 from msgspec import Meta
 
+from thornlatch.fleet import Target, TargetRegistry
 from thornlatch.gateway._ports import CallerRequest
 
 
@@ -18,62 +19,98 @@
 
     Parameters
     ----------
-    break_limit : int
-        Broken runs, over all hosts, after which a request isn't sent again.
+    target_limit : int
+        Targets, over all hosts, that broke a request off; then it isn't sent again.
     memory_s : float
         Seconds for which a broken run is remembered.
     size : int
         Requests that are remembered; the oldest make room.
+    restart_s : float
+        Seconds that a crashed target takes at least until it serves again. One that
+        answers sooner hasn't crashed; one that breaks off a later run has once more.
+    register_s : float
+        Seconds within which the store tells of a target's new incarnation.
     """
 
-    break_limit: Annotated[int, Meta(ge=1)] = 3
+    target_limit: Annotated[int, Meta(ge=1)] = 3
     memory_s: Annotated[float, Meta(gt=0)] = 60.0
     size: Annotated[int, Meta(ge=1)] = 500
+    restart_s: Annotated[float, Meta(gt=0)] = 1.0
+    register_s: Annotated[float, Meta(gt=0)] = 3.0
 
 
 @dataclass
-class _Suspect:
-    own: int = 0
-    seen_at: float = 0.0
+class _Break:
+    target: Target
+    at: float
+    number: int
+    answered_at: float | None = None
+
+    def get_name(self) -> str:
+        """Return the same name on all hosts that saw the target's crash."""
+        return f"{self.target.id}/{self.target.started_ms}/{self.number}"
 
 
 class CrashSuspects:
-    """Counts broken runs by request, over all hosts; safe for threads.
+    """Counts the targets that a request broke, over all hosts; safe for threads.
 
     Parameters
     ----------
     settings : SuspectSettings
+    registry : TargetRegistry
+        Tells whether a target has restarted.
     """
 
-    def __init__(self, settings: SuspectSettings) -> None:
+    def __init__(self, settings: SuspectSettings, registry: TargetRegistry) -> None:
         self.settings = settings
+        self.registry = registry
         self.lock = threading.Lock()
-        self.suspects: OrderedDict[str, _Suspect] = OrderedDict()
-        self.peers: dict[str, dict[str, int]] = {}
+        self.breaks: OrderedDict[str, list[_Break]] = OrderedDict()
+        self.doubted: frozenset[tuple[str, int]] = frozenset()
+        self.peers: dict[str, dict[str, tuple[str, ...]]] = {}
 
-    def note_broken(self, fingerprint: str, *, now: float) -> int:
-        """Note a run that broke off; return how many did, over all hosts.
+    def note_broken(self, fingerprint: str, target: Target, *, now: float) -> None:
+        """Note a run that a target broke off.
 
         Parameters
         ----------
         fingerprint : str
+        target : Target
         now : float
+        """
+        with self.lock:
+            breaks = self.breaks.setdefault(fingerprint, [])
+            self.breaks.move_to_end(fingerprint)
+            former = [one for one in breaks if one.target.id == target.id]
+            if former and now - former[-1].at < self.settings.restart_s:
+                # One crash breaks all runs there.
+                return
+            breaks.append(_Break(target, now, len(former)))
+            while len(self.breaks) > self.settings.size:
+                self.breaks.popitem(last=False)
+            self._list_doubted()
+
+    def note_answered(self, target: Target, *, sent_at: float, now: float) -> None:
+        """Note that a target answered, which it doesn't when it has crashed.
 
-        Returns
-        -------
-        int
+        Parameters
+        ----------
+        target : Target
+        sent_at : float
+            When the request was sent to it.
+        now : float
         """
+        if target.incarnation not in self.doubted:
+            return
         with self.lock:
-            suspect = self.suspects.setdefault(fingerprint, _Suspect())
-            self.suspects.move_to_end(fingerprint)
-            suspect.own += 1
-            suspect.seen_at = now
-            while len(self.suspects) > self.settings.size:
-                self.suspects.popitem(last=False)
-        return self.count(fingerprint)
+            for breaks in self.breaks.values():
+                for one in breaks:
+                    is_same = one.target.incarnation == target.incarnation
+                    if is_same and sent_at >= one.at and one.answered_at is None:
+                        one.answered_at = now
 
     def count(self, fingerprint: str) -> int:
-        """Return the broken runs of a request, over all hosts.
+        """Return how many targets a request broke, over all hosts.
 
         Parameters
         ----------
@@ -83,9 +120,10 @@
         -------
         int
         """
-        suspect = self.suspects.get(fingerprint)
-        own = suspect.own if suspect is not None else 0
-        return own + sum(counts.get(fingerprint, 0) for counts in self.peers.values())
+        names = {one.get_name() for one in self.breaks.get(fingerprint, ())}
+        for peer in self.peers.values():
+            names.update(peer.get(fingerprint, ()))
+        return len(names)
 
     def must_keep_away(self, fingerprint: str) -> bool:
         """Return whether a request isn't to be sent again.
@@ -98,10 +136,10 @@
         -------
         bool
         """
-        return self.count(fingerprint) >= self.settings.break_limit
+        return self.count(fingerprint) >= self.settings.target_limit
 
-    def list_own(self, *, now: float) -> dict[str, int]:
-        """Return this host's counts, as digests carry them.
+    def list_own(self, *, now: float) -> dict[str, tuple[str, ...]]:
+        """Return the targets that this host saw broken, as digests carry them.
 
         Parameters
         ----------
@@ -109,35 +147,69 @@
 
         Returns
         -------
-        dict of str to int
+        dict of str to tuple of str
+            By fingerprint of the request.
         """
+        if not self.breaks:
+            return {}
         with self.lock:
-            oldest = now - self.settings.memory_s
-            for name in [n for n, s in self.suspects.items() if s.seen_at < oldest]:
-                del self.suspects[name]
-            return {n: s.own for n, s in self.suspects.items()}
-
-    def take_peer(self, host: str, counts: dict[str, int]) -> None:
-        """Take a peer's counts.
+            for fingerprint, breaks in list(self.breaks.items()):
+                kept = [one for one in breaks if not self._is_cleared(one, now)]
+                if kept:
+                    self.breaks[fingerprint] = kept
+                else:
+                    del self.breaks[fingerprint]
+            self._list_doubted()
+            return {
+                fingerprint: tuple(one.get_name() for one in breaks)
+                for fingerprint, breaks in self.breaks.items()
+            }
+
+    def _is_cleared(self, one: _Break, now: float) -> bool:
+        if now - one.at >= self.settings.memory_s:
+            return True
+        if one.answered_at is None:
+            return False
+        if one.answered_at - one.at < self.settings.restart_s:
+            return True
+        # It may have restarted without this host having heard of it yet.
+        known = self.registry.get(one.target.id)
+        return (
+            now - one.answered_at >= self.settings.register_s
+            and known is not None
+            and known.incarnation == one.target.incarnation
+        )
+
+    def _list_doubted(self) -> None:
+        self.doubted = frozenset(
+            one.target.incarnation
+            for breaks in self.breaks.values()
+            for one in breaks
+            if one.answered_at is None
+        )
+
+    def take_peer(self, host: str, broken: dict[str, tuple[str, ...]]) -> None:
+        """Take what a peer saw.
 
         Parameters
         ----------
         host : str
-        counts : dict of str to int
+        broken : dict of str to tuple of str
+            As `list_own` returns it.
         """
-        self.peers = {**self.peers, host: counts}
+        self.peers = {**self.peers, host: broken}
 
-    def take_all_peers(self, counts: dict[str, int]) -> None:
-        """Take the counts of all other hosts together.
+    def take_all_peers(self, broken: dict[str, tuple[str, ...]]) -> None:
+        """Take what all other hosts together saw.
 
         Parameters
         ----------
-        counts : dict of str to int
+        broken : dict of str to tuple of str
         """
-        self.peers = {"": counts}
+        self.peers = {"": broken}
 
     def forget_others(self, hosts: Iterable[str]) -> None:
-        """Forget the counts of hosts that aren't among those known.
+        """Forget what hosts said that aren't among those known.
 
         Parameters
         ----------
