Let relays add up all domains, and hosts ask for news only

Ruled out: rarer digests, which would make all figures older. Change: FleetDigest carries one sum over all domains, the same for all hosts of a domain, and how far its relay has read the store's topics; PeerMesh encodes a message once for all its receivers. Spare relays get and send a word each third turn. In fleets with more hosts than partitions, twelve hosts order adapters and the others leave the group.

--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -14,6 +14,7 @@
     decode_envelope,
     decode_record,
     encode_envelope,
+    encode_message,
     encode_record,
     register,
 )
@@ -37,6 +38,7 @@
     "decode_envelope",
     "decode_record",
     "encode_envelope",
+    "encode_message",
     "encode_record",
     "get_host_name",
     "has_handler",
--- a/src/thornlatch/core/_codec.py
+++ b/src/thornlatch/core/_codec.py
@@ -12,7 +12,7 @@
 # Names come again and again in longer messages; shorter ones gain little.
 COMPRESSED_BYTES = 400
 COMPRESSION_LEVEL = 1
-ZLIB_MARK = b"\x78"  # a message that isn't compressed begins as a short array, 0x95
+ZLIB_MARK = b"\x78"  # a message that isn't compressed begins as an array
 
 T = TypeVar("T")
 _classes: dict[str, type] = {}
@@ -74,27 +74,45 @@
     return cls
 
 
-def encode_envelope(envelope: Envelope) -> bytes:
-    """Encode an envelope for a peer; the message is an array of its fields.
+def encode_message(message: Any) -> bytes:
+    """Encode a message as the array of its fields, compressed if it is long.
 
     Parameters
     ----------
-    envelope : Envelope
+    message : object
+        Registered frozen data class.
 
     Returns
     -------
     bytes
     """
-    message = envelope.message
-    head = (envelope.sender, envelope.recipient, envelope.sequence)
     layout = _get_layout(type(message))
     body = layout(*[getattr(message, name) for name in layout.__struct_fields__])
-    data = msgspec.msgpack.encode((*head, type(message).__name__, body))
+    data = msgspec.msgpack.encode(body)
     if len(data) < COMPRESSED_BYTES:
         return data
     return zlib.compress(data, COMPRESSION_LEVEL)
 
 
+def encode_envelope(envelope: Envelope, body: bytes | None = None) -> bytes:
+    """Encode an envelope for a peer.
+
+    Parameters
+    ----------
+    envelope : Envelope
+    body : bytes or None
+        The message as `encode_message` returns it, if it was encoded already.
+
+    Returns
+    -------
+    bytes
+    """
+    if body is None:
+        body = encode_message(envelope.message)
+    head = (envelope.sender, envelope.recipient, envelope.sequence)
+    return msgspec.msgpack.encode((*head, type(envelope.message).__name__, body))
+
+
 def decode_envelope(data: bytes) -> Envelope:
     """Decode an envelope received from a peer.
 
@@ -114,11 +132,11 @@
     if len(data) > MESSAGE_LIMIT_BYTES:
         raise InvalidInput(f"message of {len(data)} bytes is over the limit")
     try:
-        if data.startswith(ZLIB_MARK):
-            data = _decompress(data)
         sender, recipient, sequence, kind, body = msgspec.msgpack.decode(
-            data, type=tuple[str, str, int, str, msgspec.Raw]
+            data, type=tuple[str, str, int, str, bytes]
         )
+        if body.startswith(ZLIB_MARK):
+            body = _decompress(body)
         cls = _get_class(kind)
         values = msgspec.msgpack.decode(body, type=_get_layout(cls))
         message = cls(*msgspec.structs.astuple(values))
--- a/src/thornlatch/core/tests/test_codec.py
+++ b/src/thornlatch/core/tests/test_codec.py
@@ -12,6 +12,7 @@
     decode_envelope,
     decode_record,
     encode_envelope,
+    encode_message,
     encode_record,
     register,
 )
@@ -49,7 +50,19 @@
 )
 def test_compressed_message_malformed(data):
     with pytest.raises(InvalidInput):
-        decode_envelope(data)
+        decode_envelope(encode_head(data))
+
+
+def encode_head(body):
+    return msgspec.msgpack.encode(("host-1", "host-2", 3, "CodecProbe", body))
+
+
+def test_message_that_is_encoded_once_reaches_each_peer():
+    message = CodecProbe("a" * 9000, 1.5)
+    body = encode_message(message)
+    for recipient in ("host-2", "host-3"):
+        envelope = Envelope("host-1", 3, message, recipient)
+        assert decode_envelope(encode_envelope(envelope, body)) == envelope
 
 
 @pytest.mark.parametrize(
@@ -61,15 +74,15 @@
     ],
 )
 def test_envelope_of_another_version(body, expected):
-    data = msgspec.msgpack.encode(("host-1", "host-2", 3, "CodecProbe", body))
+    data = encode_head(msgspec.msgpack.encode(body))
     assert decode_envelope(data).message == expected
 
 
 @pytest.mark.parametrize("body", [None, [], ["a"], [1, 1.5], {"name": "a"}])
 def test_envelope_malformed(body):
-    data = msgspec.msgpack.encode(("host-1", "host-2", 3, "CodecProbe", body))
-    with pytest.raises(InvalidInput):
-        decode_envelope(data)
+    for data in (encode_head(body), encode_head(msgspec.msgpack.encode(body))):
+        with pytest.raises(InvalidInput):
+            decode_envelope(data)
 
 
 def test_record_round_trip():
--- a/src/thornlatch/daemon/_peers.py
+++ b/src/thornlatch/daemon/_peers.py
@@ -14,7 +14,13 @@
 import zmq
 from msgspec import Meta
 
-from thornlatch.core import Envelope, decode_envelope, encode_envelope, get_host_name
+from thornlatch.core import (
+    Envelope,
+    decode_envelope,
+    encode_envelope,
+    encode_message,
+    get_host_name,
+)
 from thornlatch.core._codec import MESSAGE_LIMIT_BYTES
 from thornlatch.exceptions import InvalidInput
 
@@ -87,6 +93,7 @@
         self.dealers: dict[str, zmq.Socket[Any]] = {}
         self.addresses: dict[str, str] = {}
         self.sequence = itertools.count(1)
+        self.encoded: tuple[Any, bytes] = (None, b"")
         self.sent = self.received = self.sent_bytes = self.received_bytes = 0
         self.refused = 0
         self.cuts: dict[str, list[str]] = {}
@@ -122,7 +129,10 @@
         address = self.addresses.get(recipient)
         if address is None or get_host_name(recipient) in self.cuts.get("to", ()):
             return envelope.cause
-        data = encode_envelope(envelope)
+        if self.encoded[0] is not message:
+            # The same digest goes to many peers, one after the other.
+            self.encoded = (message, encode_message(message))
+        data = encode_envelope(envelope, self.encoded[1])
         try:
             self._get_dealer(recipient, address).send(data, zmq.NOBLOCK)
         except zmq.ZMQError:
--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -10,16 +10,16 @@
     PeerViewSettings,
     ResidentAdapter,
 )
-from thornlatch.fleet._domain_view import DomainUpdate, DomainView
-from thornlatch.fleet._domains import (
+from thornlatch.fleet._domain_choice import ExchangeSettings, Member, choose_first
+from thornlatch.fleet._domain_messages import (
     DomainDigest,
-    DomainExchange,
-    ExchangeSettings,
+    DomainSpending,
     FleetDigest,
-    Member,
     TargetUses,
-    choose_relays,
+    WorkSum,
 )
+from thornlatch.fleet._domain_view import DomainUpdate, DomainView
+from thornlatch.fleet._domains import DomainExchange
 from thornlatch.fleet._registry import (
     Holding,
     RegistrySettings,
@@ -31,6 +31,7 @@
     "DecayingSum",
     "DomainDigest",
     "DomainExchange",
+    "DomainSpending",
     "DomainUpdate",
     "DomainView",
     "ExchangeSettings",
@@ -48,6 +49,7 @@
     "Target",
     "TargetRegistry",
     "TargetUses",
-    "choose_relays",
+    "WorkSum",
+    "choose_first",
     "count_until_decayed",
 ]
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -79,6 +79,9 @@
         Target to prompt tokens that the sender sent to it lately.
     avoided : tuple of str
         Targets that failed the sender lately.
+    reads : dict of str to (int, float)
+        Topics of the store that the sender reads for others: offset up to which it has
+        read, and seconds since that read began.
     """
 
     sent_at: float
@@ -91,6 +94,7 @@
     broken: dict[str, tuple[str, ...]]
     prompts: dict[str, int] = field(default_factory=dict)
     avoided: tuple[str, ...] = ()
+    reads: dict[str, tuple[int, float]] = field(default_factory=dict)
 
 
 @register
--- /dev/null
+++ b/src/thornlatch/fleet/_domain_choice.py
@@ -0,0 +1,158 @@
+"""Which hosts are relays of a failure domain, and whose word of it counts."""
+
+from collections.abc import Iterable
+from dataclasses import dataclass, field
+from typing import Annotated
+
+from msgspec import Meta
+
+from thornlatch.fleet._domain_messages import DomainSpending, WorkSum
+
+
+@dataclass(frozen=True)
+class ExchangeSettings:
+    """When and how domains exchange digests.
+
+    Parameters
+    ----------
+    mesh_hosts : int
+        Hosts up to which each sends its digest to all others.
+    relays : int
+        Relays of a domain; the others are there if the first one dies.
+    period_s : float
+        Seconds between two digests of a host, also of a relay.
+    silent_s : float
+        Seconds without a word after which a host is taken as silent.
+    suspect_s : float
+        Seconds for which a relay that hasn't answered isn't chosen.
+    spare_turns : int
+        Turns between two words of a relay that isn't the first of its domain.
+    orderers : int
+        Hosts that order adapters where there are more hosts than partitions; the
+        others save the store their renewals.
+    orderers_margin : int
+        Places beyond `orderers` at which a host that orders goes on doing so.
+    """
+
+    mesh_hosts: Annotated[int, Meta(ge=2)] = 16
+    relays: Annotated[int, Meta(ge=1)] = 2
+    period_s: Annotated[float, Meta(gt=0)] = 0.1
+    silent_s: Annotated[float, Meta(gt=0)] = 0.7
+    suspect_s: Annotated[float, Meta(gt=0)] = 3.0
+    spare_turns: Annotated[int, Meta(ge=1)] = 3
+    orderers: Annotated[int, Meta(ge=1)] = 12
+    orderers_margin: Annotated[int, Meta(ge=0)] = 4
+
+
+@dataclass(frozen=True)
+class Member:
+    """A host of the fleet.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port`` for other hosts.
+    domain : str
+        Its failure domain.
+    capacity : float
+        The larger, the sooner it is a relay.
+    """
+
+    address: str
+    domain: str = ""
+    capacity: float = 0.0
+
+
+@dataclass
+class _HeardSpending:
+    spending: DomainSpending
+    work: WorkSum
+    heard_at: float
+
+
+@dataclass
+class DomainChoice:
+    """Chooses, of what relays say of each domain, the word that says most.
+
+    Parameters
+    ----------
+    settings : ExchangeSettings
+    """
+
+    settings: ExchangeSettings
+    heard: dict[tuple[str, str], _HeardSpending] = field(default_factory=dict)
+    chosen: dict[str, str] = field(default_factory=dict)
+
+    def take(
+        self, spending: DomainSpending, work: WorkSum | None = None, *, now: float
+    ) -> bool:
+        """Take a relay's word; return whether it is newer than the one before.
+
+        Parameters
+        ----------
+        spending : DomainSpending
+        work : WorkSum or None
+            What came with it.
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        key = (spending.domain, spending.relay)
+        former = self.heard.get(key)
+        if former is not None and spending.sent_at <= former.spending.sent_at:
+            return False
+        self.heard[key] = _HeardSpending(spending, work or WorkSum(), now)
+        return True
+
+    def choose(self, *, now: float) -> list[tuple[DomainSpending, WorkSum]]:
+        """Return the word of each domain to go by.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of (DomainSpending, WorkSum)
+        """
+        best: dict[str, _HeardSpending] = {}
+        for key, one in list(self.heard.items()):
+            if now - one.heard_at >= self.settings.silent_s:
+                del self.heard[key]
+                continue
+            known = best.get(one.spending.domain)
+            if known is None or self._rank(one.spending) > self._rank(known.spending):
+                best[one.spending.domain] = one
+        self.chosen = {domain: one.spending.relay for domain, one in best.items()}
+        return [(one.spending, one.work) for one in best.values()]
+
+    def _rank(self, spending: DomainSpending) -> tuple[int, bool, bool, str]:
+        is_former = self.chosen.get(spending.domain) == spending.relay
+        return (len(spending.live), is_former, not spending.is_spare, spending.relay)
+
+
+def choose_first(
+    members: dict[str, Member], domain: str | None, suspects: Iterable[str], count: int
+) -> list[str]:
+    """Return the hosts that can take on most for others, the first one first.
+
+    Parameters
+    ----------
+    members : dict of str to Member
+    domain : str or None
+        None for the whole fleet.
+    suspects : iterable of str
+        Hosts that aren't heard of, passed over unless there are no others.
+    count : int
+
+    Returns
+    -------
+    list of str
+    """
+    candidates = [host for host, one in members.items() if domain in (None, one.domain)]
+    candidates.sort(key=lambda host: (-members[host].capacity, host))
+    passed_over = set(suspects)
+    able = [host for host in candidates if host not in passed_over]
+    return (able or candidates)[:count]
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -1,18 +1,16 @@
 """The view that a host of a large fleet has of the others, from its relays."""
 
 from collections import Counter, OrderedDict
-from collections.abc import Iterable
 from dataclasses import dataclass
 
 from thornlatch.fleet._decay import DecayingSum
-from thornlatch.fleet._digests import HeldTarget, HostDigest, PeerView
-from thornlatch.fleet._domains import (
-    DomainChoice,
-    DomainDigest,
-    ExchangeSettings,
+from thornlatch.fleet._digests import HostDigest, PeerView
+from thornlatch.fleet._domain_choice import DomainChoice, ExchangeSettings
+from thornlatch.fleet._domain_messages import (
+    DomainSpending,
     FleetDigest,
     TargetUses,
-    unite_broken,
+    WorkSum,
 )
 
 SENT_DIGESTS = 30  # own digests that are remembered; a relay echoes one of the last few
@@ -24,8 +22,7 @@
 
     Parameters
     ----------
-    stream : str
-        Domain and relay; what the hosts have spent is counted on for each.
+    domain, relay : str
     spent : dict of str to int or None
         Organisation to tokens that the domain's other hosts have spent; None if it
         can't be told from what this host has spent itself.
@@ -33,17 +30,21 @@
     live : tuple of str
         Other hosts that are heard of.
     is_used : bool
-        Whether this relay's digest is the one to go by.
-    held : tuple of (str, HeldTarget)
-        Holders and what they say of targets.
+        Whether this relay's word is the one to go by.
     """
 
-    stream: str
+    domain: str
+    relay: str
     spent: dict[str, int] | None
     levels: dict[str, int]
     live: tuple[str, ...]
     is_used: bool
-    held: tuple[tuple[str, HeldTarget], ...]
+
+
+@dataclass(frozen=True)
+class _Heard:
+    message: FleetDigest
+    heard_at: float
 
 
 class DomainView:
@@ -65,7 +66,8 @@
         self.domain = domain
         self.choice = DomainChoice(settings)
         self.sent: OrderedDict[float, HostDigest] = OrderedDict()
-        self.echoes: dict[str, float] = {}
+        self.heard: dict[str, _Heard] = {}
+        self.relay = ""
         self.uses: dict[tuple[str, str], TargetUses] = {}
         self.broken: dict[str, tuple[str, ...]] = {}
 
@@ -92,18 +94,32 @@
         -------
         list of DomainUpdate
         """
-        fresh = []
-        for digest in message.domains:
-            if self.choice.take(digest, now=now):
-                fresh.append(digest)
-                if digest.domain == self.domain:
-                    self.echoes[digest.relay] = message.echoed_at
-            self._take_held(digest.held, now)
-        chosen = self.choice.choose(now=now)
-        heard = self.choice.heard
-        self.uses = {key: one for key, one in self.uses.items() if key in heard}
-        self._sum_up([one for one, _ in chosen.values()], now)
-        return [self._describe(digest) for digest in fresh]
+        former = self.heard.get(message.relay)
+        if former is not None and message.sent_at <= former.message.sent_at:
+            return []
+        self.heard[message.relay] = _Heard(message, now)
+        fresh = [row for row in message.domains if self.choice.take(row, now=now)]
+        self.choice.choose(now=now)
+        self._take_held(message.work, now)
+        if self._choose(now) is message:
+            self._sum_up(message, now)
+        return [self._describe(row, message) for row in fresh]
+
+    def _choose(self, now: float) -> FleetDigest | None:
+        """Return the message to go by: of the relay that hears of most hosts."""
+        silent_s = self.choice.settings.silent_s
+        self.heard = {
+            relay: one
+            for relay, one in self.heard.items()
+            if now - one.heard_at < silent_s
+        }
+        chosen = max((one.message for one in self.heard.values()), key=self._rank)
+        self.relay = chosen.relay
+        return chosen
+
+    def _rank(self, message: FleetDigest) -> tuple[int, bool, str]:
+        live = sum(len(row.live) for row in message.domains)
+        return (live, message.relay == self.relay, message.relay)
 
     def take_uses(self, message: TargetUses, *, now: float) -> None:
         """Take the use of this host's targets by adapter.
@@ -118,90 +134,73 @@
         if former is None or message.sent_at > former.sent_at:
             self.uses[key] = message
 
-    def _get_own(self, digest: DomainDigest) -> HostDigest | None:
-        """Return this host's digest that is counted in its domain's."""
-        if digest.domain != self.domain or self.host not in digest.live:
-            return None
-        return self.sent.get(self.echoes.get(digest.relay, 0.0))
+    def _get_own(self, message: FleetDigest) -> HostDigest | None:
+        """Return this host's digest that is counted in a relay's message."""
+        return self.sent.get(message.echoes.get(self.host, 0.0))
 
-    def _describe(self, digest: DomainDigest) -> DomainUpdate:
-        spent: dict[str, int] | None = digest.spent
-        if digest.domain == self.domain:
-            own = self._get_own(digest)
+    def _describe(self, row: DomainSpending, message: FleetDigest) -> DomainUpdate:
+        spent: dict[str, int] | None = row.spent
+        if row.domain == self.domain:
+            own = self._get_own(message)
             spent = None
             if own is not None:
                 spent = {
                     name: total - own.spent.get(name, 0)
-                    for name, total in digest.spent.items()
+                    for name, total in row.spent.items()
                 }
         return DomainUpdate(
-            f"{digest.domain}/{digest.relay}",
+            row.domain,
+            row.relay,
             spent,
-            digest.levels,
-            tuple(host for host in digest.live if host != self.host),
-            self.choice.chosen.get(digest.domain) == digest.relay,
-            digest.held,
+            row.levels,
+            tuple(host for host in row.live if host != self.host),
+            self.choice.chosen.get(row.domain) == row.relay,
         )
 
-    def _take_held(self, held: Iterable[tuple[str, HeldTarget]], now: float) -> None:
-        for holder, one in held:
+    def _take_held(self, work: WorkSum, now: float) -> None:
+        for holder, one in work.held:
             if holder != self.host:
                 self.peers.held.setdefault(holder, {})[one.target] = (one, now)
 
-    def _sum_up(self, digests: list[DomainDigest], now: float) -> None:
-        totals: Counter[str] = Counter()
-        prompts: Counter[str] = Counter()
-        avoiding: Counter[str] = Counter()
-        holders: dict[str, str] = {}
-        live = {
-            host: self.peers.live_at[host] for host in self.peers.iter_live(now=now)
-        }
-        for digest in digests:
-            totals.update(digest.running)
-            prompts.update(digest.prompts)
-            avoiding.update(digest.avoided)
-            holders.update(digest.held_names)
-            live.update(dict.fromkeys(digest.live, now))
-            own = self._get_own(digest)
-            if own is not None:
-                totals.subtract(_sum_by_target(own))
-                prompts.subtract(own.prompts)
-                avoiding.subtract(own.avoided)
-        running: dict[str, dict[str, int]] = {
-            target: {"": max(count, 0)} for target, count in totals.items()
-        }
-        for (target, adapter), count in self._count_uses(digests).items():
+    def _sum_up(self, message: FleetDigest, now: float) -> None:
+        work = message.work
+        totals, prompts = dict(work.running), dict(work.prompts)
+        avoiding = Counter(work.avoided)
+        own = self._get_own(message)
+        if own is not None:
+            for target, _, count in own.running:
+                totals[target] = totals.get(target, 0) - count
+            for target, tokens in own.prompts.items():
+                prompts[target] = prompts.get(target, 0) - tokens
+            avoiding.subtract(own.avoided)
+        running = {target: {"": max(count, 0)} for target, count in totals.items()}
+        for (target, adapter), count in self._count_uses(message).items():
             if adapter and count > 0:
                 running.setdefault(target, {"": 0})[adapter] = count
-        live.pop(self.host, None)
         peers = self.peers
+        live = {host: peers.live_at[host] for host in peers.iter_live(now=now)}
+        for row in message.domains:
+            live.update(dict.fromkeys(row.live, now))
+        live.pop(self.host, None)
         peers.running = running
         peers.prompts = {t: DecayingSum(max(n, 0), now) for t, n in prompts.items()}
         peers.avoiding = avoiding
-        peers.holders = {t: h for t, h in holders.items() if h != self.host}
+        peers.holders = {t: h for t, h in work.held_names.items() if h != self.host}
         peers.live_at = live
-        self.broken = unite_broken(digest.broken for digest in digests)
+        self.broken = work.broken
 
-    def _count_uses(self, digests: list[DomainDigest]) -> Counter[tuple[str, str]]:
+    def _count_uses(self, message: FleetDigest) -> Counter[tuple[str, str]]:
         """Return the other hosts' requests by target and adapter."""
         counts: Counter[tuple[str, str]] = Counter()
-        for digest in digests:
-            message = self.uses.get((digest.domain, digest.relay))
-            if message is None:
-                continue
-            for target, adapter, count in message.uses:
+        rows = {(row.domain, row.relay) for row in message.domains}
+        self.uses = {key: one for key, one in self.uses.items() if key in rows}
+        for (domain, _), uses in self.uses.items():
+            for target, adapter, count in uses.uses:
                 counts[target, adapter] += count
-            own = self.sent.get(message.echoed_at)
-            if digest.domain == self.domain and own is not None:
-                targets = {target for target, _, _ in message.uses}
+            own = self.sent.get(uses.echoed_at)
+            if domain == self.domain and own is not None:
+                targets = {target for target, _, _ in uses.uses}
                 for target, adapter, count in own.running:
                     if target in targets:
                         counts[target, adapter] -= count
         return counts
-
-
-def _sum_by_target(digest: HostDigest) -> Counter[str]:
-    totals: Counter[str] = Counter()
-    for target, _, count in digest.running:
-        totals[target] += count
-    return totals
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -56,13 +56,8 @@
 DUE_PERIOD_S = 0.1  # between two looks for callers that left or ran out of time
 MAIN_TURN_S = 10.0  # signals wake the main thread; this is for one that got lost
 STOP_TURN_S = 0.05  # between two looks for the end of running requests
+PEERS_KNOWN_S = 3.0  # after its start a host has heard of all others that are there
 SILENT_PERIODS = 4.5  # without a digest until a host counts as silent
-IDLE_S = 75  # longer than callers keep idle connections
-CONNECTION_LIMIT = 2000
-BACKLOG = 1024
-FIRST_THREADS = (
-    8  # of the callers' server, more than a calm host of a large fleet needs
-)
 
 
 class Gateway:
@@ -89,6 +84,7 @@
     ) -> None:
         now = read_clock()
         self.settings = settings
+        self.started_at = now
         self.host = f"{settings.host.name}.{uuid.uuid4().hex[:8]}"
         self.log = LineLog(settings.logs, host=self.host)
         self.metrics = GatewayMetrics()
@@ -379,6 +375,37 @@
             )
         self.orders.follow_tenure(now=read_clock())
 
+    def is_orderer(self, *, now: float) -> bool:
+        """Return whether this host takes part in ordering adapters.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        members = list(self.peer_loop.members)
+        if len(members) < self.orders.partitions:
+            return True
+        silent: list[str] = []
+        if now - self.started_at >= PEERS_KNOWN_S:
+            silent = [host for host in members if not self.peers.is_live(host, now=now)]
+        return self.exchange.is_orderer(silent, orders_now=bool(self.tenure.tokens))
+
+    def stand_by(self, *, now: float) -> None:
+        """Note that this host isn't a member of the group that orders adapters.
+
+        Parameters
+        ----------
+        now : float
+        """
+        # Nobody concludes from the group what such a host may do.
+        self.in_force.note_renewal(asked_at=now)
+        self.tenure.drop_all()
+        self.orders.follow_tenure(now=now)
+
     def has_silent_peers(self, *, now: float) -> bool:
         """Return whether a known host isn't heard of.
 
@@ -546,6 +573,7 @@
             self.suspects.list_own(now=now),
             self.work.list_prompts(now=now),
             self.health.list_avoided(now=now),
+            self.share.list_reads(now=now),
         )
 
     def _take_digest(self, host: str, digest: HostDigest, now: float) -> None:
@@ -572,15 +600,19 @@
         for update in self.domain_view.take(message, now=now):
             if update.spent is not None:
                 self.quota.take_stream(
-                    update.stream,
+                    update.domain,
+                    update.relay,
                     update.spent,
                     update.levels,
                     hosts=update.live,
                     is_used=update.is_used,
                     now=now,
                 )
-            for holder, held in update.held:
-                self._take_held(holder, held, now)
+        for holder, held in message.work.held:
+            self._take_held(holder, held, now)
+        echoed_at = message.echoes.get(self.host)
+        if echoed_at is not None:
+            self.share.note_reads(message.relay, message.reads, sent_at=echoed_at)
         self.suspects.take_all_peers(self.domain_view.broken)
 
     def _take_uses(self, message: TargetUses, now: float) -> None:
--- a/src/thornlatch/gateway/_peer_loop.py
+++ b/src/thornlatch/gateway/_peer_loop.py
@@ -86,6 +86,7 @@
         self.wake_reader, self.wake_writer = os.pipe()
         os.set_blocking(self.wake_writer, False)
         self.members: dict[str, Member] = {}
+        self.mesh_members = self.members
         self.is_stopping = False
         self.sends_now = False
 
@@ -180,9 +181,10 @@
             self.handlers.on_uses(message, now)
 
     def _send_queued(self) -> None:
-        addresses = {host: one.address for host, one in self.members.items()}
-        if addresses != self.mesh.addresses:
-            self.mesh.set_members(addresses)
+        members = self.members
+        if members is not self.mesh_members:
+            self.mesh.set_members({host: one.address for host, one in members.items()})
+            self.mesh_members = members
         while True:
             try:
                 host, message = self.outgoing.get_nowait()
--- a/src/thornlatch/gateway/_topic_share.py
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -13,7 +13,7 @@
 from msgspec import Meta
 
 from thornlatch.core import read_clock, register
-from thornlatch.fleet import DomainExchange, choose_relays
+from thornlatch.fleet import DomainExchange, choose_first
 
 KEPT_RECORDS = 3000  # about 20 s of registrations of 600 targets in 8 domains
 ANSWER_RECORDS = 400  # keeps an answer below the limit of a message
@@ -91,6 +91,14 @@
     )
 
 
+@dataclass(frozen=True)
+class _Noted:
+    """How far a host had read a topic, and when that read began at the earliest."""
+
+    end: int
+    asked_at: float
+
+
 class _Question:
     def __init__(self, number: int) -> None:
         self.number = number
@@ -127,6 +135,8 @@
         self.send = send
         self.lock = threading.Lock()
         self.kept: dict[str, _Kept] = {}
+        # By the host that reads and the topic.
+        self.noted: dict[tuple[str, str], _Noted] = {}
         self.questions: dict[int, _Question] = {}
         self.numbers = itertools.count(1)
 
@@ -142,7 +152,7 @@
             return exchange.get_relays(exchange.domain, now=read_clock())
         members = exchange.members
         silent = [h for h in members if h != exchange.host and not self.is_live(h)]
-        return choose_relays(members, None, silent, exchange.settings)
+        return choose_first(members, None, silent, exchange.settings.relays)
 
     def publish(
         self,
@@ -174,8 +184,45 @@
             kept.begin = kept.end - len(kept.records)
             kept.asked_at = asked_at
 
+    def list_reads(self, *, now: float) -> dict[str, tuple[int, float]]:
+        """Return how far this host has read for others, as digests carry it.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        dict of str to (int, float)
+            Topic to the offset read up to and the seconds since that read began.
+        """
+        with self.lock:
+            return {
+                topic: (kept.end, now - kept.asked_at)
+                for topic, kept in self.kept.items()
+                if now - kept.asked_at < self.settings.age_limit_s
+            }
+
+    def note_reads(
+        self, host: str, reads: dict[str, tuple[int, float]], *, sent_at: float
+    ) -> None:
+        """Note how far another host has read.
+
+        Parameters
+        ----------
+        host : str
+        reads : dict of str to (int, float)
+            As `list_reads` returns it.
+        sent_at : float
+            A moment of this host's clock before the other one wrote them.
+        """
+        for topic, (end, age_s) in reads.items():
+            self.noted[host, topic] = _Noted(end, sent_at - age_s)
+
     def ask(self, topic: str, offset: int) -> TopicAnswered | None:
-        """Ask the host that reads for this one for a topic's records.
+        """Return a topic's records from the host that reads for this one.
+
+        It is asked only if its digest doesn't say that there is nothing new.
 
         Parameters
         ----------
@@ -190,6 +237,11 @@
         readers = self._list_readers()
         if not readers or readers[0] == self.exchange.host:
             return None
+        noted = self.noted.get((readers[0], topic))
+        if noted is not None and noted.end == offset:
+            age_s = read_clock() - noted.asked_at
+            if age_s < self.settings.age_limit_s:
+                return TopicAnswered(0, offset, (), age_s)
         # Another one would cost time that the news may not have.
         answer = self._ask_one(readers[0], topic, offset)
         if answer is None or answer.next_offset < 0:
--- a/src/thornlatch/gateway/tests/test_large_fleet.py
+++ b/src/thornlatch/gateway/tests/test_large_fleet.py
@@ -76,7 +76,8 @@
             for update in self.view.take(message, now=now):
                 if update.spent is not None:
                     self.quota.take_stream(
-                        update.stream,
+                        update.domain,
+                        update.relay,
                         update.spent,
                         update.levels,
                         hosts=update.live,
@@ -157,10 +158,14 @@
 
 def test_host_sends_to_two_others_and_relays_to_their_domain_s_hosts(fleet):
     fleet.run(3.0)
-    counts = sorted(host.sent for host in fleet.hosts.values())
-    assert counts[:18] == [2] * 18
-    # Its 7 hosts, the other relay, two relays of two domains each.
-    assert counts[-1] <= 7 + 1 + 4
+    turns = []
+    for _ in range(SETTINGS.spare_turns):
+        fleet.turn()
+        turns.append(sorted(host.sent for host in fleet.hosts.values()))
+        # Its 7 hosts, the other relay, two relays of two domains each.
+        assert turns[-1][-1] <= 7 + 1 + 4
+    # To the first relay each time, to the spare one once.
+    assert sorted(counts[:18] for counts in turns) == [[1] * 18, [1] * 18, [2] * 18]
 
 
 @pytest.mark.parametrize("killed", [["h0-0"], ["h0-0", "h0-1"], ["h1-0", "h2-0"]])
@@ -208,7 +213,26 @@
         assert host.view.broken == {"f": ("t1/1/0", "t2/1/0", "t3/1/0")}
 
 
-@pytest.mark.parametrize("seed", range(6))
+def list_orderers(fleet, silent=(), former=()):
+    return {
+        name
+        for name, host in fleet.hosts.items()
+        if name not in silent
+        and host.exchange.is_orderer(silent, orders_now=name in former)
+    }
+
+
+def test_few_hosts_order_and_others_follow_when_they_are_gone(fleet):
+    first = list_orderers(fleet)
+    assert len(first) == SETTINGS.orderers
+    gone = {name for name in first if name.startswith("h0-")}
+    assert len(list_orderers(fleet, gone, first)) == SETTINGS.orderers
+    # Those that return don't drive the ones out that came for them.
+    second = list_orderers(fleet, gone, first)
+    assert second <= list_orderers(fleet, (), second)
+
+
+@pytest.mark.parametrize("seed", range(12))
 def test_hot_organisation_stays_within_its_quota_in_a_large_fleet(seed):
     rng = random.Random(seed)
     fleet = Fleet()
@@ -310,6 +334,33 @@
     assert other.ask("t", 10).next_offset == 11
 
 
+def test_host_that_knows_that_nothing_is_new_asks_nothing(shares):
+    """Half of all messages of a calm fleet of 76 hosts were such questions."""
+    relay, other, clock = shares
+    relay.publish("t", 5, RECORDS, 7, asked_at=clock.now - 0.1)
+    reads = relay.list_reads(now=clock.now)
+    # The relay wrote them 0.2 s after it had got the digest that it echoes.
+    other.note_reads("h0-0", reads, sent_at=clock.now - 0.2)
+    relay.kept.clear()
+    answer = other.ask("t", 7)
+    assert (answer.records, answer.next_offset) == ((), 7)
+    assert answer.age_s == pytest.approx(0.3)
+    # It is told of news, and asks for them.
+    assert other.ask("t", 6) is None
+    clock.now += SETTINGS.silent_s
+    assert other.ask("t", 7) is None
+
+
+def test_digest_read_after_a_suspension_makes_no_old_reads_new(shares):
+    relay, other, clock = shares
+    relay.publish("t", 5, RECORDS, 7, asked_at=clock.now)
+    reads = relay.list_reads(now=clock.now)
+    sent_at = clock.now
+    clock.now += 5.0
+    other.note_reads("h0-0", reads, sent_at=sent_at)
+    assert other.ask("t", 7) is None
+
+
 def test_late_answer_to_a_question_given_up_is_dropped(shares):
     _, other, clock = shares
     other.take("h0-0", TopicAnswered(99, 7, (), 0.0), now=clock.now)
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -60,8 +60,11 @@
 class _Stream:
     """Tokens that the hosts of a domain have spent, as one relay tells."""
 
+    domain: str
     heard_at: float
     totals: dict[str, int] = field(default_factory=dict)
+    # The totals up to which the domain's spending has been taken off already.
+    counted: dict[str, int] = field(default_factory=dict)
     rates: dict[str, float] = field(default_factory=dict)
 
 
@@ -205,7 +208,8 @@
 
     def take_stream(
         self,
-        name: str,
+        domain: str,
+        relay: str,
         spent: Mapping[str, int],
         levels: Mapping[str, int],
         *,
@@ -213,13 +217,13 @@
         is_used: bool,
         now: float,
     ) -> None:
-        """Take off what a domain's other hosts have spent since its digest before.
+        """Take off what a domain's other hosts have spent since its word before.
 
         Parameters
         ----------
-        name : str
-            Domain and relay. The totals of two relays of a domain begin at different
-            moments, so each is counted on by itself, and one of them is used.
+        domain, relay : str
+            The totals of two relays of a domain begin at different moments, so each is
+            counted on by itself, and one of them is used.
         spent, levels : mapping of str to int
             As in `take_digest`, of all of these hosts together.
         hosts : iterable of str
@@ -229,33 +233,57 @@
         """
         with self.lock:
             self._advance(now)
-            is_settling = now - self.started_at < self.settings.settle_s
+            name = f"{domain}/{relay}"
             stream = self.streams.get(name)
             is_new = stream is None
             if stream is None:
-                stream = self.streams[name] = _Stream(now)
-            for organisation, bucket in self.buckets.items():
-                total = spent.get(organisation, 0)
-                bucket.level += bucket.assumed.pop(name, 0.0)
-                if is_new and is_used and is_settling:
-                    # What was spent before this host's start stands in the level.
-                    level = levels.get(organisation, bucket.burst) - bucket.spent
-                    bucket.level = min(bucket.level, level)
-                elif not is_new and is_used:
-                    fresh = total - stream.totals.get(organisation, 0)
-                    bucket.level -= fresh
-                    if now > stream.heard_at:
-                        rate = max(fresh, 0) / (now - stream.heard_at)
-                        former = stream.rates.get(organisation, 0.0)
-                        smoothed = former + RATE_SMOOTHING * (rate - former)
-                        stream.rates[organisation] = smoothed
-                stream.totals[organisation] = total
-                bucket.level = min(bucket.level, bucket.burst)
-            if not is_used:
+                stream = self.streams[name] = _Stream(domain, now)
+            if is_used and is_new:
+                self._begin(levels, now)
+            elif is_used:
+                self._take_off(name, stream, spent, now)
+            else:
                 stream.rates = {}
+            stream.totals = dict(spent)
             stream.heard_at = now
+            if is_used:
+                self._note_counted(domain)
             self._hear(hosts, now, are_counted=is_used and not is_new)
 
+    def _begin(self, levels: Mapping[str, int], now: float) -> None:
+        if now - self.started_at >= self.settings.settle_s:
+            return
+        for organisation, bucket in self.buckets.items():
+            # What was spent before this host's start stands in the level.
+            level = levels.get(organisation, bucket.burst) - bucket.spent
+            bucket.level = min(bucket.level, level)
+
+    def _take_off(
+        self, name: str, stream: _Stream, spent: Mapping[str, int], now: float
+    ) -> None:
+        elapsed = now - stream.heard_at
+        for organisation, bucket in self.buckets.items():
+            total = spent.get(organisation, 0)
+            bucket.level += bucket.assumed.pop(name, 0.0)
+            fresh: float = total - stream.counted.get(organisation, 0)
+            for other, one in self.streams.items():
+                if one.domain == stream.domain and other in bucket.assumed:
+                    # The relay before may have heard of more hosts than this one.
+                    fresh = max(fresh - bucket.assumed.pop(other), 0.0)
+            bucket.level = min(bucket.level - fresh, bucket.burst)
+            if elapsed > 0:
+                change = total - stream.totals.get(organisation, 0)
+                former = stream.rates.get(organisation, 0.0)
+                rate = max(change, 0) / elapsed
+                stream.rates[organisation] = former + RATE_SMOOTHING * (rate - former)
+
+    def _note_counted(self, domain: str) -> None:
+        """Note that a domain's spending is taken off up to now."""
+        for stream in self.streams.values():
+            if stream.domain == domain:
+                # Should this relay be used next, what it has told before is known.
+                stream.counted = stream.totals
+
     def _hear(self, hosts: Iterable[str], now: float, *, are_counted: bool) -> None:
         for host in hosts:
             peer = self.peers.get(host)
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -177,3 +177,37 @@
     hosts[f"{letter}.{int(number) + 1}"] = build(now=now)
     for one, quota in hosts.items():
         quota.set_peers([other for other in hosts if other != one], now=now)
+
+
+def tell_stream(quota, relay, total, *, is_used, now):
+    quota.take_stream(
+        "d", relay, {"shop": total}, {}, hosts=["b"], is_used=is_used, now=now
+    )
+
+
+@pytest.mark.parametrize("told", [[], [1650]])
+def test_spending_while_a_domain_s_relay_dies_is_taken_off_once(told):
+    """Seen in the histories of large fleets: 8% above the quota after such a death."""
+    quota = build(rate=1e-3, burst=10_000.0)
+    quota.buckets["shop"].level = 10_000.0
+    for now in (2.0, 2.1):
+        tell_stream(quota, "first", 500, is_used=True, now=now)
+        tell_stream(quota, "spare", 1500, is_used=False, now=now)
+    for total in told:
+        tell_stream(quota, "spare", total, is_used=False, now=2.4)
+    tell_stream(quota, "spare", 1800, is_used=True, now=2.8)
+    assert quota.get_spent(now=2.8)[1]["shop"] == pytest.approx(9700, abs=1)
+    tell_stream(quota, "spare", 1900, is_used=True, now=2.9)
+    assert quota.get_spent(now=2.9)[1]["shop"] == pytest.approx(9600, abs=1)
+
+
+def test_relay_that_hears_of_fewer_hosts_hides_no_spending():
+    quota = build(rate=1e-3, burst=10_000.0)
+    quota.buckets["shop"].level = 10_000.0
+    for number in range(8):
+        now = 2.0 + number / 10
+        tell_stream(quota, "first", 100 * number, is_used=True, now=now)
+        tell_stream(quota, "spare", 1000 + 10 * number, is_used=False, now=now)
+    # The first relay is silent for 0.4 s, in which its hosts go on at 1000 a second.
+    tell_stream(quota, "spare", 1090, is_used=True, now=3.1)
+    assert quota.get_spent(now=3.1)[1]["shop"] == pytest.approx(8900, abs=30)
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -72,5 +72,33 @@
         leave=lambda group, member: goodbyes.append((group, member)),
     )
     HostFeed(gateway, client).run()
-    TenureFeed(gateway, client).run()
+    tenure = TenureFeed(gateway, client)
+    tenure.is_member = True
+    tenure.run()
     assert goodbyes == [(HOST_TOPIC, None), ("targets", "edge-1")]
+
+
+def test_host_that_others_order_for_leaves_the_group_and_calls_nobody():
+    """Seen on mandacaru-bolsas-grown: 66 hosts renewed themselves 83 times a second."""
+    calls, orderers = [], iter([True, False, False])
+    gateway = build_gateway()
+    gateway.settings = SimpleNamespace(
+        host=SimpleNamespace(name="edge-1"), tenure=SimpleNamespace(ttl_s=2.0)
+    )
+    gateway.quota = SimpleNamespace(knows_peers=True)
+    gateway.is_orderer = lambda *, now: next(orderers)
+    gateway.stand_by = lambda *, now: calls.append("stands by")
+    gateway.peer_loop = SimpleNamespace(members={})
+    gateway.orders = SimpleNamespace(partitions=24)
+    gateway.has_silent_peers = lambda *, now: False
+    gateway.renew_tenure = lambda *_, asked_at: None
+
+    def join(*_, **__):
+        calls.append("joins")
+        return SimpleNamespace(generation=1, partitions=frozenset({1}))
+
+    client = SimpleNamespace(join=join, leave=lambda *_: calls.append("leaves"))
+    feed = TenureFeed(gateway, client)
+    for _ in range(3):
+        feed.turn()
+    assert calls == ["joins", "leaves", "stands by", "stands by"]
