Split the fleet's part off the gateway's assembly

What a host tells others, takes from them and may use beside them now stands in _fleet_link.py; the adapter's feeds reach it as gateway.fleet.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -14,30 +14,17 @@
 import logbook.compat
 from prometheus_client import generate_latest
 
-from thornlatch.core import get_host_name, read_clock
+from thornlatch.core import read_clock
 from thornlatch.exceptions import ThornlatchError
-from thornlatch.fleet import (
-    DomainExchange,
-    DomainView,
-    FleetDigest,
-    HeldTarget,
-    HostDigest,
-    LoadExpected,
-    LoadRequested,
-    Member,
-    PeerView,
-    Target,
-    TargetRegistry,
-    TargetUses,
-)
+from thornlatch.fleet import PeerView, Target, TargetRegistry
 from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._app import GatewayApplication, StartResponse, describe_status
+from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._logs import LineLog
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._ordering import OrderManager
-from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
 from thornlatch.gateway._ports import CallerWire, TargetWire
 from thornlatch.gateway._relief import TargetRelief
 from thornlatch.gateway._selector import TargetSelector
@@ -45,7 +32,6 @@
 from thornlatch.gateway._servers import build_server
 from thornlatch.gateway._settings import GatewaySettings
 from thornlatch.gateway._suspects import CrashSuspects
-from thornlatch.gateway._topic_share import TopicShare
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import AdapterVersions, Resident, ResidentTable, Tenure
@@ -56,14 +42,13 @@
 DUE_PERIOD_S = 0.1  # between two looks for callers that left or ran out of time
 MAIN_TURN_S = 10.0  # signals wake the main thread; this is for one that got lost
 STOP_TURN_S = 0.05  # between two looks for the end of running requests
-PEERS_KNOWN_S = 3.0  # after its start a host has heard of all others that are there
-SILENT_PERIODS = 4.5  # without a digest until a host counts as silent
 
 
 class Gateway:
     """One gateway host's process.
 
-    The methods `take_...` and `announce_...` are what an adapter feeds.
+    The methods `take_...` and `announce_...`, and those of `fleet`, are what an adapter
+    feeds.
 
     Parameters
     ----------
@@ -84,7 +69,6 @@
     ) -> None:
         now = read_clock()
         self.settings = settings
-        self.started_at = now
         self.host = f"{settings.host.name}.{uuid.uuid4().hex[:8]}"
         self.log = LineLog(settings.logs, host=self.host)
         self.metrics = GatewayMetrics()
@@ -111,8 +95,8 @@
             tenure=self.tenure,
             work=self.work,
             metrics=self.metrics,
-            send=self._send,
-            announce=self._announce,
+            send=lambda host, message: self.fleet.send(host, message),
+            announce=lambda: self.fleet.announce(),
         )
         self.relief = TargetRelief(
             settings.relief,
@@ -123,46 +107,29 @@
         )
         self.forwarder = self._build_forwarder(targets)
         self.app = GatewayApplication(callers, self.forwarder, self.metrics)
-        domain = settings.host.failure_domain
-        self.exchange = DomainExchange(
-            settings.exchange,
-            host=self.host,
-            domain=domain,
-            capacity=settings.host.capacity,
-        )
-        self.domain_view = DomainView(
-            settings.exchange, self.peers, host=self.host, domain=domain
-        )
-        self.share = TopicShare(
-            settings.share,
-            self.exchange,
-            lambda host: self.peers.is_live(host, now=read_clock()),
-            self._send,
-        )
-        self.peer_loop = PeerLoop(
-            settings.peers,
-            host=self.host,
-            address=settings.host.peer_address,
-            view=self.peers,
-            exchange=self.exchange,
-            handlers=PeerHandlers(
-                self._build_digest,
-                self._take_digest,
-                self.domain_view.note_sent,
-                self._take_fleet,
-                self._take_uses,
-                self._take_load_request,
-                self._take_other,
-                self._tick,
-            ),
-        )
         self.stopping = threading.Event()
         self.reloading = threading.Event()
         self.signalled = threading.Event()
         self.ended = threading.Event()  # after `stopping`, when no request runs
+        self.fleet = FleetLink(
+            settings,
+            self.host,
+            HostState(
+                self.in_force,
+                self.peers,
+                self.quota,
+                self.retries,
+                self.residents,
+                self.tenure,
+                self.work,
+                self.health,
+                self.suspects,
+                self.orders,
+            ),
+            is_stopping=self.stopping.is_set,
+            on_tick=self._tick,
+        )
         self.targets_known = False
-        self.missing_since: dict[str, float] = {}
-        self.absent: set[str] = set()
         self.reported_ready = False
         self.live_peers: frozenset[str] = frozenset()
         self.executor = ThreadPoolExecutor(16, "gateway")
@@ -230,7 +197,7 @@
             logging.getLogger("waitress").addHandler(redirect)
             logger.info("host.started", extra={"pid": os.getpid()})
             servers = self._build_servers()
-            loops = [self.log.run, self.peer_loop.run, self._end_due_requests]
+            loops = [self.log.run, self.fleet.loop.run, self._end_due_requests]
             for loop in (*loops, *feeds, *[server.run for server in servers]):
                 self.executor.submit(self._run_loop, loop)
             while not self.stopping.is_set():
@@ -278,7 +245,7 @@
         if not is_in_force:
             return
         self.quota.set_organisations(configuration.organisations.values(), now=now)
-        self._share_model_loads()
+        self.fleet.share_model_loads()
         self._note_withdrawn(configuration)
 
     def confirm_configuration(self, *, asked_at: float) -> None:
@@ -332,23 +299,6 @@
             self.take_target(name, target)
         self.targets_known = True
 
-    def take_hosts(self, hosts: dict[str, Member]) -> None:
-        """Set the other hosts.
-
-        Parameters
-        ----------
-        hosts : dict of str to Member
-            This host itself is left out.
-        """
-        others = {host: member for host, member in hosts.items() if host != self.host}
-        now = read_clock()
-        for host in self.peer_loop.members.keys() - others.keys():
-            self.peers.forget(host)
-        self.suspects.forget_others(others)
-        self.peer_loop.set_members(others)
-        self._share_among(others, now)
-        logger.info("fleet.hosts_known", extra={"hosts": sorted(others)})
-
     def renew_tenure(
         self, partitions: frozenset[int], generation: int, *, asked_at: float
     ) -> None:
@@ -375,25 +325,6 @@
             )
         self.orders.follow_tenure(now=read_clock())
 
-    def is_orderer(self, *, now: float) -> bool:
-        """Return whether this host takes part in ordering adapters.
-
-        Parameters
-        ----------
-        now : float
-
-        Returns
-        -------
-        bool
-        """
-        members = list(self.peer_loop.members)
-        if len(members) < self.orders.partitions:
-            return True
-        silent: list[str] = []
-        if now - self.started_at >= PEERS_KNOWN_S:
-            silent = [host for host in members if not self.peers.is_live(host, now=now)]
-        return self.exchange.is_orderer(silent, orders_now=bool(self.tenure.tokens))
-
     def stand_by(self, *, now: float) -> None:
         """Note that this host isn't a member of the group that orders adapters.
 
@@ -406,66 +337,6 @@
         self.tenure.drop_all()
         self.orders.follow_tenure(now=now)
 
-    def has_silent_peers(self, *, now: float) -> bool:
-        """Return whether a known host isn't heard of.
-
-        Parameters
-        ----------
-        now : float
-
-        Returns
-        -------
-        bool
-        """
-        members = list(self.peer_loop.members)
-        return any(not self.peers.is_live(host, now=now) for host in members)
-
-    def take_store_members(self, names: frozenset[str], *, asked_at: float) -> None:
-        """Stop setting aside a part for hosts that can't serve any more.
-
-        A host that isn't in the store's group can't confirm the configuration, and so
-        takes no requests with keys, some seconds after its last renewal.
-
-        Parameters
-        ----------
-        names : frozenset of str
-            Names of the hosts that the store's group holds.
-        asked_at : float
-        """
-        members = list(self.peer_loop.members)
-        if len(members) + 1 > self.orders.partitions:
-            # Members of the group without a partition aren't listed.
-            return
-        missing = {
-            host
-            for host in members
-            if get_host_name(host) not in names
-            and not self.peers.is_live(host, now=asked_at)
-        }
-        self.missing_since = {
-            host: self.missing_since.get(host, asked_at) for host in missing
-        }
-        limit_s = self.in_force.settings.revocation_s
-        limit_s -= self.tenure.settings.ttl_s
-        absent = {h for h, at in self.missing_since.items() if asked_at - at >= limit_s}
-        if absent != self.absent:
-            self.absent = absent
-            logger.info("fleet.hosts_absent", extra={"hosts": sorted(absent)})
-            self._share_among(members, asked_at)
-
-    def _share_among(self, others: Iterable[str], now: float) -> None:
-        """Divide what all hosts together may use."""
-        sharing = [host for host in others if host not in self.absent]
-        self.quota.set_large(self.exchange.is_large, now=now)
-        self.quota.set_peers(sharing, now=now)
-        self.retries.hosts = len(sharing) + 1
-        self._share_model_loads()
-        silent_s = self.peer_loop.get_period_s() * SILENT_PERIODS
-        if self.exchange.is_large:
-            silent_s = max(silent_s, self.settings.exchange.silent_s)
-        self.peers.silent_s = max(self.settings.peer_view.silent_s, silent_s)
-        self.quota.silent_s = max(self.settings.quota.silent_s, silent_s)
-
     def note_store_failure(self) -> None:
         """Note that the platform's store couldn't be read."""
         self.registry.note_failure(now=read_clock())
@@ -492,20 +363,6 @@
         self.settings = settings
         logger.info("host.reloaded", extra={"changed": changed})
 
-    def _share_model_loads(self) -> None:
-        configuration = self.in_force.configuration
-        if configuration is None:
-            return
-        engines = [one.engine for one in configuration.services.values() if one.engine]
-        rate = min((engine.loads_per_s for engine in engines), default=1.0)
-        self.orders.model_loads.set_rate(rate / self.retries.hosts)
-
-    def _send(self, host: str, message: object) -> None:
-        self.peer_loop.send(host, message)
-
-    def _announce(self) -> None:
-        self.peer_loop.send_digest_now()
-
     def _run_loop(self, loop: Callable[[], None]) -> None:
         # A thread doesn't inherit the handlers of the one that started it.
         with self.log.threadbound():
@@ -560,83 +417,6 @@
         )
         return [body]
 
-    def _build_digest(self, now: float) -> HostDigest:
-        spent, levels = self.quota.get_spent(now=now)
-        return HostDigest(
-            now,
-            self.work.list_counts(),
-            spent,
-            levels,
-            self.orders.build_held(now=now),
-            self.orders.list_names(),
-            self.stopping.is_set(),
-            self.suspects.list_own(now=now),
-            self.work.list_prompts(now=now),
-            self.health.list_avoided(now=now),
-            self.share.list_reads(now=now),
-        )
-
-    def _take_digest(self, host: str, digest: HostDigest, now: float) -> None:
-        if host in self.absent:
-            self.absent.discard(host)
-            self.missing_since.pop(host, None)
-            self._share_among(list(self.peer_loop.members), now)
-        self.peers.take(host, digest, now=now)
-        self.quota.take_digest(host, digest.spent, digest.levels, now=now)
-        self.suspects.take_peer(host, digest.broken)
-        for held in digest.held or ():
-            self._take_held(host, held, now)
-
-    def _take_held(self, holder: str, held: HeldTarget, now: float) -> None:
-        if self.peers.get_holder(held.target, now=now) != holder:
-            return
-        residents = {
-            one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
-            for one in held.adapters
-        }
-        self.residents.put(held.target, residents, now=now)
-
-    def _take_fleet(self, message: FleetDigest, now: float) -> None:
-        for update in self.domain_view.take(message, now=now):
-            if update.spent is not None:
-                self.quota.take_stream(
-                    update.domain,
-                    update.relay,
-                    update.spent,
-                    update.levels,
-                    hosts=update.live,
-                    is_used=update.is_used,
-                    now=now,
-                )
-        for holder, held in message.work.held:
-            self._take_held(holder, held, now)
-        echoed_at = message.echoes.get(self.host)
-        if echoed_at is not None:
-            self.share.note_reads(message.relay, message.reads, sent_at=echoed_at)
-        self.suspects.take_all_peers(self.domain_view.broken)
-
-    def _take_uses(self, message: TargetUses, now: float) -> None:
-        self.domain_view.take_uses(message, now=now)
-
-    def _take_other(self, sender: str, message: object, now: float) -> None:
-        if isinstance(message, LoadExpected):
-            self._take_load_expected(message, now)
-        else:
-            self.share.take(sender, message, now=now)
-
-    def _take_load_request(
-        self, sender: str, message: LoadRequested, now: float
-    ) -> None:
-        if message.target in self.orders.held:
-            # In a full mesh the digest that follows an order is as quick.
-            asker = sender if self.exchange.is_large else ""
-            self.orders.ask(message, now=now, asker=asker)
-
-    def _take_load_expected(self, message: LoadExpected, now: float) -> None:
-        one = message.adapter
-        resident = Resident(one.version, now + one.ready_in_s, one.is_queued)
-        self.residents.note(message.target, one.name, resident, now=now)
-
     def _tick(self, now: float) -> None:
         for name in self.registry.expire(now=now):
             self._note_target(name, None, None)
@@ -689,7 +469,7 @@
         self.app.is_stopping = True
         logger.info("host.stopping", extra={"running": len(self.work.running)})
         self.orders.stop()
-        self.peer_loop.send_digest_now()
+        self.fleet.announce()
         pause = threading.Event()
         while True:
             elapsed = read_clock() - began_at
@@ -701,7 +481,7 @@
                     break
             pause.wait(STOP_TURN_S)
         self.ended.set()
-        self.peer_loop.stop()
+        self.fleet.loop.stop()
         pause.wait(STOP_TURN_S)
 
 
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -86,11 +86,13 @@
         host=SimpleNamespace(name="edge-1"), tenure=SimpleNamespace(ttl_s=2.0)
     )
     gateway.quota = SimpleNamespace(knows_peers=True)
-    gateway.is_orderer = lambda *, now: next(orderers)
     gateway.stand_by = lambda *, now: calls.append("stands by")
-    gateway.peer_loop = SimpleNamespace(members={})
+    gateway.fleet = SimpleNamespace(
+        members={},
+        is_orderer=lambda *, now: next(orderers),
+        has_silent_peers=lambda *, now: False,
+    )
     gateway.orders = SimpleNamespace(partitions=24)
-    gateway.has_silent_peers = lambda *, now: False
     gateway.renew_tenure = lambda *_, asked_at: None
 
     def join(*_, **__):
