Log changed quotas, and the HTTP server's messages under one event

Change: host.library_message and quota.limit_changed, both on the reference page; the queue's depth isn't logged, as the dispatcher starts threads. Figures: test_messages_of_the_http_server_are_events fails before.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -1,6 +1,5 @@
 """Assembly of a gateway host: settings, threads, sockets and decisions."""
 
-import logging
 import os
 import signal
 import threading
@@ -11,7 +10,6 @@
 from typing import Any
 
 import logbook
-import logbook.compat
 from prometheus_client import generate_latest
 
 from thornlatch.core import read_clock
@@ -22,7 +20,7 @@
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
-from thornlatch.gateway._logs import LineLog
+from thornlatch.gateway._logs import LineLog, redirect_library
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._ports import CallerWire, TargetWire
@@ -193,8 +191,7 @@
             for number in (signal.SIGTERM, signal.SIGINT):
                 signal.signal(number, lambda *_: self._note_signal(self.stopping))
             signal.signal(signal.SIGHUP, lambda *_: self._note_signal(self.reloading))
-            redirect = logbook.compat.RedirectLoggingHandler()
-            logging.getLogger("waitress").addHandler(redirect)
+            redirect_library("waitress")
             logger.info("host.started", extra={"pid": os.getpid()})
             servers = self._build_servers()
             loops = [self.log.run, self.fleet.loop.run, self._end_due_requests]
@@ -233,6 +230,7 @@
         configuration : Configuration
         """
         now = read_clock()
+        former = self.in_force.configuration
         is_in_force = self.in_force.install(configuration)
         logger.info(
             "configuration.read",
@@ -244,6 +242,7 @@
         )
         if not is_in_force:
             return
+        _log_limits(former, configuration)
         self.quota.set_organisations(configuration.organisations.values(), now=now)
         self.fleet.share_model_loads()
         self._note_withdrawn(configuration)
@@ -485,6 +484,19 @@
         pause.wait(STOP_TURN_S)
 
 
+def _log_limits(former: Configuration | None, present: Configuration) -> None:
+    """Log the quotas that a new configuration changed."""
+    if former is None:
+        return
+    for name, one in present.organisations.items():
+        known = former.organisations.get(name)
+        if known is not None and (known.rate, known.burst) != (one.rate, one.burst):
+            logger.info(
+                "quota.limit_changed",
+                extra={"organisation": name, "rate": one.rate, "burst": one.burst},
+            )
+
+
 def _list_residents(target: Target, now: float) -> dict[str, Resident]:
     return {
         f"{holding.model}/{name}": Resident(version, now)
--- a/src/thornlatch/gateway/_logs.py
+++ b/src/thornlatch/gateway/_logs.py
@@ -1,6 +1,7 @@
 """JSON lines on standard output, bounded in number and never waited for."""
 
 import json
+import logging
 import os
 import sys
 import threading
@@ -12,6 +13,8 @@
 import logbook
 from msgspec import Meta
 
+logger = logbook.Logger("thornlatch.gateway")
+
 # What explains a failure is left out last.
 ROUTINE = frozenset({"request.answered", "request.sent", "adapter.requested"})
 
@@ -138,3 +141,26 @@
         }
         self.left_out.clear()
         return json.dumps(fields).encode() + b"\n"
+
+
+class _LibraryHandler(logging.Handler):
+    """Passes a library's records on under one event name."""
+
+    def emit(self, record: logging.LogRecord) -> None:
+        logger.warning(
+            "host.library_message",
+            extra={"library": record.name, "text": self.format(record)},
+        )
+
+
+def redirect_library(name: str) -> None:
+    """Send what a library logs to the host's log.
+
+    Parameters
+    ----------
+    name : str
+        Of its logger.
+    """
+    logging.getLogger(name).addHandler(_LibraryHandler())
+    # It counts requests that wait for a thread; the dispatcher starts one for each.
+    logging.getLogger(f"{name}.queue").setLevel(logging.ERROR)
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import json
+import logging
 import os
 import threading
 
@@ -13,7 +14,7 @@
 from thornlatch.gateway import CallerRequest, LogSettings
 from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
 from thornlatch.gateway._health import TargetHealth
-from thornlatch.gateway._logs import LineLog
+from thornlatch.gateway._logs import LineLog, redirect_library
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._suspects import (
     CrashSuspects,
@@ -239,6 +240,19 @@
     assert sum(line["event"] == "request.failed" for line in lines) >= 15
 
 
+def test_messages_of_the_http_server_are_events(pipe):
+    reader, writer = pipe
+    log = LineLog(LogSettings(), host="h", descriptor=writer)
+    redirect_library("waitress")
+    with log.applicationbound():
+        logging.getLogger("waitress").warning("odd %s", "header")
+        logging.getLogger("waitress.queue").warning("Task queue depth is 1")
+    log.close()
+    log.run()
+    (line,) = [json.loads(x) for x in os.read(reader, 1 << 16).splitlines()]
+    assert (line["event"], line["text"]) == ("host.library_message", "odd header")
+
+
 def test_reader_that_stops_reading_delays_nobody(pipe):
     _, writer = pipe
     settings = LogSettings(lines_per_s=1e6, routine_ratio=1.0, queue_lines=100)
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -45,7 +45,7 @@
     page = (ROOT / "docs/reference/events.md").read_text()
     areas = "adapter|admission|configuration|control|daemon|dispatch|fleet|host|hosts"
     areas += "|log|membership|peer|placement|quarantine|relay|request|requests"
-    areas += "|residency|store|target|tenure|version"
+    areas += "|quota|residency|store|target|tenure|version"
     call = rf"(?:Event|_emit|logger\.\w+)\([^\"()]*\"((?:{areas})\.[a-z_]+)\""
     modules = [*(ROOT / "src").rglob("*.py"), *(ROOT / "platform").rglob("*.py")]
     for module in modules:
