--- a/src/thornlatch/gateway/_topic_share.py
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -200,7 +200,6 @@
             return {
                 topic: (kept.end, now - kept.asked_at)
                 for topic, kept in self.kept.items()
-                if now - kept.asked_at < self.settings.age_limit_s
             }
 
     def note_reads(
@@ -219,7 +218,9 @@
         for topic, (end, age_s) in reads.items():
             self.noted[host, topic] = _Noted(end, sent_at - age_s)
 
-    def ask(self, topic: str, offset: int) -> TopicAnswered | None:
+    def ask(
+        self, topic: str, offset: int, *, age_limit_s: float | None = None
+    ) -> TopicAnswered | None:
         """Return a topic's records from the host that reads for this one.
 
         It is asked only if its digest doesn't say that there is nothing new.
@@ -228,25 +229,28 @@
         ----------
         topic : str
         offset : int
+        age_limit_s : float or None
+            In place of the setting.
 
         Returns
         -------
         TopicAnswered or None
             None if the store has to be read.
         """
+        limit_s = age_limit_s or self.settings.age_limit_s
         readers = self._list_readers()
         if not readers or readers[0] == self.exchange.host:
             return None
         noted = self.noted.get((readers[0], topic))
         if noted is not None and noted.end == offset:
             age_s = read_clock() - noted.asked_at
-            if age_s < self.settings.age_limit_s:
+            if age_s < limit_s:
                 return TopicAnswered(0, offset, (), age_s)
         # Another one would cost time that the news may not have.
         answer = self._ask_one(readers[0], topic, offset)
         if answer is None or answer.next_offset < 0:
             return None
-        return answer if answer.age_s < self.settings.age_limit_s else None
+        return answer if answer.age_s < limit_s else None
 
     def _ask_one(self, host: str, topic: str, offset: int) -> TopicAnswered | None:
         question = _Question(next(self.numbers))
