Move the mesh of hosts to a package of its own

Cause: the gateway took PeerMesh from the daemon's package, whose import brings in all of the daemon's slices. Of 0.95 s for importing the adapter, 0.57 s were the daemon (python -X importtime, machine busy); each start of a host pays it, 66 at once after a loss of power, on half a core each. Change: thornlatch.mesh; both use it. No behaviour changed.

--- a/src/thornlatch/daemon/_control.py
+++ b/src/thornlatch/daemon/_control.py
@@ -23,9 +23,9 @@
     Slice,
 )
 from thornlatch.daemon._journal import Journal
-from thornlatch.daemon._peers import PeerMesh
 from thornlatch.daemon._schedule import TickSchedule
 from thornlatch.exceptions import ErrorKind, RequestRefused
+from thornlatch.mesh import PeerMesh
 
 logger = logbook.Logger("thornlatch.control")
 
--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -17,7 +17,6 @@
 from thornlatch.daemon._metrics import MetricsReporter
 from thornlatch.daemon._node import Node
 from thornlatch.daemon._orders import OrderRunner
-from thornlatch.daemon._peers import PeerMesh
 from thornlatch.daemon._relay import StreamRelay
 from thornlatch.daemon._running import SHORT_DIGEST, RunningRequests
 from thornlatch.daemon._services import Services
@@ -26,6 +25,7 @@
 from thornlatch.daemon._stop import StopSequence
 from thornlatch.exceptions import ErrorKind
 from thornlatch.logservice import Delivery, LogClient, LogFollower
+from thornlatch.mesh import PeerMesh
 from thornlatch.requests import RetryPolicy
 
 PATIENT_STREAMS = ("claims", "quarantine")
--- a/src/thornlatch/daemon/_settings.py
+++ b/src/thornlatch/daemon/_settings.py
@@ -6,8 +6,8 @@
 from msgspec import Meta
 
 from thornlatch.daemon._node import SliceSettings
-from thornlatch.daemon._peers import PeerSettings
 from thornlatch.logservice import PlatformSettings
+from thornlatch.mesh import PeerSettings
 
 Address = Annotated[str, Meta(pattern=r"^[0-9A-Fa-f.:\[\]]+:\d{1,5}$")]
 
--- a/src/thornlatch/gateway/_peer_loop.py
+++ b/src/thornlatch/gateway/_peer_loop.py
@@ -10,7 +10,6 @@
 import zmq
 
 from thornlatch.core import read_clock
-from thornlatch.daemon._peers import PeerMesh, PeerSettings
 from thornlatch.fleet import (
     DomainExchange,
     FleetDigest,
@@ -20,6 +19,7 @@
     PeerView,
     TargetUses,
 )
+from thornlatch.mesh import PeerMesh, PeerSettings
 
 logger = logbook.Logger("thornlatch.fleet")
 
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -5,11 +5,11 @@
 
 from msgspec import Meta
 
-from thornlatch.daemon._peers import PeerSettings
 from thornlatch.fleet import ExchangeSettings, PeerViewSettings, RegistrySettings
 from thornlatch.gateway._logs import LogSettings
 from thornlatch.gateway._suspects import SuspectSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
+from thornlatch.mesh import PeerSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
 from thornlatch.residency import (
     HolderSettings,
--- /dev/null
+++ b/src/thornlatch/mesh/__init__.py
@@ -0,0 +1,5 @@
+"""Messages between the processes of a fleet."""
+
+from thornlatch.mesh._mesh import PeerCounts, PeerMesh, PeerSettings
+
+__all__ = ["PeerCounts", "PeerMesh", "PeerSettings"]
--- a/src/thornlatch/daemon/_peers.py
+++ b/src/thornlatch/mesh/_mesh.py
@@ -1,4 +1,4 @@
-"""Messages between daemons over pyzmq; used by the control thread alone.
+"""Messages between hosts over pyzmq; used by one thread.
 
 One ROUTER receives from all peers and one DEALER sends to each. High-water marks
 bound the queues; a message over them is dropped, which the slices expect.
--- a/src/thornlatch/daemon/tests/test_peers.py
+++ b/src/thornlatch/mesh/tests/test_mesh.py
@@ -5,7 +5,7 @@
 import zmq
 
 from thornlatch.core import register
-from thornlatch.daemon._peers import PeerMesh, PeerSettings
+from thornlatch.mesh import PeerMesh, PeerSettings
 
 WAIT_MS = 5000
 
