Take a holder's word that nothing changed as such

Cause: once a second, and from both relays, each host took all adapters of all targets anew (0.37 ms of 1.1 ms for a digest, micro-benchmark). Change: a word that is the same as the last one only renews its age. The quota looks at the two relays of a domain, not at all.

--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -288,11 +288,15 @@
     def _take_held(self, holder: str, held: HeldTarget, now: float) -> None:
         if self.state.peers.get_holder(held.target, now=now) != holder:
             return
+        is_settled = not any(one.is_queued or one.ready_in_s for one in held.adapters)
+        word = held.adapters if is_settled else None
+        if self.state.residents.confirm(held.target, word, now=now):
+            return
         residents = {
             one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
             for one in held.adapters
         }
-        self.state.residents.put(held.target, residents, now=now)
+        self.state.residents.put(held.target, residents, now=now, word=word)
 
     def _take_fleet(self, message: FleetDigest, now: float) -> None:
         for update in self.domain_view.take(message, now=now):
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -262,14 +262,15 @@
         self, name: str, stream: _Stream, spent: Mapping[str, int], now: float
     ) -> None:
         elapsed = now - stream.heard_at
+        others = [n for n, one in self.streams.items() if one.domain == stream.domain]
+        others.remove(name)
         for organisation, bucket in self.buckets.items():
             total = spent.get(organisation, 0)
             bucket.level += bucket.assumed.pop(name, 0.0)
             fresh: float = total - stream.counted.get(organisation, 0)
-            for other, one in self.streams.items():
-                if one.domain == stream.domain and other in bucket.assumed:
-                    # The relay before may have heard of more hosts than this one.
-                    fresh = max(fresh - bucket.assumed.pop(other), 0.0)
+            for other in others:
+                # The relay before may have heard of more hosts than this one.
+                fresh = max(fresh - bucket.assumed.pop(other, 0.0), min(fresh, 0.0))
             bucket.level = min(bucket.level - fresh, bucket.burst)
             if elapsed > 0:
                 change = total - stream.totals.get(organisation, 0)
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -35,11 +35,39 @@
         self.owned_at: dict[str, float] = {}
         self.formers: dict[str, set[str]] = {}
         self.noted: dict[str, dict[str, tuple[Resident, float]]] = {}
+        # What a holder said last, where nothing else was said of the target since.
+        self.words: dict[str, object] = {}
         self.revisions: dict[str, int] = {}
         # Adapter to the targets where it is, is coming or was.
         self.places: dict[str, set[str]] = {}
 
-    def put(self, target: str, residents: dict[str, Resident], *, now: float) -> None:
+    def confirm(self, target: str, word: object, *, now: float) -> bool:
+        """Return whether a target's holder says what it said before.
+
+        Parameters
+        ----------
+        target : str
+        word : object
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        with self.changed:
+            if word is None or self.words.get(target) != word:
+                return False
+            self.owned_at[target] = now
+            return True
+
+    def put(
+        self,
+        target: str,
+        residents: dict[str, Resident],
+        *,
+        now: float,
+        word: object = None,
+    ) -> None:
         """Take what a target's holder says of it.
 
         Parameters
@@ -47,6 +75,8 @@
         target : str
         residents : dict of str to Resident
         now : float
+        word : object
+            The same as the holder said it, if it holds until it says something else.
         """
         with self.changed:
             self.owned_at[target] = now
@@ -65,6 +95,8 @@
             }
             noted = {name: one for name, (one, _) in self.noted[target].items()}
             self._replace(target, {**residents, **noted})
+            if word is not None and not noted:
+                self.words[target] = word
 
     def note(
         self, target: str, adapter: str, resident: Resident, *, now: float
@@ -99,6 +131,7 @@
                 self._replace(target, residents)
 
     def _replace(self, target: str, residents: dict[str, Resident]) -> None:
+        self.words.pop(target, None)
         former = self.residents.get(target, {})
         changed = [
             name
@@ -125,6 +158,7 @@
             self.owned_at.pop(target, None)
             self.formers.pop(target, None)
             self.noted.pop(target, None)
+            self.words.pop(target, None)
             for targets in self.places.values():
                 targets.discard(target)
 
@@ -167,6 +201,7 @@
         with self.changed:
             former = self.residents.get(target, {})
             if adapter in former:
+                self.words.pop(target, None)
                 resident = Resident(former[adapter].version, until)
                 self.residents[target] = {**former, adapter: resident}
 
--- a/src/thornlatch/residency/tests/test_table.py
+++ b/src/thornlatch/residency/tests/test_table.py
@@ -44,3 +44,21 @@
     assert table.revisions["m/a"] == 2
     table.put("t", {"m/a": Resident(2, 12.0)}, now=12.0)
     assert table.get("t", "m/a") == Resident(2, 12.0)
+
+
+def test_word_is_confirmed_until_something_else_is_said():
+    table = ResidentTable()
+    assert not table.confirm("t", ("a",), now=10.0)
+    table.put("t", {"m/a": HERE}, now=10.0, word=("a",))
+    assert table.confirm("t", ("a",), now=11.0)
+    assert table.owned_at["t"] == 11.0
+    assert not table.confirm("t", ("a", "b"), now=11.0)
+    changes = (
+        lambda: table.note("t", "m/b", Resident(1, 12.3), now=12.0),
+        lambda: table.delay("t", "m/a", until=13.0),
+        lambda: table.remove("t"),
+    )
+    for change in changes:
+        table.put("t", {"m/a": HERE}, now=20.0, word=("a",))
+        change()
+        assert not table.confirm("t", ("a",), now=20.0)
