--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -75,6 +75,7 @@
 contactTimeoutMs = 3000
 drainTimeoutMs = 2000
 gracePeriodS = 8
+quotaWindowS = 8
 revokeTimeoutMs = 5000
 retryBudgetRatio = 0.2
 retryWindowS = 10
