--- a/src/thornlatch/story/_causes.py
+++ b/src/thornlatch/story/_causes.py
@@ -67,6 +67,14 @@
     if refusal is None:
         return None
     cause = f"{refusal.get('why')} over all hosts"
+    name = str(refusal.get("why", "")).partition(" ")[0]
+    changed = found.list_around("quota.limit_changed", organisation=name)
+    if changed:
+        line = changed[-1]
+        cause += (
+            f"; its limit was changed {found.get_age(line):.1f} s before, to"
+            f" {line.get('rate'):g} a second and a burst of {line.get('burst'):g}"
+        )
     lost = found.find_last("fleet.peers_changed")
     if lost is not None and lost.get("lost"):
         names = ", ".join(lost.get("lost"))
--- a/src/thornlatch/story/_story.py
+++ b/src/thornlatch/story/_story.py
@@ -18,6 +18,7 @@
         "host.started",
         "host.stopped",
         "host.stopping",
+        "quota.limit_changed",
         "residency.ordered",
         "store.lost",
         "store.regained",
--- a/src/thornlatch/story/tests/test_story.py
+++ b/src/thornlatch/story/tests/test_story.py
@@ -50,6 +50,15 @@
         ],
         "shop has used its quota over all hosts",
     ),
+    "quota-cut": (
+        [
+            at(97.5, "quota.limit_changed", organisation="shop", rate=50.0, burst=80.0),
+            refused("rate-exceeded", "shop has used its quota"),
+            ended("request.failed", "rate-exceeded"),
+        ],
+        "shop has used its quota over all hosts; its limit was changed 2.5 s before,"
+        " to 50 a second and a burst of 80",
+    ),
     "store-away": (
         [
             at(95.0, "store.lost", error="log-read: TimeoutError()"),
