Divide model loads among the hosts that may order them

Cause: the weight store's rate was divided by all hosts; where there are more hosts than partitions, those without one load nothing, so 24 of 66 parts at most were used, and 12 with few orderers. Change: the divisor is the smaller of hosts and partitions. Figures: test_model_loads_are_divided_among_the_hosts_that_may_order.

--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -256,7 +256,9 @@
             return
         engines = [one.engine for one in configuration.services.values() if one.engine]
         rate = min((engine.loads_per_s for engine in engines), default=1.0)
-        self.state.orders.model_loads.set_rate(rate / self.state.retries.hosts)
+        # However many hosts there are, a host without a partition loads nothing.
+        loading = min(self.state.retries.hosts, self.state.orders.partitions)
+        self.state.orders.model_loads.set_rate(rate / loading)
 
     def _build_digest(self, now: float) -> HostDigest:
         spent, levels = self.state.quota.get_spent(now=now)
