Hold nothing against a lower limit that was spent under a higher one

Cause: the window of an organisation whose limit is cut is full of what the higher limit allowed, so it would be refused for up to 8 s. The platform's rule counts a lower limit from a window later. Change: a limit that falls begins an empty window. Figures: test_organisation_whose_limit_is_cut_goes_on_at_the_lower_one fails before (nothing taken).

--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -188,6 +188,10 @@
             if bucket is None:
                 first = min(burst, one.rate * self.settings.first_fill_s)
                 bucket = self.buckets[one.name] = _Bucket(one.rate, burst, first)
+            window_s = self.settings.window_s
+            if one.rate * window_s + burst < bucket.rate * window_s + bucket.burst:
+                # What was spent under a higher limit isn't held against a lower one.
+                bucket.window = None
             bucket.rate, bucket.burst = one.rate, burst
             bucket.level = min(bucket.level, burst)
             self._fit_window(bucket)
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -227,6 +227,19 @@
     check_windows(spends, 3600.0)
 
 
+def test_organisation_whose_limit_is_cut_goes_on_at_the_lower_one():
+    """A window full of what a higher limit allowed would refuse it for 8 s."""
+    quota = build(rate=4000.0, burst=16_000.0, window_s=8.0)
+    for number in range(40):
+        quota.take("shop", 1000, now=10.0 + number / 10)
+    lower = organisation(RATE, 3600.0)
+    quota.set_organisations([lower], now=14.0)
+    spent = 0
+    for number in range(40):
+        spent += 100 * (quota.take("shop", 100, now=14.0 + number / 10) is None)
+    assert RATE * 4 <= spent <= RATE * 4 * 1.25 + 3600
+
+
 def test_refused_caller_is_told_when_the_window_has_room():
     quota = build(burst=4000.0, window_s=8.0)
     assert quota.take("shop", 1000, now=10.0) is None
