Judge the age of hosts' entries by each reader's own steady clock

Cause: entries of hosts were dropped when their writer's time of day was 60 s before the reader's. A time of day that jumps by a minute would hide all other hosts, and a host that knows of none uses the whole of each quota. Change: an entry is dropped 60 s after this host read its last renewal, not counting time in which it couldn't read; the host that reads for the others then removes it, so that later starters don't take it for silent. A host whose entry was removed writes it again.

--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -6,6 +6,7 @@
 import pytest
 
 from adapter._feeds import (
+    HOST_RENEWAL_S,
     HOST_TOPIC,
     OPERATOR_TOPIC,
     OPERATOR_WAIT_S,
@@ -16,6 +17,7 @@
     ServerFeed,
     TenureFeed,
 )
+from adapter._store import KeyedRecord
 from thornlatch.gateway import GatewaySettings, HostAddresses
 
 SETTINGS = GatewaySettings(HostAddresses("", "", "", "", "")).share
@@ -82,6 +84,77 @@
     assert goodbyes == [(HOST_TOPIC, None), ("targets", "edge-1")]
 
 
+def build_host_feed(monkeypatch):
+    """Return a feed of the hosts, what it writes and the clocks that it reads."""
+    clock = SimpleNamespace(now=100.0, wall=1e9)
+    monkeypatch.setattr("adapter._feeds.read_clock", lambda: clock.now)
+    monkeypatch.setattr("adapter._feeds.time.time", lambda: clock.wall)
+    gateway = build_gateway()
+    gateway.host = "edge-1.0"
+    gateway.settings = SimpleNamespace(
+        host=SimpleNamespace(
+            name="edge-1", peer_address="a:1", failure_domain="z", capacity=1.0
+        )
+    )
+    gateway.quota = SimpleNamespace(knows_peers=True)
+    gateway.fleet = SimpleNamespace(members={}, share=SimpleNamespace())
+    gateway.fleet.take_hosts = lambda hosts: setattr(gateway.fleet, "members", hosts)
+    gateway.fleet.share.must_read = lambda: True
+    written = []
+    client = SimpleNamespace(append=lambda topic, record: written.append(record))
+    return HostFeed(gateway, client), written, clock
+
+
+def tell_of_host(feed, name, wall=1e9):
+    entry = f'{{"id": "{name}.0", "address": "b:1", "written_s": {wall}}}'
+    feed.take(KeyedRecord(name, entry.encode()), 0.0)
+
+
+@pytest.mark.parametrize("step_s", [-7200.0, 7200.0])
+def test_time_of_day_that_jumps_hides_no_hosts(monkeypatch, step_s):
+    """A host that knows of no others would use the whole of each quota."""
+    feed, _, clock = build_host_feed(monkeypatch)
+    tell_of_host(feed, "edge-2")
+    clock.wall += step_s
+    feed.confirm(0.0)
+    tell_of_host(feed, "edge-3", wall=1e9 - step_s)
+    feed.confirm(0.0)
+    assert feed.gateway.fleet.members.keys() == {"edge-2.0", "edge-3.0"}
+
+
+def test_host_that_ended_without_a_goodbye_is_dropped_for_all(monkeypatch):
+    feed, written, clock = build_host_feed(monkeypatch)
+    tell_of_host(feed, "edge-2")
+    tell_of_host(feed, "edge-3")
+    for _ in range(5):
+        feed.confirm(0.0)
+        clock.now += 10.0
+    tell_of_host(feed, "edge-3")
+    feed.confirm(0.0)
+    assert feed.gateway.fleet.members.keys() == {"edge-2.0", "edge-3.0"}
+    clock.now += 11.0
+    feed.confirm(0.0)
+    assert feed.gateway.fleet.members.keys() == {"edge-3.0"}
+    assert written == [KeyedRecord("edge-2", None)]
+
+
+def test_hosts_that_an_outage_kept_from_renewing_are_not_dropped(monkeypatch):
+    feed, written, clock = build_host_feed(monkeypatch)
+    tell_of_host(feed, "edge-2")
+    feed.confirm(0.0)
+    clock.now += 100.0
+    feed.confirm(0.0)
+    assert feed.gateway.fleet.members.keys() == {"edge-2.0"}
+    assert not written
+
+
+def test_host_that_was_taken_for_gone_writes_itself_again(monkeypatch):
+    feed, _, clock = build_host_feed(monkeypatch)
+    feed.written_at = clock.now
+    feed.take(KeyedRecord("edge-1", None), 0.0)
+    assert clock.now - feed.written_at > HOST_RENEWAL_S
+
+
 def test_host_that_others_order_for_leaves_the_group_and_calls_nobody():
     """Seen on mandacaru-bolsas-grown: 66 hosts renewed themselves 83 times a second."""
     calls, orderers = [], iter([True, False, False])
