Keep the newest word of each sender in one piece

Cause: five places of the exchange of digests kept 'newest word by sender, and when it was heard' with the same check of sent_at (PeerView, DomainRelay, DomainChoice, DomainView twice). A relay also went through all digests once for each holder, and took the holders' news out of sums to add them again. Ruled out: one class for the sums, too; PeerView's and DomainView's have different inputs. Change: fleet/_newest.py, used by the five; DomainChoice takes DomainDigest alone; DomainRelay.list_uses goes through the digests once; add_up leaves holders' news out.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -8,8 +8,9 @@
 
 from thornlatch.core import register
 from thornlatch.fleet._decay import DecayingSum
+from thornlatch.fleet._newest import NewestWords
 
-SUM_PERIOD_S = 0.02  # between two sums over all peers, a fifth of a digest's period
+SUM_PERIOD_S = 0.02  # between two sums over all peers, less than a digest's period
 
 
 @dataclass(frozen=True)
@@ -161,12 +162,6 @@
     silent_s: Annotated[float, Meta(gt=0)] = 0.45
 
 
-@dataclass(frozen=True)
-class _Heard:
-    digest: HostDigest
-    heard_at: float
-
-
 class PeerView:
     """The newest digest of each peer; touched by the peer thread, read by all.
 
@@ -177,7 +172,7 @@
 
     def __init__(self, settings: PeerViewSettings) -> None:
         self.settings = settings
-        self.heard: dict[str, _Heard] = {}
+        self.digests: NewestWords[str, HostDigest] = NewestWords()
         self.live_at: dict[str, float] = {}
         self.held: dict[str, dict[str, tuple[HeldTarget, float]]] = {}
         self.running: dict[str, dict[str, int]] = {}
@@ -196,15 +191,14 @@
         digest : HostDigest
         now : float
         """
-        former = self.heard.get(host)
-        if former is not None and digest.sent_at <= former.digest.sent_at:
+        is_first = host not in self.digests.heard
+        if not self.digests.take(host, digest, now=now):
             return
-        self.heard = {**self.heard, host: _Heard(digest, now)}
         self.live_at = {**self.live_at, host: now}
         if digest.held is not None:
             news = {one.target: (one, now) for one in digest.held}
             self.held[host] = {**self.held.get(host, {}), **news}
-        if former is None or digest.held is not None or now >= self.sum_due_at:
+        if is_first or digest.held is not None or now >= self.sum_due_at:
             self.sum_due_at = now + SUM_PERIOD_S
             self._sum_up(now)
 
@@ -215,7 +209,7 @@
         ----------
         host : str
         """
-        self.heard = {name: one for name, one in self.heard.items() if name != host}
+        self.digests.keep(self.digests.heard.keys() - {host})
         self.live_at = {name: at for name, at in self.live_at.items() if name != host}
         self.held.pop(host, None)
 
@@ -339,19 +333,20 @@
         holders: dict[str, str] = {}
         prompts: dict[str, DecayingSum] = {}
         avoiding: Counter[str] = Counter()
-        for host, heard in self.heard.items():
+        for host, heard in self.digests.heard.items():
             if not self.is_live(host, now=now):
                 continue
-            for target, adapter, count in heard.digest.running:
+            digest = heard.word
+            for target, adapter, count in digest.running:
                 uses = running.setdefault(target, {})
                 uses[adapter] = uses.get(adapter, 0) + count
                 if adapter:
                     uses[""] = uses.get("", 0) + count
-            avoiding.update(heard.digest.avoided)
-            for target, sent in heard.digest.prompts.items():
+            avoiding.update(digest.avoided)
+            for target, sent in digest.prompts.items():
                 left = DecayingSum(sent, heard.heard_at).get(now=now)
                 prompts[target] = prompts.get(target, DecayingSum()).add(left, now=now)
-            for name in heard.digest.held_names:
+            for name in digest.held_names:
                 held = self.held.get(host, {}).get(name)
                 token = held[0].fencing_token if held else 0
                 if token >= tokens.get(name, -1):
--- a/src/thornlatch/fleet/_domain_choice.py
+++ b/src/thornlatch/fleet/_domain_choice.py
@@ -6,7 +6,8 @@
 
 from msgspec import Meta
 
-from thornlatch.fleet._domain_messages import DomainSpending, WorkSum
+from thornlatch.fleet._domain_messages import DomainDigest
+from thornlatch.fleet._newest import NewestWords
 
 
 @dataclass(frozen=True)
@@ -63,13 +64,6 @@
     capacity: float = 0.0
 
 
-@dataclass
-class _HeardSpending:
-    spending: DomainSpending
-    work: WorkSum
-    heard_at: float
-
-
 @dataclass
 class DomainChoice:
     """Chooses, of what relays say of each domain, the word that says most.
@@ -80,34 +74,28 @@
     """
 
     settings: ExchangeSettings
-    heard: dict[tuple[str, str], _HeardSpending] = field(default_factory=dict)
+    heard: NewestWords[tuple[str, str], DomainDigest] = field(
+        default_factory=NewestWords
+    )
     chosen: dict[str, str] = field(default_factory=dict)
 
-    def take(
-        self, spending: DomainSpending, work: WorkSum | None = None, *, now: float
-    ) -> bool:
+    def take(self, digest: DomainDigest, *, now: float) -> bool:
         """Take a relay's word; return whether it is newer than the one before.
 
         Parameters
         ----------
-        spending : DomainSpending
-        work : WorkSum or None
-            What came with it.
+        digest : DomainDigest
         now : float
 
         Returns
         -------
         bool
         """
-        key = (spending.domain, spending.relay)
-        former = self.heard.get(key)
-        if former is not None and spending.sent_at <= former.spending.sent_at:
-            return False
-        self.heard[key] = _HeardSpending(spending, work or WorkSum(), now)
-        return True
+        key = (digest.spending.domain, digest.spending.relay)
+        return self.heard.take(key, digest, now=now)
 
-    def choose(self, *, now: float) -> list[tuple[DomainSpending, WorkSum]]:
-        """Return the word of each domain to go by.
+    def choose(self, *, now: float) -> list[DomainDigest]:
+        """Return the word of each domain to go by; forget the silent ones.
 
         Parameters
         ----------
@@ -115,20 +103,20 @@
 
         Returns
         -------
-        list of (DomainSpending, WorkSum)
+        list of DomainDigest
         """
-        best: dict[str, _HeardSpending] = {}
-        for key, one in list(self.heard.items()):
-            if now - one.heard_at >= self.settings.silent_s:
-                del self.heard[key]
-                continue
-            known = best.get(one.spending.domain)
-            if known is None or self._rank(one.spending) > self._rank(known.spending):
-                best[one.spending.domain] = one
+        fresh = self.heard.list_fresh(now=now, silent_s=self.settings.silent_s)
+        self.heard.keep(fresh)
+        best: dict[str, DomainDigest] = {}
+        for (domain, _), digest in fresh.items():
+            known = best.get(domain)
+            if known is None or self._rank(digest) > self._rank(known):
+                best[domain] = digest
         self.chosen = {domain: one.spending.relay for domain, one in best.items()}
-        return [(one.spending, one.work) for one in best.values()]
+        return list(best.values())
 
-    def _rank(self, spending: DomainSpending) -> tuple[int, bool, bool, str]:
+    def _rank(self, digest: DomainDigest) -> tuple[int, bool, bool, str]:
+        spending = digest.spending
         is_former = self.chosen.get(spending.domain) == spending.relay
         return (len(spending.live), is_former, not spending.is_spare, spending.relay)
 
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -79,6 +79,11 @@
     spending: DomainSpending
     work: WorkSum
 
+    @property
+    def sent_at(self) -> float:
+        """Seconds of the relay's clock."""
+        return self.spending.sent_at
+
 
 @register
 @dataclass(frozen=True)
@@ -133,7 +138,7 @@
 
 
 def add_up(parts: Iterable[WorkSum]) -> WorkSum:
-    """Add up the work of several domains.
+    """Add up the work of several domains, but for what holders said that is new.
 
     Parameters
     ----------
@@ -152,8 +157,7 @@
         add_counts(part.prompts for part in parts),
         add_counts(part.avoided for part in parts),
         unite_broken(part.broken for part in parts),
-        tuple(entry for part in parts for entry in part.held),
-        holders,
+        held_names=holders,
     )
 
 
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -1,7 +1,7 @@
 """The sum of what the hosts of a failure domain say."""
 
 from collections import Counter
-from collections.abc import Iterable
+from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
 
 from thornlatch.fleet._digests import HeldTarget, HostDigest
@@ -14,12 +14,7 @@
     add_counts,
     unite_broken,
 )
-
-
-@dataclass
-class _Heard:
-    digest: HostDigest
-    heard_at: float
+from thornlatch.fleet._newest import NewestWords
 
 
 @dataclass
@@ -36,7 +31,7 @@
     domain: str
     host: str
     settings: ExchangeSettings
-    heard: dict[str, _Heard] = field(default_factory=dict)
+    digests: NewestWords[str, HostDigest] = field(default_factory=NewestWords)
     totals: dict[str, dict[str, int]] = field(default_factory=dict)
     spent: Counter[str] = field(default_factory=Counter)
     held: dict[str, tuple[str, HeldTarget]] = field(default_factory=dict)
@@ -52,12 +47,10 @@
         digest : HostDigest
         now : float
         """
-        former = self.heard.get(host)
-        if former is not None and digest.sent_at <= former.digest.sent_at:
+        if not self.digests.take(host, digest, now=now):
             return
         if self.began_at is None:
             self.began_at = now
-        self.heard[host] = _Heard(digest, now)
         known = self.totals.get(host)
         # What a host has spent before this one was a relay is known otherwise.
         is_settling = now - self.began_at < self.settings.silent_s
@@ -80,11 +73,7 @@
         -------
         dict of str to HostDigest
         """
-        return {
-            host: heard.digest
-            for host, heard in self.heard.items()
-            if now - heard.heard_at < self.settings.silent_s
-        }
+        return self.digests.list_fresh(now=now, silent_s=self.settings.silent_s)
 
     def build(self, *, is_spare: bool = False, now: float) -> DomainDigest:
         """Return the domain's digest; what was said of targets goes out once.
@@ -147,43 +136,44 @@
         """
         return {host: one.sent_at for host, one in self.list_live(now=now).items()}
 
-    def get_echo(self, host: str) -> float:
-        """Return when a host sent the digest of it that is counted.
-
-        Parameters
-        ----------
-        host : str
-
-        Returns
-        -------
-        float
-        """
-        heard = self.heard.get(host)
-        return heard.digest.sent_at if heard is not None else 0.0
-
-    def build_uses(
-        self, targets: Iterable[str], *, holder: str, now: float
-    ) -> TargetUses:
-        """Return the use of a holder's targets by adapter.
+    def list_uses(
+        self, holders: Mapping[str, str], *, now: float
+    ) -> dict[str, TargetUses]:
+        """Return the use of targets by adapter, for the hosts that order them.
 
         Parameters
         ----------
-        targets : iterable of str
-        holder : str
+        holders : mapping of str to str
+            Target to its holder.
         now : float
 
         Returns
         -------
-        TargetUses
+        dict of str to TargetUses
+            By holder.
         """
-        wanted = set(targets)
-        uses: Counter[tuple[str, str]] = Counter()
+        uses: dict[str, Counter[tuple[str, str]]] = {
+            holder: Counter() for holder in holders.values()
+        }
         for digest in self.list_live(now=now).values():
             for target, adapter, count in digest.running:
-                if target in wanted:
-                    uses[target, adapter] += count
-        rows = tuple((target, adapter, n) for (target, adapter), n in uses.items())
-        return TargetUses(self.domain, self.host, now, self.get_echo(holder), rows)
+                if target in holders:
+                    uses[holders[target]][target, adapter] += count
+        return {
+            holder: TargetUses(
+                self.domain,
+                self.host,
+                now,
+                self._get_echo(holder),
+                tuple((target, adapter, n) for (target, adapter), n in counts.items()),
+            )
+            for holder, counts in uses.items()
+        }
+
+    def _get_echo(self, host: str) -> float:
+        """Return when a host sent the digest of it that is counted."""
+        heard = self.digests.heard.get(host)
+        return heard.word.sent_at if heard is not None else 0.0
 
     def forget(self, known: Iterable[str]) -> None:
         """Forget hosts that aren't in the fleet any more.
@@ -193,6 +183,6 @@
         known : iterable of str
         """
         kept = {*known, self.host}
-        self.heard = {host: one for host, one in self.heard.items() if host in kept}
+        self.digests.keep(kept)
         self.totals = {host: one for host, one in self.totals.items() if host in kept}
         self.tokens = {key: one for key, one in self.tokens.items() if key[0] in kept}
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -7,11 +7,13 @@
 from thornlatch.fleet._digests import HostDigest, PeerView
 from thornlatch.fleet._domain_choice import DomainChoice, ExchangeSettings
 from thornlatch.fleet._domain_messages import (
+    DomainDigest,
     DomainSpending,
     FleetDigest,
     TargetUses,
     WorkSum,
 )
+from thornlatch.fleet._newest import NewestWords
 
 SENT_DIGESTS = 30  # own digests that are remembered; a relay echoes one of the last few
 
@@ -41,12 +43,6 @@
     is_used: bool
 
 
-@dataclass(frozen=True)
-class _Heard:
-    message: FleetDigest
-    heard_at: float
-
-
 class DomainView:
     """Takes relays' digests and shows their sums in a `PeerView`; for one thread.
 
@@ -66,9 +62,9 @@
         self.domain = domain
         self.choice = DomainChoice(settings)
         self.sent: OrderedDict[float, HostDigest] = OrderedDict()
-        self.heard: dict[str, _Heard] = {}
+        self.messages: NewestWords[str, FleetDigest] = NewestWords()
         self.relay = ""
-        self.uses: dict[tuple[str, str], TargetUses] = {}
+        self.uses: NewestWords[tuple[str, str], TargetUses] = NewestWords()
         self.broken: dict[str, tuple[str, ...]] = {}
 
     def note_sent(self, digest: HostDigest) -> None:
@@ -94,26 +90,25 @@
         -------
         list of DomainUpdate
         """
-        former = self.heard.get(message.relay)
-        if former is not None and message.sent_at <= former.message.sent_at:
+        if not self.messages.take(message.relay, message, now=now):
             return []
-        self.heard[message.relay] = _Heard(message, now)
-        fresh = [row for row in message.domains if self.choice.take(row, now=now)]
+        fresh = [
+            row
+            for row in message.domains
+            if self.choice.take(DomainDigest(row, WorkSum()), now=now)
+        ]
         self.choice.choose(now=now)
         self._take_held(message.work, now)
         if self._choose(now) is message:
             self._sum_up(message, now)
         return [self._describe(row, message) for row in fresh]
 
-    def _choose(self, now: float) -> FleetDigest | None:
+    def _choose(self, now: float) -> FleetDigest:
         """Return the message to go by: of the relay that hears of most hosts."""
         silent_s = self.choice.settings.silent_s
-        self.heard = {
-            relay: one
-            for relay, one in self.heard.items()
-            if now - one.heard_at < silent_s
-        }
-        chosen = max((one.message for one in self.heard.values()), key=self._rank)
+        fresh = self.messages.list_fresh(now=now, silent_s=silent_s)
+        self.messages.keep(fresh)
+        chosen = max(fresh.values(), key=self._rank)
         self.relay = chosen.relay
         return chosen
 
@@ -129,10 +124,7 @@
         message : TargetUses
         now : float
         """
-        key = (message.domain, message.relay)
-        former = self.uses.get(key)
-        if former is None or message.sent_at > former.sent_at:
-            self.uses[key] = message
+        self.uses.take((message.domain, message.relay), message, now=now)
 
     def _get_own(self, message: FleetDigest) -> HostDigest | None:
         """Return this host's digest that is counted in a relay's message."""
@@ -192,13 +184,13 @@
     def _count_uses(self, message: FleetDigest) -> Counter[tuple[str, str]]:
         """Return the other hosts' requests by target and adapter."""
         counts: Counter[tuple[str, str]] = Counter()
-        rows = {(row.domain, row.relay) for row in message.domains}
-        self.uses = {key: one for key, one in self.uses.items() if key in rows}
-        for (domain, _), uses in self.uses.items():
+        self.uses.keep({(row.domain, row.relay) for row in message.domains})
+        for heard in self.uses.heard.values():
+            uses = heard.word
             for target, adapter, count in uses.uses:
                 counts[target, adapter] += count
             own = self.sent.get(uses.echoed_at)
-            if domain == self.domain and own is not None:
+            if uses.domain == self.domain and own is not None:
                 targets = {target for target, _, _ in uses.uses}
                 for target, adapter, count in own.running:
                     if target in targets:
--- a/src/thornlatch/fleet/_domains.py
+++ b/src/thornlatch/fleet/_domains.py
@@ -16,12 +16,7 @@
     Member,
     choose_first,
 )
-from thornlatch.fleet._domain_messages import (
-    DomainDigest,
-    FleetDigest,
-    WorkSum,
-    add_up,
-)
+from thornlatch.fleet._domain_messages import DomainDigest, FleetDigest, add_up
 from thornlatch.fleet._domain_relay import DomainRelay
 
 
@@ -129,11 +124,11 @@
         return False
 
     def _take_domain(self, message: DomainDigest, now: float) -> None:
-        spending, work = message.spending, message.work
-        if spending.domain == self.domain:
+        if message.spending.domain == self.domain:
             return
-        if self.choice.take(spending, work, now=now):
-            self.pending.update({held.target: (h, held) for h, held in work.held})
+        if self.choice.take(message, now=now):
+            held = message.work.held
+            self.pending.update({one.target: (holder, one) for holder, one in held})
 
     def run_turn(
         self, digest: HostDigest, *, now: float
@@ -190,11 +185,8 @@
         message = self._build_fleet_digest(own, digest.reads, now)
         outgoing += [(host, message) for host in served]
         to_self: list[Any] = [message]
-        by_holder: dict[str, list[str]] = {}
-        for target, holder in message.work.held_names.items():
-            by_holder.setdefault(holder, []).append(target)
-        for holder, targets in by_holder.items():
-            uses = self.relay.build_uses(targets, holder=holder, now=now)
+        by_holder = self.relay.list_uses(message.work.held_names, now=now)
+        for holder, uses in by_holder.items():
             if holder == self.host:
                 to_self.append(uses)
             elif holder in self.members:
@@ -204,15 +196,15 @@
     def _build_fleet_digest(
         self, own: DomainDigest, reads: dict[str, tuple[int, float]], now: float
     ) -> FleetDigest:
-        chosen = self.choice.choose(now=now)
-        parts = [own.work, *(replace(work, held=()) for _, work in chosen)]
-        parts.append(WorkSum(held=tuple(self.pending.values())))
+        digests = [own, *self.choice.choose(now=now)]
+        work = add_up(one.work for one in digests)
+        held = (*own.work.held, *self.pending.values())
         self.pending = {}
         return FleetDigest(
             self.host,
             now,
-            (own.spending, *(spending for spending, _ in chosen)),
-            add_up(parts),
+            tuple(one.spending for one in digests),
+            replace(work, held=held),
             self.relay.list_echoes(now=now),
             reads,
         )
