Say once what a window holds and how rates are smoothed

Cause: SharedQuota had the sum of a window three times, the smoothing of a rate and the start from a told level twice each, and burst_ratio beside is_large, from which it follows. Change: _sum_window, _smooth and _Bucket.begin; the ratio is worked out where it is used. No behaviour changed.

--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -7,6 +7,7 @@
 any partition without a holder that could fail.
 """
 
+import math
 import threading
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field
@@ -94,13 +95,18 @@
     window: SpendWindow | None = None
     refill: float = 0.0
 
+    @property
+    def window_room(self) -> float:
+        """Tokens that the present window may still hold."""
+        if self.window is None:
+            return math.inf
+        limit = _sum_window(self.rate, self.burst, self.window.window_s)
+        return limit - self.window.total
+
     @property
     def room(self) -> float:
         """Tokens that may be spent now."""
-        if self.window is None:
-            return self.level
-        limit = self.rate * self.window.window_s + self.burst
-        return min(self.level, limit - self.window.total)
+        return min(self.level, self.window_room)
 
     def charge(self, tokens: float, now: float) -> None:
         """Count tokens as spent."""
@@ -117,14 +123,26 @@
     def get_wait_s(self, tokens: float, now: float) -> float:
         """Return the seconds until so many tokens may be spent."""
         wait_s = max(tokens - self.level, 0.0) / self.refill
-        if self.window is None:
-            return wait_s
-        limit = self.rate * self.window.window_s + self.burst
-        missing = tokens - (limit - self.window.total)
-        if missing <= 0:
+        missing = tokens - self.window_room
+        if self.window is None or missing <= 0:
             return wait_s
         return max(wait_s, self.window.get_wait_s(missing, now=now))
 
+    def begin(self, told: float) -> None:
+        """Take over what a host knows that was there before."""
+        # What was spent before this host's start stands in the level.
+        self.level = min(self.level, told - self.spent)
+
+
+def _sum_window(rate: float, burst: float, window_s: float) -> float:
+    """Return the tokens that a window may hold."""
+    return rate * window_s + burst
+
+
+def _smooth(rates: dict[str, float], name: str, newest: float) -> None:
+    former = rates.get(name, 0.0)
+    rates[name] = former + RATE_SMOOTHING * (newest - former)
+
 
 class SharedQuota:
     """Decides whether an organisation may spend tokens now; safe for threads.
@@ -141,7 +159,6 @@
         self.started_at = now
         self.knows_peers = False
         self.silent_s = settings.silent_s
-        self.burst_ratio = 1.0
         self.is_large = False
         self.organisations: tuple[Organisation, ...] = ()
         self.advanced_at = now
@@ -178,18 +195,19 @@
         with self.lock:
             self._advance(now)
             self.is_large = is_large
-            self.burst_ratio = self.settings.large_fleet_ratio if is_large else 1.0
             self._fit_buckets()
 
     def _fit_buckets(self) -> None:
+        ratio = self.settings.large_fleet_ratio if self.is_large else 1.0
+        window_s = self.settings.window_s
         for one in self.organisations:
-            burst = one.burst * self.burst_ratio
+            burst = one.burst * ratio
             bucket = self.buckets.get(one.name)
             if bucket is None:
                 first = min(burst, one.rate * self.settings.first_fill_s)
                 bucket = self.buckets[one.name] = _Bucket(one.rate, burst, first)
-            window_s = self.settings.window_s
-            if one.rate * window_s + burst < bucket.rate * window_s + bucket.burst:
+            former = _sum_window(bucket.rate, bucket.burst, window_s)
+            if _sum_window(one.rate, burst, window_s) < former:
                 # What was spent under a higher limit isn't held against a lower one.
                 bucket.window = None
             bucket.rate, bucket.burst = one.rate, burst
@@ -252,9 +270,7 @@
                 total = spent.get(name, 0)
                 bucket.give_back(bucket.assumed.pop(host, 0.0), now, since=heard_at)
                 if name not in totals and is_settling:
-                    # What was spent before this host's start stands in the level.
-                    level = levels.get(name, bucket.burst) - bucket.spent
-                    bucket.level = min(bucket.level, level)
+                    bucket.begin(levels.get(name, bucket.burst))
                 else:
                     fresh = total - totals.get(name, 0)
                     if name not in totals:
@@ -262,9 +278,7 @@
                         fresh = min(fresh, int(bucket.burst))
                     bucket.charge(fresh, now)
                     if peer is not None and now > peer.heard_at:
-                        rate = fresh / (now - peer.heard_at)
-                        former = peer.rates.get(name, 0.0)
-                        peer.rates[name] = former + RATE_SMOOTHING * (rate - former)
+                        _smooth(peer.rates, name, fresh / (now - peer.heard_at))
                 totals[name] = total
             if peer is not None:
                 peer.heard_at = now
@@ -318,9 +332,7 @@
         if now - self.started_at >= self.settings.settle_s:
             return
         for organisation, bucket in self.buckets.items():
-            # What was spent before this host's start stands in the level.
-            level = levels.get(organisation, bucket.burst) - bucket.spent
-            bucket.level = min(bucket.level, level)
+            bucket.begin(levels.get(organisation, bucket.burst))
 
     def _take_off(
         self, name: str, stream: _Stream, spent: Mapping[str, int], now: float
@@ -339,9 +351,7 @@
             bucket.charge(fresh, now)
             if elapsed > 0:
                 change = total - stream.totals.get(organisation, 0)
-                former = stream.rates.get(organisation, 0.0)
-                rate = max(change, 0) / elapsed
-                stream.rates[organisation] = former + RATE_SMOOTHING * (rate - former)
+                _smooth(stream.rates, organisation, max(change, 0) / elapsed)
 
     def _note_counted(self, domain: str) -> None:
         """Note that a domain's spending is taken off up to now."""
