Keep sums of prompts by target in one piece

Cause: PeerView and WorkTable each added to and read a dict of decaying sums. Change: fleet.DecayingSums, used by both and by DomainView. No behaviour changed.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -1,6 +1,6 @@
 """Targets that registered themselves, and what the hosts tell each other."""
 
-from thornlatch.fleet._decay import DecayingSum, count_until_decayed
+from thornlatch.fleet._decay import DecayingSum, DecayingSums, count_until_decayed
 from thornlatch.fleet._digests import (
     HeldTarget,
     HostDigest,
@@ -29,6 +29,7 @@
 
 __all__ = [
     "DecayingSum",
+    "DecayingSums",
     "DomainDigest",
     "DomainExchange",
     "DomainSpending",
--- a/src/thornlatch/fleet/_decay.py
+++ b/src/thornlatch/fleet/_decay.py
@@ -1,6 +1,7 @@
 """Sums in which older amounts count less."""
 
 import math
+from collections.abc import Iterable
 from dataclasses import dataclass
 
 DECAY_S = 0.3  # the pause that streams may make: what was read before delays none now
@@ -47,6 +48,59 @@
         return self.value * math.exp(-max(now - self.at, 0.0) / DECAY_S)
 
 
+class DecayingSums:
+    """Sums by name; the owner sees to it that one thread at a time changes them.
+
+    Parameters
+    ----------
+    sums : iterable of (str, DecayingSum)
+    """
+
+    def __init__(self, sums: Iterable[tuple[str, DecayingSum]] = ()) -> None:
+        self.sums = dict(sums)
+
+    def add(self, name: str, amount: float, *, now: float) -> None:
+        """Add an amount to a sum.
+
+        Parameters
+        ----------
+        name : str
+        amount, now : float
+        """
+        self.sums[name] = self.sums.get(name, DecayingSum()).add(amount, now=now)
+
+    def get(self, name: str, *, now: float) -> float:
+        """Return what a sum is worth now.
+
+        Parameters
+        ----------
+        name : str
+        now : float
+
+        Returns
+        -------
+        float
+            0 if nothing was added.
+        """
+        one = self.sums.get(name)
+        return one.get(now=now) if one is not None else 0.0
+
+    def list_whole(self, *, now: float) -> dict[str, int]:
+        """Return the sums in whole numbers; drop those that are worth less than one.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        dict of str to int
+        """
+        whole = {name: int(one.get(now=now)) for name, one in self.sums.items()}
+        self.sums = {name: one for name, one in self.sums.items() if whole[name]}
+        return {name: amount for name, amount in whole.items() if amount}
+
+
 def count_until_decayed(value: float, limit: float) -> float:
     """Return the seconds until a sum has fallen to a limit.
 
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -7,7 +7,7 @@
 from msgspec import Meta
 
 from thornlatch.core import register
-from thornlatch.fleet._decay import DecayingSum
+from thornlatch.fleet._decay import DecayingSum, DecayingSums
 from thornlatch.fleet._newest import NewestWords
 
 SUM_PERIOD_S = 0.02  # between two sums over all peers, less than a digest's period
@@ -177,7 +177,7 @@
         self.held: dict[str, dict[str, tuple[HeldTarget, float]]] = {}
         self.running: dict[str, dict[str, int]] = {}
         self.holders: dict[str, str] = {}
-        self.prompts: dict[str, DecayingSum] = {}
+        self.prompts = DecayingSums()
         self.avoiding: Counter[str] = Counter()
         self.sum_due_at = float("-inf")
         self.silent_s = settings.silent_s
@@ -283,8 +283,7 @@
         float
             The older a prompt, the less it counts.
         """
-        prompts = self.prompts.get(target)
-        return prompts.get(now=now) if prompts is not None else 0.0
+        return self.prompts.get(target, now=now)
 
     def count_avoiding(self, target: str) -> int:
         """Return how many peers a target failed lately.
@@ -331,7 +330,7 @@
         running: dict[str, dict[str, int]] = {}
         tokens: dict[str, int] = {}
         holders: dict[str, str] = {}
-        prompts: dict[str, DecayingSum] = {}
+        prompts = DecayingSums()
         avoiding: Counter[str] = Counter()
         for host, heard in self.digests.heard.items():
             if not self.is_live(host, now=now):
@@ -345,7 +344,7 @@
             avoiding.update(digest.avoided)
             for target, sent in digest.prompts.items():
                 left = DecayingSum(sent, heard.heard_at).get(now=now)
-                prompts[target] = prompts.get(target, DecayingSum()).add(left, now=now)
+                prompts.add(target, left, now=now)
             for name in digest.held_names:
                 held = self.held.get(host, {}).get(name)
                 token = held[0].fencing_token if held else 0
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -3,7 +3,7 @@
 from collections import Counter, OrderedDict
 from dataclasses import dataclass
 
-from thornlatch.fleet._decay import DecayingSum
+from thornlatch.fleet._decay import DecayingSum, DecayingSums
 from thornlatch.fleet._digests import HostDigest, PeerView
 from thornlatch.fleet._domain_choice import DomainChoice, ExchangeSettings
 from thornlatch.fleet._domain_messages import (
@@ -175,7 +175,10 @@
             live.update(dict.fromkeys(row.live, now))
         live.pop(self.host, None)
         peers.running = running
-        peers.prompts = {t: DecayingSum(max(n, 0), now) for t, n in prompts.items()}
+        peers.prompts = DecayingSums(
+            (target, DecayingSum(max(tokens, 0), now))
+            for target, tokens in prompts.items()
+        )
         peers.avoiding = avoiding
         peers.holders = {t: h for t, h in work.held_names.items() if h != self.host}
         peers.live_at = live
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -5,7 +5,7 @@
 from dataclasses import dataclass, field
 
 from thornlatch.exceptions import ErrorKind
-from thornlatch.fleet import DecayingSum
+from thornlatch.fleet import DecayingSums
 
 
 @dataclass(eq=False)
@@ -89,7 +89,7 @@
         self.lock = threading.Lock()
         self.counts: dict[tuple[str, str], int] = {}
         self.totals: dict[str, int] = {}
-        self.prompts: dict[str, DecayingSum] = {}
+        self.prompts = DecayingSums()
         self.running: set[Running] = set()
 
     def add(self, running: Running) -> None:
@@ -133,8 +133,7 @@
             self.counts[key] = self.counts.get(key, 0) + 1
             self.totals[target] = self.totals.get(target, 0) + 1
             if prompt_tokens:
-                former = self.prompts.get(target, DecayingSum())
-                self.prompts[target] = former.add(prompt_tokens, now=now)
+                self.prompts.add(target, prompt_tokens, now=now)
         return TargetUse(target, adapter)
 
     def end(self, use: TargetUse) -> None:
@@ -170,8 +169,7 @@
         float
             The older a prompt, the less it counts.
         """
-        prompts = self.prompts.get(target)
-        return prompts.get(now=now) if prompts is not None else 0.0
+        return self.prompts.get(target, now=now)
 
     def list_prompts(self, *, now: float) -> dict[str, int]:
         """Return prompt tokens sent lately by target, as digests carry them.
@@ -185,9 +183,7 @@
         dict of str to int
         """
         with self.lock:
-            sums = {t: int(one.get(now=now)) for t, one in self.prompts.items()}
-            self.prompts = {t: one for t, one in self.prompts.items() if sums[t]}
-        return {target: tokens for target, tokens in sums.items() if tokens}
+            return self.prompts.list_whole(now=now)
 
     def get_total(self, target: str) -> int:
         """Return the requests of this host at a target.
