Call one piece where the gateway had the same logic twice

Change: FleetLink.has_standbys and _list_silent, residency.build_residents, ConfigurationInForce.known_at, Evidence.find_silent; the rest inline, by name or gone. A fake in test_feeds names has_standbys in place of the numbers that it was worked out from; no assertion changed.

--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -26,7 +26,7 @@
 from thornlatch.gateway._topic_share import TopicShare
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
-from thornlatch.residency import Resident, ResidentTable, Tenure
+from thornlatch.residency import ResidentTable, Tenure, build_residents
 from thornlatch.routing import ConfigurationInForce
 
 logger = logbook.Logger("thornlatch.gateway")
@@ -135,6 +135,11 @@
         """The other hosts by id, live or not."""
         return self.loop.members
 
+    @property
+    def has_standbys(self) -> bool:
+        """Whether there are more hosts than partitions, so that some hold none."""
+        return len(self.members) + 1 > self.state.orders.partitions
+
     def send(self, host: str, message: object) -> None:
         """Send a message to another host soon; it may be lost.
 
@@ -177,14 +182,11 @@
         -------
         bool
         """
-        members = list(self.members)
-        if len(members) < self.state.orders.partitions:
+        if not self.has_standbys:
             return True
         silent: list[str] = []
         if now - self.started_at >= PEERS_KNOWN_S:
-            silent = [
-                host for host in members if not self.state.peers.is_live(host, now=now)
-            ]
+            silent = self._list_silent(now)
         return self.exchange.is_orderer(
             silent, orders_now=bool(self.state.tenure.tokens)
         )
@@ -200,8 +202,12 @@
         -------
         bool
         """
-        members = list(self.members)
-        return any(not self.state.peers.is_live(host, now=now) for host in members)
+        return bool(self._list_silent(now))
+
+    def _list_silent(self, now: float) -> list[str]:
+        """Return the known hosts that aren't heard of."""
+        is_live = self.state.peers.is_live
+        return [host for host in list(self.members) if not is_live(host, now=now)]
 
     def take_store_members(self, names: frozenset[str], *, asked_at: float) -> None:
         """Stop setting aside a part for hosts that can't serve any more.
@@ -215,15 +221,13 @@
             Names of the hosts that the store's group holds.
         asked_at : float
         """
-        members = list(self.members)
-        if len(members) + 1 > self.state.orders.partitions:
+        if self.has_standbys:
             # Members of the group without a partition aren't listed.
             return
         missing = {
             host
-            for host in members
+            for host in self._list_silent(asked_at)
             if get_host_name(host) not in names
-            and not self.state.peers.is_live(host, now=asked_at)
         }
         self.missing_since = {
             host: self.missing_since.get(host, asked_at) for host in missing
@@ -234,7 +238,7 @@
         if absent != self.absent:
             self.absent = absent
             logger.info("fleet.hosts_absent", extra={"hosts": sorted(absent)})
-            self._share_among(members, asked_at)
+            self._share_among(list(self.members), asked_at)
 
     def _share_among(self, others: Iterable[str], now: float) -> None:
         """Divide what all hosts together may use."""
@@ -294,10 +298,7 @@
         word = held.adapters if is_settled else None
         if self.state.residents.confirm(held.target, word, now=now):
             return
-        residents = {
-            one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
-            for one in held.adapters
-        }
+        residents = build_residents(held.adapters, now=now)
         self.state.residents.put(held.target, residents, now=now, word=word)
 
     def _take_fleet(self, message: FleetDigest, now: float) -> None:
@@ -337,6 +338,6 @@
             self.state.orders.ask(message, now=now, asker=asker)
 
     def _take_load_expected(self, message: LoadExpected, now: float) -> None:
-        one = message.adapter
-        resident = Resident(one.version, now + one.ready_in_s, one.is_queued)
-        self.state.residents.note(message.target, one.name, resident, now=now)
+        told = build_residents([message.adapter], now=now)
+        for adapter, resident in told.items():
+            self.state.residents.note(message.target, adapter, resident, now=now)
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -119,7 +119,9 @@
             except TargetError as error:
                 self._note_failure(call, option, error)
                 continue
-            self._note_alive(option, opened.sent_at)
+            self.suspects.note_answered(
+                option.target, sent_at=opened.sent_at, now=read_clock()
+            )
             call.status = opened.head.status
             if not self._should_repeat(call, opened):
                 return opened
@@ -277,9 +279,6 @@
             },
         )
 
-    def _note_alive(self, option: Option, sent_at: float) -> None:
-        self.suspects.note_answered(option.target, sent_at=sent_at, now=read_clock())
-
     def _note_first(self, call: Call) -> None:
         now = read_clock()
         call.note_passed(now)
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -27,10 +27,10 @@
     HolderSettings,
     NumberedOrder,
     OrderOutcome,
-    Resident,
     ResidentTable,
     TargetHolder,
     Tenure,
+    build_residents,
 )
 from thornlatch.routing import ConfigurationInForce, EngineLimits
 
@@ -508,10 +508,8 @@
         now : float
         """
         with held.lock:
-            residents = {
-                one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
-                for one in held.holder.get_residents(now=now)
-            }
+            told = held.holder.get_residents(now=now)
+        residents = build_residents(told, now=now)
         self.residents.put(held.target.id, residents, now=now)
         self._note_changed(held.target.id)
         self.announce()
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -88,7 +88,7 @@
             breaks.append(_Break(target, now, len(former)))
             while len(self.breaks) > self.settings.size:
                 self.breaks.popitem(last=False)
-            self._list_doubted()
+            self._set_doubted()
 
     def note_answered(self, target: Target, *, sent_at: float, now: float) -> None:
         """Note that a target answered, which it doesn't when it has crashed.
@@ -159,7 +159,7 @@
                     self.breaks[fingerprint] = kept
                 else:
                     del self.breaks[fingerprint]
-            self._list_doubted()
+            self._set_doubted()
             return {
                 fingerprint: tuple(one.get_name() for one in breaks)
                 for fingerprint, breaks in self.breaks.items()
@@ -180,7 +180,7 @@
             and known.incarnation == one.target.incarnation
         )
 
-    def _list_doubted(self) -> None:
+    def _set_doubted(self) -> None:
         self.doubted = frozenset(
             one.target.incarnation
             for breaks in self.breaks.values()
--- a/src/thornlatch/residency/__init__.py
+++ b/src/thornlatch/residency/__init__.py
@@ -15,7 +15,7 @@
     TargetLoad,
     advise_copy,
 )
-from thornlatch.residency._table import Resident, ResidentTable
+from thornlatch.residency._table import Resident, ResidentTable, build_residents
 from thornlatch.residency._tenure import Tenure, TenureSettings
 from thornlatch.residency._versions import AdapterVersions, VersionSettings
 
@@ -39,4 +39,5 @@
     "UnloadAdapter",
     "VersionSettings",
     "advise_copy",
+    "build_residents",
 ]
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -1,8 +1,11 @@
 """Which adapters sit where, from holders' digests and targets' registrations."""
 
 import threading
+from collections.abc import Iterable
 from dataclasses import dataclass
 
+from thornlatch.fleet import ResidentAdapter
+
 NOTED_S = 0.7  # until a holder's word to this host alone stands in its digests, too
 OWNED_S = 3.0  # a holder repeats what it knows at least once a second
 
@@ -26,6 +29,27 @@
     is_queued: bool = False
 
 
+def build_residents(
+    told: Iterable[ResidentAdapter], *, now: float
+) -> dict[str, Resident]:
+    """Return what a holder says of adapters, by this host's clock.
+
+    Parameters
+    ----------
+    told : iterable of ResidentAdapter
+    now : float
+        When the holder said it.
+
+    Returns
+    -------
+    dict of str to Resident
+    """
+    return {
+        one.name: Resident(one.version, now + one.ready_in_s, one.is_queued)
+        for one in told
+    }
+
+
 class ResidentTable:
     """Adapters by target, with a condition to wait for changes; safe for threads."""
 
--- a/src/thornlatch/routing/_in_force.py
+++ b/src/thornlatch/routing/_in_force.py
@@ -68,6 +68,11 @@
         published = self.published
         return published.table if published else None
 
+    @property
+    def known_at(self) -> float:
+        """When both the configuration and this host were last confirmed."""
+        return min(self.confirmed_at, self.renewed_at)
+
     def install(self, configuration: Configuration) -> bool:
         """Bring a version into force unless it is older than the present one.
 
@@ -120,8 +125,7 @@
         -------
         bool
         """
-        known_at = min(self.confirmed_at, self.renewed_at)
-        return now - known_at < self.settings.limit_s
+        return now - self.known_at < self.settings.limit_s
 
     def is_fresh_for_long(self, *, now: float) -> bool:
         """Return whether callers who come now can still be served.
@@ -136,4 +140,4 @@
         bool
         """
         limit_s = self.settings.limit_s * self.settings.ready_ratio
-        return now - min(self.confirmed_at, self.renewed_at) < limit_s
+        return now - self.known_at < limit_s
--- a/src/thornlatch/story/_causes.py
+++ b/src/thornlatch/story/_causes.py
@@ -46,15 +46,18 @@
             and all(line.get(name, None) == value for name, value in fields.items())
         ]
 
-    def find_last(self, event: str, *, on_host: bool = True) -> LogLine | None:
-        """Return the last line of an event before the request's end."""
-        lines = [
-            line
-            for line in self.list_around(event)
-            if not on_host or line.host == self.host
-        ]
+    def find_last(self, event: str) -> LogLine | None:
+        """Return the host's last line of an event before the request's end."""
+        lines = [line for line in self.list_around(event) if line.host == self.host]
         return lines[-1] if lines else None
 
+    def find_silent(self) -> tuple[str, float] | None:
+        """Return the peers that the host lost last, and how long ago."""
+        line = self.find_last("fleet.peers_changed")
+        if line is None or not line.get("lost"):
+            return None
+        return ", ".join(line.get("lost")), self.get_age(line)
+
     def get_age(self, line: LogLine) -> float:
         """Return the seconds from a line to the request's end."""
         end = self.end or self.own[-1]
@@ -75,11 +78,11 @@
             f"; its limit was changed {found.get_age(line):.1f} s before, to"
             f" {line.get('rate'):g} a second and a burst of {line.get('burst'):g}"
         )
-    lost = found.find_last("fleet.peers_changed")
-    if lost is not None and lost.get("lost"):
-        names = ", ".join(lost.get("lost"))
+    silent = found.find_silent()
+    if silent is not None:
+        names, age_s = silent
         cause += (
-            f"; {names} fell silent {found.get_age(lost):.1f} s before, and what"
+            f"; {names} fell silent {age_s:.1f} s before, and what"
             " they may have spent is set aside"
         )
     return cause
@@ -179,11 +182,10 @@
         name = str(adapter).rpartition("/")[2]
         if found.list_around("residency.ordered", target=target, adapter=name):
             return None
-    lost = found.find_last("fleet.peers_changed")
+    silent = found.find_silent()
     cause = f"nobody ordered {asked[-1].get('adapter')} at any target that was asked"
-    if lost is not None and lost.get("lost"):
-        names = ", ".join(lost.get("lost"))
-        age_s = found.get_age(lost)
+    if silent is not None:
+        names, age_s = silent
         cause += f": {names}, which may hold them, fell silent {age_s:.1f} s before"
     return cause
 
@@ -197,14 +199,10 @@
     target = last.get("target")
     cause = f"{target} failed it: {last.get('error')}"
     gone = found.list_around("target.changed", target=target, gone=True)
-    others = {
-        line.get("target")
-        for line in found.list_around("request.send_failed")
-        if line.get("target") == target and line not in failed
-    }
+    failures = found.list_around("request.send_failed", target=target)
     if gone:
         cause += "; its registration lapsed: it crashed or was cut off"
-    elif others:
+    elif any(line not in failed for line in failures):
         cause += "; other requests there failed, too"
     if last.get("may_have_run"):
         cause += "; it may have run there and can't be repeated"
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -165,11 +165,10 @@
     gateway.quota = SimpleNamespace(knows_peers=True)
     gateway.stand_by = lambda *, now: calls.append("stands by")
     gateway.fleet = SimpleNamespace(
-        members={},
+        has_standbys=False,
         is_orderer=lambda *, now: next(orderers),
         has_silent_peers=lambda *, now: False,
     )
-    gateway.orders = SimpleNamespace(partitions=24)
     gateway.renew_tenure = lambda *_, asked_at: None
 
     def join(*_, **__):
