Reserve test ports machine-wide; decide the stalled log reader on events

Cause: tests/fleet.py and tests/platform/hosts.py computed port ranges from the xdist worker's number on their own, so gw0's hosts and gw1's daemons shared 21000 to 21600, and two suites or a soak beside a suite shared everything. A host that is down between a kill and its restart then lost its port.

The log test fills the pipe first and waits until the writer's thread has taken a line, so the counts of queued and dropped lines are exact (before: more than 1,000 dropped).

--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -260,20 +260,37 @@
 
 
 def test_reader_that_stops_reading_delays_nobody(pipe):
-    _, writer = pipe
+    reader, writer = pipe
     settings = LogSettings(lines_per_s=1e6, routine_ratio=1.0, queue_lines=100)
     log = JsonLineHandler(settings, host="h", descriptor=writer)
-    os.set_blocking(writer, True)
-    # The pipe holds 64 KiB; then the writer's thread blocks.
+    filling = fill_pipe(writer)
     thread = threading.Thread(target=log.run, daemon=True)
     thread.start()
+    write_lines(log, "request.failed", 1)
+    while log.lines:
+        thread.join(0.01)
+    # The writer's thread has taken the line and can't write it to the full pipe.
     write_lines(log, "request.failed", 5000)
-    assert log.left_out["request.failed"] > 1000
-    assert len(log.lines) <= settings.queue_lines
+    assert log.left_out["request.failed"] == 5000 - settings.queue_lines
+    assert len(log.lines) == settings.queue_lines
     assert thread.is_alive()
     log.close()
-    os.set_blocking(pipe[0], False)
-    while thread.is_alive():
-        with contextlib.suppress(BlockingIOError):
-            os.read(pipe[0], 1 << 16)
-        thread.join(0.01)
+    data = b""
+    while data.count(b"lines_left_out") == 0:
+        data += os.read(reader, 1 << 16)
+    thread.join(20)
+    assert not thread.is_alive()
+    lines = [json.loads(line) for line in data[filling:].splitlines()]
+    assert len(lines) == 1 + settings.queue_lines + 1
+    assert lines[-1]["counts"] == {"request.failed": 5000 - settings.queue_lines}
+
+
+def fill_pipe(writer):
+    """Fill a pipe and return the number of bytes."""
+    os.set_blocking(writer, False)
+    written = 0
+    with contextlib.suppress(BlockingIOError):
+        while True:
+            written += os.write(writer, b"." * 4096)
+    os.set_blocking(writer, True)
+    return written
--- a/tests/fleet.py
+++ b/tests/fleet.py
@@ -13,9 +13,9 @@
 from pathlib import Path
 from typing import Any
 
+from tests.ports import ports
+
 ROOT = Path(__file__).parent.parent
-PORTS_PER_WORKER = 1000
-FIRST_PORT = 20_000
 READY_TIMEOUT_S = 30.0
 
 
@@ -41,28 +41,6 @@
     )
 
 
-class PortAllocator:
-    """Allocates free ports from a range that no fleet of another worker uses."""
-
-    def __init__(self) -> None:
-        worker = os.environ.get("PYTEST_XDIST_WORKER", "gw0").removeprefix("gw")
-        self.next_port = FIRST_PORT + PORTS_PER_WORKER * int(worker)
-
-    def allocate(self) -> int:
-        while True:
-            self.next_port += 1
-            with socket.socket() as probe:
-                probe.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-                try:
-                    probe.bind(("127.0.0.1", self.next_port))
-                except OSError:
-                    continue
-            return self.next_port
-
-
-ports = PortAllocator()
-
-
 @dataclass(frozen=True)
 class HttpResult:
     """Status, headers and body of an HTTP response."""
--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -1,39 +1,19 @@
 """Gateway processes for tests, on free ports of the loopback interface."""
 
 import http.client
-import itertools
 import json
 import os
 import signal
-import socket
 import subprocess
 import sys
 import time
 from pathlib import Path
 
+from tests.ports import ports
+
 ROOT = Path(__file__).resolve().parent.parent.parent
 TIMEOUT_S = 20.0
 PORTS_PER_HOST = 4  # callers, readiness, peers, metrics
-# Below the ephemeral ports, with a separate block for each worker of pytest-xdist.
-WORKER = int(os.environ.get("PYTEST_XDIST_WORKER", "gw0")[2:])
-PORT_BLOCKS = itertools.count(21000 + 600 * (WORKER % 12), PORTS_PER_HOST)
-
-
-def find_port_block():
-    """Return the first port of a free block."""
-    return next(
-        first for first in PORT_BLOCKS if all(map(is_free, range(first, first + 4)))
-    )
-
-
-def is_free(port):
-    with socket.socket() as sock:
-        sock.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
-        try:
-            sock.bind(("127.0.0.1", port))
-        except OSError:
-            return False
-    return True
 
 
 class Host:
@@ -42,7 +22,7 @@
     def __init__(self, folder, store_address, name="edge-1"):
         self.name = name
         self.store_address = store_address
-        self.callers = find_port_block()
+        self.callers = ports.allocate(PORTS_PER_HOST)
         self.readiness_port, self.internal_port = (
             self.callers + 1,
             self.callers + 2,
--- a/tests/soak/__main__.py
+++ b/tests/soak/__main__.py
@@ -1,7 +1,6 @@
 """Command line of the soak: ``python -m tests.soak --seeds 1-50 --jobs 3``."""
 
 import argparse
-import os
 import subprocess
 import sys
 import tempfile
@@ -43,13 +42,11 @@
 
 def run_in_subprocess(seed, arguments):
     """Run a seed in a separate process."""
-    worker = 4 + seed % 8  # gw0 to gw3 are pytest's own workers
     command = [sys.executable, "-m", "tests.soak", "--seeds", str(seed)]
     command += ["--seconds", str(arguments.seconds)]
     if arguments.logs:
         command += ["--logs", str(arguments.logs)]
-    environment = {**os.environ, "PYTEST_XDIST_WORKER": f"gw{worker}"}
-    return subprocess.run(command, cwd=ROOT, env=environment, check=False).returncode
+    return subprocess.run(command, cwd=ROOT, check=False).returncode
 
 
 def run_in_process(seed, arguments):
