Wait for a share unless its owner says that the rate is exhausted

Cause (test_fleet_stopping_at_once_serves_its_queue, 429 in place of 200): a request that had waited 0.8 s was refused as over the rate whenever the owner answered, although an owner without a free share answers too while hosts that stop return theirs to it. Only the 429 was seen, so the step from the busy machine to the 0.8 s is inferred.

Change: only an owner's word that the rate is exhausted ends the wait early; otherwise the request waits as for a silent owner.

--- a/src/thornlatch/admission/_admission.py
+++ b/src/thornlatch/admission/_admission.py
@@ -259,7 +259,11 @@
             for request in queue.pop_admitted(now=now):
                 actions += self.accept(key, request, now=now)
         is_silent = is_confirmed and self.is_owner_silent(key, now=now)
-        for request in queue.pop_expired(is_owner_silent=is_silent, now=now):
+        # An owner that answers without granting may itself wait for shares that hosts
+        # return to it as they stop.
+        is_exhausted = now < queue.local_share.exhausted_until
+        is_undecided = is_silent or (is_confirmed and not is_exhausted)
+        for request in queue.pop_expired(is_undecided=is_undecided, now=now):
             if is_confirmed and not is_silent:
                 actions.append(self.refuse_rate(queue, request, now=now))
             else:
--- a/src/thornlatch/admission/_waiting.py
+++ b/src/thornlatch/admission/_waiting.py
@@ -22,9 +22,9 @@
     since : float
         Seconds at which it began to wait.
     expires_at : float
-        Seconds at which it is refused if the key's owner answers.
+        Seconds at which it is refused if the key's owner reports the rate as exhausted.
     latest_expiry : float
-        Seconds at which it is refused even if no owner answers.
+        Seconds at which it is refused in any case.
     """
 
     ticket: str
@@ -77,14 +77,14 @@
             self.update_need()
         return admitted
 
-    def pop_expired(self, *, is_owner_silent: bool, now: float) -> list[WaitingRequest]:
+    def pop_expired(self, *, is_undecided: bool, now: float) -> list[WaitingRequest]:
         """Remove the requests whose waiting time has expired.
 
         Parameters
         ----------
-        is_owner_silent : bool
-            Whether no owner can tell now if the rate is exhausted. Requests within the
-            rate must not be refused for that, so they wait for the next owner.
+        is_undecided : bool
+            Whether no owner has said lately that the rate is exhausted. Requests within
+            the rate must not be refused for that, so they wait for a share.
         now : float
             Seconds.
 
@@ -92,7 +92,7 @@
         -------
         list of WaitingRequest
         """
-        if is_owner_silent:
+        if is_undecided:
             # An owner that answers again gets the usual time to grant shares.
             self.grace_until = now + self.settings.share_wait_s
         if now < self.next_expiry:
--- a/src/thornlatch/admission/tests/test_admission.py
+++ b/src/thornlatch/admission/tests/test_admission.py
@@ -1,8 +1,13 @@
 """Outcomes of requests under load, faults and configuration changes."""
 
+from dataclasses import astuple
+
 import pytest
 
 from thornlatch.admission import Admitted, Allowance
+from thornlatch.admission._messages import DemandAnswer
+from thornlatch.admission._shares import MICROTOKENS
+from thornlatch.admission._waiting import WaitingRequest
 from thornlatch.admission.tests.fleet import Fleet, Network, compute_excess
 from thornlatch.exceptions import ErrorKind, RequestRefused
 
@@ -99,6 +104,22 @@
     assert compute_answer_time_s(fleet, "r", 5.0) < 0.3 + 0.06
 
 
+@pytest.mark.parametrize("is_exhausted", [True, False])
+def test_only_an_owner_that_says_the_rate_is_exhausted_ends_the_wait(is_exhausted):
+    """Shares of hosts that stop at once may still be on their way to the owner."""
+    fleet = start_fleet()
+    admission = fleet.hosts["h1"].admission
+    local_share = admission.shares[KEY].local_share
+    local_share.holding.bucket.spend(local_share.holding.bucket.level, now=fleet.time)
+    request = WaitingRequest("r", 10.0, 10 * MICROTOKENS, 5.0, 5.8, 13.0)
+    admission.get_queue(KEY, now=fleet.time).append(request)
+    number = local_share.report_number
+    answer = DemandAnswer(KEY, *astuple(local_share.round_id), number, is_exhausted)
+    local_share.handle_answer(answer, now=5.9)
+    refusals = admission.serve(KEY, now=5.9)
+    assert bool(refusals) is is_exhausted
+
+
 def test_refuse_on_unconfirmed_host_as_host_unconfirmed():
     fleet = start_fleet()
     fleet.hosts["h1"].is_partitioned = True
