Learn the limit on prompts from pauses; never take a queued load for a loaded one

Change: PromptPacing adapts the limit as a congestion window does: it starts at 0.4 of the route's allowed pause, grows while it holds requests back and streams pause comfortably, and shrinks with each stream that pauses too long. A queued load always counts at least one load time.

--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -104,6 +104,8 @@
         Seconds that a target takes to read one prompt token.
     may_await_prefill : bool
         Whether the request may wait until the target has read the prompts sent before.
+    prefill_limit_s : float
+        Seconds of recent prompts at a target above which the request waits.
     """
 
     adapter: str
@@ -115,6 +117,7 @@
     service_s: float
     prefill_s: float = 0.0
     may_await_prefill: bool = False
+    prefill_limit_s: float = 0.0
 
 
 def list_options(
@@ -235,11 +238,16 @@
     resident = state.resident
     if resident is not None and _is_sufficient(resident.version, requirements.version):
         load_s = max(resident.ready_at - now, 0.0)
+        if resident.is_queued:
+            # Its load hasn't begun, however long ago it was expected to.
+            load_s = max(load_s, _get_load_s(state, requirements))
         step = Step.AWAIT_LOAD if load_s > 0 else Step.SEND
         wait_s = max(load_s, queue_s)
         cost_s += wait_s - queue_s
         if step is Step.SEND and requirements.may_await_prefill:
-            prefill_wait_s = compute_decay_time_s(prefill_s, settings.prefill_limit_s)
+            prefill_wait_s = compute_decay_time_s(
+                prefill_s, requirements.prefill_limit_s
+            )
             if prefill_wait_s > 0:
                 step = Step.AWAIT_PREFILL
                 wait_s = max(wait_s, prefill_wait_s)
@@ -247,10 +255,8 @@
     if not state.is_held:
         return None
     load_s = requirements.load_s * state.in_transit
-    if state.was_resident:
-        load_s += requirements.former_load_s
-    else:
-        load_s += requirements.load_s
+    load_s += _get_load_s(state, requirements)
+    if not state.was_resident:
         cost_s += settings.load_penalty_s
     wait_s = max(load_s, queue_s)
     cost_s += wait_s - queue_s
@@ -261,5 +267,9 @@
     return TargetOption(target, Step.REQUEST_LOAD, wait_s, cost_s)
 
 
+def _get_load_s(state: TargetState, requirements: RequestRequirements) -> float:
+    return requirements.former_load_s if state.was_resident else requirements.load_s
+
+
 def _is_sufficient(version: int, required_version: int) -> bool:
     return version >= required_version
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -12,6 +12,7 @@
 from thornlatch.gateway._choice import TargetOption
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import AnswerHead, CallerRequest
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._sender import RejectedByTarget, TargetSender
@@ -40,6 +41,7 @@
     residents : ResidentTable
     work : WorkTable
     health : TargetHealth
+    pacing : PromptPacing
     suspects : CrashSuspects
     metrics : GatewayMetrics
     """
@@ -56,6 +58,7 @@
         residents: ResidentTable,
         work: WorkTable,
         health: TargetHealth,
+        pacing: PromptPacing,
         suspects: CrashSuspects,
         metrics: GatewayMetrics,
     ) -> None:
@@ -68,6 +71,7 @@
         self.residents = residents
         self.work = work
         self.health = health
+        self.pacing = pacing
         self.suspects = suspects
         self.metrics = metrics
 
@@ -174,6 +178,9 @@
                 except TargetError as error:
                     answer = self._resume(call, answer, error)
             self.sender.finish(call, answer)
+            self.pacing.note_stream(
+                call.service, call.longest_gap_s, call.route.gap_s, now=read_clock()
+            )
             self._finish(call, None)
         except BaseException as error:
             if not call.has_ended:
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -23,6 +23,7 @@
 from thornlatch.gateway._logs import JsonLineHandler, redirect_library_logs
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._ordering import OrderManager
+from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import CallerProtocol, TargetProtocol
 from thornlatch.gateway._replication import AdapterReplicator
 from thornlatch.gateway._selector import TargetSelector
@@ -135,6 +136,7 @@
 
     def _build_forwarder(self, targets: TargetProtocol) -> Forwarder:
         settings = self.settings.forwarding
+        pacing = PromptPacing(settings)
         return Forwarder(
             admission=Admission(
                 settings,
@@ -150,6 +152,7 @@
                 residents=self.residents,
                 orders=self.orders,
                 health=self.health,
+                pacing=pacing,
             ),
             sender=TargetSender(
                 settings,
@@ -164,6 +167,7 @@
             residents=self.residents,
             work=self.work,
             health=self.health,
+            pacing=pacing,
             suspects=self.suspects,
             metrics=self.metrics,
         )
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -20,6 +20,7 @@
 )
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._ordering import OrderManager
+from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.residency import AdapterVersions, ResidentTable
 
@@ -43,6 +44,7 @@
     residents : ResidentTable
     orders : OrderManager
     health : TargetHealth
+    pacing : PromptPacing
     """
 
     def __init__(
@@ -55,6 +57,7 @@
         residents: ResidentTable,
         orders: OrderManager,
         health: TargetHealth,
+        pacing: PromptPacing,
     ) -> None:
         self.settings = settings
         self.failure_domain = failure_domain
@@ -63,6 +66,7 @@
         self.residents = residents
         self.orders = orders
         self.health = health
+        self.pacing = pacing
 
     def choose(self, call: Call) -> TargetOption:
         """Return a target that can serve a request now.
@@ -128,6 +132,8 @@
             if best.step is Step.SEND:
                 call.waited_s += now - waits_from
                 return best
+            if best.step is Step.AWAIT_PREFILL:
+                self.pacing.note_wait(call.service, now=now)
             left_s = max(min(best.wait_s, wait_until - now), 0.001)
             self.residents.wait(call.request.adapter, min(left_s, POLL_INTERVAL_S))
 
@@ -176,6 +182,7 @@
             self.health.get_service_s(call.service),
             self.health.get_prefill_s(call.service),
             may_await_prefill=now - call.waiting_since < prefill_wait_limit_s,
+            prefill_limit_s=self.pacing.get_limit_s(call.service, call.route.gap_s),
         )
 
         def get_state(target: Target) -> TargetState:
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -102,12 +102,17 @@
     prefill_ratio : float
         Weight of the time that a target needs to read the prompts sent to it recently.
         They delay the streams that run there too.
-    prefill_limit_s : float
-        Seconds of recent prompts at a target above which a request waits; streams
-        pause too long if their target reads prompts most of the time.
+    prefill_limit_gaps : float
+        Time of recent prompts at a target above which a request waits, as a multiple of
+        the longest pause that its route allows between events. Streams may pause too
+        long if their target reads prompts most of the time, so this holds at first and
+        at least.
+    prefill_limit_max_gaps : float
+        Upper limit of `prefill_limit_gaps`, which rises while streams don't pause too
+        long.
     pace_objectives : float
-        Maximum wait because of `prefill_limit_s`, as a multiple of the route's latency
-        objective.
+        Maximum wait because of `prefill_limit_gaps`, as a multiple of the route's
+        latency objective.
     domain_penalty_s : float
         Penalty of a target in another failure domain.
     """
@@ -128,7 +133,8 @@
     former_home_penalty_s: Annotated[float, Meta(ge=0)] = 0.03
     crowd_penalty_s: Annotated[float, Meta(ge=0)] = 0.3
     prefill_ratio: Annotated[float, Meta(ge=0)] = 1.5
-    prefill_limit_s: Seconds = 0.12
+    prefill_limit_gaps: Seconds = 0.4
+    prefill_limit_max_gaps: Seconds = 16.0
     pace_objectives: Annotated[float, Meta(ge=0)] = 0.6
     domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
 
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -29,7 +29,15 @@
 
 def build_requirements(adapter="m/a", version=0, excluded=()):
     return RequestRequirements(
-        adapter, version, "z1", frozenset(excluded), 0.27, 0.04, 1.6, 3e-5
+        adapter,
+        version,
+        "z1",
+        frozenset(excluded),
+        0.27,
+        0.04,
+        1.6,
+        3e-5,
+        prefill_limit_s=SETTINGS.prefill_limit_gaps * 0.3,
     )
 
 
@@ -95,6 +103,16 @@
     assert len(options) == 1
 
 
+@pytest.mark.parametrize("was_resident", [True, False])
+def test_queued_load_that_is_overdue_is_not_taken_for_a_loaded_adapter(was_resident):
+    """Places are scarce: the load waits until a request ends at its target."""
+    queued = Resident(1, NOW - 5.0, is_queued=True)
+    states = {"t3": TargetState(0, resident=queued, was_resident=was_resident)}
+    options = choose(states)
+    assert options[0].step is Step.AWAIT_LOAD
+    assert options[0].wait_s == pytest.approx(0.04 if was_resident else 0.27)
+
+
 def test_all_hosts_choose_the_same_home_for_a_rare_adapter():
     first = choose({})[0].target.id
     second = choose({}, targets=list(reversed(TARGETS)))[0].target.id
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -50,8 +50,8 @@
 def build_forwarder(**parts):
     in_force = ConfigurationInForce(FreshnessSettings())
     in_force.install(Configuration(1, (ROUTE,), {}, {"shop": SHOP}))
-    names = ("quota", "retries", "residents", "work", "health", "suspects", "metrics")
-    unused = dict.fromkeys(names)
+    names = "quota retries residents work health pacing suspects metrics"
+    unused = dict.fromkeys(names.split())
     settings = ForwardingSettings()
     return Forwarder(
         admission=Admission(settings, in_force=in_force, quota=None, suspects=None),
