Decide who gets one of few adapter places: demand, due time, when a place is free

Change: residency/_places.py keeps each adapter's mean number of requests; the idle adapter with the least demand gives up its place, after 0.2 s. Requests for a load name when they must begin to be in time and when they no longer need it; loads that can be in time go first, and one that can't be back in time isn't ordered. Holders report when the next place is free; hosts add that wait, and a queued load no longer keeps others from being chosen.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -47,6 +47,8 @@
     ordered_ago_s : float
         Seconds since the holder's last order to it.
     adapters : tuple of ResidentAdapter
+    place_in_s : float
+        Estimated seconds until another adapter's load can begin there.
     """
 
     target: str
@@ -54,6 +56,7 @@
     fencing_token: int
     ordered_ago_s: float
     adapters: tuple[ResidentAdapter, ...]
+    place_in_s: float = 0.0
 
 
 @register
@@ -123,7 +126,12 @@
     is_copy : bool
         Whether another target has it too, but is overloaded.
     unusable : tuple of str
-        Targets that have it but have failed requests of the requesting host.
+        Targets that have it or have queued its load, but of no use to the requesting
+        host.
+    due_s : float
+        Seconds within which the request must begin to meet its objective.
+    useful_s : float
+        Seconds after which the request no longer needs the adapter.
     """
 
     target: str
@@ -133,6 +141,8 @@
     was_missing: bool = False
     is_copy: bool = False
     unusable: tuple[str, ...] = ()
+    due_s: float = 1.0
+    useful_s: float = 4.0
 
 
 @register
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -69,6 +69,8 @@
         Adapters that the target is loading or has queued for loading.
     was_resident : bool
         Whether the target held the adapter before and therefore loads it faster.
+    place_wait_s : float
+        Seconds until the target can begin to load another adapter.
     """
 
     requests: int
@@ -78,6 +80,7 @@
     is_held: bool = True
     in_transit: int = 0
     was_resident: bool = False
+    place_wait_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -208,6 +211,7 @@
     resident = state.resident
     return (
         resident is not None
+        and not resident.is_queued
         and _is_sufficient(resident.version, requirements.version)
         and not state.is_avoided
         and state.requests < target.slots
@@ -254,7 +258,7 @@
         return TargetOption(target, step, wait_s, cost_s, resident.version)
     if not state.is_held:
         return None
-    load_s = requirements.load_s * state.in_transit
+    load_s = max(requirements.load_s * state.in_transit, state.place_wait_s)
     load_s += _get_load_s(state, requirements)
     if not state.was_resident:
         cost_s += settings.load_penalty_s
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -307,6 +307,7 @@
     def _apply_holder_report(self, holder: str, held: HeldTarget, now: float) -> None:
         if self.state.peers.get_holder(held.target, now=now) != holder:
             return
+        self.state.residents.place_at[held.target] = now + held.place_in_s
         is_settled = not any(
             adapter.is_queued or adapter.ready_in_s for adapter in held.adapters
         )
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -38,6 +38,7 @@
 
 ORDER_THREADS = 8  # targets that receive orders concurrently
 FULL_REPORT_PERIOD_S = 1.0  # between reports of all held targets to the peers
+PLACE_CHANGE_S = 0.15  # of the time of the next load, from which peers are told
 ENGINE_COUNT_MEMORY_S = 60.0  # crashed engines are back within a few seconds
 
 
@@ -49,6 +50,8 @@
     orders_from: float  # earliest clock time of an order
     # Hosts to be notified of a load, by adapter.
     requesters: dict[str, set[str]] = field(default_factory=dict)
+    # When another load can begin, as the peers know.
+    reported_place_at: float = float("-inf")
     lock: threading.Lock = field(default_factory=threading.Lock)
     is_sending: bool = False
 
@@ -223,6 +226,8 @@
                 load_request.version,
                 priority=load_request.priority,
                 now=now,
+                due_s=load_request.due_s,
+                useful_s=load_request.useful_s,
                 was_missing=load_request.was_missing,
             )
             if requester:
@@ -341,8 +346,17 @@
             uses = self.get_uses(held.target.id)
             with held.lock:
                 held.planner.note_use(uses, now=now)
+                place_at = now + held.planner.estimate_place_wait(uses, now=now)
+            self._note_place(held, place_at, now)
             self._start_orders(held)
 
+    def _note_place(self, held: _HeldState, place_at: float, now: float) -> None:
+        """Update when a held target can load another adapter; report large changes."""
+        self.residents.place_at[held.target.id] = place_at
+        change_s = max(place_at, now) - max(held.reported_place_at, now)
+        if abs(change_s) >= PLACE_CHANGE_S:
+            self._note_changed(held.target.id)
+
     def build_held_report(self, *, now: float) -> tuple[HeldTarget, ...] | None:
         """Return the held targets that changed since the last report to the peers.
 
@@ -371,12 +385,21 @@
             token = self.tenure.get_token(held.partition, now=now)
             if token is None or held.planner.sequence is None:
                 continue
-            with held.lock:
-                adapters = held.planner.get_residents(now=now)
             target = held.target
-            ordered_ago_s = min(now - held.planner.ordered_at, 1e6)
+            uses = self.get_uses(target.id)
+            with held.lock:
+                adapters = held.planner.get_residents(uses, now=now)
+                place_in_s = held.planner.estimate_place_wait(uses, now=now)
+            held.reported_place_at = now + place_in_s
             reports.append(
-                HeldTarget(target.id, target.started_ms, token, ordered_ago_s, adapters)
+                HeldTarget(
+                    target.id,
+                    target.started_ms,
+                    token,
+                    min(now - held.planner.ordered_at, 1e6),
+                    adapters,
+                    round(max(place_in_s, 0.0), 2),
+                )
             )
         return tuple(reports)
 
@@ -531,8 +554,9 @@
         held : _HeldState
         now : float
         """
+        uses = self.get_uses(held.target.id)
         with held.lock:
-            adapters = held.planner.get_residents(now=now)
+            adapters = held.planner.get_residents(uses, now=now)
         residents = build_residents(adapters, now=now)
         self.residents.apply_holder_report(held.target.id, residents, now=now)
         self._note_changed(held.target.id)
@@ -546,10 +570,11 @@
         """Notify requesting hosts of when an ordered load is expected to complete."""
         if not held.requesters:
             return
+        uses = self.get_uses(held.target.id)
         with held.lock:
             residents = {
                 resident.name: resident
-                for resident in held.planner.get_residents(now=now)
+                for resident in held.planner.get_residents(uses, now=now)
             }
             ordered_loads = [
                 (residents[adapter], hosts)
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -29,6 +29,8 @@
 # If a requested load isn't reported within this time, its holder isn't responding.
 LOAD_ANSWER_TIMEOUT_S = 0.1
 AVOIDING_PEER_LIMIT = 2  # peers that avoid a target before this host does too
+# Of the time that a caller has left: it doesn't wait longer than that to return.
+RETURN_RATIO = 1 / 3
 POLL_INTERVAL_S = 0.1  # longest sleep of a waiting request between two checks
 
 
@@ -113,15 +115,17 @@
                 self.residents.wait(call.request.adapter, POLL_INTERVAL_S)
                 continue
             best = options[0]
+            is_late = now + best.wait_s >= max(wait_until, now + MIN_SEND_BUDGET_S)
+            return_s = (call.running.ends_at - now) * RETURN_RATIO
             if (
                 best.step is Step.REQUEST_LOAD
                 and best.target.id not in load_requested_at
+                # A refused request finds the adapter loaded when its caller returns.
+                and not (is_late and best.wait_s > return_s)
             ):
-                # Also if the request is refused below: the adapter is loaded by the
-                # time the caller retries.
                 load_requested_at[best.target.id] = now
                 self.request_load(call, best.target, now, was_missing=False)
-            if now + best.wait_s >= max(wait_until, now + MIN_SEND_BUDGET_S):
+            if is_late:
                 raise build_refusal(
                     call,
                     ErrorKind.OVERLOADED,
@@ -210,6 +214,7 @@
                 is_responding and self.orders.is_held(target.id, now=now),
                 in_transit,
                 self.residents.is_former_target(target.id, adapter),
+                max(self.residents.place_at.get(target.id, now) - now, 0.0),
             )
 
         targets = self.registry.get_ready(call.service)
@@ -230,13 +235,25 @@
         return self.orders.peers.count_peers_avoiding(target) >= AVOIDING_PEER_LIMIT
 
     def _list_unusable(self, call: Call, now: float) -> tuple[str, ...]:
-        """Return targets that hold a request's adapter but can't serve the request."""
-        return tuple(
-            target.id
-            for target in self.registry.get_ready(call.service)
-            if self.residents.get(target.id, call.request.adapter) is not None
-            and (target.id in call.excluded or self._is_avoided(target.id, now))
-        )
+        """Return targets that hold a request's adapter or will, but of no use to it."""
+        unusable = []
+        for target in self.registry.get_ready(call.service):
+            resident = self.residents.get(target.id, call.request.adapter)
+            if resident is not None and (
+                resident.is_queued
+                or target.id in call.excluded
+                or self._is_avoided(target.id, now)
+            ):
+                unusable.append(target.id)
+        return tuple(unusable)
+
+    def _get_useful_s(self, call: Call, now: float) -> float:
+        """Return the seconds after which a request doesn't need its adapter any more.
+
+        It waits until then, or its caller returns by then after a refusal.
+        """
+        left_s = call.running.ends_at - now
+        return max(self._get_wait_until(call) - now, left_s * RETURN_RATIO)
 
     def request_load(
         self, call: Call, target: Target, now: float, *, was_missing: bool
@@ -260,6 +277,8 @@
             call.priority,
             was_missing,
             unusable=self._list_unusable(call, now),
+            due_s=call.waiting_since + call.route.objective_s - now,
+            useful_s=self._get_useful_s(call, now),
         )
         self.orders.request_load(load_request, now=now)
         logger.info(
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -113,6 +113,20 @@
     assert options[0].wait_s == pytest.approx(0.04 if was_resident else 0.27)
 
 
+def test_rare_adapter_goes_where_a_place_is_free():
+    home = min(TARGETS, key=lambda t: compute_home_rank("m/a", t.id)).id
+    options = choose({home: TargetState(0, place_wait_s=1.5)})
+    assert options[0].target.id != home
+    assert options[0].wait_s == pytest.approx(0.27)
+
+
+def test_adapter_queued_behind_busy_places_may_be_loaded_elsewhere():
+    queued = Resident(1, NOW + 3.0, is_queued=True)
+    options = choose({"t3": TargetState(0, resident=queued)})
+    assert options[0].step is Step.REQUEST_LOAD
+    assert options[0].target.id != "t3"
+
+
 def test_all_hosts_choose_the_same_home_for_a_rare_adapter():
     first = choose({})[0].target.id
     second = choose({}, targets=list(reversed(TARGETS)))[0].target.id
--- a/src/thornlatch/residency/_planner.py
+++ b/src/thornlatch/residency/_planner.py
@@ -20,6 +20,7 @@
     ResidencyOrder,
     UnloadAdapter,
 )
+from thornlatch.residency._places import PlaceUse
 from thornlatch.residency._versions import AdapterVersions
 from thornlatch.routing import EngineLimits
 
@@ -46,9 +47,8 @@
         Seconds after an announcement at which an adapter in use is replaced. The target
         finishes its running requests first.
     recent_use_s : float
-        Seconds after its last use during which an adapter isn't evicted.
-    wanted_s : float
-        Seconds after the latest request for a load until the request expires.
+        Seconds after its last use during which an adapter isn't evicted, since digests
+        report the requests of other hosts late.
     late_s : float
         Seconds after its expected end during which a missing load counts as late, not
         as lost.
@@ -71,8 +71,7 @@
     report_lag_s: Annotated[float, Meta(ge=0)] = 0.35
     retry_s: Annotated[float, Meta(ge=0)] = 0.2
     replace_after_s: Annotated[float, Meta(ge=0)] = 1.5
-    recent_use_s: Annotated[float, Meta(ge=0)] = 0.3
-    wanted_s: Annotated[float, Meta(gt=0)] = 4.0
+    recent_use_s: Annotated[float, Meta(ge=0)] = 0.2
     late_s: Annotated[float, Meta(ge=0)] = 2.0
     late_step_s: Annotated[float, Meta(gt=0)] = 0.06
     unanswered_s: Annotated[float, Meta(ge=0)] = 0.15
@@ -92,7 +91,8 @@
 class _RequestedLoad:
     version: int
     first_requested_at: float
-    last_requested_at: float
+    due_at: float
+    expires_at: float
     weight: float = 0.0
 
 
@@ -141,6 +141,7 @@
     adapters: dict[str, _AdapterState] = field(default_factory=dict)
     former: set[str] = field(default_factory=set)
     requested: dict[str, _RequestedLoad] = field(default_factory=dict)
+    places: PlaceUse = field(default_factory=PlaceUse)
     unanswered: _UnansweredOrder | None = None
     report_due_at: float = 0.0
     ordered_at: float = float("-inf")
@@ -157,6 +158,8 @@
         *,
         priority: int,
         now: float,
+        due_s: float,
+        useful_s: float,
         was_missing: bool = False,
     ) -> None:
         """Request that an adapter be loaded.
@@ -170,6 +173,10 @@
         priority : int
             Priority of the request that needs it; 0 is the most urgent.
         now : float
+        due_s : float
+            Seconds within which the request must begin to meet its objective.
+        useful_s : float
+            Seconds after which the request no longer needs the adapter.
         was_missing : bool
             Whether the target has just answered that it doesn't hold the adapter.
         """
@@ -181,9 +188,10 @@
             return
         entry = self.requested.get(adapter)
         if entry is None:
-            entry = self.requested[adapter] = _RequestedLoad(version, now, now)
+            entry = self.requested[adapter] = _RequestedLoad(version, now, now, now)
         entry.version = max(entry.version, version)
-        entry.last_requested_at = now
+        entry.due_at = max(entry.due_at, now + due_s)
+        entry.expires_at = max(entry.expires_at, now + useful_s)
         entry.weight += PRIORITY_WEIGHT_RATIO**-priority
 
     def _note_missing(self, state: _AdapterState, now: float) -> None:
@@ -211,6 +219,7 @@
             state = self.adapters.get(adapter)
             if state is not None and count:
                 state.used_at = now
+        self.places.note(uses, self.adapters, now=now)
 
     def needs_report(self, *, now: float) -> bool:
         """Return whether a report of the target must be read now.
@@ -348,11 +357,15 @@
         if report.is_busy:
             self.paused_until = now + self.settings.retry_s
 
-    def get_residents(self, *, now: float) -> tuple[ResidentAdapter, ...]:
+    def get_residents(
+        self, uses: Mapping[str, int], *, now: float
+    ) -> tuple[ResidentAdapter, ...]:
         """Return the adapters that the target holds, loads or is going to load.
 
         Parameters
         ----------
+        uses : mapping of str to int
+            Requests of all hosts at the target, by adapter.
         now : float
 
         Returns
@@ -367,7 +380,9 @@
         ]
         ready_in_s = max((resident.ready_in_s for resident in residents), default=0.0)
         ready_in_s = max(ready_in_s, self.model_ready_at - now, 0.0)
-        for name, requested in self._list_requested(now):
+        waits = self._estimate_place_waits(uses, now)
+        for rank, (name, requested) in enumerate(self._list_requested(now)):
+            ready_in_s = max(ready_in_s, self.places.get_wait(waits, rank))
             ready_in_s += self._estimate_load_s(name)
             version = max(requested.version, self.versions.get_newest(name))
             if name not in self.adapters:
@@ -376,6 +391,38 @@
                 )
         return tuple(residents)
 
+    def estimate_place_wait(self, uses: Mapping[str, int], *, now: float) -> float:
+        """Return the seconds until a load that is requested now gets a place.
+
+        Parameters
+        ----------
+        uses : mapping of str to int
+            Requests of all hosts at the target, by adapter.
+        now : float
+
+        Returns
+        -------
+        float
+        """
+        waits = self._estimate_place_waits(uses, now)
+        wait_s = self.places.get_wait(waits, len(self._list_requested(now)))
+        return max(wait_s, self.model_ready_at - now)
+
+    def _estimate_place_waits(self, uses: Mapping[str, int], now: float) -> list[float]:
+        free = self.count_adapter_slots() - len(self.adapters)
+        known_waits = [0.0] * free
+        counts = []
+        for adapter, state in self.adapters.items():
+            if uses.get(adapter):
+                counts.append(uses[adapter])
+            elif state.ready_at > now:
+                # Requests wait for it, so it will be in use.
+                known_waits.append(state.ready_at - now + self.places.span_s)
+            else:
+                idle_s = now - state.used_at
+                known_waits.append(max(self.settings.recent_use_s - idle_s, 0.0))
+        return self.places.estimate_waits(known_waits, counts)
+
     def _choose(
         self,
         uses: Mapping[str, int],
@@ -426,13 +473,20 @@
         return None
 
     def _list_requested(self, now: float) -> list[tuple[str, _RequestedLoad]]:
-        """Return unexpired load requests, by falling weight and then by age."""
+        """Return unexpired load requests, by falling weight and then by age.
+
+        Those that can no longer meet their objective come last.
+        """
         for name, requested in list(self.requested.items()):
-            if now - requested.last_requested_at >= self.settings.wanted_s:
+            if now >= requested.expires_at:
                 del self.requested[name]
         return sorted(
             self.requested.items(),
-            key=lambda item: (-item[1].weight, item[1].first_requested_at),
+            key=lambda item: (
+                now + self._estimate_load_s(item[0]) > item[1].due_at,
+                -item[1].weight,
+                item[1].first_requested_at,
+            ),
         )
 
     def _estimate_load_s(self, adapter: str) -> float:
@@ -450,7 +504,7 @@
 
     def _evict(self, uses: Mapping[str, int], now: float) -> ResidencyOrder | None:
         idle = [
-            (state.used_at, adapter)
+            (self.places.get_demand(adapter), state.used_at, adapter)
             for adapter, state in self.adapters.items()
             if not uses.get(adapter)
             and state.ready_at <= now
@@ -458,7 +512,7 @@
         ]
         if not idle:
             return None
-        model, _, name = min(idle)[1].partition("/")
+        model, _, name = min(idle)[2].partition("/")
         return UnloadAdapter(model, name)
 
     def _apply(self, order: ResidencyOrder, now: float) -> None:
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -60,6 +60,8 @@
         self.changed = threading.Condition()
         self.by_target: dict[str, dict[str, Resident]] = {}
         self.holder_reported_at: dict[str, float] = {}
+        # When the next load at a target can begin, as its holder estimates.
+        self.place_at: dict[str, float] = {}
         self.former_adapters: dict[str, set[str]] = {}
         self.expected_loads: dict[str, dict[str, tuple[Resident, float]]] = {}
         # Latest report of each target's holder, unless something changed since.
@@ -197,6 +199,7 @@
         with self.changed:
             self.by_target.pop(target, None)
             self.holder_reported_at.pop(target, None)
+            self.place_at.pop(target, None)
             self.former_adapters.pop(target, None)
             self.expected_loads.pop(target, None)
             self.latest_reports.pop(target, None)
--- a/src/thornlatch/residency/tests/test_planner.py
+++ b/src/thornlatch/residency/tests/test_planner.py
@@ -52,8 +52,16 @@
     return numbered
 
 
-def request_load(planner, adapter, now, priority=1, **more):
-    planner.request_load(f"m/{adapter}", 0, priority=priority, now=now, **more)
+def request_load(planner, adapter, now, priority=1, *, due_s=1.0, useful_s=4.0, **more):
+    planner.request_load(
+        f"m/{adapter}",
+        0,
+        priority=priority,
+        now=now,
+        due_s=due_s,
+        useful_s=useful_s,
+        **more,
+    )
 
 
 def test_nothing_is_ordered_before_a_report():
@@ -136,7 +144,7 @@
     planner = build_planner()
     request_load(planner, "a1", 1.0)
     send_next_order(planner, 1.0, outcome=OrderOutcome.UNKNOWN)
-    (resident,) = planner.get_residents(now=1.0)
+    (resident,) = planner.get_residents({}, now=1.0)
     assert resident.ready_in_s == pytest.approx(0.27 + 0.15, abs=0.01)
 
 
@@ -180,7 +188,9 @@
     request_load(planner, "a1", 1.0)
     send_next_order(planner, 1.0)
     planner.apply_report(build_report({}, sequence=0), now=1.1)
-    assert [resident.name for resident in planner.get_residents(now=1.1)] == ["m/a1"]
+    assert [resident.name for resident in planner.get_residents({}, now=1.1)] == [
+        "m/a1"
+    ]
 
 
 def test_late_load_raises_the_expected_load_time():
@@ -189,7 +199,7 @@
     send_next_order(planner, 1.0)
     request_load(planner, "a1", 1.3, was_missing=True)
     assert planner.sequence is not None
-    assert planner.get_residents(now=1.3)[0].ready_in_s > 0
+    assert planner.get_residents({}, now=1.3)[0].ready_in_s > 0
     assert planner.load_s > SETTINGS.adapter_load_s
 
 
@@ -204,7 +214,9 @@
     for name in ("a1", "a2", "a3"):
         request_load(planner, name, 1.0)
     send_next_order(planner, 1.0)
-    residents = {resident.name: resident for resident in planner.get_residents(now=1.0)}
+    residents = {
+        resident.name: resident for resident in planner.get_residents({}, now=1.0)
+    }
     assert not residents["m/a1"].is_queued
     assert residents["m/a3"].is_queued
     assert residents["m/a3"].ready_in_s > residents["m/a2"].ready_in_s
@@ -218,7 +230,9 @@
     request_load(planner, evicted, 5.0)
     send_next_order(planner, 5.0)
     send_next_order(planner, 5.0)
-    residents = {resident.name: resident for resident in planner.get_residents(now=5.0)}
+    residents = {
+        resident.name: resident for resident in planner.get_residents({}, now=5.0)
+    }
     assert residents[f"m/{evicted}"].ready_in_s < 0.1
 
 
