Expect waits from the turnover of places; keep adapters that were just loaded

Requests for a base model tried engines that had restarted without it.

Change: an adapter's idle time begins when its load is complete; the expected wait is the queue's rank times the mean time between loads that had to wait; an engine without its model is no place for adapters and gets no requests for it.

--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -61,6 +61,19 @@
         """Identity that changes with a restart."""
         return (self.id, self.started_ms)
 
+    def holds_model(self, model: str) -> bool:
+        """Return whether the target registered that it holds a model.
+
+        Parameters
+        ----------
+        model : str
+
+        Returns
+        -------
+        bool
+        """
+        return any(loaded.model == model for loaded in self.loaded_models)
+
 
 @dataclass(frozen=True)
 class RegistrySettings:
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -71,6 +71,8 @@
         Whether the target held the adapter before and therefore loads it faster.
     place_wait_s : float
         Seconds until the target can begin to load another adapter.
+    has_model : bool
+        Whether the target holds the request's model; true for plain services.
     """
 
     requests: int
@@ -81,6 +83,7 @@
     in_transit: int = 0
     was_resident: bool = False
     place_wait_s: float = 0.0
+    has_model: bool = True
 
 
 @dataclass(frozen=True)
@@ -238,6 +241,9 @@
     if state.is_avoided:
         cost_s += settings.avoid_limit_s
     if not requirements.adapter:
+        # A restarted engine holds nothing until its model is loaded again.
+        if not state.has_model:
+            return None
         return TargetOption(target, Step.SEND, queue_s, cost_s)
     resident = state.resident
     if resident is not None and _is_sufficient(resident.version, requirements.version):
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -170,7 +170,7 @@
     def _list_options(
         self, call: Call, load_requested_at: dict[str, float], now: float
     ) -> list[TargetOption]:
-        adapter = call.request.adapter
+        model, adapter = call.request.model, call.request.adapter
         required_version = (
             self.versions.get_required(adapter, now=now) if adapter else 0
         )
@@ -197,7 +197,12 @@
             is_avoided = self._is_avoided(target.id, now)
             prompt_tokens = self.orders.count_recent_prompt_tokens(target.id, now=now)
             if not adapter:
-                return TargetState(requests, prompt_tokens, is_avoided)
+                return TargetState(
+                    requests,
+                    prompt_tokens,
+                    is_avoided,
+                    has_model=not model or target.holds_model(model),
+                )
             resident = self.residents.get(target.id, adapter)
             in_transit = 0
             if resident is None:
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -127,6 +127,12 @@
     assert options[0].target.id != "t3"
 
 
+def test_request_for_a_base_model_skips_engines_that_restarted_without_it():
+    states = {"t1": TargetState(0, has_model=False), "t2": TargetState(3)}
+    options = choose(states, build_requirements(adapter=""))
+    assert [option.target.id for option in options] == ["t3", "t2"]
+
+
 def test_all_hosts_choose_the_same_home_for_a_rare_adapter():
     first = choose({})[0].target.id
     second = choose({}, targets=list(reversed(TARGETS)))[0].target.id
--- a/src/thornlatch/residency/_places.py
+++ b/src/thornlatch/residency/_places.py
@@ -5,21 +5,22 @@
 """
 
 import math
-from collections.abc import Collection, Iterable, Mapping
+from collections.abc import Collection, Mapping, Sequence
 
 DEMAND_MEMORY_S = 4.0  # time constant of the mean number of requests for an adapter
-INITIAL_SPAN_S = 1.0  # until an adapter has been seen to become idle
-SPAN_WEIGHT = 0.1  # of the latest span in the moving average
-SHARED_SPANS = 2.0  # spans until an adapter with several requests becomes idle
+INITIAL_TURNOVER_S = 0.15  # until a load has waited for a place
+MIN_TURNOVER_S = 0.03  # a load that waited for less had a place at once
+TURNOVER_WEIGHT = 0.2  # of the latest load in the moving average
 
 
 class PlaceUse:
-    """Tracks which adapters are in use, how much and for how long; not thread-safe."""
+    """Tracks demand for adapters and the turnover of their places; not thread-safe."""
 
     def __init__(self) -> None:
         self.demands: dict[str, float] = {}
-        self.busy_since: dict[str, float] = {}
-        self.span_s = INITIAL_SPAN_S
+        # Mean seconds between two loads while loads wait for places in use.
+        self.turnover_s = INITIAL_TURNOVER_S
+        self.load_started_at = float("-inf")
         self.updated_at: float | None = None
 
     def note(
@@ -38,18 +39,11 @@
         elapsed_s = 0.0 if self.updated_at is None else now - self.updated_at
         self.updated_at = now
         kept = math.exp(-max(elapsed_s, 0.0) / DEMAND_MEMORY_S)
-        for adapter in adapters:
-            count = uses.get(adapter, 0)
-            demand = self.demands.get(adapter, 0.0)
-            self.demands[adapter] = demand * kept + count * (1 - kept)
-            if count:
-                self.busy_since.setdefault(adapter, now)
-            elif adapter in self.busy_since:
-                span_s = now - self.busy_since.pop(adapter)
-                self.span_s += SPAN_WEIGHT * (span_s - self.span_s)
-        for adapter in self.demands.keys() - adapters:
-            del self.demands[adapter]
-            self.busy_since.pop(adapter, None)
+        self.demands = {
+            adapter: self.demands.get(adapter, 0.0) * kept
+            + uses.get(adapter, 0) * (1 - kept)
+            for adapter in adapters
+        }
 
     def get_demand(self, adapter: str) -> float:
         """Return the mean number of requests for an adapter in the last seconds.
@@ -64,36 +58,26 @@
         """
         return self.demands.get(adapter, 0.0)
 
-    def estimate_waits(
-        self, known_waits: Iterable[float], counts: Iterable[int]
-    ) -> list[float]:
-        """Return when each place can be had, in ascending order.
+    def note_load(self, *, requested_at: float, now: float) -> None:
+        """Record that a requested load begins.
 
         Parameters
         ----------
-        known_waits : iterable of float
-            Seconds until the places whose time is known can be had.
-        counts : iterable of int
-            Requests for the adapter of each place in use.
-
-        Returns
-        -------
-        list of float
-            Seconds. The ends of n requests are taken to be spread over a mean span.
+        requested_at, now : float
         """
-        counts = list(counts)
-        single = sum(1 for count in counts if count == 1)
-        waits = [self.span_s * (rank + 1) / single for rank in range(single)]
-        waits += [self.span_s * SHARED_SPANS] * (len(counts) - single)
-        return sorted([*known_waits, *waits])
+        # First in the queue since the previous load began, or since its request.
+        waited_s = now - max(self.load_started_at, requested_at)
+        self.load_started_at = now
+        if waited_s >= MIN_TURNOVER_S:
+            self.turnover_s += TURNOVER_WEIGHT * (waited_s - self.turnover_s)
 
-    def get_wait(self, waits: list[float], rank: int) -> float:
+    def get_wait(self, idle_waits: Sequence[float], rank: int) -> float:
         """Return the seconds until the load with a rank in the queue gets a place.
 
         Parameters
         ----------
-        waits : list of float
-            As returned by `estimate_waits`.
+        idle_waits : sequence of float
+            Seconds until each of the places that aren't in use can be had, ascending.
         rank : int
             0 for the first load in the queue.
 
@@ -101,7 +85,6 @@
         -------
         float
         """
-        if not waits:
-            return self.span_s * (rank + 1)
-        rounds, place = divmod(rank, len(waits))
-        return waits[place] + rounds * self.span_s
+        if rank < len(idle_waits):
+            return idle_waits[rank]
+        return (rank - len(idle_waits) + 1) * self.turnover_s
--- a/src/thornlatch/residency/_planner.py
+++ b/src/thornlatch/residency/_planner.py
@@ -86,6 +86,11 @@
     ready_at: float
     used_at: float
 
+    @property
+    def idle_since(self) -> float:
+        """When it was last in use, or when the requests that wait for it may begin."""
+        return max(self.used_at, self.ready_at)
+
 
 @dataclass
 class _RequestedLoad:
@@ -349,7 +354,9 @@
             self.model = loaded.model
             for name, version in loaded.adapters.items():
                 key = f"{loaded.model}/{name}"
-                self._set_adapter(key, version, now, now, known_adapters)
+                known = known_adapters.get(key)
+                ready_at = now if known is None else min(known.ready_at, now)
+                self._set_adapter(key, version, ready_at, now, known_adapters)
         for model, name, version in report.pending:
             key = f"{model}/{name}"
             ready_at = now + self.settings.adapter_load_s
@@ -379,8 +386,8 @@
             for name, state in self.adapters.items()
         ]
         ready_in_s = max((resident.ready_in_s for resident in residents), default=0.0)
-        ready_in_s = max(ready_in_s, self.model_ready_at - now, 0.0)
-        waits = self._estimate_place_waits(uses, now)
+        ready_in_s = max(ready_in_s, self._estimate_model_wait(now))
+        waits = self._list_idle_waits(uses, now)
         for rank, (name, requested) in enumerate(self._list_requested(now)):
             ready_in_s = max(ready_in_s, self.places.get_wait(waits, rank))
             ready_in_s += self._estimate_load_s(name)
@@ -404,24 +411,25 @@
         -------
         float
         """
-        waits = self._estimate_place_waits(uses, now)
+        waits = self._list_idle_waits(uses, now)
         wait_s = self.places.get_wait(waits, len(self._list_requested(now)))
-        return max(wait_s, self.model_ready_at - now)
+        return max(wait_s, self._estimate_model_wait(now))
+
+    def _estimate_model_wait(self, now: float) -> float:
+        """Return the seconds until the target holds its model."""
+        if not self.model and self.limits.models:
+            return self.limits.models[0].load_s
+        return max(self.model_ready_at - now, 0.0)
 
-    def _estimate_place_waits(self, uses: Mapping[str, int], now: float) -> list[float]:
-        free = self.count_adapter_slots() - len(self.adapters)
-        known_waits = [0.0] * free
-        counts = []
+    def _list_idle_waits(self, uses: Mapping[str, int], now: float) -> list[float]:
+        """Return the seconds until each unused place can be had, ascending."""
+        waits = [0.0] * (self.count_adapter_slots() - len(self.adapters))
         for adapter, state in self.adapters.items():
-            if uses.get(adapter):
-                counts.append(uses[adapter])
-            elif state.ready_at > now:
-                # Requests wait for it, so it will be in use.
-                known_waits.append(state.ready_at - now + self.places.span_s)
-            else:
-                idle_s = now - state.used_at
-                known_waits.append(max(self.settings.recent_use_s - idle_s, 0.0))
-        return self.places.estimate_waits(known_waits, counts)
+            # Requests wait for an adapter in transit, so it will be in use.
+            if not uses.get(adapter) and state.ready_at <= now:
+                idle_s = now - state.idle_since
+                waits.append(max(self.settings.recent_use_s - idle_s, 0.0))
+        return sorted(waits)
 
     def _choose(
         self,
@@ -508,7 +516,7 @@
             for adapter, state in self.adapters.items()
             if not uses.get(adapter)
             and state.ready_at <= now
-            and now - state.used_at >= self.settings.recent_use_s
+            and now - state.idle_since >= self.settings.recent_use_s
         ]
         if not idle:
             return None
@@ -527,7 +535,9 @@
             self.adapters.pop(adapter, None)
             self.former.add(adapter)
             return
-        self.requested.pop(adapter, None)
+        requested = self.requested.pop(adapter, None)
+        if requested is not None and adapter not in self.adapters:
+            self.places.note_load(requested_at=requested.first_requested_at, now=now)
         if adapter in self.adapters and self.unanswered is None:
             state = self.adapters[adapter]
             if state.version == order.version and state.ready_at > now:
