Tell holders of large fleets at once which adapters are in use; spread choices

Change: a host notes to the target's holder when it begins or ceases to use an adapter there (first and last request only); notes are valid until digests include them. In large fleets the cost of a target gets a random part.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -26,8 +26,10 @@
     Target,
     TargetRegistry,
 )
+from thornlatch.fleet._use_notes import AdapterUsed, UseNotes
 
 __all__ = [
+    "AdapterUsed",
     "DecayingSum",
     "DecayingSums",
     "DomainDigest",
@@ -50,6 +52,7 @@
     "Target",
     "TargetRegistry",
     "TargetUses",
+    "UseNotes",
     "WorkSum",
     "choose_by_capacity",
     "compute_decay_time_s",
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -71,6 +71,8 @@
         Whether the target held the adapter before and therefore loads it faster.
     place_wait_s : float
         Seconds until the target can begin to load another adapter.
+    spread_s : float
+        Addition to the cost by which hosts that choose at once differ.
     has_model : bool
         Whether the target holds the request's model; true for plain services.
     """
@@ -83,6 +85,7 @@
     in_transit: int = 0
     was_resident: bool = False
     place_wait_s: float = 0.0
+    spread_s: float = 0.0
     has_model: bool = True
 
 
@@ -235,7 +238,7 @@
     # target.
     prefill_s = state.prompt_tokens * requirements.prefill_s
     cost_s = queue_s + state.requests / slots * settings.crowd_penalty_s
-    cost_s += prefill_s * settings.prefill_ratio
+    cost_s += prefill_s * settings.prefill_ratio + state.spread_s
     if target.failure_domain != requirements.failure_domain:
         cost_s += settings.domain_penalty_s
     if state.is_avoided:
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -7,6 +7,7 @@
 
 from thornlatch.core import get_host_name, read_clock
 from thornlatch.fleet import (
+    AdapterUsed,
     DomainExchange,
     DomainView,
     FleetDigest,
@@ -259,6 +260,7 @@
         silent_s = self.peer_loop.get_period_s() * SILENCE_LIMIT_PERIODS
         if self.exchange.is_large:
             silent_s = max(silent_s, self.settings.exchange.silent_s)
+        self.state.orders.is_view_late = self.exchange.is_large
         self.state.peers.silent_s = max(self.settings.peer_view.silent_s, silent_s)
         self.state.quota.silent_s = max(self.settings.quota.silent_s, silent_s)
 
@@ -344,6 +346,9 @@
     def _handle_other_message(self, sender: str, message: object, now: float) -> None:
         if isinstance(message, LoadExpected):
             self._apply_expected_load(message, now)
+        elif isinstance(message, AdapterUsed):
+            if message.target in self.state.orders.held:
+                self.state.orders.use_notes.add(sender, message, now=now)
         else:
             self.topic_share.handle_message(sender, message, now=now)
 
@@ -356,6 +361,22 @@
             requester = sender if self.exchange.is_large else ""
             self.state.orders.request_load(message, now=now, requester=requester)
 
+    def note_use(self, target: str, adapter: str, *, is_used: bool) -> None:
+        """Tell a target's holder that this host begins or ceases to use an adapter.
+
+        In a full mesh the next digest tells it as early.
+
+        Parameters
+        ----------
+        target, adapter : str
+        is_used : bool
+        """
+        if not self.exchange.is_large or target in self.state.orders.held:
+            return
+        holder = self.state.peers.get_holder(target, now=read_clock())
+        if holder is not None:
+            self.send(holder, AdapterUsed(target, adapter, is_used))
+
     def _apply_expected_load(self, message: LoadExpected, now: float) -> None:
         residents = build_residents([message.adapter], now=now)
         for adapter, resident in residents.items():
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -7,6 +7,7 @@
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import fields
+from random import Random
 from typing import Any
 
 import logbook
@@ -79,7 +80,11 @@
         self.versions = AdapterVersions(settings.versions)
         self.residents = ResidentTable()
         self.tenure = Tenure(settings.tenure)
-        self.work = WorkTable()
+        self.work = WorkTable(
+            on_use=lambda target, adapter, is_used: self.fleet.note_use(
+                target, adapter, is_used=is_used
+            )
+        )
         self.health = TargetHealth(settings.forwarding)
         self.suspects = CrashSuspects(settings.suspects, self.registry)
         self.orders = OrderManager(
@@ -153,6 +158,7 @@
                 orders=self.orders,
                 health=self.health,
                 pacing=pacing,
+                random=Random(),
             ),
             sender=TargetSender(
                 settings,
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -17,6 +17,7 @@
     PeerView,
     Target,
     TargetRegistry,
+    UseNotes,
 )
 from thornlatch.gateway._load_bucket import LoadTokenBucket
 from thornlatch.gateway._metrics import GatewayMetrics
@@ -118,6 +119,9 @@
         self.max_engine_count = 0
         self.max_engine_count_at = float("-inf")
         self.model_loads = LoadTokenBucket()
+        self.use_notes = UseNotes()
+        # Whether other hosts' requests are known some tenths of a second late.
+        self.is_view_late = False
         self.executor = ThreadPoolExecutor(ORDER_THREADS, "orders")
 
     def get_partition(self, target: str) -> int:
@@ -301,6 +305,7 @@
             ]:
                 del self.held[target_id]
                 logger.info("residency.released", extra={"target": target_id})
+            self.use_notes.retain_targets(set(targets_to_hold))
             for target_id, (target, limits) in targets_to_hold.items():
                 if target_id not in self.held:
                     self._begin_holding(target, limits, now)
@@ -343,7 +348,7 @@
         now : float
         """
         for held in list(self.held.values()):
-            uses = self.get_uses(held.target.id)
+            uses = self.get_uses(held.target.id, now=now)
             with held.lock:
                 held.planner.note_use(uses, now=now)
                 place_at = now + held.planner.estimate_place_wait(uses, now=now)
@@ -386,7 +391,7 @@
             if token is None or held.planner.sequence is None:
                 continue
             target = held.target
-            uses = self.get_uses(target.id)
+            uses = self.get_uses(target.id, now=now)
             with held.lock:
                 adapters = held.planner.get_residents(uses, now=now)
                 place_in_s = held.planner.estimate_place_wait(uses, now=now)
@@ -415,18 +420,20 @@
             self.held.clear()
         self.executor.shutdown(wait=False, cancel_futures=True)
 
-    def get_uses(self, target: str) -> dict[str, int]:
+    def get_uses(self, target: str, *, now: float) -> dict[str, int]:
         """Return the number of all hosts' requests at a held target, by adapter.
 
         Parameters
         ----------
         target : str
+        now : float
 
         Returns
         -------
         dict of str to int
         """
-        uses = dict(self.peers.count_peer_requests_by_adapter(target))
+        reported = self.peers.count_peer_requests_by_adapter(target)
+        uses = self.use_notes.correct(target, reported, now=now)
         for adapter, count in self.work.get_uses(target).items():
             uses[adapter] = uses.get(adapter, 0) + count
         return uses
@@ -448,7 +455,7 @@
 
     def _choose_order(self, held: _HeldState, now: float) -> NumberedOrder | None:
         return held.planner.next_order(
-            self.get_uses(held.target.id),
+            self.get_uses(held.target.id, now=now),
             now=now,
             may_load_model=self.model_loads.has_token(now=now),
             may_load_concurrently=self.residents.count_in_transit(now=now)
@@ -554,7 +561,7 @@
         held : _HeldState
         now : float
         """
-        uses = self.get_uses(held.target.id)
+        uses = self.get_uses(held.target.id, now=now)
         with held.lock:
             adapters = held.planner.get_residents(uses, now=now)
         residents = build_residents(adapters, now=now)
@@ -570,7 +577,7 @@
         """Notify requesting hosts of when an ordered load is expected to complete."""
         if not held.requesters:
             return
-        uses = self.get_uses(held.target.id)
+        uses = self.get_uses(held.target.id, now=now)
         with held.lock:
             residents = {
                 resident.name: resident
--- a/src/thornlatch/gateway/_replication.py
+++ b/src/thornlatch/gateway/_replication.py
@@ -65,7 +65,7 @@
         ready = self.registry.get_ready(target.service)
         if target.id not in [candidate.id for candidate in ready]:
             return
-        uses = self.orders.get_uses(target.id)
+        uses = self.orders.get_uses(target.id, now=now)
         source = self._describe(target, uses, now)
         destinations = [
             self._describe(candidate, {}, now)
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -1,5 +1,7 @@
 """Selects a target for a request, waiting for an adapter load if necessary."""
 
+from random import Random
+
 import logbook
 
 from thornlatch.core import read_clock
@@ -47,6 +49,8 @@
     orders : OrderManager
     health : TargetHealth
     pacing : PromptPacing
+    random : random.Random
+        Source of the differences between hosts that choose at once.
     """
 
     def __init__(
@@ -60,6 +64,7 @@
         orders: OrderManager,
         health: TargetHealth,
         pacing: PromptPacing,
+        random: Random,
     ) -> None:
         self.settings = settings
         self.failure_domain = failure_domain
@@ -69,6 +74,7 @@
         self.orders = orders
         self.health = health
         self.pacing = pacing
+        self.random = random
 
     def choose(self, call: Call) -> TargetOption:
         """Return a target that can serve a request now.
@@ -195,12 +201,16 @@
                 requests, self.health.get_reported_requests(target.id, now=now)
             )
             is_avoided = self._is_avoided(target.id, now)
+            spread_s = 0.0
+            if self.orders.is_view_late:
+                spread_s = self.random.uniform(0.0, self.settings.herd_spread_s)
             prompt_tokens = self.orders.count_recent_prompt_tokens(target.id, now=now)
             if not adapter:
                 return TargetState(
                     requests,
                     prompt_tokens,
                     is_avoided,
+                    spread_s=spread_s,
                     has_model=not model or target.holds_model(model),
                 )
             resident = self.residents.get(target.id, adapter)
@@ -220,6 +230,7 @@
                 in_transit,
                 self.residents.is_former_target(target.id, adapter),
                 max(self.residents.place_at.get(target.id, now) - now, 0.0),
+                spread_s,
             )
 
         targets = self.registry.get_ready(call.service)
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -113,6 +113,9 @@
     pace_objectives : float
         Maximum wait because of `prefill_limit_gaps`, as a multiple of the route's
         latency objective.
+    herd_spread_s : float
+        Upper limit of a random addition to a target's cost in a large fleet. Hosts
+        learn of each other's choices late there, and would all choose the same target.
     domain_penalty_s : float
         Penalty of a target in another failure domain.
     """
@@ -136,6 +139,7 @@
     prefill_limit_gaps: Seconds = 0.4
     prefill_limit_max_gaps: Seconds = 16.0
     pace_objectives: Annotated[float, Meta(ge=0)] = 0.6
+    herd_spread_s: Annotated[float, Meta(ge=0)] = 0.15
     domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
 
 
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -93,9 +93,16 @@
     """Counts requests by target and adapter and stops expired ones.
 
     Safe for use by several threads.
+
+    Parameters
+    ----------
+    on_use : callable or None
+        Called with target, adapter and whether this host uses the adapter there, when
+        that changes.
     """
 
-    def __init__(self) -> None:
+    def __init__(self, on_use: Callable[[str, str, bool], None] | None = None) -> None:
+        self.on_use = on_use
         self.lock = threading.Lock()
         self.counts: dict[tuple[str, str], int] = {}
         self.totals: dict[str, int] = {}
@@ -144,6 +151,9 @@
             self.totals[target] = self.totals.get(target, 0) + 1
             if prompt_tokens:
                 self.prompt_tokens.add(target, prompt_tokens, now=now)
+            is_first = self.counts[key] == 1
+        if is_first and adapter and self.on_use is not None:
+            self.on_use(target, adapter, True)
         return TargetUse(target, adapter)
 
     def end(self, use: TargetUse) -> None:
@@ -161,10 +171,13 @@
             key = (target, use.adapter)
             self.counts[key] -= 1
             self.totals[target] -= 1
-            if not self.counts[key]:
+            is_last = not self.counts[key]
+            if is_last:
                 del self.counts[key]
             if not self.totals[target]:
                 del self.totals[target]
+        if is_last and use.adapter and self.on_use is not None:
+            self.on_use(target, use.adapter, False)
 
     def get_recent_prompt_tokens(self, target: str, *, now: float) -> float:
         """Return the prompt tokens that this host sent to a target recently.
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -110,6 +110,17 @@
     assert work.get_uses("t") == {"m/a": 1}
 
 
+def test_only_the_first_and_the_last_request_for_an_adapter_are_told():
+    notes = []
+    work = WorkTable(on_use=lambda *note: notes.append(note))
+    uses = [work.begin("t", adapter) for adapter in ("m/a", "m/a", "m/b", "")]
+    assert notes == [("t", "m/a", True), ("t", "m/b", True)]
+    notes.clear()
+    for use in uses:
+        work.end(use)
+    assert notes == [("t", "m/a", False), ("t", "m/b", False)]
+
+
 def test_recent_prompt_tokens_decay():
     work = WorkTable()
     work.begin("t", "", 100, now=1.0)
