--- a/src/thornlatch/fleet/_domain_choice.py
+++ b/src/thornlatch/fleet/_domain_choice.py
@@ -122,7 +122,8 @@
     def _rank(self, digest: DomainDigest) -> tuple[int, bool, bool, str]:
         spending = digest.spending
         is_selected = self.selected_relays.get(spending.domain) == spending.relay
-        return (len(spending.live), is_selected, not spending.is_spare, spending.relay)
+        # What a spare relay knows is several turns old.
+        return (len(spending.live), not spending.is_spare, is_selected, spending.relay)
 
 
 def choose_by_capacity(
--- a/src/thornlatch/fleet/_use_notes.py
+++ b/src/thornlatch/fleet/_use_notes.py
@@ -9,7 +9,7 @@
 
 from thornlatch.core import register
 
-NOTE_VALIDITY_S = 0.5  # by then digests include what a note says
+NOTE_VALIDITY_S = 0.6  # by then digests include what a note says
 
 
 @register
--- a/src/thornlatch/gateway/_load_bucket.py
+++ b/src/thornlatch/gateway/_load_bucket.py
@@ -23,7 +23,7 @@
         self.rate = rate
 
     def has_token(self, *, now: float) -> bool:
-        """Return whether a load may be ordered.
+        """Return whether a load may be ordered; another thread may order it first.
 
         Parameters
         ----------
@@ -37,16 +37,29 @@
             self._refill(now)
             return self.tokens >= 1
 
-    def note_load(self, *, now: float) -> None:
-        """Take the token of a load that was ordered.
+    def try_take(self, *, now: float) -> bool:
+        """Take the token of a load that is about to be ordered.
 
         Parameters
         ----------
         now : float
+
+        Returns
+        -------
+        bool
+            False if there is none.
         """
         with self.lock:
             self._refill(now)
+            if self.tokens < 1:
+                return False
             self.tokens -= 1
+            return True
+
+    def give_back(self) -> None:
+        """Return the token of a load that the target refused."""
+        with self.lock:
+            self.tokens = min(1.0, self.tokens + 1)
 
     def _refill(self, now: float) -> None:
         elapsed_s = min(now - self.refilled_at, 3600.0)
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -26,6 +26,7 @@
 from thornlatch.residency import (
     AdapterVersions,
     HolderSettings,
+    LoadModel,
     NumberedOrder,
     OrderOutcome,
     ResidentTable,
@@ -151,7 +152,7 @@
         """
         held = self.held.get(target)
         if held is not None:
-            return now >= held.orders_from and held.planner.sequence is not None
+            return now >= held.orders_from and held.planner.is_responding(now=now)
         return self.peers.get_holder(target, now=now) is not None
 
     def count_requests(self, target: str) -> int:
@@ -222,7 +223,7 @@
                 self.send(holder, load_request)
             return
         may_drop = not load_request.was_missing and not load_request.is_copy
-        if may_drop and self._is_available_elsewhere(load_request):
+        if may_drop and self._is_available_elsewhere(held, load_request):
             return
         with held.lock:
             held.planner.request_load(
@@ -240,14 +241,15 @@
         self._notify_requesters(held, now)
         self._start_orders(held)
 
-    def _is_available_elsewhere(self, load_request: LoadRequested) -> bool:
+    def _is_available_elsewhere(
+        self, held: _HeldState, load_request: LoadRequested
+    ) -> bool:
         """Return whether another target with a free slot holds or loads the adapter.
 
         Two hosts that miss an adapter at the same time may request it at different
         targets.
         """
-        service = self.held[load_request.target].target.service
-        for target in self.registry.get_ready(service):
+        for target in self.registry.get_ready(held.target.service):
             if target.id == load_request.target or target.id in load_request.unusable:
                 continue
             resident = self.residents.get(target.id, load_request.adapter)
@@ -389,6 +391,9 @@
                 continue
             token = self.tenure.get_token(held.partition, now=now)
             if token is None or held.planner.sequence is None:
+                # To be reported as soon as the host may order again.
+                if held.target.id in changed:
+                    self._note_changed(held.target.id)
                 continue
             target = held.target
             uses = self.get_uses(target.id, now=now)
@@ -406,7 +411,7 @@
                     round(max(place_in_s, 0.0), 2),
                 )
             )
-        return tuple(reports)
+        return tuple(reports) if reports or is_full else None
 
     def list_held(self) -> tuple[str, ...]:
         """Return the ids of the targets that this host holds and may send orders."""
@@ -451,7 +456,8 @@
             self.executor.submit(self._send_orders, held)
         except RuntimeError:
             # The executor has been shut down because the host is stopping.
-            held.is_sending = False
+            with held.lock:
+                held.is_sending = False
 
     def _choose_order(self, held: _HeldState, now: float) -> NumberedOrder | None:
         return held.planner.next_order(
@@ -469,7 +475,8 @@
         except Exception:
             logger.exception("residency.failed", extra={"target": held.target.id})
         finally:
-            held.is_sending = False
+            with held.lock:
+                held.is_sending = False
 
     def _send_next(self, held: _HeldState) -> bool:
         """Send one order or read a report; return whether another may follow."""
@@ -482,10 +489,18 @@
         with held.lock:
             needs_report = held.planner.needs_report(now=now)
             numbered_order = None if needs_report else self._choose_order(held, now)
-        if needs_report:
-            return self._read_report(held)
+            if (
+                numbered_order is not None
+                and isinstance(numbered_order.order, LoadModel)
+                and not self.model_loads.try_take(now=now)
+            ):
+                numbered_order = None
+            if numbered_order is None and not needs_report:
+                # Cleared under the lock: whoever requests a load next starts anew.
+                held.is_sending = False
+                return False
         if numbered_order is None:
-            return False
+            return self._read_report(held)
         reply = self.protocol.send_order(
             held.target.address, held.target.id, numbered_order, token
         )
@@ -504,9 +519,9 @@
         kind = type(numbered_order.order).__name__
         with held.lock:
             held.planner.apply_outcome(numbered_order, outcome, now=now)
-        if kind == "LoadModel" and outcome is not OrderOutcome.FENCED:
-            self.model_loads.note_load(now=now)
         if outcome is OrderOutcome.FENCED:
+            if isinstance(numbered_order.order, LoadModel):
+                self.model_loads.give_back()
             self.tenure.note_fenced(held.partition)
         self._publish_residents(held, now)
         self._notify_requesters(held, now)
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -87,9 +87,6 @@
         target.
     default_deadline_s : float
         Deadline in seconds of requests that specify none.
-    queue_ratio : float
-        Not used. Requests beyond its slots that are sent to a target, as a fraction of
-        its slots.
     load_penalty_s : float
         Penalty of a load from the weight store.
     home_penalty_s : float
@@ -130,7 +127,6 @@
     avoid_s: Seconds = 0.5
     avoid_limit_s: Seconds = 4.0
     default_deadline_s: Seconds = 10.0
-    queue_ratio: Annotated[float, Meta(ge=0)] = 0.25
     load_penalty_s: Annotated[float, Meta(ge=0)] = 0.5
     home_penalty_s: Annotated[float, Meta(ge=0)] = 0.5
     former_home_penalty_s: Annotated[float, Meta(ge=0)] = 0.03
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -12,6 +12,8 @@
 from thornlatch.fleet import Target, TargetRegistry
 from thornlatch.gateway._ports import CallerRequest
 
+FLEET = ""  # in place of a host id, for what a relay reports of all hosts
+
 
 @dataclass(frozen=True)
 class SuspectSettings:
@@ -220,16 +222,18 @@
         crash_ids : dict of str to tuple of str
             Crash ids by fingerprint of the request.
         """
-        self.peer_crashes = {"": crash_ids}
+        self.peer_crashes = {FLEET: crash_ids}
 
     def retain_hosts(self, hosts: Iterable[str]) -> None:
         """Drop the crash reports of all hosts except the given ones.
 
+        What a relay reported for the whole fleet is kept until its next digest.
+
         Parameters
         ----------
         hosts : iterable of str
         """
-        known_hosts = set(hosts)
+        known_hosts = {*hosts, FLEET}
         self.peer_crashes = {
             host: crash_ids
             for host, crash_ids in self.peer_crashes.items()
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -293,3 +293,17 @@
     later = manager.residents.get("t1", "m/a1")
     assert isinstance(later, Resident)
     assert later.ready_at > resident.ready_at
+
+
+def test_holder_that_awaits_a_report_stays_the_holder(manager_and_sent):
+    """Otherwise relays would stop telling it which adapters are in use."""
+    manager, _ = manager_and_sent
+    hold(manager, "t1")
+    planner = manager.held["t1"].planner
+    now = read_clock()
+    planner._invalidate(now)
+    assert manager.is_held("t1", now=now + 0.9)
+    assert manager.list_held() == ("t1",)
+    planner.needs_report(now=now + 0.9)
+    # The target answers neither orders nor reports.
+    assert not manager.is_held("t1", now=now + 1.1)
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -59,6 +59,8 @@
 
 
 RATE_SMOOTHING = 0.5  # weight of the latest digest in a peer's spending rate
+# After this time, windows and buckets hold nothing of what was spent before.
+FORGET_S = 60.0
 ADVANCE_PERIOD_S = 0.005  # smallest time between two updates of the buckets
 
 
@@ -169,6 +171,9 @@
         self.relays: dict[str, _RelayState] = {}
         # Kept after a peer is removed, because a stopping host still sends digests.
         self.totals: dict[str, dict[str, int]] = {}
+        # When hosts with `totals` were last heard, and organisations were removed.
+        self.heard_at: dict[str, float] = {}
+        self.removed_at: dict[str, float] = {}
 
     def set_organisations(
         self, organisations: Iterable[Organisation], *, now: float
@@ -184,6 +189,42 @@
             self._advance(now)
             self.organisations = tuple(organisations)
             self._update_buckets()
+            self._forget_organisations(now)
+
+    def _forget_organisations(self, now: float) -> None:
+        """Drop the buckets of organisations that were removed long ago.
+
+        One that returns soon must not get a new burst.
+        """
+        known = {organisation.name for organisation in self.organisations}
+        self.removed_at = {
+            name: self.removed_at.get(name, now) for name in self.buckets.keys() - known
+        }
+        for name, removed_at in self.removed_at.items():
+            if now - removed_at >= FORGET_S:
+                del self.buckets[name]
+
+    def _forget_hosts(self, now: float) -> None:
+        """Drop the spending of hosts and relays that were silent for long."""
+        self.heard_at = {
+            host: heard_at
+            for host, heard_at in self.heard_at.items()
+            if host in self.peers or now - heard_at < FORGET_S
+        }
+        self.totals = {
+            host: totals
+            for host, totals in self.totals.items()
+            if host in self.heard_at
+        }
+        silent = [
+            name
+            for name, state in self.relays.items()
+            if now - state.last_heard_at >= FORGET_S
+        ]
+        for name in silent:
+            del self.relays[name]
+            for bucket in self.buckets.values():
+                bucket.assumed.pop(name, None)
 
     def set_large_fleet(self, is_large_fleet: bool, *, now: float) -> None:
         """Set whether the fleet is so large that digests of peers arrive late.
@@ -241,6 +282,7 @@
         with self.lock:
             self._advance(now)
             self.knows_peers = True
+            self._forget_hosts(now)
             known = set(peers)
             for name in self.peers.keys() - known:
                 del self.peers[name]
@@ -270,6 +312,7 @@
             self._advance(now)
             is_settling = now - self.started_at < self.settings.settle_s
             totals = self.totals.setdefault(host, {})
+            self.heard_at[host] = now
             peer = self.peers.get(host)
             last_heard_at = peer.last_heard_at if peer is not None else now
             for name, bucket in self.buckets.items():
@@ -418,7 +461,7 @@
             if bucket.tokens_left < required:
                 # With equal waits, all refused callers would retry at the same time.
                 wait_s = bucket.get_wait_s(required + bucket.promised_tokens, now)
-                bucket.promised_tokens += tokens
+                bucket.promised_tokens += required
                 return min(wait_s, self.settings.wait_limit_s)
             bucket.charge(tokens, now)
             bucket.spent += tokens
--- a/src/thornlatch/residency/_planner.py
+++ b/src/thornlatch/residency/_planner.py
@@ -24,6 +24,7 @@
 from thornlatch.residency._versions import AdapterVersions
 from thornlatch.routing import EngineLimits
 
+REPORT_PATIENCE_S = 1.0  # reports lag 0.35 s, and the next one is tried after 0.2 s
 PRIORITY_WEIGHT_RATIO = 1.5  # weight of a request relative to the next lower priority
 
 
@@ -141,6 +142,7 @@
     versions: AdapterVersions
     # Orders that the target has accepted; None until its next report.
     sequence: int | None = None
+    invalid_since: float = float("-inf")
     model: str = ""
     model_ready_at: float = 0.0
     adapters: dict[str, _AdapterState] = field(default_factory=dict)
@@ -226,6 +228,21 @@
                 state.used_at = now
         self.places.note(uses, self.adapters, now=now)
 
+    def is_responding(self, *, now: float) -> bool:
+        """Return whether the target takes orders, now or after its next report.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        bool
+            False if a report has been missing for `REPORT_PATIENCE_S`.
+        """
+        is_known = self.sequence is not None
+        return is_known or now - self.invalid_since < REPORT_PATIENCE_S
+
     def needs_report(self, *, now: float) -> bool:
         """Return whether a report of the target must be read now.
 
@@ -570,6 +587,8 @@
         self.requested.pop(adapter, None)
 
     def _invalidate(self, now: float) -> None:
+        if self.sequence is not None:
+            self.invalid_since = now
         self.sequence = None
         self.report_due_at = now + self.settings.report_lag_s
 
--- a/src/thornlatch/residency/_table.py
+++ b/src/thornlatch/residency/_table.py
@@ -166,11 +166,9 @@
         residents : dict of str to Resident
         now : float
         """
-        if (
-            now - self.holder_reported_at.get(target, float("-inf"))
-            >= HOLDER_REPORT_VALIDITY_S
-        ):
-            with self.changed:
+        with self.changed:
+            reported_at = self.holder_reported_at.get(target, float("-inf"))
+            if now - reported_at >= HOLDER_REPORT_VALIDITY_S:
                 self._replace(target, residents)
 
     def _replace(self, target: str, residents: dict[str, Resident]) -> None:
@@ -197,6 +195,8 @@
         target : str
         """
         with self.changed:
+            # Requests that wait for a load there have to choose another target.
+            self._replace(target, {})
             self.by_target.pop(target, None)
             self.holder_reported_at.pop(target, None)
             self.place_at.pop(target, None)
--- a/src/thornlatch/routing/_table.py
+++ b/src/thornlatch/routing/_table.py
@@ -32,7 +32,7 @@
         -------
         Route or None
         """
-        name = host.partition(":")[0]
+        name = _strip_port(host)
         end = path.rfind("/")
         while end >= 0:
             route = self.routes_by_prefix.get((name, path[: end + 1]))
@@ -42,6 +42,13 @@
         return None
 
 
+def _strip_port(host: str) -> str:
+    if host.startswith("["):
+        # An IPv6 literal, which contains colons.
+        return host.partition("]")[0] + "]"
+    return host.partition(":")[0]
+
+
 def choose_service(route: Route, request_id: str) -> str:
     """Return the service that a request goes to, by weight.
 
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -263,13 +263,19 @@
     Raises
     ------
     TargetError
-        If the target doesn't answer with a JSON object.
+        If the target doesn't answer with status 200 and a JSON object.
     """
     response = open_call(TargetCall(address, "GET", "/load", timeout_s=timeout_s))
     try:
         data = response.read_all(REPORT_LIMIT_BYTES)
     finally:
         response.close()
+    if response.status != 200:
+        raise TargetError(
+            f"request for a report returned status {response.status}",
+            is_sent=True,
+            status=response.status,
+        )
     try:
         report = json.loads(data)
     except (ValueError, RecursionError) as error:
