--- a/src/thornlatch/fleet/_domain_choice.py
+++ b/src/thornlatch/fleet/_domain_choice.py
@@ -9,6 +9,8 @@
 from thornlatch.fleet._domain_messages import DomainDigest
 from thornlatch.fleet._latest_messages import LatestMessages
 
+MIN_SPARE_TURNS = 2
+
 
 @dataclass(frozen=True)
 class ExchangeSettings:
@@ -21,14 +23,19 @@
     relays : int
         Relays of a domain; the spare ones replace the first one if it fails.
     period_s : float
-        Seconds between two digests of a host, also of a relay.
+        Least seconds between two digests of a host, also of a relay.
+    host_period_s : float
+        The same for each host of the fleet, so that the processor time of all hosts
+        together doesn't grow with the square of their number.
     silent_s : float
-        Seconds without a message after which a host counts as silent.
+        Least seconds without a message after which a host counts as silent.
+    silent_periods : float
+        The same as a multiple of the period.
     suspect_s : float
         Seconds for which a relay that hasn't replied isn't chosen.
-    spare_turns : int
-        Turns between two digests that a spare relay sends, and that hosts without
-        changed reports of targets send to it; a turn lasts `period_s`.
+    spare_s : float
+        Seconds between two digests that a spare relay sends, and that hosts without
+        changed reports of targets send to it; rounded to turns, two at least.
     orderers : int
         Number of hosts that order adapters if there are more hosts than partitions,
         so that the others send no renewals to the store.
@@ -39,12 +46,51 @@
     mesh_hosts: Annotated[int, Meta(ge=2)] = 16
     relays: Annotated[int, Meta(ge=1)] = 2
     period_s: Annotated[float, Meta(gt=0)] = 0.1
+    host_period_s: Annotated[float, Meta(ge=0)] = 0.0015
     silent_s: Annotated[float, Meta(gt=0)] = 0.7
+    silent_periods: Annotated[float, Meta(gt=1)] = 3.5
     suspect_s: Annotated[float, Meta(gt=0)] = 3.0
-    spare_turns: Annotated[int, Meta(ge=1)] = 3
+    spare_s: Annotated[float, Meta(gt=0)] = 0.3
     orderers: Annotated[int, Meta(ge=1)] = 12
     orderers_margin: Annotated[int, Meta(ge=0)] = 4
 
+    def compute_timing(self, hosts: int) -> "ExchangeTiming":
+        """Return the times of a fleet.
+
+        Parameters
+        ----------
+        hosts : int
+
+        Returns
+        -------
+        ExchangeTiming
+        """
+        period_s = max(self.period_s, hosts * self.host_period_s)
+        return ExchangeTiming(
+            period_s,
+            max(self.silent_s, period_s * self.silent_periods),
+            max(round(self.spare_s / period_s), MIN_SPARE_TURNS),
+        )
+
+
+@dataclass(frozen=True)
+class ExchangeTiming:
+    """Times at which the hosts of a fleet of some size exchange digests.
+
+    Parameters
+    ----------
+    period_s : float
+        Seconds of a turn, in which a host sends its digest.
+    silent_s : float
+        Seconds without a message after which a host counts as silent.
+    spare_turns : int
+        Turns between two digests to and from a spare relay.
+    """
+
+    period_s: float
+    silent_s: float
+    spare_turns: int
+
 
 @dataclass(frozen=True)
 class Member:
@@ -79,6 +125,10 @@
         default_factory=LatestMessages
     )
     selected_relays: dict[str, str] = field(default_factory=dict)
+    silent_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.silent_s = self.settings.silent_s
 
     def add(self, digest: DomainDigest, *, now: float) -> bool:
         """Add a relay's digest unless a later one of the relay is known.
@@ -107,7 +157,7 @@
         -------
         list of DomainDigest
         """
-        fresh = self.latest.list_fresh(now=now, silent_s=self.settings.silent_s)
+        fresh = self.latest.list_fresh(now=now, silent_s=self.silent_s)
         self.latest.retain(fresh)
         best: dict[str, DomainDigest] = {}
         for (domain, _), digest in fresh.items():
@@ -122,8 +172,7 @@
     def _rank(self, digest: DomainDigest) -> tuple[int, bool, bool, str]:
         spending = digest.spending
         is_selected = self.selected_relays.get(spending.domain) == spending.relay
-        # What a spare relay knows is several turns old.
-        return (len(spending.live), not spending.is_spare, is_selected, spending.relay)
+        return (len(spending.live), is_selected, not spending.is_spare, spending.relay)
 
 
 def choose_by_capacity(
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -37,6 +37,10 @@
     held: dict[str, tuple[str, HeldTarget]] = field(default_factory=dict)
     fencing_tokens: dict[tuple[str, str], int] = field(default_factory=dict)
     first_digest_at: float | None = None
+    silent_s: float = 0.0
+
+    def __post_init__(self) -> None:
+        self.silent_s = self.settings.silent_s
 
     def apply_digest(self, host: str, digest: HostDigest, *, now: float) -> None:
         """Apply a host's digest, unless a later one is known.
@@ -53,7 +57,7 @@
             self.first_digest_at = now
         known_totals = self.spent_totals.get(host)
         # What hosts spent before this host became a relay is already accounted for.
-        is_settling = now - self.first_digest_at < self.settings.silent_s
+        is_settling = now - self.first_digest_at < self.silent_s
         if known_totals is not None or not is_settling:
             for organisation, total in digest.spent.items():
                 self.spent[organisation] += total - (known_totals or {}).get(
@@ -75,7 +79,7 @@
         -------
         dict of str to HostDigest
         """
-        return self.latest.list_fresh(now=now, silent_s=self.settings.silent_s)
+        return self.latest.list_fresh(now=now, silent_s=self.silent_s)
 
     def build_digest(self, *, is_spare: bool = False, now: float) -> DomainDigest:
         """Return the domain's digest.
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -69,6 +69,15 @@
         # Ids of target crashes by fingerprint of the request that was running.
         self.crashes: dict[str, tuple[str, ...]] = {}
 
+    def set_silent_s(self, silent_s: float) -> None:
+        """Set the time without a message after which a relay counts as silent.
+
+        Parameters
+        ----------
+        silent_s : float
+        """
+        self.selector.silent_s = silent_s
+
     def note_sent(self, digest: HostDigest) -> None:
         """Remember a digest of this host until a relay may have echoed it.
 
@@ -110,8 +119,7 @@
 
     def _select_digest(self, now: float) -> FleetDigest:
         """Return the digest to use: that with the most live hosts."""
-        silent_s = self.selector.settings.silent_s
-        fresh = self.latest.list_fresh(now=now, silent_s=silent_s)
+        fresh = self.latest.list_fresh(now=now, silent_s=self.selector.silent_s)
         self.latest.retain(fresh)
         selected = max(fresh.values(), key=self._rank)
         self.selected_relay = selected.relay
@@ -175,7 +183,7 @@
         running = {
             target: {"": max(count, 0)} for target, count in request_counts.items()
         }
-        for (target, adapter), count in self._count_peer_requests(message).items():
+        for (target, adapter), count in self._count_peer_requests(message, now).items():
             if adapter and count > 0:
                 running.setdefault(target, {"": 0})[adapter] = count
         peers = self.peers
@@ -199,20 +207,29 @@
         peers.last_seen_at = last_seen_at
         self.crashes = work.broken
 
-    def _count_peer_requests(self, message: FleetDigest) -> Counter[tuple[str, str]]:
+    def _count_peer_requests(
+        self, message: FleetDigest, now: float
+    ) -> Counter[tuple[str, str]]:
         """Return the numbers of the peers' requests by target and adapter."""
+        by_domain: dict[str, Counter[tuple[str, str]]] = {}
+        domains = {spending.domain for spending in message.domains}
+        fresh = self.target_uses.list_fresh(now=now, silent_s=self.selector.silent_s)
+        self.target_uses.retain(fresh)
+        for (domain, _), uses in fresh.items():
+            if domain in domains:
+                # What a spare relay knows is some turns old; either may lack uses.
+                counts = by_domain.setdefault(domain, Counter())
+                counts |= self._count_uses(uses)
+        return sum(by_domain.values(), Counter())
+
+    def _count_uses(self, uses: TargetUses) -> Counter[tuple[str, str]]:
         counts: Counter[tuple[str, str]] = Counter()
-        self.target_uses.retain(
-            {(spending.domain, spending.relay) for spending in message.domains}
-        )
-        for received in self.target_uses.by_sender.values():
-            uses = received.message
-            for target, adapter, count in uses.uses:
-                counts[target, adapter] += count
-            own_digest = self.sent_digests.get(uses.echoed_at)
-            if uses.domain == self.domain and own_digest is not None:
-                targets = {target for target, _, _ in uses.uses}
-                for target, adapter, count in own_digest.running:
-                    if target in targets:
-                        counts[target, adapter] -= count
+        for target, adapter, count in uses.uses:
+            counts[target, adapter] += count
+        own_digest = self.sent_digests.get(uses.echoed_at)
+        if uses.domain == self.domain and own_digest is not None:
+            targets = {target for target, _, _ in uses.uses}
+            for target, adapter, count in own_digest.running:
+                if target in targets:
+                    counts[target, adapter] -= count
         return counts
--- a/src/thornlatch/fleet/_domains.py
+++ b/src/thornlatch/fleet/_domains.py
@@ -24,8 +24,8 @@
 class DomainExchange:
     """Determines the messages that a host of a large fleet sends in each turn.
 
-    In each turn, once in `period_s`, the host sends its digest. One thread uses the
-    class, except for `get_relays`, which is thread-safe.
+    In each turn, once in `timing.period_s`, the host sends its digest. One thread uses
+    the class, except for `get_relays`, which is thread-safe.
 
     Parameters
     ----------
@@ -46,6 +46,7 @@
         self.domain = domain
         self.capacity = capacity
         self.members: dict[str, Member] = {}
+        self.timing = settings.compute_timing(1)
         self.relay = DomainRelay(domain, host, settings)
         self.selector = DomainDigestSelector(settings)
         # Reports of holders in other domains since the previous turn, by target.
@@ -66,6 +67,8 @@
         """
         own_member = Member("", self.domain, self.capacity)
         self.members = {**peers, self.host: own_member}
+        self.timing = self.settings.compute_timing(len(self.members))
+        self.relay.silent_s = self.selector.silent_s = self.timing.silent_s
         self.relay.retain_hosts(self.members)
         self.unanswered_since = {
             host: since
@@ -173,7 +176,7 @@
         self._suspect_unresponsive_relays(now)
         outgoing: list[tuple[str, Any]] = []
         relays = self.get_relays(self.domain, now=now)
-        is_spare_turn = self.turn_count % self.settings.spare_turns == 0
+        is_spare_turn = self.turn_count % self.timing.spare_turns == 0
         for relay in relays:
             # A spare relay sends only in spare turns and needs a digest only then, but
             # it needs all reports of holders, which later digests may not repeat.
@@ -197,7 +200,7 @@
 
     def _suspect_unresponsive_relays(self, now: float) -> None:
         for host, since in list(self.unanswered_since.items()):
-            if now - since >= self.settings.silent_s:
+            if now - since >= self.timing.silent_s:
                 del self.unanswered_since[host]
                 self.suspected_until[host] = now + self.settings.suspect_s
 
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -130,6 +130,7 @@
                 self._handle_load_request,
                 self._handle_other_message,
                 on_tick,
+                lambda: bool(state.orders.held),
             ),
         )
 
@@ -253,13 +254,18 @@
     def _divide_limits(self, peers: Iterable[str], now: float) -> None:
         """Divide the limits of the fleet among its hosts."""
         sharing = [host for host in peers if host not in self.absent]
-        self.state.quota.set_large_fleet(self.exchange.is_large, now=now)
+        self.state.quota.set_large_fleet(
+            self.exchange.is_large,
+            digest_period_s=self.exchange.timing.period_s,
+            now=now,
+        )
         self.state.quota.set_peers(sharing, now=now)
         self.state.retries.hosts = len(sharing) + 1
         self.divide_model_loads()
         silent_s = self.peer_loop.get_period_s() * SILENCE_LIMIT_PERIODS
         if self.exchange.is_large:
-            silent_s = max(silent_s, self.settings.exchange.silent_s)
+            silent_s = max(silent_s, self.exchange.timing.silent_s)
+            self.domain_view.set_silent_s(self.exchange.timing.silent_s)
         self.state.orders.is_view_late = self.exchange.is_large
         self.state.peers.silent_s = max(self.settings.peer_view.silent_s, silent_s)
         self.state.quota.silent_s = max(self.settings.quota.silent_s, silent_s)
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -40,6 +40,7 @@
 logger = logbook.Logger("thornlatch.gateway")
 
 EXPIRY_CHECK_PERIOD_S = 0.1  # for callers that disconnected and expired deadlines
+IDLE_WAIT_S = 1.0
 SIGNAL_WAIT_S = 10.0  # upper bound, in case a signal doesn't wake the main thread
 STOP_POLL_PERIOD_S = 0.05  # for the end of running requests
 
@@ -401,7 +402,9 @@
 
     def _stop_expired_requests(self) -> None:
         while not self.drained.wait(EXPIRY_CHECK_PERIOD_S):
-            self.work.stop_expired(now=read_clock())
+            # A host without requests wakes rarely.
+            if self.work.busy.wait(IDLE_WAIT_S):
+                self.work.stop_expired(now=read_clock())
 
     def _build_servers(self) -> list[Any]:
         host = self.settings.host
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -290,7 +290,7 @@
         now : float
         """
         configuration = self.in_force.configuration
-        if configuration is None:
+        if configuration is None or not (self.tenure.tokens or self.held):
             return
         targets_to_hold: dict[str, tuple[Target, EngineLimits]] = {}
         for target in list(self.registry.targets.values()):
--- a/src/thornlatch/gateway/_peer_loop.py
+++ b/src/thornlatch/gateway/_peer_loop.py
@@ -23,6 +23,8 @@
 
 logger = logbook.Logger("thornlatch.fleet")
 
+ORDER_TICK_PERIOD_S = 0.1  # loads in transit for 0.25 s are followed up by then
+
 
 @dataclass(frozen=True)
 class PeerHandlers:
@@ -43,7 +45,9 @@
     on_other : callable
         Called with messages of all other kinds.
     on_tick : callable
-        Called after each digest of this host.
+        Called after each digest of this host, and more often while it orders adapters.
+    is_ordering : callable
+        Returns whether this host orders adapters.
     """
 
     build_digest: Callable[[float], HostDigest]
@@ -54,6 +58,7 @@
     on_load_requested: Callable[[str, LoadRequested, float], None]
     on_other: Callable[[str, Any, float], None]
     on_tick: Callable[[float], None]
+    is_ordering: Callable[[], bool]
 
 
 class PeerLoop:
@@ -134,9 +139,9 @@
         poller = zmq.Poller()
         poller.register(self.mesh.router, zmq.POLLIN)
         poller.register(self.wake_reader, zmq.POLLIN)
-        due_at = read_clock()
+        due_at = tick_due_at = read_clock()
         while not self.is_stopping:
-            wait_s = max(due_at - read_clock(), 0.0)
+            wait_s = max(min(due_at, tick_due_at) - read_clock(), 0.0)
             try:
                 ready = dict(poller.poll(int(wait_s * 1000) + 1))
                 if self.wake_reader in ready:
@@ -149,6 +154,9 @@
                     self.is_digest_requested = False
                     due_at = now + self.get_period_s()
                     self._send_digest(now)
+                    tick_due_at = now
+                if now >= tick_due_at:
+                    tick_due_at = now + self._get_tick_period_s()
                     self.handlers.on_tick(now)
             except Exception:
                 logger.exception("fleet.turn_failed")
@@ -158,9 +166,14 @@
     def get_period_s(self) -> float:
         """Return the seconds between two digests of a host."""
         if self.exchange.is_large:
-            return self.exchange.settings.period_s
+            return self.exchange.timing.period_s
         return self.view.settings.period_s
 
+    def _get_tick_period_s(self) -> float:
+        if not self.handlers.is_ordering():
+            return self.get_period_s()
+        return min(self.get_period_s(), ORDER_TICK_PERIOD_S)
+
     def _receive_messages(self) -> None:
         now = read_clock()
         for envelope in self.mesh.iter_received():
--- a/src/thornlatch/gateway/_topic_share.py
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -8,7 +8,7 @@
 import threading
 from collections import deque
 from collections.abc import Callable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Annotated, Any
 
 from msgspec import Meta
@@ -17,6 +17,7 @@
 from thornlatch.fleet import DomainExchange, choose_by_capacity
 
 CACHED_RECORDS = 3000  # about 20 s of registrations of 600 targets in 8 domains
+DEFAULT_KNOWN_WITHIN_S = 2.0  # for which the defaults of the settings hold
 ANSWER_LIMIT_RECORDS = 400  # keeps an answer below the size limit of messages
 
 
@@ -31,8 +32,8 @@
     age_limit_s : float
         Seconds since the reading host's read began, above which a host reads the store
         itself, since the reading host may have lost its connection to the store. The
-        sum with `period_s` and `answer_s` must stay below 2 s, within which changes
-        must be known.
+        sum with `period_s` and `answer_s` must stay below the time within which changes
+        must be known, 2 s by default.
     period_s : float
         Seconds between two queries for a topic.
     """
@@ -41,6 +42,22 @@
     age_limit_s: Annotated[float, Meta(gt=0)] = 0.9
     period_s: Annotated[float, Meta(gt=0)] = 0.4
 
+    def scale(self, known_within_s: float) -> "TopicShareSettings":
+        """Return the settings for another time within which changes must be known.
+
+        Parameters
+        ----------
+        known_within_s : float
+
+        Returns
+        -------
+        TopicShareSettings
+        """
+        ratio = known_within_s / DEFAULT_KNOWN_WITHIN_S
+        return replace(
+            self, age_limit_s=self.age_limit_s * ratio, period_s=self.period_s * ratio
+        )
+
 
 @register
 @dataclass(frozen=True)
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -108,6 +108,8 @@
         self.totals: dict[str, int] = {}
         self.prompt_tokens = DecayingSums()
         self.running: set[RunningRequest] = set()
+        # Set while any request is running.
+        self.busy = threading.Event()
 
     def add(self, running: RunningRequest) -> None:
         """Add a request that is being served.
@@ -118,6 +120,7 @@
         """
         with self.lock:
             self.running.add(running)
+            self.busy.set()
 
     def remove(self, running: RunningRequest) -> None:
         """Remove a request that is no longer served.
@@ -128,6 +131,8 @@
         """
         with self.lock:
             self.running.discard(running)
+            if not self.running:
+                self.busy.clear()
 
     def begin(
         self, target: str, adapter: str, prompt_tokens: int = 0, *, now: float = 0.0
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -34,9 +34,13 @@
         Seconds without a digest after which a peer's spending is assumed.
     wait_limit_s : float
         Longest wait that a refused caller is given, in seconds.
-    large_fleet_ratio : float
-        Fraction of a burst that is used in a large fleet. Its hosts receive each
+    reserve_s, reserve_periods : float
+        Part of a burst that isn't used in a large fleet, in seconds of the rate: a
+        fixed part and a multiple of the period of digests. Its hosts receive each
         other's spending later, so several hosts may spend the same tokens.
+    tolerance : float
+        Tokens by which a window may exceed the quota because of late reports. The
+        reserve is smaller by as much.
     window_s : float
         Length of the window over which the platform evaluates a quota, in seconds. A
         window may hold the tokens of the rate and one burst. 0 for a plain bucket with
@@ -52,7 +56,9 @@
     settle_s: Annotated[float, Meta(ge=0)] = 1.5
     silent_s: Annotated[float, Meta(gt=0)] = 0.45
     wait_limit_s: Annotated[float, Meta(gt=0)] = 5.0
-    large_fleet_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.5
+    reserve_s: Annotated[float, Meta(ge=0)] = 0.475
+    reserve_periods: Annotated[float, Meta(ge=0)] = 1.65
+    tolerance: Annotated[float, Meta(ge=0)] = 0.0
     window_s: Annotated[float, Meta(ge=0)] = 0.0
     sustained_ratio: Annotated[float, Meta(ge=0, le=1)] = 0.75
     late_s: Annotated[float, Meta(ge=0)] = 1.0
@@ -61,6 +67,7 @@
 RATE_SMOOTHING = 0.5  # weight of the latest digest in a peer's spending rate
 # After this time, windows and buckets hold nothing of what was spent before.
 FORGET_S = 60.0
+MIN_BURST_RATIO = 0.1  # of a burst that is used in any fleet
 ADVANCE_PERIOD_S = 0.005  # smallest time between two updates of the buckets
 
 
@@ -163,6 +170,7 @@
         self.knows_peers = False
         self.silent_s = settings.silent_s
         self.is_large_fleet = False
+        self.digest_period_s = 0.0
         self.organisations: tuple[Organisation, ...] = ()
         self.advanced_at = now
         self.lock = threading.Lock()
@@ -226,24 +234,28 @@
             for bucket in self.buckets.values():
                 bucket.assumed.pop(name, None)
 
-    def set_large_fleet(self, is_large_fleet: bool, *, now: float) -> None:
+    def set_large_fleet(
+        self, is_large_fleet: bool, *, digest_period_s: float, now: float
+    ) -> None:
         """Set whether the fleet is so large that digests of peers arrive late.
 
         Parameters
         ----------
         is_large_fleet : bool
+        digest_period_s : float
+            Seconds between two digests of a host.
         now : float
         """
         with self.lock:
             self._advance(now)
             self.is_large_fleet = is_large_fleet
+            self.digest_period_s = digest_period_s
             self._update_buckets()
 
     def _update_buckets(self) -> None:
-        ratio = self.settings.large_fleet_ratio if self.is_large_fleet else 1.0
         window_s = self.settings.window_s
         for organisation in self.organisations:
-            burst = organisation.burst * ratio
+            burst = self._compute_usable_burst(organisation)
             bucket = self.buckets.get(organisation.name)
             if bucket is None:
                 initial_level = min(
@@ -260,6 +272,15 @@
             bucket.level = min(bucket.level, burst)
             self._update_window(bucket)
 
+    def _compute_usable_burst(self, organisation: Organisation) -> float:
+        if not self.is_large_fleet:
+            return organisation.burst
+        settings = self.settings
+        reserve_s = settings.reserve_s + settings.reserve_periods * self.digest_period_s
+        reserve = max(organisation.rate * reserve_s - settings.tolerance, 0.0)
+        least_burst = organisation.burst * MIN_BURST_RATIO
+        return max(organisation.burst - reserve, least_burst)
+
     def _update_window(self, bucket: _Bucket) -> None:
         window_s = self.settings.window_s
         bucket.refill_rate = bucket.rate
