--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -14,6 +14,7 @@
 from thornlatch.gateway import CallerRequest, LogSettings
 from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
 from thornlatch.gateway._health import TargetHealth
+from thornlatch.gateway._load_bucket import LoadTokenBucket
 from thornlatch.gateway._logs import JsonLineHandler, redirect_library_logs
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._suspects import (
@@ -176,6 +177,24 @@
     assert not suspects.is_blocked("f")
 
 
+def test_crashes_that_a_relay_reported_outlast_a_change_of_members():
+    suspects = build_suspects()
+    suspects.set_fleet_crashes({"f": ("a/1/0", "b/1/0", "c/1/0")})
+    suspects.retain_hosts(["h"])
+    assert suspects.is_blocked("f")
+
+
+def test_one_model_load_token_passes_one_order():
+    bucket = LoadTokenBucket()
+    bucket.set_rate(1.0)
+    assert bucket.has_token(now=1.0)
+    assert [bucket.try_take(now=1.0) for _ in range(3)] == [True, False, False]
+    bucket.give_back()
+    assert bucket.try_take(now=1.0)
+    assert not bucket.try_take(now=1.9)
+    assert bucket.try_take(now=2.0)
+
+
 def test_one_crash_that_aborts_several_equal_requests_counts_once():
     """Counted several times, it made all hosts refuse such requests for a minute.
 
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -5,6 +5,7 @@
 import pytest
 
 from thornlatch.quota import QuotaSettings, SharedQuota
+from thornlatch.quota._shared import FORGET_S
 from thornlatch.routing import Organisation
 
 RATE, BURST = 1000.0, 1000.0
@@ -287,3 +288,36 @@
     # tokens per second in that time.
     send_domain_digest(quota, "spare", 1090, is_used=True, now=3.1)
     assert quota.get_spent(now=3.1)[1]["shop"] == pytest.approx(8900, abs=30)
+
+
+def test_refused_request_above_the_burst_delays_later_ones_by_a_burst_only():
+    quota = build_quota()
+    quota.try_spend("shop", 1000, now=10.0)
+    assert quota.try_spend("shop", 50_000, now=10.0) == pytest.approx(1.0)
+    assert quota.try_spend("shop", 500, now=10.0) == pytest.approx(1.5)
+
+
+def test_organisation_that_returns_soon_gets_no_second_burst():
+    quota = build_quota()
+    assert quota.try_spend("shop", 1000, now=10.0) is None
+    quota.set_organisations([], now=10.1)
+    quota.set_organisations([build_organisation()], now=10.2)
+    assert quota.try_spend("shop", 1000, now=10.2) is not None
+    quota.set_organisations([], now=10.3)
+    quota.set_organisations([], now=10.3 + FORGET_S)
+    assert quota.buckets == {}
+
+
+def test_hosts_and_relays_that_are_gone_for_long_are_forgotten():
+    quota = build_quota(peers=["a", "b"])
+    for name in ("a", "b"):
+        quota.apply_peer_digest(name, {"shop": 5}, {}, 10.0)
+    quota.apply_domain_digest(
+        "d", "r", {"shop": 7}, {}, hosts=["a"], is_used=True, now=10.0
+    )
+    quota.set_peers(["b"], now=11.0)
+    # A stopping host still sends digests.
+    assert set(quota.totals) == {"a", "b"}
+    quota.set_peers(["b"], now=11.0 + FORGET_S)
+    assert set(quota.totals) == {"b"}
+    assert quota.relays == {}
--- a/src/thornlatch/residency/tests/test_table.py
+++ b/src/thornlatch/residency/tests/test_table.py
@@ -46,6 +46,34 @@
     assert table.get("t", "m/a") == Resident(2, 12.0)
 
 
+def test_removed_target_wakes_those_who_wait_for_a_load_there():
+    table = ResidentTable()
+    table.apply_holder_report("t", {"m/a": Resident(1, 99.0)}, now=10.0)
+    revision = table.revisions["m/a"]
+    table.remove("t")
+    assert table.revisions["m/a"] > revision
+    assert "t" not in table.by_target
+
+
+def test_registration_does_not_replace_a_report_that_arrives_meanwhile():
+    table = ResidentTable()
+
+    class Condition:
+        """Applies the holder's report just before the lock is taken."""
+
+        def __enter__(self):
+            table.changed = condition
+            table.apply_holder_report("t", {"m/a": AVAILABLE}, now=10.0)
+            condition.__enter__()
+
+        def __exit__(self, *error):
+            condition.__exit__(*error)
+
+    condition, table.changed = table.changed, Condition()
+    table.apply_registration("t", {}, now=10.0)
+    assert table.get("t", "m/a") == AVAILABLE
+
+
 def test_holder_report_is_confirmed_until_the_state_changes():
     table = ResidentTable()
     assert not table.confirm_holder_report("t", ("a",), now=10.0)
--- a/src/thornlatch/routing/tests/test_table.py
+++ b/src/thornlatch/routing/tests/test_table.py
@@ -20,6 +20,7 @@
 
 TABLE = RouteTable(
     (build_route("/x/"), build_route("/x/y/"), build_route("/", host="b.example"))
+    + (build_route("/x/", host="[::1]"),)
 )
 
 
@@ -29,6 +30,9 @@
         ("a.example", "/x/1", "/x/"),
         ("a.example:80", "/x/1", "/x/"),
         ("a.example", "/x/y/1", "/x/y/"),
+        ("[::1]", "/x/1", "/x/"),
+        ("[::1]:80", "/x/1", "/x/"),
+        ("[::2]:80", "/x/1", None),
         ("a.example", "/x/y", "/x/"),
         ("a.example", "/xy/1", None),
         ("a.example", "/", None),
