Bound deadlines, times of log lines and names of messages in the daemon

Change: each mended with a test that failed before; one build_status_line in core for daemon and gateway.

--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -21,6 +21,7 @@
 from thornlatch.core._events import Event
 from thornlatch.core._leases import LeaseReader, Member, Owner, get_host_name
 from thornlatch.core._slices import Slice, has_handler
+from thornlatch.core._status import build_status_line
 
 __all__ = [
     "Action",
@@ -35,6 +36,7 @@
     "Resolve",
     "Send",
     "Slice",
+    "build_status_line",
     "decode_envelope",
     "decode_record",
     "encode_envelope",
--- a/src/thornlatch/core/_codec.py
+++ b/src/thornlatch/core/_codec.py
@@ -67,7 +67,7 @@
         If another class has the same name or `cls` is not a data class.
     """
     registered = _classes.get(cls.__name__)
-    if registered is not None and registered.__qualname__ != cls.__qualname__:
+    if registered is not None and _get_identity(registered) != _get_identity(cls):
         raise ValueError(f"message kind {cls.__name__} is registered twice")
     if not is_dataclass(cls):
         raise ValueError(f"{cls.__name__} is not a data class")
@@ -75,6 +75,10 @@
     return cls
 
 
+def _get_identity(cls: type) -> tuple[str, str]:
+    return cls.__module__, cls.__qualname__
+
+
 def encode_message(message: Any) -> bytes:
     """Encode a message as an array of its fields, compressed if it is long.
 
--- a/src/thornlatch/core/tests/test_codec.py
+++ b/src/thornlatch/core/tests/test_codec.py
@@ -28,6 +28,12 @@
     added: int = 0
 
 
+def test_register_equal_name_of_another_module():
+    other = dataclass(frozen=True)(type("CodecProbe", (), {"__module__": "elsewhere"}))
+    with pytest.raises(ValueError, match="registered twice"):
+        register(other)
+
+
 def test_envelope_round_trip():
     envelope = Envelope("host-1", 7, CodecProbe("a", 1.5))
     assert decode_envelope(encode_envelope(envelope)) == envelope
--- a/src/thornlatch/daemon/_answers.py
+++ b/src/thornlatch/daemon/_answers.py
@@ -6,6 +6,7 @@
 from dataclasses import dataclass, field
 from typing import Any
 
+from thornlatch.core import build_status_line
 from thornlatch.exceptions import ANSWERS, RequestRefused
 
 StartResponse = Callable[..., Any]
@@ -38,15 +39,10 @@
         iterable of bytes
         """
         headers = [("Content-Length", str(len(self.body))), *self.headers]
-        start_response(
-            f"{self.status} {_REASON_PHRASES.get(self.status, 'Status')}", headers
-        )
+        start_response(build_status_line(self.status), headers)
         return [self.body]
 
 
-_REASON_PHRASES = {200: "OK", 400: "Bad Request", 401: "Unauthorized", 403: "Forbidden"}
-
-
 def build_json(value: Any, *, status: int = 200, request: str = "") -> HttpAnswer:
     """Build an answer from a JSON value.
 
--- a/src/thornlatch/daemon/_calls.py
+++ b/src/thornlatch/daemon/_calls.py
@@ -16,6 +16,10 @@
 Priority = Literal["interactive", "batch"]
 
 
+DEADLINE_LIMIT_MS = 86_400_000
+DEADLINE_DIGITS = 12  # leading zeros are allowed; int() rejects over 4300 digits
+
+
 @dataclass(frozen=True)
 class Caller:
     """Values from the headers of a request.
@@ -149,9 +153,12 @@
     if text is None:
         is_batch = priority == "batch"
         return settings.batch_deadline_s if is_batch else settings.default_deadline_s
-    if not text.isascii() or not text.isdigit() or not 1 <= int(text[:9]) <= 86_400_000:
-        raise _refuse("X-Deadline-Ms must be a whole number from 1 to 86400000")
-    return int(text[:9]) / 1000
+    is_number = text.isascii() and text.isdigit() and len(text) <= DEADLINE_DIGITS
+    if not is_number or not 1 <= int(text) <= DEADLINE_LIMIT_MS:
+        raise _refuse(
+            f"X-Deadline-Ms must be a whole number from 1 to {DEADLINE_LIMIT_MS}"
+        )
+    return int(text) / 1000
 
 
 def parse_completion(
--- a/src/thornlatch/daemon/tests/test_app.py
+++ b/src/thornlatch/daemon/tests/test_app.py
@@ -3,6 +3,7 @@
 import pytest
 
 from thornlatch.configuration import Adapter
+from thornlatch.daemon._answers import HttpAnswer
 from thornlatch.daemon._app import build_completion
 from thornlatch.daemon._calls import parse_caller, parse_completion
 from thornlatch.daemon._completions import CompletionRequest
@@ -32,6 +33,13 @@
     return CompletionChunk(data, "a@1", index, is_finish, text)
 
 
+def test_answer_names_the_reason_of_its_status():
+    lines = []
+    for status in (200, 503, 299):
+        HttpAnswer(status, b"", ()).send(lambda line, headers: lines.append(line))
+    assert lines == ["200 OK", "503 Service Unavailable", "299 Unknown"]
+
+
 @pytest.mark.parametrize("is_chat", [False, True], ids=["text", "chat"])
 def test_build_completion_event_without_choices(is_chat):
     last = [{"finish_reason": "length"}]
--- a/src/thornlatch/daemon/tests/test_calls.py
+++ b/src/thornlatch/daemon/tests/test_calls.py
@@ -31,6 +31,8 @@
         {"HTTP_X_DEADLINE_MS": "-1"},
         {"HTTP_X_DEADLINE_MS": "\u0661"},
         {"HTTP_X_DEADLINE_MS": "99999999999"},
+        {"HTTP_X_DEADLINE_MS": "00864000009"},
+        {"HTTP_X_DEADLINE_MS": "9" * 5000},
         {"HTTP_AUTHORIZATION": "Basic x"},
         {"HTTP_AUTHORIZATION": "Bearer " + "k" * 300},
         {"HTTP_IDEMPOTENCY_KEY": "k" * 300},
--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -7,7 +7,7 @@
 import logbook
 from waitress.channel import ClientDisconnected
 
-from thornlatch.core import read_clock
+from thornlatch.core import build_status_line, read_clock
 from thornlatch.exceptions import ANSWERS, ErrorKind, RequestRefused
 from thornlatch.gateway._call import GatewayAnswer
 from thornlatch.gateway._forwarder import Forwarder
@@ -17,21 +17,6 @@
 logger = logbook.Logger("thornlatch.gateway")
 
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
-REASON_PHRASES = {
-    200: "OK",
-    400: "Bad Request",
-    401: "Unauthorized",
-    403: "Forbidden",
-    404: "Not Found",
-    409: "Conflict",
-    413: "Content Too Large",
-    422: "Unprocessable Content",
-    429: "Too Many Requests",
-    500: "Internal Server Error",
-    502: "Bad Gateway",
-    503: "Service Unavailable",
-    504: "Gateway Timeout",
-}
 
 
 class GatewayApplication:
@@ -152,19 +137,5 @@
         return _iterate_once(body)
 
 
-def build_status_line(status: int) -> str:
-    """Return the status line of an answer without the protocol version.
-
-    Parameters
-    ----------
-    status : int
-
-    Returns
-    -------
-    str
-    """
-    return f"{status} {REASON_PHRASES.get(status, 'Status')}"
-
-
 def _iterate_once(body: bytes) -> Iterator[bytes]:
     yield body
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -13,11 +13,11 @@
 import logbook
 from prometheus_client import generate_latest
 
-from thornlatch.core import read_clock
+from thornlatch.core import build_status_line, read_clock
 from thornlatch.exceptions import ThornlatchError
 from thornlatch.fleet import PeerView, Target, TargetRegistry
 from thornlatch.gateway._admission import Admission
-from thornlatch.gateway._app import GatewayApplication, StartResponse, build_status_line
+from thornlatch.gateway._app import GatewayApplication, StartResponse
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
--- a/src/thornlatch/story/_lines.py
+++ b/src/thornlatch/story/_lines.py
@@ -8,6 +8,8 @@
 
 from thornlatch.exceptions import InvalidInput
 
+MAX_TIME_S = 1e12  # of the wall clock; nan is not below it
+
 
 @dataclass(frozen=True)
 class LogLine:
@@ -87,6 +89,13 @@
             continue
         event, host = value.pop("event", None), value.pop("host", None)
         wall = value.pop("wall", None)
-        if isinstance(event, str) and isinstance(host, str) and wall is not None:
+        is_event = isinstance(event, str) and isinstance(host, str)
+        if is_event and _is_time(wall):
             value.pop("level", None)
             yield LogLine(event, host, float(wall), value)
+
+
+def _is_time(value: Any) -> bool:
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    # Integers may be too large for a float.
+    return is_number and abs(value) < MAX_TIME_S
--- a/src/thornlatch/story/tests/test_explanation.py
+++ b/src/thornlatch/story/tests/test_explanation.py
@@ -193,6 +193,14 @@
     assert read_lines([path]) == [make_line(1.5, "request.refused", request="r1")]
 
 
+@pytest.mark.parametrize("wall", ["soon", None, [1], True, float("nan"), 10**400])
+def test_read_lines_skips_events_without_a_time(tmp_path, wall):
+    event = {"event": "request.refused", "host": HOST, "wall": wall}
+    path = tmp_path / "host.log"
+    path.write_text(json.dumps(event) + "\n")
+    assert read_lines([path]) == []
+
+
 def test_report_text(snapshot):
     lines, _ = CASES["store-unavailable"]
     assert "\n".join(explain_request("r1", lines).iter_text()) == snapshot
