Name a silent owner as the reason when a request expires without a decision

Change: while the owner is silent or missing, a request that expires is refused as no-target.

Result: the new case fails before, passes after; the outage test passes.

--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -666,11 +666,12 @@
     ) -> ErrorKind | None:
         if not is_confirmed:
             return ErrorKind.HOST_UNCONFIRMED
-        if now >= pending.deadline:
-            return ErrorKind.DEADLINE_UNREACHABLE
-        if is_silent and now - pending.arrived_at >= self.settings.owner_wait_s:
-            return ErrorKind.NO_TARGET
-        return None
+        has_expired = now >= pending.deadline
+        if is_silent:
+            # No owner decided that the deadline can't be met.
+            has_waited = now - pending.arrived_at >= self.settings.owner_wait_s
+            return ErrorKind.NO_TARGET if has_expired or has_waited else None
+        return ErrorKind.DEADLINE_UNREACHABLE if has_expired else None
 
     def _refuse(
         self, client: PoolClient, pending: PendingRequest, kind: ErrorKind, now: float
--- a/src/thornlatch/dispatch/tests/test_dispatch.py
+++ b/src/thornlatch/dispatch/tests/test_dispatch.py
@@ -55,10 +55,11 @@
     assert refusal.retry_after_s > 0
 
 
-def test_request_without_owner_is_refused():
-    fleet = Fleet(settings=DispatchSettings(owner_wait_s=2.0))
+@pytest.mark.parametrize(("owner_wait_s", "deadline_s"), [(2.0, 30.0), (10.0, 2.0)])
+def test_request_without_owner_is_refused(owner_wait_s, deadline_s):
+    fleet = Fleet(settings=DispatchSettings(owner_wait_s=owner_wait_s))
     fleet.view.owner = None
-    fleet.request("h2", make_spec("r1"))
+    fleet.request("h2", make_spec("r1", deadline_in_s=deadline_s))
     fleet.advance(2.5)
     assert fleet.results["r1"].kind is ErrorKind.NO_TARGET
 
