Load an adapter at one home: no random spread between homes

Cause: the random spread between choices of hosts (herd_spread_s) was also added to homes, so hosts that asked for the same adapter at once ordered it at different ones.

Change: the spread isn't part of the cost of an option that loads.

--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -277,6 +277,8 @@
     if not state.was_resident:
         home_penalty_s = settings.home_penalty_s
     cost_s += compute_home_rank(requirements.adapter, target.id) * home_penalty_s
+    # All hosts are to load an adapter at the same target.
+    cost_s -= state.spread_s
     return TargetOption(target, Step.REQUEST_LOAD, wait_s, cost_s)
 
 
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -133,6 +133,17 @@
     assert [option.target.id for option in options] == ["t3", "t2"]
 
 
+def test_hosts_that_choose_at_once_spread_over_copies_but_not_over_homes():
+    home = min(TARGETS, key=lambda t: compute_home_rank("m/a", t.id)).id
+    options = choose({home: TargetState(0, spread_s=0.15)})
+    assert options[0].target.id == home
+    copies = {
+        "t1": TargetState(0, resident=READY, spread_s=0.15),
+        "t2": TargetState(2, resident=READY),
+    }
+    assert choose(copies)[0].target.id == "t2"
+
+
 def test_all_hosts_choose_the_same_home_for_a_rare_adapter():
     first = choose({})[0].target.id
     second = choose({}, targets=list(reversed(TARGETS)))[0].target.id
