Tell a requester that its load is queued; drop queued loads that began elsewhere

A holder answered a requester only when its load began. A host without a word for 0.1 s asked at the next target, so one request was queued at several, and each loaded the adapter when a place became free, long after the request had been served.

Change: the holder answers at once if the load has to wait for a place, and again when it begins; before an order, a holder drops queued loads (not copies) of adapters that another target with a free slot holds or has begun to load.

--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -4,7 +4,7 @@
 import zlib
 from collections.abc import Callable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 import logbook
 
@@ -52,6 +52,8 @@
     orders_from: float  # earliest clock time of an order
     # Hosts to be notified of a load, by adapter.
     requesters: dict[str, set[str]] = field(default_factory=dict)
+    # What the hosts asked for, by adapter, until its load begins.
+    requests: dict[str, LoadRequested] = field(default_factory=dict)
     # When another load can begin, as the peers know.
     reported_place_at: float = float("-inf")
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -225,9 +227,10 @@
         may_drop = not load_request.was_missing and not load_request.is_copy
         if may_drop and self._is_available_elsewhere(held, load_request):
             return
+        adapter = load_request.adapter
         with held.lock:
             held.planner.request_load(
-                load_request.adapter,
+                adapter,
                 load_request.version,
                 priority=load_request.priority,
                 now=now,
@@ -235,19 +238,61 @@
                 useful_s=load_request.useful_s,
                 was_missing=load_request.was_missing,
             )
+            if adapter in held.planner.requested:
+                known = held.requests.get(adapter, load_request)
+                held.requests[adapter] = _merge_requests(known, load_request)
             if requester:
-                held.requesters.setdefault(load_request.adapter, set()).add(requester)
+                held.requesters.setdefault(adapter, set()).add(requester)
         self._publish_residents(held, now)
         self._notify_requesters(held, now)
+        if requester:
+            self._notify_of_queue(held, adapter, requester, now)
         self._start_orders(held)
 
+    def _notify_of_queue(
+        self, held: _HeldState, adapter: str, requester: str, now: float
+    ) -> None:
+        """Notify a requesting host if its load has to wait for a place.
+
+        Without a word it would request the adapter at the next target too, and each
+        target would load it once a place is free.
+        """
+        uses = self.get_uses(held.target.id, now=now)
+        with held.lock:
+            if not held.is_sending and self._choose_order(held, now) is not None:
+                return
+            for resident in held.planner.get_residents(uses, now=now):
+                if resident.name == adapter and resident.is_queued:
+                    # Under the lock, so that word of the load's start can't overtake.
+                    self.send(requester, LoadExpected(held.target.id, resident))
+
+    def _drop_available(self, held: _HeldState) -> None:
+        """Drop queued loads of adapters that another target has begun to load since.
+
+        The requests that they were meant for begin there.
+        """
+        requested = held.planner.requested
+        for adapter, load_request in list(held.requests.items()):
+            if adapter not in requested:
+                del held.requests[adapter]
+            elif not load_request.is_copy and self._is_available_elsewhere(
+                held, load_request, has_started=True
+            ):
+                del held.requests[adapter]
+                del requested[adapter]
+
     def _is_available_elsewhere(
-        self, held: _HeldState, load_request: LoadRequested
+        self,
+        held: _HeldState,
+        load_request: LoadRequested,
+        *,
+        has_started: bool = False,
     ) -> bool:
         """Return whether another target with a free slot holds or loads the adapter.
 
         Two hosts that miss an adapter at the same time may request it at different
-        targets.
+        targets. Queued loads don't count if `has_started`, or two holders might drop
+        each other's.
         """
         for target in self.registry.get_ready(held.target.service):
             if target.id == load_request.target or target.id in load_request.unusable:
@@ -255,6 +300,8 @@
             resident = self.residents.get(target.id, load_request.adapter)
             if resident is None or resident.version < load_request.version:
                 continue
+            if has_started and resident.is_queued:
+                continue
             if self.count_requests(target.id) < target.slots:
                 return True
         return False
@@ -460,6 +507,7 @@
                 held.is_sending = False
 
     def _choose_order(self, held: _HeldState, now: float) -> NumberedOrder | None:
+        self._drop_available(held)
         return held.planner.next_order(
             self.get_uses(held.target.id, now=now),
             now=now,
@@ -622,3 +670,13 @@
         for held in list(self.held.values()):
             if held.planner.sequence is not None:
                 self.residents.holder_reported_at[held.target.id] = now
+
+
+def _merge_requests(known: LoadRequested, added: LoadRequested) -> LoadRequested:
+    """Return one request for an adapter in place of two."""
+    return replace(
+        added,
+        version=max(known.version, added.version),
+        is_copy=known.is_copy or added.is_copy,
+        unusable=tuple({*known.unusable, *added.unusable}),
+    )
