Bound answers without end, and reject answers whose head is cut off

Causes, each shown by a new test that fails before: - a timeout bounded the pause between two bytes only: a head that came byte by byte, or interim answers without end, held their thread for good (one of eight threads for orders, or a caller's), and neither deadline nor the caller's leaving ended it, since the abort was set after the head; - a stream with bytes that complete no event never counted as silent; - http.client takes an end of the connection between two headers for the end of the head: an answer cut there, before Content-Length, passed as complete with an empty body; a zero-padded chunk size cut after its first 0 passed as the last chunk; - a 421 or 503 whose body broke off counted as a request that may have run.

Change: BoundedSocket ends reads at a time; heads, events, reports and answers to orders have one; a request can be aborted while its head is awaited; cut lines are errors; the head alone says that a request wasn't run. Digits of Keep-Alive must be ASCII.

--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -2,6 +2,8 @@
 
 from dataclasses import replace
 
+import logbook
+
 from thornlatch.core import read_clock
 from thornlatch.exceptions import TargetError
 from thornlatch.gateway._call import (
@@ -19,6 +21,8 @@
 from thornlatch.routing import CallKind
 from thornlatch.targets import TargetCall, TargetResponse, open_call
 
+logger = logbook.Logger("thornlatch.gateway")
+
 BODY_LIMIT_BYTES = 1 << 24  # of an answer that isn't a stream
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -123,8 +127,13 @@
 
     def _open_call(self, call: Call, target_call: TargetCall) -> TargetResponse:
         try:
-            response = open_call(target_call, may_reuse=call.route.may_repeat)
+            response = open_call(
+                target_call,
+                may_reuse=call.route.may_repeat,
+                on_connected=call.running.set_abort,
+            )
         except TargetError as error:
+            call.running.set_abort(None)
             # Nothing reaches the target if it refuses the connection.
             call.sends += error.is_sent
             raise
@@ -146,7 +155,7 @@
             )
             answer = TargetAnswer(option, head, response, sent_at, use)
             if head.is_not_run:
-                response.read_all(BODY_LIMIT_BYTES)
+                _skip_body(response, target=option.target.id)
                 raise RejectedByTarget(head)
             if head.status in NOT_RUN_STATUSES:
                 # The caller would conclude that the request hasn't run, which the
@@ -168,7 +177,6 @@
                 self.read_events(call, answer)
                 silence_s = self.settings.stream_silence_s
                 response.call = replace(response.call, timeout_s=silence_s)
-                response.set_blocking(is_blocking=True)
             else:
                 answer.body = _read_whole(response)
             return answer
@@ -202,6 +210,9 @@
             If the connection fails, closes early or is silent for too long, or if an
             event is too long.
         """
+        if not answer.events:
+            # Bytes that complete no event don't count as progress.
+            answer.response.bound_reads(answer.response.call.timeout_s)
         while not answer.events and not answer.has_ended:
             data = answer.response.read_some()
             if not data:
@@ -257,6 +268,16 @@
     return data
 
 
+def _skip_body(response: TargetResponse, *, target: str) -> None:
+    """Read a body that isn't used, so that the connection can be reused."""
+    try:
+        response.read_all(BODY_LIMIT_BYTES, within_s=response.call.timeout_s)
+    except TargetError as error:
+        logger.info(
+            "target.body_skipped", extra={"target": target, "error": error.message}
+        )
+
+
 def _is_complete(response: TargetResponse, received_bytes: int | None = None) -> bool:
     # http.client treats an early close of the connection as the end of the body.
     length = response.response.getheader("Content-Length")
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -26,6 +26,7 @@
     Organisation,
     Route,
 )
+from thornlatch.targets import TargetCall
 
 SHOP = Organisation("shop", frozenset({"k"}), None, 0.0, 0.0)
 ROUTE = Route("r", "h", "/", CallKind.IDEMPOTENT, (("s", 1.0),), 1.0, 0.1)
@@ -36,6 +37,10 @@
 
     def __init__(self):
         self.response = self.connection = self
+        self.call = TargetCall("1.2.3.4:5", "GET", "/")
+
+    def bound_reads(self, limit_s):
+        assert limit_s == self.call.timeout_s
 
     def read_some(self):
         raise TargetError("connection closed", is_sent=True)
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -5,7 +5,9 @@
 import select
 import socket
 import threading
+from collections.abc import Callable
 from dataclasses import dataclass, field
+from typing import Any, cast
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import TargetError
@@ -36,7 +38,8 @@
     headers : dict
         Never contains the caller's key: headers are built, not copied.
     timeout_s : float
-        Seconds without a byte after which the call has failed.
+        Seconds without a byte after which the call has failed. Also the limit for the
+        whole head of its answer, which bytes that arrive now and then don't extend.
     connect_s : float or None
         Seconds to connect; `timeout_s` if None.
     """
@@ -50,6 +53,65 @@
     connect_s: float | None = None
 
 
+class BoundedSocket(socket.socket):
+    """A connection whose reads end at a time, however many bytes still arrive.
+
+    A timeout alone bounds the pause between two bytes only, so a target could occupy
+    its reader for good.
+    """
+
+    reads_until = float("inf")
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Receive into a buffer; raise TimeoutError after `reads_until`."""
+        timeout_s = self.gettimeout()
+        if timeout_s != 0.0:
+            left_s = self.reads_until - read_clock()
+            if left_s <= 0:
+                raise TimeoutError("the answer was not complete in time")
+            if timeout_s is None or left_s < timeout_s:
+                self.settimeout(left_s)
+        return super().recv_into(buffer, nbytes, flags)
+
+    def abort(self) -> None:
+        """Break the connection, which wakes its reader."""
+        with contextlib.suppress(OSError):
+            self.shutdown(socket.SHUT_RDWR)
+
+
+class _LineReader:
+    """Rejects lines that are cut off, which `http.client` takes for whole."""
+
+    def __init__(self, file: Any) -> None:
+        self.file = file
+        self.is_in_head = True
+        self.has_begun = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        line: bytes = self.file.readline(limit)
+        is_cut_off = not line.endswith(b"\n") and len(line) != limit
+        is_blank = line in (b"", b"\r")
+        # `http.client` itself rejects an answer without any byte. An end after the last
+        # chunk is allowed, as all of the body is there.
+        if is_cut_off and (not is_blank or (self.is_in_head and self.has_begun)):
+            raise http.client.IncompleteRead(line)
+        self.has_begun = True
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.file, name)
+
+
+class _Response(http.client.HTTPResponse):
+    """An answer whose head must be complete."""
+
+    def begin(self) -> None:
+        reader = _LineReader(self.fp)
+        self.fp = cast(Any, reader)
+        super().begin()
+        reader.is_in_head = False
+
+
 class TargetResponse:
     """An answer of a target that is being read; other threads may abort it.
 
@@ -57,7 +119,7 @@
     ----------
     call : TargetCall
     connection : http.client.HTTPConnection
-    sock : socket.socket
+    sock : BoundedSocket
         Socket of the connection, kept here because `connection` drops it if the target
         will close the connection.
     response : http.client.HTTPResponse
@@ -67,7 +129,7 @@
         self,
         call: TargetCall,
         connection: http.client.HTTPConnection,
-        sock: socket.socket,
+        sock: BoundedSocket,
         response: http.client.HTTPResponse,
     ) -> None:
         self.call = call
@@ -77,6 +139,17 @@
         self.status = response.status
         self.needs_blocking_read = False
 
+    def bound_reads(self, limit_s: float) -> None:
+        """Set the time from now at which reads end, also those still receiving.
+
+        Parameters
+        ----------
+        limit_s : float
+            Seconds; infinite for no bound.
+        """
+        self.sock.reads_until = read_clock() + limit_s
+        self.set_blocking(is_blocking=True)
+
     def read_some(self) -> bytes:
         """Wait for bytes of the body and return those that have arrived.
 
@@ -172,19 +245,22 @@
         self.response.chunk_left = None
         return len(CHUNK_END)
 
-    def read_all(self, limit: int) -> bytes:
+    def read_all(self, limit: int, *, within_s: float = float("inf")) -> bytes:
         """Return the whole body.
 
         Parameters
         ----------
         limit : int
             Largest body to accept, in bytes.
+        within_s : float
+            Seconds for the whole body.
 
         Raises
         ------
         TargetError
             If the connection broke or the body is too long.
         """
+        self.bound_reads(within_s)
         try:
             data = self.response.read(limit + 1)
         except (OSError, ValueError, http.client.HTTPException) as error:
@@ -195,8 +271,7 @@
 
     def abort(self) -> None:
         """Break the connection, which cancels the call at the target."""
-        with contextlib.suppress(OSError):
-            self.sock.shutdown(socket.SHUT_RDWR)
+        self.sock.abort()
 
     def close(self) -> None:
         """Keep the connection for reuse if the whole answer was read, else close it."""
@@ -249,7 +324,12 @@
 _connections = _ConnectionCache()
 
 
-def open_call(call: TargetCall, *, may_reuse: bool = True) -> TargetResponse:
+def open_call(
+    call: TargetCall,
+    *,
+    may_reuse: bool = True,
+    on_connected: Callable[[Callable[[], None]], None] | None = None,
+) -> TargetResponse:
     """Send a call and wait for the headers of its answer.
 
     Parameters
@@ -259,6 +339,9 @@
         Whether any idle connection may be reused. The target may close an idle
         connection as the call is sent, which leaves the outcome unknown, so calls that
         may not be repeated reuse none that was idle for `UNREPEATABLE_IDLE_LIMIT_S`.
+    on_connected : callable or None
+        Called before the call is sent, with a callable by which another thread can
+        abort it while its answer is awaited.
 
     Returns
     -------
@@ -274,8 +357,11 @@
     connection = _connections.pop(call.address, idle_limit_s=idle_limit_s)
     if connection is None:
         connection = _connect(call)
+    sock = cast(BoundedSocket, connection.sock)
+    if on_connected is not None:
+        on_connected(sock.abort)
     try:
-        return _send(call, connection)
+        return _send(call, connection, sock)
     except (OSError, http.client.HTTPException) as error:
         connection.close()
         raise TargetError(f"no answer: {error!r}", is_sent=True) from error
@@ -284,10 +370,12 @@
 def _connect(call: TargetCall) -> http.client.HTTPConnection:
     connect_s = call.timeout_s if call.connect_s is None else call.connect_s
     connection = http.client.HTTPConnection(call.address, timeout=connect_s)
+    connection.response_class = _Response
     try:
         connection.connect()
-        if connection.sock is not None:
-            connection.sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        sock = BoundedSocket(fileno=connection.sock.detach())
+        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+        connection.sock = sock
     except OSError as error:
         raise TargetError(f"can't connect: {error!r}", is_sent=False) from error
     return connection
@@ -297,7 +385,7 @@
     # Keep-Alive: timeout=5, max=100
     for part in response.getheader("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isdigit():
+        if name.lower() == "timeout" and value.isascii() and value.isdigit():
             return int(value) * IDLE_LIMIT_RATIO
     return DEFAULT_IDLE_LIMIT_S
 
@@ -308,9 +396,13 @@
     return sock is not None and not select.select([sock], [], [], 0)[0]
 
 
-def _send(call: TargetCall, connection: http.client.HTTPConnection) -> TargetResponse:
-    sock = connection.sock
+def _send(
+    call: TargetCall, connection: http.client.HTTPConnection, sock: BoundedSocket
+) -> TargetResponse:
     sock.settimeout(call.timeout_s)
+    sock.reads_until = read_clock() + call.timeout_s
     body = call.body or None
     connection.request(call.method, call.path, body, call.headers)
-    return TargetResponse(call, connection, sock, connection.getresponse())
+    response = TargetResponse(call, connection, sock, connection.getresponse())
+    response.bound_reads(float("inf"))
+    return response
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -118,6 +118,7 @@
 
     def drain(self) -> None:
         """Read the body to its end, so that the connection can be reused."""
+        self.response.bound_reads(self.response.call.timeout_s)
         while self.response.read_some():
             pass
 
@@ -236,7 +237,7 @@
     )
     response = open_call(call, may_reuse=False)
     try:
-        response.read_all(REPORT_LIMIT_BYTES)
+        response.read_all(REPORT_LIMIT_BYTES, within_s=timeout_s)
     finally:
         response.close()
     if response.status != 200:
@@ -267,7 +268,7 @@
     """
     response = open_call(TargetCall(address, "GET", "/load", timeout_s=timeout_s))
     try:
-        data = response.read_all(REPORT_LIMIT_BYTES)
+        data = response.read_all(REPORT_LIMIT_BYTES, within_s=timeout_s)
     finally:
         response.close()
     if response.status != 200:
--- /dev/null
+++ b/src/thornlatch/targets/tests/test_endless_answers.py
@@ -0,0 +1,201 @@
+"""Targets whose answers never end or break off: reads end, and say so."""
+
+import itertools
+import socket
+import threading
+import time
+
+import pytest
+
+from thornlatch.core import read_clock
+from thornlatch.exceptions import TargetError
+from thornlatch.gateway._call import TargetAnswer
+from thornlatch.gateway._sender import TargetSender, _read_whole
+from thornlatch.targets import TargetCall, open_call
+from thornlatch.targets._calls import _connections
+
+TIMEOUT_S = 0.3
+PAUSE_S = 0.02  # far below TIMEOUT_S, so that no single read times out
+HEAD = b"HTTP/1.1 200 OK\r\n"
+CHUNKED_HEAD = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
+HEADS = {
+    "status line": (b"HTTP/1.1 200 ", b"x"),
+    "header": (HEAD + b"Name: ", b"x"),
+    "headers": (HEAD, b"Name: x\r\n"),
+    "interim answers": (b"", b"HTTP/1.1 100 Continue\r\n\r\n"),
+}
+BODIES = {
+    "chunk size": (CHUNKED_HEAD, b"0"),
+    "chunks": (CHUNKED_HEAD, b"1\r\nx\r\n"),
+    "trailers": (CHUNKED_HEAD + b"0\r\n", b"Name: x\r\n"),
+    "length": (HEAD + b"Content-Length: 1000000000\r\n\r\n", b"x"),
+    "close": (HEAD + b"Connection: close\r\n\r\n", b"x"),
+}
+SPEEDS = {"full speed": (1000, 0.0), "now and then": (1, PAUSE_S)}
+
+
+class EndlessTarget:
+    """Answers each connection with a start and then a part without end."""
+
+    def __init__(self, start, part, pause_s):
+        self.parts = itertools.chain([start], itertools.repeat(part))
+        self.pause_s = pause_s
+        self.was_closed = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.thread = threading.Thread(target=self.answer, daemon=True)
+        self.thread.start()
+
+    def answer(self):
+        connection, _ = self.listener.accept()
+        with connection:
+            connection.recv(1 << 16)
+            try:
+                for part in self.parts:
+                    connection.sendall(part)
+                    time.sleep(self.pause_s)
+            except OSError:
+                self.was_closed.set()
+
+    def close(self):
+        self.listener.close()
+
+
+@pytest.fixture
+def start_target():
+    targets = []
+
+    def start(start, part, speed):
+        count, pause_s = SPEEDS[speed]
+        targets.append(EndlessTarget(start, part * count, pause_s))
+        return targets[-1]
+
+    yield start
+    for target in targets:
+        target.close()
+
+
+def build_call(target):
+    return TargetCall(target.address, "GET", "/", timeout_s=TIMEOUT_S)
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("speed", SPEEDS)
+@pytest.mark.parametrize("case", HEADS)
+def test_head_without_end_is_given_up(start_target, case, speed):
+    target = start_target(*HEADS[case], speed)
+    with pytest.raises(TargetError) as error:
+        open_call(build_call(target))
+    assert error.value.is_sent
+    assert target.was_closed.wait(10)
+    assert not _connections.idle.get(target.address)
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("speed", SPEEDS)
+@pytest.mark.parametrize("case", BODIES)
+def test_body_without_end_is_given_up(start_target, case, speed):
+    target = start_target(*BODIES[case], speed)
+    response = open_call(build_call(target))
+    with pytest.raises(TargetError) as error:
+        response.read_all(1 << 16, within_s=TIMEOUT_S)
+    assert error.value.is_sent
+    response.abort()
+    response.close()
+    assert target.was_closed.wait(10)
+    assert not _connections.idle.get(target.address)
+
+
+@pytest.mark.timeout(30)
+def test_call_is_aborted_while_its_head_is_awaited(start_target):
+    target = start_target(*HEADS["headers"], "now and then")
+    aborts = []
+    call = TargetCall(target.address, "GET", "/", timeout_s=1000.0)
+
+    def abort_later(abort):
+        aborts.append(threading.Timer(PAUSE_S * 5, abort))
+        aborts[0].start()
+
+    with pytest.raises(TargetError):
+        open_call(call, on_connected=abort_later)
+    aborts[0].join()
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("part", [b"1\r\n:\r\n", b"2\r\n: \r\n"])
+def test_stream_whose_bytes_complete_no_event_is_broken(start_target, part):
+    """Its callers saw nothing, but each byte renewed the wait."""
+    target = start_target(CHUNKED_HEAD, part, "now and then")
+    response = open_call(build_call(target))
+    answer = TargetAnswer(None, None, response, read_clock(), None)
+    sender = TargetSender(None, protocol=None, work=None, health=None, metrics=None)
+    with pytest.raises(TargetError):
+        sender.read_events(None, answer)
+    response.abort()
+    assert target.was_closed.wait(10)
+
+
+@pytest.mark.timeout(30)
+def test_slow_but_sound_stream_goes_on(start_target):
+    target = start_target(CHUNKED_HEAD, b"4\r\nx:\n\n\r\n", "now and then")
+    response = open_call(build_call(target))
+    answer = TargetAnswer(None, None, response, read_clock(), None)
+    sender = TargetSender(None, protocol=None, work=None, health=None, metrics=None)
+    began_at = read_clock()
+    while read_clock() - began_at < 2 * TIMEOUT_S:
+        answer.events = []
+        sender.read_events(None, answer)
+        assert answer.events
+    response.abort()
+
+
+@pytest.fixture
+def cutting_target():
+    """Return the address of a target that answers with the path's number of bytes."""
+    listener = socket.create_server(("127.0.0.1", 0))
+
+    def answer():
+        while True:
+            try:
+                connection, _ = listener.accept()
+            except OSError:
+                return
+            with connection:
+                path = connection.recv(1 << 16).split()[1]
+                form, count = path.decode().strip("/").split("/")
+                connection.sendall(WHOLE_ANSWERS[form][: int(count)])
+
+    thread = threading.Thread(target=answer, daemon=True)
+    thread.start()
+    yield f"127.0.0.1:{listener.getsockname()[1]}"
+    listener.shutdown(socket.SHUT_RDWR)
+    listener.close()
+    thread.join(10)
+
+
+WHOLE_ANSWERS = {
+    "length": HEAD + b"Instance: t1\r\nContent-Length: 5\r\n\r\nhello",
+    "chunked": CHUNKED_HEAD + b"0003\r\nhel\r\n0002\r\nlo\r\n0\r\n\r\n",
+}
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize("form", WHOLE_ANSWERS)
+def test_answer_that_breaks_off_at_any_byte_is_never_taken_for_whole(
+    cutting_target, form
+):
+    """A head cut between two headers was read as an answer without a body."""
+    whole = WHOLE_ANSWERS[form]
+    # All of the body is known with the line of the last chunk.
+    needed_bytes = len(whole) - (len(b"\r\n") if form == "chunked" else 0)
+    taken_for_whole = []
+    for count in range(len(whole) + 1):
+        call = TargetCall(cutting_target, "GET", f"/{form}/{count}")
+        try:
+            data = _read_whole(open_call(call))
+        except TargetError as error:
+            assert error.is_sent
+        else:
+            assert data == b"hello"
+            taken_for_whole.append(count)
+    assert taken_for_whole == list(range(needed_bytes, len(whole) + 1))
