Bound answers of the store without end; one module for such connections

Cause: the store's client had the same faults as the calls to targets: a timeout between bytes only, and a body read whatever its length. An answer without end would have held a feed or a renewal for good, or filled the memory of a host.

--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -1,16 +1,15 @@
 """HTTP calls to targets; errors tell whether the target may have received the call."""
 
-import contextlib
 import http.client
 import select
-import socket
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
-from typing import Any, cast
+from typing import cast
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import TargetError
+from thornlatch.targets._connections import BoundedSocket, connect
 
 READ_BYTES = 1 << 16
 CHUNK_END = b"\r\n"
@@ -53,65 +52,6 @@
     connect_s: float | None = None
 
 
-class BoundedSocket(socket.socket):
-    """A connection whose reads end at a time, however many bytes still arrive.
-
-    A timeout alone bounds the pause between two bytes only, so a target could occupy
-    its reader for good.
-    """
-
-    reads_until = float("inf")
-
-    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
-        """Receive into a buffer; raise TimeoutError after `reads_until`."""
-        timeout_s = self.gettimeout()
-        if timeout_s != 0.0:
-            left_s = self.reads_until - read_clock()
-            if left_s <= 0:
-                raise TimeoutError("the answer was not complete in time")
-            if timeout_s is None or left_s < timeout_s:
-                self.settimeout(left_s)
-        return super().recv_into(buffer, nbytes, flags)
-
-    def abort(self) -> None:
-        """Break the connection, which wakes its reader."""
-        with contextlib.suppress(OSError):
-            self.shutdown(socket.SHUT_RDWR)
-
-
-class _LineReader:
-    """Rejects lines that are cut off, which `http.client` takes for whole."""
-
-    def __init__(self, file: Any) -> None:
-        self.file = file
-        self.is_in_head = True
-        self.has_begun = False
-
-    def readline(self, limit: int = -1) -> bytes:
-        line: bytes = self.file.readline(limit)
-        is_cut_off = not line.endswith(b"\n") and len(line) != limit
-        is_blank = line in (b"", b"\r")
-        # `http.client` itself rejects an answer without any byte. An end after the last
-        # chunk is allowed, as all of the body is there.
-        if is_cut_off and (not is_blank or (self.is_in_head and self.has_begun)):
-            raise http.client.IncompleteRead(line)
-        self.has_begun = True
-        return line
-
-    def __getattr__(self, name: str) -> Any:
-        return getattr(self.file, name)
-
-
-class _Response(http.client.HTTPResponse):
-    """An answer whose head must be complete."""
-
-    def begin(self) -> None:
-        reader = _LineReader(self.fp)
-        self.fp = cast(Any, reader)
-        super().begin()
-        reader.is_in_head = False
-
-
 class TargetResponse:
     """An answer of a target that is being read; other threads may abort it.
 
@@ -147,7 +87,7 @@
         limit_s : float
             Seconds; infinite for no bound.
         """
-        self.sock.reads_until = read_clock() + limit_s
+        self.sock.bound_reads(limit_s)
         self.set_blocking(is_blocking=True)
 
     def read_some(self) -> bytes:
@@ -369,16 +309,10 @@
 
 def _connect(call: TargetCall) -> http.client.HTTPConnection:
     connect_s = call.timeout_s if call.connect_s is None else call.connect_s
-    connection = http.client.HTTPConnection(call.address, timeout=connect_s)
-    connection.response_class = _Response
     try:
-        connection.connect()
-        sock = BoundedSocket(fileno=connection.sock.detach())
-        sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
-        connection.sock = sock
+        return connect(call.address, timeout_s=connect_s)
     except OSError as error:
         raise TargetError(f"can't connect: {error!r}", is_sent=False) from error
-    return connection
 
 
 def _read_idle_limit_s(response: http.client.HTTPResponse) -> float:
@@ -400,7 +334,7 @@
     call: TargetCall, connection: http.client.HTTPConnection, sock: BoundedSocket
 ) -> TargetResponse:
     sock.settimeout(call.timeout_s)
-    sock.reads_until = read_clock() + call.timeout_s
+    sock.bound_reads(call.timeout_s)
     body = call.body or None
     connection.request(call.method, call.path, body, call.headers)
     response = TargetResponse(call, connection, sock, connection.getresponse())
--- /dev/null
+++ b/src/thornlatch/targets/_connections.py
@@ -0,0 +1,106 @@
+"""HTTP connections whose reads end in time and that notice answers that are cut off."""
+
+import contextlib
+import http.client
+import socket
+from typing import Any, cast
+
+from thornlatch.core import read_clock
+
+
+class BoundedSocket(socket.socket):
+    """A connection whose reads end at a time, however many bytes still arrive.
+
+    A timeout alone bounds the pause between two bytes only, so a target could occupy
+    its reader for good.
+    """
+
+    reads_until = float("inf")
+
+    def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
+        """Receive into a buffer; raise TimeoutError after `reads_until`."""
+        timeout_s = self.gettimeout()
+        if timeout_s != 0.0:
+            left_s = self.reads_until - read_clock()
+            if left_s <= 0:
+                raise TimeoutError("the answer was not complete in time")
+            if timeout_s is None or left_s < timeout_s:
+                self.settimeout(left_s)
+        return super().recv_into(buffer, nbytes, flags)
+
+    def bound_reads(self, limit_s: float) -> None:
+        """Set the time from now at which reads end, also those still receiving.
+
+        Parameters
+        ----------
+        limit_s : float
+            Seconds; infinite for no bound.
+        """
+        self.reads_until = read_clock() + limit_s
+
+    def abort(self) -> None:
+        """Break the connection, which wakes its reader."""
+        with contextlib.suppress(OSError):
+            self.shutdown(socket.SHUT_RDWR)
+
+
+class _LineReader:
+    """Rejects lines that are cut off, which `http.client` takes for whole."""
+
+    def __init__(self, file: Any) -> None:
+        self.file = file
+        self.is_in_head = True
+        self.has_begun = False
+
+    def readline(self, limit: int = -1) -> bytes:
+        line: bytes = self.file.readline(limit)
+        is_cut_off = not line.endswith(b"\n") and len(line) != limit
+        is_blank = line in (b"", b"\r")
+        # `http.client` itself rejects an answer without any byte. An end after the last
+        # chunk is allowed, as all of the body is there.
+        if is_cut_off and (not is_blank or (self.is_in_head and self.has_begun)):
+            raise http.client.IncompleteRead(line)
+        self.has_begun = True
+        return line
+
+    def __getattr__(self, name: str) -> Any:
+        return getattr(self.file, name)
+
+
+class _Response(http.client.HTTPResponse):
+    """An answer whose head must be complete."""
+
+    def begin(self) -> None:
+        reader = _LineReader(self.fp)
+        self.fp = cast(Any, reader)
+        super().begin()
+        reader.is_in_head = False
+
+
+def connect(address: str, *, timeout_s: float) -> http.client.HTTPConnection:
+    """Open a connection whose `sock` is a `BoundedSocket`.
+
+    Parameters
+    ----------
+    address : str
+        ``ip:port``.
+    timeout_s : float
+        Seconds to connect, and without a byte after which a read fails.
+
+    Returns
+    -------
+    http.client.HTTPConnection
+
+    Raises
+    ------
+    OSError
+        If the peer can't be reached.
+    """
+    connection = http.client.HTTPConnection(address, timeout=timeout_s)
+    connection.response_class = _Response
+    connection.connect()
+    sock = BoundedSocket(fileno=connection.sock.detach())
+    sock.settimeout(timeout_s)
+    sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+    connection.sock = sock
+    return connection
--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -47,7 +47,7 @@
     class Response:
         status = 503
 
-        def read_all(self, limit):
+        def read_all(self, limit, *, within_s):
             return b"{}"
 
         def close(self):
