--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -13,9 +13,6 @@
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.residency import Resident
 
-# Part of an announced wait, below which another target's is worth a further copy.
-EARLIER_RATIO = 0.5
-
 
 class Step(Enum):
     """What has to happen next for a request to run at a target."""
@@ -196,40 +193,6 @@
     return sorted(options, key=lambda option: option.cost_s)
 
 
-def prefer_requested_load(
-    options: Sequence[TargetOption], requested: Collection[str], *, due_s: float
-) -> TargetOption:
-    """Return the best option, or a load that was requested before if it's soon enough.
-
-    Each further request fetches another copy, which nobody may need any more when it is
-    loaded.
-
-    Parameters
-    ----------
-    options : sequence of TargetOption
-        At least one, sorted by cost.
-    requested : collection of str
-        Ids of targets at which the request's adapter has been requested for it.
-    due_s : float
-        Seconds within which the request must begin to meet its objective.
-
-    Returns
-    -------
-    TargetOption
-    """
-    best = options[0]
-    loads = [
-        option
-        for option in options
-        if option.step is Step.AWAIT_LOAD and option.target.id in requested
-    ]
-    if best.step is not Step.REQUEST_LOAD or not loads:
-        return best
-    load = min(loads, key=lambda option: option.wait_s)
-    is_much_later = load.wait_s * EARLIER_RATIO > best.wait_s
-    return best if load.wait_s > due_s and is_much_later else load
-
-
 def compute_home_rank(adapter: str, target: str) -> float:
     """Return the rank of a target for an adapter by rendezvous hashing.
 
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -19,7 +19,6 @@
     TargetOption,
     TargetState,
     list_options,
-    prefer_requested_load,
 )
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._ordering import OrderManager
@@ -121,8 +120,7 @@
                     )
                 self.residents.wait(call.request.adapter, POLL_INTERVAL_S)
                 continue
-            due_s = call.waiting_since + call.route.objective_s - now
-            best = prefer_requested_load(options, load_requested_at, due_s=due_s)
+            best = options[0]
             is_late = now + best.wait_s >= max(wait_until, now + MIN_SEND_BUDGET_S)
             return_s = (call.running.ends_at - now) * RETURN_RATIO
             if (
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -8,11 +8,9 @@
 from thornlatch.gateway._choice import (
     RequestRequirements,
     Step,
-    TargetOption,
     TargetState,
     compute_home_rank,
     list_options,
-    prefer_requested_load,
 )
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.residency import Resident
@@ -146,26 +144,6 @@
     assert choose(copies)[0].target.id == "t2"
 
 
-@pytest.mark.parametrize(
-    ("announced_s", "other_s", "target"),
-    [(0.8, 0.1, "t1"), (1.2, 0.7, "t1"), (1.8, 0.3, "t2")],
-    ids=["in_time", "late_like_the_other", "much_later"],
-)
-def test_request_stays_with_the_target_that_queued_its_load(
-    announced_s, other_s, target
-):
-    """Full targets each announce a wait, and each would load a copy for nobody."""
-    first, second = TARGETS[:2]
-    options = [
-        TargetOption(second, Step.REQUEST_LOAD, other_s, other_s),
-        TargetOption(first, Step.AWAIT_LOAD, announced_s, announced_s),
-    ]
-    assert prefer_requested_load(options, {"t1"}, due_s=1.0).target.id == target
-    assert prefer_requested_load(options, (), due_s=1.0).target.id == "t2"
-    ready = TargetOption(second, Step.SEND, 0.0, 0.0)
-    assert prefer_requested_load([ready, *options], {"t1"}, due_s=1.0) is ready
-
-
 def test_all_hosts_choose_the_same_home_for_a_rare_adapter():
     first = choose({})[0].target.id
     second = choose({}, targets=list(reversed(TARGETS)))[0].target.id
