--- a/src/thornlatch/daemon/_log_io.py
+++ b/src/thornlatch/daemon/_log_io.py
@@ -222,15 +222,16 @@
         Parameters
         ----------
         timeout_s : float
-            Seconds to wait for the thread.
-
-        Raises
-        ------
-        TimeoutError
-            If the thread hasn't ended by then.
+            Seconds to wait for the thread. Records that aren't appended by then are
+            lost, which a log line tells.
         """
         self.pending.put(None)
-        self.finished.exception(timeout=timeout_s)
+        try:
+            self.finished.exception(timeout=timeout_s)
+        except TimeoutError:
+            # The rest of the shutdown must go on.
+            detail = {"waited_s": timeout_s, "records": self.pending.qsize()}
+            logger.warning("log.append_unfinished", extra=detail)
         self.executor.shutdown(wait=False)
 
     def _run(self) -> None:
--- a/src/thornlatch/daemon/_plain.py
+++ b/src/thornlatch/daemon/_plain.py
@@ -152,8 +152,9 @@
 
     def _run_attempt(self, grant: Grant, isolation_id: str, claim: str) -> HttpAnswer:
         request = self.request
-        outcome = Outcome.FAILED
-        is_sent = True
+        # Until the target is called, an error says nothing about it.
+        outcome = Outcome.UNUSED
+        is_sent = False
         started_at = time.monotonic()
         response = None
         self.slice_client.note_attempt(
@@ -163,6 +164,8 @@
         try:
             self._check_may_send(claim)
             self._emit_sent(grant, claim)
+            outcome = Outcome.FAILED
+            is_sent = True
             response = self._open(grant, claim)
             self.may_have_run = True
             request.running.attach(response)
--- a/src/thornlatch/daemon/tests/test_log_io.py
+++ b/src/thornlatch/daemon/tests/test_log_io.py
@@ -1,10 +1,12 @@
-"""Reading the log while the log service is down."""
+"""Reading and appending while the log service is down."""
 
+import threading
 from random import Random
 
 import logbook
 
-from thornlatch.daemon._log_io import WARN_EVERY_S, LogReader
+from thornlatch.configuration import TargetDrained
+from thornlatch.daemon._log_io import WARN_EVERY_S, LogAppender, LogReader
 from thornlatch.logservice import FollowerSettings, LogFollower, LogPage, PlatformError
 
 
@@ -51,3 +53,24 @@
     assert messages == ["log.read_failed"] * 2 + ["log.read_again"]
     assert handler.records[1].extra["for_s"] >= WARN_EVERY_S
     assert handler.records[2].extra["after_s"] == 25.0
+
+
+def test_appender_that_waits_for_the_log_doesn_t_end_the_shutdown():
+    """The shutdown after it would otherwise be left out."""
+    is_asked, is_answered = threading.Event(), threading.Event()
+
+    class SilentLog:
+        def append(self, *arguments, **more):
+            is_asked.set()
+            is_answered.wait()
+
+    appender = LogAppender(SilentLog())
+    appender.append("s", TargetDrained("t1", "test", True))
+    assert is_asked.wait(10)
+    try:
+        with logbook.TestHandler() as handler:
+            appender.stop(timeout_s=0.01)
+    finally:
+        is_answered.set()
+    appender.finished.exception(timeout=10)
+    assert [record.message for record in handler.records] == ["log.append_unfinished"]
