Refuse in time a request whose load is always expected shortly

Change: what remains beyond the wait limit counts from the start of the choice, except for a request that can be sent now.

Result: the new test runs without end before, passes after.

--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -121,7 +121,10 @@
                 self.residents.wait(call.request.adapter, POLL_INTERVAL_S)
                 continue
             best = options[0]
-            is_late = now + best.wait_s >= max(wait_until, now + MIN_SEND_BUDGET_S)
+            # A load that is always expected shortly must not hold a request for good.
+            counts_from = now if best.step is Step.SEND else waits_from
+            limit = max(wait_until, counts_from + MIN_SEND_BUDGET_S)
+            is_late = now + best.wait_s >= limit
             return_s = (call.running.ends_at - now) * RETURN_RATIO
             if (
                 best.step is Step.REQUEST_LOAD
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -1,8 +1,11 @@
 """Holding of targets, orders, and load requests that are forwarded or dropped."""
 
+from random import Random
+
 import pytest
 
 from thornlatch.core import read_clock
+from thornlatch.exceptions import ErrorKind, RequestRefused
 from thornlatch.fleet import (
     HeldTarget,
     HostDigest,
@@ -14,10 +17,15 @@
     Target,
     TargetRegistry,
 )
-from thornlatch.gateway import GatewayMetrics, OrderReply
+from thornlatch.gateway import CallerRequest, GatewayMetrics, OrderReply, _selector
+from thornlatch.gateway._call import Call
+from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._ordering import OrderManager
+from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._replication import AdapterReplicator
-from thornlatch.gateway._work import WorkTable
+from thornlatch.gateway._selector import TargetSelector
+from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.gateway._work import RunningRequest, WorkTable
 from thornlatch.residency import (
     AdapterVersions,
     EngineReport,
@@ -32,11 +40,13 @@
     VersionSettings,
 )
 from thornlatch.routing import (
+    CallKind,
     Configuration,
     ConfigurationInForce,
     EngineLimits,
     FreshnessSettings,
     ModelSize,
+    Route,
     Service,
 )
 
@@ -344,3 +354,46 @@
     planner.needs_report(now=now + 0.9)
     # The target answers neither orders nor reports.
     assert not manager.is_held("t1", now=now + 1.1)
+
+
+def test_request_whose_queued_load_never_begins_is_refused_in_time(
+    manager_and_sent, monkeypatch
+):
+    """On a host cut off from all holders it waited until its deadline, 4 s."""
+    manager, _ = manager_and_sent
+    clock = [read_clock()]
+    monkeypatch.setattr(_selector, "read_clock", lambda: clock[0])
+
+    def wait(adapter, timeout_s):
+        clock[0] += timeout_s
+
+    manager.residents.wait = wait
+    # Known as queued by its holder's last word, and as held before, so loaded quickly.
+    queued = {"m/a1": Resident(0, clock[0] + 0.2, is_queued=True)}
+    for target in ("t1", "t2"):
+        ready = {"m/a1": Resident(0, clock[0])}
+        manager.residents.apply_holder_report(target, ready, now=clock[0])
+        manager.residents.apply_holder_report(target, queued, now=clock[0])
+    settings = ForwardingSettings()
+    selector = TargetSelector(
+        settings,
+        failure_domain="z",
+        registry=manager.registry,
+        versions=manager.versions,
+        residents=manager.residents,
+        orders=manager,
+        health=TargetHealth(settings),
+        pacing=PromptPacing(settings),
+        random=Random(1),
+    )
+    route = Route("r", "h", "/", CallKind.STREAM, (("llm", 1.0),), 1.0, 0.1)
+    request = CallerRequest(
+        "1", "GET", "/", "h", "k", 4.0, "m", "m/a1", None, None, (), "", (), b""
+    )
+    began_at = clock[0]
+    running = RunningRequest("1", began_at + 4.0, lambda: False)
+    call = Call(request, route, None, "llm", running, began_at, 1, "f")
+    with pytest.raises(RequestRefused) as error:
+        selector.choose(call)
+    assert error.value.kind is ErrorKind.OVERLOADED
+    assert clock[0] - began_at <= 4.0 * settings.wait_budget_ratio + 0.1
