Read numbers of headers and names by one function; mend the places that had none

Cause: the check of ASCII digits and their count stood three times, each mended on its own, and its twins were left: a server's Content-Length of "²" or of 5,000 digits, a Keep-Alive time of 5,000 digits, and a registered adapter "a@²" raised ValueError, which ended a request without an answer or a read of the store.

A length that it doesn't take falls back to http.client's own, so a huge one still shows that the answer is cut off. The stand-in that answers by path serves both tests that need one.

Nothing is accepted that was refused.

--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -20,10 +20,12 @@
 )
 from thornlatch.core._events import Event
 from thornlatch.core._leases import LeaseReader, Member, Owner, get_host_name
+from thornlatch.core._numbers import MAX_DIGITS, parse_number
 from thornlatch.core._slices import Slice, has_handler
 from thornlatch.core._status import build_status_line
 
 __all__ = [
+    "MAX_DIGITS",
     "Action",
     "Append",
     "Emit",
@@ -44,6 +46,7 @@
     "encode_record",
     "get_host_name",
     "has_handler",
+    "parse_number",
     "read_clock",
     "register",
 ]
--- a/src/thornlatch/daemon/_calls.py
+++ b/src/thornlatch/daemon/_calls.py
@@ -8,6 +8,7 @@
 import msgspec
 from msgspec import Meta
 
+from thornlatch.core import parse_number
 from thornlatch.daemon._settings import HttpSettings
 from thornlatch.exceptions import ErrorKind, RequestRefused
 
@@ -17,7 +18,7 @@
 
 
 DEADLINE_LIMIT_MS = 86_400_000
-DEADLINE_DIGITS = 12  # leading zeros are allowed; int() rejects over 4300 digits
+DEADLINE_DIGITS = 12  # leading zeros are allowed
 
 
 @dataclass(frozen=True)
@@ -153,12 +154,12 @@
     if text is None:
         is_batch = priority == "batch"
         return settings.batch_deadline_s if is_batch else settings.default_deadline_s
-    is_number = text.isascii() and text.isdigit() and len(text) <= DEADLINE_DIGITS
-    if not is_number or not 1 <= int(text) <= DEADLINE_LIMIT_MS:
+    deadline_ms = parse_number(text, max_digits=DEADLINE_DIGITS)
+    if deadline_ms is None or not 1 <= deadline_ms <= DEADLINE_LIMIT_MS:
         raise _refuse(
             f"X-Deadline-Ms must be a whole number from 1 to {DEADLINE_LIMIT_MS}"
         )
-    return int(text) / 1000
+    return deadline_ms / 1000
 
 
 def parse_completion(
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from thornlatch.core import read_clock
+from thornlatch.core import parse_number, read_clock
 from thornlatch.exceptions import TargetError
 from thornlatch.gateway._call import (
     MIN_SEND_BUDGET_S,
@@ -280,10 +280,10 @@
 
 def _is_complete(response: TargetResponse, received_bytes: int | None = None) -> bool:
     # http.client treats an early close of the connection as the end of the body.
-    length = response.response.getheader("Content-Length")
+    length = parse_number(response.response.getheader("Content-Length", ""))
     if length is None or received_bytes is None:
         return response.response.length in (None, 0)
-    return not length.isdigit() or received_bytes == int(length)
+    return received_bytes == length
 
 
 def _discard(response: TargetResponse) -> None:
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -7,7 +7,7 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from thornlatch.core import read_clock
+from thornlatch.core import parse_number, read_clock
 from thornlatch.exceptions import TargetError
 from thornlatch.targets._connections import BoundedSocket, connect
 
@@ -319,8 +319,9 @@
     # Keep-Alive: timeout=5, max=100
     for part in response.getheader("Keep-Alive", "").split(","):
         name, _, value = part.strip().partition("=")
-        if name.lower() == "timeout" and value.isascii() and value.isdigit():
-            return int(value) * IDLE_LIMIT_RATIO
+        timeout_s = parse_number(value)
+        if name.lower() == "timeout" and timeout_s is not None:
+            return timeout_s * IDLE_LIMIT_RATIO
     return DEFAULT_IDLE_LIMIT_S
 
 
--- a/src/thornlatch/targets/tests/test_endless_answers.py
+++ b/src/thornlatch/targets/tests/test_endless_answers.py
@@ -2,6 +2,7 @@
 
 import socket
 import threading
+from types import SimpleNamespace
 
 import pytest
 
@@ -114,9 +115,10 @@
 
 
 @pytest.fixture
-def cutting_target():
-    """Return the address of a target that answers with the path's number of bytes."""
+def answering_target():
+    """Return a target that answers with what its `build_answer` makes of a path."""
     listener = socket.create_server(("127.0.0.1", 0))
+    target = SimpleNamespace(address=f"127.0.0.1:{listener.getsockname()[1]}")
 
     def answer():
         while True:
@@ -125,19 +127,19 @@
             except OSError:
                 return
             with connection:
-                path = connection.recv(1 << 16).split()[1]
-                form, count = path.decode().strip("/").split("/")
-                connection.sendall(WHOLE_ANSWERS[form][: int(count)])
+                path = connection.recv(1 << 16).split()[1].decode()
+                connection.sendall(target.build_answer(path))
 
     thread = threading.Thread(target=answer, daemon=True)
     thread.start()
-    yield f"127.0.0.1:{listener.getsockname()[1]}"
+    yield target
     listener.shutdown(socket.SHUT_RDWR)
     listener.close()
     thread.join(10)
 
 
 WHOLE_ANSWERS = {
+    "many digits": HEAD + b"Content-Length: %020d\r\n\r\nhello" % 5,
     "length": HEAD + b"Instance: t1\r\nContent-Length: 5\r\n\r\nhello",
     "chunked": CHUNKED_HEAD + b"0003\r\nhel\r\n0002\r\nlo\r\n0\r\n\r\n",
 }
@@ -146,15 +148,16 @@
 @pytest.mark.timeout(60)
 @pytest.mark.parametrize("form", WHOLE_ANSWERS)
 def test_answer_that_breaks_off_at_any_byte_is_never_taken_for_whole(
-    cutting_target, form
+    answering_target, form
 ):
     """A head cut between two headers was read as an answer without a body."""
     whole = WHOLE_ANSWERS[form]
+    answering_target.build_answer = lambda path: whole[: int(path.strip("/"))]
     # All of the body is known with the line of the last chunk.
     needed_bytes = len(whole) - (len(b"\r\n") if form == "chunked" else 0)
     taken_for_whole = []
     for count in range(len(whole) + 1):
-        call = TargetCall(cutting_target, "GET", f"/{form}/{count}")
+        call = TargetCall(answering_target.address, "GET", f"/{count}")
         try:
             data = _read_whole(open_call(call))
         except TargetError as error:
@@ -163,3 +166,23 @@
             assert data == b"hello"
             taken_for_whole.append(count)
     assert taken_for_whole == list(range(needed_bytes, len(whole) + 1))
+
+
+@pytest.mark.parametrize("number", [b"\xb2", b"9" * 5000])
+@pytest.mark.parametrize(
+    "headers", [b"Keep-Alive: timeout=%s\r\nContent-Length: 5", b"Content-Length: %s"]
+)
+def test_malformed_numbers_of_an_answer_are_ignored(answering_target, headers, number):
+    """int() raises errors for them, which ended requests without an answer."""
+    whole = HEAD + headers % number + b"\r\n\r\nhello"
+    answering_target.build_answer = lambda path: whole
+    response = open_call(TargetCall(answering_target.address, "GET", "/"))
+    assert _read_whole(response) == b"hello"
+    response.close()
+
+
+def test_answer_with_a_huge_length_is_never_taken_for_whole(answering_target):
+    whole = HEAD + b"Content-Length: 9999999999999999\r\n\r\nhello"
+    answering_target.build_answer = lambda path: whole
+    with pytest.raises(TargetError):
+        _read_whole(open_call(TargetCall(answering_target.address, "GET", "/")))
--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -4,6 +4,7 @@
 
 import pytest
 
+from adapter._entries import LoadedModelEntry, build_loaded_model
 from adapter._protocols import PlatformCallerProtocol, PlatformTargetProtocol
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
 from thornlatch.targets import TargetResponse
@@ -43,6 +44,12 @@
     assert PlatformTargetProtocol("h").read_head(200, headers).load is None
 
 
+@pytest.mark.parametrize("number", BAD_NUMBERS)
+def test_adapter_with_a_malformed_version_is_left_out(number):
+    entry = LoadedModelEntry("m", 1, [f"a1@{number}", "a2@2"])
+    assert build_loaded_model(entry).adapters == {"a2": 2}
+
+
 def test_report_with_another_status_names_it(monkeypatch):
     class Response:
         status = 503
