--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -18,6 +18,7 @@
     encode_record,
     register,
 )
+from thornlatch.core._connections import BoundedSocket, connect, read_answer
 from thornlatch.core._events import Event
 from thornlatch.core._leases import LeaseReader, Member, Owner, get_host_name
 from thornlatch.core._numbers import MAX_DIGITS, parse_number
@@ -27,6 +28,7 @@
 __all__ = [
     "MAX_DIGITS",
     "Action",
+    "BoundedSocket",
     "Append",
     "Emit",
     "Envelope",
@@ -39,6 +41,7 @@
     "Send",
     "Slice",
     "build_status_line",
+    "connect",
     "decode_envelope",
     "decode_record",
     "encode_envelope",
@@ -47,6 +50,7 @@
     "get_host_name",
     "has_handler",
     "parse_number",
+    "read_answer",
     "read_clock",
     "register",
 ]
--- a/src/thornlatch/targets/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -5,7 +5,7 @@
 import socket
 from typing import Any, cast
 
-from thornlatch.core import read_clock
+from thornlatch.core._clock import read_clock
 
 
 class BoundedSocket(socket.socket):
@@ -99,8 +99,47 @@
     connection = http.client.HTTPConnection(address, timeout=timeout_s)
     connection.response_class = _Response
     connection.connect()
+    # It would open a plain socket after an answer that closed this one.
+    connection.auto_open = 0
     sock = BoundedSocket(fileno=connection.sock.detach())
     sock.settimeout(timeout_s)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.sock = sock
     return connection
+
+
+def read_answer(
+    connection: http.client.HTTPConnection, *, head_s: float, body_s: float, limit: int
+) -> tuple[http.client.HTTPResponse, bytes]:
+    """Read the answer to the request that was sent on a connection.
+
+    Parameters
+    ----------
+    connection : http.client.HTTPConnection
+        As `connect` returns it.
+    head_s, body_s : float
+        Seconds for the head, and for the body.
+    limit : int
+        Largest body to accept, in bytes.
+
+    Returns
+    -------
+    (http.client.HTTPResponse, bytes)
+        The answer and its body.
+
+    Raises
+    ------
+    OSError, http.client.HTTPException
+        If the answer isn't whole in time, or its body is too long. The connection can't
+        be used any more then.
+    """
+    sock = cast(BoundedSocket, connection.sock)
+    pause_s = sock.gettimeout()
+    sock.bound_reads(head_s)
+    response = connection.getresponse()
+    sock.settimeout(pause_s)
+    sock.bound_reads(body_s)
+    data = response.read(limit + 1)
+    if len(data) > limit or response.length:
+        raise http.client.HTTPException(f"the answer is over {limit} bytes or cut off")
+    return response, data
--- a/src/thornlatch/logservice/_clients.py
+++ b/src/thornlatch/logservice/_clients.py
@@ -10,9 +10,11 @@
 import msgspec
 from msgspec import Meta
 
+from thornlatch.core import connect, read_answer
 from thornlatch.exceptions import ErrorKind, ThornlatchError
 
 RESPONSE_LIMIT_BYTES = 64 << 20
+BODY_TIMEOUT_S = 10.0  # a large page takes seconds on a slow link
 # Approximate size of the parts of a request that are not counted one by one: method,
 # HTTP version, and the Host and Accept-Encoding headers.
 REQUEST_OVERHEAD_BYTES = 90
@@ -189,14 +191,18 @@
         self, method: str, path: str, body: str | None, *, extra_s: float
     ) -> dict[str, Any]:
         timeout_s = self.settings.timeout_s + extra_s
-        connection = self._get_connection(timeout_s)
         headers = {"X-Client": self.client}
         if body is not None:
             headers["Content-Type"] = "application/json"
         try:
+            connection = self._get_connection(timeout_s)
             connection.request(method, path, body, headers)
-            response = connection.getresponse()
-            data = response.read(RESPONSE_LIMIT_BYTES)
+            response, data = read_answer(
+                connection,
+                head_s=timeout_s,
+                body_s=BODY_TIMEOUT_S,
+                limit=RESPONSE_LIMIT_BYTES,
+            )
             self._count(path, body, headers, response, data)
         except (OSError, http.client.HTTPException) as error:
             self._drop_connection()
@@ -222,12 +228,11 @@
 
     def _get_connection(self, timeout_s: float) -> http.client.HTTPConnection:
         connection = getattr(self.local, "connection", None)
-        if connection is None:
-            connection = http.client.HTTPConnection(self.settings.log)
+        # An answer may have closed it.
+        if connection is None or connection.sock is None:
+            connection = connect(self.settings.log, timeout_s=timeout_s)
             self.local.connection = connection
-        connection.timeout = timeout_s
-        if connection.sock is not None:
-            connection.sock.settimeout(timeout_s)
+        connection.sock.settimeout(timeout_s)
         return connection
 
     def _drop_connection(self) -> None:
--- a/src/thornlatch/logservice/_host_list.py
+++ b/src/thornlatch/logservice/_host_list.py
@@ -7,7 +7,12 @@
 
 import msgspec
 
-from thornlatch.logservice._clients import PlatformError, PlatformSettings
+from thornlatch.core import connect, read_answer
+from thornlatch.logservice._clients import (
+    BODY_TIMEOUT_S,
+    PlatformError,
+    PlatformSettings,
+)
 
 LIST_LIMIT_BYTES = 4 << 20
 
@@ -72,8 +77,7 @@
             malformed list.
         """
         try:
-            response = self._get()
-            data = response.read(LIST_LIMIT_BYTES)
+            response, data = self._get()
         except (OSError, http.client.HTTPException) as error:
             self.close()
             raise PlatformError(
@@ -99,14 +103,20 @@
             self.connection.close()
             self.connection = None
 
-    def _get(self) -> http.client.HTTPResponse:
-        if self.connection is None:
-            self.connection = http.client.HTTPConnection(
-                self.settings.host_list, timeout=self.settings.timeout_s
-            )
+    def _get(self) -> tuple[http.client.HTTPResponse, bytes]:
+        timeout_s = self.settings.timeout_s
+        # An answer may have closed it.
+        if self.connection is None or self.connection.sock is None:
+            self.connection = connect(self.settings.host_list, timeout_s=timeout_s)
+        self.connection.sock.settimeout(timeout_s)
         headers = {"If-None-Match": self.etag} if self.etag else {}
         self.connection.request("GET", "/hosts", headers=headers)
-        return self.connection.getresponse()
+        return read_answer(
+            self.connection,
+            head_s=timeout_s,
+            body_s=BODY_TIMEOUT_S,
+            limit=LIST_LIMIT_BYTES,
+        )
 
 
 def parse_host_list(data: bytes) -> HostList:
--- a/src/thornlatch/targets/__init__.py
+++ b/src/thornlatch/targets/__init__.py
@@ -1,7 +1,6 @@
 """Clients of the targets, which are engines and plain services."""
 
 from thornlatch.targets._calls import TargetCall, TargetResponse, open_call
-from thornlatch.targets._connections import BoundedSocket, connect
 from thornlatch.targets._engine import (
     ChunkReader,
     CompletionChunk,
@@ -12,12 +11,10 @@
 )
 
 __all__ = [
-    "BoundedSocket",
     "ChunkReader",
     "CompletionChunk",
     "TargetCall",
     "TargetResponse",
-    "connect",
     "evict_adapter",
     "iter_chunks",
     "load_adapter",
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -7,9 +7,8 @@
 from dataclasses import dataclass, field
 from typing import cast
 
-from thornlatch.core import parse_number, read_clock
+from thornlatch.core import BoundedSocket, connect, parse_number, read_clock
 from thornlatch.exceptions import TargetError
-from thornlatch.targets._connections import BoundedSocket, connect
 
 READ_BYTES = 1 << 16
 CHUNK_END = b"\r\n"
--- a/src/thornlatch/targets/tests/test_endless_answers.py
+++ b/src/thornlatch/targets/tests/test_endless_answers.py
@@ -6,12 +6,8 @@
 
 import pytest
 
-from thornlatch.core import read_clock
-from thornlatch.exceptions import TargetError
-from thornlatch.gateway._call import TargetAnswer
-from thornlatch.gateway._sender import TargetSender, _read_whole
-from thornlatch.targets import TargetCall, _calls, _connections, open_call
-from thornlatch.targets.tests.endless import (
+from thornlatch.core import _connections, read_clock
+from thornlatch.core.tests.endless import (
     BODIES,
     CHUNKED_HEAD,
     HEAD,
@@ -20,6 +16,10 @@
     SPEEDS,
     EndlessTarget,
 )
+from thornlatch.exceptions import TargetError
+from thornlatch.gateway._call import TargetAnswer
+from thornlatch.gateway._sender import TargetSender, _read_whole
+from thornlatch.targets import TargetCall, _calls, open_call
 
 TIMEOUT_S = 0.3
 
--- a/tests/platform/test_store.py
+++ b/tests/platform/test_store.py
@@ -5,8 +5,8 @@
 from adapter import _store
 from adapter._store import IDLE_LIMIT_S, KeyedRecord, StoreClient, StoreError
 from stand_ins import Store
+from thornlatch.core.tests.endless import BODIES, HEADS, SPEEDS, EndlessTarget
 from thornlatch.gateway import GatewayMetrics
-from thornlatch.targets.tests.endless import BODIES, HEADS, SPEEDS, EndlessTarget
 
 
 @pytest.fixture
