Keep what a queued load was asked for with it; read a held target's state once

Cause: the holder kept a second table of what was asked for, beside the planner's, with its own merging and cleaning; an entry could outlive its load and pass on its `is_copy` to the next request. Each order and each request computed the residents of the target twice, once to publish and once to notify requesters.

Change: the planner's requested load holds `is_copy` and `unusable`; publishing and notifying use one reading under one lock.

Behaviour as before, but for the outliving entry.

--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -2,9 +2,9 @@
 
 import threading
 import zlib
-from collections.abc import Callable
+from collections.abc import Callable, Collection, Iterable
 from concurrent.futures import ThreadPoolExecutor
-from dataclasses import dataclass, field, replace
+from dataclasses import dataclass, field
 
 import logbook
 
@@ -15,6 +15,7 @@
     LoadExpected,
     LoadRequested,
     PeerView,
+    ResidentAdapter,
     Target,
     TargetRegistry,
     UseNotes,
@@ -52,8 +53,6 @@
     orders_from: float  # earliest clock time of an order
     # Hosts to be notified of a load, by adapter.
     requesters: dict[str, set[str]] = field(default_factory=dict)
-    # What the hosts asked for, by adapter, until its load begins.
-    requests: dict[str, LoadRequested] = field(default_factory=dict)
     # When another load can begin, as the peers know.
     reported_place_at: float = float("-inf")
     lock: threading.Lock = field(default_factory=threading.Lock)
@@ -225,9 +224,11 @@
                 self.send(holder, load_request)
             return
         may_drop = not load_request.was_missing and not load_request.is_copy
-        if may_drop and self._is_available_elsewhere(held, load_request):
-            return
         adapter = load_request.adapter
+        if may_drop and self._is_available_elsewhere(
+            held, adapter, load_request.version, load_request.unusable
+        ):
+            return
         with held.lock:
             held.planner.request_load(
                 adapter,
@@ -237,14 +238,12 @@
                 due_s=load_request.due_s,
                 useful_s=load_request.useful_s,
                 was_missing=load_request.was_missing,
+                is_copy=load_request.is_copy,
+                unusable=load_request.unusable,
             )
-            if adapter in held.planner.requested:
-                known = held.requests.get(adapter, load_request)
-                held.requests[adapter] = _merge_requests(known, load_request)
             if requester:
                 held.requesters.setdefault(adapter, set()).add(requester)
-        self._publish_residents(held, now)
-        self._notify_requesters(held, now)
+        self._publish_and_notify(held, now)
         if requester:
             self._notify_of_queue(held, adapter, requester, now)
         self._start_orders(held)
@@ -272,33 +271,32 @@
         The requests that they were meant for begin there.
         """
         requested = held.planner.requested
-        for adapter, load_request in list(held.requests.items()):
-            if adapter not in requested:
-                del held.requests[adapter]
-            elif not load_request.is_copy and self._is_available_elsewhere(
-                held, load_request, has_started=True
+        for adapter, load in list(requested.items()):
+            if not load.is_copy and self._is_available_elsewhere(
+                held, adapter, load.version, load.unusable, has_started=True
             ):
-                del held.requests[adapter]
                 del requested[adapter]
 
     def _is_available_elsewhere(
         self,
         held: _HeldState,
-        load_request: LoadRequested,
+        adapter: str,
+        version: int,
+        unusable: Collection[str],
         *,
         has_started: bool = False,
     ) -> bool:
-        """Return whether another target with a free slot holds or loads the adapter.
+        """Return whether another target with a free slot holds or loads an adapter.
 
         Two hosts that miss an adapter at the same time may request it at different
         targets. Queued loads don't count if `has_started`, or two holders might drop
         each other's.
         """
         for target in self.registry.get_ready(held.target.service):
-            if target.id == load_request.target or target.id in load_request.unusable:
+            if target.id == held.target.id or target.id in unusable:
                 continue
-            resident = self.residents.get(target.id, load_request.adapter)
-            if resident is None or resident.version < load_request.version:
+            resident = self.residents.get(target.id, adapter)
+            if resident is None or resident.version < version:
                 continue
             if has_started and resident.is_queued:
                 continue
@@ -571,8 +569,7 @@
             if isinstance(numbered_order.order, LoadModel):
                 self.model_loads.give_back()
             self.tenure.note_fenced(held.partition)
-        self._publish_residents(held, now)
-        self._notify_requesters(held, now)
+        self._publish_and_notify(held, now)
         self.metrics.orders.labels(kind, outcome.value).inc()
         logger.info(
             "residency.ordered",
@@ -627,6 +624,22 @@
         uses = self.get_uses(held.target.id, now=now)
         with held.lock:
             adapters = held.planner.get_residents(uses, now=now)
+        self._publish(held, adapters, now)
+
+    def _publish_and_notify(self, held: _HeldState, now: float) -> None:
+        """Publish a held target's state; notify requesting hosts of ordered loads."""
+        uses = self.get_uses(held.target.id, now=now)
+        with held.lock:
+            adapters = held.planner.get_residents(uses, now=now)
+            ordered_loads = _pop_ordered_loads(held.requesters, adapters)
+        self._publish(held, adapters, now)
+        for ordered_load, hosts in ordered_loads:
+            for host in hosts:
+                self.send(host, LoadExpected(held.target.id, ordered_load))
+
+    def _publish(
+        self, held: _HeldState, adapters: tuple[ResidentAdapter, ...], now: float
+    ) -> None:
         residents = build_residents(adapters, now=now)
         self.residents.apply_holder_report(held.target.id, residents, now=now)
         self._note_changed(held.target.id)
@@ -636,30 +649,6 @@
         with self.changed_lock:
             self.changed.add(target)
 
-    def _notify_requesters(self, held: _HeldState, now: float) -> None:
-        """Notify requesting hosts of when an ordered load is expected to complete."""
-        if not held.requesters:
-            return
-        uses = self.get_uses(held.target.id, now=now)
-        with held.lock:
-            residents = {
-                resident.name: resident
-                for resident in held.planner.get_residents(uses, now=now)
-            }
-            ordered_loads = [
-                (residents[adapter], hosts)
-                for adapter, hosts in held.requesters.items()
-                if adapter in residents and not residents[adapter].is_queued
-            ]
-            for ordered_load, _ in ordered_loads:
-                del held.requesters[ordered_load.name]
-            # Requests that were dropped have no load to report.
-            for adapter in [a for a in held.requesters if a not in residents]:
-                del held.requesters[adapter]
-        for ordered_load, hosts in ordered_loads:
-            for host in hosts:
-                self.send(host, LoadExpected(held.target.id, ordered_load))
-
     def refresh_residents(self, *, now: float) -> None:
         """Renew the time stamps of held targets' residents so that they stay valid.
 
@@ -672,11 +661,18 @@
                 self.residents.holder_reported_at[held.target.id] = now
 
 
-def _merge_requests(known: LoadRequested, added: LoadRequested) -> LoadRequested:
-    """Return one request for an adapter in place of two."""
-    return replace(
-        added,
-        version=max(known.version, added.version),
-        is_copy=known.is_copy or added.is_copy,
-        unusable=tuple({*known.unusable, *added.unusable}),
-    )
+def _pop_ordered_loads(
+    requesters: dict[str, set[str]], adapters: Iterable[ResidentAdapter]
+) -> list[tuple[ResidentAdapter, set[str]]]:
+    """Remove adapters from `requesters` unless queued; return those being loaded."""
+    ordered_loads = []
+    queued = set()
+    for adapter in adapters:
+        if adapter.is_queued:
+            queued.add(adapter.name)
+        elif adapter.name in requesters:
+            ordered_loads.append((adapter, requesters.pop(adapter.name)))
+    # Requests that were dropped have no load to report.
+    for name in requesters.keys() - queued:
+        del requesters[name]
+    return ordered_loads
--- a/src/thornlatch/residency/_planner.py
+++ b/src/thornlatch/residency/_planner.py
@@ -5,7 +5,7 @@
 order that is executed late therefore can't take effect after a newer one.
 """
 
-from collections.abc import Mapping
+from collections.abc import Collection, Mapping
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -100,6 +100,8 @@
     due_at: float
     expires_at: float
     weight: float = 0.0
+    is_copy: bool = False
+    unusable: set[str] = field(default_factory=set)
 
 
 @dataclass
@@ -168,6 +170,8 @@
         due_s: float,
         useful_s: float,
         was_missing: bool = False,
+        is_copy: bool = False,
+        unusable: Collection[str] = (),
     ) -> None:
         """Request that an adapter be loaded.
 
@@ -186,6 +190,10 @@
             Seconds after which the request no longer needs the adapter.
         was_missing : bool
             Whether the target has just answered that it doesn't hold the adapter.
+        is_copy : bool
+            Whether it is wanted here although another target has it.
+        unusable : collection of str
+            Targets that have it, but of no use to the request.
         """
         state = self.adapters.get(adapter)
         if state is not None and was_missing:
@@ -200,6 +208,8 @@
         entry.due_at = max(entry.due_at, now + due_s)
         entry.expires_at = max(entry.expires_at, now + useful_s)
         entry.weight += PRIORITY_WEIGHT_RATIO**-priority
+        entry.is_copy = entry.is_copy or is_copy
+        entry.unusable.update(unusable)
 
     def _note_missing(self, state: _AdapterState, now: float) -> None:
         settings = self.settings
