Pass the silence limit to relays and selectors; add the spread only where it counts

Cause: DomainRelay and DomainDigestSelector still took all exchange settings, of which only the first value of `silent_s` was read before it was replaced; DomainView had a setter for it. A target's random spread was added to each option's cost and taken off again for loads.

Change: both take `silent_s`; the spread is added to the options that have it.

--- a/src/thornlatch/fleet/_domain_choice.py
+++ b/src/thornlatch/fleet/_domain_choice.py
@@ -117,18 +117,15 @@
 
     Parameters
     ----------
-    settings : ExchangeSettings
+    silent_s : float
+        Seconds without a message after which a relay counts as silent.
     """
 
-    settings: ExchangeSettings
+    silent_s: float
     latest: LatestMessages[tuple[str, str], DomainDigest] = field(
         default_factory=LatestMessages
     )
     selected_relays: dict[str, str] = field(default_factory=dict)
-    silent_s: float = 0.0
-
-    def __post_init__(self) -> None:
-        self.silent_s = self.settings.silent_s
 
     def add(self, digest: DomainDigest, *, now: float) -> bool:
         """Add a relay's digest unless a later one of the relay is known.
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -5,7 +5,6 @@
 from dataclasses import dataclass, field
 
 from thornlatch.fleet._digests import HeldTarget, HostDigest
-from thornlatch.fleet._domain_choice import ExchangeSettings
 from thornlatch.fleet._domain_messages import (
     DomainDigest,
     DomainSpending,
@@ -25,22 +24,19 @@
     ----------
     domain, host : str
         Name of the domain, and id of this host as its relay.
-    settings : ExchangeSettings
+    silent_s : float
+        Seconds without a message after which a host counts as silent.
     """
 
     domain: str
     host: str
-    settings: ExchangeSettings
+    silent_s: float
     latest: LatestMessages[str, HostDigest] = field(default_factory=LatestMessages)
     spent_totals: dict[str, dict[str, int]] = field(default_factory=dict)
     spent: Counter[str] = field(default_factory=Counter)
     held: dict[str, tuple[str, HeldTarget]] = field(default_factory=dict)
     fencing_tokens: dict[tuple[str, str], int] = field(default_factory=dict)
     first_digest_at: float | None = None
-    silent_s: float = 0.0
-
-    def __post_init__(self) -> None:
-        self.silent_s = self.settings.silent_s
 
     def apply_digest(self, host: str, digest: HostDigest, *, now: float) -> None:
         """Apply a host's digest, unless a later one is known.
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -61,7 +61,7 @@
         self.peers = peers
         self.host = host
         self.domain = domain
-        self.selector = DomainDigestSelector(settings)
+        self.selector = DomainDigestSelector(settings.silent_s)
         self.sent_digests: OrderedDict[float, HostDigest] = OrderedDict()
         self.latest: LatestMessages[str, FleetDigest] = LatestMessages()
         self.selected_relay = ""
@@ -69,15 +69,6 @@
         # Ids of target crashes by fingerprint of the request that was running.
         self.crashes: dict[str, tuple[str, ...]] = {}
 
-    def set_silent_s(self, silent_s: float) -> None:
-        """Set the time without a message after which a relay counts as silent.
-
-        Parameters
-        ----------
-        silent_s : float
-        """
-        self.selector.silent_s = silent_s
-
     def note_sent(self, digest: HostDigest) -> None:
         """Remember a digest of this host until a relay may have echoed it.
 
--- a/src/thornlatch/fleet/_domains.py
+++ b/src/thornlatch/fleet/_domains.py
@@ -47,8 +47,8 @@
         self.capacity = capacity
         self.members: dict[str, Member] = {}
         self.timing = settings.compute_timing(1)
-        self.relay = DomainRelay(domain, host, settings)
-        self.selector = DomainDigestSelector(settings)
+        self.relay = DomainRelay(domain, host, self.timing.silent_s)
+        self.selector = DomainDigestSelector(self.timing.silent_s)
         # Reports of holders in other domains since the previous turn, by target.
         self.pending_reports: dict[str, tuple[str, HeldTarget]] = {}
         # Time of the first message to a relay that it hasn't replied to.
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -238,7 +238,7 @@
     # target.
     prefill_s = state.prompt_tokens * requirements.prefill_s
     cost_s = queue_s + state.requests / slots * settings.crowd_penalty_s
-    cost_s += prefill_s * settings.prefill_ratio + state.spread_s
+    cost_s += prefill_s * settings.prefill_ratio
     if target.failure_domain != requirements.failure_domain:
         cost_s += settings.domain_penalty_s
     if state.is_avoided:
@@ -247,7 +247,7 @@
         # A restarted engine holds nothing until its model is loaded again.
         if not state.has_model:
             return None
-        return TargetOption(target, Step.SEND, queue_s, cost_s)
+        return TargetOption(target, Step.SEND, queue_s, cost_s + state.spread_s)
     resident = state.resident
     if resident is not None and _is_sufficient(resident.version, requirements.version):
         load_s = max(resident.ready_at - now, 0.0)
@@ -256,7 +256,7 @@
             load_s = max(load_s, _get_load_s(state, requirements))
         step = Step.AWAIT_LOAD if load_s > 0 else Step.SEND
         wait_s = max(load_s, queue_s)
-        cost_s += wait_s - queue_s
+        cost_s += wait_s - queue_s + state.spread_s
         if step is Step.SEND and requirements.may_await_prefill:
             prefill_wait_s = compute_decay_time_s(
                 prefill_s, requirements.prefill_limit_s
@@ -277,8 +277,7 @@
     if not state.was_resident:
         home_penalty_s = settings.home_penalty_s
     cost_s += compute_home_rank(requirements.adapter, target.id) * home_penalty_s
-    # All hosts are to load an adapter at the same target.
-    cost_s -= state.spread_s
+    # Without the spread: all hosts are to load an adapter at the same target.
     return TargetOption(target, Step.REQUEST_LOAD, wait_s, cost_s)
 
 
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -265,7 +265,7 @@
         silent_s = self.peer_loop.get_period_s() * SILENCE_LIMIT_PERIODS
         if self.exchange.is_large:
             silent_s = max(silent_s, self.exchange.timing.silent_s)
-            self.domain_view.set_silent_s(self.exchange.timing.silent_s)
+            self.domain_view.selector.silent_s = self.exchange.timing.silent_s
         self.state.orders.is_view_late = self.exchange.is_large
         self.state.peers.silent_s = max(self.settings.peer_view.silent_s, silent_s)
         self.state.quota.silent_s = max(self.settings.quota.silent_s, silent_s)
--- a/src/thornlatch/gateway/tests/test_large_fleet.py
+++ b/src/thornlatch/gateway/tests/test_large_fleet.py
@@ -118,7 +118,7 @@
             host.quota.set_large_fleet(True, digest_period_s=self.turn_s, now=self.now)
             host.quota.set_peers(peers, now=self.now)
             silent_s = host.exchange.timing.silent_s
-            host.view.set_silent_s(silent_s)
+            host.view.selector.silent_s = silent_s
             host.peers.silent_s = host.quota.silent_s = silent_s
 
     def run(self, seconds):
