--- a/src/thornlatch/gateway/_topic_share.py
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -17,7 +17,6 @@
 from thornlatch.fleet import DomainExchange, choose_by_capacity
 
 CACHED_RECORDS = 3000  # about 20 s of registrations of 600 targets in 8 domains
-DEFAULT_KNOWN_WITHIN_S = 2.0  # for which the defaults of the settings hold
 ANSWER_LIMIT_RECORDS = 400  # keeps an answer below the size limit of messages
 
 
@@ -33,14 +32,17 @@
         Seconds since the reading host's read began, above which a host reads the store
         itself, since the reading host may have lost its connection to the store. The
         sum with `period_s` and `answer_s` must stay below the time within which changes
-        must be known, 2 s by default.
+        must be known.
     period_s : float
         Seconds between two queries for a topic.
+    known_within_s : float
+        Seconds within which all hosts must know of a change.
     """
 
     answer_s: Annotated[float, Meta(gt=0)] = 0.2
     age_limit_s: Annotated[float, Meta(gt=0)] = 0.9
     period_s: Annotated[float, Meta(gt=0)] = 0.4
+    known_within_s: Annotated[float, Meta(gt=0)] = 2.0
 
     def scale(self, known_within_s: float) -> "TopicShareSettings":
         """Return the settings for another time within which changes must be known.
@@ -53,9 +55,12 @@
         -------
         TopicShareSettings
         """
-        ratio = known_within_s / DEFAULT_KNOWN_WITHIN_S
+        ratio = known_within_s / self.known_within_s
         return replace(
-            self, age_limit_s=self.age_limit_s * ratio, period_s=self.period_s * ratio
+            self,
+            age_limit_s=self.age_limit_s * ratio,
+            period_s=self.period_s * ratio,
+            known_within_s=known_within_s,
         )
 
 
