--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -77,6 +77,8 @@
         Id of the target to which the request was sent last.
     status : int
         HTTP status of the target's answer; 0 without an answer.
+    framing : str
+        How the target delimits its latest answer; empty without an answer.
     last_event : str
         Id of the event after which the stream continues.
     last_event_id : int or None
@@ -109,6 +111,7 @@
     gap_ended_s: float = 0.0
     target: str = ""
     status: int = 0
+    framing: str = ""
     last_event: str = ""
     last_event_id: int | None = None
     last_failure: str = ""
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -113,6 +113,7 @@
         use = self.work.begin(target.id, request.adapter, tokens, now=now)
         call.tries += 1
         call.target = target.id
+        call.framing = ""
         try:
             response = self._open_call(call, target_call)
             answer = self._open_answer(call, option, response, use, now)
@@ -138,6 +139,7 @@
             call.sends += error.is_sent
             raise
         call.sends += 1
+        call.framing = response.framing.value
         return response
 
     def _open_answer(
--- a/src/thornlatch/targets/__init__.py
+++ b/src/thornlatch/targets/__init__.py
@@ -1,6 +1,6 @@
 """Clients of the targets, which are engines and plain services."""
 
-from thornlatch.targets._calls import TargetCall, TargetResponse, open_call
+from thornlatch.targets._calls import Framing, TargetCall, TargetResponse, open_call
 from thornlatch.targets._engine import (
     ChunkReader,
     CompletionChunk,
@@ -13,6 +13,7 @@
 __all__ = [
     "ChunkReader",
     "CompletionChunk",
+    "Framing",
     "TargetCall",
     "TargetResponse",
     "evict_adapter",
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -5,6 +5,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from enum import Enum
 from typing import cast
 
 from thornlatch.core import BoundedSocket, connect, parse_number, read_clock
@@ -51,6 +52,14 @@
     connect_s: float | None = None
 
 
+class Framing(Enum):
+    """How a target delimits the body of an answer (RFC 9112, section 6)."""
+
+    LENGTH = "length"
+    CHUNKED = "chunked"
+    CLOSE = "close"
+
+
 class TargetResponse:
     """An answer of a target that is being read; other threads may abort it.
 
@@ -76,6 +85,7 @@
         self.sock = sock
         self.response = response
         self.status = response.status
+        self.framing = _read_framing(response)
         self.needs_blocking_read = False
 
     def bound_reads(self, limit_s: float) -> None:
@@ -314,6 +324,12 @@
         raise TargetError(f"can't connect: {error!r}", is_sent=False) from error
 
 
+def _read_framing(response: http.client.HTTPResponse) -> Framing:
+    if response.chunked:
+        return Framing.CHUNKED
+    return Framing.CLOSE if response.length is None else Framing.LENGTH
+
+
 def _read_idle_limit_s(response: http.client.HTTPResponse) -> float:
     # Keep-Alive: timeout=5, max=100
     for part in response.getheader("Keep-Alive", "").split(","):
