--- /dev/null
+++ b/src/thornlatch/core/tests/scripted.py
@@ -0,0 +1,46 @@
+"""A server that sends given bytes and then ends or keeps its connections."""
+
+import contextlib
+import socket
+import threading
+
+
+class ScriptedTarget:
+    """Answers each connection with the bytes that `build_answer` makes of a path.
+
+    Parameters
+    ----------
+    end : str
+        "close" closes the connection after them, and "keep" leaves it open until the
+        target is closed.
+    """
+
+    def __init__(self, end="close"):
+        self.end = end
+        self.build_answer = None
+        self.connections = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        self.thread = threading.Thread(target=self.accept, daemon=True)
+        self.thread.start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            path = connection.recv(1 << 16).split()[1].decode()
+            connection.sendall(self.build_answer(path))
+            if self.end == "keep":
+                self.connections.append(connection)
+                continue
+            connection.close()
+
+    def close(self):
+        with contextlib.suppress(OSError):
+            self.listener.shutdown(socket.SHUT_RDWR)
+        self.listener.close()
+        for connection in self.connections:
+            connection.close()
+        self.thread.join(10)
--- /dev/null
+++ b/src/thornlatch/gateway/tests/test_broken_streams.py
@@ -0,0 +1,71 @@
+"""Streams that break off, and how their callers learn it."""
+
+from types import SimpleNamespace
+
+import pytest
+
+from thornlatch.core import read_clock
+from thornlatch.core.tests.endless import CHUNKED_HEAD, HEAD
+from thornlatch.core.tests.scripted import ScriptedTarget
+from thornlatch.exceptions import TargetError
+from thornlatch.gateway._call import TargetAnswer
+from thornlatch.gateway._sender import TargetSender
+from thornlatch.targets import TargetCall, open_call
+
+EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
+
+
+def frame(framing, body):
+    if framing == "close":
+        return HEAD + b"\r\n" + body
+    if framing == "length":
+        return HEAD + b"Content-Length: %d\r\n\r\n" % len(body) + body
+    chunk = b"%x\r\n%s\r\n" % (len(body), body) if body else b""
+    return CHUNKED_HEAD + chunk + b"0\r\n\r\n"
+
+
+@pytest.fixture
+def target():
+    target = ScriptedTarget()
+    yield target
+    target.close()
+
+
+def read_stream(target, answer, *, last_event=""):
+    """Read a stream to its end and return its events."""
+    target.build_answer = lambda path: answer
+    response = open_call(TargetCall(target.address, "GET", "/"))
+    answer = TargetAnswer(None, None, response, read_clock(), None)
+    sender = TargetSender(None, protocol=None, work=None, health=None, metrics=None)
+    call = SimpleNamespace(last_event=last_event)
+    events = []
+    while not answer.has_ended:
+        sender.read_events(call, answer)
+        events += [event.data for event in answer.events]
+        if answer.events:
+            call.last_event = "seen"
+        answer.events = []
+    return events
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("framing", ["close", "length", "chunked"])
+def test_stream_that_ends_inside_an_event_is_broken_off(target, framing):
+    """Callers got streams that had broken off as complete ones."""
+    next_event = b"id: 3\ndata: c\n\n"
+    for count in range(1, len(next_event)):
+        with pytest.raises(TargetError, match="event"):
+            read_stream(target, frame(framing, EVENTS + next_event[:count]))
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("framing", ["close", "length", "chunked"])
+def test_stream_without_any_event_is_broken_off(target, framing):
+    """A target that crashes before its first event may still close correctly."""
+    with pytest.raises(TargetError, match="event"):
+        read_stream(target, frame(framing, b""))
+
+
+@pytest.mark.parametrize("framing", ["close", "length", "chunked"])
+def test_resumed_stream_may_have_no_event_left(target, framing):
+    assert read_stream(target, frame(framing, b""), last_event="2") == []
--- a/src/thornlatch/targets/tests/test_endless_answers.py
+++ b/src/thornlatch/targets/tests/test_endless_answers.py
@@ -1,8 +1,6 @@
 """Targets whose answers never end or break off: reads end, and say so."""
 
-import socket
 import threading
-from types import SimpleNamespace
 
 import pytest
 
@@ -16,6 +14,7 @@
     SPEEDS,
     EndlessTarget,
 )
+from thornlatch.core.tests.scripted import ScriptedTarget
 from thornlatch.exceptions import TargetError
 from thornlatch.gateway._call import TargetAnswer
 from thornlatch.gateway._sender import TargetSender, _read_whole
@@ -116,26 +115,9 @@
 
 @pytest.fixture
 def answering_target():
-    """Return a target that answers with what its `build_answer` makes of a path."""
-    listener = socket.create_server(("127.0.0.1", 0))
-    target = SimpleNamespace(address=f"127.0.0.1:{listener.getsockname()[1]}")
-
-    def answer():
-        while True:
-            try:
-                connection, _ = listener.accept()
-            except OSError:
-                return
-            with connection:
-                path = connection.recv(1 << 16).split()[1].decode()
-                connection.sendall(target.build_answer(path))
-
-    thread = threading.Thread(target=answer, daemon=True)
-    thread.start()
+    target = ScriptedTarget()
     yield target
-    listener.shutdown(socket.SHUT_RDWR)
-    listener.close()
-    thread.join(10)
+    target.close()
 
 
 WHOLE_ANSWERS = {
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -166,8 +166,10 @@
 
     Each request consumes a step of `plan`, which names the failure of its answer; an
     empty step is an answer without a failure. "shed" refuses the request without
-    running it, "crossed" names another request in the answer, "cut" and "cut-stream"
-    end the answer too early, and "reset" closes the connection without an answer.
+    running it, "crossed" names another request in the answer, "cut", "cut-stream" and
+    "cut-unframed" end the answer too early, the last one a stream without chunks, and
+    "reset" closes the connection without an answer. "unframed" is a whole stream
+    without chunks.
     """
 
     def __init__(self, name, service, *, model=""):
@@ -281,21 +283,28 @@
         for name, value in signature.items():
             handler.send_header(name.replace("_", "-"), value)
         handler.send_header("Content-Type", "text/event-stream")
-        handler.send_header("Transfer-Encoding", "chunked")
+        is_chunked = not step.endswith("unframed")
+        if is_chunked:
+            handler.send_header("Transfer-Encoding", "chunked")
         handler.end_headers()
+        handler.close_connection = not is_chunked
         first = int(headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, self.events + 1):
             event = f"id: {number}\ndata: e{number}\n\n".encode()
-            if step == "cut-stream" and number == first + 2:
+            is_cut = step.startswith("cut-") and number == first + 2
+            if is_cut:
                 event = event[:5]
-            handler.wfile.write(f"{len(event):x}\r\n".encode() + event + b"\r\n")
+            if is_chunked:
+                event = f"{len(event):x}\r\n".encode() + event + b"\r\n"
+            handler.wfile.write(event)
             handler.wfile.flush()
-            if step == "cut-stream" and number == first + 2:
+            if is_cut:
                 handler.close_connection = True
                 handler.connection.close()
                 return
             time.sleep(self.pause_s)
-        handler.wfile.write(b"0\r\n\r\n")
+        if is_chunked:
+            handler.wfile.write(b"0\r\n\r\n")
 
 
 def build_config(version=1, **changes):
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -170,16 +170,17 @@
     assert orders[0]["expected"] == 0
 
 
-def test_broken_stream_is_resumed_on_the_other_server(deployment):
+@pytest.mark.parametrize("step", ["cut-stream", "cut-unframed"])
+def test_broken_stream_is_resumed_on_the_other_server(deployment, step):
     _, servers, host = deployment
     for server in ("llm-1", "llm-2"):
         servers[server].adapters["a1"] = 1
-    set_plan(servers, "llm", "cut-stream")
-    servers["llm-2"].plan = ["cut-stream"]
+    set_plan(servers, "llm", step)
+    servers["llm-2"].plan = [step]
     host.call("/llm/x", Thornlatch_Model="m")
     for server in servers.values():
         server.plan = []
-    servers["llm-1"].plan = ["cut-stream"]
+    servers["llm-1"].plan = [step]
     for _ in range(6):
         _, body = host.call("/llm/x", Thornlatch_Model="m")
         assert body == b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, 5))
