--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -1,7 +1,10 @@
 """Splits the bytes of a stream into server-sent events."""
 
+import re
 from dataclasses import dataclass
 
+# A blank line ends an event. Lines end with LF, CRLF or CR; a CRLF is one line end.
+EVENT_END = re.compile(rb"(?>\r\n?|\n)(?:\r\n?|\n)")
 EVENT_LIMIT_BYTES = 1 << 20  # a longer event means that the stream is broken
 
 
@@ -43,18 +46,24 @@
         ValueError
             If the incomplete event is longer than `EVENT_LIMIT_BYTES`.
         """
-        parts = (self.rest + data).split(b"\n\n")
-        self.rest = parts.pop()
+        data = self.rest + data
+        start = 0
+        events = []
+        for blank_line in EVENT_END.finditer(data):
+            event = data[start : blank_line.end()]
+            events.append(StreamEvent(event, _find_id(event)))
+            start = blank_line.end()
+        self.rest = data[start:]
         if len(self.rest) > EVENT_LIMIT_BYTES:
             raise ValueError(
                 f"incomplete event of {len(self.rest)} bytes is longer than"
                 f" {EVENT_LIMIT_BYTES} bytes"
             )
-        return [StreamEvent(part + b"\n\n", _find_id(part)) for part in parts]
+        return events
 
 
 def _find_id(event: bytes) -> int | None:
-    for line in event.split(b"\n"):
+    for line in event.splitlines():
         if line.startswith(b"id:"):
             text = line[3:].strip()
             return int(text) if text.isdigit() else None
--- a/src/thornlatch/gateway/tests/test_broken_streams.py
+++ b/src/thornlatch/gateway/tests/test_broken_streams.py
@@ -69,3 +69,14 @@
 @pytest.mark.parametrize("framing", ["close", "length", "chunked"])
 def test_resumed_stream_may_have_no_event_left(target, framing):
     assert read_stream(target, frame(framing, b""), last_event="2") == []
+
+
+@pytest.mark.parametrize("framing", ["close", "length", "chunked"])
+@pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"], ids=["lf", "crlf", "cr"])
+@pytest.mark.parametrize("blank_lines", [0, 1])
+def test_events_with_any_line_ends_are_split(target, framing, line_end, blank_lines):
+    """Events with other line ends than LF were held back until the stream ended."""
+    body = EVENTS.replace(b"\n", line_end)
+    events = read_stream(target, frame(framing, body + line_end * blank_lines))
+    assert b"".join(events) == body
+    assert len(events) == 2
