--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -25,10 +25,24 @@
 
 
 class EventSplitter:
-    """Buffers bytes and returns complete events."""
+    """Buffers bytes and returns complete events.
+
+    Attributes
+    ----------
+    rest : bytes
+        Bytes after the last complete event.
+    has_events : bool
+        Whether any event was complete.
+    """
 
     def __init__(self) -> None:
         self.rest = b""
+        self.has_events = False
+
+    @property
+    def is_inside_event(self) -> bool:
+        """Whether `rest` is the beginning of an event, not only blank lines."""
+        return bool(self.rest.strip(b"\r\n"))
 
     def feed(self, data: bytes) -> list[StreamEvent]:
         """Add bytes and return the events that they complete.
@@ -54,6 +68,7 @@
             events.append(StreamEvent(event, _find_id(event)))
             start = blank_line.end()
         self.rest = data[start:]
+        self.has_events = self.has_events or bool(events)
         if len(self.rest) > EVENT_LIMIT_BYTES:
             raise ValueError(
                 f"incomplete event of {len(self.rest)} bytes is longer than"
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -13,6 +13,7 @@
     build_failure,
 )
 from thornlatch.gateway._choice import TargetOption
+from thornlatch.gateway._events import EventSplitter
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._ports import AnswerHead, SendContext, TargetProtocol
@@ -210,7 +211,7 @@
         ------
         TargetError
             If the connection fails, closes early or is silent for too long, or if an
-            event is too long.
+            event is too long or incomplete at the end of the stream.
         """
         if not answer.events:
             # Bytes that complete no event don't count as progress.
@@ -222,6 +223,7 @@
                     raise TargetError(
                         "connection closed before the end of the stream", is_sent=True
                     )
+                _check_stream_end(call, answer.splitter)
                 answer.has_ended = True
                 return
             try:
@@ -270,6 +272,17 @@
     return data
 
 
+def _check_stream_end(call: Call, splitter: EventSplitter) -> None:
+    # The end of a connection, which may end an answer, says nothing about the stream.
+    if splitter.is_inside_event:
+        raise TargetError(
+            f"stream ended {len(splitter.rest)} bytes into an event", is_sent=True
+        )
+    is_resumed = call.last_event != ""
+    if not splitter.has_events and not is_resumed:
+        raise TargetError("stream ended before its first event", is_sent=True)
+
+
 def _skip_body(response: TargetResponse, *, target: str) -> None:
     """Read a body that isn't used, so that the connection can be reused."""
     try:
