--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -16,9 +16,18 @@
     """
 
     reads_until = float("inf")
+    is_aborted = False
 
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
-        """Receive into a buffer; raise TimeoutError after `reads_until`."""
+        """Receive into a buffer.
+
+        Raises
+        ------
+        TimeoutError
+            After `reads_until`.
+        ConnectionAbortedError
+            At the end of the connection if `abort` was called.
+        """
         timeout_s = self.gettimeout()
         if timeout_s != 0.0:
             left_s = self.reads_until - read_clock()
@@ -26,7 +35,11 @@
                 raise TimeoutError("the answer was not complete in time")
             if timeout_s is None or left_s < timeout_s:
                 self.settimeout(left_s)
-        return super().recv_into(buffer, nbytes, flags)
+        count = super().recv_into(buffer, nbytes, flags)
+        # Otherwise an answer that may end with its connection would look complete.
+        if count == 0 and self.is_aborted:
+            raise ConnectionAbortedError("the connection was aborted by this host")
+        return count
 
     def bound_reads(self, limit_s: float) -> None:
         """Set the time from now at which reads end, also those still receiving.
@@ -39,7 +52,8 @@
         self.reads_until = read_clock() + limit_s
 
     def abort(self) -> None:
-        """Break the connection, which wakes its reader."""
+        """Break the connection, which wakes its reader with an error."""
+        self.is_aborted = True
         with contextlib.suppress(OSError):
             self.shutdown(socket.SHUT_RDWR)
 
