--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -4,7 +4,7 @@
 
 import logbook
 
-from thornlatch.core import parse_number, read_clock
+from thornlatch.core import read_clock
 from thornlatch.exceptions import TargetError
 from thornlatch.gateway._call import (
     MIN_SEND_BUDGET_S,
@@ -181,7 +181,7 @@
                 silence_s = self.settings.stream_silence_s
                 response.call = replace(response.call, timeout_s=silence_s)
             else:
-                answer.body = _read_whole(response)
+                answer.body = response.read_all(BODY_LIMIT_BYTES)
             return answer
         except BaseException as error:
             call.running.set_abort(None)
@@ -219,10 +219,6 @@
         while not answer.events and not answer.has_ended:
             data = answer.response.read_some()
             if not data:
-                if not _is_complete(answer.response):
-                    raise TargetError(
-                        "connection closed before the end of the stream", is_sent=True
-                    )
                 _check_stream_end(call, answer.splitter)
                 answer.has_ended = True
                 return
@@ -263,15 +259,6 @@
         self.work.end(answer.use)
 
 
-def _read_whole(response: TargetResponse) -> bytes:
-    data = response.read_all(BODY_LIMIT_BYTES)
-    if not _is_complete(response, len(data)):
-        raise TargetError(
-            f"connection closed after {len(data)} bytes of the answer", is_sent=True
-        )
-    return data
-
-
 def _check_stream_end(call: Call, splitter: EventSplitter) -> None:
     # The end of a connection, which may end an answer, says nothing about the stream.
     if splitter.is_inside_event:
@@ -293,14 +280,6 @@
         )
 
 
-def _is_complete(response: TargetResponse, received_bytes: int | None = None) -> bool:
-    # http.client treats an early close of the connection as the end of the body.
-    length = parse_number(response.response.getheader("Content-Length", ""))
-    if length is None or received_bytes is None:
-        return response.response.length in (None, 0)
-    return received_bytes == length
-
-
 def _discard(response: TargetResponse) -> None:
     response.abort()
     response.response.close()
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -110,12 +110,24 @@
         Raises
         ------
         TargetError
-            If the connection broke.
+            If the connection broke or closed before the end.
         """
         try:
-            return self.response.read1(READ_BYTES)
+            data = self.response.read1(READ_BYTES)
         except (OSError, ValueError, http.client.HTTPException) as error:
             raise TargetError(f"answer broke off: {error!r}", is_sent=True) from error
+        if not data:
+            self._check_complete()
+        return data
+
+    def _check_complete(self) -> None:
+        # http.client takes an early close for the end of a body with a length.
+        missing = self.response.length
+        if missing:
+            raise TargetError(
+                f"connection closed {missing} bytes before the end of the answer",
+                is_sent=True,
+            )
 
     def set_blocking(self, *, is_blocking: bool) -> None:
         """Set whether reads block until bytes arrive, as they do by default.
@@ -207,7 +219,7 @@
         Raises
         ------
         TargetError
-            If the connection broke or the body is too long.
+            If the connection broke or closed before the end, or the body is too long.
         """
         self.bound_reads(within_s)
         try:
@@ -216,6 +228,7 @@
             raise TargetError(f"answer broke off: {error!r}", is_sent=True) from error
         if len(data) > limit:
             raise TargetError(f"answer is over {limit} bytes", is_sent=True)
+        self._check_complete()
         return data
 
     def abort(self) -> None:
--- a/src/thornlatch/targets/tests/test_broken_off_answers.py
+++ b/src/thornlatch/targets/tests/test_broken_off_answers.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from thornlatch.core.tests.endless import HEAD
+from thornlatch.core.tests.endless import CHUNKED_HEAD, HEAD
 from thornlatch.core.tests.scripted import ScriptedTarget
 from thornlatch.exceptions import TargetError
 from thornlatch.targets import TargetCall, open_call
@@ -59,3 +59,24 @@
     response = open_call(TargetCall(target.address, "GET", "/"))
     assert read(response) == b"whole"
     response.close()
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("read", READERS)
+@pytest.mark.parametrize(
+    "answer",
+    [
+        HEAD + b"Content-Length: 9\r\n\r\npart",
+        HEAD + b"Content-Length: 9\r\n\r\n",
+        CHUNKED_HEAD + b"9\r\npart",
+        CHUNKED_HEAD + b"4\r\npart\r\n",
+    ],
+    ids=["length", "length, no byte", "in a chunk", "between chunks"],
+)
+def test_short_answer_is_rejected_by_every_reader(start_target, read, answer):
+    """Plain calls of the daemon passed on answers shorter than announced."""
+    target = start_target(answer)
+    response = open_call(TargetCall(target.address, "GET", "/"))
+    with pytest.raises(TargetError) as error:
+        read(response)
+    assert error.value.is_sent
--- a/src/thornlatch/targets/tests/test_endless_answers.py
+++ b/src/thornlatch/targets/tests/test_endless_answers.py
@@ -17,7 +17,7 @@
 from thornlatch.core.tests.scripted import ScriptedTarget
 from thornlatch.exceptions import TargetError
 from thornlatch.gateway._call import TargetAnswer
-from thornlatch.gateway._sender import TargetSender, _read_whole
+from thornlatch.gateway._sender import BODY_LIMIT_BYTES, TargetSender
 from thornlatch.targets import TargetCall, _calls, open_call
 
 TIMEOUT_S = 0.3
@@ -141,7 +141,7 @@
     for count in range(len(whole) + 1):
         call = TargetCall(answering_target.address, "GET", f"/{count}")
         try:
-            data = _read_whole(open_call(call))
+            data = open_call(call).read_all(BODY_LIMIT_BYTES)
         except TargetError as error:
             assert error.is_sent
         else:
@@ -159,7 +159,7 @@
     whole = HEAD + headers % number + b"\r\n\r\nhello"
     answering_target.build_answer = lambda path: whole
     response = open_call(TargetCall(answering_target.address, "GET", "/"))
-    assert _read_whole(response) == b"hello"
+    assert response.read_all(BODY_LIMIT_BYTES) == b"hello"
     response.close()
 
 
@@ -167,4 +167,6 @@
     whole = HEAD + b"Content-Length: 9999999999999999\r\n\r\nhello"
     answering_target.build_answer = lambda path: whole
     with pytest.raises(TargetError):
-        _read_whole(open_call(TargetCall(answering_target.address, "GET", "/")))
+        open_call(TargetCall(answering_target.address, "GET", "/")).read_all(
+            BODY_LIMIT_BYTES
+        )
