--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -2,6 +2,7 @@
 
 import json
 from collections.abc import Callable, Iterable, Iterator
+from dataclasses import replace
 from typing import Any
 
 import logbook
@@ -74,6 +75,8 @@
             answer = self.forwarder.serve(
                 request, is_caller_disconnected=is_caller_disconnected
             )
+            if answer.length is None and environ["SERVER_PROTOCOL"] == "HTTP/1.0":
+                answer = _read_whole(answer)
         except RequestRefused as error:
             return self._refuse(error, request_id, start_response)
         except Exception:
@@ -137,5 +140,11 @@
         return _iterate_once(body)
 
 
+def _read_whole(answer: GatewayAnswer) -> GatewayAnswer:
+    # HTTP/1.0 has no chunks: without a length, a broken answer would look complete.
+    body = b"".join(answer.body)
+    return replace(answer, body=_iterate_once(body), length=len(body))
+
+
 def _iterate_once(body: bytes) -> Iterator[bytes]:
     yield body
--- a/src/thornlatch/gateway/tests/test_broken_streams.py
+++ b/src/thornlatch/gateway/tests/test_broken_streams.py
@@ -1,5 +1,7 @@
 """Streams that break off, and how their callers learn it."""
 
+import http.client
+import threading
 from types import SimpleNamespace
 
 import pytest
@@ -7,9 +9,12 @@
 from thornlatch.core import read_clock
 from thornlatch.core.tests.endless import CHUNKED_HEAD, HEAD
 from thornlatch.core.tests.scripted import ScriptedTarget
-from thornlatch.exceptions import TargetError
-from thornlatch.gateway._call import TargetAnswer
+from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
+from thornlatch.gateway import GatewayMetrics
+from thornlatch.gateway._app import GatewayApplication
+from thornlatch.gateway._call import GatewayAnswer, TargetAnswer
 from thornlatch.gateway._sender import TargetSender
+from thornlatch.gateway._servers import build_server
 from thornlatch.targets import TargetCall, open_call
 
 EVENTS = b"id: 1\ndata: a\n\nid: 2\ndata: b\n\n"
@@ -80,3 +85,52 @@
     events = read_stream(target, frame(framing, body + line_end * blank_lines))
     assert b"".join(events) == body
     assert len(events) == 2
+
+
+class BrokenForwarder:
+    """Answers with a stream that breaks off after its first event."""
+
+    def serve(self, request, *, is_caller_disconnected):
+        return GatewayAnswer(200, (), self.iterate(), None)
+
+    def iterate(self):
+        yield b"id: 1\ndata: a\n\n"
+        raise RequestRefused(ErrorKind.TARGET_FAILED, "target closed the connection")
+
+
+class AnyCallers:
+    """Accepts all requests."""
+
+    def read_request(self, environ):
+        return SimpleNamespace(id="1")
+
+    def build_refusal_headers(self, request):
+        return []
+
+
+@pytest.fixture
+def gateway_address():
+    app = GatewayApplication(AnyCallers(), BrokenForwarder(), GatewayMetrics())
+    server = build_server(app, "127.0.0.1:0", threads=2)
+    thread = threading.Thread(target=server.run, daemon=True)
+    thread.start()
+    yield f"127.0.0.1:{server.effective_port}"
+    server.task_dispatcher.shutdown()
+    server.close()
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("version", ["1.0", "1.1"])
+def test_caller_of_any_version_learns_that_a_stream_broke_off(gateway_address, version):
+    """An answer to HTTP/1.0 ends with its connection, so a break looked complete."""
+    connection = http.client.HTTPConnection(gateway_address, timeout=10)
+    connection._http_vsn_str = f"HTTP/{version}"
+    connection._http_vsn = int(version.replace(".", ""))
+    connection.request("GET", "/")
+    response = connection.getresponse()
+    if response.status == 200:
+        with pytest.raises(http.client.IncompleteRead):
+            response.read()
+    else:
+        assert response.status == 502
+    connection.close()
