--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -294,6 +294,9 @@
                 "framing": call.framing,
                 "may_have_run": error.is_sent,
                 "avoided_s": avoided_s,
+                "fingerprint": call.fingerprint,
+                "prompt_parts": [part for part, _ in call.request.prompt_parts],
+                "crashes": self.suspects.count_crashes(call.fingerprint),
             },
         )
 
