--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -42,10 +42,13 @@
 
 class _Server:
     def __init__(self):
-        self.http = _HttpServer(("127.0.0.1", 0), _Handler)
+        self.listen(0)
+        self.address = f"127.0.0.1:{self.http.server_address[1]}"
+
+    def listen(self, port):
+        self.http = _HttpServer(("127.0.0.1", port), _Handler)
         self.http.daemon_threads = True
         self.http.owner = self
-        self.address = f"127.0.0.1:{self.http.server_address[1]}"
         threading.Thread(target=self.http.serve_forever, daemon=True).start()
 
     def close(self):
@@ -170,6 +173,9 @@
     "cut-unframed" end the answer too early, the last one a stream without chunks, and
     "reset" closes the connection without an answer. "unframed" is a whole stream
     without chunks.
+
+    A request with the prompt part `crash_part` crashes the server as it begins to
+    answer. The server refuses connections until `restart` is called.
     """
 
     def __init__(self, name, service, *, model=""):
@@ -184,8 +190,25 @@
         self.plan = []
         self.events = 4
         self.pause_s = 0.0
+        self.crash_part = ""
+        self.crashed = threading.Event()
+        self.starts = 1
         self.lock = threading.Lock()
 
+    def crash(self):
+        with self.lock:
+            if self.crashed.is_set():
+                return
+            self.crashed.set()
+        self.close()
+
+    def restart(self):
+        self.starts += 1
+        self.adapters = {}
+        self.sequence = 0
+        self.crashed.clear()
+        self.listen(int(self.address.rpartition(":")[2]))
+
     def describe(self, state="ready"):
         return {
             "service": self.service,
@@ -196,7 +219,7 @@
             "state": state,
             "coldRemainingMs": 0,
             "sequence": 1,
-            "born": 1,
+            "born": self.starts,
             "loadedModels": self.list_models(),
         }
 
@@ -215,7 +238,7 @@
                 "loadedModels": self.list_models(),
                 "busy": False,
                 "sequence": self.sequence,
-                "born": 1,
+                "born": self.starts,
             }
             handler.send(200, json.dumps(report).encode())
         else:
@@ -282,6 +305,12 @@
         handler.send_response(200)
         for name, value in signature.items():
             handler.send_header(name.replace("_", "-"), value)
+        parts = headers.get("Thornlatch-Prefix-Hash", "").split(",")
+        if self.crash_part in [part.partition(":")[0] for part in parts]:
+            handler.close_connection = True
+            handler.wfile.flush()
+            self.crash()
+            return
         handler.send_header("Content-Type", "text/event-stream")
         is_chunked = not step.endswith("unframed")
         if is_chunked:
