--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -7,7 +7,7 @@
 
 from thornlatch.fleet import ExchangeSettings, PeerViewSettings, RegistrySettings
 from thornlatch.gateway._logs import LogSettings
-from thornlatch.gateway._suspects import SuspectSettings
+from thornlatch.gateway._suspect_settings import SuspectSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
 from thornlatch.mesh import PeerSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -2,57 +2,16 @@
 
 import hashlib
 import threading
-from collections import OrderedDict
 from collections.abc import Iterable
-from dataclasses import dataclass
-from typing import Annotated
-
-from msgspec import Meta
 
 from thornlatch.fleet import Target, TargetRegistry
+from thornlatch.gateway._aborted_runs import AbortedRuns
 from thornlatch.gateway._ports import CallerRequest
+from thornlatch.gateway._suspect_settings import SuspectSettings
 
 FLEET = ""  # in place of a host id, for what a relay reports of all hosts
 
 
-@dataclass(frozen=True)
-class SuspectSettings:
-    """Settings for recognising requests that crash the targets that run them.
-
-    Parameters
-    ----------
-    target_limit : int
-        Suspected crashes, over all hosts, after which a request isn't sent again.
-    memory_s : float
-        Seconds for which an aborted run is remembered.
-    size : int
-        Maximum number of requests that are remembered; the oldest are dropped.
-    restart_s : float
-        Minimum seconds that a crashed target takes to serve again. A target that
-        answers sooner hasn't crashed; one that aborts a run later has crashed again.
-    register_s : float
-        Seconds within which the store reports a target's new incarnation.
-    """
-
-    target_limit: Annotated[int, Meta(ge=1)] = 3
-    memory_s: Annotated[float, Meta(gt=0)] = 60.0
-    size: Annotated[int, Meta(ge=1)] = 500
-    restart_s: Annotated[float, Meta(gt=0)] = 1.0
-    register_s: Annotated[float, Meta(gt=0)] = 3.0
-
-
-@dataclass
-class _AbortedRun:
-    target: Target
-    aborted_at: float
-    crash_number: int
-    first_answer_at: float | None = None
-
-    def build_crash_id(self) -> str:
-        """Return an id that is the same on all hosts that observed the crash."""
-        return f"{self.target.id}/{self.target.started_ms}/{self.crash_number}"
-
-
 class CrashSuspects:
     """Counts the suspected crashes that a request caused, over all hosts.
 
@@ -69,8 +28,7 @@
         self.settings = settings
         self.registry = registry
         self.lock = threading.Lock()
-        self.aborted_runs: OrderedDict[str, list[_AbortedRun]] = OrderedDict()
-        self.suspected_incarnations: frozenset[tuple[str, int]] = frozenset()
+        self.aborted_runs = AbortedRuns(settings, registry)
         self.peer_crashes: dict[str, dict[str, tuple[str, ...]]] = {}
 
     def note_aborted_run(self, fingerprint: str, target: Target, *, now: float) -> None:
@@ -83,19 +41,7 @@
         now : float
         """
         with self.lock:
-            aborted_runs = self.aborted_runs.setdefault(fingerprint, [])
-            self.aborted_runs.move_to_end(fingerprint)
-            runs_at_target = [run for run in aborted_runs if run.target.id == target.id]
-            if (
-                runs_at_target
-                and now - runs_at_target[-1].aborted_at < self.settings.restart_s
-            ):
-                # One crash aborts all runs at the target.
-                return
-            aborted_runs.append(_AbortedRun(target, now, len(runs_at_target)))
-            while len(self.aborted_runs) > self.settings.size:
-                self.aborted_runs.popitem(last=False)
-            self._update_suspected_incarnations()
+            self.aborted_runs.add(fingerprint, target, now=now)
 
     def note_answer(self, target: Target, *, sent_at: float, now: float) -> None:
         """Record that a target answered, which a crashed target can't do.
@@ -107,18 +53,10 @@
             Clock time at which the answered request was sent.
         now : float
         """
-        if target.incarnation not in self.suspected_incarnations:
+        if target.incarnation not in self.aborted_runs.suspected_incarnations:
             return
         with self.lock:
-            for aborted_runs in self.aborted_runs.values():
-                for run in aborted_runs:
-                    is_same_incarnation = run.target.incarnation == target.incarnation
-                    if (
-                        is_same_incarnation
-                        and sent_at >= run.aborted_at
-                        and run.first_answer_at is None
-                    ):
-                        run.first_answer_at = now
+            self.aborted_runs.note_answer(target, sent_at=sent_at, now=now)
 
     def count_crashes(self, fingerprint: str) -> int:
         """Return the number of suspected crashes of a request, over all hosts.
@@ -131,9 +69,8 @@
         -------
         int
         """
-        crash_ids = {
-            run.build_crash_id() for run in self.aborted_runs.get(fingerprint, ())
-        }
+        with self.lock:
+            crash_ids = set(self.aborted_runs.get_rounds(fingerprint))
         for ids_by_fingerprint in self.peer_crashes.values():
             crash_ids.update(ids_by_fingerprint.get(fingerprint, ()))
         return len(crash_ids)
@@ -163,44 +100,15 @@
         dict of str to tuple of str
             Crash ids by fingerprint of the request.
         """
-        if not self.aborted_runs:
+        if not self.aborted_runs.by_key:
             return {}
         with self.lock:
-            for fingerprint, aborted_runs in list(self.aborted_runs.items()):
-                kept = [run for run in aborted_runs if not self._is_expired(run, now)]
-                if kept:
-                    self.aborted_runs[fingerprint] = kept
-                else:
-                    del self.aborted_runs[fingerprint]
-            self._update_suspected_incarnations()
+            self.aborted_runs.drop_expired(now=now)
             return {
-                fingerprint: tuple(run.build_crash_id() for run in aborted_runs)
-                for fingerprint, aborted_runs in self.aborted_runs.items()
+                fingerprint: tuple(self.aborted_runs.get_rounds(fingerprint))
+                for fingerprint in self.aborted_runs.by_key
             }
 
-    def _is_expired(self, run: _AbortedRun, now: float) -> bool:
-        if now - run.aborted_at >= self.settings.memory_s:
-            return True
-        if run.first_answer_at is None:
-            return False
-        if run.first_answer_at - run.aborted_at < self.settings.restart_s:
-            return True
-        # The target may have restarted although the registry doesn't show it yet.
-        registered = self.registry.get(run.target.id)
-        return (
-            now - run.first_answer_at >= self.settings.register_s
-            and registered is not None
-            and registered.incarnation == run.target.incarnation
-        )
-
-    def _update_suspected_incarnations(self) -> None:
-        self.suspected_incarnations = frozenset(
-            run.target.incarnation
-            for aborted_runs in self.aborted_runs.values()
-            for run in aborted_runs
-            if run.first_answer_at is None
-        )
-
     def set_peer_crashes(
         self, host: str, crash_ids: dict[str, tuple[str, ...]]
     ) -> None:
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -15,7 +15,8 @@
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._settings import ForwardingSettings
-from thornlatch.gateway._suspects import CrashSuspects, SuspectSettings
+from thornlatch.gateway._suspect_settings import SuspectSettings
+from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import RunningRequest, WorkTable
 from thornlatch.quota import QuotaSettings, SharedQuota
 from thornlatch.routing import (
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -17,9 +17,9 @@
 from thornlatch.gateway._load_bucket import LoadTokenBucket
 from thornlatch.gateway._logs import JsonLineHandler, redirect_library_logs
 from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.gateway._suspect_settings import SuspectSettings
 from thornlatch.gateway._suspects import (
     CrashSuspects,
-    SuspectSettings,
     fingerprint_request,
 )
 from thornlatch.gateway._work import RunningRequest, WorkTable
