--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -256,13 +256,22 @@
         Whether the target may have received the request.
     status : int or None
         HTTP status, if the target answered.
+    is_connection_lost : bool
+        Whether the connection ended before the answer did, as it does if the target
+        crashes; False for silence and for malformed answers.
     """
 
     kind = ErrorKind.TARGET_FAILED
 
     def __init__(
-        self, message: str, *, is_sent: bool, status: int | None = None
+        self,
+        message: str,
+        *,
+        is_sent: bool,
+        status: int | None = None,
+        is_connection_lost: bool = False,
     ) -> None:
         super().__init__(message)
         self.is_sent = is_sent
         self.status = status
+        self.is_connection_lost = is_connection_lost
--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -6,17 +6,20 @@
     HostDigest,
     LoadExpected,
     LoadRequested,
+    PartReport,
     PeerView,
     PeerViewSettings,
     ResidentAdapter,
 )
 from thornlatch.fleet._domain_choice import ExchangeSettings, Member, choose_by_capacity
 from thornlatch.fleet._domain_messages import (
+    FLEET,
     DomainDigest,
     DomainSpending,
     FleetDigest,
     TargetUses,
     WorkSum,
+    merge_parts,
 )
 from thornlatch.fleet._domain_view import DomainUpdate, DomainView
 from thornlatch.fleet._domains import DomainExchange
@@ -38,6 +41,7 @@
     "DomainUpdate",
     "DomainView",
     "ExchangeSettings",
+    "FLEET",
     "FleetDigest",
     "HeldTarget",
     "LoadedModel",
@@ -45,6 +49,7 @@
     "LoadExpected",
     "LoadRequested",
     "Member",
+    "PartReport",
     "PeerView",
     "PeerViewSettings",
     "RegistrySettings",
@@ -56,4 +61,5 @@
     "WorkSum",
     "choose_by_capacity",
     "compute_decay_time_s",
+    "merge_parts",
 ]
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -59,6 +59,33 @@
     place_in_s: float = 0.0
 
 
+@dataclass(frozen=True)
+class PartReport:
+    """Suspected crashes by the part of the prompts that were running.
+
+    Parameters
+    ----------
+    rounds : dict of str to dict of str to int
+        By part, rounds by crash id. A crash belongs to a later round than another if
+        its request was sent after the sender knew of the other.
+    disproved : dict of str to tuple of str
+        By part of an answer that was completed lately, the crash ids that were known
+        then.
+    running : dict of str to int
+        Number of requests at targets, by suspected part.
+    aborted : dict of str to int
+        Number of runs aborted since an answer was completed, by suspected part.
+    blocked : tuple of str
+        Parts that the sender doesn't send to targets any more.
+    """
+
+    rounds: dict[str, dict[str, int]] = field(default_factory=dict)
+    disproved: dict[str, tuple[str, ...]] = field(default_factory=dict)
+    running: dict[str, int] = field(default_factory=dict)
+    aborted: dict[str, int] = field(default_factory=dict)
+    blocked: tuple[str, ...] = ()
+
+
 @register
 @dataclass(frozen=True)
 class HostDigest:
@@ -92,6 +119,8 @@
     reads : dict of str to (int, float)
         Topics of the store that the sender reads for other hosts: offset up to which
         it has read, and seconds since that read began.
+    parts : PartReport
+        What the sender saw of crashes by part of the prompt.
     """
 
     sent_at: float
@@ -105,6 +134,7 @@
     prompts: dict[str, int] = field(default_factory=dict)
     avoided: tuple[str, ...] = ()
     reads: dict[str, tuple[int, float]] = field(default_factory=dict)
+    parts: PartReport = field(default_factory=PartReport)
 
 
 @register
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, field
 
 from thornlatch.core import register
-from thornlatch.fleet._digests import HeldTarget
+from thornlatch.fleet._digests import HeldTarget, PartReport
+
+FLEET = ""  # in place of a host id, for what a relay reports of all hosts
 
 
 @dataclass(frozen=True)
@@ -57,6 +59,8 @@
         the holder that sent it.
     held_names : dict of str to str
         Holders by target.
+    parts : PartReport
+        Crashes by part of the prompt.
     """
 
     running: dict[str, int] = field(default_factory=dict)
@@ -65,6 +69,7 @@
     broken: dict[str, tuple[str, ...]] = field(default_factory=dict)
     held: tuple[tuple[str, HeldTarget], ...] = ()
     held_names: dict[str, str] = field(default_factory=dict)
+    parts: PartReport = field(default_factory=PartReport)
 
 
 @register
@@ -160,6 +165,7 @@
         sum_counts(part.avoided for part in parts),
         merge_broken(part.broken for part in parts),
         held_names=holders,
+        parts=merge_parts(part.parts for part in parts),
     )
 
 
@@ -202,3 +208,34 @@
         for fingerprint, crash_ids in part.items():
             merged.setdefault(fingerprint, set()).update(crash_ids)
     return {fingerprint: tuple(sorted(ids)) for fingerprint, ids in merged.items()}
+
+
+def merge_parts(reports: Iterable[PartReport]) -> PartReport:
+    """Merge crashes by part of the prompt over several hosts.
+
+    Parameters
+    ----------
+    reports : iterable of PartReport
+
+    Returns
+    -------
+    PartReport
+        With the highest round that was reported of each crash.
+    """
+    reports = list(reports)
+    rounds: dict[str, dict[str, int]] = {}
+    disproved: dict[str, set[str]] = {}
+    for report in reports:
+        for part, crash_ids in report.disproved.items():
+            disproved.setdefault(part, set()).update(crash_ids)
+        for part, part_rounds in report.rounds.items():
+            merged = rounds.setdefault(part, {})
+            for crash_id, round_number in part_rounds.items():
+                merged[crash_id] = max(round_number, merged.get(crash_id, 0))
+    return PartReport(
+        rounds,
+        {part: tuple(sorted(crash_ids)) for part, crash_ids in disproved.items()},
+        sum_counts(report.running for report in reports),
+        sum_counts(report.aborted for report in reports),
+        tuple(sorted({part for report in reports for part in report.blocked})),
+    )
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -11,6 +11,7 @@
     TargetUses,
     WorkSum,
     merge_broken,
+    merge_parts,
     sum_counts,
 )
 from thornlatch.fleet._latest_messages import LatestMessages
@@ -124,6 +125,7 @@
             merge_broken(digest.broken for digest in live.values()),
             held,
             holders,
+            merge_parts(digest.parts for digest in live.values()),
         )
         return DomainDigest(spending, work)
 
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 
 from thornlatch.fleet._decay import DecayingSum, DecayingSums
-from thornlatch.fleet._digests import HostDigest, PeerView
+from thornlatch.fleet._digests import HostDigest, PartReport, PeerView
 from thornlatch.fleet._domain_choice import DomainDigestSelector, ExchangeSettings
 from thornlatch.fleet._domain_messages import (
     DomainDigest,
@@ -68,6 +68,7 @@
         self.target_uses: LatestMessages[tuple[str, str], TargetUses] = LatestMessages()
         # Ids of target crashes by fingerprint of the request that was running.
         self.crashes: dict[str, tuple[str, ...]] = {}
+        self.parts = PartReport()
 
     def note_sent(self, digest: HostDigest) -> None:
         """Remember a digest of this host until a relay may have echoed it.
@@ -197,6 +198,7 @@
         }
         peers.last_seen_at = last_seen_at
         self.crashes = work.broken
+        self.parts = work.parts
 
     def _count_peer_requests(
         self, message: FleetDigest, now: float
--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -111,26 +111,46 @@
                 f"targets aborted {self.suspects.settings.target_limit} or more runs"
                 " of this request",
             )
-        tokens = _count_tokens(request, organisation)
-        if organisation is not None:
-            wait_s = self.quota.try_spend(organisation.name, tokens, now=now)
-            if wait_s is not None:
-                raise RequestRefused(
-                    ErrorKind.RATE_EXCEEDED,
-                    f"{organisation.name} has used its quota",
-                    retry_after_s=wait_s,
-                )
-        return Call(
+        call = Call(
             request,
             route,
             organisation,
             choose_service(route, request.id),
             running,
             now,
-            tokens,
+            _count_tokens(request, organisation),
             fingerprint,
             last_event=request.last_event,
         )
+        self.check_parts(call)
+        if organisation is not None:
+            wait_s = self.quota.try_spend(organisation.name, call.tokens, now=now)
+            if wait_s is not None:
+                raise RequestRefused(
+                    ErrorKind.RATE_EXCEEDED,
+                    f"{organisation.name} has used its quota",
+                    retry_after_s=wait_s,
+                )
+        return call
+
+    def check_parts(self, call: Call) -> None:
+        """Check that no part of a request's prompt is blocked.
+
+        Parameters
+        ----------
+        call : Call
+
+        Raises
+        ------
+        RequestRefused
+            If a part crashed the targets that ran it.
+        """
+        part = self.suspects.parts.find_blocked(call.shared_parts)
+        if part is not None:
+            raise RequestRefused(
+                ErrorKind.TARGET_FAILED,
+                f"part {part} of the prompt crashed the targets that ran it",
+            )
 
     def confirm_key(self, call: Call, *, now: float) -> None:
         """Check a request's key again just before the request is sent.
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -54,6 +54,8 @@
         Tokens charged to the organisation's quota.
     fingerprint : str
         Digest that is equal for all repetitions of the request.
+    known_rounds : dict of str to int
+        Rounds of crashes that were known of parts of the prompt at the latest send.
     tries, sends, runs : int
         Attempts to reach a target, those of them that reached it or may have, and
         those of the latter that ran or may have run.
@@ -97,6 +99,7 @@
     admitted_at: float
     tokens: int
     fingerprint: str
+    known_rounds: dict[str, int] = field(default_factory=dict)
     tries: int = 0
     sends: int = 0
     runs: int = 0
@@ -131,6 +134,11 @@
                 self.gap_ended_s = now - self.admitted_at
         self.last_part_at = now
 
+    @property
+    def shared_parts(self) -> tuple[str, ...]:
+        """Parts of the prompt that other requests may have too: all but the last."""
+        return tuple(part for part, _ in self.request.prompt_parts[:-1])
+
     @property
     def priority(self) -> int:
         """Priority of the request; 0 is the most urgent."""
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -171,6 +171,7 @@
         for host in self.members.keys() - peers.keys():
             self.state.peers.forget(host)
         self.state.suspects.retain_hosts(peers)
+        self.state.suspects.parts.retain_hosts(peers, now=now)
         self.peer_loop.set_members(peers)
         self._divide_limits(peers, now)
         logger.info("fleet.hosts_known", extra={"hosts": sorted(peers)})
@@ -299,6 +300,7 @@
             self.state.work.list_recent_prompt_tokens(now=now),
             self.state.health.list_avoided(now=now),
             self.topic_share.list_reads(now=now),
+            self.state.suspects.parts.build_report(now=now),
         )
 
     def _apply_digest(self, host: str, digest: HostDigest, now: float) -> None:
@@ -309,6 +311,7 @@
         self.state.peers.apply_digest(host, digest, now=now)
         self.state.quota.apply_peer_digest(host, digest.spent, digest.levels, now=now)
         self.state.suspects.set_peer_crashes(host, digest.broken)
+        self.state.suspects.parts.set_report(host, digest.parts, now=now)
         for report in digest.held or ():
             self._apply_holder_report(host, report, now)
 
@@ -345,6 +348,7 @@
         if echoed_at is not None:
             self.topic_share.note_reads(message.relay, message.reads, sent_at=echoed_at)
         self.state.suspects.set_fleet_crashes(self.domain_view.crashes)
+        self.state.suspects.parts.set_fleet_report(self.domain_view.parts, now=now)
 
     def _apply_target_uses(self, message: TargetUses, now: float) -> None:
         self.domain_view.apply_target_uses(message, now=now)
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -109,8 +109,7 @@
         if call.route.kind is CallKind.STREAM and answer.head.status < 300:
             body = self._stream_events(call, answer)
             return GatewayAnswer(answer.head.status, answer.head.headers, body, None)
-        self.sender.finish(call, answer)
-        self._finish(call, None)
+        self._finish_answer(call, answer)
         length = len(answer.body)
         body = iter((answer.body,) if length else ())
         return GatewayAnswer(answer.head.status, answer.head.headers, body, length)
@@ -141,6 +140,9 @@
         now = read_clock()
         if call.organisation is not None:
             self.admission.confirm_key(call, now=now)
+        # It may have been blocked while the request waited.
+        self.admission.check_parts(call)
+        call.known_rounds = self.suspects.parts.get_known_rounds(call.shared_parts)
         if not call.is_in_retry_budget:
             call.is_in_retry_budget = True
             self.retries.note_request(call.service, now=now)
@@ -177,17 +179,22 @@
                     self.sender.read_events(call, answer)
                 except TargetError as error:
                     answer = self._resume(call, answer, error)
-            self.sender.finish(call, answer)
             self.pacing.note_stream(
                 call.service, call.longest_gap_s, call.route.gap_s, now=read_clock()
             )
-            self._finish(call, None)
+            self._finish_answer(call, answer)
         except BaseException as error:
             if not call.has_ended:
                 self.sender.abort(call, answer)
                 self._finish(call, error)
             raise
 
+    def _finish_answer(self, call: Call, answer: TargetAnswer) -> None:
+        self.sender.finish(call, answer)
+        if answer.head.status < 300:
+            self.suspects.parts.note_completed(call.shared_parts, now=read_clock())
+        self._finish(call, None)
+
     def _take_new_events(self, call: Call, answer: TargetAnswer) -> bytes:
         chunks = []
         for event in answer.events:
@@ -281,6 +288,10 @@
             now = read_clock()
             if error.is_sent:
                 self.suspects.note_aborted_run(call.fingerprint, target, now=now)
+            if error.is_connection_lost:
+                self.suspects.parts.note_aborted_run(
+                    call.shared_parts, target, known_rounds=call.known_rounds, now=now
+                )
             avoided_s = self.health.note_failure(
                 target.id, now=now, is_unreachable=True
             )
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -87,7 +87,9 @@
             )
         )
         self.health = TargetHealth(settings.forwarding)
-        self.suspects = CrashSuspects(settings.suspects, self.registry)
+        self.suspects = CrashSuspects(
+            settings.suspects, self.registry, count_runs=self.work.count_runs
+        )
         self.orders = OrderManager(
             settings.holder,
             partitions=partitions,
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -111,7 +111,9 @@
             connect_s=min(self.settings.connect_s, left_s),
         )
         tokens = request.prompt_tokens or 0
-        use = self.work.begin(target.id, request.adapter, tokens, now=now)
+        use = self.work.begin(
+            target.id, request.adapter, tokens, call.shared_parts, now=now
+        )
         call.tries += 1
         call.target = target.id
         call.framing = ""
@@ -263,11 +265,17 @@
     # The end of a connection, which may end an answer, says nothing about the stream.
     if splitter.is_inside_event:
         raise TargetError(
-            f"stream ended {len(splitter.rest)} bytes into an event", is_sent=True
+            f"stream ended {len(splitter.rest)} bytes into an event",
+            is_sent=True,
+            is_connection_lost=True,
         )
     is_resumed = call.last_event != ""
     if not splitter.has_events and not is_resumed:
-        raise TargetError("stream ended before its first event", is_sent=True)
+        raise TargetError(
+            "stream ended before its first event",
+            is_sent=True,
+            is_connection_lost=True,
+        )
 
 
 def _skip_body(response: TargetResponse, *, target: str) -> None:
--- a/src/thornlatch/gateway/_suspect_settings.py
+++ b/src/thornlatch/gateway/_suspect_settings.py
@@ -24,6 +24,19 @@
         answers sooner hasn't crashed; one that aborts a run later has crashed again.
     register_s : float
         Seconds within which the store reports a target's new incarnation.
+    round_limit : int
+        Crashes over all hosts, each of a request that was sent after the one before
+        was known, after which a part of their prompts is blocked.
+    sound_round_limit : int
+        The same for a part of a prompt that was completed before.
+    settle_s : float
+        Seconds after its first crash before which no part is blocked, so that the
+        other hosts' reports of it arrive.
+    sound_parts : int
+        Maximum number of parts of completed prompts that are remembered.
+    block_s : float
+        Seconds after the latest crash for which a part of prompts is blocked when it
+        reaches the limit. Each further crash doubles them.
     """
 
     target_limit: Annotated[int, Meta(ge=1)] = 3
@@ -31,3 +44,8 @@
     size: Annotated[int, Meta(ge=1)] = 500
     restart_s: Annotated[float, Meta(gt=0)] = 1.0
     register_s: Annotated[float, Meta(gt=0)] = 3.0
+    round_limit: Annotated[int, Meta(ge=2)] = 3
+    sound_round_limit: Annotated[int, Meta(ge=2)] = 6
+    settle_s: Annotated[float, Meta(ge=0)] = 0.5
+    sound_parts: Annotated[int, Meta(ge=1)] = 4096
+    block_s: Annotated[float, Meta(gt=0)] = 15.0
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -2,15 +2,14 @@
 
 import hashlib
 import threading
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
-from thornlatch.fleet import Target, TargetRegistry
+from thornlatch.fleet import FLEET, Target, TargetRegistry
 from thornlatch.gateway._aborted_runs import AbortedRuns
 from thornlatch.gateway._ports import CallerRequest
+from thornlatch.gateway._suspect_parts import SuspectParts
 from thornlatch.gateway._suspect_settings import SuspectSettings
 
-FLEET = ""  # in place of a host id, for what a relay reports of all hosts
-
 
 class CrashSuspects:
     """Counts the suspected crashes that a request caused, over all hosts.
@@ -22,14 +21,27 @@
     settings : SuspectSettings
     registry : TargetRegistry
         Source of the targets' current incarnations.
+    count_runs : callable
+        Returns the number of this host's requests at targets with a prompt part.
+
+    Attributes
+    ----------
+    parts : SuspectParts
+        What the same crashes tell of the parts of prompts.
     """
 
-    def __init__(self, settings: SuspectSettings, registry: TargetRegistry) -> None:
+    def __init__(
+        self,
+        settings: SuspectSettings,
+        registry: TargetRegistry,
+        count_runs: Callable[[str], int] = lambda part: 0,
+    ) -> None:
         self.settings = settings
         self.registry = registry
         self.lock = threading.Lock()
         self.aborted_runs = AbortedRuns(settings, registry)
         self.peer_crashes: dict[str, dict[str, tuple[str, ...]]] = {}
+        self.parts = SuspectParts(settings, registry, count_runs)
 
     def note_aborted_run(self, fingerprint: str, target: Target, *, now: float) -> None:
         """Record that a target aborted a run of a request.
@@ -53,6 +65,7 @@
             Clock time at which the answered request was sent.
         now : float
         """
+        self.parts.note_answer(target, sent_at=sent_at, now=now)
         if target.incarnation not in self.aborted_runs.suspected_incarnations:
             return
         with self.lock:
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -80,12 +80,15 @@
     Parameters
     ----------
     target, adapter : str
+    parts : tuple of str
+        Parts of its prompt that other requests may have too.
     has_ended : bool
         Whether the request is no longer counted.
     """
 
     target: str
     adapter: str
+    parts: tuple[str, ...] = ()
     has_ended: bool = False
 
 
@@ -106,6 +109,7 @@
         self.lock = threading.Lock()
         self.counts: dict[tuple[str, str], int] = {}
         self.totals: dict[str, int] = {}
+        self.part_counts: dict[str, int] = {}
         self.prompt_tokens = DecayingSums()
         self.running: set[RunningRequest] = set()
         # Set while any request is running.
@@ -135,7 +139,13 @@
                 self.busy.clear()
 
     def begin(
-        self, target: str, adapter: str, prompt_tokens: int = 0, *, now: float = 0.0
+        self,
+        target: str,
+        adapter: str,
+        prompt_tokens: int = 0,
+        parts: tuple[str, ...] = (),
+        *,
+        now: float = 0.0,
     ) -> TargetUse:
         """Count a request at a target until `end` is called.
 
@@ -144,6 +154,8 @@
         target, adapter : str
         prompt_tokens : int
             Tokens that the target reads before it sends the first event.
+        parts : tuple of str
+            Parts of its prompt that other requests may have too.
         now : float
 
         Returns
@@ -154,12 +166,14 @@
             key = (target, adapter)
             self.counts[key] = self.counts.get(key, 0) + 1
             self.totals[target] = self.totals.get(target, 0) + 1
+            for part in parts:
+                self.part_counts[part] = self.part_counts.get(part, 0) + 1
             if prompt_tokens:
                 self.prompt_tokens.add(target, prompt_tokens, now=now)
             is_first = self.counts[key] == 1
         if is_first and adapter and self.on_use is not None:
             self.on_use(target, adapter, True)
-        return TargetUse(target, adapter)
+        return TargetUse(target, adapter, parts)
 
     def end(self, use: TargetUse) -> None:
         """Stop counting a request at a target; further calls have no effect.
@@ -181,9 +195,26 @@
                 del self.counts[key]
             if not self.totals[target]:
                 del self.totals[target]
+            for part in use.parts:
+                self.part_counts[part] -= 1
+                if not self.part_counts[part]:
+                    del self.part_counts[part]
         if is_last and use.adapter and self.on_use is not None:
             self.on_use(target, use.adapter, False)
 
+    def count_runs(self, part: str) -> int:
+        """Return the number of this host's requests at targets with a prompt part.
+
+        Parameters
+        ----------
+        part : str
+
+        Returns
+        -------
+        int
+        """
+        return self.part_counts.get(part, 0)
+
     def get_recent_prompt_tokens(self, target: str, *, now: float) -> float:
         """Return the prompt tokens that this host sent to a target recently.
 
--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -1,6 +1,7 @@
 """Division of limits among the hosts of small and large fleets."""
 
 from types import SimpleNamespace
+from unittest.mock import Mock
 
 import pytest
 
@@ -39,7 +40,7 @@
     in_force.install(
         Configuration(1, (), {"llm": Service("llm", "/h", 10, LIMITS)}, {})
     )
-    unused = SimpleNamespace(retain_hosts=lambda hosts: None)
+    unused = SimpleNamespace(retain_hosts=lambda hosts: None, parts=Mock())
     fleet_link = FleetLink(
         GatewaySettings(HostAddresses("h", "z", "", "", "127.0.0.1:0")),
         "h.0",
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -60,7 +60,9 @@
     unused = dict.fromkeys(names.split())
     settings = ForwardingSettings()
     return Forwarder(
-        admission=Admission(settings, in_force=in_force, quota=None, suspects=None),
+        admission=Admission(
+            settings, in_force=in_force, quota=None, suspects=parts.get("suspects")
+        ),
         selector=None,
         sender=TargetSender(
             settings,
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -115,7 +115,7 @@
         try:
             data = self.response.read1(READ_BYTES)
         except (OSError, ValueError, http.client.HTTPException) as error:
-            raise TargetError(f"answer broke off: {error!r}", is_sent=True) from error
+            raise _build_error("answer broke off", error) from error
         if not data:
             self._check_complete()
         return data
@@ -127,6 +127,7 @@
             raise TargetError(
                 f"connection closed {missing} bytes before the end of the answer",
                 is_sent=True,
+                is_connection_lost=True,
             )
 
     def set_blocking(self, *, is_blocking: bool) -> None:
@@ -174,7 +175,7 @@
                 position += len(data)
                 position += self._read_chunk_end(arrived, position)
         except (OSError, ValueError, http.client.HTTPException) as error:
-            raise TargetError(f"answer broke off: {error!r}", is_sent=True) from error
+            raise _build_error("answer broke off", error) from error
         self.needs_blocking_read = position < size
         return b"".join(parts)
 
@@ -225,7 +226,7 @@
         try:
             data = self.response.read(limit + 1)
         except (OSError, ValueError, http.client.HTTPException) as error:
-            raise TargetError(f"answer broke off: {error!r}", is_sent=True) from error
+            raise _build_error("answer broke off", error) from error
         if len(data) > limit:
             raise TargetError(f"answer is over {limit} bytes", is_sent=True)
         self._check_complete()
@@ -326,7 +327,12 @@
         return _send(call, connection, sock)
     except (OSError, http.client.HTTPException) as error:
         connection.close()
-        raise TargetError(f"no answer: {error!r}", is_sent=True) from error
+        raise _build_error("no answer", error) from error
+
+
+def _build_error(what: str, error: Exception) -> TargetError:
+    is_lost = isinstance(error, (ConnectionError, http.client.IncompleteRead))
+    return TargetError(f"{what}: {error!r}", is_sent=True, is_connection_lost=is_lost)
 
 
 def _connect(call: TargetCall) -> http.client.HTTPConnection:
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -306,7 +306,8 @@
         for name, value in signature.items():
             handler.send_header(name.replace("_", "-"), value)
         parts = headers.get("Thornlatch-Prefix-Hash", "").split(",")
-        if self.crash_part in [part.partition(":")[0] for part in parts]:
+        identities = [part.partition(":")[0] for part in parts]
+        if self.crash_part and self.crash_part in identities:
             handler.close_connection = True
             handler.wfile.flush()
             self.crash()
