--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -74,6 +74,8 @@
     def count_crashes(self, fingerprint: str) -> int:
         """Return the number of suspected crashes of a request, over all hosts.
 
+        Crashes that a blocked part of other prompts explains don't count.
+
         Parameters
         ----------
         fingerprint : str
@@ -86,7 +88,7 @@
             crash_ids = set(self.aborted_runs.get_rounds(fingerprint))
         for ids_by_fingerprint in self.peer_crashes.values():
             crash_ids.update(ids_by_fingerprint.get(fingerprint, ()))
-        return len(crash_ids)
+        return len(crash_ids - self.parts.explained)
 
     def is_blocked(self, fingerprint: str) -> bool:
         """Return whether a request must not be sent to targets any more.
--- a/src/thornlatch/gateway/tests/test_suspect_parts.py
+++ b/src/thornlatch/gateway/tests/test_suspect_parts.py
@@ -9,6 +9,7 @@
 from thornlatch.fleet import RegistrySettings, Target, TargetRegistry, merge_parts
 from thornlatch.gateway._suspect_parts import SuspectParts
 from thornlatch.gateway._suspect_settings import SuspectSettings
+from thornlatch.gateway._suspects import CrashSuspects
 
 HOSTS, TARGETS = 8, 9
 CONTACT_TIMEOUT_S = 3.0
@@ -285,6 +286,20 @@
     assert parts.blocked == {"bad"}
 
 
+def test_crashes_that_a_blocked_part_explains_aren_t_held_against_other_requests():
+    """An innocent request that ran beside three bad ones was refused for a minute."""
+    suspects = CrashSuspects(SuspectSettings(), TargetRegistry(RegistrySettings()))
+    for number in range(3):
+        known_rounds = suspects.parts.get_known_rounds(["bad"])
+        target, now = build_target(f"t{number}"), 1.0 + number
+        suspects.note_aborted_run("innocent", target, now=now)
+        suspects.parts.note_aborted_run(
+            ["bad"], target, known_rounds=known_rounds, now=now
+        )
+    assert suspects.parts.blocked == {"bad"}
+    assert not suspects.is_blocked("innocent")
+
+
 def test_block_ends_and_returns_for_twice_as_long_with_the_next_crash():
     parts = build_parts(block_s=10.0, memory_s=60.0)
     for number in range(3):
