--- a/src/thornlatch/gateway/_suspect_parts.py
+++ b/src/thornlatch/gateway/_suspect_parts.py
@@ -17,7 +17,7 @@
 DISPROVED_REPORT_S = 3.0
 REPORTED_PARTS = 64  # of one host, the latest ones
 # Crashes that a host keeps of a blocked part after its runs are forgotten.
-KEPT_CRASHES = 8
+KEPT_CRASHES = 12
 
 
 @dataclass
