--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -1,7 +1,7 @@
 """Registry of the targets that registered themselves in the platform's store."""
 
 import threading
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Annotated
 
 from msgspec import Meta
@@ -108,6 +108,8 @@
         self.targets: dict[str, Target] = {}
         self.by_service: dict[str, tuple[Target, ...]] = {}
         self.removal_due_at: dict[str, float] = {}
+        # Incarnations that announced in an answer that they leave.
+        self.announced_leaving: set[tuple[str, int]] = set()
         self.read_failed_at = float("-inf")
 
     def apply(self, name: str, target: Target | None, *, now: float) -> bool:
@@ -142,10 +144,37 @@
                 self._rebuild_snapshot()
                 return True
             self.removal_due_at.pop(name, None)
+            if target.incarnation in self.announced_leaving:
+                target = replace(target, is_leaving=True)
             self.targets[name] = target
             self._rebuild_snapshot()
             return previous is None or _has_changed(previous, target)
 
+    def note_leaving(self, target: Target) -> bool:
+        """Record that a target announced in an answer that it leaves.
+
+        It holds for this incarnation, whatever its entry says.
+
+        Parameters
+        ----------
+        target : Target
+
+        Returns
+        -------
+        bool
+            Whether this is news.
+        """
+        if target.incarnation in self.announced_leaving:
+            return False
+        with self.lock:
+            registered = self.targets.get(target.id)
+            if registered is None or registered.incarnation != target.incarnation:
+                return False
+            self.announced_leaving.add(target.incarnation)
+            self.targets[target.id] = replace(registered, is_leaving=True)
+            self._rebuild_snapshot()
+        return True
+
     def note_read_failure(self, *, now: float) -> None:
         """Record that a read of the store failed.
 
@@ -204,6 +233,10 @@
         return self.by_service.get(service, ())
 
     def _rebuild_snapshot(self) -> None:
+        if self.announced_leaving:
+            self.announced_leaving &= {
+                target.incarnation for target in self.targets.values()
+            }
         by_service: dict[str, list[Target]] = {}
         for target in self.targets.values():
             if not target.is_leaving:
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -129,6 +129,7 @@
             self.suspects.note_answer(
                 option.target, sent_at=answer.sent_at, now=read_clock()
             )
+            self._note_leaving(option.target, answer.head)
             call.status = answer.head.status
             if not self._should_repeat(call, answer):
                 return answer
@@ -256,6 +257,8 @@
             },
         )
         is_wrong_target = head.answering_target not in ("", target.id)
+        if not is_wrong_target:
+            self._note_leaving(target, head)
         if head.is_misdirected and not is_wrong_target and call.request.adapter:
             adapter = call.request.adapter
             # Each rejected send uses up retry budget, so the next one waits longer.
@@ -269,6 +272,10 @@
         if head.load is not None:
             self.health.note_success(target.id, head.load, now=now)
 
+    def _note_leaving(self, target: Target, head: AnswerHead) -> None:
+        if head.is_leaving and self.selector.registry.note_leaving(target):
+            logger.info("target.leaving_announced", extra={"target": target.id})
+
     def _note_failure(
         self, call: Call, option: TargetOption, error: TargetError
     ) -> None:
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -109,6 +109,8 @@
         Numbers of running and waiting requests, and of slots.
     headers : tuple of (str, str)
         Headers that are forwarded to the caller.
+    is_leaving : bool
+        Whether the target announces that it accepts no new requests.
     """
 
     status: int
@@ -119,6 +121,7 @@
     answering_target: str
     load: tuple[int, int, int] | None
     headers: tuple[tuple[str, str], ...]
+    is_leaving: bool = False
 
 
 class CallerProtocol(Protocol):
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -26,6 +26,11 @@
     def read_body(self):
         return self.rfile.read(int(self.headers.get("Content-Length", 0)))
 
+    def send_response(self, code, message=None):
+        super().send_response(code, message)
+        if getattr(self.server.owner, "announces_leaving", False):
+            self.send_header("Server-Leaving", "1")
+
     def send(self, status, body=b"", **headers):
         self.send_response(status)
         for name, value in headers.items():
@@ -175,7 +180,8 @@
     without chunks.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
-    answer. The server refuses connections until `restart` is called.
+    answer. The server refuses connections until `restart` is called. With
+    `announces_leaving`, all answers say that the server leaves.
     """
 
     def __init__(self, name, service, *, model=""):
@@ -191,6 +197,7 @@
         self.events = 4
         self.pause_s = 0.0
         self.crash_part = ""
+        self.announces_leaving = False
         self.crashed = threading.Event()
         self.starts = 1
         self.lock = threading.Lock()
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -211,6 +211,30 @@
     assert host.call("/many/x")[0].status == 503
 
 
+@pytest.mark.parametrize(
+    ("name", "path", "headers"),
+    [("api-1", "/many/x", {}), ("llm-1", "/llm/x", {"Thornlatch_Model": "m"})],
+)
+def test_target_that_announces_its_leaving_in_an_answer_gets_no_requests(
+    deployment, name, path, headers
+):
+    _, servers, host = deployment
+    leaving = servers[name]
+    leaving.announces_leaving = True
+
+    def call():
+        response, _ = host.call(path, **headers)
+        assert response.status == 200
+        return response.getheader("Thornlatch-Server-Signature")
+
+    wait_until(lambda: call() == f"sig-{leaving.name}")
+    count = len(leaving.requests)
+    for _ in range(10):
+        call()
+    assert len(leaving.requests) == count
+    assert host.list_events("target.leaving_announced")
+
+
 def test_invalid_entries_are_logged_once_and_leave_others_in_effect(deployment):
     store, _, host = deployment
     invalid_entry = {"service": "api", "address": "nowhere", "zone": "z1"}
