--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -268,6 +268,9 @@
             return
         if is_wrong_target:
             self.health.note_failure(target.id, now=now, is_unreachable=True)
+        if head.pause_s and not is_wrong_target:
+            # The request may return to it after the pause.
+            return
         call.excluded.add(target.id)
         if head.load is not None:
             self.health.note_success(target.id, head.load, now=now)
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -22,6 +22,7 @@
     failure_ratio: float = 0.0
     load: tuple[int, int, int] | None = None
     load_at: float = float("-inf")
+    paused_until: float = float("-inf")
 
 
 class TargetHealth:
@@ -38,6 +39,7 @@
         self.observations: dict[str, _Observations] = {}
         self.service_s: dict[str, float] = {}
         self.prefill_s: dict[str, float] = {}
+        self.last_pause_ends_at = float("-inf")
 
     def note_success(
         self, target: str, load: tuple[int, int, int] | None, *, now: float
@@ -86,6 +88,39 @@
             record.avoid_until = now + avoid_s
             return avoid_s
 
+    def note_pause(self, target: str, pause_s: float, *, now: float) -> None:
+        """Record that a target asked for a pause; the longest one holds.
+
+        Parameters
+        ----------
+        target : str
+        pause_s : float
+            Seconds from now.
+        now : float
+        """
+        with self.lock:
+            record = self.observations.setdefault(target, _Observations())
+            record.paused_until = max(record.paused_until, now + pause_s)
+            self.last_pause_ends_at = max(self.last_pause_ends_at, record.paused_until)
+
+    def get_pause_s(self, target: str, *, now: float) -> float:
+        """Return the seconds for which a target still wants no requests.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+
+        Returns
+        -------
+        float
+            0 if it takes requests.
+        """
+        if now >= self.last_pause_ends_at:
+            return 0.0
+        record = self.observations.get(target)
+        return 0.0 if record is None else max(record.paused_until - now, 0.0)
+
     def note_service(self, service: str, elapsed_s: float) -> None:
         """Record the time from sending a request to the end of its answer.
 
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -111,6 +111,8 @@
         Headers that are forwarded to the caller.
     is_leaving : bool
         Whether the target announces that it accepts no new requests.
+    pause_s : float
+        Seconds for which the target wants no requests of this host; 0 for none.
     """
 
     status: int
@@ -122,6 +124,7 @@
     load: tuple[int, int, int] | None
     headers: tuple[tuple[str, str], ...]
     is_leaving: bool = False
+    pause_s: float = 0.0
 
 
 class CallerProtocol(Protocol):
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -104,6 +104,18 @@
             now = read_clock()
             options = self._list_options(call, load_requested_at, now)
             if not options:
+                pause_s = self._get_shortest_pause_s(call, now)
+                if pause_s and not call.may_have_run:
+                    if now + pause_s >= wait_until:
+                        raise build_refusal(
+                            call,
+                            ErrorKind.OVERLOADED,
+                            pause_s,
+                            f"all targets of service {call.service} asked for a pause",
+                        )
+                    wait_s = min(pause_s, POLL_INTERVAL_S)
+                    self.residents.wait(call.request.adapter, wait_s)
+                    continue
                 if call.excluded and not call.may_have_run:
                     call.excluded.clear()
                     if call.tries:
@@ -163,7 +175,29 @@
         bool
         """
         excluded = call.excluded | {target}
-        return any(t.id not in excluded for t in self.registry.get_ready(call.service))
+        now = read_clock()
+        return any(
+            t.id not in excluded for t in self._list_accepting(call.service, now)
+        )
+
+    def _list_accepting(self, service: str, now: float) -> list[Target]:
+        """Return the ready targets that haven't asked this host for a pause."""
+        return [
+            target
+            for target in self.registry.get_ready(service)
+            if not self.health.get_pause_s(target.id, now=now)
+        ]
+
+    def _get_shortest_pause_s(self, call: Call, now: float) -> float:
+        """Return the seconds until the first target takes requests; 0 without pauses.
+
+        Targets at which the request failed otherwise don't count.
+        """
+        pauses_s = [
+            self.health.get_pause_s(target.id, now=now)
+            for target in self.registry.get_ready(call.service)
+        ]
+        return min((pause_s for pause_s in pauses_s if pause_s), default=0.0)
 
     def _get_wait_until(self, call: Call) -> float:
         """Return the clock time until which a request may wait to be sent."""
@@ -236,7 +270,7 @@
                 spread_s,
             )
 
-        targets = self.registry.get_ready(call.service)
+        targets = self._list_accepting(call.service, now)
         preferred = self.residents.list_possible_targets(adapter)
         return list_options(
             targets,
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -159,6 +159,7 @@
                 response.status, response.response.getheaders()
             )
             answer = TargetAnswer(option, head, response, sent_at, use)
+            self._note_pause(option.target.id, head)
             if head.is_not_run:
                 _skip_body(response, target=option.target.id)
                 raise RejectedByTarget(head)
@@ -193,6 +194,16 @@
                 _discard(response)
             raise
 
+    def _note_pause(self, target: str, head: AnswerHead) -> None:
+        is_wrong_target = head.answering_target not in ("", target)
+        if not head.pause_s or is_wrong_target:
+            return
+        self.health.note_pause(target, head.pause_s, now=read_clock())
+        logger.info(
+            "target.pause_requested",
+            extra={"target": target, "pause_s": head.pause_s},
+        )
+
     def _get_head_timeout_s(self, call: Call, left_s: float) -> float:
         if not call.route.may_repeat or call.runs + 1 >= call.route.max_attempts:
             return left_s + MIN_SEND_BUDGET_S
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -174,10 +174,10 @@
 
     Each request consumes a step of `plan`, which names the failure of its answer; an
     empty step is an answer without a failure. "shed" refuses the request without
-    running it, "crossed" names another request in the answer, "cut", "cut-stream" and
-    "cut-unframed" end the answer too early, the last one a stream without chunks, and
-    "reset" closes the connection without an answer. "unframed" is a whole stream
-    without chunks.
+    running it, "pause S" does so and asks for a pause of S seconds, "crossed" names
+    another request in the answer, "cut", "cut-stream" and "cut-unframed" end the answer
+    too early, the last one a stream without chunks, and "reset" closes the connection
+    without an answer. "unframed" is a whole stream without chunks.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
@@ -286,6 +286,9 @@
         }
         if step == "shed":
             handler.send(503, Thornlatch_Not_Executed="1")
+        elif step.startswith("pause"):
+            pause = step.partition(" ")[2]
+            handler.send(503, Thornlatch_Not_Executed="1", Retry_After=pause)
         elif step == "unconfirmed-503":
             handler.send(503)
         elif step == "error":
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -235,6 +235,41 @@
     assert host.list_events("target.leaving_announced")
 
 
+def test_target_that_asks_for_a_pause_gets_no_requests(deployment):
+    """It got each request whose caller or host tried again."""
+    _, servers, host = deployment
+    for name in ("api-1", "api-2"):
+        servers[name].plan = ["pause 30"]
+    wait_until(lambda: host.call("/many/x")[0].status == 503)
+    servers["api-2"].plan = []
+    count = count_requests(servers, "api")
+    assert count == 2
+    started_at = time.monotonic()
+    for _ in range(10):
+        response, _ = host.call("/many/x")
+        assert response.status == 503
+        assert 20 < float(response.getheader("Retry-After")) <= 30
+    assert time.monotonic() - started_at < 2
+    assert count_requests(servers, "api") == count
+
+
+def test_target_that_asks_for_a_pause_is_used_again_after_it(deployment):
+    _, servers, host = deployment
+    servers["api-1"].plan = servers["api-2"].plan = ["pause 0.5"]
+    wait_until(lambda: all(host.call("/many/x")[0].status == 200 for _ in range(2)))
+    wait_until(lambda: host.call("/many/x")[0].getheader("Thornlatch-Server-Signature"))
+    wait_until(lambda: servers["api-1"].requests and servers["api-2"].requests)
+
+
+@pytest.mark.parametrize("value", ["soon", "-1", "inf", "nan", "", "1e400"])
+def test_pause_that_is_no_number_of_seconds_is_ignored(deployment, value):
+    _, servers, host = deployment
+    for name in ("api-1", "api-2"):
+        servers[name].plan = [f"pause {value}"]
+    host.call("/many/x")
+    wait_until(lambda: host.call("/many/x")[0].status == 200)
+
+
 def test_invalid_entries_are_logged_once_and_leave_others_in_effect(deployment):
     store, _, host = deployment
     invalid_entry = {"service": "api", "address": "nowhere", "zone": "z1"}
