--- a/src/thornlatch/gateway/_suspect_parts.py
+++ b/src/thornlatch/gateway/_suspect_parts.py
@@ -212,12 +212,10 @@
                 for part, disproved_at in self.disproved_at.items()
                 if now - disproved_at < DISPROVED_REPORT_S
             }
-            latest = list(self.aborted_runs.by_key)[-REPORTED_PARTS:]
             own = PartReport(
                 {
                     part: self.aborted_runs.get_rounds(part)
-                    for part in latest
-                    if part in self.suspicions
+                    for part in self._list_reported()
                 }
             )
             report = merge_parts([own, self._build_kept_report(now)])
@@ -235,6 +233,22 @@
                 tuple(sorted(self.blocked)),
             )
 
+    def _list_reported(self) -> list[str]:
+        """Return the suspected parts whose own crashes this host reports.
+
+        Most aborted runs had common parts, which a completed answer clears at once. They
+        are reported only if they are in a second round.
+        """
+        suspected = [
+            part
+            for part in self.aborted_runs.by_key
+            if part in self.suspicions
+            and (
+                part not in self.sound or max(self.suspicions[part].rounds.values()) > 1
+            )
+        ]
+        return suspected[-REPORTED_PARTS:]
+
     def set_report(self, host: str, report: PartReport, *, now: float) -> None:
         """Replace what a peer reported.
 
