--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -256,7 +256,7 @@
                 "version": option.version,
             },
         )
-        is_wrong_target = head.answering_target not in ("", target.id)
+        is_wrong_target = not head.is_from(target.id)
         if not is_wrong_target:
             self._note_leaving(target, head)
         if head.is_misdirected and not is_wrong_target and call.request.adapter:
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -126,6 +126,19 @@
     is_leaving: bool = False
     pause_s: float = 0.0
 
+    def is_from(self, target: str) -> bool:
+        """Return whether the intended target answered, as far as the answer tells.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        bool
+        """
+        return self.answering_target in ("", target)
+
 
 class CallerProtocol(Protocol):
     """Protocol between callers and the gateway."""
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -195,8 +195,7 @@
             raise
 
     def _note_pause(self, target: str, head: AnswerHead) -> None:
-        is_wrong_target = head.answering_target not in ("", target)
-        if not head.pause_s or is_wrong_target:
+        if not head.pause_s or not head.is_from(target):
             return
         self.health.note_pause(target, head.pause_s, now=read_clock())
         logger.info(
--- a/src/thornlatch/gateway/_suspect_parts.py
+++ b/src/thornlatch/gateway/_suspect_parts.py
@@ -236,7 +236,7 @@
     def _list_reported(self) -> list[str]:
         """Return the suspected parts whose own crashes this host reports.
 
-        Most aborted runs had common parts, which a completed answer clears at once. They
+        Most aborted runs had common parts, which a completed answer clears soon. They
         are reported only if they are in a second round.
         """
         suspected = [
