--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -4,6 +4,7 @@
 import random
 import threading
 import time
+import zlib
 from dataclasses import dataclass
 
 from stand_ins import ModelServer, Store
@@ -226,7 +227,12 @@
             handler.close_connection = True
             handler.connection.close()
         elif self.model:
-            step = "cut-stream" if self.rng.random() < self.fail_ratio else ""
+            is_cut = self.rng.random() < self.fail_ratio
+            # Drawn from the id, so that the faults of a seed stay as they are.
+            if zlib.crc32(request.encode()) % 3 == 0:
+                step = "cut-unframed" if is_cut else "unframed"
+            else:
+                step = "cut-stream" if is_cut else ""
             self.stream(handler, headers, signature_headers, step)
         else:
             time.sleep(self.rng.uniform(0, 0.03))
