--- a/src/thornlatch/story/_causes.py
+++ b/src/thornlatch/story/_causes.py
@@ -230,6 +230,34 @@
     return cause
 
 
+def explain_crash_suspect(evidence: Evidence) -> str | None:
+    """Recognise a request that was refused because its like crashed targets."""
+    refusal = _find_refusal(evidence, "target-failed")
+    if refusal is None or evidence.list_request_lines("request.send_failed"):
+        return None
+    cause = f"refused without being sent: {refusal.get('why')}"
+    blocks = evidence.list_context_lines("suspects.part_blocked")
+    if blocks:
+        block = blocks[-1]
+        part, age_s = block.get("part"), evidence.get_age_s(block)
+        crashes = block.get("crashes")
+        cause += f"; {part} was blocked {age_s:.1f} s before after {crashes} crashes"
+    return cause
+
+
+def explain_pause(evidence: Evidence) -> str | None:
+    """Recognise targets that asked for a pause."""
+    refusal = _find_refusal(evidence, "overloaded")
+    pauses = evidence.list_context_lines("target.pause_requested")
+    if refusal is None or "pause" not in str(refusal.get("why")) or not pauses:
+        return None
+    last = pauses[-1]
+    return (
+        f"{refusal.get('why')}; the last one, {last.get('target')}, of"
+        f" {last.get('pause_s')} s, {evidence.get_age_s(last):.1f} s before"
+    )
+
+
 def explain_load(evidence: Evidence) -> str | None:
     """Recognise targets without free capacity, or an overloaded weight store."""
     refusal = _find_refusal(evidence, "overloaded") or _find_refusal(
@@ -315,6 +343,8 @@
     explain_route,
     explain_version,
     explain_target,
+    explain_crash_suspect,
+    explain_pause,
     explain_unordered,
     explain_load,
     explain_target_status,
--- a/src/thornlatch/story/tests/test_explanation.py
+++ b/src/thornlatch/story/tests/test_explanation.py
@@ -42,6 +42,22 @@
         "the request failed at t1: no answer: TimeoutError(); the target's registration"
         " expired",
     ),
+    "crash-suspect": (
+        [
+            make_line(97.0, "suspects.part_blocked", part="p1", crashes=4),
+            make_refusal("target-failed", "part p1 of the prompt crashed its targets"),
+        ],
+        "refused without being sent: part p1 of the prompt crashed its targets; p1 was"
+        " blocked 3.0 s before after 4 crashes",
+    ),
+    "all-targets-pause": (
+        [
+            make_line(98.0, "target.pause_requested", target="t1", pause_s=5.0),
+            make_refusal("overloaded", "all targets of service s asked for a pause"),
+        ],
+        "all targets of service s asked for a pause; the last one, t1, of 5.0 s, 2.0 s"
+        " before",
+    ),
     "target-failing-while-healthy": (
         [make_end("request.answered", "answered", status=500, target="t1", sends=2)],
         "t1 itself answered 500, after 2 sends",
