--- a/src/thornlatch/gateway/_aborted_runs.py
+++ b/src/thornlatch/gateway/_aborted_runs.py
@@ -45,9 +45,11 @@
 
     def add(
         self, key: str, target: Target, *, now: float, round_number: int = 1
-    ) -> bool:
+    ) -> None:
         """Record that a target aborted a run.
 
+        One crash aborts all runs at a target, so further ones count as the same crash.
+
         Parameters
         ----------
         key : str
@@ -56,11 +58,6 @@
         round_number : int
             1 if no crash with this key was known as the run was sent; otherwise one
             more than the highest round known then.
-
-        Returns
-        -------
-        bool
-            False if the crash is known already: one crash aborts all runs at a target.
         """
         runs = self.by_key.setdefault(key, [])
         self.by_key.move_to_end(key)
@@ -71,12 +68,11 @@
         ):
             last = runs_at_target[-1]
             last.round_number = max(last.round_number, round_number)
-            return False
+            return
         runs.append(_AbortedRun(target, now, len(runs_at_target), round_number))
         while len(self.by_key) > self.settings.size:
             self.by_key.popitem(last=False)
         self._update_suspected_incarnations()
-        return True
 
     def note_answer(self, target: Target, *, sent_at: float, now: float) -> None:
         """Record that a target answered, which a crashed target can't do.
@@ -97,16 +93,6 @@
                 ):
                     run.first_answer_at = now
 
-    def drop(self, key: str) -> None:
-        """Forget the runs of a key.
-
-        Parameters
-        ----------
-        key : str
-        """
-        self.by_key.pop(key, None)
-        self._update_suspected_incarnations()
-
     def drop_expired(self, *, now: float) -> None:
         """Forget runs that are old, and those whose target didn't crash.
 
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -104,7 +104,7 @@
             now = read_clock()
             options = self._list_options(call, load_requested_at, now)
             if not options:
-                pause_s = self._get_shortest_pause_s(call, now)
+                pause_s = self._get_shortest_pause_s(call.service, now)
                 if pause_s and not call.may_have_run:
                     if now + pause_s >= wait_until:
                         raise build_refusal(
@@ -188,14 +188,11 @@
             if not self.health.get_pause_s(target.id, now=now)
         ]
 
-    def _get_shortest_pause_s(self, call: Call, now: float) -> float:
-        """Return the seconds until the first target takes requests; 0 without pauses.
-
-        Targets at which the request failed otherwise don't count.
-        """
+    def _get_shortest_pause_s(self, service: str, now: float) -> float:
+        """Return the seconds until the first pause of a target ends; 0 without any."""
         pauses_s = [
             self.health.get_pause_s(target.id, now=now)
-            for target in self.registry.get_ready(call.service)
+            for target in self.registry.get_ready(service)
         ]
         return min((pause_s for pause_s in pauses_s if pause_s), default=0.0)
 
--- a/src/thornlatch/gateway/_suspect_parts.py
+++ b/src/thornlatch/gateway/_suspect_parts.py
@@ -2,7 +2,7 @@
 
 import threading
 from collections import OrderedDict
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Collection, Iterable
 from dataclasses import dataclass
 
 import logbook
@@ -169,12 +169,12 @@
         with self.lock:
             self.aborted_runs.note_answer(target, sent_at=sent_at, now=now)
 
-    def note_completed(self, parts: Iterable[str], *, now: float) -> None:
+    def note_completed(self, parts: Collection[str], *, now: float) -> None:
         """Record that an answer was complete, which clears the parts of its prompt.
 
         Parameters
         ----------
-        parts : iterable of str
+        parts : collection of str
         now : float
         """
         with self.lock:
