Log why a failed request wasn't sent to another target

Callers saw streams end in their middle. The log named the error of the last target only, `detail` repeated it, so hypotheses about the cut (no other target, attempts, retry budget or key) couldn't be told apart. `request.failed` now has `no_retry`.

--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -173,7 +173,7 @@
             if not call.may_have_run:
                 raise
             # A refusal would tell the caller that the request hasn't run.
-            raise build_failure(call) from error
+            raise build_failure(call, error.message) from error
 
     def _authenticate(self, request: CallerRequest, now: float) -> Organisation:
         if not self.in_force.is_fresh(now=now):
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -87,6 +87,8 @@
         Id of the last event passed to the caller; None before the first.
     last_failure : str
         Description of the last failed attempt.
+    no_retry_reason : str
+        Why the request wasn't sent again after its last failed attempt.
     has_ended : bool
         Whether the request has been completed or has failed.
     """
@@ -118,6 +120,7 @@
     last_event: str = ""
     last_event_id: int | None = None
     last_failure: str = ""
+    no_retry_reason: str = ""
     has_ended: bool = False
 
     def __post_init__(self) -> None:
@@ -179,17 +182,20 @@
     has_ended: bool = False
 
 
-def build_failure(call: Call) -> RequestRefused:
+def build_failure(call: Call, no_retry_reason: str = "") -> RequestRefused:
     """Return the error for a request that no target answered completely.
 
     Parameters
     ----------
     call : Call
+    no_retry_reason : str
+        Why the request isn't sent again, for the log.
 
     Returns
     -------
     RequestRefused
     """
+    call.no_retry_reason = no_retry_reason
     reason = call.running.stop_reason
     if call.may_have_run:
         is_late = reason is ErrorKind.DEADLINE_UNREACHABLE
@@ -227,7 +233,7 @@
     RequestRefused
     """
     if call.may_have_run:
-        return build_failure(call)
+        return build_failure(call, message)
     return RequestRefused(
         kind, message, retry_after_s=max(retry_after_s, MIN_RETRY_AFTER_S)
     )
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -148,15 +148,12 @@
             call.is_in_retry_budget = True
             self.retries.note_request(call.service, now=now)
             return
-        is_exhausted = (
-            call.tries >= TRY_LIMIT
-            or call.runs >= call.route.max_attempts
-            or self.suspects.is_blocked(call.fingerprint)
-        )
-        if is_exhausted:
-            raise build_failure(call)
+        if call.tries >= TRY_LIMIT or call.runs >= call.route.max_attempts:
+            raise build_failure(call, "all attempts are used up")
+        if self.suspects.is_blocked(call.fingerprint):
+            raise build_failure(call, "targets aborted too many runs of it")
         if call.sends and not self.retries.try_acquire(call.service, now=now):
-            raise build_failure(call)
+            raise build_failure(call, "the retry budget is used up")
 
     def _should_repeat(self, call: Call, answer: TargetAnswer) -> bool:
         return (
@@ -219,13 +216,13 @@
         self.sender.abort(call, answer)
         self._note_failed_send(call, answer.option.target, error)
         if not call.route.may_repeat or call.running.stop_reason is not None:
-            raise build_failure(call)
+            raise build_failure(call, "it was stopped or may not be repeated")
         call.excluded.add(answer.option.target.id)
         call.waiting_since = read_clock()
         resumed = self._send_until_answered(call)
         if resumed.head.status >= 300:
             self.sender.abort(call, resumed)
-            raise build_failure(call)
+            raise build_failure(call, f"it returned status {resumed.head.status}")
         logger.info(
             "request.stream_resumed",
             extra={
@@ -286,7 +283,7 @@
         self._note_failed_send(call, option.target, error)
         call.excluded.add(option.target.id)
         if error.is_sent and not call.route.may_repeat:
-            raise build_failure(call)
+            raise build_failure(call, "it may not be repeated")
 
     def _note_failed_send(self, call: Call, target: Target, error: TargetError) -> None:
         call.last_failure = f"{target.id}: {error.message}"
@@ -359,6 +356,7 @@
                 "framing": call.framing,
                 "objective_s": call.route.objective_s,
                 "why": call.last_failure,
+                "no_retry": call.no_retry_reason,
                 "detail": str(error) if error is not None else "",
                 "sends": call.sends,
                 "waited_s": round(call.waited_s, 3),
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -122,7 +122,7 @@
                         raise build_failure(call)
                     continue
                 if call.may_have_run:
-                    raise build_failure(call)
+                    raise build_failure(call, "no other target is available")
                 if now + POLL_INTERVAL_S >= wait_until:
                     raise build_refusal(
                         call,
--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -1,5 +1,6 @@
 """Gateway processes for tests, on free ports of the loopback interface."""
 
+import contextlib
 import http.client
 import json
 import os
@@ -9,6 +10,7 @@
 import time
 from pathlib import Path
 
+from stand_ins import ModelServer, Store, build_config
 from tests.ports import ports
 
 ROOT = Path(__file__).resolve().parent.parent.parent
@@ -131,6 +133,27 @@
         assert "in use" in host.read_log(), host.read_log()
 
 
+@contextlib.contextmanager
+def run_deployment(folder, *names):
+    """Run a host before a store and servers named SERVICE-NUMBER."""
+    store = Store()
+    servers = {
+        name: ModelServer(name, name[:3], model="m" if name[:3] == "llm" else "")
+        for name in names
+    }
+    store.put("keyed.op", "config", build_config())
+    for name, server in servers.items():
+        store.put("keyed.servers", name, server.describe())
+    host = start_host(folder, store.address)
+    wait_until(lambda: len(host.list_events("target.changed")) >= len(servers))
+    try:
+        yield store, servers, host
+    finally:
+        host.process.kill()
+        for server in (store, *servers.values()):
+            server.close()
+
+
 def wait_until(condition, describe_failure=lambda: ""):
     deadline = time.monotonic() + TIMEOUT_S
     while not condition():
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -177,7 +177,8 @@
     running it, "pause S" does so and asks for a pause of S seconds, "crossed" names
     another request in the answer, "cut", "cut-stream" and "cut-unframed" end the answer
     too early, the last one a stream without chunks, and "reset" closes the connection
-    without an answer. "unframed" is a whole stream without chunks.
+    without an answer. "unframed" is a whole stream without chunks. "mute S" waits for S
+    seconds before the answer, "silent S" within it.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
@@ -298,6 +299,20 @@
         elif step == "reset":
             handler.close_connection = True
             handler.connection.close()
+        elif step.startswith("mute") and not self.model:
+            time.sleep(float(step.partition(" ")[2]))
+            handler.send(200, b"answer of " + self.name.encode(), **signature)
+        elif step.startswith("silent") and not self.model:
+            answer = b"answer of " + self.name.encode()
+            handler.send_response(200)
+            for name, value in signature.items():
+                handler.send_header(name.replace("_", "-"), value)
+            handler.send_header("Content-Length", str(len(answer)))
+            handler.end_headers()
+            handler.wfile.write(answer[:4])
+            handler.wfile.flush()
+            time.sleep(float(step.partition(" ")[2]))
+            handler.wfile.write(answer[4:])
         elif step == "cut":
             handler.send_response(200)
             for name, value in signature.items():
@@ -312,6 +327,9 @@
             handler.send(200, b"answer of " + self.name.encode(), **signature)
 
     def stream(self, handler, headers, signature, step):
+        kind, _, pause = step.partition(" ")
+        if kind == "mute":
+            time.sleep(float(pause))
         handler.send_response(200)
         for name, value in signature.items():
             handler.send_header(name.replace("_", "-"), value)
@@ -338,6 +356,8 @@
                 event = f"{len(event):x}\r\n".encode() + event + b"\r\n"
             handler.wfile.write(event)
             handler.wfile.flush()
+            if kind == "silent" and number == first + 1:
+                time.sleep(float(pause))
             if is_cut:
                 handler.close_connection = True
                 handler.connection.close()
