Leave a silent target only for one that can take the request at once

Cause: silence taken for death. A stream without a whole event for 1.8 s, a plain answer without a byte for 0.35 s and a stream's head after 2.5 objectives lost their connection first; only then the host looked for another target. If there was none (no free place, no attempt or retry budget left, a key that the configuration in force was too old to confirm), the answer was lost, though the target would have gone on.

Change: when a target has been silent for too long, the request asks for more time. It is given up only once everything to send it again is reserved: a free target whose own streams go on, an attempt, retry budget, a confirmed key. Without these it stays until its deadline or its caller leaves, and looks again every 0.25 s. New requests avoid the silent target as before, and an adapter that only it holds is loaded elsewhere once all its streams are silent. Bytes that complete no event are bounded by the deadline.

--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import socket
+from collections.abc import Callable
 from typing import Any, cast
 
 from thornlatch.core._clock import read_clock
@@ -17,6 +18,8 @@
 
     reads_until = float("inf")
     is_aborted = False
+    # Returns for how many more seconds to wait for bytes; 0 to give up.
+    extend_reads: Callable[[], float] | None = None
 
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Receive into a buffer.
@@ -24,10 +27,27 @@
         Raises
         ------
         TimeoutError
-            After `reads_until`.
+            After `reads_until` or without a byte for too long, unless `extend_reads`
+            returns more time.
         ConnectionAbortedError
             At the end of the connection if `abort` was called.
         """
+        while True:
+            try:
+                count = self._receive_in_time(buffer, nbytes, flags)
+            except TimeoutError:
+                extension_s = self.extend_reads() if self.extend_reads else 0.0
+                if extension_s <= 0:
+                    raise
+                self.settimeout(extension_s)
+                self.bound_reads(extension_s)
+                continue
+            # Otherwise an answer that may end with its connection would look complete.
+            if count == 0 and self.is_aborted:
+                raise ConnectionAbortedError("the connection was aborted by this host")
+            return count
+
+    def _receive_in_time(self, buffer: Any, nbytes: int, flags: int) -> int:
         timeout_s = self.gettimeout()
         if timeout_s != 0.0:
             left_s = self.reads_until - read_clock()
@@ -35,11 +55,7 @@
                 raise TimeoutError("the answer was not complete in time")
             if timeout_s is None or left_s < timeout_s:
                 self.settimeout(left_s)
-        count = super().recv_into(buffer, nbytes, flags)
-        # Otherwise an answer that may end with its connection would look complete.
-        if count == 0 and self.is_aborted:
-            raise ConnectionAbortedError("the connection was aborted by this host")
-        return count
+        return super().recv_into(buffer, nbytes, flags)
 
     def bound_reads(self, limit_s: float) -> None:
         """Set the time from now at which reads end, also those still receiving.
--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -94,7 +94,7 @@
             )
         organisation = None
         if configuration.organisations and not route.is_public:
-            organisation = self._authenticate(request, now)
+            organisation = self.authenticate(request, now=now)
         deadline_s = request.deadline_s
         if deadline_s is None:
             deadline_s = self.settings.default_deadline_s
@@ -168,14 +168,30 @@
         # The host may have been suspended since it admitted the request, and the key
         # withdrawn in the meantime.
         try:
-            self._authenticate(call.request, now)
+            self.authenticate(call.request, now=now)
         except RequestRefused as error:
             if not call.may_have_run:
                 raise
             # A refusal would tell the caller that the request hasn't run.
             raise build_failure(call, error.message) from error
 
-    def _authenticate(self, request: CallerRequest, now: float) -> Organisation:
+    def authenticate(self, request: CallerRequest, *, now: float) -> Organisation:
+        """Return the organisation whose key a request carries.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        now : float
+
+        Returns
+        -------
+        Organisation
+
+        Raises
+        ------
+        RequestRefused
+            If the key belongs to no organisation or can't be confirmed.
+        """
         if not self.in_force.is_fresh(now=now):
             raise RequestRefused(
                 ErrorKind.HOST_UNCONFIRMED,
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -13,6 +13,7 @@
 
 MIN_RETRY_AFTER_S = 0.1
 MIN_SEND_BUDGET_S = 0.05  # requests with less time left aren't sent
+TRY_LIMIT = 6  # per request, including rejected sends and refused connections
 
 
 @dataclass(frozen=True)
@@ -89,6 +90,11 @@
         Description of the last failed attempt.
     no_retry_reason : str
         Why the request wasn't sent again after its last failed attempt.
+    silent_use : TargetUse or None
+        Latest use of a target that was silent for too long.
+    next_option : TargetOption or None
+        Target that was selected, and retry budget spent, before the previous one was
+        left.
     has_ended : bool
         Whether the request has been completed or has failed.
     """
@@ -121,6 +127,8 @@
     last_event_id: int | None = None
     last_failure: str = ""
     no_retry_reason: str = ""
+    silent_use: TargetUse | None = None
+    next_option: TargetOption | None = None
     has_ended: bool = False
 
     def __post_init__(self) -> None:
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -8,7 +8,13 @@
 from thornlatch.exceptions import RequestRefused, TargetError
 from thornlatch.fleet import Target
 from thornlatch.gateway._admission import Admission
-from thornlatch.gateway._call import Call, GatewayAnswer, TargetAnswer, build_failure
+from thornlatch.gateway._call import (
+    TRY_LIMIT,
+    Call,
+    GatewayAnswer,
+    TargetAnswer,
+    build_failure,
+)
 from thornlatch.gateway._choice import TargetOption
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
@@ -16,6 +22,7 @@
 from thornlatch.gateway._ports import AnswerHead, CallerRequest
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._sender import RejectedByTarget, TargetSender
+from thornlatch.gateway._silences import SilencePolicy
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
@@ -24,8 +31,6 @@
 
 logger = logbook.Logger("thornlatch.gateway")
 
-TRY_LIMIT = 6  # per request, including rejected sends and refused connections
-
 
 class Forwarder:
     """Serves each request in the calling thread.
@@ -35,6 +40,7 @@
     admission : Admission
     selector : TargetSelector
     sender : TargetSender
+    silences : SilencePolicy
     in_force : ConfigurationInForce
     quota : SharedQuota
     retries : RetryBudget
@@ -52,6 +58,7 @@
         admission: Admission,
         selector: TargetSelector,
         sender: TargetSender,
+        silences: SilencePolicy,
         in_force: ConfigurationInForce,
         quota: SharedQuota,
         retries: RetryBudget,
@@ -65,6 +72,7 @@
         self.admission = admission
         self.selector = selector
         self.sender = sender
+        self.silences = silences
         self.in_force = in_force
         self.quota = quota
         self.retries = retries
@@ -116,10 +124,9 @@
 
     def _send_until_answered(self, call: Call) -> TargetAnswer:
         while True:
-            option = self.selector.choose(call)
-            self._check_may_send(call)
+            option = self._choose(call)
             try:
-                answer = self.sender.send(call, option)
+                answer = self.sender.send(call, option, self.silences.get_patience_s)
             except RejectedByTarget as rejection:
                 self._note_rejection(call, option, rejection.head)
                 continue
@@ -136,7 +143,15 @@
             self.sender.finish(call, answer)
             call.excluded.add(option.target.id)
 
-    def _check_may_send(self, call: Call) -> None:
+    def _choose(self, call: Call) -> TargetOption:
+        option, call.next_option = call.next_option, None
+        is_reserved = option is not None
+        if option is None:
+            option = self.selector.choose(call)
+        self._check_may_send(call, is_reserved=is_reserved)
+        return option
+
+    def _check_may_send(self, call: Call, *, is_reserved: bool = False) -> None:
         """Check key, attempt limits and retry budget just before a request is sent."""
         now = read_clock()
         if call.organisation is not None:
@@ -152,7 +167,8 @@
             raise build_failure(call, "all attempts are used up")
         if self.suspects.is_blocked(call.fingerprint):
             raise build_failure(call, "targets aborted too many runs of it")
-        if call.sends and not self.retries.try_acquire(call.service, now=now):
+        is_repeat = call.sends > 0 and not is_reserved
+        if is_repeat and not self.retries.try_acquire(call.service, now=now):
             raise build_failure(call, "the retry budget is used up")
 
     def _should_repeat(self, call: Call, answer: TargetAnswer) -> bool:
@@ -203,7 +219,9 @@
                 call.last_event = str(event.id)
             chunks.append(event.data)
         if chunks:
-            call.note_part_sent(read_clock())
+            now = read_clock()
+            answer.use.progressed_at = now
+            call.note_part_sent(now)
         answer.events = []
         if answer.has_ended and answer.splitter.rest:
             chunks.append(answer.splitter.rest)
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -31,6 +31,7 @@
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._servers import build_server
 from thornlatch.gateway._settings import GatewaySettings
+from thornlatch.gateway._silences import SilencePolicy
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
@@ -145,24 +146,26 @@
     def _build_forwarder(self, targets: TargetProtocol) -> Forwarder:
         settings = self.settings.forwarding
         pacing = PromptPacing(settings)
+        admission = Admission(
+            settings,
+            in_force=self.in_force,
+            quota=self.quota,
+            suspects=self.suspects,
+        )
+        selector = TargetSelector(
+            settings,
+            failure_domain=self.settings.host.failure_domain,
+            registry=self.registry,
+            versions=self.versions,
+            residents=self.residents,
+            orders=self.orders,
+            health=self.health,
+            pacing=pacing,
+            random=Random(),
+        )
         return Forwarder(
-            admission=Admission(
-                settings,
-                in_force=self.in_force,
-                quota=self.quota,
-                suspects=self.suspects,
-            ),
-            selector=TargetSelector(
-                settings,
-                failure_domain=self.settings.host.failure_domain,
-                registry=self.registry,
-                versions=self.versions,
-                residents=self.residents,
-                orders=self.orders,
-                health=self.health,
-                pacing=pacing,
-                random=Random(),
-            ),
+            admission=admission,
+            selector=selector,
             sender=TargetSender(
                 settings,
                 protocol=targets,
@@ -170,6 +173,15 @@
                 health=self.health,
                 metrics=self.metrics,
             ),
+            silences=SilencePolicy(
+                admission=admission,
+                selector=selector,
+                retries=self.retries,
+                work=self.work,
+                health=self.health,
+                suspects=self.suspects,
+                metrics=self.metrics,
+            ),
             in_force=self.in_force,
             quota=self.quota,
             retries=self.retries,
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -22,6 +22,13 @@
             ["service", "outcome"],
             registry=self.registry,
         )
+        self.silences = Counter(
+            "thornlatch_gateway_silences",
+            "Targets silent for too long, by service and whether the request was kept"
+            " there or left.",
+            ["service", "decision"],
+            registry=self.registry,
+        )
         self.first_answer = Histogram(
             "thornlatch_gateway_first_answer_seconds",
             "Seconds from a request to the first event or the answer.",
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -180,6 +180,40 @@
             t.id not in excluded for t in self._list_accepting(call.service, now)
         )
 
+    def list_free(self, call: Call, besides: str, *, now: float) -> list[TargetOption]:
+        """Return the other targets that can start a request at once, the best first.
+
+        Parameters
+        ----------
+        call : Call
+        besides : str
+            Id of the target to leave out.
+        now : float
+
+        Returns
+        -------
+        list of TargetOption
+        """
+        return [
+            option
+            for option in self._list_options(call, {}, now, besides)
+            if option.step is Step.SEND and option.wait_s <= 0
+        ]
+
+    def request_load_elsewhere(self, call: Call, target: str, *, now: float) -> None:
+        """Request the load of a request's adapter at another target, if it needs one.
+
+        Parameters
+        ----------
+        call : Call
+        target : str
+            Id of the target that the request may have to leave.
+        now : float
+        """
+        options = self._list_options(call, {}, now, target)
+        if options and options[0].step is Step.REQUEST_LOAD:
+            self.request_load(call, options[0].target, now, was_missing=False)
+
     def _list_accepting(self, service: str, now: float) -> list[Target]:
         """Return the ready targets that haven't asked this host for a pause."""
         return [
@@ -208,7 +242,11 @@
         return min(wait_until, call.running.ends_at - MIN_SEND_BUDGET_S)
 
     def _list_options(
-        self, call: Call, load_requested_at: dict[str, float], now: float
+        self,
+        call: Call,
+        load_requested_at: dict[str, float],
+        now: float,
+        besides: str = "",
     ) -> list[TargetOption]:
         model, adapter = call.request.model, call.request.adapter
         required_version = (
@@ -220,7 +258,7 @@
             adapter,
             required_version,
             self.failure_domain,
-            frozenset(call.excluded),
+            frozenset(call.excluded | {besides}),
             holder_settings.adapter_load_s,
             holder_settings.adapter_load_s * holder_settings.former_load_ratio,
             self.health.get_service_s(call.service),
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -1,6 +1,8 @@
 """Sends requests to targets and reads their answers."""
 
+from collections.abc import Callable
 from dataclasses import replace
+from functools import partial
 
 import logbook
 
@@ -63,7 +65,12 @@
         self.health = health
         self.metrics = metrics
 
-    def send(self, call: Call, option: TargetOption) -> TargetAnswer:
+    def send(
+        self,
+        call: Call,
+        option: TargetOption,
+        get_patience_s: Callable[[Call, TargetUse], float],
+    ) -> TargetAnswer:
         """Send a request and read the head of its answer.
 
         Reads the first event of a stream too, and the whole body of other answers.
@@ -72,6 +79,9 @@
         ----------
         call : Call
         option : TargetOption
+        get_patience_s : callable
+            Called when the target has been silent for too long, also later in a stream.
+            Returns the seconds for which the request still waits; 0 to give it up.
 
         Returns
         -------
@@ -118,7 +128,9 @@
         call.target = target.id
         call.framing = ""
         try:
-            response = self._open_call(call, target_call)
+            response = self._open_call(
+                call, target_call, partial(get_patience_s, call, use)
+            )
             answer = self._open_answer(call, option, response, use, now)
         except BaseException:
             self.work.end(use)
@@ -129,12 +141,15 @@
         self.health.note_success(target.id, answer.head.load, now=read_clock())
         return answer
 
-    def _open_call(self, call: Call, target_call: TargetCall) -> TargetResponse:
+    def _open_call(
+        self, call: Call, target_call: TargetCall, extend_reads: Callable[[], float]
+    ) -> TargetResponse:
         try:
             response = open_call(
                 target_call,
                 may_reuse=call.route.may_repeat,
                 on_connected=call.running.set_abort,
+                extend_reads=extend_reads,
             )
         except TargetError as error:
             call.running.set_abort(None)
@@ -181,6 +196,7 @@
                 )
             if call.route.kind is CallKind.STREAM and head.status < 300:
                 self.read_events(call, answer)
+                use.progressed_at = read_clock()
                 silence_s = self.settings.stream_silence_s
                 response.call = replace(response.call, timeout_s=silence_s)
             else:
@@ -222,8 +238,9 @@
         Raises
         ------
         TargetError
-            If the connection fails, closes early or is silent for too long, or if an
-            event is too long or incomplete at the end of the stream.
+            If the connection fails or closes early, if an event is too long or
+            incomplete at the end of the stream, or if the target is silent and another
+            one can go on.
         """
         if not answer.events:
             # Bytes that complete no event don't count as progress.
@@ -290,6 +307,7 @@
 
 def _skip_body(response: TargetResponse, *, target: str) -> None:
     """Read a body that isn't used, so that the connection can be reused."""
+    response.sock.extend_reads = None
     try:
         response.read_all(BODY_LIMIT_BYTES, within_s=response.call.timeout_s)
     except TargetError as error:
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -66,11 +66,12 @@
     connect_s : float
         Timeout in seconds for connecting to a target; two round trips take a few ms.
     plain_head_s : float
-        Seconds without an answer after which a plain request that may be repeated is
-        sent to another target.
+        Seconds without bytes of an answer after which a plain request that may be
+        repeated is sent to another target, if one can take it at once.
     stream_head_objectives : float
         Time without a first event after which a stream that may be repeated is sent to
-        another target, as a multiple of the route's latency objective.
+        another target, if one can take it at once, as a multiple of the route's latency
+        objective.
     wait_objectives : float
         Time that a request may wait before it is sent, as a multiple of the route's
         latency objective.
@@ -78,8 +79,8 @@
         Time that a request may wait before it is sent, as a fraction of its deadline.
         The longer of the two times applies.
     stream_silence_s : float
-        Seconds without an event after which a running stream counts as broken;
-        callers give up after 2.4 s at the earliest.
+        Seconds without an event after which a running stream goes on at another target,
+        if one can take it at once; callers give up after 2.4 s at the earliest.
     avoid_s : float
         Seconds for which a failed target is avoided; doubles with each failure.
     avoid_limit_s : float
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -82,6 +82,10 @@
     target, adapter : str
     parts : tuple of str
         Parts of its prompt that other requests may have too.
+    sent_at : float
+    progressed_at : float or None
+        Clock times at which it was sent and of the latest event of its stream; None
+        before the first event.
     has_ended : bool
         Whether the request is no longer counted.
     """
@@ -89,8 +93,15 @@
     target: str
     adapter: str
     parts: tuple[str, ...] = ()
+    sent_at: float = 0.0
+    progressed_at: float | None = None
     has_ended: bool = False
 
+    def get_silence_s(self, now: float) -> float:
+        """Return the seconds since its target sent something of use, or it was sent."""
+        since = self.sent_at if self.progressed_at is None else self.progressed_at
+        return now - since
+
 
 class WorkTable:
     """Counts requests by target and adapter and stops expired ones.
@@ -110,6 +121,7 @@
         self.counts: dict[tuple[str, str], int] = {}
         self.totals: dict[str, int] = {}
         self.part_counts: dict[str, int] = {}
+        self.uses: dict[str, set[TargetUse]] = {}
         self.prompt_tokens = DecayingSums()
         self.running: set[RunningRequest] = set()
         # Set while any request is running.
@@ -162,8 +174,10 @@
         -------
         TargetUse
         """
+        use = TargetUse(target, adapter, parts, now)
         with self.lock:
             key = (target, adapter)
+            self.uses.setdefault(target, set()).add(use)
             self.counts[key] = self.counts.get(key, 0) + 1
             self.totals[target] = self.totals.get(target, 0) + 1
             for part in parts:
@@ -173,7 +187,7 @@
             is_first = self.counts[key] == 1
         if is_first and adapter and self.on_use is not None:
             self.on_use(target, adapter, True)
-        return TargetUse(target, adapter, parts)
+        return use
 
     def end(self, use: TargetUse) -> None:
         """Stop counting a request at a target; further calls have no effect.
@@ -190,11 +204,13 @@
             key = (target, use.adapter)
             self.counts[key] -= 1
             self.totals[target] -= 1
+            self.uses[target].remove(use)
             is_last = not self.counts[key]
             if is_last:
                 del self.counts[key]
             if not self.totals[target]:
                 del self.totals[target]
+                del self.uses[target]
             for part in use.parts:
                 self.part_counts[part] -= 1
                 if not self.part_counts[part]:
@@ -257,6 +273,48 @@
         """
         return self.totals.get(target, 0)
 
+    def get_longest_silence_s(self, target: str, *, now: float) -> float:
+        """Return the longest time for which a running stream of a target is silent.
+
+        Streams without any event yet don't count.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+
+        Returns
+        -------
+        float
+            Seconds; 0 if no stream of this host runs there.
+        """
+        return max(self._list_stream_silences_s(target, now), default=0.0)
+
+    def is_silent(self, target: str, limit_s: float, *, now: float) -> bool:
+        """Return whether each running stream of a target is silent for a time.
+
+        Parameters
+        ----------
+        target : str
+        limit_s : float
+            Seconds.
+        now : float
+
+        Returns
+        -------
+        bool
+            True if no stream of this host runs there.
+        """
+        return all(s >= limit_s for s in self._list_stream_silences_s(target, now))
+
+    def _list_stream_silences_s(self, target: str, now: float) -> list[float]:
+        with self.lock:
+            return [
+                use.get_silence_s(now)
+                for use in self.uses.get(target, ())
+                if use.progressed_at is not None
+            ]
+
     def get_uses(self, target: str) -> dict[str, int]:
         """Return the number of this host's requests at a target, by adapter.
 
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -71,6 +71,7 @@
             health=parts.get("health"),
             metrics=parts.get("metrics"),
         ),
+        silences=None,
         in_force=in_force,
         **unused | parts,
     )
--- /dev/null
+++ b/src/thornlatch/gateway/tests/test_silences.py
@@ -0,0 +1,154 @@
+"""Silent targets: which requests leave them, and which stay."""
+
+from dataclasses import replace
+
+import pytest
+
+from thornlatch.core import read_clock
+from thornlatch.exceptions import ErrorKind, RequestRefused
+from thornlatch.fleet import Target
+from thornlatch.gateway._choice import Step, TargetOption
+from thornlatch.gateway._health import TargetHealth
+from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.gateway._silences import RECHECK_S, SilencePolicy
+from thornlatch.gateway._work import WorkTable
+from thornlatch.gateway.tests.test_forwarder import ROUTE, build_call, build_suspects
+
+OTHER = TargetOption(Target("other", "s", "1.2.3.4:5", "z", 8), Step.SEND, 0.0, 0.0)
+
+
+class Parts:
+    """Stands in for admission, selector and retry budget."""
+
+    def __init__(self):
+        self.has_budget = True
+        self.key_error = None
+        self.free = [OTHER]
+        self.loads = []
+
+    def authenticate(self, request, *, now):
+        if self.key_error is not None:
+            raise self.key_error
+
+    def check_parts(self, call):
+        pass
+
+    def list_free(self, call, besides, *, now):
+        return self.free
+
+    def request_load_elsewhere(self, call, target, *, now):
+        self.loads.append(target)
+
+    def try_acquire(self, service, *, now):
+        return self.has_budget
+
+
+class Bed:
+    """A policy, and a stream that is silent at its target."""
+
+    def __init__(self):
+        self.parts = Parts()
+        self.work = WorkTable()
+        self.health = TargetHealth(ForwardingSettings())
+        self.policy = SilencePolicy(
+            admission=self.parts,
+            selector=self.parts,
+            retries=self.parts,
+            work=self.work,
+            health=self.health,
+            suspects=build_suspects(),
+            metrics=GatewayMetrics(),
+        )
+        self.call = build_call()
+        self.call.route = replace(ROUTE, max_attempts=2)
+        self.use = self.begin("silent", silent_s=2.0)
+
+    def begin(self, target, *, silent_s):
+        now = read_clock()
+        use = self.work.begin(target, "", now=now - silent_s)
+        use.progressed_at = now - silent_s
+        return use
+
+    def get_patience_s(self):
+        return self.policy.get_patience_s(self.call, self.use)
+
+
+def test_request_leaves_for_a_free_target_whose_streams_go_on():
+    bed = Bed()
+    bed.begin("other", silent_s=0.1)
+    assert bed.get_patience_s() == 0
+    assert bed.call.next_option is OTHER
+
+
+# Moving on when all targets slow down at once would only add work to them.
+def test_request_stays_while_the_streams_of_other_targets_are_silent_too():
+    bed = Bed()
+    bed.begin("other", silent_s=1.5)
+    assert bed.get_patience_s() == RECHECK_S
+    assert bed.call.next_option is None
+
+
+def forbid_repeats(bed):
+    bed.call.route = replace(ROUTE, max_attempts=1)
+
+
+def exhaust_budget(bed):
+    bed.parts.has_budget = False
+
+
+def occupy_targets(bed):
+    bed.parts.free = []
+
+
+def outdate_configuration(bed):
+    bed.parts.key_error = RequestRefused(ErrorKind.HOST_UNCONFIRMED, "too old")
+
+
+def use_up_time(bed):
+    bed.call.running.ends_at = read_clock() + 0.05
+
+
+def stop_request(bed):
+    bed.call.running.stop(ErrorKind.DEADLINE_UNREACHABLE)
+
+
+@pytest.mark.parametrize(
+    "change",
+    [
+        forbid_repeats,
+        exhaust_budget,
+        occupy_targets,
+        outdate_configuration,
+        use_up_time,
+        stop_request,
+    ],
+)
+def test_request_stays_if_it_could_not_be_sent_again(change):
+    bed = Bed()
+    change(bed)
+    assert bed.get_patience_s() == RECHECK_S
+    assert bed.call.next_option is None
+
+
+def test_adapter_is_loaded_elsewhere_once_when_its_whole_target_is_silent():
+    bed = Bed()
+    occupy_targets(bed)
+    for _ in range(3):
+        bed.get_patience_s()
+    assert bed.parts.loads == ["silent"]
+
+
+def test_adapter_is_not_loaded_elsewhere_while_other_streams_of_the_target_go_on():
+    bed = Bed()
+    occupy_targets(bed)
+    bed.begin("silent", silent_s=0.1)
+    bed.get_patience_s()
+    assert bed.parts.loads == []
+
+
+def test_silent_target_is_avoided_by_new_requests_while_a_stream_stays():
+    bed = Bed()
+    occupy_targets(bed)
+    bed.get_patience_s()
+    assert bed.health.is_avoided("silent", now=read_clock())
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -238,6 +238,7 @@
 
     def close(self) -> None:
         """Keep the connection for reuse if the whole answer was read, else close it."""
+        self.sock.extend_reads = None
         if self.response.isclosed() and not self.response.will_close:
             limit_s = _read_idle_limit_s(self.response)
             _connections.put(self.call.address, self.connection, limit_s)
@@ -292,6 +293,7 @@
     *,
     may_reuse: bool = True,
     on_connected: Callable[[Callable[[], None]], None] | None = None,
+    extend_reads: Callable[[], float] | None = None,
 ) -> TargetResponse:
     """Send a call and wait for the headers of its answer.
 
@@ -305,6 +307,9 @@
     on_connected : callable or None
         Called before the call is sent, with a callable by which another thread can
         abort it while its answer is awaited.
+    extend_reads : callable or None
+        Called, also while the body is read, when the time to wait for bytes has passed.
+        Returns the seconds to wait on; 0 if the call has failed.
 
     Returns
     -------
@@ -321,6 +326,7 @@
     if connection is None:
         connection = _connect(call)
     sock = cast(BoundedSocket, connection.sock)
+    sock.extend_reads = extend_reads
     if on_connected is not None:
         on_connected(sock.abort)
     try:
