Believe a refusal only if it belongs to the request

Callers of routes that aren't idempotent were told "not run", or their request ran at a second target, after a faulty target had written an earlier refusal once more on a kept connection: _open_answer looked at is_not_run (and at the pause) before it compared the answer's request id.

The id is now compared before anything else of the head is used. An answer without an id is believed only as the first one on a connection: on a kept one it may be an extra answer to an earlier request, and targets repeat the id in their answers. Such a request fails with an unknown outcome (502) if it may not be repeated, and is sent again otherwise; the connection is closed.

The stand-ins of the tests and of the soak name the request in their refusals now, as the platform's servers do; without an id is a case of its own.

Evidence: before the change 9 of the new cases failed (statuses 503, 421 and 429, with another id and without one; for /once/ the caller got 200 from the second server, so both ran it). With it all tests of test_host.py, test_prompt_parts.py, gateway, targets and daemon pass (-n 2); ruff and mypy are clean.

--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -95,7 +95,8 @@
     ----------
     status : int
     request : str
-        Id of the answered request; empty if the answer has none.
+        Id of the answered request; empty if the answer has none, which is accepted
+        only from the first answer on a connection.
     is_signed : bool
         Whether the target signed the answer.
     is_not_run : bool
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -158,6 +158,8 @@
             head = self.protocol.read_head(
                 response.status, response.response.getheaders()
             )
+            # First of all: an answer to another request says nothing about this one.
+            _check_request(call, head, response)
             answer = TargetAnswer(option, head, response, sent_at, use)
             self._note_pause(option.target.id, head)
             if head.is_not_run:
@@ -170,11 +172,6 @@
                     f"status {head.status} doesn't confirm that the request hasn't run",
                     is_sent=True,
                 )
-            if head.request and head.request != call.request.id:
-                raise TargetError(
-                    f"answer to request {head.request} instead of {call.request.id}",
-                    is_sent=True,
-                )
             if head.status < 300 and not head.is_signed:
                 raise TargetError(
                     f"status {head.status} without a signature", is_sent=True
@@ -271,6 +268,20 @@
         self.work.end(answer.use)
 
 
+def _check_request(call: Call, head: AnswerHead, response: TargetResponse) -> None:
+    """Raise an error unless an answer belongs to the request."""
+    if head.request == call.request.id:
+        return
+    if head.request:
+        raise TargetError(
+            f"answer to request {head.request} instead of {call.request.id}",
+            is_sent=True,
+        )
+    # It may be an extra answer to an earlier request on the connection.
+    if response.is_reused:
+        raise TargetError("answer on a kept connection names no request", is_sent=True)
+
+
 def _check_stream_end(call: Call, splitter: EventSplitter) -> None:
     # The end of a connection, which may end an answer, says nothing about the stream.
     if splitter.is_inside_event:
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -71,6 +71,9 @@
         Socket of the connection, kept here because `connection` drops it if the target
         will close the connection.
     response : http.client.HTTPResponse
+    is_reused : bool
+        Whether the connection carried other calls before, whose extra answers may be
+        taken for this one.
     """
 
     def __init__(
@@ -79,11 +82,14 @@
         connection: http.client.HTTPConnection,
         sock: BoundedSocket,
         response: http.client.HTTPResponse,
+        *,
+        is_reused: bool,
     ) -> None:
         self.call = call
         self.connection = connection
         self.sock = sock
         self.response = response
+        self.is_reused = is_reused
         self.status = response.status
         self.framing = _read_framing(response)
         self.needs_blocking_read = False
@@ -318,13 +324,14 @@
     """
     idle_limit_s = float("inf") if may_reuse else UNREPEATABLE_IDLE_LIMIT_S
     connection = _connections.pop(call.address, idle_limit_s=idle_limit_s)
+    is_reused = connection is not None
     if connection is None:
         connection = _connect(call)
     sock = cast(BoundedSocket, connection.sock)
     if on_connected is not None:
         on_connected(sock.abort)
     try:
-        return _send(call, connection, sock)
+        return _send(call, connection, sock, is_reused=is_reused)
     except (OSError, http.client.HTTPException) as error:
         connection.close()
         raise _build_error("no answer", error) from error
@@ -366,12 +373,17 @@
 
 
 def _send(
-    call: TargetCall, connection: http.client.HTTPConnection, sock: BoundedSocket
+    call: TargetCall,
+    connection: http.client.HTTPConnection,
+    sock: BoundedSocket,
+    *,
+    is_reused: bool,
 ) -> TargetResponse:
     sock.settimeout(call.timeout_s)
     sock.bound_reads(call.timeout_s)
     body = call.body or None
     connection.request(call.method, call.path, body, call.headers)
-    response = TargetResponse(call, connection, sock, connection.getresponse())
+    answer = connection.getresponse()
+    response = TargetResponse(call, connection, sock, answer, is_reused=is_reused)
     response.bound_reads(float("inf"))
     return response
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's store and servers, on the loopback interface."""
 
 import base64
+import io
 import json
 import struct
 import threading
@@ -174,10 +175,13 @@
 
     Each request consumes a step of `plan`, which names the failure of its answer; an
     empty step is an answer without a failure. "shed" refuses the request without
-    running it, "pause S" does so and asks for a pause of S seconds, "crossed" names
-    another request in the answer, "cut", "cut-stream" and "cut-unframed" end the answer
-    too early, the last one a stream without chunks, and "reset" closes the connection
-    without an answer. "unframed" is a whole stream without chunks.
+    running it, "shed STATUS" with a status other than 503, and "pause S" asks for a
+    pause of S seconds too; with `names_no_request`, refusals lack the request's id.
+    "stale" writes the connection's latest refusal once more and then runs the request.
+    "crossed" names another request in the answer, "cut", "cut-stream" and
+    "cut-unframed" end the answer too early, the last one a stream without chunks, and
+    "reset" closes the connection without an answer. "unframed" is a whole stream
+    without chunks.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
@@ -198,6 +202,7 @@
         self.pause_s = 0.0
         self.crash_part = ""
         self.announces_leaving = False
+        self.names_no_request = False
         self.crashed = threading.Event()
         self.starts = 1
         self.lock = threading.Lock()
@@ -273,22 +278,20 @@
         request_id = headers.get("Thornlatch-Request-Id", "")
         expected = headers.get("Thornlatch-Expect-Instance")
         adapter = headers.get("Thornlatch-Model", "").partition("/")[2]
+        if step == "stale":
+            handler.wfile.write(handler.refusal)
+            step = ""
         if expected != self.name or (adapter and adapter not in self.adapters):
-            handler.send(
-                421,
-                Thornlatch_Instance_Id=self.name,
-                Thornlatch_Not_Executed="1",
-            )
+            self.refuse(handler, 421, Thornlatch_Instance_Id=self.name)
             return
         signature = {
             "Thornlatch_Request_Id": "other" if step == "crossed" else request_id,
             "Thornlatch_Server_Signature": f"sig-{self.name}",
         }
-        if step == "shed":
-            handler.send(503, Thornlatch_Not_Executed="1")
+        if step.startswith("shed"):
+            self.refuse(handler, int(step.partition(" ")[2] or 503))
         elif step.startswith("pause"):
-            pause = step.partition(" ")[2]
-            handler.send(503, Thornlatch_Not_Executed="1", Retry_After=pause)
+            self.refuse(handler, 503, Retry_After=step.partition(" ")[2])
         elif step == "unconfirmed-503":
             handler.send(503)
         elif step == "error":
@@ -311,6 +314,15 @@
         else:
             handler.send(200, b"answer of " + self.name.encode(), **signature)
 
+    def refuse(self, handler, status, **headers):
+        if not self.names_no_request:
+            headers["Thornlatch_Request_Id"] = handler.headers["Thornlatch-Request-Id"]
+        output, handler.wfile = handler.wfile, io.BytesIO()
+        handler.send(status, Thornlatch_Not_Executed="1", **headers)
+        handler.refusal = handler.wfile.getvalue()
+        handler.wfile = output
+        output.write(handler.refusal)
+
     def stream(self, handler, headers, signature, step):
         handler.send_response(200)
         for name, value in signature.items():
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -156,6 +156,52 @@
     assert body == b"answer of " + name.encode()
 
 
+REFUSALS = ["shed 503", "shed 421", "shed 429"]
+
+
+def refuse_twice(servers, refusal, *, names_request=True):
+    """Let one server write a refusal once more as an answer to the next request."""
+    plan = [refusal, refusal, "stale"]
+    for name in ("api-1", "api-2"):
+        servers[name].plan = plan
+        servers[name].names_no_request = not names_request
+
+
+@pytest.mark.parametrize("names_request", [True, False])
+@pytest.mark.parametrize("refusal", REFUSALS)
+def test_refusal_of_an_earlier_request_is_not_believed(
+    deployment, refusal, names_request
+):
+    """Its caller was told that the request hasn't run, or it ran twice."""
+    _, servers, host = deployment
+    refuse_twice(servers, refusal, names_request=names_request)
+    assert host.call("/once/x")[0].status == 503
+    assert count_requests(servers, "api") == 2
+    assert host.call("/once/x")[0].status == 502
+    assert count_requests(servers, "api") == 3
+
+
+@pytest.mark.parametrize("refusal", REFUSALS)
+def test_idempotent_request_is_sent_again_after_an_earlier_one_s_refusal(
+    deployment, refusal
+):
+    _, servers, host = deployment
+    refuse_twice(servers, refusal)
+    assert host.call("/many/x")[0].status == 503
+    assert host.call("/many/x")[0].status == 200
+    assert count_requests(servers, "api") == 4
+    assert len(host.list_events("request.send_failed")) == 1
+
+
+@pytest.mark.parametrize("names_request", [True, False])
+def test_refusal_on_a_new_connection_is_believed(deployment, names_request):
+    _, servers, host = deployment
+    refuse_twice(servers, "shed", names_request=names_request)
+    response, _ = host.call("/once/x")
+    assert response.status == 503
+    assert not host.list_events("request.send_failed")
+
+
 def test_adapter_is_loaded_for_its_first_request(deployment):
     _, servers, host = deployment
     response, body = host.call(
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -216,7 +216,10 @@
         )
         if not (is_known and is_addressed):
             handler.send(
-                421, Thornlatch_Instance_Id=self.name, Thornlatch_Not_Executed="1"
+                421,
+                Thornlatch_Request_Id=request,
+                Thornlatch_Instance_Id=self.name,
+                Thornlatch_Not_Executed="1",
             )
             return
         signature_headers = {
