--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -9,6 +9,7 @@
     "ConfigurationConflict",
     "ErrorKind",
     "Execution",
+    "ForeignAnswer",
     "InvalidInput",
     "RequestRefused",
     "SettingsError",
@@ -275,3 +276,16 @@
         self.is_sent = is_sent
         self.status = status
         self.is_connection_lost = is_connection_lost
+
+
+class ForeignAnswer(TargetError):
+    """Raised when the answer to a call belongs to another one.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, is_sent=True)
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -5,7 +5,7 @@
 import logbook
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import RequestRefused, TargetError
+from thornlatch.exceptions import ForeignAnswer, RequestRefused, TargetError
 from thornlatch.fleet import Target
 from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._call import Call, GatewayAnswer, TargetAnswer, build_failure
@@ -296,7 +296,8 @@
         avoided_s = 0.0
         if call.running.stop_reason is None:
             now = read_clock()
-            if error.is_sent:
+            # A crashed target writes no answer, not even a foreign one.
+            if error.is_sent and not isinstance(error, ForeignAnswer):
                 self.suspects.note_aborted_run(call.fingerprint, target, now=now)
             if error.is_connection_lost:
                 self.suspects.parts.note_aborted_run(
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -5,7 +5,7 @@
 import logbook
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import TargetError
+from thornlatch.exceptions import ForeignAnswer, TargetError
 from thornlatch.gateway._call import (
     MIN_SEND_BUDGET_S,
     Call,
@@ -273,13 +273,12 @@
     if head.request == call.request.id:
         return
     if head.request:
-        raise TargetError(
-            f"answer to request {head.request} instead of {call.request.id}",
-            is_sent=True,
+        raise ForeignAnswer(
+            f"answer to request {head.request} instead of {call.request.id}"
         )
     # It may be an extra answer to an earlier request on the connection.
     if response.is_reused:
-        raise TargetError("answer on a kept connection names no request", is_sent=True)
+        raise ForeignAnswer("answer on a kept connection names no request")
 
 
 def _check_stream_end(call: Call, splitter: EventSplitter) -> None:
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -5,7 +5,13 @@
 import pytest
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import ANSWERS, Execution, RequestRefused, TargetError
+from thornlatch.exceptions import (
+    ANSWERS,
+    Execution,
+    ForeignAnswer,
+    RequestRefused,
+    TargetError,
+)
 from thornlatch.fleet import RegistrySettings, Target, TargetRegistry
 from thornlatch.gateway import AnswerHead, CallerRequest, GatewayMetrics
 from thornlatch.gateway._admission import Admission
@@ -140,6 +146,26 @@
         forwarder._check_may_send(build_call(is_in_retry_budget=True, tries=6))
 
 
+@pytest.mark.parametrize(
+    ("error", "crashes"),
+    [
+        (TargetError("no answer", is_sent=True), 1),
+        (ForeignAnswer("answer to request 2 instead of 1"), 0),
+    ],
+)
+def test_answer_to_another_request_isn_t_a_suspected_crash(error, crashes):
+    forwarder = build_forwarder(
+        health=TargetHealth(ForwardingSettings()),
+        suspects=build_suspects(),
+        metrics=GatewayMetrics(),
+    )
+    call = build_call()
+    target = Target("t", "s", "1.2.3.4:5", "z", 8)
+    forwarder._note_failed_send(call, target, error)
+    assert forwarder.suspects.count_crashes(call.fingerprint) == crashes
+    assert call.may_have_run
+
+
 def test_aborted_stream_that_can_t_be_resumed_is_subtracted_once():
     """Subtracted twice, it would make the next stream at its target fail."""
     work = WorkTable()
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -178,10 +178,11 @@
     running it, "shed STATUS" with a status other than 503, and "pause S" asks for a
     pause of S seconds too; with `names_no_request`, refusals lack the request's id.
     "stale" writes the connection's latest refusal once more and then runs the request.
-    "crossed" names another request in the answer, "cut", "cut-stream" and
-    "cut-unframed" end the answer too early, the last one a stream without chunks, and
-    "reset" closes the connection without an answer. "unframed" is a whole stream
-    without chunks.
+    "foreign STATUS" answers as a refusal of another request that asks for a pause and
+    announces the server's leaving. "crossed" names another request in the answer,
+    "cut", "cut-stream" and "cut-unframed" end the answer too early, the last one a
+    stream without chunks, and "reset" closes the connection without an answer.
+    "unframed" is a whole stream without chunks.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
@@ -279,8 +280,19 @@
         expected = headers.get("Thornlatch-Expect-Instance")
         adapter = headers.get("Thornlatch-Model", "").partition("/")[2]
         if step == "stale":
-            handler.wfile.write(handler.refusal)
+            handler.wfile.write(getattr(handler, "refusal", b""))
             step = ""
+        if step.startswith("foreign"):
+            handler.send(
+                int(step.partition(" ")[2]),
+                Thornlatch_Request_Id="other",
+                Thornlatch_Not_Executed="1",
+                Thornlatch_Instance_Id=self.name,
+                Thornlatch_Server_Load="8,90,8",
+                Server_Leaving="1",
+                Retry_After="30",
+            )
+            return
         if expected != self.name or (adapter and adapter not in self.adapters):
             self.refuse(handler, 421, Thornlatch_Instance_Id=self.name)
             return
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -156,13 +156,14 @@
     assert body == b"answer of " + name.encode()
 
 
+PLAIN_SERVERS = ("api-1", "api-2")
 REFUSALS = ["shed 503", "shed 421", "shed 429"]
 
 
 def refuse_twice(servers, refusal, *, names_request=True):
     """Let one server write a refusal once more as an answer to the next request."""
     plan = [refusal, refusal, "stale"]
-    for name in ("api-1", "api-2"):
+    for name in PLAIN_SERVERS:
         servers[name].plan = plan
         servers[name].names_no_request = not names_request
 
@@ -202,6 +203,42 @@
     assert not host.list_events("request.send_failed")
 
 
+@pytest.mark.parametrize("status", [200, 421, 429, 503])
+def test_answer_to_another_request_changes_nothing_known_of_the_target(
+    deployment, status
+):
+    """Targets were left alone for a pause that another request had been told."""
+    _, servers, host = deployment
+    servers["api-1"].plan = servers["api-2"].plan = [f"foreign {status}"]
+    assert host.call("/once/x")[0].status == 502
+    for name in ("pause_requested", "leaving_announced"):
+        assert not host.list_events(f"target.{name}")
+    assert not host.list_events("request.rejected_by_target")
+    wait_until(lambda: host.call("/many/x")[0].status == 200)
+    wait_until(
+        lambda: host.call("/many/x") and all(servers[n].requests for n in PLAIN_SERVERS)
+    )
+
+
+@pytest.mark.parametrize("status", [421, 503])
+def test_answer_to_another_request_changes_nothing_known_of_adapters(
+    deployment, status
+):
+    """It was ordered again, and requests for it were held back."""
+    _, servers, host = deployment
+    headers = {"Thornlatch_Model": "m/a7", "Thornlatch_Token_Usage": "10,20"}
+    assert host.call("/llm/x", **headers)[0].status == 200
+    engines = [servers["llm-1"], servers["llm-2"]]
+    holder = next(engine for engine in engines if engine.adapters)
+    order_count = len(holder.orders)
+    holder.plan = [f"foreign {status}"]
+    host.call("/llm/x", **headers)
+    assert not holder.plan
+    assert len(holder.orders) == order_count
+    assert not host.list_events("request.rejected_by_target")
+    assert not host.list_events("target.leaving_announced")
+
+
 def test_adapter_is_loaded_for_its_first_request(deployment):
     _, servers, host = deployment
     response, body = host.call(
