Send a request again only on a new connection to its target

A request that a target refused may return to it, after a pause or once its adapter is loaded, with the same id. If the target writes the first refusal once more on the kept connection, the id can't tell it from the answer to the second send: the host believed "not run", sent the request to a second target, and both ran it.

The call now remembers the addresses that it was sent to and uses a new connection for a repeated send, on which no earlier answer can arrive. What open_call may reuse is an enumeration instead of a flag for that.

Evidence: the new test (two pauses, then the first refusal once more) counted 4 sends before, 3 now, and the caller gets 200.

--- a/src/thornlatch/daemon/_plain.py
+++ b/src/thornlatch/daemon/_plain.py
@@ -16,7 +16,7 @@
 from thornlatch.dispatch import Grant, Outcome, Priority, RequestSpec
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
 from thornlatch.requests import AttemptFailed, RecordedAnswer
-from thornlatch.targets import TargetCall, TargetResponse, open_call
+from thornlatch.targets import Reuse, TargetCall, TargetResponse, open_call
 
 ANSWER_LIMIT_BYTES = 8 << 20
 
@@ -198,9 +198,8 @@
 
     def _open(self, grant: Grant, claim: str) -> TargetResponse:
         try:
-            return open_call(
-                self._build_call(grant), may_reuse=self.request.route.is_idempotent
-            )
+            reuse = Reuse.ANY if self.request.route.is_idempotent else Reuse.RECENT
+            return open_call(self._build_call(grant), reuse=reuse)
         except TargetError as error:
             if claim and not error.is_sent:
                 claims = self.slice_client.host_slices.claims
--- a/src/thornlatch/daemon/tests/test_relay.py
+++ b/src/thornlatch/daemon/tests/test_relay.py
@@ -11,7 +11,7 @@
 from thornlatch.daemon import _relay
 from thornlatch.daemon._relay import StreamRelay, send_arrived
 from thornlatch.exceptions import TargetError
-from thornlatch.targets import ChunkReader, TargetCall, open_call
+from thornlatch.targets import ChunkReader, Reuse, TargetCall, open_call
 
 HEAD = b"HTTP/1.1 200 OK\r\n"
 CHUNKED = HEAD + b"Transfer-Encoding: chunked\r\n\r\n"
@@ -27,7 +27,7 @@
             host, port = server.getsockname()
             call = TargetCall(f"{host}:{port}", "POST", "/", timeout_s=timeout_s)
             with ThreadPoolExecutor(1) as executor:
-                opening = executor.submit(open_call, call, may_reuse=False)
+                opening = executor.submit(open_call, call, reuse=Reuse.RECENT)
                 self.sock, _ = server.accept()
                 self.sock.sendall(head)
                 self.response = opening.result(WAIT_S)
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -59,6 +59,8 @@
     tries, sends, runs : int
         Attempts to reach a target, those of them that reached it or may have, and
         those of the latter that ran or may have run.
+    addresses : set of str
+        Addresses of targets to which the request was sent.
     may_have_run : bool
         Whether a target ran the request or may have run it.
     is_in_retry_budget : bool
@@ -103,6 +105,7 @@
     tries: int = 0
     sends: int = 0
     runs: int = 0
+    addresses: set[str] = field(default_factory=set)
     may_have_run: bool = False
     is_in_retry_budget: bool = False
     excluded: set[str] = field(default_factory=set)
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -20,7 +20,7 @@
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
 from thornlatch.routing import CallKind
-from thornlatch.targets import TargetCall, TargetResponse, open_call
+from thornlatch.targets import Reuse, TargetCall, TargetResponse, open_call
 
 logger = logbook.Logger("thornlatch.gateway")
 
@@ -133,7 +133,7 @@
         try:
             response = open_call(
                 target_call,
-                may_reuse=call.route.may_repeat,
+                reuse=_choose_reuse(call, target_call.address),
                 on_connected=call.running.set_abort,
             )
         except TargetError as error:
@@ -141,6 +141,8 @@
             # Nothing reaches the target if it refuses the connection.
             call.sends += error.is_sent
             raise
+        finally:
+            call.addresses.add(target_call.address)
         call.sends += 1
         call.framing = response.framing.value
         return response
@@ -268,6 +270,13 @@
         self.work.end(answer.use)
 
 
+def _choose_reuse(call: Call, address: str) -> Reuse:
+    # The id doesn't tell the answer from an extra one to the earlier send.
+    if address in call.addresses:
+        return Reuse.NONE
+    return Reuse.ANY if call.route.may_repeat else Reuse.RECENT
+
+
 def _check_request(call: Call, head: AnswerHead, response: TargetResponse) -> None:
     """Raise an error unless an answer belongs to the request."""
     if head.request == call.request.id:
--- a/src/thornlatch/targets/__init__.py
+++ b/src/thornlatch/targets/__init__.py
@@ -1,6 +1,12 @@
 """Clients of the targets, which are engines and plain services."""
 
-from thornlatch.targets._calls import Framing, TargetCall, TargetResponse, open_call
+from thornlatch.targets._calls import (
+    Framing,
+    Reuse,
+    TargetCall,
+    TargetResponse,
+    open_call,
+)
 from thornlatch.targets._engine import (
     ChunkReader,
     CompletionChunk,
@@ -14,6 +20,7 @@
     "ChunkReader",
     "CompletionChunk",
     "Framing",
+    "Reuse",
     "TargetCall",
     "TargetResponse",
     "evict_adapter",
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -60,6 +60,18 @@
     CLOSE = "close"
 
 
+class Reuse(Enum):
+    """Which kept connections a call may be sent on, besides a new one.
+
+    The target may close an idle connection as the call is sent, which leaves its
+    outcome unknown, and an extra answer to an earlier call may be taken for its own.
+    """
+
+    ANY = "any"
+    RECENT = "recent"  # those idle for less than `UNREPEATABLE_IDLE_LIMIT_S`
+    NONE = "none"
+
+
 class TargetResponse:
     """An answer of a target that is being read; other threads may abort it.
 
@@ -264,9 +276,11 @@
         self.lock = threading.Lock()
         self.idle: dict[str, list[_IdleConnection]] = {}
 
-    def pop(
-        self, address: str, *, idle_limit_s: float = float("inf")
-    ) -> http.client.HTTPConnection | None:
+    def pop(self, address: str, reuse: Reuse) -> http.client.HTTPConnection | None:
+        if reuse is Reuse.NONE:
+            return None
+        is_any = reuse is Reuse.ANY
+        idle_limit_s = float("inf") if is_any else UNREPEATABLE_IDLE_LIMIT_S
         while True:
             with self.lock:
                 idle = self.idle.get(address)
@@ -296,7 +310,7 @@
 def open_call(
     call: TargetCall,
     *,
-    may_reuse: bool = True,
+    reuse: Reuse = Reuse.ANY,
     on_connected: Callable[[Callable[[], None]], None] | None = None,
 ) -> TargetResponse:
     """Send a call and wait for the headers of its answer.
@@ -304,10 +318,7 @@
     Parameters
     ----------
     call : TargetCall
-    may_reuse : bool
-        Whether any idle connection may be reused. The target may close an idle
-        connection as the call is sent, which leaves the outcome unknown, so calls that
-        may not be repeated reuse none that was idle for `UNREPEATABLE_IDLE_LIMIT_S`.
+    reuse : Reuse
     on_connected : callable or None
         Called before the call is sent, with a callable by which another thread can
         abort it while its answer is awaited.
@@ -322,8 +333,7 @@
         If the target can't be reached or doesn't answer; `is_sent` tells whether it may
         have received the call.
     """
-    idle_limit_s = float("inf") if may_reuse else UNREPEATABLE_IDLE_LIMIT_S
-    connection = _connections.pop(call.address, idle_limit_s=idle_limit_s)
+    connection = _connections.pop(call.address, reuse)
     is_reused = connection is not None
     if connection is None:
         connection = _connect(call)
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -8,7 +8,7 @@
 import msgspec
 
 from thornlatch.exceptions import TargetError
-from thornlatch.targets._calls import TargetCall, TargetResponse, open_call
+from thornlatch.targets._calls import Reuse, TargetCall, TargetResponse, open_call
 
 REPORT_LIMIT_BYTES = 4 << 20
 EVENT_LIMIT_BYTES = 1 << 20
@@ -235,7 +235,7 @@
     call = TargetCall(
         address, "POST", path, json.dumps(body).encode(), headers, timeout_s
     )
-    response = open_call(call, may_reuse=False)
+    response = open_call(call, reuse=Reuse.RECENT)
     try:
         response.read_all(REPORT_LIMIT_BYTES, within_s=timeout_s)
     finally:
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -239,6 +239,17 @@
     assert not host.list_events("target.leaving_announced")
 
 
+def test_refusal_that_is_written_again_for_the_same_request_is_not_believed(
+    deployment,
+):
+    """The id can't tell it from the refusal of the second send."""
+    _, servers, host = deployment
+    plan = ["pause 0.3", "pause 0.3", "stale"]
+    servers["api-1"].plan = servers["api-2"].plan = plan
+    assert host.call("/once/x")[0].status == 200
+    assert count_requests(servers, "api") == 3
+
+
 def test_adapter_is_loaded_for_its_first_request(deployment):
     _, servers, host = deployment
     response, body = host.call(
