Stop reading what has arrived at the end of the answer

If a target sends bytes after an answer with a length, read_arrived read the rest of length 0 over and over, since only the number of bytes that had arrived ended its loop: the daemon's relay thread, which forwards all streams, stood still at full load. It now ends when the answer has no bytes left; read_some then finds the end of the body.

--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -162,7 +162,7 @@
 
         Sets `needs_blocking_read` if only `read_some`, which blocks, can continue. That
         is so if a chunk's size line is incomplete, has no data after it yet or belongs
-        to the last chunk.
+        to the last chunk, and if more bytes follow the end of the answer.
 
         Returns
         -------
@@ -189,6 +189,9 @@
                         break
                     position = size_line_end
                 data = response.read1(READ_BYTES)
+                if not data:
+                    # The rest comes after the end of the answer.
+                    break
                 parts.append(data)
                 position += len(data)
                 position += self._read_chunk_end(arrived, position)
