Close a connection on which bytes follow a whole answer

Bytes after an answer belong to no request. Those that the answer's buffer had read were dropped with it and the connection was kept; if they were the first part of an extra answer, its rest was read as the head of the next answer, and a request that may not be repeated failed.

The buffer and the socket are looked at, without waiting, as the last byte of an answer has been read; will_close is set if anything is there. TargetResponse and the store's client closed such connections already; read_answer does so now for the log and the host list. Bytes that come later were found before, as an idle connection to a target is used only if nothing can be read from it; bytes that come after the next request was sent are told by its id.

The cost of the look wasn't measured.

--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -59,10 +59,24 @@
 
 
 class _LineReader:
-    """Rejects lines that are cut off, which `http.client` takes for whole."""
+    """Rejects lines that are cut off, which `http.client` takes for whole.
 
-    def __init__(self, file: Any) -> None:
+    Parameters
+    ----------
+    file : io.BufferedReader
+    sock : socket.socket
+        Connection that `file` reads.
+
+    Attributes
+    ----------
+    has_extra_bytes : bool
+        Whether bytes had arrived after the answer as its last byte was read.
+    """
+
+    def __init__(self, file: Any, sock: socket.socket) -> None:
         self.file = file
+        self.sock = sock
+        self.has_extra_bytes = False
         self.is_in_head = True
         self.has_begun = False
 
@@ -77,19 +91,49 @@
         self.has_begun = True
         return line
 
+    def close(self) -> None:
+        # What the buffer holds beyond the answer is lost with it.
+        self.has_extra_bytes = self._has_more()
+        self.file.close()
+
+    def _has_more(self) -> bool:
+        try:
+            timeout_s = self.sock.gettimeout()
+            self.sock.settimeout(0.0)
+            try:
+                return bool(self.file.peek(1))
+            finally:
+                self.sock.settimeout(timeout_s)
+        except (OSError, ValueError):
+            return False
+
     def __getattr__(self, name: str) -> Any:
         return getattr(self.file, name)
 
 
 class _Response(http.client.HTTPResponse):
-    """An answer whose head must be complete."""
+    """An answer whose head must be complete.
+
+    Its connection is to be closed if bytes follow the answer, as they belong to no
+    request.
+    """
+
+    def __init__(self, sock: socket.socket, *args: Any, **kwargs: Any) -> None:
+        super().__init__(sock, *args, **kwargs)
+        self.sock = sock
 
     def begin(self) -> None:
-        reader = _LineReader(self.fp)
+        reader = _LineReader(self.fp, self.sock)
         self.fp = cast(Any, reader)
         super().begin()
         reader.is_in_head = False
 
+    def _close_conn(self) -> None:
+        reader = self.fp
+        cast(Any, super())._close_conn()
+        if getattr(reader, "has_extra_bytes", False):
+            self.will_close = True
+
 
 def connect(address: str, *, timeout_s: float) -> http.client.HTTPConnection:
     """Open a connection whose `sock` is a `BoundedSocket`.
@@ -139,7 +183,8 @@
     Returns
     -------
     (http.client.HTTPResponse, bytes)
-        The answer and its body.
+        The answer and its body. The connection is closed, its `sock` None, if it can't
+        be used for another request.
 
     Raises
     ------
@@ -156,4 +201,6 @@
     data = response.read(limit + 1)
     if len(data) > limit or response.length:
         raise http.client.HTTPException(f"the answer is over {limit} bytes or cut off")
+    if response.will_close:
+        connection.close()
     return response, data
--- a/src/thornlatch/targets/tests/test_extra_answers.py
+++ b/src/thornlatch/targets/tests/test_extra_answers.py
@@ -1,11 +1,13 @@
-"""Bytes after a whole answer."""
+"""Bytes after a whole answer: their connection isn't used again."""
 
 import socket
 import threading
 
 import pytest
 
-from thornlatch.targets import TargetCall, open_call
+from thornlatch.core import connect, read_answer
+from thornlatch.exceptions import TargetError
+from thornlatch.targets import TargetCall, _calls, open_call
 
 LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -67,6 +69,18 @@
     response.read_all(1 << 16)
 
 
+def read_piecewise(response):
+    while response.read_some():
+        pass
+
+
+def read_arrived(response):
+    response.set_blocking(is_blocking=False)
+    response.read_arrived()
+    response.set_blocking(is_blocking=True)
+    read_piecewise(response)
+
+
 def call(target, read):
     response = open_call(TargetCall(target.address, "GET", "/", timeout_s=5.0))
     read(response)
@@ -94,3 +108,41 @@
         data += piece
     assert data in (b"first", b"")
     response.close()
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("read", [read_whole, read_piecewise, read_arrived])
+@pytest.mark.parametrize("extra", EXTRAS)
+def test_connection_with_bytes_after_an_answer_is_closed(target, read, extra):
+    """They were dropped with the answer's buffer, and the rest was read as a head."""
+    target.extra = EXTRAS[extra]
+    assert not call(target, read).is_reused
+    assert not _calls._connections.idle.get(target.address)
+    assert not call(target, read).is_reused
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("extra", EXTRAS)
+def test_connection_with_bytes_that_came_while_idle_is_closed(target, extra):
+    call(target, read_whole)
+    target.connections[0].sendall(EXTRAS[extra])
+    assert not call(target, read_whole).is_reused
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("extra", [*EXTRAS.values(), b""], ids=[*EXTRAS, "nothing"])
+def test_connection_of_read_answer_with_extra_bytes_is_closed(target, extra):
+    target.extra = extra
+    connection = connect(target.address, timeout_s=5.0)
+    connection.request("GET", "/")
+    read_answer(connection, head_s=5.0, body_s=5.0, limit=100)
+    assert (connection.sock is None) == bool(extra)
+    connection.close()
+
+
+@pytest.mark.timeout(30)
+def test_answer_that_can_t_be_read_closes_its_connection(target):
+    target.answer = b"no answer\r\n"
+    with pytest.raises(TargetError):
+        call(target, read_whole)
+    assert not _calls._connections.idle.get(target.address)
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -177,12 +177,13 @@
     empty step is an answer without a failure. "shed" refuses the request without
     running it, "shed STATUS" with a status other than 503, and "pause S" asks for a
     pause of S seconds too; with `names_no_request`, refusals lack the request's id.
-    "stale" writes the connection's latest refusal once more and then runs the request.
-    "foreign STATUS" answers as a refusal of another request that asks for a pause and
-    announces the server's leaving. "crossed" names another request in the answer,
-    "cut", "cut-stream" and "cut-unframed" end the answer too early, the last one a
-    stream without chunks, and "reset" closes the connection without an answer.
-    "unframed" is a whole stream without chunks.
+    "twice S" writes a refusal once more after S seconds, and "stale" writes the
+    connection's latest refusal once more and then runs the request. "foreign STATUS"
+    answers as a refusal of another request that asks for a pause and announces the
+    server's leaving. "crossed" names another request in the answer, "cut",
+    "cut-stream" and "cut-unframed" end the answer too early, the last one a stream
+    without chunks, and "reset" closes the connection without an answer. "unframed" is
+    a whole stream without chunks.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
@@ -302,6 +303,10 @@
         }
         if step.startswith("shed"):
             self.refuse(handler, int(step.partition(" ")[2] or 503))
+        elif step.startswith("twice"):
+            self.refuse(handler, 503)
+            time.sleep(float(step.partition(" ")[2]))
+            handler.wfile.write(handler.refusal)
         elif step.startswith("pause"):
             self.refuse(handler, 503, Retry_After=step.partition(" ")[2])
         elif step == "unconfirmed-503":
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -203,6 +203,17 @@
     assert not host.list_events("request.send_failed")
 
 
+@pytest.mark.parametrize("delay_s", [0, 0.05])
+def test_request_isn_t_sent_where_a_refusal_was_written_twice(deployment, delay_s):
+    _, servers, host = deployment
+    servers["api-1"].plan = servers["api-2"].plan = [f"twice {delay_s}"] * 2
+    assert host.call("/once/x")[0].status == 503
+    time.sleep(2 * delay_s)
+    assert host.call("/once/x")[0].status == 200
+    assert count_requests(servers, "api") == 3
+    assert not host.list_events("request.send_failed")
+
+
 @pytest.mark.parametrize("status", [200, 421, 429, 503])
 def test_answer_to_another_request_changes_nothing_known_of_the_target(
     deployment, status
