--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -7,7 +7,7 @@
 import logbook
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import TargetError
+from thornlatch.exceptions import ForeignAnswer, TargetError
 from thornlatch.gateway._call import (
     MIN_SEND_BUDGET_S,
     Call,
@@ -22,7 +22,7 @@
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
 from thornlatch.routing import CallKind
-from thornlatch.targets import TargetCall, TargetResponse, open_call
+from thornlatch.targets import Reuse, TargetCall, TargetResponse, open_call
 
 logger = logbook.Logger("thornlatch.gateway")
 
@@ -147,7 +147,7 @@
         try:
             response = open_call(
                 target_call,
-                may_reuse=call.route.may_repeat,
+                reuse=_choose_reuse(call, target_call.address),
                 on_connected=call.running.set_abort,
                 extend_reads=extend_reads,
             )
@@ -156,6 +156,8 @@
             # Nothing reaches the target if it refuses the connection.
             call.sends += error.is_sent
             raise
+        finally:
+            call.addresses.add(target_call.address)
         call.sends += 1
         call.framing = response.framing.value
         return response
@@ -173,6 +175,8 @@
             head = self.protocol.read_head(
                 response.status, response.response.getheaders()
             )
+            # First of all: an answer to another request says nothing about this one.
+            _check_request(call, head, response)
             answer = TargetAnswer(option, head, response, sent_at, use)
             self._note_pause(option.target.id, head)
             if head.is_not_run:
@@ -185,11 +189,6 @@
                     f"status {head.status} doesn't confirm that the request hasn't run",
                     is_sent=True,
                 )
-            if head.request and head.request != call.request.id:
-                raise TargetError(
-                    f"answer to request {head.request} instead of {call.request.id}",
-                    is_sent=True,
-                )
             if head.status < 300 and not head.is_signed:
                 raise TargetError(
                     f"status {head.status} without a signature", is_sent=True
@@ -288,6 +287,26 @@
         self.work.end(answer.use)
 
 
+def _choose_reuse(call: Call, address: str) -> Reuse:
+    # The id doesn't tell the answer from an extra one to the earlier send.
+    if address in call.addresses:
+        return Reuse.NONE
+    return Reuse.ANY if call.route.may_repeat else Reuse.RECENT
+
+
+def _check_request(call: Call, head: AnswerHead, response: TargetResponse) -> None:
+    """Raise an error unless an answer belongs to the request."""
+    if head.request == call.request.id:
+        return
+    if head.request:
+        raise ForeignAnswer(
+            f"answer to request {head.request} instead of {call.request.id}"
+        )
+    # It may be an extra answer to an earlier request on the connection.
+    if response.is_reused:
+        raise ForeignAnswer("answer on a kept connection names no request")
+
+
 def _check_stream_end(call: Call, splitter: EventSplitter) -> None:
     # The end of a connection, which may end an answer, says nothing about the stream.
     if splitter.is_inside_event:
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -60,6 +60,18 @@
     CLOSE = "close"
 
 
+class Reuse(Enum):
+    """Which kept connections a call may be sent on, besides a new one.
+
+    The target may close an idle connection as the call is sent, which leaves its
+    outcome unknown, and an extra answer to an earlier call may be taken for its own.
+    """
+
+    ANY = "any"
+    RECENT = "recent"  # those idle for less than `UNREPEATABLE_IDLE_LIMIT_S`
+    NONE = "none"
+
+
 class TargetResponse:
     """An answer of a target that is being read; other threads may abort it.
 
@@ -71,6 +83,9 @@
         Socket of the connection, kept here because `connection` drops it if the target
         will close the connection.
     response : http.client.HTTPResponse
+    is_reused : bool
+        Whether the connection carried other calls before, whose extra answers may be
+        taken for this one.
     """
 
     def __init__(
@@ -79,11 +94,14 @@
         connection: http.client.HTTPConnection,
         sock: BoundedSocket,
         response: http.client.HTTPResponse,
+        *,
+        is_reused: bool,
     ) -> None:
         self.call = call
         self.connection = connection
         self.sock = sock
         self.response = response
+        self.is_reused = is_reused
         self.status = response.status
         self.framing = _read_framing(response)
         self.needs_blocking_read = False
@@ -144,7 +162,7 @@
 
         Sets `needs_blocking_read` if only `read_some`, which blocks, can continue. That
         is so if a chunk's size line is incomplete, has no data after it yet or belongs
-        to the last chunk.
+        to the last chunk, and if more bytes follow the end of the answer.
 
         Returns
         -------
@@ -171,6 +189,9 @@
                         break
                     position = size_line_end
                 data = response.read1(READ_BYTES)
+                if not data:
+                    # The rest comes after the end of the answer.
+                    break
                 parts.append(data)
                 position += len(data)
                 position += self._read_chunk_end(arrived, position)
@@ -259,9 +280,11 @@
         self.lock = threading.Lock()
         self.idle: dict[str, list[_IdleConnection]] = {}
 
-    def pop(
-        self, address: str, *, idle_limit_s: float = float("inf")
-    ) -> http.client.HTTPConnection | None:
+    def pop(self, address: str, reuse: Reuse) -> http.client.HTTPConnection | None:
+        if reuse is Reuse.NONE:
+            return None
+        is_any = reuse is Reuse.ANY
+        idle_limit_s = float("inf") if is_any else UNREPEATABLE_IDLE_LIMIT_S
         while True:
             with self.lock:
                 idle = self.idle.get(address)
@@ -291,7 +314,7 @@
 def open_call(
     call: TargetCall,
     *,
-    may_reuse: bool = True,
+    reuse: Reuse = Reuse.ANY,
     on_connected: Callable[[Callable[[], None]], None] | None = None,
     extend_reads: Callable[[], float] | None = None,
 ) -> TargetResponse:
@@ -300,10 +323,7 @@
     Parameters
     ----------
     call : TargetCall
-    may_reuse : bool
-        Whether any idle connection may be reused. The target may close an idle
-        connection as the call is sent, which leaves the outcome unknown, so calls that
-        may not be repeated reuse none that was idle for `UNREPEATABLE_IDLE_LIMIT_S`.
+    reuse : Reuse
     on_connected : callable or None
         Called before the call is sent, with a callable by which another thread can
         abort it while its answer is awaited.
@@ -321,8 +341,8 @@
         If the target can't be reached or doesn't answer; `is_sent` tells whether it may
         have received the call.
     """
-    idle_limit_s = float("inf") if may_reuse else UNREPEATABLE_IDLE_LIMIT_S
-    connection = _connections.pop(call.address, idle_limit_s=idle_limit_s)
+    connection = _connections.pop(call.address, reuse)
+    is_reused = connection is not None
     if connection is None:
         connection = _connect(call)
     sock = cast(BoundedSocket, connection.sock)
@@ -330,7 +350,7 @@
     if on_connected is not None:
         on_connected(sock.abort)
     try:
-        return _send(call, connection, sock)
+        return _send(call, connection, sock, is_reused=is_reused)
     except (OSError, http.client.HTTPException) as error:
         connection.close()
         raise _build_error("no answer", error) from error
@@ -372,12 +392,17 @@
 
 
 def _send(
-    call: TargetCall, connection: http.client.HTTPConnection, sock: BoundedSocket
+    call: TargetCall,
+    connection: http.client.HTTPConnection,
+    sock: BoundedSocket,
+    *,
+    is_reused: bool,
 ) -> TargetResponse:
     sock.settimeout(call.timeout_s)
     sock.bound_reads(call.timeout_s)
     body = call.body or None
     connection.request(call.method, call.path, body, call.headers)
-    response = TargetResponse(call, connection, sock, connection.getresponse())
+    answer = connection.getresponse()
+    response = TargetResponse(call, connection, sock, answer, is_reused=is_reused)
     response.bound_reads(float("inf"))
     return response
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's store and servers, on the loopback interface."""
 
 import base64
+import io
 import json
 import struct
 import threading
@@ -174,11 +175,16 @@
 
     Each request consumes a step of `plan`, which names the failure of its answer; an
     empty step is an answer without a failure. "shed" refuses the request without
-    running it, "pause S" does so and asks for a pause of S seconds, "crossed" names
-    another request in the answer, "cut", "cut-stream" and "cut-unframed" end the answer
-    too early, the last one a stream without chunks, and "reset" closes the connection
-    without an answer. "unframed" is a whole stream without chunks. "mute S" waits for S
-    seconds before the answer, "silent S" within it.
+    running it, "shed STATUS" with a status other than 503, and "pause S" asks for a
+    pause of S seconds too; with `names_no_request`, refusals lack the request's id.
+    "twice S" writes a refusal once more after S seconds, and "stale" writes the
+    connection's latest refusal once more and then runs the request. "foreign STATUS"
+    answers as a refusal of another request that asks for a pause and announces the
+    server's leaving. "crossed" names another request in the answer, "cut",
+    "cut-stream" and "cut-unframed" end the answer too early, the last one a stream
+    without chunks, and "reset" closes the connection without an answer. "unframed" is
+    a whole stream without chunks. "mute S" waits for S seconds before the answer,
+    "silent S" within it.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
@@ -199,6 +205,7 @@
         self.pause_s = 0.0
         self.crash_part = ""
         self.announces_leaving = False
+        self.names_no_request = False
         self.crashed = threading.Event()
         self.starts = 1
         self.lock = threading.Lock()
@@ -274,22 +281,35 @@
         request_id = headers.get("Thornlatch-Request-Id", "")
         expected = headers.get("Thornlatch-Expect-Instance")
         adapter = headers.get("Thornlatch-Model", "").partition("/")[2]
-        if expected != self.name or (adapter and adapter not in self.adapters):
+        if step == "stale":
+            handler.wfile.write(getattr(handler, "refusal", b""))
+            step = ""
+        if step.startswith("foreign"):
             handler.send(
-                421,
-                Thornlatch_Instance_Id=self.name,
+                int(step.partition(" ")[2]),
+                Thornlatch_Request_Id="other",
                 Thornlatch_Not_Executed="1",
+                Thornlatch_Instance_Id=self.name,
+                Thornlatch_Server_Load="8,90,8",
+                Server_Leaving="1",
+                Retry_After="30",
             )
             return
+        if expected != self.name or (adapter and adapter not in self.adapters):
+            self.refuse(handler, 421, Thornlatch_Instance_Id=self.name)
+            return
         signature = {
             "Thornlatch_Request_Id": "other" if step == "crossed" else request_id,
             "Thornlatch_Server_Signature": f"sig-{self.name}",
         }
-        if step == "shed":
-            handler.send(503, Thornlatch_Not_Executed="1")
+        if step.startswith("shed"):
+            self.refuse(handler, int(step.partition(" ")[2] or 503))
+        elif step.startswith("twice"):
+            self.refuse(handler, 503)
+            time.sleep(float(step.partition(" ")[2]))
+            handler.wfile.write(handler.refusal)
         elif step.startswith("pause"):
-            pause = step.partition(" ")[2]
-            handler.send(503, Thornlatch_Not_Executed="1", Retry_After=pause)
+            self.refuse(handler, 503, Retry_After=step.partition(" ")[2])
         elif step == "unconfirmed-503":
             handler.send(503)
         elif step == "error":
@@ -326,6 +346,15 @@
         else:
             handler.send(200, b"answer of " + self.name.encode(), **signature)
 
+    def refuse(self, handler, status, **headers):
+        if not self.names_no_request:
+            headers["Thornlatch_Request_Id"] = handler.headers["Thornlatch-Request-Id"]
+        output, handler.wfile = handler.wfile, io.BytesIO()
+        handler.send(status, Thornlatch_Not_Executed="1", **headers)
+        handler.refusal = handler.wfile.getvalue()
+        handler.wfile = output
+        output.write(handler.refusal)
+
     def stream(self, handler, headers, signature, step):
         kind, _, pause = step.partition(" ")
         if kind == "mute":
