--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -81,6 +81,8 @@
         HTTP status of the target's answer; 0 without an answer.
     framing : str
         How the target delimits its latest answer; empty without an answer.
+    media_type : str or None
+        Media type of the stream that the caller receives; None before its head.
     last_event : str
         Id of the event after which the stream continues.
     last_event_id : int or None
@@ -115,6 +117,7 @@
     target: str = ""
     status: int = 0
     framing: str = ""
+    media_type: str | None = None
     last_event: str = ""
     last_event_id: int | None = None
     last_failure: str = ""
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -120,6 +120,7 @@
         try:
             response = self._open_call(call, target_call)
             answer = self._open_answer(call, option, response, use, now)
+            self._check_media_type(call, answer)
         except BaseException:
             self.work.end(use)
             raise
@@ -194,6 +195,21 @@
                 _discard(response)
             raise
 
+    def _check_media_type(self, call: Call, answer: TargetAnswer) -> None:
+        """Reject an answer that can't continue the stream that the caller receives."""
+        if call.route.kind is not CallKind.STREAM or answer.head.status >= 300:
+            return
+        media_type = _read_media_type(answer.head)
+        if call.media_type is None:
+            call.media_type = media_type
+        elif media_type != call.media_type:
+            self.abort(call, answer)
+            raise TargetError(
+                f"answer of type {media_type!r} doesn't continue a stream of type"
+                f" {call.media_type!r}",
+                is_sent=True,
+            )
+
     def _note_pause(self, target: str, head: AnswerHead) -> None:
         if not head.pause_s or not head.is_from(target):
             return
@@ -271,6 +287,13 @@
         self.work.end(answer.use)
 
 
+def _read_media_type(head: AnswerHead) -> str:
+    for name, value in head.headers:
+        if name.lower() == "content-type":
+            return value.partition(";")[0].strip().lower()
+    return ""
+
+
 def _check_stream_end(call: Call, splitter: EventSplitter) -> None:
     # The end of a connection, which may end an answer, says nothing about the stream.
     if splitter.is_inside_event:
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -177,7 +177,9 @@
     running it, "pause S" does so and asks for a pause of S seconds, "crossed" names
     another request in the answer, "cut", "cut-stream" and "cut-unframed" end the answer
     too early, the last one a stream without chunks, and "reset" closes the connection
-    without an answer. "unframed" is a whole stream without chunks.
+    without an answer. "unframed" is a whole stream without chunks. A step of bytes is
+    the whole answer, with the request's id for the word REQUEST, and closes the
+    connection.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
@@ -284,7 +286,10 @@
             "Thornlatch_Request_Id": "other" if step == "crossed" else request_id,
             "Thornlatch_Server_Signature": f"sig-{self.name}",
         }
-        if step == "shed":
+        if isinstance(step, bytes):
+            handler.close_connection = True
+            handler.wfile.write(step.replace(b"REQUEST", request_id.encode()))
+        elif step == "shed":
             handler.send(503, Thornlatch_Not_Executed="1")
         elif step.startswith("pause"):
             pause = step.partition(" ")[2]
--- /dev/null
+++ b/tests/platform/test_broken_answers.py
@@ -0,0 +1,123 @@
+"""Answers that break off, at a gateway process between clients and stand-ins."""
+
+import re
+import socket
+
+import pytest
+
+from hosts import start_host, wait_until
+from stand_ins import ModelServer, Store, build_config
+
+HEAD = (
+    b"HTTP/1.1 200 OK\r\n"
+    b"Thornlatch-Request-Id: REQUEST\r\n"
+    b"Thornlatch-Server-Signature: sig\r\n"
+)
+STREAM_HEAD = HEAD + b"Content-Type: text/event-stream\r\n"
+CHUNKED = b"Transfer-Encoding: chunked\r\n\r\n"
+NEXT_EVENTS = b"id: 3\ndata: other\n\nid: 4\ndata: other\n\n"
+
+
+def with_length(head, body):
+    return head + b"Content-Length: %d\r\n\r\n" % len(body) + body
+
+
+def with_status(status, head=HEAD):
+    return head.replace(b"200 OK", status)
+
+
+# None of them continues the stream that another server began.
+SECOND_ANSWERS = {
+    "500": with_length(with_status(b"500 Failed"), b"other text\n\n"),
+    "503, not run": with_length(
+        with_status(b"503 Full", HEAD + b"Thornlatch-Not-Executed: 1\r\n"),
+        b"other text\n\n",
+    ),
+    "503, unconfirmed": with_length(with_status(b"503 Full"), b"other text\n\n"),
+    "421": with_length(with_status(b"421 Misdirected"), b"other text\n\n"),
+    "unsigned": with_length(
+        STREAM_HEAD.replace(b"Thornlatch-Server-Signature: sig\r\n", b""), NEXT_EVENTS
+    ),
+    "another request's": with_length(
+        STREAM_HEAD.replace(b"REQUEST", b"other"), NEXT_EVENTS
+    ),
+    "no stream": with_length(
+        HEAD + b"Content-Type: application/json\r\n", b'{"error": "other text"}\n\n'
+    ),
+    "no media type": with_length(HEAD, b"other text\n\n"),
+    "head cut off": STREAM_HEAD + b"Other-",
+    "head cut off between lines": STREAM_HEAD,
+    "head of an error cut off": with_status(b"500 other"),
+    "no head": b"other text\n\n",
+    "nothing": b"",
+    "inside its first event": STREAM_HEAD + CHUNKED + b"9\r\nid: 3\ndat\r\n0\r\n\r\n",
+    "inside a chunk": STREAM_HEAD + CHUNKED + b"99\r\nid: 3\ndata: other",
+    "error within its chunks": (
+        STREAM_HEAD + CHUNKED + with_length(with_status(b"500 Failed"), b"other text")
+    ),
+}
+
+
+@pytest.fixture
+def deployment(tmp_path):
+    store = Store()
+    servers = [ModelServer(name, "llm", model="m") for name in ("llm-1", "llm-2")]
+    plan = []
+    store.put("keyed.op", "config", build_config())
+    for server in servers:
+        # The server that gets the request first takes the first step.
+        server.plan = plan
+        store.put("keyed.servers", server.name, server.describe())
+    host = start_host(tmp_path, store.address)
+    wait_until(lambda: len(host.list_events("target.changed")) >= len(servers))
+    yield servers, host, plan
+    if host.process.poll() is None:
+        host.process.kill()
+    for server in (store, *servers):
+        server.close()
+
+
+def exchange(host, path="/llm/x", *, request="r1"):
+    """Send a request and return all bytes until the host closes the connection."""
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\n"
+        f"Thornlatch-Request-Id: {request}\r\nThornlatch-Model: m\r\n"
+        "Content-Length: 4\r\n\r\nbody"
+    )
+    received = b""
+    with socket.create_connection(("127.0.0.1", host.callers), timeout=10) as caller:
+        caller.sendall(head.encode())
+        while data := caller.recv(1 << 16):
+            received += data
+    return received
+
+
+def read_unterminated(received):
+    """Return the content of a chunked answer that must lack its last chunk."""
+    head, _, rest = received.partition(b"\r\n\r\n")
+    assert head.startswith(b"HTTP/1.1 200 ")
+    assert re.search(rb"(?i)\r\ntransfer-encoding: chunked", head)
+    content = b""
+    while rest:
+        size, _, rest = rest.partition(b"\r\n")
+        length = int(size, 16)
+        assert length
+        content += rest[:length]
+        assert rest[length : length + 2] == b"\r\n"
+        rest = rest[length + 2 :]
+    return content
+
+
+def build_events(last):
+    return b"".join(b"id: %d\ndata: e%d\n\n" % (n, n) for n in range(1, last + 1))
+
+
+@pytest.mark.parametrize("case", SECOND_ANSWERS)
+def test_stream_gets_no_byte_of_an_answer_that_doesn_t_continue_it(deployment, case):
+    """A part of another answer, or its end, would be taken for the stream's own."""
+    servers, host, plan = deployment
+    plan += ["cut-stream", SECOND_ANSWERS[case]]
+    received = exchange(host)
+    assert sum(len(server.requests) for server in servers) == 2, host.read_log()
+    assert b"other" not in received
+    assert read_unterminated(received) == build_events(2)
