--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -20,7 +20,7 @@
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
 from thornlatch.routing import CallKind
-from thornlatch.targets import TargetCall, TargetResponse, open_call
+from thornlatch.targets import Framing, TargetCall, TargetResponse, open_call
 
 logger = logbook.Logger("thornlatch.gateway")
 
@@ -302,8 +302,10 @@
             is_sent=True,
             is_connection_lost=True,
         )
-    is_resumed = call.last_event != ""
-    if not splitter.has_events and not is_resumed:
+    # A target may have nothing left to send in a resumed stream, but a connection that
+    # closes right after the head doesn't tell that from a crash.
+    may_be_empty = call.last_event != "" and call.framing != Framing.CLOSE.value
+    if not splitter.has_events and not may_be_empty:
         raise TargetError(
             "stream ended before its first event",
             is_sent=True,
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -50,6 +50,7 @@
     "head of an error cut off": with_status(b"500 other"),
     "no head": b"other text\n\n",
     "nothing": b"",
+    "no event": STREAM_HEAD + b"\r\n",
     "inside its first event": STREAM_HEAD + CHUNKED + b"9\r\nid: 3\ndat\r\n0\r\n\r\n",
     "inside a chunk": STREAM_HEAD + CHUNKED + b"99\r\nid: 3\ndata: other",
     "error within its chunks": (
