--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -5,6 +5,13 @@
 
 # A blank line ends an event. Lines end with LF, CRLF or CR; a CRLF is one line end.
 EVENT_END = re.compile(rb"(?>\r\n?|\n)(?:\r\n?|\n)")
+# A target that fails in a stream that ends with its connection may write the head of
+# another answer into it: a status line on a line of its own or before a header field.
+# Text of a model may contain one too, but then the next line is a field of events.
+ANSWER_HEAD = re.compile(
+    rb"(?:\A|[\r\n])HTTP/1\.[01] \d{3}\b"
+    rb"|HTTP/1\.[01] \d{3}\b[^\r\n]*(?:\r\n?|\n)(?!(?:data|event|id|retry):)[\w-]+:"
+)
 EVENT_LIMIT_BYTES = 1 << 20  # a longer event means that the stream is broken
 
 
@@ -58,13 +65,19 @@
         Raises
         ------
         ValueError
-            If the incomplete event is longer than `EVENT_LIMIT_BYTES`.
+            If the incomplete event is longer than `EVENT_LIMIT_BYTES`, or the first
+            event contains the head of an answer.
         """
         data = self.rest + data
         start = 0
-        events = []
+        events: list[StreamEvent] = []
         for blank_line in EVENT_END.finditer(data):
             event = data[start : blank_line.end()]
+            if b"HTTP/1." in event and ANSWER_HEAD.search(event):
+                if not events:
+                    raise ValueError("event contains the head of another answer")
+                # The events before it are sound; the next call raises the error.
+                break
             events.append(StreamEvent(event, _find_id(event)))
             start = blank_line.end()
         self.rest = data[start:]
--- a/src/thornlatch/gateway/tests/test_broken_streams.py
+++ b/src/thornlatch/gateway/tests/test_broken_streams.py
@@ -13,6 +13,7 @@
 from thornlatch.gateway import GatewayMetrics
 from thornlatch.gateway._app import GatewayApplication
 from thornlatch.gateway._call import GatewayAnswer, TargetAnswer
+from thornlatch.gateway._events import EventSplitter
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._servers import build_server
 from thornlatch.targets import TargetCall, open_call
@@ -93,6 +94,39 @@
     assert len(events) == 2
 
 
+ERROR_HEADS = [
+    b"HTTP/1.1 500 Failed\r\n\r\n",
+    b"HTTP/1.0 503\nServer: x\n\n",
+    b"daHTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n",
+    b"data: cHTTP/1.1 500 Failed\r\nretry-after: 1\r\n\r\n",
+    b"data: c\rHTTP/1.1 500 Failed\r\r",
+]
+
+
+@pytest.mark.parametrize("head", ERROR_HEADS)
+def test_head_of_an_answer_is_no_event(target, head):
+    """Callers got the head of a target's error in the middle of their stream."""
+    with pytest.raises(TargetError, match="event"):
+        read_stream(target, frame("close", head))
+    splitter = EventSplitter()
+    assert b"".join(e.data for e in splitter.feed(EVENTS + head)) == EVENTS
+    with pytest.raises(ValueError, match="head"):
+        splitter.feed(b"x")
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        b"data: HTTP/1.1 200 OK\ndata: Server: x\n\n",
+        b"data: HTTP/1.1 200 OK\nid: 3\n\n",
+        b"data: curl: HTTP/1.1 500\n\n",
+        b"version: 1\ndata: see HTTP/1.1\n\n",
+    ],
+)
+def test_text_about_http_is_no_head_of_an_answer(target, event):
+    assert read_stream(target, frame("close", event)) == [event]
+
+
 class BrokenForwarder:
     """Answers with a stream that breaks off after its first event."""
 
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -26,9 +26,10 @@
     return head.replace(b"200 OK", status)
 
 
+ERROR = with_length(with_status(b"500 Failed"), b"other text\n\n")
 # None of them continues the stream that another server began.
 SECOND_ANSWERS = {
-    "500": with_length(with_status(b"500 Failed"), b"other text\n\n"),
+    "500": ERROR,
     "503, not run": with_length(
         with_status(b"503 Full", HEAD + b"Thornlatch-Not-Executed: 1\r\n"),
         b"other text\n\n",
@@ -53,9 +54,10 @@
     "no event": STREAM_HEAD + b"\r\n",
     "inside its first event": STREAM_HEAD + CHUNKED + b"9\r\nid: 3\ndat\r\n0\r\n\r\n",
     "inside a chunk": STREAM_HEAD + CHUNKED + b"99\r\nid: 3\ndata: other",
-    "error within its chunks": (
-        STREAM_HEAD + CHUNKED + with_length(with_status(b"500 Failed"), b"other text")
-    ),
+    "error within its chunks": STREAM_HEAD + CHUNKED + ERROR,
+    "error before its first event": STREAM_HEAD + b"\r\n" + ERROR,
+    "error within an event": STREAM_HEAD + b"\r\nid: 3\nda" + ERROR,
+    "error within data": STREAM_HEAD + b"\r\nid: 3\ndata: other" + ERROR,
 }
 
 
@@ -122,3 +124,22 @@
     assert sum(len(server.requests) for server in servers) == 2, host.read_log()
     assert b"other" not in received
     assert read_unterminated(received) == build_events(2)
+
+
+@pytest.mark.parametrize("break_", [b"", b"id: 3\nda", b"id: 3\ndata: e3"])
+def test_stream_whose_target_reports_an_error_in_it_is_resumed(deployment, break_):
+    """Callers got the head of the error as an event of a stream framed by closing."""
+    _, host, plan = deployment
+    plan += [STREAM_HEAD + b"\r\n" + build_events(2) + break_ + ERROR, ""]
+    _, body = host.call("/llm/x", Thornlatch_Model="m")
+    assert body == build_events(4)
+
+
+@pytest.mark.parametrize("second", ["cut-stream", "cut-unframed"])
+@pytest.mark.parametrize("first", ["cut-stream", "cut-unframed"])
+def test_stream_that_breaks_off_again_inside_an_event(deployment, first, second):
+    servers, host, plan = deployment
+    for server in servers:
+        server.events = 8
+    plan += [first, second]
+    assert read_unterminated(exchange(host)) == build_events(4)
