--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -82,12 +82,18 @@
 
 
 class _Response(http.client.HTTPResponse):
-    """An answer whose head must be complete."""
+    """A final answer, whose head must be complete."""
 
     def begin(self) -> None:
         reader = _LineReader(self.fp)
         self.fp = cast(Any, reader)
         super().begin()
+        # `http.client` itself skips only status 100 of the interim answers.
+        while 100 <= self.status < 200:
+            if self.status == http.client.SWITCHING_PROTOCOLS:
+                raise http.client.HTTPException("switched protocols without a request")
+            self.headers = self.msg = cast(Any, None)
+            super().begin()
         reader.is_in_head = False
 
 
--- a/src/thornlatch/core/tests/scripted.py
+++ b/src/thornlatch/core/tests/scripted.py
@@ -1,6 +1,7 @@
 """A server that sends given bytes and then ends or keeps its connections."""
 
 import contextlib
+import re
 import socket
 import threading
 
@@ -30,7 +31,7 @@
                 connection, _ = self.listener.accept()
             except OSError:
                 return
-            path = connection.recv(1 << 16).split()[1].decode()
+            path = _read_request(connection).split()[1].decode()
             connection.sendall(self.build_answer(path))
             if self.end == "keep":
                 self.connections.append(connection)
@@ -44,3 +45,17 @@
         for connection in self.connections:
             connection.close()
         self.thread.join(10)
+
+
+def _read_request(connection):
+    # Closing a connection with unread bytes would reset it.
+    request = b""
+    while True:
+        head, end, body = request.partition(b"\r\n\r\n")
+        length = re.search(rb"(?i)\r\ncontent-length: *(\d+)", head)
+        if end and len(body) >= int(length[1] if length else 0):
+            return request
+        data = connection.recv(1 << 16)
+        if not data:
+            return request
+        request += data
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -143,3 +143,37 @@
         server.events = 8
     plan += [first, second]
     assert read_unterminated(exchange(host)) == build_events(4)
+
+
+ONE_EVENT = STREAM_HEAD + CHUNKED + b"10\r\nid: 1\ndata: e1\n\n\r\n0\r\n\r\n"
+CUTS = {
+    "in the status line": b"HTTP/1.1 20",
+    "after the status line": b"HTTP/1.1 200 OK\r\n",
+    "in a line end": HEAD[:-1],
+    "between headers": HEAD,
+    "before the blank line": with_length(STREAM_HEAD, b"").removesuffix(b"\r\n"),
+    "in the blank line": with_length(STREAM_HEAD, b"").removesuffix(b"\n"),
+    "after an interim answer": b"HTTP/1.1 100 Continue\r\n\r\n",
+    "after early hints": b"HTTP/1.1 103 Early\r\n" + HEAD[17:] + b"\r\n",
+    "in the head after early hints": b"HTTP/1.1 103 Early\r\n\r\n" + HEAD,
+}
+
+
+@pytest.mark.parametrize("case", CUTS)
+def test_head_that_is_cut_off_is_no_answer(deployment, case):
+    """Callers got a whole answer without a body, also of an interim status."""
+    _, host, plan = deployment
+    plan += [CUTS[case]] * 2
+    response, body = host.call("/llm/x", Thornlatch_Model="m")
+    assert response.status == 502
+    assert b"error" in body
+    assert not plan
+
+
+def test_answer_behind_interim_answers_is_passed_on(deployment):
+    _, host, plan = deployment
+    interim = b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 103 Early\r\nLink: </x>\r\n\r\n"
+    plan.append(interim + ONE_EVENT)
+    response, body = host.call("/llm/x", Thornlatch_Model="m")
+    assert (response.status, body) == (200, build_events(1))
+    assert response.getheader("Link") is None
--- /dev/null
+++ b/tests/platform/test_cut_answers.py
@@ -0,0 +1,78 @@
+"""Answers of the platform's store and servers that are cut off at any byte."""
+
+import pytest
+
+from adapter import _protocols
+from adapter._protocols import PlatformTargetProtocol
+from adapter._store import KeyedRecord, StoreClient, StoreError
+from thornlatch.core.tests.cut_answers import CASES, check_cuts
+from thornlatch.exceptions import TargetError
+from thornlatch.gateway import GatewayMetrics
+from thornlatch.residency import LoadModel, NumberedOrder, OrderOutcome
+
+PAGE = b'{"items": [], "hasMore": false, "endOffset": 3}'
+REPORT = b'{"loadedModels": [], "sequence": 2, "busy": false}'
+STORE_CALLS = {
+    "latest": (lambda client: client.read_latest("keyed.t"), PAGE),
+    "read": (lambda client: client.read("keyed.t", 0, wait_s=0.0), bytes(16)),
+    "append": (lambda client: client.append("t", KeyedRecord("a", b"1")), b"{}"),
+    "append, no body": (lambda client: client.append("t", KeyedRecord("a", b"")), b""),
+    "owners": (lambda client: client.read_owners("g"), b'{"parts": []}'),
+}
+
+
+@pytest.fixture(autouse=True)
+def patient_calls(monkeypatch):
+    for name in ("ORDER_TIMEOUT_S", "REPORT_TIMEOUT_S", "CONNECT_TIMEOUT_S"):
+        monkeypatch.setattr(_protocols, name, 5.0)
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize("call", STORE_CALLS)
+@pytest.mark.parametrize(("framing", "interim"), CASES)
+def test_cut_answer_of_the_store_is_never_taken_for_whole(call, framing, interim):
+    """A host would take a write for done, or an empty page for all there is."""
+    send, body = STORE_CALLS[call]
+
+    def is_whole(address):
+        client = StoreClient(address, GatewayMetrics())
+        try:
+            send(client)
+        except StoreError:
+            assert client.connection is None
+            return False
+        return True
+
+    check_cuts(is_whole, body, framing=framing, interim=interim)
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize("body", [b"", b'{"sequence": 1}'], ids=["no body", "body"])
+@pytest.mark.parametrize(("framing", "interim"), CASES)
+def test_cut_answer_to_an_order_leaves_its_outcome_unknown(body, framing, interim):
+    """A host would take an order for accepted or refused that may be either."""
+    protocol = PlatformTargetProtocol("edge-1")
+    order = NumberedOrder(LoadModel("m"), 1)
+
+    def is_whole(address):
+        reply = protocol.send_order(address, "t1", order, 1)
+        assert reply.outcome in (OrderOutcome.UNKNOWN, OrderOutcome.ACCEPTED)
+        return reply.outcome is OrderOutcome.ACCEPTED
+
+    form = {"framing": framing, "interim": interim, "status": b"202 Accepted"}
+    check_cuts(is_whole, body, **form)
+
+
+@pytest.mark.timeout(60)
+@pytest.mark.parametrize(("framing", "interim"), CASES)
+def test_cut_report_is_never_taken_for_whole(framing, interim):
+    protocol = PlatformTargetProtocol("edge-1")
+
+    def is_whole(address):
+        try:
+            protocol.read_report(address, "t1")
+        except TargetError:
+            return False
+        return True
+
+    check_cuts(is_whole, REPORT, framing=framing, interim=interim)
