Name the request of a broken stream, and who broke it off

The test failed before with KeyError 'broken_off_by' in all 4 cases. request.broken_off now has the id and the bytes passed on; TargetError tells time limits apart (is_timeout), which request.failed and thornlatch_gateway_broken_streams_total{route,by} show.

--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -259,6 +259,8 @@
     is_connection_lost : bool
         Whether the connection ended before the answer did, as it does if the target
         crashes; False for silence and for malformed answers.
+    is_timeout : bool
+        Whether a time limit of this host ended the call.
     """
 
     kind = ErrorKind.TARGET_FAILED
@@ -270,8 +272,10 @@
         is_sent: bool,
         status: int | None = None,
         is_connection_lost: bool = False,
+        is_timeout: bool = False,
     ) -> None:
         super().__init__(message)
         self.is_sent = is_sent
         self.status = status
         self.is_connection_lost = is_connection_lost
+        self.is_timeout = is_timeout
--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -1,7 +1,7 @@
 """WSGI application that serves callers' requests."""
 
 import json
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -86,7 +86,7 @@
         headers = list(answer.headers)
         self._add_content_length(headers, answer.length)
         start_response(build_status_line(answer.status), headers)
-        return self._iterate_body(answer)
+        return self._iterate_body(answer, request_id)
 
     def _add_content_length(
         self, headers: list[tuple[str, str]], length: int | None
@@ -96,14 +96,28 @@
         if length is not None and not self.closes_connections:
             headers.append(("Content-Length", str(length)))
 
-    def _iterate_body(self, answer: GatewayAnswer) -> Iterator[bytes]:
+    def _iterate_body(self, answer: GatewayAnswer, request_id: str) -> Iterator[bytes]:
+        passed_bytes = 0
         try:
-            yield from answer.body
+            for data in answer.body:
+                yield data
+                passed_bytes += len(data)
         except RequestRefused as error:
-            logger.info("request.broken_off", extra={"why": error.message})
+            logger.info(
+                "request.broken_off",
+                extra={
+                    "request": request_id,
+                    "passed_bytes": passed_bytes,
+                    "why": error.message,
+                },
+            )
             # Makes waitress close the connection without terminating the chunked body
             # and without logging a traceback.
             raise ClientDisconnected from error
+        finally:
+            # Ends the request at its target at once if the caller has disconnected.
+            if isinstance(answer.body, Generator):
+                answer.body.close()
 
     def _refuse(
         self, error: RequestRefused, request_id: str, start_response: StartResponse
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -89,6 +89,8 @@
         Id of the last event passed to the caller; None before the first.
     last_failure : str
         Description of the last failed attempt.
+    was_timeout : bool
+        Whether the last attempt that was sent failed at a time limit of this host.
     has_ended : bool
         Whether the request has been completed or has failed.
     """
@@ -121,6 +123,7 @@
     last_event: str = ""
     last_event_id: int | None = None
     last_failure: str = ""
+    was_timeout: bool = False
     has_ended: bool = False
 
     def __post_init__(self) -> None:
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -293,6 +293,7 @@
         if error.is_sent:
             call.may_have_run = True
             call.runs += 1
+            call.was_timeout = error.is_timeout
         avoided_s = 0.0
         if call.running.stop_reason is None:
             now = read_clock()
@@ -344,6 +345,9 @@
             if call.organisation is not None and has_not_run:
                 self.quota.give_back(call.organisation.name, call.tokens, now=now)
         self.metrics.answers.labels(call.route.name, outcome).inc()
+        broken_off_by = _find_who_broke_off(call, error)
+        if broken_off_by:
+            self.metrics.broken_streams.labels(call.route.name, broken_off_by).inc()
         event = "request.answered" if error is None else "request.failed"
         logger.info(
             event,
@@ -355,6 +359,7 @@
                 "prompt_tokens": call.request.prompt_tokens,
                 "target": call.target,
                 "outcome": outcome,
+                "broken_off_by": broken_off_by,
                 "status": call.status,
                 "framing": call.framing,
                 "objective_s": call.route.objective_s,
@@ -369,3 +374,15 @@
                 "configuration_age_s": round(now - self.in_force.confirmed_at, 2),
             },
         )
+
+
+def _find_who_broke_off(call: Call, error: BaseException | None) -> str:
+    """Return who ended an answer of which the caller has a part; empty for none."""
+    if error is None or call.last_part_at is None:
+        return ""
+    # The server closes the iterator of a stream whose caller has disconnected.
+    if call.running.has_caller_left or isinstance(error, GeneratorExit):
+        return "caller"
+    is_own_limit = call.running.stop_reason is not None or call.was_timeout
+    is_own_fault = not isinstance(error, RequestRefused)
+    return "host" if is_own_limit or is_own_fault else "target"
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -22,6 +22,12 @@
             ["service", "outcome"],
             registry=self.registry,
         )
+        self.broken_streams = Counter(
+            "thornlatch_gateway_broken_streams",
+            "Answers that ended after their first part, by route and who ended them.",
+            ["route", "by"],
+            registry=self.registry,
+        )
         self.first_answer = Histogram(
             "thornlatch_gateway_first_answer_seconds",
             "Seconds from a request to the first event or the answer.",
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -332,7 +332,12 @@
 
 def _build_error(what: str, error: Exception) -> TargetError:
     is_lost = isinstance(error, (ConnectionError, http.client.IncompleteRead))
-    return TargetError(f"{what}: {error!r}", is_sent=True, is_connection_lost=is_lost)
+    return TargetError(
+        f"{what}: {error!r}",
+        is_sent=True,
+        is_connection_lost=is_lost,
+        is_timeout=isinstance(error, TimeoutError),
+    )
 
 
 def _connect(call: TargetCall) -> http.client.HTTPConnection:
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -1,5 +1,6 @@
 """Answers that break off, at a gateway process between clients and stand-ins."""
 
+import http.client
 import re
 import socket
 
@@ -82,19 +83,23 @@
 
 def exchange(host, path="/llm/x", *, request="r1"):
     """Send a request and return all bytes until the host closes the connection."""
-    head = (
-        f"POST {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\n"
-        f"Thornlatch-Request-Id: {request}\r\nThornlatch-Model: m\r\n"
-        "Content-Length: 4\r\n\r\nbody"
-    )
     received = b""
     with socket.create_connection(("127.0.0.1", host.callers), timeout=10) as caller:
-        caller.sendall(head.encode())
+        caller.sendall(build_request(request, path))
         while data := caller.recv(1 << 16):
             received += data
     return received
 
 
+def build_request(request, path="/llm/x"):
+    head = (
+        f"POST {path} HTTP/1.1\r\nHost: a.example\r\nAuthorization: Token key-1\r\n"
+        f"Thornlatch-Request-Id: {request}\r\nThornlatch-Model: m\r\n"
+        "Content-Length: 4\r\n\r\nbody"
+    )
+    return head.encode()
+
+
 def read_unterminated(received):
     """Return the content of a chunked answer that must lack its last chunk."""
     head, _, rest = received.partition(b"\r\n\r\n")
@@ -177,3 +182,59 @@
     response, body = host.call("/llm/x", Thornlatch_Model="m")
     assert (response.status, body) == (200, build_events(1))
     assert response.getheader("Link") is None
+
+
+def read_broken_streams(host):
+    """Return the metric's value by who broke a stream off."""
+    connection = http.client.HTTPConnection("127.0.0.1", host.callers + 3, timeout=10)
+    connection.request("GET", "/metrics")
+    page = connection.getresponse().read().decode()
+    connection.close()
+    pattern = r'^thornlatch_gateway_broken_streams_total{by="(\w+)",route="llm"} (.+)$'
+    return {by: float(n) for by, n in re.findall(pattern, page, re.MULTILINE)}
+
+
+def leave_after_first_event(host):
+    with socket.create_connection(("127.0.0.1", host.callers), timeout=10) as caller:
+        caller.sendall(build_request("r1"))
+        while b"e1" not in caller.recv(1 << 16):
+            pass
+
+
+@pytest.mark.parametrize(
+    ("by", "plan_steps", "pause_s", "call"),
+    [
+        ("target", ["cut-stream", b""], 0.0, exchange),
+        ("host", [], 5.0, exchange),
+        ("caller", [], 0.3, leave_after_first_event),
+    ],
+    ids=["target", "host", "caller"],
+)
+def test_broken_stream_is_found_by_its_id_and_names_who_broke_it(
+    deployment, by, plan_steps, pause_s, call
+):
+    """The line had no id, and no line told a host's limit from a target's end."""
+    servers, host, plan = deployment
+    for server in servers:
+        server.pause_s = pause_s
+    plan += plan_steps
+    received = call(host)
+    wait_until(lambda: host.list_events("request.failed"), host.read_log)
+    [failed] = host.list_events("request.failed")
+    assert (failed["request"], failed["broken_off_by"]) == ("r1", by), failed
+    assert read_broken_streams(host) == {by: 1.0}
+    broken_off = host.list_events("request.broken_off")
+    if by != "caller":
+        [line] = broken_off
+        assert line["request"] == "r1"
+        assert line["passed_bytes"] == len(read_unterminated(received)) > 0
+        assert line["why"]
+
+
+def test_request_without_any_part_of_an_answer_is_no_broken_stream(deployment):
+    _, host, plan = deployment
+    plan += ["reset", "reset"]
+    assert host.call("/llm/x", Thornlatch_Model="m")[0].status == 502
+    [failed] = host.list_events("request.failed")
+    assert failed["broken_off_by"] == ""
+    assert read_broken_streams(host) == {}
