Name requests whose callers close their sending side; say that it ends them

A caller that sent a whole request and closed only its sending side got nothing, and no line had its id. Decision: it stays a disconnection. A caller that has left sends the same end of input; only a write to its connection would tell them apart, and then too late to stop its work at the target. Evidence: 20 half-closed requests at a real host, some without any line before (the test timed out waiting for all 20 ids); test_servers.py holds the queued case. The channel of waitress skips a request without calling the application, hence the subclass. The daemon behaves the same and has no such line yet.

--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -88,6 +88,20 @@
         start_response(build_status_line(answer.status), headers)
         return self._iterate_body(answer, request_id)
 
+    def note_abandoned(self, environ: dict[str, Any]) -> None:
+        """Record a request whose caller disconnected before it began.
+
+        Parameters
+        ----------
+        environ : dict
+        """
+        try:
+            request_id = self.protocol.read_request(environ).id
+        except RequestRefused:
+            request_id = ""
+        self.metrics.answers.labels("", "abandoned").inc()
+        _log_abandoned(request_id, was_begun=False, passed_bytes=0)
+
     def _add_content_length(
         self, headers: list[tuple[str, str]], length: int | None
     ) -> None:
@@ -102,6 +116,9 @@
             for data in answer.body:
                 yield data
                 passed_bytes += len(data)
+        except GeneratorExit:
+            _log_abandoned(request_id, was_begun=True, passed_bytes=passed_bytes)
+            raise
         except RequestRefused as error:
             logger.info(
                 "request.broken_off",
@@ -154,6 +171,17 @@
         return _iterate_once(body)
 
 
+def _log_abandoned(request_id: str, *, was_begun: bool, passed_bytes: int) -> None:
+    logger.info(
+        "request.abandoned",
+        extra={
+            "request": request_id,
+            "was_begun": was_begun,
+            "passed_bytes": passed_bytes,
+        },
+    )
+
+
 def _read_whole(answer: GatewayAnswer) -> GatewayAnswer:
     # HTTP/1.0 has no chunks: without a length, a broken answer would look complete.
     body = b"".join(answer.body)
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -412,7 +412,10 @@
         host = self.settings.host
         servers = [
             build_server(
-                self.app, host.caller_address, threads=self.settings.forwarding.threads
+                self.app,
+                host.caller_address,
+                threads=self.settings.forwarding.threads,
+                on_abandoned=self.app.note_abandoned,
             ),
             build_server(self._answer_readiness, host.readiness_address, threads=1),
         ]
--- a/src/thornlatch/gateway/_servers.py
+++ b/src/thornlatch/gateway/_servers.py
@@ -1,8 +1,10 @@
 """HTTP servers of a gateway host."""
 
+from collections.abc import Callable
 from typing import Any
 
 import waitress
+from waitress.channel import HTTPChannel
 
 from thornlatch.gateway._dispatcher import GrowingDispatcher
 
@@ -14,7 +16,28 @@
 INITIAL_THREADS = 8  # more than a lightly loaded host of a large fleet needs
 
 
-def build_server(app: Any, address: str, *, threads: int) -> Any:
+class CallerChannel(HTTPChannel):
+    """A connection that reports requests whose caller disconnected before they began.
+
+    The end of a caller's input counts as a disconnection: a caller that has left can't
+    be told from one that only won't send anything more.
+    """
+
+    def service(self) -> None:
+        """Serve the next request, unless the caller has disconnected."""
+        request = self.requests[0]
+        if not self.connected and not request.error:
+            self.server.on_abandoned(self.task_class(self, request).get_environment())
+        super().service()
+
+
+def build_server(
+    app: Any,
+    address: str,
+    *,
+    threads: int,
+    on_abandoned: Callable[[dict[str, Any]], None] = lambda environ: None,
+) -> Any:
     """Return a server that listens on an address; its `run` serves requests.
 
     Parameters
@@ -25,13 +48,16 @@
         ``ip:port``.
     threads : int
         Maximum number of concurrent requests.
+    on_abandoned : callable
+        Called instead of `app`, with the WSGI environment, if the caller disconnected
+        before its request began.
 
     Returns
     -------
     waitress.server.TcpWSGIServer
     """
     host, _, port = address.rpartition(":")
-    return waitress.create_server(
+    server = waitress.create_server(
         app,
         map={},
         _dispatcher=GrowingDispatcher(first=INITIAL_THREADS, limit=threads),
@@ -47,3 +73,6 @@
         asyncore_use_poll=True,
         ident=None,
     )
+    server.channel_class = CallerChannel
+    server.on_abandoned = on_abandoned
+    return server
--- /dev/null
+++ b/src/thornlatch/gateway/tests/test_servers.py
@@ -0,0 +1,98 @@
+"""Connections of callers that disconnect before their request begins."""
+
+import socket
+import threading
+import time
+
+import pytest
+
+from thornlatch.gateway._servers import build_server
+
+TIMEOUT_S = 10.0
+
+
+class BlockedApplication:
+    """Serves one request at a time, when it is released."""
+
+    def __init__(self):
+        self.released = threading.Event()
+        self.has_begun = threading.Event()
+        self.served = []
+        self.abandoned = []
+
+    def __call__(self, environ, start_response):
+        self.served.append(environ["PATH_INFO"])
+        self.has_begun.set()
+        assert self.released.wait(TIMEOUT_S)
+        start_response("200 OK", [("Content-Length", "0")])
+        return []
+
+    def note_abandoned(self, environ):
+        self.abandoned.append(environ["PATH_INFO"])
+
+
+@pytest.fixture
+def app():
+    return BlockedApplication()
+
+
+@pytest.fixture
+def server(app):
+    server = build_server(
+        app, "127.0.0.1:0", threads=1, on_abandoned=app.note_abandoned
+    )
+    threading.Thread(target=server.run, daemon=True).start()
+    yield server
+    app.released.set()
+    server.task_dispatcher.shutdown()
+    server.close()
+
+
+@pytest.fixture
+def connect(server):
+    connections = []
+
+    def connect(path):
+        address = ("127.0.0.1", server.effective_port)
+        connections.append(socket.create_connection(address, timeout=TIMEOUT_S))
+        connections[-1].sendall(b"GET %s HTTP/1.1\r\nHost: a\r\n\r\n" % path)
+        return connections[-1]
+
+    yield connect
+    for connection in connections:
+        connection.close()
+
+
+def close_sending_side(connection):
+    connection.shutdown(socket.SHUT_WR)
+    assert connection.recv(1) == b""
+
+
+def close_connection(connection):
+    connection.close()
+
+
+def wait_until(condition):
+    deadline = time.monotonic() + TIMEOUT_S
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.01)
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("leave", [close_sending_side, close_connection])
+def test_request_whose_caller_left_while_it_was_queued_is_reported(
+    app, server, connect, leave
+):
+    """No line named it, and neither an answer nor a target's record did."""
+    connect(b"/first")
+    assert app.has_begun.wait(TIMEOUT_S)
+    second = connect(b"/second")
+    wait_until(lambda: len(server.task_dispatcher.queue) == 1)
+    leave(second)
+    wait_until(lambda: len(server.active_channels) == 1)
+    third = connect(b"/third")
+    app.released.set()
+    assert third.recv(1 << 16).startswith(b"HTTP/1.1 200 ")
+    assert app.served == ["/first", "/third"]
+    assert app.abandoned == ["/second"]
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -238,3 +238,30 @@
     [failed] = host.list_events("request.failed")
     assert failed["broken_off_by"] == ""
     assert read_broken_streams(host) == {}
+
+
+def test_request_whose_caller_closes_its_sending_side_is_named(deployment):
+    """It got no answer, as if its caller had left, and no line had its id."""
+    servers, host, _ = deployment
+    for server in servers:
+        server.pause_s = 0.1
+    names = {f"half-closed-{number}" for number in range(20)}
+    for name in names:
+        with socket.create_connection(("127.0.0.1", host.callers), 10) as caller:
+            caller.sendall(build_request(name))
+            caller.shutdown(socket.SHUT_WR)
+            while caller.recv(1 << 16):
+                pass
+
+    def list_named():
+        abandoned = {e["request"] for e in host.list_events("request.abandoned")}
+        failed = {
+            e["request"]
+            for e in host.list_events("request.failed")
+            if e["outcome"] == "caller-left" or e["broken_off_by"] == "caller"
+        }
+        return abandoned | failed
+
+    wait_until(lambda: list_named() == names, host.read_log)
+    assert len(host.list_events("request.abandoned")) <= len(names)
+    assert host.call("/llm/x", Thornlatch_Model="m")[0].status == 200
