--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -1,7 +1,7 @@
 """WSGI application that serves callers' requests."""
 
 import json
-from collections.abc import Callable, Iterable, Iterator
+from collections.abc import Callable, Generator, Iterable, Iterator
 from dataclasses import replace
 from typing import Any
 
@@ -86,7 +86,21 @@
         headers = list(answer.headers)
         self._add_content_length(headers, answer.length)
         start_response(build_status_line(answer.status), headers)
-        return self._iterate_body(answer)
+        return self._iterate_body(answer, request_id)
+
+    def note_abandoned(self, environ: dict[str, Any]) -> None:
+        """Record a request whose caller disconnected before it began.
+
+        Parameters
+        ----------
+        environ : dict
+        """
+        try:
+            request_id = self.protocol.read_request(environ).id
+        except RequestRefused:
+            request_id = ""
+        self.metrics.answers.labels("", "abandoned").inc()
+        _log_abandoned(request_id, was_begun=False, passed_bytes=0)
 
     def _add_content_length(
         self, headers: list[tuple[str, str]], length: int | None
@@ -96,14 +110,31 @@
         if length is not None and not self.closes_connections:
             headers.append(("Content-Length", str(length)))
 
-    def _iterate_body(self, answer: GatewayAnswer) -> Iterator[bytes]:
+    def _iterate_body(self, answer: GatewayAnswer, request_id: str) -> Iterator[bytes]:
+        passed_bytes = 0
         try:
-            yield from answer.body
+            for data in answer.body:
+                yield data
+                passed_bytes += len(data)
+        except GeneratorExit:
+            _log_abandoned(request_id, was_begun=True, passed_bytes=passed_bytes)
+            raise
         except RequestRefused as error:
-            logger.info("request.broken_off", extra={"why": error.message})
+            logger.info(
+                "request.broken_off",
+                extra={
+                    "request": request_id,
+                    "passed_bytes": passed_bytes,
+                    "why": error.message,
+                },
+            )
             # Makes waitress close the connection without terminating the chunked body
             # and without logging a traceback.
             raise ClientDisconnected from error
+        finally:
+            # Ends the request at its target at once if the caller has disconnected.
+            if isinstance(answer.body, Generator):
+                answer.body.close()
 
     def _refuse(
         self, error: RequestRefused, request_id: str, start_response: StartResponse
@@ -140,6 +171,17 @@
         return _iterate_once(body)
 
 
+def _log_abandoned(request_id: str, *, was_begun: bool, passed_bytes: int) -> None:
+    logger.info(
+        "request.abandoned",
+        extra={
+            "request": request_id,
+            "was_begun": was_begun,
+            "passed_bytes": passed_bytes,
+        },
+    )
+
+
 def _read_whole(answer: GatewayAnswer) -> GatewayAnswer:
     # HTTP/1.0 has no chunks: without a length, a broken answer would look complete.
     body = b"".join(answer.body)
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -84,6 +84,8 @@
         HTTP status of the target's answer; 0 without an answer.
     framing : str
         How the target delimits its latest answer; empty without an answer.
+    media_type : str or None
+        Media type of the stream that the caller receives; None before its head.
     last_event : str
         Id of the event after which the stream continues.
     last_event_id : int or None
@@ -97,6 +99,8 @@
     next_option : TargetOption or None
         Target that was selected, and retry budget spent, before the previous one was
         left.
+    was_timeout : bool
+        Whether the last attempt that was sent failed at a time limit of this host.
     has_ended : bool
         Whether the request has been completed or has failed.
     """
@@ -126,12 +130,14 @@
     target: str = ""
     status: int = 0
     framing: str = ""
+    media_type: str | None = None
     last_event: str = ""
     last_event_id: int | None = None
     last_failure: str = ""
     no_retry_reason: str = ""
     silent_use: TargetUse | None = None
     next_option: TargetOption | None = None
+    was_timeout: bool = False
     has_ended: bool = False
 
     def __post_init__(self) -> None:
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -22,7 +22,7 @@
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
 from thornlatch.routing import CallKind
-from thornlatch.targets import Reuse, TargetCall, TargetResponse, open_call
+from thornlatch.targets import Framing, Reuse, TargetCall, TargetResponse, open_call
 
 logger = logbook.Logger("thornlatch.gateway")
 
@@ -132,6 +132,7 @@
                 call, target_call, partial(get_patience_s, call, use)
             )
             answer = self._open_answer(call, option, response, use, now)
+            self._check_media_type(call, answer)
         except BaseException:
             self.work.end(use)
             raise
@@ -209,6 +210,21 @@
                 _discard(response)
             raise
 
+    def _check_media_type(self, call: Call, answer: TargetAnswer) -> None:
+        """Reject an answer that can't continue the stream that the caller receives."""
+        if call.route.kind is not CallKind.STREAM or answer.head.status >= 300:
+            return
+        media_type = _read_media_type(answer.head)
+        if call.media_type is None:
+            call.media_type = media_type
+        elif media_type != call.media_type:
+            self.abort(call, answer)
+            raise TargetError(
+                f"answer of type {media_type!r} doesn't continue a stream of type"
+                f" {call.media_type!r}",
+                is_sent=True,
+            )
+
     def _note_pause(self, target: str, head: AnswerHead) -> None:
         if not head.pause_s or not head.is_from(target):
             return
@@ -307,6 +323,13 @@
         raise ForeignAnswer("answer on a kept connection names no request")
 
 
+def _read_media_type(head: AnswerHead) -> str:
+    for name, value in head.headers:
+        if name.lower() == "content-type":
+            return value.partition(";")[0].strip().lower()
+    return ""
+
+
 def _check_stream_end(call: Call, splitter: EventSplitter) -> None:
     # The end of a connection, which may end an answer, says nothing about the stream.
     if splitter.is_inside_event:
@@ -315,8 +338,10 @@
             is_sent=True,
             is_connection_lost=True,
         )
-    is_resumed = call.last_event != ""
-    if not splitter.has_events and not is_resumed:
+    # A target may have nothing left to send in a resumed stream, but a connection that
+    # closes right after the head doesn't tell that from a crash.
+    may_be_empty = call.last_event != "" and call.framing != Framing.CLOSE.value
+    if not splitter.has_events and not may_be_empty:
         raise TargetError(
             "stream ended before its first event",
             is_sent=True,
--- a/src/thornlatch/gateway/tests/test_broken_streams.py
+++ b/src/thornlatch/gateway/tests/test_broken_streams.py
@@ -13,6 +13,7 @@
 from thornlatch.gateway import GatewayMetrics
 from thornlatch.gateway._app import GatewayApplication
 from thornlatch.gateway._call import GatewayAnswer, TargetAnswer
+from thornlatch.gateway._events import EventSplitter
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._servers import build_server
 from thornlatch.targets import TargetCall, open_call
@@ -42,7 +43,7 @@
     response = open_call(TargetCall(target.address, "GET", "/"))
     answer = TargetAnswer(None, None, response, read_clock(), None)
     sender = TargetSender(None, protocol=None, work=None, health=None, metrics=None)
-    call = SimpleNamespace(last_event=last_event)
+    call = SimpleNamespace(last_event=last_event, framing=response.framing.value)
     events = []
     while not answer.has_ended:
         sender.read_events(call, answer)
@@ -71,11 +72,17 @@
         read_stream(target, frame(framing, b""))
 
 
-@pytest.mark.parametrize("framing", ["close", "length", "chunked"])
+@pytest.mark.parametrize("framing", ["length", "chunked"])
 def test_resumed_stream_may_have_no_event_left(target, framing):
     assert read_stream(target, frame(framing, b""), last_event="2") == []
 
 
+def test_resumed_stream_that_closes_after_its_head_is_broken_off(target):
+    """A target that crashed before its first event ended the stream as complete."""
+    with pytest.raises(TargetError, match="event"):
+        read_stream(target, frame("close", b""), last_event="2")
+
+
 @pytest.mark.parametrize("framing", ["close", "length", "chunked"])
 @pytest.mark.parametrize("line_end", [b"\n", b"\r\n", b"\r"], ids=["lf", "crlf", "cr"])
 @pytest.mark.parametrize("blank_lines", [0, 1])
@@ -87,6 +94,39 @@
     assert len(events) == 2
 
 
+ERROR_HEADS = [
+    b"HTTP/1.1 500 Failed\r\n\r\n",
+    b"HTTP/1.0 503\nServer: x\n\n",
+    b"daHTTP/1.1 500 Failed\r\nContent-Length: 0\r\n\r\n",
+    b"data: cHTTP/1.1 500 Failed\r\nretry-after: 1\r\n\r\n",
+    b"data: c\rHTTP/1.1 500 Failed\r\r",
+]
+
+
+@pytest.mark.parametrize("head", ERROR_HEADS)
+def test_head_of_an_answer_is_no_event(target, head):
+    """Callers got the head of a target's error in the middle of their stream."""
+    with pytest.raises(TargetError, match="event"):
+        read_stream(target, frame("close", head))
+    splitter = EventSplitter()
+    assert b"".join(e.data for e in splitter.feed(EVENTS + head)) == EVENTS
+    with pytest.raises(ValueError, match="head"):
+        splitter.feed(b"x")
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        b"data: HTTP/1.1 200 OK\ndata: Server: x\n\n",
+        b"data: HTTP/1.1 200 OK\nid: 3\n\n",
+        b"data: curl: HTTP/1.1 500\n\n",
+        b"version: 1\ndata: see HTTP/1.1\n\n",
+    ],
+)
+def test_text_about_http_is_no_head_of_an_answer(target, event):
+    assert read_stream(target, frame("close", event)) == [event]
+
+
 class BrokenForwarder:
     """Answers with a stream that breaks off after its first event."""
 
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -184,7 +184,8 @@
     "cut-stream" and "cut-unframed" end the answer too early, the last one a stream
     without chunks, and "reset" closes the connection without an answer. "unframed" is
     a whole stream without chunks. "mute S" waits for S seconds before the answer,
-    "silent S" within it.
+    "silent S" within it. A step of bytes is the whole answer, with the request's id for
+    the word REQUEST, and closes the connection.
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
@@ -302,7 +303,10 @@
             "Thornlatch_Request_Id": "other" if step == "crossed" else request_id,
             "Thornlatch_Server_Signature": f"sig-{self.name}",
         }
-        if step.startswith("shed"):
+        if isinstance(step, bytes):
+            handler.close_connection = True
+            handler.wfile.write(step.replace(b"REQUEST", request_id.encode()))
+        elif step.startswith("shed"):
             self.refuse(handler, int(step.partition(" ")[2] or 503))
         elif step.startswith("twice"):
             self.refuse(handler, 503)
