--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -285,6 +285,10 @@
         if step == "stale":
             handler.wfile.write(getattr(handler, "refusal", b""))
             step = ""
+        if isinstance(step, bytes):
+            handler.close_connection = True
+            handler.wfile.write(step.replace(b"REQUEST", request_id.encode()))
+            return
         if step.startswith("foreign"):
             handler.send(
                 int(step.partition(" ")[2]),
@@ -303,10 +307,7 @@
             "Thornlatch_Request_Id": "other" if step == "crossed" else request_id,
             "Thornlatch_Server_Signature": f"sig-{self.name}",
         }
-        if isinstance(step, bytes):
-            handler.close_connection = True
-            handler.wfile.write(step.replace(b"REQUEST", request_id.encode()))
-        elif step.startswith("shed"):
+        if step.startswith("shed"):
             self.refuse(handler, int(step.partition(" ")[2] or 503))
         elif step.startswith("twice"):
             self.refuse(handler, 503)
