List held targets from a copy: another thread may release one meanwhile

Cause: `list_held` iterated over `held` in the thread of the peers' loop, while the thread of the store's renewals holds and releases targets. A change in between raised RuntimeError after `build_held_report` had taken the changed targets, so a turn's digest was lost, and its changes until the next full report (1 s); in the last digest of a stopping host it ended the loop before the mesh was closed.

Evidence, before: test_held_targets_are_listed_while_another_thread_releases_one E RuntimeError: dictionary changed size during iteration

Why it works: `list` of a dictionary's keys runs no Python code, so no other thread runs before the copy is complete; the other readers of `held` already copy its values.

--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -461,7 +461,9 @@
     def list_held(self) -> tuple[str, ...]:
         """Return the ids of the targets that this host holds and may send orders."""
         now = read_clock()
-        return tuple(target for target in self.held if self.is_held(target, now=now))
+        # Another thread may hold or release a target meanwhile.
+        targets = list(self.held)
+        return tuple(target for target in targets if self.is_held(target, now=now))
 
     def stop(self) -> None:
         """Give up all held targets and send no further orders."""
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -189,6 +189,24 @@
     ]
 
 
+def test_held_targets_are_listed_while_another_thread_releases_one(
+    manager_and_sent, monkeypatch
+):
+    """The digest that lists them is built by another thread than the renewal's."""
+    manager, _ = manager_and_sent
+    hold(manager, "t1", "t2")
+    is_held = manager.is_held
+
+    def release_meanwhile(target, *, now):
+        if target == "t1":
+            manager.tenure.renew(frozenset(), 6, asked_at=read_clock())
+            manager.update_held_targets(now=read_clock())
+        return is_held(target, now=now)
+
+    monkeypatch.setattr(manager, "is_held", release_meanwhile)
+    assert manager.list_held() == ()
+
+
 @pytest.mark.parametrize("was_missing", [True, False])
 @pytest.mark.parametrize("unusable", [(), ("t2",)])
 def test_queued_load_is_dropped_once_another_target_loads_the_adapter(
