Let a sender of orders end once: its successor isn't taken for ended

Cause: `_send_next` clears `is_sending` under the lock when there is nothing left to send, and `_send_orders` cleared it again when it returned. A load requested in between had started the next sender, which then counted as ended, so a third one started beside it: two senders send the same numbered order, and the target rejects one as outdated.

Evidence, before: test_order_requested_as_a_sender_ends_has_one_sender E assert 2 == 1 (senders submitted for one target)

Why it works: each way out of `_send_next` clears `is_sending` once, and after an exception `_send_orders` does; nothing clears it after the return.

Two more tests show what mended and no test covered. Broken by hand, each fails: `self.held[...]` in `_send_next` (KeyError, logged as residency.failed), and a changed target without a token that isn't noted again (reported with the next full report only).

--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -522,17 +522,21 @@
                 pass
         except Exception:
             logger.exception("residency.failed", extra={"target": held.target.id})
-        finally:
-            with held.lock:
-                held.is_sending = False
+            self._end_sending(held)
+
+    def _end_sending(self, held: _HeldState) -> None:
+        with held.lock:
+            held.is_sending = False
 
     def _send_next(self, held: _HeldState) -> bool:
-        """Send one order or read a report; return whether another may follow."""
+        """Send one order or read a report; return whether another may follow.
+
+        If not, `is_sending` is cleared, and from then on another sender may run.
+        """
         now = read_clock()
-        if self.held.get(held.target.id) is not held:
-            return False
         token = self.tenure.get_token(held.partition, now=now)
-        if token is None:
+        if token is None or self.held.get(held.target.id) is not held:
+            self._end_sending(held)
             return False
         with held.lock:
             needs_report = held.planner.needs_report(now=now)
@@ -548,7 +552,16 @@
                 held.is_sending = False
                 return False
         if numbered_order is None:
-            return self._read_report(held)
+            may_follow = self._read_report(held)
+        else:
+            may_follow = self._send_order(held, numbered_order, token)
+        if not may_follow:
+            self._end_sending(held)
+        return may_follow
+
+    def _send_order(
+        self, held: _HeldState, numbered_order: NumberedOrder, token: int
+    ) -> bool:
         reply = self.protocol.send_order(
             held.target.address, held.target.id, numbered_order, token
         )
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -1,7 +1,9 @@
 """Holding of targets, orders, and load requests that are forwarded or dropped."""
 
+import threading
 from random import Random
 
+import logbook
 import pytest
 
 from thornlatch.core import read_clock
@@ -75,6 +77,16 @@
         function(*arguments)
 
 
+class QueueingExecutor:
+    """Keeps submitted functions with their arguments."""
+
+    def __init__(self):
+        self.submitted = []
+
+    def submit(self, function, *arguments):
+        self.submitted.append((function, *arguments))
+
+
 @pytest.fixture
 def manager_and_sent():
     in_force = ConfigurationInForce(FreshnessSettings())
@@ -207,6 +219,80 @@
     assert manager.list_held() == ()
 
 
+class SwitchingLock:
+    """A lock after whose release another thread runs first, once `is_due`."""
+
+    def __init__(self, is_due, run_other_thread):
+        self.is_due = is_due
+        self.run_other_thread = run_other_thread
+        self.lock = threading.Lock()
+        self.has_switched = False
+
+    def __enter__(self):
+        self.lock.acquire()
+
+    def __exit__(self, *details):
+        is_due = not self.has_switched and self.is_due()
+        self.lock.release()
+        if is_due:
+            self.has_switched = True
+            self.run_other_thread()
+
+
+def test_order_requested_as_a_sender_ends_has_one_sender(manager_and_sent):
+    """Two senders would send the same numbered order to a target twice."""
+    manager, _ = manager_and_sent
+    hold(manager, "t1")
+    held = manager.held["t1"]
+    executor = QueueingExecutor()
+
+    def request_another():
+        manager.executor = executor
+        manager.request_load(build_load_request(adapter="m/a2"), now=read_clock())
+
+    def has_sender_ended():
+        return bool(manager.protocol.orders) and not held.is_sending
+
+    held.lock = SwitchingLock(has_sender_ended, request_another)
+    manager.request_load(build_load_request(), now=read_clock())
+    assert len(manager.protocol.orders) == 1
+    assert held.lock.has_switched
+    assert len(executor.submitted) == 1
+    manager.tick(now=read_clock())
+    assert len(executor.submitted) == 1
+
+
+def test_sender_of_a_released_target_ends_without_an_error(manager_and_sent):
+    """The target may be released between the request for a load and its order."""
+    manager, _ = manager_and_sent
+    hold(manager, "t1")
+    manager.executor = QueueingExecutor()
+    manager.request_load(build_load_request(), now=read_clock())
+    manager.registry.apply("t1", None, now=read_clock())
+    manager.update_held_targets(now=read_clock())
+    assert "t1" not in manager.held
+    ((send_orders, held),) = manager.executor.submitted
+    with logbook.TestHandler() as log:
+        send_orders(held)
+    assert not log.records
+    assert not manager.protocol.orders
+
+
+def test_target_changed_without_a_token_is_reported_once_there_is_one(
+    manager_and_sent,
+):
+    manager, _ = manager_and_sent
+    hold(manager, "t1", "t2")
+    now = read_clock()
+    manager.build_held_report(now=now)
+    manager.request_load(build_load_request("t2"), now=now)
+    manager.tenure.renew(frozenset(), 6, asked_at=now)
+    assert manager.build_held_report(now=now + 0.1) is None
+    partitions = frozenset(manager.get_partition(name) for name in ("t1", "t2"))
+    manager.tenure.renew(partitions, 7, asked_at=now)
+    assert [held.target for held in manager.build_held_report(now=now + 0.2)] == ["t2"]
+
+
 @pytest.mark.parametrize("was_missing", [True, False])
 @pytest.mark.parametrize("unusable", [(), ("t2",)])
 def test_queued_load_is_dropped_once_another_target_loads_the_adapter(
