Release the budget of loads whose target went down, restarted or was removed

Cause: the budget of a load is released by its result or once the order is overdue. The overdue ones were looked for among the loads of the targets' slots, but a target that is marked down or restarts no longer has its loads there, and a removed one has no slots; the result of a removed target's order isn't passed on either. If no result came, the store's in-flight limit stayed lower by one, and no prefetch ran, until this host lost the pool. A load ordered again at the same target took the budget twice and released it once.

Evidence, before: test_load_whose_result_never_comes_releases_the_budget [marked-down], [restarted], [removed]: E assert 1 == 0 (loads in flight after 60 s) test_load_ordered_again_is_charged_once: E assert 2 == 1

Why it works: the counted loads keep their own time at which the order is settled, so they expire by that time whatever became of the target, as early as before (order limit, load limit and one more order limit); a result in time still releases them at once.

--- a/src/thornlatch/placement/_placement.py
+++ b/src/thornlatch/placement/_placement.py
@@ -59,11 +59,13 @@
         self.slots_by_target: dict[str, TargetSlots] = {}
         self.closed_targets: set[str] = set()
         self.targets_by_version: dict[AdapterVersion, list[str]] = {}
-        self.demand_loads: set[tuple[str, AdapterVersion]] = set()
+        # Loads that the budget counts, with the time after which their targets no
+        # longer carry them out.
+        self.demand_loads: dict[tuple[str, AdapterVersion], float] = {}
         self.planned_sites: dict[AdapterVersion, LoadSite] = {}
         self.next_prefetch_at = 0.0
         self.blocked_until = 0.0
-        self.prefetching: set[tuple[str, AdapterVersion]] = set()
+        self.prefetching: dict[tuple[str, AdapterVersion], float] = {}
         self.sites = SiteChooser(
             settings,
             self.demand,
@@ -288,8 +290,11 @@
             if not budget.try_acquire(now):
                 self.blocked_until = now + BUDGET_RETRY_S
                 break
-            actions.append(self._load(site, need.version, epoch, now))
-            self.demand_loads.add((site.target, need.version))
+            # A load there may still be counted, as its result was lost.
+            self._release_budget(site.target, need.version, budget, now)
+            actions.append(
+                self._load(site, need.version, self.demand_loads, epoch, now)
+            )
         if not needs:
             actions += self._prefetch(pins, budget, epoch, now)
         return actions
@@ -327,15 +332,21 @@
                 return [self._evict(site, epoch, now)]
             if not budget.try_acquire(now):
                 return []
-            self.prefetching.add((site.target, need.version))
-            return [self._load(site, need.version, epoch, now)]
+            self._release_budget(site.target, need.version, budget, now)
+            return [self._load(site, need.version, self.prefetching, epoch, now)]
         return []
 
     def _load(
-        self, site: LoadSite, version: AdapterVersion, epoch: int, now: float
+        self,
+        site: LoadSite,
+        version: AdapterVersion,
+        counted_loads: dict[tuple[str, AdapterVersion], float],
+        epoch: int,
+        now: float,
     ) -> Action:
         limit_s = self.settings.order_limit_s
         settled_at = now + limit_s + self.settings.load_limit_s
+        counted_loads[site.target, version] = settled_at
         self.slots_by_target[site.target].begin_load(version, settled_at)
         order = LoadAdapter(version.adapter, version.version, epoch, limit_s)
         return Order(site.target, order)
@@ -349,11 +360,17 @@
         return Order(site.target, order)
 
     def _expire_orders(self, budget: LoadBudget, now: float) -> list[Action]:
+        grace_s = self.settings.order_limit_s
         actions: list[Action] = []
         for name, slots in self.slots_by_target.items():
-            for version in slots.expire_orders(self.settings.order_limit_s, now):
-                self._release_budget(name, version, budget, now)
+            for version in slots.expire_orders(grace_s, now):
                 actions.append(_build_event("placement.result_lost", name, version, -1))
+        # The slots of targets that went down, restarted or were removed no longer have
+        # the loads that the budget counts.
+        for loads in (self.demand_loads, self.prefetching):
+            for (name, version), settled_at in list(loads.items()):
+                if now > settled_at + grace_s:
+                    self._release_budget(name, version, budget, now)
         return actions
 
     def _release_budget(
@@ -361,8 +378,8 @@
     ) -> None:
         load = (target, version)
         if load in self.demand_loads or load in self.prefetching:
-            self.demand_loads.discard(load)
-            self.prefetching.discard(load)
+            self.demand_loads.pop(load, None)
+            self.prefetching.pop(load, None)
             budget.release(now)
 
     def _update_index(self) -> None:
--- a/src/thornlatch/placement/tests/test_placement.py
+++ b/src/thornlatch/placement/tests/test_placement.py
@@ -51,6 +51,14 @@
     )
 
 
+def remove_target(placement, name):
+    placement.set_targets(
+        slots.target
+        for slots in list(placement.slots_by_target.values())
+        if slots.target.name != name
+    )
+
+
 def decide(placement, names, pins=None, budget=None, now=1.0):
     needs = [LoadNeed(make_version(name), "o", 1.0) for name in names]
     actions = placement.decide(
@@ -142,6 +150,39 @@
     assert budget.in_flight == 0
 
 
+@pytest.mark.parametrize("cause", ["marked-down", "restarted", "removed"])
+def test_load_whose_result_never_comes_releases_the_budget(cause):
+    placement = make_placement(["", ""])
+    budget = StoreBudget(STORE)
+    (order,) = decide(placement, ["a"], budget=budget)
+    if cause == "marked-down":
+        placement.mark_target_down(order.target)
+    elif cause == "restarted":
+        apply_report(placement, order.target, "", 5.0, incarnation="2")
+    else:
+        remove_target(placement, order.target)
+    decide(placement, [], budget=budget, now=15.0)
+    assert budget.in_flight == 1
+    decide(placement, [], budget=budget, now=60.0)
+    assert budget.in_flight == 0
+
+
+def test_load_ordered_again_is_charged_once():
+    placement = make_placement([""])
+    targets = [slots.target for slots in placement.slots_by_target.values()]
+    budget = StoreBudget(STORE)
+    decide(placement, ["a"], budget=budget)
+    placement.set_targets([])
+    placement.set_targets(targets)
+    apply_report(placement, "t0", "", 1.5)
+    (order,) = decide(placement, ["a"], budget=budget, now=2.0)
+    assert budget.in_flight == 1
+    placement.note_order_result(
+        "t0", order.order, ok=True, is_certain=True, budget=budget, now=3.0
+    )
+    assert budget.in_flight == 0
+
+
 def test_restarted_target_is_empty():
     placement = make_placement(["ab"])
     apply_report(placement, "t0", "", 5.0, incarnation="2")
