Don't suspend a restarted target for the failure of its former incarnation

Cause: reports of other hosts' failures are compared with the target's incarnation, but an owner's own failed request suspended the target whatever incarnation it ran on. A target that had restarted and reported again by then lost its first second(s) of work, with the suspension doubling by each further request of the former incarnation.

Evidence, before: test_failure_of_an_own_request_suspends_only_its_incarnation[True] E assert False == True (the restarted target is open)

Why it works: the owner compares the grant's incarnation with the one last reported. If either isn't known, as for a later use of a kept grant, the target is suspended as before.

--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -203,7 +203,8 @@
     def report_target_failure(self, grant: Grant, *, now: float) -> list[Action]:
         """Report to the pool's owner that a target failed under a grant of this host.
 
-        If this host is the owner, it suspends the target itself.
+        If this host is the owner, it suspends the target itself, unless the target is
+        known to have restarted since the grant.
 
         Parameters
         ----------
@@ -217,7 +218,10 @@
             The report to another host; empty if there is no owner or the grant names
             no incarnation of the target.
         """
-        if grant.pool in self.schedulers:
+        scheduler = self.schedulers.get(grant.pool)
+        if scheduler is not None:
+            if scheduler.has_restarted(grant.target, grant.incarnation):
+                return []
             return self.mark_target_down(grant.target, now=now)
         owner = self.leases.get_owner(get_pool_key(grant.pool))
         if owner is None or not grant.incarnation:
--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -245,6 +245,12 @@
             self._update_open_targets(now)
         return []
 
+    def has_restarted(self, target: str, incarnation: str) -> bool:
+        """Return whether a target is known to run as another incarnation than this."""
+        state = self.targets.get(target)
+        known = state.incarnation if state is not None else ""
+        return bool(known and incarnation) and known != incarnation
+
     def list_open_orders(self, now: float) -> list[OrderInDoubt]:
         """Return the orders that targets may still carry out."""
         return [
--- a/src/thornlatch/dispatch/tests/test_failure_reports.py
+++ b/src/thornlatch/dispatch/tests/test_failure_reports.py
@@ -98,6 +98,21 @@
     assert is_open(fleet)
 
 
+@pytest.mark.parametrize("is_restarted", [False, True])
+def test_failure_of_an_own_request_suspends_only_its_incarnation(is_restarted):
+    fleet = start()
+    fleet.request("h1", make_spec("r2"))
+    fleet.settle()
+    if is_restarted:
+        fleet.engines["t0"].restart()
+    fleet.poll_targets()
+    actions = fleet.hosts["h1"].report_target_failure(
+        fleet.results["r2"], now=fleet.now
+    )
+    assert actions == []
+    assert is_open(fleet) == is_restarted
+
+
 def test_restart_clears_reports():
     fleet = start()
     report_failure(fleet)
