Let releases in a removed pool expire, and return its kept grants

Cause: a release is resent until the pool's owner acknowledges it. A pool that was removed from the inventory has no scheduler any more, so nobody does; a grant kept there counted as kept for a silent owner, and was never returned. Either kept its host busy, with a tick at every turn and a message each 0.5 s, until the process ended.

Evidence, before: test_grant_of_a_removed_pool_does_not_keep_its_host_busy, all 8 cases (with and without an owner, finished before and after the removal, kept and returned): E assert 1031.09... == inf (next_due), or assert not Counter({'t0': 1})

Why it works: in a removed pool kept grants are returned, and releases expire after owner_wait_s, as cancellations do. If the pool returns before, they don't expire, since an owner that didn't notice the removal still counts the grant: test_release_outlasts_a_short_removal_of_the_pool passes before and after.

--- a/src/thornlatch/dispatch/_client.py
+++ b/src/thornlatch/dispatch/_client.py
@@ -176,6 +176,7 @@
         self.proven_requests = ProvenRequests()
         self.owner = ""
         self.is_closed = False
+        self.is_pool_removed = False
 
     # Owner.
 
@@ -205,6 +206,24 @@
             self.unanswered_since = now
         return [Send(self.owner, message)] if self.owner else []
 
+    def note_inventory(self, *, has_pool: bool, now: float) -> None:
+        """Record whether the inventory has the pool.
+
+        Releases in a removed pool are resent for `owner_wait_s` only, as it may have no
+        owner any more. They don't expire if the pool returns before, since its owner
+        may not have noticed the removal.
+        """
+        if self.is_pool_removed == (not has_pool):
+            return
+        self.is_pool_removed = not has_pool
+        for entry in self.releases.values():
+            entry.expires_at = self._get_release_expiry(now)
+
+    def _get_release_expiry(self, now: float) -> float:
+        if not self.is_pool_removed:
+            return float("inf")
+        return now + self.settings.owner_wait_s
+
     def advance_epoch(self, epoch: int) -> None:
         """Advance to a newer owner's epoch; former owners' grants are then ignored."""
         if epoch > self.epoch:
@@ -337,7 +356,7 @@
 
     def may_keep(self, held: ClientGrant, leaving: set[str], now: float) -> bool:
         """Return whether a grant may be kept for the next request after a use."""
-        if held.is_recalled or self.is_closed or held.granted.target in leaving:
+        if self._must_return(held, leaving):
             return False
         return held.granted.linger_s > 0 or self.is_owner_silent(now)
 
@@ -429,6 +448,8 @@
         actions: list[Action] = []
         for key in [k for k, m in self.cancellations.items() if now >= m.expires_at]:
             del self.cancellations[key]
+        for grant in [g for g, m in self.releases.items() if now >= m.expires_at]:
+            del self.releases[grant]
         for entry in [*self.releases.values(), *self.cancellations.values()]:
             if now - entry.sent_at >= self.settings.resend_s:
                 entry.sent_at = now
@@ -449,7 +470,7 @@
         return actions
 
     def _is_expired(self, held: ClientGrant, leaving: set[str], now: float) -> bool:
-        if held.is_recalled or self.is_closed or held.granted.target in leaving:
+        if self._must_return(held, leaving):
             return True
         is_acknowledged = held.unacked_report is None
         kept_s = now - held.state_changed_at
@@ -457,8 +478,13 @@
             return False
         return kept_s >= held.granted.linger_s
 
+    def _must_return(self, held: ClientGrant, leaving: set[str]) -> bool:
+        is_target_leaving = held.granted.target in leaving
+        is_ended = self.is_closed or self.is_pool_removed
+        return held.is_recalled or is_ended or is_target_leaving
+
     def _send_release(self, message: GrantReleased, now: float) -> list[Action]:
-        entry = UnacknowledgedMessage(message, now, float("inf"))
+        entry = UnacknowledgedMessage(message, now, self._get_release_expiry(now))
         self.releases[message.grant] = entry
         event = Event(
             "dispatch.grant_returned",
--- a/src/thornlatch/dispatch/_dispatch.py
+++ b/src/thornlatch/dispatch/_dispatch.py
@@ -150,6 +150,8 @@
             if name not in self.clients:
                 self.clients[name] = PoolClient(self.settings, self.host, name)
                 self.clients[name].is_closed = self.is_closed
+        for name, client in self.clients.items():
+            client.note_inventory(has_pool=name in self.pools, now=now)
         actions: list[Action] = []
         for scheduler in self.schedulers.values():
             actions += self._set_targets(scheduler, now)
--- a/src/thornlatch/dispatch/tests/test_dispatch.py
+++ b/src/thornlatch/dispatch/tests/test_dispatch.py
@@ -1,3 +1,5 @@
+import math
+
 import pytest
 
 from thornlatch.dispatch import DispatchSettings, Grant, Outcome
@@ -46,6 +48,52 @@
     assert not fleet.hosts["h1"].schedulers["p"].table.grants
 
 
+def set_pools(fleet, pools, *, offset):
+    for name, dispatch in fleet.hosts.items():
+        targets = fleet.targets if pools else ()
+        actions = dispatch.set_inventory(
+            pools, targets, lambda name: None, [], offset=offset, now=fleet.now
+        )
+        fleet.apply_actions(name, actions)
+
+
+@pytest.mark.parametrize("outcome", [Outcome.OK, Outcome.FAILED])
+@pytest.mark.parametrize("is_finished_first", [False, True])
+@pytest.mark.parametrize("has_owner", [False, True])
+def test_grant_of_a_removed_pool_does_not_keep_its_host_busy(
+    fleet, has_owner, is_finished_first, outcome
+):
+    fleet.request("h2", make_spec("r1"))
+    fleet.settle()
+    if is_finished_first:
+        fleet.finish(fleet.results["r1"].grant, outcome)
+    if not has_owner:
+        fleet.view.owner = None
+    set_pools(fleet, [], offset=2)
+    if not is_finished_first:
+        fleet.advance(20.0)
+        fleet.finish(fleet.results["r1"].grant, outcome)
+    fleet.advance(fleet.settings.owner_wait_s + 1.0)
+    assert not fleet.count_held()
+    assert fleet.hosts["h2"].next_due(now=fleet.now) == math.inf
+
+
+def test_release_outlasts_a_short_removal_of_the_pool(fleet):
+    fleet.request("h2", make_spec("r1"))
+    fleet.settle()
+    fleet.finish(fleet.results["r1"].grant, Outcome.FAILED)
+    fleet.network.clear()
+    set_pools(fleet, [], offset=2)
+    set_pools(fleet, [fleet.pool], offset=3)
+    fleet.view.paused.add("h1")
+    fleet.advance(2 * fleet.settings.owner_wait_s)
+    assert fleet.hosts["h2"].clients["p"].releases
+    fleet.view.paused.discard("h1")
+    fleet.advance(1.0)
+    assert not fleet.hosts["h2"].clients["p"].releases
+    assert not fleet.hosts["h1"].schedulers["p"].table.grants
+
+
 def test_request_unreachable_deadline(fleet):
     fleet.request("h2", make_spec("r1", deadline_in_s=0.01))
     fleet.settle()
