Daemon: keep the host list over a new session and changes of the inventory

Cause: a new session builds new slices, and only the next read of the host list told them which targets leave. The host list reader keeps the last list while the platform doesn't answer, but hands it over only after a read. The same held for a target that is added to the inventory, or removed and added again, after the last read.

Why it works: the slices keep the list, and a renewed session takes over that of the former one; whenever an inventory is distributed, the list is applied to its targets before a request can be granted there. Membership gets no hint from a list that is kept.

--- a/src/thornlatch/daemon/_daemon.py
+++ b/src/thornlatch/daemon/_daemon.py
@@ -24,7 +24,7 @@
 from thornlatch.daemon._status import build_status
 from thornlatch.daemon._stop import StopSequence
 from thornlatch.exceptions import ErrorKind
-from thornlatch.logservice import Delivery, LogClient, LogFollower
+from thornlatch.logservice import Delivery, HostList, LogClient, LogFollower
 from thornlatch.mesh import PeerMesh
 from thornlatch.requests import RetryPolicy
 
@@ -46,7 +46,7 @@
         self.timeline = TimelineWriter()
         self.log_client = LogClient(settings.platform, client=settings.host.name)
         self.appender = LogAppender(self.log_client)
-        self.host_slices = self._build_host_slices()
+        self.host_slices = self._build_host_slices(HostList())
         self.log_handler = build_handler(
             self.host_slices.host, level=settings.logs.level
         )
@@ -163,7 +163,7 @@
         """Return the JSON value of the status page."""
         return build_status(self)
 
-    def _build_host_slices(self) -> HostSlices:
+    def _build_host_slices(self, host_list: HostList) -> HostSlices:
         host = self.settings.host
         return HostSlices(
             self.settings.slices,
@@ -171,6 +171,7 @@
             address=host.peer_address,
             failure_domain=host.failure_domain,
             random=self.random,
+            host_list=host_list,
         )
 
     def _build_server(self) -> Any:
@@ -289,7 +290,7 @@
             Event("daemon.session_lost", detail={"host": self.host_slices.host})
         )
         self.running.stop(ErrorKind.HOST_UNCONFIRMED, lambda request: True)
-        self.host_slices = self._build_host_slices()
+        self.host_slices = self._build_host_slices(self.host_slices.host_list)
         self.checked_offset = -1
         self.log_reader.replace_follower(self._build_follower())
         self.log_handler.host = self.host_slices.host
--- a/src/thornlatch/daemon/_host_slices.py
+++ b/src/thornlatch/daemon/_host_slices.py
@@ -71,6 +71,8 @@
         ``ip:port`` for peers.
     failure_domain : str
     random : random.Random
+    host_list : HostList or None
+        Latest list of the platform that the host's former session applied.
     """
 
     def __init__(
@@ -81,6 +83,7 @@
         address: str,
         failure_domain: str,
         random: Random,
+        host_list: HostList | None = None,
     ) -> None:
         self.host = host
         self.membership = Membership(
@@ -120,6 +123,7 @@
         self.budgets: list[SharedLoadBudget] = []
         self.organisations: dict[str, Organisation] = {}
         self.leaving: set[str] = set()
+        self.host_list = host_list or HostList()
         self.listed_leaving: set[str] = set()
 
     def apply_records(
@@ -162,8 +166,7 @@
         self.admission.set_allowances(
             build_allowances(view), offset=view.offset, now=now
         )
-        actions = self._emit_changes(view)
-        return actions + self.dispatch.set_inventory(
+        actions = self.dispatch.set_inventory(
             view.iter_pools(),
             view.iter_targets(),
             view.find_adapter,
@@ -172,6 +175,9 @@
             offset=view.offset,
             now=now,
         )
+        # The inventory may have targets that the host list named before.
+        actions += self._update_listed_leaving(now)
+        return actions + self._emit_changes(view)
 
     def _emit_changes(self, view: ConfigurationView) -> list[Action]:
         actions: list[Action] = []
@@ -215,18 +221,23 @@
             actions += self.membership.note_host_list(
                 hosts.live, hosts.leaving, now=now
             )
-        view = self.configuration.view
+        self.host_list = hosts
+        actions += self._update_listed_leaving(now)
+        return actions + self._emit_leaving_changes(self.configuration.view)
+
+    def _update_listed_leaving(self, now: float) -> list[Action]:
         listed = {
             target.name
-            for target in view.iter_targets()
-            if hosts.is_leaving(target.name, target.address)
+            for target in self.configuration.view.iter_targets()
+            if self.host_list.is_leaving(target.name, target.address)
         }
+        actions: list[Action] = []
         for target in sorted(listed ^ self.listed_leaving):
             actions += self.dispatch.note_target_leaving(
                 target, is_leaving=target in listed, now=now
             )
         self.listed_leaving = listed
-        return actions + self._emit_leaving_changes(view)
+        return actions
 
     def tick(self, *, now: float) -> list[Action]:
         """Report to admission whether loads wait for the budgets of their stores.
