Quarantine tests: end an isolated run unsent, and leave its queue

Change: "left" is a test of its own, which cancels a queued request, as `cancel_isolation` is for; "unsent" ends a started attempt by `note_unsent`. "released" stays as it was, so no case is lost.

Evidence: no fault found.

--- a/src/thornlatch/requests/tests/test_quarantine.py
+++ b/src/thornlatch/requests/tests/test_quarantine.py
@@ -181,7 +181,28 @@
     assert isinstance(harness.check("b", "f"), RunNormally)
 
 
-@pytest.mark.parametrize("ending", ["finished", "left", "released", "host-departed"])
+def test_request_that_leaves_the_queue_does_not_hold_up_the_next_one():
+    harness = Harness()
+    harness.start("a", "r", "f", "t1")
+    harness.kill("t1")
+    for host, ticket in (("a", "r"), ("a", "left"), ("b", "next")):
+        harness.request_isolation(host, ticket, "f")
+        harness.wait()
+    assert set(harness.values) == {"r"}
+    quarantine = harness.quarantines["a"]
+    harness.execute("a", quarantine.cancel_isolation("left", now=harness.now))
+    harness.wait()
+    assert set(harness.values) == {"r"}
+    isolation_id = harness.values["r"].isolation_id
+    harness.execute(
+        "a", quarantine.release_isolation(isolation_id, "f", now=harness.now)
+    )
+    harness.wait()
+    assert set(harness.values) == {"r", "next"}
+    assert isinstance(harness.values["next"], RunIsolated)
+
+
+@pytest.mark.parametrize("ending", ["finished", "unsent", "released", "host-departed"])
 def test_isolated_run_ended_next_one_is_granted(ending):
     harness = Harness()
     harness.start("a", "r", "f", "t1")
@@ -195,6 +216,9 @@
     if ending == "finished":
         harness.start("a", "r", "f", "t2", isolation_id=isolation_id)
         harness.execute("a", quarantine.note_finished("r", now=harness.now))
+    elif ending == "unsent":
+        harness.start("a", "r", "f", "t2", isolation_id=isolation_id)
+        harness.execute("a", quarantine.note_unsent("r", now=harness.now))
     elif ending == "host-departed":
         del harness.quarantines["a"]
         harness.lost_peers = {"a"}
