Daemon: a stream refused before its call neither clears a suspect nor pins its adapter

Cause: `_run_attempt` told the gate and the owner of an attempt that its host refused before the call, for lack of a lease, as cancelled after it was sent. An isolated run of a suspected request so counted as ended on a live target, which cleared the suspicion without a byte sent, and its adapter stayed pinned for orphan_pin_s (30 s).

Evidence, before: test_refusal_before_the_call_proves_nothing_about_the_request E [(Outcome.CANCELLED, True)] == [(Outcome.UNUSED, False)]

Why it works: until the lease is checked the attempt counts as unused and unsent, as in the plain calls; what happens from the call on is told as before.

--- a/src/thornlatch/daemon/_completions.py
+++ b/src/thornlatch/daemon/_completions.py
@@ -180,8 +180,9 @@
         self, grant: Grant, isolation_id: str
     ) -> Iterator[list[CompletionChunk]]:
         sent_before = self.sent_tokens
-        outcome = Outcome.FAILED
-        is_sent = True
+        # Until the target is called, an error says nothing about target or request.
+        outcome = Outcome.UNUSED
+        is_sent = False
         first_token_s = None
         response = None
         started_at = time.monotonic()
@@ -190,6 +191,9 @@
         )
         self.gate.note_started(grant.target, isolation_id)
         try:
+            self.slice_client.check_confirmed()
+            outcome = Outcome.FAILED
+            is_sent = True
             response = self._open(grant)
             self.may_have_run = True
             reader = ChunkReader(response)
@@ -209,7 +213,8 @@
             self.may_have_run = self.may_have_run or error.is_sent
             raise
         except (CallerDisconnected, GeneratorExit, RequestRefused):
-            outcome = Outcome.CANCELLED
+            if is_sent:
+                outcome = Outcome.CANCELLED
             raise
         finally:
             self.request.running.attach(None)
@@ -235,7 +240,6 @@
 
     def _open(self, grant: Grant) -> TargetResponse:
         request = self.request
-        self.slice_client.check_confirmed()
         self._emit("requests.sent", grant, {"idempotent": True})
         response = open_call(self._build_call(grant))
         request.running.attach(response)
