--- a/src/thornlatch/targets/tests/test_engine_contract.py
+++ b/src/thornlatch/targets/tests/test_engine_contract.py
@@ -117,6 +117,23 @@
     assert read_report(address, timeout_s=5)["loaded"] == [MODEL]
 
 
+@pytest.mark.parametrize("status", ["404 Not Found", "503 Service Unavailable"])
+def test_report_with_another_status_is_refused(status):
+    """Its body may be a report all the same, such as a proxy's copy."""
+    body = b'{"loaded": ["a@1"], "running": 0}'
+
+    def app(environ, start_response):
+        start_response(status, [("Content-Length", str(len(body)))])
+        return [body]
+
+    with (
+        BackgroundServer(app, threads=2) as server,
+        pytest.raises(TargetError) as caught,
+    ):
+        read_report(server.address, timeout_s=5)
+    assert caught.value.status == int(status[:3])
+
+
 @pytest.mark.parametrize("body", [b"", b"[1]", b"{", b"\xff"])
 def test_report_malformed(body):
     def app(environ, start_response):
