Take an event id of thousands of digits for none, not for a broken stream

Cause: `int` raises ValueError over 4,300 digits. The sender takes a ValueError of the splitter for an event without end, so the stream counted as broken off by its target, and the complete events read with it were lost.

Evidence, before: test_events_beside_one_with_an_unusual_id_are_passed_on[over-the-limit-of-int] E ValueError: Exceeds the limit (4300 digits) for integer string conversion

--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -3,8 +3,11 @@
 import re
 from dataclasses import dataclass
 
+from thornlatch.core import parse_number
+
 # A blank line ends an event. Lines end with LF, CRLF or CR; a CRLF is one line end.
 EVENT_END = re.compile(rb"(?>\r\n?|\n)(?:\r\n?|\n)")
+MAX_ID_DIGITS = 100
 EVENT_LIMIT_BYTES = 1 << 20  # a longer event means that the stream is broken
 
 
@@ -80,6 +83,6 @@
 def _find_id(event: bytes) -> int | None:
     for line in event.splitlines():
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            text = line[3:].strip().decode(errors="replace")
+            return parse_number(text, max_digits=MAX_ID_DIGITS)
     return None
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -40,6 +40,20 @@
         EventSplitter().feed(b"x" * (EVENT_LIMIT_BYTES + 1))
 
 
+@pytest.mark.parametrize(
+    ("text", "number"),
+    [
+        pytest.param("1764880000000000000", 1764880000000000000, id="nanoseconds"),
+        pytest.param("9" * 5000, None, id="over-the-limit-of-int"),
+        pytest.param("²", None, id="digit-of-another-kind"),
+        pytest.param("-1", None, id="sign"),
+    ],
+)
+def test_events_beside_one_with_an_unusual_id_are_passed_on(text, number):
+    data = f"id: 1\ndata: x\n\nid: {text}\ndata: x\n\n".encode()
+    assert [event.id for event in EventSplitter().feed(data)] == [1, number]
+
+
 def test_unreachable_target_is_avoided_for_longer_each_time():
     health = TargetHealth(ForwardingSettings())
     avoided_s = [
