Choose the targets to hold under the lock: a lost one isn't taken up again

Cause: the loop of the peers listed the targets of its partitions before it took the lock. If the thread of the renewals lost a partition and released its targets in between, they were taken up again without a token, and the next digest named this host as their holder, until the next tick. After `stop` the same gave a stopping host a target again.

Evidence, before: test_lost_partition_is_not_taken_up_again_by_an_update_under_way E AssertionError: assert {'t1': _HeldState(...)} == {}

Why it works: the tenure changes before the other thread's update, which then waits for the lock, so the last update under the lock sees the latest tenure.

--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -35,7 +35,7 @@
     Tenure,
     build_residents,
 )
-from thornlatch.routing import ConfigurationInForce, EngineLimits
+from thornlatch.routing import Configuration, ConfigurationInForce, EngineLimits
 
 logger = logbook.Logger("thornlatch.residency")
 
@@ -337,14 +337,9 @@
         configuration = self.in_force.configuration
         if configuration is None or not (self.tenure.tokens or self.held):
             return
-        targets_to_hold: dict[str, tuple[Target, EngineLimits]] = {}
-        for target in list(self.registry.targets.values()):
-            service = configuration.services.get(target.service)
-            if service is None or service.engine is None or target.is_leaving:
-                continue
-            if self.get_partition(target.id) in self.tenure.tokens:
-                targets_to_hold[target.id] = (target, service.engine)
         with self.lock:
+            # Under the lock, or a partition lost meanwhile would be taken up again.
+            targets_to_hold = self._list_targets_to_hold(configuration)
             for target_id in [
                 held_id
                 for held_id in self.held
@@ -357,6 +352,18 @@
                 if target_id not in self.held:
                     self._begin_holding(target, limits, now)
 
+    def _list_targets_to_hold(
+        self, configuration: Configuration
+    ) -> dict[str, tuple[Target, EngineLimits]]:
+        targets_to_hold = {}
+        for target in list(self.registry.targets.values()):
+            service = configuration.services.get(target.service)
+            if service is None or service.engine is None or target.is_leaving:
+                continue
+            if self.get_partition(target.id) in self.tenure.tokens:
+                targets_to_hold[target.id] = (target, service.engine)
+        return targets_to_hold
+
     def _is_still_held(
         self, target_id: str, targets_to_hold: dict[str, tuple[Target, EngineLimits]]
     ) -> bool:
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -262,6 +262,31 @@
     assert len(executor.submitted) == 1
 
 
+def test_lost_partition_is_not_taken_up_again_by_an_update_under_way(
+    manager_and_sent,
+):
+    """The store's renewals and the ticks update the held targets in two threads."""
+    manager, _ = manager_and_sent
+    hold(manager, "t1")
+    lock = manager.lock
+
+    class PrecededLock:
+        """Lets the thread of the renewals run before the lock is taken."""
+
+        def __enter__(self):
+            manager.lock = lock
+            manager.tenure.renew(frozenset(), 6, asked_at=read_clock())
+            manager.update_held_targets(now=read_clock())
+            lock.acquire()
+
+        def __exit__(self, *details):
+            lock.release()
+
+    manager.lock = PrecededLock()
+    manager.update_held_targets(now=read_clock())
+    assert manager.held == {}
+
+
 def test_sender_of_a_released_target_ends_without_an_error(manager_and_sent):
     """The target may be released between the request for a load and its order."""
     manager, _ = manager_and_sent
