Soak: notice a process that reverts to an earlier configuration within the limit

Change: each answer of a process is attributed to the earliest configuration that explains it and isn't earlier than those of its answers that ended before. The former check stays as it was; the new one holds during faults too, since a process applies later versions only.

--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -44,6 +44,7 @@
     violations += _check_arrivals(world, runs_by_request, arrivals)
     violations += _check_quota(arrivals)
     violations += _check_configuration(world)
+    violations += _check_reverts(world)
     violations += _check_stops(world)
     return violations
 
@@ -124,13 +125,9 @@
     """Yield answers for the new route that no configuration of their time explains.
 
     Each answer is compared with the states that `_list_allowed_states` allows for it,
-    unless a fault disturbed it; answers of a process are not compared with each other.
+    unless a fault disturbed it; `_check_reverts` compares answers of one process.
     """
-    outcomes_by_process = defaultdict(list)
-    for outcome in sorted(world.outcomes, key=lambda outcome: outcome.sent_at):
-        if outcome.kind == "new" and outcome.status in (200, 404):
-            outcomes_by_process[outcome.host, outcome.start_number].append(outcome)
-    for (host, _), outcomes in outcomes_by_process.items():
+    for (host, _), outcomes in _group_route_answers(world).items():
         for outcome in outcomes:
             allowed = _list_allowed_states(world, outcome.sent_at, outcome.ended_at)
             if (outcome.status == 200) in allowed:
@@ -139,6 +136,41 @@
                 yield "configuration", f"{host} answered {outcome}"
 
 
+def _check_reverts(world):
+    """Yield answers that only an earlier configuration of their process explains.
+
+    Each answer is attributed to the earliest configuration that explains it. A process
+    never reverts to an earlier one, also not during a fault.
+    """
+    for (host, _), outcomes in _group_route_answers(world).items():
+        attributed = []
+        for outcome in outcomes:
+            earliest = max(
+                (i for ended_at, i in attributed if ended_at <= outcome.sent_at),
+                default=0,
+            )
+            explaining = [
+                i
+                for i, (at, has_new_route, _) in enumerate(world.published)
+                if i >= earliest
+                and at <= outcome.ended_at
+                and has_new_route == (outcome.status == 200)
+            ]
+            if explaining:
+                attributed.append((outcome.ended_at, explaining[0]))
+            else:
+                yield "configuration", f"{host} reverted before {outcome}"
+
+
+def _group_route_answers(world):
+    """Return the answers for the new route by process, in the order of sending."""
+    outcomes_by_process = defaultdict(list)
+    for outcome in sorted(world.outcomes, key=lambda outcome: outcome.sent_at):
+        if outcome.kind == "new" and outcome.status in (200, 404):
+            outcomes_by_process[outcome.host, outcome.start_number].append(outcome)
+    return outcomes_by_process
+
+
 def _list_allowed_states(world, sent_at, ended_at):
     """Return the states of the new route that are allowed for a request.
 
