Bench: name the rows of 20 changes after the maximum that they hold

Nothing reads the rows by name.

Change: they are named configuration.in_force_max_of_20_s and keys.withdrawn_max_of_20_s, with the bound as before, which a maximum meets no more easily.

--- a/bench/control.py
+++ b/bench/control.py
@@ -105,20 +105,19 @@
 def measure_changes(fleet: Fleet, hosts: list[str]) -> list[dict[str, Any]]:
     """Time changes and key withdrawals until they are in force on all hosts.
 
-    The last host is cut off from the log service.
+    The rows have the longest times, in seconds: `CHANGES` are too few for a 99th
+    percentile. The last host is cut off from the log service.
     """
     cut_off_host = hosts[-1]
     fleet.set_faults("log", refused_clients=[cut_off_host])
     time.sleep(SETTLE_S)
     addresses = [fleet.addresses[host] for host in hosts]
-    change_times_s = sorted(time_change(fleet, addresses, n) for n in range(CHANGES))
-    withdrawal_times_s = sorted(
-        time_withdrawal(fleet, addresses, n) for n in range(CHANGES)
-    )
+    change_s = max(time_change(fleet, addresses, n) for n in range(CHANGES))
+    withdrawal_s = max(time_withdrawal(fleet, addresses, n) for n in range(CHANGES))
     fleet.set_faults("log")
     return [
-        build_row("configuration.in_force_p99_s", change_times_s[-1], "s", 5),
-        build_row("keys.withdrawn_p99_s", withdrawal_times_s[-1], "s", 5),
+        build_row(f"configuration.in_force_max_of_{CHANGES}_s", change_s, "s", 5),
+        build_row(f"keys.withdrawn_max_of_{CHANGES}_s", withdrawal_s, "s", 5),
     ]
 
 
