--- a/src/thornlatch/dispatch/_scheduler.py
+++ b/src/thornlatch/dispatch/_scheduler.py
@@ -246,7 +246,7 @@
         return []
 
     def has_restarted(self, target: str, incarnation: str) -> bool:
-        """Return whether a target is known to run as another incarnation than this."""
+        """Return whether a target has reported another incarnation than the given."""
         state = self.targets.get(target)
         known = state.incarnation if state is not None else ""
         return bool(known and incarnation) and known != incarnation
