--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -3,6 +3,8 @@
 import re
 from dataclasses import dataclass
 
+from thornlatch.core import parse_number
+
 # A blank line ends an event. Lines end with LF, CRLF or CR; a CRLF is one line end.
 EVENT_END = re.compile(rb"(?>\r\n?|\n)(?:\r\n?|\n)")
 # A target that fails in a stream that ends with its connection may write the head of
@@ -12,6 +14,7 @@
     rb"(?:\A|[\r\n])HTTP/1\.[01] \d{3}\b"
     rb"|HTTP/1\.[01] \d{3}\b[^\r\n]*(?:\r\n?|\n)(?!(?:data|event|id|retry):)[\w-]+:"
 )
+MAX_ID_DIGITS = 100
 EVENT_LIMIT_BYTES = 1 << 20  # a longer event means that the stream is broken
 
 
@@ -93,6 +96,6 @@
 def _find_id(event: bytes) -> int | None:
     for line in event.splitlines():
         if line.startswith(b"id:"):
-            text = line[3:].strip()
-            return int(text) if text.isdigit() else None
+            text = line[3:].strip().decode(errors="replace")
+            return parse_number(text, max_digits=MAX_ID_DIGITS)
     return None
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -35,7 +35,7 @@
     Tenure,
     build_residents,
 )
-from thornlatch.routing import ConfigurationInForce, EngineLimits
+from thornlatch.routing import Configuration, ConfigurationInForce, EngineLimits
 
 logger = logbook.Logger("thornlatch.residency")
 
@@ -337,14 +337,9 @@
         configuration = self.in_force.configuration
         if configuration is None or not (self.tenure.tokens or self.held):
             return
-        targets_to_hold: dict[str, tuple[Target, EngineLimits]] = {}
-        for target in list(self.registry.targets.values()):
-            service = configuration.services.get(target.service)
-            if service is None or service.engine is None or target.is_leaving:
-                continue
-            if self.get_partition(target.id) in self.tenure.tokens:
-                targets_to_hold[target.id] = (target, service.engine)
         with self.lock:
+            # Under the lock, or a partition lost meanwhile would be taken up again.
+            targets_to_hold = self._list_targets_to_hold(configuration)
             for target_id in [
                 held_id
                 for held_id in self.held
@@ -357,6 +352,18 @@
                 if target_id not in self.held:
                     self._begin_holding(target, limits, now)
 
+    def _list_targets_to_hold(
+        self, configuration: Configuration
+    ) -> dict[str, tuple[Target, EngineLimits]]:
+        targets_to_hold = {}
+        for target in list(self.registry.targets.values()):
+            service = configuration.services.get(target.service)
+            if service is None or service.engine is None or target.is_leaving:
+                continue
+            if self.get_partition(target.id) in self.tenure.tokens:
+                targets_to_hold[target.id] = (target, service.engine)
+        return targets_to_hold
+
     def _is_still_held(
         self, target_id: str, targets_to_hold: dict[str, tuple[Target, EngineLimits]]
     ) -> bool:
@@ -461,7 +468,9 @@
     def list_held(self) -> tuple[str, ...]:
         """Return the ids of the targets that this host holds and may send orders."""
         now = read_clock()
-        return tuple(target for target in self.held if self.is_held(target, now=now))
+        # Another thread may hold or release a target meanwhile.
+        targets = list(self.held)
+        return tuple(target for target in targets if self.is_held(target, now=now))
 
     def stop(self) -> None:
         """Give up all held targets and send no further orders."""
@@ -520,17 +529,21 @@
                 pass
         except Exception:
             logger.exception("residency.failed", extra={"target": held.target.id})
-        finally:
-            with held.lock:
-                held.is_sending = False
+            self._end_sending(held)
+
+    def _end_sending(self, held: _HeldState) -> None:
+        with held.lock:
+            held.is_sending = False
 
     def _send_next(self, held: _HeldState) -> bool:
-        """Send one order or read a report; return whether another may follow."""
+        """Send one order or read a report; return whether another may follow.
+
+        If not, `is_sending` is cleared, and from then on another sender may run.
+        """
         now = read_clock()
-        if self.held.get(held.target.id) is not held:
-            return False
         token = self.tenure.get_token(held.partition, now=now)
-        if token is None:
+        if token is None or self.held.get(held.target.id) is not held:
+            self._end_sending(held)
             return False
         with held.lock:
             needs_report = held.planner.needs_report(now=now)
@@ -546,7 +559,16 @@
                 held.is_sending = False
                 return False
         if numbered_order is None:
-            return self._read_report(held)
+            may_follow = self._read_report(held)
+        else:
+            may_follow = self._send_order(held, numbered_order, token)
+        if not may_follow:
+            self._end_sending(held)
+        return may_follow
+
+    def _send_order(
+        self, held: _HeldState, numbered_order: NumberedOrder, token: int
+    ) -> bool:
         reply = self.protocol.send_order(
             held.target.address, held.target.id, numbered_order, token
         )
