Silent targets: load adapters elsewhere, wait at busy targets, return after a refusal

The silent target is avoided for as long as it is silent, before a load is requested; the load is requested again each second while all its streams are silent; then a busy target that starts the request within 0.3 s will do; the median silence of a target's streams decides; a request returns to the target that it left if no other takes it; bytes that arrive again restore the bounds of the reader; sending is bounded by the deadline. Looks for another target are spread from 0.2 to 0.4 s, so that requests of all hosts don't rush to the same free place.

Not changed: the first connection is still closed before the second target has answered, since both would work on the stream otherwise.

--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -32,6 +32,7 @@
         ConnectionAbortedError
             At the end of the connection if `abort` was called.
         """
+        limits = self.gettimeout(), self.reads_until
         while True:
             try:
                 count = self._receive_in_time(buffer, nbytes, flags)
@@ -42,6 +43,10 @@
                 self.settimeout(extension_s)
                 self.bound_reads(extension_s)
                 continue
+            if self.reads_until < limits[1]:
+                # Bytes arrive again, so the pause between them counts anew.
+                self.settimeout(limits[0])
+                self.reads_until = limits[1]
             # Otherwise an answer that may end with its connection would look complete.
             if count == 0 and self.is_aborted:
                 raise ConnectionAbortedError("the connection was aborted by this host")
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -96,6 +96,11 @@
         Why the request wasn't sent again after its last failed attempt.
     silent_use : TargetUse or None
         Latest use of a target that was silent for too long.
+    load_requested_at : float
+        Clock time at which its adapter was requested at another target, since the
+        present one is silent.
+    left_targets : set of str
+        Targets that it left as they were silent, and that may get it once more.
     next_option : TargetOption or None
         Target that was selected, and retry budget spent, before the previous one was
         left.
@@ -136,6 +141,8 @@
     last_failure: str = ""
     no_retry_reason: str = ""
     silent_use: TargetUse | None = None
+    load_requested_at: float = float("-inf")
+    left_targets: set[str] = field(default_factory=set)
     next_option: TargetOption | None = None
     was_timeout: bool = False
     has_ended: bool = False
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -181,6 +181,7 @@
                 health=self.health,
                 suspects=self.suspects,
                 metrics=self.metrics,
+                random=Random(),
             ),
             in_force=self.in_force,
             quota=self.quota,
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -121,6 +121,11 @@
                     if call.tries:
                         raise build_failure(call)
                     continue
+                if call.may_have_run and call.left_targets:
+                    # They were silent, but may go on.
+                    call.excluded -= call.left_targets
+                    call.left_targets.clear()
+                    continue
                 if call.may_have_run:
                     raise build_failure(call, "no other target is available")
                 if now + POLL_INTERVAL_S >= wait_until:
@@ -180,14 +185,18 @@
             t.id not in excluded for t in self._list_accepting(call.service, now)
         )
 
-    def list_free(self, call: Call, besides: str, *, now: float) -> list[TargetOption]:
-        """Return the other targets that can start a request at once, the best first.
+    def list_startable(
+        self, call: Call, besides: str, *, within_s: float, now: float
+    ) -> list[TargetOption]:
+        """Return the other targets that can start a request soon, the best first.
 
         Parameters
         ----------
         call : Call
         besides : str
             Id of the target to leave out.
+        within_s : float
+            Longest wait in seconds at a target that holds what the request needs.
         now : float
 
         Returns
@@ -197,7 +206,7 @@
         return [
             option
             for option in self._list_options(call, {}, now, besides)
-            if option.step is Step.SEND and option.wait_s <= 0
+            if option.step is Step.SEND and option.wait_s <= within_s
         ]
 
     def request_load_elsewhere(self, call: Call, target: str, *, now: float) -> None:
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -119,6 +119,7 @@
             self.protocol.build_headers(request, context),
             timeout_s=head_timeout_s,
             connect_s=min(self.settings.connect_s, left_s),
+            send_s=left_s,
         )
         tokens = request.prompt_tokens or 0
         use = self.work.begin(
--- a/src/thornlatch/gateway/_silences.py
+++ b/src/thornlatch/gateway/_silences.py
@@ -1,5 +1,7 @@
 """Decides whether a request leaves a target that sends nothing for a while."""
 
+from random import Random
+
 import logbook
 
 from thornlatch.core import read_clock
@@ -18,18 +20,25 @@
 
 # A target that has less time left can't send much of an answer.
 MIN_TAKEOVER_S = 0.1
-RECHECK_S = 0.25  # between two looks for another target
-# Another target is better if none of its streams is silent for longer, relative to the
-# silence of the request that would move there.
+# Between two looks for another target. They differ, so that requests that fell silent
+# together don't all go to the same free place.
+RECHECK_MIN_S, RECHECK_MAX_S = 0.2, 0.4
+# Another target is better if half of its streams are silent for less time, relative to
+# the silence of the request that would move there.
 BETTER_SILENCE_RATIO = 0.5
+# Longest wait at a busy target if the present one sends nothing to anybody.
+BUSY_WAIT_S = 0.3
+LOAD_REQUEST_PERIOD_S = 1.0
 
 
 class SilencePolicy:
-    """Moves a request from a silent target only if another one can take it at once.
+    """Moves a request from a silent target only if another one can take it soon.
 
-    A target that sends nothing may be slow, preempt the request or have failed, and a
-    request that has left it can't return. So everything that it needs to be sent again
-    is reserved first, and without it the request stays until its deadline.
+    A target that sends nothing may be slow, preempt the request or have failed. The
+    run there ends when the request leaves. So an attempt, retry budget and a confirmed
+    key come first, and a target that is likely to start it; without them the request
+    stays until its deadline. The old run can't be kept until the new one answers: both
+    servers would work on the request.
 
     Parameters
     ----------
@@ -40,6 +49,8 @@
     health : TargetHealth
     suspects : CrashSuspects
     metrics : GatewayMetrics
+    random : random.Random
+        Source of the differences between requests that look again.
     """
 
     def __init__(
@@ -52,6 +63,7 @@
         health: TargetHealth,
         suspects: CrashSuspects,
         metrics: GatewayMetrics,
+        random: Random,
     ) -> None:
         self.admission = admission
         self.selector = selector
@@ -60,6 +72,7 @@
         self.health = health
         self.suspects = suspects
         self.metrics = metrics
+        self.random = random
 
     def get_patience_s(self, call: Call, use: TargetUse) -> float:
         """Return how much longer a request waits for bytes of its target.
@@ -77,31 +90,33 @@
             Seconds; 0 if it leaves.
         """
         now = read_clock()
-        reason = self._reserve(call, use, now)
         is_first = call.silent_use is not use
         call.silent_use = use
+        if not self.health.is_avoided(use.target, now=now):
+            # New requests and loads prefer other targets while it is silent.
+            self.health.note_failure(use.target, now=now, is_unreachable=True)
+        reason = self._reserve(call, use, now)
         if is_first or not reason:
-            self.metrics.silences.labels(
-                call.service, "kept" if reason else "left"
-            ).inc()
-            logger.info(
-                "request.target_silent",
-                extra={
-                    "request": call.request.id,
-                    "target": use.target,
-                    "silent_s": round(use.get_silence_s(now), 3),
-                    "leaves_for": call.next_option.target.id
-                    if call.next_option
-                    else "",
-                    "stays_because": reason,
-                },
-            )
+            self._record(call, use, reason, now)
         if not reason:
+            call.left_targets.add(use.target)
             return 0.0
-        if is_first:
-            # New requests prefer other targets.
-            self.health.note_failure(use.target, now=now, is_unreachable=True)
-        return RECHECK_S
+        return self.random.uniform(RECHECK_MIN_S, RECHECK_MAX_S)
+
+    def _record(self, call: Call, use: TargetUse, reason: str, now: float) -> None:
+        decision = "kept" if reason else "left"
+        self.metrics.silences.labels(call.service, decision).inc()
+        option = call.next_option
+        logger.info(
+            "request.target_silent",
+            extra={
+                "request": call.request.id,
+                "target": use.target,
+                "silent_s": round(use.get_silence_s(now), 3),
+                "leaves_for": option.target.id if option is not None else "",
+                "stays_because": reason,
+            },
+        )
 
     def _reserve(self, call: Call, use: TargetUse, now: float) -> str:
         """Reserve what a request needs to be sent again; return what is missing."""
@@ -133,11 +148,15 @@
         self, call: Call, use: TargetUse, now: float
     ) -> TargetOption | None:
         limit_s = use.get_silence_s(now) * BETTER_SILENCE_RATIO
-        for option in self.selector.list_free(call, use.target, now=now):
+        is_all_silent = self.work.is_silent(use.target, limit_s, now=now)
+        options = self.selector.list_startable(
+            call, use.target, within_s=BUSY_WAIT_S if is_all_silent else 0.0, now=now
+        )
+        for option in options:
             target = option.target.id
-            if self.work.get_longest_silence_s(target, now=now) <= limit_s:
+            if self.work.get_median_silence_s(target, now=now) <= limit_s:
                 return option
-        is_first = call.silent_use is not use
-        if is_first and self.work.is_silent(use.target, limit_s, now=now):
+        if is_all_silent and now - call.load_requested_at >= LOAD_REQUEST_PERIOD_S:
+            call.load_requested_at = now
             self.selector.request_load_elsewhere(call, use.target, now=now)
         return None
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -3,6 +3,7 @@
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
+from statistics import median
 
 from thornlatch.exceptions import ErrorKind
 from thornlatch.fleet import DecayingSums
@@ -273,8 +274,8 @@
         """
         return self.totals.get(target, 0)
 
-    def get_longest_silence_s(self, target: str, *, now: float) -> float:
-        """Return the longest time for which a running stream of a target is silent.
+    def get_median_silence_s(self, target: str, *, now: float) -> float:
+        """Return the median of the times for which a target's streams are silent.
 
         Streams without any event yet don't count.
 
@@ -288,7 +289,8 @@
         float
             Seconds; 0 if no stream of this host runs there.
         """
-        return max(self._list_stream_silences_s(target, now), default=0.0)
+        silences_s = self._list_stream_silences_s(target, now)
+        return median(silences_s) if silences_s else 0.0
 
     def is_silent(self, target: str, limit_s: float, *, now: float) -> bool:
         """Return whether each running stream of a target is silent for a time.
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -39,8 +39,8 @@
     timeout_s : float
         Seconds without a byte after which the call has failed. Also the limit for the
         whole head of its answer, which bytes that arrive now and then don't extend.
-    connect_s : float or None
-        Seconds to connect; `timeout_s` if None.
+    connect_s, send_s : float or None
+        Seconds to connect, and to send the call; `timeout_s` if None.
     """
 
     address: str
@@ -50,6 +50,7 @@
     headers: dict[str, str] = field(default_factory=dict)
     timeout_s: float = 30.0
     connect_s: float | None = None
+    send_s: float | None = None
 
 
 class Framing(Enum):
@@ -403,10 +404,11 @@
     *,
     is_reused: bool,
 ) -> TargetResponse:
-    sock.settimeout(call.timeout_s)
-    sock.bound_reads(call.timeout_s)
+    sock.settimeout(call.timeout_s if call.send_s is None else call.send_s)
     body = call.body or None
     connection.request(call.method, call.path, body, call.headers)
+    sock.settimeout(call.timeout_s)
+    sock.bound_reads(call.timeout_s)
     answer = connection.getresponse()
     response = TargetResponse(call, connection, sock, answer, is_reused=is_reused)
     response.bound_reads(float("inf"))
