Send orders and reports only where no earlier answer can arrive

Orders and reports carry no id, and went on kept connections. An answer that a target wrote once more there was taken as that to the next order: an adapter was believed loaded that was never ordered, a report of the past was believed new, and the refusal of a request was believed to be that of an order.

They now use a new connection, or a kept one on which each earlier call had an id that its answer repeats: an extra answer to one of those bears the id, which an order's own answer can't, so it is told apart (outcome unknown; the order is repeated under its number). Requests may still use the connections of orders, as their answers are compared by id. New connections for all orders would have been simpler, but a target may reset those while its queue is long.

Evidence: with the adapter as it was three of the new tests of test_protocols.py failed (HOLDS in place of ACCEPTED for an order that the server never carried out; one connection in place of three; REFUSED in place of UNKNOWN).

--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -41,6 +41,9 @@
         whole head of its answer, which bytes that arrive now and then don't extend.
     connect_s : float or None
         Seconds to connect; `timeout_s` if None.
+    is_identified : bool
+        Whether the answer repeats an id of the call, which tells it from an extra
+        answer to another call on the connection.
     """
 
     address: str
@@ -50,6 +53,7 @@
     headers: dict[str, str] = field(default_factory=dict)
     timeout_s: float = 30.0
     connect_s: float | None = None
+    is_identified: bool = False
 
 
 class Framing(Enum):
@@ -69,6 +73,7 @@
 
     ANY = "any"
     RECENT = "recent"  # those idle for less than `UNREPEATABLE_IDLE_LIMIT_S`
+    IDENTIFIED = "identified"  # those on which all earlier calls were identified
     NONE = "none"
 
 
@@ -86,6 +91,8 @@
     is_reused : bool
         Whether the connection carried other calls before, whose extra answers may be
         taken for this one.
+    is_all_identified : bool
+        Whether all calls on the connection, including this one, were identified.
     """
 
     def __init__(
@@ -96,12 +103,14 @@
         response: http.client.HTTPResponse,
         *,
         is_reused: bool,
+        is_all_identified: bool,
     ) -> None:
         self.call = call
         self.connection = connection
         self.sock = sock
         self.response = response
         self.is_reused = is_reused
+        self.is_all_identified = is_all_identified
         self.status = response.status
         self.framing = _read_framing(response)
         self.needs_blocking_read = False
@@ -260,8 +269,13 @@
     def close(self) -> None:
         """Keep the connection for reuse if the whole answer was read, else close it."""
         if self.response.isclosed() and not self.response.will_close:
-            limit_s = _read_idle_limit_s(self.response)
-            _connections.put(self.call.address, self.connection, limit_s)
+            idle = _IdleConnection(
+                self.connection,
+                read_clock(),
+                _read_idle_limit_s(self.response),
+                self.is_all_identified,
+            )
+            _connections.put(self.call.address, idle)
         else:
             self.response.close()
             self.connection.close()
@@ -272,6 +286,7 @@
     connection: http.client.HTTPConnection
     idle_since: float
     limit_s: float
+    is_all_identified: bool
 
 
 class _ConnectionCache:
@@ -279,32 +294,36 @@
         self.lock = threading.Lock()
         self.idle: dict[str, list[_IdleConnection]] = {}
 
-    def pop(self, address: str, reuse: Reuse) -> http.client.HTTPConnection | None:
-        if reuse is Reuse.NONE:
-            return None
-        is_any = reuse is Reuse.ANY
-        idle_limit_s = float("inf") if is_any else UNREPEATABLE_IDLE_LIMIT_S
+    def pop(self, address: str, reuse: Reuse) -> _IdleConnection | None:
+        is_recent_only = reuse is Reuse.RECENT
+        idle_limit_s = UNREPEATABLE_IDLE_LIMIT_S if is_recent_only else float("inf")
         while True:
             with self.lock:
-                idle = self.idle.get(address)
-                newest = idle.pop() if idle else None
+                newest = _pop_newest(self.idle.get(address, []), reuse)
             if newest is None:
                 return None
             limit_s = min(newest.limit_s, idle_limit_s)
             is_recent = read_clock() - newest.idle_since < limit_s
             if is_recent and _is_open(newest.connection):
-                return newest.connection
+                return newest
             newest.connection.close()
 
-    def put(
-        self, address: str, connection: http.client.HTTPConnection, limit_s: float
-    ) -> None:
+    def put(self, address: str, connection: _IdleConnection) -> None:
         with self.lock:
             idle = self.idle.setdefault(address, [])
             if len(idle) < IDLE_CONNECTIONS_PER_TARGET:
-                idle.append(_IdleConnection(connection, read_clock(), limit_s))
+                idle.append(connection)
                 return
-        connection.close()
+        connection.connection.close()
+
+
+def _pop_newest(idle: list[_IdleConnection], reuse: Reuse) -> _IdleConnection | None:
+    if reuse is Reuse.NONE:
+        return None
+    for index in reversed(range(len(idle))):
+        if idle[index].is_all_identified or reuse is not Reuse.IDENTIFIED:
+            return idle.pop(index)
+    return None
 
 
 _connections = _ConnectionCache()
@@ -336,18 +355,27 @@
         If the target can't be reached or doesn't answer; `is_sent` tells whether it may
         have received the call.
     """
-    connection = _connections.pop(call.address, reuse)
-    is_reused = connection is not None
-    if connection is None:
-        connection = _connect(call)
+    idle = _connections.pop(call.address, reuse)
+    connection = _connect(call) if idle is None else idle.connection
     sock = cast(BoundedSocket, connection.sock)
     if on_connected is not None:
         on_connected(sock.abort)
     try:
-        return _send(call, connection, sock, is_reused=is_reused)
+        answer = _send(call, connection, sock)
     except (OSError, http.client.HTTPException) as error:
         connection.close()
         raise _build_error("no answer", error) from error
+    response = TargetResponse(
+        call,
+        connection,
+        sock,
+        answer,
+        is_reused=idle is not None,
+        is_all_identified=call.is_identified
+        and (idle is None or idle.is_all_identified),
+    )
+    response.bound_reads(float("inf"))
+    return response
 
 
 def _build_error(what: str, error: Exception) -> TargetError:
@@ -386,17 +414,10 @@
 
 
 def _send(
-    call: TargetCall,
-    connection: http.client.HTTPConnection,
-    sock: BoundedSocket,
-    *,
-    is_reused: bool,
-) -> TargetResponse:
+    call: TargetCall, connection: http.client.HTTPConnection, sock: BoundedSocket
+) -> http.client.HTTPResponse:
     sock.settimeout(call.timeout_s)
     sock.bound_reads(call.timeout_s)
     body = call.body or None
     connection.request(call.method, call.path, body, call.headers)
-    answer = connection.getresponse()
-    response = TargetResponse(call, connection, sock, answer, is_reused=is_reused)
-    response.bound_reads(float("inf"))
-    return response
+    return connection.getresponse()
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -15,6 +15,10 @@
     protocol_version = "HTTP/1.1"
     disable_nagle_algorithm = True
 
+    def setup(self):
+        super().setup()
+        self.server.owner.connection_count += 1
+
     def do_GET(self):
         self.server.owner.answer(self)
 
@@ -48,6 +52,7 @@
 
 class _Server:
     def __init__(self):
+        self.connection_count = 0
         self.listen(0)
         self.address = f"127.0.0.1:{self.http.server_address[1]}"
 
@@ -187,7 +192,9 @@
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
-    `announces_leaving`, all answers say that the server leaves.
+    `announces_leaving`, all answers say that the server leaves. With `repeats_answers`,
+    a report or order gets the connection's latest refusal, report or answer to an order
+    once more and isn't carried out.
     """
 
     def __init__(self, name, service, *, model=""):
@@ -205,6 +212,7 @@
         self.crash_part = ""
         self.announces_leaving = False
         self.names_no_request = False
+        self.repeats_answers = False
         self.crashed = threading.Event()
         self.starts = 1
         self.lock = threading.Lock()
@@ -245,32 +253,33 @@
 
     def answer(self, handler):
         body = handler.read_body()
-        if handler.path == "/api/order":
-            self.take_order(handler, json.loads(body))
-        elif handler.path == "/api/report":
+        if not handler.path.startswith("/api/"):
+            self.take_request(handler, body)
+            return
+        if self.repeats_answers and getattr(handler, "kept_answer", b""):
+            handler.wfile.write(handler.kept_answer)
+        elif handler.path == "/api/order":
+            self.send_and_keep(handler, self.take_order(json.loads(body)))
+        else:
             report = {
                 "loadedModels": self.list_models(),
                 "busy": False,
                 "sequence": self.sequence,
                 "born": self.starts,
             }
-            handler.send(200, json.dumps(report).encode())
-        else:
-            self.take_request(handler, body)
+            self.send_and_keep(handler, 200, json.dumps(report).encode())
 
-    def take_order(self, handler, order):
+    def take_order(self, order):
         with self.lock:
             self.orders.append(order)
             if order.get("expected", self.sequence) != self.sequence:
-                handler.send(409)
-                return
+                return 409
             self.sequence += 1
             if order["operation"] == "loading":
                 self.adapters[order["adapterId"]] = order.get("version", 1)
-                handler.send(202)
-            else:
-                self.adapters.pop(order["adapterId"], None)
-                handler.send(200)
+                return 202
+            self.adapters.pop(order["adapterId"], None)
+            return 200
 
     def take_request(self, handler, body):
         headers = dict(handler.headers.items())
@@ -281,7 +290,7 @@
         expected = headers.get("Thornlatch-Expect-Instance")
         adapter = headers.get("Thornlatch-Model", "").partition("/")[2]
         if step == "stale":
-            handler.wfile.write(getattr(handler, "refusal", b""))
+            handler.wfile.write(getattr(handler, "kept_answer", b""))
             step = ""
         if step.startswith("foreign"):
             handler.send(
@@ -306,7 +315,7 @@
         elif step.startswith("twice"):
             self.refuse(handler, 503)
             time.sleep(float(step.partition(" ")[2]))
-            handler.wfile.write(handler.refusal)
+            handler.wfile.write(handler.kept_answer)
         elif step.startswith("pause"):
             self.refuse(handler, 503, Retry_After=step.partition(" ")[2])
         elif step == "unconfirmed-503":
@@ -334,11 +343,15 @@
     def refuse(self, handler, status, **headers):
         if not self.names_no_request:
             headers["Thornlatch_Request_Id"] = handler.headers["Thornlatch-Request-Id"]
+        self.send_and_keep(handler, status, Thornlatch_Not_Executed="1", **headers)
+
+    def send_and_keep(self, handler, status, body=b"", **headers):
+        """Send an answer and keep it, so that it can be sent once more."""
         output, handler.wfile = handler.wfile, io.BytesIO()
-        handler.send(status, Thornlatch_Not_Executed="1", **headers)
-        handler.refusal = handler.wfile.getvalue()
+        handler.send(status, body, **headers)
+        handler.kept_answer = handler.wfile.getvalue()
         handler.wfile = output
-        output.write(handler.refusal)
+        output.write(handler.kept_answer)
 
     def stream(self, handler, headers, signature, step):
         handler.send_response(200)
--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -1,4 +1,4 @@
-"""Malformed numbers in headers of clients and servers."""
+"""Headers and calls of the platform's protocol, also malformed and foreign ones."""
 
 import io
 
@@ -6,8 +6,15 @@
 
 from adapter._entries import LoadedModelEntry, build_loaded_model
 from adapter._protocols import PlatformCallerProtocol, PlatformTargetProtocol
-from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
-from thornlatch.targets import TargetResponse
+from stand_ins import ModelServer
+from thornlatch.exceptions import (
+    ErrorKind,
+    ForeignAnswer,
+    RequestRefused,
+    TargetError,
+)
+from thornlatch.residency import LoadAdapter, NumberedOrder, OrderOutcome
+from thornlatch.targets import TargetCall, TargetResponse, open_call
 
 BAD_NUMBERS = ["²", "٣", "9" * 5000, "-1", "1.5", ""]
 
@@ -50,9 +57,67 @@
     assert build_loaded_model(entry).adapters == {"a2": 2}
 
 
+@pytest.fixture
+def server():
+    server = ModelServer("llm-1", "llm", model="m")
+    yield server
+    server.close()
+
+
+def load(server, adapter, number):
+    order = NumberedOrder(LoadAdapter("m", adapter, 1), number)
+    return PlatformTargetProtocol("h").send_order(server.address, "llm-1", order, 1)
+
+
+def report(server):
+    return PlatformTargetProtocol("h").read_report(server.address, "llm-1")
+
+
+def test_answer_to_an_earlier_order_or_report_isn_t_believed(server):
+    """Adapters were taken for loaded, and a report of the past for the newest one."""
+    server.repeats_answers = True
+    assert report(server).sequence == 0
+    for number, adapter in enumerate(("a1", "a2")):
+        assert load(server, adapter, number).outcome is OrderOutcome.ACCEPTED
+        assert report(server).sequence == number + 1
+    assert set(server.adapters) == {"a1", "a2"}
+
+
+def refuse_a_request(server):
+    """Let a request leave a kept connection to the server."""
+    server.plan = ["shed"]
+    headers = {"Thornlatch-Request-Id": "r", "Thornlatch-Expect-Instance": "llm-1"}
+    call = TargetCall(server.address, "GET", "/", b"", headers, is_identified=True)
+    response = open_call(call)
+    response.read_all(100)
+    response.close()
+
+
+def test_orders_and_reports_use_connections_that_carried_requests_only(server):
+    refuse_a_request(server)
+    load(server, "a1", 0)
+    refuse_a_request(server)
+    assert server.connection_count == 1
+    report(server)
+    refuse_a_request(server)
+    load(server, "a2", 1)
+    assert server.connection_count == 3
+
+
+def test_answer_to_a_request_isn_t_taken_for_that_to_an_order(server):
+    """An order was taken for refused that the server might have carried out."""
+    server.repeats_answers = True
+    refuse_a_request(server)
+    assert load(server, "a1", 0).outcome is OrderOutcome.UNKNOWN
+    refuse_a_request(server)
+    with pytest.raises(ForeignAnswer):
+        report(server)
+
+
 def test_report_with_another_status_names_it(monkeypatch):
     class Response:
         status = 503
+        is_reused = False
 
         def read_all(self, limit, *, within_s):
             return b"{}"
@@ -60,7 +125,7 @@
         def close(self):
             pass
 
-    def open_call(call) -> TargetResponse:
+    def open_call(call, *, reuse) -> TargetResponse:
         return Response()
 
     monkeypatch.setattr("adapter._protocols.open_call", open_call)
