Daemon: new connections for orders and for calls that run at most once

Engines and plain services name no call in their answers. On a kept connection an extra answer was taken for that to the next order, so an adapter was believed loaded or evicted that wasn't, and for that to the next call, which was passed to another caller and recorded for repetitions under its idempotency key.

Orders and calls that may not be repeated have a new connection each now, where no earlier answer can arrive. A service's own X-Request-Id wasn't used: many set one of their own.

The cost of the connections wasn't measured.

--- a/src/thornlatch/core/tests/scripted.py
+++ b/src/thornlatch/core/tests/scripted.py
@@ -1,4 +1,4 @@
-"""A server that sends given bytes and then ends or keeps its connections."""
+"""Servers that send given bytes, and then end or keep their connections."""
 
 import contextlib
 import socket
@@ -44,3 +44,48 @@
         for connection in self.connections:
             connection.close()
         self.thread.join(10)
+
+
+class ExtraTarget:
+    """Answers each request on any connection with the same bytes.
+
+    Parameters
+    ----------
+    answer : bytes
+
+    Attributes
+    ----------
+    extra : bytes
+        Written after each answer.
+    """
+
+    def __init__(self, answer):
+        self.answer = answer
+        self.extra = b""
+        self.connections = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def accept(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            self.connections.append(connection)
+            threading.Thread(
+                target=self.answer_all, args=(connection,), daemon=True
+            ).start()
+
+    def answer_all(self, connection):
+        try:
+            while connection.recv(1 << 16):
+                connection.sendall(self.answer + self.extra)
+        except OSError:
+            return
+
+    def close(self):
+        self.listener.close()
+        for connection in self.connections:
+            connection.close()
--- a/src/thornlatch/daemon/_plain.py
+++ b/src/thornlatch/daemon/_plain.py
@@ -198,7 +198,8 @@
 
     def _open(self, grant: Grant, claim: str) -> TargetResponse:
         try:
-            reuse = Reuse.ANY if self.request.route.is_idempotent else Reuse.RECENT
+            # Answers of services name no call, so an extra one would pass for its own.
+            reuse = Reuse.ANY if self.request.route.is_idempotent else Reuse.NONE
             return open_call(self._build_call(grant), reuse=reuse)
         except TargetError as error:
             if claim and not error.is_sent:
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -235,7 +235,8 @@
     call = TargetCall(
         address, "POST", path, json.dumps(body).encode(), headers, timeout_s
     )
-    response = open_call(call, reuse=Reuse.RECENT)
+    # Answers of engines name no order, so an extra one would pass for this order's.
+    response = open_call(call, reuse=Reuse.NONE)
     try:
         response.read_all(REPORT_LIMIT_BYTES, within_s=timeout_s)
     finally:
--- a/src/thornlatch/targets/tests/test_extra_answers.py
+++ b/src/thornlatch/targets/tests/test_extra_answers.py
@@ -1,13 +1,17 @@
 """Bytes after a whole answer: their connection isn't used again."""
 
-import socket
-import threading
-
 import pytest
 
 from thornlatch.core import connect, read_answer
+from thornlatch.core.tests.scripted import ExtraTarget
 from thornlatch.exceptions import TargetError
-from thornlatch.targets import TargetCall, _calls, open_call
+from thornlatch.targets import (
+    TargetCall,
+    _calls,
+    evict_adapter,
+    load_adapter,
+    open_call,
+)
 
 LENGTH = b"HTTP/1.1 200 OK\r\nContent-Length: 5\r\n\r\n"
 CHUNKED = b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n"
@@ -23,41 +27,6 @@
 }
 
 
-class ExtraTarget:
-    """Writes `answer` at each request, then `extra` when it is told to."""
-
-    def __init__(self, answer):
-        self.answer = answer
-        self.extra = b""
-        self.connections = []
-        self.listener = socket.create_server(("127.0.0.1", 0))
-        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
-        threading.Thread(target=self.accept, daemon=True).start()
-
-    def accept(self):
-        while True:
-            try:
-                connection, _ = self.listener.accept()
-            except OSError:
-                return
-            self.connections.append(connection)
-            threading.Thread(
-                target=self.answer_all, args=(connection,), daemon=True
-            ).start()
-
-    def answer_all(self, connection):
-        try:
-            while connection.recv(1 << 16):
-                connection.sendall(self.answer + self.extra)
-        except OSError:
-            return
-
-    def close(self):
-        self.listener.close()
-        for connection in self.connections:
-            connection.close()
-
-
 @pytest.fixture(params=ANSWERS)
 def target(request):
     target = ExtraTarget(ANSWERS[request.param])
@@ -140,6 +109,19 @@
     connection.close()
 
 
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("order", [load_adapter, evict_adapter])
+def test_each_order_to_an_engine_has_a_new_connection(order):
+    """An extra answer was taken for that to the next order."""
+    target = ExtraTarget(ANSWERS["length"])
+    fields = {"store": "w"} if order is load_adapter else {}
+    call(target, read_whole)
+    for _ in range(2):
+        order(target.address, "a@1", epoch=1, timeout_s=5.0, **fields)
+    assert len(target.connections) == 3
+    target.close()
+
+
 @pytest.mark.timeout(30)
 def test_answer_that_can_t_be_read_closes_its_connection(target):
     target.answer = b"no answer\r\n"
