Soak: close the proxy's connections before its event loop

'make test' ended with an exception in StreamWriter.__del__ ('Event loop is closed'): the soak's proxy left both connections of a pair to their destructors, after its loop had gone. A pair now closes its connections when its pumps end or are cancelled, and the loop is closed explicitly.

--- a/tests/soak/proxy.py
+++ b/tests/soak/proxy.py
@@ -38,6 +38,7 @@
         self.run(self._cancel_all())
         self.loop.call_soon_threadsafe(self.loop.stop)
         self.thread.join(10)
+        self.loop.close()
 
     async def _cancel_all(self):
         tasks = asyncio.all_tasks() - {asyncio.current_task()}
@@ -86,9 +87,13 @@
         to_server = self._pump(pair, reader, upstream_streams[1], Link.CUT_TO_SERVER)
         to_client = self._pump(pair, upstream_streams[0], writer, Link.CUT_TO_CLIENT)
         # The tasks are cancelled only at the end of the run, when nothing awaits them.
-        with contextlib.suppress(asyncio.CancelledError):
-            await asyncio.gather(to_server, to_client)
-        self.pairs.discard(pair)
+        try:
+            with contextlib.suppress(asyncio.CancelledError):
+                await asyncio.gather(to_server, to_client)
+        finally:
+            self.pairs.discard(pair)
+            for pair_writer in pair.writers:
+                pair_writer.close()
 
     async def _pump(self, pair, reader, writer, direction_cut):
         try:
