--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -3,6 +3,7 @@
 import contextlib
 import http.client
 import socket
+from email.errors import MissingHeaderBodySeparatorDefect
 from typing import Any, cast
 
 from thornlatch.core._clock import read_clock
@@ -95,6 +96,31 @@
             self.headers = self.msg = cast(Any, None)
             super().begin()
         reader.is_in_head = False
+        self._check_framing()
+
+    def _check_framing(self) -> None:
+        """Check that the head says where the body ends.
+
+        `http.client` drops all headers after a malformed one and ignores transfer
+        codings that it doesn't know. It then reads to the end of the connection, so a
+        body that is cut off would be whole.
+        """
+        if any(
+            isinstance(d, MissingHeaderBodySeparatorDefect) for d in self.msg.defects
+        ):
+            raise http.client.HTTPException("malformed header")
+        codings = [
+            coding.strip().lower()
+            for coding in self.msg.get_all("Transfer-Encoding", [])
+        ]
+        codings = [coding for coding in codings if coding != "identity"]
+        if codings not in ([], ["chunked"]):
+            raise http.client.HTTPException(f"unknown transfer coding {codings}")
+        lengths = set(self.msg.get_all("Content-Length", []))
+        if len(lengths) > 1:
+            raise http.client.HTTPException(f"contradictory lengths {sorted(lengths)}")
+        if codings and not self.chunked:
+            self.chunked, self.chunk_left, self.length = True, None, None
 
 
 def connect(address: str, *, timeout_s: float) -> http.client.HTTPConnection:
--- a/src/thornlatch/targets/tests/test_broken_off_answers.py
+++ b/src/thornlatch/targets/tests/test_broken_off_answers.py
@@ -54,8 +54,17 @@
 
 
 @pytest.mark.parametrize("read", READERS)
-def test_answer_that_ends_with_its_connection_is_whole(start_target, read):
-    target = start_target(HEAD + b"\r\nwhole")
+@pytest.mark.parametrize(
+    "headers",
+    [
+        b"",
+        b"Transfer-Encoding: identity\r\n",
+        b"Content-Type: multipart/mixed\r\n",
+        b"Content-Length: 5\r\nContent-Length: 5\r\n",
+    ],
+)
+def test_answer_that_ends_with_its_connection_is_whole(start_target, read, headers):
+    target = start_target(HEAD + headers + b"\r\nwhole")
     response = open_call(TargetCall(target.address, "GET", "/"))
     assert read(response) == b"whole"
     response.close()
@@ -70,13 +79,36 @@
         HEAD + b"Content-Length: 9\r\n\r\n",
         CHUNKED_HEAD + b"9\r\npart",
         CHUNKED_HEAD + b"4\r\npart\r\n",
+        HEAD + b"broken line\r\nContent-Length: 9\r\n\r\npart",
+        HEAD + b"Server : x\r\nContent-Length: 9\r\n\r\npart",
+        HEAD + b"Content-Length: 4\r\nContent-Length: 9\r\n\r\npart",
+        HEAD + b"Transfer-Encoding: chunked \r\n\r\n4\r\npart\r\n",
+        HEAD + b"Transfer-Encoding: gzip, chunked\r\n\r\n4\r\npart\r\n0\r\n\r\n",
+    ],
+    ids=[
+        "length",
+        "length, no byte",
+        "in a chunk",
+        "between chunks",
+        "length after a line that is no header",
+        "length after a malformed header",
+        "two lengths",
+        "chunks, space after the coding",
+        "unknown coding",
     ],
-    ids=["length", "length, no byte", "in a chunk", "between chunks"],
 )
 def test_short_answer_is_rejected_by_every_reader(start_target, read, answer):
     """Plain calls of the daemon passed on answers shorter than announced."""
     target = start_target(answer)
-    response = open_call(TargetCall(target.address, "GET", "/"))
     with pytest.raises(TargetError) as error:
-        read(response)
+        read(open_call(TargetCall(target.address, "GET", "/")))
     assert error.value.is_sent
+
+
+@pytest.mark.parametrize("read", READERS)
+@pytest.mark.parametrize("coding", [b"chunked ", b"Chunked", b"\tchunked"])
+def test_chunks_are_recognised_in_any_spelling(start_target, read, coding):
+    """Callers got the sizes of the chunks as part of the body."""
+    answer = HEAD + b"Transfer-Encoding: %s\r\n\r\n4\r\npart\r\n0\r\n\r\n" % coding
+    response = open_call(TargetCall(start_target(answer).address, "GET", "/"))
+    assert read(response) == b"part"
