Believe Server-Leaving in the answers to orders and reports

Cause: only the heads of answers to requests were read for it. An engine that got no requests of a host, but its orders, stayed ready there until its registration said that it drains.

Evidence: the new tests of test_ordering.py (released after a report with and without success; no second order after the first answer, for each outcome) and test_protocols.py failed on the code before: 12 failed, e.g. "assert TargetNotice(is_leaving=False...) == ...is_leaving=True, started_ms=7".

Why it works: what a target says of itself is one value, TargetNotice, that answers to orders, reports and failed reports carry. It counts if no other target answered and the incarnation, if the answer tells it, is the one that was asked. The holder gives the target up at once, so a queued order isn't sent. The stub of an answer in test_protocols.py has headers now, since they are read; what it asserts is unchanged.

--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from thornlatch.fleet import TargetNotice
 
 __all__ = [
     "ANSWERS",
@@ -259,6 +263,8 @@
     is_connection_lost : bool
         Whether the connection ended before the answer did, as it does if the target
         crashes; False for silence and for malformed answers.
+    notice : TargetNotice or None
+        What the target said of itself, if it answered.
     """
 
     kind = ErrorKind.TARGET_FAILED
@@ -270,8 +276,10 @@
         is_sent: bool,
         status: int | None = None,
         is_connection_lost: bool = False,
+        notice: "TargetNotice | None" = None,
     ) -> None:
         super().__init__(message)
         self.is_sent = is_sent
+        self.notice = notice
         self.status = status
         self.is_connection_lost = is_connection_lost
--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -23,6 +23,7 @@
 )
 from thornlatch.fleet._domain_view import DomainUpdate, DomainView
 from thornlatch.fleet._domains import DomainExchange
+from thornlatch.fleet._notices import TargetNotice, UnreadableHeader
 from thornlatch.fleet._registry import (
     LoadedModel,
     RegistrySettings,
@@ -55,8 +56,10 @@
     "RegistrySettings",
     "ResidentAdapter",
     "Target",
+    "TargetNotice",
     "TargetRegistry",
     "TargetUses",
+    "UnreadableHeader",
     "UseNotes",
     "WorkSum",
     "choose_by_capacity",
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -12,6 +12,7 @@
 from thornlatch.gateway._choice import TargetOption
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._notices import note_leaving
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import AnswerHead, CallerRequest
 from thornlatch.gateway._selector import TargetSelector
@@ -276,8 +277,13 @@
             self.health.note_success(target.id, head.load, now=now)
 
     def _note_leaving(self, target: Target, head: AnswerHead) -> None:
-        if head.is_leaving and self.selector.registry.note_leaving(target):
-            logger.info("target.leaving_announced", extra={"target": target.id})
+        if head.is_leaving:
+            note_leaving(
+                target,
+                source="request",
+                registry=self.selector.registry,
+                metrics=self.metrics,
+            )
 
     def _note_failure(
         self, call: Call, option: TargetOption, error: TargetError
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -42,6 +42,12 @@
             ["kind", "outcome"],
             registry=self.registry,
         )
+        self.leaving_targets = Counter(
+            "thornlatch_gateway_leaving_targets",
+            "Targets that announced that they leave, by what they answered.",
+            ["source"],
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "thornlatch_store_calls",
             "Calls to the platform's store, by call and outcome.",
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -17,11 +17,13 @@
     PeerView,
     ResidentAdapter,
     Target,
+    TargetNotice,
     TargetRegistry,
     UseNotes,
 )
 from thornlatch.gateway._load_bucket import LoadTokenBucket
 from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._notices import is_of_incarnation, note_leaving
 from thornlatch.gateway._ports import TargetProtocol
 from thornlatch.gateway._work import WorkTable
 from thornlatch.residency import (
@@ -551,6 +553,7 @@
             held.target.address, held.target.id, numbered_order, token
         )
         self._record_outcome(held, numbered_order, reply.outcome, reply.detail, token)
+        self._apply_notice(held, reply.notice, source="order")
         return reply.outcome in (OrderOutcome.ACCEPTED, OrderOutcome.HOLDS)
 
     def _record_outcome(
@@ -589,6 +592,8 @@
             report = self.protocol.read_report(held.target.address, held.target.id)
         except TargetError as error:
             now = read_clock()
+            if error.notice is not None:
+                self._apply_notice(held, error.notice, source="report")
             with held.lock:
                 held.planner.report_due_at = now + self.settings.retry_s
             logger.info(
@@ -611,8 +616,25 @@
                 "pending": len(report.pending),
             },
         )
+        self._apply_notice(held, report.notice, source="report")
         return True
 
+    def _apply_notice(
+        self, held: _HeldState, notice: TargetNotice, *, source: str
+    ) -> None:
+        """Act on what a held target says of itself in an answer."""
+        if not is_of_incarnation(held.target, notice):
+            return
+        if notice.is_leaving:
+            note_leaving(
+                held.target,
+                source=source,
+                registry=self.registry,
+                metrics=self.metrics,
+            )
+            # Otherwise orders would go on until the next tick.
+            self.update_held_targets(now=read_clock())
+
     def _publish_residents(self, held: _HeldState, now: float) -> None:
         """Update this host's resident table and the peers with a held target's state.
 
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -4,6 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
+from thornlatch.fleet import TargetNotice
 from thornlatch.residency import EngineReport, NumberedOrder, OrderOutcome
 
 
@@ -164,10 +165,12 @@
     ----------
     outcome : OrderOutcome
     detail : str
+    notice : TargetNotice
     """
 
     outcome: OrderOutcome
     detail: str = ""
+    notice: TargetNotice = TargetNotice()
 
 
 class TargetProtocol(Protocol):
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -5,7 +5,7 @@
 import pytest
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import ErrorKind, RequestRefused
+from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
 from thornlatch.fleet import (
     HeldTarget,
     HostDigest,
@@ -15,6 +15,7 @@
     PeerViewSettings,
     RegistrySettings,
     Target,
+    TargetNotice,
     TargetRegistry,
 )
 from thornlatch.gateway import CallerRequest, GatewayMetrics, OrderReply, _selector
@@ -59,13 +60,19 @@
     def __init__(self):
         self.outcome = OrderOutcome.ACCEPTED
         self.orders = []
+        self.order_notice = TargetNotice()
+        self.report_notice = TargetNotice()
+        self.fails_reports = False
 
     def send_order(self, address, target, order, fencing_token):
         self.orders.append((target, order, fencing_token))
-        return OrderReply(self.outcome)
+        return OrderReply(self.outcome, notice=self.order_notice)
 
     def read_report(self, address, target):
-        return EngineReport(0, (LoadedModel("m", 1),), (), False, 0, 0, 1)
+        if self.fails_reports:
+            raise TargetError("503", is_sent=True, notice=self.report_notice)
+        models = (LoadedModel("m", 1),)
+        return EngineReport(0, models, (), False, 0, 0, 1, self.report_notice)
 
 
 class InlineExecutor:
@@ -133,6 +140,45 @@
     assert manager.residents.get("t1", "m/a1") is not None
 
 
+def list_ready(manager):
+    return {target.id for target in manager.registry.get_ready("llm")}
+
+
+@pytest.mark.parametrize("fails_reports", [True, False])
+def test_target_that_announces_its_leaving_in_a_report_is_released(
+    manager_and_sent, fails_reports
+):
+    manager, _ = manager_and_sent
+    manager.protocol.fails_reports = fails_reports
+    manager.protocol.report_notice = TargetNotice(is_leaving=True)
+    hold(manager, "t1")
+    assert list_ready(manager) == {"t2"}
+    assert "t1" not in manager.held
+
+
+@pytest.mark.parametrize("outcome", OrderOutcome)
+def test_target_that_announces_its_leaving_in_answer_to_an_order_gets_no_more(
+    manager_and_sent, outcome
+):
+    manager, _ = manager_and_sent
+    hold(manager, "t1")
+    manager.protocol.outcome = outcome
+    manager.protocol.order_notice = TargetNotice(is_leaving=True, started_ms=1)
+    manager.request_load(build_load_request(), now=read_clock())
+    manager.request_load(build_load_request(adapter="m/a2"), now=read_clock())
+    assert len(manager.protocol.orders) == 1
+    assert list_ready(manager) == {"t2"}
+
+
+def test_announced_leaving_of_another_incarnation_is_ignored(manager_and_sent):
+    manager, _ = manager_and_sent
+    notice = TargetNotice(is_leaving=True, started_ms=2)
+    manager.protocol.order_notice = manager.protocol.report_notice = notice
+    hold(manager, "t1")
+    manager.request_load(build_load_request(), now=read_clock())
+    assert list_ready(manager) == {"t1", "t2"}
+
+
 def test_reports_contain_changed_targets_and_periodically_all(manager_and_sent):
     """Reporting all held targets in each digest took a third of the hosts' time."""
     manager, _ = manager_and_sent
--- a/src/thornlatch/residency/_orders.py
+++ b/src/thornlatch/residency/_orders.py
@@ -3,7 +3,7 @@
 from dataclasses import dataclass
 from enum import Enum
 
-from thornlatch.fleet import LoadedModel
+from thornlatch.fleet import LoadedModel, TargetNotice
 
 
 @dataclass(frozen=True)
@@ -79,6 +79,7 @@
         Numbers of requests.
     started_ms : int
         Time of the engine's start, in Unix milliseconds.
+    notice : TargetNotice
     """
 
     sequence: int
@@ -88,3 +89,4 @@
     running: int
     queued: int
     started_ms: int
+    notice: TargetNotice = TargetNotice()
--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -1,12 +1,16 @@
-"""Malformed numbers in headers of clients and servers."""
+"""Headers of clients and servers, well-formed and malformed."""
 
 import io
+from unittest.mock import Mock
 
 import pytest
 
 from adapter._entries import LoadedModelEntry, build_loaded_model
 from adapter._protocols import PlatformCallerProtocol, PlatformTargetProtocol
+from stand_ins import ModelServer
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
+from thornlatch.fleet import TargetNotice
+from thornlatch.residency import LoadAdapter, NumberedOrder
 from thornlatch.targets import TargetResponse
 
 BAD_NUMBERS = ["²", "٣", "9" * 5000, "-1", "1.5", ""]
@@ -53,6 +57,7 @@
 def test_report_with_another_status_names_it(monkeypatch):
     class Response:
         status = 503
+        response = Mock(getheaders=list)
 
         def read_all(self, limit, *, within_s):
             return b"{}"
@@ -67,3 +72,40 @@
     with pytest.raises(TargetError) as caught:
         PlatformTargetProtocol("h").read_report("127.0.0.1:1", "i")
     assert caught.value.status == 503
+
+
+@pytest.fixture
+def server():
+    server = ModelServer("llm-1", "llm", model="m")
+    yield server
+    server.close()
+
+
+def send_order(server, target="llm-1"):
+    order = NumberedOrder(LoadAdapter("m", "a1", 0), server.sequence)
+    return PlatformTargetProtocol("h").send_order(server.address, target, order, 1)
+
+
+def read_report(server, target="llm-1"):
+    return PlatformTargetProtocol("h").read_report(server.address, target)
+
+
+@pytest.mark.parametrize("call", [send_order, read_report])
+def test_answers_to_orders_and_reports_announce_a_leaving(server, call):
+    assert not call(server).notice.is_leaving
+    server.announces_leaving = True
+    assert call(server).notice.is_leaving
+
+
+def test_report_tells_the_incarnation_that_announces_its_leaving(server):
+    server.announces_leaving = True
+    server.starts = 7
+    assert read_report(server).notice == TargetNotice(is_leaving=True, started_ms=7)
+
+
+@pytest.mark.parametrize("instance", ["", "other"])
+def test_leaving_of_a_server_that_isn_t_the_intended_one_is_ignored(server, instance):
+    headers = {"Thornlatch_Instance_Id": instance} if instance else {}
+    server.take_order = lambda handler, order: handler.send(421, **headers)
+    server.announces_leaving = True
+    assert send_order(server).notice == TargetNotice()
