Tell peers in digests which targets announced that they leave

Cause: each host learned it from its own answers alone, so in a fleet every host sent a leaving target at least one more request.

Evidence: with the new field neither applied nor passed on by the view, test_peers_learn_that_a_target_announced_its_leaving (two processes), test_host_learns_from_a_digest_that_an_incarnation_leaves (digest of a host and of a relay) and test_all_hosts_learn_that_a_target_leaves_while_one_of_them_says_so failed; they pass now.

Why it works: a digest has the incarnations (id and start) that announced it to its sender and are still registered there, at most 64; relays merge them, again at most 64. Nobody passes on what it only heard, so the word ends with the target or with the host that saw it. The field is the last one of its message and has a default: digests without it, and digests with fields of later versions, are read (test_digests.py). No message is added. Beyond 64 the rest is learned from own answers, as before.

The tests of an id and an address that are used again, of a running stream and of an adapter held only there passed without this change; they keep what the registration's own "draining" already gave.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -25,6 +25,7 @@
 from thornlatch.fleet._domains import DomainExchange
 from thornlatch.fleet._notices import TargetNotice, UnreadableHeader
 from thornlatch.fleet._registry import (
+    Incarnation,
     LoadedModel,
     RegistrySettings,
     Target,
@@ -45,6 +46,7 @@
     "FLEET",
     "FleetDigest",
     "HeldTarget",
+    "Incarnation",
     "LoadedModel",
     "HostDigest",
     "LoadExpected",
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -12,6 +12,7 @@
 
 # Shorter than the period of digests, so that totals over all peers lag little behind.
 AGGREGATION_PERIOD_S = 0.02
+LEAVING_LIMIT = 64  # incarnations of leaving targets in a digest; 2 KB
 
 
 @dataclass(frozen=True)
@@ -121,6 +122,9 @@
         it has read, and seconds since that read began.
     parts : PartReport
         What the sender saw of crashes by part of the prompt.
+    leaving : tuple of (str, int)
+        Ids and starts of targets that announced to the sender that they leave, at
+        most `LEAVING_LIMIT`.
     """
 
     sent_at: float
@@ -135,6 +139,7 @@
     avoided: tuple[str, ...] = ()
     reads: dict[str, tuple[int, float]] = field(default_factory=dict)
     parts: PartReport = field(default_factory=PartReport)
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 @register
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from thornlatch.core import register
-from thornlatch.fleet._digests import HeldTarget, PartReport
+from thornlatch.fleet._digests import LEAVING_LIMIT, HeldTarget, PartReport
 
 FLEET = ""  # in place of a host id, for what a relay reports of all hosts
 
@@ -61,6 +61,9 @@
         Holders by target.
     parts : PartReport
         Crashes by part of the prompt.
+    leaving : tuple of (str, int)
+        Ids and starts of targets that announced that they leave, at most
+        `LEAVING_LIMIT`.
     """
 
     running: dict[str, int] = field(default_factory=dict)
@@ -70,6 +73,7 @@
     held: tuple[tuple[str, HeldTarget], ...] = ()
     held_names: dict[str, str] = field(default_factory=dict)
     parts: PartReport = field(default_factory=PartReport)
+    leaving: tuple[tuple[str, int], ...] = ()
 
 
 @register
@@ -166,6 +170,7 @@
         merge_broken(part.broken for part in parts),
         held_names=holders,
         parts=merge_parts(part.parts for part in parts),
+        leaving=merge_leaving(part.leaving for part in parts),
     )
 
 
@@ -210,6 +215,24 @@
     return {fingerprint: tuple(sorted(ids)) for fingerprint, ids in merged.items()}
 
 
+def merge_leaving(
+    parts: Iterable[tuple[tuple[str, int], ...]],
+) -> tuple[tuple[str, int], ...]:
+    """Merge the leaving targets that several hosts know of.
+
+    Parameters
+    ----------
+    parts : iterable of tuple of (str, int)
+
+    Returns
+    -------
+    tuple of (str, int)
+        At most `LEAVING_LIMIT`.
+    """
+    merged = {incarnation for part in parts for incarnation in part}
+    return tuple(sorted(merged)[:LEAVING_LIMIT])
+
+
 def merge_parts(reports: Iterable[PartReport]) -> PartReport:
     """Merge crashes by part of the prompt over several hosts.
 
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -11,6 +11,7 @@
     TargetUses,
     WorkSum,
     merge_broken,
+    merge_leaving,
     merge_parts,
     sum_counts,
 )
@@ -126,6 +127,7 @@
             held,
             holders,
             merge_parts(digest.parts for digest in live.values()),
+            merge_leaving(digest.leaving for digest in live.values()),
         )
         return DomainDigest(spending, work)
 
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -69,6 +69,8 @@
         # Ids of target crashes by fingerprint of the request that was running.
         self.crashes: dict[str, tuple[str, ...]] = {}
         self.parts = PartReport()
+        # Ids and starts of targets that announced to any host that they leave.
+        self.leaving: tuple[tuple[str, int], ...] = ()
 
     def note_sent(self, digest: HostDigest) -> None:
         """Remember a digest of this host until a relay may have echoed it.
@@ -199,6 +201,7 @@
         peers.last_seen_at = last_seen_at
         self.crashes = work.broken
         self.parts = work.parts
+        self.leaving = work.leaving
 
     def _count_peer_requests(
         self, message: FleetDigest, now: float
--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -6,6 +6,13 @@
 
 from msgspec import Meta
 
+from thornlatch.fleet._digests import LEAVING_LIMIT
+
+ANNOUNCED_LIMIT = 4096  # incarnations that announced their leaving; the oldest go
+UNKNOWN_START_MS = 0
+
+Incarnation = tuple[str, int]  # id and start of a target, in Unix milliseconds
+
 
 @dataclass(frozen=True)
 class LoadedModel:
@@ -57,7 +64,7 @@
     leaves_in_s: float | None = None
 
     @property
-    def incarnation(self) -> tuple[str, int]:
+    def incarnation(self) -> Incarnation:
         """Identity that changes with a restart."""
         return (self.id, self.started_ms)
 
@@ -108,8 +115,10 @@
         self.targets: dict[str, Target] = {}
         self.by_service: dict[str, tuple[Target, ...]] = {}
         self.removal_due_at: dict[str, float] = {}
-        # Incarnations that announced in an answer that they leave.
-        self.announced_leaving: set[tuple[str, int]] = set()
+        # Incarnations that announced to any host that they leave, as ordered sets; the
+        # second one has those that announced it to this host.
+        self.announced_leaving: dict[Incarnation, None] = {}
+        self.seen_leaving: dict[Incarnation, None] = {}
         self.read_failed_at = float("-inf")
 
     def apply(self, name: str, target: Target | None, *, now: float) -> bool:
@@ -139,7 +148,7 @@
                     # renew it during the outage.
                     self.removal_due_at.setdefault(name, now + self.settings.return_s)
                     return False
-                del self.targets[name]
+                self._remove(name)
                 self.removal_due_at.pop(name, None)
                 self._rebuild_snapshot()
                 return True
@@ -150,30 +159,55 @@
             self._rebuild_snapshot()
             return previous is None or _has_changed(previous, target)
 
-    def note_leaving(self, target: Target) -> bool:
+    def note_leaving(self, incarnation: Incarnation, *, was_seen: bool) -> bool:
         """Record that a target announced in an answer that it leaves.
 
-        It holds for this incarnation, whatever its entry says.
+        It holds for this incarnation, whatever its entry says, also if its entry is
+        removed and comes back.
 
         Parameters
         ----------
-        target : Target
+        incarnation : (str, int)
+            Id and start.
+        was_seen : bool
+            Whether this host got the answer, and not a peer.
 
         Returns
         -------
         bool
             Whether this is news.
         """
-        if target.incarnation in self.announced_leaving:
+        is_known = incarnation in self.announced_leaving
+        if is_known and (not was_seen or incarnation in self.seen_leaving):
             return False
         with self.lock:
-            registered = self.targets.get(target.id)
-            if registered is None or registered.incarnation != target.incarnation:
-                return False
-            self.announced_leaving.add(target.incarnation)
-            self.targets[target.id] = replace(registered, is_leaving=True)
-            self._rebuild_snapshot()
-        return True
+            if was_seen:
+                _add_bounded(self.seen_leaving, incarnation)
+            _add_bounded(self.announced_leaving, incarnation)
+            registered = self.targets.get(incarnation[0])
+            if registered is not None and registered.incarnation == incarnation:
+                self.targets[registered.id] = replace(registered, is_leaving=True)
+                self._rebuild_snapshot()
+        return not is_known
+
+    def list_seen_leaving(self) -> tuple[Incarnation, ...]:
+        """Return registered targets that announced to this host that they leave.
+
+        Returns
+        -------
+        tuple of (str, int)
+            The latest `LEAVING_LIMIT`.
+        """
+        if not self.seen_leaving:
+            return ()
+        with self.lock:
+            registered = [
+                incarnation
+                for incarnation in self.seen_leaving
+                if incarnation[0] in self.targets
+                and self.targets[incarnation[0]].incarnation == incarnation
+            ]
+        return tuple(registered[-LEAVING_LIMIT:])
 
     def note_read_failure(self, *, now: float) -> None:
         """Record that a read of the store failed.
@@ -201,7 +235,7 @@
             ]
             for name in expired:
                 del self.removal_due_at[name]
-                self.targets.pop(name, None)
+                self._remove(name)
             if expired:
                 self._rebuild_snapshot()
         return expired
@@ -232,11 +266,17 @@
         """
         return self.by_service.get(service, ())
 
+    def _remove(self, name: str) -> None:
+        target = self.targets.pop(name, None)
+        if target is not None and target.started_ms == UNKNOWN_START_MS:
+            # The next incarnation couldn't be told from this one.
+            self.announced_leaving.pop(target.incarnation, None)
+            self.seen_leaving.pop(target.incarnation, None)
+
     def _rebuild_snapshot(self) -> None:
-        if self.announced_leaving:
-            self.announced_leaving &= {
-                target.incarnation for target in self.targets.values()
-            }
+        registered = {target.incarnation for target in self.targets.values()}
+        for incarnation in self.announced_leaving.keys() - registered:
+            del self.announced_leaving[incarnation]
         by_service: dict[str, list[Target]] = {}
         for target in self.targets.values():
             if not target.is_leaving:
@@ -246,6 +286,12 @@
         }
 
 
+def _add_bounded(incarnations: dict[Incarnation, None], added: Incarnation) -> None:
+    incarnations[added] = None
+    while len(incarnations) > ANNOUNCED_LIMIT:
+        del incarnations[next(iter(incarnations))]
+
+
 def _has_changed(previous: Target, target: Target) -> bool:
     return (
         previous.incarnation != target.incarnation
--- a/src/thornlatch/fleet/tests/test_digests.py
+++ b/src/thornlatch/fleet/tests/test_digests.py
@@ -2,15 +2,22 @@
 
 from dataclasses import replace
 
+import msgspec
 import pytest
 
+from thornlatch.core import Envelope, decode_envelope, encode_envelope, encode_message
 from thornlatch.fleet import (
+    DomainDigest,
+    DomainSpending,
     HeldTarget,
     HostDigest,
     PeerView,
     PeerViewSettings,
     ResidentAdapter,
+    WorkSum,
 )
+from thornlatch.fleet._digests import LEAVING_LIMIT
+from thornlatch.fleet._domain_messages import merge_leaving
 
 
 def digest(at, running=(), held=None, names=()):
@@ -83,3 +90,44 @@
     assert (view.count_peers_avoiding("t"), view.count_peers_avoiding("u")) == (2, 1)
     view.apply_digest("b", digest(2), now=2.0)
     assert view.count_peers_avoiding("t") == 0
+
+
+def decode_edited(message, edit):
+    fields = msgspec.msgpack.decode(encode_message(message))
+    body = msgspec.msgpack.encode(edit(fields))
+    return decode_envelope(encode_envelope(Envelope("a", 1, message), body)).message
+
+
+SPENDING = DomainSpending("z", "a", 1.0, (), {}, {})
+
+
+def test_digests_of_hosts_that_know_no_leaving_targets_are_read():
+    digest_sent = replace(digest(1), leaving=(("t", 5),))
+    assert decode_edited(digest_sent, lambda fields: fields[:-1]) == digest(1)
+    domain_digest = DomainDigest(SPENDING, WorkSum(leaving=(("t", 5),)))
+
+    def drop_leaving(fields):
+        spending, work = fields
+        return [spending, {name: work[name] for name in work if name != "leaving"}]
+
+    decoded = decode_edited(domain_digest, drop_leaving)
+    assert decoded == DomainDigest(SPENDING, WorkSum())
+
+
+def test_digests_with_fields_of_later_versions_are_read():
+    """It is how hosts of an earlier version read this one's digests."""
+    assert decode_edited(digest(1), lambda fields: [*fields, "later"]) == digest(1)
+    domain_digest = DomainDigest(SPENDING, WorkSum())
+
+    def add_field(fields):
+        spending, work = fields
+        return [spending, {**work, "later": 1}]
+
+    assert decode_edited(domain_digest, add_field) == domain_digest
+
+
+def test_leaving_targets_of_a_fleet_are_bounded():
+    parts = [tuple((f"{part}-{n}", 1) for n in range(60)) for part in "ab"]
+    merged = merge_leaving(parts)
+    assert len(merged) == LEAVING_LIMIT
+    assert set(merged) <= {*parts[0], *parts[1]}
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -13,13 +13,17 @@
     FleetDigest,
     HeldTarget,
     HostDigest,
+    Incarnation,
     LoadExpected,
     LoadRequested,
     Member,
     PeerView,
+    TargetRegistry,
     TargetUses,
 )
 from thornlatch.gateway._health import TargetHealth
+from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._notices import PEER, note_leaving
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
 from thornlatch.gateway._settings import GatewaySettings
@@ -52,6 +56,8 @@
     health : TargetHealth
     suspects : CrashSuspects
     orders : OrderManager
+    registry : TargetRegistry
+    metrics : GatewayMetrics
     """
 
     in_force: ConfigurationInForce
@@ -64,6 +70,8 @@
     health: TargetHealth
     suspects: CrashSuspects
     orders: OrderManager
+    registry: TargetRegistry
+    metrics: GatewayMetrics
 
 
 class FleetLink:
@@ -301,6 +309,7 @@
             self.state.health.list_avoided(now=now),
             self.topic_share.list_reads(now=now),
             self.state.suspects.parts.build_report(now=now),
+            self.state.registry.list_seen_leaving(),
         )
 
     def _apply_digest(self, host: str, digest: HostDigest, now: float) -> None:
@@ -314,6 +323,7 @@
         self.state.suspects.parts.set_report(host, digest.parts, now=now)
         for report in digest.held or ():
             self._apply_holder_report(host, report, now)
+        self._apply_leaving(digest.leaving)
 
     def _apply_holder_report(self, holder: str, held: HeldTarget, now: float) -> None:
         if self.state.peers.get_holder(held.target, now=now) != holder:
@@ -349,6 +359,16 @@
             self.topic_share.note_reads(message.relay, message.reads, sent_at=echoed_at)
         self.state.suspects.set_fleet_crashes(self.domain_view.crashes)
         self.state.suspects.parts.set_fleet_report(self.domain_view.parts, now=now)
+        self._apply_leaving(self.domain_view.leaving)
+
+    def _apply_leaving(self, incarnations: Iterable[Incarnation]) -> None:
+        for incarnation in incarnations:
+            note_leaving(
+                incarnation,
+                source=PEER,
+                registry=self.state.registry,
+                metrics=self.state.metrics,
+            )
 
     def _apply_target_uses(self, message: TargetUses, now: float) -> None:
         self.domain_view.apply_target_uses(message, now=now)
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -279,7 +279,7 @@
     def _note_leaving(self, target: Target, head: AnswerHead) -> None:
         if head.is_leaving:
             note_leaving(
-                target,
+                target.incarnation,
                 source="request",
                 registry=self.selector.registry,
                 metrics=self.metrics,
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -133,6 +133,8 @@
                 health=self.health,
                 suspects=self.suspects,
                 orders=self.orders,
+                registry=self.registry,
+                metrics=self.metrics,
             ),
             is_stopping=self.stopping.is_set,
             on_tick=self._tick,
--- a/src/thornlatch/gateway/_notices.py
+++ b/src/thornlatch/gateway/_notices.py
@@ -2,11 +2,13 @@
 
 import logbook
 
-from thornlatch.fleet import Target, TargetNotice, TargetRegistry
+from thornlatch.fleet import Incarnation, Target, TargetNotice, TargetRegistry
 from thornlatch.gateway._metrics import GatewayMetrics
 
 logger = logbook.Logger("thornlatch.gateway")
 
+PEER = "peer"
+
 
 def is_of_incarnation(target: Target, notice: TargetNotice) -> bool:
     """Return whether a notice is of a target's incarnation, as far as it tells.
@@ -24,27 +26,31 @@
 
 
 def note_leaving(
-    target: Target, *, source: str, registry: TargetRegistry, metrics: GatewayMetrics
+    incarnation: Incarnation,
+    *,
+    source: str,
+    registry: TargetRegistry,
+    metrics: GatewayMetrics,
 ) -> None:
     """Send a target that announced its leaving no new requests.
 
     Parameters
     ----------
-    target : Target
+    incarnation : (str, int)
         The incarnation to which the answered request was sent.
     source : str
-        What was answered.
+        What was answered; `PEER` if a peer got the answer.
     registry : TargetRegistry
     metrics : GatewayMetrics
     """
-    if not registry.note_leaving(target):
+    if not registry.note_leaving(incarnation, was_seen=source != PEER):
         return
     metrics.leaving_targets.labels(source).inc()
     logger.info(
         "target.leaving_announced",
         extra={
-            "target": target.id,
-            "started_ms": target.started_ms,
+            "target": incarnation[0],
+            "started_ms": incarnation[1],
             "source": source,
         },
     )
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -627,7 +627,7 @@
             return
         if notice.is_leaving:
             note_leaving(
-                held.target,
+                held.target.incarnation,
                 source=source,
                 registry=self.registry,
                 metrics=self.metrics,
--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -6,8 +6,19 @@
 import pytest
 
 from thornlatch.core import read_clock
-from thornlatch.fleet import Member, PeerView, PeerViewSettings
-from thornlatch.gateway import GatewaySettings, HostAddresses
+from thornlatch.fleet import (
+    DomainSpending,
+    FleetDigest,
+    HostDigest,
+    Member,
+    PeerView,
+    PeerViewSettings,
+    RegistrySettings,
+    Target,
+    TargetRegistry,
+    WorkSum,
+)
+from thornlatch.gateway import GatewayMetrics, GatewaySettings, HostAddresses
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.quota import (
     QuotaSettings,
@@ -40,7 +51,12 @@
     in_force.install(
         Configuration(1, (), {"llm": Service("llm", "/h", 10, LIMITS)}, {})
     )
-    unused = SimpleNamespace(retain_hosts=lambda hosts: None, parts=Mock())
+    unused = SimpleNamespace(
+        retain_hosts=lambda hosts: None,
+        set_peer_crashes=lambda host, crashes: None,
+        set_fleet_crashes=lambda crashes: None,
+        parts=Mock(),
+    )
     fleet_link = FleetLink(
         GatewaySettings(HostAddresses("h", "z", "", "", "127.0.0.1:0")),
         "h.0",
@@ -55,6 +71,8 @@
             unused,
             unused,
             SimpleNamespace(partitions=PARTITIONS, model_loads=ModelLoads()),
+            TargetRegistry(RegistrySettings()),
+            GatewayMetrics(),
         ),
         is_stopping=lambda: False,
         on_tick=lambda now: None,
@@ -88,3 +106,25 @@
     assert not link.is_orderer(now=now)
     link.started_at = now - 10.0
     assert link.is_orderer(now=now)
+
+
+@pytest.mark.parametrize("incarnation", [("t", 5), ("t", 4)])
+@pytest.mark.parametrize("is_large", [True, False])
+def test_host_learns_from_a_digest_that_an_incarnation_leaves(
+    link, incarnation, is_large
+):
+    registry, now = link.state.registry, read_clock()
+    registry.apply("t", Target("t", "llm", "1.2.3.4:5", "z", 8, started_ms=5), now=now)
+    if is_large:
+        spending = DomainSpending("z", "o1.0", 1.0, ("o1.0",), {}, {})
+        work = WorkSum(leaving=(incarnation,))
+        digest = FleetDigest("o1.0", 1.0, (spending,), work, {}, {})
+        link._apply_fleet_digest(digest, now)
+    else:
+        digest = HostDigest(
+            1.0, (), {}, {}, None, (), False, {}, leaving=(incarnation,)
+        )
+        link._apply_digest("o1.0", digest, now)
+    assert bool(registry.get_ready("llm")) == (incarnation != ("t", 5))
+    # Only the host that got the answer tells its peers.
+    assert registry.list_seen_leaving() == ()
--- a/src/thornlatch/gateway/tests/test_large_fleet.py
+++ b/src/thornlatch/gateway/tests/test_large_fleet.py
@@ -51,13 +51,22 @@
         self.running = ()
         self.held = ()
         self.broken = {}
+        self.leaving = ()
         self.sent_messages = 0
 
     def build_digest(self, now):
         spent, levels = self.quota.get_spent(now=now)
         names = tuple(report.target for report in self.held)
         return HostDigest(
-            now, self.running, spent, levels, self.held, names, False, self.broken
+            now,
+            self.running,
+            spent,
+            levels,
+            self.held,
+            names,
+            False,
+            self.broken,
+            leaving=self.leaving,
         )
 
     def run_turn(self, now):
@@ -169,6 +178,15 @@
         assert live == fleet.hosts.keys() - {name}
 
 
+def test_all_hosts_learn_that_a_target_leaves_while_one_of_them_says_so(fleet):
+    fleet.hosts["h1-5"].leaving = (("t1", 5),)
+    fleet.run(1.5)
+    assert {host.view.leaving for host in fleet.hosts.values()} == {(("t1", 5),)}
+    fleet.hosts["h1-5"].leaving = ()
+    fleet.run(1.5)
+    assert {host.view.leaving for host in fleet.hosts.values()} == {()}
+
+
 @pytest.mark.parametrize(
     ("hosts", "messages_per_s"), [(24, 14.0), (83, 12.1), (195, 5.2), (340, 3.0)]
 )
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -5,6 +5,7 @@
 import os
 import signal
 import time
+from concurrent.futures import ThreadPoolExecutor
 
 import pytest
 
@@ -235,6 +236,86 @@
     assert host.list_events("target.leaving_announced")
 
 
+def call_until_answered_by(host, server, path="/many/x", **headers):
+    def is_answered():
+        response, _ = host.call(path, **headers)
+        return response.getheader("Thornlatch-Server-Signature") == f"sig-{server.name}"
+
+    wait_until(is_answered, host.read_log)
+
+
+def test_peers_learn_that_a_target_announced_its_leaving(deployment, tmp_path):
+    store, servers, host = deployment
+    peer = start_host(tmp_path, store.address, name="edge-2")
+    try:
+        leaving = servers["api-1"]
+        leaving.announces_leaving = True
+        call_until_answered_by(host, leaving)
+        leaving.announces_leaving = False
+        wait_until(lambda: peer.list_events("target.leaving_announced"), peer.read_log)
+        (event,) = peer.list_events("target.leaving_announced")
+        assert (event["source"], event["target"]) == ("peer", "api-1")
+        count = len(leaving.requests)
+        for _ in range(10):
+            assert peer.call("/many/x")[0].status == 200
+        assert len(leaving.requests) == count
+    finally:
+        peer.stop()
+
+
+@pytest.mark.parametrize("name", ["api-1", "api-3"])
+def test_id_or_address_of_a_target_that_left_is_used_again(deployment, name):
+    store, servers, host = deployment
+    server = servers["api-1"]
+    server.announces_leaving = True
+    call_until_answered_by(host, server)
+    server.announces_leaving = False
+    if name != "api-1":
+        store.put("keyed.servers", "api-1", None)
+    server.name = name
+    server.starts += 1
+    store.put("keyed.servers", name, server.describe())
+    # Of equal targets one might get all requests.
+    store.put("keyed.servers", "api-2", servers["api-2"].describe("draining"))
+    call_until_answered_by(host, server)
+
+
+def test_stream_at_a_target_that_announces_its_leaving_finishes(deployment):
+    _, servers, host = deployment
+    leaving = servers["llm-1"]
+    servers["llm-2"].adapters["a1"] = leaving.adapters["a1"] = 1
+    leaving.events, leaving.pause_s = 20, 0.1
+    headers = {"Thornlatch_Model": "m"}
+    with ThreadPoolExecutor(2) as executor:
+        streams = []
+        while not leaving.requests:
+            streams.append(executor.submit(host.call, "/llm/x", **headers))
+            time.sleep(0.1)
+        leaving.announces_leaving = True
+        leaving.events, count = 4, len(leaving.requests)
+        call_until_answered_by(host, leaving, "/llm/x", **headers)
+        assert len(leaving.requests) > count
+        numbers = {stream.result()[1].count(b"data:") for stream in streams}
+    assert host.list_events("target.leaving_announced")
+    assert not host.list_events("request.stream_resumed")
+    assert numbers <= {4, 20}
+
+
+def test_adapter_of_a_target_that_announces_its_leaving_is_loaded_elsewhere(deployment):
+    _, servers, host = deployment
+    headers = {"Thornlatch_Model": "m/a7"}
+    assert host.call("/llm/x", **headers)[0].status == 200
+    leaving, other = servers["llm-1"], servers["llm-2"]
+    if not leaving.adapters:
+        leaving, other = other, leaving
+    leaving.announces_leaving = True
+    assert host.call("/llm/x", **headers)[0].status == 200
+    count = len(leaving.requests)
+    assert host.call("/llm/x", **headers)[0].status == 200
+    assert "a7" in other.adapters
+    assert len(leaving.requests) == count
+
+
 def test_target_that_asks_for_a_pause_gets_no_requests(deployment):
     """It got each request whose caller or host tried again."""
     _, servers, host = deployment
