Keep an announced leaving for as long as the incarnation may come back

Cause: the registry dropped the announcement with the target's entry. An entry that expires while the store is away and comes back within two seconds named a target that takes work again, and requests went there after its drain time.

Evidence: test_announced_leaving_holds_if_the_entry_is_removed_and_comes_back failed on the code before ("get_ready" had the target), passes now.

Another start under the same id, or another id at the same address, is another incarnation and is used (test_announced_leaving_holds_for_one_incarnation, test_address_of_a_target_that_left_is_used_by_another). Where an entry has no start, the announcement ends with the entry, since its successor couldn't be told from it.

--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -274,9 +274,6 @@
             self.seen_leaving.pop(target.incarnation, None)
 
     def _rebuild_snapshot(self) -> None:
-        registered = {target.incarnation for target in self.targets.values()}
-        for incarnation in self.announced_leaving.keys() - registered:
-            del self.announced_leaving[incarnation]
         by_service: dict[str, list[Target]] = {}
         for target in self.targets.values():
             if not target.is_leaving:
--- a/src/thornlatch/fleet/tests/test_registry.py
+++ b/src/thornlatch/fleet/tests/test_registry.py
@@ -2,7 +2,11 @@
 
 from dataclasses import replace
 
+import pytest
+
 from thornlatch.fleet import RegistrySettings, Target, TargetRegistry
+from thornlatch.fleet._digests import LEAVING_LIMIT
+from thornlatch.fleet._registry import ANNOUNCED_LIMIT
 
 TARGET = Target("i-1", "llm", "10.0.0.1:80", "z", 8, started_ms=5)
 
@@ -58,3 +62,77 @@
     registry.apply("i-2", replace(TARGET, id="i-2", service="api"), now=2.0)
     assert registry.get_ready("llm") == ()
     assert [t.id for t in registry.get_ready("api")] == ["i-2"]
+
+
+@pytest.mark.parametrize("was_seen", [True, False])
+def test_announced_leaving_holds_for_one_incarnation(was_seen):
+    registry = build()
+    assert registry.note_leaving(("i-1", 5), was_seen=was_seen)
+    assert not registry.note_leaving(("i-1", 5), was_seen=was_seen)
+    registry.apply("i-1", TARGET, now=1.0)
+    assert registry.get_ready("llm") == ()
+    restarted = replace(TARGET, started_ms=6)
+    registry.apply("i-1", restarted, now=2.0)
+    assert registry.get_ready("llm") == (restarted,)
+    registry.note_leaving(("i-1", 5), was_seen=was_seen)
+    assert registry.get_ready("llm") == (restarted,)
+
+
+def test_announced_leaving_holds_if_the_entry_is_removed_and_comes_back():
+    """An entry that expired in an outage came back as one that isn't leaving."""
+    registry = build()
+    registry.note_leaving(("i-1", 5), was_seen=True)
+    registry.note_read_failure(now=1.0)
+    registry.apply("i-1", None, now=1.0)
+    assert registry.expire(now=3.0) == ["i-1"]
+    registry.apply("i-1", TARGET, now=3.1)
+    assert registry.get_ready("llm") == ()
+
+
+def test_leaving_that_is_known_before_the_entry_counts_once_it_is_read():
+    registry = build()
+    registry.note_leaving(("i-2", 7), was_seen=False)
+    registry.apply("i-2", replace(TARGET, id="i-2", started_ms=7), now=1.0)
+    assert registry.get_ready("llm") == (TARGET,)
+
+
+def test_address_of_a_target_that_left_is_used_by_another():
+    registry = build()
+    registry.note_leaving(("i-1", 5), was_seen=True)
+    other = replace(TARGET, id="i-2")
+    registry.apply("i-2", other, now=1.0)
+    assert registry.get_ready("llm") == (other,)
+
+
+def test_id_of_unknown_start_is_usable_again_after_its_removal():
+    registry = build()
+    unknown = replace(TARGET, started_ms=0)
+    registry.apply("i-1", unknown, now=1.0)
+    registry.note_leaving(("i-1", 0), was_seen=True)
+    registry.apply("i-1", None, now=2.0)
+    registry.apply("i-1", unknown, now=3.0)
+    assert registry.get_ready("llm") == (unknown,)
+
+
+def test_what_peers_are_told_of_leaving_targets_is_bounded():
+    registry = build()
+    for number in range(LEAVING_LIMIT + 5):
+        name = f"i-{number}"
+        registry.apply(name, replace(TARGET, id=name), now=1.0)
+        registry.note_leaving((name, 5), was_seen=True)
+    told = registry.list_seen_leaving()
+    assert len(told) == LEAVING_LIMIT
+    assert told[-1] == (f"i-{LEAVING_LIMIT + 4}", 5)
+    for number in range(ANNOUNCED_LIMIT + 5):
+        registry.note_leaving(("i-1", number), was_seen=False)
+    assert len(registry.announced_leaving) == ANNOUNCED_LIMIT
+
+
+def test_peers_are_told_only_of_what_this_host_saw_and_still_lists():
+    registry = build()
+    registry.note_leaving(("i-1", 5), was_seen=False)
+    assert registry.list_seen_leaving() == ()
+    registry.note_leaving(("i-1", 5), was_seen=True)
+    assert registry.list_seen_leaving() == (("i-1", 5),)
+    registry.apply("i-1", None, now=1.0)
+    assert registry.list_seen_leaving() == ()
