Send no orders and reports to a target that asked for a pause

Cause: the pause was looked at where requests choose a target, so the holder went on with orders every 50 ms and with reports every retry, and an order's own 503 with Retry-After started no pause. The value was read by float(), which takes "1e3", "1_0" and other digits; a value without meaning left no trace.

Why it works: the holder asks the same table of pauses before it starts and before each further order or report, tells peers that no load can begin there before the end, and drops requests for loads until then, so that they go elsewhere. The longest end holds. A pause belongs to an incarnation: it goes on if the entry is removed and comes back, and ends with a restart. Seconds are digits with or without a fraction; more than an hour counts as an hour, so that a slip of one server doesn't exclude it for good. Anything else, a date included, is absent and logged once for each target and header (target.header_unreadable); the same for Server-Leaving with a value other than 1.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -101,6 +101,7 @@
             residents=self.residents,
             tenure=self.tenure,
             work=self.work,
+            health=self.health,
             metrics=self.metrics,
             send=lambda host, message: self.fleet.send(host, message),
             send_digest_now=lambda: self.fleet.send_digest_now(),
@@ -489,7 +490,10 @@
         )
         if has_incarnation_ended:
             self.residents.remove(name)
-            self.health.forget(name)
+        if target is None:
+            self.health.forget(name, now=read_clock())
+        else:
+            self.health.begin(name, target.started_ms)
 
     def _log_withdrawn_keys(self, configuration: Configuration) -> None:
         """Log the running requests whose key was withdrawn.
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -1,7 +1,7 @@
 """Failures, load and service times of each target, as this host observed them."""
 
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 from thornlatch.gateway._settings import ForwardingSettings
 
@@ -23,6 +23,8 @@
     load: tuple[int, int, int] | None = None
     load_at: float = float("-inf")
     paused_until: float = float("-inf")
+    # Names of headers that couldn't be read and have been logged.
+    unreadable: set[str] = field(default_factory=set)
 
 
 class TargetHealth:
@@ -40,6 +42,9 @@
         self.service_s: dict[str, float] = {}
         self.prefill_s: dict[str, float] = {}
         self.last_pause_ends_at = float("-inf")
+        # Starts of the targets' incarnations, in Unix milliseconds.
+        self.started_ms: dict[str, int] = {}
+        self.departed: set[str] = set()
 
     def note_success(
         self, target: str, load: tuple[int, int, int] | None, *, now: float
@@ -121,6 +126,25 @@
         record = self.observations.get(target)
         return 0.0 if record is None else max(record.paused_until - now, 0.0)
 
+    def note_unreadable(self, target: str, header: str) -> bool:
+        """Record that a header of a target couldn't be read.
+
+        Parameters
+        ----------
+        target, header : str
+
+        Returns
+        -------
+        bool
+            Whether it is the first time.
+        """
+        with self.lock:
+            record = self.observations.setdefault(target, _Observations())
+            if header in record.unreadable:
+                return False
+            record.unreadable.add(header)
+            return True
+
     def note_service(self, service: str, elapsed_s: float) -> None:
         """Record the time from sending a request to the end of its answer.
 
@@ -238,12 +262,43 @@
             return 0
         return record.load[0] + record.load[1]
 
-    def forget(self, target: str) -> None:
-        """Drop the observations of a target that departed or restarted.
+    def begin(self, target: str, started_ms: int) -> None:
+        """Drop the observations of a target's former incarnation.
+
+        Parameters
+        ----------
+        target : str
+        started_ms : int
+            Start of the incarnation that is registered, in Unix milliseconds.
+        """
+        with self.lock:
+            if self.started_ms.get(target) != started_ms:
+                self.observations.pop(target, None)
+            self.started_ms[target] = started_ms
+            self.departed.discard(target)
+
+    def forget(self, target: str, *, now: float) -> None:
+        """Drop the observations of a target whose registration was removed.
+
+        Its pause goes on, since the same incarnation may be registered again.
 
         Parameters
         ----------
         target : str
+        now : float
         """
         with self.lock:
-            self.observations.pop(target, None)
+            record = self.observations.pop(target, None)
+            if record is not None and self.started_ms.get(target):
+                paused_until = record.paused_until
+                self.observations[target] = _Observations(paused_until=paused_until)
+            self.departed.add(target)
+            self._drop_departed(now)
+
+    def _drop_departed(self, now: float) -> None:
+        for target in list(self.departed):
+            record = self.observations.get(target)
+            if record is None or record.paused_until <= now:
+                self.observations.pop(target, None)
+                self.started_ms.pop(target, None)
+                self.departed.remove(target)
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -48,6 +48,12 @@
             ["source"],
             registry=self.registry,
         )
+        self.pauses = Counter(
+            "thornlatch_gateway_pauses",
+            "Pauses that targets asked for, by what they answered.",
+            ["source"],
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "thornlatch_store_calls",
             "Calls to the platform's store, by call and outcome.",
--- a/src/thornlatch/gateway/_notices.py
+++ b/src/thornlatch/gateway/_notices.py
@@ -2,12 +2,15 @@
 
 import logbook
 
+from thornlatch.core import read_clock
 from thornlatch.fleet import Incarnation, Target, TargetNotice, TargetRegistry
+from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
 
 logger = logbook.Logger("thornlatch.gateway")
 
 PEER = "peer"
+SHOWN_CHARACTERS = 200  # of a header's value in the log
 
 
 def is_of_incarnation(target: Target, notice: TargetNotice) -> bool:
@@ -54,3 +57,43 @@
             "source": source,
         },
     )
+
+
+def note_pause(
+    target: str,
+    notice: TargetNotice,
+    *,
+    source: str,
+    health: TargetHealth,
+    metrics: GatewayMetrics,
+) -> None:
+    """Send a target nothing for as long as it asks for; log headers that can't be read.
+
+    Parameters
+    ----------
+    target : str
+    notice : TargetNotice
+    source : str
+        What was answered.
+    health : TargetHealth
+    metrics : GatewayMetrics
+    """
+    for header in notice.unreadable:
+        if health.note_unreadable(target, header.name):
+            logger.warning(
+                "target.header_unreadable",
+                extra={
+                    "target": target,
+                    "header": header.name,
+                    "value": header.value[:SHOWN_CHARACTERS],
+                    "expected": header.expected,
+                },
+            )
+    if not notice.pause_s:
+        return
+    health.note_pause(target, notice.pause_s, now=read_clock())
+    metrics.pauses.labels(source).inc()
+    logger.info(
+        "target.pause_requested",
+        extra={"target": target, "pause_s": notice.pause_s, "source": source},
+    )
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -21,9 +21,10 @@
     TargetRegistry,
     UseNotes,
 )
+from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._load_bucket import LoadTokenBucket
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import is_of_incarnation, note_leaving
+from thornlatch.gateway._notices import is_of_incarnation, note_leaving, note_pause
 from thornlatch.gateway._ports import TargetProtocol
 from thornlatch.gateway._work import WorkTable
 from thornlatch.residency import (
@@ -77,6 +78,7 @@
     residents : ResidentTable
     tenure : Tenure
     work : WorkTable
+    health : TargetHealth
     metrics : GatewayMetrics
     send : callable
         Sends a message to a peer.
@@ -97,6 +99,7 @@
         residents: ResidentTable,
         tenure: Tenure,
         work: WorkTable,
+        health: TargetHealth,
         metrics: GatewayMetrics,
         send: Callable[[str, object], None],
         send_digest_now: Callable[[], None],
@@ -111,6 +114,7 @@
         self.residents = residents
         self.tenure = tenure
         self.work = work
+        self.health = health
         self.metrics = metrics
         self.send = send
         self.send_digest_now = send_digest_now
@@ -208,9 +212,9 @@
         """Request the load of an adapter at a target.
 
         The request is forwarded to the target's holder if that is another host. It is
-        dropped if the target has no holder, or if another target with a free slot holds
-        or loads the adapter, unless the request's target reported that it lacks it or a
-        copy is requested.
+        dropped if the target has no holder or is in a pause. It is dropped, too, if
+        another target with a free slot holds or loads the adapter, unless the request's
+        target reported that it lacks it or a copy is requested.
 
         Parameters
         ----------
@@ -225,6 +229,8 @@
             if holder is not None:
                 self.send(holder, load_request)
             return
+        if self.health.get_pause_s(load_request.target, now=now):
+            return
         may_drop = not load_request.was_missing and not load_request.is_copy
         adapter = load_request.adapter
         if may_drop and self._is_available_elsewhere(
@@ -400,10 +406,17 @@
             uses = self.get_uses(held.target.id, now=now)
             with held.lock:
                 held.planner.note_use(uses, now=now)
-                place_at = now + held.planner.estimate_place_wait(uses, now=now)
+                place_at = now + self._estimate_place_wait(held, uses, now)
             self._note_place(held, place_at, now)
             self._start_orders(held)
 
+    def _estimate_place_wait(
+        self, held: _HeldState, uses: dict[str, int], now: float
+    ) -> float:
+        """Return the seconds until another load can begin at a held target."""
+        pause_s = self.health.get_pause_s(held.target.id, now=now)
+        return max(held.planner.estimate_place_wait(uses, now=now), pause_s)
+
     def _note_place(self, held: _HeldState, place_at: float, now: float) -> None:
         """Update when a held target can load another adapter; report large changes."""
         self.residents.place_at[held.target.id] = place_at
@@ -446,7 +459,7 @@
             uses = self.get_uses(target.id, now=now)
             with held.lock:
                 adapters = held.planner.get_residents(uses, now=now)
-                place_in_s = held.planner.estimate_place_wait(uses, now=now)
+                place_in_s = self._estimate_place_wait(held, uses, now)
             held.reported_place_at = now + place_in_s
             reports.append(
                 HeldTarget(
@@ -495,6 +508,8 @@
         with held.lock:
             if held.is_sending or now < held.orders_from:
                 return
+            if self.health.get_pause_s(held.target.id, now=now):
+                return
             needs_report = held.planner.needs_report(now=now)
             if not needs_report and self._choose_order(held, now) is None:
                 return
@@ -531,6 +546,8 @@
         now = read_clock()
         if self.held.get(held.target.id) is not held:
             return False
+        if self.health.get_pause_s(held.target.id, now=now):
+            return False
         token = self.tenure.get_token(held.partition, now=now)
         if token is None:
             return False
@@ -625,6 +642,13 @@
         """Act on what a held target says of itself in an answer."""
         if not is_of_incarnation(held.target, notice):
             return
+        note_pause(
+            held.target.id,
+            notice,
+            source=source,
+            health=self.health,
+            metrics=self.metrics,
+        )
         if notice.is_leaving:
             note_leaving(
                 held.target.incarnation,
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from thornlatch.fleet import TargetNotice
+from thornlatch.fleet import TargetNotice, UnreadableHeader
 from thornlatch.residency import EngineReport, NumberedOrder, OrderOutcome
 
 
@@ -113,7 +113,9 @@
     is_leaving : bool
         Whether the target announces that it accepts no new requests.
     pause_s : float
-        Seconds for which the target wants no requests of this host; 0 for none.
+        Seconds for which the target wants nothing of this host; 0 for none.
+    unreadable : tuple of UnreadableHeader
+        Headers about the target itself that were treated as absent.
     """
 
     status: int
@@ -126,6 +128,12 @@
     headers: tuple[tuple[str, str], ...]
     is_leaving: bool = False
     pause_s: float = 0.0
+    unreadable: tuple[UnreadableHeader, ...] = ()
+
+    @property
+    def notice(self) -> TargetNotice:
+        """What the target says of itself."""
+        return TargetNotice(self.is_leaving, self.pause_s, unreadable=self.unreadable)
 
     def is_from(self, target: str) -> bool:
         """Return whether the intended target answered, as far as the answer tells.
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -16,6 +16,7 @@
 from thornlatch.gateway._events import EventSplitter
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._notices import note_pause
 from thornlatch.gateway._ports import AnswerHead, SendContext, TargetProtocol
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
@@ -195,13 +196,14 @@
             raise
 
     def _note_pause(self, target: str, head: AnswerHead) -> None:
-        if not head.pause_s or not head.is_from(target):
-            return
-        self.health.note_pause(target, head.pause_s, now=read_clock())
-        logger.info(
-            "target.pause_requested",
-            extra={"target": target, "pause_s": head.pause_s},
-        )
+        if head.is_from(target):
+            note_pause(
+                target,
+                head.notice,
+                source="request",
+                health=self.health,
+                metrics=self.metrics,
+            )
 
     def _get_head_timeout_s(self, call: Call, left_s: float) -> float:
         if not call.route.may_repeat or call.runs + 1 >= call.route.max_attempts:
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -63,12 +63,14 @@
         self.order_notice = TargetNotice()
         self.report_notice = TargetNotice()
         self.fails_reports = False
+        self.reports = 0
 
     def send_order(self, address, target, order, fencing_token):
         self.orders.append((target, order, fencing_token))
         return OrderReply(self.outcome, notice=self.order_notice)
 
     def read_report(self, address, target):
+        self.reports += 1
         if self.fails_reports:
             raise TargetError("503", is_sent=True, notice=self.report_notice)
         models = (LoadedModel("m", 1),)
@@ -103,6 +105,7 @@
         residents=ResidentTable(),
         tenure=Tenure(TenureSettings(lease_s=3.0)),
         work=WorkTable(),
+        health=TargetHealth(ForwardingSettings()),
         metrics=GatewayMetrics(),
         send=lambda host, message: sent.append((host, message)),
         send_digest_now=lambda: None,
@@ -179,6 +182,60 @@
     assert list_ready(manager) == {"t1", "t2"}
 
 
+def end_pause(manager, target):
+    manager.health.observations[target].paused_until = read_clock()
+
+
+@pytest.mark.parametrize("outcome", OrderOutcome)
+def test_target_that_asks_for_a_pause_gets_no_orders_until_its_end(
+    manager_and_sent, outcome
+):
+    manager, _ = manager_and_sent
+    hold(manager, "t1")
+    manager.protocol.outcome = outcome
+    manager.protocol.order_notice = TargetNotice(pause_s=30.0)
+    adapters = ("m/a1", "m/a2")
+    for adapter in adapters:
+        manager.held["t1"].planner.request_load(
+            adapter, 0, priority=1, now=read_clock(), due_s=9.0, useful_s=9.0
+        )
+    for _ in range(3):
+        manager.tick(now=read_clock())
+    manager.request_load(build_load_request(adapter="m/a3"), now=read_clock())
+    assert len(manager.protocol.orders) == 1
+    assert manager.residents.place_at["t1"] > read_clock() + 29
+    if outcome is OrderOutcome.ACCEPTED:
+        end_pause(manager, "t1")
+        manager.tick(now=read_clock())
+        assert len(manager.protocol.orders) == 2
+
+
+def test_target_that_asks_for_a_pause_is_asked_for_no_report_until_its_end(
+    manager_and_sent,
+):
+    manager, _ = manager_and_sent
+    protocol = manager.protocol
+    protocol.fails_reports, protocol.report_notice = True, TargetNotice(pause_s=30.0)
+    hold(manager, "t1")
+    assert protocol.reports == 1
+    manager.held["t1"].planner.report_due_at = float("-inf")
+    manager.tick(now=read_clock())
+    assert protocol.reports == 1
+    protocol.fails_reports, protocol.report_notice = False, TargetNotice()
+    end_pause(manager, "t1")
+    manager.tick(now=read_clock())
+    assert protocol.reports == 2
+
+
+def test_orders_respect_the_pause_that_a_request_was_answered_with(manager_and_sent):
+    manager, _ = manager_and_sent
+    manager.health.note_pause("t1", 30.0, now=read_clock())
+    hold(manager, "t1")
+    assert manager.protocol.reports == 0
+    manager.request_load(build_load_request(), now=read_clock())
+    assert not manager.protocol.orders
+
+
 def test_reports_contain_changed_targets_and_periodically_all(manager_and_sent):
     """Reporting all held targets in each digest took a third of the hosts' time."""
     manager, _ = manager_and_sent
--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -349,6 +349,17 @@
         servers[name].plan = [f"pause {value}"]
     host.call("/many/x")
     wait_until(lambda: host.call("/many/x")[0].status == 200)
+    for name in ("api-1", "api-2"):
+        servers[name].plan = [f"pause {value}"] * 3
+    for _ in range(6):
+        host.call("/many/x")
+    assert min(len(servers[name].plan) for name in ("api-1", "api-2")) <= 1
+    events = host.list_events("target.header_unreadable")
+    names = [event["target"] for event in events]
+    assert names
+    assert len(names) == len(set(names))
+    assert {(e["header"], e["value"]) for e in events} == {("Retry-After", value)}
+    assert not host.list_events("target.pause_requested")
 
 
 def test_invalid_entries_are_logged_once_and_leave_others_in_effect(deployment):
--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -6,7 +6,11 @@
 import pytest
 
 from adapter._entries import LoadedModelEntry, build_loaded_model
-from adapter._protocols import PlatformCallerProtocol, PlatformTargetProtocol
+from adapter._protocols import (
+    PAUSE_LIMIT_S,
+    PlatformCallerProtocol,
+    PlatformTargetProtocol,
+)
 from stand_ins import ModelServer
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
 from thornlatch.fleet import TargetNotice
@@ -109,3 +113,70 @@
     server.take_order = lambda handler, order: handler.send(421, **headers)
     server.announces_leaving = True
     assert send_order(server).notice == TargetNotice()
+
+
+def read_head(status, **headers):
+    pairs = [(name.replace("_", "-"), value) for name, value in headers.items()]
+    return PlatformTargetProtocol("h").read_head(status, pairs)
+
+
+@pytest.mark.parametrize(
+    ("text", "pause_s"),
+    [
+        ("2", 2.0),
+        ("0.25", 0.25),
+        ("007.", 7.0),
+        ("0", 0.0),
+        ("0.0", 0.0),
+        ("86400", PAUSE_LIMIT_S),
+        ("9" * 5000, PAUSE_LIMIT_S),
+    ],
+)
+def test_pause_is_read_in_seconds_up_to_a_limit(text, pause_s):
+    head = read_head(503, Retry_After=text)
+    assert (head.pause_s, head.unreadable) == (pause_s, ())
+    assert read_head(200, Retry_After=text).pause_s == 0.0
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "soon",
+        "-1",
+        "+1",
+        "inf",
+        "nan",
+        "1e3",
+        "1_0",
+        "٣",
+        "1 2",
+        "Fri, 04 Dec 2026 21:20:00 GMT",
+    ],
+)
+def test_pause_that_is_no_number_of_seconds_is_unreadable(text):
+    head = read_head(503, Retry_After=text)
+    assert head.pause_s == 0.0
+    (header,) = head.unreadable
+    assert (header.name, header.value) == ("Retry-After", text)
+    assert "seconds" in header.expected
+    assert not read_head(200, Retry_After=text).unreadable
+
+
+@pytest.mark.parametrize("text", ["", "0", "yes", "1, 1"])
+def test_leaving_that_isn_t_announced_as_described_is_unreadable(text):
+    head = read_head(200, Server_Leaving=text)
+    assert not head.is_leaving
+    assert [header.value for header in head.unreadable] == [text]
+
+
+@pytest.mark.parametrize("call", [send_order, read_report])
+def test_orders_and_reports_are_answered_with_a_pause(server, call):
+    server.answer = lambda handler: handler.send(503, b"{}", Retry_After="1.5")
+    if call is read_report:
+        with pytest.raises(TargetError) as caught:
+            call(server)
+        notice = caught.value.notice
+    else:
+        notice = call(server).notice
+    assert notice == TargetNotice(pause_s=1.5)
