Spread the returns after a pause; name pauses only where they are the reason

Cause: all hosts that a target had turned away came back in the same moment, and so did all callers of one host, since each refusal gave the same end. A request was refused for "all targets ... asked for a pause", with the time of the first end, also if other targets were left out for it because they had rejected it.

Why it works: each host adds up to a fifth of the pause, at most 2 s, to its end, from its own random numbers, and each refusal the same once more, so none names a time before the end. A request for which other targets are only left out gets the answer that it got without a pause; if a pause ends in the time that it may wait, it still waits for that.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -86,7 +86,7 @@
                 target, adapter, is_used=is_used
             )
         )
-        self.health = TargetHealth(settings.forwarding)
+        self.health = TargetHealth(settings.forwarding, random=Random())
         self.suspects = CrashSuspects(
             settings.suspects, self.registry, count_runs=self.work.count_runs
         )
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -2,6 +2,7 @@
 
 import threading
 from dataclasses import dataclass, field
+from random import Random
 
 from thornlatch.gateway._settings import ForwardingSettings
 
@@ -12,6 +13,9 @@
 MIN_PREFILL_TOKENS = 300  # shorter prompts don't show the time per token
 # Fast observations weigh more: they come from prompts that didn't queue behind others.
 FASTER_PREFILL_WEIGHT, SLOWER_PREFILL_WEIGHT = 0.2, 0.01
+# Hosts and callers return to a target within this part of its pause after the pause's
+# end, or all would return at once.
+RETURN_SPREAD_RATIO, RETURN_SPREAD_LIMIT_S = 0.2, 2.0
 REPORTED_LOAD_AGE_LIMIT_S = 0.5  # a report dates from the target's last answer
 
 
@@ -27,16 +31,38 @@
     unreadable: set[str] = field(default_factory=set)
 
 
+def draw_return_delay(random: Random, pause_s: float) -> float:
+    """Return the seconds after a pause's end at which to return to its target.
+
+    Parameters
+    ----------
+    random : random.Random
+    pause_s : float
+
+    Returns
+    -------
+    float
+    """
+    spread_s = min(pause_s * RETURN_SPREAD_RATIO, RETURN_SPREAD_LIMIT_S)
+    return random.uniform(0.0, spread_s)
+
+
 class TargetHealth:
     """Tracks the health of targets; safe for use by several threads.
 
     Parameters
     ----------
     settings : ForwardingSettings
+    random : random.Random or None
+        Source of the differences between hosts that return to a target; None for one
+        that is seeded by the system.
     """
 
-    def __init__(self, settings: ForwardingSettings) -> None:
+    def __init__(
+        self, settings: ForwardingSettings, *, random: Random | None = None
+    ) -> None:
         self.settings = settings
+        self.random = random or Random()
         self.lock = threading.Lock()
         self.observations: dict[str, _Observations] = {}
         self.service_s: dict[str, float] = {}
@@ -94,7 +120,9 @@
             return avoid_s
 
     def note_pause(self, target: str, pause_s: float, *, now: float) -> None:
-        """Record that a target asked for a pause; the longest one holds.
+        """Record that a target asked for a pause; the one that ends last holds.
+
+        This host's return is delayed a little beyond the end.
 
         Parameters
         ----------
@@ -105,7 +133,10 @@
         """
         with self.lock:
             record = self.observations.setdefault(target, _Observations())
-            record.paused_until = max(record.paused_until, now + pause_s)
+            until = now + pause_s
+            if until > record.paused_until:
+                delay_s = draw_return_delay(self.random, pause_s)
+                record.paused_until = until + delay_s
             self.last_pause_ends_at = max(self.last_pause_ends_at, record.paused_until)
 
     def get_pause_s(self, target: str, *, now: float) -> float:
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -20,7 +20,7 @@
     TargetState,
     list_options,
 )
-from thornlatch.gateway._health import TargetHealth
+from thornlatch.gateway._health import TargetHealth, draw_return_delay
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._settings import ForwardingSettings
@@ -106,16 +106,17 @@
             if not options:
                 pause_s = self._get_shortest_pause_s(call.service, now)
                 if pause_s and not call.may_have_run:
-                    if now + pause_s >= wait_until:
+                    if now + pause_s < wait_until:
+                        wait_s = min(pause_s, POLL_INTERVAL_S)
+                        self.residents.wait(call.request.adapter, wait_s)
+                        continue
+                    if not self._list_accepting(call.service, now):
                         raise build_refusal(
                             call,
                             ErrorKind.OVERLOADED,
-                            pause_s,
+                            pause_s + draw_return_delay(self.random, pause_s),
                             f"all targets of service {call.service} asked for a pause",
                         )
-                    wait_s = min(pause_s, POLL_INTERVAL_S)
-                    self.residents.wait(call.request.adapter, wait_s)
-                    continue
                 if call.excluded and not call.may_have_run:
                     call.excluded.clear()
                     if call.tries:
--- a/src/thornlatch/gateway/tests/test_health.py
+++ b/src/thornlatch/gateway/tests/test_health.py
@@ -1,8 +1,14 @@
 """Pauses and other observations of targets that depart, return and restart."""
 
+from random import Random
+
 import pytest
 
-from thornlatch.gateway._health import TargetHealth
+from thornlatch.gateway._health import (
+    RETURN_SPREAD_LIMIT_S,
+    RETURN_SPREAD_RATIO,
+    TargetHealth,
+)
 from thornlatch.gateway._settings import ForwardingSettings
 
 
@@ -51,3 +57,18 @@
     assert health.note_unreadable("t", "b")
     health.begin("t", 6)
     assert health.note_unreadable("t", "a")
+
+
+@pytest.mark.parametrize("pause_s", [0.5, 5.0, 3600.0])
+def test_hosts_return_to_a_target_spread_over_time_after_its_pause(pause_s):
+    ends = []
+    for seed in range(100):
+        health = TargetHealth(ForwardingSettings(), random=Random(seed))
+        health.note_pause("t", pause_s, now=0.0)
+        ends.append(health.get_pause_s("t", now=0.0))
+    spread_s = min(pause_s * RETURN_SPREAD_RATIO, RETURN_SPREAD_LIMIT_S)
+    assert min(ends) >= pause_s
+    assert max(ends) <= pause_s + spread_s
+    # No tenth of the spread has more than a quarter of the hosts.
+    tenths = [int((end - pause_s) / spread_s * 10) for end in ends]
+    assert max(tenths.count(tenth) for tenth in range(10)) <= 25
