Soak: servers that announce their leaving in answers, or ask for pauses

A fourth source of faults has both, so the faults of kept seeds stay as they are. A server announces its leaving in all answers, in half of the cases before its entry says so and otherwise without, and restarts under its id; or it answers requests and orders with 503 and Retry-After for a while. Checked on what servers and callers saw: no request that a caller sent over 2 s after its host's process had passed on such an answer reaches that incarnation, and no more than two requests and orders of a host reach a server between half a second after its 503 and the end of the pause. Reports name no host and aren't counted.

--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -155,6 +155,34 @@
     world.store.put("keyed.servers", server.name, server.describe())
 
 
+def announce_leaving(world, rng):
+    """Let a server announce in its answers that it leaves, and restart it later."""
+    server = rng.choice(list(world.servers.values()))
+    with world.lock:
+        if server.announces_leaving:
+            return
+        server.announces_leaving = True
+    began_at = time.monotonic()
+    yield server.name, rng.uniform(2.5, 4.0)
+    if rng.random() < 0.5:
+        world.store.put("keyed.servers", server.name, server.describe("draining"))
+        yield server.name, rng.uniform(0.0, 1.0)
+    world.announced.append((server.name, began_at, time.monotonic()))
+    server.restart()
+    server.announces_leaving = False
+    # The new incarnation takes work, also if the former one was drained.
+    world.end_leaving(server.name)
+    world.store.put("keyed.servers", server.name, server.describe())
+
+
+def ask_for_pause(world, rng):
+    """Let a server answer everything with 503 and ask for a pause for a while."""
+    server = rng.choice(list(world.servers.values()))
+    server.asked_pause_s = rng.choice((0.3, 1.0, rng.uniform(1.0, 3.0)))
+    yield server.name, rng.uniform(0.3, 2.0)
+    server.asked_pause_s = 0.0
+
+
 def change_routes(world, rng):
     for _ in range(rng.randrange(1, 5)):
         world.publish(has_new_route=not world.has_new_route)
@@ -194,6 +222,8 @@
     withdraw_key,
     change_adapter_version,
 )
+# Apart from the others, so that the faults of a seed stay as they are.
+ANSWER_FAULTS = (announce_leaving, ask_for_pause)
 PLANNED_FAULT_NAMES = {
     "stop_host",
     "restart_hosts_in_turn",
@@ -202,6 +232,8 @@
     "withdraw_key",
     "change_adapter_version",
     "drain_server",
+    "announce_leaving",
+    "ask_for_pause",
 }
 
 
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -9,6 +9,8 @@
 SETTLING_S = 3.0
 REVOCATION_LIMIT_S = 5.0
 DRAIN_LIMIT_S = 2.0
+PAUSE_SLACK_S = 0.5
+MAX_ARRIVALS_IN_PAUSE = 2
 APPLY_LIMIT_S = 2.0
 QUOTA_WINDOW_S = 8.0
 QUOTA_TOKENS = 600 * QUOTA_WINDOW_S + 1200
@@ -45,6 +47,8 @@
     violations += _check_quota(arrivals)
     violations += _check_configuration(world)
     violations += _check_stops(world)
+    violations += _check_announced(world, arrivals)
+    violations += _check_pauses(world)
     return violations
 
 
@@ -103,6 +107,50 @@
                 yield "leaving targets", f"{arrival}, leaving since {since}"
 
 
+def _check_announced(world, arrivals):
+    """Yield requests that a host sent to a server long after it announced its leaving.
+
+    A host knows it from the first answer of the server that it passed on.
+    """
+    by_request = {outcome.request: outcome for outcome in world.outcomes}
+    for server, since, until in world.announced:
+        known_at = {}
+        for outcome in world.outcomes:
+            process = (outcome.host, outcome.start_number)
+            is_of_server = outcome.signature == f"sig-{server}" and outcome.is_complete
+            if is_of_server and since < outcome.sent_at and outcome.ended_at < until:
+                first = known_at.get(process, outcome.ended_at)
+                known_at[process] = min(first, outcome.ended_at)
+        for arrival in arrivals:
+            outcome = by_request.get(arrival.request)
+            if arrival.server != server or outcome is None:
+                continue
+            process = (outcome.host, outcome.start_number)
+            late_from = known_at.get(process, until) + DRAIN_LIMIT_S
+            is_late = late_from < outcome.sent_at and arrival.received_at < until
+            if is_late and not _is_disturbed(world, since, arrival.received_at):
+                yield "announced leaving", f"{arrival}, late from {late_from} on"
+
+
+def _check_pauses(world):
+    """Yield servers that got more than `MAX_ARRIVALS_IN_PAUSE` of a host in a pause."""
+    hosts = {outcome.request: outcome.host for outcome in world.outcomes}
+    by_link = defaultdict(list)
+    for arrival in world.observations.paused_arrivals:
+        host = arrival.sender or hosts.get(arrival.request)
+        if host is not None:
+            by_link[arrival.server, arrival.started_ms, host].append(arrival)
+    for link, arrivals in by_link.items():
+        for pause in arrivals:
+            since = pause.received_at + PAUSE_SLACK_S
+            until = pause.received_at + pause.pause_s
+            times = [a.received_at for a in arrivals if since < a.received_at < until]
+            if len(times) > MAX_ARRIVALS_IN_PAUSE and not _is_disturbed(
+                world, pause.received_at, until
+            ):
+                yield "pauses", f"{link} got {len(times)} in the pause of {pause}"
+
+
 def _check_quota(arrivals):
     spent = sorted(
         (arrival.received_at, arrival.tokens)
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -29,12 +29,28 @@
     after_event: int
 
 
+@dataclass(frozen=True)
+class PausedArrival:
+    """Something that a server received; `pause_s` is the pause it asked for, or 0.
+
+    `sender` is the host that an order names, empty for requests and reports.
+    """
+
+    received_at: float
+    server: str
+    started_ms: int
+    sender: str
+    request: str
+    pause_s: float
+
+
 class Observations:
     """Requests that servers received, and violations that callers cannot see."""
 
     def __init__(self):
         self.lock = threading.Lock()
         self.arrivals = []
+        self.paused_arrivals = []
         self.violations = []
 
     def add_arrival(self, arrival):
@@ -126,6 +142,7 @@
         self.late_ratio = 0.0
         self.fail_ratio = 0.0
         self.is_hung = False
+        self.asked_pause_s = 0.0
         self.rng = random.Random(name)
         self.started_ms = 1
         super().__init__(name, service, model=model)
@@ -148,7 +165,21 @@
             self.adapters = {}
         self.proxy.reset()
 
+    def answers_with_pause(self, handler, *, sender="", request=""):
+        """Record an arrival; answer it with 503 if the server asks for a pause."""
+        pause_s = self.asked_pause_s
+        self.observations.paused_arrivals.append(
+            PausedArrival(
+                time.monotonic(), self.name, self.started_ms, sender, request, pause_s
+            )
+        )
+        if pause_s:
+            handler.send(503, Thornlatch_Not_Executed="1", Retry_After=f"{pause_s:.2f}")
+        return bool(pause_s)
+
     def take_order(self, handler, order):
+        if self.answers_with_pause(handler, sender=order["owner"]):
+            return
         if self.rng.random() < self.late_ratio:
             delay_s = self.rng.uniform(0.5, 4.0)
             timer = threading.Timer(
@@ -196,6 +227,8 @@
             time.sleep(3.0)
         headers = dict(handler.headers.items())
         request = headers.get("Thornlatch-Request-Id", "")
+        if self.answers_with_pause(handler, request=request):
+            return
         adapter = headers.get("Thornlatch-Model", "").partition("/")[2]
         is_known = not adapter or adapter in self.adapters
         is_addressed = headers.get("Thornlatch-Expect-Instance") == self.name
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -11,6 +11,7 @@
 from hosts import Host
 from tests.soak.callers import Caller
 from tests.soak.faults import (
+    ANSWER_FAULTS,
     FAULTS,
     PLANNED_FAULT_NAMES,
     FaultPeriod,
@@ -25,7 +26,6 @@
 KEYS = ("key-1", "key-1", "key-2", "key-3")
 CONCURRENT_FAULTS = 3
 PLANNED_ONLY_RATIO = 0.5  # first part of a run, in which all faults are planned
-PLANNED_FAULTS = [fault for fault in FAULTS if fault.__name__ in PLANNED_FAULT_NAMES]
 GRACE_PERIOD_S = 8.0  # the platform kills a stopping process after this time
 RECOVERY_LIMIT_S = 12.0  # the platform's bound for recovery after a loss
 # Requests that crashed no server are not kept from healthy servers.
@@ -88,6 +88,8 @@
         self.adapter_versions = {}
         self.published = []
         self.leaving = []
+        # Servers that announced their leaving in answers, and when.
+        self.announced = []
         self.fault_periods = []
         self.stalls = []
         self.outcomes = []
@@ -194,17 +196,21 @@
             for n in range(CALLER_COUNT)
         ]
         faults_end_at = time.monotonic() + seconds
-        with ThreadPoolExecutor(CONCURRENT_FAULTS, "faults") as executor:
-            for number in range(CONCURRENT_FAULTS):
-                executor.submit(self._inject_faults, number, faults_end_at, seconds)
+        sources = [*[FAULTS] * CONCURRENT_FAULTS, ANSWER_FAULTS]
+        with ThreadPoolExecutor(len(sources), "faults") as executor:
+            for number, faults in enumerate(sources):
+                executor.submit(
+                    self._inject_faults, number, faults, faults_end_at, seconds
+                )
         self._check_recovery()
         self.stopping.set()
         for caller in callers:
             caller.thread.join(15)
         return check_invariants(self)
 
-    def _inject_faults(self, number, faults_end_at, seconds):
+    def _inject_faults(self, number, faults, faults_end_at, seconds):
         rng = random.Random(self.seed * 10 + number)
+        planned = [fault for fault in faults if fault.__name__ in PLANNED_FAULT_NAMES]
         while time.monotonic() < faults_end_at:
             time.sleep(rng.uniform(0.1, 1.5))
             # Several limits are checked only without unplanned faults, so planned ones
@@ -212,7 +218,7 @@
             is_planned_only = faults_end_at - time.monotonic() > seconds * (
                 1 - PLANNED_ONLY_RATIO
             )
-            fault = rng.choice(PLANNED_FAULTS if is_planned_only else FAULTS)
+            fault = rng.choice(planned if is_planned_only else faults)
             try:
                 self._inject_fault(fault, rng, faults_end_at)
             except NoHostAvailable:
