Tell peers of no leaving target whose start is unknown

Such an incarnation can't be told from its successor, so a digest on its way could exclude the latter. The added line of test_id_of_unknown_start_is_usable_again_after_its_removal failed before ("(('i-1', 0),) == ()").

--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -193,6 +193,9 @@
     def list_seen_leaving(self) -> tuple[Incarnation, ...]:
         """Return registered targets that announced to this host that they leave.
 
+        Those of unknown start are left out, since peers might take their successors
+        for them.
+
         Returns
         -------
         tuple of (str, int)
@@ -204,7 +207,8 @@
             registered = [
                 incarnation
                 for incarnation in self.seen_leaving
-                if incarnation[0] in self.targets
+                if incarnation[1] != UNKNOWN_START_MS
+                and incarnation[0] in self.targets
                 and self.targets[incarnation[0]].incarnation == incarnation
             ]
         return tuple(registered[-LEAVING_LIMIT:])
--- a/src/thornlatch/fleet/tests/test_registry.py
+++ b/src/thornlatch/fleet/tests/test_registry.py
@@ -109,6 +109,8 @@
     unknown = replace(TARGET, started_ms=0)
     registry.apply("i-1", unknown, now=1.0)
     registry.note_leaving(("i-1", 0), was_seen=True)
+    assert registry.get_ready("llm") == ()
+    assert registry.list_seen_leaving() == ()
     registry.apply("i-1", None, now=2.0)
     registry.apply("i-1", unknown, now=3.0)
     assert registry.get_ready("llm") == (unknown,)
