--- a/tests/platform/test_host.py
+++ b/tests/platform/test_host.py
@@ -213,6 +213,29 @@
     assert host.call("/many/x")[0].status == 503
 
 
+def wait_for_report(host, name):
+    def has_report():
+        reports = host.list_events("residency.report_taken")
+        return any(report["target"] == name for report in reports)
+
+    wait_until(has_report, host.read_log)
+
+
+def test_target_that_announces_its_leaving_in_a_report_gets_no_requests(deployment):
+    store, servers, host = deployment
+    leaving = servers["llm-1"]
+    wait_for_report(host, "llm-1")
+    leaving.announces_leaving = True
+    leaving.starts += 1
+    store.put("keyed.servers", "llm-1", leaving.describe())
+    wait_until(lambda: host.list_events("target.leaving_announced"), host.read_log)
+    (event,) = host.list_events("target.leaving_announced")
+    assert (event["source"], event["started_ms"]) == ("report", 2)
+    for _ in range(6):
+        assert host.call("/llm/x", Thornlatch_Model="m")[0].status == 200
+    assert not leaving.requests
+
+
 @pytest.mark.parametrize(
     ("name", "path", "headers"),
     [("api-1", "/many/x", {}), ("llm-1", "/llm/x", {"Thornlatch_Model": "m"})],
@@ -222,6 +245,9 @@
 ):
     _, servers, host = deployment
     leaving = servers[name]
+    if leaving.model:
+        # Its first report would announce it before any request is sent there.
+        wait_for_report(host, name)
     leaving.announces_leaving = True
 
     def call():
