--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -2,6 +2,10 @@
 
 from dataclasses import dataclass
 from enum import Enum
+from typing import TYPE_CHECKING
+
+if TYPE_CHECKING:
+    from thornlatch.fleet import TargetNotice
 
 __all__ = [
     "ANSWERS",
@@ -262,6 +266,8 @@
         crashes; False for silence and for malformed answers.
     is_timeout : bool
         Whether a time limit of this host ended the call.
+    notice : TargetNotice or None
+        What the target said of itself, if it answered.
     """
 
     kind = ErrorKind.TARGET_FAILED
@@ -274,9 +280,11 @@
         status: int | None = None,
         is_connection_lost: bool = False,
         is_timeout: bool = False,
+        notice: "TargetNotice | None" = None,
     ) -> None:
         super().__init__(message)
         self.is_sent = is_sent
+        self.notice = notice
         self.status = status
         self.is_connection_lost = is_connection_lost
         self.is_timeout = is_timeout
--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -23,7 +23,9 @@
 )
 from thornlatch.fleet._domain_view import DomainUpdate, DomainView
 from thornlatch.fleet._domains import DomainExchange
+from thornlatch.fleet._notices import TargetNotice, UnreadableHeader
 from thornlatch.fleet._registry import (
+    Incarnation,
     LoadedModel,
     RegistrySettings,
     Target,
@@ -44,6 +46,7 @@
     "FLEET",
     "FleetDigest",
     "HeldTarget",
+    "Incarnation",
     "LoadedModel",
     "HostDigest",
     "LoadExpected",
@@ -55,8 +58,10 @@
     "RegistrySettings",
     "ResidentAdapter",
     "Target",
+    "TargetNotice",
     "TargetRegistry",
     "TargetUses",
+    "UnreadableHeader",
     "UseNotes",
     "WorkSum",
     "choose_by_capacity",
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -87,7 +87,7 @@
                 target, adapter, is_used=is_used
             )
         )
-        self.health = TargetHealth(settings.forwarding)
+        self.health = TargetHealth(settings.forwarding, random=Random())
         self.suspects = CrashSuspects(
             settings.suspects, self.registry, count_runs=self.work.count_runs
         )
@@ -102,6 +102,7 @@
             residents=self.residents,
             tenure=self.tenure,
             work=self.work,
+            health=self.health,
             metrics=self.metrics,
             send=lambda host, message: self.fleet.send(host, message),
             send_digest_now=lambda: self.fleet.send_digest_now(),
@@ -134,6 +135,8 @@
                 health=self.health,
                 suspects=self.suspects,
                 orders=self.orders,
+                registry=self.registry,
+                metrics=self.metrics,
             ),
             is_stopping=self.stopping.is_set,
             on_tick=self._tick,
@@ -503,7 +506,10 @@
         )
         if has_incarnation_ended:
             self.residents.remove(name)
-            self.health.forget(name)
+        if target is None:
+            self.health.forget(name, now=read_clock())
+        else:
+            self.health.begin(name, target.started_ms)
 
     def _log_withdrawn_keys(self, configuration: Configuration) -> None:
         """Log the running requests whose key was withdrawn.
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -1,7 +1,8 @@
 """Failures, load and service times of each target, as this host observed them."""
 
 import threading
-from dataclasses import dataclass
+from dataclasses import dataclass, field
+from random import Random
 
 from thornlatch.gateway._settings import ForwardingSettings
 
@@ -12,6 +13,9 @@
 MIN_PREFILL_TOKENS = 300  # shorter prompts don't show the time per token
 # Fast observations weigh more: they come from prompts that didn't queue behind others.
 FASTER_PREFILL_WEIGHT, SLOWER_PREFILL_WEIGHT = 0.2, 0.01
+# Hosts and callers return to a target within this part of its pause after the pause's
+# end, or all would return at once.
+RETURN_SPREAD_RATIO, RETURN_SPREAD_LIMIT_S = 0.2, 2.0
 REPORTED_LOAD_AGE_LIMIT_S = 0.5  # a report dates from the target's last answer
 
 
@@ -23,6 +27,24 @@
     load: tuple[int, int, int] | None = None
     load_at: float = float("-inf")
     paused_until: float = float("-inf")
+    # Names of headers that couldn't be read and have been logged.
+    unreadable: set[str] = field(default_factory=set)
+
+
+def draw_return_delay(random: Random, pause_s: float) -> float:
+    """Return the seconds after a pause's end at which to return to its target.
+
+    Parameters
+    ----------
+    random : random.Random
+    pause_s : float
+
+    Returns
+    -------
+    float
+    """
+    spread_s = min(pause_s * RETURN_SPREAD_RATIO, RETURN_SPREAD_LIMIT_S)
+    return random.uniform(0.0, spread_s)
 
 
 class TargetHealth:
@@ -31,15 +53,24 @@
     Parameters
     ----------
     settings : ForwardingSettings
+    random : random.Random or None
+        Source of the differences between hosts that return to a target; None for one
+        that is seeded by the system.
     """
 
-    def __init__(self, settings: ForwardingSettings) -> None:
+    def __init__(
+        self, settings: ForwardingSettings, *, random: Random | None = None
+    ) -> None:
         self.settings = settings
+        self.random = random or Random()
         self.lock = threading.Lock()
         self.observations: dict[str, _Observations] = {}
         self.service_s: dict[str, float] = {}
         self.prefill_s: dict[str, float] = {}
         self.last_pause_ends_at = float("-inf")
+        # Starts of the targets' incarnations, in Unix milliseconds.
+        self.started_ms: dict[str, int] = {}
+        self.departed: set[str] = set()
 
     def note_success(
         self, target: str, load: tuple[int, int, int] | None, *, now: float
@@ -89,7 +120,9 @@
             return avoid_s
 
     def note_pause(self, target: str, pause_s: float, *, now: float) -> None:
-        """Record that a target asked for a pause; the longest one holds.
+        """Record that a target asked for a pause; the one that ends last holds.
+
+        This host's return is delayed a little beyond the end.
 
         Parameters
         ----------
@@ -100,7 +133,10 @@
         """
         with self.lock:
             record = self.observations.setdefault(target, _Observations())
-            record.paused_until = max(record.paused_until, now + pause_s)
+            until = now + pause_s
+            if until > record.paused_until:
+                delay_s = draw_return_delay(self.random, pause_s)
+                record.paused_until = until + delay_s
             self.last_pause_ends_at = max(self.last_pause_ends_at, record.paused_until)
 
     def get_pause_s(self, target: str, *, now: float) -> float:
@@ -121,6 +157,25 @@
         record = self.observations.get(target)
         return 0.0 if record is None else max(record.paused_until - now, 0.0)
 
+    def note_unreadable(self, target: str, header: str) -> bool:
+        """Record that a header of a target couldn't be read.
+
+        Parameters
+        ----------
+        target, header : str
+
+        Returns
+        -------
+        bool
+            Whether it is the first time.
+        """
+        with self.lock:
+            record = self.observations.setdefault(target, _Observations())
+            if header in record.unreadable:
+                return False
+            record.unreadable.add(header)
+            return True
+
     def note_service(self, service: str, elapsed_s: float) -> None:
         """Record the time from sending a request to the end of its answer.
 
@@ -238,12 +293,43 @@
             return 0
         return record.load[0] + record.load[1]
 
-    def forget(self, target: str) -> None:
-        """Drop the observations of a target that departed or restarted.
+    def begin(self, target: str, started_ms: int) -> None:
+        """Drop the observations of a target's former incarnation.
+
+        Parameters
+        ----------
+        target : str
+        started_ms : int
+            Start of the incarnation that is registered, in Unix milliseconds.
+        """
+        with self.lock:
+            if self.started_ms.get(target) != started_ms:
+                self.observations.pop(target, None)
+            self.started_ms[target] = started_ms
+            self.departed.discard(target)
+
+    def forget(self, target: str, *, now: float) -> None:
+        """Drop the observations of a target whose registration was removed.
+
+        Its pause goes on, since the same incarnation may be registered again.
 
         Parameters
         ----------
         target : str
+        now : float
         """
         with self.lock:
-            self.observations.pop(target, None)
+            record = self.observations.pop(target, None)
+            if record is not None and self.started_ms.get(target):
+                paused_until = record.paused_until
+                self.observations[target] = _Observations(paused_until=paused_until)
+            self.departed.add(target)
+            self._drop_departed(now)
+
+    def _drop_departed(self, now: float) -> None:
+        for target in list(self.departed):
+            record = self.observations.get(target)
+            if record is None or record.paused_until <= now:
+                self.observations.pop(target, None)
+                self.started_ms.pop(target, None)
+                self.departed.remove(target)
--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -1,11 +1,16 @@
 """Headers and calls of the platform's protocol, also malformed and foreign ones."""
 
 import io
+from unittest.mock import Mock
 
 import pytest
 
 from adapter._entries import LoadedModelEntry, build_loaded_model
-from adapter._protocols import PlatformCallerProtocol, PlatformTargetProtocol
+from adapter._protocols import (
+    PAUSE_LIMIT_S,
+    PlatformCallerProtocol,
+    PlatformTargetProtocol,
+)
 from stand_ins import ModelServer
 from thornlatch.exceptions import (
     ErrorKind,
@@ -13,6 +18,7 @@
     RequestRefused,
     TargetError,
 )
+from thornlatch.fleet import TargetNotice
 from thornlatch.residency import LoadAdapter, NumberedOrder, OrderOutcome
 from thornlatch.targets import TargetCall, TargetResponse, open_call
 
@@ -118,6 +124,7 @@
     class Response:
         status = 503
         is_reused = False
+        response = Mock(getheaders=list)
 
         def read_all(self, limit, *, within_s):
             return b"{}"
@@ -132,3 +139,107 @@
     with pytest.raises(TargetError) as caught:
         PlatformTargetProtocol("h").read_report("127.0.0.1:1", "i")
     assert caught.value.status == 503
+
+
+@pytest.fixture
+def server():
+    server = ModelServer("llm-1", "llm", model="m")
+    yield server
+    server.close()
+
+
+def send_order(server, target="llm-1"):
+    order = NumberedOrder(LoadAdapter("m", "a1", 0), server.sequence)
+    return PlatformTargetProtocol("h").send_order(server.address, target, order, 1)
+
+
+def read_report(server, target="llm-1"):
+    return PlatformTargetProtocol("h").read_report(server.address, target)
+
+
+@pytest.mark.parametrize("call", [send_order, read_report])
+def test_answers_to_orders_and_reports_announce_a_leaving(server, call):
+    assert not call(server).notice.is_leaving
+    server.announces_leaving = True
+    assert call(server).notice.is_leaving
+
+
+def test_report_tells_the_incarnation_that_announces_its_leaving(server):
+    server.announces_leaving = True
+    server.starts = 7
+    assert read_report(server).notice == TargetNotice(is_leaving=True, started_ms=7)
+
+
+@pytest.mark.parametrize("instance", ["", "other"])
+def test_leaving_of_a_server_that_isn_t_the_intended_one_is_ignored(server, instance):
+    headers = {"Thornlatch_Instance_Id": instance} if instance else {}
+    server.take_order = lambda handler, order: handler.send(421, **headers)
+    server.announces_leaving = True
+    assert send_order(server).notice == TargetNotice()
+
+
+def read_head(status, **headers):
+    pairs = [(name.replace("_", "-"), value) for name, value in headers.items()]
+    return PlatformTargetProtocol("h").read_head(status, pairs)
+
+
+@pytest.mark.parametrize(
+    ("text", "pause_s"),
+    [
+        ("2", 2.0),
+        ("0.25", 0.25),
+        ("007.", 7.0),
+        ("0", 0.0),
+        ("0.0", 0.0),
+        ("86400", PAUSE_LIMIT_S),
+        ("9" * 5000, PAUSE_LIMIT_S),
+    ],
+)
+def test_pause_is_read_in_seconds_up_to_a_limit(text, pause_s):
+    head = read_head(503, Retry_After=text)
+    assert (head.pause_s, head.unreadable) == (pause_s, ())
+    assert read_head(200, Retry_After=text).pause_s == 0.0
+
+
+@pytest.mark.parametrize(
+    "text",
+    [
+        "",
+        "soon",
+        "-1",
+        "+1",
+        "inf",
+        "nan",
+        "1e3",
+        "1_0",
+        "٣",
+        "1 2",
+        "Fri, 04 Dec 2026 21:20:00 GMT",
+    ],
+)
+def test_pause_that_is_no_number_of_seconds_is_unreadable(text):
+    head = read_head(503, Retry_After=text)
+    assert head.pause_s == 0.0
+    (header,) = head.unreadable
+    assert (header.name, header.value) == ("Retry-After", text)
+    assert "seconds" in header.expected
+    assert not read_head(200, Retry_After=text).unreadable
+
+
+@pytest.mark.parametrize("text", ["", "0", "yes", "1, 1"])
+def test_leaving_that_isn_t_announced_as_described_is_unreadable(text):
+    head = read_head(200, Server_Leaving=text)
+    assert not head.is_leaving
+    assert [header.value for header in head.unreadable] == [text]
+
+
+@pytest.mark.parametrize("call", [send_order, read_report])
+def test_orders_and_reports_are_answered_with_a_pause(server, call):
+    server.answer = lambda handler: handler.send(503, b"{}", Retry_After="1.5")
+    if call is read_report:
+        with pytest.raises(TargetError) as caught:
+            call(server)
+        notice = caught.value.notice
+    else:
+        notice = call(server).notice
+    assert notice == TargetNotice(pause_s=1.5)
