--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -141,13 +141,6 @@
     assert caught.value.status == 503
 
 
-@pytest.fixture
-def server():
-    server = ModelServer("llm-1", "llm", model="m")
-    yield server
-    server.close()
-
-
 def send_order(server, target="llm-1"):
     order = NumberedOrder(LoadAdapter("m", "a1", 0), server.sequence)
     return PlatformTargetProtocol("h").send_order(server.address, target, order, 1)
