Stand-in store: an era in all answers, and restores from a copy

Reads from an offset that the store doesn't have get 410, also beyond its end. No check uses it yet; the soak's store inherits it, in era 1 for good.

--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -110,6 +110,14 @@
         self.log.flush()
         return Path(self.log.name).read_text()
 
+    def read_metric(self, name):
+        connection = http.client.HTTPConnection(
+            "127.0.0.1", self.internal_port + 1, timeout=5
+        )
+        connection.request("GET", "/")
+        page = connection.getresponse().read().decode()
+        return [line for line in page.splitlines() if line.startswith(name)]
+
     def list_events(self, name):
         records = [
             json.loads(line) for line in self.read_log().splitlines() if line[:1] == "{"
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -30,6 +30,9 @@
         super().send_response(code, message)
         if getattr(self.server.owner, "announces_leaving", False):
             self.send_header("Server-Leaving", "1")
+        era = getattr(self.server.owner, "era", None)
+        if era is not None:
+            self.send_header("Store-Era", str(era))
 
     def send(self, status, body=b"", **headers):
         self.send_response(status)
@@ -62,10 +65,16 @@
 
 
 class Store(_Server):
-    """Topics with keyed records, and one group."""
+    """Topics with keyed records, and one group.
+
+    `era` is the value of the header of all answers; None for no header. `calls` has
+    the method, query and body of each call.
+    """
 
     def __init__(self):
         super().__init__()
+        self.era = 1
+        self.calls = []
         self.records = defaultdict(list)
         self.start_offsets = defaultdict(int)
         self.changed = threading.Condition()
@@ -83,6 +92,52 @@
             self.records[topic].append(record)
             self.changed.notify_all()
 
+    def copy(self):
+        """Return a copy to restore the store from."""
+        with self.changed:
+            return {
+                "records": {topic: list(log) for topic, log in self.records.items()},
+                "start_offsets": dict(self.start_offsets),
+                "members": dict(self.members),
+                "generation": self.generation,
+            }
+
+    def restore(self, copy, *, rewritten_after_s=None):
+        """Go back to a copy, in a new era.
+
+        The latest records of operators and servers are written again after
+        `rewritten_after_s`, or never if it is None.
+        """
+        with self.changed:
+            lost = self.list_latest()
+            self.records = defaultdict(list)
+            for topic, log in copy["records"].items():
+                self.records[topic] = list(log)
+            self.start_offsets = defaultdict(int, copy["start_offsets"])
+            self.members = dict(copy["members"])
+            self.generation = copy["generation"]
+            if self.era is not None:
+                self.era += 1
+            self.changed.notify_all()
+        if rewritten_after_s is not None:
+            timer = threading.Timer(rewritten_after_s, self.rewrite, [lost])
+            timer.daemon = True
+            timer.start()
+
+    def list_latest(self):
+        """Return the latest record of each key of the operators and servers."""
+        return {
+            (topic, record[1 : 1 + record[0]]): record
+            for topic in ("keyed.op", "keyed.servers")
+            for record in self.records[topic]
+        }
+
+    def rewrite(self, lost):
+        known = self.list_latest()
+        for (topic, key), record in lost.items():
+            if known.get((topic, key)) != record:
+                self.append(topic, record)
+
     def forget_history(self, topic):
         with self.changed:
             self.start_offsets[topic] = len(self.records[topic])
@@ -95,6 +150,7 @@
             handler.send(self.status, b"{}")
             return
         method = url.path.rpartition("/")[2].replace("-", "_")
+        self.calls.append((method, query, body))
         status, data = getattr(self, method)(query, body)
         handler.send(status, data)
 
@@ -110,12 +166,13 @@
         topic, offset = query["topic"], int(query["from"])
         with self.changed:
             deadline = time.monotonic() + int(query.get("waitMs", 0)) / 1000
-            while len(self.records[topic]) <= offset:
+            while len(self.records[topic]) == offset:
                 remaining_s = deadline - time.monotonic()
                 if remaining_s <= 0:
                     break
                 self.changed.wait(remaining_s)
-            if offset < self.start_offsets[topic]:
+            is_known = self.start_offsets[topic] <= offset <= len(self.records[topic])
+            if not is_known:
                 return 410, json.dumps(
                     {"startOffset": self.start_offsets[topic]}
                 ).encode()
