Registry: targets outlast a store that was restored from a copy

An entry that is missing after a restore counts as gone after 2 s and the usual grace. Leaving targets stay so within their incarnation, removed ones until they write a further entry (its number is read now), and an entry of an earlier incarnation replaces none. All of this ends a minute after the restore. Nothing calls note_restored yet.

Failed first: the 5 new cases with a restore have no method to call. On processes, before any change: a server whose entry was lost was removed after 0.6 s (test_store_era.py, bound 2.0 s), and one that had announced its leaving before the restore got requests again.

--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -6,6 +6,8 @@
 
 from msgspec import Meta
 
+REMOVED_MEMORY_S = 60.0  # longer than the age of a copy that the store is restored from
+
 
 @dataclass(frozen=True)
 class LoadedModel:
@@ -44,6 +46,8 @@
     loaded_models : tuple of LoadedModel
     leaves_in_s : float or None
         Seconds until a target that is being reclaimed stops; None if it isn't.
+    entry_number : int
+        Number of the entry among those that this incarnation has written.
     """
 
     id: str
@@ -55,6 +59,7 @@
     started_ms: int = 0
     loaded_models: tuple[LoadedModel, ...] = ()
     leaves_in_s: float | None = None
+    entry_number: int = 0
 
     @property
     def incarnation(self) -> tuple[str, int]:
@@ -86,10 +91,14 @@
         outage of the store, since the entry may come back; the platform promises 2 s.
     outage_s : float
         Seconds after a failed read in which a removal is attributed to an outage.
+    restored_s : float
+        Seconds after a restore of the store from a copy in which targets write their
+        entries again.
     """
 
     return_s: Annotated[float, Meta(ge=0)] = 1.6
     outage_s: Annotated[float, Meta(ge=0)] = 3.0
+    restored_s: Annotated[float, Meta(ge=0)] = 2.0
 
 
 class TargetRegistry:
@@ -111,6 +120,9 @@
         # Incarnations that announced in an answer that they leave.
         self.announced_leaving: set[tuple[str, int]] = set()
         self.read_failed_at = float("-inf")
+        self.restored_at = float("-inf")
+        # Last entry and time of removal of incarnations that were removed lately.
+        self.removed: dict[tuple[str, int], tuple[int, float]] = {}
 
     def apply(self, name: str, target: Target | None, *, now: float) -> bool:
         """Apply an entry.
@@ -134,22 +146,78 @@
             if target is None:
                 if previous is None:
                     return False
-                if now - self.read_failed_at < self.settings.outage_s:
-                    # The entry may have expired only because the target couldn't
-                    # renew it during the outage.
-                    self.removal_due_at.setdefault(name, now + self.settings.return_s)
+                due_at = self._get_removal_due_at(now)
+                if due_at > now:
+                    self.removal_due_at.setdefault(name, due_at)
                     return False
                 del self.targets[name]
+                self._note_removed(previous, now)
                 self.removal_due_at.pop(name, None)
                 self._rebuild_snapshot()
                 return True
+            if previous is not None and self._is_lost_restart(previous, target, now):
+                return False
             self.removal_due_at.pop(name, None)
-            if target.incarnation in self.announced_leaving:
+            is_leaving = target.incarnation in self.announced_leaving
+            if is_leaving or self._is_lost_removal(target, now):
                 target = replace(target, is_leaving=True)
             self.targets[name] = target
             self._rebuild_snapshot()
             return previous is None or _has_changed(previous, target)
 
+    def _get_removal_due_at(self, now: float) -> float:
+        """Return when a target whose entry is missing counts as gone."""
+        settings = self.settings
+        due_at = now
+        if now - self.read_failed_at < settings.outage_s:
+            # The entry may have expired only because the target couldn't renew it
+            # during the outage.
+            due_at = now + settings.return_s
+        if now - self.restored_at < settings.restored_s + settings.return_s:
+            # The entry may be one that the store has lost.
+            due_at = max(
+                now + settings.return_s,
+                self.restored_at + settings.restored_s + settings.return_s,
+            )
+        return due_at
+
+    def _note_removed(self, target: Target, now: float) -> None:
+        self.removed = {
+            incarnation: (number, removed_at)
+            for incarnation, (number, removed_at) in self.removed.items()
+            if now - removed_at < REMOVED_MEMORY_S
+        }
+        self.removed[target.incarnation] = (target.entry_number, now)
+
+    def _is_lost_removal(self, target: Target, now: float) -> bool:
+        """Return whether an entry is back only because the store lost its removal."""
+        number, _ = self.removed.get(target.incarnation, (-1, now))
+        if target.entry_number > number or now - self.restored_at >= REMOVED_MEMORY_S:
+            self.removed.pop(target.incarnation, None)
+            return False
+        return True
+
+    def _is_lost_restart(self, previous: Target, target: Target, now: float) -> bool:
+        """Return whether the store has the entry of an earlier incarnation again."""
+        was_restored = now - self.restored_at < REMOVED_MEMORY_S
+        return was_restored and target.started_ms < previous.started_ms
+
+    def note_restored(self, *, now: float) -> None:
+        """Record that the store was restored from a copy.
+
+        Parameters
+        ----------
+        now : float
+        """
+        with self.lock:
+            self.restored_at = now
+            # The copy may have the entries from before they announced it.
+            self.announced_leaving |= {
+                target.incarnation
+                for target in self.targets.values()
+                if target.is_leaving
+            }
+
     def note_leaving(self, target: Target) -> bool:
         """Record that a target announced in an answer that it leaves.
 
@@ -201,7 +269,9 @@
             ]
             for name in expired:
                 del self.removal_due_at[name]
-                self.targets.pop(name, None)
+                target = self.targets.pop(name, None)
+                if target is not None:
+                    self._note_removed(target, now)
             if expired:
                 self._rebuild_snapshot()
         return expired
