Configuration: reads of a restored store confirm no keys at once

For 1.2 s after a restore, and while another host is known to have a newer version, a read confirms nothing: the store may have the version before the one in which a key was withdrawn. Nothing calls it yet.

Failed first: the 3 new cases have no method to call. On processes, before any change, a host that started after a restore answered 200 to a key that the other host refused (test_store_era.py).

--- a/src/thornlatch/routing/_in_force.py
+++ b/src/thornlatch/routing/_in_force.py
@@ -22,11 +22,15 @@
     ready_ratio : float
         Fraction of the limit after which a host reports that it isn't ready. The load
         balancer then takes about 2 s to send callers to other hosts.
+    restored_s : float
+        Seconds after a restore of the store for which reads confirm nothing, since the
+        operators' latest records may not have been written again.
     """
 
     revocation_s: Annotated[float, Meta(gt=0)] = 5.0
     margin_s: Annotated[float, Meta(ge=0)] = 0.6
     ready_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.5
+    restored_s: Annotated[float, Meta(ge=0)] = 1.2
 
     @property
     def limit_s(self) -> float:
@@ -55,6 +59,15 @@
         self.installed: _InstalledConfiguration | None = None
         self.confirmed_at = float("-inf")
         self.renewed_at = float("-inf")
+        # Newest version that this host has read or another host has in force.
+        self.newest_version = 0
+        self.confirmable_from = float("-inf")
+
+    @property
+    def version(self) -> int:
+        """Version in force, or 0 if none has been read."""
+        configuration = self.configuration
+        return configuration.version if configuration else 0
 
     @property
     def configuration(self) -> Configuration | None:
@@ -91,8 +104,41 @@
         self.installed = _InstalledConfiguration(
             configuration, RouteTable(configuration.routes)
         )
+        self.note_published(configuration.version)
         return True
 
+    def note_published(self, version: int) -> bool:
+        """Record that a version has been published, which this host may not have read.
+
+        A restored store may have an older one until the operator writes it again.
+
+        Parameters
+        ----------
+        version : int
+
+        Returns
+        -------
+        bool
+            Whether it is newer than all known versions.
+        """
+        is_newer = version > self.newest_version
+        if is_newer:
+            self.newest_version = version
+        return is_newer
+
+    def note_restored(self, *, now: float) -> None:
+        """Record that the store was restored from a copy.
+
+        Parameters
+        ----------
+        now : float
+        """
+        self.confirmable_from = now + self.settings.restored_s
+
+    def withdraw_confirmation(self) -> None:
+        """Accept no keys until a later read confirms the configuration."""
+        self.confirmed_at = float("-inf")
+
     def confirm(self, *, asked_at: float) -> None:
         """Record that no newer version was published when a read started.
 
@@ -101,6 +147,8 @@
         asked_at : float
             Start of the read, in seconds of `read_clock`.
         """
+        if asked_at < self.confirmable_from or self.version < self.newest_version:
+            return
         self.confirmed_at = max(self.confirmed_at, asked_at)
 
     def note_renewal(self, *, asked_at: float) -> None:
--- a/src/thornlatch/routing/tests/test_table.py
+++ b/src/thornlatch/routing/tests/test_table.py
@@ -96,3 +96,43 @@
     assert in_force.is_fresh_for_new_requests(now=12.0)
     assert not in_force.is_fresh_for_new_requests(now=12.3)
     assert in_force.is_fresh(now=12.3)
+
+
+def build_confirmed(version):
+    in_force = ConfigurationInForce(FreshnessSettings(restored_s=1.2))
+    in_force.install(build_configuration(version))
+    in_force.note_renewal(asked_at=100.0)
+    in_force.confirm(asked_at=9.0)
+    return in_force
+
+
+def test_reads_confirm_nothing_until_operators_have_written_again():
+    in_force = build_confirmed(7)
+    in_force.note_restored(now=10.0)
+    in_force.confirm(asked_at=11.1)
+    assert in_force.confirmed_at == 9.0
+    in_force.confirm(asked_at=11.2)
+    assert in_force.confirmed_at == 11.2
+
+
+def test_version_of_a_restored_store_confirms_nothing_if_a_peer_has_a_newer_one():
+    in_force = build_confirmed(6)
+    assert in_force.note_published(7)
+    assert not in_force.note_published(7)
+    in_force.note_restored(now=10.0)
+    for asked_at in (12.0, 20.0):
+        assert not in_force.install(build_configuration(6))
+        in_force.confirm(asked_at=asked_at)
+    assert in_force.confirmed_at == 9.0
+    assert in_force.install(build_configuration(7))
+    in_force.confirm(asked_at=21.0)
+    assert in_force.confirmed_at == 21.0
+
+
+def test_configuration_does_not_revert_to_that_of_a_restored_store():
+    in_force = build_confirmed(7)
+    in_force.note_restored(now=10.0)
+    assert not in_force.install(build_configuration(6))
+    assert in_force.version == 7
+    in_force.confirm(asked_at=11.5)
+    assert in_force.confirmed_at == 11.5
