Shared reads and digests: offsets count only with their store epoch

Queries, answers and the progress in digests name the epoch; digests also carry the newest version of the configuration. The fields are the last ones of their messages, so hosts without them are understood, and read as having no epoch.

Failed first: the 2 new cases (publish has no epoch).

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -2,6 +2,7 @@
 
 from thornlatch.fleet._decay import DecayingSum, DecayingSums, compute_decay_time_s
 from thornlatch.fleet._digests import (
+    UNKNOWN_EPOCH,
     HeldTarget,
     HostDigest,
     LoadExpected,
@@ -10,6 +11,7 @@
     PeerView,
     PeerViewSettings,
     ResidentAdapter,
+    StoreKnowledge,
 )
 from thornlatch.fleet._domain_choice import ExchangeSettings, Member, choose_by_capacity
 from thornlatch.fleet._domain_messages import (
@@ -54,9 +56,11 @@
     "PeerViewSettings",
     "RegistrySettings",
     "ResidentAdapter",
+    "StoreKnowledge",
     "Target",
     "TargetRegistry",
     "TargetUses",
+    "UNKNOWN_EPOCH",
     "UseNotes",
     "WorkSum",
     "choose_by_capacity",
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -12,6 +12,7 @@
 
 # Shorter than the period of digests, so that totals over all peers lag little behind.
 AGGREGATION_PERIOD_S = 0.02
+UNKNOWN_EPOCH = -1  # of a store whose answers have no number
 
 
 @dataclass(frozen=True)
@@ -86,6 +87,24 @@
     blocked: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class StoreKnowledge:
+    """What a host knows of the platform's store.
+
+    Parameters
+    ----------
+    epoch : int
+        Number that rises each time the store is restored from a copy. Offsets of
+        different epochs can't be compared.
+    configuration : int
+        Newest version of the configuration that has been published; 0 if none is
+        known. A restored store may have an older one.
+    """
+
+    epoch: int = UNKNOWN_EPOCH
+    configuration: int = 0
+
+
 @register
 @dataclass(frozen=True)
 class HostDigest:
@@ -121,6 +140,8 @@
         it has read, and seconds since that read began.
     parts : PartReport
         What the sender saw of crashes by part of the prompt.
+    store : StoreKnowledge
+        What the sender knows of the store; `reads` refers to its epoch.
     """
 
     sent_at: float
@@ -135,6 +156,7 @@
     avoided: tuple[str, ...] = ()
     reads: dict[str, tuple[int, float]] = field(default_factory=dict)
     parts: PartReport = field(default_factory=PartReport)
+    store: StoreKnowledge = field(default_factory=StoreKnowledge)
 
 
 @register
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass, field
 
 from thornlatch.core import register
-from thornlatch.fleet._digests import HeldTarget, PartReport
+from thornlatch.fleet._digests import HeldTarget, PartReport, StoreKnowledge
 
 FLEET = ""  # in place of a host id, for what a relay reports of all hosts
 
@@ -112,6 +112,8 @@
     reads : dict of str to (int, float)
         Topics of the store that the relay reads for other hosts: offset up to which
         it has read, and seconds since that read began.
+    store : StoreKnowledge
+        What the relay knows of the store; `reads` refers to its epoch.
     """
 
     relay: str
@@ -120,6 +122,7 @@
     work: WorkSum
     echoes: dict[str, float]
     reads: dict[str, tuple[int, float]]
+    store: StoreKnowledge = field(default_factory=StoreKnowledge)
 
 
 @register
--- a/src/thornlatch/fleet/_domains.py
+++ b/src/thornlatch/fleet/_domains.py
@@ -220,7 +220,7 @@
             for relay in self.get_relays(domain, now=now):
                 outgoing.append((relay, own_domain))
                 self.unanswered_since.setdefault(relay, now)
-        message = self._build_fleet_digest(own_domain, digest.reads, now)
+        message = self._build_fleet_digest(own_domain, digest, now)
         outgoing += [(host, message) for host in served_hosts]
         for_self: list[Any] = [message]
         by_holder = self.relay.build_target_uses(message.work.held_names, now=now)
@@ -232,7 +232,7 @@
         return outgoing, for_self
 
     def _build_fleet_digest(
-        self, own_domain: DomainDigest, reads: dict[str, tuple[int, float]], now: float
+        self, own_domain: DomainDigest, own: HostDigest, now: float
     ) -> FleetDigest:
         digests = [own_domain, *self.selector.select(now=now)]
         work = sum_work(digest.work for digest in digests)
@@ -244,5 +244,6 @@
             tuple(digest.spending for digest in digests),
             replace(work, held=held),
             self.relay.list_echoes(now=now),
-            reads,
+            own.reads,
+            own.store,
         )
--- a/src/thornlatch/gateway/_topic_share.py
+++ b/src/thornlatch/gateway/_topic_share.py
@@ -14,7 +14,7 @@
 from msgspec import Meta
 
 from thornlatch.core import read_clock, register
-from thornlatch.fleet import DomainExchange, choose_by_capacity
+from thornlatch.fleet import UNKNOWN_EPOCH, DomainExchange, choose_by_capacity
 
 CACHED_RECORDS = 3000  # about 20 s of registrations of 600 targets in 8 domains
 ANSWER_LIMIT_RECORDS = 400  # keeps an answer below the size limit of messages
@@ -75,11 +75,14 @@
     offset : int
     number : int
         Number of the query, unique in the requesting process.
+    epoch : int
+        Store epoch of the offset.
     """
 
     topic: str
     offset: int
     number: int
+    epoch: int = UNKNOWN_EPOCH
 
 
 @register
@@ -97,16 +100,20 @@
         Keys and values.
     age_s : float
         Seconds since the start of the read that found no further records.
+    epoch : int
+        Store epoch in which the answering host reads the topic.
     """
 
     number: int
     next_offset: int
     records: tuple[tuple[str, bytes | None], ...]
     age_s: float
+    epoch: int = UNKNOWN_EPOCH
 
 
 @dataclass
 class _CachedRecords:
+    epoch: int
     begin_offset: int
     end_offset: int
     read_started_at: float
@@ -119,6 +126,7 @@
 class _ReadProgress:
     """Offset up to which a host read a topic, and earliest start of that read."""
 
+    epoch: int
     end_offset: int
     read_started_at: float
 
@@ -188,6 +196,7 @@
         next_offset: int,
         *,
         read_started_at: float,
+        epoch: int = UNKNOWN_EPOCH,
     ) -> None:
         """Cache records read from the store, for other hosts.
 
@@ -202,24 +211,30 @@
             Offset after the last record.
         read_started_at : float
             When the read began.
+        epoch : int
+            Store epoch of the offsets.
         """
         with self.lock:
             cached = self.cached.get(topic)
-            if cached is None or cached.end_offset != offset:
+            if cached is None or (cached.epoch, cached.end_offset) != (epoch, offset):
                 cached = self.cached[topic] = _CachedRecords(
-                    offset, offset, read_started_at
+                    epoch, offset, offset, read_started_at
                 )
             cached.records.extend(records)
             cached.end_offset = next_offset
             cached.begin_offset = cached.end_offset - len(cached.records)
             cached.read_started_at = read_started_at
 
-    def list_reads(self, *, now: float) -> dict[str, tuple[int, float]]:
+    def list_reads(
+        self, *, now: float, epoch: int = UNKNOWN_EPOCH
+    ) -> dict[str, tuple[int, float]]:
         """Return the progress of this host's reads for others, as sent in digests.
 
         Parameters
         ----------
         now : float
+        epoch : int
+            Reads of other store epochs are left out.
 
         Returns
         -------
@@ -231,10 +246,16 @@
             return {
                 topic: (cached.end_offset, now - cached.read_started_at)
                 for topic, cached in self.cached.items()
+                if cached.epoch == epoch
             }
 
     def note_reads(
-        self, host: str, reads: dict[str, tuple[int, float]], *, sent_at: float
+        self,
+        host: str,
+        reads: dict[str, tuple[int, float]],
+        *,
+        sent_at: float,
+        epoch: int = UNKNOWN_EPOCH,
     ) -> None:
         """Record the progress of another host's reads.
 
@@ -245,12 +266,21 @@
             As returned by `list_reads` of that host.
         sent_at : float
             Time of this host's clock at which the other host hadn't built `reads` yet.
+        epoch : int
+            Store epoch of `reads`.
         """
         for topic, (end_offset, age_s) in reads.items():
-            self.progress[host, topic] = _ReadProgress(end_offset, sent_at - age_s)
+            self.progress[host, topic] = _ReadProgress(
+                epoch, end_offset, sent_at - age_s
+            )
 
     def fetch(
-        self, topic: str, offset: int, *, age_limit_s: float | None = None
+        self,
+        topic: str,
+        offset: int,
+        *,
+        age_limit_s: float | None = None,
+        epoch: int = UNKNOWN_EPOCH,
     ) -> TopicAnswered | None:
         """Return a topic's records from the host that reads for this one.
 
@@ -262,6 +292,8 @@
         offset : int
         age_limit_s : float or None
             Maximum age of the answer; None for the limit of the settings.
+        epoch : int
+            Store epoch of the offset.
 
         Returns
         -------
@@ -273,21 +305,26 @@
         if not readers or readers[0] == self.exchange.host:
             return None
         progress = self.progress.get((readers[0], topic))
-        if progress is not None and progress.end_offset == offset:
+        if progress is not None and (progress.epoch, progress.end_offset) == (
+            epoch,
+            offset,
+        ):
             age_s = read_clock() - progress.read_started_at
             if age_s < limit_s:
-                return TopicAnswered(0, offset, (), age_s)
+                return TopicAnswered(0, offset, (), age_s, epoch)
         # A query to a second host could delay changes beyond their time limit.
-        answer = self._query(readers[0], topic, offset)
-        if answer is None or answer.next_offset < 0:
+        answer = self._query(readers[0], topic, offset, epoch)
+        if answer is None or answer.next_offset < 0 or answer.epoch != epoch:
             return None
         return answer if answer.age_s < limit_s else None
 
-    def _query(self, host: str, topic: str, offset: int) -> TopicAnswered | None:
+    def _query(
+        self, host: str, topic: str, offset: int, epoch: int
+    ) -> TopicAnswered | None:
         query = _PendingQuery(next(self.query_numbers))
         self.pending_queries[query.number] = query
         try:
-            self.send(host, TopicAsked(topic, offset, query.number))
+            self.send(host, TopicAsked(topic, offset, query.number, epoch))
             query.answered.wait(self.settings.answer_s)
             return query.answer
         finally:
@@ -313,12 +350,15 @@
     def _build_answer(self, message: TopicAsked, now: float) -> TopicAnswered:
         with self.lock:
             cached = self.cached.get(message.topic)
-            if cached is None or message.offset < cached.begin_offset:
+            if cached is None:
                 return TopicAnswered(message.number, -1, (), 0.0)
+            epoch = cached.epoch
+            if message.epoch != epoch or message.offset < cached.begin_offset:
+                return TopicAnswered(message.number, -1, (), 0.0, epoch)
             if message.offset > cached.end_offset:
                 # The requesting host has read further in the store itself.
                 age_s = now - cached.read_started_at
-                return TopicAnswered(message.number, message.offset, (), age_s)
+                return TopicAnswered(message.number, message.offset, (), age_s, epoch)
             begin = message.offset - cached.begin_offset
             end = min(begin + ANSWER_LIMIT_RECORDS, len(cached.records))
             records = tuple(itertools.islice(cached.records, begin, end))
@@ -327,4 +367,5 @@
                 message.offset + len(records),
                 records,
                 now - cached.read_started_at,
+                epoch,
             )
--- a/src/thornlatch/gateway/tests/test_large_fleet.py
+++ b/src/thornlatch/gateway/tests/test_large_fleet.py
@@ -429,3 +429,27 @@
     assert share._list_readers() == ["a", "b"]
     live.clear()
     assert share.must_read_store()
+
+
+def test_records_of_another_store_epoch_are_not_used(shares):
+    """A restored store gives the same offsets to other records."""
+    relay, other, clock = shares
+    relay.publish("t", 5, RECORDS, 7, read_started_at=clock.now, epoch=1)
+    assert other.fetch("t", 6, epoch=1).records == (("b", None),)
+    for offset in (5, 6, 7, 9):
+        assert other.fetch("t", offset, epoch=2) is None
+    relay.publish("t", 7, [("c", b"2")], 8, read_started_at=clock.now, epoch=2)
+    assert other.fetch("t", 7, epoch=2).records == (("c", b"2"),)
+    assert other.fetch("t", 6, epoch=2) is None
+    assert other.fetch("t", 7, epoch=1) is None
+
+
+def test_progress_of_another_store_epoch_is_not_used(shares):
+    relay, other, clock = shares
+    relay.publish("t", 5, RECORDS, 7, read_started_at=clock.now, epoch=1)
+    assert relay.list_reads(now=clock.now, epoch=2) == {}
+    reads = relay.list_reads(now=clock.now, epoch=1)
+    other.note_reads("h0-0", reads, sent_at=clock.now, epoch=1)
+    relay.cached.clear()
+    assert other.fetch("t", 7, epoch=1).records == ()
+    assert other.fetch("t", 7, epoch=2) is None
