Hosts recognise a store that was restored from a copy

The store client reads the era of each answer, also of refusals, into the epoch of its offsets and memberships; digests tell hosts that rarely call the store. A call during which the epoch rose is void and begins anew. Then a host reads all topics again, writes its own entry once, joins without a generation (which would acknowledge changes that it hasn't seen), and tells tenure, configuration and registry. A host missing in the group after a restore keeps its part of the quota for the time to live longer.

With a store without an era, all is as before, except that a renewal with a lower generation gives no partition.

test_store.py and test_feeds.py: the client takes the epochs and typed offsets, so calls and stubs there were adapted; their checks are the same.

--- a/src/thornlatch/gateway/__init__.py
+++ b/src/thornlatch/gateway/__init__.py
@@ -13,6 +13,7 @@
     TargetProtocol,
 )
 from thornlatch.gateway._settings import GatewaySettings, HostAddresses
+from thornlatch.gateway._store_epoch import MAX_EPOCH, StoreEpochs
 
 __all__ = [
     "AnswerHead",
@@ -24,7 +25,9 @@
     "GatewaySettings",
     "HostAddresses",
     "LogSettings",
+    "MAX_EPOCH",
     "OrderReply",
     "SendContext",
+    "StoreEpochs",
     "TargetProtocol",
 ]
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -1,7 +1,7 @@
 """Exchange of state with the other hosts, and this host's share of common limits."""
 
 from collections.abc import Callable, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, field
 
 import logbook
 
@@ -17,14 +17,16 @@
     LoadRequested,
     Member,
     PeerView,
+    StoreKnowledge,
     TargetUses,
 )
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
 from thornlatch.gateway._settings import GatewaySettings
+from thornlatch.gateway._store_epoch import StoreEpochs
 from thornlatch.gateway._suspects import CrashSuspects
-from thornlatch.gateway._topic_share import TopicShare
+from thornlatch.gateway._topic_share import TopicAnswered, TopicShare
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import ResidentTable, Tenure, build_residents
@@ -52,6 +54,7 @@
     health : TargetHealth
     suspects : CrashSuspects
     orders : OrderManager
+    store_epochs : StoreEpochs
     """
 
     in_force: ConfigurationInForce
@@ -64,6 +67,7 @@
     health: TargetHealth
     suspects: CrashSuspects
     orders: OrderManager
+    store_epochs: StoreEpochs = field(default_factory=StoreEpochs)
 
 
 class FleetLink:
@@ -97,6 +101,7 @@
         self.started_at = read_clock()
         # When silent hosts were first missing from the store's group.
         self.missing_since: dict[str, float] = {}
+        self.store_restored_at = float("-inf")
         # Hosts that the division of limits excludes.
         self.absent: set[str] = set()
         domain = settings.host.failure_domain
@@ -237,8 +242,11 @@
             for host in self._list_silent_hosts(requested_at)
             if get_host_name(host) not in names
         }
+        # A restored store may lack a host that renewed its membership just before.
+        earliest = self.store_restored_at + self.state.tenure.settings.ttl_s
         self.missing_since = {
-            host: self.missing_since.get(host, requested_at) for host in missing
+            host: max(self.missing_since.get(host, requested_at), earliest)
+            for host in missing
         }
         limit_s = self.state.in_force.settings.revocation_s
         limit_s -= self.state.tenure.settings.ttl_s
@@ -252,6 +260,29 @@
             logger.info("fleet.hosts_absent", extra={"hosts": sorted(absent)})
             self._divide_limits(list(self.members), requested_at)
 
+    def note_store_restored(self, *, now: float) -> None:
+        """Record that the store was restored from a copy.
+
+        Parameters
+        ----------
+        now : float
+        """
+        self.store_restored_at = now
+
+    def _note_store_knowledge(self, knowledge: StoreKnowledge, now: float) -> None:
+        """Apply what another host knows of the store."""
+        self.state.store_epochs.observe(knowledge.epoch)
+        in_force = self.state.in_force
+        if not in_force.note_published(knowledge.configuration):
+            return
+        if now - self.started_at < PEER_DISCOVERY_S:
+            # The store had an older version when this host read it for the first time.
+            in_force.withdraw_confirmation()
+            logger.warning(
+                "configuration.outdated",
+                extra={"version": in_force.version, "newest": in_force.newest_version},
+            )
+
     def _divide_limits(self, peers: Iterable[str], now: float) -> None:
         """Divide the limits of the fleet among its hosts."""
         sharing = [host for host in peers if host not in self.absent]
@@ -288,6 +319,7 @@
 
     def _build_digest(self, now: float) -> HostDigest:
         spent, levels = self.state.quota.get_spent(now=now)
+        epoch = self.state.store_epochs.current
         return HostDigest(
             now,
             self.state.work.list_counts(),
@@ -299,8 +331,9 @@
             self.state.suspects.list_own_crashes(now=now),
             self.state.work.list_recent_prompt_tokens(now=now),
             self.state.health.list_avoided(now=now),
-            self.topic_share.list_reads(now=now),
+            self.topic_share.list_reads(now=now, epoch=epoch),
             self.state.suspects.parts.build_report(now=now),
+            StoreKnowledge(epoch, self.state.in_force.newest_version),
         )
 
     def _apply_digest(self, host: str, digest: HostDigest, now: float) -> None:
@@ -308,6 +341,7 @@
             self.absent.discard(host)
             self.missing_since.pop(host, None)
             self._divide_limits(list(self.members), now)
+        self._note_store_knowledge(digest.store, now)
         self.state.peers.apply_digest(host, digest, now=now)
         self.state.quota.apply_peer_digest(host, digest.spent, digest.levels, now=now)
         self.state.suspects.set_peer_crashes(host, digest.broken)
@@ -331,6 +365,7 @@
         )
 
     def _apply_fleet_digest(self, message: FleetDigest, now: float) -> None:
+        self._note_store_knowledge(message.store, now)
         for update in self.domain_view.apply_fleet_digest(message, now=now):
             if update.spent is not None:
                 self.state.quota.apply_domain_digest(
@@ -346,7 +381,12 @@
             self._apply_holder_report(holder, report, now)
         echoed_at = message.echoes.get(self.host)
         if echoed_at is not None:
-            self.topic_share.note_reads(message.relay, message.reads, sent_at=echoed_at)
+            self.topic_share.note_reads(
+                message.relay,
+                message.reads,
+                sent_at=echoed_at,
+                epoch=message.store.epoch,
+            )
         self.state.suspects.set_fleet_crashes(self.domain_view.crashes)
         self.state.suspects.parts.set_fleet_report(self.domain_view.parts, now=now)
 
@@ -360,6 +400,8 @@
             if message.target in self.state.orders.held:
                 self.state.orders.use_notes.add(sender, message, now=now)
         else:
+            if isinstance(message, TopicAnswered):
+                self.state.store_epochs.observe(message.epoch)
             self.topic_share.handle_message(sender, message, now=now)
 
     def _handle_load_request(
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -15,7 +15,7 @@
 
 from thornlatch.core import build_status_line, read_clock
 from thornlatch.exceptions import ThornlatchError
-from thornlatch.fleet import PeerView, Target, TargetRegistry
+from thornlatch.fleet import UNKNOWN_EPOCH, PeerView, Target, TargetRegistry
 from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._app import GatewayApplication, StartResponse
 from thornlatch.gateway._fleet_link import FleetLink, HostState
@@ -31,6 +31,7 @@
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._servers import build_server
 from thornlatch.gateway._settings import GatewaySettings
+from thornlatch.gateway._store_epoch import StoreEpochs
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
@@ -73,6 +74,7 @@
         self.host = f"{settings.host.name}.{uuid.uuid4().hex[:8]}"
         self.log = JsonLineHandler(settings.logs, host=self.host)
         self.metrics = GatewayMetrics()
+        self.store_epochs = StoreEpochs(self._handle_store_epoch)
         self.in_force = ConfigurationInForce(settings.freshness)
         self.registry = TargetRegistry(settings.registry)
         self.peers = PeerView(settings.peer_view)
@@ -133,6 +135,7 @@
                 health=self.health,
                 suspects=self.suspects,
                 orders=self.orders,
+                store_epochs=self.store_epochs,
             ),
             is_stopping=self.stopping.is_set,
             on_tick=self._tick,
@@ -306,7 +309,9 @@
         now = read_clock()
         previous = self.registry.get(name)
         if self.registry.apply(name, target, now=now):
-            self._handle_target_change(name, target, previous)
+            # A target may leave although its entry doesn't say so.
+            current = self.registry.get(name) if target is not None else None
+            self._handle_target_change(name, current, previous)
         if target is not None and target.loaded_models:
             self.residents.apply_registration(
                 name, _build_registered_residents(target, now), now=now
@@ -327,7 +332,12 @@
         self.targets_known = True
 
     def renew_tenure(
-        self, partitions: frozenset[int], generation: int, *, requested_at: float
+        self,
+        partitions: frozenset[int],
+        generation: int,
+        *,
+        requested_at: float,
+        epoch: int = 0,
     ) -> None:
         """Renew the tenure of the partitions that the store assigned to this host.
 
@@ -338,15 +348,20 @@
             Generation of the group in the store.
         requested_at : float
             When the renewal was sent to the store.
+        epoch : int
+            Store epoch of the answer.
         """
         if self.stopping.is_set():
             return
-        gained, lost = self.tenure.renew(partitions, generation, asked_at=requested_at)
+        gained, lost = self.tenure.renew(
+            partitions, generation, asked_at=requested_at, epoch=max(epoch, 0)
+        )
         self.in_force.note_renewal(asked_at=requested_at)
         if gained or lost:
             logger.info(
                 "tenure.changed",
                 extra={
+                    "epoch": epoch,
                     "generation": generation,
                     "gained": sorted(gained),
                     "lost": sorted(lost),
@@ -371,6 +386,27 @@
         """Record that a read of the platform's store failed."""
         self.registry.note_read_failure(now=read_clock())
 
+    def _handle_store_epoch(self, previous: int, epoch: int) -> None:
+        """Prepare for a store that may have lost what hosts know from it."""
+        self.metrics.store_epoch.set(epoch)
+        if previous == UNKNOWN_EPOCH:
+            return
+        now = read_clock()
+        self.tenure.note_restored(now=now)
+        self.in_force.note_restored(now=now)
+        self.registry.note_restored(now=now)
+        self.fleet.note_store_restored(now=now)
+        logger.warning(
+            "store.restored",
+            extra={
+                "previous": previous,
+                "epoch": epoch,
+                "configuration": self.in_force.version,
+                "targets": len(self.registry.targets),
+                "partitions": len(self.tenure.tokens),
+            },
+        )
+
     def _reload(self, read_settings: Callable[[], GatewaySettings] | None) -> None:
         """Apply the settings that can change while the host runs."""
         if read_settings is None:
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -48,6 +48,11 @@
             ["call", "outcome"],
             registry=self.registry,
         )
+        self.store_epoch = Gauge(
+            "thornlatch_store_epoch",
+            "Epoch of the platform's store; rises when it is restored from a copy.",
+            registry=self.registry,
+        )
         self.running = Gauge(
             "thornlatch_gateway_running_requests",
             "Requests that are being served.",
--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -6,7 +6,13 @@
 import pytest
 
 from thornlatch.core import read_clock
-from thornlatch.fleet import Member, PeerView, PeerViewSettings
+from thornlatch.fleet import (
+    HostDigest,
+    Member,
+    PeerView,
+    PeerViewSettings,
+    StoreKnowledge,
+)
 from thornlatch.gateway import GatewaySettings, HostAddresses
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.quota import (
@@ -88,3 +94,71 @@
     assert not link.is_orderer(now=now)
     link.started_at = now - 10.0
     assert link.is_orderer(now=now)
+
+
+def build_digest(configuration, epoch=1):
+    return HostDigest(
+        read_clock(),
+        (),
+        {},
+        {},
+        None,
+        (),
+        False,
+        {},
+        store=StoreKnowledge(epoch, configuration),
+    )
+
+
+@pytest.fixture
+def starting_link(link):
+    """A host that has just started and read version 1, with one other host."""
+    link.state.suspects.set_peer_crashes = lambda *_: None
+    link.set_hosts({"o.0": Member("127.0.0.1:1", "z")})
+    now = read_clock()
+    link.state.in_force.confirm(asked_at=now)
+    link.state.in_force.note_renewal(asked_at=now)
+    return link
+
+
+def test_starting_host_accepts_no_keys_if_a_peer_has_a_newer_configuration(
+    starting_link,
+):
+    """The store was restored to a version in which a key isn't withdrawn yet."""
+    in_force, now = starting_link.state.in_force, read_clock()
+    starting_link._apply_digest("o.0", build_digest(1), now)
+    assert in_force.is_fresh(now=now)
+    starting_link._apply_digest("o.0", build_digest(2), now)
+    assert not in_force.is_fresh(now=now)
+    in_force.confirm(asked_at=now)
+    assert not in_force.is_fresh(now=now)
+    in_force.install(Configuration(2, (), {}, {}))
+    in_force.confirm(asked_at=now)
+    assert in_force.is_fresh(now=now)
+
+
+def test_new_configuration_of_a_peer_is_no_reason_to_refuse_keys_later(starting_link):
+    in_force, now = starting_link.state.in_force, read_clock()
+    starting_link.started_at -= 10.0
+    starting_link._apply_digest("o.0", build_digest(2), now)
+    assert in_force.is_fresh(now=now)
+
+
+def test_hosts_learn_a_store_epoch_from_digests(starting_link):
+    starting_link._apply_digest("o.0", build_digest(1, epoch=4), read_clock())
+    assert starting_link.state.store_epochs.current == 4
+    starting_link._apply_digest("o.0", build_digest(1, epoch=3), read_clock())
+    assert starting_link.state.store_epochs.current == 4
+
+
+def test_host_missing_in_a_restored_store_keeps_its_part_of_the_quota(link):
+    """It may have renewed its membership just before, and accepts keys until then."""
+    link.set_hosts({"o.0": Member("127.0.0.1:1", "z")})
+    limits = link.state.in_force.settings
+    now = link.started_at
+    link.note_store_restored(now=now)
+    link.apply_store_members(frozenset(), requested_at=now + 0.1)
+    link.apply_store_members(frozenset(), requested_at=now + limits.limit_s)
+    assert not link.absent
+    link.apply_store_members(frozenset(), requested_at=now + limits.revocation_s + 0.1)
+    assert link.absent == {"o.0"}
--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -6,10 +6,12 @@
 import pytest
 
 from adapter._feeds import (
+    HOST_PERIOD_S,
     HOST_RENEWAL_S,
     HOST_TOPIC,
     OPERATOR_TOPIC,
     OPERATOR_WAIT_RATIO,
+    PAGE_RECORDS,
     SERVER_PERIOD_RATIO,
     SERVER_TOPIC,
     HostFeed,
@@ -17,12 +19,13 @@
     ServerFeed,
     TenureFeed,
 )
-from adapter._store import KeyedRecord
-from thornlatch.gateway import GatewaySettings, HostAddresses
+from adapter._store import KeyedRecord, Membership, StoreOffset
+from thornlatch.gateway import GatewaySettings, HostAddresses, StoreEpochs
 
 DEFAULTS = GatewaySettings(HostAddresses("", "", "", "", ""))
 # Times within which all hosts must know of a leaving server or a configuration.
 CHANGE_LIMITS_S = [2.0, 3.0, 4.0]
+STORE_READS_PER_S, STORE_WRITES_PER_S = 2000, 400
 READ_S = 0.2  # duration of a read of the store, fifty times the usual one
 
 
@@ -57,7 +60,10 @@
 
 def build_gateway():
     return SimpleNamespace(
-        stopping=threading.Event(), drained=threading.Event(), settings=None
+        stopping=threading.Event(),
+        drained=threading.Event(),
+        settings=None,
+        store_epochs=StoreEpochs(),
     )
 
 
@@ -193,14 +199,116 @@
         is_orderer=lambda *, now: next(orderers),
         has_silent_peers=lambda *, now: False,
     )
-    gateway.renew_tenure = lambda *_, requested_at: None
+    gateway.renew_tenure = lambda *_, requested_at, epoch: None
 
     def join(*_, **__):
         calls.append("join")
-        return SimpleNamespace(generation=1, partitions=frozenset({1}))
+        return SimpleNamespace(generation=1, partitions=frozenset({1}), epoch=-1)
 
     client = SimpleNamespace(join=join, leave=lambda *_: calls.append("leave"))
     feed = TenureFeed(gateway, client)
     for _ in range(3):
         feed.poll()
     assert calls == ["join", "leave", "release", "release"]
+
+
+def build_restored_feeds(count, *, announced_versions=0):
+    """Return the feeds of the topics of so many hosts, in a new epoch."""
+    gateway = build_gateway()
+    gateway.store_epochs.observe(2)
+    gateway.fleet = SimpleNamespace(
+        members=dict.fromkeys(range(count - 1)),
+        topic_share=SimpleNamespace(must_read_store=lambda: False),
+    )
+    feeds = []
+    for _ in range(count):
+        host_feeds = {
+            OperatorFeed(gateway, None, OPERATOR_TOPIC): announced_versions + 1,
+            ServerFeed(gateway, None, SERVER_TOPIC): 600,
+            HostFeed(gateway, None): count,
+        }
+        for feed, records in host_feeds.items():
+            feed.offset = StoreOffset(1, 9)
+            feed.latest_records = records
+            feed.random.seed(len(feeds))
+            feeds.append(feed)
+    return feeds
+
+
+def count_per_second(times):
+    """Return the highest number of times within a second."""
+    times = sorted(times)
+    return max(sum(start <= time < start + 1.0 for time in times) for start in times)
+
+
+@pytest.mark.parametrize("announced_versions", [0, 1500, 8000])
+def test_hosts_of_a_large_fleet_spread_their_calls_after_a_restore(
+    announced_versions,
+):
+    """All of them stay below half of the store's rates, and end within 12 s."""
+    reads, writes = [], []
+    for feed in build_restored_feeds(195, announced_versions=announced_versions):
+        assert feed.has_offset_of_earlier_epoch()
+        begins_at = feed.begin_reread()
+        assert begins_at < 12.0 - HOST_PERIOD_S
+        if feed.topic == HOST_TOPIC:
+            writes.append(begins_at)
+        pages = 1 + feed.latest_records // PAGE_RECORDS
+        reads += [begins_at + 0.01 * page for page in range(pages)]
+    assert count_per_second(reads) < STORE_READS_PER_S / 2
+    assert count_per_second(writes) < STORE_WRITES_PER_S / 2
+
+
+def test_host_that_reads_for_others_reads_first_after_a_restore():
+    (feed, *_) = build_restored_feeds(195)
+    feed.gateway.fleet.topic_share.must_read_store = lambda: True
+    assert feed.begin_reread() == 0.0
+    assert feed.offset is None
+
+
+def test_copy_of_the_host_list_replaces_no_known_host(monkeypatch):
+    """The copy may list the former run of a restarted host, or one that stopped."""
+    feed, _, _ = build_host_feed(monkeypatch)
+    apply_host(feed, "edge-2")
+    apply_host(feed, "edge-3")
+    feed.apply_record(KeyedRecord("edge-3", None), 0.0)
+    entries = {
+        name: f'{{"id": "{identity}", "address": "b:1", "written_s": 1}}'.encode()
+        for name, identity in [
+            ("edge-2", "edge-2.former"),
+            ("edge-3", "edge-3.0"),
+            ("edge-4", "edge-4.0"),
+        ]
+    }
+    feed.is_reread = True
+    feed.apply_all([KeyedRecord(*entry) for entry in entries.items()], 0.0)
+    assert feed.gateway.fleet.members.keys() == {"edge-2.0", "edge-4.0"}
+    feed.apply_record(KeyedRecord("edge-3", entries["edge-3"]), 0.0)
+    feed.confirm_read(0.0)
+    assert feed.gateway.fleet.members.keys() == {"edge-2.0", "edge-3.0", "edge-4.0"}
+
+
+def test_renewal_after_a_restore_acknowledges_no_generation():
+    generations = []
+    gateway = build_gateway()
+    gateway.settings = SimpleNamespace(
+        host=SimpleNamespace(name="edge-1"), tenure=SimpleNamespace(ttl_s=2.0)
+    )
+    gateway.quota = SimpleNamespace(knows_peers=True)
+    gateway.fleet = SimpleNamespace(
+        has_standbys=False,
+        is_orderer=lambda *, now: True,
+        has_silent_peers=lambda *, now: False,
+    )
+    gateway.renew_tenure = lambda *_, requested_at, epoch: None
+
+    def join(*_, generation, **__):
+        generations.append(generation)
+        return Membership(50 + len(generations), frozenset({1}), epochs.current)
+
+    epochs = gateway.store_epochs
+    feed = TenureFeed(gateway, SimpleNamespace(join=join))
+    for epoch in (1, 1, 2, 2, 3):
+        epochs.observe(epoch)
+        feed.poll()
+    assert generations == [0, 51, 0, 53, 0]
