Test: a partition that a restore reassigns gets no orders at first

Failed first with a wait of zero in the tenure: the other host's first order came 3.2 s after the restore, not 5 s (the lease of the former holder alone).

--- a/tests/platform/test_store_era.py
+++ b/tests/platform/test_store_era.py
@@ -311,3 +311,47 @@
     assert tokens == sorted(tokens)
     assert tokens[0] < tokens[-1]
     assert host.list_events("store.restored")[-1]["epoch"] == 3
+
+
+def get_owner(server, since):
+    """Return the owners of a server's orders from a number of orders on."""
+    return {order["owner"] for order in server.orders[since:]}
+
+
+def test_partition_that_a_restore_reassigns_gets_no_orders_at_first(deployment):
+    """In the copy one host holds all partitions, of which the other has half now."""
+    store, servers, start = deployment
+    first = start("edge-1")
+    copy = store.copy()
+    second = start("edge-2")
+    wait_until(
+        lambda: any(event["lost"] for event in first.list_events("tenure.changed"))
+    )
+    server = servers["llm-1"]
+    owner = "edge-2" if second.list_events("residency.taken_up") else "edge-1"
+    load_adapter(first, "a1")
+    assert get_owner(server, 0) == {owner}
+    if owner == "edge-1":
+        # The copy has the other host's assignment.
+        copy["members"] = {"edge-2": 2000}
+    other = second if owner == "edge-1" else first
+    holder = first if owner == "edge-1" else second
+    holder.process.send_signal(signal.SIGSTOP)
+    store.restore(copy, rewritten_after_s=0.0)
+    restored_at = time.monotonic()
+    count = len(server.orders)
+    wait_until(lambda: other.list_events("tenure.changed")[-1]["epoch"] == 2)
+    wait_for_restore(other)
+    number = 0
+    while len(server.orders) == count:
+        number += 1
+        other.call(
+            "/llm/x", Thornlatch_Model=f"m/b{number}", Thornlatch_Token_Usage="10,20"
+        )
+        assert time.monotonic() - restored_at < 12.0, other.read_log()
+        time.sleep(0.1)
+    # A time to live and a lease.
+    assert time.monotonic() - restored_at >= 5.0
+    tokens = [order["fencingToken"] for order in server.orders]
+    assert tokens[count - 1] < tokens[count]
+    holder.process.send_signal(signal.SIGCONT)
