--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -13,6 +13,7 @@
 # Shorter than the period of digests, so that totals over all peers lag little behind.
 AGGREGATION_PERIOD_S = 0.02
 LEAVING_LIMIT = 64  # incarnations of leaving targets in a digest; 2 KB
+UNKNOWN_EPOCH = -1  # of a store whose answers have no number
 
 
 @dataclass(frozen=True)
@@ -87,6 +88,24 @@
     blocked: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class StoreKnowledge:
+    """What a host knows of the platform's store.
+
+    Parameters
+    ----------
+    epoch : int
+        Number that rises each time the store is restored from a copy. Offsets of
+        different epochs can't be compared.
+    configuration : int
+        Newest version of the configuration that has been published; 0 if none is
+        known. A restored store may have an older one.
+    """
+
+    epoch: int = UNKNOWN_EPOCH
+    configuration: int = 0
+
+
 @register
 @dataclass(frozen=True)
 class HostDigest:
@@ -125,6 +144,8 @@
     leaving : tuple of (str, int)
         Ids and starts of targets that announced to the sender that they leave, at
         most `LEAVING_LIMIT`.
+    store : StoreKnowledge
+        What the sender knows of the store; `reads` refers to its epoch.
     """
 
     sent_at: float
@@ -140,6 +161,7 @@
     reads: dict[str, tuple[int, float]] = field(default_factory=dict)
     parts: PartReport = field(default_factory=PartReport)
     leaving: tuple[tuple[str, int], ...] = ()
+    store: StoreKnowledge = field(default_factory=StoreKnowledge)
 
 
 @register
