Let orders follow requests on kept connections

An extra answer arrives where the next answer is expected. If that is a request's, its id tells it from the extra one and the connection is closed, so a connection whose latest call was a request that got its own answer is as good as a new one.

--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -74,7 +74,7 @@
 
     ANY = "any"
     RECENT = "recent"  # those idle for less than `UNREPEATABLE_IDLE_LIMIT_S`
-    IDENTIFIED = "identified"  # those on which all earlier calls were identified
+    IDENTIFIED = "identified"  # those on which the latest call was identified
     NONE = "none"
 
 
@@ -92,8 +92,9 @@
     is_reused : bool
         Whether the connection carried other calls before, whose extra answers may be
         taken for this one.
-    is_all_identified : bool
-        Whether all calls on the connection, including this one, were identified.
+    is_identified : bool
+        Whether the call was identified. An extra answer to an earlier call would have
+        been taken for its answer, and noticed.
     """
 
     def __init__(
@@ -104,14 +105,14 @@
         response: http.client.HTTPResponse,
         *,
         is_reused: bool,
-        is_all_identified: bool,
+        is_identified: bool,
     ) -> None:
         self.call = call
         self.connection = connection
         self.sock = sock
         self.response = response
         self.is_reused = is_reused
-        self.is_all_identified = is_all_identified
+        self.is_identified = is_identified
         self.status = response.status
         self.framing = _read_framing(response)
         self.needs_blocking_read = False
@@ -275,7 +276,7 @@
                 self.connection,
                 read_clock(),
                 _read_idle_limit_s(self.response),
-                self.is_all_identified,
+                self.is_identified,
             )
             _connections.put(self.call.address, idle)
         else:
@@ -288,7 +289,7 @@
     connection: http.client.HTTPConnection
     idle_since: float
     limit_s: float
-    is_all_identified: bool
+    is_identified: bool
 
 
 class _ConnectionCache:
@@ -323,7 +324,7 @@
     if reuse is Reuse.NONE:
         return None
     for index in reversed(range(len(idle))):
-        if idle[index].is_all_identified or reuse is not Reuse.IDENTIFIED:
+        if idle[index].is_identified or reuse is not Reuse.IDENTIFIED:
             return idle.pop(index)
     return None
 
@@ -378,8 +379,7 @@
         sock,
         answer,
         is_reused=idle is not None,
-        is_all_identified=call.is_identified
-        and (idle is None or idle.is_all_identified),
+        is_identified=call.is_identified,
     )
     response.bound_reads(float("inf"))
     return response
