--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -121,7 +121,6 @@
             timeout_s=head_timeout_s,
             connect_s=min(self.settings.connect_s, left_s),
             send_s=left_s,
-            is_identified=True,
         )
         tokens = request.prompt_tokens or 0
         use = self.work.begin(
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -41,9 +41,6 @@
         whole head of its answer, which bytes that arrive now and then don't extend.
     connect_s, send_s : float or None
         Seconds to connect, and to send the call; `timeout_s` if None.
-    is_identified : bool
-        Whether the answer repeats an id of the call, which tells it from an extra
-        answer to another call on the connection.
     """
 
     address: str
@@ -54,7 +51,6 @@
     timeout_s: float = 30.0
     connect_s: float | None = None
     send_s: float | None = None
-    is_identified: bool = False
 
 
 class Framing(Enum):
@@ -74,7 +70,6 @@
 
     ANY = "any"
     RECENT = "recent"  # those idle for less than `UNREPEATABLE_IDLE_LIMIT_S`
-    IDENTIFIED = "identified"  # those on which the latest call was identified
     NONE = "none"
 
 
@@ -92,9 +87,6 @@
     is_reused : bool
         Whether the connection carried other calls before, whose extra answers may be
         taken for this one.
-    is_identified : bool
-        Whether the call was identified. An extra answer to an earlier call would have
-        been taken for its answer, and noticed.
     """
 
     def __init__(
@@ -105,14 +97,12 @@
         response: http.client.HTTPResponse,
         *,
         is_reused: bool,
-        is_identified: bool,
     ) -> None:
         self.call = call
         self.connection = connection
         self.sock = sock
         self.response = response
         self.is_reused = is_reused
-        self.is_identified = is_identified
         self.status = response.status
         self.framing = _read_framing(response)
         self.needs_blocking_read = False
@@ -276,7 +266,6 @@
                 self.connection,
                 read_clock(),
                 _read_idle_limit_s(self.response),
-                self.is_identified,
             )
             _connections.put(self.call.address, idle)
         else:
@@ -289,7 +278,6 @@
     connection: http.client.HTTPConnection
     idle_since: float
     limit_s: float
-    is_identified: bool
 
 
 class _ConnectionCache:
@@ -298,11 +286,14 @@
         self.idle: dict[str, list[_IdleConnection]] = {}
 
     def pop(self, address: str, reuse: Reuse) -> _IdleConnection | None:
+        if reuse is Reuse.NONE:
+            return None
         is_recent_only = reuse is Reuse.RECENT
         idle_limit_s = UNREPEATABLE_IDLE_LIMIT_S if is_recent_only else float("inf")
         while True:
             with self.lock:
-                newest = _pop_newest(self.idle.get(address, []), reuse)
+                idle = self.idle.get(address)
+                newest = idle.pop() if idle else None
             if newest is None:
                 return None
             limit_s = min(newest.limit_s, idle_limit_s)
@@ -320,15 +311,6 @@
         connection.connection.close()
 
 
-def _pop_newest(idle: list[_IdleConnection], reuse: Reuse) -> _IdleConnection | None:
-    if reuse is Reuse.NONE:
-        return None
-    for index in reversed(range(len(idle))):
-        if idle[index].is_identified or reuse is not Reuse.IDENTIFIED:
-            return idle.pop(index)
-    return None
-
-
 _connections = _ConnectionCache()
 
 
@@ -379,7 +361,6 @@
         sock,
         answer,
         is_reused=idle is not None,
-        is_identified=call.is_identified,
     )
     response.bound_reads(float("inf"))
     return response
--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -34,6 +34,7 @@
     ]
     world = SimpleNamespace(
         observations=SimpleNamespace(violations=[], arrivals=[]),
+        announced=[],
         outcomes=outcomes,
         published=[(at, has_route, ("key-1",)) for at, has_route in published],
         fault_periods=list(fault_periods),
