--- a/tests/soak/test_invariants.py
+++ b/tests/soak/test_invariants.py
@@ -33,7 +33,7 @@
         build_outcome(f"r{number}", *answer) for number, answer in enumerate(answers)
     ]
     world = SimpleNamespace(
-        observations=SimpleNamespace(violations=[], arrivals=[]),
+        observations=SimpleNamespace(violations=[], arrivals=[], paused_arrivals=[]),
         announced=[],
         outcomes=outcomes,
         published=[(at, has_route, ("key-1",)) for at, has_route in published],
