--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -4,17 +4,19 @@
 
 from adapter import _protocols
 from adapter._protocols import PlatformTargetProtocol
-from adapter._store import KeyedRecord, StoreClient, StoreError
+from adapter._store import KeyedRecord, StoreClient, StoreError, StoreOffset
 from thornlatch.core.tests.cut_answers import CASES, check_cuts
 from thornlatch.exceptions import TargetError
-from thornlatch.gateway import GatewayMetrics
+from thornlatch.fleet import UNKNOWN_EPOCH
+from thornlatch.gateway import GatewayMetrics, StoreEpochs
 from thornlatch.residency import LoadModel, NumberedOrder, OrderOutcome
 
 PAGE = b'{"items": [], "hasMore": false, "endOffset": 3}'
 REPORT = b'{"loadedModels": [], "sequence": 2, "busy": false}'
+START = StoreOffset(UNKNOWN_EPOCH, 0)
 STORE_CALLS = {
     "latest": (lambda client: client.read_latest("keyed.t"), PAGE),
-    "read": (lambda client: client.read("keyed.t", 0, wait_s=0.0), bytes(16)),
+    "read": (lambda client: client.read("keyed.t", START, wait_s=0.0), bytes(16)),
     "append": (lambda client: client.append("t", KeyedRecord("a", b"1")), b"{}"),
     "append, no body": (lambda client: client.append("t", KeyedRecord("a", b"")), b""),
     "owners": (lambda client: client.read_owners("g"), b'{"parts": []}'),
@@ -35,7 +37,7 @@
     send, body = STORE_CALLS[call]
 
     def is_whole(address):
-        client = StoreClient(address, GatewayMetrics())
+        client = StoreClient(address, GatewayMetrics(), StoreEpochs())
         try:
             send(client)
         except StoreError:
