Planned stop: wait until callers have read their answers

A reviewer showed that a planned stop cut the answer of a caller that reads slowly: the process ended once no request was running, while bytes of answers were still in the HTTP server's buffers (6,831,235 of 8,000,000 bytes arrived, within the grace period). The stop now also waits for connections with unsent bytes or unanswered requests, until the grace period ends.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -29,7 +29,7 @@
 from thornlatch.gateway._replication import AdapterReplicator
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._sender import TargetSender
-from thornlatch.gateway._servers import build_server
+from thornlatch.gateway._servers import build_server, has_unsent_answers
 from thornlatch.gateway._settings import GatewaySettings
 from thornlatch.gateway._silences import SilencePolicy
 from thornlatch.gateway._store_epoch import StoreEpochs
@@ -242,7 +242,7 @@
                 if self.reloading.is_set():
                     self.reloading.clear()
                     self._reload(read_settings)
-            self._stop()
+            self._stop(caller_server=servers[0])
             logger.info("host.stopped", extra={"running": len(self.work.running)})
             self.log.close()
         return 0
@@ -556,7 +556,7 @@
             if running.key and running.key not in configuration.organisations_by_key:
                 logger.info("request.key_withdrawn", extra={"request": running.id})
 
-    def _stop(self) -> None:
+    def _stop(self, *, caller_server: Any) -> None:
         settings = self.settings.stop
         began_at = read_clock()
         self.app.closes_connections = True
@@ -570,7 +570,8 @@
                 break
             if elapsed >= settings.linger_s:
                 self.app.refuses_requests = True
-                if not self.work.running:
+                # Callers may read more slowly than their requests are served.
+                if not (self.work.running or has_unsent_answers(caller_server)):
                     break
             pause.wait(STOP_POLL_PERIOD_S)
         self.drained.set()
--- a/src/thornlatch/gateway/_servers.py
+++ b/src/thornlatch/gateway/_servers.py
@@ -76,3 +76,20 @@
     server.channel_class = CallerChannel
     server.on_abandoned = on_abandoned
     return server
+
+
+def has_unsent_answers(server: Any) -> bool:
+    """Return whether a server has requests that aren't answered to the last byte.
+
+    Parameters
+    ----------
+    server : waitress.server.TcpWSGIServer
+
+    Returns
+    -------
+    bool
+    """
+    return any(
+        channel.requests or channel.total_outbufs_len
+        for channel in list(server.active_channels.values())
+    )
