One rule for whether a request may be sent again

The attempts and the block of aborting requests were checked twice, before a repeated send and before a silent target is left, with the same texts; a change of one would have left the other behind. Both call `find_retry_obstacle` now, which counts the run that is about to be left as the caller says. Found on reading the change again; decisions and texts are the same.

--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -206,6 +206,26 @@
     has_ended: bool = False
 
 
+def find_retry_obstacle(call: Call, *, runs: int, is_blocked: bool) -> str:
+    """Return why a request can't be sent again; empty if it can.
+
+    Parameters
+    ----------
+    call : Call
+    runs : int
+        Runs that count, also one that the request is about to leave.
+    is_blocked : bool
+        Whether targets aborted too many runs of equal requests.
+
+    Returns
+    -------
+    str
+    """
+    if call.tries >= TRY_LIMIT or runs >= call.route.max_attempts:
+        return "all attempts are used up"
+    return "targets aborted too many runs of it" if is_blocked else ""
+
+
 def build_failure(call: Call, no_retry_reason: str = "") -> RequestRefused:
     """Return the error for a request that no target answered completely.
 
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -14,6 +14,7 @@
     GatewayAnswer,
     TargetAnswer,
     build_failure,
+    find_retry_obstacle,
 )
 from thornlatch.gateway._choice import TargetOption
 from thornlatch.gateway._health import TargetHealth
@@ -164,10 +165,10 @@
             call.is_in_retry_budget = True
             self.retries.note_request(call.service, now=now)
             return
-        if call.tries >= TRY_LIMIT or call.runs >= call.route.max_attempts:
-            raise build_failure(call, "all attempts are used up")
-        if self.suspects.is_blocked(call.fingerprint):
-            raise build_failure(call, "targets aborted too many runs of it")
+        is_blocked = self.suspects.is_blocked(call.fingerprint)
+        obstacle = find_retry_obstacle(call, runs=call.runs, is_blocked=is_blocked)
+        if obstacle:
+            raise build_failure(call, obstacle)
         is_repeat = call.sends > 0 and not is_reserved
         if is_repeat and not self.retries.try_acquire(call.service, now=now):
             raise build_failure(call, "the retry budget is used up")
--- a/src/thornlatch/gateway/_silences.py
+++ b/src/thornlatch/gateway/_silences.py
@@ -7,7 +7,7 @@
 from thornlatch.core import read_clock
 from thornlatch.exceptions import RequestRefused
 from thornlatch.gateway._admission import Admission
-from thornlatch.gateway._call import TRY_LIMIT, Call
+from thornlatch.gateway._call import Call, find_retry_obstacle
 from thornlatch.gateway._choice import TargetOption
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
@@ -126,10 +126,10 @@
             return "it was stopped"
         if call.running.ends_at - now < MIN_TAKEOVER_S:
             return "too little time is left"
-        if call.tries >= TRY_LIMIT or call.runs + 1 >= call.route.max_attempts:
-            return "all attempts are used up"
-        if self.suspects.is_blocked(call.fingerprint):
-            return "targets aborted too many runs of it"
+        is_blocked = self.suspects.is_blocked(call.fingerprint)
+        obstacle = find_retry_obstacle(call, runs=call.runs + 1, is_blocked=is_blocked)
+        if obstacle:
+            return obstacle
         try:
             if call.organisation is not None:
                 self.admission.authenticate(call.request, now=now)
