Decode and log the limit that a target names

AnswerHead holds the TargetNotice instead of its fields again; the tests that read these fields read them there and check as much as before.

--- a/src/thornlatch/fleet/_notices.py
+++ b/src/thornlatch/fleet/_notices.py
@@ -34,9 +34,12 @@
         doesn't tell.
     unreadable : tuple of UnreadableHeader
         Headers that were treated as absent.
+    limit_rate : float or None
+        Requests a second that it accepts from all hosts together; None without a limit.
     """
 
     is_leaving: bool = False
     pause_s: float = 0.0
     started_ms: int = 0
     unreadable: tuple[UnreadableHeader, ...] = ()
+    limit_rate: float | None = None
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -285,7 +285,7 @@
             return
         if is_wrong_target:
             self.health.note_failure(target.id, now=now, is_unreachable=True)
-        if head.pause_s and not is_wrong_target:
+        if head.notice.pause_s and not is_wrong_target:
             # The request may return to it after the pause.
             return
         call.excluded.add(target.id)
@@ -293,7 +293,7 @@
             self.health.note_success(target.id, head.load, now=now)
 
     def _note_leaving(self, target: Target, head: AnswerHead) -> None:
-        if head.is_leaving:
+        if head.notice.is_leaving:
             note_leaving(
                 target.incarnation,
                 source="request",
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -27,6 +27,7 @@
     load: tuple[int, int, int] | None = None
     load_at: float = float("-inf")
     paused_until: float = float("-inf")
+    limit_rate: float | None = None
     # Names of headers that couldn't be read and have been logged.
     unreadable: set[str] = field(default_factory=set)
 
@@ -176,6 +177,26 @@
             record.unreadable.add(header)
             return True
 
+    def note_limit(self, target: str, rate: float | None) -> bool:
+        """Record the rate of requests that a target's answer names as its limit.
+
+        Parameters
+        ----------
+        target : str
+        rate : float or None
+            Requests a second of all hosts together; None without a limit.
+
+        Returns
+        -------
+        bool
+            Whether it has changed.
+        """
+        with self.lock:
+            record = self.observations.setdefault(target, _Observations())
+            has_changed = record.limit_rate != rate
+            record.limit_rate = rate
+            return has_changed
+
     def note_service(self, service: str, elapsed_s: float) -> None:
         """Record the time from sending a request to the end of its answer.
 
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -67,6 +67,13 @@
             ["source"],
             registry=self.registry,
         )
+        self.limits = Counter(
+            "thornlatch_gateway_limit_changes",
+            "Changes of the rates of requests that targets limit, by what they"
+            " answered.",
+            ["source"],
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "thornlatch_store_calls",
             "Calls to the platform's store, by call and outcome.",
--- a/src/thornlatch/gateway/_notices.py
+++ b/src/thornlatch/gateway/_notices.py
@@ -67,7 +67,7 @@
     health: TargetHealth,
     metrics: GatewayMetrics,
 ) -> None:
-    """Send a target nothing for as long as it asks for; log headers that can't be read.
+    """Send a target nothing for as long as it asks for.
 
     Parameters
     ----------
@@ -78,6 +78,53 @@
     health : TargetHealth
     metrics : GatewayMetrics
     """
+    if not notice.pause_s:
+        return
+    health.note_pause(target, notice.pause_s, now=read_clock())
+    metrics.pauses.labels(source).inc()
+    logger.info(
+        "target.pause_requested",
+        extra={"target": target, "pause_s": notice.pause_s, "source": source},
+    )
+
+
+def note_limit(
+    target: str,
+    notice: TargetNotice,
+    *,
+    source: str,
+    health: TargetHealth,
+    metrics: GatewayMetrics,
+) -> None:
+    """Record the limit that a target names, or that it no longer names one.
+
+    Parameters
+    ----------
+    target : str
+    notice : TargetNotice
+    source : str
+        What was answered.
+    health : TargetHealth
+    metrics : GatewayMetrics
+    """
+    if not health.note_limit(target, notice.limit_rate):
+        return
+    metrics.limits.labels(source).inc()
+    logger.info(
+        "target.limit_changed",
+        extra={"target": target, "rate": notice.limit_rate, "source": source},
+    )
+
+
+def log_unreadable(target: str, notice: TargetNotice, *, health: TargetHealth) -> None:
+    """Log headers of a target that can't be read, once each.
+
+    Parameters
+    ----------
+    target : str
+    notice : TargetNotice
+    health : TargetHealth
+    """
     for header in notice.unreadable:
         if health.note_unreadable(target, header.name):
             logger.warning(
@@ -89,11 +136,3 @@
                     "expected": header.expected,
                 },
             )
-    if not notice.pause_s:
-        return
-    health.note_pause(target, notice.pause_s, now=read_clock())
-    metrics.pauses.labels(source).inc()
-    logger.info(
-        "target.pause_requested",
-        extra={"target": target, "pause_s": notice.pause_s, "source": source},
-    )
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -24,7 +24,13 @@
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._load_bucket import LoadTokenBucket
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import is_of_incarnation, note_leaving, note_pause
+from thornlatch.gateway._notices import (
+    is_of_incarnation,
+    log_unreadable,
+    note_leaving,
+    note_limit,
+    note_pause,
+)
 from thornlatch.gateway._ports import TargetProtocol
 from thornlatch.gateway._work import WorkTable
 from thornlatch.residency import (
@@ -663,13 +669,15 @@
         """Act on what a held target says of itself in an answer."""
         if not is_of_incarnation(held.target, notice):
             return
-        note_pause(
-            held.target.id,
-            notice,
-            source=source,
-            health=self.health,
-            metrics=self.metrics,
-        )
+        log_unreadable(held.target.id, notice, health=self.health)
+        for note in (note_pause, note_limit):
+            note(
+                held.target.id,
+                notice,
+                source=source,
+                health=self.health,
+                metrics=self.metrics,
+            )
         if notice.is_leaving:
             note_leaving(
                 held.target.incarnation,
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -4,7 +4,7 @@
 from dataclasses import dataclass
 from typing import Any, Protocol
 
-from thornlatch.fleet import TargetNotice, UnreadableHeader
+from thornlatch.fleet import TargetNotice
 from thornlatch.residency import EngineReport, NumberedOrder, OrderOutcome
 
 
@@ -111,12 +111,8 @@
         Numbers of running and waiting requests, and of slots.
     headers : tuple of (str, str)
         Headers that are forwarded to the caller.
-    is_leaving : bool
-        Whether the target announces that it accepts no new requests.
-    pause_s : float
-        Seconds for which the target wants nothing of this host; 0 for none.
-    unreadable : tuple of UnreadableHeader
-        Headers about the target itself that were treated as absent.
+    notice : TargetNotice
+        What the target says of itself.
     """
 
     status: int
@@ -127,14 +123,7 @@
     answering_target: str
     load: tuple[int, int, int] | None
     headers: tuple[tuple[str, str], ...]
-    is_leaving: bool = False
-    pause_s: float = 0.0
-    unreadable: tuple[UnreadableHeader, ...] = ()
-
-    @property
-    def notice(self) -> TargetNotice:
-        """What the target says of itself."""
-        return TargetNotice(self.is_leaving, self.pause_s, unreadable=self.unreadable)
+    notice: TargetNotice = TargetNotice()
 
     def is_from(self, target: str) -> bool:
         """Return whether the intended target answered, as far as the answer tells.
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -18,7 +18,7 @@
 from thornlatch.gateway._events import EventSplitter
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import note_pause
+from thornlatch.gateway._notices import log_unreadable, note_limit, note_pause
 from thornlatch.gateway._ports import AnswerHead, SendContext, TargetProtocol
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
@@ -181,7 +181,7 @@
             # First of all: an answer to another request says nothing about this one.
             _check_request(call, head, response)
             answer = TargetAnswer(option, head, response, sent_at, use)
-            self._note_pause(option.target.id, head)
+            self._apply_notice(option.target.id, head)
             if head.is_not_run:
                 _skip_body(response, target=option.target.id)
                 raise RejectedByTarget(head)
@@ -227,9 +227,12 @@
                 is_sent=True,
             )
 
-    def _note_pause(self, target: str, head: AnswerHead) -> None:
-        if head.is_from(target):
-            note_pause(
+    def _apply_notice(self, target: str, head: AnswerHead) -> None:
+        if not head.is_from(target):
+            return
+        log_unreadable(target, head.notice, health=self.health)
+        for note in (note_pause, note_limit):
+            note(
                 target,
                 head.notice,
                 source="request",
--- a/tests/platform/test_protocols.py
+++ b/tests/platform/test_protocols.py
@@ -179,8 +179,8 @@
 )
 def test_pause_is_read_in_seconds_up_to_a_limit(text, pause_s):
     head = read_head(503, Retry_After=text)
-    assert (head.pause_s, head.unreadable) == (pause_s, ())
-    assert read_head(200, Retry_After=text).pause_s == 0.0
+    assert (head.notice.pause_s, head.notice.unreadable) == (pause_s, ())
+    assert read_head(200, Retry_After=text).notice.pause_s == 0.0
 
 
 @pytest.mark.parametrize(
@@ -201,18 +201,36 @@
 )
 def test_pause_that_is_no_number_of_seconds_is_unreadable(text):
     head = read_head(503, Retry_After=text)
-    assert head.pause_s == 0.0
-    (header,) = head.unreadable
+    assert head.notice.pause_s == 0.0
+    (header,) = head.notice.unreadable
     assert (header.name, header.value) == ("Retry-After", text)
     assert "seconds" in header.expected
-    assert not read_head(200, Retry_After=text).unreadable
+    assert not read_head(200, Retry_After=text).notice.unreadable
+
+
+@pytest.mark.parametrize(
+    ("text", "rate"),
+    [("1.6", 1.6), ("0", 0.0), ("0.05", 0.05), ("12", 12.0), ("9" * 400, 1e6)],
+)
+def test_limit_is_read_in_requests_a_second(text, rate):
+    for status in (200, 421, 500, 503):
+        assert read_head(status, Server_Limit=text).notice.limit_rate == rate
+    assert read_head(200).notice.limit_rate is None
+
+
+@pytest.mark.parametrize("text", ["", "-1", "nan", "inf", "1e3", "few", "1,5", "٣"])
+def test_limit_that_is_no_number_of_requests_is_unreadable(text):
+    notice = read_head(200, Server_Limit=text).notice
+    assert notice.limit_rate is None
+    (header,) = notice.unreadable
+    assert (header.name, header.value) == ("Server-Limit", text)
 
 
 @pytest.mark.parametrize("text", ["", "0", "yes", "1, 1"])
 def test_leaving_that_isn_t_announced_as_described_is_unreadable(text):
     head = read_head(200, Server_Leaving=text)
-    assert not head.is_leaving
-    assert [header.value for header in head.unreadable] == [text]
+    assert not head.notice.is_leaving
+    assert [header.value for header in head.notice.unreadable] == [text]
 
 
 @pytest.mark.parametrize("call", [send_order, read_report])
