--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -35,6 +35,9 @@
         super().send_response(code, message)
         if getattr(self.server.owner, "announces_leaving", False):
             self.send_header("Server-Leaving", "1")
+        limit = getattr(self.server.owner, "limit", "")
+        if limit:
+            self.send_header("Server-Limit", limit)
         era = getattr(self.server.owner, "era", None)
         if era is not None:
             self.send_header("Store-Era", str(era))
@@ -252,7 +255,8 @@
 
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
-    `announces_leaving`, all answers say that the server leaves. With `repeats_answers`,
+    `announces_leaving`, all answers say that the server leaves, and with `limit` they
+    name it. `arrivals` has the time of each request. With `repeats_answers`,
     a report or order gets the connection's latest refusal, report or answer to an order
     once more and isn't carried out.
     """
@@ -271,6 +275,8 @@
         self.pause_s = 0.0
         self.crash_part = ""
         self.announces_leaving = False
+        self.limit = ""
+        self.arrivals = []
         self.reads_after_s = 0.0  # bodies, from the time that their head has arrived
         self.names_no_request = False
         self.repeats_answers = False
@@ -347,6 +353,7 @@
         headers = dict(handler.headers.items())
         with self.lock:
             self.requests.append((handler.command, handler.path, headers, body))
+            self.arrivals.append(time.monotonic())
             step = self.plan.pop(0) if self.plan else ""
         request_id = headers.get("Thornlatch-Request-Id", "")
         expected = headers.get("Thornlatch-Expect-Instance")
