Keep the limit that a target names, over all hosts together

Cause: no host read Server-Limit. Class: what a target says of itself in an answer is forwarded to the caller and not acted on; Server-Leaving and Retry-After were of the same class before.

Targets that a host may not use are left out like those in a pause; loads prefer others; callers are refused at once with the time in which the service's limits allow a request.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -12,6 +12,7 @@
     PeerViewSettings,
     ResidentAdapter,
     StoreKnowledge,
+    TargetLimit,
 )
 from thornlatch.fleet._domain_choice import ExchangeSettings, Member, choose_by_capacity
 from thornlatch.fleet._domain_messages import (
@@ -61,6 +62,7 @@
     "ResidentAdapter",
     "StoreKnowledge",
     "Target",
+    "TargetLimit",
     "TargetNotice",
     "TargetRegistry",
     "TargetUses",
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -88,6 +88,26 @@
     blocked: tuple[str, ...] = ()
 
 
+@dataclass(frozen=True)
+class TargetLimit:
+    """A limit on the rate of requests that a target named to a host.
+
+    Parameters
+    ----------
+    target : str
+    started_ms : int
+    rate : float or None
+        Requests a second of all hosts together; None if it no longer names a limit.
+    age_s : float
+        Seconds since the target's answer.
+    """
+
+    target: str
+    started_ms: int
+    rate: float | None
+    age_s: float
+
+
 @dataclass(frozen=True)
 class StoreKnowledge:
     """What a host knows of the platform's store.
@@ -146,6 +166,10 @@
         most `LEAVING_LIMIT`.
     store : StoreKnowledge
         What the sender knows of the store; `reads` refers to its epoch.
+    limits : tuple of TargetLimit
+        Limits that targets named to the sender.
+    recent_sends : dict of str to int
+        Requests of the last few seconds to targets with a limit, by target.
     """
 
     sent_at: float
@@ -162,6 +186,8 @@
     parts: PartReport = field(default_factory=PartReport)
     leaving: tuple[tuple[str, int], ...] = ()
     store: StoreKnowledge = field(default_factory=StoreKnowledge)
+    limits: tuple[TargetLimit, ...] = ()
+    recent_sends: dict[str, int] = field(default_factory=dict)
 
 
 @register
@@ -255,6 +281,8 @@
         self.holders: dict[str, str] = {}
         self.recent_prompt_tokens = DecayingSums()
         self.avoiding: Counter[str] = Counter()
+        # Requests of the last few seconds to targets with a limit, by target.
+        self.recent_sends: Counter[str] = Counter()
         self.aggregation_due_at = float("-inf")
         self.silent_s = settings.silent_s
 
@@ -376,6 +404,20 @@
         """
         return self.avoiding[target]
 
+    def count_recent_sends(self, target: str) -> int:
+        """Return the number of requests that all peers sent to a target lately.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        int
+            Over the window of the target's limit; 0 for targets without one.
+        """
+        return self.recent_sends[target]
+
     def count_peer_requests_by_adapter(self, target: str) -> dict[str, int]:
         """Return the numbers of requests of all peers at a target, by adapter.
 
@@ -410,6 +452,7 @@
         holders: dict[str, str] = {}
         recent_prompt_tokens = DecayingSums()
         avoiding: Counter[str] = Counter()
+        recent_sends: Counter[str] = Counter()
         for host, received in self.latest.by_sender.items():
             if not self.is_live(host, now=now):
                 continue
@@ -420,6 +463,7 @@
                 if adapter:
                     by_adapter[""] = by_adapter.get("", 0) + count
             avoiding.update(digest.avoided)
+            recent_sends.update(digest.recent_sends)
             for target, sent_tokens in digest.prompts.items():
                 decayed = DecayingSum(sent_tokens, received.received_at).get(now=now)
                 recent_prompt_tokens.add(target, decayed, now=now)
@@ -432,4 +476,5 @@
         self.running = running
         self.recent_prompt_tokens = recent_prompt_tokens
         self.avoiding = avoiding
+        self.recent_sends = recent_sends
         self.holders = holders
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -9,6 +9,7 @@
     HeldTarget,
     PartReport,
     StoreKnowledge,
+    TargetLimit,
 )
 
 FLEET = ""  # in place of a host id, for what a relay reports of all hosts
@@ -69,6 +70,10 @@
     leaving : tuple of (str, int)
         Ids and starts of targets that announced that they leave, at most
         `LEAVING_LIMIT`.
+    limits : tuple of TargetLimit
+        Limits that targets named to any of the hosts, the latest of each target.
+    recent_sends : dict of str to int
+        Requests of the last few seconds to targets with a limit, by target.
     """
 
     running: dict[str, int] = field(default_factory=dict)
@@ -79,6 +84,8 @@
     held_names: dict[str, str] = field(default_factory=dict)
     parts: PartReport = field(default_factory=PartReport)
     leaving: tuple[tuple[str, int], ...] = ()
+    limits: tuple[TargetLimit, ...] = ()
+    recent_sends: dict[str, int] = field(default_factory=dict)
 
 
 @register
@@ -179,6 +186,8 @@
         held_names=holders,
         parts=merge_parts(part.parts for part in parts),
         leaving=merge_leaving(part.leaving for part in parts),
+        limits=merge_limits(limit for part in parts for limit in part.limits),
+        recent_sends=sum_counts(part.recent_sends for part in parts),
     )
 
 
@@ -241,6 +250,26 @@
     return tuple(sorted(merged)[:LEAVING_LIMIT])
 
 
+def merge_limits(limits: Iterable[TargetLimit]) -> tuple[TargetLimit, ...]:
+    """Return the latest of the limits that several hosts report of each target.
+
+    Parameters
+    ----------
+    limits : iterable of TargetLimit
+
+    Returns
+    -------
+    tuple of TargetLimit
+    """
+    latest: dict[tuple[str, int], TargetLimit] = {}
+    for limit in limits:
+        incarnation = (limit.target, limit.started_ms)
+        known = latest.get(incarnation)
+        if known is None or limit.age_s < known.age_s:
+            latest[incarnation] = limit
+    return tuple(latest.values())
+
+
 def merge_parts(reports: Iterable[PartReport]) -> PartReport:
     """Merge crashes by part of the prompt over several hosts.
 
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -1,10 +1,10 @@
 """Aggregation of the digests of a failure domain's hosts."""
 
 from collections import Counter
-from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from collections.abc import Iterable, Iterator, Mapping
+from dataclasses import dataclass, field, replace
 
-from thornlatch.fleet._digests import HeldTarget, HostDigest
+from thornlatch.fleet._digests import HeldTarget, HostDigest, TargetLimit
 from thornlatch.fleet._domain_messages import (
     DomainDigest,
     DomainSpending,
@@ -12,6 +12,7 @@
     WorkSum,
     merge_broken,
     merge_leaving,
+    merge_limits,
     merge_parts,
     sum_counts,
 )
@@ -128,9 +129,19 @@
             holders,
             merge_parts(digest.parts for digest in live.values()),
             merge_leaving(digest.leaving for digest in live.values()),
+            merge_limits(self._iter_limits(live, now)),
+            sum_counts(digest.recent_sends for digest in live.values()),
         )
         return DomainDigest(spending, work)
 
+    def _iter_limits(self, live: Iterable[str], now: float) -> Iterator[TargetLimit]:
+        """Yield the limits that live hosts report, with their present age."""
+        for host in live:
+            received = self.latest.by_sender[host]
+            late_s = now - received.received_at
+            for limit in received.message.limits:
+                yield replace(limit, age_s=limit.age_s + late_s)
+
     def list_echoes(self, *, now: float) -> dict[str, float]:
         """Return the send times of the included digests, by host.
 
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -4,7 +4,12 @@
 from dataclasses import dataclass
 
 from thornlatch.fleet._decay import DecayingSum, DecayingSums
-from thornlatch.fleet._digests import HostDigest, PartReport, PeerView
+from thornlatch.fleet._digests import (
+    HostDigest,
+    PartReport,
+    PeerView,
+    TargetLimit,
+)
 from thornlatch.fleet._domain_choice import DomainDigestSelector, ExchangeSettings
 from thornlatch.fleet._domain_messages import (
     DomainDigest,
@@ -71,6 +76,7 @@
         self.parts = PartReport()
         # Ids and starts of targets that announced to any host that they leave.
         self.leaving: tuple[tuple[str, int], ...] = ()
+        self.limits: tuple[TargetLimit, ...] = ()
 
     def note_sent(self, digest: HostDigest) -> None:
         """Remember a digest of this host until a relay may have echoed it.
@@ -167,6 +173,7 @@
         work = message.work
         request_counts, prompt_tokens = dict(work.running), dict(work.prompts)
         avoiding = Counter(work.avoided)
+        recent_sends = Counter(work.recent_sends)
         own_digest = self._get_echoed_digest(message)
         if own_digest is not None:
             for target, _, count in own_digest.running:
@@ -174,6 +181,7 @@
             for target, tokens in own_digest.prompts.items():
                 prompt_tokens[target] = prompt_tokens.get(target, 0) - tokens
             avoiding.subtract(own_digest.avoided)
+            recent_sends.subtract(own_digest.recent_sends)
         running = {
             target: {"": max(count, 0)} for target, count in request_counts.items()
         }
@@ -193,6 +201,7 @@
             for target, tokens in prompt_tokens.items()
         )
         peers.avoiding = avoiding
+        peers.recent_sends = recent_sends
         peers.holders = {
             name: holder
             for name, holder in work.held_names.items()
@@ -202,6 +211,7 @@
         self.crashes = work.broken
         self.parts = work.parts
         self.leaving = work.leaving
+        self.limits = work.limits
 
     def _count_peer_requests(
         self, message: FleetDigest, now: float
--- a/src/thornlatch/fleet/tests/test_digests.py
+++ b/src/thornlatch/fleet/tests/test_digests.py
@@ -14,10 +14,12 @@
     PeerView,
     PeerViewSettings,
     ResidentAdapter,
+    TargetLimit,
     WorkSum,
 )
 from thornlatch.fleet._digests import LEAVING_LIMIT
-from thornlatch.fleet._domain_messages import merge_leaving
+from thornlatch.fleet._domain_messages import merge_leaving, sum_work
+from thornlatch.fleet._domain_relay import DomainRelay
 
 
 def digest(at, running=(), held=None, names=()):
@@ -104,7 +106,7 @@
 def test_digests_of_hosts_that_know_no_leaving_targets_are_read():
     digest_sent = replace(digest(1), leaving=(("t", 5),))
     # The fields that came with it and after it.
-    assert decode_edited(digest_sent, lambda fields: fields[:-2]) == digest(1)
+    assert decode_edited(digest_sent, lambda fields: fields[:-4]) == digest(1)
     domain_digest = DomainDigest(SPENDING, WorkSum(leaving=(("t", 5),)))
 
     def drop_leaving(fields):
@@ -115,6 +117,29 @@
     assert decoded == DomainDigest(SPENDING, WorkSum())
 
 
+def test_digests_of_hosts_that_know_no_limits_are_read():
+    limits = (TargetLimit("t", 5, 2.0, 0.1),)
+    digest_sent = replace(digest(1), limits=limits, recent_sends={"t": 1})
+    assert decode_edited(digest_sent, lambda fields: fields[:-2]) == digest(1)
+    assert decode_edited(digest_sent, lambda fields: fields) == digest_sent
+
+
+def test_latest_limit_of_a_target_is_reported_with_its_present_age():
+    relay = DomainRelay("z", "a", 1.0)
+    early, late = TargetLimit("t", 5, 2.0, 0.5), TargetLimit("t", 5, None, 0.1)
+    sends = {"t": 2}
+    sent = replace(digest(1), limits=(early,), recent_sends=sends)
+    relay.apply_digest("a", sent, now=1.0)
+    sent = replace(digest(1), limits=(late,), recent_sends=sends)
+    relay.apply_digest("b", sent, now=1.0)
+    work = relay.build_digest(now=1.2).work
+    assert work.limits == (replace(late, age_s=pytest.approx(0.3)),)
+    assert work.recent_sends == {"t": 4}
+    other = WorkSum(limits=(replace(early, age_s=0.01),), recent_sends=sends)
+    fleet = sum_work([work, other])
+    assert (fleet.limits[0].rate, fleet.recent_sends) == (2.0, {"t": 6})
+
+
 def test_digests_with_fields_of_later_versions_are_read():
     """It is how hosts of an earlier version read this one's digests."""
     assert decode_edited(digest(1), lambda fields: [*fields, "later"]) == digest(1)
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -19,12 +19,13 @@
     Member,
     PeerView,
     StoreKnowledge,
+    TargetLimit,
     TargetRegistry,
     TargetUses,
 )
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import PEER, note_leaving
+from thornlatch.gateway._notices import PEER, note_leaving, note_peer_limits
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
 from thornlatch.gateway._settings import GatewaySettings
@@ -301,6 +302,8 @@
         )
         self.state.quota.set_peers(sharing, now=now)
         self.state.retries.hosts = len(sharing) + 1
+        names = (get_host_name(host) for host in (self.host, *sharing))
+        self.state.health.limits.set_hosts(sorted(set(names)))
         self.divide_model_loads()
         silent_s = self.peer_loop.get_period_s() * SILENCE_LIMIT_PERIODS
         if self.exchange.is_large:
@@ -343,6 +346,8 @@
             self.state.suspects.parts.build_report(now=now),
             self.state.registry.list_seen_leaving(),
             StoreKnowledge(epoch, self.state.in_force.newest_version),
+            self.state.health.limits.build_reports(now=now),
+            self.state.health.limits.count_sends(now=now),
         )
 
     def _apply_digest(self, host: str, digest: HostDigest, now: float) -> None:
@@ -358,6 +363,7 @@
         for report in digest.held or ():
             self._apply_holder_report(host, report, now)
         self._apply_leaving(digest.leaving)
+        self._apply_limits(digest.limits, now)
 
     def _apply_holder_report(self, holder: str, held: HeldTarget, now: float) -> None:
         if self.state.peers.get_holder(held.target, now=now) != holder:
@@ -400,6 +406,7 @@
         self.state.suspects.set_fleet_crashes(self.domain_view.crashes)
         self.state.suspects.parts.set_fleet_report(self.domain_view.parts, now=now)
         self._apply_leaving(self.domain_view.leaving)
+        self._apply_limits(self.domain_view.limits, now)
 
     def _apply_leaving(self, incarnations: Iterable[Incarnation]) -> None:
         for incarnation in incarnations:
@@ -410,6 +417,11 @@
                 metrics=self.state.metrics,
             )
 
+    def _apply_limits(self, limits: Iterable[TargetLimit], now: float) -> None:
+        note_peer_limits(
+            limits, health=self.state.health, metrics=self.state.metrics, now=now
+        )
+
     def _apply_target_uses(self, message: TargetUses, now: float) -> None:
         self.domain_view.apply_target_uses(message, now=now)
 
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -148,7 +148,11 @@
     def _choose(self, call: Call) -> TargetOption:
         option, call.next_option = call.next_option, None
         is_reserved = option is not None
-        if option is None:
+        limits = self.health.limits
+        # Another request may have used the target's limit since it was selected.
+        while option is None or not limits.try_send(
+            option.target.incarnation, now=read_clock()
+        ):
             option = self.selector.choose(call)
         self._check_may_send(call, is_reserved=is_reserved)
         return option
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -34,6 +34,7 @@
 from thornlatch.gateway._silences import SilencePolicy
 from thornlatch.gateway._store_epoch import StoreEpochs
 from thornlatch.gateway._suspects import CrashSuspects
+from thornlatch.gateway._target_limits import TargetLimits
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import AdapterVersions, Resident, ResidentTable, Tenure
@@ -89,7 +90,15 @@
                 target, adapter, is_used=is_used
             )
         )
-        self.health = TargetHealth(settings.forwarding, random=Random())
+        self.health = TargetHealth(
+            settings.forwarding,
+            random=Random(),
+            limits=TargetLimits(
+                settings.limits,
+                host=settings.host.name,
+                count_peer_sends=self.peers.count_recent_sends,
+            ),
+        )
         self.suspects = CrashSuspects(
             settings.suspects, self.registry, count_runs=self.work.count_runs
         )
@@ -517,6 +526,10 @@
                 },
             )
             self.live_peers = live
+        self.health.limits.retain(
+            {target.incarnation for target in list(self.registry.targets.values())},
+            now=now,
+        )
         self.orders.update_held_targets(now=now)
         self.orders.refresh_residents(now=now)
         self.orders.tick(now=now)
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from thornlatch.fleet import Target
 from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.gateway._target_limits import TargetLimits, TargetLimitSettings
 
 SMOOTHING_WEIGHT = 0.1  # of the latest observation in a moving average
 INITIAL_SERVICE_S = 1.5  # per request, until one has been observed
@@ -27,7 +29,6 @@
     load: tuple[int, int, int] | None = None
     load_at: float = float("-inf")
     paused_until: float = float("-inf")
-    limit_rate: float | None = None
     # Names of headers that couldn't be read and have been logged.
     unreadable: set[str] = field(default_factory=set)
 
@@ -57,13 +58,20 @@
     random : random.Random or None
         Source of the differences between hosts that return to a target; None for one
         that is seeded by the system.
+    limits : TargetLimits or None
+        Limits of the targets; None for limits of which no other host has a share.
     """
 
     def __init__(
-        self, settings: ForwardingSettings, *, random: Random | None = None
+        self,
+        settings: ForwardingSettings,
+        *,
+        random: Random | None = None,
+        limits: TargetLimits | None = None,
     ) -> None:
         self.settings = settings
         self.random = random or Random()
+        self.limits = limits or TargetLimits(TargetLimitSettings())
         self.lock = threading.Lock()
         self.observations: dict[str, _Observations] = {}
         self.service_s: dict[str, float] = {}
@@ -158,44 +166,40 @@
         record = self.observations.get(target)
         return 0.0 if record is None else max(record.paused_until - now, 0.0)
 
-    def note_unreadable(self, target: str, header: str) -> bool:
-        """Record that a header of a target couldn't be read.
+    def get_closed_s(self, target: Target, *, now: float) -> float:
+        """Return the seconds until this host may send a request to a target.
 
         Parameters
         ----------
-        target, header : str
+        target : Target
+        now : float
 
         Returns
         -------
-        bool
-            Whether it is the first time.
+        float
+            The rest of its pause, or the wait because of its limit; 0 for neither.
         """
-        with self.lock:
-            record = self.observations.setdefault(target, _Observations())
-            if header in record.unreadable:
-                return False
-            record.unreadable.add(header)
-            return True
+        pause_s = self.get_pause_s(target.id, now=now)
+        return max(pause_s, self.limits.get_wait_s(target.incarnation, now=now))
 
-    def note_limit(self, target: str, rate: float | None) -> bool:
-        """Record the rate of requests that a target's answer names as its limit.
+    def note_unreadable(self, target: str, header: str) -> bool:
+        """Record that a header of a target couldn't be read.
 
         Parameters
         ----------
-        target : str
-        rate : float or None
-            Requests a second of all hosts together; None without a limit.
+        target, header : str
 
         Returns
         -------
         bool
-            Whether it has changed.
+            Whether it is the first time.
         """
         with self.lock:
             record = self.observations.setdefault(target, _Observations())
-            has_changed = record.limit_rate != rate
-            record.limit_rate = rate
-            return has_changed
+            if header in record.unreadable:
+                return False
+            record.unreadable.add(header)
+            return True
 
     def note_service(self, service: str, elapsed_s: float) -> None:
         """Record the time from sending a request to the end of its answer.
--- a/src/thornlatch/gateway/_notices.py
+++ b/src/thornlatch/gateway/_notices.py
@@ -1,9 +1,17 @@
 """Acts on what targets say of themselves in their answers."""
 
+from collections.abc import Iterable
+
 import logbook
 
 from thornlatch.core import read_clock
-from thornlatch.fleet import Incarnation, Target, TargetNotice, TargetRegistry
+from thornlatch.fleet import (
+    Incarnation,
+    Target,
+    TargetLimit,
+    TargetNotice,
+    TargetRegistry,
+)
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
 
@@ -89,10 +97,12 @@
 
 
 def note_limit(
-    target: str,
+    incarnation: Incarnation,
     notice: TargetNotice,
     *,
     source: str,
+    sent_at: float,
+    may_end: bool,
     health: TargetHealth,
     metrics: GatewayMetrics,
 ) -> None:
@@ -100,19 +110,66 @@
 
     Parameters
     ----------
-    target : str
+    incarnation : (str, int)
+        The incarnation to which the answered request was sent.
     notice : TargetNotice
     source : str
         What was answered.
+    sent_at : float
+        When the request was sent.
+    may_end : bool
+        Whether a limit ends with an answer that doesn't name it.
     health : TargetHealth
     metrics : GatewayMetrics
     """
-    if not health.note_limit(target, notice.limit_rate):
-        return
+    has_changed = health.limits.note_answer(
+        incarnation,
+        notice.limit_rate,
+        sent_at=sent_at,
+        may_end=may_end,
+        now=read_clock(),
+    )
+    if has_changed:
+        _record_limit(incarnation, notice.limit_rate, source, metrics)
+
+
+def note_peer_limits(
+    reports: Iterable[TargetLimit],
+    *,
+    health: TargetHealth,
+    metrics: GatewayMetrics,
+    now: float,
+) -> None:
+    """Record the limits that targets named to other hosts.
+
+    Parameters
+    ----------
+    reports : iterable of TargetLimit
+    health : TargetHealth
+    metrics : GatewayMetrics
+    now : float
+    """
+    for report in reports:
+        if health.limits.apply_report(report, now=now):
+            incarnation = (report.target, report.started_ms)
+            _record_limit(incarnation, report.rate, PEER, metrics)
+
+
+def _record_limit(
+    incarnation: Incarnation,
+    rate: float | None,
+    source: str,
+    metrics: GatewayMetrics,
+) -> None:
     metrics.limits.labels(source).inc()
     logger.info(
         "target.limit_changed",
-        extra={"target": target, "rate": notice.limit_rate, "source": source},
+        extra={
+            "target": incarnation[0],
+            "started_ms": incarnation[1],
+            "rate": rate,
+            "source": source,
+        },
     )
 
 
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -309,6 +309,8 @@
         for target in self.registry.get_ready(held.target.service):
             if target.id == held.target.id or target.id in unusable:
                 continue
+            if self.health.limits.is_limited(target.incarnation):
+                continue
             resident = self.residents.get(target.id, adapter)
             if resident is None or resident.version < version:
                 continue
@@ -670,14 +672,23 @@
         if not is_of_incarnation(held.target, notice):
             return
         log_unreadable(held.target.id, notice, health=self.health)
-        for note in (note_pause, note_limit):
-            note(
-                held.target.id,
-                notice,
-                source=source,
-                health=self.health,
-                metrics=self.metrics,
-            )
+        note_pause(
+            held.target.id,
+            notice,
+            source=source,
+            health=self.health,
+            metrics=self.metrics,
+        )
+        note_limit(
+            held.target.incarnation,
+            notice,
+            source=source,
+            sent_at=read_clock(),
+            # Only answers to callers' requests are known to name a limit in force.
+            may_end=False,
+            health=self.health,
+            metrics=self.metrics,
+        )
         if notice.is_leaving:
             note_leaving(
                 held.target.incarnation,
--- a/src/thornlatch/gateway/_replication.py
+++ b/src/thornlatch/gateway/_replication.py
@@ -71,6 +71,7 @@
             self._describe(candidate, {}, now)
             for candidate in ready
             if candidate.id != target.id
+            and not self.orders.health.limits.is_limited(candidate.incarnation)
         ]
         in_transit = self.residents.count_in_transit(now=now)
         copy = choose_copy(
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -5,7 +5,7 @@
 import logbook
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import ErrorKind
+from thornlatch.exceptions import ErrorKind, RequestRefused
 from thornlatch.fleet import LoadRequested, Target, TargetRegistry
 from thornlatch.gateway._call import (
     MIN_SEND_BUDGET_S,
@@ -33,6 +33,7 @@
 AVOIDING_PEER_LIMIT = 2  # peers that avoid a target before this host does too
 # Of the time that a caller has left: it doesn't wait longer than that to return.
 RETURN_RATIO = 1 / 3
+LIMITED_RETRY_S = 0.2  # least time until a caller returns to limited targets
 POLL_INTERVAL_S = 0.1  # longest sleep of a waiting request between two checks
 
 
@@ -104,19 +105,14 @@
             now = read_clock()
             options = self._list_options(call, load_requested_at, now)
             if not options:
-                pause_s = self._get_shortest_pause_s(call.service, now)
-                if pause_s and not call.may_have_run:
-                    if now + pause_s < wait_until:
-                        wait_s = min(pause_s, POLL_INTERVAL_S)
+                closed_s = self._get_shortest_closed_s(call.service, now)
+                if closed_s and not call.may_have_run:
+                    if now + closed_s < wait_until:
+                        wait_s = min(closed_s, POLL_INTERVAL_S)
                         self.residents.wait(call.request.adapter, wait_s)
                         continue
                     if not self._list_accepting(call.service, now):
-                        raise build_refusal(
-                            call,
-                            ErrorKind.OVERLOADED,
-                            pause_s + draw_return_delay(self.random, pause_s),
-                            f"all targets of service {call.service} asked for a pause",
-                        )
+                        raise self._build_closed_refusal(call, closed_s)
                 if call.excluded and not call.may_have_run:
                     call.excluded.clear()
                     if call.tries:
@@ -225,20 +221,40 @@
             self.request_load(call, options[0].target, now, was_missing=False)
 
     def _list_accepting(self, service: str, now: float) -> list[Target]:
-        """Return the ready targets that haven't asked this host for a pause."""
+        """Return the ready targets to which this host may send a request now."""
         return [
             target
             for target in self.registry.get_ready(service)
-            if not self.health.get_pause_s(target.id, now=now)
+            if not self.health.get_closed_s(target, now=now)
         ]
 
-    def _get_shortest_pause_s(self, service: str, now: float) -> float:
-        """Return the seconds until the first pause of a target ends; 0 without any."""
-        pauses_s = [
-            self.health.get_pause_s(target.id, now=now)
+    def _get_shortest_closed_s(self, service: str, now: float) -> float:
+        """Return the seconds until the first closed target opens; 0 without any."""
+        closed_s = [
+            self.health.get_closed_s(target, now=now)
             for target in self.registry.get_ready(service)
         ]
-        return min((pause_s for pause_s in pauses_s if pause_s), default=0.0)
+        return min((wait_s for wait_s in closed_s if wait_s), default=0.0)
+
+    def _build_closed_refusal(self, call: Call, closed_s: float) -> RequestRefused:
+        """Return the refusal of a request for which all targets are closed."""
+        limits = self.health.limits
+        rates = [
+            limits.get_rate(target.incarnation)
+            for target in self.registry.get_ready(call.service)
+            if limits.is_limited(target.incarnation)
+        ]
+        reason = "asked for a pause"
+        if rates:
+            # A caller that returns may reach a host that has a share of a limit.
+            closed_s = min(closed_s, max(1 / sum(rates), LIMITED_RETRY_S))
+            reason = "asked for a pause or limit their requests"
+        return build_refusal(
+            call,
+            ErrorKind.OVERLOADED,
+            closed_s + draw_return_delay(self.random, closed_s),
+            f"all targets of service {call.service} {reason}",
+        )
 
     def _get_wait_until(self, call: Call) -> float:
         """Return the clock time until which a request may wait to be sent."""
@@ -317,7 +333,7 @@
 
         targets = self._list_accepting(call.service, now)
         preferred = self.residents.list_possible_targets(adapter)
-        return list_options(
+        options = list_options(
             targets,
             requirements,
             get_state,
@@ -325,6 +341,20 @@
             preferred=preferred,
             now=now,
         )
+        return self._prefer_loads_without_limit(options)
+
+    def _prefer_loads_without_limit(
+        self, options: list[TargetOption]
+    ) -> list[TargetOption]:
+        """Drop loads at targets that limit their requests, if there are others."""
+        limits = self.health.limits
+        kept = [
+            option
+            for option in options
+            if option.step is not Step.REQUEST_LOAD
+            or not limits.is_limited(option.target.incarnation)
+        ]
+        return kept or options
 
     def _is_avoided(self, target: str, now: float) -> bool:
         if self.health.is_avoided(target, now=now):
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -8,6 +8,7 @@
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import ForeignAnswer, TargetError
+from thornlatch.fleet import Target
 from thornlatch.gateway._call import (
     MIN_SEND_BUDGET_S,
     Call,
@@ -181,7 +182,7 @@
             # First of all: an answer to another request says nothing about this one.
             _check_request(call, head, response)
             answer = TargetAnswer(option, head, response, sent_at, use)
-            self._apply_notice(option.target.id, head)
+            self._apply_notice(option.target, head, sent_at)
             if head.is_not_run:
                 _skip_body(response, target=option.target.id)
                 raise RejectedByTarget(head)
@@ -227,18 +228,26 @@
                 is_sent=True,
             )
 
-    def _apply_notice(self, target: str, head: AnswerHead) -> None:
-        if not head.is_from(target):
+    def _apply_notice(self, target: Target, head: AnswerHead, sent_at: float) -> None:
+        if not head.is_from(target.id):
             return
-        log_unreadable(target, head.notice, health=self.health)
-        for note in (note_pause, note_limit):
-            note(
-                target,
-                head.notice,
-                source="request",
-                health=self.health,
-                metrics=self.metrics,
-            )
+        log_unreadable(target.id, head.notice, health=self.health)
+        note_pause(
+            target.id,
+            head.notice,
+            source="request",
+            health=self.health,
+            metrics=self.metrics,
+        )
+        note_limit(
+            target.incarnation,
+            head.notice,
+            source="request",
+            sent_at=sent_at,
+            may_end=head.is_signed,
+            health=self.health,
+            metrics=self.metrics,
+        )
 
     def _get_head_timeout_s(self, call: Call, left_s: float) -> float:
         if not call.route.may_repeat or call.runs + 1 >= call.route.max_attempts:
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -8,6 +8,7 @@
 from thornlatch.fleet import ExchangeSettings, PeerViewSettings, RegistrySettings
 from thornlatch.gateway._logs import LogSettings
 from thornlatch.gateway._suspect_settings import SuspectSettings
+from thornlatch.gateway._target_limits import TargetLimitSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
 from thornlatch.mesh import PeerSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
@@ -181,6 +182,7 @@
     relief : ReplicationSettings
     forwarding : ForwardingSettings
     suspects : SuspectSettings
+    limits : TargetLimitSettings
     stop : StopSettings
     logs : LogSettings
     """
@@ -200,5 +202,6 @@
     relief: ReplicationSettings = field(default_factory=ReplicationSettings)
     forwarding: ForwardingSettings = field(default_factory=ForwardingSettings)
     suspects: SuspectSettings = field(default_factory=SuspectSettings)
+    limits: TargetLimitSettings = field(default_factory=TargetLimitSettings)
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -1,5 +1,6 @@
 """Division of limits among the hosts of small and large fleets."""
 
+from dataclasses import replace
 from types import SimpleNamespace
 from unittest.mock import Mock
 
@@ -16,11 +17,13 @@
     RegistrySettings,
     StoreKnowledge,
     Target,
+    TargetLimit,
     TargetRegistry,
     WorkSum,
 )
 from thornlatch.gateway import GatewayMetrics, GatewaySettings, HostAddresses
 from thornlatch.gateway._fleet_link import FleetLink, HostState
+from thornlatch.gateway._target_limits import TargetLimits, TargetLimitSettings
 from thornlatch.quota import (
     QuotaSettings,
     RetryBudget,
@@ -57,6 +60,7 @@
         set_peer_crashes=lambda host, crashes: None,
         set_fleet_crashes=lambda crashes: None,
         parts=Mock(),
+        limits=TargetLimits(TargetLimitSettings(), host="h"),
     )
     fleet_link = FleetLink(
         GatewaySettings(HostAddresses("h", "z", "", "", "127.0.0.1:0")),
@@ -131,6 +135,25 @@
     assert registry.list_seen_leaving() == ()
 
 
+@pytest.mark.parametrize("is_large", [True, False])
+def test_host_learns_a_target_s_limit_and_the_peers_sends_from_a_digest(link, is_large):
+    now = read_clock()
+    limit, sends = TargetLimit("t", 5, 2.0, 0.1), {"t": 6}
+    if is_large:
+        spending = DomainSpending("z", "o1.0", 1.0, ("o1.0",), {}, {})
+        work = WorkSum(limits=(limit,), recent_sends=sends)
+        digest = FleetDigest("o1.0", 1.0, (spending,), work, {}, {})
+        link._apply_fleet_digest(digest, now)
+    else:
+        digest = HostDigest(1.0, (), {}, {}, None, (), False, {})
+        digest = replace(digest, limits=(limit,), recent_sends=sends)
+        link._apply_digest("o1.0", digest, now)
+    assert link.state.health.limits.get_rate(("t", 5)) == 2.0
+    assert link.state.peers.count_recent_sends("t") == 6
+    # Only the host that got the answer reports it.
+    assert link.state.health.limits.build_reports(now=now) == ()
+
+
 def build_digest(configuration, epoch=1):
     return HostDigest(
         read_clock(),
