--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -148,7 +148,11 @@
     def _choose(self, call: Call) -> TargetOption:
         option, call.next_option = call.next_option, None
         is_reserved = option is not None
-        if option is None:
+        limits = self.health.limits
+        # Another request may have used the target's limit since it was selected.
+        while option is None or not limits.try_send(
+            option.target.incarnation, now=read_clock()
+        ):
             option = self.selector.choose(call)
         self._check_may_send(call, is_reserved=is_reserved)
         return option
@@ -285,7 +289,7 @@
             return
         if is_wrong_target:
             self.health.note_failure(target.id, now=now, is_unreachable=True)
-        if head.pause_s and not is_wrong_target:
+        if head.notice.pause_s and not is_wrong_target:
             # The request may return to it after the pause.
             return
         call.excluded.add(target.id)
@@ -293,7 +297,7 @@
             self.health.note_success(target.id, head.load, now=now)
 
     def _note_leaving(self, target: Target, head: AnswerHead) -> None:
-        if head.is_leaving:
+        if head.notice.is_leaving:
             note_leaving(
                 target.incarnation,
                 source="request",
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -4,7 +4,9 @@
 from dataclasses import dataclass, field
 from random import Random
 
+from thornlatch.fleet import Target
 from thornlatch.gateway._settings import ForwardingSettings
+from thornlatch.gateway._target_limits import TargetLimits, TargetLimitSettings
 
 SMOOTHING_WEIGHT = 0.1  # of the latest observation in a moving average
 INITIAL_SERVICE_S = 1.5  # per request, until one has been observed
@@ -56,13 +58,20 @@
     random : random.Random or None
         Source of the differences between hosts that return to a target; None for one
         that is seeded by the system.
+    limits : TargetLimits or None
+        Limits of the targets; None for limits of which no other host has a share.
     """
 
     def __init__(
-        self, settings: ForwardingSettings, *, random: Random | None = None
+        self,
+        settings: ForwardingSettings,
+        *,
+        random: Random | None = None,
+        limits: TargetLimits | None = None,
     ) -> None:
         self.settings = settings
         self.random = random or Random()
+        self.limits = limits or TargetLimits(TargetLimitSettings())
         self.lock = threading.Lock()
         self.observations: dict[str, _Observations] = {}
         self.service_s: dict[str, float] = {}
@@ -157,6 +166,22 @@
         record = self.observations.get(target)
         return 0.0 if record is None else max(record.paused_until - now, 0.0)
 
+    def get_closed_s(self, target: Target, *, now: float) -> float:
+        """Return the seconds until this host may send a request to a target.
+
+        Parameters
+        ----------
+        target : Target
+        now : float
+
+        Returns
+        -------
+        float
+            The rest of its pause, or the wait because of its limit; 0 for neither.
+        """
+        pause_s = self.get_pause_s(target.id, now=now)
+        return max(pause_s, self.limits.get_wait_s(target.incarnation, now=now))
+
     def note_unreadable(self, target: str, header: str) -> bool:
         """Record that a header of a target couldn't be read.
 
--- a/src/thornlatch/gateway/_notices.py
+++ b/src/thornlatch/gateway/_notices.py
@@ -1,9 +1,17 @@
 """Acts on what targets say of themselves in their answers."""
 
+from collections.abc import Iterable
+
 import logbook
 
 from thornlatch.core import read_clock
-from thornlatch.fleet import Incarnation, Target, TargetNotice, TargetRegistry
+from thornlatch.fleet import (
+    Incarnation,
+    Target,
+    TargetLimit,
+    TargetNotice,
+    TargetRegistry,
+)
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
 
@@ -67,7 +75,7 @@
     health: TargetHealth,
     metrics: GatewayMetrics,
 ) -> None:
-    """Send a target nothing for as long as it asks for; log headers that can't be read.
+    """Send a target nothing for as long as it asks for.
 
     Parameters
     ----------
@@ -78,6 +86,102 @@
     health : TargetHealth
     metrics : GatewayMetrics
     """
+    if not notice.pause_s:
+        return
+    health.note_pause(target, notice.pause_s, now=read_clock())
+    metrics.pauses.labels(source).inc()
+    logger.info(
+        "target.pause_requested",
+        extra={"target": target, "pause_s": notice.pause_s, "source": source},
+    )
+
+
+def note_limit(
+    incarnation: Incarnation,
+    notice: TargetNotice,
+    *,
+    source: str,
+    sent_at: float,
+    may_end: bool,
+    health: TargetHealth,
+    metrics: GatewayMetrics,
+) -> None:
+    """Record the limit that a target names, or that it no longer names one.
+
+    Parameters
+    ----------
+    incarnation : (str, int)
+        The incarnation to which the answered request was sent.
+    notice : TargetNotice
+    source : str
+        What was answered.
+    sent_at : float
+        When the request was sent.
+    may_end : bool
+        Whether a limit ends with an answer that doesn't name it.
+    health : TargetHealth
+    metrics : GatewayMetrics
+    """
+    has_changed = health.limits.note_answer(
+        incarnation,
+        notice.limit_rate,
+        sent_at=sent_at,
+        may_end=may_end,
+        now=read_clock(),
+    )
+    if has_changed:
+        _record_limit(incarnation, notice.limit_rate, source, metrics)
+
+
+def note_peer_limits(
+    reports: Iterable[TargetLimit],
+    *,
+    health: TargetHealth,
+    metrics: GatewayMetrics,
+    now: float,
+) -> None:
+    """Record the limits that targets named to other hosts.
+
+    Parameters
+    ----------
+    reports : iterable of TargetLimit
+    health : TargetHealth
+    metrics : GatewayMetrics
+    now : float
+    """
+    for report in reports:
+        if health.limits.apply_report(report, now=now):
+            incarnation = (report.target, report.started_ms)
+            _record_limit(incarnation, report.rate, PEER, metrics)
+
+
+def _record_limit(
+    incarnation: Incarnation,
+    rate: float | None,
+    source: str,
+    metrics: GatewayMetrics,
+) -> None:
+    metrics.limits.labels(source).inc()
+    logger.info(
+        "target.limit_changed",
+        extra={
+            "target": incarnation[0],
+            "started_ms": incarnation[1],
+            "rate": rate,
+            "source": source,
+        },
+    )
+
+
+def log_unreadable(target: str, notice: TargetNotice, *, health: TargetHealth) -> None:
+    """Log headers of a target that can't be read, once each.
+
+    Parameters
+    ----------
+    target : str
+    notice : TargetNotice
+    health : TargetHealth
+    """
     for header in notice.unreadable:
         if health.note_unreadable(target, header.name):
             logger.warning(
@@ -89,11 +193,3 @@
                     "expected": header.expected,
                 },
             )
-    if not notice.pause_s:
-        return
-    health.note_pause(target, notice.pause_s, now=read_clock())
-    metrics.pauses.labels(source).inc()
-    logger.info(
-        "target.pause_requested",
-        extra={"target": target, "pause_s": notice.pause_s, "source": source},
-    )
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -24,7 +24,13 @@
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._load_bucket import LoadTokenBucket
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import is_of_incarnation, note_leaving, note_pause
+from thornlatch.gateway._notices import (
+    is_of_incarnation,
+    log_unreadable,
+    note_leaving,
+    note_limit,
+    note_pause,
+)
 from thornlatch.gateway._ports import TargetProtocol
 from thornlatch.gateway._work import WorkTable
 from thornlatch.residency import (
@@ -303,6 +309,8 @@
         for target in self.registry.get_ready(held.target.service):
             if target.id == held.target.id or target.id in unusable:
                 continue
+            if self.health.limits.is_limited(target.incarnation):
+                continue
             resident = self.residents.get(target.id, adapter)
             if resident is None or resident.version < version:
                 continue
@@ -663,6 +671,7 @@
         """Act on what a held target says of itself in an answer."""
         if not is_of_incarnation(held.target, notice):
             return
+        log_unreadable(held.target.id, notice, health=self.health)
         note_pause(
             held.target.id,
             notice,
@@ -670,6 +679,16 @@
             health=self.health,
             metrics=self.metrics,
         )
+        note_limit(
+            held.target.incarnation,
+            notice,
+            source=source,
+            sent_at=read_clock(),
+            # Only answers to callers' requests are known to name a limit in force.
+            may_end=False,
+            health=self.health,
+            metrics=self.metrics,
+        )
         if notice.is_leaving:
             note_leaving(
                 held.target.incarnation,
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -8,6 +8,7 @@
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import ForeignAnswer, TargetError
+from thornlatch.fleet import Target
 from thornlatch.gateway._call import (
     MIN_SEND_BUDGET_S,
     Call,
@@ -18,7 +19,7 @@
 from thornlatch.gateway._events import EventSplitter
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import note_pause
+from thornlatch.gateway._notices import log_unreadable, note_limit, note_pause
 from thornlatch.gateway._ports import AnswerHead, SendContext, TargetProtocol
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
@@ -181,7 +182,7 @@
             # First of all: an answer to another request says nothing about this one.
             _check_request(call, head, response)
             answer = TargetAnswer(option, head, response, sent_at, use)
-            self._note_pause(option.target.id, head)
+            self._apply_notice(option.target, head, sent_at)
             if head.is_not_run:
                 _skip_body(response, target=option.target.id)
                 raise RejectedByTarget(head)
@@ -227,15 +228,26 @@
                 is_sent=True,
             )
 
-    def _note_pause(self, target: str, head: AnswerHead) -> None:
-        if head.is_from(target):
-            note_pause(
-                target,
-                head.notice,
-                source="request",
-                health=self.health,
-                metrics=self.metrics,
-            )
+    def _apply_notice(self, target: Target, head: AnswerHead, sent_at: float) -> None:
+        if not head.is_from(target.id):
+            return
+        log_unreadable(target.id, head.notice, health=self.health)
+        note_pause(
+            target.id,
+            head.notice,
+            source="request",
+            health=self.health,
+            metrics=self.metrics,
+        )
+        note_limit(
+            target.incarnation,
+            head.notice,
+            source="request",
+            sent_at=sent_at,
+            may_end=head.is_signed,
+            health=self.health,
+            metrics=self.metrics,
+        )
 
     def _get_head_timeout_s(self, call: Call, left_s: float) -> float:
         if not call.route.may_repeat or call.runs + 1 >= call.route.max_attempts:
