--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -54,6 +54,8 @@
         Seconds until a target that is being reclaimed stops; None if it isn't.
     entry_number : int
         Number of the entry among those that this incarnation has written.
+    software_version : str
+        Version of its software. Streams of different versions can't be joined.
     """
 
     id: str
@@ -66,6 +68,7 @@
     loaded_models: tuple[LoadedModel, ...] = ()
     leaves_in_s: float | None = None
     entry_number: int = 0
+    software_version: str = ""
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -78,8 +78,8 @@
     longest_gap_s, gap_ended_s : float
         Longest pause between two parts of the answer, and the seconds from admission
         to its end.
-    target : str
-        Id of the target to which the request was sent last.
+    target, software_version : str
+        Id of the target to which the request was sent last, and its version.
     status : int
         HTTP status of the target's answer; 0 without an answer.
     framing : str
@@ -133,6 +133,7 @@
     longest_gap_s: float = 0.0
     gap_ended_s: float = 0.0
     target: str = ""
+    software_version: str = ""
     status: int = 0
     framing: str = ""
     media_type: str | None = None
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -253,6 +253,8 @@
                 "request": call.request.id,
                 "from": answer.option.target.id,
                 "target": resumed.option.target.id,
+                "from_version": answer.option.target.software_version,
+                "version": resumed.option.target.software_version,
                 "after_event": call.last_event,
             },
         )
@@ -385,6 +387,8 @@
                 "adapter": call.request.adapter,
                 "prompt_tokens": call.request.prompt_tokens,
                 "target": call.target,
+                "software_version": call.software_version,
+                "resumes": call.request.resumes,
                 "outcome": outcome,
                 "broken_off_by": broken_off_by,
                 "status": call.status,
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -546,6 +546,7 @@
                 "target": name,
                 "service": target.service if target else "",
                 "address": target.address if target else "",
+                "software_version": target.software_version if target else "",
                 "leaving": target.is_leaving if target else None,
                 "gone": target is None,
             },
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -38,6 +38,9 @@
     headers : tuple of (str, str)
         Further headers that are forwarded to the target.
     body : bytes
+    resumes : str
+        Id of the request that the resumed stream's first event answered; empty if the
+        caller didn't tell.
     """
 
     id: str
@@ -54,6 +57,7 @@
     last_event: str
     headers: tuple[tuple[str, str], ...]
     body: bytes
+    resumes: str = ""
 
     @property
     def path(self) -> str:
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -128,7 +128,7 @@
             target.id, request.adapter, tokens, call.shared_parts, now=now
         )
         call.tries += 1
-        call.target = target.id
+        call.target, call.software_version = target.id, target.software_version
         call.framing = ""
         try:
             response = self._open_call(
