--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -142,8 +142,11 @@
 
 
 @contextlib.contextmanager
-def run_deployment(folder, *names):
-    """Run a host before a store and servers named SERVICE-NUMBER."""
+def run_deployment(folder, *names, versions=None):
+    """Run a host before a store and servers named SERVICE-NUMBER.
+
+    `versions` has the software versions of servers by name.
+    """
     store = Store()
     servers = {
         name: ModelServer(name, name[:3], model="m" if name[:3] == "llm" else "")
@@ -151,6 +154,7 @@
     }
     store.put("keyed.op", "config", build_config())
     for name, server in servers.items():
+        server.version = (versions or {}).get(name, server.version)
         store.put("keyed.servers", name, server.describe())
     host = start_host(folder, store.address)
     wait_until(lambda: len(host.list_events("target.changed")) >= len(servers))
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -276,6 +276,7 @@
         self.crash_part = ""
         self.announces_leaving = False
         self.limit = ""
+        self.version = "v1"  # of its software
         self.arrivals = []
         self.reads_after_s = 0.0  # bodies, from the time that their head has arrived
         self.names_no_request = False
@@ -303,7 +304,7 @@
             "service": self.service,
             "address": self.address,
             "zone": "z1",
-            "version": "v1",
+            "version": self.version,
             "slots": 8,
             "state": state,
             "coldRemainingMs": 0,
