Resume streams only at the software version that began them

Cause: nobody knew at which version a stream began. The version of a registration was decoded and dropped, Resumes was read nowhere, and the host itself resumed a stream at any target. Class: a continuation is bound to less than what it depends on. Elsewhere of this class: the service of a split route followed from the id of the try, so a take-up could reach another service; it follows from the request that began the stream now.

Streams at other versions than the service's default are recorded in the store before their first event is passed on; without a record a stream began at the default, which changes only 40 s after its last target. What isn't known is refused.

--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -337,6 +337,24 @@
         """
         return self.by_service.get(service, ())
 
+    def list_software_versions(self, service: str) -> list[str]:
+        """Return the software version of each target of a service.
+
+        Parameters
+        ----------
+        service : str
+
+        Returns
+        -------
+        list of str
+            Also of targets that leave.
+        """
+        return [
+            target.software_version
+            for target in list(self.targets.values())
+            if target.service == service
+        ]
+
     def _remove(self, name: str, now: float) -> None:
         target = self.targets.pop(name, None)
         if target is None:
--- a/src/thornlatch/gateway/__init__.py
+++ b/src/thornlatch/gateway/__init__.py
@@ -14,6 +14,7 @@
 )
 from thornlatch.gateway._settings import GatewaySettings, HostAddresses
 from thornlatch.gateway._store_epoch import MAX_EPOCH, StoreEpochs
+from thornlatch.gateway._stream_versions import KeyedValues
 
 __all__ = [
     "AnswerHead",
@@ -24,6 +25,7 @@
     "GatewayMetrics",
     "GatewaySettings",
     "HostAddresses",
+    "KeyedValues",
     "LogSettings",
     "MAX_EPOCH",
     "OrderReply",
--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -115,7 +115,8 @@
             request,
             route,
             organisation,
-            choose_service(route, request.id),
+            # A stream goes on at the service that began it.
+            choose_service(route, request.resumes or request.id),
             running,
             now,
             _count_tokens(request, organisation),
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -88,6 +88,8 @@
         Media type of the stream that the caller receives; None before its head.
     last_event : str
         Id of the event after which the stream continues.
+    stream_version : str or None
+        Software version at which the stream began and has to go on; None before.
     last_event_id : int or None
         Id of the last event passed to the caller; None before the first.
     last_failure : str
@@ -138,6 +140,7 @@
     framing: str = ""
     media_type: str | None = None
     last_event: str = ""
+    stream_version: str | None = None
     last_event_id: int | None = None
     last_failure: str = ""
     no_retry_reason: str = ""
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -5,7 +5,12 @@
 import logbook
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import ForeignAnswer, RequestRefused, TargetError
+from thornlatch.exceptions import (
+    ErrorKind,
+    ForeignAnswer,
+    RequestRefused,
+    TargetError,
+)
 from thornlatch.fleet import Target
 from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._call import (
@@ -25,6 +30,7 @@
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._sender import RejectedByTarget, TargetSender
 from thornlatch.gateway._silences import SilencePolicy
+from thornlatch.gateway._stream_versions import StreamVersions
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import WorkTable
 from thornlatch.quota import RetryBudget, SharedQuota
@@ -33,6 +39,8 @@
 
 logger = logbook.Logger("thornlatch.gateway")
 
+UNKNOWN_VERSION_RETRY_S = 0.3  # until the store may tell a stream's version
+
 
 class Forwarder:
     """Serves each request in the calling thread.
@@ -52,6 +60,7 @@
     pacing : PromptPacing
     suspects : CrashSuspects
     metrics : GatewayMetrics
+    stream_versions : StreamVersions
     """
 
     def __init__(
@@ -70,6 +79,7 @@
         pacing: PromptPacing,
         suspects: CrashSuspects,
         metrics: GatewayMetrics,
+        stream_versions: StreamVersions,
     ) -> None:
         self.admission = admission
         self.selector = selector
@@ -84,6 +94,7 @@
         self.pacing = pacing
         self.suspects = suspects
         self.metrics = metrics
+        self.stream_versions = stream_versions
 
     def serve(
         self, request: CallerRequest, *, is_caller_disconnected: Callable[[], bool]
@@ -111,10 +122,14 @@
         call = self.admission.admit(request, is_caller_disconnected)
         self.work.add(call.running)
         try:
+            if call.route.is_resumable_stream and call.last_event:
+                self._find_stream_version(call)
             answer = self._send_until_answered(call)
         except BaseException as error:
             self._finish(call, error)
             raise
+        if call.route.is_resumable_stream and answer.head.status < 300:
+            self._keep_stream_version(call, answer.option.target)
         self._record_first_part(call)
         if call.route.kind is CallKind.STREAM and answer.head.status < 300:
             body = self._stream_events(call, answer)
@@ -124,6 +139,48 @@
         body = iter((answer.body,) if length else ())
         return GatewayAnswer(answer.head.status, answer.head.headers, body, length)
 
+    def _find_stream_version(self, call: Call) -> None:
+        """Find the version at which the stream began that a caller resumes.
+
+        Raises
+        ------
+        RequestRefused
+            If it can't be told. Another version's events wouldn't fit the caller's.
+        """
+        request = call.request
+        began_at = read_clock()
+        version = self.stream_versions.find(request.resumes, call.service)
+        logger.info(
+            "request.stream_version",
+            extra={
+                "request": request.id,
+                "resumes": request.resumes,
+                "version": version,
+                "lookup_s": round(read_clock() - began_at, 3),
+            },
+        )
+        if version is None:
+            raise RequestRefused(
+                ErrorKind.HOST_UNCONFIRMED,
+                "the software version that began the stream isn't known",
+                retry_after_s=UNKNOWN_VERSION_RETRY_S,
+            )
+        call.stream_version = version
+
+    def _keep_stream_version(self, call: Call, target: Target) -> None:
+        """Bind a stream to the version that begins it, before its first event."""
+        if call.stream_version is not None:
+            return
+        call.stream_version = target.software_version
+        if not self.stream_versions.wait_recorded(call.request.id):
+            logger.warning(
+                "request.version_unrecorded",
+                extra={
+                    "request": call.request.id,
+                    "version": target.software_version,
+                },
+            )
+
     def _send_until_answered(self, call: Call) -> TargetAnswer:
         while True:
             option = self._choose(call)
@@ -155,6 +212,15 @@
         ):
             option = self.selector.choose(call)
         self._check_may_send(call, is_reserved=is_reserved)
+        if call.route.is_resumable_stream:
+            # Recorded while the target reads the prompt.
+            self.stream_versions.note_sent(
+                call.request.id,
+                call.service,
+                option.target.software_version,
+                resumes=call.request.resumes if call.last_event else "",
+                now=read_clock(),
+            )
         return option
 
     def _check_may_send(self, call: Call, *, is_reserved: bool = False) -> None:
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -4,6 +4,7 @@
 import signal
 import threading
 import uuid
+import zlib
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import fields
@@ -33,6 +34,8 @@
 from thornlatch.gateway._settings import GatewaySettings
 from thornlatch.gateway._silences import SilencePolicy
 from thornlatch.gateway._store_epoch import StoreEpochs
+from thornlatch.gateway._stream_versions import PARTITIONS as STREAM_PARTITIONS
+from thornlatch.gateway._stream_versions import StreamVersions
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._target_limits import TargetLimits
 from thornlatch.gateway._work import WorkTable
@@ -118,6 +121,13 @@
             send=lambda host, message: self.fleet.send(host, message),
             send_digest_now=lambda: self.fleet.send_digest_now(),
         )
+        self.stream_versions = StreamVersions(
+            settings.stream_versions,
+            host=self.host,
+            partition=zlib.crc32(settings.host.name.encode()) % STREAM_PARTITIONS,
+            list_versions=self.registry.list_software_versions,
+            is_manager=lambda: self.fleet.topic_share.must_read_store(),
+        )
         self.replicator = AdapterReplicator(
             settings.relief,
             orders=self.orders,
@@ -207,6 +217,7 @@
             pacing=pacing,
             suspects=self.suspects,
             metrics=self.metrics,
+            stream_versions=self.stream_versions,
         )
 
     def run(
@@ -421,6 +432,7 @@
         self.in_force.note_restored(now=now)
         self.registry.note_restored(now=now)
         self.fleet.note_store_restored(now=now)
+        self.stream_versions.note_restored()
         logger.warning(
             "store.restored",
             extra={
@@ -534,6 +546,10 @@
         self.orders.refresh_residents(now=now)
         self.orders.tick(now=now)
         self.replicator.tick(now=now)
+        if self.in_force.configuration is not None:
+            self.stream_versions.tick(
+                self.in_force.configuration.resumable_services, now=now
+            )
         self.metrics.running.set(len(self.work.running))
         self.metrics.live_peers.set(len(live))
 
@@ -589,6 +605,7 @@
                     break
             pause.wait(STOP_POLL_PERIOD_S)
         self.drained.set()
+        self.stream_versions.stop()
         self.fleet.peer_loop.stop()
         pause.wait(STOP_POLL_PERIOD_S)
 
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -33,6 +33,7 @@
 AVOIDING_PEER_LIMIT = 2  # peers that avoid a target before this host does too
 # Of the time that a caller has left: it doesn't wait longer than that to return.
 RETURN_RATIO = 1 / 3
+VERSION_RETRY_S = 1.0  # until a restarted target may have registered again
 LIMITED_RETRY_S = 0.2  # least time until a caller returns to limited targets
 POLL_INTERVAL_S = 0.1  # longest sleep of a waiting request between two checks
 
@@ -105,13 +106,21 @@
             now = read_clock()
             options = self._list_options(call, load_requested_at, now)
             if not options:
-                closed_s = self._get_shortest_closed_s(call.service, now)
+                if call.stream_version is not None and not self._list_ready(call):
+                    raise build_refusal(
+                        call,
+                        ErrorKind.NO_TARGET,
+                        VERSION_RETRY_S,
+                        f"no target of service {call.service} runs version"
+                        f" {call.stream_version}, which began the stream",
+                    )
+                closed_s = self._get_shortest_closed_s(call, now)
                 if closed_s and not call.may_have_run:
                     if now + closed_s < wait_until:
                         wait_s = min(closed_s, POLL_INTERVAL_S)
                         self.residents.wait(call.request.adapter, wait_s)
                         continue
-                    if not self._list_accepting(call.service, now):
+                    if not self._list_accepting(call, now):
                         raise self._build_closed_refusal(call, closed_s)
                 if call.excluded and not call.may_have_run:
                     call.excluded.clear()
@@ -178,9 +187,7 @@
         """
         excluded = call.excluded | {target}
         now = read_clock()
-        return any(
-            t.id not in excluded for t in self._list_accepting(call.service, now)
-        )
+        return any(t.id not in excluded for t in self._list_accepting(call, now))
 
     def list_startable(
         self, call: Call, besides: str, *, within_s: float, now: float
@@ -220,19 +227,28 @@
         if options and options[0].step is Step.REQUEST_LOAD:
             self.request_load(call, options[0].target, now, was_missing=False)
 
-    def _list_accepting(self, service: str, now: float) -> list[Target]:
-        """Return the ready targets to which this host may send a request now."""
+    def _list_ready(self, call: Call) -> list[Target]:
+        """Return the ready targets that can serve a request, or its stream's rest."""
+        version = call.stream_version
         return [
             target
-            for target in self.registry.get_ready(service)
+            for target in self.registry.get_ready(call.service)
+            if version is None or target.software_version == version
+        ]
+
+    def _list_accepting(self, call: Call, now: float) -> list[Target]:
+        """Return the targets to which this host may send a request now."""
+        return [
+            target
+            for target in self._list_ready(call)
             if not self.health.get_closed_s(target, now=now)
         ]
 
-    def _get_shortest_closed_s(self, service: str, now: float) -> float:
+    def _get_shortest_closed_s(self, call: Call, now: float) -> float:
         """Return the seconds until the first closed target opens; 0 without any."""
         closed_s = [
             self.health.get_closed_s(target, now=now)
-            for target in self.registry.get_ready(service)
+            for target in self._list_ready(call)
         ]
         return min((wait_s for wait_s in closed_s if wait_s), default=0.0)
 
@@ -241,7 +257,7 @@
         limits = self.health.limits
         rates = [
             limits.get_rate(target.incarnation)
-            for target in self.registry.get_ready(call.service)
+            for target in self._list_ready(call)
             if limits.is_limited(target.incarnation)
         ]
         reason = "asked for a pause"
@@ -331,7 +347,7 @@
                 spread_s,
             )
 
-        targets = self._list_accepting(call.service, now)
+        targets = self._list_accepting(call, now)
         preferred = self.residents.list_possible_targets(adapter)
         options = list_options(
             targets,
@@ -365,11 +381,13 @@
     def _list_unusable(self, call: Call, now: float) -> tuple[str, ...]:
         """Return targets that hold a request's adapter or will, but of no use to it."""
         unusable = []
+        usable = self._list_ready(call)
         for target in self.registry.get_ready(call.service):
             resident = self.residents.get(target.id, call.request.adapter)
             if resident is not None and (
                 resident.is_queued
                 or target.id in call.excluded
+                or target not in usable
                 or self._is_avoided(target.id, now)
             ):
                 unusable.append(target.id)
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -7,6 +7,7 @@
 
 from thornlatch.fleet import ExchangeSettings, PeerViewSettings, RegistrySettings
 from thornlatch.gateway._logs import LogSettings
+from thornlatch.gateway._stream_versions import StreamVersionSettings
 from thornlatch.gateway._suspect_settings import SuspectSettings
 from thornlatch.gateway._target_limits import TargetLimitSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
@@ -183,6 +184,7 @@
     forwarding : ForwardingSettings
     suspects : SuspectSettings
     limits : TargetLimitSettings
+    stream_versions : StreamVersionSettings
     stop : StopSettings
     logs : LogSettings
     """
@@ -203,5 +205,8 @@
     forwarding: ForwardingSettings = field(default_factory=ForwardingSettings)
     suspects: SuspectSettings = field(default_factory=SuspectSettings)
     limits: TargetLimitSettings = field(default_factory=TargetLimitSettings)
+    stream_versions: StreamVersionSettings = field(
+        default_factory=StreamVersionSettings
+    )
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
--- /dev/null
+++ b/src/thornlatch/gateway/_stream_versions.py
@@ -0,0 +1,504 @@
+"""Software versions at which streams began, also known after all hosts were lost.
+
+Streams of two versions can't be joined, and a caller that resumes one may reach any
+host. The store has one default version for each service. A stream that begins at
+another one is recorded there before its first event is passed on, so one without a
+record began at the default version. The default changes only once no target has run it
+for longer than streams last.
+"""
+
+import threading
+from collections import Counter
+from collections.abc import Callable, Iterable
+from dataclasses import dataclass, field
+from typing import Annotated, Protocol
+
+import logbook
+import msgspec
+from msgspec import Meta
+
+from thornlatch.core import read_clock
+from thornlatch.exceptions import ThornlatchError
+
+logger = logbook.Logger("thornlatch.gateway")
+
+PARTITIONS = 4  # of the topic; one takes about 500 appends a second
+DEFAULT_PARTITION = 0
+DEFAULT_PREFIX = "default/"
+RETRY_S = 0.25  # after a failed call of the store
+IDLE_WAIT_S = 5.0
+DEFAULT_POLL_S = 2.0  # while a service has no default
+DEFAULT_AGE_LIMIT_S = 10.0  # of a host that records streams
+MANAGE_PERIOD_S = 1.0
+FAILURE_LIMIT = 3  # calls that fail in a row until requests don't wait for the store
+EXPIRY_MEMORIES = 3  # after which a host's record is certainly not needed
+
+KeyedValues = list[tuple[str, bytes | None]]
+
+
+@dataclass(frozen=True)
+class StreamVersionSettings:
+    """Times of the records of streams' software versions.
+
+    Parameters
+    ----------
+    memory_s : float
+        Seconds for which a stream's version is known; longer than callers resume it.
+    slot_s : float
+        Seconds of streams that one record of a host holds.
+    record_s : float
+        Longest time in seconds that a first event waits for its stream's record.
+    lookup_s : float
+        Longest time in seconds that a resumed stream waits for a read of the store.
+    """
+
+    memory_s: Annotated[float, Meta(gt=0)] = 40.0
+    slot_s: Annotated[float, Meta(gt=0)] = 2.0
+    record_s: Annotated[float, Meta(gt=0)] = 0.4
+    lookup_s: Annotated[float, Meta(gt=0)] = 1.5
+
+
+class StreamRecordStore(Protocol):
+    """Keyed topic of the platform's store that holds the records.
+
+    Its methods raise `ThornlatchError` if the store doesn't carry them out, or may
+    carry them out later.
+    """
+
+    def read(self, partition: int) -> KeyedValues:
+        """Return keys and values that changed since the previous read, or all."""
+
+    def append(self, partition: int, number: int, records: KeyedValues) -> None:
+        """Append records once, also if called again with the same number.
+
+        Numbers follow each other.
+        """
+
+    def append_if_unchanged(self, partition: int, records: KeyedValues) -> bool:
+        """Append records unless the partition has changed since it was read."""
+
+
+class _StreamRecord(msgspec.Struct):
+    """Streams that began in one slot of a host; later numbers replace earlier ones."""
+
+    number: int
+    # Id of the request and software version; the last of several of a request counts.
+    streams: list[tuple[str, str]]
+
+
+@dataclass
+class _OwnStream:
+    version: str
+    began_at: float
+    # Number of its record; 0 if it needs none.
+    number: int = 0
+
+
+@dataclass
+class _Service:
+    # When targets of each version were last registered.
+    seen_at: dict[str, float] = field(default_factory=dict)
+    default: str | None = None
+    # Whether the default was read since the latest new version appeared.
+    is_confirmed: bool = False
+
+
+class StreamVersions:
+    """KeyedValues at which software versions streams begin, and finds it out again.
+
+    Request threads use it; one thread calls the store.
+
+    Parameters
+    ----------
+    settings : StreamVersionSettings
+    host : str
+        Id of this host, which changes with a restart.
+    partition : int
+        Partition of this host's records.
+    list_versions : callable
+        Returns the software versions of a service's registered targets, one each.
+    is_manager : callable
+        Returns whether this host sets the defaults of services.
+    """
+
+    def __init__(
+        self,
+        settings: StreamVersionSettings,
+        *,
+        host: str,
+        partition: int,
+        list_versions: Callable[[str], Iterable[str]],
+        is_manager: Callable[[], bool],
+    ) -> None:
+        self.settings = settings
+        self.host = host
+        self.partition = partition
+        self.list_versions = list_versions
+        self.is_manager = is_manager
+        self.started_at = read_clock()
+        # Guards all that follows.
+        self.changed = threading.Condition()
+        self.services: dict[str, _Service] = {}
+        self.own: dict[str, _OwnStream] = {}
+        # By request: number of the record, version and when it was read.
+        self.recorded: dict[str, tuple[int, str, float]] = {}
+        self.pending: list[tuple[str, str]] = []
+        self.slot = -1
+        self.slot_streams: list[tuple[str, str]] = []
+        # The record that is being appended; repeated unchanged until it is.
+        self.unwritten: tuple[str, bytes] | None = None
+        self.number = 0
+        self.written_number = 0
+        self.reads_requested = 0
+        self.reads_completed = 0
+        # Number of times that a new version appeared.
+        self.new_versions = 0
+        # Partition of each key and when its record was read.
+        self.keys: dict[str, tuple[int, float]] = {}
+        self.defaults_read_at = float("-inf")
+        self.defaults_due = True
+        self.must_rewrite = False
+        self.failures = 0
+        self.managed_at = float("-inf")
+        self.is_stopped = False
+
+    def note_sent(
+        self, request: str, service: str, version: str, *, resumes: str = "", now: float
+    ) -> None:
+        """Record that a stream is about to begin or go on at a target.
+
+        Parameters
+        ----------
+        request, service : str
+        version : str
+            Software version of the target.
+        resumes : str
+            Id of the request that the stream's first event answered; empty if it is
+            about to begin.
+        now : float
+        """
+        with self.changed:
+            self._forget(now)
+            state = self._observe(service, now)
+            if resumes:
+                # Callers name the first request, whose record is known.
+                self.own.setdefault(resumes, _OwnStream(version, now))
+                return
+            known = self.own.get(request)
+            stream = self.own[request] = _OwnStream(version, now)
+            was_recorded = known is not None and known.number > 0
+            if was_recorded and known is not None and known.version == version:
+                stream.number = known.number
+                return
+            is_default = state.is_confirmed and state.default == version
+            if is_default and not was_recorded:
+                return
+            self.pending.append((request, version))
+            # Written with the next append, together with others that wait for it.
+            stream.number = self.number + 1
+            self.changed.notify_all()
+
+    def wait_recorded(self, request: str) -> bool:
+        """Wait until a stream's version will outlive this host.
+
+        Parameters
+        ----------
+        request : str
+
+        Returns
+        -------
+        bool
+            False if the store doesn't take the record in time.
+        """
+        with self.changed:
+            stream = self.own.get(request)
+            if stream is None:
+                return True
+            return self.changed.wait_for(
+                lambda: self.written_number >= stream.number or self.is_failing,
+                self.settings.record_s,
+            ) and (self.written_number >= stream.number)
+
+    def find(self, request: str, service: str) -> str | None:
+        """Return the version at which a stream began.
+
+        Parameters
+        ----------
+        request : str
+            Id of the request that the stream's first event answered; empty if unknown.
+        service : str
+
+        Returns
+        -------
+        str or None
+            None if it can't be told.
+        """
+        now = read_clock()
+        with self.changed:
+            state = self._observe(service, now)
+            stream = self.own.get(request)
+            if stream is not None:
+                return stream.version
+            if request in self.recorded:
+                return self.recorded[request][1]
+            if not request:
+                return self._find_sole_version(state, now)
+            self.reads_requested += 1
+            ticket = self.reads_requested
+            self.changed.notify_all()
+            self.changed.wait_for(
+                lambda: self.reads_completed >= ticket or self.is_failing,
+                self.settings.lookup_s,
+            )
+            if request in self.recorded:
+                return self.recorded[request][1]
+            if self.reads_completed >= ticket and state.default is not None:
+                return state.default
+            return self._find_sole_version(state, read_clock())
+
+    def _find_sole_version(self, state: _Service, now: float) -> str | None:
+        """Return the version that all targets have run for longer than streams last."""
+        if now - self.started_at < self.settings.memory_s or len(state.seen_at) != 1:
+            return None
+        return next(iter(state.seen_at))
+
+    def _observe(self, service: str, now: float) -> _Service:
+        """Update the versions that a service's targets run."""
+        state = self.services.setdefault(service, _Service())
+        for version in self.list_versions(service):
+            if version not in state.seen_at:
+                # The default may have changed since it was read.
+                self.new_versions += 1
+                state.is_confirmed = False
+                self.defaults_due = True
+                self.changed.notify_all()
+            state.seen_at[version] = now
+        for version in list(state.seen_at):
+            if now - state.seen_at[version] >= self.settings.memory_s:
+                del state.seen_at[version]
+        return state
+
+    def _forget(self, now: float) -> None:
+        """Forget streams that have ended long ago, the oldest first."""
+        limit = now - self.settings.memory_s
+        for request in list(self.own):
+            if self.own[request].began_at > limit:
+                break
+            del self.own[request]
+
+    def note_restored(self) -> None:
+        """Write this host's records again, as the store was restored from a copy."""
+        with self.changed:
+            self.must_rewrite = True
+            self.changed.notify_all()
+
+    def tick(self, services: Iterable[str], *, now: float) -> None:
+        """Observe the services with streams; have their defaults set if need be.
+
+        Parameters
+        ----------
+        services : iterable of str
+        now : float
+        """
+        if now - self.managed_at < MANAGE_PERIOD_S:
+            return
+        self.managed_at = now
+        with self.changed:
+            for service in services:
+                state = self._observe(service, now)
+                is_unused = state.default not in state.seen_at
+                if state.default is None or (is_unused and self.is_manager()):
+                    self.defaults_due = self.defaults_due or self._is_poll_due(now)
+            if self.defaults_due:
+                self.changed.notify_all()
+
+    def _is_poll_due(self, now: float) -> bool:
+        return now - self.defaults_read_at >= DEFAULT_POLL_S
+
+    def stop(self) -> None:
+        """End `run`."""
+        with self.changed:
+            self.is_stopped = True
+            self.changed.notify_all()
+
+    def run(self, store: StreamRecordStore) -> None:
+        """Call the store for the request threads until `stop` is called.
+
+        Parameters
+        ----------
+        store : StreamRecordStore
+        """
+        while not self.is_stopped:
+            with self.changed:
+                self.changed.wait_for(self._has_work, IDLE_WAIT_S)
+            try:
+                self._write(store)
+                self._read(store)
+            except ThornlatchError as error:
+                self._note_failure(error)
+                with self.changed:
+                    self.changed.wait_for(lambda: self.is_stopped, RETRY_S)
+            else:
+                self.failures = 0
+
+    @property
+    def is_failing(self) -> bool:
+        """Whether the store hasn't answered for some time."""
+        return self.failures >= FAILURE_LIMIT
+
+    def _has_work(self) -> bool:
+        return (
+            self.is_stopped
+            or bool(self.pending)
+            or self.unwritten is not None
+            or self.reads_requested > self.reads_completed
+            or self.defaults_due
+            or self.must_rewrite
+        )
+
+    def _note_failure(self, error: ThornlatchError) -> None:
+        with self.changed:
+            self.failures += 1
+            if self.failures == 1:
+                logger.warning("streams.store_failed", extra={"error": error.message})
+            self.changed.notify_all()
+
+    def _write(self, store: StreamRecordStore) -> None:
+        with self.changed:
+            if self.unwritten is None:
+                self.unwritten = self._build_record(read_clock())
+            if self.unwritten is None:
+                return
+            number = self.number
+        key, value = self.unwritten
+        store.append(self.partition, number, [(key, value)])
+        with self.changed:
+            self.unwritten = None
+            self.written_number = number
+            self.changed.notify_all()
+
+    def _build_record(self, now: float) -> tuple[str, bytes] | None:
+        """Return key and value of the record of pending streams; None without any."""
+        if self.must_rewrite:
+            self.must_rewrite = False
+            self.pending = [
+                (request, stream.version)
+                for request, stream in self.own.items()
+                if stream.number
+            ]
+        if not self.pending:
+            return None
+        slot = int(now / self.settings.slot_s)
+        if slot != self.slot:
+            self.slot, self.slot_streams = slot, []
+        self.slot_streams += self.pending
+        self.pending = []
+        self.number += 1
+        if now - self.defaults_read_at >= DEFAULT_AGE_LIMIT_S:
+            # The default may be the version of these streams by now.
+            self.defaults_due = True
+        slots = int(self.settings.memory_s / self.settings.slot_s) + 1
+        record = _StreamRecord(self.number, self.slot_streams)
+        return f"{self.host}/{slot % slots}", msgspec.json.encode(record)
+
+    def _read(self, store: StreamRecordStore) -> None:
+        with self.changed:
+            ticket = self.reads_requested
+            is_lookup = ticket > self.reads_completed
+            if not (is_lookup or self.defaults_due):
+                return
+            self.defaults_due = False
+            new_versions = self.new_versions
+        try:
+            partitions = range(PARTITIONS) if is_lookup else (DEFAULT_PARTITION,)
+            for partition in partitions:
+                self._apply(partition, store.read(partition))
+        except ThornlatchError:
+            self.defaults_due = True
+            raise
+        with self.changed:
+            self.reads_completed = max(self.reads_completed, ticket)
+            self.defaults_read_at = read_clock()
+            if new_versions == self.new_versions:
+                for state in self.services.values():
+                    state.is_confirmed = state.default is not None
+            self.changed.notify_all()
+        if self.is_manager():
+            self._set_defaults(store)
+            self._delete_expired(store)
+
+    def _apply(self, partition: int, records: KeyedValues) -> None:
+        now = read_clock()
+        limit = now - self.settings.memory_s
+        with self.changed:
+            for request in list(self.recorded):
+                if self.recorded[request][2] > limit:
+                    break
+                del self.recorded[request]
+            for key, value in records:
+                if value is None:
+                    self.keys.pop(key, None)
+                elif key.startswith(DEFAULT_PREFIX):
+                    service = key.removeprefix(DEFAULT_PREFIX)
+                    state = self.services.setdefault(service, _Service())
+                    state.default = value.decode("utf-8", "replace")
+                else:
+                    self.keys[key] = (partition, now)
+                    self._apply_streams(key, value, now)
+
+    def _apply_streams(self, key: str, value: bytes, now: float) -> None:
+        try:
+            record = msgspec.json.decode(value, type=_StreamRecord)
+        except (msgspec.MsgspecError, UnicodeDecodeError, RecursionError) as error:
+            logger.warning(
+                "streams.record_unreadable", extra={"key": key, "error": str(error)}
+            )
+            return
+        for request, version in record.streams:
+            known = self.recorded.get(request)
+            if known is None or known[0] <= record.number:
+                self.recorded[request] = (record.number, version, now)
+
+    def _set_defaults(self, store: StreamRecordStore) -> None:
+        """Set the defaults of services without one, or whose default nobody runs."""
+        with self.changed:
+            changes = {
+                service: self._choose_default(service)
+                for service, state in self.services.items()
+                if state.default is None or not self._is_default_in_use(state)
+            }
+        records: KeyedValues = [
+            (DEFAULT_PREFIX + service, version.encode())
+            for service, version in changes.items()
+            if version
+        ]
+        if not records:
+            return
+        # Read again, whether this host set them or another one did meanwhile.
+        self.defaults_due = True
+        if store.append_if_unchanged(DEFAULT_PARTITION, records):
+            logger.info("streams.default_set", extra={"versions": changes})
+
+    def _delete_expired(self, store: StreamRecordStore) -> None:
+        """Delete records that haven't changed for long, of any host."""
+        limit = read_clock() - EXPIRY_MEMORIES * self.settings.memory_s
+        for partition in range(PARTITIONS):
+            expired = [
+                key
+                for key, (part, read_at) in self.keys.items()
+                if part == partition and read_at < limit
+            ]
+            if expired and store.append_if_unchanged(
+                partition, [(key, None) for key in expired]
+            ):
+                for key in expired:
+                    del self.keys[key]
+
+    def _is_default_in_use(self, state: _Service) -> bool:
+        if state.default in state.seen_at:
+            return True
+        return read_clock() - self.started_at < self.settings.memory_s
+
+    def _choose_default(self, service: str) -> str:
+        counts = Counter(self.list_versions(service))
+        return max(sorted(counts), key=lambda version: counts[version], default="")
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -62,7 +62,9 @@
 def build_forwarder(**parts):
     in_force = ConfigurationInForce(FreshnessSettings())
     in_force.install(Configuration(1, (ROUTE,), {}, {"shop": SHOP}))
-    names = "quota retries residents work health pacing suspects metrics"
+    names = (
+        "quota retries residents work health pacing suspects metrics stream_versions"
+    )
     unused = dict.fromkeys(names.split())
     settings = ForwardingSettings()
     return Forwarder(
--- /dev/null
+++ b/src/thornlatch/gateway/tests/test_stream_versions.py
@@ -0,0 +1,302 @@
+"""Versions of streams over kills of hosts, outages and restores of the store."""
+
+import threading
+import time
+from collections import defaultdict
+from concurrent.futures import ThreadPoolExecutor
+from random import Random
+
+import pytest
+
+from thornlatch.core import read_clock
+from thornlatch.exceptions import ErrorKind, ThornlatchError
+from thornlatch.gateway._stream_versions import (
+    PARTITIONS,
+    StreamVersions,
+    StreamVersionSettings,
+)
+
+SERVICE = "llm"
+MEMORY_S = 0.4
+SETTINGS = StreamVersionSettings(memory_s=MEMORY_S, slot_s=0.05, lookup_s=0.5)
+
+
+class StoreDown(ThornlatchError):
+    kind = ErrorKind.PLATFORM_FAILED
+
+
+class Store:
+    """Keyed partitions; `lost_answers` is the share of appends without an answer."""
+
+    def __init__(self, random=None):
+        self.random = random or Random(1)
+        self.lock = threading.Lock()
+        self.logs = defaultdict(list)
+        self.numbers = {}
+        self.is_down = False
+        self.lost_answers = 0.0
+        self.appends = 0
+
+    def check(self):
+        if self.is_down:
+            raise StoreDown("down")
+
+    def lose_answer(self):
+        if self.random.random() < self.lost_answers:
+            raise StoreDown("no answer")
+
+
+class Client:
+    def __init__(self, store, host):
+        self.store = store
+        self.host = host
+        self.offsets = dict.fromkeys(range(PARTITIONS), 0)
+
+    def read(self, partition):
+        with self.store.lock:
+            self.store.check()
+            log = self.store.logs[partition]
+            records = log[self.offsets[partition] :]
+            self.offsets[partition] = len(log)
+            return records
+
+    def append(self, partition, number, records):
+        with self.store.lock:
+            self.store.check()
+            if self.store.numbers.get(self.host, 0) < number:
+                self.store.numbers[self.host] = number
+                self.store.logs[partition] += records
+                self.store.appends += 1
+            self.store.lose_answer()
+
+    def append_if_unchanged(self, partition, records):
+        with self.store.lock:
+            self.store.check()
+            log = self.store.logs[partition]
+            if self.offsets[partition] != len(log):
+                return False
+            log += records
+            return True
+
+
+class Fleet:
+    """Hosts with a thread each, and the versions of the targets that they see."""
+
+    def __init__(self, store, versions):
+        self.store = store
+        self.versions = versions
+        self.executor = ThreadPoolExecutor(16)
+        self.hosts = []
+        self.started = 0
+
+    def start(self, *, is_manager=True):
+        self.started += 1
+        host = StreamVersions(
+            SETTINGS,
+            host=f"h{self.started}",
+            partition=self.started % PARTITIONS,
+            list_versions=lambda service: list(self.versions),
+            is_manager=lambda: is_manager,
+        )
+        self.hosts.append(host)
+        self.executor.submit(host.run, Client(self.store, f"h{self.started}"))
+        host.tick([SERVICE], now=read_clock())
+        return host
+
+    def kill(self, host):
+        self.hosts.remove(host)
+        host.stop()
+
+    def kill_all(self):
+        for host in list(self.hosts):
+            self.kill(host)
+
+
+@pytest.fixture
+def fleet():
+    fleet = Fleet(Store(), ["v1", "v1"])
+    yield fleet
+    fleet.kill_all()
+    fleet.executor.shutdown()
+
+
+def wait_for(condition):
+    deadline = time.monotonic() + 5
+    while not condition():
+        assert time.monotonic() < deadline
+        time.sleep(0.005)
+
+
+def start_settled(fleet, **options):
+    host = fleet.start(**options)
+    wait_for(lambda: host.services[SERVICE].is_confirmed)
+    return host
+
+
+def begin(host, request, version):
+    host.note_sent(request, SERVICE, version, now=read_clock())
+    return host.wait_recorded(request)
+
+
+def test_streams_of_the_only_version_are_not_recorded(fleet):
+    """Each record costs a call of the store before the first event."""
+    host = start_settled(fleet)
+    for number in range(20):
+        assert begin(host, f"r{number}", "v1")
+    assert fleet.store.appends == 0
+    fleet.kill_all()
+    assert fleet.start().find("r3", SERVICE) == "v1"
+
+
+def test_versions_are_known_after_all_hosts_were_killed(fleet):
+    host = start_settled(fleet)
+    fleet.versions += ["v2", "v3"]
+    for number in range(30):
+        assert begin(host, f"r{number}", f"v{number % 3 + 1}")
+    fleet.kill_all()
+    fleet.versions = ["v2", "v3"]
+    host = fleet.start()
+    for number in range(30):
+        assert host.find(f"r{number}", SERVICE) == f"v{number % 3 + 1}"
+
+
+def test_last_target_before_the_first_event_counts(fleet):
+    """A target that refuses a stream doesn't begin it."""
+    host = start_settled(fleet)
+    fleet.versions += ["v2"]
+    begin(host, "r", "v2")
+    begin(host, "r", "v1")
+    assert fleet.start().find("r", SERVICE) == "v1"
+    begin(host, "s", "v1")
+    begin(host, "s", "v2")
+    assert fleet.start().find("s", SERVICE) == "v2"
+
+
+def test_record_whose_answer_is_lost_is_appended_once(fleet):
+    host = start_settled(fleet)
+    fleet.versions += ["v2"]
+    fleet.store.lost_answers = 0.5
+    for number in range(8):
+        host.note_sent(f"r{number}", SERVICE, "v2", now=read_clock())
+        wait_for(lambda number=number: host.wait_recorded(f"r{number}"))
+    fleet.store.lost_answers = 0.0
+    assert fleet.store.appends == fleet.store.numbers["h1"]
+    fleet.kill_all()
+    assert fleet.start().find("r5", SERVICE) == "v2"
+
+
+def test_default_changes_only_after_streams_of_the_former_one_ended(fleet):
+    host = start_settled(fleet)
+    fleet.versions += ["v2"]
+    assert begin(host, "old", "v1")
+    fleet.versions = ["v2"]
+    host.tick([SERVICE], now=read_clock())
+    assert host.services[SERVICE].default == "v1"
+    assert fleet.start().find("old", SERVICE) == "v1"
+
+    def has_changed():
+        host.managed_at = host.defaults_read_at = float("-inf")
+        host.tick([SERVICE], now=read_clock())
+        return host.services[SERVICE].default == "v2"
+
+    wait_for(has_changed)
+    assert read_clock() - host.started_at >= MEMORY_S
+    appends = fleet.store.appends
+    wait_for(lambda: host.services[SERVICE].is_confirmed)
+    begin(host, "new", "v2")
+    assert fleet.store.appends == appends
+    assert fleet.start().find("new", SERVICE) == "v2"
+
+
+def test_version_that_returns_is_recorded_although_it_was_the_default(fleet):
+    """A host that missed the change of the default recorded nothing."""
+    host = start_settled(fleet)
+    stale = start_settled(fleet, is_manager=False)
+    begin(stale, "r0", "v1")
+    fleet.versions = ["v2"]
+    host.tick([SERVICE], now=read_clock())
+
+    def has_changed():
+        host.managed_at = host.defaults_read_at = float("-inf")
+        host.tick([SERVICE], now=read_clock())
+        return host.services[SERVICE].default == "v2"
+
+    wait_for(has_changed)
+    stale.note_sent("r1", SERVICE, "v2", now=read_clock())
+    fleet.versions = ["v1", "v2"]
+    assert stale.services[SERVICE].default == "v1"
+    begin(stale, "r2", "v1")
+    assert fleet.start().find("r2", SERVICE) == "v1"
+
+
+def test_nothing_is_guessed_while_the_store_is_away(fleet):
+    """A wrong version is worse for a caller than a refusal."""
+    host = start_settled(fleet)
+    fleet.versions += ["v2"]
+    fleet.store.is_down = True
+    assert not begin(host, "r", "v2")
+    assert host.find("r", SERVICE) == "v2"
+    other = fleet.start()
+    assert other.find("r", SERVICE) is None
+    assert other.find("", SERVICE) is None
+    fleet.store.is_down = False
+    wait_for(lambda: other.find("r", SERVICE) == "v2")
+
+
+def test_only_version_for_long_needs_no_store(fleet):
+    host = start_settled(fleet)
+    fleet.store.is_down = True
+    host.started_at = read_clock() + 10.0
+    assert host.find("r", SERVICE) is None
+    host.started_at = read_clock() - MEMORY_S
+    assert host.find("r", SERVICE) == "v1"
+    assert host.find("", SERVICE) == "v1"
+
+
+def test_restored_store_gets_the_records_again(fleet):
+    host = start_settled(fleet)
+    fleet.versions += ["v2"]
+    begin(host, "r", "v2")
+    fleet.store.logs.clear()
+    host.note_restored()
+    wait_for(lambda: any(fleet.store.logs.values()))
+    assert fleet.start().find("r", SERVICE) == "v2"
+
+
+def test_unreadable_record_leaves_the_others_in_effect(fleet):
+    host = start_settled(fleet)
+    fleet.versions += ["v2"]
+    begin(host, "r", "v2")
+    for value in (b"", b"[" * 5000, b"\xff", b'{"number":1}', b"null"):
+        fleet.store.logs[1].insert(0, (f"x/{len(value)}", value))
+    assert fleet.start().find("r", SERVICE) == "v2"
+
+
+@pytest.mark.parametrize("seed", range(6))
+def test_no_stream_is_found_at_another_version(fleet, seed):
+    """Releases, kills of some or all hosts and lost answers, in any order."""
+    random = Random(seed)
+    fleet.store.random = random
+    fleet.start()
+    began = {}
+    for step in range(300):
+        event = random.random()
+        if event < 0.05 and len(fleet.hosts) < 5:
+            fleet.start(is_manager=random.random() < 0.5)
+        elif event < 0.08:
+            fleet.kill(random.choice(fleet.hosts))
+        elif event < 0.09:
+            fleet.kill_all()
+        elif event < 0.14:
+            fleet.versions = [f"v{random.randint(1, 3)}" for _ in range(3)]
+        elif event < 0.16:
+            fleet.store.lost_answers = random.choice([0.0, 0.3])
+        if not fleet.hosts:
+            fleet.start()
+        host, version = random.choice(fleet.hosts), random.choice(fleet.versions)
+        if begin(host, f"r{step}", version):
+            began[f"r{step}"] = (version, time.monotonic())
+        request, (version, at) = random.choice(list(began.items()) or [("", ("", 0))])
+        if time.monotonic() - at < MEMORY_S / 2:
+            found = random.choice(fleet.hosts).find(request, SERVICE)
+            assert found in (version, None)
--- a/src/thornlatch/routing/_configuration.py
+++ b/src/thornlatch/routing/_configuration.py
@@ -59,9 +59,12 @@
     @property
     def may_repeat(self) -> bool:
         """Whether a request may be repeated after a target may have executed it."""
-        return self.kind is CallKind.IDEMPOTENT or (
-            self.kind is CallKind.STREAM and self.is_resumable
-        )
+        return self.kind is CallKind.IDEMPOTENT or self.is_resumable_stream
+
+    @property
+    def is_resumable_stream(self) -> bool:
+        """Whether a stream may go on at another target after an event."""
+        return self.kind is CallKind.STREAM and self.is_resumable
 
 
 @dataclass(frozen=True)
@@ -197,6 +200,8 @@
     organisations: dict[str, Organisation]
     limits: CallerLimits | None = None
     organisations_by_key: dict[str, Organisation] = field(init=False, compare=False)
+    # Services whose streams may be resumed.
+    resumable_services: frozenset[str] = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
         by_key = {
@@ -205,3 +210,10 @@
             for key in organisation.keys
         }
         object.__setattr__(self, "organisations_by_key", by_key)
+        resumable = frozenset(
+            name
+            for route in self.routes
+            if route.is_resumable_stream
+            for name, _ in route.services
+        )
+        object.__setattr__(self, "resumable_services", resumable)
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -164,15 +164,19 @@
         handler.send(status, data)
 
     def log_append(self, query, body):
-        position = 0
-        while position < len(body):
-            (size,) = struct.unpack_from(">I", body, position)
-            self.append(query["topic"], body[position + 4 : position + 4 + size])
-            position += 4 + size
+        log = _name_log(query)
+        with self.changed:
+            if int(query.get("at", len(self.records[log]))) != len(self.records[log]):
+                return 412, json.dumps({"endOffset": len(self.records[log])}).encode()
+            position = 0
+            while position < len(body):
+                (size,) = struct.unpack_from(">I", body, position)
+                self.append(log, body[position + 4 : position + 4 + size])
+                position += 4 + size
         return 200, json.dumps({"offset": 0, "endOffset": 1}).encode()
 
     def log_read(self, query, body):
-        topic, offset = query["topic"], int(query["from"])
+        topic, offset = _name_log(query), int(query["from"])
         with self.changed:
             deadline = time.monotonic() + int(query.get("waitMs", 0)) / 1000
             while len(self.records[topic]) == offset:
@@ -195,8 +199,9 @@
 
     def log_newest(self, query, body):
         latest = {}
+        log = _name_log(query)
         with self.changed:
-            for number, record in enumerate(self.records[query["topic"]]):
+            for number, record in enumerate(self.records[log]):
                 key = record[1 : 1 + record[0]].decode()
                 value = record[1 + record[0] :]
                 latest.pop(key, None)
@@ -206,7 +211,7 @@
                         "data": base64.b64encode(value).decode(),
                         "offset": number,
                     }
-            end = len(self.records[query["topic"]])
+            end = len(self.records[log])
         items = [latest[key] for key in sorted(latest) if key > query.get("after", "")]
         page = {"items": items[:2], "hasMore": len(items) > 2, "endOffset": end}
         return 200, json.dumps(page).encode()
@@ -235,6 +240,12 @@
         return 200, json.dumps({"parts": rows}).encode()
 
 
+def _name_log(query):
+    """Return the name of a partition's log: the topic for the first partition."""
+    part = query.get("part", "0")
+    return query["topic"] + (f"/{part}" if part != "0" else "")
+
+
 class ModelServer(_Server):
     """An engine or plain server that signs its answers.
 
