--- a/tests/platform/test_feeds.py
+++ b/tests/platform/test_feeds.py
@@ -116,7 +116,7 @@
     gateway.host = "edge-1.0"
     gateway.settings = SimpleNamespace(
         host=SimpleNamespace(
-            name="edge-1", peer_address="a:1", failure_domain="z", capacity=1.0
+            name="edge-1", peer_address="10.0.0.1:1", failure_domain="z", capacity=1.0
         )
     )
     gateway.quota = SimpleNamespace(knows_peers=True)
@@ -133,7 +133,7 @@
 
 
 def apply_host(feed, name, wall=1e9):
-    entry = f'{{"id": "{name}.0", "address": "b:1", "written_s": {wall}}}'
+    entry = f'{{"id": "{name}.0", "address": "10.0.0.2:1", "written_s": {wall}}}'
     feed.apply_record(KeyedRecord(name, entry.encode()), 0.0)
 
 
@@ -273,7 +273,9 @@
     apply_host(feed, "edge-3")
     feed.apply_record(KeyedRecord("edge-3", None), 0.0)
     entries = {
-        name: f'{{"id": "{identity}", "address": "b:1", "written_s": 1}}'.encode()
+        name: (
+            f'{{"id": "{identity}", "address": "10.0.0.2:1", "written_s": 1}}'
+        ).encode()
         for name, identity in [
             ("edge-2", "edge-2.former"),
             ("edge-3", "edge-3.0"),
