Answer requests that outlast a planned stop before the process exits

What callers saw: in a planned stop, requests that targets didn't finish within the grace got a closed connection without an answer, among them requests that may not be repeated.

Cause: the process exited at the end of the grace whatever was running. Class: a limit in time of the process that the requests' own limits don't know. Change: from SIGTERM on, the deadline of each request is at most 0.9 s before the platform's kill; what runs then is answered 504 (it may have run), what waits 503 (it hasn't), and targets get the shorter time.

Elsewhere of this class: a reload doesn't end the process; the stop of the completions daemon refuses and ends streams by itself.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -591,14 +591,16 @@
         began_at = read_clock()
         self.app.closes_connections = True
         logger.info("host.stopping", extra={"running": len(self.work.running)})
+        exits_at = began_at + settings.grace_s - settings.margin_s
+        self.work.end_by(exits_at - settings.answer_s)
         self.orders.stop()
         self.fleet.send_digest_now()
         pause = threading.Event()
         while True:
-            elapsed = read_clock() - began_at
-            if elapsed >= settings.grace_s - settings.margin_s:
+            now = read_clock()
+            if now >= exits_at:
                 break
-            if elapsed >= settings.linger_s:
+            if now >= began_at + settings.linger_s:
                 self.app.refuses_requests = True
                 # Callers may read more slowly than their requests are served.
                 if not (self.work.running or has_unsent_answers(caller_server)):
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -152,6 +152,9 @@
         Seconds after which the platform kills the process.
     margin_s : float
         Seconds of `grace_s` that are reserved for the exit.
+    answer_s : float
+        Seconds before the exit in which requests that targets haven't finished are
+        answered with an error.
     linger_s : float
         Seconds for which new connections may still arrive after the host has reported
         that it isn't ready.
@@ -159,6 +162,7 @@
 
     grace_s: Seconds = 8.0
     margin_s: Annotated[float, Meta(ge=0)] = 0.5
+    answer_s: Annotated[float, Meta(ge=0)] = 0.4
     linger_s: Annotated[float, Meta(ge=0)] = 2.5
 
 
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -125,6 +125,8 @@
         self.uses: dict[str, set[TargetUse]] = {}
         self.prompt_tokens = DecayingSums()
         self.running: set[RunningRequest] = set()
+        # Clock time by which all requests must have a final answer.
+        self.ends_by = float("inf")
         # Set while any request is running.
         self.busy = threading.Event()
 
@@ -136,9 +138,23 @@
         running : RunningRequest
         """
         with self.lock:
+            running.ends_at = min(running.ends_at, self.ends_by)
             self.running.add(running)
             self.busy.set()
 
+    def end_by(self, at: float) -> None:
+        """Answer all requests by a time, also those that come later.
+
+        Parameters
+        ----------
+        at : float
+            Clock time.
+        """
+        with self.lock:
+            self.ends_by = at
+            for running in self.running:
+                running.ends_at = min(running.ends_at, at)
+
     def remove(self, running: RunningRequest) -> None:
         """Remove a request that is no longer served.
 
