Read the default software version only once a host has streams

Each host of a fleet read it at its start, and every 0.25 s while the store was away. Now only the host that sets the defaults reads them at its start, the others with their first stream or when a version appears, and calls that fail are repeated after up to 1 s.

--- a/src/thornlatch/gateway/_stream_versions.py
+++ b/src/thornlatch/gateway/_stream_versions.py
@@ -25,7 +25,7 @@
 PARTITIONS = 4  # of the topic; one takes about 500 appends a second
 DEFAULT_PARTITION = 0
 DEFAULT_PREFIX = "default/"
-RETRY_S = 0.25  # after a failed call of the store
+RETRY_S, RETRY_LIMIT_S = 0.25, 1.0  # after failed calls of the store; doubles
 IDLE_WAIT_S = 5.0
 DEFAULT_POLL_S = 2.0  # while a service has no default
 DEFAULT_AGE_LIMIT_S = 10.0  # of a host that records streams
@@ -151,12 +151,13 @@
         self.written_number = 0
         self.reads_requested = 0
         self.reads_completed = 0
-        # Number of times that a new version appeared.
+        # Number of times that a new version appeared, now and as of the latest read.
         self.new_versions = 0
+        self.new_versions_read = -1
         # Partition of each key and when its record was read.
         self.keys: dict[str, tuple[int, float]] = {}
         self.defaults_read_at = float("-inf")
-        self.defaults_due = True
+        self.defaults_due = False
         self.must_rewrite = False
         self.failures = 0
         self.managed_at = float("-inf")
@@ -180,6 +181,7 @@
         with self.changed:
             self._forget(now)
             state = self._observe(service, now)
+            self._require_default(state, now)
             if resumes:
                 # Callers name the first request, whose record is known.
                 self.own.setdefault(resumes, _OwnStream(version, now))
@@ -270,14 +272,21 @@
                 # The default may have changed since it was read.
                 self.new_versions += 1
                 state.is_confirmed = False
-                self.defaults_due = True
-                self.changed.notify_all()
             state.seen_at[version] = now
         for version in list(state.seen_at):
             if now - state.seen_at[version] >= self.settings.memory_s:
                 del state.seen_at[version]
         return state
 
+    def _require_default(self, state: _Service, now: float) -> None:
+        """Have the default of a service read unless it is known."""
+        if state.is_confirmed:
+            return
+        is_poll_due = now - self.defaults_read_at >= DEFAULT_POLL_S
+        if is_poll_due or self.new_versions_read != self.new_versions:
+            self.defaults_due = True
+            self.changed.notify_all()
+
     def _forget(self, now: float) -> None:
         """Forget streams that have ended long ago, the oldest first."""
         limit = now - self.settings.memory_s
@@ -304,16 +313,14 @@
             return
         self.managed_at = now
         with self.changed:
-            for service in services:
-                state = self._observe(service, now)
-                is_unused = state.default not in state.seen_at
-                if state.default is None or (is_unused and self.is_manager()):
-                    self.defaults_due = self.defaults_due or self._is_poll_due(now)
-            if self.defaults_due:
-                self.changed.notify_all()
-
-    def _is_poll_due(self, now: float) -> bool:
-        return now - self.defaults_read_at >= DEFAULT_POLL_S
+            states = [self._observe(service, now) for service in services]
+            if not self.is_manager():
+                # The others read the defaults once they have streams.
+                return
+            for state in states:
+                if state.default not in state.seen_at:
+                    state.is_confirmed = False
+                self._require_default(state, now)
 
     def stop(self) -> None:
         """End `run`."""
@@ -336,8 +343,9 @@
                 self._read(store)
             except ThornlatchError as error:
                 self._note_failure(error)
+                pause_s = min(RETRY_S * 2 ** (self.failures - 1), RETRY_LIMIT_S)
                 with self.changed:
-                    self.changed.wait_for(lambda: self.is_stopped, RETRY_S)
+                    self.changed.wait_for(lambda: self.is_stopped, pause_s)
             else:
                 self.failures = 0
 
@@ -419,6 +427,7 @@
         with self.changed:
             self.reads_completed = max(self.reads_completed, ticket)
             self.defaults_read_at = read_clock()
+            self.new_versions_read = new_versions
             if new_versions == self.new_versions:
                 for state in self.services.values():
                     state.is_confirmed = state.default is not None
