Refuse at once what waits behind others for a target's limit

If all targets of a service limit their requests, each request that could wait until the next free turn waited, whoever else waited for it, and was refused late. Found on reading the change.

--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -1,5 +1,7 @@
 """Selects a target for a request, waiting for an adapter load if necessary."""
 
+import threading
+from collections import Counter
 from random import Random
 
 import logbook
@@ -77,6 +79,9 @@
         self.health = health
         self.pacing = pacing
         self.random = random
+        # Requests that wait because all targets of their service are closed.
+        self.waiting: Counter[str] = Counter()
+        self.waiting_lock = threading.Lock()
 
     def choose(self, call: Call) -> TargetOption:
         """Return a target that can serve a request now.
@@ -116,9 +121,9 @@
                     )
                 closed_s = self._get_shortest_closed_s(call, now)
                 if closed_s and not call.may_have_run:
-                    if now + closed_s < wait_until:
-                        wait_s = min(closed_s, POLL_INTERVAL_S)
-                        self.residents.wait(call.request.adapter, wait_s)
+                    queue_s = closed_s + self._estimate_limit_queue_s(call)
+                    if now + queue_s < wait_until:
+                        self._wait_closed(call, closed_s)
                         continue
                     if not self._list_accepting(call, now):
                         raise self._build_closed_refusal(call, closed_s)
@@ -252,6 +257,23 @@
         ]
         return min((wait_s for wait_s in closed_s if wait_s), default=0.0)
 
+    def _estimate_limit_queue_s(self, call: Call) -> float:
+        """Return the seconds that the requests waiting for limits take before."""
+        limits = self.health.limits
+        share = sum(
+            limits.get_share(target.incarnation) for target in self._list_ready(call)
+        )
+        return self.waiting[call.service] / share if share else 0.0
+
+    def _wait_closed(self, call: Call, closed_s: float) -> None:
+        with self.waiting_lock:
+            self.waiting[call.service] += 1
+        try:
+            self.residents.wait(call.request.adapter, min(closed_s, POLL_INTERVAL_S))
+        finally:
+            with self.waiting_lock:
+                self.waiting[call.service] -= 1
+
     def _build_closed_refusal(self, call: Call, closed_s: float) -> RequestRefused:
         """Return the refusal of a request for which all targets are closed."""
         limits = self.health.limits
--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -305,6 +305,24 @@
             return math.inf
         return max(limit.rate, self.settings.probe_rate)
 
+    def get_share(self, target: Incarnation) -> float:
+        """Return the requests a second that this host may send to a target.
+
+        Parameters
+        ----------
+        target : (str, int)
+
+        Returns
+        -------
+        float
+            Infinite without a limit.
+        """
+        with self.lock:
+            limit = self.limits.get(target)
+            if limit is None or limit.ended_at is not None:
+                return math.inf
+            return self._compute_share(target, limit)[0]
+
     def get_wait_s(self, target: Incarnation, *, now: float) -> float:
         """Return the seconds until this host may send a request to a target.
 
