Soak: streams of several versions, callers that resume them, limits of servers

A run without any answered stream is a violation now.

New: servers of two software versions that change with a restart, callers that resume streams that broke off and leave a fifth of them after an event, and servers that name a limit. Checked: no more than two streams of a run hold events of two versions; no window of 4 s above a named limit. Streams that the caller itself left aren't aborted by a stop.

--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -288,6 +288,7 @@
         self.announces_leaving = False
         self.limit = ""
         self.version = "v1"  # of its software
+        self.event_suffix = ""
         self.arrivals = []
         self.reads_after_s = 0.0  # bodies, from the time that their head has arrived
         self.names_no_request = False
@@ -339,7 +340,7 @@
         if self.repeats_answers and getattr(handler, "kept_answer", b""):
             handler.wfile.write(handler.kept_answer)
         elif handler.path == "/api/order":
-            self.send_and_keep(handler, self.take_order(json.loads(body)))
+            self.answer_order(handler, json.loads(body))
         else:
             report = {
                 "loadedModels": self.list_models(),
@@ -349,6 +350,9 @@
             }
             self.send_and_keep(handler, 200, json.dumps(report).encode())
 
+    def answer_order(self, handler, order):
+        self.send_and_keep(handler, self.take_order(order))
+
     def take_order(self, order):
         with self.lock:
             self.orders.append(order)
@@ -485,7 +489,7 @@
         handler.close_connection = not is_chunked
         first = int(headers.get("Last-Event-Id") or 0) + 1
         for number in range(first, self.events + 1):
-            event = f"id: {number}\ndata: e{number}\n\n".encode()
+            event = f"id: {number}\ndata: e{number}{self.event_suffix}\n\n".encode()
             is_cut = step.startswith("cut-") and number == first + 2
             if is_cut:
                 event = event[:5]
--- a/tests/soak/callers.py
+++ b/tests/soak/callers.py
@@ -5,11 +5,12 @@
 import re
 import threading
 import time
+import zlib
 from dataclasses import dataclass
 
 REQUEST_TIMEOUT_S = 6.0
 DEADLINE_MS = 4000
-EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: e(\d+)\n\n")
+EVENT_PATTERN = re.compile(rb"id: (\d+)\ndata: e(\d+) (v\d+)\n\n")
 
 
 @dataclass(frozen=True)
@@ -30,6 +31,11 @@
     signature: str
     body: bytes
     is_complete: bool
+    # Request that the resumed stream's first event answered, and last event received.
+    resumes: str = ""
+    after_event: int = 0
+    # Whether the caller closed the connection within the stream.
+    has_left: bool = False
 
 
 class Caller:
@@ -45,16 +51,33 @@
         self.sent_count = 0
         self.connection = None
         self.host = None
+        # Headers of a request that resumes the last stream; empty if it was complete.
+        self.resumption = {}
         self.thread = threading.Thread(target=self.run, daemon=True)
         self.thread.start()
 
     def run(self):
         while not self.stopping.is_set():
-            self.outcomes.append(self.send_request())
+            outcome = self.send_request()
+            self.outcomes.append(outcome)
+            self.resumption = self.resume(outcome)
             self.stopping.wait(self.rng.uniform(0.0, 0.15))
 
+    def resume(self, outcome):
+        """Return the headers that resume a stream after its last event, if it broke."""
+        numbers = list_events(outcome.body) if outcome.kind == "llm" else None
+        after_event = numbers[-1] if numbers else outcome.after_event
+        if outcome.kind != "llm" or outcome.is_complete or not after_event:
+            return {}
+        return {
+            "Last-Event-Id": str(after_event),
+            "Resumes": outcome.resumes or outcome.request,
+        }
+
     def send_request(self):
         kind = self.rng.choice(("once", "many", "llm", "llm", "open", "new"))
+        if self.resumption:
+            kind = "llm"
         request = (
             f"{self.number:02x}{self.sent_count:06x}{self.rng.getrandbits(32):08x}"
         )
@@ -72,15 +95,18 @@
             adapter = int(self.rng.paretovariate(1.0)) % 12
             headers["Thornlatch-Model"] = f"m/a{adapter}"
             headers["Thornlatch-Token-Usage"] = f"{self.rng.randrange(20, 400)},50"
+            headers.update(self.resumption)
         sent_at = time.monotonic()
         host, start_number = self.host, self.host.start_number
         status, signature, body, is_complete = 0, "", b"", False
+        # Some streams are left after an event, so that callers resume more of them.
+        leaves = kind == "llm" and zlib.crc32(request.encode()) % 5 == 0
         try:
             self.connection.request("POST", f"/{kind}/x", b"body", headers)
             response = self.connection.getresponse()
             status = response.status
             signature = response.getheader("Thornlatch-Server-Signature", "")
-            body, is_complete = read_body(response)
+            body, is_complete = read_body(response, leaves=leaves)
             if response.will_close or not is_complete:
                 self.disconnect()
         except (OSError, http.client.HTTPException):
@@ -98,6 +124,9 @@
             signature,
             body,
             is_complete,
+            headers.get("Resumes", ""),
+            int(headers.get("Last-Event-Id", 0)),
+            leaves and status == 200 and not is_complete,
         )
 
     def connect(self):
@@ -114,12 +143,21 @@
         self.connection = None
 
 
-def read_body(response):
-    """Return the body of an answer and whether its framing is complete."""
+def read_body(response, *, leaves=False):
+    """Return the body of an answer and whether its framing is complete.
+
+    Parameters
+    ----------
+    response : http.client.HTTPResponse
+    leaves : bool
+        Whether to stop reading after the first events.
+    """
     chunks = []
     try:
         while chunk := response.read1(1 << 16):
             chunks.append(chunk)
+            if leaves and EVENT_PATTERN.search(b"".join(chunks)):
+                return b"".join(chunks), False
     except (TimeoutError, OSError, http.client.HTTPException):
         return b"".join(chunks), False
     is_complete = response.length in (None, 0)
@@ -137,3 +175,8 @@
         numbers.append(int(match[1]))
         position = match.end()
     return numbers if position == len(body) else None
+
+
+def list_versions(body):
+    """Return the software versions that the events of a stream name."""
+    return {match[3].decode() for match in EVENT_PATTERN.finditer(body)}
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -183,6 +183,17 @@
     server.asked_pause_s = 0.0
 
 
+def limit_requests(world, rng):
+    """Let a server name a limit of its requests in its answers for a while."""
+    server = rng.choice(list(world.servers.values()))
+    limit = rng.choice((0.5, 2.0, 4.0))
+    server.limit = str(limit)
+    began_at = time.monotonic()
+    yield server.name, rng.uniform(4.0, 8.0)
+    world.limited.append((server.name, limit, began_at, time.monotonic()))
+    server.limit = ""
+
+
 def change_routes(world, rng):
     for _ in range(rng.randrange(1, 5)):
         world.publish(has_new_route=not world.has_new_route)
@@ -224,6 +235,7 @@
 )
 # Apart from the others, so that the faults of a seed stay as they are.
 ANSWER_FAULTS = (announce_leaving, ask_for_pause)
+LIMIT_FAULTS = (limit_requests,)
 PLANNED_FAULT_NAMES = {
     "stop_host",
     "restart_hosts_in_turn",
@@ -234,6 +246,7 @@
     "drain_server",
     "announce_leaving",
     "ask_for_pause",
+    "limit_requests",
 }
 
 
--- a/tests/soak/invariants.py
+++ b/tests/soak/invariants.py
@@ -2,7 +2,7 @@
 
 from collections import Counter, defaultdict
 
-from tests.soak.callers import DEADLINE_MS, list_events
+from tests.soak.callers import DEADLINE_MS, list_events, list_versions
 
 # Drains, configurations and planned stops are not checked during an unplanned fault or
 # a stall, and for this long after it.
@@ -17,6 +17,10 @@
 # A small deployment may exceed the quota by 10 % and 3,400 tokens.
 QUOTA_LIMIT_TOKENS = QUOTA_TOKENS * 1.1 + 17000 / 5
 MAX_TARGETS = 2
+MAX_JOINED_STREAMS = 2  # of two software versions, in a run
+LIMIT_WINDOW_S = 4.0
+LIMIT_SETTLING_S = 3.0  # after a server has first named its limit
+LIMIT_RATIO, LIMIT_SLACK = 1.5, 5
 NOT_RUN_STATUSES = {408, 421, 429, 503}
 EVENT_NUMBERS = list(range(1, 13))
 DEADLINE_SLACK_MS = 500
@@ -50,6 +54,8 @@
     violations += _check_stops(world)
     violations += _check_announced(world, arrivals)
     violations += _check_pauses(world)
+    violations += _check_versions(world)
+    violations += _check_limits(world, arrivals)
     return violations
 
 
@@ -69,9 +75,10 @@
             yield "complete answers", "unexpected body"
     if outcome.status == 200 and is_stream:
         numbers = list_events(outcome.body)
-        if outcome.is_complete and numbers != EVENT_NUMBERS:
+        expected = EVENT_NUMBERS[outcome.after_event :]
+        if outcome.is_complete and numbers != expected:
             yield "streams in order", "incomplete stream ended as complete"
-        if numbers is not None and numbers != EVENT_NUMBERS[: len(numbers)]:
+        if numbers is not None and numbers != expected[: len(numbers)]:
             yield "streams in order", "gap or repeat"
 
 
@@ -152,6 +159,32 @@
                 yield "pauses", f"{link} got {len(times)} in the pause of {pause}"
 
 
+def _check_versions(world):
+    """Yield the streams with events of two software versions if there are many."""
+    versions = defaultdict(set)
+    for outcome in world.outcomes:
+        if outcome.kind == "llm" and outcome.status == 200:
+            origin = outcome.resumes or outcome.request
+            versions[origin] |= list_versions(outcome.body)
+    joined = [origin for origin, found in versions.items() if len(found) > 1]
+    if len(joined) > MAX_JOINED_STREAMS:
+        yield "one software version a stream", f"{len(joined)} streams: {joined[:5]}"
+
+
+def _check_limits(world, arrivals):
+    """Yield servers that got more requests than the limit that they named."""
+    for server, limit, since, until in world.limited:
+        tolerated = LIMIT_RATIO * limit * LIMIT_WINDOW_S + LIMIT_SLACK
+        times = sorted(a.received_at for a in arrivals if a.server == server)
+        for end in times:
+            if not since + LIMIT_SETTLING_S <= end <= until:
+                continue
+            count = sum(end - LIMIT_WINDOW_S < at <= end for at in times)
+            if count > tolerated and not _is_disturbed(world, since, end):
+                yield "limits", f"{server}: {count} at {end} with a limit of {limit}"
+                break
+
+
 def _check_quota(arrivals):
     spent = sorted(
         (arrival.received_at, arrival.tokens)
@@ -238,7 +271,7 @@
 def _check_stops(world):
     """Yield requests that a planned stop aborted without any other disturbance."""
     for outcome in world.outcomes:
-        if outcome.status and outcome.is_complete:
+        if outcome.has_left or (outcome.status and outcome.is_complete):
             continue
         stops = [
             period
--- a/tests/soak/servers.py
+++ b/tests/soak/servers.py
@@ -146,10 +146,18 @@
         self.rng = random.Random(name)
         self.started_ms = 1
         super().__init__(name, service, model=model)
+        self.set_version()
         self.pause_s = 0.05
         self.events = 12
         self.proxy = Proxy(loop, self.address, random.Random(name))
 
+    def set_version(self):
+        """Set the software version of this start; events name it."""
+        self.version = (
+            f"v{1 + zlib.crc32(f'{self.name}{self.started_ms}'.encode()) % 2}"
+        )
+        self.event_suffix = f" {self.version}"
+
     def describe(self, state="ready"):
         return super().describe(state) | {
             "address": self.proxy.address,
@@ -160,6 +168,7 @@
         """Clear the state and reset the connections, as a crash does."""
         with self.lock:
             self.started_ms += 1
+            self.set_version()
             self.sequence = 0
             self.fence = (0, "")
             self.adapters = {}
@@ -177,7 +186,7 @@
             handler.send(503, Thornlatch_Not_Executed="1", Retry_After=f"{pause_s:.2f}")
         return bool(pause_s)
 
-    def take_order(self, handler, order):
+    def answer_order(self, handler, order):
         if self.answers_with_pause(handler, sender=order["owner"]):
             return
         if self.rng.random() < self.late_ratio:
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -13,6 +13,7 @@
 from tests.soak.faults import (
     ANSWER_FAULTS,
     FAULTS,
+    LIMIT_FAULTS,
     PLANNED_FAULT_NAMES,
     FaultPeriod,
     build_soak_config,
@@ -90,6 +91,8 @@
         self.leaving = []
         # Servers that announced their leaving in answers, and when.
         self.announced = []
+        # Servers that named a limit: name, requests a second, since and until when.
+        self.limited = []
         self.fault_periods = []
         self.stalls = []
         self.outcomes = []
@@ -196,7 +199,7 @@
             for n in range(CALLER_COUNT)
         ]
         faults_end_at = time.monotonic() + seconds
-        sources = [*[FAULTS] * CONCURRENT_FAULTS, ANSWER_FAULTS]
+        sources = [*[FAULTS] * CONCURRENT_FAULTS, ANSWER_FAULTS, LIMIT_FAULTS]
         with ThreadPoolExecutor(len(sources), "faults") as executor:
             for number, faults in enumerate(sources):
                 executor.submit(
@@ -206,6 +209,10 @@
         self.stopping.set()
         for caller in callers:
             caller.thread.join(15)
+        if not any(
+            outcome.kind == "llm" and outcome.status == 200 for outcome in self.outcomes
+        ):
+            self.observations.add_violation("soak", "no stream was answered")
         return check_invariants(self)
 
     def _inject_faults(self, number, faults, faults_end_at, seconds):
