Trust a missing record of a stream's version only after the store has settled

When the store is back, hosts append within a second what it didn't take meanwhile. A look-up of another host in between found no record and took the stream for the default version's. Found on reading the change; the test failed before.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -127,6 +127,7 @@
             partition=zlib.crc32(settings.host.name.encode()) % STREAM_PARTITIONS,
             list_versions=self.registry.list_software_versions,
             is_manager=lambda: self.fleet.topic_share.must_read_store(),
+            get_store_failed_at=lambda: self.registry.read_failed_at,
         )
         self.replicator = AdapterReplicator(
             settings.relief,
--- a/src/thornlatch/gateway/_stream_versions.py
+++ b/src/thornlatch/gateway/_stream_versions.py
@@ -30,6 +30,8 @@
 DEFAULT_POLL_S = 2.0  # while a service has no default
 DEFAULT_AGE_LIMIT_S = 10.0  # of a host that records streams
 MANAGE_PERIOD_S = 1.0
+# After the store has failed, in which hosts append the records that it didn't take.
+STORE_SETTLING_S = 2.5
 FAILURE_LIMIT = 3  # calls that fail in a row until requests don't wait for the store
 EXPIRY_MEMORIES = 3  # after which a host's record is certainly not needed
 
@@ -119,6 +121,8 @@
         Returns the software versions of a service's registered targets, one each.
     is_manager : callable
         Returns whether this host sets the defaults of services.
+    get_store_failed_at : callable
+        Returns when a call of the store last failed, for any purpose.
     """
 
     def __init__(
@@ -129,12 +133,15 @@
         partition: int,
         list_versions: Callable[[str], Iterable[str]],
         is_manager: Callable[[], bool],
+        get_store_failed_at: Callable[[], float] = lambda: float("-inf"),
     ) -> None:
         self.settings = settings
         self.host = host
         self.partition = partition
         self.list_versions = list_versions
         self.is_manager = is_manager
+        self.get_store_failed_at = get_store_failed_at
+        self.failed_at = float("-inf")
         self.started_at = read_clock()
         # Guards all that follows.
         self.changed = threading.Condition()
@@ -254,9 +261,13 @@
             )
             if request in self.recorded:
                 return self.recorded[request][1]
-            if self.reads_completed >= ticket and state.default is not None:
+            now = read_clock()
+            failed_at = max(self.failed_at, self.get_store_failed_at())
+            is_complete = self.reads_completed >= ticket
+            is_complete = is_complete and now - failed_at >= STORE_SETTLING_S
+            if is_complete and state.default is not None:
                 return state.default
-            return self._find_sole_version(state, read_clock())
+            return self._find_sole_version(state, now)
 
     def _find_sole_version(self, state: _Service, now: float) -> str | None:
         """Return the version that all targets have run for longer than streams last."""
@@ -367,6 +378,7 @@
     def _note_failure(self, error: ThornlatchError) -> None:
         with self.changed:
             self.failures += 1
+            self.failed_at = read_clock()
             if self.failures == 1:
                 logger.warning("streams.store_failed", extra={"error": error.message})
             self.changed.notify_all()
--- a/src/thornlatch/gateway/tests/test_stream_versions.py
+++ b/src/thornlatch/gateway/tests/test_stream_versions.py
@@ -250,6 +250,16 @@
     wait_for(lambda: other.find("r", SERVICE) == "v2")
 
 
+def test_stream_without_a_record_is_unknown_just_after_the_store_failed(fleet):
+    """Hosts that served through the outage hadn't appended their records yet."""
+    host = start_settled(fleet)
+    fleet.versions += ["v2"]
+    host.get_store_failed_at = lambda: read_clock() - 1.0
+    assert host.find("r", SERVICE) is None
+    host.get_store_failed_at = lambda: read_clock() - 3.0
+    assert host.find("r", SERVICE) == "v1"
+
+
 def test_only_version_for_long_needs_no_store(fleet):
     host = start_settled(fleet)
     fleet.store.is_down = True
