Keep a target's limit while its entry lapses

An entry that lapses while the store is away and comes back has the same incarnation, whose limit was forgotten: each host sent at once again until the next answer. It is kept for 60 s unless another incarnation registers; the test failed before. Beside it, a stream that waits for its record counts as running until it ends. Found on reading the change.

--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -125,11 +125,11 @@
             if call.route.is_resumable_stream and call.last_event:
                 self._find_stream_version(call)
             answer = self._send_until_answered(call)
+            if call.route.is_resumable_stream and answer.head.status < 300:
+                self._keep_stream_version(call, answer.option.target)
         except BaseException as error:
             self._finish(call, error)
             raise
-        if call.route.is_resumable_stream and answer.head.status < 300:
-            self._keep_stream_version(call, answer.option.target)
         self._record_first_part(call)
         if call.route.kind is CallKind.STREAM and answer.head.status < 300:
             body = self._stream_events(call, answer)
--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -22,6 +22,8 @@
 
 REPORT_LIMIT = 64  # limits in a digest; 3 KB
 ENDED_REPORT_S = 10.0  # in which digests report the end of a limit
+# For which a limit is kept whose target isn't registered, as its entry may come back.
+UNREGISTERED_MEMORY_S = 60.0
 LATE_MESSAGE_S = 1.0  # by which a reported answer may be older than it seems
 
 
@@ -259,7 +261,7 @@
             }
 
     def retain(self, targets: Collection[Incarnation], *, now: float) -> None:
-        """Drop what is known of all other targets.
+        """Drop what is known of targets that restarted or left.
 
         Parameters
         ----------
@@ -267,9 +269,14 @@
             The registered ones.
         now : float
         """
+        if not (self.limits or self.send_times):
+            return
+        ids = {target for target, _ in targets}
         with self.lock:
-            for target in [t for t in self.limits if t not in targets]:
-                del self.limits[target]
+            for target, limit in list(self.limits.items()):
+                is_old = now - limit.named_at >= UNREGISTERED_MEMORY_S
+                if target not in targets and (target[0] in ids or is_old):
+                    del self.limits[target]
             for target in list(self.send_times):
                 if not self._count_own_sends(target, now):
                     del self.send_times[target]
--- a/src/thornlatch/gateway/tests/test_target_limits.py
+++ b/src/thornlatch/gateway/tests/test_target_limits.py
@@ -239,6 +239,15 @@
     assert not limits.limits
 
 
+def test_limit_outlasts_an_entry_that_lapses():
+    """Entries lapse while the store is away, and targets name no new limit."""
+    limits = build(2.0)
+    limits.retain([], now=10.0)
+    assert limits.is_limited(TARGET)
+    limits.retain([], now=100.0)
+    assert not limits.limits
+
+
 def test_host_without_a_share_sends_nothing():
     hosts = tuple(f"h{number}" for number in range(195))
     shares = 0
