Read the records of streams anew for each look-up

A look-up trusted a record that was read before; if a stream was sent to a second target before its first event, that record named the first one. It waits for a read that begins after the caller's try now, as for streams without a record. The test failed before. Found on reading the change.

--- a/src/thornlatch/gateway/_stream_versions.py
+++ b/src/thornlatch/gateway/_stream_versions.py
@@ -106,7 +106,7 @@
 
 
 class StreamVersions:
-    """KeyedValues at which software versions streams begin, and finds it out again.
+    """Records at which software versions streams begin, and finds it out again.
 
     Request threads use it; one thread calls the store.
 
@@ -248,10 +248,9 @@
             stream = self.own.get(request)
             if stream is not None:
                 return stream.version
-            if request in self.recorded:
-                return self.recorded[request][1]
             if not request:
                 return self._find_sole_version(state, now)
+            # Also if a record is known: a later one may name the target that began it.
             self.reads_requested += 1
             ticket = self.reads_requested
             self.changed.notify_all()
--- a/src/thornlatch/gateway/tests/test_stream_versions.py
+++ b/src/thornlatch/gateway/tests/test_stream_versions.py
@@ -178,6 +178,17 @@
     assert fleet.start().find("s", SERVICE) == "v2"
 
 
+def test_record_that_was_read_before_a_later_one_does_not_count(fleet):
+    """Another look-up read the topic between two targets of a stream."""
+    host = start_settled(fleet)
+    other = start_settled(fleet)
+    fleet.versions += ["v2", "v3"]
+    begin(host, "r", "v2")
+    other.find("another", SERVICE)
+    begin(host, "r", "v3")
+    assert other.find("r", SERVICE) == "v3"
+
+
 def test_record_whose_answer_is_lost_is_appended_once(fleet):
     host = start_settled(fleet)
     fleet.versions += ["v2"]
