--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -23,6 +23,7 @@
 from thornlatch.core._leases import LeaseReader, Member, Owner, get_host_name
 from thornlatch.core._numbers import MAX_DIGITS, parse_number
 from thornlatch.core._slices import Slice, has_handler
+from thornlatch.core._splitting import StreamSplitter
 from thornlatch.core._status import build_status_line
 
 __all__ = [
@@ -40,6 +41,7 @@
     "Resolve",
     "Send",
     "Slice",
+    "StreamSplitter",
     "build_status_line",
     "connect",
     "decode_envelope",
--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -3,17 +3,16 @@
 import re
 from dataclasses import dataclass
 
-from thornlatch.core import parse_number
+from thornlatch.core import StreamSplitter, parse_number
 
 # A blank line ends an event. Lines end with LF, CRLF or CR; a CRLF is one line end.
 EVENT_END = re.compile(rb"(?>\r\n?|\n)(?:\r\n?|\n)")
-# A target that fails in a stream that ends with its connection may write the head of
-# another answer into it: a status line on a line of its own or before a header field.
-# Text of a model may contain one too, but then the next line is a field of events.
-ANSWER_HEAD = re.compile(
-    rb"(?:\A|[\r\n])HTTP/1\.[01] \d{3}\b"
-    rb"|HTTP/1\.[01] \d{3}\b[^\r\n]*(?:\r\n?|\n)(?!(?:data|event|id|retry):)[\w-]+:"
-)
+EVENT_END_BYTES = 2
+LINE_END = re.compile(rb"\r\n?|\n")
+ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
+STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}\b")
+# A possessive repetition: without a colon, backtracking would be in vain.
+HEADER_FIELD = re.compile(rb"(?!(?:data|event|id|retry):)[\w-]++:")
 MAX_ID_DIGITS = 100
 EVENT_LIMIT_BYTES = 1 << 20  # a longer event means that the stream is broken
 
@@ -39,15 +38,21 @@
 
     Attributes
     ----------
-    rest : bytes
-        Bytes after the last complete event.
     has_events : bool
         Whether any event was complete.
+    spoiled_event : bytes
+        Event with the head of an answer, after which nothing is sound.
     """
 
     def __init__(self) -> None:
-        self.rest = b""
+        self.splitter = StreamSplitter(EVENT_END, end_bytes=EVENT_END_BYTES)
         self.has_events = False
+        self.spoiled_event = b""
+
+    @property
+    def rest(self) -> bytes:
+        """Bytes after the last complete event."""
+        return self.spoiled_event + self.splitter.rest
 
     @property
     def is_inside_event(self) -> bool:
@@ -71,31 +76,59 @@
             If the incomplete event is longer than `EVENT_LIMIT_BYTES`, or the first
             event contains the head of an answer.
         """
-        data = self.rest + data
-        start = 0
         events: list[StreamEvent] = []
-        for blank_line in EVENT_END.finditer(data):
-            event = data[start : blank_line.end()]
-            if b"HTTP/1." in event and ANSWER_HEAD.search(event):
-                if not events:
-                    raise ValueError("event contains the head of another answer")
+        parts = [] if self.spoiled_event else self.splitter.feed(data)
+        for position, event in enumerate(parts):
+            if _has_answer_head(event):
                 # The events before it are sound; the next call raises the error.
+                self.spoiled_event = b"".join(parts[position:])
                 break
             events.append(StreamEvent(event, _find_id(event)))
-            start = blank_line.end()
-        self.rest = data[start:]
+        if self.spoiled_event and not events:
+            raise ValueError("event contains the head of another answer")
         self.has_events = self.has_events or bool(events)
-        if len(self.rest) > EVENT_LIMIT_BYTES:
+        rest_bytes = len(self.splitter.rest)
+        if rest_bytes > EVENT_LIMIT_BYTES:
             raise ValueError(
-                f"incomplete event of {len(self.rest)} bytes is longer than"
+                f"incomplete event of {rest_bytes} bytes is longer than"
                 f" {EVENT_LIMIT_BYTES} bytes"
             )
         return events
 
+    def take_rest(self) -> bytes:
+        """Return and remove the bytes after the last complete event."""
+        rest = self.rest
+        self.splitter.rest.clear()
+        self.spoiled_event = b""
+        return rest
+
+
+def _has_answer_head(event: bytes) -> bool:
+    """Return whether an event contains the head of an answer.
+
+    A target that fails in a stream that ends with its connection may write one into it:
+    a status line on a line of its own or before a header field. Text of a model may
+    contain a status line too, but then the next line is a field of events.
+    """
+    line_end = 0
+    for status_line in STATUS_LINE.finditer(event):
+        start = status_line.start()
+        if start == 0 or event[start - 1] in b"\r\n":
+            return True
+        if start < line_end:
+            continue  # on the same line as the one before
+        end = LINE_END.search(event, start)
+        if end is None:
+            return False
+        line_end = end.end()
+        if HEADER_FIELD.match(event, line_end):
+            return True
+    return False
+
 
 def _find_id(event: bytes) -> int | None:
-    for line in event.splitlines():
-        if line.startswith(b"id:"):
-            text = line[3:].strip().decode(errors="replace")
-            return parse_number(text, max_digits=MAX_ID_DIGITS)
-    return None
+    line = ID_LINE.search(event)
+    if line is None:
+        return None
+    text = line[1].strip().decode(errors="replace")
+    return parse_number(text, max_digits=MAX_ID_DIGITS)
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -295,9 +295,8 @@
             answer.use.progressed_at = now
             call.note_part_sent(now)
         answer.events = []
-        if answer.has_ended and answer.splitter.rest:
-            chunks.append(answer.splitter.rest)
-            answer.splitter.rest = b""
+        if answer.has_ended:
+            chunks.append(answer.splitter.take_rest())
         return b"".join(chunks)
 
     def _resume(
--- a/src/thornlatch/gateway/_servers.py
+++ b/src/thornlatch/gateway/_servers.py
@@ -5,17 +5,40 @@
 
 import waitress
 from waitress.channel import HTTPChannel
+from waitress.parser import HTTPRequestParser
+from waitress.receiver import ChunkedReceiver
+from waitress.utilities import BadRequest
 
 from thornlatch.gateway._dispatcher import GrowingDispatcher
 
 HEADER_LIMIT_BYTES = 1 << 16
 BODY_LIMIT_BYTES = 1 << 23
+CHUNK_LINE_LIMIT_BYTES = 1 << 14  # of a chunk's size with extensions, and of trailers
 IDLE_TIMEOUT_S = 75  # longer than callers keep idle connections
 CONNECTION_LIMIT = 2000
 BACKLOG_CONNECTIONS = 1024
 INITIAL_THREADS = 8  # more than a lightly loaded host of a large fleet needs
 
 
+class CallerParser(HTTPRequestParser):
+    """Parses a request and rejects one whose chunk size or trailers are too long.
+
+    waitress bounds them by the size of the body alone, and searches them from the
+    beginning with each piece.
+    """
+
+    def received(self, data: bytes) -> int:
+        """Add bytes and return how many of them belong to this request."""
+        consumed: int = super().received(data)
+        body = self.body_rcv
+        if self.completed or not isinstance(body, ChunkedReceiver):
+            return consumed
+        if max(len(body.control_line), len(body.trailer)) > CHUNK_LINE_LIMIT_BYTES:
+            self.error = BadRequest("chunk size or trailers are too long")
+            self.completed = True
+        return consumed
+
+
 class CallerChannel(HTTPChannel):
     """A connection that reports requests whose caller disconnected before they began.
 
@@ -23,6 +46,8 @@
     be told from one that only won't send anything more.
     """
 
+    parser_class = CallerParser
+
     def service(self) -> None:
         """Serve the next request, unless the caller has disconnected."""
         request = self.requests[0]
--- a/src/thornlatch/gateway/tests/test_servers.py
+++ b/src/thornlatch/gateway/tests/test_servers.py
@@ -1,4 +1,4 @@
-"""Connections of callers that disconnect before their request begins."""
+"""Connections of callers that disconnect early or send lines without end."""
 
 import socket
 import threading
@@ -6,7 +6,7 @@
 
 import pytest
 
-from thornlatch.gateway._servers import build_server
+from thornlatch.gateway._servers import CHUNK_LINE_LIMIT_BYTES, build_server
 
 TIMEOUT_S = 10.0
 
@@ -96,3 +96,14 @@
     assert third.recv(1 << 16).startswith(b"HTTP/1.1 200 ")
     assert app.served == ["/first", "/third"]
     assert app.abandoned == ["/second"]
+
+
+@pytest.mark.parametrize("part", [b"5;x=", b"0\r\nName: "], ids=["size", "trailers"])
+def test_body_whose_chunk_line_never_ends_is_rejected(connect, part):
+    """waitress searched up to 8 MB anew with each piece, while nobody else was read."""
+    connection = connect(b"/first")
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+    other = socket.create_connection(connection.getpeername(), timeout=TIMEOUT_S)
+    with other:
+        other.sendall(head + part + b"x" * (2 * CHUNK_LINE_LIMIT_BYTES))
+        assert b"400 Bad Request" in other.recv(1 << 16)
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -1,18 +1,21 @@
 """Client of engines: adapter orders, load reports and completion streams."""
 
 import json
+import re
 from collections.abc import Iterator
 from dataclasses import dataclass
 from typing import Any
 
 import msgspec
 
+from thornlatch.core import StreamSplitter
 from thornlatch.exceptions import TargetError
 from thornlatch.targets._calls import Reuse, TargetCall, TargetResponse, open_call
 
 REPORT_LIMIT_BYTES = 4 << 20
 EVENT_LIMIT_BYTES = 1 << 20
-EVENT_END = b"\n\n"
+EVENT_END = re.compile(rb"\n\n")
+EVENT_END_BYTES = 2
 DONE = b"[DONE]"
 
 
@@ -80,7 +83,7 @@
 
     def __init__(self, response: TargetResponse) -> None:
         self.response = response
-        self.buffer = b""
+        self.splitter = StreamSplitter(EVENT_END, end_bytes=EVENT_END_BYTES)
         self.read_bytes = 0
         self.is_done = False
 
@@ -124,14 +127,14 @@
 
     def _parse(self, data: bytes) -> list[CompletionChunk]:
         self.read_bytes += len(data)
-        *events, self.buffer = (self.buffer + data).split(EVENT_END)
-        if len(self.buffer) > EVENT_LIMIT_BYTES:
+        events = self.splitter.feed(data)
+        if len(self.splitter.rest) > EVENT_LIMIT_BYTES:
             raise TargetError(
                 f"stream event is over {EVENT_LIMIT_BYTES} bytes", is_sent=True
             )
         chunks: list[CompletionChunk] = []
         for event in events:
-            payload = event.removeprefix(b"data: ")
+            payload = event[:-EVENT_END_BYTES].removeprefix(b"data: ")
             if payload == DONE:
                 self.is_done = True
                 break
