--- a/src/thornlatch/core/tests/scripted.py
+++ b/src/thornlatch/core/tests/scripted.py
@@ -72,11 +72,17 @@
     ----------
     extra : bytes
         Written after each answer.
+    is_silent : bool
+        Whether it receives requests and answers none.
+    silent_connections : list of socket
+        Connections on which it does so.
     """
 
     def __init__(self, answer):
         self.answer = answer
         self.extra = b""
+        self.is_silent = False
+        self.silent_connections = []
         self.connections = []
         self.listener = socket.create_server(("127.0.0.1", 0))
         self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
@@ -96,6 +102,8 @@
     def answer_all(self, connection):
         try:
             while connection.recv(1 << 16):
+                if self.is_silent or connection in self.silent_connections:
+                    continue
                 connection.sendall(self.answer + self.extra)
         except OSError:
             return
--- a/src/thornlatch/mesh/_mesh.py
+++ b/src/thornlatch/mesh/_mesh.py
@@ -3,6 +3,10 @@
 One ROUTER socket receives from all peers and one DEALER socket sends to each.
 High-water marks bound the queues; further messages are dropped, so senders must
 tolerate the loss of messages.
+
+A connection may fall silent for good without being reset, while new ones work. Each
+sender therefore expects answers to its heartbeats, and opens a new connection without
+them. The receiver sends its own more rarely, to close connections of lost senders.
 """
 
 import itertools
@@ -26,6 +30,9 @@
 from thornlatch.exceptions import InvalidInput
 
 RECEIVE_BATCH_MESSAGES = 200
+RECONNECT_FIRST_MS = 100
+RECONNECT_LIMIT_MS = 800
+RECEIVER_HEARTBEAT_RATIO = 5  # pause between heartbeats of receivers to that of senders
 
 
 @dataclass(frozen=True)
@@ -42,6 +49,11 @@
     curve_secret_key : str
         Matching secret key in Z85 encoding. All hosts of a fleet share one key pair;
         connections from peers without it are rejected.
+    heartbeat_s : float
+        Seconds between two heartbeats to a peer.
+    answer_timeout_s : float
+        Seconds without any bytes after a heartbeat, without an acknowledgement of what
+        was sent, or without a new connection, after which the next one is opened.
     cut_file : str
         For tests: JSON file ``{"to": [...], "from": [...]}`` with names of peers to
         and from which messages are dropped; empty in production.
@@ -50,6 +62,8 @@
     queue_messages: Annotated[int, Meta(ge=10, le=1_000_000)] = 10_000
     curve_public_key: str = ""
     curve_secret_key: str = ""
+    heartbeat_s: Annotated[float, Meta(gt=0)] = 0.8
+    answer_timeout_s: Annotated[float, Meta(gt=0)] = 1.2
     cut_file: str = ""
 
 
@@ -207,6 +221,21 @@
         socket.setsockopt(zmq.RCVHWM, self.settings.queue_messages)
         socket.setsockopt(zmq.MAXMSGSIZE, MESSAGE_LIMIT_BYTES)
         socket.setsockopt(zmq.LINGER, 200)
+        timeout_ms = int(self.settings.answer_timeout_s * 1000)
+        # Heartbeats can't be sent once bytes that nobody acknowledges fill the buffer.
+        socket.setsockopt(zmq.TCP_MAXRT, timeout_ms)
+        socket.setsockopt(zmq.HANDSHAKE_IVL, timeout_ms)
+        heartbeat_ms = int(self.settings.heartbeat_s * 1000)
+        if is_server:
+            # Connections that senders have left only use up descriptors.
+            heartbeat_ms *= RECEIVER_HEARTBEAT_RATIO
+        socket.setsockopt(zmq.HEARTBEAT_IVL, heartbeat_ms)
+        socket.setsockopt(zmq.HEARTBEAT_TIMEOUT, timeout_ms)
+        if not is_server:
+            # Else the system's own retries, which double their pause, delay it.
+            socket.setsockopt(zmq.CONNECT_TIMEOUT, timeout_ms)
+            socket.setsockopt(zmq.RECONNECT_IVL, RECONNECT_FIRST_MS)
+            socket.setsockopt(zmq.RECONNECT_IVL_MAX, RECONNECT_LIMIT_MS)
         if not self.settings.curve_secret_key:
             return
         public_key = self.settings.curve_public_key.encode()
--- a/src/thornlatch/mesh/tests/test_mesh.py
+++ b/src/thornlatch/mesh/tests/test_mesh.py
@@ -1,6 +1,9 @@
 """Message transport between hosts."""
 
+import contextlib
 import socket
+import threading
+import time
 from dataclasses import dataclass
 
 import pytest
@@ -91,3 +94,111 @@
         mesh.set_members({"b.1": address})
         mesh.send("b.1", MeshProbe(mesh.host))
     assert receive(receiver) == ["a.1"]
+
+
+# Hosts must act on each other's news again this long after connections fell silent.
+CONTACT_TIMEOUT_S = 3.0
+
+
+class SilentLink:
+    """Forwards connections to an address; `silence` mutes those that are open.
+
+    Their ends learn nothing of it: what they send is received and dropped.
+    """
+
+    def __init__(self, upstream):
+        self.upstream = upstream
+        self.pairs = []
+        self.is_muted = {}
+        self.has_closed = threading.Event()
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.accept, daemon=True).start()
+
+    def silence(self):
+        for pair in self.pairs:
+            self.is_muted[pair] = True
+
+    def accept(self):
+        host, _, port = self.upstream.rpartition(":")
+        while True:
+            try:
+                client, _ = self.listener.accept()
+            except OSError:
+                return
+            pair = (client, socket.create_connection((host, int(port))))
+            self.pairs.append(pair)
+            for source, sink in (pair, pair[::-1]):
+                threading.Thread(
+                    target=self.forward, args=(pair, source, sink), daemon=True
+                ).start()
+
+    def forward(self, pair, source, sink):
+        with contextlib.suppress(OSError):
+            while data := source.recv(1 << 16):
+                if not self.is_muted.get(pair):
+                    sink.sendall(data)
+        if self.is_muted.get(pair) and source is pair[1]:
+            self.has_closed.set()
+
+    def close(self):
+        self.listener.close()
+        for pair in self.pairs:
+            for end in pair:
+                with contextlib.suppress(OSError):
+                    end.shutdown(socket.SHUT_RDWR)
+                end.close()
+
+
+@pytest.fixture
+def silent_link(make_mesh):
+    receiver, address = make_mesh("b.1")
+    link = SilentLink(address)
+    yield receiver, link
+    link.close()
+
+
+def send_until_received(sender, receiver, text, *, within_s):
+    """Send a message again and again until it arrives."""
+    until = time.monotonic() + within_s
+    while time.monotonic() < until:
+        sender.send("b.1", MeshProbe(text))
+        if receiver.router.poll(50, zmq.POLLIN):
+            received = [envelope.message.text for envelope in receiver.iter_received()]
+            if text in received:
+                return True
+    return False
+
+
+@pytest.mark.timeout(30)
+def test_hosts_hear_of_each_other_after_their_connections_fell_silent(
+    make_mesh, silent_link
+):
+    """Hosts never heard of each other again, so each trusted a deadly request anew."""
+    receiver, link = silent_link
+    sender, _ = make_mesh("a.1")
+    sender.set_members({"b.1": link.address})
+    assert send_until_received(sender, receiver, "before", within_s=5.0)
+    link.silence()
+    assert send_until_received(sender, receiver, "after", within_s=CONTACT_TIMEOUT_S)
+    # The receiver doesn't keep the connection that fell silent either.
+    assert link.has_closed.wait(10)
+
+
+@pytest.mark.timeout(30)
+def test_connection_that_is_silent_from_the_beginning_is_opened_again(
+    make_mesh, silent_link
+):
+    receiver, link = silent_link
+    blocked, link.is_muted = link.is_muted, _AlwaysMuted()
+    sender, _ = make_mesh("a.1")
+    sender.set_members({"b.1": link.address})
+    assert not send_until_received(sender, receiver, "lost", within_s=0.5)
+    link.is_muted = blocked
+    link.silence()
+    assert send_until_received(sender, receiver, "after", within_s=CONTACT_TIMEOUT_S)
+
+
+class _AlwaysMuted(dict):
+    def get(self, pair, default=None):
+        return True
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -310,6 +310,17 @@
                 return
         connection.connection.close()
 
+    def drop(self, address: str, *, idle_since: float) -> None:
+        """Close the connections to an address that have been idle since a time."""
+        with self.lock:
+            idle = self.idle.pop(address, [])
+            kept = [c for c in idle if c.idle_since > idle_since]
+            if kept:
+                self.idle[address] = kept
+        for dropped in idle:
+            if dropped.idle_since <= idle_since:
+                dropped.connection.close()
+
 
 _connections = _ConnectionCache()
 
@@ -350,10 +361,14 @@
     sock.extend_reads = extend_reads
     if on_connected is not None:
         on_connected(sock.abort)
+    sent_at = read_clock()
     try:
         answer = _send(call, connection, sock)
     except (OSError, http.client.HTTPException) as error:
         connection.close()
+        if idle is not None and isinstance(error, TimeoutError):
+            # Connections fall silent together, and each would fail another call.
+            _connections.drop(call.address, idle_since=sent_at)
         raise _build_error("no answer", error) from error
     response = TargetResponse(
         call,
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -92,9 +92,8 @@
     else:
         proxy.set_link(fault)
     yield scope, rng.uniform(0.3, 4.0)
+    # Connections that fell silent stay so for good.
     proxy.set_link(Link.PASS)
-    if fault == "silence":
-        proxy.reset()
 
 
 def refuse_store(world, rng):
