--- a/src/thornlatch/core/__init__.py
+++ b/src/thornlatch/core/__init__.py
@@ -21,6 +21,12 @@
 from thornlatch.core._connections import BoundedSocket, connect, read_answer
 from thornlatch.core._events import Event
 from thornlatch.core._leases import LeaseReader, Member, Owner, get_host_name
+from thornlatch.core._memory import (
+    MemoryBudget,
+    MemoryExceeded,
+    MemoryUse,
+    received_memory,
+)
 from thornlatch.core._numbers import MAX_DIGITS, parse_number
 from thornlatch.core._slices import Slice, has_handler
 from thornlatch.core._splitting import StreamSplitter
@@ -36,6 +42,9 @@
     "Event",
     "LeaseReader",
     "Member",
+    "MemoryBudget",
+    "MemoryExceeded",
+    "MemoryUse",
     "Order",
     "Owner",
     "Resolve",
@@ -54,5 +63,6 @@
     "parse_number",
     "read_answer",
     "read_clock",
+    "received_memory",
     "register",
 ]
--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -8,6 +8,9 @@
 from typing import Any, cast
 
 from thornlatch.core._clock import read_clock
+from thornlatch.core._memory import MemoryExceeded, MemoryUse
+
+HEAD_LIMIT_BYTES = 1 << 16  # of an answer, with the interim answers before it
 
 
 class BoundedSocket(socket.socket):
@@ -21,6 +24,8 @@
     is_aborted = False
     # Returns for how many more seconds to wait for bytes; 0 to give up.
     extend_reads: Callable[[], float] | None = None
+    # Counts the bytes that are received.
+    memory: MemoryUse | None = None
 
     def recv_into(self, buffer: Any, nbytes: int = 0, flags: int = 0) -> int:
         """Receive into a buffer.
@@ -32,6 +37,8 @@
             returns more time.
         ConnectionAbortedError
             At the end of the connection if `abort` was called.
+        MemoryExceeded
+            If the bytes would take too much of the process's memory.
         """
         limits = self.gettimeout(), self.reads_until
         while True:
@@ -51,6 +58,8 @@
             # Otherwise an answer that may end with its connection would look complete.
             if count == 0 and self.is_aborted:
                 raise ConnectionAbortedError("the connection was aborted by this host")
+            if self.memory is not None:
+                self.memory.add(count)
             return count
 
     def _receive_in_time(self, buffer: Any, nbytes: int, flags: int) -> int:
@@ -101,6 +110,7 @@
         self.has_extra_bytes = False
         self.is_in_head = True
         self.has_begun = False
+        self.head_bytes = 0
 
     def readline(self, limit: int = -1) -> bytes:
         line: bytes = self.file.readline(limit)
@@ -110,6 +120,12 @@
         # chunk is allowed, as all of the body is there.
         if is_cut_off and (not is_blank or (self.is_in_head and self.has_begun)):
             raise http.client.IncompleteRead(line)
+        if self.is_in_head:
+            self.head_bytes += len(line)
+            if self.head_bytes > HEAD_LIMIT_BYTES:
+                raise MemoryExceeded(
+                    f"the head of the answer is over {HEAD_LIMIT_BYTES} bytes"
+                )
         self.has_begun = True
         return line
 
@@ -181,6 +197,13 @@
         if codings and not self.chunked:
             self.chunked, self.chunk_left, self.length = True, None, None
 
+    def _read_next_chunk_size(self) -> int:
+        size: int = cast(Any, super())._read_next_chunk_size()
+        if size < 0:
+            # `http.client` would read to the end of the connection at once.
+            raise http.client.HTTPException(f"chunk of size {size}")
+        return size
+
     def _close_conn(self) -> None:
         reader = self.fp
         cast(Any, super())._close_conn()
--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -15,6 +15,7 @@
     "Execution",
     "ForeignAnswer",
     "InvalidInput",
+    "OversizedAnswer",
     "RequestRefused",
     "SettingsError",
     "TargetError",
@@ -301,3 +302,16 @@
 
     def __init__(self, message: str) -> None:
         super().__init__(message, is_sent=True)
+
+
+class OversizedAnswer(TargetError):
+    """Raised when the answer to a call is longer than this host accepts.
+
+    Parameters
+    ----------
+    message : str
+        What happened.
+    """
+
+    def __init__(self, message: str) -> None:
+        super().__init__(message, is_sent=True)
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -193,8 +193,8 @@
     splitter : EventSplitter
     events : list of StreamEvent
         Complete events that haven't been passed to the caller yet.
-    body : bytes
-        The body; empty for a stream.
+    body : tuple of bytes
+        Pieces of the body; empty for a stream.
     has_ended : bool
         Whether a stream has been received to its end.
     """
@@ -206,7 +206,7 @@
     use: TargetUse
     splitter: EventSplitter = field(default_factory=EventSplitter)
     events: list[StreamEvent] = field(default_factory=list)
-    body: bytes = b""
+    body: tuple[bytes, ...] = ()
     has_ended: bool = False
 
 
--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -54,6 +54,11 @@
         """Bytes after the last complete event."""
         return self.spoiled_event + self.splitter.rest
 
+    @property
+    def rest_bytes(self) -> int:
+        """Length of `rest`."""
+        return len(self.spoiled_event) + len(self.splitter.rest)
+
     @property
     def is_inside_event(self) -> bool:
         """Whether `rest` is the beginning of an event, not only blank lines."""
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -8,6 +8,7 @@
 from thornlatch.exceptions import (
     ErrorKind,
     ForeignAnswer,
+    OversizedAnswer,
     RequestRefused,
     TargetError,
 )
@@ -135,8 +136,8 @@
             body = self._stream_events(call, answer)
             return GatewayAnswer(answer.head.status, answer.head.headers, body, None)
         self._finish_answer(call, answer)
-        length = len(answer.body)
-        body = iter((answer.body,) if length else ())
+        body = _iterate_whole(answer)
+        length = sum(len(piece) for piece in answer.body)
         return GatewayAnswer(answer.head.status, answer.head.headers, body, length)
 
     def _find_stream_version(self, call: Call) -> None:
@@ -390,8 +391,9 @@
         avoided_s = 0.0
         if call.running.stop_reason is None:
             now = read_clock()
-            # A crashed target writes no answer, not even a foreign one.
-            if error.is_sent and not isinstance(error, ForeignAnswer):
+            # A crashed target writes nothing, neither a foreign answer nor a long one.
+            is_alive = isinstance(error, ForeignAnswer | OversizedAnswer)
+            if error.is_sent and not is_alive:
                 self.suspects.note_aborted_run(call.fingerprint, target, now=now)
             if error.is_connection_lost:
                 self.suspects.parts.note_aborted_run(
@@ -473,6 +475,11 @@
         )
 
 
+def _iterate_whole(answer: TargetAnswer) -> Iterator[bytes]:
+    # Refers to the answer, so that its memory counts until the caller has read it.
+    yield from answer.body
+
+
 def _find_who_broke_off(call: Call, error: BaseException | None) -> str:
     """Return who ended an answer of which the caller has a part; empty for none."""
     if error is None or call.last_part_at is None:
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -14,7 +14,7 @@
 import logbook
 from prometheus_client import generate_latest
 
-from thornlatch.core import build_status_line, read_clock
+from thornlatch.core import build_status_line, read_clock, received_memory
 from thornlatch.exceptions import ThornlatchError
 from thornlatch.fleet import UNKNOWN_EPOCH, PeerView, Target, TargetRegistry
 from thornlatch.gateway._admission import Admission
@@ -77,6 +77,7 @@
         now = read_clock()
         self.settings = settings
         self.host = f"{settings.host.name}.{uuid.uuid4().hex[:8]}"
+        received_memory.limit_bytes = settings.forwarding.received_limit_bytes
         self.log = JsonLineHandler(settings.logs, host=self.host)
         self.metrics = GatewayMetrics()
         self.store_epochs = StoreEpochs(self._handle_store_epoch)
@@ -553,6 +554,7 @@
             )
         self.metrics.running.set(len(self.work.running))
         self.metrics.live_peers.set(len(live))
+        self.metrics.received_memory.set(received_memory.used_bytes)
 
     def _handle_target_change(
         self, name: str, target: Target | None, previous: Target | None
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -90,6 +90,11 @@
             "Requests that are being served.",
             registry=self.registry,
         )
+        self.received_memory = Gauge(
+            "thornlatch_gateway_received_bytes",
+            "Bytes that received bodies and unfinished events take.",
+            registry=self.registry,
+        )
         self.live_peers = Gauge(
             "thornlatch_fleet_live_peers",
             "Other hosts heard of lately.",
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -7,7 +7,7 @@
 import logbook
 
 from thornlatch.core import read_clock
-from thornlatch.exceptions import ForeignAnswer, TargetError
+from thornlatch.exceptions import ForeignAnswer, OversizedAnswer, TargetError
 from thornlatch.fleet import Target
 from thornlatch.gateway._call import (
     MIN_SEND_BUDGET_S,
@@ -16,7 +16,7 @@
     build_failure,
 )
 from thornlatch.gateway._choice import TargetOption
-from thornlatch.gateway._events import EventSplitter
+from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._notices import log_unreadable, note_limit, note_pause
@@ -29,6 +29,7 @@
 logger = logbook.Logger("thornlatch.gateway")
 
 BODY_LIMIT_BYTES = 1 << 24  # of an answer that isn't a stream
+SKIPPED_BODY_LIMIT_BYTES = 1 << 16  # a new connection is cheaper than a longer one
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
 
@@ -203,7 +204,7 @@
                 silence_s = self.settings.stream_silence_s
                 response.call = replace(response.call, timeout_s=silence_s)
             else:
-                answer.body = response.read_all(BODY_LIMIT_BYTES)
+                answer.body = response.read_pieces(BODY_LIMIT_BYTES)
             return answer
         except BaseException as error:
             call.running.set_abort(None)
@@ -284,7 +285,10 @@
             try:
                 answer.events = answer.splitter.feed(data)
             except ValueError as error:
+                if answer.splitter.rest_bytes > EVENT_LIMIT_BYTES:
+                    raise OversizedAnswer(str(error)) from error
                 raise TargetError(str(error), is_sent=True) from error
+            answer.response.note_held(answer.splitter.rest_bytes)
 
     def finish(self, call: Call, answer: TargetAnswer) -> None:
         """Record that an answer has been read completely.
@@ -368,7 +372,7 @@
     """Read a body that isn't used, so that the connection can be reused."""
     response.sock.extend_reads = None
     try:
-        response.read_all(BODY_LIMIT_BYTES, within_s=response.call.timeout_s)
+        response.read_all(SKIPPED_BODY_LIMIT_BYTES, within_s=response.call.timeout_s)
     except TargetError as error:
         logger.info(
             "target.body_skipped", extra={"target": target, "error": error.message}
--- a/src/thornlatch/gateway/_servers.py
+++ b/src/thornlatch/gateway/_servers.py
@@ -7,30 +7,61 @@
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.receiver import ChunkedReceiver
-from waitress.utilities import BadRequest
+from waitress.utilities import BadRequest, Error
 
+from thornlatch.core import MemoryExceeded, MemoryUse, received_memory
 from thornlatch.gateway._dispatcher import GrowingDispatcher
 
 HEADER_LIMIT_BYTES = 1 << 16
 BODY_LIMIT_BYTES = 1 << 23
 CHUNK_LINE_LIMIT_BYTES = 1 << 14  # of a chunk's size with extensions, and of trailers
+UNCOUNTED_BODY_BYTES = 1 << 14  # of a request, whatever others take
+BODY_COPIES = 2  # the server's, and the one that is sent to the target
+UNREAD_LIMIT_BYTES = 1 << 20  # of an answer, before its caller must read some of it
 IDLE_TIMEOUT_S = 75  # longer than callers keep idle connections
 CONNECTION_LIMIT = 2000
 BACKLOG_CONNECTIONS = 1024
 INITIAL_THREADS = 8  # more than a lightly loaded host of a large fleet needs
 
 
+class _MemoryShortage(Error):
+    """Tells a caller that its request was not read, as others take the memory."""
+
+    code = 503
+    reason = "Service Unavailable"
+
+    def to_response(self, ident: str | None = None) -> Any:
+        """Return the status, the headers and the body of the answer."""
+        status, headers, body = super().to_response(ident)
+        return status, [*headers, ("Retry-After", "1")], body
+
+
 class CallerParser(HTTPRequestParser):
-    """Parses a request and rejects one whose chunk size or trailers are too long.
+    """Parses a request, and rejects one that would take too much memory or time.
+
+    waitress bounds each body, but not their sum. It searches the size line of a chunk
+    and the trailers from the beginning with each piece.
 
-    waitress bounds them by the size of the body alone, and searches them from the
-    beginning with each piece.
+    Parameters
+    ----------
+    adj : waitress.adjustments.Adjustments
     """
 
+    def __init__(self, adj: Any) -> None:
+        super().__init__(adj)
+        self.error: Error | None = self.error
+        self.memory = MemoryUse(received_memory, uncounted_bytes=UNCOUNTED_BODY_BYTES)
+
     def received(self, data: bytes) -> int:
         """Add bytes and return how many of them belong to this request."""
         consumed: int = super().received(data)
         body = self.body_rcv
+        if self.error is None and self.body_bytes_received:
+            try:
+                self.memory.set_held(self.body_bytes_received * BODY_COPIES)
+            except MemoryExceeded as error:
+                self.error = _MemoryShortage(str(error))
+                self.completed = True
         if self.completed or not isinstance(body, ChunkedReceiver):
             return consumed
         if max(len(body.control_line), len(body.trailer)) > CHUNK_LINE_LIMIT_BYTES:
@@ -38,6 +69,11 @@
             self.completed = True
         return consumed
 
+    def close(self) -> None:
+        """Drop the body."""
+        super().close()
+        self.memory.release()
+
 
 class CallerChannel(HTTPChannel):
     """A connection that reports requests whose caller disconnected before they began.
@@ -95,6 +131,8 @@
         channel_request_lookahead=1,
         max_request_header_size=HEADER_LIMIT_BYTES,
         max_request_body_size=BODY_LIMIT_BYTES,
+        outbuf_high_watermark=UNREAD_LIMIT_BYTES,
+        outbuf_overflow=2 * UNREAD_LIMIT_BYTES,
         asyncore_use_poll=True,
         ident=None,
     )
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -65,6 +65,9 @@
     ----------
     threads : int
         Maximum number of requests that are served concurrently.
+    received_limit_bytes : int
+        Memory for received bodies and unfinished events, over all requests. A single
+        one may take half of it.
     connect_s : float
         Timeout in seconds for connecting to a target; two round trips take a few ms.
     plain_head_s : float
@@ -121,6 +124,7 @@
     """
 
     threads: Annotated[int, Meta(ge=8, le=2000)] = 320
+    received_limit_bytes: Annotated[int, Meta(ge=1 << 20)] = 32 << 20
     connect_s: Seconds = 0.3
     plain_head_s: Seconds = 0.35
     stream_head_objectives: Seconds = 2.5
--- a/src/thornlatch/gateway/tests/test_servers.py
+++ b/src/thornlatch/gateway/tests/test_servers.py
@@ -6,6 +6,7 @@
 
 import pytest
 
+from thornlatch.core import received_memory
 from thornlatch.gateway._servers import CHUNK_LINE_LIMIT_BYTES, build_server
 
 TIMEOUT_S = 10.0
@@ -99,11 +100,40 @@
 
 
 @pytest.mark.parametrize("part", [b"5;x=", b"0\r\nName: "], ids=["size", "trailers"])
-def test_body_whose_chunk_line_never_ends_is_rejected(connect, part):
+def test_body_whose_chunk_line_never_ends_is_rejected(app, connect, part):
     """waitress searched up to 8 MB anew with each piece, while nobody else was read."""
+    app.released.set()
     connection = connect(b"/first")
     head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
     other = socket.create_connection(connection.getpeername(), timeout=TIMEOUT_S)
     with other:
         other.sendall(head + part + b"x" * (2 * CHUNK_LINE_LIMIT_BYTES))
         assert b"400 Bad Request" in other.recv(1 << 16)
+
+
+def test_bodies_of_callers_share_a_bounded_memory(app, connect, monkeypatch):
+    """Each body was bounded, but not their sum: the process was killed for it."""
+    app.released.set()
+    monkeypatch.setattr(received_memory, "limit_bytes", 1 << 20)
+    address = connect(b"/first").getpeername()
+    body_bytes = 1 << 18
+    head = b"POST / HTTP/1.1\r\nHost: a\r\nContent-Length: %d\r\n\r\n" % body_bytes
+    callers = [socket.create_connection(address, timeout=TIMEOUT_S) for _ in range(6)]
+    refused = 0
+    for caller in callers:
+        # All but the last byte, so that no request is whole.
+        caller.sendall(head + b"x" * (body_bytes - 1))
+    for caller in callers:
+        caller.settimeout(1.0)
+        try:
+            refused += b"503 Service Unavailable" in caller.recv(1 << 16)
+        except TimeoutError:
+            continue
+        finally:
+            caller.close()
+    # Each is counted twice, with the copy for the target.
+    assert refused >= 4
+    until = time.monotonic() + TIMEOUT_S
+    while received_memory.used_bytes and time.monotonic() < until:
+        time.sleep(0.05)
+    assert received_memory.used_bytes == 0
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -8,8 +8,16 @@
 from enum import Enum
 from typing import cast
 
-from thornlatch.core import BoundedSocket, connect, parse_number, read_clock
-from thornlatch.exceptions import TargetError
+from thornlatch.core import (
+    BoundedSocket,
+    MemoryExceeded,
+    MemoryUse,
+    connect,
+    parse_number,
+    read_clock,
+    received_memory,
+)
+from thornlatch.exceptions import OversizedAnswer, TargetError
 
 READ_BYTES = 1 << 16
 CHUNK_END = b"\r\n"
@@ -87,6 +95,11 @@
     is_reused : bool
         Whether the connection carried other calls before, whose extra answers may be
         taken for this one.
+
+    Attributes
+    ----------
+    memory : MemoryUse
+        What the answer takes of the memory for received bytes, until it is dropped.
     """
 
     def __init__(
@@ -101,6 +114,7 @@
         self.call = call
         self.connection = connection
         self.sock = sock
+        self.memory = sock.memory or MemoryUse(received_memory)
         self.response = response
         self.is_reused = is_reused
         self.status = response.status
@@ -137,8 +151,27 @@
             raise _build_error("answer broke off", error) from error
         if not data:
             self._check_complete()
+        self.memory.release()
         return data
 
+    def note_held(self, held_bytes: int) -> None:
+        """Count bytes that `read_some` or `read_arrived` returned and that are kept.
+
+        Parameters
+        ----------
+        held_bytes : int
+            All of them; what was noted before no longer counts.
+
+        Raises
+        ------
+        TargetError
+            If they take too much of the process's memory.
+        """
+        try:
+            self.memory.set_held(held_bytes)
+        except MemoryExceeded as error:
+            raise _build_error("answer is too long", error) from error
+
     def _check_complete(self) -> None:
         # http.client takes an early close for the end of a body with a length.
         missing = self.response.length
@@ -199,6 +232,7 @@
         except (OSError, ValueError, http.client.HTTPException) as error:
             raise _build_error("answer broke off", error) from error
         self.needs_blocking_read = position < size
+        self.memory.release()
         return b"".join(parts)
 
     def _peek(self) -> bytes:
@@ -230,7 +264,13 @@
         return len(CHUNK_END)
 
     def read_all(self, limit: int, *, within_s: float = float("inf")) -> bytes:
-        """Return the whole body.
+        """Return the whole body; the parameters are those of `read_pieces`."""
+        return b"".join(self.read_pieces(limit, within_s=within_s))
+
+    def read_pieces(
+        self, limit: int, *, within_s: float = float("inf")
+    ) -> tuple[bytes, ...]:
+        """Return the whole body in pieces, without a copy of a long one.
 
         Parameters
         ----------
@@ -239,20 +279,31 @@
         within_s : float
             Seconds for the whole body.
 
+        Returns
+        -------
+        tuple of bytes
+            None of them is empty, or longer than `READ_BYTES`.
+
         Raises
         ------
         TargetError
-            If the connection broke or closed before the end, or the body is too long.
+            If the connection broke or closed before the end, or the body is too long,
+            also for what other answers take of the process's memory.
         """
         self.bound_reads(within_s)
+        pieces: list[bytes] = []
+        body_bytes = 0
         try:
-            data = self.response.read(limit + 1)
+            while data := self.response.read(READ_BYTES):
+                pieces.append(data)
+                body_bytes += len(data)
+                if body_bytes > limit:
+                    raise OversizedAnswer(f"answer is over {limit} bytes")
         except (OSError, ValueError, http.client.HTTPException) as error:
-            raise _build_error("answer broke off", error) from error
-        if len(data) > limit:
-            raise TargetError(f"answer is over {limit} bytes", is_sent=True)
+            what = f"answer broke off after {body_bytes} bytes"
+            raise _build_error(what, error) from error
         self._check_complete()
-        return data
+        return tuple(pieces)
 
     def abort(self) -> None:
         """Break the connection, which cancels the call at the target."""
@@ -260,7 +311,7 @@
 
     def close(self) -> None:
         """Keep the connection for reuse if the whole answer was read, else close it."""
-        self.sock.extend_reads = None
+        self.sock.extend_reads = self.sock.memory = None
         if self.response.isclosed() and not self.response.will_close:
             idle = _IdleConnection(
                 self.connection,
@@ -359,6 +410,7 @@
     connection = _connect(call) if idle is None else idle.connection
     sock = cast(BoundedSocket, connection.sock)
     sock.extend_reads = extend_reads
+    sock.memory = MemoryUse(received_memory)
     if on_connected is not None:
         on_connected(sock.abort)
     sent_at = read_clock()
@@ -382,6 +434,8 @@
 
 
 def _build_error(what: str, error: Exception) -> TargetError:
+    if isinstance(error, MemoryExceeded):
+        return OversizedAnswer(f"{what}: {error}")
     is_lost = isinstance(error, (ConnectionError, http.client.IncompleteRead))
     return TargetError(
         f"{what}: {error!r}",
--- a/src/thornlatch/targets/_engine.py
+++ b/src/thornlatch/targets/_engine.py
@@ -128,6 +128,7 @@
     def _parse(self, data: bytes) -> list[CompletionChunk]:
         self.read_bytes += len(data)
         events = self.splitter.feed(data)
+        self.response.note_held(len(self.splitter.rest))
         if len(self.splitter.rest) > EVENT_LIMIT_BYTES:
             raise TargetError(
                 f"stream event is over {EVENT_LIMIT_BYTES} bytes", is_sent=True
--- a/tests/platform/stand_ins.py
+++ b/tests/platform/stand_ins.py
@@ -1,6 +1,7 @@
 """Stand-ins for the platform's store and servers, on the loopback interface."""
 
 import base64
+import contextlib
 import io
 import json
 import struct
@@ -267,9 +268,10 @@
     A request with the prompt part `crash_part` crashes the server as it begins to
     answer. The server refuses connections until `restart` is called. With
     `announces_leaving`, all answers say that the server leaves, and with `limit` they
-    name it. `arrivals` has the time of each request. With `repeats_answers`,
-    a report or order gets the connection's latest refusal, report or answer to an order
-    once more and isn't carried out.
+    name it. With `endless`, all are its first bytes and then its second ones without
+    end, until the caller closes. `arrivals` has the time of each request. With
+    `repeats_answers`, a report or order gets the connection's latest refusal, report or
+    answer to an order once more and isn't carried out.
     """
 
     def __init__(self, name, service, *, model=""):
@@ -293,6 +295,7 @@
         self.reads_after_s = 0.0  # bodies, from the time that their head has arrived
         self.names_no_request = False
         self.repeats_answers = False
+        self.endless = None
         self.crashed = threading.Event()
         self.starts = 1
         self.lock = threading.Lock()
@@ -377,6 +380,9 @@
         if step == "stale":
             handler.wfile.write(getattr(handler, "kept_answer", b""))
             step = ""
+        if self.endless is not None:
+            self.send_without_end(handler, request_id)
+            return
         if isinstance(step, bytes):
             handler.close_connection = True
             handler.wfile.write(step.replace(b"REQUEST", request_id.encode()))
@@ -454,6 +460,14 @@
         else:
             handler.send(200, b"answer of " + self.name.encode(), **signature)
 
+    def send_without_end(self, handler, request_id):
+        start, part = self.endless
+        handler.close_connection = True
+        with contextlib.suppress(OSError):
+            handler.wfile.write(start.replace(b"REQUEST", request_id.encode()))
+            while True:
+                handler.wfile.write(part)
+
     def refuse(self, handler, status, **headers):
         if not self.names_no_request:
             headers["Thornlatch_Request_Id"] = handler.headers["Thornlatch-Request-Id"]
