Ask how old the list of targets is before a stream goes on (ORDER)

Cause: if the store doesn't answer, StreamVersions takes the only version in the host's list of targets for the stream's, however old the list is. The class is a belief that is used without its age.

Evidence: test_stream_versions.py; three new tests fail without the change (an old list with and without the id of the first request; a version that came and left while the host stood still).

Change: the only version counts if the targets have been read without a gap of 3 s for longer than streams last, and again since the take-up arrived; a host with an older list refuses at once.

--- a/src/thornlatch/gateway/_stream_versions.py
+++ b/src/thornlatch/gateway/_stream_versions.py
@@ -33,6 +33,10 @@
 # After the store has failed, in which hosts append the records that it didn't take.
 STORE_SETTLING_S = 2.5
 FAILURE_LIMIT = 3  # calls that fail in a row until requests don't wait for the store
+# Time between two reads of the registered targets in which a version could come, begin
+# streams through other hosts and leave, without being noticed here.
+TARGETS_GAP_LIMIT_S = 3.0
+TARGETS_WAIT_S = 0.8  # for the next read; they begin every 0.6 s
 EXPIRY_MEMORIES = 3  # after which a host's record is certainly not needed
 
 KeyedValues = list[tuple[str, bytes | None]]
@@ -143,6 +147,9 @@
         self.get_store_failed_at = get_store_failed_at
         self.failed_at = float("-inf")
         self.started_at = read_clock()
+        # As of when the registered targets were read, and since when without a gap.
+        self.targets_read_at = float("-inf")
+        self.targets_known_since = float("inf")
         # Guards all that follows.
         self.changed = threading.Condition()
         self.services: dict[str, _Service] = {}
@@ -249,7 +256,7 @@
             if stream is not None:
                 return stream.version
             if not request:
-                return self._find_sole_version(state, now)
+                return self._find_sole_version(service, since=now)
             # Also if a record is known: a later one may name the target that began it.
             self.reads_requested += 1
             ticket = self.reads_requested
@@ -266,14 +273,42 @@
             is_complete = is_complete and now - failed_at >= STORE_SETTLING_S
             if is_complete and state.default is not None:
                 return state.default
-            return self._find_sole_version(state, now)
+            return self._find_sole_version(service, since=now)
 
-    def _find_sole_version(self, state: _Service, now: float) -> str | None:
-        """Return the version that all targets have run for longer than streams last."""
-        if now - self.started_at < self.settings.memory_s or len(state.seen_at) != 1:
+    def _find_sole_version(self, service: str, *, since: float) -> str | None:
+        """Return the version that all targets have run for longer than streams last.
+
+        The targets must have been read without a gap all the while, and again since a
+        time: streams may have begun through other hosts at targets not known here.
+        """
+        if since - self.targets_read_at >= TARGETS_GAP_LIMIT_S:
+            return None
+        self.changed.wait_for(lambda: self.targets_read_at >= since, TARGETS_WAIT_S)
+        now = read_clock()
+        state = self._observe(service, now)
+        if (
+            self.targets_read_at < since
+            or now - self.targets_known_since < self.settings.memory_s
+            or len(state.seen_at) != 1
+        ):
             return None
         return next(iter(state.seen_at))
 
+    def note_targets_read(self, read_started_at: float) -> None:
+        """Record that all registrations published up to a time have been applied.
+
+        Parameters
+        ----------
+        read_started_at : float
+            Also of a read of another host that read for this one.
+        """
+        with self.changed:
+            gap_s = read_started_at - self.targets_read_at
+            if gap_s >= TARGETS_GAP_LIMIT_S:
+                self.targets_known_since = read_started_at
+            self.targets_read_at = max(self.targets_read_at, read_started_at)
+            self.changed.notify_all()
+
     def _observe(self, service: str, now: float) -> _Service:
         """Update the versions that a service's targets run."""
         state = self.services.setdefault(service, _Service())
--- a/src/thornlatch/gateway/tests/test_stream_versions.py
+++ b/src/thornlatch/gateway/tests/test_stream_versions.py
@@ -99,6 +99,7 @@
             is_manager=lambda: is_manager,
         )
         self.hosts.append(host)
+        host.note_targets_read(read_clock())
         self.executor.submit(host.run, Client(self.store, f"h{self.started}"))
         host.tick([SERVICE], now=read_clock())
         return host
@@ -274,13 +275,63 @@
 def test_only_version_for_long_needs_no_store(fleet):
     host = start_settled(fleet)
     fleet.store.is_down = True
-    host.started_at = read_clock() + 10.0
+    read_targets_until_stopped(fleet, host)
+    host.targets_known_since = read_clock() + 10.0
     assert host.find("r", SERVICE) is None
-    host.started_at = read_clock() - MEMORY_S
+    host.targets_known_since = read_clock() - MEMORY_S
     assert host.find("r", SERVICE) == "v1"
     assert host.find("", SERVICE) == "v1"
 
 
+def read_targets_until_stopped(fleet, host):
+    """Read the registered targets all the time, as through other hosts."""
+
+    def run():
+        while not host.is_stopped:
+            host.note_targets_read(read_clock())
+            time.sleep(0.01)
+
+    fleet.executor.submit(run)
+
+
+@pytest.mark.parametrize("request_id", ["r", ""])
+def test_only_version_is_unknown_to_a_host_whose_list_of_targets_is_old(
+    fleet, request_id
+):
+    """A host that was cut off joined streams of a version that it hadn't heard of."""
+    host = start_settled(fleet)
+    fleet.store.is_down = True
+    now = read_clock()
+    host.started_at = host.targets_known_since = now - 10 * MEMORY_S
+    for age_s in (0.1, 60.0):
+        host.targets_read_at = now - age_s
+        assert host.find(request_id, SERVICE) is None
+
+
+def test_version_that_came_and_left_unnoticed_may_have_begun_a_stream(fleet):
+    """A host that stood still has a new list, but not what was in it meanwhile."""
+    host = start_settled(fleet)
+    fleet.store.is_down = True
+    host.started_at = host.targets_known_since = read_clock() - 10 * MEMORY_S
+    host.targets_read_at = read_clock() - 20.0
+    read_targets_until_stopped(fleet, host)
+    wait_for(lambda: host.targets_read_at > read_clock() - 1.0)
+    assert host.find("", SERVICE) is None
+    time.sleep(MEMORY_S)
+    assert host.find("", SERVICE) == "v1"
+
+
+def test_host_cut_off_from_the_list_refuses_at_once(fleet):
+    host = start_settled(fleet)
+    fleet.store.is_down = True
+    assert host.find("r", SERVICE) is None
+    assert host.is_failing
+    host.targets_read_at = read_clock() - 10.0
+    began_at = read_clock()
+    assert host.find("r", SERVICE) is None
+    assert read_clock() - began_at < 0.5
+
+
 def test_restored_store_gets_the_records_again(fleet):
     host = start_settled(fleet)
     fleet.versions += ["v2"]
