--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -27,6 +27,7 @@
 # Share of the idle limit that a target announces. The rest is a margin, so that the
 # target doesn't close the connection as a call is sent.
 IDLE_LIMIT_RATIO = 0.75
+EXPIRY_PERIOD_S = 1.0
 # A call that may not be repeated reuses no connection that was idle for longer.
 UNREPEATABLE_IDLE_LIMIT_S = 2.0
 
@@ -335,6 +336,7 @@
     def __init__(self) -> None:
         self.lock = threading.Lock()
         self.idle: dict[str, list[_IdleConnection]] = {}
+        self.expiry_due_at = float("-inf")
 
     def pop(self, address: str, reuse: Reuse) -> _IdleConnection | None:
         if reuse is Reuse.NONE:
@@ -361,6 +363,28 @@
                 return
         connection.connection.close()
 
+    def expire(self) -> None:
+        """Close the connections that are idle for too long, to any address.
+
+        No further call may be made to the address of a target that has left.
+        """
+        now = read_clock()
+        expired: list[_IdleConnection] = []
+        with self.lock:
+            if now < self.expiry_due_at:
+                return
+            self.expiry_due_at = now + EXPIRY_PERIOD_S
+            for address, idle in list(self.idle.items()):
+                kept = [c for c in idle if now - c.idle_since < c.limit_s]
+                if len(kept) == len(idle):
+                    continue
+                expired += [c for c in idle if now - c.idle_since >= c.limit_s]
+                self.idle[address] = kept
+                if not kept:
+                    del self.idle[address]
+        for connection in expired:
+            connection.connection.close()
+
     def drop(self, address: str, *, idle_since: float) -> None:
         """Close the connections to an address that have been idle since a time."""
         with self.lock:
@@ -406,6 +430,7 @@
         If the target can't be reached or doesn't answer; `is_sent` tells whether it may
         have received the call.
     """
+    _connections.expire()
     idle = _connections.pop(call.address, reuse)
     connection = _connect(call) if idle is None else idle.connection
     sock = cast(BoundedSocket, connection.sock)
@@ -472,7 +497,12 @@
 def _is_open(connection: http.client.HTTPConnection) -> bool:
     # An idle connection becomes readable when the target closes it.
     sock = connection.sock
-    return sock is not None and not select.select([sock], [], [], 0)[0]
+    if sock is None:
+        return False
+    # `select.select` accepts no descriptors of 1,024 or higher.
+    poll = select.poll()
+    poll.register(sock, select.POLLIN)
+    return not poll.poll(0)
 
 
 def _send(
