--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -182,9 +182,10 @@
         """
         peers = {host: member for host, member in hosts.items() if host != self.host}
         now = read_clock()
-        for host in self.members.keys() - peers.keys():
+        lost = self.members.keys() - peers.keys()
+        for host in lost:
             self.state.peers.forget(host)
-        self.state.suspects.retain_hosts(peers)
+        self.state.suspects.retain_hosts(peers, lost=lost, now=now)
         self.state.suspects.parts.retain_hosts(peers, now=now)
         self.peer_loop.set_members(peers)
         self._divide_limits(peers, now)
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -6,6 +6,7 @@
 
 from thornlatch.fleet import FLEET, Target, TargetRegistry
 from thornlatch.gateway._aborted_runs import AbortedRuns
+from thornlatch.gateway._adopted_crashes import AdoptedCrashes
 from thornlatch.gateway._ports import CallerRequest
 from thornlatch.gateway._suspect_parts import SuspectParts
 from thornlatch.gateway._suspect_settings import SuspectSettings
@@ -40,6 +41,7 @@
         self.registry = registry
         self.lock = threading.Lock()
         self.aborted_runs = AbortedRuns(settings, registry)
+        self.adopted = AdoptedCrashes(settings, registry)
         self.peer_crashes: dict[str, dict[str, tuple[str, ...]]] = {}
         self.parts = SuspectParts(settings, registry, count_runs)
 
@@ -86,6 +88,7 @@
         """
         with self.lock:
             crash_ids = set(self.aborted_runs.get_rounds(fingerprint))
+        crash_ids.update(self.adopted.ids_by_fingerprint.get(fingerprint, ()))
         for ids_by_fingerprint in self.peer_crashes.values():
             crash_ids.update(ids_by_fingerprint.get(fingerprint, ()))
         return len(crash_ids - self.parts.explained)
@@ -104,7 +107,9 @@
         return self.count_crashes(fingerprint) >= self.settings.target_limit
 
     def list_own_crashes(self, *, now: float) -> dict[str, tuple[str, ...]]:
-        """Return the ids of the crashes that this host observed, for its digests.
+        """Return the ids of the crashes that this host reports in its digests.
+
+        It observed them, or a host that was lost did.
 
         Parameters
         ----------
@@ -115,14 +120,17 @@
         dict of str to tuple of str
             Crash ids by fingerprint of the request.
         """
-        if not self.aborted_runs.by_key:
+        if not self.aborted_runs.by_key and not self.adopted.by_id:
             return {}
         with self.lock:
             self.aborted_runs.drop_expired(now=now)
-            return {
-                fingerprint: tuple(self.aborted_runs.get_rounds(fingerprint))
-                for fingerprint in self.aborted_runs.by_key
-            }
+            self.adopted.refresh(now=now)
+            crashes = dict(self.adopted.ids_by_fingerprint)
+            for fingerprint in self.aborted_runs.by_key:
+                rounds = self.aborted_runs.get_rounds(fingerprint)
+                adopted_ids = crashes.get(fingerprint, ())
+                crashes[fingerprint] = tuple(dict.fromkeys((*rounds, *adopted_ids)))
+            return crashes
 
     def set_peer_crashes(
         self, host: str, crash_ids: dict[str, tuple[str, ...]]
@@ -147,16 +155,25 @@
         """
         self.peer_crashes = {FLEET: crash_ids}
 
-    def retain_hosts(self, hosts: Iterable[str]) -> None:
-        """Drop the crash reports of all hosts except the given ones.
-
-        What a relay reported for the whole fleet is kept until its next digest.
+    def retain_hosts(
+        self, hosts: Iterable[str], *, lost: Iterable[str], now: float
+    ) -> None:
+        """Adopt the crash reports of hosts that restarted or left.
 
         Parameters
         ----------
         hosts : iterable of str
+            All other hosts.
+        lost : iterable of str
+            Those that were among them until now.
+        now : float
         """
         known_hosts = {*hosts, FLEET}
+        # A relay's report for the whole fleet doesn't tell which host saw a crash.
+        gone = {FLEET, *(self.peer_crashes.keys() - known_hosts)} if any(lost) else ()
+        with self.lock:
+            for host in gone:
+                self.adopted.adopt(dict(self.peer_crashes.get(host, {})), now=now)
         self.peer_crashes = {
             host: crash_ids
             for host, crash_ids in self.peer_crashes.items()
--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -56,7 +56,7 @@
         Configuration(1, (), {"llm": Service("llm", "/h", 10, LIMITS)}, {})
     )
     unused = SimpleNamespace(
-        retain_hosts=lambda hosts: None,
+        retain_hosts=lambda hosts, **kwargs: None,
         set_peer_crashes=lambda host, crashes: None,
         set_fleet_crashes=lambda crashes: None,
         parts=Mock(),
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -187,14 +187,73 @@
     suspects.set_peer_crashes("i", {"f": ("c/1/0",), "g": ("a/1/0",)})
     assert suspects.is_blocked("f")
     assert not suspects.is_blocked("g")
-    suspects.retain_hosts(["h"])
+
+
+CRASHES = {"f": ("a/1/0", "b/1/0", "c/1/0")}
+
+
+def restart_targets(suspects):
+    for name in "abc":
+        suspects.registry.apply(name, build_target(name, 2), now=1.0)
+
+
+def report(suspects, reporter):
+    if reporter == "relay":
+        suspects.set_fleet_crashes(CRASHES)
+    else:
+        suspects.set_peer_crashes("h", CRASHES)
+
+
+@pytest.mark.parametrize("reporter", ["host", "relay"])
+def test_crashes_outlast_the_hosts_that_saw_them(reporter):
+    """A deadly request crashed as many targets again after a planned restart."""
+    suspects, successor = build_suspects(), build_suspects()
+    restart_targets(suspects)
+    report(suspects, reporter)
+    suspects.retain_hosts(["i"], lost=["h"], now=10.0)
+    suspects.set_fleet_crashes({})
+    assert suspects.is_blocked("f")
+    # Neither do they end with the next host that is lost.
+    restart_targets(successor)
+    successor.set_peer_crashes("i", suspects.list_own_crashes(now=20.0))
+    successor.retain_hosts([], lost=["i"], now=25.0)
+    assert successor.is_blocked("f")
+    assert suspects.list_own_crashes(now=69.0) == CRASHES
+    assert suspects.list_own_crashes(now=71.0) == {}
     assert not suspects.is_blocked("f")
 
 
-def test_crashes_that_a_relay_reported_outlast_a_change_of_members():
+@pytest.mark.parametrize("reporter", ["host", "relay"])
+def test_targets_that_a_lost_host_suspected_wrongly_are_cleared(reporter):
+    suspects = build_suspects()
+    report(suspects, reporter)
+    suspects.retain_hosts(["i"], lost=["h"], now=10.0)
+    suspects.set_fleet_crashes({})
+    assert suspects.list_own_crashes(now=12.0) == CRASHES
+    # They are still the same incarnations, so they didn't crash.
+    assert suspects.list_own_crashes(now=14.0) == {}
+    restart_targets(suspects)
+    assert suspects.list_own_crashes(now=15.0) == {}
+
+
+def test_hosts_that_adopt_from_each_other_forget_in_the_end():
+    hosts = [build_suspects(), build_suspects()]
+    for host in hosts:
+        restart_targets(host)
+        report(host, "host")
+        host.retain_hosts(["other"], lost=["h"], now=10.0)
+    for now in range(20, 140, 10):
+        first, second = (host.list_own_crashes(now=now) for host in hosts)
+        for host, crashes in ((hosts[0], second), (hosts[1], first)):
+            host.set_fleet_crashes(crashes)
+            host.retain_hosts(["other"], lost=[f"lost-{now}"], now=now)
+        assert hosts[0].is_blocked("f") == (now < 70)
+
+
+def test_crashes_that_a_relay_reported_outlast_a_new_host():
     suspects = build_suspects()
-    suspects.set_fleet_crashes({"f": ("a/1/0", "b/1/0", "c/1/0")})
-    suspects.retain_hosts(["h"])
+    suspects.set_fleet_crashes(CRASHES)
+    suspects.retain_hosts(["h"], lost=[], now=1.0)
     assert suspects.is_blocked("f")
 
 
