--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -41,11 +41,14 @@
 class HeldTarget:
     """What a target's holder, the host that orders its adapters, reports of it.
 
+    A former holder reports its last order too, for as long as a lease runs.
+
     Parameters
     ----------
     target : str
     started_ms : int
     fencing_token : int
+        0 of a former holder, which reports no adapters.
     ordered_ago_s : float
         Seconds since the holder's last order to it.
     adapters : tuple of ResidentAdapter
@@ -432,19 +435,28 @@
         """
         return self.running.get(target, {})
 
-    def get_holder_report(self, target: str) -> tuple[HeldTarget, float] | None:
-        """Return the latest report of a target's holder and its time of receipt.
+    def get_last_order_at(self, target: str, *, now: float) -> float:
+        """Return when a live peer last sent an order to a target, as far as known.
 
         Parameters
         ----------
         target : str
+        now : float
 
         Returns
         -------
-        (HeldTarget, float) or None
+        float
+            Clock time, also of peers that no longer hold the target; minus infinity if
+            none has sent an order.
         """
-        holder = self.holders.get(target)
-        return self.held.get(holder, {}).get(target) if holder else None
+        orders = [
+            received_at - report.ordered_ago_s
+            for host, reports in list(self.held.items())
+            if self.is_live(host, now=now)
+            for report, received_at in [reports.get(target, (None, 0.0))]
+            if report is not None
+        ]
+        return max(orders, default=float("-inf"))
 
     def _aggregate(self, now: float) -> None:
         running: dict[str, dict[str, int]] = {}
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -64,7 +64,8 @@
                 )
         self.spent_totals[host] = digest.spent
         for report in digest.held or ():
-            self.held[report.target] = (host, report)
+            if report.fencing_token or report.target not in self.held:
+                self.held[report.target] = (host, report)
             self.fencing_tokens[host, report.target] = report.fencing_token
 
     def list_live(self, *, now: float) -> dict[str, HostDigest]:
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -51,6 +51,8 @@
 ORDER_THREADS = 8  # targets that receive orders concurrently
 FULL_REPORT_PERIOD_S = 1.0  # between reports of all held targets to the peers
 PLACE_CHANGE_S = 0.15  # of the time of the next load, from which peers are told
+# In which a former holder's digest with its last order arrives.
+HAND_OVER_NOTICE_S = 0.15
 ENGINE_COUNT_MEMORY_S = 60.0  # crashed engines are back within a few seconds
 
 
@@ -126,6 +128,8 @@
         self.send_digest_now = send_digest_now
         self.lock = threading.Lock()
         self.held: dict[str, _HeldState] = {}
+        # Targets that were released within a lease, whose last orders peers must know.
+        self.released: dict[str, _HeldState] = {}
         # Held targets whose latest state hasn't been reported to the peers.
         self.changed: set[str] = set()
         self.changed_lock = threading.Lock()
@@ -361,7 +365,8 @@
                 for held_id in self.held
                 if not self._is_still_held(held_id, targets_to_hold)
             ]:
-                del self.held[target_id]
+                self.released[target_id] = self.held.pop(target_id)
+                self._note_changed(target_id)
                 logger.info("residency.released", extra={"target": target_id})
             self.use_notes.retain_targets(set(targets_to_hold))
             for target_id, (target, limits) in targets_to_hold.items():
@@ -389,14 +394,11 @@
 
     def _begin_holding(self, target: Target, limits: EngineLimits, now: float) -> None:
         partition = self.get_partition(target.id)
-        orders_from = now
-        former_report = self.peers.get_holder_report(target.id)
-        if former_report is not None and self.peers.get_holder(target.id, now=now):
-            # The former holder is live. A lease must pass after its last order, or the
-            # two hosts might send orders alternately.
-            report, received_at = former_report
-            ordered_at = received_at - report.ordered_ago_s
-            orders_from = max(now, ordered_at + self.tenure.settings.lease_s)
+        self.released.pop(target.id, None)
+        orders_from = max(now, self._get_hand_over_end(target.id, now))
+        if orders_from > now:
+            # The former holder's last order may not be known yet.
+            orders_from = max(orders_from, now + HAND_OVER_NOTICE_S)
         planner = TargetPlanner(self.settings, limits, self.versions)
         planner.former |= self.residents.former_adapters.get(target.id, set())
         self.held[target.id] = _HeldState(target, partition, planner, orders_from)
@@ -410,6 +412,15 @@
             },
         )
 
+    def _get_hand_over_end(self, target: str, now: float) -> float:
+        """Return the earliest time of an order after those of live former holders.
+
+        A lease must pass after the last one, or two hosts might send orders
+        alternately.
+        """
+        ordered_at = self.peers.get_last_order_at(target, now=now)
+        return ordered_at + self.tenure.settings.lease_s
+
     def tick(self, *, now: float) -> None:
         """Send the orders that are due.
 
@@ -486,8 +497,23 @@
                     round(max(place_in_s, 0.0), 2),
                 )
             )
+        reports += self._report_released(now, is_full=is_full, changed=changed)
         return tuple(reports) if reports or is_full else None
 
+    def _report_released(
+        self, now: float, *, is_full: bool, changed: Collection[str]
+    ) -> list[HeldTarget]:
+        """Return the last orders to released targets, for as long as a lease runs."""
+        reports = []
+        for target_id, released in list(self.released.items()):
+            ordered_ago_s = now - released.planner.ordered_at
+            if ordered_ago_s >= self.tenure.settings.lease_s:
+                del self.released[target_id]
+            elif is_full or target_id in changed:
+                started_ms = released.target.started_ms
+                reports.append(HeldTarget(target_id, started_ms, 0, ordered_ago_s, ()))
+        return reports
+
     def list_held(self) -> tuple[str, ...]:
         """Return the ids of the targets that this host holds and may send orders."""
         now = read_clock()
@@ -522,6 +548,9 @@
 
     def _start_orders(self, held: _HeldState) -> None:
         now = read_clock()
+        if held.planner.ordered_at == float("-inf"):
+            hand_over_end = self._get_hand_over_end(held.target.id, now)
+            held.orders_from = max(held.orders_from, hand_over_end)
         with held.lock:
             if held.is_sending or now < held.orders_from:
                 return
--- a/src/thornlatch/gateway/tests/test_large_fleet.py
+++ b/src/thornlatch/gateway/tests/test_large_fleet.py
@@ -249,7 +249,7 @@
     for name, host in fleet.hosts.items():
         if name != "h2-4":
             assert host.peers.get_holder("t1", now=fleet.now) == "h2-4"
-            assert host.peers.get_holder_report("t1")[0] == held
+            assert host.peers.held["h2-4"]["t1"][0] == held
 
 
 def test_crashes_by_request_reach_all_hosts(fleet):
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -464,6 +464,48 @@
     assert 1.5 < left_s <= 2.0
 
 
+def test_new_holder_waits_for_the_lease_after_the_former_holder_released(
+    manager_and_sent,
+):
+    """Two calm hosts sent orders to a target within a lease as a third one restarted.
+
+    The former holder no longer lists the target by the time that the store assigns it.
+    """
+    manager, _ = manager_and_sent
+    report_other_holder(manager, 1.0)
+    digest = HostDigest(2.0, (), {}, {}, (), (), False, {})
+    manager.peers.apply_digest("other", digest, now=read_clock())
+    hold(manager, "t1")
+    manager.request_load(build_load_request(), now=read_clock())
+    assert manager.protocol.orders == []
+    left_s = manager.held["t1"].orders_from - read_clock()
+    assert 1.5 < left_s <= 2.0
+
+
+def test_last_order_that_is_known_late_delays_the_new_holder_too(manager_and_sent):
+    manager, _ = manager_and_sent
+    hold(manager, "t1")
+    report_other_holder(manager, 0.0)
+    manager.request_load(build_load_request(), now=read_clock())
+    assert manager.protocol.orders == []
+    assert manager.held["t1"].orders_from - read_clock() > 2.5
+
+
+def test_former_holder_reports_its_last_order_for_the_time_of_a_lease(manager_and_sent):
+    manager, _ = manager_and_sent
+    hold(manager, "t1")
+    manager.request_load(build_load_request(), now=read_clock())
+    ordered_at = read_clock()
+    manager.tenure.renew(frozenset(), 6, asked_at=ordered_at)
+    manager.update_held_targets(now=ordered_at)
+    assert manager.list_held() == ()
+    (report,) = manager.build_held_report(now=ordered_at + 0.05)
+    assert (report.target, report.adapters) == ("t1", ())
+    assert report.ordered_ago_s == pytest.approx(0.05, abs=0.05)
+    assert len(manager.build_held_report(now=ordered_at + 2.0)) == 1
+    assert manager.build_held_report(now=ordered_at + 4.0) == ()
+
+
 def test_new_holder_does_not_wait_for_a_silent_former_holder(manager_and_sent):
     manager, _ = manager_and_sent
     report_other_holder(manager, 1.0, received_ago_s=2.0)
