--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -125,7 +125,12 @@
         )
         self.check_parts(call)
         if organisation is not None:
-            wait_s = self.quota.try_spend(organisation.name, call.tokens, now=now)
+            wait_s = self.quota.try_spend(
+                organisation.name,
+                call.tokens,
+                now=now,
+                is_resumed=route.is_resumable_stream and bool(call.last_event),
+            )
             if wait_s is not None:
                 raise RequestRefused(
                     ErrorKind.RATE_EXCEEDED,
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -28,6 +28,12 @@
     first_fill_s : float
         Initial level of a bucket, in seconds of the rate. The hosts that ran before may
         have just used the whole burst.
+    resumed_reserve_s : float
+        Part of a bucket that is kept for streams that callers resume, in seconds of
+        the rate; half of the burst at most. After the loss of all hosts they come
+        together, and pay in full, as a target runs them again.
+    resumed_first_s : float
+        Seconds after the start in which that part falls to nothing.
     settle_s : float
         Seconds after the start during which a host adopts the levels of its peers.
     silent_s : float
@@ -53,6 +59,8 @@
     """
 
     first_fill_s: Annotated[float, Meta(ge=0)] = 1.0
+    resumed_reserve_s: Annotated[float, Meta(ge=0)] = 1.0
+    resumed_first_s: Annotated[float, Meta(gt=0)] = 4.0
     settle_s: Annotated[float, Meta(ge=0)] = 1.5
     silent_s: Annotated[float, Meta(gt=0)] = 0.45
     wait_limit_s: Annotated[float, Meta(gt=0)] = 5.0
@@ -458,7 +466,9 @@
                         # The domain's digest includes what it spent in the meantime.
                         bucket.give_back(assumed, now, since=last_heard_at)
 
-    def try_spend(self, organisation: str, tokens: int, *, now: float) -> float | None:
+    def try_spend(
+        self, organisation: str, tokens: int, *, now: float, is_resumed: bool = False
+    ) -> float | None:
         """Spend tokens, or return the time until enough are available.
 
         Parameters
@@ -466,6 +476,8 @@
         organisation : str
         tokens : int
         now : float
+        is_resumed : bool
+            Whether they are for a stream that a caller resumes.
 
         Returns
         -------
@@ -479,15 +491,24 @@
                 return None
             # A request larger than the burst would never be accepted otherwise.
             required = min(tokens, bucket.burst)
-            if bucket.tokens_left < required:
+            reserve = 0.0 if is_resumed else self._get_reserve(bucket, now)
+            if bucket.tokens_left - reserve < required:
                 # With equal waits, all refused callers would retry at the same time.
-                wait_s = bucket.get_wait_s(required + bucket.promised_tokens, now)
+                promised_tokens = reserve + bucket.promised_tokens
+                wait_s = bucket.get_wait_s(required + promised_tokens, now)
                 bucket.promised_tokens += required
                 return min(wait_s, self.settings.wait_limit_s)
             bucket.charge(tokens, now)
             bucket.spent += tokens
             return None
 
+    def _get_reserve(self, bucket: _Bucket, now: float) -> float:
+        """Return the tokens that only resumed streams may spend now."""
+        settings = self.settings
+        left_ratio = 1 - (now - self.started_at) / settings.resumed_first_s
+        reserve = min(bucket.rate * settings.resumed_reserve_s, bucket.burst / 2)
+        return reserve * max(left_ratio, 0.0)
+
     def give_back(self, organisation: str, tokens: int, *, now: float) -> None:
         """Credit the tokens of a request that was not executed.
 
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -12,6 +12,7 @@
 
 
 def build_quota(now=0.0, peers=(), rate=RATE, burst=BURST, **settings):
+    settings = {"resumed_reserve_s": 0.0, **settings}
     quota = SharedQuota(QuotaSettings(**settings), now=now)
     quota.set_organisations([build_organisation(rate, burst)], now=now)
     quota.set_peers(peers, now=now)
@@ -321,3 +322,34 @@
     quota.set_peers(["b"], now=11.0 + FORGET_S)
     assert set(quota.totals) == {"b"}
     assert quota.relays == {}
+
+
+def play_return_of_all_hosts(**settings):
+    """Return the shares of new and of resumed requests that are accepted in 3 s.
+
+    Callers ask for four times the rate, a fifth of it for streams that broke off.
+    """
+    quota = build_quota(rate=10_000.0, burst=20_000.0, **settings)
+    results = {True: [], False: []}
+    for number in range(120):
+        is_resumed = number % 5 == 4
+        now = 0.3 + number * 0.025
+        wait_s = quota.try_spend("shop", 1000, now=now, is_resumed=is_resumed)
+        results[is_resumed].append(wait_s is None)
+    return [sum(results[kind]) / len(results[kind]) for kind in (False, True)]
+
+
+def test_resumed_streams_come_first_after_the_loss_of_all_hosts():
+    """New requests used up the quotas, and most streams that broke off were refused."""
+    _, resumed = play_return_of_all_hosts(resumed_reserve_s=0.0)
+    assert resumed < 0.6
+    new, resumed = play_return_of_all_hosts(resumed_reserve_s=1.0)
+    assert resumed == 1.0
+    assert new > 0.0
+
+
+def test_reserve_for_resumed_streams_ends_and_none_of_it_is_lost():
+    quota = build_quota(rate=10_000.0, burst=20_000.0, resumed_reserve_s=1.0)
+    assert quota.try_spend("shop", 5000, now=0.1) is not None
+    assert quota.try_spend("shop", 5000, now=0.1, is_resumed=True) is None
+    assert quota.try_spend("shop", 20_000, now=4.0) is None
