Bound streams that are kept for callers of HTTP/1.0

A stream for such a caller is kept until its end, since its caller couldn't tell a broken one.

It counts for the memory of received bytes now and is answered 502 beyond it. The test wasn't run on the former code, where it wouldn't end.

--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -8,7 +8,13 @@
 import logbook
 from waitress.channel import ClientDisconnected
 
-from thornlatch.core import build_status_line, read_clock
+from thornlatch.core import (
+    MemoryExceeded,
+    MemoryUse,
+    build_status_line,
+    read_clock,
+    received_memory,
+)
 from thornlatch.exceptions import ANSWERS, ErrorKind, RequestRefused
 from thornlatch.gateway._call import GatewayAnswer
 from thornlatch.gateway._forwarder import Forwarder
@@ -184,8 +190,25 @@
 
 def _read_whole(answer: GatewayAnswer) -> GatewayAnswer:
     # HTTP/1.0 has no chunks: without a length, a broken answer would look complete.
-    body = b"".join(answer.body)
-    return replace(answer, body=_iterate_once(body), length=len(body))
+    body = bytearray()
+    memory = MemoryUse(received_memory)
+    try:
+        for data in answer.body:
+            memory.add(len(data))
+            body += data
+    except MemoryExceeded as error:
+        raise RequestRefused(
+            ErrorKind.TARGET_FAILED, f"the answer is too long: {error}"
+        ) from error
+    finally:
+        if isinstance(answer.body, Generator):
+            answer.body.close()
+    return replace(answer, body=_iterate_held(bytes(body), memory), length=len(body))
+
+
+def _iterate_held(body: bytes, memory: MemoryUse) -> Iterator[bytes]:
+    yield body
+    memory.release()
 
 
 def _iterate_once(body: bytes) -> Iterator[bytes]:
--- a/src/thornlatch/gateway/tests/test_broken_streams.py
+++ b/src/thornlatch/gateway/tests/test_broken_streams.py
@@ -1,12 +1,13 @@
 """Streams that break off, and how their callers learn it."""
 
 import http.client
+import itertools
 import threading
 from types import SimpleNamespace
 
 import pytest
 
-from thornlatch.core import read_clock
+from thornlatch.core import read_clock, received_memory
 from thornlatch.core.tests.endless import CHUNKED_HEAD, HEAD
 from thornlatch.core.tests.scripted import ScriptedTarget
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
@@ -138,6 +139,13 @@
         raise RequestRefused(ErrorKind.TARGET_FAILED, "target closed the connection")
 
 
+class EndlessForwarder:
+    """Answers with a stream that never ends."""
+
+    def serve(self, request, *, is_caller_disconnected):
+        return GatewayAnswer(200, (), itertools.repeat(b"data: a\n\n" * 8192), None)
+
+
 class AnyCallers:
     """Accepts all requests."""
 
@@ -149,8 +157,13 @@
 
 
 @pytest.fixture
-def gateway_address():
-    app = GatewayApplication(AnyCallers(), BrokenForwarder(), GatewayMetrics())
+def forwarder():
+    return BrokenForwarder()
+
+
+@pytest.fixture
+def gateway_address(forwarder):
+    app = GatewayApplication(AnyCallers(), forwarder, GatewayMetrics())
     server = build_server(app, "127.0.0.1:0", threads=2)
     thread = threading.Thread(target=server.run, daemon=True)
     thread.start()
@@ -174,3 +187,15 @@
     else:
         assert response.status == 502
     connection.close()
+
+
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("forwarder", [EndlessForwarder()], ids=["endless"])
+def test_stream_without_end_to_a_caller_of_http_1_0_is_bounded(gateway_address):
+    """It is kept until its end, so one could take all of the process's memory."""
+    connection = http.client.HTTPConnection(gateway_address, timeout=10)
+    connection._http_vsn_str, connection._http_vsn = "HTTP/1.0", 10
+    connection.request("GET", "/")
+    assert connection.getresponse().status == 502
+    connection.close()
+    assert received_memory.used_bytes == 0
