Read only whole lines of a host's log in tests

Cause: Host.list_events parsed the last line of the log while the host was still writing it.

Change: the text after the last line end isn't parsed. tests/platform/ test_hosts.py fails before and passes now; no assertion of another test changes.

--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -121,9 +121,9 @@
         return [line for line in page.splitlines() if line.startswith(name)]
 
     def list_events(self, name):
-        records = [
-            json.loads(line) for line in self.read_log().splitlines() if line[:1] == "{"
-        ]
+        # The host may be writing the rest of the last line.
+        whole, _, _ = self.read_log().rpartition("\n")
+        records = [json.loads(line) for line in whole.splitlines() if line[:1] == "{"]
         return [record for record in records if record["event"] == name]
 
     def stop(self):
