--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -103,12 +103,16 @@
         Requests a second of all hosts together; None if it no longer names a limit.
     age_s : float
         Seconds since the target's answer.
+    ends_in_s : float or None
+        Seconds from that answer to the end of the limit, if the target is cold; None
+        for a limit that holds until its end is reported.
     """
 
     target: str
     started_ms: int
     rate: float | None
     age_s: float
+    ends_in_s: float | None = None
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -261,12 +261,13 @@
     -------
     tuple of TargetLimit
     """
-    latest: dict[tuple[str, int], TargetLimit] = {}
+    latest: dict[tuple[str, int, bool], TargetLimit] = {}
     for limit in limits:
-        incarnation = (limit.target, limit.started_ms)
-        known = latest.get(incarnation)
+        # A target may both name a limit and be cold.
+        key = (limit.target, limit.started_ms, limit.ends_in_s is None)
+        known = latest.get(key)
         if known is None or limit.age_s < known.age_s:
-            latest[incarnation] = limit
+            latest[key] = limit
     return tuple(latest.values())
 
 
--- a/src/thornlatch/fleet/_notices.py
+++ b/src/thornlatch/fleet/_notices.py
@@ -36,6 +36,8 @@
         Headers that were treated as absent.
     limit_rate : float or None
         Requests a second that it accepts from all hosts together; None without a limit.
+    cold_s : float
+        Seconds for which it stays cold; 0 if the answer doesn't tell.
     """
 
     is_leaving: bool = False
@@ -43,3 +45,4 @@
     started_ms: int = 0
     unreadable: tuple[UnreadableHeader, ...] = ()
     limit_rate: float | None = None
+    cold_s: float = 0.0
--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -56,6 +56,8 @@
         Number of the entry among those that this incarnation has written.
     software_version : str
         Version of its software. Streams of different versions can't be joined.
+    cold_s : float
+        Seconds for which it stays cold, as of its entry.
     """
 
     id: str
@@ -69,6 +71,7 @@
     leaves_in_s: float | None = None
     entry_number: int = 0
     software_version: str = ""
+    cold_s: float = 0.0
 
     @property
     def incarnation(self) -> Incarnation:
--- a/src/thornlatch/gateway/__init__.py
+++ b/src/thornlatch/gateway/__init__.py
@@ -15,10 +15,13 @@
 from thornlatch.gateway._settings import GatewaySettings, HostAddresses
 from thornlatch.gateway._store_epoch import MAX_EPOCH, StoreEpochs
 from thornlatch.gateway._stream_versions import KeyedValues
+from thornlatch.gateway._target_limits import COLD_LIMIT_S, ColdTargetSettings
 
 __all__ = [
     "AnswerHead",
+    "COLD_LIMIT_S",
     "CallerRequest",
+    "ColdTargetSettings",
     "CallerProtocol",
     "Gateway",
     "GatewayApplication",
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -24,6 +24,7 @@
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._logs import JsonLineHandler, redirect_library_logs
 from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._notices import REGISTRATION, note_cold
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import CallerProtocol, TargetProtocol
@@ -101,6 +102,7 @@
                 settings.limits,
                 host=settings.host.name,
                 count_peer_sends=self.peers.count_recent_sends,
+                cold_settings=settings.cold,
             ),
         )
         self.suspects = CrashSuspects(
@@ -306,6 +308,13 @@
         _log_changed_limits(previous, configuration)
         self.quota.set_organisations(configuration.organisations.values(), now=now)
         self.fleet.divide_model_loads()
+        self.health.limits.set_cold_rates(
+            {
+                service.name: service.cold_rate
+                for service in configuration.services.values()
+                if service.cold_rate > 0
+            }
+        )
         self._log_withdrawn_keys(configuration)
 
     def confirm_configuration(self, *, read_started_at: float) -> None:
@@ -350,6 +359,8 @@
             # A target may leave although its entry doesn't say so.
             current = self.registry.get(name) if target is not None else None
             self._handle_target_change(name, current, previous)
+        if target is not None:
+            note_cold(target, target.cold_s, source=REGISTRATION, health=self.health)
         if target is not None and target.loaded_models:
             self.residents.apply_registration(
                 name, _build_registered_residents(target, now), now=now
@@ -544,6 +555,12 @@
             {target.incarnation for target in list(self.registry.targets.values())},
             now=now,
         )
+        for incarnation in self.health.limits.pop_warm(now=now):
+            logger.info(
+                "target.warm",
+                extra={"target": incarnation[0], "started_ms": incarnation[1]},
+            )
+        self.metrics.cold_targets.set(len(self.health.limits.cold))
         self.orders.update_held_targets(now=now)
         self.orders.refresh_residents(now=now)
         self.orders.tick(now=now)
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -74,6 +74,11 @@
             ["source"],
             registry=self.registry,
         )
+        self.cold_targets = Gauge(
+            "thornlatch_gateway_cold_targets",
+            "Targets whose requests are limited because they are cold.",
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "thornlatch_store_calls",
             "Calls to the platform's store, by call and outcome.",
--- a/src/thornlatch/gateway/_notices.py
+++ b/src/thornlatch/gateway/_notices.py
@@ -18,6 +18,8 @@
 logger = logbook.Logger("thornlatch.gateway")
 
 PEER = "peer"
+REGISTRATION = "registration"
+EVACUATION = "evacuation"  # its end
 SHOWN_CHARACTERS = 200  # of a header's value in the log
 
 
@@ -133,6 +135,47 @@
         _record_limit(incarnation, notice.limit_rate, source, metrics)
 
 
+def note_cold(
+    target: Target,
+    remaining_s: float,
+    *,
+    source: str,
+    health: TargetHealth,
+) -> None:
+    """Record for how long a target is cold.
+
+    Parameters
+    ----------
+    target : Target
+    remaining_s : float
+        Seconds; nothing is recorded if they aren't positive.
+    source : str
+        What told of it: what was answered, `REGISTRATION` or `EVACUATION`.
+    health : TargetHealth
+    """
+    if not remaining_s > 0:
+        return
+    is_news = health.limits.note_cold(
+        target.incarnation,
+        target.service,
+        remaining_s,
+        source=source,
+        now=read_clock(),
+        was_seen=source not in (REGISTRATION, EVACUATION),
+    )
+    if is_news:
+        logger.info(
+            "target.cold",
+            extra={
+                "target": target.id,
+                "started_ms": target.started_ms,
+                "remaining_s": remaining_s,
+                "rate": health.limits.get_rate(target.incarnation),
+                "source": source,
+            },
+        )
+
+
 def note_peer_limits(
     reports: Iterable[TargetLimit],
     *,
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -27,6 +27,7 @@
 from thornlatch.gateway._notices import (
     is_of_incarnation,
     log_unreadable,
+    note_cold,
     note_leaving,
     note_limit,
     note_pause,
@@ -708,6 +709,7 @@
             health=self.health,
             metrics=self.metrics,
         )
+        note_cold(held.target, notice.cold_s, source=source, health=self.health)
         note_limit(
             held.target.incarnation,
             notice,
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -19,7 +19,12 @@
 from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import log_unreadable, note_limit, note_pause
+from thornlatch.gateway._notices import (
+    log_unreadable,
+    note_cold,
+    note_limit,
+    note_pause,
+)
 from thornlatch.gateway._ports import AnswerHead, SendContext, TargetProtocol
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
@@ -240,6 +245,7 @@
             health=self.health,
             metrics=self.metrics,
         )
+        note_cold(target, head.notice.cold_s, source="request", health=self.health)
         note_limit(
             target.incarnation,
             head.notice,
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -9,7 +9,7 @@
 from thornlatch.gateway._logs import LogSettings
 from thornlatch.gateway._stream_versions import StreamVersionSettings
 from thornlatch.gateway._suspect_settings import SuspectSettings
-from thornlatch.gateway._target_limits import TargetLimitSettings
+from thornlatch.gateway._target_limits import ColdTargetSettings, TargetLimitSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
 from thornlatch.mesh import PeerSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
@@ -192,6 +192,7 @@
     forwarding : ForwardingSettings
     suspects : SuspectSettings
     limits : TargetLimitSettings
+    cold : ColdTargetSettings
     stream_versions : StreamVersionSettings
     stop : StopSettings
     logs : LogSettings
@@ -213,6 +214,7 @@
     forwarding: ForwardingSettings = field(default_factory=ForwardingSettings)
     suspects: SuspectSettings = field(default_factory=SuspectSettings)
     limits: TargetLimitSettings = field(default_factory=TargetLimitSettings)
+    cold: ColdTargetSettings = field(default_factory=ColdTargetSettings)
     stream_versions: StreamVersionSettings = field(
         default_factory=StreamVersionSettings
     )
--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -1,16 +1,21 @@
-"""Limits that targets set on the rate of their requests, and this host's share.
-
-A target names one rate for all hosts together. The right to send to it is divided
-among a few hosts, chosen by rendezvous hashing, so that the requests that they may send
-at once don't grow with the fleet. The hosts also report what they sent lately: together
-they send no more in a window than the limit allows, counting what was sent before it
-was known.
+"""Limits on the rate of requests to single targets, and this host's share of them.
+
+A limit holds for all hosts together. The right to send to the target is divided among a
+few hosts, chosen by rendezvous hashing, so that the requests that they may send at once
+don't grow with the fleet. There are two reasons for a limit, which may hold together:
+
+- A target names a rate in its answers. The hosts also report what they sent lately:
+  together they send no more in a window than the limit allows, counting what was sent
+  before it was known.
+- A target is cold: it has just started, or says so. The configuration names the rate
+  that it tolerates. Here the shares alone keep the bound, also among hosts that don't
+  hear of each other.
 """
 
 import math
 import threading
 from collections import deque
-from collections.abc import Callable, Collection, Iterable
+from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass
 from random import Random
 from typing import Annotated
@@ -25,6 +30,9 @@
 # For which a limit is kept whose target isn't registered, as its entry may come back.
 UNREGISTERED_MEMORY_S = 60.0
 LATE_MESSAGE_S = 1.0  # by which a reported answer may be older than it seems
+COLD_LIMIT_S = 60.0  # longest time for which a target is taken to be cold
+PEER_SOURCE = "peer"
+COLD_EXTENSION_S = 0.5  # shorter extensions of a cold time are no news
 
 
 @dataclass(frozen=True)
@@ -69,15 +77,80 @@
         return max(tolerance * self.used_tolerance, 1.0)
 
 
-@dataclass
-class _Limit:
+@dataclass(frozen=True)
+class ColdTargetSettings:
+    """How many requests a cold target may get.
+
+    Parameters
+    ----------
+    window_s : float
+        Seconds over which the platform counts the requests at a target.
+    tolerated_ratio, tolerated_requests : float
+        A window may hold the requests of the rate times the ratio and these requests.
+    used_ratio : float
+        Fraction of that bound that the hosts use together. The rest covers hosts whose
+        lists of hosts differ, and requests sent before the target was known to be cold.
+    """
+
+    window_s: Annotated[float, Meta(gt=0)] = 1.0
+    tolerated_ratio: Annotated[float, Meta(ge=0)] = 1.5
+    tolerated_requests: Annotated[float, Meta(ge=0)] = 5.0
+    used_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.65
+
+    def divide(self, rate: float, hosts: int) -> "RateShare":
+        """Divide the requests that a cold target may get among hosts.
+
+        Parameters
+        ----------
+        rate : float
+            Requests a second that the target tolerates.
+        hosts : int
+            Number of hosts of the fleet; at least 1.
+
+        Returns
+        -------
+        RateShare
+            In any window the hosts with a share together send no more than
+            `used_ratio` of the bound.
+        """
+        bound = self.tolerated_ratio * rate * self.window_s + self.tolerated_requests
+        usable = bound * self.used_ratio
+        count = min(hosts, int(usable))
+        if not count:
+            return RateShare(0, 0.0, 0.0)
+        rate_in_window = rate * self.window_s
+        if count > rate_in_window:
+            # A host sends at most one request in a window.
+            return RateShare(count, rate / count, 1.0)
+        capacity = max((usable - rate_in_window) / count, 1.0)
+        rate = min(rate, max(usable - count * capacity, 0.0) / self.window_s)
+        return RateShare(count, rate / count, capacity)
+
+
+@dataclass(frozen=True)
+class RateShare:
+    """Token bucket of each of the hosts that share a limit.
+
+    Parameters
+    ----------
+    hosts : int
+        Number of hosts with a share.
+    rate : float
+        Requests a second of each.
+    capacity : float
+        Requests that each may send at once.
+    """
+
+    hosts: int
     rate: float
-    # When this host or a peer last got an answer that named it.
-    named_at: float
-    # When a request was answered that no longer named it; None while it is in force.
-    ended_at: float | None = None
-    # Whether this host got the latest of these answers.
-    was_seen: bool = False
+    capacity: float
+
+
+NO_SHARE = RateShare(0, 0.0, 0.0)
+
+
+@dataclass
+class _Bucket:
     # Requests that this host may send now, as of `refilled_at`.
     tokens: float = 0.0
     refilled_at: float = float("-inf")
@@ -85,6 +158,66 @@
     rank: int = 0
     ranked_hosts: tuple[str, ...] = ()
 
+    def refill(self, share: RateShare, now: float) -> None:
+        """Add the tokens of the time since the last refill."""
+        elapsed_s = max(now - self.refilled_at, 0.0)
+        self.tokens = min(self.tokens + elapsed_s * share.rate, share.capacity)
+        self.refilled_at = now
+
+
+@dataclass
+class _Limit(_Bucket):
+    rate: float = math.inf
+    # When this host or a peer last got an answer that named it.
+    named_at: float = float("-inf")
+    # When a request was answered that no longer named it; None while it is in force.
+    ended_at: float | None = None
+    # Whether this host got the latest of these answers.
+    was_seen: bool = False
+
+
+@dataclass
+class _ColdPeriod(_Bucket):
+    # Empty if only peers told of it.
+    service: str = ""
+    # Requests a second that a peer reported; the configuration's rate goes first.
+    reported_rate: float = 0.0
+    since: float = float("-inf")
+    until: float = float("-inf")
+    source: str = ""
+    # When this host got an answer that told of it; None if it knows from elsewhere.
+    seen_at: float | None = None
+
+
+@dataclass(frozen=True)
+class ColdTarget:
+    """A target that is cold, for operators.
+
+    Parameters
+    ----------
+    target : str
+    started_ms : int
+    since_s, left_s : float
+        Seconds since it became cold as far as this host knows, and until it is warm.
+    source : str
+        What told of it last.
+    rate : float
+        Requests a second that all hosts together may send to it.
+    share : float
+        Those of this host.
+    sent : int
+        Requests that this host sent to it in the last window.
+    """
+
+    target: str
+    started_ms: int
+    since_s: float
+    left_s: float
+    source: str
+    rate: float
+    share: float
+    sent: int
+
 
 class TargetLimits:
     """Decides whether this host may send a request to a target; thread-safe.
@@ -100,6 +233,7 @@
     random : random.Random or None
         Source of the differences between callers that return; None for one that is
         seeded by the system.
+    cold_settings : ColdTargetSettings
     """
 
     def __init__(
@@ -109,14 +243,20 @@
         host: str = "",
         count_peer_sends: Callable[[str], int] = lambda target: 0,
         random: Random | None = None,
+        cold_settings: ColdTargetSettings = ColdTargetSettings(),  # noqa: B008
     ) -> None:
         self.settings = settings
+        self.cold_settings = cold_settings
         self.host = host
         self.count_peer_sends = count_peer_sends
         self.random = random or Random()
         self.lock = threading.Lock()
         self.hosts: tuple[str, ...] = (host,)
         self.limits: dict[Incarnation, _Limit] = {}
+        self.cold: dict[Incarnation, _ColdPeriod] = {}
+        # Requests a second that a cold target of a service tolerates.
+        self.cold_rates: dict[str, float] = {}
+        self.started_at: float | None = None
         # Times of this host's sends in the last window.
         self.send_times: dict[Incarnation, deque[float]] = {}
 
@@ -179,11 +319,13 @@
         limit = self.limits.get(target)
         if limit is None:
             # Without tokens: other hosts may have used theirs just now.
-            self.limits[target] = _Limit(rate, at, None, was_seen, refilled_at=now)
+            self.limits[target] = _Limit(
+                rate=rate, named_at=at, was_seen=was_seen, refilled_at=now
+            )
             return True
         if at < limit.named_at or (limit.ended_at is not None and at < limit.ended_at):
             return False
-        self._refill(target, limit, now)
+        limit.refill(self._compute_share(target, limit), now)
         has_changed = limit.ended_at is not None or limit.rate != rate
         limit.rate, limit.named_at, limit.ended_at = rate, at, None
         limit.was_seen = limit.was_seen or was_seen
@@ -200,11 +342,17 @@
         Returns
         -------
         bool
-            Whether the limit in force has changed.
+            Whether the limit in force has changed. Cold times aren't limits in force.
         """
         target = (report.target, report.started_ms)
         at = now - report.age_s
         with self.lock:
+            if report.ends_in_s is not None:
+                left_s = report.ends_in_s - report.age_s
+                period = self._extend_cold(target, left_s, "", PEER_SOURCE, now)
+                if period is not None:
+                    period.reported_rate = report.rate or 0.0
+                return False
             if report.rate is not None:
                 return self._name(target, report.rate, at=at, was_seen=False, now=now)
             limit = self.limits.get(target)
@@ -227,7 +375,7 @@
         tuple of TargetLimit
             At most `REPORT_LIMIT`, the latest ones.
         """
-        if not self.limits:
+        if not (self.limits or self.cold):
             return ()
         with self.lock:
             reports = [
@@ -236,6 +384,16 @@
                 if limit.was_seen
                 and (limit.ended_at is None or now - limit.ended_at < ENDED_REPORT_S)
             ]
+            reports += [
+                TargetLimit(
+                    *target,
+                    self._get_cold_rate(period),
+                    now - period.seen_at,
+                    period.until - period.seen_at,
+                )
+                for target, period in self.cold.items()
+                if period.seen_at is not None and now < period.until
+            ]
         reports.sort(key=lambda report: report.age_s)
         return tuple(reports[:REPORT_LIMIT])
 
@@ -269,10 +427,13 @@
             The registered ones.
         now : float
         """
-        if not (self.limits or self.send_times):
+        if not (self.limits or self.send_times or self.cold):
             return
         ids = {target for target, _ in targets}
         with self.lock:
+            for target in list(self.cold):
+                if target not in targets and target[0] in ids:
+                    del self.cold[target]
             for target, limit in list(self.limits.items()):
                 is_old = now - limit.named_at >= UNREGISTERED_MEMORY_S
                 if target not in targets and (target[0] in ids or is_old):
@@ -281,8 +442,159 @@
                 if not self._count_own_sends(target, now):
                     del self.send_times[target]
 
+    def set_cold_rates(self, rates: Mapping[str, float]) -> None:
+        """Set the requests a second that cold targets tolerate.
+
+        Parameters
+        ----------
+        rates : mapping of str to float
+            By service; services without a limit are absent.
+        """
+        with self.lock:
+            self.cold_rates = dict(rates)
+
+    def note_cold(
+        self,
+        target: Incarnation,
+        service: str,
+        remaining_s: float,
+        *,
+        source: str,
+        now: float,
+        was_seen: bool = False,
+    ) -> bool:
+        """Record that a target is cold; a known time is only ever lengthened.
+
+        Parameters
+        ----------
+        target : (str, int)
+        service : str
+        remaining_s : float
+            Seconds from now; cut at `COLD_LIMIT_S`, without effect if not positive.
+        source : str
+            What told of it, for operators.
+        now : float
+        was_seen : bool
+            Whether it is from an answer to this host, which peers don't know of.
+
+        Returns
+        -------
+        bool
+            Whether the time has begun or has been lengthened noticeably.
+        """
+        with self.lock:
+            known = self.cold.get(target)
+            known_until = known.until if known is not None else float("-inf")
+            period = self._extend_cold(target, remaining_s, service, source, now)
+            if period is None:
+                return False
+            if was_seen:
+                period.seen_at = now
+            return period.until - max(known_until, now) > COLD_EXTENSION_S
+
+    def _extend_cold(
+        self,
+        target: Incarnation,
+        remaining_s: float,
+        service: str,
+        source: str,
+        now: float,
+    ) -> _ColdPeriod | None:
+        if self.started_at is None:
+            self.started_at = now
+        if not remaining_s > 0:
+            return None
+        until = now + min(remaining_s, COLD_LIMIT_S)
+        period = self.cold.get(target)
+        if period is None or now >= period.until:
+            period = _ColdPeriod(service=service, since=now, refilled_at=now)
+            if not self._may_have_just_sent(target, now):
+                # Hosts with a share begin one after the other, not all at once after
+                # the time in which an empty bucket fills.
+                share = self._compute_cold_share(target, period)
+                if share.rate:
+                    period.tokens = period.rank / share.hosts
+            self.cold[target] = period
+        period.service = period.service or service
+        if until > period.until:
+            period.until, period.source = until, source
+        return period
+
+    def _may_have_just_sent(self, target: Incarnation, now: float) -> bool:
+        """Return whether this host, or its former process, may have sent just now."""
+        started_at = self.started_at if self.started_at is not None else now
+        if now - started_at < self.cold_settings.window_s:
+            return True
+        return self._count_own_sends(target, now) > 0
+
+    def pop_warm(self, *, now: float) -> tuple[Incarnation, ...]:
+        """Drop the targets whose cold time has ended, and return them.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        tuple of (str, int)
+        """
+        if not self.cold:
+            return ()
+        with self.lock:
+            warm = [
+                target for target, period in self.cold.items() if now >= period.until
+            ]
+            for target in warm:
+                del self.cold[target]
+        return tuple(warm)
+
+    def list_cold(self, *, now: float) -> tuple[ColdTarget, ...]:
+        """Return the targets that are cold, for operators.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        tuple of ColdTarget
+        """
+        with self.lock:
+            window_s = self.cold_settings.window_s
+            return tuple(
+                ColdTarget(
+                    *target,
+                    round(now - period.since, 3),
+                    round(period.until - now, 3),
+                    period.source,
+                    self._get_cold_rate(period),
+                    self._compute_cold_share(target, period).rate,
+                    sum(
+                        sent_at > now - window_s
+                        for sent_at in self.send_times.get(target, ())
+                    ),
+                )
+                for target, period in self.cold.items()
+                if now < period.until
+            )
+
+    def is_cold(self, target: Incarnation) -> bool:
+        """Return whether a target is cold and its requests are limited for that.
+
+        Parameters
+        ----------
+        target : (str, int)
+
+        Returns
+        -------
+        bool
+            Up to a turn later than its end.
+        """
+        period = self.cold.get(target)
+        return period is not None and self._get_cold_rate(period) > 0
+
     def is_limited(self, target: Incarnation) -> bool:
-        """Return whether a target limits its requests.
+        """Return whether a target limits its requests, or is cold.
 
         Parameters
         ----------
@@ -293,7 +605,8 @@
         bool
         """
         limit = self.limits.get(target)
-        return limit is not None and limit.ended_at is None
+        is_named = limit is not None and limit.ended_at is None
+        return is_named or self.is_cold(target)
 
     def get_rate(self, target: Incarnation) -> float:
         """Return the requests a second that all hosts together may send to a target.
@@ -307,10 +620,11 @@
         float
             Infinite without a limit.
         """
-        limit = self.limits.get(target)
-        if limit is None or limit.ended_at is not None:
-            return math.inf
-        return max(limit.rate, self.settings.probe_rate)
+        rate = self._get_named_rate(target)
+        period = self.cold.get(target)
+        if period is not None and self.is_cold(target):
+            rate = min(rate, self._get_cold_rate(period))
+        return rate
 
     def get_share(self, target: Incarnation) -> float:
         """Return the requests a second that this host may send to a target.
@@ -324,11 +638,15 @@
         float
             Infinite without a limit.
         """
+        share = math.inf
         with self.lock:
             limit = self.limits.get(target)
-            if limit is None or limit.ended_at is not None:
-                return math.inf
-            return self._compute_share(target, limit)[0]
+            if limit is not None and limit.ended_at is None:
+                share = self._compute_share(target, limit).rate
+            period = self.cold.get(target)
+            if period is not None and self.is_cold(target):
+                share = min(share, self._compute_cold_share(target, period).rate)
+        return share
 
     def get_wait_s(self, target: Incarnation, *, now: float) -> float:
         """Return the seconds until this host may send a request to a target.
@@ -349,7 +667,7 @@
             return self._get_wait_s(target, now)
 
     def try_send(self, target: Incarnation, *, now: float) -> bool:
-        """Count a request that is about to be sent to a target if its limit allows it.
+        """Count a request that is about to be sent to a target if its limits allow it.
 
         Parameters
         ----------
@@ -363,24 +681,52 @@
         with self.lock:
             if self._get_wait_s(target, now) > 0:
                 return False
-            limit = self.limits.get(target)
-            if limit is not None:
-                limit.tokens -= 1
+            for buckets in (self.limits, self.cold):
+                bucket = buckets.get(target)
+                if bucket is not None:
+                    bucket.tokens -= 1
             times = self.send_times.setdefault(target, deque())
             times.append(now)
             self._count_own_sends(target, now)
             return True
 
+    def _get_named_rate(self, target: Incarnation) -> float:
+        limit = self.limits.get(target)
+        if limit is None or limit.ended_at is not None:
+            return math.inf
+        return max(limit.rate, self.settings.probe_rate)
+
+    def _get_cold_rate(self, period: _ColdPeriod) -> float:
+        """Return the requests a second that a cold target tolerates; 0 for no limit."""
+        return self.cold_rates.get(period.service, period.reported_rate)
+
     def _get_wait_s(self, target: Incarnation, now: float) -> float:
+        return max(
+            self._get_named_wait_s(target, now), self._get_cold_wait_s(target, now)
+        )
+
+    def _get_cold_wait_s(self, target: Incarnation, now: float) -> float:
+        period = self.cold.get(target)
+        if period is None or now >= period.until or not self._get_cold_rate(period):
+            return 0.0
+        share = self._compute_cold_share(target, period)
+        left_s = period.until - now
+        if not share.rate:
+            # Other hosts' requests keep the target busy meanwhile.
+            return left_s
+        period.refill(share, now)
+        return min(max(1.0 - period.tokens, 0.0) / share.rate, left_s)
+
+    def _get_named_wait_s(self, target: Incarnation, now: float) -> float:
         limit = self.limits.get(target)
         if limit is None or limit.ended_at is not None:
             return 0.0
-        share, _ = self._compute_share(target, limit)
-        if not share:
+        share = self._compute_share(target, limit)
+        if not share.rate:
             return math.inf
-        self._refill(target, limit, now)
-        wait_s = max(1.0 - limit.tokens, 0.0) / share
-        rate = self.get_rate(target)
+        limit.refill(share, now)
+        wait_s = max(1.0 - limit.tokens, 0.0) / share.rate
+        rate = self._get_named_rate(target)
         settings = self.settings
         allowed = rate * settings.window_s + settings.compute_burst(rate)
         sent = self._count_own_sends(target, now) + self.count_peer_sends(target[0])
@@ -389,28 +735,34 @@
             wait_s = max(wait_s, (sent + 1 - allowed) / rate)
         return wait_s
 
-    def _refill(self, target: Incarnation, limit: _Limit, now: float) -> None:
-        share, capacity = self._compute_share(target, limit)
-        elapsed_s = max(now - limit.refilled_at, 0.0)
-        limit.tokens = min(limit.tokens + elapsed_s * share, capacity)
-        limit.refilled_at = now
-
-    def _compute_share(self, target: Incarnation, limit: _Limit) -> tuple[float, float]:
-        """Return this host's rate and the tokens it can hold; zeros without a share."""
-        rate = self.get_rate(target)
+    def _compute_share(self, target: Incarnation, limit: _Limit) -> RateShare:
+        """Return this host's share of a limit that a target named."""
+        rate = self._get_named_rate(target)
         if rate is math.inf:
-            return 0.0, 0.0
-        if limit.ranked_hosts is not self.hosts:
-            limit.ranked_hosts = self.hosts
-            own_score = score_key(target[0], self.host)
-            limit.rank = sum(
-                score_key(target[0], host) > own_score for host in limit.ranked_hosts
-            )
+            return NO_SHARE
+        self._rank(target, limit)
         burst = self.settings.compute_burst(rate)
         count = min(len(limit.ranked_hosts), int(burst))
         if limit.rank >= count:
-            return 0.0, 0.0
-        return rate / count, burst / count
+            return NO_SHARE
+        return RateShare(count, rate / count, burst / count)
+
+    def _compute_cold_share(
+        self, target: Incarnation, period: _ColdPeriod
+    ) -> RateShare:
+        """Return this host's share of what a cold target tolerates."""
+        self._rank(target, period)
+        rate = self._get_cold_rate(period)
+        share = self.cold_settings.divide(rate, max(len(period.ranked_hosts), 1))
+        return share if period.rank < share.hosts else NO_SHARE
+
+    def _rank(self, target: Incarnation, bucket: _Bucket) -> None:
+        if bucket.ranked_hosts is not self.hosts:
+            bucket.ranked_hosts = self.hosts
+            own_score = score_key(target[0], self.host)
+            bucket.rank = sum(
+                score_key(target[0], host) > own_score for host in bucket.ranked_hosts
+            )
 
     def _count_own_sends(self, target: Incarnation, now: float) -> int:
         times = self.send_times.get(target)
--- a/src/thornlatch/routing/_configuration.py
+++ b/src/thornlatch/routing/_configuration.py
@@ -127,12 +127,18 @@
         Largest number of connections that one target accepts from all hosts together.
     engine : EngineLimits or None
         None for a plain service.
+    cold_s : float
+        Seconds for which a target is cold after it starts during traffic.
+    cold_rate : float
+        Requests a second that a cold target tolerates from all hosts; 0 for any.
     """
 
     name: str
     health_path: str
     connection_limit: int
     engine: EngineLimits | None = None
+    cold_s: float = 0.0
+    cold_rate: float = 0.0
 
 
 @dataclass(frozen=True)
