Choose targets by the speed that they report, and read load headers of any length

Cause: a load header with a fourth figure was lost as a whole, without a log line, and slow targets had the cost of sound ones.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -177,6 +177,9 @@
         Limits that targets named to the sender.
     recent_sends : dict of str to int
         Requests of the last few seconds to targets with a limit, by target.
+    speeds : dict of str to (int, int)
+        How long work takes at targets, as they reported it since the previous digest:
+        mean in percent of the usual and number of reports, by target.
     """
 
     sent_at: float
@@ -195,6 +198,7 @@
     store: StoreKnowledge = field(default_factory=StoreKnowledge)
     limits: tuple[TargetLimit, ...] = ()
     recent_sends: dict[str, int] = field(default_factory=dict)
+    speeds: dict[str, tuple[int, int]] = field(default_factory=dict)
 
 
 @register
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -74,6 +74,9 @@
         Limits that targets named to any of the hosts, the latest of each target.
     recent_sends : dict of str to int
         Requests of the last few seconds to targets with a limit, by target.
+    speeds : dict of str to (int, int)
+        How long work takes at targets, as they reported it: mean in percent of the
+        usual and number of reports, by target.
     """
 
     running: dict[str, int] = field(default_factory=dict)
@@ -86,6 +89,7 @@
     leaving: tuple[tuple[str, int], ...] = ()
     limits: tuple[TargetLimit, ...] = ()
     recent_sends: dict[str, int] = field(default_factory=dict)
+    speeds: dict[str, tuple[int, int]] = field(default_factory=dict)
 
 
 @register
@@ -188,6 +192,7 @@
         leaving=merge_leaving(part.leaving for part in parts),
         limits=merge_limits(limit for part in parts for limit in part.limits),
         recent_sends=sum_counts(part.recent_sends for part in parts),
+        speeds=merge_speeds(part.speeds for part in parts),
     )
 
 
@@ -271,6 +276,30 @@
     return tuple(latest.values())
 
 
+def merge_speeds(
+    reports: Iterable[dict[str, tuple[int, int]]],
+) -> dict[str, tuple[int, int]]:
+    """Return the means of the figures of several hosts, weighted by their numbers.
+
+    Parameters
+    ----------
+    reports : iterable of dict of str to (int, int)
+        Mean in percent and number of figures, by target.
+
+    Returns
+    -------
+    dict of str to (int, int)
+    """
+    merged: dict[str, tuple[int, int]] = {}
+    for report in reports:
+        for target, (percent, count) in report.items():
+            known_percent, known_count = merged.get(target, (0, 0))
+            total = known_percent * known_count + percent * count
+            count += known_count
+            merged[target] = (round(total / count) if count else percent, count)
+    return merged
+
+
 def merge_parts(reports: Iterable[PartReport]) -> PartReport:
     """Merge crashes by part of the prompt over several hosts.
 
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -14,6 +14,7 @@
     merge_leaving,
     merge_limits,
     merge_parts,
+    merge_speeds,
     sum_counts,
 )
 from thornlatch.fleet._latest_messages import LatestMessages
@@ -138,6 +139,7 @@
             merge_leaving(digest.leaving for digest in live.values()),
             merge_limits(self._iter_limits(live, now)),
             sum_counts(digest.recent_sends for digest in live.values()),
+            merge_speeds(digest.speeds for digest in live.values()),
         )
         return DomainDigest(spending, work)
 
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -77,6 +77,8 @@
         # Ids and starts of targets that announced to any host that they leave.
         self.leaving: tuple[tuple[str, int], ...] = ()
         self.limits: tuple[TargetLimit, ...] = ()
+        # How long work takes at targets, as they reported it to any host.
+        self.speeds: dict[str, tuple[int, int]] = {}
 
     def note_sent(self, digest: HostDigest) -> None:
         """Remember a digest of this host until a relay may have echoed it.
@@ -212,6 +214,7 @@
         self.parts = work.parts
         self.leaving = work.leaving
         self.limits = work.limits
+        self.speeds = work.speeds
 
     def _count_peer_requests(
         self, message: FleetDigest, now: float
--- a/src/thornlatch/gateway/__init__.py
+++ b/src/thornlatch/gateway/__init__.py
@@ -9,6 +9,7 @@
     CallerProtocol,
     CallerRequest,
     OrderReply,
+    ReportedLoad,
     SendContext,
     TargetProtocol,
 )
@@ -32,6 +33,7 @@
     "LogSettings",
     "MAX_EPOCH",
     "OrderReply",
+    "ReportedLoad",
     "SendContext",
     "StoreEpochs",
     "TargetProtocol",
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -4,6 +4,7 @@
 target, so that no request waits for an answer from another host.
 """
 
+import math
 import zlib
 from collections.abc import Callable, Collection, Sequence
 from dataclasses import dataclass
@@ -75,6 +76,8 @@
         Addition to the cost by which hosts that choose at once differ.
     has_model : bool
         Whether the target holds the request's model; true for plain services.
+    work_ratio : float
+        How long work takes at the target, relative to the usual.
     """
 
     requests: int
@@ -87,6 +90,7 @@
     place_wait_s: float = 0.0
     spread_s: float = 0.0
     has_model: bool = True
+    work_ratio: float = 1.0
 
 
 @dataclass(frozen=True)
@@ -115,6 +119,10 @@
         Whether the request may wait until the target has read the prompts sent before.
     prefill_limit_s : float
         Seconds of recent prompts at a target above which the request waits.
+    work_s : float
+        Expected seconds of the request at a target of the usual speed.
+    left_s : float
+        Seconds until the request's deadline.
     """
 
     adapter: str
@@ -127,6 +135,8 @@
     prefill_s: float = 0.0
     may_await_prefill: bool = False
     prefill_limit_s: float = 0.0
+    work_s: float = 0.0
+    left_s: float = math.inf
 
 
 def list_options(
@@ -221,9 +231,16 @@
         and _is_sufficient(resident.version, requirements.version)
         and not state.is_avoided
         and state.requests < target.slots
+        and not _is_too_slow(state, requirements)
     )
 
 
+def _is_too_slow(state: TargetState, requirements: RequestRequirements) -> bool:
+    """Return whether a request wouldn't end in time because a target is slow now."""
+    ratio = state.work_ratio
+    return ratio > 1 and requirements.work_s * ratio > requirements.left_s
+
+
 def _estimate_option(
     target: Target,
     state: TargetState,
@@ -233,12 +250,16 @@
 ) -> TargetOption | None:
     slots = max(target.slots, 1)
     queue_length = state.requests + 1 - slots
-    queue_s = max(queue_length, 0) * requirements.service_s / slots
+    ratio = state.work_ratio
+    queue_s = max(queue_length, 0) * requirements.service_s * ratio / slots
     # A prompt waits for the prompts before it and then delays all streams of the
     # target.
-    prefill_s = state.prompt_tokens * requirements.prefill_s
-    cost_s = queue_s + state.requests / slots * settings.crowd_penalty_s
+    prefill_s = state.prompt_tokens * requirements.prefill_s * ratio
+    cost_s = queue_s + state.requests / slots * settings.crowd_penalty_s * ratio
     cost_s += prefill_s * settings.prefill_ratio
+    cost_s += (ratio - 1) * requirements.work_s * settings.slow_work_weight
+    if _is_too_slow(state, requirements):
+        cost_s += settings.too_slow_penalty_s
     if target.failure_domain != requirements.failure_domain:
         cost_s += settings.domain_penalty_s
     if state.is_avoided:
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -349,6 +349,7 @@
             StoreKnowledge(epoch, self.state.in_force.newest_version),
             self.state.health.limits.build_reports(now=now),
             self.state.health.limits.count_sends(now=now),
+            self.state.health.speeds.pop_reports(),
         )
 
     def _apply_digest(self, host: str, digest: HostDigest, now: float) -> None:
@@ -365,6 +366,7 @@
             self._apply_holder_report(host, report, now)
         self._apply_leaving(digest.leaving)
         self._apply_limits(digest.limits, now)
+        self.state.health.speeds.apply_reports(digest.speeds, now=now)
 
     def _apply_holder_report(self, holder: str, held: HeldTarget, now: float) -> None:
         if self.state.peers.get_holder(held.target, now=now) != holder:
@@ -408,6 +410,7 @@
         self.state.suspects.parts.set_fleet_report(self.domain_view.parts, now=now)
         self._apply_leaving(self.domain_view.leaving)
         self._apply_limits(self.domain_view.limits, now)
+        self.state.health.speeds.apply_reports(self.domain_view.speeds, now=now)
 
     def _apply_leaving(self, incarnations: Iterable[Incarnation]) -> None:
         for incarnation in incarnations:
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -104,6 +104,7 @@
                 count_peer_sends=self.peers.count_recent_sends,
                 cold_settings=settings.cold,
             ),
+            speed_settings=settings.speeds,
         )
         self.suspects = CrashSuspects(
             settings.suspects, self.registry, count_runs=self.work.count_runs
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -5,13 +5,16 @@
 from random import Random
 
 from thornlatch.fleet import Target
+from thornlatch.gateway._ports import ReportedLoad
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._target_limits import TargetLimits, TargetLimitSettings
+from thornlatch.gateway._target_speeds import SpeedSettings, TargetSpeeds
 
 SMOOTHING_WEIGHT = 0.1  # of the latest observation in a moving average
 INITIAL_SERVICE_S = 1.5  # per request, until one has been observed
 FAILURE_RATIO_LIMIT = 0.3  # of requests; targets at or above it are avoided
 INITIAL_TOKEN_PREFILL_S = 3e-5  # until prompts have been observed
+MIN_WORK_TOKENS = 50  # of a generation; shorter ones don't show the time per token
 MIN_PREFILL_TOKENS = 300  # shorter prompts don't show the time per token
 # Fast observations weigh more: they come from prompts that didn't queue behind others.
 FASTER_PREFILL_WEIGHT, SLOWER_PREFILL_WEIGHT = 0.2, 0.01
@@ -26,7 +29,7 @@
     failures: int = 0
     avoid_until: float = float("-inf")
     failure_ratio: float = 0.0
-    load: tuple[int, int, int] | None = None
+    load: ReportedLoad | None = None
     load_at: float = float("-inf")
     paused_until: float = float("-inf")
     # Names of headers that couldn't be read and have been logged.
@@ -60,6 +63,7 @@
         that is seeded by the system.
     limits : TargetLimits or None
         Limits of the targets; None for limits of which no other host has a share.
+    speed_settings : SpeedSettings
     """
 
     def __init__(
@@ -68,29 +72,33 @@
         *,
         random: Random | None = None,
         limits: TargetLimits | None = None,
+        speed_settings: SpeedSettings = SpeedSettings(),  # noqa: B008
     ) -> None:
         self.settings = settings
         self.random = random or Random()
         self.limits = limits or TargetLimits(TargetLimitSettings())
+        self.speeds = TargetSpeeds(speed_settings)
         self.lock = threading.Lock()
         self.observations: dict[str, _Observations] = {}
         self.service_s: dict[str, float] = {}
         self.prefill_s: dict[str, float] = {}
+        # Seconds for each token of a generation at a target of the usual speed.
+        self.token_s: dict[str, float] = {}
         self.last_pause_ends_at = float("-inf")
         # Starts of the targets' incarnations, in Unix milliseconds.
         self.started_ms: dict[str, int] = {}
         self.departed: set[str] = set()
 
     def note_success(
-        self, target: str, load: tuple[int, int, int] | None, *, now: float
+        self, target: str, load: ReportedLoad | None, *, now: float
     ) -> None:
         """Record an answer.
 
         Parameters
         ----------
         target : str
-        load : (int, int, int) or None
-            Running requests, waiting requests and slots that the target reported.
+        load : ReportedLoad or None
+            What the target reported; None if nothing.
         now : float
         """
         with self.lock:
@@ -99,6 +107,8 @@
             record.failure_ratio *= 1 - SMOOTHING_WEIGHT
             if load is not None:
                 record.load, record.load_at = load, now
+        if load is not None and load.work_ratio is not None:
+            self.speeds.note(target, load.work_ratio, now=now)
 
     def note_failure(self, target: str, *, now: float, is_unreachable: bool) -> float:
         """Record a failure and return for how long the target is avoided.
@@ -213,6 +223,48 @@
             mean_s = self.service_s.get(service, INITIAL_SERVICE_S)
             self.service_s[service] = mean_s + SMOOTHING_WEIGHT * (elapsed_s - mean_s)
 
+    def note_work(
+        self, target: str, service: str, tokens: int, elapsed_s: float, *, now: float
+    ) -> None:
+        """Record how long a target took for a generation.
+
+        Generations of fewer than `MIN_WORK_TOKENS` tokens are ignored, as most of their
+        time is that of the prompt.
+
+        Parameters
+        ----------
+        target, service : str
+        tokens : int
+            Declared size of the generation.
+        elapsed_s : float
+            Seconds from sending the request to the end of its answer.
+        now : float
+        """
+        if tokens < MIN_WORK_TOKENS:
+            return
+        token_s = elapsed_s / tokens / self.speeds.get_ratio(target, now=now)
+        with self.lock:
+            mean_s = self.token_s.get(service, token_s)
+            self.token_s[service] = mean_s + SMOOTHING_WEIGHT * (token_s - mean_s)
+
+    def estimate_work_s(self, service: str, tokens: int | None) -> float:
+        """Return the seconds that a request takes at a target of the usual speed.
+
+        Parameters
+        ----------
+        service : str
+        tokens : int or None
+            Declared size of a generation; None for other requests.
+
+        Returns
+        -------
+        float
+        """
+        token_s = self.token_s.get(service)
+        if tokens is None or token_s is None:
+            return self.get_service_s(service)
+        return tokens * token_s
+
     def note_prefill(self, service: str, tokens: int, elapsed_s: float) -> None:
         """Record the time from sending a prompt to the first event of its answer.
 
@@ -316,7 +368,7 @@
             or now - record.load_at >= REPORTED_LOAD_AGE_LIMIT_S
         ):
             return 0
-        return record.load[0] + record.load[1]
+        return (record.load.running or 0) + (record.load.waiting or 0)
 
     def begin(self, target: str, started_ms: int) -> None:
         """Drop the observations of a target's former incarnation.
@@ -330,6 +382,7 @@
         with self.lock:
             if self.started_ms.get(target) != started_ms:
                 self.observations.pop(target, None)
+                self.speeds.forget(target)
             self.started_ms[target] = started_ms
             self.departed.discard(target)
 
@@ -348,6 +401,7 @@
             if record is not None and self.started_ms.get(target):
                 paused_until = record.paused_until
                 self.observations[target] = _Observations(paused_until=paused_until)
+            self.speeds.forget(target)
             self.departed.add(target)
             self._drop_departed(now)
 
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -92,6 +92,24 @@
     last_event: str
 
 
+@dataclass(frozen=True)
+class ReportedLoad:
+    """What a target reports of its load; None for what it doesn't tell.
+
+    Parameters
+    ----------
+    running, waiting, slots : int or None
+        Numbers of running and waiting requests, and of slots.
+    work_ratio : float or None
+        How long work takes at the moment, relative to the usual.
+    """
+
+    running: int | None = None
+    waiting: int | None = None
+    slots: int | None = None
+    work_ratio: float | None = None
+
+
 @dataclass(frozen=True)
 class AnswerHead:
     """Status and headers of a target's answer, decoded.
@@ -111,8 +129,7 @@
         needs.
     answering_target : str
         Id of the target that answered; empty if the answer has none.
-    load : (int, int, int) or None
-        Numbers of running and waiting requests, and of slots.
+    load : ReportedLoad or None
     headers : tuple of (str, str)
         Headers that are forwarded to the caller.
     notice : TargetNotice
@@ -125,7 +142,7 @@
     is_not_run: bool
     is_misdirected: bool
     answering_target: str
-    load: tuple[int, int, int] | None
+    load: ReportedLoad | None
     headers: tuple[tuple[str, str], ...]
     notice: TargetNotice = TargetNotice()
 
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -329,6 +329,10 @@
             self.health.get_prefill_s(call.service),
             may_await_prefill=now - call.waiting_since < prefill_wait_limit_s,
             prefill_limit_s=self.pacing.get_limit_s(call.service, call.route.gap_s),
+            work_s=self.health.estimate_work_s(
+                call.service, call.request.output_tokens
+            ),
+            left_s=call.running.ends_at - now,
         )
 
         def get_state(target: Target) -> TargetState:
@@ -340,6 +344,7 @@
             spread_s = 0.0
             if self.orders.is_view_late:
                 spread_s = self.random.uniform(0.0, self.settings.herd_spread_s)
+            work_ratio = self.health.speeds.get_ratio(target.id, now=now)
             prompt_tokens = self.orders.count_recent_prompt_tokens(target.id, now=now)
             if not adapter:
                 return TargetState(
@@ -348,6 +353,7 @@
                     is_avoided,
                     spread_s=spread_s,
                     has_model=not model or target.holds_model(model),
+                    work_ratio=work_ratio,
                 )
             resident = self.residents.get(target.id, adapter)
             in_transit = 0
@@ -367,6 +373,7 @@
                 self.residents.is_former_target(target.id, adapter),
                 max(self.residents.place_at.get(target.id, now) - now, 0.0),
                 spread_s,
+                work_ratio=work_ratio,
             )
 
         targets = self._list_accepting(call, now)
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -311,7 +311,11 @@
         target = answer.option.target.id
         self.work.end(answer.use)
         now = read_clock()
-        self.health.note_service(call.service, now - answer.sent_at)
+        elapsed_s = now - answer.sent_at
+        self.health.note_service(call.service, elapsed_s)
+        if call.route.kind is CallKind.STREAM and answer.head.status < 300:
+            tokens = call.request.output_tokens or 0
+            self.health.note_work(target, call.service, tokens, elapsed_s, now=now)
         if answer.head.status >= 500:
             self.health.note_failure(target, now=now, is_unreachable=False)
 
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -10,6 +10,7 @@
 from thornlatch.gateway._stream_versions import StreamVersionSettings
 from thornlatch.gateway._suspect_settings import SuspectSettings
 from thornlatch.gateway._target_limits import ColdTargetSettings, TargetLimitSettings
+from thornlatch.gateway._target_speeds import SpeedSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
 from thornlatch.mesh import PeerSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
@@ -125,6 +126,11 @@
         learn of each other's choices late there, and would all choose the same target.
     domain_penalty_s : float
         Penalty of a target in another failure domain.
+    slow_work_weight : float
+        Part of the additional seconds that a request takes at a slow target which
+        counts as a penalty of that target.
+    too_slow_penalty_s : float
+        Penalty of a target at which a request wouldn't end before its deadline.
     """
 
     threads: Annotated[int, Meta(ge=8, le=2000)] = 320
@@ -149,6 +155,8 @@
     pace_objectives: Annotated[float, Meta(ge=0)] = 0.6
     herd_spread_s: Annotated[float, Meta(ge=0)] = 0.15
     domain_penalty_s: Annotated[float, Meta(ge=0)] = 0.002
+    slow_work_weight: Annotated[float, Meta(ge=0)] = 0.2
+    too_slow_penalty_s: Annotated[float, Meta(ge=0)] = 1.0
 
 
 @dataclass(frozen=True)
@@ -198,6 +206,7 @@
     suspects : SuspectSettings
     limits : TargetLimitSettings
     cold : ColdTargetSettings
+    speeds : SpeedSettings
     stream_versions : StreamVersionSettings
     stop : StopSettings
     logs : LogSettings
@@ -220,6 +229,7 @@
     suspects: SuspectSettings = field(default_factory=SuspectSettings)
     limits: TargetLimitSettings = field(default_factory=TargetLimitSettings)
     cold: ColdTargetSettings = field(default_factory=ColdTargetSettings)
+    speeds: SpeedSettings = field(default_factory=SpeedSettings)
     stream_versions: StreamVersionSettings = field(
         default_factory=StreamVersionSettings
     )
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -246,3 +246,50 @@
     ]
     assert waits[:2] == [0, 0]
     assert waits[3] > waits[2] > 0
+
+
+def test_slow_target_gets_its_part_of_the_work_only():
+    """A target four times as slow had the cost of a sound one until its queue grew."""
+    requirements = replace(build_requirements(), work_s=1.5)
+    states = {
+        "t1": TargetState(2, resident=READY, work_ratio=4.0),
+        "t2": TargetState(4, resident=READY),
+    }
+    assert choose(states, requirements)[0].target.id == "t2"
+    # The sound one is full: what the slow one has left is used.
+    states["t2"] = TargetState(16, resident=READY)
+    assert choose(states, requirements)[0].target.id == "t1"
+
+
+def test_hosts_do_not_all_choose_the_fastest_target():
+    requirements = replace(build_requirements(), work_s=1.5)
+    states = {
+        "t1": TargetState(7, resident=READY, work_ratio=0.7),
+        "t2": TargetState(1, resident=READY, work_ratio=1.0),
+    }
+    assert choose(states, requirements)[0].target.id == "t2"
+
+
+def test_long_request_goes_to_a_target_at_which_it_ends_in_time():
+    """Long streams at slow targets were cut at their deadline, almost complete."""
+    states = {
+        "t1": TargetState(0, resident=READY, work_ratio=1.7),
+        "t2": TargetState(7, resident=READY, work_ratio=0.7),
+    }
+    requirements = replace(build_requirements(), work_s=8.0, left_s=12.0)
+    assert choose(states, requirements)[0].target.id == "t2"
+    # If no target holds the adapter and is fast enough, it is loaded at one that is.
+    del states["t2"]
+    assert choose(states, requirements)[0].step is Step.REQUEST_LOAD
+    # Where all are as slow, the request runs where its adapter is.
+    slow = {name: TargetState(0, work_ratio=1.7) for name in ("t2", "t3")}
+    assert choose(states | slow, requirements)[0].target.id == "t1"
+
+
+def test_targets_without_reports_are_chosen_as_before():
+    states = {
+        "t1": TargetState(3, resident=READY),
+        "t2": TargetState(1, resident=READY),
+    }
+    long_request = replace(build_requirements(), work_s=50.0, left_s=1.0)
+    assert choose(states, long_request) == choose(states)
--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -24,6 +24,7 @@
 from thornlatch.gateway import GatewayMetrics, GatewaySettings, HostAddresses
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.gateway._target_limits import TargetLimits, TargetLimitSettings
+from thornlatch.gateway._target_speeds import SpeedSettings, TargetSpeeds
 from thornlatch.quota import (
     QuotaSettings,
     RetryBudget,
@@ -61,6 +62,7 @@
         set_fleet_crashes=lambda crashes: None,
         parts=Mock(),
         limits=TargetLimits(TargetLimitSettings(), host="h"),
+        speeds=TargetSpeeds(SpeedSettings()),
     )
     fleet_link = FleetLink(
         GatewaySettings(HostAddresses("h", "z", "", "", "127.0.0.1:0")),
