Run resumable streams again that a target answered with a failure

Change: such a stream runs once more at another target, within its attempts, its quota, which counts the run, and 0.7 of the retry budget.

--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -245,13 +245,35 @@
             raise build_failure(call, "the retry budget is used up")
 
     def _should_repeat(self, call: Call, answer: TargetAnswer) -> bool:
-        return (
+        """Return whether a target's failure is answered by a run at another target.
+
+        Load pattern: many targets fail a part of their requests, and their health
+        checks pass. A stream that may be resumed may be run again as well.
+        """
+        if not (
             answer.head.status >= 500
-            and call.route.kind is CallKind.IDEMPOTENT
+            and call.route.may_repeat
             and call.runs + 1 < call.route.max_attempts
             and call.tries < TRY_LIMIT
             and self.selector.has_alternative(call, answer.option.target.id)
+        ):
+            return False
+        if call.route.kind is CallKind.IDEMPOTENT:
+            return True
+        now = read_clock()
+        # Without room for both, the caller gets the failure and may return itself.
+        if not self.retries.may_repeat_answered(call.service, now=now):
+            return False
+        return self._charge_again(call, now)
+
+    def _charge_again(self, call: Call, now: float) -> bool:
+        """Charge another run of a generation, which the quota counts like the first."""
+        if call.organisation is None:
+            return True
+        wait_s = self.quota.try_spend(
+            call.organisation.name, call.tokens, now=now, is_resumed=True
         )
+        return wait_s is None
 
     def _stream_events(self, call: Call, answer: TargetAnswer) -> Iterator[bytes]:
         """Yield the events of a stream; resume it at another target if it fails."""
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -2,6 +2,7 @@
 
 from dataclasses import replace
 from random import Random
+from types import SimpleNamespace
 
 import pytest
 
@@ -25,7 +26,12 @@
 from thornlatch.gateway._suspect_settings import SuspectSettings
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import RunningRequest, WorkTable
-from thornlatch.quota import QuotaSettings, SharedQuota
+from thornlatch.quota import (
+    QuotaSettings,
+    RetryBudget,
+    RetryBudgetSettings,
+    SharedQuota,
+)
 from thornlatch.routing import (
     CallKind,
     Configuration,
@@ -196,3 +202,63 @@
     with pytest.raises(RequestRefused):
         list(forwarder._stream_events(call, answer))
     assert work.get_total("t") == 1
+
+
+STREAM = replace(
+    ROUTE, kind=CallKind.STREAM, is_resumable=True, max_attempts=2, services=(("s", 1),)
+)
+
+
+def build_failed_answer(status=500):
+    target = Target("t1", "s", "1.2.3.4:5", "z", 8)
+    option = TargetOption(target, Step.SEND, 0.0, 0.0)
+    head = AnswerHead(status, "1", True, False, False, "t1", None, ())
+    return TargetAnswer(option, head, Response(), 0.0, None)
+
+
+def should_repeat(route, *, status=500, has_alternative=True, slack=50.0, runs=0):
+    now = read_clock()
+    quota = SharedQuota(QuotaSettings(), now=now)
+    quota.set_organisations(
+        [Organisation("shop", frozenset(), None, 100.0, 100.0)], now=now
+    )
+    forwarder = build_forwarder(
+        retries=RetryBudget(RetryBudgetSettings(0.0, 10.0, slack)), quota=quota
+    )
+    forwarder.selector = SimpleNamespace(
+        has_alternative=lambda call, target: has_alternative
+    )
+    call = build_call(runs=runs)
+    call.route = route
+    is_repeated = forwarder._should_repeat(call, build_failed_answer(status))
+    spent, _ = quota.get_spent(now=now)
+    return is_repeated, spent["shop"]
+
+
+def test_stream_that_a_grey_target_fails_runs_again_if_it_may_be_resumed():
+    """All targets failed 45 in 100 runs, and callers got the failures of streams."""
+    # The quota counts the second run, too.
+    assert should_repeat(STREAM) == (True, 1)
+
+
+@pytest.mark.parametrize(
+    ("route", "options"),
+    [
+        (replace(STREAM, is_resumable=False), {}),
+        (replace(STREAM, max_attempts=1), {}),
+        (STREAM, {"runs": 1}),
+        (STREAM, {"status": 404}),
+        (STREAM, {"has_alternative": False}),
+        # A part of the budget is kept for requests that no target answered.
+        (STREAM, {"slack": 1.0}),
+    ],
+)
+def test_failure_is_passed_on_if_no_other_run_is_allowed(route, options):
+    assert should_repeat(route, **options) == (False, 0)
+
+
+def test_budget_that_answered_requests_leave_serves_others():
+    retries = RetryBudget(RetryBudgetSettings(0.0, 10.0, 20.0))
+    while retries.may_repeat_answered("s", now=0.0):
+        assert retries.try_acquire("s", now=0.0)
+    assert retries.try_acquire("s", now=0.0)
--- a/src/thornlatch/quota/_retries.py
+++ b/src/thornlatch/quota/_retries.py
@@ -23,12 +23,16 @@
     share : float
         Fraction of the allowed sends that is used. Each host counts only its own sends,
         and requests are spread unevenly over the hosts.
+    answered_share : float
+        Fraction of the used sends up to which requests that a target answered with a
+        failure are sent again. The rest is for requests that no target answered.
     """
 
     ratio: Annotated[float, Meta(ge=0)] = 0.2
     window_s: Annotated[float, Meta(gt=0)] = 10.0
     slack: Annotated[float, Meta(ge=0)] = 50.0
     share: Annotated[float, Meta(gt=0, le=1)] = 0.7
+    answered_share: Annotated[float, Meta(ge=0, le=1)] = 0.7
 
 
 class RetryBudget:
@@ -70,17 +74,35 @@
         bool
         """
         with self.lock:
-            settings = self.settings
-            request_times = self._get_unexpired(self.request_times, service, now)
-            further_send_times = self._get_unexpired(
-                self.further_send_times, service, now
-            )
-            allowed = settings.ratio * len(request_times) + settings.slack / self.hosts
-            if len(further_send_times) + 1 > allowed * settings.share:
+            if not self._is_allowed(service, now, 1.0):
                 return False
-            further_send_times.append(now)
+            self._get_unexpired(self.further_send_times, service, now).append(now)
             return True
 
+    def may_repeat_answered(self, service: str, *, now: float) -> bool:
+        """Return whether a request that a target answered may be sent again.
+
+        Nothing is taken from the budget.
+
+        Parameters
+        ----------
+        service : str
+        now : float
+
+        Returns
+        -------
+        bool
+        """
+        with self.lock:
+            return self._is_allowed(service, now, self.settings.answered_share)
+
+    def _is_allowed(self, service: str, now: float, part: float) -> bool:
+        settings = self.settings
+        request_times = self._get_unexpired(self.request_times, service, now)
+        further_send_times = self._get_unexpired(self.further_send_times, service, now)
+        allowed = settings.ratio * len(request_times) + settings.slack / self.hosts
+        return len(further_send_times) + 1 <= allowed * settings.share * part
+
     def _get_unexpired(
         self, times_by_service: dict[str, deque[float]], service: str, now: float
     ) -> deque[float]:
