Split choosing and admitting a request from acting on it

Cause: explaining where a request would go needs the same decisions without their effects, and a second copy of them would drift from the first.

Change: TargetSelector.preview shares list, state, lateness and refusals with choose; build_view, and build_copy of quotas, limits and health, give views whose use changes nothing of the host. Admission.admit is split into its checks. Health, limits and registry keep since when a target is avoided, pauses, limits or leaves.

No decision changes.

--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -134,6 +134,8 @@
         self.restored_at = float("-inf")
         # Last entry and time of removal of incarnations that were removed lately.
         self.removed: dict[Incarnation, tuple[int, float]] = {}
+        # When targets were registered, restarted or began to leave, by id.
+        self.changed_at: dict[str, float] = {}
 
     def apply(self, name: str, target: Target | None, *, now: float) -> bool:
         """Apply an entry.
@@ -173,7 +175,10 @@
                 target = replace(target, is_leaving=True)
             self.targets[name] = target
             self._rebuild_snapshot()
-            return previous is None or _has_changed(previous, target)
+            has_changed = previous is None or _has_changed(previous, target)
+            if has_changed:
+                self.changed_at[name] = now
+            return has_changed
 
     def _get_removal_due_at(self, now: float) -> float:
         """Return when a target whose entry is missing counts as gone."""
@@ -226,7 +231,9 @@
                 if target.is_leaving:
                     _add_bounded(self.announced_leaving, target.incarnation)
 
-    def note_leaving(self, incarnation: Incarnation, *, was_seen: bool) -> bool:
+    def note_leaving(
+        self, incarnation: Incarnation, *, was_seen: bool, now: float | None = None
+    ) -> bool:
         """Record that a target announced in an answer that it leaves.
 
         It holds for this incarnation, whatever its entry says, also if its entry is
@@ -238,6 +245,8 @@
             Id and start.
         was_seen : bool
             Whether this host got the answer, and not a peer.
+        now : float or None
+            None if it isn't known.
 
         Returns
         -------
@@ -254,6 +263,8 @@
             registered = self.targets.get(incarnation[0])
             if registered is not None and registered.incarnation == incarnation:
                 self.targets[registered.id] = replace(registered, is_leaving=True)
+                if now is not None and not registered.is_leaving:
+                    self.changed_at[registered.id] = now
                 self._rebuild_snapshot()
         return not is_known
 
@@ -356,6 +367,7 @@
         ]
 
     def _remove(self, name: str, now: float) -> None:
+        self.changed_at.pop(name, None)
         target = self.targets.pop(name, None)
         if target is None:
             return
--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -1,5 +1,6 @@
 """Admission of a request: route, key, suspected crashes and quota."""
 
+import copy
 from collections.abc import Callable
 
 from thornlatch.core import read_clock
@@ -12,8 +13,10 @@
 from thornlatch.quota import SharedQuota
 from thornlatch.routing import (
     CallerLimits,
+    Configuration,
     ConfigurationInForce,
     Organisation,
+    Route,
     choose_service,
 )
 
@@ -66,22 +69,72 @@
             quota forbid the request.
         """
         now = read_clock()
-        table = self.in_force.table
+        configuration = self.get_configuration()
+        _check_size(request, configuration.limits)
+        route = self.find_route(request.host, request.path, now=now)
+        organisation = None
+        if needs_key(configuration, route):
+            organisation = self.authenticate(request, now=now)
+        fingerprint = fingerprint_request(request)
+        self.check_runs(fingerprint)
+        call = self.build_call(
+            request,
+            route,
+            organisation,
+            fingerprint,
+            is_caller_disconnected,
+            now=now,
+        )
+        self.check_parts(call)
+        self.spend(call, now=now)
+        return call
+
+    def get_configuration(self) -> Configuration:
+        """Return the configuration in force.
+
+        Returns
+        -------
+        Configuration
+
+        Raises
+        ------
+        RequestRefused
+            If there is none yet.
+        """
         configuration = self.in_force.configuration
-        if table is None or configuration is None:
+        if configuration is None:
             raise RequestRefused(
                 ErrorKind.HOST_UNCONFIRMED,
                 "the host has no configuration yet",
                 retry_after_s=0.5,
             )
-        _check_size(request, configuration.limits)
+        return configuration
+
+    def find_route(self, host: str, path: str, *, now: float) -> Route:
+        """Return the route of a host name and a path.
+
+        Parameters
+        ----------
+        host, path : str
+        now : float
+
+        Returns
+        -------
+        Route
+
+        Raises
+        ------
+        RequestRefused
+            If there is none, or this host can't decide.
+        """
         if not self.quota.knows_peers:
             raise RequestRefused(
                 ErrorKind.HOST_UNCONFIRMED,
                 "the host hasn't received the list of hosts yet",
                 retry_after_s=0.2,
             )
-        route = table.match(request.host, request.path)
+        table = self.in_force.table
+        route = table.match(host, path) if table is not None else None
         if route is None:
             if not self.in_force.is_fresh(now=now):
                 raise RequestRefused(
@@ -92,9 +145,34 @@
             raise RequestRefused(
                 ErrorKind.UNKNOWN_ROUTE, "no route matches the host name and path"
             )
-        organisation = None
-        if configuration.organisations and not route.is_public:
-            organisation = self.authenticate(request, now=now)
+        return route
+
+    def build_call(
+        self,
+        request: CallerRequest,
+        route: Route,
+        organisation: Organisation | None,
+        fingerprint: str,
+        is_caller_disconnected: Callable[[], bool],
+        *,
+        now: float,
+    ) -> Call:
+        """Return the state of a request that begins.
+
+        Parameters
+        ----------
+        request : CallerRequest
+        route : Route
+        organisation : Organisation or None
+        fingerprint : str
+            Digest that is equal for all repetitions of the request.
+        is_caller_disconnected : callable
+        now : float
+
+        Returns
+        -------
+        Call
+        """
         deadline_s = request.deadline_s
         if deadline_s is None:
             deadline_s = self.settings.default_deadline_s
@@ -104,14 +182,7 @@
             is_caller_disconnected,
             key=request.key or "",
         )
-        fingerprint = fingerprint_request(request)
-        if self.suspects.is_blocked(fingerprint):
-            raise RequestRefused(
-                ErrorKind.TARGET_FAILED,
-                f"targets aborted {self.suspects.settings.target_limit} or more runs"
-                " of this request",
-            )
-        call = Call(
+        return Call(
             request,
             route,
             organisation,
@@ -123,21 +194,69 @@
             fingerprint,
             last_event=request.last_event,
         )
-        self.check_parts(call)
-        if organisation is not None:
-            wait_s = self.quota.try_spend(
-                organisation.name,
-                call.tokens,
-                now=now,
-                is_resumed=route.is_resumable_stream and bool(call.last_event),
+
+    def check_runs(self, fingerprint: str) -> None:
+        """Check that targets haven't aborted too many runs of a request.
+
+        Parameters
+        ----------
+        fingerprint : str
+
+        Raises
+        ------
+        RequestRefused
+            If they have.
+        """
+        if self.suspects.is_blocked(fingerprint):
+            raise RequestRefused(
+                ErrorKind.TARGET_FAILED,
+                f"targets aborted {self.suspects.settings.target_limit} or more runs"
+                " of this request",
             )
-            if wait_s is not None:
-                raise RequestRefused(
-                    ErrorKind.RATE_EXCEEDED,
-                    f"{organisation.name} has used its quota",
-                    retry_after_s=wait_s,
-                )
-        return call
+
+    def spend(self, call: Call, *, now: float) -> None:
+        """Charge a request to its organisation's quota, if it has one.
+
+        Parameters
+        ----------
+        call : Call
+        now : float
+
+        Raises
+        ------
+        RequestRefused
+            If the organisation has used its quota.
+        """
+        if call.organisation is None:
+            return
+        wait_s = self.quota.try_spend(
+            call.organisation.name,
+            call.tokens,
+            now=now,
+            is_resumed=call.route.is_resumable_stream and bool(call.last_event),
+        )
+        if wait_s is not None:
+            raise RequestRefused(
+                ErrorKind.RATE_EXCEEDED,
+                f"{call.organisation.name} has used its quota",
+                retry_after_s=wait_s,
+            )
+
+    def build_view(self, organisation: str) -> "Admission":
+        """Return an admission that spends nothing of this host's quota.
+
+        Parameters
+        ----------
+        organisation : str
+            The only one that the view can charge.
+
+        Returns
+        -------
+        Admission
+        """
+        view = copy.copy(self)
+        view.quota = self.quota.build_copy(organisation)
+        return view
 
     def check_parts(self, call: Call) -> None:
         """Check that no part of a request's prompt is blocked.
@@ -198,12 +317,7 @@
         RequestRefused
             If the key belongs to no organisation or can't be confirmed.
         """
-        if not self.in_force.is_fresh(now=now):
-            raise RequestRefused(
-                ErrorKind.HOST_UNCONFIRMED,
-                "the host's configuration is too old to confirm keys",
-                retry_after_s=OTHER_HOST_RETRY_S,
-            )
+        self.check_fresh(now=now)
         configuration = self.in_force.configuration
         organisation = (
             configuration.organisations_by_key.get(request.key or "")
@@ -216,6 +330,40 @@
             )
         return organisation
 
+    def check_fresh(self, *, now: float) -> None:
+        """Check that the configuration is fresh enough to accept keys.
+
+        Parameters
+        ----------
+        now : float
+
+        Raises
+        ------
+        RequestRefused
+            If it isn't.
+        """
+        if not self.in_force.is_fresh(now=now):
+            raise RequestRefused(
+                ErrorKind.HOST_UNCONFIRMED,
+                "the host's configuration is too old to confirm keys",
+                retry_after_s=OTHER_HOST_RETRY_S,
+            )
+
+
+def needs_key(configuration: Configuration, route: Route) -> bool:
+    """Return whether requests of a route must carry an organisation's key.
+
+    Parameters
+    ----------
+    configuration : Configuration
+    route : Route
+
+    Returns
+    -------
+    bool
+    """
+    return bool(configuration.organisations) and not route.is_public
+
 
 def _check_size(request: CallerRequest, limits: CallerLimits | None) -> None:
     if limits is None:
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -1,5 +1,6 @@
 """Failures, load and service times of each target, as this host observed them."""
 
+import copy
 import threading
 from dataclasses import dataclass, field
 from random import Random
@@ -31,6 +32,37 @@
     paused_until: float = float("-inf")
     # Names of headers that couldn't be read and have been logged.
     unreadable: set[str] = field(default_factory=set)
+    # When it began to be avoided, and to pause.
+    avoided_at: float = float("-inf")
+    paused_at: float = float("-inf")
+
+
+@dataclass(frozen=True)
+class TargetRecord:
+    """What a host observed of a target, for operators.
+
+    Parameters
+    ----------
+    failures : int
+        Failures in a row.
+    avoid_s : float
+        Seconds for which it is still avoided.
+    avoided_ago_s : float or None
+        Seconds since that began; None if it isn't avoided.
+    pause_s : float
+        Seconds for which it still gets no requests.
+    paused_ago_s : float or None
+        Seconds since it asked for that; None if it didn't.
+    load_ago_s : float or None
+        Age of its last report of load; None without one.
+    """
+
+    failures: int = 0
+    avoid_s: float = 0.0
+    avoided_ago_s: float | None = None
+    pause_s: float = 0.0
+    paused_ago_s: float | None = None
+    load_ago_s: float | None = None
 
 
 def draw_return_delay(random: Random, pause_s: float) -> float:
@@ -125,6 +157,8 @@
             record.failures += 1
             avoid_s = settings.avoid_s * 2 ** min(record.failures - 1, 8)
             avoid_s = min(avoid_s, settings.avoid_limit_s)
+            if now >= record.avoid_until:
+                record.avoided_at = now
             record.avoid_until = now + avoid_s
             return avoid_s
 
@@ -144,6 +178,8 @@
             record = self.observations.setdefault(target, _Observations())
             until = now + pause_s
             if until > record.paused_until:
+                if now >= record.paused_until:
+                    record.paused_at = now
                 delay_s = draw_return_delay(self.random, pause_s)
                 record.paused_until = until + delay_s
             self.last_pause_ends_at = max(self.last_pause_ends_at, record.paused_until)
@@ -278,6 +314,42 @@
         record = self.observations.get(target)
         return record is not None and now < record.avoid_until
 
+    def describe(self, target: str, *, now: float) -> TargetRecord:
+        """Return when a target is used again, and the ages of what is known of it.
+
+        Parameters
+        ----------
+        target : str
+        now : float
+
+        Returns
+        -------
+        TargetRecord
+        """
+        record = self.observations.get(target)
+        if record is None:
+            return TargetRecord()
+        return TargetRecord(
+            record.failures,
+            max(record.avoid_until - now, 0.0),
+            now - record.avoided_at if now < record.avoid_until else None,
+            max(record.paused_until - now, 0.0),
+            now - record.paused_at if now < record.paused_until else None,
+            now - record.load_at if record.load is not None else None,
+        )
+
+    def build_copy(self) -> "TargetHealth":
+        """Return a view for decisions that aren't acted on.
+
+        Returns
+        -------
+        TargetHealth
+            It has a copy of the limits, as even a look at these refills them.
+        """
+        view = copy.copy(self)
+        view.limits = self.limits.build_copy()
+        return view
+
     def list_avoided(self, *, now: float) -> tuple[str, ...]:
         """Return the ids of the avoided targets, for this host's digests.
 
@@ -346,8 +418,9 @@
         with self.lock:
             record = self.observations.pop(target, None)
             if record is not None and self.started_ms.get(target):
-                paused_until = record.paused_until
-                self.observations[target] = _Observations(paused_until=paused_until)
+                self.observations[target] = _Observations(
+                    paused_until=record.paused_until, paused_at=record.paused_at
+                )
             self.departed.add(target)
             self._drop_departed(now)
 
--- a/src/thornlatch/gateway/_notices.py
+++ b/src/thornlatch/gateway/_notices.py
@@ -54,7 +54,8 @@
     registry : TargetRegistry
     metrics : GatewayMetrics
     """
-    if not registry.note_leaving(incarnation, was_seen=source != PEER):
+    was_seen = source != PEER
+    if not registry.note_leaving(incarnation, was_seen=was_seen, now=read_clock()):
         return
     metrics.leaving_targets.labels(source).inc()
     logger.info(
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -1,7 +1,9 @@
 """Selects a target for a request, waiting for an adapter load if necessary."""
 
+import copy
 import threading
 from collections import Counter
+from dataclasses import dataclass
 from random import Random
 
 import logbook
@@ -40,6 +42,39 @@
 POLL_INTERVAL_S = 0.1  # longest sleep of a waiting request between two checks
 
 
+@dataclass(frozen=True)
+class Preview:
+    """What a host would do with a request that begins now.
+
+    Parameters
+    ----------
+    options : tuple of TargetOption
+        Targets that could serve it, the best first.
+    wait_s : float
+        Seconds that it would wait before it is sent or refused, as far as is known.
+    allowed_wait_s : float
+        Seconds that it may wait.
+    requests_load : bool
+        Whether the load of its adapter would be requested.
+    refusal : RequestRefused or None
+        None if it isn't refused.
+    """
+
+    options: tuple[TargetOption, ...]
+    wait_s: float
+    allowed_wait_s: float
+    requests_load: bool
+    refusal: RequestRefused | None
+
+
+class _LowestDraws(Random):
+    """Draws the lowest number of each range, so that previews don't vary."""
+
+    def uniform(self, a: float, b: float) -> float:
+        """Return the lower end."""
+        return a
+
+
 class TargetSelector:
     """Selects the target to which a request is sent next.
 
@@ -111,22 +146,10 @@
             now = read_clock()
             options = self._list_options(call, load_requested_at, now)
             if not options:
-                if call.stream_version is not None and not self._list_ready(call):
-                    raise build_refusal(
-                        call,
-                        ErrorKind.NO_TARGET,
-                        VERSION_RETRY_S,
-                        f"no target of service {call.service} runs version"
-                        f" {call.stream_version}, which began the stream",
-                    )
-                closed_s = self._get_shortest_closed_s(call, now)
-                if closed_s and not call.may_have_run:
-                    queue_s = closed_s + self._estimate_limit_queue_s(call)
-                    if now + queue_s < wait_until:
-                        self._wait_closed(call, closed_s)
-                        continue
-                    if not self._list_accepting(call, now):
-                        raise self._build_closed_refusal(call, closed_s)
+                closed_s = self._check_without_option(call, now, wait_until)
+                if closed_s:
+                    self._wait_closed(call, closed_s)
+                    continue
                 if call.excluded and not call.may_have_run:
                     call.excluded.clear()
                     if call.tries:
@@ -140,36 +163,18 @@
                 if call.may_have_run:
                     raise build_failure(call, "no other target is available")
                 if now + POLL_INTERVAL_S >= wait_until:
-                    raise build_refusal(
-                        call,
-                        ErrorKind.NO_TARGET,
-                        0.5,
-                        f"no target of service {call.service} is available",
-                    )
+                    raise _build_no_target_refusal(call)
                 self.residents.wait(call.request.adapter, POLL_INTERVAL_S)
                 continue
             best = options[0]
-            # A load that is always expected shortly must not hold a request for good.
-            counts_from = now if best.step is Step.SEND else waits_from
-            limit = max(wait_until, counts_from + MIN_SEND_BUDGET_S)
-            is_late = now + best.wait_s >= limit
-            return_s = (call.running.ends_at - now) * RETURN_RATIO
-            if (
-                best.step is Step.REQUEST_LOAD
-                and best.target.id not in load_requested_at
-                # A refused request finds the adapter loaded when its caller returns.
-                and not (is_late and best.wait_s > return_s)
+            is_late = _is_late(best, now, waits_from, wait_until)
+            if best.target.id not in load_requested_at and _needs_load_request(
+                call, best, now, is_late=is_late
             ):
                 load_requested_at[best.target.id] = now
                 self.request_load(call, best.target, now, was_missing=False)
             if is_late:
-                raise build_refusal(
-                    call,
-                    ErrorKind.OVERLOADED,
-                    best.wait_s,
-                    f"{best.target.id} would start it in {best.wait_s:.2f} s; it may"
-                    f" wait {max(wait_until - now, MIN_SEND_BUDGET_S):.2f} s",
-                )
+                raise _build_late_refusal(call, best, now, wait_until)
             if best.step is Step.SEND:
                 call.waited_s += now - waits_from
                 return best
@@ -178,6 +183,55 @@
             left_s = max(min(best.wait_s, wait_until - now), 0.001)
             self.residents.wait(call.request.adapter, min(left_s, POLL_INTERVAL_S))
 
+    def build_view(self) -> "TargetSelector":
+        """Return a selector for previews, which changes nothing of this host's state.
+
+        Returns
+        -------
+        TargetSelector
+            It draws no random numbers and has a copy of what looking at changes.
+        """
+        view = copy.copy(self)
+        view.health = self.health.build_copy()
+        view.random = _LowestDraws()
+        return view
+
+    def preview(self, call: Call, *, now: float) -> Preview:
+        """Return what `choose` would do with a request that begins now.
+
+        Only a selector from `build_view` leaves all state as it is.
+
+        Parameters
+        ----------
+        call : Call
+        now : float
+
+        Returns
+        -------
+        Preview
+        """
+        wait_until = self._get_wait_until(call)
+        options = self._list_options(call, {}, now)
+        wait_s, refusal, requests_load = 0.0, None, False
+        if options:
+            best = options[0]
+            is_late = _is_late(best, now, now, wait_until)
+            requests_load = _needs_load_request(call, best, now, is_late=is_late)
+            wait_s = best.wait_s
+            if is_late:
+                refusal = _build_late_refusal(call, best, now, wait_until)
+        else:
+            try:
+                wait_s = self._check_without_option(call, now, wait_until)
+            except RequestRefused as error:
+                refusal = error
+            else:
+                if not wait_s:
+                    # It waits for a target as long as it may.
+                    wait_s = max(wait_until - now, 0.0)
+                    refusal = _build_no_target_refusal(call)
+        return Preview(tuple(options), wait_s, wait_until - now, requests_load, refusal)
+
     def has_alternative(self, call: Call, target: str) -> bool:
         """Return whether there is another target at which a request hasn't failed.
 
@@ -265,6 +319,37 @@
         )
         return self.waiting[call.service] / share if share else 0.0
 
+    def _check_without_option(self, call: Call, now: float, wait_until: float) -> float:
+        """Check a request for which there is no target now.
+
+        Returns
+        -------
+        float
+            Seconds until the first closed target opens, if the request waits for it;
+            else 0.
+
+        Raises
+        ------
+        RequestRefused
+            If it is refused without a wait.
+        """
+        if call.stream_version is not None and not self._list_ready(call):
+            raise build_refusal(
+                call,
+                ErrorKind.NO_TARGET,
+                VERSION_RETRY_S,
+                f"no target of service {call.service} runs version"
+                f" {call.stream_version}, which began the stream",
+            )
+        closed_s = self._get_shortest_closed_s(call, now)
+        if closed_s and not call.may_have_run:
+            queue_s = closed_s + self._estimate_limit_queue_s(call)
+            if now + queue_s < wait_until:
+                return closed_s
+            if not self._list_accepting(call, now):
+                raise self._build_closed_refusal(call, closed_s)
+        return 0.0
+
     def _wait_closed(self, call: Call, closed_s: float) -> None:
         with self.waiting_lock:
             self.waiting[call.service] += 1
@@ -312,13 +397,42 @@
         now: float,
         besides: str = "",
     ) -> list[TargetOption]:
-        model, adapter = call.request.model, call.request.adapter
+        requirements = self.build_requirements(call, now=now, besides=besides)
+        targets = self._list_accepting(call, now)
+        preferred = self.residents.list_possible_targets(call.request.adapter)
+        options = list_options(
+            targets,
+            requirements,
+            lambda target: self.get_state(call, target, load_requested_at, now=now),
+            self.settings,
+            preferred=preferred,
+            now=now,
+        )
+        return self._prefer_loads_without_limit(options)
+
+    def build_requirements(
+        self, call: Call, *, now: float, besides: str = ""
+    ) -> RequestRequirements:
+        """Return what a request requires of a target.
+
+        Parameters
+        ----------
+        call : Call
+        now : float
+        besides : str
+            Id of a target to leave out.
+
+        Returns
+        -------
+        RequestRequirements
+        """
+        adapter = call.request.adapter
         required_version = (
             self.versions.get_required(adapter, now=now) if adapter else 0
         )
         holder_settings = self.orders.settings
         prefill_wait_limit_s = call.route.objective_s * self.settings.pace_objectives
-        requirements = RequestRequirements(
+        return RequestRequirements(
             adapter,
             required_version,
             self.failure_domain,
@@ -331,55 +445,63 @@
             prefill_limit_s=self.pacing.get_limit_s(call.service, call.route.gap_s),
         )
 
-        def get_state(target: Target) -> TargetState:
-            requests = self.orders.count_requests(target.id)
-            requests = max(
-                requests, self.health.get_reported_requests(target.id, now=now)
-            )
-            is_avoided = self._is_avoided(target.id, now)
-            spread_s = 0.0
-            if self.orders.is_view_late:
-                spread_s = self.random.uniform(0.0, self.settings.herd_spread_s)
-            prompt_tokens = self.orders.count_recent_prompt_tokens(target.id, now=now)
-            if not adapter:
-                return TargetState(
-                    requests,
-                    prompt_tokens,
-                    is_avoided,
-                    spread_s=spread_s,
-                    has_model=not model or target.holds_model(model),
-                )
-            resident = self.residents.get(target.id, adapter)
-            in_transit = 0
-            if resident is None:
-                in_transit = self.orders.count_in_transit(target.id, now=now)
-            requested_at = load_requested_at.get(target.id)
-            is_responding = (
-                requested_at is None or now - requested_at < LOAD_ANSWER_TIMEOUT_S
-            )
+    def get_state(
+        self,
+        call: Call,
+        target: Target,
+        load_requested_at: dict[str, float],
+        *,
+        now: float,
+    ) -> TargetState:
+        """Return what this host knows of a target that a request may be sent to.
+
+        Parameters
+        ----------
+        call : Call
+        target : Target
+        load_requested_at : dict of str to float
+            When the request asked for a load at a target, by id.
+        now : float
+
+        Returns
+        -------
+        TargetState
+        """
+        model, adapter = call.request.model, call.request.adapter
+        requests = self.orders.count_requests(target.id)
+        requests = max(requests, self.health.get_reported_requests(target.id, now=now))
+        is_avoided = self._is_avoided(target.id, now)
+        spread_s = 0.0
+        if self.orders.is_view_late:
+            spread_s = self.random.uniform(0.0, self.settings.herd_spread_s)
+        prompt_tokens = self.orders.count_recent_prompt_tokens(target.id, now=now)
+        if not adapter:
             return TargetState(
                 requests,
                 prompt_tokens,
                 is_avoided,
-                resident,
-                is_responding and self.orders.is_held(target.id, now=now),
-                in_transit,
-                self.residents.is_former_target(target.id, adapter),
-                max(self.residents.place_at.get(target.id, now) - now, 0.0),
-                spread_s,
+                spread_s=spread_s,
+                has_model=not model or target.holds_model(model),
             )
-
-        targets = self._list_accepting(call, now)
-        preferred = self.residents.list_possible_targets(adapter)
-        options = list_options(
-            targets,
-            requirements,
-            get_state,
-            self.settings,
-            preferred=preferred,
-            now=now,
+        resident = self.residents.get(target.id, adapter)
+        in_transit = 0
+        if resident is None:
+            in_transit = self.orders.count_in_transit(target.id, now=now)
+        requested_at = load_requested_at.get(target.id)
+        is_responding = (
+            requested_at is None or now - requested_at < LOAD_ANSWER_TIMEOUT_S
+        )
+        return TargetState(
+            requests,
+            prompt_tokens,
+            is_avoided,
+            resident,
+            is_responding and self.orders.is_held(target.id, now=now),
+            in_transit,
+            self.residents.is_former_target(target.id, adapter),
+            max(self.residents.place_at.get(target.id, now) - now, 0.0),
+            spread_s,
         )
-        return self._prefer_loads_without_limit(options)
 
     def _prefer_loads_without_limit(
         self, options: list[TargetOption]
@@ -459,3 +581,44 @@
                 "was_missing": was_missing,
             },
         )
+
+
+def _is_late(
+    best: TargetOption, now: float, waits_from: float, wait_until: float
+) -> bool:
+    """Return whether the best target would start a request too late."""
+    # A load that is always expected shortly must not hold a request for good.
+    counts_from = now if best.step is Step.SEND else waits_from
+    return now + best.wait_s >= max(wait_until, counts_from + MIN_SEND_BUDGET_S)
+
+
+def _needs_load_request(
+    call: Call, best: TargetOption, now: float, *, is_late: bool
+) -> bool:
+    """Return whether the load of a request's adapter is requested at the best target.
+
+    A refused request finds the adapter loaded when its caller returns.
+    """
+    return_s = (call.running.ends_at - now) * RETURN_RATIO
+    return best.step is Step.REQUEST_LOAD and not (is_late and best.wait_s > return_s)
+
+
+def _build_late_refusal(
+    call: Call, best: TargetOption, now: float, wait_until: float
+) -> RequestRefused:
+    return build_refusal(
+        call,
+        ErrorKind.OVERLOADED,
+        best.wait_s,
+        f"{best.target.id} would start it in {best.wait_s:.2f} s; it may"
+        f" wait {max(wait_until - now, MIN_SEND_BUDGET_S):.2f} s",
+    )
+
+
+def _build_no_target_refusal(call: Call) -> RequestRefused:
+    return build_refusal(
+        call,
+        ErrorKind.NO_TARGET,
+        0.5,
+        f"no target of service {call.service} is available",
+    )
--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -7,11 +7,12 @@
 was known.
 """
 
+import copy
 import math
 import threading
 from collections import deque
 from collections.abc import Callable, Collection, Iterable
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Annotated
 
@@ -84,6 +85,8 @@
     # Number of hosts before this one in the target's order, among `ranked_hosts`.
     rank: int = 0
     ranked_hosts: tuple[str, ...] = ()
+    # When it came into force, as far as this host knows.
+    began_at: float = float("-inf")
 
 
 class TargetLimits:
@@ -179,12 +182,16 @@
         limit = self.limits.get(target)
         if limit is None:
             # Without tokens: other hosts may have used theirs just now.
-            self.limits[target] = _Limit(rate, at, None, was_seen, refilled_at=now)
+            self.limits[target] = _Limit(
+                rate, at, None, was_seen, refilled_at=now, began_at=at
+            )
             return True
         if at < limit.named_at or (limit.ended_at is not None and at < limit.ended_at):
             return False
         self._refill(target, limit, now)
         has_changed = limit.ended_at is not None or limit.rate != rate
+        if limit.ended_at is not None:
+            limit.began_at = at
         limit.rate, limit.named_at, limit.ended_at = rate, at, None
         limit.was_seen = limit.was_seen or was_seen
         return has_changed
@@ -371,6 +378,46 @@
             self._count_own_sends(target, now)
             return True
 
+    def get_ages(
+        self, target: Incarnation, *, now: float
+    ) -> tuple[float, float] | None:
+        """Return how long a target's limit is in force, and the age of its last report.
+
+        Parameters
+        ----------
+        target : (str, int)
+        now : float
+
+        Returns
+        -------
+        (float, float) or None
+            Seconds; None without a limit.
+        """
+        limit = self.limits.get(target)
+        if limit is None or limit.ended_at is not None:
+            return None
+        return now - limit.began_at, now - limit.named_at
+
+    def build_copy(self) -> "TargetLimits":
+        """Return a copy, to look at without refilling what this host may send.
+
+        Returns
+        -------
+        TargetLimits
+        """
+        duplicate = copy.copy(self)
+        duplicate.lock = threading.Lock()
+        with self.lock:
+            duplicate.limits = {
+                target: replace(limit) for target, limit in self.limits.items()
+            }
+            duplicate.send_times = {
+                target: times.copy()
+                for target, times in self.send_times.items()
+                if target in self.limits
+            }
+        return duplicate
+
     def _get_wait_s(self, target: Incarnation, now: float) -> float:
         limit = self.limits.get(target)
         if limit is None or limit.ended_at is not None:
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -7,10 +7,11 @@
 on both sides of a network partition, without a central owner that could fail.
 """
 
+import copy
 import math
 import threading
 from collections.abc import Iterable, Mapping
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 from typing import Annotated
 
 from msgspec import Meta
@@ -550,6 +551,37 @@
                 },
             )
 
+    def build_copy(self, organisation: str) -> "SharedQuota":
+        """Return a copy with the bucket of one organisation, to try what it allows.
+
+        Parameters
+        ----------
+        organisation : str
+
+        Returns
+        -------
+        SharedQuota
+            What is spent there changes nothing here.
+        """
+        duplicate = copy.copy(self)
+        duplicate.lock = threading.Lock()
+        with self.lock:
+            duplicate.advanced_at = self.advanced_at
+            duplicate.buckets = {
+                name: copy.deepcopy(bucket)
+                for name, bucket in self.buckets.items()
+                if name == organisation
+            }
+            duplicate.peers = {
+                name: replace(peer, rates=dict(peer.rates))
+                for name, peer in self.peers.items()
+            }
+            duplicate.relays = {
+                name: replace(state, rates=dict(state.rates))
+                for name, state in self.relays.items()
+            }
+        return duplicate
+
     def _advance(self, now: float) -> None:
         elapsed = now - self.advanced_at
         if elapsed < ADVANCE_PERIOD_S:
