Explain on the metrics address where a host would send a request

Cause: operators could only reconstruct a choice from logs after it was made.

Change: GET /where and GET /status on a gateway host's metrics address, built by RequestExplainer and StatusBuilder from views of the admission and the selector; `thornlatch where` asks several hosts and shows where they differ, and `thornlatch status` understands gateway hosts. The latest requests are kept without key and body within explanations.recent_limit_bytes.

--- a/src/thornlatch/cli/_exits.py
+++ b/src/thornlatch/cli/_exits.py
@@ -13,6 +13,11 @@
     ErrorKind.INVALID_SETTINGS: EXIT_INVALID,
     ErrorKind.INVALID_RECORD: EXIT_INVALID,
     ErrorKind.INVALID_MESSAGE: EXIT_INVALID,
+    ErrorKind.BAD_REQUEST: EXIT_INVALID,
+    ErrorKind.UNKNOWN_ROUTE: EXIT_INVALID,
+    ErrorKind.UNKNOWN_MODEL: EXIT_INVALID,
+    ErrorKind.UNKNOWN_ADAPTER: EXIT_INVALID,
+    ErrorKind.UNKNOWN_REQUEST: EXIT_INVALID,
     ErrorKind.CONFIGURATION_CONFLICT: EXIT_CONFLICT,
     ErrorKind.OUTCOME_UNKNOWN: EXIT_UNKNOWN,
 }
@@ -30,6 +35,24 @@
     kind = ErrorKind.INVALID_RECORD
 
 
+class PageUnavailable(ThornlatchError):
+    """Raised when no host answers with the page that a command needs.
+
+    Parameters
+    ----------
+    kind : ErrorKind
+        The code that the hosts answered with, or that none answered.
+    message : str
+        What happened.
+    context : str
+        The hosts that were asked.
+    """
+
+    def __init__(self, kind: ErrorKind, message: str, *, context: str = "") -> None:
+        self.kind = kind
+        super().__init__(message, context=context)
+
+
 class CommandFailed(ThornlatchError):
     """Raised when a command fails for a reason other than its input."""
 
--- a/src/thornlatch/cli/_main.py
+++ b/src/thornlatch/cli/_main.py
@@ -15,6 +15,7 @@
 from thornlatch.cli._serve import Serve
 from thornlatch.cli._status import Status
 from thornlatch.cli._timeline import Timeline
+from thornlatch.cli._where import Where
 from thornlatch.exceptions import ThornlatchError
 
 
@@ -31,6 +32,7 @@
         | TargetGroup
         | HostGroup
         | Status
+        | Where
         | Timeline
         | Explain
         | Docs
--- a/src/thornlatch/cli/_status.py
+++ b/src/thornlatch/cli/_status.py
@@ -1,20 +1,22 @@
-"""``thornlatch status``: show the status pages of daemons."""
+"""``thornlatch status``: show the status pages of daemons and gateway hosts."""
 
 import http.client
 import json
 from dataclasses import dataclass
 from typing import Annotated, Any
-from urllib.parse import urlsplit
 
 import cappa
+import msgspec
 
 from thornlatch.cli._exits import EXIT_FAILED, EXIT_OK
 from thornlatch.cli._options import AsJson
 from thornlatch.cli._output import write_json, write_line
-from thornlatch.exceptions import InvalidInput
+from thornlatch.cli._pages import find_address, read_page
+from thornlatch.cli._where_text import describe_gateway
+from thornlatch.core import read_clock
+from thornlatch.gateway import GATEWAY_PAGE, GatewayStatus
 
 TIMEOUT_S = 5.0
-MAX_PAGE_BYTES = 4 << 20
 
 
 @dataclass(frozen=True)
@@ -37,8 +39,8 @@
 
 @cappa.command(
     name="status",
-    help="Show the status pages of daemons.",
-    description="Exit status 1 if a daemon isn't ready or can't be reached.",
+    help="Show the status pages of daemons and gateway hosts.",
+    description="Exit status 1 if one isn't ready or can't be reached.",
 )
 @dataclass(frozen=True)
 class Status:
@@ -47,13 +49,17 @@
     Parameters
     ----------
     urls : list of str
-        Daemons, as ``ip:port`` or URL.
+        Daemons, or metrics addresses of gateway hosts, as ``ip:port`` or URL.
     as_json : bool
     """
 
     urls: Annotated[
         list[str],
-        cappa.Arg(num_args=-1, required=True, help="Daemons, as ip:port or URL."),
+        cappa.Arg(
+            num_args=-1,
+            required=True,
+            help="Daemons, or metrics addresses of gateway hosts, as ip:port or URL.",
+        ),
     ]
     as_json: AsJson = False
 
@@ -87,24 +93,24 @@
     InvalidInput
         If the URL is malformed or its scheme isn't ``http``.
     """
-    parts = urlsplit(url if "://" in url else f"http://{url}")
-    if parts.scheme != "http" or not parts.netloc:
-        raise InvalidInput(f"not the URL of a daemon: {url!r}", hint="Use ip:port.")
-    connection = http.client.HTTPConnection(parts.netloc, timeout=TIMEOUT_S)
+    answer = read_page(find_address(url), "/status", until=read_clock() + TIMEOUT_S)
+    if answer.error:
+        return DaemonStatus(url, {}, error=answer.error)
     try:
-        connection.request("GET", "/status")
-        response = connection.getresponse()
-        page = json.loads(response.read(MAX_PAGE_BYTES))
-    except (OSError, http.client.HTTPException, ValueError, RecursionError) as error:
+        page = json.loads(answer.data)
+    except (ValueError, RecursionError) as error:
         return DaemonStatus(url, {}, error=repr(error))
-    finally:
-        connection.close()
-    if response.status != http.client.OK or not isinstance(page, dict):
+    if answer.status != http.client.OK or not isinstance(page, dict):
         return DaemonStatus(
             url,
             {},
-            error=f"answered {response.status}; expected 200 with a JSON object",
+            error=f"answered {answer.status}; expected 200 with a JSON object",
         )
+    if page.get("page") == GATEWAY_PAGE:
+        try:
+            msgspec.convert(page, GatewayStatus)
+        except msgspec.ValidationError as error:
+            return DaemonStatus(url, {}, error=f"not the page of a host: {error}")
     return DaemonStatus(url, page)
 
 
@@ -122,6 +128,8 @@
     if status.error:
         return [f"{status.url}: unreachable: {status.error}"]
     page = status.page
+    if page.get("page") == GATEWAY_PAGE:
+        return describe_gateway(status.url, msgspec.convert(page, GatewayStatus))
     readiness = "ready" if page.get("ready") is True else "not ready"
     lines = [f"{status.url}: {page.get('host', '?')}: {readiness}"]
     if "confirmed" in page:
--- a/src/thornlatch/cli/tests/test_help.py
+++ b/src/thornlatch/cli/tests/test_help.py
@@ -20,6 +20,7 @@
     "host remove",
     "host clear",
     "status",
+    "where",
     "docs",
 )
 
--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -32,6 +32,8 @@
     KEY_WITHDRAWN = "key-withdrawn"
     NOT_ALLOWED = "not-allowed"
     UNKNOWN_MODEL = "unknown-model"
+    UNKNOWN_ADAPTER = "unknown-adapter"
+    UNKNOWN_REQUEST = "unknown-request"
     UNKNOWN_ROUTE = "unknown-route"
     RATE_EXCEEDED = "rate-exceeded"
     DEADLINE_UNREACHABLE = "deadline-unreachable"
@@ -52,6 +54,7 @@
     INVALID_MESSAGE = "invalid-message"
     CONFIGURATION_CONFLICT = "configuration-conflict"
     PLATFORM_FAILED = "platform-failed"
+    NO_HOST_ANSWERS = "no-host-answers"
     INTERNAL = "internal"
 
 
@@ -101,6 +104,12 @@
     ErrorKind.UNKNOWN_MODEL: Answer(
         404, _NOT_RUN, False, "List the models with GET /v1/models."
     ),
+    ErrorKind.UNKNOWN_ADAPTER: Answer(
+        404, _NOT_RUN, False, "Check the adapter's name."
+    ),
+    ErrorKind.UNKNOWN_REQUEST: Answer(
+        404, _NOT_RUN, False, "Ask the host that served it, or give its arguments."
+    ),
     ErrorKind.UNKNOWN_ROUTE: Answer(404, _NOT_RUN, False, "Check the path."),
     ErrorKind.RATE_EXCEEDED: Answer(
         429, _NOT_RUN, True, "Retry after the time in Retry-After."
@@ -151,6 +160,9 @@
         409, _NOT_RUN, True, "Read the configuration in force and publish again."
     ),
     ErrorKind.PLATFORM_FAILED: Answer(503, _NOT_RUN, True, "Retry later."),
+    ErrorKind.NO_HOST_ANSWERS: Answer(
+        503, _NOT_RUN, True, "Check the addresses: ip:port of the hosts' metrics."
+    ),
     ErrorKind.INTERNAL: Answer(500, _UNKNOWN, False, "Report the request id."),
 }
 
--- a/src/thornlatch/gateway/__init__.py
+++ b/src/thornlatch/gateway/__init__.py
@@ -1,6 +1,15 @@
 """Gateway hosts: admission of requests, choice of targets, forwarding and answers."""
 
 from thornlatch.gateway._app import GatewayApplication
+from thornlatch.gateway._explanations import (
+    GATEWAY_PAGE,
+    ErrorPage,
+    Explanation,
+    GatewayStatus,
+    PageError,
+    Reason,
+    TargetExplanation,
+)
 from thornlatch.gateway._gateway import Gateway
 from thornlatch.gateway._logs import LogSettings
 from thornlatch.gateway._metrics import GatewayMetrics
@@ -15,21 +24,31 @@
 from thornlatch.gateway._settings import GatewaySettings, HostAddresses
 from thornlatch.gateway._store_epoch import MAX_EPOCH, StoreEpochs
 from thornlatch.gateway._stream_versions import KeyedValues
+from thornlatch.gateway._where_query import WhereQuery, parse_part
 
 __all__ = [
     "AnswerHead",
     "CallerRequest",
     "CallerProtocol",
+    "ErrorPage",
+    "Explanation",
+    "GATEWAY_PAGE",
     "Gateway",
     "GatewayApplication",
     "GatewayMetrics",
     "GatewaySettings",
+    "GatewayStatus",
     "HostAddresses",
     "KeyedValues",
     "LogSettings",
     "MAX_EPOCH",
     "OrderReply",
+    "PageError",
+    "Reason",
     "SendContext",
     "StoreEpochs",
+    "TargetExplanation",
     "TargetProtocol",
+    "WhereQuery",
+    "parse_part",
 ]
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -28,6 +28,7 @@
 from thornlatch.gateway._notices import note_leaving
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import AnswerHead, CallerRequest
+from thornlatch.gateway._recent_requests import RecentRequests
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._sender import RejectedByTarget, TargetSender
 from thornlatch.gateway._silences import SilencePolicy
@@ -62,6 +63,8 @@
     suspects : CrashSuspects
     metrics : GatewayMetrics
     stream_versions : StreamVersions
+    recent : RecentRequests or None
+        Keeps the requests for explanations; None to keep none.
     """
 
     def __init__(
@@ -81,6 +84,7 @@
         suspects: CrashSuspects,
         metrics: GatewayMetrics,
         stream_versions: StreamVersions,
+        recent: RecentRequests | None = None,
     ) -> None:
         self.admission = admission
         self.selector = selector
@@ -96,6 +100,7 @@
         self.suspects = suspects
         self.metrics = metrics
         self.stream_versions = stream_versions
+        self.recent = recent
 
     def serve(
         self, request: CallerRequest, *, is_caller_disconnected: Callable[[], bool]
@@ -120,6 +125,8 @@
             If the request can't be served; its kind tells whether the request may have
             run.
         """
+        if self.recent is not None:
+            self.recent.add(request, self.in_force.configuration)
         call = self.admission.admit(request, is_caller_disconnected)
         self.work.add(call.running)
         try:
@@ -167,6 +174,8 @@
                 retry_after_s=UNKNOWN_VERSION_RETRY_S,
             )
         call.stream_version = version
+        if self.recent is not None:
+            self.recent.note_version(request.id, version)
 
     def _keep_stream_version(self, call: Call, target: Target) -> None:
         """Bind a stream to the version that begins it, before its first event."""
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -1,5 +1,6 @@
 """Gateway host: assembly of its parts, threads, servers and shutdown."""
 
+import math
 import os
 import signal
 import threading
@@ -19,20 +20,25 @@
 from thornlatch.fleet import UNKNOWN_EPOCH, PeerView, Target, TargetRegistry
 from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._app import GatewayApplication, StartResponse
+from thornlatch.gateway._explainer import RequestExplainer
+from thornlatch.gateway._explanations import Reason
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._logs import JsonLineHandler, redirect_library_logs
 from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._operator_pages import OperatorPages
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import CallerProtocol, TargetProtocol
+from thornlatch.gateway._recent_requests import RecentRequests
 from thornlatch.gateway._replication import AdapterReplicator
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._servers import build_server, has_unsent_answers
 from thornlatch.gateway._settings import GatewaySettings
 from thornlatch.gateway._silences import SilencePolicy
+from thornlatch.gateway._status_page import StatusBuilder
 from thornlatch.gateway._store_epoch import StoreEpochs
 from thornlatch.gateway._stream_versions import PARTITIONS as STREAM_PARTITIONS
 from thornlatch.gateway._stream_versions import StreamVersions
@@ -137,6 +143,7 @@
             residents=self.residents,
             versions=self.versions,
         )
+        self.recent = RecentRequests(settings.explanations)
         self.forwarder = self._build_forwarder(targets)
         self.app = GatewayApplication(callers, self.forwarder, self.metrics)
         self.stopping = threading.Event()
@@ -165,6 +172,8 @@
             is_stopping=self.stopping.is_set,
             on_tick=self._tick,
         )
+        self.configured_at = float("-inf")
+        self.pages = self._build_pages()
         self.targets_known = False
         self.reported_ready = False
         self.live_peers: frozenset[str] = frozenset()
@@ -220,6 +229,26 @@
             suspects=self.suspects,
             metrics=self.metrics,
             stream_versions=self.stream_versions,
+            recent=self.recent,
+        )
+
+    def _build_pages(self) -> OperatorPages:
+        settings = self.settings.explanations
+        return OperatorPages(
+            StatusBuilder(
+                settings,
+                host=self.host,
+                state=self.fleet.state,
+                list_not_ready=self.list_not_ready,
+                get_configured_at=lambda: self.configured_at,
+            ),
+            RequestExplainer(
+                settings,
+                host=self.host,
+                admission=self.forwarder.admission,
+                selector=self.forwarder.selector,
+                recent=self.recent,
+            ),
         )
 
     def run(
@@ -275,13 +304,40 @@
 
     def is_ready(self) -> bool:
         """Return whether the load balancer may send requests to this host."""
-        return (
-            not self.stopping.is_set()
-            and self.targets_known
-            and self.quota.knows_peers
-            and self.in_force.configuration is not None
-            and self.in_force.is_fresh_for_new_requests(now=read_clock())
-        )
+        return not self.list_not_ready(read_clock())
+
+    def list_not_ready(self, now: float) -> tuple[Reason, ...]:
+        """Return why the load balancer may not send requests to this host.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        tuple of Reason
+            Empty if it may.
+        """
+        in_force = self.in_force
+        reasons = []
+        if self.stopping.is_set():
+            reasons.append(Reason("stopping", "a planned stop has begun"))
+        if not self.targets_known:
+            reasons.append(Reason("no-targets", "the list of targets wasn't read yet"))
+        if not self.quota.knows_peers:
+            reasons.append(Reason("no-hosts", "the list of hosts wasn't received yet"))
+        if in_force.configuration is None:
+            reasons.append(Reason("no-configuration", "no configuration was read yet"))
+        elif not in_force.is_fresh_for_new_requests(now=now):
+            age_s = now - in_force.last_confirmed_at
+            reasons.append(
+                Reason(
+                    "configuration-unconfirmed",
+                    "the store hasn't confirmed it, or this host, lately",
+                    age_s=age_s if math.isfinite(age_s) else None,
+                )
+            )
+        return tuple(reasons)
 
     def apply_configuration(self, configuration: Configuration) -> None:
         """Bring a configuration into force, unless a newer one already is.
@@ -303,6 +359,7 @@
         )
         if not is_in_force:
             return
+        self.configured_at = now
         _log_changed_limits(previous, configuration)
         self.quota.set_organisations(configuration.organisations.values(), now=now)
         self.fleet.divide_model_loads()
@@ -517,11 +574,16 @@
     def _answer_metrics(
         self, environ: dict[str, Any], start_response: StartResponse
     ) -> list[bytes]:
-        body = generate_latest(self.metrics.registry)
+        status, media_type = 200, "text/plain; version=0.0.4; charset=utf-8"
+        page = self.pages.answer(environ)
+        if page is None:
+            body = generate_latest(self.metrics.registry)
+        else:
+            status, media_type, body = page.status, "application/json", page.body
         start_response(
-            build_status_line(200),
+            build_status_line(status),
             [
-                ("Content-Type", "text/plain; version=0.0.4; charset=utf-8"),
+                ("Content-Type", media_type),
                 ("Content-Length", str(len(body))),
             ],
         )
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -6,6 +6,7 @@
 from msgspec import Meta
 
 from thornlatch.fleet import ExchangeSettings, PeerViewSettings, RegistrySettings
+from thornlatch.gateway._explanation_settings import ExplanationSettings
 from thornlatch.gateway._logs import LogSettings
 from thornlatch.gateway._stream_versions import StreamVersionSettings
 from thornlatch.gateway._suspect_settings import SuspectSettings
@@ -195,6 +196,7 @@
     stream_versions : StreamVersionSettings
     stop : StopSettings
     logs : LogSettings
+    explanations : ExplanationSettings
     """
 
     host: HostAddresses
@@ -218,3 +220,4 @@
     )
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
+    explanations: ExplanationSettings = field(default_factory=ExplanationSettings)
