--- a/src/thornlatch/gateway/_explanation_settings.py
+++ b/src/thornlatch/gateway/_explanation_settings.py
@@ -13,8 +13,8 @@
     Parameters
     ----------
     recent_limit_bytes : int
-        Memory for the latest requests, which can be explained by their id; some 700
-        bytes and their texts each. 0 to keep none.
+        Memory for the latest requests, which can be explained by their id; about
+        1.2 KB each, and more with long paths or many parts of a prompt. 0 to keep none.
     target_limit : int
         Largest number of targets on a page.
     """
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -308,6 +308,21 @@
     assert 29.0 < page.refusals[0].retry_after_s < 33.0
 
 
+def test_load_that_would_be_requested_is_told_and_not_requested():
+    host = build_busy_host()
+    host.peers.holders = {"lacks": "edge-2", "old": "edge-2"}
+    sent = []
+    host.fleet.send = lambda *message: sent.append(message)
+    page = explain(host, replace(ADAPTER, model="m/new"))
+    outcome = page.outcome
+    assert (outcome.action, outcome.requests_load) == (Step.REQUEST_LOAD.value, True)
+    assert (outcome.target in {"lacks", "old"}, page.adapter.is_known) == (True, False)
+    # One that has the adapter and a free slot makes others no option.
+    codes = list_codes(explain(host, ADAPTER))
+    assert codes["lacks"] == ["adapter-absent", "passed-over"]
+    assert not sent
+
+
 def test_number_of_listed_targets_is_bounded():
     host = build_host([build_target(f"t{n}") for n in range(30)], target_limit=20)
     assert len(explain(host, PLAIN).targets) == 20
