--- a/src/thornlatch/gateway/__init__.py
+++ b/src/thornlatch/gateway/__init__.py
@@ -1,6 +1,15 @@
 """Gateway hosts: admission of requests, choice of targets, forwarding and answers."""
 
 from thornlatch.gateway._app import GatewayApplication
+from thornlatch.gateway._explanations import (
+    GATEWAY_PAGE,
+    ErrorPage,
+    Explanation,
+    GatewayStatus,
+    PageError,
+    Reason,
+    TargetExplanation,
+)
 from thornlatch.gateway._gateway import Gateway
 from thornlatch.gateway._logs import LogSettings
 from thornlatch.gateway._metrics import GatewayMetrics
@@ -17,6 +26,7 @@
 from thornlatch.gateway._store_epoch import MAX_EPOCH, StoreEpochs
 from thornlatch.gateway._stream_versions import KeyedValues
 from thornlatch.gateway._target_limits import COLD_LIMIT_S, ColdTargetSettings
+from thornlatch.gateway._where_query import WhereQuery, parse_part
 
 __all__ = [
     "AnswerHead",
@@ -24,17 +34,26 @@
     "CallerRequest",
     "ColdTargetSettings",
     "CallerProtocol",
+    "ErrorPage",
+    "Explanation",
+    "GATEWAY_PAGE",
     "Gateway",
     "GatewayApplication",
     "GatewayMetrics",
     "GatewaySettings",
+    "GatewayStatus",
     "HostAddresses",
     "KeyedValues",
     "LogSettings",
     "MAX_EPOCH",
     "OrderReply",
     "ReportedLoad",
+    "PageError",
+    "Reason",
     "SendContext",
     "StoreEpochs",
+    "TargetExplanation",
     "TargetProtocol",
+    "WhereQuery",
+    "parse_part",
 ]
--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -12,11 +12,12 @@
   hear of each other.
 """
 
+import copy
 import math
 import threading
 from collections import deque
 from collections.abc import Callable, Collection, Iterable, Mapping
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 from typing import Annotated
 
@@ -174,6 +175,8 @@
     ended_at: float | None = None
     # Whether this host got the latest of these answers.
     was_seen: bool = False
+    # When it came into force, as far as this host knows.
+    began_at: float = float("-inf")
 
 
 @dataclass
@@ -320,13 +323,19 @@
         if limit is None:
             # Without tokens: other hosts may have used theirs just now.
             self.limits[target] = _Limit(
-                rate=rate, named_at=at, was_seen=was_seen, refilled_at=now
+                rate=rate,
+                named_at=at,
+                was_seen=was_seen,
+                refilled_at=now,
+                began_at=at,
             )
             return True
         if at < limit.named_at or (limit.ended_at is not None and at < limit.ended_at):
             return False
         limit.refill(self._compute_share(target, limit), now)
         has_changed = limit.ended_at is not None or limit.rate != rate
+        if limit.ended_at is not None:
+            limit.began_at = at
         limit.rate, limit.named_at, limit.ended_at = rate, at, None
         limit.was_seen = limit.was_seen or was_seen
         return has_changed
@@ -700,6 +709,49 @@
         """Return the requests a second that a cold target tolerates; 0 for no limit."""
         return self.cold_rates.get(period.service, period.reported_rate)
 
+    def get_ages(
+        self, target: Incarnation, *, now: float
+    ) -> tuple[float, float] | None:
+        """Return how long a target's limit is in force, and the age of its last report.
+
+        Parameters
+        ----------
+        target : (str, int)
+        now : float
+
+        Returns
+        -------
+        (float, float) or None
+            Seconds; None without a limit.
+        """
+        limit = self.limits.get(target)
+        if limit is None or limit.ended_at is not None:
+            return None
+        return now - limit.began_at, now - limit.named_at
+
+    def build_copy(self) -> "TargetLimits":
+        """Return a copy, to look at without refilling what this host may send.
+
+        Returns
+        -------
+        TargetLimits
+        """
+        duplicate = copy.copy(self)
+        duplicate.lock = threading.Lock()
+        with self.lock:
+            duplicate.limits = {
+                target: replace(limit) for target, limit in self.limits.items()
+            }
+            duplicate.cold = {
+                target: replace(period) for target, period in self.cold.items()
+            }
+            duplicate.send_times = {
+                target: times.copy()
+                for target, times in self.send_times.items()
+                if target in self.limits or target in self.cold
+            }
+        return duplicate
+
     def _get_wait_s(self, target: Incarnation, now: float) -> float:
         return max(
             self._get_named_wait_s(target, now), self._get_cold_wait_s(target, now)
--- a/src/thornlatch/gateway/tests/test_cold_targets.py
+++ b/src/thornlatch/gateway/tests/test_cold_targets.py
@@ -217,6 +217,18 @@
     assert not peer.is_limited(TARGET)
 
 
+def test_operators_see_a_cold_target_and_a_look_changes_nothing():
+    limits = build("h1", ["h1"], now=-5.0)
+    note_cold(limits, 0.0)
+    before = limits.cold[TARGET].tokens, limits.cold[TARGET].refilled_at
+    duplicate = limits.build_copy()
+    duplicate.get_wait_s(TARGET, now=2.0)
+    (cold,) = duplicate.list_cold(now=2.0)
+    assert (cold.since_s, cold.left_s, cold.rate, cold.sent) == (2.0, 1.0, 7.0, 0)
+    assert cold.source == "registration"
+    assert (limits.cold[TARGET].tokens, limits.cold[TARGET].refilled_at) == before
+
+
 def test_hosts_do_not_begin_together_at_many_cold_targets():
     # A whole failure domain comes back: each host has a share of some targets.
     random = Random(3)
