Keep evacuated failure domains and leave out their targets

Operators will evacuate a failure domain, which concerns all requests. The registry leaves out the targets in get_ready and goes on to handle leaving, crashes and outages for them.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -26,6 +26,12 @@
 )
 from thornlatch.fleet._domain_view import DomainUpdate, DomainView
 from thornlatch.fleet._domains import DomainExchange
+from thornlatch.fleet._evacuations import (
+    Evacuation,
+    EvacuationChange,
+    EvacuationStatus,
+    EvacuationTable,
+)
 from thornlatch.fleet._notices import TargetNotice, UnreadableHeader
 from thornlatch.fleet._registry import (
     Incarnation,
@@ -45,6 +51,10 @@
     "DomainSpending",
     "DomainUpdate",
     "DomainView",
+    "Evacuation",
+    "EvacuationChange",
+    "EvacuationStatus",
+    "EvacuationTable",
     "ExchangeSettings",
     "FLEET",
     "FleetDigest",
--- a/src/thornlatch/fleet/_registry.py
+++ b/src/thornlatch/fleet/_registry.py
@@ -125,6 +125,7 @@
         self.lock = threading.Lock()
         self.targets: dict[str, Target] = {}
         self.by_service: dict[str, tuple[Target, ...]] = {}
+        self.evacuated: frozenset[str] = frozenset()  # failure domains
         self.removal_due_at: dict[str, float] = {}
         # Incarnations that announced to any host that they leave, as ordered sets; the
         # second one has those that announced it to this host.
@@ -334,9 +335,72 @@
         Returns
         -------
         tuple of Target
+            Without those in evacuated failure domains.
         """
         return self.by_service.get(service, ())
 
+    def set_evacuated(self, domains: frozenset[str]) -> None:
+        """Leave out the targets of failure domains from `get_ready`.
+
+        They stay registered.
+
+        Parameters
+        ----------
+        domains : frozenset of str
+            Replaces the domains set before.
+        """
+        with self.lock:
+            self.evacuated = domains
+            self._rebuild_snapshot()
+
+    def is_evacuated(self, target: Target) -> bool:
+        """Return whether a target is in an evacuated failure domain.
+
+        Parameters
+        ----------
+        target : Target
+
+        Returns
+        -------
+        bool
+        """
+        return target.failure_domain in self.evacuated
+
+    def list_domain_targets(self, domain: str) -> list[Target]:
+        """Return all registered targets of a failure domain.
+
+        Parameters
+        ----------
+        domain : str
+
+        Returns
+        -------
+        list of Target
+        """
+        return [
+            target
+            for target in list(self.targets.values())
+            if target.failure_domain == domain
+        ]
+
+    def list_service_targets(self, service: str) -> list[Target]:
+        """Return all registered targets of a service.
+
+        Parameters
+        ----------
+        service : str
+
+        Returns
+        -------
+        list of Target
+            Also those that leave or are evacuated.
+        """
+        return [
+            target
+            for target in list(self.targets.values())
+            if target.service == service
+        ]
+
     def list_software_versions(self, service: str) -> list[str]:
         """Return the software version of each target of a service.
 
@@ -347,12 +411,10 @@
         Returns
         -------
         list of str
-            Also of targets that leave.
+            Also of targets that leave or are evacuated.
         """
         return [
-            target.software_version
-            for target in list(self.targets.values())
-            if target.service == service
+            target.software_version for target in self.list_service_targets(service)
         ]
 
     def _remove(self, name: str, now: float) -> None:
@@ -368,7 +430,7 @@
     def _rebuild_snapshot(self) -> None:
         by_service: dict[str, list[Target]] = {}
         for target in self.targets.values():
-            if not target.is_leaving:
+            if not (target.is_leaving or self.is_evacuated(target)):
                 by_service.setdefault(target.service, []).append(target)
         self.by_service = {
             service: tuple(targets) for service, targets in by_service.items()
--- a/src/thornlatch/fleet/tests/test_registry.py
+++ b/src/thornlatch/fleet/tests/test_registry.py
@@ -196,3 +196,45 @@
     registry.note_restored(now=2.0)
     assert not registry.apply("i-1", TARGET, now=2.1)
     assert registry.get_ready("llm") == (restarted,)
+
+
+EVACUATED = frozenset({"z"})
+
+
+def test_targets_of_evacuated_domains_are_left_out_until_their_return():
+    registry = build()
+    other = replace(TARGET, id="i-2", failure_domain="y")
+    registry.apply("i-2", other, now=0.0)
+    registry.set_evacuated(EVACUATED)
+    assert registry.get_ready("llm") == (other,)
+    # One that registers meanwhile is left out too.
+    registry.apply("i-3", replace(TARGET, id="i-3"), now=1.0)
+    registry.set_evacuated(frozenset({"z", "y"}))
+    assert registry.get_ready("llm") == ()
+    assert len(registry.list_domain_targets("z")) == 2
+    registry.set_evacuated(frozenset())
+    assert len(registry.get_ready("llm")) == 3
+
+
+def test_evacuated_target_that_crashes_or_leaves_does_not_return():
+    registry = build()
+    registry.apply("i-2", replace(TARGET, id="i-2"), now=0.0)
+    registry.set_evacuated(EVACUATED)
+    assert registry.apply("i-2", None, now=1.0)
+    assert registry.note_leaving(TARGET.incarnation, was_seen=True)
+    assert registry.list_seen_leaving() == (TARGET.incarnation,)
+    registry.set_evacuated(frozenset())
+    assert registry.get_ready("llm") == ()
+    assert registry.apply("i-1", replace(TARGET, started_ms=6), now=2.0)
+    assert [target.started_ms for target in registry.get_ready("llm")] == [6]
+
+
+def test_evacuated_target_stays_registered_while_the_store_is_out():
+    registry = build()
+    registry.set_evacuated(EVACUATED)
+    registry.note_read_failure(now=1.0)
+    assert not registry.apply("i-1", None, now=2.0)
+    assert registry.get("i-1") is not None
+    registry.set_evacuated(frozenset())
+    assert registry.get_ready("llm") == (TARGET,)
+    assert registry.expire(now=3.7) == ["i-1"]
