Add allowed regions of routes and organisations

Route and organisation have a set of regions, and the settings a table from failure domain to region. The error kind region-unavailable is a 503 that says not run. The reference of the gateway's settings lists top-level keys that aren't tables.

--- a/src/thornlatch/cli/_reference.py
+++ b/src/thornlatch/cli/_reference.py
@@ -3,7 +3,7 @@
 import dataclasses
 import inspect
 import re
-from collections.abc import Iterator
+from collections.abc import Container, Iterator
 from typing import Any, get_args, get_origin, get_type_hints
 
 from thornlatch.daemon import DaemonSettings
@@ -74,8 +74,10 @@
     str
         Markdown.
     """
+    tables = list(_iter_tables(GatewaySettings))
     lines = [GATEWAY_INTRODUCTION]
-    for name, hint in _iter_tables(GatewaySettings):
+    lines += _describe_table("Top level", GatewaySettings, skip=dict(tables))
+    for name, hint in tables:
         lines += _describe_table(f"`{name}`", hint)
     return "\n".join(lines).rstrip() + "\n"
 
@@ -109,7 +111,7 @@
             yield from _iter_tables(hint, f"{prefix}{name}.")
 
 
-def _describe_table(title: str, cls: Any) -> list[str]:
+def _describe_table(title: str, cls: Any, skip: Container[str] = ()) -> list[str]:
     summary, descriptions = parse_docstring(cls)
     hints = get_type_hints(cls, include_extras=True)
     lines = [
@@ -119,6 +121,8 @@
         "|---|---|---|---|",
     ]
     for field in dataclasses.fields(cls):
+        if field.name in skip:
+            continue
         allowed = describe_hint(hints[field.name]).replace("|", "\\|")
         description = descriptions.get(field.name, "")
         cells = f"`{field.name}`", allowed, _describe_default(field), description
@@ -128,6 +132,8 @@
 
 def _describe_default(field: dataclasses.Field[Any]) -> str:
     if field.default is dataclasses.MISSING:
+        if field.default_factory is dict:
+            return "none"
         is_required = field.default_factory is dataclasses.MISSING
         return "required" if is_required else "see its keys"
     if field.default == ():
--- a/src/thornlatch/exceptions.py
+++ b/src/thornlatch/exceptions.py
@@ -39,6 +39,7 @@
     HOST_STOPPING = "host-stopping"
     HOST_UNCONFIRMED = "host-unconfirmed"
     NO_TARGET = "no-target"
+    REGION_UNAVAILABLE = "region-unavailable"
     LOG_UNAVAILABLE = "log-unavailable"
     LOAD_FAILED = "load-failed"
     TARGET_FAILED = "target-failed"
@@ -118,6 +119,9 @@
     ErrorKind.NO_TARGET: Answer(
         503, _NOT_RUN, True, "Retry after the time in Retry-After."
     ),
+    ErrorKind.REGION_UNAVAILABLE: Answer(
+        503, _NOT_RUN, True, "Retry after the time in Retry-After."
+    ),
     ErrorKind.LOG_UNAVAILABLE: Answer(
         503, _NOT_RUN, True, "Retry after the time in Retry-After."
     ),
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway host."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -195,6 +196,9 @@
     stream_versions : StreamVersionSettings
     stop : StopSettings
     logs : LogSettings
+    regions : mapping of str to str
+        Regions by failure domain. Other domains have none, and requests that are
+        restricted to regions aren't sent there.
     """
 
     host: HostAddresses
@@ -218,3 +222,4 @@
     )
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
+    regions: Mapping[str, str] = field(default_factory=dict)
--- a/src/thornlatch/routing/_configuration.py
+++ b/src/thornlatch/routing/_configuration.py
@@ -41,6 +41,8 @@
     gap_s : float
         Longest pause between two events of a stream that meets its objective, in
         seconds.
+    regions : frozenset of str
+        Regions to whose targets requests may be sent; empty for any.
     """
 
     name: str
@@ -55,6 +57,7 @@
     is_public: bool = False
     is_resumable: bool = False
     gap_s: float = 0.3
+    regions: frozenset[str] = frozenset()
 
     @property
     def may_repeat(self) -> bool:
@@ -153,6 +156,8 @@
         Tokens charged for a request without a declared size.
     counts_tokens : bool
         Whether the quota is in tokens; if not, each request counts as 1.
+    regions : frozenset of str
+        Regions to whose targets requests may be sent; empty for any.
     """
 
     name: str
@@ -162,6 +167,7 @@
     burst: float
     tokens_per_plain_request: int = 1
     counts_tokens: bool = True
+    regions: frozenset[str] = frozenset()
 
 
 @dataclass(frozen=True)
@@ -202,6 +208,8 @@
     organisations_by_key: dict[str, Organisation] = field(init=False, compare=False)
     # Services whose streams may be resumed.
     resumable_services: frozenset[str] = field(init=False, compare=False)
+    # Whether any route or organisation names allowed regions.
+    restricts_regions: bool = field(init=False, compare=False)
 
     def __post_init__(self) -> None:
         by_key = {
@@ -217,3 +225,8 @@
             for name, _ in route.services
         )
         object.__setattr__(self, "resumable_services", resumable)
+        restrictions = [
+            *(route.regions for route in self.routes),
+            *(organisation.regions for organisation in self.organisations.values()),
+        ]
+        object.__setattr__(self, "restricts_regions", any(restrictions))
--- a/src/thornlatch/settings/_describe.py
+++ b/src/thornlatch/settings/_describe.py
@@ -2,6 +2,7 @@
 
 import dataclasses
 import re
+from collections.abc import Mapping
 from types import NoneType, UnionType
 from typing import Annotated, Any, Literal, get_args, get_origin, get_type_hints
 
@@ -35,6 +36,8 @@
         if dataclasses.is_dataclass(inner):
             return f"array of tables ({getattr(inner, '__name__', '')})"
         return f"array of {describe_hint(inner)}"
+    if origin is Mapping:
+        return f"table of {describe_hint(get_args(hint)[1])}"
     if origin is UnionType:
         return " or ".join(map(describe_hint, get_args(hint)))
     if hint is NoneType:
