Send nothing to evacuated or forbidden targets

The selector leaves out targets outside the allowed regions, and the forwarder checks evacuation and regions again just before a send, since the target may have been reserved earlier. Retry budget spent on it isn't spent again. No host holds evacuated targets, so they get no orders, copies or report reads. A request without any other target is refused at once.

--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -207,12 +207,19 @@
         option, call.next_option = call.next_option, None
         is_reserved = option is not None
         limits = self.health.limits
-        # Another request may have used the target's limit since it was selected.
-        while option is None or not limits.try_send(
-            option.target.incarnation, now=read_clock()
-        ):
-            option = self.selector.choose(call)
-        self._check_may_send(call, is_reserved=is_reserved)
+        while True:
+            # Another request may have used the target's limit since it was selected.
+            while (
+                option is None
+                or not self.selector.may_send(call, option.target)
+                or not limits.try_send(option.target.incarnation, now=read_clock())
+            ):
+                option = self.selector.choose(call)
+            self._check_may_send(call, is_reserved=is_reserved)
+            if self.selector.may_send(call, option.target):
+                break
+            # The retry budget has been spent.
+            option, is_reserved = None, True
         if call.route.is_resumable_stream:
             # Recorded while the target reads the prompt.
             self.stream_versions.note_sent(
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -19,6 +19,7 @@
 from thornlatch.fleet import UNKNOWN_EPOCH, PeerView, Target, TargetRegistry
 from thornlatch.gateway._admission import Admission
 from thornlatch.gateway._app import GatewayApplication, StartResponse
+from thornlatch.gateway._evacuations import Evacuations
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
@@ -27,6 +28,7 @@
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import CallerProtocol, TargetProtocol
+from thornlatch.gateway._regions import RegionPolicy
 from thornlatch.gateway._replication import AdapterReplicator
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._sender import TargetSender
@@ -94,6 +96,13 @@
                 target, adapter, is_used=is_used
             )
         )
+        self.evacuations = Evacuations(
+            registry=self.registry,
+            work=self.work,
+            metrics=self.metrics,
+            on_domain_returned=self._handle_domain_returned,
+        )
+        self.regions = RegionPolicy(settings.regions, in_force=self.in_force)
         self.health = TargetHealth(
             settings.forwarding,
             random=Random(),
@@ -188,6 +197,7 @@
             orders=self.orders,
             health=self.health,
             pacing=pacing,
+            regions=self.regions,
             random=Random(),
         )
         return Forwarder(
@@ -334,6 +344,40 @@
                 "version.announced", extra={"adapter": adapter, "version": version}
             )
 
+    def apply_evacuation(
+        self, domain: str, *, is_evacuated: bool, read_started_at: float
+    ) -> None:
+        """Apply an operator's record that evacuates a failure domain, or its deletion.
+
+        Parameters
+        ----------
+        domain : str
+        is_evacuated : bool
+        read_started_at : float
+            When the read of the store began that returned the record.
+        """
+        now = read_clock()
+        apply = self.evacuations.begin if is_evacuated else self.evacuations.end
+        if apply(domain, read_at=read_started_at, now=now):
+            # Otherwise orders would go on until the next tick.
+            self.orders.update_held_targets(now=now)
+
+    def replace_evacuations(
+        self, domains: frozenset[str], *, read_started_at: float
+    ) -> None:
+        """Apply a complete read of the operators' records.
+
+        Parameters
+        ----------
+        domains : frozenset of str
+            Evacuated failure domains.
+        read_started_at : float
+            When the read of the store began.
+        """
+        now = read_clock()
+        if self.evacuations.replace_all(domains, read_at=read_started_at, now=now):
+            self.orders.update_held_targets(now=now)
+
     def apply_target(self, name: str, target: Target | None) -> None:
         """Apply a target's registration, or its removal.
 
@@ -460,6 +504,7 @@
         self.registry.settings = settings.registry
         self.retries.settings = settings.retries
         self.versions.settings = settings.versions
+        self.regions.regions = settings.regions
         changed = [
             setting.name
             for setting in fields(settings)
@@ -544,6 +589,9 @@
             {target.incarnation for target in list(self.registry.targets.values())},
             now=now,
         )
+        self.evacuations.expire(now=now)
+        if self.evacuations.unchecked and self.targets_known:
+            self.evacuations.check_unknown(self._list_known_domains())
         self.orders.update_held_targets(now=now)
         self.orders.refresh_residents(now=now)
         self.orders.tick(now=now)
@@ -580,6 +628,27 @@
         else:
             self.health.begin(name, target.started_ms)
 
+    def _handle_domain_returned(self, domain: str, now: float) -> None:
+        """Prepare the targets of a failure domain whose evacuation has ended."""
+        logger.info(
+            "evacuation.targets_returned",
+            extra={
+                "domain": domain,
+                "targets": sorted(
+                    target.id for target in self.registry.list_domain_targets(domain)
+                ),
+            },
+        )
+
+    def _list_known_domains(self) -> set[str]:
+        """Return the failure domains that hosts or the settings name."""
+        members = list(self.fleet.members.values())
+        return {
+            self.settings.host.failure_domain,
+            *self.settings.regions,
+            *(member.domain for member in members),
+        }
+
     def _log_withdrawn_keys(self, configuration: Configuration) -> None:
         """Log the running requests whose key was withdrawn.
 
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -74,6 +74,12 @@
             ["source"],
             registry=self.registry,
         )
+        self.evacuated_domains = Gauge(
+            "thornlatch_gateway_evacuated_domains",
+            "Failure domains whose targets get no requests, as operators evacuated"
+            " them.",
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "thornlatch_store_calls",
             "Calls to the platform's store, by call and outcome.",
--- a/src/thornlatch/gateway/_ordering.py
+++ b/src/thornlatch/gateway/_ordering.py
@@ -222,9 +222,9 @@
         """Request the load of an adapter at a target.
 
         The request is forwarded to the target's holder if that is another host. It is
-        dropped if the target has no holder or is in a pause. It is dropped, too, if
-        another target with a free slot holds or loads the adapter, unless the request's
-        target reported that it lacks it or a copy is requested.
+        dropped if the target has no holder, is evacuated or is in a pause. It is
+        dropped, too, if another target with a free slot holds or loads the adapter,
+        unless the request's target reported that it lacks it or a copy is requested.
 
         Parameters
         ----------
@@ -233,6 +233,9 @@
         requester : str
             The host that is notified of the load; empty for this host.
         """
+        target = self.registry.get(load_request.target)
+        if target is not None and self.registry.is_evacuated(target):
+            return
         held = self.held.get(load_request.target)
         if held is None:
             holder = self.peers.get_holder(load_request.target, now=now)
@@ -381,6 +384,8 @@
             service = configuration.services.get(target.service)
             if service is None or service.engine is None or target.is_leaving:
                 continue
+            if self.registry.is_evacuated(target):
+                continue
             if self.get_partition(target.id) in self.tenure.tokens:
                 targets_to_hold[target.id] = (target, service.engine)
         return targets_to_hold
@@ -596,8 +601,10 @@
         """
         now = read_clock()
         token = self.tenure.get_token(held.partition, now=now)
-        is_paused = self.health.get_pause_s(held.target.id, now=now) > 0
-        if token is None or is_paused or self.held.get(held.target.id) is not held:
+        is_closed = self.registry.is_evacuated(held.target) or (
+            self.health.get_pause_s(held.target.id, now=now) > 0
+        )
+        if token is None or is_closed or self.held.get(held.target.id) is not held:
             self._end_sending(held)
             return False
         with held.lock:
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -2,6 +2,7 @@
 
 import threading
 from collections import Counter
+from collections.abc import Sequence
 from random import Random
 
 import logbook
@@ -25,6 +26,7 @@
 from thornlatch.gateway._health import TargetHealth, draw_return_delay
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._pacing import PromptPacing
+from thornlatch.gateway._regions import RegionPolicy
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.residency import AdapterVersions, ResidentTable
 
@@ -37,6 +39,8 @@
 RETURN_RATIO = 1 / 3
 VERSION_RETRY_S = 1.0  # until a restarted target may have registered again
 LIMITED_RETRY_S = 0.2  # least time until a caller returns to limited targets
+EVACUATED_RETRY_S = 1.0  # evacuations last for minutes
+REGION_RETRY_S = 1.0  # until a target of the region may have registered
 POLL_INTERVAL_S = 0.1  # longest sleep of a waiting request between two checks
 
 
@@ -53,6 +57,7 @@
     orders : OrderManager
     health : TargetHealth
     pacing : PromptPacing
+    regions : RegionPolicy
     random : random.Random
         Source of the differences between hosts that choose at once.
     """
@@ -68,6 +73,7 @@
         orders: OrderManager,
         health: TargetHealth,
         pacing: PromptPacing,
+        regions: RegionPolicy,
         random: Random,
     ) -> None:
         self.settings = settings
@@ -78,6 +84,7 @@
         self.orders = orders
         self.health = health
         self.pacing = pacing
+        self.regions = regions
         self.random = random
         # Requests that wait because all targets of their service are closed.
         self.waiting: Counter[str] = Counter()
@@ -111,6 +118,7 @@
             now = read_clock()
             options = self._list_options(call, load_requested_at, now)
             if not options:
+                self._check_registered(call)
                 if call.stream_version is not None and not self._list_ready(call):
                     raise build_refusal(
                         call,
@@ -178,6 +186,25 @@
             left_s = max(min(best.wait_s, wait_until - now), 0.001)
             self.residents.wait(call.request.adapter, min(left_s, POLL_INTERVAL_S))
 
+    def may_send(self, call: Call, target: Target) -> bool:
+        """Return whether a selected target may still get a request.
+
+        Its failure domain may have been evacuated since, or the allowed regions may
+        have changed.
+
+        Parameters
+        ----------
+        call : Call
+        target : Target
+
+        Returns
+        -------
+        bool
+        """
+        return not self.registry.is_evacuated(target) and self.regions.is_allowed(
+            target, self.regions.get_allowed(call)
+        )
+
     def has_alternative(self, call: Call, target: str) -> bool:
         """Return whether there is another target at which a request hasn't failed.
 
@@ -232,15 +259,66 @@
         if options and options[0].step is Step.REQUEST_LOAD:
             self.request_load(call, options[0].target, now, was_missing=False)
 
-    def _list_ready(self, call: Call) -> list[Target]:
-        """Return the ready targets that can serve a request, or its stream's rest."""
-        version = call.stream_version
+    def _check_registered(self, call: Call) -> None:
+        """Check that waiting may give a request a target.
+
+        Raises
+        ------
+        RequestRefused
+            If no registered target is in an allowed region, or if none is ready and
+            some are evacuated.
+        """
+        allowed = self.regions.get_allowed(call)
+        if allowed is None and not self.registry.evacuated:
+            return
+        service = call.service
+        if self._list_allowed(self.registry.get_ready(service), allowed):
+            return
+        registered = self._list_allowed(
+            self.registry.list_service_targets(service), allowed
+        )
+        if allowed is not None and not registered:
+            regions = ", ".join(sorted(allowed)) or "none in common"
+            raise build_refusal(
+                call,
+                ErrorKind.REGION_UNAVAILABLE,
+                REGION_RETRY_S,
+                f"no target of service {service} is registered in the allowed regions"
+                f" ({regions})",
+            )
+        domains = {
+            target.failure_domain
+            for target in registered
+            if self.registry.is_evacuated(target)
+        }
+        if domains:
+            raise build_refusal(
+                call,
+                ErrorKind.NO_TARGET,
+                EVACUATED_RETRY_S,
+                f"the targets of service {service} are in evacuated failure domains"
+                f" ({', '.join(sorted(domains))})",
+            )
+
+    def _list_allowed(
+        self, targets: Sequence[Target], allowed: frozenset[str] | None
+    ) -> Sequence[Target]:
+        if allowed is None:
+            return targets
         return [
-            target
-            for target in self.registry.get_ready(call.service)
-            if version is None or target.software_version == version
+            target for target in targets if self.regions.is_allowed(target, allowed)
         ]
 
+    def _list_ready(self, call: Call) -> Sequence[Target]:
+        """Return the ready targets that can serve a request, or its stream's rest."""
+        targets = self._list_allowed(
+            self.registry.get_ready(call.service), self.regions.get_allowed(call)
+        )
+        version = call.stream_version
+        if version is None:
+            return targets
+        return [target for target in targets if target.software_version == version]
+
     def _list_accepting(self, call: Call, now: float) -> list[Target]:
         """Return the targets to which this host may send a request now."""
         return [
@@ -401,10 +479,18 @@
         return self.orders.peers.count_peers_avoiding(target) >= AVOIDING_PEER_LIMIT
 
     def _list_unusable(self, call: Call, now: float) -> tuple[str, ...]:
-        """Return targets that hold a request's adapter or will, but of no use to it."""
+        """Return targets that hold a request's adapter or will, but of no use to it.
+
+        Those outside the allowed regions are listed also if they don't hold it yet. A
+        later load there mustn't make the holder drop the request's own load.
+        """
         unusable = []
         usable = self._list_ready(call)
+        allowed = self.regions.get_allowed(call)
         for target in self.registry.get_ready(call.service):
+            if not self.regions.is_allowed(target, allowed):
+                unusable.append(target.id)
+                continue
             resident = self.residents.get(target.id, call.request.adapter)
             if resident is not None and (
                 resident.is_queued
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -25,6 +25,7 @@
 from thornlatch.gateway._health import RETURN_SPREAD_LIMIT_S, TargetHealth
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._pacing import PromptPacing
+from thornlatch.gateway._regions import RegionPolicy
 from thornlatch.gateway._replication import AdapterReplicator
 from thornlatch.gateway._selector import TargetSelector
 from thornlatch.gateway._settings import ForwardingSettings
@@ -696,7 +697,7 @@
     assert error.value.retry_after_s < 1.0
 
 
-def build_selector(manager):
+def build_selector(manager, regions=None):
     settings = ForwardingSettings()
     return TargetSelector(
         settings,
@@ -707,6 +708,7 @@
         orders=manager,
         health=manager.health,
         pacing=PromptPacing(settings),
+        regions=RegionPolicy(regions or {}, in_force=manager.in_force),
         random=Random(1),
     )
 
--- a/src/thornlatch/story/_causes.py
+++ b/src/thornlatch/story/_causes.py
@@ -258,6 +258,22 @@
     )
 
 
+def explain_exclusion(evidence: Evidence) -> str | None:
+    """Recognise targets that are evacuated or outside the allowed regions."""
+    refusal = _find_refusal(evidence, "region-unavailable")
+    if refusal is not None:
+        return f"refused without being sent: {refusal.get('why')}"
+    refusal = _find_refusal(evidence, "no-target")
+    if refusal is None or "evacuated" not in str(refusal.get("why")):
+        return None
+    cause = f"refused without being sent: {refusal.get('why')}"
+    began = evidence.list_context_lines("evacuation.began")
+    if began:
+        last = began[-1]
+        cause += f"; {last.get('domain')} since {evidence.get_age_s(last):.1f} s before"
+    return cause
+
+
 def explain_load(evidence: Evidence) -> str | None:
     """Recognise targets without free capacity, or an overloaded weight store."""
     refusal = _find_refusal(evidence, "overloaded") or _find_refusal(
@@ -345,6 +361,7 @@
     explain_target,
     explain_crash_suspect,
     explain_pause,
+    explain_exclusion,
     explain_unordered,
     explain_load,
     explain_target_status,
--- a/src/thornlatch/story/_explanation.py
+++ b/src/thornlatch/story/_explanation.py
@@ -14,6 +14,8 @@
 CONTEXT_EVENTS = frozenset(
     {
         "configuration.read",
+        "evacuation.began",
+        "evacuation.ended",
         "fleet.hosts_absent",
         "fleet.peers_changed",
         "host.started",
--- a/src/thornlatch/story/tests/test_explanation.py
+++ b/src/thornlatch/story/tests/test_explanation.py
@@ -80,6 +80,22 @@
         "shop has used its quota over all hosts; its limit was changed 2.5 s before,"
         " to 50 a second and a burst of 80",
     ),
+    "all-targets-evacuated": (
+        [
+            make_line(90.0, "evacuation.began", domain="z1"),
+            make_refusal("no-target", "the targets are in evacuated failure domains"),
+            make_end("request.failed", "no-target"),
+        ],
+        "refused without being sent: the targets are in evacuated failure domains; z1"
+        " since 10.0 s before",
+    ),
+    "no-target-in-the-region": (
+        [
+            make_refusal("region-unavailable", "no target of service s in eu"),
+            make_end("request.failed", "region-unavailable"),
+        ],
+        "refused without being sent: no target of service s in eu",
+    ),
     "store-unavailable": (
         [
             make_line(95.0, "store.lost", error="log-read: TimeoutError()"),
