--- a/tests/platform/test_names.py
+++ b/tests/platform/test_names.py
@@ -8,6 +8,7 @@
     r"Thornlatch-[A-Z]|apiKeys|pathPrefix|routeType|loadedModels|loadedAdapters"
     r"|fencingToken|adapterId|modelId|ratePerS|uncachedTokens|/api/log-"
     r"|keyed\.(op|servers)|nodeName|listenersConfig|revokeTimeoutMs|THORNLATCH_NODE"
+    r"|allowedRegions|evacuationMs|contactTimeoutMs"
 )
 
 
--- a/tests/test_documents.py
+++ b/tests/test_documents.py
@@ -43,8 +43,10 @@
 
 def test_events_reference_is_complete():
     page = (ROOT / "docs/reference/events.md").read_text()
-    areas = "adapter|admission|configuration|control|daemon|dispatch|fleet|host|hosts"
-    areas += "|log|membership|peer|placement|quarantine|relay|request|requests"
+    areas = "adapter|admission|configuration|control|daemon|dispatch|evacuation|fleet"
+    areas += (
+        "|host|hosts|log|membership|peer|placement|quarantine|relay|request|requests"
+    )
     areas += "|quota|residency|store|target|tenure|version"
     call = rf"(?:Event|_emit|logger\.\w+)\([^\"()]*\"((?:{areas})\.[a-z_]+)\""
     modules = [*(ROOT / "src").rglob("*.py"), *(ROOT / "platform").rglob("*.py")]
