--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -1,5 +1,6 @@
 """Settings of a gateway host."""
 
+from collections.abc import Mapping
 from dataclasses import dataclass, field
 from typing import Annotated
 
@@ -212,6 +213,9 @@
     stop : StopSettings
     logs : LogSettings
     explanations : ExplanationSettings
+    regions : mapping of str to str
+        Regions by failure domain. Other domains have none, and requests that are
+        restricted to regions aren't sent there.
     """
 
     host: HostAddresses
@@ -238,3 +242,4 @@
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
     explanations: ExplanationSettings = field(default_factory=ExplanationSettings)
+    regions: Mapping[str, str] = field(default_factory=dict)
--- a/src/thornlatch/gateway/_target_reasons.py
+++ b/src/thornlatch/gateway/_target_reasons.py
@@ -79,7 +79,8 @@
         health = facts.fleet.health
         is_excluded = self.software_version not in (None, target.software_version)
         is_closed = health.get_closed_s(target, now=facts.now) > 0
-        return not (target.is_leaving or is_excluded or is_closed)
+        is_evacuated = facts.fleet.registry.is_evacuated(target)
+        return not (target.is_leaving or is_evacuated or is_excluded or is_closed)
 
     @property
     def has_adapter(self) -> bool:
@@ -100,6 +101,13 @@
     )
 
 
+def tell_evacuated(facts: TargetFacts) -> Reason | None:
+    """Return whether the failure domain of a target is evacuated."""
+    if not facts.fleet.registry.is_evacuated(facts.target):
+        return None
+    return Reason("evacuated", f"its failure domain {facts.target.failure_domain} is")
+
+
 def tell_paused(facts: TargetFacts) -> Reason | None:
     """Return whether a target asked for a pause."""
     record = facts.fleet.health.describe(facts.target.id, now=facts.now)
@@ -244,6 +252,7 @@
 
 TARGET_REASONS: tuple[Callable[[TargetFacts], Reason | None], ...] = (
     tell_leaving,
+    tell_evacuated,
     tell_paused,
     tell_limited,
     tell_cold,
