Accept status lines, chunks and lengths as HTTP defines them only

Cause: `http.client` splits a status line at any white space and reads the status by `int`, from 100 to 999. It reads chunk sizes and lengths by `int` too, skips any two bytes after a chunk, and `email` takes a CR alone for a line end.

Change: `_connections.py`, the one reader, matches status lines, chunk sizes, chunk ends and lines of heads, and rejects lengths that only `int` accepts. Lines of a folded header are joined; they ended the request with an internal error after it had run. Errors quote at most 25 bytes of a status line, and only if it begins with HTTP/, as it may be part of the body of another caller's answer; messages are cut at 200 characters. Streams that a target ends with the head of an answer are broken off there also if its status line is malformed. `thornlatch status` uses the same reader, and `build_status_line` rejects a status that no final answer has.

--- a/src/thornlatch/cli/_status.py
+++ b/src/thornlatch/cli/_status.py
@@ -1,5 +1,6 @@
 """``thornlatch status``: show the status pages of daemons."""
 
+import contextlib
 import http.client
 import json
 from dataclasses import dataclass
@@ -11,6 +12,7 @@
 from thornlatch.cli._exits import EXIT_FAILED, EXIT_OK
 from thornlatch.cli._options import AsJson
 from thornlatch.cli._output import write_json, write_line
+from thornlatch.core import connect, read_answer
 from thornlatch.exceptions import InvalidInput
 
 TIMEOUT_S = 5.0
@@ -90,15 +92,15 @@
     parts = urlsplit(url if "://" in url else f"http://{url}")
     if parts.scheme != "http" or not parts.netloc:
         raise InvalidInput(f"not the URL of a daemon: {url!r}", hint="Use ip:port.")
-    connection = http.client.HTTPConnection(parts.netloc, timeout=TIMEOUT_S)
     try:
-        connection.request("GET", "/status")
-        response = connection.getresponse()
-        page = json.loads(response.read(MAX_PAGE_BYTES))
+        with contextlib.closing(connect(parts.netloc, timeout_s=TIMEOUT_S)) as daemon:
+            daemon.request("GET", "/status")
+            response, data = read_answer(
+                daemon, head_s=TIMEOUT_S, body_s=TIMEOUT_S, limit=MAX_PAGE_BYTES
+            )
+        page = json.loads(data)
     except (OSError, http.client.HTTPException, ValueError, RecursionError) as error:
         return DaemonStatus(url, {}, error=repr(error))
-    finally:
-        connection.close()
     if response.status != http.client.OK or not isinstance(page, dict):
         return DaemonStatus(
             url,
--- a/src/thornlatch/cli/tests/test_status.py
+++ b/src/thornlatch/cli/tests/test_status.py
@@ -53,6 +53,7 @@
         (b"{", "200 OK", "unreachable"),
         (b"[]", "200 OK", "unreachable"),
         (b"{}", "503 Down", "answered 503"),
+        (b'{"host": "a.1", "ready": true}', "0200 OK", "unreachable: BadStatusLine"),
     ],
 )
 def test_status_not_ready(capsys, body, status, message):
--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -2,6 +2,7 @@
 
 import contextlib
 import http.client
+import re
 import socket
 from collections.abc import Callable
 from email.errors import MissingHeaderBodySeparatorDefect
@@ -11,6 +12,19 @@
 from thornlatch.core._memory import MemoryExceeded, MemoryUse
 
 HEAD_LIMIT_BYTES = 1 << 16  # of an answer, with the interim answers before it
+CHUNK_SIZE_LINE_LIMIT_BYTES = 1 << 16
+CHUNK_END = b"\r\n"
+# RFC 9112, section 4, and RFC 9110, section 15. `int` accepts signs, underscores, white
+# space and digits of other scripts too.
+STATUS_LINE = re.compile(
+    rb"(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([\t -~\x80-\xff]*))?\r?\n"
+)
+STATUS_LINE_START = re.compile(rb"HTTP/[ -~]{0,20}")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;[^\r\n]*)?\r?\n")
+LENGTH = re.compile(r"[ \t]*[0-9]+[ \t]*")
+# RFC 9112, section 2.2: a CR alone isn't a line end, but `email` takes it for one.
+HEAD_LINE = re.compile(rb"[^\r\n\0]*\r?\n")
+FOLD = re.compile(r"[ \t]*\r?\n[ \t]+")
 
 
 class BoundedSocket(socket.socket):
@@ -126,6 +140,8 @@
                 raise MemoryExceeded(
                     f"the head of the answer is over {HEAD_LIMIT_BYTES} bytes"
                 )
+            if self.has_begun and not HEAD_LINE.fullmatch(line):
+                raise http.client.HTTPException("CR or NUL within a line of the head")
         self.has_begun = True
         return line
 
@@ -171,8 +187,38 @@
             self.headers = self.msg = cast(Any, None)
             super().begin()
         reader.is_in_head = False
+        self._unfold_headers()
         self._check_framing()
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read a status line, also of an interim answer.
+
+        Raises
+        ------
+        http.client.HTTPException
+            If it is none, so that its answer isn't one either.
+        """
+        line = self.fp.readline(HEAD_LIMIT_BYTES + 1)
+        if not line:
+            raise http.client.RemoteDisconnected("connection closed without an answer")
+        match = STATUS_LINE.fullmatch(line)
+        if match is None:
+            # Anything else may be part of the answer to another caller.
+            start = STATUS_LINE_START.match(line)
+            quoted = f", {start[0].decode()!r}" if start else ""
+            raise http.client.BadStatusLine(f"{len(line)} bytes{quoted}")
+        version, status, reason = match.groups(default=b"")
+        return version.decode(), int(status), reason.decode("iso-8859-1")
+
+    def _unfold_headers(self) -> None:
+        """Join the lines of each header, which can't be passed on as they are."""
+        headers = self.msg.items()
+        if any("\n" in value for _, value in headers):
+            for name in set(self.msg.keys()):
+                del self.msg[name]
+            for name, value in headers:
+                self.msg[name] = FOLD.sub(" ", value).strip(" ")
+
     def _check_framing(self) -> None:
         """Check that the head says where the body ends.
 
@@ -194,15 +240,28 @@
         lengths = set(self.msg.get_all("Content-Length", []))
         if len(lengths) > 1:
             raise http.client.HTTPException(f"contradictory lengths {sorted(lengths)}")
+        # A length that `int` rejects is ignored, but it takes some that are none.
+        if self.length and not all(LENGTH.fullmatch(length) for length in lengths):
+            raise http.client.HTTPException(f"malformed length {lengths}")
         if codings and not self.chunked:
             self.chunked, self.chunk_left, self.length = True, None, None
 
+    def _get_chunk_left(self) -> int | None:
+        if self.chunk_left == 0:
+            # `http.client` skips any two bytes.
+            end = self.fp.read(len(CHUNK_END))
+            if end != CHUNK_END:
+                raise http.client.IncompleteRead(b"")
+            self.chunk_left = None
+        left: int | None = cast(Any, super())._get_chunk_left()
+        return left
+
     def _read_next_chunk_size(self) -> int:
-        size: int = cast(Any, super())._read_next_chunk_size()
-        if size < 0:
-            # `http.client` would read to the end of the connection at once.
-            raise http.client.HTTPException(f"chunk of size {size}")
-        return size
+        line = self.fp.readline(CHUNK_SIZE_LINE_LIMIT_BYTES + 1)
+        match = CHUNK_SIZE_LINE.fullmatch(line)
+        if match is None:
+            raise ValueError("malformed size of a chunk")
+        return int(match[1], 16)
 
     def _close_conn(self) -> None:
         reader = self.fp
--- a/src/thornlatch/core/_status.py
+++ b/src/thornlatch/core/_status.py
@@ -11,10 +11,17 @@
     Parameters
     ----------
     status : int
-        Also one that isn't registered, as targets may choose.
+        From 200 to 599; also one that isn't registered, as targets may choose.
 
     Returns
     -------
     str
+
+    Raises
+    ------
+    ValueError
+        If there is no final answer with this status.
     """
+    if not 200 <= status <= 599:
+        raise ValueError(f"no status of a final answer: {status}")
     return f"{status} {_REASON_PHRASES.get(status, 'Unknown')}"
--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -10,7 +10,8 @@
 EVENT_END_BYTES = 2
 LINE_END = re.compile(rb"\r\n?|\n")
 ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
-STATUS_LINE = re.compile(rb"HTTP/1\.[01] \d{3}\b")
+# Also malformed ones, with or without a status: a target in trouble may write any.
+STATUS_LINE = re.compile(rb"HTTP/\d(?:(?:\.\w?)? *[+-]?(\d))?")
 # A possessive repetition: without a colon, backtracking would be in vain.
 HEADER_FIELD = re.compile(rb"(?!(?:data|event|id|retry):)[\w-]++:")
 MAX_ID_DIGITS = 100
@@ -113,15 +114,16 @@
 
     A target that fails in a stream that ends with its connection may write one into it:
     a status line on a line of its own or before a header field. Text of a model may
-    contain a status line too, but then the next line is a field of events.
+    contain a status line too, but then the next line is a field of events. No field
+    of events begins like a status line.
     """
     line_end = 0
     for status_line in STATUS_LINE.finditer(event):
         start = status_line.start()
         if start == 0 or event[start - 1] in b"\r\n":
             return True
-        if start < line_end:
-            continue  # on the same line as the one before
+        if start < line_end or not status_line[1]:
+            continue  # on the same line as the one before, or a mere word
         end = LINE_END.search(event, start)
         if end is None:
             return False
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -30,6 +30,7 @@
 EXPIRY_PERIOD_S = 1.0
 # A call that may not be repeated reuses no connection that was idle for longer.
 UNREPEATABLE_IDLE_LIMIT_S = 2.0
+ERROR_LIMIT_CHARS = 200  # an error may quote a head of 64 KB
 
 
 @dataclass(frozen=True)
@@ -463,7 +464,7 @@
         return OversizedAnswer(f"{what}: {error}")
     is_lost = isinstance(error, (ConnectionError, http.client.IncompleteRead))
     return TargetError(
-        f"{what}: {error!r}",
+        f"{what}: {repr(error)[:ERROR_LIMIT_CHARS]}",
         is_sent=True,
         is_connection_lost=is_lost,
         is_timeout=isinstance(error, TimeoutError),
--- a/tests/platform/test_broken_answers.py
+++ b/tests/platform/test_broken_answers.py
@@ -265,3 +265,13 @@
     wait_until(lambda: list_named() == names, host.read_log)
     assert len(host.list_events("request.abandoned")) <= len(names)
     assert host.call("/llm/x", Thornlatch_Model="m")[0].status == 200
+
+
+def test_answer_with_a_header_of_two_lines_is_passed_on(deployment):
+    """The caller got an internal error for a request that had run."""
+    _, host, plan = deployment
+    head = STREAM_HEAD + b"Name: a\r\n b\r\n"
+    plan.append(with_length(head, build_events(1)))
+    response, body = host.call("/llm/x", Thornlatch_Model="m")
+    assert (response.status, body) == (200, build_events(1))
+    assert response.getheader("Name") == "a b"
