Fuzz all readers of bytes, and mend what the fuzzer found

Each example has a bound on time and memory, and only the documented errors may leave a reader.

- 204 and 304 with chunks, and malformed lines of heads that `email` skips (a line without a name, a continuation of nothing, the next status line within an interim answer): lines of heads are now checked as they are read, and 204 and 304 have no body.
- Settings with a number of more than 4,300 digits, or nested too deeply, raised ValueError or RecursionError in place of SettingsError.

--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -5,7 +5,6 @@
 import re
 import socket
 from collections.abc import Callable
-from email.errors import MissingHeaderBodySeparatorDefect
 from typing import Any, cast
 
 from thornlatch.core._clock import read_clock
@@ -22,8 +21,9 @@
 STATUS_LINE_START = re.compile(rb"HTTP/[ -~]{0,20}")
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;[^\r\n]*)?\r?\n")
 LENGTH = re.compile(r"[ \t]*[0-9]+[ \t]*")
-# RFC 9112, section 2.2: a CR alone isn't a line end, but `email` takes it for one.
-HEAD_LINE = re.compile(rb"[^\r\n\0]*\r?\n")
+# A CR alone isn't a line end (RFC 9112, section 2.2), but `email` takes it for one.
+FIELD_LINE = re.compile(rb"[!-9;-~]+:[^\r\n\0]*\r?\n")
+CONTINUATION_LINE = re.compile(rb"[ \t][^\r\n\0]*\r?\n")
 FOLD = re.compile(r"[ \t]*\r?\n[ \t]+")
 
 
@@ -104,7 +104,11 @@
 
 
 class _LineReader:
-    """Rejects lines that are cut off, which `http.client` takes for whole.
+    """Rejects lines that are cut off and malformed lines of heads.
+
+    `http.client` takes a line that is cut off for whole. It drops all headers after a
+    malformed one, and then reads to the end of the connection, so a body that is cut
+    off would be whole.
 
     Parameters
     ----------
@@ -123,6 +127,9 @@
         self.sock = sock
         self.has_extra_bytes = False
         self.is_in_head = True
+        self.is_status_line_next = True
+        # Whether a header may go on in the next line.
+        self.may_continue = False
         self.has_begun = False
         self.head_bytes = 0
 
@@ -140,11 +147,21 @@
                 raise MemoryExceeded(
                     f"the head of the answer is over {HEAD_LIMIT_BYTES} bytes"
                 )
-            if self.has_begun and not HEAD_LINE.fullmatch(line):
-                raise http.client.HTTPException("CR or NUL within a line of the head")
+            self._check_head_line(line)
         self.has_begun = True
         return line
 
+    def _check_head_line(self, line: bytes) -> None:
+        if self.is_status_line_next:
+            # Checked by its reader.
+            self.is_status_line_next = self.may_continue = False
+        elif line in (b"\r\n", b"\n"):
+            self.is_status_line_next = True
+        elif FIELD_LINE.fullmatch(line):
+            self.may_continue = True
+        elif not self.may_continue or not CONTINUATION_LINE.fullmatch(line):
+            raise http.client.HTTPException("malformed header")
+
     def close(self) -> None:
         # What the buffer holds beyond the answer is lost with it.
         self.has_extra_bytes = self._has_more()
@@ -222,14 +239,9 @@
     def _check_framing(self) -> None:
         """Check that the head says where the body ends.
 
-        `http.client` drops all headers after a malformed one and ignores transfer
-        codings that it doesn't know. It then reads to the end of the connection, so a
-        body that is cut off would be whole.
+        `http.client` ignores transfer codings that it doesn't know. It then reads to
+        the end of the connection, so a body that is cut off would be whole.
         """
-        if any(
-            isinstance(d, MissingHeaderBodySeparatorDefect) for d in self.msg.defects
-        ):
-            raise http.client.HTTPException("malformed header")
         codings = [
             coding.strip().lower()
             for coding in self.msg.get_all("Transfer-Encoding", [])
@@ -241,9 +253,13 @@
         if len(lengths) > 1:
             raise http.client.HTTPException(f"contradictory lengths {sorted(lengths)}")
         # A length that `int` rejects is ignored, but it takes some that are none.
-        if self.length and not all(LENGTH.fullmatch(length) for length in lengths):
+        is_number = all(LENGTH.fullmatch(length) for length in lengths)
+        if self.length and not codings and not is_number:
             raise http.client.HTTPException(f"malformed length {lengths}")
-        if codings and not self.chunked:
+        if self.status in (http.client.NO_CONTENT, http.client.NOT_MODIFIED):
+            # They have no body, whatever the head says (RFC 9112, section 6.3).
+            self.chunked, self.length = False, 0
+        elif codings and not self.chunked:
             self.chunked, self.chunk_left, self.length = True, None, None
 
     def _get_chunk_left(self) -> int | None:
--- a/src/thornlatch/settings/_load.py
+++ b/src/thornlatch/settings/_load.py
@@ -60,7 +60,8 @@
         raise SettingsError(
             f"can't read settings: {error}", context=str(path)
         ) from error
-    except (tomllib.TOMLDecodeError, UnicodeDecodeError, RecursionError) as error:
+    except (ValueError, RecursionError) as error:
+        # Besides syntax and encoding, numbers of more than 4,300 digits.
         raise SettingsError(f"not valid TOML: {error}", context=str(path)) from error
 
 
--- /dev/null
+++ b/tests/platform/test_fuzz_answers.py
@@ -0,0 +1,340 @@
+"""Fuzzer of heads, bodies and events: nothing that is no answer is passed on as one."""
+
+import contextlib
+import http.client
+import re
+import socket
+import threading
+import time
+
+import pytest
+from hypothesis import example, given
+from hypothesis import strategies as st
+
+from adapter._protocols import PlatformTargetProtocol
+from fuzzing import TIME_LIMIT_S, TOKENS, bounds, edited
+from status_lines import BAD_LINES, GOOD_LINES
+from thornlatch.core import connect, read_answer, received_memory
+from thornlatch.exceptions import TargetError
+from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
+from thornlatch.targets import Reuse, TargetCall, open_call
+
+BODY_LIMIT_BYTES = 1 << 16
+DIGITS = b"0123456789"
+FIELD_LINE = re.compile(rb"[!-9;-~]+:[^\r\n\0]*\r?\n")
+
+
+class Unclear(Exception):
+    """A body whose end HTTP doesn't tell, and of which a reader may make anything."""
+
+
+def take_line(data):
+    line, end, rest = data.partition(b"\n")
+    return (line + end, rest) if end else (None, b"")
+
+
+def read_status(line):
+    """Return the status of a status line, None if it is none."""
+    line = line.removesuffix(b"\n").removesuffix(b"\r")
+    version, status, reason = line[:9], line[9:12], line[12:]
+    if version[:7] != b"HTTP/1." or version[7:8] not in DIGITS or version[8:] != b" ":
+        return None
+    if len(status) != 3 or any(byte not in DIGITS for byte in status):
+        return None
+    if reason[:1] not in (b"", b" ") or any(
+        byte < 32 and byte != 9 or byte == 127 for byte in reason
+    ):
+        return None
+    return int(status) if 100 <= int(status) <= 599 else None
+
+
+def read_fields(data):
+    """Return the header fields and what follows them, None if they are no head."""
+    fields = []
+    while True:
+        line, data = take_line(data)
+        if line is None:
+            return None, b""
+        if line in (b"\r\n", b"\n"):
+            return fields, data
+        if fields and re.fullmatch(rb"[ \t][^\r\n\0]*\r?\n", line):
+            name, value = fields.pop()
+            fields.append((name, value + line))
+        elif FIELD_LINE.fullmatch(line):
+            name, _, value = line.partition(b":")
+            fields.append((name.lower(), value))
+        else:
+            return None, b""
+
+
+def list_values(fields, name):
+    return [value.strip(b" \t\r\n") for key, value in fields if key == name]
+
+
+def read_chunks(data):
+    body = b""
+    while True:
+        line, data = take_line(data)
+        match = re.fullmatch(rb"([0-9a-fA-F]+)[ \t]*(;[^\r\n]*)?\r?\n", line or b"")
+        if match is None:
+            return None
+        size = int(match[1], 16)
+        if not size:
+            break
+        if len(data) < size + 2 or data[size : size + 2] != b"\r\n":
+            return None
+        body += data[:size]
+        data = data[size + 2 :]
+    while data not in (b"", b"\r"):  # the rest of an answer that is there as a whole
+        line, data = take_line(data)
+        if line is None:
+            return None
+        if line in (b"\r\n", b"\n"):
+            break
+    return body
+
+
+def read_expected(data):
+    """Return status and body of the answer, the body None if it is cut off.
+
+    None if there is no answer. Raises `Unclear` with the status as its argument if the
+    lengths aren't HTTP.
+    """
+    status = 100
+    while status < 200:
+        line, data = take_line(data)
+        status = read_status(line) if line is not None else None
+        if status is None or status == 101:
+            return None
+        fields, data = read_fields(data)
+        if fields is None:
+            return None
+    codings = [v.lower() for v in list_values(fields, b"transfer-encoding")]
+    codings = [coding for coding in codings if coding != b"identity"]
+    lengths = set(list_values(fields, b"content-length"))
+    if codings not in ([], [b"chunked"]):
+        return None
+    if len(lengths) > 1 or any(b"\n" in value for value in lengths):
+        raise Unclear(status)
+    if status in (204, 304):
+        return status, b""
+    if codings:
+        return status, read_chunks(data)
+    for value in lengths:
+        if re.fullmatch(rb"[0-9]{1,4000}", value):
+            length = int(value)
+            return status, data[:length] if len(data) >= length else None
+        # Lengths that can't be read are ignored or make the head none.
+        raise Unclear(status)
+    return status, data
+
+
+class Server:
+    """Answers each connection with pieces of bytes and closes it."""
+
+    def __init__(self):
+        self.pieces = []
+        self.listener = socket.create_server(("127.0.0.1", 0))
+        self.address = f"127.0.0.1:{self.listener.getsockname()[1]}"
+        threading.Thread(target=self.run, daemon=True).start()
+
+    def run(self):
+        while True:
+            try:
+                connection, _ = self.listener.accept()
+            except OSError:
+                return
+            with connection, contextlib.suppress(OSError):
+                connection.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
+                connection.recv(1 << 16)
+                for piece in self.pieces:
+                    connection.sendall(piece)
+
+
+@pytest.fixture(scope="module")
+def server():
+    server = Server()
+    yield server
+    server.listener.close()
+
+
+LINES = [line + b"\r\n" for line, _ in GOOD_LINES.values()]
+LINES += [line + b"\r\n" for line in BAD_LINES.values()]
+FIELDS = [
+    b"Content-Length: 5\r\n", b"Content-Length: 5\r\n", b"Content-Length:\t005 \r\n",
+    b"Content-Length: 0\r\n", b"Content-Length: 99999\r\n", b"Content-Length: -1\r\n",
+    b"content-length: 5_0\r\n", b"Content-Length: +5\r\n", b"Content-Length: 5, 5\r\n",
+    b"Transfer-Encoding: chunked\r\n", b"Transfer-Encoding: chunked\r\n",
+    b"transfer-encoding:Chunked \r\n", b"Transfer-Encoding: gzip, chunked\r\n",
+    b"Transfer-Encoding: identity\r\n", b"Connection: close\r\n", b"X: y\r\n",
+    b"X: y\n", b"X: y\r\n z\r\n", b"X y\r\n", b"X : y\r\n", b": y\r\n",
+    b"Connection: keep-alive\r\n",
+    b"Keep-Alive: timeout=9\r\n", b"X: \xe9\r\n", b"From x\r\n", b"X: a\rb\r\n",
+    b"Content-Type: multipart/mixed\r\n",
+]  # fmt: skip
+CHUNKS = [
+    b"5\r\nhello\r\n", b"1\r\nx\r\n", b"2;a=b\r\nhi\r\n", b"00A \r\n0123456789\r\n",
+    b"+2\r\nhi\r\n", b"0x2\r\nhi\r\n", b"2\r\nhi", b"-2\r\nhi\r\n", b"2\nhi\r\n",
+    b"ffffffffffffffffff\r\nhi\r\n", b"2\r\nhi\n", b"\r\n", b"0_2\r\nhi\r\n",
+]  # fmt: skip
+ENDS = [b"0\r\n\r\n", b"0\r\n\r\n", b"000;x\r\nTrailer: y\r\n\r\n", b"0\r\n", b"", b"0"]
+LINE = st.one_of(st.sampled_from(LINES), edited(st.sampled_from(LINES)))
+CHUNKED = st.builds(
+    lambda chunks, end: b"".join(chunks) + end,
+    st.lists(st.sampled_from(CHUNKS), max_size=4),
+    st.sampled_from(ENDS),
+)
+BODY = st.one_of(st.just(b"hello"), CHUNKED, st.binary(max_size=12))
+ANSWER = st.builds(
+    lambda line, fields, body: line + b"".join(fields) + b"\r\n" + body,
+    LINE,
+    st.lists(st.sampled_from(FIELDS), max_size=3),
+    BODY,
+)
+# What begins like an answer and has few faults, or none.
+NEAR = st.builds(
+    lambda fields, body: b"HTTP/1.1 200 OK\r\n" + b"".join(fields) + b"\r\n" + body,
+    st.lists(st.sampled_from(FIELDS[:12]), max_size=2),
+    BODY,
+)
+BYTES = st.one_of(ANSWER, NEAR, edited(NEAR), edited(ANSWER), st.binary(max_size=40))
+
+
+def read_whole(response):
+    return response.read_all(BODY_LIMIT_BYTES)
+
+
+def read_some(response):
+    pieces = []
+    while piece := response.read_some():
+        pieces.append(piece)
+    return b"".join(pieces)
+
+
+def read_arrived(response):
+    response.set_blocking(is_blocking=False)
+    data = response.read_arrived()
+    response.set_blocking(is_blocking=True)
+    return data + read_some(response)
+
+
+def call(server, read):
+    response = open_call(
+        TargetCall(server.address, "GET", "/", timeout_s=1.0), reuse=Reuse.NONE
+    )
+    try:
+        data = read(response)
+    except TargetError as error:
+        assert error.is_sent
+        # The head is one of an answer, whose body isn't whole.
+        return response.status, None
+    finally:
+        response.close()
+    return response.status, data
+
+
+def read_with_core(server):
+    connection = connect(server.address, timeout_s=1.0)
+    try:
+        connection.request("GET", "/")
+        response, data = read_answer(
+            connection, head_s=1.0, body_s=1.0, limit=BODY_LIMIT_BYTES
+        )
+    finally:
+        connection.close()
+    return response.status, data
+
+
+READERS = [read_whole, read_some, read_arrived]
+
+
+@pytest.mark.parametrize("read", READERS)
+@given(data=BYTES, cuts=st.lists(st.integers(1, 60), max_size=3))
+@example(data=b"HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n", cuts=[])
+def test_only_whole_answers_are_read_as_answers(server, read, data, cuts):
+    """Another reader, which follows RFC 9112, decides what is one."""
+    positions = [0, *sorted(cuts), len(data)]
+    server.pieces = [
+        data[start:end] for start, end in zip(positions, positions[1:], strict=False)
+    ]
+    began_at = time.monotonic()
+    try:
+        answer = call(server, read)
+    except TargetError as error:
+        assert error.is_sent
+        answer = None
+    assert time.monotonic() - began_at < TIME_LIMIT_S
+    assert received_memory.used_bytes == 0
+    try:
+        expected = read_expected(data)
+    except Unclear as error:
+        assert answer is None or answer[0] == error.args[0]
+    else:
+        assert answer == expected
+
+
+@given(data=BYTES)
+def test_answers_of_the_store_and_the_log_are_read_alike(server, data):
+    server.pieces = [data]
+    try:
+        answer = read_with_core(server)
+    except (OSError, http.client.HTTPException):
+        answer = None
+    try:
+        expected = read_expected(data)
+    except Unclear as error:
+        assert answer is None or answer[0] == error.args[0]
+    else:
+        is_whole = expected is not None and expected[1] is not None
+        assert answer == (expected if is_whole else None)
+
+
+EVENT_TOKENS = [*TOKENS, b"data: ", b"id:", b"Name: x", b"HTTP/1.1 0200 No", b"event: e"]
+STREAM = st.lists(
+    st.one_of(st.sampled_from(EVENT_TOKENS), st.binary(max_size=3)), max_size=30
+)
+
+
+@given(pieces=STREAM, repeats=st.integers(0, 12))
+def test_events_are_the_bytes_that_came_and_none_has_a_head(pieces, repeats):
+    # Doubled, so that some streams have events over their limit.
+    pieces = pieces + [b"".join(pieces) * (1 << repeats)]
+    splitter = EventSplitter()
+    passed, given_bytes = b"", b""
+    with bounds():
+        for piece in pieces:
+            given_bytes += piece
+            try:
+                events = splitter.feed(piece)
+            except ValueError:
+                break
+            for event in events:
+                assert not re.search(rb"(?:\A|[\r\n])HTTP/\d", event.data)
+                assert event.id is None or event.id >= 0
+            passed += b"".join(event.data for event in events)
+            assert splitter.rest_bytes <= EVENT_LIMIT_BYTES + len(piece)
+    assert given_bytes.startswith(passed)
+    assert given_bytes == passed + splitter.rest
+
+
+HEADER_NAMES = [
+    "Thornlatch-Request-Id", "Thornlatch-Server-Load", "Thornlatch-Not-Executed",
+    "Server-Leaving", "Server-Limit", "Retry-After", "Thornlatch-Instance-Id",
+    "Thornlatch-Server-Signature", "Content-Type", "Thornlatch-Cold-Remaining-Ms",
+]  # fmt: skip
+HEADER_VALUE = st.one_of(
+    st.text(st.characters(max_codepoint=255), max_size=8),
+    st.sampled_from(["1", "1,2,3", "1,2,3,150", "0.5", "9" * 5000, "-1", "nan", "1e9"]),
+)
+
+
+@given(
+    status=st.integers(200, 599),
+    headers=st.lists(st.tuples(st.sampled_from(HEADER_NAMES), HEADER_VALUE)),
+)
+def test_headers_of_answers_of_any_form_are_read(status, headers):
+    with bounds():
+        head = PlatformTargetProtocol("h").read_head(status, headers)
+    assert head.status == status
+    assert 0 <= head.notice.pause_s < float("inf")
+    assert 0 <= (head.notice.limit_rate or 0.0) < float("inf")
