--- a/tests/platform/test_fuzz_entries.py
+++ b/tests/platform/test_fuzz_entries.py
@@ -167,6 +167,20 @@
         client.read_latest("t")
 
 
+@pytest.mark.parametrize("key", ["\ud800", "k" * 300, "?&=#"])
+def test_odd_keys_in_pages_of_the_store(scripted, key):
+    """The call for the page that follows one with such a key ended the loop too."""
+    items = [{"key": key, "data": "e30="}]
+    answer_with(scripted, 200, json.dumps({**PAGE, "items": items}).encode())
+    client = StoreClient(scripted.address, GatewayMetrics(), StoreEpochs())
+    assert [record.key for record in client.read_latest("t")[0]] == [key]
+    answer_with(
+        scripted, 200, json.dumps({**PAGE, "items": items, "hasMore": True}).encode()
+    )
+    with pytest.raises(StoreError, match="repeats"):
+        client.read_latest("t")
+
+
 LOG = bytes(15) + b"\x02" + bytes(8) + b"\0\0\0\x04\x01k{}" + b"\0\0\0\x02\x01k"
 
 
