--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -2,15 +2,29 @@
 
 import contextlib
 import http.client
+import re
 import socket
 from collections.abc import Callable
-from email.errors import MissingHeaderBodySeparatorDefect
 from typing import Any, cast
 
 from thornlatch.core._clock import read_clock
 from thornlatch.core._memory import MemoryExceeded, MemoryUse
 
 HEAD_LIMIT_BYTES = 1 << 16  # of an answer, with the interim answers before it
+CHUNK_SIZE_LINE_LIMIT_BYTES = 1 << 16
+CHUNK_END = b"\r\n"
+# RFC 9112, section 4, and RFC 9110, section 15. `int` accepts signs, underscores, white
+# space and digits of other scripts too.
+STATUS_LINE = re.compile(
+    rb"(HTTP/1\.[0-9]) ([1-5][0-9]{2})(?: ([\t -~\x80-\xff]*))?\r?\n"
+)
+STATUS_LINE_START = re.compile(rb"HTTP/[ -~]{0,20}")
+CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;[^\r\n]*)?\r?\n")
+LENGTH = re.compile(r"[ \t]*[0-9]+[ \t]*")
+# A CR alone isn't a line end (RFC 9112, section 2.2), but `email` takes it for one.
+FIELD_LINE = re.compile(rb"[!-9;-~]+:[^\r\n\0]*\r?\n")
+CONTINUATION_LINE = re.compile(rb"[ \t][^\r\n\0]*\r?\n")
+FOLD = re.compile(r"[ \t]*\r?\n[ \t]+")
 
 
 class BoundedSocket(socket.socket):
@@ -90,7 +104,11 @@
 
 
 class _LineReader:
-    """Rejects lines that are cut off, which `http.client` takes for whole.
+    """Rejects lines that are cut off and malformed lines of heads.
+
+    `http.client` takes a line that is cut off for whole. It drops all headers after a
+    malformed one, and then reads to the end of the connection, so a body that is cut
+    off would be whole.
 
     Parameters
     ----------
@@ -109,6 +127,9 @@
         self.sock = sock
         self.has_extra_bytes = False
         self.is_in_head = True
+        self.is_status_line_next = True
+        # Whether a header may go on in the next line.
+        self.may_continue = False
         self.has_begun = False
         self.head_bytes = 0
 
@@ -126,9 +147,21 @@
                 raise MemoryExceeded(
                     f"the head of the answer is over {HEAD_LIMIT_BYTES} bytes"
                 )
+            self._check_head_line(line)
         self.has_begun = True
         return line
 
+    def _check_head_line(self, line: bytes) -> None:
+        if self.is_status_line_next:
+            # Checked by its reader.
+            self.is_status_line_next = self.may_continue = False
+        elif line in (b"\r\n", b"\n"):
+            self.is_status_line_next = True
+        elif FIELD_LINE.fullmatch(line):
+            self.may_continue = True
+        elif not self.may_continue or not CONTINUATION_LINE.fullmatch(line):
+            raise http.client.HTTPException("malformed header")
+
     def close(self) -> None:
         # What the buffer holds beyond the answer is lost with it.
         self.has_extra_bytes = self._has_more()
@@ -171,19 +204,44 @@
             self.headers = self.msg = cast(Any, None)
             super().begin()
         reader.is_in_head = False
+        self._unfold_headers()
         self._check_framing()
 
+    def _read_status(self) -> tuple[str, int, str]:
+        """Read a status line, also of an interim answer.
+
+        Raises
+        ------
+        http.client.HTTPException
+            If it is none, so that its answer isn't one either.
+        """
+        line = self.fp.readline(HEAD_LIMIT_BYTES + 1)
+        if not line:
+            raise http.client.RemoteDisconnected("connection closed without an answer")
+        match = STATUS_LINE.fullmatch(line)
+        if match is None:
+            # Anything else may be part of the answer to another caller.
+            start = STATUS_LINE_START.match(line)
+            quoted = f", {start[0].decode()!r}" if start else ""
+            raise http.client.BadStatusLine(f"{len(line)} bytes{quoted}")
+        version, status, reason = match.groups(default=b"")
+        return version.decode(), int(status), reason.decode("iso-8859-1")
+
+    def _unfold_headers(self) -> None:
+        """Join the lines of each header, which can't be passed on as they are."""
+        headers = self.msg.items()
+        if any("\n" in value for _, value in headers):
+            for name in set(self.msg.keys()):
+                del self.msg[name]
+            for name, value in headers:
+                self.msg[name] = FOLD.sub(" ", value).strip(" ")
+
     def _check_framing(self) -> None:
         """Check that the head says where the body ends.
 
-        `http.client` drops all headers after a malformed one and ignores transfer
-        codings that it doesn't know. It then reads to the end of the connection, so a
-        body that is cut off would be whole.
+        `http.client` ignores transfer codings that it doesn't know. It then reads to
+        the end of the connection, so a body that is cut off would be whole.
         """
-        if any(
-            isinstance(d, MissingHeaderBodySeparatorDefect) for d in self.msg.defects
-        ):
-            raise http.client.HTTPException("malformed header")
         codings = [
             coding.strip().lower()
             for coding in self.msg.get_all("Transfer-Encoding", [])
@@ -194,15 +252,32 @@
         lengths = set(self.msg.get_all("Content-Length", []))
         if len(lengths) > 1:
             raise http.client.HTTPException(f"contradictory lengths {sorted(lengths)}")
-        if codings and not self.chunked:
+        # A length that `int` rejects is ignored, but it takes some that are none.
+        is_number = all(LENGTH.fullmatch(length) for length in lengths)
+        if self.length and not codings and not is_number:
+            raise http.client.HTTPException(f"malformed length {lengths}")
+        if self.status in (http.client.NO_CONTENT, http.client.NOT_MODIFIED):
+            # They have no body, whatever the head says (RFC 9112, section 6.3).
+            self.chunked, self.length = False, 0
+        elif codings and not self.chunked:
             self.chunked, self.chunk_left, self.length = True, None, None
 
+    def _get_chunk_left(self) -> int | None:
+        if self.chunk_left == 0:
+            # `http.client` skips any two bytes.
+            end = self.fp.read(len(CHUNK_END))
+            if end != CHUNK_END:
+                raise http.client.IncompleteRead(b"")
+            self.chunk_left = None
+        left: int | None = cast(Any, super())._get_chunk_left()
+        return left
+
     def _read_next_chunk_size(self) -> int:
-        size: int = cast(Any, super())._read_next_chunk_size()
-        if size < 0:
-            # `http.client` would read to the end of the connection at once.
-            raise http.client.HTTPException(f"chunk of size {size}")
-        return size
+        line = self.fp.readline(CHUNK_SIZE_LINE_LIMIT_BYTES + 1)
+        match = CHUNK_SIZE_LINE.fullmatch(line)
+        if match is None:
+            raise ValueError("malformed size of a chunk")
+        return int(match[1], 16)
 
     def _close_conn(self) -> None:
         reader = self.fp
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -727,9 +727,7 @@
         for target in targets:
             service = services.get(target.service)
             if service is not None:
-                note_cold(
-                    target, service.cold_s, source=EVACUATION, health=self.health
-                )
+                note_cold(target, service.cold_s, source=EVACUATION, health=self.health)
 
     def _list_known_domains(self) -> set[str]:
         """Return the failure domains that hosts or the settings name."""
