--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -23,6 +23,7 @@
     TargetUses,
     WorkSum,
     merge_parts,
+    sum_counts,
 )
 from thornlatch.fleet._domain_view import DomainUpdate, DomainView
 from thornlatch.fleet._domains import DomainExchange
@@ -73,4 +74,5 @@
     "choose_by_capacity",
     "compute_decay_time_s",
     "merge_parts",
+    "sum_counts",
 ]
--- a/src/thornlatch/gateway/_adopted_crashes.py
+++ b/src/thornlatch/gateway/_adopted_crashes.py
@@ -1,6 +1,6 @@
 """Crashes that lost hosts reported, which would be forgotten with them."""
 
-from collections.abc import Iterable
+from collections.abc import Mapping
 from dataclasses import dataclass
 
 from thornlatch.fleet import TargetRegistry
@@ -9,7 +9,7 @@
 
 @dataclass(frozen=True)
 class _AdoptedCrash:
-    fingerprint: str
+    round_number: int
     adopted_at: float
     is_disproved: bool = False
 
@@ -25,31 +25,48 @@
     settings : SuspectSettings
     registry : TargetRegistry
         Source of the targets' current incarnations.
+
+    Attributes
+    ----------
+    rounds_by_key : dict of str to dict of str to int
+        Rounds by crash id, by fingerprint of the request or by part of the prompt.
     """
 
     def __init__(self, settings: SuspectSettings, registry: TargetRegistry) -> None:
         self.settings = settings
         self.registry = registry
-        self.by_id: dict[str, _AdoptedCrash] = {}
-        self.ids_by_fingerprint: dict[str, tuple[str, ...]] = {}
+        # By key and crash id: one crash aborts runs of many keys.
+        self.crashes: dict[tuple[str, str], _AdoptedCrash] = {}
+        self.rounds_by_key: dict[str, dict[str, int]] = {}
 
-    def adopt(self, reports: dict[str, Iterable[str]], *, now: float) -> None:
+    def adopt(self, reports: Mapping[str, Mapping[str, int]], *, now: float) -> None:
         """Take over what a host reported.
 
         Hosts adopt from each other when several are lost in turn, so a crash that is
-        known already keeps its age.
+        known already keeps its age. Of more crashes than `size`, those of this report
+        with the highest rounds are kept.
 
         Parameters
         ----------
-        reports : dict of str to iterable of str
-            Crash ids by fingerprint of the request.
+        reports : mapping of str to mapping of str to int
+            Rounds by crash id, by fingerprint of the request or by part of the prompt.
         now : float
         """
-        for fingerprint, crash_ids in reports.items():
-            for crash_id in crash_ids:
-                self.by_id.setdefault(crash_id, _AdoptedCrash(fingerprint, now))
-        while len(self.by_id) > self.settings.size:
-            del self.by_id[next(iter(self.by_id))]
+
+        def rank(key: str) -> tuple[int, int]:
+            return max(reports[key].values(), default=0), len(reports[key])
+
+        for key in sorted(reports, key=rank):
+            for crash_id, round_number in reports[key].items():
+                known = self.crashes.setdefault(
+                    (key, crash_id), _AdoptedCrash(round_number, now)
+                )
+                if known.round_number < round_number:
+                    self.crashes[key, crash_id] = _AdoptedCrash(
+                        round_number, known.adopted_at, known.is_disproved
+                    )
+        while len(self.crashes) > self.settings.size:
+            del self.crashes[next(iter(self.crashes))]
         self.refresh(now=now)
 
     def refresh(self, *, now: float) -> None:
@@ -59,26 +76,23 @@
         ----------
         now : float
         """
-        if not self.by_id:
+        if not self.crashes:
             return
-        ids_by_fingerprint: dict[str, list[str]] = {}
-        for crash_id, crash in list(self.by_id.items()):
+        rounds_by_key: dict[str, dict[str, int]] = {}
+        for (key, crash_id), crash in list(self.crashes.items()):
             age_s = now - crash.adopted_at
             if age_s >= 2 * self.settings.memory_s:
                 # No other host reports it any more.
-                del self.by_id[crash_id]
+                del self.crashes[key, crash_id]
                 continue
             if age_s >= self.settings.register_s and self._is_target_same(crash_id):
                 crash = _AdoptedCrash(
-                    crash.fingerprint, crash.adopted_at, is_disproved=True
+                    crash.round_number, crash.adopted_at, is_disproved=True
                 )
-                self.by_id[crash_id] = crash
+                self.crashes[key, crash_id] = crash
             if not crash.is_disproved and age_s < self.settings.memory_s:
-                ids_by_fingerprint.setdefault(crash.fingerprint, []).append(crash_id)
-        self.ids_by_fingerprint = {
-            fingerprint: tuple(crash_ids)
-            for fingerprint, crash_ids in ids_by_fingerprint.items()
-        }
+                rounds_by_key.setdefault(key, {})[crash_id] = crash.round_number
+        self.rounds_by_key = rounds_by_key
 
     def _is_target_same(self, crash_id: str) -> bool:
         target_id, started_ms, _ = crash_id.rsplit("/", 2)
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -186,7 +186,7 @@
         for host in lost:
             self.state.peers.forget(host)
         self.state.suspects.retain_hosts(peers, lost=lost, now=now)
-        self.state.suspects.parts.retain_hosts(peers, now=now)
+        self.state.suspects.parts.retain_hosts(peers, lost=lost, now=now)
         self.peer_loop.set_members(peers)
         self._divide_limits(peers, now)
         logger.info("fleet.hosts_known", extra={"hosts": sorted(peers)})
--- a/src/thornlatch/gateway/_suspect_parts.py
+++ b/src/thornlatch/gateway/_suspect_parts.py
@@ -7,8 +7,16 @@
 
 import logbook
 
-from thornlatch.fleet import FLEET, PartReport, Target, TargetRegistry, merge_parts
+from thornlatch.fleet import (
+    FLEET,
+    PartReport,
+    Target,
+    TargetRegistry,
+    merge_parts,
+    sum_counts,
+)
 from thornlatch.gateway._aborted_runs import AbortedRuns
+from thornlatch.gateway._adopted_crashes import AdoptedCrashes
 from thornlatch.gateway._suspect_settings import SuspectSettings
 
 logger = logbook.Logger("thornlatch.gateway")
@@ -73,6 +81,10 @@
         self.count_runs = count_runs
         self.lock = threading.Lock()
         self.aborted_runs = AbortedRuns(settings, registry)
+        self.adopted = AdoptedCrashes(settings, registry)
+        # Aborted runs of lost hosts. They aren't reported, as each of the others counts
+        # them, too.
+        self.adopted_aborted: dict[str, int] = {}
         self.reports: dict[str, PartReport] = {}
         self.suspicions: dict[str, _Suspicion] = {}
         # Own runs that were aborted since the last completed answer, by part.
@@ -202,10 +214,11 @@
         -------
         PartReport
         """
-        if not self.suspicions and not self.disproved_at:
+        if not (self.suspicions or self.disproved_at or self.adopted.crashes):
             return PartReport()
         with self.lock:
             self.aborted_runs.drop_expired(now=now)
+            self.adopted.refresh(now=now)
             self._infer(now)
             self.disproved_at = {
                 part: disproved_at
@@ -215,10 +228,12 @@
             own = PartReport(
                 {
                     part: self.aborted_runs.get_rounds(part)
-                    for part in self._list_reported()
+                    for part in self._list_reported(self.aborted_runs.by_key)
                 }
             )
-            report = merge_parts([own, self._build_kept_report(now)])
+            report = merge_parts(
+                [own, self._build_adopted_report(), self._build_kept_report(now)]
+            )
             disproved = {
                 part: tuple(sorted(self.disproved[part]))
                 for part in self.disproved_at
@@ -233,15 +248,15 @@
                 tuple(sorted(self.blocked)),
             )
 
-    def _list_reported(self) -> list[str]:
-        """Return the suspected parts whose own crashes this host reports.
+    def _list_reported(self, parts: Iterable[str]) -> list[str]:
+        """Return the suspected parts whose crashes this host reports.
 
         Most aborted runs had common parts, which a completed answer clears soon. They
         are reported only if they are in a second round.
         """
         suspected = [
             part
-            for part in self.aborted_runs.by_key
+            for part in parts
             if part in self.suspicions
             and (
                 part not in self.sound or max(self.suspicions[part].rounds.values()) > 1
@@ -274,29 +289,43 @@
         report : PartReport
         now : float
         """
-        self.retain_hosts((), now=now)
+        self.retain_hosts((), lost=(), now=now)
         self.set_report(FLEET, report, now=now)
 
-    def retain_hosts(self, hosts: Iterable[str], *, now: float) -> None:
-        """Drop the reports of all hosts except the given ones.
+    def retain_hosts(
+        self, hosts: Iterable[str], *, lost: Collection[str], now: float
+    ) -> None:
+        """Drop all reports except those of the given hosts; adopt those of lost hosts.
 
         What a relay reported for the whole fleet is kept until its next digest.
 
         Parameters
         ----------
         hosts : iterable of str
+            All other hosts.
+        lost : collection of str
+            Those that restarted or left.
         now : float
         """
         gone = self.reports.keys() - {*hosts, FLEET}
-        if not gone:
+        if not gone and not lost:
             return
         with self.lock:
+            if lost:
+                # A relay's report doesn't tell which host saw a crash, nor which of
+                # the aborted runs were at the lost host.
+                for host in (FLEET, *gone):
+                    report = self.reports.get(host, PartReport())
+                    self.adopted.adopt(report.rounds, now=now)
+                counts = [self.reports[host].aborted for host in gone]
+                self.adopted_aborted = sum_counts([self.adopted_aborted, *counts])
             for host in gone:
                 del self.reports[host]
             self._infer(now)
 
     def _disprove(self, part: str, crash_ids: Iterable[str]) -> None:
         self.disproved.setdefault(part, set()).update(crash_ids)
+        self.adopted_aborted.pop(part, None)
 
     def _infer(self, now: float) -> None:
         """Derive the suspicions and the blocked parts from all reports."""
@@ -305,6 +334,11 @@
         self.aborted = {
             part: count for part, count in self.aborted.items() if part in rounds
         }
+        self.adopted_aborted = {
+            part: count
+            for part, count in self.adopted_aborted.items()
+            if part in self.adopted.rounds_by_key
+        }
         self.disproved = {
             part: crash_ids
             for part, crash_ids in self.disproved.items()
@@ -342,15 +376,31 @@
             part: self.aborted_runs.get_rounds(part)
             for part in self.aborted_runs.by_key
         }
-        running = {part: self.count_runs(part) for part in own}
+        adopted = self.adopted.rounds_by_key
+        running = {part: self.count_runs(part) for part in {*own, *adopted}}
         return merge_parts(
             [
                 PartReport(own, running=running, aborted=self.aborted),
+                # With the disproved ones, which are remembered as long as the others.
+                PartReport(adopted, aborted=self.adopted_aborted),
                 self._build_kept_report(now),
                 *self.reports.values(),
             ]
         )
 
+    def _build_adopted_report(self) -> PartReport:
+        """Return the crashes that lost hosts reported and that aren't disproved."""
+        adopted = self.adopted.rounds_by_key
+        reported = {}
+        for part in self._list_reported(adopted):
+            known = self.suspicions[part].rounds
+            reported[part] = {
+                crash_id: round_number
+                for crash_id, round_number in adopted[part].items()
+                if crash_id in known
+            }
+        return PartReport(reported)
+
     def _build_kept_report(self, now: float) -> PartReport:
         """Return the crashes of blocked parts, which outlast their aborted runs.
 
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -88,7 +88,7 @@
         """
         with self.lock:
             crash_ids = set(self.aborted_runs.get_rounds(fingerprint))
-        crash_ids.update(self.adopted.ids_by_fingerprint.get(fingerprint, ()))
+        crash_ids.update(self.adopted.rounds_by_key.get(fingerprint, ()))
         for ids_by_fingerprint in self.peer_crashes.values():
             crash_ids.update(ids_by_fingerprint.get(fingerprint, ()))
         return len(crash_ids - self.parts.explained)
@@ -120,17 +120,16 @@
         dict of str to tuple of str
             Crash ids by fingerprint of the request.
         """
-        if not self.aborted_runs.by_key and not self.adopted.by_id:
+        if not self.aborted_runs.by_key and not self.adopted.crashes:
             return {}
         with self.lock:
             self.aborted_runs.drop_expired(now=now)
             self.adopted.refresh(now=now)
-            crashes = dict(self.adopted.ids_by_fingerprint)
+            crashes = dict(self.adopted.rounds_by_key)
             for fingerprint in self.aborted_runs.by_key:
                 rounds = self.aborted_runs.get_rounds(fingerprint)
-                adopted_ids = crashes.get(fingerprint, ())
-                crashes[fingerprint] = tuple(dict.fromkeys((*rounds, *adopted_ids)))
-            return crashes
+                crashes[fingerprint] = {**rounds, **crashes.get(fingerprint, {})}
+            return {fingerprint: tuple(ids) for fingerprint, ids in crashes.items()}
 
     def set_peer_crashes(
         self, host: str, crash_ids: dict[str, tuple[str, ...]]
@@ -173,7 +172,10 @@
         gone = {FLEET, *(self.peer_crashes.keys() - known_hosts)} if any(lost) else ()
         with self.lock:
             for host in gone:
-                self.adopted.adopt(dict(self.peer_crashes.get(host, {})), now=now)
+                crashes = self.peer_crashes.get(host, {})
+                # Whether a request was sent after its earlier crash doesn't matter.
+                rounds = {key: dict.fromkeys(ids, 1) for key, ids in crashes.items()}
+                self.adopted.adopt(rounds, now=now)
         self.peer_crashes = {
             host: crash_ids
             for host, crash_ids in self.peer_crashes.items()
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -223,6 +223,17 @@
     assert not suspects.is_blocked("f")
 
 
+def test_all_requests_of_one_crash_outlast_the_host_that_saw_it():
+    """Only the first one of a crash was adopted."""
+    crash_ids = CRASHES["f"]
+    suspects = build_suspects()
+    restart_targets(suspects)
+    suspects.set_peer_crashes("h", {"g": crash_ids[:1], "f": crash_ids})
+    suspects.retain_hosts([], lost=["h"], now=10.0)
+    assert suspects.is_blocked("f")
+    assert suspects.count_crashes("g") == 1
+
+
 @pytest.mark.parametrize("reporter", ["host", "relay"])
 def test_targets_that_a_lost_host_suspected_wrongly_are_cleared(reporter):
     suspects = build_suspects()
--- a/src/thornlatch/gateway/tests/test_suspect_parts.py
+++ b/src/thornlatch/gateway/tests/test_suspect_parts.py
@@ -6,7 +6,14 @@
 
 import pytest
 
-from thornlatch.fleet import RegistrySettings, Target, TargetRegistry, merge_parts
+from thornlatch.fleet import (
+    FLEET,
+    PartReport,
+    RegistrySettings,
+    Target,
+    TargetRegistry,
+    merge_parts,
+)
 from thornlatch.gateway._suspect_parts import SuspectParts
 from thornlatch.gateway._suspect_settings import SuspectSettings
 from thornlatch.gateway._suspects import CrashSuspects
@@ -136,6 +143,12 @@
         self.targets[self.targets.index(target)] = restarted
         self.running[target.id] = []
 
+    def restart_host(self, number):
+        for peer, host in enumerate(self.hosts):
+            others = [str(n) for n in range(HOSTS) if n not in (peer, number)]
+            host.retain_hosts(others, lost=[str(number)], now=self.now)
+        self.hosts[number] = self.build_host(number)
+
     def count_late_bad_sends(self):
         """Count the bad sends later than the contact timeout after the fifth crash."""
         if len(self.crashed_at) < 5:
@@ -219,6 +232,111 @@
     assert fleet.count_late_bad_sends() <= 3
 
 
+@pytest.mark.parametrize("relayed", [False, True], ids=["mesh", "relays"])
+@pytest.mark.parametrize("seed", range(5))
+def test_bad_part_is_kept_away_although_each_host_that_saw_it_restarts(seed, relayed):
+    """Each took along the rounds that it alone had seen."""
+    fleet = Fleet(seed, relayed=relayed)
+    fleet.send_repeatedly(40.0, build_sound_prompt)
+    fleet.run(5.0)
+    for number in itertools.islice(itertools.cycle(range(HOSTS)), 20):
+        fleet.send(number, build_bad_prompt(fleet.random), 2)
+        fleet.run(2.0)
+        fleet.restart_host(number)
+        fleet.run(1.0)
+        assert not any("first" in host.blocked for host in fleet.hosts)
+    assert fleet.count_late_bad_sends() <= 3
+    assert fleet.sound["refused"] <= 0.01 * fleet.sound["answered"]
+
+
+def add_crash(parts, part, number, *, now):
+    """Abort a run that was sent when all earlier crashes of its part were known."""
+    rounds = parts.get_known_rounds([part])
+    target = build_target(f"t{number}")
+    parts.note_aborted_run([part], target, known_rounds=rounds, now=now)
+
+
+def build_host_that_adopted(reporter="1"):
+    """Return a host whose peer was lost after it had reported two rounds of a part."""
+    host, lost = build_parts(), build_parts()
+    for number in range(2):
+        add_crash(lost, "p", number, now=1.0 + number)
+    host.set_report(reporter, lost.build_report(now=3.0), now=3.0)
+    host.retain_hosts([], lost=["1"], now=4.0)
+    host.set_report(FLEET, PartReport(), now=4.0)
+    return host
+
+
+@pytest.mark.parametrize("reporter", ["1", FLEET])
+def test_rounds_outlast_the_host_that_saw_them(reporter):
+    host, newer = build_host_that_adopted(reporter), build_parts()
+    assert host.get_known_rounds(["p"]) == {"p": 2}
+    # Neither do they end with the next host that is lost.
+    newer.set_report("2", host.build_report(now=5.0), now=5.0)
+    newer.retain_hosts([], lost=["2"], now=6.0)
+    for survivor in (host, newer):
+        add_crash(survivor, "p", 2, now=7.0)
+        assert survivor.blocked == {"p"}
+
+
+def test_adopted_rounds_are_forgotten_in_the_end():
+    host = build_host_that_adopted()
+    assert host.build_report(now=63.0).rounds == {"p": {"t0/1/0": 1, "t1/1/0": 2}}
+    assert host.build_report(now=65.0).rounds == {}
+    host.build_report(now=125.0)
+    assert not host.adopted.crashes
+
+
+def test_completed_answer_disproves_what_a_lost_host_reported():
+    """Another host may be lost later, which had reported the same crashes."""
+    host = build_host_that_adopted()
+    reports = {"p": {"t0/1/0": 1, "t1/1/0": 2}}
+    host.note_completed(["p"], now=5.0)
+    assert host.build_report(now=6.0).rounds == {}
+    host.set_report("2", PartReport(reports), now=20.0)
+    host.retain_hosts([], lost=["2"], now=21.0)
+    add_crash(host, "p", 2, now=22.0)
+    assert host.get_known_rounds(["p"]) == {"p": 1}
+    assert not host.blocked
+
+
+def test_targets_that_a_lost_host_suspected_wrongly_are_cleared():
+    """They are the same incarnation when each crash would be in their list."""
+    host = build_host_that_adopted()
+    for number in range(2):
+        host.adopted.registry.apply(f"t{number}", build_target(f"t{number}"), now=4.0)
+    assert host.build_report(now=6.0).rounds
+    assert not host.build_report(now=8.0).rounds
+    assert host.get_known_rounds(["p"]) == {}
+
+
+def test_adopted_rounds_take_a_bounded_memory():
+    """Those with the highest rounds are kept, which are the likeliest causes."""
+    host = build_parts(size=10)
+    rounds = {f"p{n}": {"t0/1/0": 1} for n in range(1000)}
+    rounds["bad"] = {"t0/1/0": 1, "t1/1/0": 2}
+    host.set_report("1", PartReport(dict(reversed(rounds.items()))), now=1.0)
+    host.retain_hosts([], lost=["1"], now=2.0)
+    assert len(host.adopted.crashes) == 10
+    assert host.get_known_rounds(["bad"]) == {"bad": 2}
+
+
+def test_common_part_isn_t_blocked_for_want_of_a_lost_host_s_runs():
+    """Without its many aborted runs it is as likely a cause as the bad part."""
+    host, lost = build_parts(settle_s=0.0), build_parts()
+    for number in range(2):
+        for _ in range(20):
+            rounds = lost.get_known_rounds(["a-common"])
+            target, now = build_target(f"t{number}"), 1.0 + number
+            lost.note_aborted_run(["a-common"], target, known_rounds=rounds, now=now)
+        add_crash(lost, "bad", number, now=1.0 + number)
+    host.set_report("1", lost.build_report(now=3.0), now=3.0)
+    host.retain_hosts([], lost=["1"], now=4.0)
+    for part in ("a-common", "bad"):
+        add_crash(host, part, 2, now=5.0)
+    assert host.blocked == {"bad"}
+
+
 @pytest.mark.parametrize("seed", range(5))
 def test_loss_of_all_targets_again_and_again_blocks_no_common_part(seed):
     fleet = Fleet(seed)
