Bound planned stops, and write the log's last lines

Cause: the main thread called each part of a planned stop itself, so one that didn't end or failed kept the process from exiting; after a failure the interpreter waited for threads that never end.

Change: a thread calls the parts, each of them guarded; the main thread waits for it until half of the margin is left, logs where it hangs, and then waits for the log for at most three eighths of the margin, or longer if the stop ended early. host.stopped tells how long the stop took and whether answers weren't sent to the last byte.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -2,12 +2,15 @@
 
 import os
 import signal
+import sys
 import threading
+import traceback
 import uuid
 import zlib
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import fields
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -261,9 +264,7 @@
                     self.stopping.set()
                 elif signal.SIGHUP in received:
                     self._reload(read_settings)
-            self._stop(caller_server=servers[0])
-            logger.info("host.stopped", extra={"running": len(self.work.running)})
-            self.log.close()
+            self._stop_within_grace(caller_server=servers[0])
         return 0
 
     def is_ready(self) -> bool:
@@ -583,15 +584,41 @@
             if running.key and running.key not in configuration.organisations_by_key:
                 logger.info("request.key_withdrawn", extra={"request": running.id})
 
-    def _stop(self, *, caller_server: Any) -> None:
+    def _stop_within_grace(self, *, caller_server: Any) -> None:
+        """Stop, and return within the grace even if a part of the stop doesn't end."""
         settings = self.settings.stop
         began_at = read_clock()
-        self.app.closes_connections = True
         logger.info("host.stopping", extra={"running": len(self.work.running)})
+        stop = partial(self._stop, caller_server=caller_server, began_at=began_at)
+        thread = threading.Thread(
+            target=self._run_loop, args=(stop,), name="stop", daemon=True
+        )
+        thread.start()
+        # The first half of the margin is for the parts of the stop, most of the
+        # second one for the log.
+        ends_at = began_at + settings.grace_s - settings.margin_s / 2
+        thread.join(max(ends_at - read_clock(), 0.0))
+        if thread.is_alive():
+            logger.error("host.stop_unfinished", extra={"stack": _format_stack(thread)})
+        now = read_clock()
+        logger.info(
+            "host.stopped",
+            extra={
+                "running": len(self.work.running),
+                "unsent": has_unsent_answers(caller_server),
+                "stop_s": round(now - began_at, 3),
+            },
+        )
+        log_ends_at = began_at + settings.grace_s - settings.margin_s / 8
+        self.log.close(timeout_s=max(log_ends_at - now, 0.0))
+
+    def _stop(self, *, caller_server: Any, began_at: float) -> None:
+        settings = self.settings.stop
+        self.app.closes_connections = True
         exits_at = began_at + settings.grace_s - settings.margin_s
         self.work.end_by(exits_at - settings.answer_s)
-        self.orders.stop()
-        self.fleet.send_digest_now()
+        _call_part(self.orders.stop)
+        _call_part(self.fleet.send_digest_now)
         pause = threading.Event()
         while True:
             now = read_clock()
@@ -604,11 +631,24 @@
                     break
             pause.wait(STOP_POLL_PERIOD_S)
         self.drained.set()
-        self.stream_versions.stop()
-        self.fleet.peer_loop.stop()
+        _call_part(self.stream_versions.stop)
+        _call_part(self.fleet.peer_loop.stop)
         pause.wait(STOP_POLL_PERIOD_S)
 
 
+def _call_part(stop: Callable[[], None]) -> None:
+    """Call a part of the stop; the others don't depend on its success."""
+    try:
+        stop()
+    except Exception:
+        logger.exception("host.stop_part_failed", extra={"part": stop.__qualname__})
+
+
+def _format_stack(thread: threading.Thread) -> str:
+    frame = sys._current_frames().get(thread.ident or 0)
+    return "".join(traceback.format_stack(frame)) if frame else ""
+
+
 def _log_changed_limits(previous: Configuration | None, current: Configuration) -> None:
     """Log the quotas that a new configuration changes."""
     if previous is None:
--- a/src/thornlatch/gateway/_logs.py
+++ b/src/thornlatch/gateway/_logs.py
@@ -64,6 +64,8 @@
         self.refilled_at = time.monotonic()
         self.condition = threading.Condition()
         self.is_closing = False
+        # Set once `run` has ended.
+        self.is_written = threading.Event()
 
     def emit(self, record: logbook.LogRecord) -> None:
         """Queue a record, or drop and count it.
@@ -85,6 +87,12 @@
 
         Only this thread blocks if the reader of the log stops reading.
         """
+        try:
+            self._write_lines()
+        finally:
+            self.is_written.set()
+
+    def _write_lines(self) -> None:
         while True:
             with self.condition:
                 while not self.lines and not self.is_closing:
@@ -102,11 +110,23 @@
                 # The reader has closed the pipe, so this can't be logged either.
                 return
 
-    def close(self) -> None:
-        """Write the queued lines and end `run`."""
+    def close(self, *, timeout_s: float = 0.0) -> bool:
+        """End `run` after it has written the queued lines.
+
+        Parameters
+        ----------
+        timeout_s : float
+            Seconds to wait for it; a reader that stopped reading may take forever.
+
+        Returns
+        -------
+        bool
+            Whether it has written all lines.
+        """
         with self.condition:
             self.is_closing = True
             self.condition.notify()
+        return self.is_written.wait(timeout_s)
 
     def _admit(self, event: str) -> bool:
         settings = self.settings
