Refuse requests that get no thread within 0.2 s

What callers saw: with 320 threads and 420 streams at one mute target a plain request to a sound target got no byte for 6.9 s, and no line named it.

Cause: a request keeps its thread until it is answered, and waitress queues further ones without a bound and before the deadline begins to count.

Change: in a shortage an additional thread has the application refuse requests that have waited for thread_wait_s: overloaded, 503, not run, with a Retry-After from the rate at which threads are freed and the deadlines of what they run, and the connection closed. request.refused names them; request.waited_for_thread names those that got a thread late.

--- a/src/thornlatch/gateway/_app.py
+++ b/src/thornlatch/gateway/_app.py
@@ -17,12 +17,21 @@
 )
 from thornlatch.exceptions import ANSWERS, ErrorKind, RequestRefused
 from thornlatch.gateway._call import GatewayAnswer
+from thornlatch.gateway._dispatcher import ThreadShortage
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._metrics import GatewayMetrics
 from thornlatch.gateway._ports import CallerProtocol
 
 logger = logbook.Logger("thornlatch.gateway")
 
+# Keys of the WSGI environment: seconds that the request waited for its thread, and the
+# `ThreadShortage` if it has none.
+THREAD_WAIT = "thornlatch.thread_wait_s"
+SHORTAGE = "thornlatch.thread_shortage"
+LONG_THREAD_WAIT_S = 0.05  # is logged
+MIN_SHORTAGE_RETRY_S = 0.1
+MAX_SHORTAGE_RETRY_S = 10.0  # if no rate is known, nor a deadline
+
 StartResponse = Callable[[str, list[tuple[str, str]]], Any]
 
 
@@ -78,13 +87,16 @@
                     "this host is shutting down",
                     retry_after_s=0.1,
                 )
+            self._check_thread(environ, request_id)
             answer = self.forwarder.serve(
                 request, is_caller_disconnected=is_caller_disconnected
             )
             if answer.length is None and environ["SERVER_PROTOCOL"] == "HTTP/1.0":
                 answer = _read_whole(answer)
         except RequestRefused as error:
-            return self._refuse(error, request_id, start_response)
+            # Closes the connection, so that the caller may reach another host.
+            closes = environ.get(SHORTAGE) is not None
+            return self._refuse(error, request_id, start_response, closes=closes)
         except Exception:
             logger.exception("request.crashed", extra={"request": request_id})
             internal_error = RequestRefused(ErrorKind.INTERNAL, "internal error")
@@ -94,6 +106,43 @@
         start_response(build_status_line(answer.status), headers)
         return self._iterate_body(answer, request_id)
 
+    def estimate_wait_s(self, shortage: ThreadShortage, *, now: float) -> float:
+        """Return the time after which enough threads for all refused are likely free.
+
+        They are freed as fast as lately, and at the deadlines of what they run.
+
+        Parameters
+        ----------
+        shortage : ThreadShortage
+        now : float
+
+        Returns
+        -------
+        float
+            Seconds.
+        """
+        wait_s = self.forwarder.work.get_end(shortage.refused) - now
+        if shortage.freed_per_s:
+            wait_s = min(wait_s, shortage.refused / shortage.freed_per_s)
+        return min(max(wait_s, MIN_SHORTAGE_RETRY_S), MAX_SHORTAGE_RETRY_S)
+
+    def _check_thread(self, environ: dict[str, Any], request_id: str) -> None:
+        """Refuse a request that got no thread; log a long wait for one."""
+        shortage = environ.get(SHORTAGE)
+        waited_s = environ.get(THREAD_WAIT, 0.0)
+        if shortage is not None:
+            raise RequestRefused(
+                ErrorKind.OVERLOADED,
+                f"all {shortage.threads} threads of this host were busy for"
+                f" {shortage.waited_s:.2f} s",
+                retry_after_s=self.estimate_wait_s(shortage, now=read_clock()),
+            )
+        if waited_s >= LONG_THREAD_WAIT_S:
+            logger.info(
+                "request.waited_for_thread",
+                extra={"request": request_id, "waited_s": round(waited_s, 3)},
+            )
+
     def note_abandoned(self, environ: dict[str, Any]) -> None:
         """Record a request whose caller disconnected before it began.
 
@@ -143,7 +192,12 @@
                 answer.body.close()
 
     def _refuse(
-        self, error: RequestRefused, request_id: str, start_response: StartResponse
+        self,
+        error: RequestRefused,
+        request_id: str,
+        start_response: StartResponse,
+        *,
+        closes: bool = False,
     ) -> Iterable[bytes]:
         answer = ANSWERS[error.kind]
         body = json.dumps(
@@ -159,7 +213,7 @@
         headers.append(("Content-Type", "application/json"))
         if error.retry_after_s is not None:
             headers.append(("Retry-After", f"{error.retry_after_s:.2f}"))
-        self._add_content_length(headers, len(body))
+        self._add_content_length(headers, None if closes else len(body))
         self.metrics.answers.labels("", error.reference).inc()
         logger.info(
             "request.refused",
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -485,6 +485,7 @@
                 self.app,
                 host.caller_address,
                 threads=self.settings.forwarding.threads,
+                thread_wait_s=self.settings.forwarding.thread_wait_s,
                 on_abandoned=self.app.note_abandoned,
             ),
             build_server(self._answer_readiness, host.readiness_address, threads=1),
--- a/src/thornlatch/gateway/_servers.py
+++ b/src/thornlatch/gateway/_servers.py
@@ -7,10 +7,12 @@
 from waitress.channel import HTTPChannel
 from waitress.parser import HTTPRequestParser
 from waitress.receiver import ChunkedReceiver
+from waitress.task import WSGITask
 from waitress.utilities import BadRequest, Error
 
-from thornlatch.core import MemoryExceeded, MemoryUse, received_memory
-from thornlatch.gateway._dispatcher import GrowingDispatcher
+from thornlatch.core import MemoryExceeded, MemoryUse, read_clock, received_memory
+from thornlatch.gateway._app import SHORTAGE, THREAD_WAIT
+from thornlatch.gateway._dispatcher import GrowingDispatcher, ThreadShortage
 
 HEADER_LIMIT_BYTES = 1 << 16
 BODY_LIMIT_BYTES = 1 << 23
@@ -75,6 +77,17 @@
         self.memory.release()
 
 
+class CallerTask(WSGITask):
+    """A request that tells the application how it got its thread."""
+
+    def get_environment(self) -> dict[str, Any]:
+        """Return the WSGI environment."""
+        environ: dict[str, Any] = super().get_environment()
+        environ[THREAD_WAIT] = self.channel.thread_wait_s
+        environ[SHORTAGE] = self.channel.shortage
+        return environ
+
+
 class CallerChannel(HTTPChannel):
     """A connection that reports requests whose caller disconnected before they began.
 
@@ -82,10 +95,34 @@
     be told from one that only won't send anything more.
     """
 
+    task_class = CallerTask
     parser_class = CallerParser
+    queued_at = 0.0  # clock time at which its present request was queued
+    thread_wait_s = 0.0  # that the request waited for its thread
+    shortage: ThreadShortage | None = None
 
     def service(self) -> None:
         """Serve the next request, unless the caller has disconnected."""
+        self.thread_wait_s = read_clock() - self.queued_at
+        try:
+            self._serve()
+        finally:
+            self.server.task_dispatcher.note_freed()
+
+    def refuse(self, shortage: ThreadShortage) -> None:
+        """Let the application refuse the next request, as it gets no thread.
+
+        Parameters
+        ----------
+        shortage : ThreadShortage
+        """
+        self.shortage = shortage
+        try:
+            self._serve()
+        finally:
+            self.shortage = None
+
+    def _serve(self) -> None:
         request = self.requests[0]
         if not self.connected and not request.error:
             self.server.on_abandoned(self.task_class(self, request).get_environment())
@@ -97,6 +134,7 @@
     address: str,
     *,
     threads: int,
+    thread_wait_s: float | None = None,
     on_abandoned: Callable[[dict[str, Any]], None] = lambda environ: None,
 ) -> Any:
     """Return a server that listens on an address; its `run` serves requests.
@@ -109,6 +147,9 @@
         ``ip:port``.
     threads : int
         Maximum number of concurrent requests.
+    thread_wait_s : float or None
+        Seconds that a request waits for a thread, after which `app` is called with
+        `SHORTAGE` in the WSGI environment and has to answer at once; None for no limit.
     on_abandoned : callable
         Called instead of `app`, with the WSGI environment, if the caller disconnected
         before its request began.
@@ -121,7 +162,9 @@
     server = waitress.create_server(
         app,
         map={},
-        _dispatcher=GrowingDispatcher(first=INITIAL_THREADS, limit=threads),
+        _dispatcher=GrowingDispatcher(
+            first=INITIAL_THREADS, limit=threads, wait_s=thread_wait_s
+        ),
         host=host,
         port=int(port),
         threads=threads,
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -65,6 +65,8 @@
     ----------
     threads : int
         Maximum number of requests that are served concurrently.
+    thread_wait_s : float
+        Seconds that a request waits while all threads are busy, before it is refused.
     received_limit_bytes : int
         Memory for received bodies and unfinished events, over all requests. A single
         one may take half of it.
@@ -124,6 +126,7 @@
     """
 
     threads: Annotated[int, Meta(ge=8, le=2000)] = 320
+    thread_wait_s: Annotated[float, Meta(ge=0, le=10)] = 0.2
     received_limit_bytes: Annotated[int, Meta(ge=1 << 20)] = 32 << 20
     connect_s: Seconds = 0.3
     plain_head_s: Seconds = 0.35
--- a/src/thornlatch/gateway/_work.py
+++ b/src/thornlatch/gateway/_work.py
@@ -1,5 +1,6 @@
 """Counts of the requests that this host is serving."""
 
+import heapq
 import threading
 from collections.abc import Callable
 from dataclasses import dataclass, field
@@ -142,6 +143,22 @@
             self.running.add(running)
             self.busy.set()
 
+    def get_end(self, count: int) -> float:
+        """Return when this many of the running requests will have ended at the latest.
+
+        Parameters
+        ----------
+        count : int
+
+        Returns
+        -------
+        float
+            Clock time; if fewer are running, when all of them have ended, and infinity
+            for none.
+        """
+        ends_at = [running.ends_at for running in list(self.running)]
+        return max(heapq.nsmallest(count, ends_at), default=float("inf"))
+
     def end_by(self, at: float) -> None:
         """Answer all requests by a time, also those that come later.
 
--- a/src/thornlatch/gateway/tests/test_servers.py
+++ b/src/thornlatch/gateway/tests/test_servers.py
@@ -3,11 +3,15 @@
 import socket
 import threading
 import time
+from types import SimpleNamespace
 
 import pytest
 
-from thornlatch.core import received_memory
+from thornlatch.core import read_clock, received_memory
+from thornlatch.gateway._app import SHORTAGE, GatewayApplication
+from thornlatch.gateway._dispatcher import ThreadShortage
 from thornlatch.gateway._servers import CHUNK_LINE_LIMIT_BYTES, build_server
+from thornlatch.gateway._work import RunningRequest, WorkTable
 
 TIMEOUT_S = 10.0
 
@@ -137,3 +141,65 @@
     while received_memory.used_bytes and time.monotonic() < until:
         time.sleep(0.05)
     assert received_memory.used_bytes == 0
+
+
+class BusyApplication(BlockedApplication):
+    """Answers requests without a thread at once, as the gateway does."""
+
+    def __call__(self, environ, start_response):
+        if environ[SHORTAGE] is None:
+            return super().__call__(environ, start_response)
+        start_response("503 Service Unavailable", [("Content-Length", "0")])
+        return []
+
+
+@pytest.mark.timeout(30)
+def test_request_that_gets_no_thread_is_refused_while_all_are_busy(app):
+    """It got no byte until a thread was free, whatever its target."""
+    app = BusyApplication()
+    server = build_server(app, "127.0.0.1:0", threads=1, thread_wait_s=0.01)
+    threading.Thread(target=server.run, daemon=True).start()
+    address = ("127.0.0.1", server.effective_port)
+    request = b"GET /%d HTTP/1.1\r\nHost: a\r\n\r\n"
+    first, second = (socket.create_connection(address, TIMEOUT_S) for _ in range(2))
+    try:
+        first.sendall(request % 1)
+        assert app.has_begun.wait(TIMEOUT_S)
+        second.sendall(request % 2)
+        assert second.recv(1 << 16).startswith(b"HTTP/1.1 503 ")
+        # The connection can be used again, once a thread is free.
+        app.released.set()
+        assert first.recv(1 << 16).startswith(b"HTTP/1.1 200 ")
+        wait_until(lambda: server.task_dispatcher.active_count == 0)
+        second.sendall(request % 3)
+        assert second.recv(1 << 16).startswith(b"HTTP/1.1 200 ")
+        assert app.served == ["/1", "/3"]
+    finally:
+        app.released.set()
+        first.close()
+        second.close()
+        server.task_dispatcher.shutdown()
+        server.close()
+
+
+@pytest.mark.parametrize(
+    ("deadlines_s", "refused", "freed_per_s", "expected_s"),
+    [
+        ([9.0, 3.0, 6.0], 2, 0.0, 6.0),
+        ([9.0, 3.0, 6.0], 5, 0.0, 9.0),
+        ([9.0, 3.0, 6.0], 2, 4.0, 0.5),
+        ([9.0, 0.2, 0.3], 2, 4.0, 0.3),
+        ([9.0], 1, 100.0, 0.1),
+        ([], 1, 0.0, 10.0),
+    ],
+)
+def test_refused_requests_may_return_when_threads_are_free(
+    deadlines_s, refused, freed_per_s, expected_s
+):
+    """At the rate at which they are freed, and at the latest by their deadlines."""
+    work, now = WorkTable(), read_clock()
+    for number, deadline_s in enumerate(deadlines_s):
+        work.add(RunningRequest(str(number), now + deadline_s, lambda: False))
+    app = GatewayApplication(None, SimpleNamespace(work=work), None)
+    shortage = ThreadShortage(3, 0.2, refused, freed_per_s)
+    assert app.estimate_wait_s(shortage, now=now) == pytest.approx(expected_s)
--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -15,6 +15,16 @@
 
 ROOT = Path(__file__).resolve().parent.parent.parent
 TIMEOUT_S = 20.0
+START = """
+import os, sys, threading, time
+from dataclasses import replace
+sys.path[:0] = ["src", "platform"]
+from adapter import _host as adapter
+from thornlatch.gateway import _gateway as gateway
+
+{change}
+sys.exit(adapter.run_host())
+"""
 PORTS_PER_HOST = 4  # callers, readiness, peers, metrics
 
 
@@ -131,6 +141,23 @@
         return self.process.wait(timeout=TIMEOUT_S)
 
 
+class ChangedHost(Host):
+    """A host of which Python statements change a part before it starts."""
+
+    def __init__(self, folder, store_address, change):
+        self.change = change
+        super().__init__(folder, store_address)
+
+    def start(self):
+        self.process = subprocess.Popen(
+            [sys.executable, "-c", START.format(change=self.change)],
+            cwd=ROOT,
+            env={**os.environ, "THORNLATCH_NODE_FILE": str(self.settings_path)},
+            stdout=self.log,
+            stderr=subprocess.STDOUT,
+        )
+
+
 def start_host(folder, store_address, name="edge-1"):
     """Start a host, on other ports if one was taken by a connection in the meantime."""
     while True:
--- a/tests/platform/test_stop_bounds.py
+++ b/tests/platform/test_stop_bounds.py
@@ -1,53 +1,30 @@
 """Planned stops in which a part of the host doesn't do what it should."""
 
-import os
-import subprocess
-import sys
 import time
 
 import pytest
 
-from hosts import ROOT, TIMEOUT_S, Host, wait_until
+from hosts import TIMEOUT_S, ChangedHost, wait_until
 from stand_ins import ModelServer, Store, build_config
 
 GRACE_S = 4.0
-START = """
-import os, sys, threading, time
-sys.path[:0] = ["src", "platform"]
-from adapter import run_host
-from thornlatch.gateway import _gateway as gateway
-
+BROKEN_PARTS = """
 def never_end(self):
     threading.Event().wait()
 
 def fail(self):
     raise RuntimeError("part failed")
 
-{change}
-sys.exit(run_host())
 """
 
 
-class ChangedHost(Host):
-    """A host with a short grace, a changed part and a pipe to read its log from."""
-
-    def __init__(self, folder, store_address, change):
-        self.change = change
-        super().__init__(folder, store_address)
+class BrieflyStoppingHost(ChangedHost):
+    """A host with a short grace."""
 
     def build_settings(self):
         settings = super().build_settings()
         return settings.replace("gracePeriodS = 8", f"gracePeriodS = {GRACE_S:.0f}")
 
-    def start(self):
-        self.process = subprocess.Popen(
-            [sys.executable, "-c", START.format(change=self.change)],
-            cwd=ROOT,
-            env={**os.environ, "THORNLATCH_NODE_FILE": str(self.settings_path)},
-            stdout=self.log,
-            stderr=subprocess.STDOUT,
-        )
-
 
 @pytest.fixture
 def start_changed(tmp_path):
@@ -57,7 +34,8 @@
     hosts = []
 
     def start(change):
-        hosts.append(ChangedHost(tmp_path, store.address, change))
+        change = BROKEN_PARTS + change
+        hosts.append(BrieflyStoppingHost(tmp_path, store.address, change))
         hosts[0].wait_ready()
         return hosts[0]
 
