--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -3,12 +3,15 @@
 import math
 import os
 import signal
+import sys
 import threading
+import traceback
 import uuid
 import zlib
 from collections.abc import Callable, Iterable
 from concurrent.futures import ThreadPoolExecutor
 from dataclasses import fields
+from functools import partial
 from random import Random
 from typing import Any
 
@@ -40,6 +43,7 @@
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._servers import build_server, has_unsent_answers
 from thornlatch.gateway._settings import GatewaySettings
+from thornlatch.gateway._signals import SignalWaiter
 from thornlatch.gateway._silences import SilencePolicy
 from thornlatch.gateway._status_page import StatusBuilder
 from thornlatch.gateway._store_epoch import StoreEpochs
@@ -56,7 +60,8 @@
 
 EXPIRY_CHECK_PERIOD_S = 0.1  # for callers that disconnected and expired deadlines
 IDLE_WAIT_S = 1.0
-SIGNAL_WAIT_S = 10.0  # upper bound, in case a signal doesn't wake the main thread
+SIGNAL_WAIT_S = 10.0
+STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
 STOP_POLL_PERIOD_S = 0.05  # for the end of running requests
 
 
@@ -159,8 +164,7 @@
         self.forwarder = self._build_forwarder(targets)
         self.app = GatewayApplication(callers, self.forwarder, self.metrics)
         self.stopping = threading.Event()
-        self.reloading = threading.Event()
-        self.signalled = threading.Event()
+        self.signals = SignalWaiter()
         # Set during a stop once no request is running.
         self.drained = threading.Event()
         self.fleet = FleetLink(
@@ -286,11 +290,7 @@
             Exit status.
         """
         with self.log.applicationbound():
-            for signal_number in (signal.SIGTERM, signal.SIGINT):
-                signal.signal(
-                    signal_number, lambda *_: self._note_signal(self.stopping)
-                )
-            signal.signal(signal.SIGHUP, lambda *_: self._note_signal(self.reloading))
+            self.signals.install((*STOP_SIGNALS, signal.SIGHUP))
             redirect_library_logs("waitress")
             logger.info("host.started", extra={"pid": os.getpid()})
             servers = self._build_servers()
@@ -302,20 +302,14 @@
             for loop in (*loops, *feeds, *[server.run for server in servers]):
                 self.executor.submit(self._run_loop, loop)
             while not self.stopping.is_set():
-                self.signalled.wait(SIGNAL_WAIT_S)
-                self.signalled.clear()
-                if self.reloading.is_set():
-                    self.reloading.clear()
+                received = self.signals.wait(SIGNAL_WAIT_S)
+                if any(number in STOP_SIGNALS for number in received):
+                    self.stopping.set()
+                elif signal.SIGHUP in received:
                     self._reload(read_settings)
-            self._stop(caller_server=servers[0])
-            logger.info("host.stopped", extra={"running": len(self.work.running)})
-            self.log.close()
+            self._stop_within_grace(caller_server=servers[0])
         return 0
 
-    def _note_signal(self, event: threading.Event) -> None:
-        event.set()
-        self.signalled.set()
-
     def is_ready(self) -> bool:
         """Return whether the load balancer may send requests to this host."""
         return not self.list_not_ready(read_clock())
@@ -590,7 +584,8 @@
                 loop()
             except Exception:
                 logger.exception("host.loop_ended")
-                self._note_signal(self.stopping)
+                self.stopping.set()
+                self.signals.wake()
 
     def _stop_expired_requests(self) -> None:
         while not self.drained.wait(EXPIRY_CHECK_PERIOD_S):
@@ -605,6 +600,7 @@
                 self.app,
                 host.caller_address,
                 threads=self.settings.forwarding.threads,
+                thread_wait_s=self.settings.forwarding.thread_wait_s,
                 on_abandoned=self.app.note_abandoned,
             ),
             build_server(self._answer_readiness, host.readiness_address, threads=1),
@@ -747,15 +743,41 @@
             if running.key and running.key not in configuration.organisations_by_key:
                 logger.info("request.key_withdrawn", extra={"request": running.id})
 
-    def _stop(self, *, caller_server: Any) -> None:
+    def _stop_within_grace(self, *, caller_server: Any) -> None:
+        """Stop, and return within the grace even if a part of the stop doesn't end."""
         settings = self.settings.stop
         began_at = read_clock()
-        self.app.closes_connections = True
         logger.info("host.stopping", extra={"running": len(self.work.running)})
+        stop = partial(self._stop, caller_server=caller_server, began_at=began_at)
+        thread = threading.Thread(
+            target=self._run_loop, args=(stop,), name="stop", daemon=True
+        )
+        thread.start()
+        # The first half of the margin is for the parts of the stop, most of the
+        # second one for the log.
+        ends_at = began_at + settings.grace_s - settings.margin_s / 2
+        thread.join(max(ends_at - read_clock(), 0.0))
+        if thread.is_alive():
+            logger.error("host.stop_unfinished", extra={"stack": _format_stack(thread)})
+        now = read_clock()
+        logger.info(
+            "host.stopped",
+            extra={
+                "running": len(self.work.running),
+                "unsent": has_unsent_answers(caller_server),
+                "stop_s": round(now - began_at, 3),
+            },
+        )
+        log_ends_at = began_at + settings.grace_s - settings.margin_s / 8
+        self.log.close(timeout_s=max(log_ends_at - now, 0.0))
+
+    def _stop(self, *, caller_server: Any, began_at: float) -> None:
+        settings = self.settings.stop
+        self.app.closes_connections = True
         exits_at = began_at + settings.grace_s - settings.margin_s
         self.work.end_by(exits_at - settings.answer_s)
-        self.orders.stop()
-        self.fleet.send_digest_now()
+        _call_part(self.orders.stop)
+        _call_part(self.fleet.send_digest_now)
         pause = threading.Event()
         while True:
             now = read_clock()
@@ -768,11 +790,24 @@
                     break
             pause.wait(STOP_POLL_PERIOD_S)
         self.drained.set()
-        self.stream_versions.stop()
-        self.fleet.peer_loop.stop()
+        _call_part(self.stream_versions.stop)
+        _call_part(self.fleet.peer_loop.stop)
         pause.wait(STOP_POLL_PERIOD_S)
 
 
+def _call_part(stop: Callable[[], None]) -> None:
+    """Call a part of the stop; the others don't depend on its success."""
+    try:
+        stop()
+    except Exception:
+        logger.exception("host.stop_part_failed", extra={"part": stop.__qualname__})
+
+
+def _format_stack(thread: threading.Thread) -> str:
+    frame = sys._current_frames().get(thread.ident or 0)
+    return "".join(traceback.format_stack(frame)) if frame else ""
+
+
 def _log_changed_limits(previous: Configuration | None, current: Configuration) -> None:
     """Log the quotas that a new configuration changes."""
     if previous is None:
