Add windows for targets that started or recovered

Hosts used a target at full weight as soon as it was listed or no longer avoided, so it was flooded, or avoided again for seconds.

Hosts exchange it in digests (HostDigest.paces, WorkSum.paces, both last and with defaults) and merge it by a total order.

Two tests of digests of earlier hosts drop one field more, as the new field is the last one.

--- a/src/thornlatch/fleet/__init__.py
+++ b/src/thornlatch/fleet/__init__.py
@@ -13,6 +13,7 @@
     ResidentAdapter,
     StoreKnowledge,
     TargetLimit,
+    TargetPace,
 )
 from thornlatch.fleet._domain_choice import ExchangeSettings, Member, choose_by_capacity
 from thornlatch.fleet._domain_messages import (
@@ -22,6 +23,7 @@
     FleetDigest,
     TargetUses,
     WorkSum,
+    merge_paces,
     merge_parts,
 )
 from thornlatch.fleet._domain_view import DomainUpdate, DomainView
@@ -64,6 +66,7 @@
     "Target",
     "TargetLimit",
     "TargetNotice",
+    "TargetPace",
     "TargetRegistry",
     "TargetUses",
     "UnreadableHeader",
@@ -72,5 +75,6 @@
     "WorkSum",
     "choose_by_capacity",
     "compute_decay_time_s",
+    "merge_paces",
     "merge_parts",
 ]
--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -111,6 +111,34 @@
     age_s: float
 
 
+@dataclass(frozen=True)
+class TargetPace:
+    """The window of a target that started or recovered, as a host knows it.
+
+    Parameters
+    ----------
+    target : str
+    started_ms : int
+    round : int
+        Grows with each change. Of two windows that of the higher round counts, and of
+        the same round the lower one.
+    window : float
+        Requests that all hosts together may have running there.
+    age_s : float
+        Seconds since the change.
+    idle_s : float
+        Seconds since a response of the target to the sender, or a send; infinite or
+        very long without any.
+    """
+
+    target: str
+    started_ms: int
+    round: int
+    window: float
+    age_s: float = 0.0
+    idle_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class StoreKnowledge:
     """What a host knows of the platform's store.
@@ -173,6 +201,8 @@
         Limits that targets named to the sender.
     recent_sends : dict of str to int
         Requests of the last few seconds to targets with a limit, by target.
+    paces : tuple of TargetPace
+        Windows of paced targets that the sender knows.
     """
 
     sent_at: float
@@ -191,6 +221,7 @@
     store: StoreKnowledge = field(default_factory=StoreKnowledge)
     limits: tuple[TargetLimit, ...] = ()
     recent_sends: dict[str, int] = field(default_factory=dict)
+    paces: tuple[TargetPace, ...] = ()
 
 
 @register
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -1,7 +1,7 @@
 """Messages between the relays of failure domains and to the hosts of a domain."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from thornlatch.core import register
 from thornlatch.fleet._digests import (
@@ -10,8 +10,10 @@
     PartReport,
     StoreKnowledge,
     TargetLimit,
+    TargetPace,
 )
 
+PACE_LIMIT = 128  # windows in a domain's digest; 6 KB
 FLEET = ""  # in place of a host id, for what a relay reports of all hosts
 
 
@@ -74,6 +76,8 @@
         Limits that targets named to any of the hosts, the latest of each target.
     recent_sends : dict of str to int
         Requests of the last few seconds to targets with a limit, by target.
+    paces : tuple of TargetPace
+        Windows of paced targets that any of the hosts knows.
     """
 
     running: dict[str, int] = field(default_factory=dict)
@@ -86,6 +90,7 @@
     leaving: tuple[tuple[str, int], ...] = ()
     limits: tuple[TargetLimit, ...] = ()
     recent_sends: dict[str, int] = field(default_factory=dict)
+    paces: tuple[TargetPace, ...] = ()
 
 
 @register
@@ -188,6 +193,7 @@
         leaving=merge_leaving(part.leaving for part in parts),
         limits=merge_limits(limit for part in parts for limit in part.limits),
         recent_sends=sum_counts(part.recent_sends for part in parts),
+        paces=select_paces(merge_paces(pace for part in parts for pace in part.paces)),
     )
 
 
@@ -270,6 +276,54 @@
     return tuple(latest.values())
 
 
+def merge_paces(paces: Iterable[TargetPace]) -> tuple[TargetPace, ...]:
+    """Merge the windows of paced targets that several hosts report.
+
+    The result doesn't depend on the order of the reports, nor on how often each
+    arrives.
+
+    Parameters
+    ----------
+    paces : iterable of TargetPace
+
+    Returns
+    -------
+    tuple of TargetPace
+        One of each incarnation, sorted by it: that of the highest round, of these the
+        lowest window, of these the latest change.
+    """
+    merged: dict[tuple[str, int], TargetPace] = {}
+    for pace in paces:
+        incarnation = (pace.target, pace.started_ms)
+        known = merged.get(incarnation)
+        if known is None:
+            merged[incarnation] = pace
+            continue
+        winner = max(known, pace, key=_rank_pace)
+        idle_s = min(known.idle_s, pace.idle_s)
+        merged[incarnation] = replace(winner, idle_s=idle_s)
+    return tuple(merged[incarnation] for incarnation in sorted(merged))
+
+
+def _rank_pace(pace: TargetPace) -> tuple[int, float, float]:
+    return pace.round, -pace.window, -pace.age_s
+
+
+def select_paces(paces: Iterable[TargetPace]) -> tuple[TargetPace, ...]:
+    """Return the windows that changed last, for a message of bounded size.
+
+    Parameters
+    ----------
+    paces : iterable of TargetPace
+
+    Returns
+    -------
+    tuple of TargetPace
+        At most `PACE_LIMIT`.
+    """
+    return tuple(sorted(paces, key=lambda pace: pace.age_s)[:PACE_LIMIT])
+
+
 def merge_parts(reports: Iterable[PartReport]) -> PartReport:
     """Merge crashes by part of the prompt over several hosts.
 
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -4,7 +4,12 @@
 from collections.abc import Iterable, Iterator, Mapping
 from dataclasses import dataclass, field, replace
 
-from thornlatch.fleet._digests import HeldTarget, HostDigest, TargetLimit
+from thornlatch.fleet._digests import (
+    HeldTarget,
+    HostDigest,
+    TargetLimit,
+    TargetPace,
+)
 from thornlatch.fleet._domain_messages import (
     DomainDigest,
     DomainSpending,
@@ -13,7 +18,9 @@
     merge_broken,
     merge_leaving,
     merge_limits,
+    merge_paces,
     merge_parts,
+    select_paces,
     sum_counts,
 )
 from thornlatch.fleet._latest_messages import LatestMessages
@@ -132,6 +139,7 @@
             merge_leaving(digest.leaving for digest in live.values()),
             merge_limits(self._iter_limits(live, now)),
             sum_counts(digest.recent_sends for digest in live.values()),
+            select_paces(merge_paces(self._iter_paces(live, now))),
         )
         return DomainDigest(spending, work)
 
@@ -143,6 +151,16 @@
             for limit in received.message.limits:
                 yield replace(limit, age_s=limit.age_s + late_s)
 
+    def _iter_paces(self, live: Iterable[str], now: float) -> Iterator[TargetPace]:
+        """Yield the windows that live hosts report, with their present age."""
+        for host in live:
+            received = self.latest.by_sender[host]
+            late_s = now - received.received_at
+            for pace in received.message.paces:
+                yield replace(
+                    pace, age_s=pace.age_s + late_s, idle_s=pace.idle_s + late_s
+                )
+
     def list_echoes(self, *, now: float) -> dict[str, float]:
         """Return the send times of the included digests, by host.
 
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -9,6 +9,7 @@
     PartReport,
     PeerView,
     TargetLimit,
+    TargetPace,
 )
 from thornlatch.fleet._domain_choice import DomainDigestSelector, ExchangeSettings
 from thornlatch.fleet._domain_messages import (
@@ -77,6 +78,7 @@
         # Ids and starts of targets that announced to any host that they leave.
         self.leaving: tuple[tuple[str, int], ...] = ()
         self.limits: tuple[TargetLimit, ...] = ()
+        self.paces: tuple[TargetPace, ...] = ()
 
     def note_sent(self, digest: HostDigest) -> None:
         """Remember a digest of this host until a relay may have echoed it.
@@ -212,6 +214,7 @@
         self.parts = work.parts
         self.leaving = work.leaving
         self.limits = work.limits
+        self.paces = work.paces
 
     def _count_peer_requests(
         self, message: FleetDigest, now: float
--- a/src/thornlatch/fleet/tests/test_digests.py
+++ b/src/thornlatch/fleet/tests/test_digests.py
@@ -15,6 +15,7 @@
     PeerViewSettings,
     ResidentAdapter,
     TargetLimit,
+    TargetPace,
     WorkSum,
 )
 from thornlatch.fleet._digests import LEAVING_LIMIT
@@ -106,7 +107,7 @@
 def test_digests_of_hosts_that_know_no_leaving_targets_are_read():
     digest_sent = replace(digest(1), leaving=(("t", 5),))
     # The fields that came with it and after it.
-    assert decode_edited(digest_sent, lambda fields: fields[:-4]) == digest(1)
+    assert decode_edited(digest_sent, lambda fields: fields[:-5]) == digest(1)
     domain_digest = DomainDigest(SPENDING, WorkSum(leaving=(("t", 5),)))
 
     def drop_leaving(fields):
@@ -120,7 +121,7 @@
 def test_digests_of_hosts_that_know_no_limits_are_read():
     limits = (TargetLimit("t", 5, 2.0, 0.1),)
     digest_sent = replace(digest(1), limits=limits, recent_sends={"t": 1})
-    assert decode_edited(digest_sent, lambda fields: fields[:-2]) == digest(1)
+    assert decode_edited(digest_sent, lambda fields: fields[:-3]) == digest(1)
     assert decode_edited(digest_sent, lambda fields: fields) == digest_sent
 
 
@@ -140,6 +141,32 @@
     assert (fleet.limits[0].rate, fleet.recent_sends) == (2.0, {"t": 6})
 
 
+def test_digests_of_hosts_that_know_no_paces_are_read():
+    digest_sent = replace(digest(1), paces=(TargetPace("t", 5, 3, 4.0),))
+    assert decode_edited(digest_sent, lambda fields: fields[:-1]) == digest(1)
+    assert decode_edited(digest_sent, lambda fields: fields) == digest_sent
+    domain_digest = DomainDigest(SPENDING, WorkSum(paces=digest_sent.paces))
+
+    def drop_paces(fields):
+        spending, work = fields
+        return [spending, {name: work[name] for name in work if name != "paces"}]
+
+    decoded = decode_edited(domain_digest, drop_paces)
+    assert decoded == DomainDigest(SPENDING, WorkSum())
+
+
+def test_relay_reports_the_window_that_counts_with_its_present_age():
+    relay = DomainRelay("z", "a", 1.0)
+    low, high = TargetPace("t", 5, 3, 2.0, 0.5, 0.4), TargetPace("t", 5, 3, 4.0, 0.1)
+    relay.apply_digest("a", replace(digest(1), paces=(high,)), now=1.0)
+    relay.apply_digest("b", replace(digest(1), paces=(low,)), now=1.0)
+    work = relay.build_digest(now=1.2).work
+    merged = replace(low, age_s=pytest.approx(0.7), idle_s=pytest.approx(0.2))
+    assert work.paces == (merged,)
+    later = TargetPace("t", 5, 4, 4.0)
+    assert sum_work([work, WorkSum(paces=(later,))]).paces == (later,)
+
+
 def test_digests_with_fields_of_later_versions_are_read():
     """It is how hosts of an earlier version read this one's digests."""
     assert decode_edited(digest(1), lambda fields: [*fields, "later"]) == digest(1)
--- /dev/null
+++ b/src/thornlatch/pace/_settings.py
@@ -0,0 +1,57 @@
+"""Settings of the pace of targets that started or recovered."""
+
+from dataclasses import dataclass
+from typing import Annotated
+
+from msgspec import Meta
+
+
+@dataclass(frozen=True)
+class PaceSettings:
+    """How the load of a target that started or recovered is raised.
+
+    Parameters
+    ----------
+    is_enabled : bool
+        Whether targets of all services are paced. Otherwise only those of services are
+        for which it was enabled while the host runs.
+    first_window : float
+        Requests of all hosts together at a target that has just started.
+    growth : float
+        Factor of the window in a round in which a response came in time.
+    end_ratio : float
+        Window in requests per slot at which the target is no longer paced. At 1 it
+        would get all requests that wait for it at once; above, as many as targets
+        that aren't paced have in their queues.
+    shrink : float
+        Factor of the window after a late, refused or failed request.
+    late_ratio : float
+        A response is late if it takes more than this many times as long as responses
+        to requests of its size usually take at the service's other targets.
+    late_slack_s : float
+        Seconds that a response may always take in addition.
+    round_periods : float
+        Periods of digests in a round. A change reaches the hosts of a large fleet
+        within three.
+    draw_periods : float
+        Periods of digests after which a host draws its part of a window's free places
+        anew. Until then its view lacks what other hosts have sent since.
+    retry_s : float
+        Seconds without a response after which a target with a full window gets one
+        more request.
+    slow_target_s : float
+        Seconds after which a target that still isn't as fast as others at its first
+        window is compared with its own responses there.
+    """
+
+    is_enabled: bool = False
+    first_window: Annotated[float, Meta(ge=1)] = 2.0
+    growth: Annotated[float, Meta(gt=1)] = 2.0
+    end_ratio: Annotated[float, Meta(ge=1)] = 4.0
+    shrink: Annotated[float, Meta(gt=0, lt=1)] = 0.5
+    late_ratio: Annotated[float, Meta(gt=1)] = 2.0
+    late_slack_s: Annotated[float, Meta(ge=0)] = 0.05
+    round_periods: Annotated[float, Meta(ge=1)] = 4.0
+    draw_periods: Annotated[float, Meta(ge=1)] = 3.0
+    retry_s: Annotated[float, Meta(gt=0)] = 0.8
+    slow_target_s: Annotated[float, Meta(gt=0)] = 30.0
