Pace targets in gateway hosts

The selector counts the expected wait for a place in a target's cost, so a request goes elsewhere, waits in the existing loop or is refused with the time of the next place. The forwarder reserves the place, so that threads don't take the same one; the sender and the forwarder report answers, refusals and failures. A target that failed is paced anew if at least two hosts avoid it (all, if there is one): one host may only have lost its own connection.

GatewaySettings.pace is off by default.

--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -4,11 +4,13 @@
 from dataclasses import dataclass, field
 
 from thornlatch.exceptions import ErrorKind, RequestRefused
+from thornlatch.fleet import Target
 from thornlatch.gateway._choice import TargetOption
 from thornlatch.gateway._events import EventSplitter, StreamEvent
 from thornlatch.gateway._ports import AnswerHead, CallerRequest
 from thornlatch.gateway._work import RunningRequest, TargetUse
-from thornlatch.routing import Organisation, Route
+from thornlatch.pace import PacedRequest
+from thornlatch.routing import CallKind, Organisation, Route
 from thornlatch.targets import TargetResponse
 
 MIN_RETRY_AFTER_S = 0.1
@@ -110,6 +112,8 @@
         Whether the last attempt that was sent failed at a time limit of this host.
     has_ended : bool
         Whether the request has been completed or has failed.
+    sent_at : float
+        Clock time of the latest send.
     """
 
     request: CallerRequest
@@ -150,10 +154,31 @@
     next_option: TargetOption | None = None
     was_timeout: bool = False
     has_ended: bool = False
+    sent_at: float = 0.0
 
     def __post_init__(self) -> None:
         self.waiting_since = self.admitted_at
 
+    def build_paced_request(self, target: Target) -> PacedRequest:
+        """Return the request as it is paced at a target.
+
+        Parameters
+        ----------
+        target : Target
+
+        Returns
+        -------
+        PacedRequest
+            Its size is what the time to the answer depends on.
+        """
+        request = self.request
+        is_stream = self.route.kind is CallKind.STREAM
+        size = len(request.body)
+        if request.prompt_tokens is not None:
+            size = request.prompt_tokens
+            size += 0 if is_stream else request.output_tokens or 0
+        return PacedRequest(target, request.id, is_stream, size)
+
     def note_part_sent(self, now: float) -> None:
         """Record that a part of the answer is passed to the caller."""
         if self.last_part_at is None:
--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -20,6 +20,7 @@
     SEND = "send"
     AWAIT_LOAD = "await-load"
     AWAIT_PREFILL = "await-prompts"
+    AWAIT_PLACE = "await-place"
     REQUEST_LOAD = "ask-load"
 
 
@@ -37,6 +38,8 @@
         `wait_s` plus the penalties of the choice, in seconds.
     version : int
         Adapter version that the target must use; 0 for any.
+    place_wait_s : float
+        Part of the cost that is due to the target's pace, in seconds.
     """
 
     target: Target
@@ -44,6 +47,7 @@
     wait_s: float
     cost_s: float
     version: int = 0
+    place_wait_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -75,6 +79,9 @@
         Addition to the cost by which hosts that choose at once differ.
     has_model : bool
         Whether the target holds the request's model; true for plain services.
+    pace_wait_s : float
+        Seconds until this host may send a request to a target whose load is being
+        raised; 0 if it may now.
     """
 
     requests: int
@@ -87,6 +94,7 @@
     place_wait_s: float = 0.0
     spread_s: float = 0.0
     has_model: bool = True
+    pace_wait_s: float = 0.0
 
 
 @dataclass(frozen=True)
@@ -220,6 +228,7 @@
         and not resident.is_queued
         and _is_sufficient(resident.version, requirements.version)
         and not state.is_avoided
+        and not state.pace_wait_s
         and state.requests < target.slots
     )
 
@@ -243,11 +252,16 @@
         cost_s += settings.domain_penalty_s
     if state.is_avoided:
         cost_s += settings.avoid_limit_s
+    place_wait_s = state.pace_wait_s
+    cost_s += place_wait_s
     if not requirements.adapter:
         # A restarted engine holds nothing until its model is loaded again.
         if not state.has_model:
             return None
-        return TargetOption(target, Step.SEND, queue_s, cost_s + state.spread_s)
+        step = Step.AWAIT_PLACE if place_wait_s else Step.SEND
+        wait_s = max(queue_s, place_wait_s)
+        cost_s += state.spread_s
+        return TargetOption(target, step, wait_s, cost_s, place_wait_s=place_wait_s)
     resident = state.resident
     if resident is not None and _is_sufficient(resident.version, requirements.version):
         load_s = max(resident.ready_at - now, 0.0)
@@ -257,6 +271,8 @@
         step = Step.AWAIT_LOAD if load_s > 0 else Step.SEND
         wait_s = max(load_s, queue_s)
         cost_s += wait_s - queue_s + state.spread_s
+        if step is Step.SEND and place_wait_s:
+            step, wait_s = Step.AWAIT_PLACE, max(wait_s, place_wait_s)
         if step is Step.SEND and requirements.may_await_prefill:
             prefill_wait_s = compute_decay_time_s(
                 prefill_s, requirements.prefill_limit_s
@@ -264,7 +280,9 @@
             if prefill_wait_s > 0:
                 step = Step.AWAIT_PREFILL
                 wait_s = max(wait_s, prefill_wait_s)
-        return TargetOption(target, step, wait_s, cost_s, resident.version)
+        return TargetOption(
+            target, step, wait_s, cost_s, resident.version, place_wait_s
+        )
     if not state.is_held:
         return None
     load_s = max(requirements.load_s * state.in_transit, state.place_wait_s)
@@ -278,7 +296,9 @@
         home_penalty_s = settings.home_penalty_s
     cost_s += compute_home_rank(requirements.adapter, target.id) * home_penalty_s
     # Without the spread: all hosts are to load an adapter at the same target.
-    return TargetOption(target, Step.REQUEST_LOAD, wait_s, cost_s)
+    return TargetOption(
+        target, Step.REQUEST_LOAD, wait_s, cost_s, place_wait_s=place_wait_s
+    )
 
 
 def _get_load_s(state: TargetState, requirements: RequestRequirements) -> float:
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -20,12 +20,18 @@
     PeerView,
     StoreKnowledge,
     TargetLimit,
+    TargetPace,
     TargetRegistry,
     TargetUses,
 )
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import PEER, note_leaving, note_peer_limits
+from thornlatch.gateway._notices import (
+    PEER,
+    note_leaving,
+    note_peer_limits,
+    note_peer_paces,
+)
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._peer_loop import PeerHandlers, PeerLoop
 from thornlatch.gateway._settings import GatewaySettings
@@ -305,6 +311,9 @@
         self.state.retries.hosts = len(sharing) + 1
         names = (get_host_name(host) for host in (self.host, *sharing))
         self.state.health.limits.set_hosts(sorted(set(names)))
+        self.state.health.pacer.set_fleet(
+            hosts=len(sharing) + 1, period_s=self.peer_loop.get_period_s()
+        )
         self.divide_model_loads()
         silent_s = self.peer_loop.get_period_s() * SILENCE_LIMIT_PERIODS
         if self.exchange.is_large:
@@ -349,6 +358,7 @@
             StoreKnowledge(epoch, self.state.in_force.newest_version),
             self.state.health.limits.build_reports(now=now),
             self.state.health.limits.count_sends(now=now),
+            self.state.health.pacer.build_reports(now=now),
         )
 
     def _apply_digest(self, host: str, digest: HostDigest, now: float) -> None:
@@ -365,6 +375,7 @@
             self._apply_holder_report(host, report, now)
         self._apply_leaving(digest.leaving)
         self._apply_limits(digest.limits, now)
+        self._apply_paces(digest.paces, now)
 
     def _apply_holder_report(self, holder: str, held: HeldTarget, now: float) -> None:
         if self.state.peers.get_holder(held.target, now=now) != holder:
@@ -408,6 +419,7 @@
         self.state.suspects.parts.set_fleet_report(self.domain_view.parts, now=now)
         self._apply_leaving(self.domain_view.leaving)
         self._apply_limits(self.domain_view.limits, now)
+        self._apply_paces(self.domain_view.paces, now)
 
     def _apply_leaving(self, incarnations: Iterable[Incarnation]) -> None:
         for incarnation in incarnations:
@@ -423,6 +435,15 @@
             limits, health=self.state.health, metrics=self.state.metrics, now=now
         )
 
+    def _apply_paces(self, paces: Iterable[TargetPace], now: float) -> None:
+        note_peer_paces(
+            paces,
+            health=self.state.health,
+            registry=self.state.registry,
+            metrics=self.state.metrics,
+            now=now,
+        )
+
     def _apply_target_uses(self, message: TargetUses, now: float) -> None:
         self.domain_view.apply_target_uses(message, now=now)
 
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -25,7 +25,7 @@
 from thornlatch.gateway._choice import TargetOption
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import note_leaving
+from thornlatch.gateway._notices import note_leaving, record_pace
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import AnswerHead, CallerRequest
 from thornlatch.gateway._selector import TargetSelector
@@ -34,6 +34,7 @@
 from thornlatch.gateway._stream_versions import StreamVersions
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import WorkTable
+from thornlatch.pace import PaceReason
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import ResidentTable
 from thornlatch.routing import CallKind, ConfigurationInForce
@@ -206,13 +207,14 @@
     def _choose(self, call: Call) -> TargetOption:
         option, call.next_option = call.next_option, None
         is_reserved = option is not None
-        limits = self.health.limits
         # Another request may have used the target's limit since it was selected.
-        while option is None or not limits.try_send(
-            option.target.incarnation, now=read_clock()
-        ):
+        while option is None or not self._try_send(call, option.target):
             option = self.selector.choose(call)
-        self._check_may_send(call, is_reserved=is_reserved)
+        try:
+            self._check_may_send(call, is_reserved=is_reserved)
+        except BaseException:
+            self.health.pacer.release(call.build_paced_request(option.target))
+            raise
         if call.route.is_resumable_stream:
             # Recorded while the target reads the prompt.
             self.stream_versions.note_sent(
@@ -224,6 +226,18 @@
             )
         return option
 
+    def _try_send(self, call: Call, target: Target) -> bool:
+        """Take a place at a target and count a send, if its pace and limit allow it."""
+        now = read_clock()
+        pacer = self.health.pacer
+        paced_request = call.build_paced_request(target)
+        if not pacer.try_send(paced_request, now=now):
+            return False
+        if self.health.limits.try_send(target.incarnation, now=now):
+            return True
+        pacer.release(paced_request)
+        return False
+
     def _check_may_send(self, call: Call, *, is_reserved: bool = False) -> None:
         """Check key, attempt limits and retry budget just before a request is sent."""
         now = read_clock()
@@ -348,6 +362,8 @@
         is_wrong_target = not head.is_from(target.id)
         if not is_wrong_target:
             self._note_leaving(target, head)
+        if not is_wrong_target and not head.is_misdirected:
+            self._note_pace_failure(call, target, PaceReason.REFUSED)
         if head.is_misdirected and not is_wrong_target and call.request.adapter:
             adapter = call.request.adapter
             # Each rejected send uses up retry budget, so the next one waits longer.
@@ -402,6 +418,10 @@
             avoided_s = self.health.note_failure(
                 target.id, now=now, is_unreachable=True
             )
+            # Without a connection the fault may be this host's; then other hosts have
+            # to avoid the target too.
+            if error.is_sent:
+                self._note_pace_failure(call, target, PaceReason.FAILED)
         self.metrics.sends.labels(call.service, "failed").inc()
         logger.info(
             "request.send_failed",
@@ -418,6 +438,17 @@
             },
         )
 
+    def _note_pace_failure(
+        self, call: Call, target: Target, reason: PaceReason
+    ) -> None:
+        change = self.health.pacer.note_failure(
+            call.build_paced_request(target),
+            reason,
+            sent_at=call.sent_at,
+            now=read_clock(),
+        )
+        record_pace(change, self.metrics)
+
     def _record_first_part(self, call: Call) -> None:
         now = read_clock()
         call.note_part_sent(now)
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -24,11 +24,12 @@
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._logs import JsonLineHandler, redirect_library_logs
 from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.gateway._notices import record_pace
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._ports import CallerProtocol, TargetProtocol
 from thornlatch.gateway._replication import AdapterReplicator
-from thornlatch.gateway._selector import TargetSelector
+from thornlatch.gateway._selector import AVOIDING_PEER_LIMIT, TargetSelector
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._servers import build_server, has_unsent_answers
 from thornlatch.gateway._settings import GatewaySettings
@@ -39,6 +40,7 @@
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._target_limits import TargetLimits
 from thornlatch.gateway._work import WorkTable
+from thornlatch.pace import Pacer
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import AdapterVersions, Resident, ResidentTable, Tenure
 from thornlatch.routing import Configuration, ConfigurationInForce
@@ -102,6 +104,12 @@
                 host=settings.host.name,
                 count_peer_sends=self.peers.count_recent_sends,
             ),
+            pacer=Pacer(
+                settings.pace,
+                count_own=self.work.get_total,
+                count_peers=self.peers.count_peer_requests,
+                get_share=self._get_share_of_requests,
+            ),
         )
         self.suspects = CrashSuspects(
             settings.suspects, self.registry, count_runs=self.work.count_runs
@@ -544,6 +552,7 @@
             {target.incarnation for target in list(self.registry.targets.values())},
             now=now,
         )
+        self._pace_targets(now, has_peers=bool(live))
         self.orders.update_held_targets(now=now)
         self.orders.refresh_residents(now=now)
         self.orders.tick(now=now)
@@ -552,10 +561,37 @@
             self.stream_versions.tick(
                 self.in_force.configuration.resumable_services, now=now
             )
+        self.metrics.pace_targets.set(self.health.pacer.count_paced())
         self.metrics.running.set(len(self.work.running))
         self.metrics.live_peers.set(len(live))
         self.metrics.received_memory.set(received_memory.used_bytes)
 
+    def _pace_targets(self, now: float, *, has_peers: bool) -> None:
+        """Pace targets that failed, and draw this host's places at paced ones."""
+        pacer = self.health.pacer
+        if pacer.is_enabled:
+            pacer.note_registered(list(self.registry.targets.values()), now=now)
+            self._note_avoided(now, has_peers=has_peers)
+        for change in pacer.tick(self.registry.get, now=now):
+            record_pace(change, self.metrics)
+
+    def _get_share_of_requests(self) -> float:
+        """Return the part of the requests of all hosts at targets that are its own."""
+        own = sum(list(self.work.totals.values()))
+        running = self.peers.running
+        peers = sum(by_adapter.get("", 0) for by_adapter in running.values())
+        return own / (own + peers) if own else 0.0
+
+    def _note_avoided(self, now: float, *, has_peers: bool) -> None:
+        for name in self.health.list_avoided(now=now):
+            target = self.registry.get(name)
+            avoiding = 1 + self.peers.count_peers_avoiding(name)
+            # A single host may only have lost its own connection to the target.
+            if target is None or (has_peers and avoiding < AVOIDING_PEER_LIMIT):
+                continue
+            failed_at = self.health.get_avoided_at(name)
+            self.health.pacer.note_avoided(target, failed_at=failed_at, now=now)
+
     def _handle_target_change(
         self, name: str, target: Target | None, previous: Target | None
     ) -> None:
@@ -579,6 +615,10 @@
             self.health.forget(name, now=read_clock())
         else:
             self.health.begin(name, target.started_ms)
+            change = self.health.pacer.begin(
+                target, is_first_read=not self.targets_known, now=read_clock()
+            )
+            record_pace(change, self.metrics)
 
     def _log_withdrawn_keys(self, configuration: Configuration) -> None:
         """Log the running requests whose key was withdrawn.
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -7,6 +7,7 @@
 from thornlatch.fleet import Target
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._target_limits import TargetLimits, TargetLimitSettings
+from thornlatch.pace import Pacer, PaceSettings
 
 SMOOTHING_WEIGHT = 0.1  # of the latest observation in a moving average
 INITIAL_SERVICE_S = 1.5  # per request, until one has been observed
@@ -25,6 +26,7 @@
 class _Observations:
     failures: int = 0
     avoid_until: float = float("-inf")
+    avoided_at: float = float("-inf")  # last failure for which it is avoided
     failure_ratio: float = 0.0
     load: tuple[int, int, int] | None = None
     load_at: float = float("-inf")
@@ -60,6 +62,8 @@
         that is seeded by the system.
     limits : TargetLimits or None
         Limits of the targets; None for limits of which no other host has a share.
+    pacer : Pacer or None
+        Windows of targets that started or recovered; None to pace none.
     """
 
     def __init__(
@@ -68,10 +72,12 @@
         *,
         random: Random | None = None,
         limits: TargetLimits | None = None,
+        pacer: Pacer | None = None,
     ) -> None:
         self.settings = settings
         self.random = random or Random()
         self.limits = limits or TargetLimits(TargetLimitSettings())
+        self.pacer = pacer or Pacer(PaceSettings())
         self.lock = threading.Lock()
         self.observations: dict[str, _Observations] = {}
         self.service_s: dict[str, float] = {}
@@ -126,6 +132,7 @@
             avoid_s = settings.avoid_s * 2 ** min(record.failures - 1, 8)
             avoid_s = min(avoid_s, settings.avoid_limit_s)
             record.avoid_until = now + avoid_s
+            record.avoided_at = now
             return avoid_s
 
     def note_pause(self, target: str, pause_s: float, *, now: float) -> None:
@@ -296,6 +303,21 @@
                 if now < record.avoid_until
             )
 
+    def get_avoided_at(self, target: str) -> float:
+        """Return when a target last failed so that it is avoided.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        float
+            Minus infinity if it hasn't.
+        """
+        record = self.observations.get(target)
+        return float("-inf") if record is None else record.avoided_at
+
     def get_reported_requests(self, target: str, *, now: float) -> int:
         """Return the number of requests that a target reported.
 
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -74,6 +74,17 @@
             ["source"],
             registry=self.registry,
         )
+        self.pace_targets = Gauge(
+            "thornlatch_pace_targets",
+            "Targets that started or recovered and don't get their full load yet.",
+            registry=self.registry,
+        )
+        self.pace_changes = Counter(
+            "thornlatch_pace_changes",
+            "Changes of the windows of paced targets, by reason.",
+            ["reason"],
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "thornlatch_store_calls",
             "Calls to the platform's store, by call and outcome.",
--- a/src/thornlatch/gateway/_notices.py
+++ b/src/thornlatch/gateway/_notices.py
@@ -1,5 +1,6 @@
 """Acts on what targets say of themselves in their answers."""
 
+import math
 from collections.abc import Iterable
 
 import logbook
@@ -10,10 +11,12 @@
     Target,
     TargetLimit,
     TargetNotice,
+    TargetPace,
     TargetRegistry,
 )
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
+from thornlatch.pace import PaceChange
 
 logger = logbook.Logger("thornlatch.gateway")
 
@@ -173,6 +176,59 @@
     )
 
 
+def note_peer_paces(
+    reports: Iterable[TargetPace],
+    *,
+    health: TargetHealth,
+    registry: TargetRegistry,
+    metrics: GatewayMetrics,
+    now: float,
+) -> None:
+    """Apply the windows of paced targets that other hosts know.
+
+    Parameters
+    ----------
+    reports : iterable of TargetPace
+    health : TargetHealth
+    registry : TargetRegistry
+    metrics : GatewayMetrics
+    now : float
+    """
+    for report in reports:
+        slots = math.inf
+        registered = registry.get(report.target)
+        if registered is not None and registered.started_ms == report.started_ms:
+            slots = max(registered.slots, 1)
+        change = health.pacer.apply_report(report, slots=slots, now=now)
+        record_pace(change, metrics)
+
+
+def record_pace(change: PaceChange | None, metrics: GatewayMetrics) -> None:
+    """Log and count the change of a target's window.
+
+    Parameters
+    ----------
+    change : PaceChange or None
+        None if nothing changed.
+    metrics : GatewayMetrics
+    """
+    if change is None:
+        return
+    metrics.pace_changes.labels(change.reason.value).inc()
+    logger.info(
+        "target.pace_changed",
+        extra={
+            "target": change.target,
+            "started_ms": change.started_ms,
+            "window": round(change.window, 2),
+            "round": change.round,
+            "why": change.reason.value,
+            "data_age_s": round(change.data_age_s, 3),
+            "paced": change.is_paced,
+        },
+    )
+
+
 def log_unreadable(target: str, notice: TargetNotice, *, health: TargetHealth) -> None:
     """Log headers of a target that can't be read, once each.
 
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -79,7 +79,7 @@
         self.health = health
         self.pacing = pacing
         self.random = random
-        # Requests that wait because all targets of their service are closed.
+        # Requests that wait because all targets of their service are closed or paced.
         self.waiting: Counter[str] = Counter()
         self.waiting_lock = threading.Lock()
 
@@ -148,26 +148,42 @@
                     )
                 self.residents.wait(call.request.adapter, POLL_INTERVAL_S)
                 continue
-            best = options[0]
+            self._note_wanted(options)
+            best = self._choose_best(options, now, waited_s=now - waits_from)
+            wait_s = best.wait_s
+            if best.step is Step.AWAIT_PLACE:
+                wait_s += self._estimate_place_queue_s(call)
+                if call.may_have_run:
+                    # A refusal would end it for good.
+                    wait_until = call.running.ends_at - MIN_SEND_BUDGET_S
             # A load that is always expected shortly must not hold a request for good.
             counts_from = now if best.step is Step.SEND else waits_from
             limit = max(wait_until, counts_from + MIN_SEND_BUDGET_S)
-            is_late = now + best.wait_s >= limit
+            is_late = now + wait_s >= limit
+            if is_late and best.step is Step.AWAIT_PLACE:
+                # Rather an avoided target, or one with a queue, than none.
+                startable = [o for o in options if o.step is Step.SEND]
+                if startable:
+                    best, wait_s = startable[0], startable[0].wait_s
+                    is_late = now + wait_s >= max(wait_until, now + MIN_SEND_BUDGET_S)
             return_s = (call.running.ends_at - now) * RETURN_RATIO
             if (
                 best.step is Step.REQUEST_LOAD
                 and best.target.id not in load_requested_at
                 # A refused request finds the adapter loaded when its caller returns.
-                and not (is_late and best.wait_s > return_s)
+                and not (is_late and wait_s > return_s)
             ):
                 load_requested_at[best.target.id] = now
                 self.request_load(call, best.target, now, was_missing=False)
             if is_late:
+                return_in_s = wait_s
+                if best.step is Step.AWAIT_PLACE:
+                    return_in_s += draw_return_delay(self.random, wait_s)
                 raise build_refusal(
                     call,
                     ErrorKind.OVERLOADED,
-                    best.wait_s,
-                    f"{best.target.id} would start it in {best.wait_s:.2f} s; it may"
+                    return_in_s,
+                    f"{best.target.id} would start it in {wait_s:.2f} s; it may"
                     f" wait {max(wait_until - now, MIN_SEND_BUDGET_S):.2f} s",
                 )
             if best.step is Step.SEND:
@@ -176,6 +192,9 @@
             if best.step is Step.AWAIT_PREFILL:
                 self.pacing.note_wait(call.service, now=now)
             left_s = max(min(best.wait_s, wait_until - now), 0.001)
+            if best.step is Step.AWAIT_PLACE:
+                self._wait_closed(call, left_s)
+                continue
             self.residents.wait(call.request.adapter, min(left_s, POLL_INTERVAL_S))
 
     def has_alternative(self, call: Call, target: str) -> bool:
@@ -192,7 +211,12 @@
         """
         excluded = call.excluded | {target}
         now = read_clock()
-        return any(t.id not in excluded for t in self._list_accepting(call, now))
+        service_s = self.health.get_service_s(call.service)
+        return any(
+            other.id not in excluded
+            and not self.health.pacer.get_wait_s(other, service_s=service_s, now=now)
+            for other in self._list_accepting(call, now)
+        )
 
     def list_startable(
         self, call: Call, besides: str, *, within_s: float, now: float
@@ -265,6 +289,48 @@
         )
         return self.waiting[call.service] / share if share else 0.0
 
+    def _estimate_place_queue_s(self, call: Call) -> float:
+        """Return the seconds that the requests waiting for places take before."""
+        service_s = self.health.get_service_s(call.service)
+        rate = sum(
+            min(
+                self.health.pacer.get_rate(target.incarnation, service_s=service_s),
+                self.health.limits.get_share(target.incarnation),
+            )
+            for target in self._list_ready(call)
+        )
+        return self.waiting[call.service] / rate if rate else 0.0
+
+    def _choose_best(
+        self, options: list[TargetOption], now: float, *, waited_s: float
+    ) -> TargetOption:
+        """Return the option of the lowest cost, or one that can be used earlier.
+
+        Other requests may take the places that one waits for again and again. So a
+        request accepts a longer queue elsewhere the longer it has waited for a place.
+        """
+        best = options[0]
+        if best.step is not Step.AWAIT_PLACE:
+            return best
+        for option in options:
+            if (
+                option.step is Step.SEND
+                and option.wait_s <= best.wait_s + waited_s
+                and not self._is_avoided(option.target.id, now)
+            ):
+                return option
+        return best
+
+    def _note_wanted(self, options: list[TargetOption]) -> None:
+        """Record the targets at which the request would be if they weren't paced."""
+        for option in options:
+            if (
+                option.place_wait_s
+                and option.step is Step.AWAIT_PLACE
+                and option.cost_s - option.place_wait_s <= options[0].cost_s
+            ):
+                self.health.pacer.note_wanted(option.target.incarnation)
+
     def _wait_closed(self, call: Call, closed_s: float) -> None:
         with self.waiting_lock:
             self.waiting[call.service] += 1
@@ -331,7 +397,11 @@
             prefill_limit_s=self.pacing.get_limit_s(call.service, call.route.gap_s),
         )
 
+        pacer = self.health.pacer
+        service_s = requirements.service_s
+
         def get_state(target: Target) -> TargetState:
+            pace_wait_s = pacer.get_wait_s(target, service_s=service_s, now=now)
             requests = self.orders.count_requests(target.id)
             requests = max(
                 requests, self.health.get_reported_requests(target.id, now=now)
@@ -348,6 +418,7 @@
                     is_avoided,
                     spread_s=spread_s,
                     has_model=not model or target.holds_model(model),
+                    pace_wait_s=pace_wait_s,
                 )
             resident = self.residents.get(target.id, adapter)
             in_transit = 0
@@ -367,6 +438,7 @@
                 self.residents.is_former_target(target.id, adapter),
                 max(self.residents.place_at.get(target.id, now) - now, 0.0),
                 spread_s,
+                pace_wait_s=pace_wait_s,
             )
 
         targets = self._list_accepting(call, now)
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -19,10 +19,16 @@
 from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import log_unreadable, note_limit, note_pause
+from thornlatch.gateway._notices import (
+    log_unreadable,
+    note_limit,
+    note_pause,
+    record_pace,
+)
 from thornlatch.gateway._ports import AnswerHead, SendContext, TargetProtocol
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._work import TargetUse, WorkTable
+from thornlatch.pace import PacedRequest, PaceReason
 from thornlatch.routing import CallKind
 from thornlatch.targets import Framing, Reuse, TargetCall, TargetResponse, open_call
 
@@ -128,7 +134,10 @@
         use = self.work.begin(
             target.id, request.adapter, tokens, call.shared_parts, now=now
         )
+        paced_request = call.build_paced_request(target)
+        self.health.pacer.note_sent(paced_request, now=now)
         call.tries += 1
+        call.sent_at = now
         call.target, call.software_version = target.id, target.software_version
         call.framing = ""
         try:
@@ -139,13 +148,31 @@
             self._check_media_type(call, answer)
         except BaseException:
             self.work.end(use)
+            self.health.pacer.release(paced_request)
             raise
         if call.route.kind is CallKind.STREAM:
             self.health.note_prefill(call.service, tokens, read_clock() - now)
         self.metrics.sends.labels(call.service, str(answer.head.status)).inc()
         self.health.note_success(target.id, answer.head.load, now=read_clock())
+        self._note_pace(paced_request, answer)
         return answer
 
+    def _note_pace(self, request: PacedRequest, answer: TargetAnswer) -> None:
+        """Record an answer for the pace of its target."""
+        now = read_clock()
+        pacer = self.health.pacer
+        change = None
+        if answer.head.status < 300:
+            change = pacer.note_response(request, now - answer.sent_at, now=now)
+        elif answer.head.status >= 500:
+            change = pacer.note_failure(
+                request, PaceReason.FAILED, sent_at=answer.sent_at, now=now
+            )
+        else:
+            # Such answers take no work, so they don't show how fast the target is.
+            pacer.release(request)
+        record_pace(change, self.metrics)
+
     def _open_call(
         self, call: Call, target_call: TargetCall, extend_reads: Callable[[], float]
     ) -> TargetResponse:
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -12,6 +12,7 @@
 from thornlatch.gateway._target_limits import TargetLimitSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
 from thornlatch.mesh import PeerSettings
+from thornlatch.pace import PaceSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
 from thornlatch.residency import (
     HolderSettings,
@@ -192,6 +193,7 @@
     forwarding : ForwardingSettings
     suspects : SuspectSettings
     limits : TargetLimitSettings
+    pace : PaceSettings
     stream_versions : StreamVersionSettings
     stop : StopSettings
     logs : LogSettings
@@ -213,6 +215,7 @@
     forwarding: ForwardingSettings = field(default_factory=ForwardingSettings)
     suspects: SuspectSettings = field(default_factory=SuspectSettings)
     limits: TargetLimitSettings = field(default_factory=TargetLimitSettings)
+    pace: PaceSettings = field(default_factory=PaceSettings)
     stream_versions: StreamVersionSettings = field(
         default_factory=StreamVersionSettings
     )
--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -18,12 +18,14 @@
     StoreKnowledge,
     Target,
     TargetLimit,
+    TargetPace,
     TargetRegistry,
     WorkSum,
 )
 from thornlatch.gateway import GatewayMetrics, GatewaySettings, HostAddresses
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.gateway._target_limits import TargetLimits, TargetLimitSettings
+from thornlatch.pace import Pacer, PaceSettings
 from thornlatch.quota import (
     QuotaSettings,
     RetryBudget,
@@ -61,6 +63,7 @@
         set_fleet_crashes=lambda crashes: None,
         parts=Mock(),
         limits=TargetLimits(TargetLimitSettings(), host="h"),
+        pacer=Pacer(PaceSettings()),
     )
     fleet_link = FleetLink(
         GatewaySettings(HostAddresses("h", "z", "", "", "127.0.0.1:0")),
@@ -154,6 +157,33 @@
     assert link.state.health.limits.build_reports(now=now) == ()
 
 
+@pytest.mark.parametrize("is_large", [True, False])
+def test_host_learns_the_window_of_a_target_from_a_digest(link, is_large):
+    now = read_clock()
+    registry = link.state.registry
+    registry.apply("t", Target("t", "llm", "1.2.3.4:5", "z", 8, started_ms=5), now=now)
+    paces = (TargetPace("t", 5, 3, 4.0), TargetPace("gone", 5, 3, 4.0))
+    if is_large:
+        spending = DomainSpending("z", "o1.0", 1.0, ("o1.0",), {}, {})
+        work = WorkSum(paces=paces)
+        digest = FleetDigest("o1.0", 1.0, (spending,), work, {}, {})
+        link._apply_fleet_digest(digest, now)
+    else:
+        digest = HostDigest(1.0, (), {}, {}, None, (), False, {}, paces=paces)
+        link._apply_digest("o1.0", digest, now)
+    pacer = link.state.health.pacer
+    assert pacer.get_window(("t", 5)) == 4.0
+    # Any host may be asked by one that starts, also if the sender is lost.
+    assert {report.target for report in pacer.build_reports(now=now)} == {"t", "gone"}
+
+
+def test_rounds_last_for_several_digests_of_the_fleet(link):
+    link.set_hosts({f"o{n}.0": Member("127.0.0.1:1", "z") for n in range(194)})
+    pacer = link.state.health.pacer
+    assert pacer.hosts == 195
+    assert pacer.round_s == pytest.approx(4 * link.exchange.timing.period_s)
+
+
 def build_digest(configuration, epoch=1):
     return HostDigest(
         read_clock(),
