Test that an overdue answer lowers a window at once

The new test fails without it. The assertion on the gaps between tries is written plainly, with the same bound.

--- a/src/thornlatch/pace/_settings.py
+++ b/src/thornlatch/pace/_settings.py
@@ -20,9 +20,9 @@
     growth : float
         Factor of the window in a round in which a response came in time.
     end_ratio : float
-        Window in requests per slot at which the target is no longer paced. At 1 it
-        would get all requests that wait for it at once; above, as many as targets
-        that aren't paced have in their queues.
+        Window in requests per slot at which the target is no longer paced. With 1, all
+        requests that wait would be sent there at once. Targets that aren't paced have
+        up to about this many requests.
     shrink : float
         Factor of the window after a late, refused or failed request.
     late_ratio : float
--- a/src/thornlatch/pace/tests/test_pacer.py
+++ b/src/thornlatch/pace/tests/test_pacer.py
@@ -125,13 +125,13 @@
 
 
 @both
-def test_target_without_responses_is_tried_again_within_two_seconds(fleet):
+def test_target_without_responses_is_tried_again_and_again(fleet):
     simulated = SimulatedTarget(TARGET, answers=False)
     fleet = start(simulated, **fleet)
     fleet.run(10.0)
     gaps = [b - a for a, b in zip(simulated.sends, simulated.sends[1:], strict=False)]
     assert simulated.sends[0] <= 2
-    assert 1 <= max(gaps) * 10 / 10 + 1 <= 3.5
+    assert max(gaps) <= 2.5
     assert len(simulated.sends) <= 30
 
 
@@ -207,6 +207,20 @@
     assert pacer.get_window(TARGET.incarnation) == 8
 
 
+def test_overdue_response_lowers_the_window_before_it_arrives():
+    # Until then, fast answers to earlier requests would raise the window.
+    pacer = build_pacer()
+    pacer.begin(TARGET, is_first_read=False, now=1.0)
+    assert respond(pacer, TARGET, at=1.4).window == 4
+    request = PacedRequest(TARGET, "slow", True, 10)
+    assert pacer.try_send(request, now=1.5)
+    pacer.note_sent(request, now=1.5)
+    assert pacer.tick(lambda name: TARGET, now=2.0) == []
+    [change] = pacer.tick(lambda name: TARGET, now=2.5)
+    assert (change.window, change.reason) == (2.0, PaceReason.LATE)
+    assert pacer.tick(lambda name: TARGET, now=3.0) == []
+
+
 def test_response_to_a_request_of_an_earlier_round_does_not_raise_the_window():
     pacer = build_pacer()
     pacer.begin(TARGET, is_first_read=False, now=1.0)
