--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -115,6 +115,34 @@
     ends_in_s: float | None = None
 
 
+@dataclass(frozen=True)
+class TargetPace:
+    """The window of a target that started or recovered, as a host knows it.
+
+    Parameters
+    ----------
+    target : str
+    started_ms : int
+    round : int
+        Grows with each change. Of two windows that of the higher round counts, and of
+        the same round the lower one.
+    window : float
+        Requests that all hosts together may have running there.
+    age_s : float
+        Seconds since the change.
+    idle_s : float
+        Seconds since a response of the target to the sender, or a send; infinite or
+        very long without any.
+    """
+
+    target: str
+    started_ms: int
+    round: int
+    window: float
+    age_s: float = 0.0
+    idle_s: float = 0.0
+
+
 @dataclass(frozen=True)
 class StoreKnowledge:
     """What a host knows of the platform's store.
@@ -180,6 +208,8 @@
     speeds : dict of str to (int, int)
         How long work takes at targets, as they reported it since the previous digest:
         mean in percent of the usual and number of reports, by target.
+    paces : tuple of TargetPace
+        Windows of paced targets that the sender knows.
     """
 
     sent_at: float
@@ -199,6 +229,7 @@
     limits: tuple[TargetLimit, ...] = ()
     recent_sends: dict[str, int] = field(default_factory=dict)
     speeds: dict[str, tuple[int, int]] = field(default_factory=dict)
+    paces: tuple[TargetPace, ...] = ()
 
 
 @register
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -1,7 +1,7 @@
 """Messages between the relays of failure domains and to the hosts of a domain."""
 
 from collections.abc import Iterable
-from dataclasses import dataclass, field
+from dataclasses import dataclass, field, replace
 
 from thornlatch.core import register
 from thornlatch.fleet._digests import (
@@ -10,8 +10,10 @@
     PartReport,
     StoreKnowledge,
     TargetLimit,
+    TargetPace,
 )
 
+PACE_LIMIT = 128  # windows in a domain's digest; 6 KB
 FLEET = ""  # in place of a host id, for what a relay reports of all hosts
 
 
@@ -77,6 +79,8 @@
     speeds : dict of str to (int, int)
         How long work takes at targets, as they reported it: mean in percent of the
         usual and number of reports, by target.
+    paces : tuple of TargetPace
+        Windows of paced targets that any of the hosts knows.
     """
 
     running: dict[str, int] = field(default_factory=dict)
@@ -90,6 +94,7 @@
     limits: tuple[TargetLimit, ...] = ()
     recent_sends: dict[str, int] = field(default_factory=dict)
     speeds: dict[str, tuple[int, int]] = field(default_factory=dict)
+    paces: tuple[TargetPace, ...] = ()
 
 
 @register
@@ -193,6 +198,7 @@
         limits=merge_limits(limit for part in parts for limit in part.limits),
         recent_sends=sum_counts(part.recent_sends for part in parts),
         speeds=merge_speeds(part.speeds for part in parts),
+        paces=select_paces(merge_paces(pace for part in parts for pace in part.paces)),
     )
 
 
@@ -300,6 +306,54 @@
     return merged
 
 
+def merge_paces(paces: Iterable[TargetPace]) -> tuple[TargetPace, ...]:
+    """Merge the windows of paced targets that several hosts report.
+
+    The result doesn't depend on the order of the reports, nor on how often each
+    arrives.
+
+    Parameters
+    ----------
+    paces : iterable of TargetPace
+
+    Returns
+    -------
+    tuple of TargetPace
+        One of each incarnation, sorted by it: that of the highest round, of these the
+        lowest window, of these the latest change.
+    """
+    merged: dict[tuple[str, int], TargetPace] = {}
+    for pace in paces:
+        incarnation = (pace.target, pace.started_ms)
+        known = merged.get(incarnation)
+        if known is None:
+            merged[incarnation] = pace
+            continue
+        winner = max(known, pace, key=_rank_pace)
+        idle_s = min(known.idle_s, pace.idle_s)
+        merged[incarnation] = replace(winner, idle_s=idle_s)
+    return tuple(merged[incarnation] for incarnation in sorted(merged))
+
+
+def _rank_pace(pace: TargetPace) -> tuple[int, float, float]:
+    return pace.round, -pace.window, -pace.age_s
+
+
+def select_paces(paces: Iterable[TargetPace]) -> tuple[TargetPace, ...]:
+    """Return the windows that changed last, for a message of bounded size.
+
+    Parameters
+    ----------
+    paces : iterable of TargetPace
+
+    Returns
+    -------
+    tuple of TargetPace
+        At most `PACE_LIMIT`.
+    """
+    return tuple(sorted(paces, key=lambda pace: pace.age_s)[:PACE_LIMIT])
+
+
 def merge_parts(reports: Iterable[PartReport]) -> PartReport:
     """Merge crashes by part of the prompt over several hosts.
 
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -9,6 +9,7 @@
     PartReport,
     PeerView,
     TargetLimit,
+    TargetPace,
 )
 from thornlatch.fleet._domain_choice import DomainDigestSelector, ExchangeSettings
 from thornlatch.fleet._domain_messages import (
@@ -79,6 +80,7 @@
         self.limits: tuple[TargetLimit, ...] = ()
         # How long work takes at targets, as they reported it to any host.
         self.speeds: dict[str, tuple[int, int]] = {}
+        self.paces: tuple[TargetPace, ...] = ()
 
     def note_sent(self, digest: HostDigest) -> None:
         """Remember a digest of this host until a relay may have echoed it.
@@ -215,6 +217,7 @@
         self.leaving = work.leaving
         self.limits = work.limits
         self.speeds = work.speeds
+        self.paces = work.paces
 
     def _count_peer_requests(
         self, message: FleetDigest, now: float
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -31,7 +31,7 @@
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._logs import JsonLineHandler, redirect_library_logs
 from thornlatch.gateway._metrics import GatewayMetrics
-from thornlatch.gateway._notices import EVACUATION, REGISTRATION, note_cold
+from thornlatch.gateway._notices import EVACUATION, REGISTRATION, note_cold, record_pace
 from thornlatch.gateway._operator_pages import OperatorPages
 from thornlatch.gateway._ordering import OrderManager
 from thornlatch.gateway._pacing import PromptPacing
@@ -39,7 +39,7 @@
 from thornlatch.gateway._recent_requests import RecentRequests
 from thornlatch.gateway._regions import RegionPolicy
 from thornlatch.gateway._replication import AdapterReplicator
-from thornlatch.gateway._selector import TargetSelector
+from thornlatch.gateway._selector import AVOIDING_PEER_LIMIT, TargetSelector
 from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._servers import build_server, has_unsent_answers
 from thornlatch.gateway._settings import GatewaySettings
@@ -52,6 +52,7 @@
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._target_limits import TargetLimits
 from thornlatch.gateway._work import WorkTable
+from thornlatch.pace import Pacer
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import AdapterVersions, Resident, ResidentTable, Tenure
 from thornlatch.routing import Configuration, ConfigurationInForce
@@ -125,6 +126,12 @@
                 cold_settings=settings.cold,
             ),
             speed_settings=settings.speeds,
+            pacer=Pacer(
+                settings.pace,
+                count_own=self.work.get_total,
+                count_peers=self.peers.count_peer_requests,
+                get_share=self._get_share_of_requests,
+            ),
         )
         self.suspects = CrashSuspects(
             settings.suspects, self.registry, count_runs=self.work.count_runs
@@ -669,6 +676,7 @@
         self.evacuations.expire(now=now)
         if self.evacuations.unchecked and self.targets_known:
             self.evacuations.check_unknown(self._list_known_domains())
+        self._pace_targets(now, has_peers=bool(live))
         self.orders.update_held_targets(now=now)
         self.orders.refresh_residents(now=now)
         self.orders.tick(now=now)
@@ -677,10 +685,37 @@
             self.stream_versions.tick(
                 self.in_force.configuration.resumable_services, now=now
             )
+        self.metrics.pace_targets.set(self.health.pacer.count_paced())
         self.metrics.running.set(len(self.work.running))
         self.metrics.live_peers.set(len(live))
         self.metrics.received_memory.set(received_memory.used_bytes)
 
+    def _pace_targets(self, now: float, *, has_peers: bool) -> None:
+        """Pace targets that failed, and draw this host's places at paced ones."""
+        pacer = self.health.pacer
+        if pacer.is_enabled:
+            pacer.note_registered(list(self.registry.targets.values()), now=now)
+            self._note_avoided(now, has_peers=has_peers)
+        for change in pacer.tick(self.registry.get, now=now):
+            record_pace(change, self.metrics)
+
+    def _get_share_of_requests(self) -> float:
+        """Return the part of the requests of all hosts at targets that are its own."""
+        own = sum(list(self.work.totals.values()))
+        running = self.peers.running
+        peers = sum(by_adapter.get("", 0) for by_adapter in running.values())
+        return own / (own + peers) if own else 0.0
+
+    def _note_avoided(self, now: float, *, has_peers: bool) -> None:
+        for name in self.health.list_avoided(now=now):
+            target = self.registry.get(name)
+            avoiding = 1 + self.peers.count_peers_avoiding(name)
+            # A single host may only have lost its own connection to the target.
+            if target is None or (has_peers and avoiding < AVOIDING_PEER_LIMIT):
+                continue
+            failed_at = self.health.get_avoided_at(name)
+            self.health.pacer.note_avoided(target, failed_at=failed_at, now=now)
+
     def _handle_target_change(
         self, name: str, target: Target | None, previous: Target | None
     ) -> None:
@@ -704,6 +739,10 @@
             self.health.forget(name, now=read_clock())
         else:
             self.health.begin(name, target.started_ms)
+            change = self.health.pacer.begin(
+                target, is_first_read=not self.targets_known, now=read_clock()
+            )
+            record_pace(change, self.metrics)
 
     def _handle_domain_returned(self, domain: str, now: float) -> None:
         """Take the targets of a failure domain for cold when its evacuation ends.
--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -10,6 +10,7 @@
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._target_limits import TargetLimits, TargetLimitSettings
 from thornlatch.gateway._target_speeds import SpeedSettings, TargetSpeeds
+from thornlatch.pace import Pacer, PaceSettings
 
 SMOOTHING_WEIGHT = 0.1  # of the latest observation in a moving average
 INITIAL_SERVICE_S = 1.5  # per request, until one has been observed
@@ -29,6 +30,7 @@
 class _Observations:
     failures: int = 0
     avoid_until: float = float("-inf")
+    failed_at: float = float("-inf")  # last failure for which it is avoided
     failure_ratio: float = 0.0
     load: ReportedLoad | None = None
     load_at: float = float("-inf")
@@ -96,6 +98,8 @@
     limits : TargetLimits or None
         Limits of the targets; None for limits of which no other host has a share.
     speed_settings : SpeedSettings
+    pacer : Pacer or None
+        Windows of targets that started or recovered; None to pace none.
     """
 
     def __init__(
@@ -105,11 +109,13 @@
         random: Random | None = None,
         limits: TargetLimits | None = None,
         speed_settings: SpeedSettings = SpeedSettings(),  # noqa: B008
+        pacer: Pacer | None = None,
     ) -> None:
         self.settings = settings
         self.random = random or Random()
         self.limits = limits or TargetLimits(TargetLimitSettings())
         self.speeds = TargetSpeeds(speed_settings)
+        self.pacer = pacer or Pacer(PaceSettings())
         self.lock = threading.Lock()
         self.observations: dict[str, _Observations] = {}
         self.service_s: dict[str, float] = {}
@@ -170,6 +176,7 @@
             if now >= record.avoid_until:
                 record.avoided_at = now
             record.avoid_until = now + avoid_s
+            record.failed_at = now
             return avoid_s
 
     def note_pause(self, target: str, pause_s: float, *, now: float) -> None:
@@ -400,6 +407,7 @@
         """
         view = copy.copy(self)
         view.limits = self.limits.build_copy()
+        view.pacer = self.pacer.build_copy()
         return view
 
     def list_avoided(self, *, now: float) -> tuple[str, ...]:
@@ -420,6 +428,21 @@
                 if now < record.avoid_until
             )
 
+    def get_avoided_at(self, target: str) -> float:
+        """Return when a target last failed so that it is avoided.
+
+        Parameters
+        ----------
+        target : str
+
+        Returns
+        -------
+        float
+            Minus infinity if it hasn't.
+        """
+        record = self.observations.get(target)
+        return float("-inf") if record is None else record.failed_at
+
     def get_reported_requests(self, target: str, *, now: float) -> int:
         """Return the number of requests that a target reported.
 
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -4,7 +4,7 @@
 import threading
 from collections import Counter
 from collections.abc import Sequence
-from dataclasses import dataclass
+from dataclasses import dataclass, replace
 from random import Random
 
 import logbook
@@ -121,7 +121,7 @@
         self.pacing = pacing
         self.regions = regions
         self.random = random
-        # Requests that wait because all targets of their service are closed.
+        # Requests that wait because all targets of their service are closed or paced.
         self.waiting: Counter[str] = Counter()
         self.waiting_lock = threading.Lock()
 
@@ -173,14 +173,30 @@
                     raise _build_no_target_refusal(call)
                 self.residents.wait(call.request.adapter, POLL_INTERVAL_S)
                 continue
-            best = options[0]
+            self._note_wanted(options)
+            best = self._choose_best(options, now, waited_s=now - waits_from)
+            if best.step is Step.AWAIT_PLACE:
+                queue_s = self._estimate_place_queue_s(call)
+                best = replace(best, wait_s=best.wait_s + queue_s)
+                if call.may_have_run:
+                    # A refusal would end it for good.
+                    wait_until = call.running.ends_at - MIN_SEND_BUDGET_S
             is_late = _is_late(best, now, waits_from, wait_until)
+            if is_late and best.step is Step.AWAIT_PLACE:
+                # Rather an avoided target, or one with a queue, than none.
+                startable = [o for o in options if o.step is Step.SEND]
+                if startable:
+                    best = startable[0]
+                    is_late = _is_late(best, now, waits_from, wait_until)
             if best.target.id not in load_requested_at and _needs_load_request(
                 call, best, now, is_late=is_late
             ):
                 load_requested_at[best.target.id] = now
                 self.request_load(call, best.target, now, was_missing=False)
             if is_late:
+                if best.step is Step.AWAIT_PLACE:
+                    delay_s = draw_return_delay(self.random, best.wait_s)
+                    best = replace(best, wait_s=best.wait_s + delay_s)
                 raise _build_late_refusal(call, best, now, wait_until)
             if best.step is Step.SEND:
                 call.waited_s += now - waits_from
@@ -188,6 +204,9 @@
             if best.step is Step.AWAIT_PREFILL:
                 self.pacing.note_wait(call.service, now=now)
             left_s = max(min(best.wait_s, wait_until - now), 0.001)
+            if best.step is Step.AWAIT_PLACE:
+                self._wait_closed(call, left_s)
+                continue
             self.residents.wait(call.request.adapter, min(left_s, POLL_INTERVAL_S))
 
     def build_view(self) -> "TargetSelector":
@@ -272,7 +291,12 @@
         """
         excluded = call.excluded | {target}
         now = read_clock()
-        return any(t.id not in excluded for t in self._list_accepting(call, now))
+        service_s = self.health.get_service_s(call.service)
+        return any(
+            other.id not in excluded
+            and not self.health.pacer.get_wait_s(other, service_s=service_s, now=now)
+            for other in self._list_accepting(call, now)
+        )
 
     def list_startable(
         self, call: Call, besides: str, *, within_s: float, now: float
@@ -428,6 +452,48 @@
                 raise self._build_closed_refusal(call, closed_s)
         return 0.0
 
+    def _estimate_place_queue_s(self, call: Call) -> float:
+        """Return the seconds that the requests waiting for places take before."""
+        service_s = self.health.get_service_s(call.service)
+        rate = sum(
+            min(
+                self.health.pacer.get_rate(target.incarnation, service_s=service_s),
+                self.health.limits.get_share(target.incarnation),
+            )
+            for target in self._list_ready(call)
+        )
+        return self.waiting[call.service] / rate if rate else 0.0
+
+    def _choose_best(
+        self, options: list[TargetOption], now: float, *, waited_s: float
+    ) -> TargetOption:
+        """Return the option of the lowest cost, or one that can be used earlier.
+
+        Other requests may take the places that one waits for again and again. So a
+        request accepts a longer queue elsewhere the longer it has waited for a place.
+        """
+        best = options[0]
+        if best.step is not Step.AWAIT_PLACE:
+            return best
+        for option in options:
+            if (
+                option.step is Step.SEND
+                and option.wait_s <= best.wait_s + waited_s
+                and not self._is_avoided(option.target.id, now)
+            ):
+                return option
+        return best
+
+    def _note_wanted(self, options: list[TargetOption]) -> None:
+        """Record the targets at which the request would be if they weren't paced."""
+        for option in options:
+            if (
+                option.place_wait_s
+                and option.step is Step.AWAIT_PLACE
+                and option.cost_s - option.place_wait_s <= options[0].cost_s
+            ):
+                self.health.pacer.note_wanted(option.target.incarnation)
+
     def _wait_closed(self, call: Call, closed_s: float) -> None:
         with self.waiting_lock:
             self.waiting[call.service] += 1
@@ -558,6 +624,9 @@
             spread_s = self.random.uniform(0.0, self.settings.herd_spread_s)
         work_ratio = self.health.speeds.get_ratio(target.id, now=now)
         prompt_tokens = self.orders.count_recent_prompt_tokens(target.id, now=now)
+        pace_wait_s = self.health.pacer.get_wait_s(
+            target, service_s=self.health.get_service_s(call.service), now=now
+        )
         if not adapter:
             return TargetState(
                 requests,
@@ -566,6 +635,7 @@
                 spread_s=spread_s,
                 has_model=not model or target.holds_model(model),
                 work_ratio=work_ratio,
+                pace_wait_s=pace_wait_s,
             )
         resident = self.residents.get(target.id, adapter)
         in_transit = 0
@@ -586,6 +656,7 @@
             max(self.residents.place_at.get(target.id, now) - now, 0.0),
             spread_s,
             work_ratio=work_ratio,
+            pace_wait_s=pace_wait_s,
         )
 
     def _prefer_loads_without_limit(
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -15,6 +15,7 @@
 from thornlatch.gateway._target_speeds import SpeedSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
 from thornlatch.mesh import PeerSettings
+from thornlatch.pace import PaceSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
 from thornlatch.residency import (
     HolderSettings,
@@ -212,6 +213,7 @@
     limits : TargetLimitSettings
     cold : ColdTargetSettings
     speeds : SpeedSettings
+    pace : PaceSettings
     stream_versions : StreamVersionSettings
     stop : StopSettings
     logs : LogSettings
@@ -239,6 +241,7 @@
     limits: TargetLimitSettings = field(default_factory=TargetLimitSettings)
     cold: ColdTargetSettings = field(default_factory=ColdTargetSettings)
     speeds: SpeedSettings = field(default_factory=SpeedSettings)
+    pace: PaceSettings = field(default_factory=PaceSettings)
     stream_versions: StreamVersionSettings = field(
         default_factory=StreamVersionSettings
     )
