Refill buckets of target limits once when threads' clocks differ

Threads read the clock before they take the lock. One that read it earlier set the time of the latest refill back, so the time in between was refilled once more: a host could send two requests to a cold target within 10 ms. test_thread_that_read_the_clock_earlier_fills_no_bucket_twice failed before.

--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -163,7 +163,8 @@
         """Add the tokens of the time since the last refill."""
         elapsed_s = max(now - self.refilled_at, 0.0)
         self.tokens = min(self.tokens + elapsed_s * share.rate, share.capacity)
-        self.refilled_at = now
+        # A thread may have read the clock before another one that refilled the bucket.
+        self.refilled_at = max(self.refilled_at, now)
 
 
 @dataclass
--- a/src/thornlatch/gateway/tests/test_cold_targets.py
+++ b/src/thornlatch/gateway/tests/test_cold_targets.py
@@ -129,6 +129,19 @@
     assert len(sends) <= most.capacity
 
 
+def test_thread_that_read_the_clock_earlier_fills_no_bucket_twice():
+    """A thread may be suspended between reading the clock and taking the lock."""
+    names = [f"h{number}" for number in range(73)]
+    fleet = {name: build(name, names, now=-5.0) for name in names}
+    for limits in fleet.values():
+        note_cold(limits, 0.0, remaining_s=30.0)
+    host = next(name for name in names if fleet[name].get_share(TARGET))
+    limits = fleet[host]
+    assert limits.try_send(TARGET, now=10.0)
+    assert not limits.try_send(TARGET, now=2.0)
+    assert not limits.try_send(TARGET, now=10.01)
+
+
 def test_restart_begins_a_new_cold_time():
     limits = build("h1", ["h1"])
     note_cold(limits, 0.0)
