Give hosts that replace others at a cold target an empty bucket

A bucket without a share was as old as the cold time, so a host that got a share later could send at once, beside those that had just sent. When all ten hosts with a share were replaced, 17 requests fell in one second, where 15.5 are allowed; test_hosts_that_replace_the_ones_with_a_share_begin_with_nothing failed with that before.

--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -191,6 +191,8 @@
     source: str = ""
     # When this host got an answer that told of it; None if it knows from elsewhere.
     seen_at: float | None = None
+    # Whether this host had a share when it last looked.
+    had_share: bool = True
 
 
 @dataclass(frozen=True)
@@ -518,12 +520,12 @@
         period = self.cold.get(target)
         if period is None or now >= period.until:
             period = _ColdPeriod(service=service, since=now, refilled_at=now)
-            if not self._may_have_just_sent(target, now):
+            share = self._compute_cold_share(target, period)
+            period.had_share = share.rate > 0
+            if period.had_share and not self._may_have_just_sent(target, now):
                 # Hosts with a share begin one after the other, not all at once after
                 # the time in which an empty bucket fills.
-                share = self._compute_cold_share(target, period)
-                if share.rate:
-                    period.tokens = period.rank / share.hosts
+                period.tokens = period.rank / share.hosts
             self.cold[target] = period
         period.service = period.service or service
         if until > period.until:
@@ -766,7 +768,12 @@
         left_s = period.until - now
         if not share.rate:
             # Other hosts' requests keep the target busy meanwhile.
+            period.had_share = False
             return left_s
+        if not period.had_share:
+            # Hosts that had the share before may just have sent.
+            period.had_share, period.tokens = True, 0.0
+            period.refilled_at = max(period.refilled_at, now)
         period.refill(share, now)
         return min(max(1.0 - period.tokens, 0.0) / share.rate, left_s)
 
--- a/src/thornlatch/gateway/tests/test_cold_targets.py
+++ b/src/thornlatch/gateway/tests/test_cold_targets.py
@@ -142,6 +142,22 @@
     assert not limits.try_send(TARGET, now=10.01)
 
 
+def test_hosts_that_replace_the_ones_with_a_share_begin_with_nothing():
+    """They have saved up nothing, and the former ones may just have sent."""
+    names = [f"h{number}" for number in range(73)]
+    fleet = {name: build(name, names, now=-5.0) for name in names}
+    for limits in fleet.values():
+        note_cold(limits, 0.0, remaining_s=30.0)
+    sends = send_all(fleet, begin=0.0, end=4.0)
+    first = {name for name in names if fleet[name].get_share(TARGET)}
+    for limits in fleet.values():
+        limits.set_hosts(sorted(set(names) - first))
+    rest = {name: limits for name, limits in fleet.items() if name not in first}
+    sends += send_all(rest, begin=4.0, end=8.0)
+    assert count_most_in_window(sends) <= get_bound(7.0)
+    assert max(sends) > 5.0
+
+
 def test_restart_begins_a_new_cold_time():
     limits = build("h1", ["h1"])
     note_cold(limits, 0.0)
