Keep what is known of incarnations later than the registered ones

The turn of a host looks at the registered targets and then drops the cold times and limits of other incarnations. A restart that another thread applied between the two lost its cold time on this host, and so did one of which a peer told before its registration was read. test_registered_targets_that_were_read_before_drop_no_new_cold_time failed before.

--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -433,6 +433,9 @@
     def retain(self, targets: Collection[Incarnation], *, now: float) -> None:
         """Drop what is known of targets that restarted or left.
 
+        Later incarnations than the registered ones are kept: peers may tell of them
+        first, and another thread may register one meanwhile.
+
         Parameters
         ----------
         targets : collection of (str, int)
@@ -441,14 +444,15 @@
         """
         if not (self.limits or self.send_times or self.cold):
             return
-        ids = {target for target, _ in targets}
+        started_ms = dict(targets)
         with self.lock:
             for target in list(self.cold):
-                if target not in targets and target[0] in ids:
+                if target[1] < started_ms.get(target[0], target[1]):
                     del self.cold[target]
             for target, limit in list(self.limits.items()):
+                has_restarted = target[1] < started_ms.get(target[0], target[1])
                 is_old = now - limit.named_at >= UNREGISTERED_MEMORY_S
-                if target not in targets and (target[0] in ids or is_old):
+                if has_restarted or (is_old and target not in targets):
                     del self.limits[target]
             for target in list(self.send_times):
                 if not self._count_own_sends(target, now):
--- a/src/thornlatch/gateway/tests/test_cold_targets.py
+++ b/src/thornlatch/gateway/tests/test_cold_targets.py
@@ -158,6 +158,15 @@
     assert max(sends) > 5.0
 
 
+def test_registered_targets_that_were_read_before_drop_no_new_cold_time():
+    """The thread of the store may apply a restart while another one looks."""
+    limits = build("h1", ["h1"])
+    restarted = (TARGET[0], 2000)
+    note_cold(limits, 0.0, target=restarted)
+    limits.retain({TARGET}, now=0.1)
+    assert limits.is_limited(restarted)
+
+
 def test_restart_begins_a_new_cold_time():
     limits = build("h1", ["h1"])
     note_cold(limits, 0.0)
