Note that a target is cold before requests may choose it

A registration was applied to the list of targets first, and its cold time noted afterwards. In between, requests of other threads that waited for a target found it without a limit. test_target_is_known_to_be_cold_before_requests_may_choose_it failed before.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -459,13 +459,14 @@
             None if the registration was removed.
         """
         now = read_clock()
+        if target is not None:
+            # Before other threads may choose it.
+            note_cold(target, target.cold_s, source=REGISTRATION, health=self.health)
         previous = self.registry.get(name)
         if self.registry.apply(name, target, now=now):
             # A target may leave although its entry doesn't say so.
             current = self.registry.get(name) if target is not None else None
             self._handle_target_change(name, current, previous)
-        if target is not None:
-            note_cold(target, target.cold_s, source=REGISTRATION, health=self.health)
         if target is not None and target.loaded_models:
             self.residents.apply_registration(
                 name, _build_registered_residents(target, now), now=now
--- a/src/thornlatch/gateway/tests/test_cold_targets.py
+++ b/src/thornlatch/gateway/tests/test_cold_targets.py
@@ -7,7 +7,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from thornlatch.fleet import TargetLimit
+from thornlatch.fleet import Target, TargetLimit
+from thornlatch.gateway import Gateway, GatewaySettings, HostAddresses
 from thornlatch.gateway._target_limits import (
     COLD_LIMIT_S,
     ColdTargetSettings,
@@ -281,3 +282,27 @@
     ]
     assert sum(shares) == pytest.approx(7.0 * len(targets))
     assert sum(share > 0 for share in shares) >= 70
+
+
+@pytest.fixture(name="gateway")
+def _build_gateway():
+    addresses = HostAddresses("h1", "z", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+    settings = GatewaySettings(addresses)
+    gateway = Gateway(settings, callers=None, targets=None, partitions=12)
+    yield gateway
+    gateway.fleet.peer_loop.mesh.close()
+
+
+def test_target_is_known_to_be_cold_before_requests_may_choose_it(gateway):
+    """All requests that waited went to a new target while its entry was applied."""
+    target = Target("t1", SERVICE, "1.2.3.4:5", "z", 8, started_ms=1, cold_s=3.0)
+    were_cold = []
+    apply = gateway.registry.apply
+
+    def apply_and_look(name, entry, *, now):
+        were_cold.append(entry.incarnation in gateway.health.limits.cold)
+        return apply(name, entry, now=now)
+
+    gateway.registry.apply = apply_and_look
+    gateway.apply_target(target.id, target)
+    assert were_cold == [True]
