Tell target limits when the host started

The first cold time that a host learnt of was taken for its start, because notes of targets that aren't cold don't reach the limits. So all hosts began with empty buckets at the first cold targets of their lives, and sent their first requests at the same time, 1.4 s later. The tests hid it: they noted a time of 0 first. test_first_cold_target_of_a_host_is_not_taken_for_its_start failed before.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -124,6 +124,7 @@
                 host=settings.host.name,
                 count_peer_sends=self.peers.count_recent_sends,
                 cold_settings=settings.cold,
+                started_at=now,
             ),
             speed_settings=settings.speeds,
             pacer=Pacer(
--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -240,6 +240,8 @@
         Source of the differences between callers that return; None for one that is
         seeded by the system.
     cold_settings : ColdTargetSettings
+    started_at : float
+        When this host started. Its former process may have sent until then.
     """
 
     def __init__(
@@ -250,6 +252,7 @@
         count_peer_sends: Callable[[str], int] = lambda target: 0,
         random: Random | None = None,
         cold_settings: ColdTargetSettings = ColdTargetSettings(),  # noqa: B008
+        started_at: float = float("-inf"),
     ) -> None:
         self.settings = settings
         self.cold_settings = cold_settings
@@ -262,7 +265,7 @@
         self.cold: dict[Incarnation, _ColdPeriod] = {}
         # Requests a second that a cold target of a service tolerates.
         self.cold_rates: dict[str, float] = {}
-        self.started_at: float | None = None
+        self.started_at = started_at
         # Times of this host's sends in the last window.
         self.send_times: dict[Incarnation, deque[float]] = {}
 
@@ -516,8 +519,6 @@
         source: str,
         now: float,
     ) -> _ColdPeriod | None:
-        if self.started_at is None:
-            self.started_at = now
         if not remaining_s > 0:
             return None
         until = now + min(remaining_s, COLD_LIMIT_S)
@@ -538,8 +539,7 @@
 
     def _may_have_just_sent(self, target: Incarnation, now: float) -> bool:
         """Return whether this host, or its former process, may have sent just now."""
-        started_at = self.started_at if self.started_at is not None else now
-        if now - started_at < self.cold_settings.window_s:
+        if now - self.started_at < self.cold_settings.window_s:
             return True
         return self._count_own_sends(target, now) > 0
 
--- a/src/thornlatch/gateway/tests/test_cold_targets.py
+++ b/src/thornlatch/gateway/tests/test_cold_targets.py
@@ -28,10 +28,11 @@
 
 
 def build(host, hosts, *, rate=7.0, now=0.0):
-    limits = TargetLimits(TargetLimitSettings(), host=host, cold_settings=SETTINGS)
+    limits = TargetLimits(
+        TargetLimitSettings(), host=host, cold_settings=SETTINGS, started_at=now
+    )
     limits.set_hosts(sorted(hosts))
     limits.set_cold_rates({SERVICE: rate})
-    limits.note_cold(("before", 1), SERVICE, 0.0, source="registration", now=now)
     return limits
 
 
@@ -306,3 +307,15 @@
     gateway.registry.apply = apply_and_look
     gateway.apply_target(target.id, target)
     assert were_cold == [True]
+
+
+def test_first_cold_target_of_a_host_is_not_taken_for_its_start(gateway):
+    """All hosts began with empty buckets, and so all at the same time."""
+    limits = gateway.health.limits
+    limits.set_cold_rates({SERVICE: 7.0})
+    hosts = [f"h{number}" for number in range(73)]
+    limits.set_hosts(hosts)
+    now = limits.started_at + 100.0
+    for number in range(100):
+        note_cold(limits, now, target=(f"t{number}", 1))
+    assert max(period.tokens for period in limits.cold.values()) > 0.0
