Bound the own shares of starting hosts by the burst

Hosts that hear of few peers share one second of the rate, also where the burst is smaller, so an organisation with a burst of 0.2 s of its rate could spend five times its burst at once: 1010 tokens instead of 210 in test_own_shares_of_hosts_that_start_grant_no_more_than_a_burst_together, which failed before.

--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -115,6 +115,8 @@
     rate: float
     burst: float
     level: float
+    # The organisation's, of which a large fleet uses a part.
+    whole_burst: float = math.inf
     spent: int = 0
     # Tokens of refused requests whose callers were told to retry later.
     promised_tokens: float = 0.0
@@ -290,6 +292,7 @@
                 # Spending allowed by a higher limit doesn't count against a lower one.
                 bucket.window = None
             bucket.rate, bucket.burst = organisation.rate, burst
+            bucket.whole_burst = organisation.burst
             bucket.level = min(bucket.level, burst)
             self._update_window(bucket)
 
@@ -596,8 +599,9 @@
         """
         if not self._is_discovering(now):
             return 0.0
-        elapsed_s = self.settings.first_fill_s + now - self.started_at
-        return bucket.rate * elapsed_s / (len(self.peers) + 1) - bucket.spent
+        tokens = min(bucket.rate * self.settings.first_fill_s, bucket.whole_burst)
+        tokens += bucket.rate * (now - self.started_at)
+        return tokens / (len(self.peers) + 1) - bucket.spent
 
     def _is_discovering(self, now: float) -> bool:
         if now - self.started_at >= self.settings.discovery_s:
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -353,3 +353,13 @@
     assert quota.try_spend("shop", 5000, now=0.1) is not None
     assert quota.try_spend("shop", 5000, now=0.1, is_resumed=True) is None
     assert quota.try_spend("shop", 20_000, now=4.0) is None
+
+
+def test_own_shares_of_hosts_that_start_grant_no_more_than_a_burst_together():
+    """A burst of less than the first fill was exceeded by the shares of all hosts."""
+    peers = [f"p{number}" for number in range(9)]
+    quota = build_quota(peers=peers, rate=1000.0, burst=200.0)
+    spent = 0
+    while quota.try_spend("shop", 1, now=0.01) is None:
+        spent += 1
+    assert spent * 10 <= 200 + 10
