Charge the shares of new peers as soon as they are known

The shares of the level that silent peers may spend were charged with the first update of the buckets after they were named, 5 ms later. Until then a host that had just started could spend the whole first level: 1000 tokens instead of its 100 in test_host_spends_no_more_than_its_share_just_after_it_knows_its_peers, which failed before.

--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -338,6 +338,7 @@
             for name in known - self.peers.keys():
                 # It may spend its share before its first digest.
                 self.peers[name] = _Peer(float("-inf"))
+            self._note_silent(now)
 
     def apply_peer_digest(
         self, host: str, spent: Mapping[str, int], levels: Mapping[str, int], now: float
@@ -690,20 +691,8 @@
         if elapsed < ADVANCE_PERIOD_S:
             return
         self.advanced_at = now
+        self._note_silent(now)
         equal_share = 1 / (len(self.peers) + 1)
-        fallen_silent = [
-            name
-            for name, peer in self.peers.items()
-            if not peer.is_silent and now - peer.last_heard_at >= self.silent_s
-        ]
-        if fallen_silent:
-            for name in fallen_silent:
-                self.peers[name].is_silent = True
-            for bucket in self.buckets.values():
-                # Each may spend its share of the present level.
-                share = max(bucket.level, 0.0) * equal_share
-                for name in fallen_silent:
-                    self._charge_assumed(bucket, name, share, now)
         # In a large fleet the spending of most peers is in digests of their domains.
         spending = [
             (name, peer)
@@ -733,6 +722,24 @@
                     rate = state.rates.get(organisation, 0.0)
                     self._charge_assumed(bucket, name, rate * elapsed, now)
 
+    def _note_silent(self, now: float) -> None:
+        """Charge the shares of the level that peers which fell silent may spend."""
+        equal_share = 1 / (len(self.peers) + 1)
+        fallen_silent = [
+            name
+            for name, peer in self.peers.items()
+            if not peer.is_silent and now - peer.last_heard_at >= self.silent_s
+        ]
+        if not fallen_silent:
+            return
+        for name in fallen_silent:
+            self.peers[name].is_silent = True
+        for bucket in self.buckets.values():
+            # Each may spend its share of the present level.
+            share = max(bucket.level, 0.0) * equal_share
+            for name in fallen_silent:
+                self._charge_assumed(bucket, name, share, now)
+
     def _charge_assumed(
         self, bucket: _Bucket, peer: str, tokens: float, now: float
     ) -> None:
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -363,3 +363,12 @@
     while quota.try_spend("shop", 1, now=0.01) is None:
         spent += 1
     assert spent * 10 <= 200 + 10
+
+
+def test_host_spends_no_more_than_its_share_just_after_it_knows_its_peers():
+    """For 5 ms each of the hosts that started could spend the whole first level."""
+    quota = build_quota(peers=[f"p{number}" for number in range(9)])
+    spent = 0
+    while quota.try_spend("shop", 1, now=0.002) is None:
+        spent += 1
+    assert spent <= BURST / 10 + 1
