Charge the shares of silent peers to buckets that begin later

A host that reads the quotas after the list of hosts created full buckets while its silent peers' shares counted as charged, so each host could spend the first level of all hosts: 1000 tokens instead of 110 in test_host_that_reads_the_quotas_after_its_peers_spends_no_more_than_its_share, which failed before.

--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -219,7 +219,7 @@
         with self.lock:
             self._advance(now)
             self.organisations = tuple(organisations)
-            self._update_buckets()
+            self._update_buckets(now)
             self._forget_organisations(now)
 
     def _forget_organisations(self, now: float) -> None:
@@ -273,11 +273,13 @@
             self._advance(now)
             self.is_large_fleet = is_large_fleet
             self.digest_period_s = digest_period_s
-            self._update_buckets()
+            self._update_buckets(now)
 
-    def _update_buckets(self) -> None:
+    def _update_buckets(self, now: float) -> None:
         window_s = self.settings.window_s
+        silent = [name for name, peer in self.peers.items() if peer.is_silent]
         for organisation in self.organisations:
+            is_new = organisation.name not in self.buckets
             burst = self._compute_usable_burst(organisation)
             bucket = self.buckets.get(organisation.name)
             if bucket is None:
@@ -295,6 +297,8 @@
             bucket.whole_burst = organisation.burst
             bucket.level = min(bucket.level, burst)
             self._update_window(bucket)
+            if is_new:
+                self._charge_shares(bucket, silent, now)
 
     def _compute_usable_burst(self, organisation: Organisation) -> float:
         if not self.is_large_fleet:
@@ -724,7 +728,6 @@
 
     def _note_silent(self, now: float) -> None:
         """Charge the shares of the level that peers which fell silent may spend."""
-        equal_share = 1 / (len(self.peers) + 1)
         fallen_silent = [
             name
             for name, peer in self.peers.items()
@@ -735,10 +738,15 @@
         for name in fallen_silent:
             self.peers[name].is_silent = True
         for bucket in self.buckets.values():
-            # Each may spend its share of the present level.
-            share = max(bucket.level, 0.0) * equal_share
-            for name in fallen_silent:
-                self._charge_assumed(bucket, name, share, now)
+            self._charge_shares(bucket, fallen_silent, now)
+
+    def _charge_shares(
+        self, bucket: _Bucket, silent: Iterable[str], now: float
+    ) -> None:
+        # Each may spend its share of the present level.
+        share = max(bucket.level, 0.0) / (len(self.peers) + 1)
+        for name in silent:
+            self._charge_assumed(bucket, name, share, now)
 
     def _charge_assumed(
         self, bucket: _Bucket, peer: str, tokens: float, now: float
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -372,3 +372,14 @@
     while quota.try_spend("shop", 1, now=0.002) is None:
         spent += 1
     assert spent <= BURST / 10 + 1
+
+
+def test_host_that_reads_the_quotas_after_its_peers_spends_no_more_than_its_share():
+    """Buckets that begin while peers are silent had the level of all hosts."""
+    quota = SharedQuota(QuotaSettings(resumed_reserve_s=0.0), now=0.0)
+    quota.set_peers([f"p{number}" for number in range(9)], now=0.0)
+    quota.set_organisations([build_organisation()], now=0.1)
+    spent = 0
+    while quota.try_spend("shop", 1, now=0.1) is None:
+        spent += 1
+    assert spent <= BURST * 1.1 / 10 + 1
