Count a request that waits for peers once in the waits of other callers

While a host hears of few peers, a refused request asks again with each digest, and each time its tokens were added to those that later callers have to wait for.

--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -222,13 +222,15 @@
                 " of this request",
             )
 
-    def spend(self, call: Call, *, now: float) -> None:
+    def spend(self, call: Call, *, now: float, is_waiting: bool = False) -> None:
         """Charge a request to its organisation's quota, if it has one.
 
         Parameters
         ----------
         call : Call
         now : float
+        is_waiting : bool
+            Whether the request asks again soon if it is refused.
 
         Raises
         ------
@@ -243,6 +245,7 @@
             call.tokens,
             now=now,
             is_resumed=call.route.is_resumable_stream and bool(call.last_event),
+            is_waiting=is_waiting,
         )
         if wait_s is None:
             return
@@ -268,10 +271,15 @@
         )
         while True:
             now = read_clock()
+            may_wait = (
+                call.organisation is not None
+                and now < wait_until
+                and self.quota.is_discovering(now=now)
+            )
             try:
-                self.spend(call, now=now)
+                self.spend(call, now=now, is_waiting=may_wait)
             except RequestRefused:
-                if now >= wait_until or not self.quota.is_discovering(now=now):
+                if not may_wait:
                     raise
                 self.quota.wait_for_peers(min(wait_until - now, DISCOVERY_POLL_S))
             else:
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -262,3 +262,23 @@
     while retries.may_repeat_answered("s", now=0.0):
         assert retries.try_acquire("s", now=0.0)
     assert retries.try_acquire("s", now=0.0)
+
+
+def test_request_that_waits_for_peers_delays_other_callers_once():
+    """Each digest that woke it added its tokens to what callers have to wait for."""
+    now = read_clock()
+    quota = SharedQuota(QuotaSettings(resumed_reserve_s=0.0), now=now)
+    quota.set_organisations(
+        [Organisation("shop", frozenset(), None, 10.0, 10.0)], now=now
+    )
+    quota.set_peers([f"p{number}" for number in range(9)], now=now)
+    waits = []
+    quota.wait_for_peers = waits.append
+    admission = build_forwarder().admission
+    admission.quota = quota
+    call = build_call()
+    call.tokens, call.route = 10, replace(ROUTE, objective_s=0.05)
+    with pytest.raises(RequestRefused):
+        admission._spend_when_known(call)
+    assert len(waits) > 2
+    assert quota.buckets["shop"].promised_tokens <= call.tokens
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -416,6 +416,8 @@
         -------
         bool
         """
+        if now - self.started_at >= self.settings.discovery_s:
+            return False
         with self.lock:
             return self._is_discovering(now)
 
@@ -544,7 +546,13 @@
                         bucket.give_back(assumed, now, since=last_heard_at)
 
     def try_spend(
-        self, organisation: str, tokens: int, *, now: float, is_resumed: bool = False
+        self,
+        organisation: str,
+        tokens: int,
+        *,
+        now: float,
+        is_resumed: bool = False,
+        is_waiting: bool = False,
     ) -> float | None:
         """Spend tokens, or return the time until enough are available.
 
@@ -555,6 +563,9 @@
         now : float
         is_resumed : bool
             Whether they are for a stream that a caller resumes.
+        is_waiting : bool
+            Whether the request asks again soon, so that later callers needn't wait
+            for its tokens as well.
 
         Returns
         -------
@@ -577,7 +588,8 @@
                 # With equal waits, all refused callers would retry at the same time.
                 promised_tokens = reserve + bucket.promised_tokens
                 wait_s = bucket.get_wait_s(required + promised_tokens, now)
-                bucket.promised_tokens += required
+                if not is_waiting:
+                    bucket.promised_tokens += required
                 return min(wait_s, self.settings.wait_limit_s)
             bucket.charge(tokens, now)
             bucket.spent += tokens
