Forget the speeds of targets that report none for 30 s

Digests of peers that arrive after a target has left brought its entry back, and nothing removed it, so the table grew with each departure. The ratio of a target without figures also never became exactly 1.

--- a/src/thornlatch/gateway/_target_speeds.py
+++ b/src/thornlatch/gateway/_target_speeds.py
@@ -15,6 +15,7 @@
 
 RATIO_MIN, RATIO_MAX = 0.05, 20.0  # figures beyond are taken for these
 PERCENT = 100
+FORGET_S = 30.0  # without a figure, after which a target has the usual speed
 
 
 @dataclass(frozen=True)
@@ -114,6 +115,7 @@
     def _add(self, target: str, ratio: float, count: int, now: float) -> None:
         mean = self.means.get(target)
         if mean is None:
+            self._drop_old(now)
             self.means[target] = _Mean(ratio, now)
             return
         elapsed_s = max(now - mean.noted_at, 0.0)
@@ -123,6 +125,12 @@
         mean.ratio += weight * (ratio - mean.ratio)
         mean.noted_at = max(now, mean.noted_at)
 
+    def _drop_old(self, now: float) -> None:
+        """Drop targets without figures, such as those that peers report too late."""
+        for target, mean in list(self.means.items()):
+            if now - mean.noted_at >= FORGET_S:
+                del self.means[target]
+
     def get_ratio(self, target: str, *, now: float) -> float:
         """Return how long work takes at a target relative to the usual.
 
@@ -140,6 +148,8 @@
         if mean is None:
             return 1.0
         age_s = max(now - mean.noted_at, 0.0)
+        if age_s >= FORGET_S:
+            return 1.0
         return 1 + (mean.ratio - 1) * math.exp(-age_s / self.settings.memory_s)
 
     def forget(self, target: str) -> None:
--- a/src/thornlatch/gateway/tests/test_target_speeds.py
+++ b/src/thornlatch/gateway/tests/test_target_speeds.py
@@ -10,6 +10,7 @@
 from thornlatch.gateway._ports import ReportedLoad
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._target_speeds import (
+    FORGET_S,
     RATIO_MAX,
     RATIO_MIN,
     SpeedSettings,
@@ -98,6 +99,15 @@
         assert health.speeds.get_ratio("t", now=0.0) == 1.0
 
 
+def test_targets_that_left_are_forgotten_though_peers_report_them_later():
+    """Digests of peers that arrive after a departure brought its entry back for good."""
+    speeds = build()
+    for number in range(200):
+        speeds.apply_reports({f"t{number}": (200, 1)}, now=number * 1.0)
+    assert len(speeds.means) <= FORGET_S + 1
+    assert speeds.get_ratio("t199", now=199.0 + FORGET_S) == 1.0
+
+
 def test_time_of_a_generation_is_that_at_the_usual_speed():
     health = TargetHealth(ForwardingSettings())
     health.note_success("slow", ReportedLoad(1, 0, 8, 2.0), now=0.0)
