Give back what a second run was charged if no target begins it

A stream that a target failed is charged again before another target is chosen. If none was free in time, or the retry budget was used up meanwhile, the organisation had paid twice for one run. test_second_run_that_no_target_takes_is_not_charged failed before (2 tokens for one run).

--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -54,9 +54,11 @@
     admitted_at : float
         Clock time at which the request was admitted.
     tokens : int
-        Tokens charged to the organisation's quota.
+        Tokens charged to the organisation's quota for each run.
     fingerprint : str
         Digest that is equal for all repetitions of the request.
+    unused_tokens : int
+        Tokens charged for another run that no target has begun yet.
     known_rounds : dict of str to int
         Rounds of crashes that were known of parts of the prompt at the latest send.
     tries, sends, runs : int
@@ -124,6 +126,7 @@
     admitted_at: float
     tokens: int
     fingerprint: str
+    unused_tokens: int = 0
     known_rounds: dict[str, int] = field(default_factory=dict)
     tries: int = 0
     sends: int = 0
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -203,6 +203,7 @@
             except TargetError as error:
                 self._note_failure(call, option, error)
                 continue
+            call.unused_tokens = 0
             self.suspects.note_answer(
                 option.target, sent_at=answer.sent_at, now=read_clock()
             )
@@ -306,7 +307,10 @@
         wait_s = self.quota.try_spend(
             call.organisation.name, call.tokens, now=now, is_resumed=True
         )
-        return wait_s is None
+        if wait_s is not None:
+            return False
+        call.unused_tokens = call.tokens
+        return True
 
     def _stream_events(self, call: Call, answer: TargetAnswer) -> Iterator[bytes]:
         """Yield the events of a stream; resume it at another target if it fails."""
@@ -443,6 +447,7 @@
         call.last_failure = f"{target.id}: {error.message}"
         if error.is_sent:
             call.may_have_run = True
+            call.unused_tokens = 0
             call.runs += 1
             call.was_timeout = error.is_timeout
         avoided_s = 0.0
@@ -510,8 +515,9 @@
             if call.running.has_caller_left:
                 outcome = "caller-left"
             has_not_run = not call.may_have_run and call.last_event_id is None
-            if call.organisation is not None and has_not_run:
-                self.quota.give_back(call.organisation.name, call.tokens, now=now)
+            tokens = call.tokens if has_not_run else call.unused_tokens
+            if call.organisation is not None and tokens:
+                self.quota.give_back(call.organisation.name, tokens, now=now)
         self.metrics.answers.labels(call.route.name, outcome).inc()
         broken_off_by = _find_who_broke_off(call, error)
         if broken_off_by:
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -9,6 +9,7 @@
 from thornlatch.core import read_clock
 from thornlatch.exceptions import (
     ANSWERS,
+    ErrorKind,
     Execution,
     ForeignAnswer,
     RequestRefused,
@@ -282,3 +283,48 @@
         admission._spend_when_known(call)
     assert len(waits) > 2
     assert quota.buckets["shop"].promised_tokens <= call.tokens
+
+
+@pytest.mark.parametrize(("is_answered", "spent"), [(False, 1), (True, 2)])
+def test_second_run_that_no_target_takes_is_not_charged(is_answered, spent):
+    """The caller paid twice for one run if no other target was free in time."""
+    now = read_clock()
+    quota = SharedQuota(QuotaSettings(), now=now)
+    organisation = Organisation("shop", frozenset(), None, 100.0, 100.0)
+    quota.set_organisations([organisation], now=now)
+    forwarder = build_forwarder(
+        retries=RetryBudget(RetryBudgetSettings(0.0, 10.0, 50.0)),
+        quota=quota,
+        work=WorkTable(),
+        metrics=GatewayMetrics(),
+        health=TargetHealth(ForwardingSettings()),
+        suspects=SimpleNamespace(note_answer=lambda *args, **kwargs: None),
+        stream_versions=SimpleNamespace(note_sent=lambda *args, **kwargs: None),
+    )
+    forwarder.silences = SimpleNamespace(get_patience_s=None)
+    forwarder.selector = SimpleNamespace(has_alternative=lambda *args: True)
+    answers = [build_failed_answer(), build_failed_answer()][: 1 + is_answered]
+
+    def choose(call):
+        if not answers:
+            raise RequestRefused(ErrorKind.NO_TARGET, "no target")
+        return answers[0].option
+
+    def finish(call, answer):
+        call.runs += 1
+        call.may_have_run = True
+
+    forwarder._choose = choose
+    forwarder.sender = SimpleNamespace(
+        send=lambda *args: answers.pop(0), finish=finish
+    )
+    call = build_call()
+    call.route, call.organisation = STREAM, organisation
+    quota.try_spend("shop", call.tokens, now=now)
+    error = None
+    try:
+        forwarder._send_until_answered(call)
+    except RequestRefused as refusal:
+        error = refusal
+    forwarder._finish(call, error)
+    assert quota.get_spent(now=now)[0]["shop"] == spent
