Count the speeds that a digest of the fleet tells once

The figures of the digest in use were applied again with each digest of another relay, as new ones, so a figure weighed more and lasted longer the more relays a fleet has. test_figures_of_speeds_count_once_though_several_relays_send_digests failed before.

--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -421,7 +421,9 @@
         self.state.suspects.parts.set_fleet_report(self.domain_view.parts, now=now)
         self._apply_leaving(self.domain_view.leaving)
         self._apply_limits(self.domain_view.limits, now)
-        self.state.health.speeds.apply_reports(self.domain_view.speeds, now=now)
+        # Unlike the rest of the view, these figures count each time they are applied.
+        speeds, self.domain_view.speeds = self.domain_view.speeds, {}
+        self.state.health.speeds.apply_reports(speeds, now=now)
         self._apply_paces(self.domain_view.paces, now)
 
     def _apply_leaving(self, incarnations: Iterable[Incarnation]) -> None:
--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -159,6 +159,17 @@
     assert link.state.health.limits.build_reports(now=now) == ()
 
 
+def test_figures_of_speeds_count_once_though_several_relays_send_digests(link):
+    """With each digest of a relay that isn't used, the former figures counted again."""
+    now = read_clock()
+    spending = DomainSpending("z", "o1.0", 1.0, ("o1.0", "o2.0"), {}, {})
+    used = FleetDigest("o1.0", 1.0, (spending,), WorkSum(speeds={"t": (200, 1)}), {}, {})
+    spare = FleetDigest("o2.0", 1.0, (), WorkSum(speeds={"t": (200, 1)}), {}, {})
+    link._apply_fleet_digest(used, now)
+    link._apply_fleet_digest(spare, now + 0.3)
+    assert link.state.health.speeds.means["t"].noted_at == now
+
+
 @pytest.mark.parametrize("is_large", [True, False])
 def test_host_learns_the_window_of_a_target_from_a_digest(link, is_large):
     now = read_clock()
