--- a/src/thornlatch/gateway/tests/test_fleet_link.py
+++ b/src/thornlatch/gateway/tests/test_fleet_link.py
@@ -163,7 +163,9 @@
     """With each digest of a relay that isn't used, the former figures counted again."""
     now = read_clock()
     spending = DomainSpending("z", "o1.0", 1.0, ("o1.0", "o2.0"), {}, {})
-    used = FleetDigest("o1.0", 1.0, (spending,), WorkSum(speeds={"t": (200, 1)}), {}, {})
+    used = FleetDigest(
+        "o1.0", 1.0, (spending,), WorkSum(speeds={"t": (200, 1)}), {}, {}
+    )
     spare = FleetDigest("o2.0", 1.0, (), WorkSum(speeds={"t": (200, 1)}), {}, {})
     link._apply_fleet_digest(used, now)
     link._apply_fleet_digest(spare, now + 0.3)
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -315,9 +315,7 @@
         call.may_have_run = True
 
     forwarder._choose = choose
-    forwarder.sender = SimpleNamespace(
-        send=lambda *args: answers.pop(0), finish=finish
-    )
+    forwarder.sender = SimpleNamespace(send=lambda *args: answers.pop(0), finish=finish)
     call = build_call()
     call.route, call.organisation = STREAM, organisation
     quota.try_spend("shop", call.tokens, now=now)
--- a/src/thornlatch/gateway/tests/test_target_speeds.py
+++ b/src/thornlatch/gateway/tests/test_target_speeds.py
@@ -100,7 +100,7 @@
 
 
 def test_targets_that_left_are_forgotten_though_peers_report_them_later():
-    """Digests of peers that arrive after a departure brought its entry back for good."""
+    """Digests that arrive after a departure brought its entry back for good."""
     speeds = build()
     for number in range(200):
         speeds.apply_reports({f"t{number}": (200, 1)}, now=number * 1.0)
