Use the whole rate of cold targets in fleets smaller than the rate

If there were no more hosts than requests in a second, each got a bucket of one request, and what the bound left for the rate was small: 7 hosts sent 3 of 7 requests/s and 50 hosts 2 of 50. Now each host may send a whole number of requests in a window, and as many hosts get a share as can use 0.9 of the rate. Fleets with more hosts than requests/s divide it as before. test_rate_is_used_by_fleets_of_all_sizes failed before for rates from 7 on.

--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -18,6 +18,7 @@
 from collections import deque
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
+from functools import lru_cache
 from random import Random
 from typing import Annotated
 
@@ -33,6 +34,10 @@
 LATE_MESSAGE_S = 1.0  # by which a reported answer may be older than it seems
 COLD_LIMIT_S = 60.0  # longest time for which a target is taken to be cold
 PEER_SOURCE = "peer"
+MIN_USED_RATE = 0.9  # of a cold target's rate, for which fewer hosts get a share
+# A host with a bucket of one request and this part of a rate of k requests in a window
+# sends no more than k in any window.
+FULL_WINDOW_RATIO = 0.99
 COLD_EXTENSION_S = 0.5  # shorter extensions of a cold time are no news
 
 
@@ -114,18 +119,7 @@
             In any window the hosts with a share together send no more than
             `used_ratio` of the bound.
         """
-        bound = self.tolerated_ratio * rate * self.window_s + self.tolerated_requests
-        usable = bound * self.used_ratio
-        count = min(hosts, int(usable))
-        if not count:
-            return RateShare(0, 0.0, 0.0)
-        rate_in_window = rate * self.window_s
-        if count > rate_in_window:
-            # A host sends at most one request in a window.
-            return RateShare(count, rate / count, 1.0)
-        capacity = max((usable - rate_in_window) / count, 1.0)
-        rate = min(rate, max(usable - count * capacity, 0.0) / self.window_s)
-        return RateShare(count, rate / count, capacity)
+        return _divide_cold(self, rate, hosts)
 
 
 @dataclass(frozen=True)
@@ -150,6 +144,25 @@
 NO_SHARE = RateShare(0, 0.0, 0.0)
 
 
+@lru_cache(maxsize=256)
+def _divide_cold(settings: ColdTargetSettings, rate: float, hosts: int) -> RateShare:
+    """Return the share of each of as many hosts as can use the rate together."""
+    window_s = settings.window_s
+    bound = settings.tolerated_ratio * rate * window_s + settings.tolerated_requests
+    usable = bound * settings.used_ratio
+    best = NO_SHARE
+    for count in range(min(hosts, int(usable)), 0, -1):
+        # Whole requests that each may send in any window.
+        requests = int(usable / count)
+        host_rate = min(rate / count, FULL_WINDOW_RATIO * requests / window_s)
+        if best is NO_SHARE or count * host_rate > best.hosts * best.rate:
+            capacity = max(requests - host_rate * window_s, 1.0)
+            best = RateShare(count, host_rate, capacity)
+        if best.hosts * best.rate >= MIN_USED_RATE * rate:
+            break
+    return best
+
+
 @dataclass
 class _Bucket:
     # Requests that this host may send now, as of `refilled_at`.
--- a/src/thornlatch/gateway/tests/test_cold_targets.py
+++ b/src/thornlatch/gateway/tests/test_cold_targets.py
@@ -1,5 +1,6 @@
 """Requests at cold targets over all hosts, without network."""
 
+import math
 from bisect import bisect_right
 from random import Random
 
@@ -94,6 +95,16 @@
     assert len(sends) >= 7.0 * COLD_S * 0.6
 
 
+@pytest.mark.parametrize("rate", [0.5, 3.0, 7.0, 20.0, 50.0, 100.0, 400.0])
+def test_rate_is_used_by_fleets_of_all_sizes(rate):
+    """50 hosts sent 2 of 50 requests/s, and 7 hosts 3 of 7."""
+    for hosts in (*range(1, 60), 73, 340):
+        share = SETTINGS.divide(rate, hosts)
+        assert 0.9 * rate <= share.hosts * share.rate <= rate * 1.001
+        in_window = math.floor(share.capacity + share.rate * SETTINGS.window_s + 1e-9)
+        assert share.hosts * in_window <= get_bound(rate) * SETTINGS.used_ratio
+
+
 def test_several_hosts_with_other_lists_of_hosts_stay_within_the_bound():
     # While hosts are replaced, some know the former list and some the new one.
     former = [f"h{number}" for number in range(73)]
