Don't take a target for too slow for a request too long for any

A request that wouldn't end before its deadline at the usual speed either made every target with a ratio a little above 1 too slow, and had its adapter loaded elsewhere. test_request_too_long_for_any_target_loads_no_second_copy failed before.

--- a/src/thornlatch/gateway/_choice.py
+++ b/src/thornlatch/gateway/_choice.py
@@ -245,9 +245,12 @@
 
 
 def _is_too_slow(state: TargetState, requirements: RequestRequirements) -> bool:
-    """Return whether a request wouldn't end in time because a target is slow now."""
-    ratio = state.work_ratio
-    return ratio > 1 and requirements.work_s * ratio > requirements.left_s
+    """Return whether a request wouldn't end in time because a target is slow now.
+
+    One that wouldn't end in time at the usual speed either is no reason to avoid it.
+    """
+    work_s, left_s = requirements.work_s, requirements.left_s
+    return work_s <= left_s < work_s * state.work_ratio
 
 
 def _estimate_option(
--- a/src/thornlatch/gateway/tests/test_choice.py
+++ b/src/thornlatch/gateway/tests/test_choice.py
@@ -286,6 +286,14 @@
     assert choose(states | slow, requirements)[0].target.id == "t1"
 
 
+def test_request_too_long_for_any_target_loads_no_second_copy():
+    """At 1.01 of the usual time its adapter was loaded elsewhere, in vain."""
+    requirements = replace(build_requirements(), work_s=13.0, left_s=12.0)
+    states = {"t1": TargetState(0, resident=READY, work_ratio=1.01)}
+    options = choose(states, requirements)
+    assert [option.target.id for option in options] == ["t1"]
+
+
 def test_targets_without_reports_are_chosen_as_before():
     states = {
         "t1": TargetState(3, resident=READY),
