--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -18,6 +18,7 @@
 from collections import deque
 from collections.abc import Callable, Collection, Iterable, Mapping
 from dataclasses import dataclass, replace
+from functools import lru_cache
 from random import Random
 from typing import Annotated
 
@@ -33,6 +34,10 @@
 LATE_MESSAGE_S = 1.0  # by which a reported answer may be older than it seems
 COLD_LIMIT_S = 60.0  # longest time for which a target is taken to be cold
 PEER_SOURCE = "peer"
+MIN_USED_RATE = 0.9  # of a cold target's rate, for which fewer hosts get a share
+# A host with a bucket of one request and this part of a rate of k requests in a window
+# sends no more than k in any window.
+FULL_WINDOW_RATIO = 0.99
 COLD_EXTENSION_S = 0.5  # shorter extensions of a cold time are no news
 
 
@@ -114,18 +119,7 @@
             In any window the hosts with a share together send no more than
             `used_ratio` of the bound.
         """
-        bound = self.tolerated_ratio * rate * self.window_s + self.tolerated_requests
-        usable = bound * self.used_ratio
-        count = min(hosts, int(usable))
-        if not count:
-            return RateShare(0, 0.0, 0.0)
-        rate_in_window = rate * self.window_s
-        if count > rate_in_window:
-            # A host sends at most one request in a window.
-            return RateShare(count, rate / count, 1.0)
-        capacity = max((usable - rate_in_window) / count, 1.0)
-        rate = min(rate, max(usable - count * capacity, 0.0) / self.window_s)
-        return RateShare(count, rate / count, capacity)
+        return _divide_cold(self, rate, hosts)
 
 
 @dataclass(frozen=True)
@@ -150,6 +144,25 @@
 NO_SHARE = RateShare(0, 0.0, 0.0)
 
 
+@lru_cache(maxsize=256)
+def _divide_cold(settings: ColdTargetSettings, rate: float, hosts: int) -> RateShare:
+    """Return the share of each of as many hosts as can use the rate together."""
+    window_s = settings.window_s
+    bound = settings.tolerated_ratio * rate * window_s + settings.tolerated_requests
+    usable = bound * settings.used_ratio
+    best = NO_SHARE
+    for count in range(min(hosts, int(usable)), 0, -1):
+        # Whole requests that each may send in any window.
+        requests = int(usable / count)
+        host_rate = min(rate / count, FULL_WINDOW_RATIO * requests / window_s)
+        if best is NO_SHARE or count * host_rate > best.hosts * best.rate:
+            capacity = max(requests - host_rate * window_s, 1.0)
+            best = RateShare(count, host_rate, capacity)
+        if best.hosts * best.rate >= MIN_USED_RATE * rate:
+            break
+    return best
+
+
 @dataclass
 class _Bucket:
     # Requests that this host may send now, as of `refilled_at`.
@@ -163,7 +176,8 @@
         """Add the tokens of the time since the last refill."""
         elapsed_s = max(now - self.refilled_at, 0.0)
         self.tokens = min(self.tokens + elapsed_s * share.rate, share.capacity)
-        self.refilled_at = now
+        # A thread may have read the clock before another one that refilled the bucket.
+        self.refilled_at = max(self.refilled_at, now)
 
 
 @dataclass
@@ -190,6 +204,8 @@
     source: str = ""
     # When this host got an answer that told of it; None if it knows from elsewhere.
     seen_at: float | None = None
+    # Whether this host had a share when it last looked.
+    had_share: bool = True
 
 
 @dataclass(frozen=True)
@@ -237,6 +253,8 @@
         Source of the differences between callers that return; None for one that is
         seeded by the system.
     cold_settings : ColdTargetSettings
+    started_at : float
+        When this host started. Its former process may have sent until then.
     """
 
     def __init__(
@@ -247,6 +265,7 @@
         count_peer_sends: Callable[[str], int] = lambda target: 0,
         random: Random | None = None,
         cold_settings: ColdTargetSettings = ColdTargetSettings(),  # noqa: B008
+        started_at: float = float("-inf"),
     ) -> None:
         self.settings = settings
         self.cold_settings = cold_settings
@@ -259,7 +278,7 @@
         self.cold: dict[Incarnation, _ColdPeriod] = {}
         # Requests a second that a cold target of a service tolerates.
         self.cold_rates: dict[str, float] = {}
-        self.started_at: float | None = None
+        self.started_at = started_at
         # Times of this host's sends in the last window.
         self.send_times: dict[Incarnation, deque[float]] = {}
 
@@ -430,6 +449,9 @@
     def retain(self, targets: Collection[Incarnation], *, now: float) -> None:
         """Drop what is known of targets that restarted or left.
 
+        Later incarnations than the registered ones are kept: peers may tell of them
+        first, and another thread may register one meanwhile.
+
         Parameters
         ----------
         targets : collection of (str, int)
@@ -438,14 +460,15 @@
         """
         if not (self.limits or self.send_times or self.cold):
             return
-        ids = {target for target, _ in targets}
+        started_ms = dict(targets)
         with self.lock:
             for target in list(self.cold):
-                if target not in targets and target[0] in ids:
+                if target[1] < started_ms.get(target[0], target[1]):
                     del self.cold[target]
             for target, limit in list(self.limits.items()):
+                has_restarted = target[1] < started_ms.get(target[0], target[1])
                 is_old = now - limit.named_at >= UNREGISTERED_MEMORY_S
-                if target not in targets and (target[0] in ids or is_old):
+                if has_restarted or (is_old and target not in targets):
                     del self.limits[target]
             for target in list(self.send_times):
                 if not self._count_own_sends(target, now):
@@ -509,20 +532,18 @@
         source: str,
         now: float,
     ) -> _ColdPeriod | None:
-        if self.started_at is None:
-            self.started_at = now
         if not remaining_s > 0:
             return None
         until = now + min(remaining_s, COLD_LIMIT_S)
         period = self.cold.get(target)
         if period is None or now >= period.until:
             period = _ColdPeriod(service=service, since=now, refilled_at=now)
-            if not self._may_have_just_sent(target, now):
+            share = self._compute_cold_share(target, period)
+            period.had_share = share.rate > 0
+            if period.had_share and not self._may_have_just_sent(target, now):
                 # Hosts with a share begin one after the other, not all at once after
                 # the time in which an empty bucket fills.
-                share = self._compute_cold_share(target, period)
-                if share.rate:
-                    period.tokens = period.rank / share.hosts
+                period.tokens = period.rank / share.hosts
             self.cold[target] = period
         period.service = period.service or service
         if until > period.until:
@@ -531,8 +552,7 @@
 
     def _may_have_just_sent(self, target: Incarnation, now: float) -> bool:
         """Return whether this host, or its former process, may have sent just now."""
-        started_at = self.started_at if self.started_at is not None else now
-        if now - started_at < self.cold_settings.window_s:
+        if now - self.started_at < self.cold_settings.window_s:
             return True
         return self._count_own_sends(target, now) > 0
 
@@ -765,7 +785,12 @@
         left_s = period.until - now
         if not share.rate:
             # Other hosts' requests keep the target busy meanwhile.
+            period.had_share = False
             return left_s
+        if not period.had_share:
+            # Hosts that had the share before may just have sent.
+            period.had_share, period.tokens = True, 0.0
+            period.refilled_at = max(period.refilled_at, now)
         period.refill(share, now)
         return min(max(1.0 - period.tokens, 0.0) / share.rate, left_s)
 
--- a/src/thornlatch/gateway/tests/test_cold_targets.py
+++ b/src/thornlatch/gateway/tests/test_cold_targets.py
@@ -1,5 +1,6 @@
 """Requests at cold targets over all hosts, without network."""
 
+import math
 from bisect import bisect_right
 from random import Random
 
@@ -7,7 +8,8 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from thornlatch.fleet import TargetLimit
+from thornlatch.fleet import Target, TargetLimit
+from thornlatch.gateway import Gateway, GatewaySettings, HostAddresses
 from thornlatch.gateway._target_limits import (
     COLD_LIMIT_S,
     ColdTargetSettings,
@@ -27,10 +29,11 @@
 
 
 def build(host, hosts, *, rate=7.0, now=0.0):
-    limits = TargetLimits(TargetLimitSettings(), host=host, cold_settings=SETTINGS)
+    limits = TargetLimits(
+        TargetLimitSettings(), host=host, cold_settings=SETTINGS, started_at=now
+    )
     limits.set_hosts(sorted(hosts))
     limits.set_cold_rates({SERVICE: rate})
-    limits.note_cold(("before", 1), SERVICE, 0.0, source="registration", now=now)
     return limits
 
 
@@ -92,6 +95,16 @@
     assert len(sends) >= 7.0 * COLD_S * 0.6
 
 
+@pytest.mark.parametrize("rate", [0.5, 3.0, 7.0, 20.0, 50.0, 100.0, 400.0])
+def test_rate_is_used_by_fleets_of_all_sizes(rate):
+    """50 hosts sent 2 of 50 requests/s, and 7 hosts 3 of 7."""
+    for hosts in (*range(1, 60), 73, 340):
+        share = SETTINGS.divide(rate, hosts)
+        assert 0.9 * rate <= share.hosts * share.rate <= rate * 1.001
+        in_window = math.floor(share.capacity + share.rate * SETTINGS.window_s + 1e-9)
+        assert share.hosts * in_window <= get_bound(rate) * SETTINGS.used_ratio
+
+
 def test_several_hosts_with_other_lists_of_hosts_stay_within_the_bound():
     # While hosts are replaced, some know the former list and some the new one.
     former = [f"h{number}" for number in range(73)]
@@ -129,6 +142,44 @@
     assert len(sends) <= most.capacity
 
 
+def test_thread_that_read_the_clock_earlier_fills_no_bucket_twice():
+    """A thread may be suspended between reading the clock and taking the lock."""
+    names = [f"h{number}" for number in range(73)]
+    fleet = {name: build(name, names, now=-5.0) for name in names}
+    for limits in fleet.values():
+        note_cold(limits, 0.0, remaining_s=30.0)
+    host = next(name for name in names if fleet[name].get_share(TARGET))
+    limits = fleet[host]
+    assert limits.try_send(TARGET, now=10.0)
+    assert not limits.try_send(TARGET, now=2.0)
+    assert not limits.try_send(TARGET, now=10.01)
+
+
+def test_hosts_that_replace_the_ones_with_a_share_begin_with_nothing():
+    """They have saved up nothing, and the former ones may just have sent."""
+    names = [f"h{number}" for number in range(73)]
+    fleet = {name: build(name, names, now=-5.0) for name in names}
+    for limits in fleet.values():
+        note_cold(limits, 0.0, remaining_s=30.0)
+    sends = send_all(fleet, begin=0.0, end=4.0)
+    first = {name for name in names if fleet[name].get_share(TARGET)}
+    for limits in fleet.values():
+        limits.set_hosts(sorted(set(names) - first))
+    rest = {name: limits for name, limits in fleet.items() if name not in first}
+    sends += send_all(rest, begin=4.0, end=8.0)
+    assert count_most_in_window(sends) <= get_bound(7.0)
+    assert max(sends) > 5.0
+
+
+def test_registered_targets_that_were_read_before_drop_no_new_cold_time():
+    """The thread of the store may apply a restart while another one looks."""
+    limits = build("h1", ["h1"])
+    restarted = (TARGET[0], 2000)
+    note_cold(limits, 0.0, target=restarted)
+    limits.retain({TARGET}, now=0.1)
+    assert limits.is_limited(restarted)
+
+
 def test_restart_begins_a_new_cold_time():
     limits = build("h1", ["h1"])
     note_cold(limits, 0.0)
@@ -243,3 +294,39 @@
     ]
     assert sum(shares) == pytest.approx(7.0 * len(targets))
     assert sum(share > 0 for share in shares) >= 70
+
+
+@pytest.fixture(name="gateway")
+def _build_gateway():
+    addresses = HostAddresses("h1", "z", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+    settings = GatewaySettings(addresses)
+    gateway = Gateway(settings, callers=None, targets=None, partitions=12)
+    yield gateway
+    gateway.fleet.peer_loop.mesh.close()
+
+
+def test_target_is_known_to_be_cold_before_requests_may_choose_it(gateway):
+    """All requests that waited went to a new target while its entry was applied."""
+    target = Target("t1", SERVICE, "1.2.3.4:5", "z", 8, started_ms=1, cold_s=3.0)
+    were_cold = []
+    apply = gateway.registry.apply
+
+    def apply_and_look(name, entry, *, now):
+        were_cold.append(entry.incarnation in gateway.health.limits.cold)
+        return apply(name, entry, now=now)
+
+    gateway.registry.apply = apply_and_look
+    gateway.apply_target(target.id, target)
+    assert were_cold == [True]
+
+
+def test_first_cold_target_of_a_host_is_not_taken_for_its_start(gateway):
+    """All hosts began with empty buckets, and so all at the same time."""
+    limits = gateway.health.limits
+    limits.set_cold_rates({SERVICE: 7.0})
+    hosts = [f"h{number}" for number in range(73)]
+    limits.set_hosts(hosts)
+    now = limits.started_at + 100.0
+    for number in range(100):
+        note_cold(limits, now, target=(f"t{number}", 1))
+    assert max(period.tokens for period in limits.cold.values()) > 0.0
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -9,6 +9,7 @@
 from thornlatch.core import read_clock
 from thornlatch.exceptions import (
     ANSWERS,
+    ErrorKind,
     Execution,
     ForeignAnswer,
     RequestRefused,
@@ -262,3 +263,66 @@
     while retries.may_repeat_answered("s", now=0.0):
         assert retries.try_acquire("s", now=0.0)
     assert retries.try_acquire("s", now=0.0)
+
+
+def test_request_that_waits_for_peers_delays_other_callers_once():
+    """Each digest that woke it added its tokens to what callers have to wait for."""
+    now = read_clock()
+    quota = SharedQuota(QuotaSettings(resumed_reserve_s=0.0), now=now)
+    quota.set_organisations(
+        [Organisation("shop", frozenset(), None, 10.0, 10.0)], now=now
+    )
+    quota.set_peers([f"p{number}" for number in range(9)], now=now)
+    waits = []
+    quota.wait_for_peers = waits.append
+    admission = build_forwarder().admission
+    admission.quota = quota
+    call = build_call()
+    call.tokens, call.route = 10, replace(ROUTE, objective_s=0.05)
+    with pytest.raises(RequestRefused):
+        admission._spend_when_known(call)
+    assert len(waits) > 2
+    assert quota.buckets["shop"].promised_tokens <= call.tokens
+
+
+@pytest.mark.parametrize(("is_answered", "spent"), [(False, 1), (True, 2)])
+def test_second_run_that_no_target_takes_is_not_charged(is_answered, spent):
+    """The caller paid twice for one run if no other target was free in time."""
+    now = read_clock()
+    quota = SharedQuota(QuotaSettings(), now=now)
+    organisation = Organisation("shop", frozenset(), None, 100.0, 100.0)
+    quota.set_organisations([organisation], now=now)
+    forwarder = build_forwarder(
+        retries=RetryBudget(RetryBudgetSettings(0.0, 10.0, 50.0)),
+        quota=quota,
+        work=WorkTable(),
+        metrics=GatewayMetrics(),
+        health=TargetHealth(ForwardingSettings()),
+        suspects=SimpleNamespace(note_answer=lambda *args, **kwargs: None),
+        stream_versions=SimpleNamespace(note_sent=lambda *args, **kwargs: None),
+    )
+    forwarder.silences = SimpleNamespace(get_patience_s=None)
+    forwarder.selector = SimpleNamespace(has_alternative=lambda *args: True)
+    answers = [build_failed_answer(), build_failed_answer()][: 1 + is_answered]
+
+    def choose(call):
+        if not answers:
+            raise RequestRefused(ErrorKind.NO_TARGET, "no target")
+        return answers[0].option
+
+    def finish(call, answer):
+        call.runs += 1
+        call.may_have_run = True
+
+    forwarder._choose = choose
+    forwarder.sender = SimpleNamespace(send=lambda *args: answers.pop(0), finish=finish)
+    call = build_call()
+    call.route, call.organisation = STREAM, organisation
+    quota.try_spend("shop", call.tokens, now=now)
+    error = None
+    try:
+        forwarder._send_until_answered(call)
+    except RequestRefused as refusal:
+        error = refusal
+    forwarder._finish(call, error)
+    assert quota.get_spent(now=now)[0]["shop"] == spent
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -115,6 +115,8 @@
     rate: float
     burst: float
     level: float
+    # The organisation's, of which a large fleet uses a part.
+    whole_burst: float = math.inf
     spent: int = 0
     # Tokens of refused requests whose callers were told to retry later.
     promised_tokens: float = 0.0
@@ -217,7 +219,7 @@
         with self.lock:
             self._advance(now)
             self.organisations = tuple(organisations)
-            self._update_buckets()
+            self._update_buckets(now)
             self._forget_organisations(now)
 
     def _forget_organisations(self, now: float) -> None:
@@ -271,11 +273,13 @@
             self._advance(now)
             self.is_large_fleet = is_large_fleet
             self.digest_period_s = digest_period_s
-            self._update_buckets()
+            self._update_buckets(now)
 
-    def _update_buckets(self) -> None:
+    def _update_buckets(self, now: float) -> None:
         window_s = self.settings.window_s
+        silent = [name for name, peer in self.peers.items() if peer.is_silent]
         for organisation in self.organisations:
+            is_new = organisation.name not in self.buckets
             burst = self._compute_usable_burst(organisation)
             bucket = self.buckets.get(organisation.name)
             if bucket is None:
@@ -290,8 +294,11 @@
                 # Spending allowed by a higher limit doesn't count against a lower one.
                 bucket.window = None
             bucket.rate, bucket.burst = organisation.rate, burst
+            bucket.whole_burst = organisation.burst
             bucket.level = min(bucket.level, burst)
             self._update_window(bucket)
+            if is_new:
+                self._charge_shares(bucket, silent, now)
 
     def _compute_usable_burst(self, organisation: Organisation) -> float:
         if not self.is_large_fleet:
@@ -335,6 +342,7 @@
             for name in known - self.peers.keys():
                 # It may spend its share before its first digest.
                 self.peers[name] = _Peer(float("-inf"))
+            self._note_silent(now)
 
     def apply_peer_digest(
         self, host: str, spent: Mapping[str, int], levels: Mapping[str, int], now: float
@@ -408,6 +416,8 @@
         -------
         bool
         """
+        if now - self.started_at >= self.settings.discovery_s:
+            return False
         with self.lock:
             return self._is_discovering(now)
 
@@ -536,7 +546,13 @@
                         bucket.give_back(assumed, now, since=last_heard_at)
 
     def try_spend(
-        self, organisation: str, tokens: int, *, now: float, is_resumed: bool = False
+        self,
+        organisation: str,
+        tokens: int,
+        *,
+        now: float,
+        is_resumed: bool = False,
+        is_waiting: bool = False,
     ) -> float | None:
         """Spend tokens, or return the time until enough are available.
 
@@ -547,6 +563,9 @@
         now : float
         is_resumed : bool
             Whether they are for a stream that a caller resumes.
+        is_waiting : bool
+            Whether the request asks again soon, so that later callers needn't wait
+            for its tokens as well.
 
         Returns
         -------
@@ -569,7 +588,8 @@
                 # With equal waits, all refused callers would retry at the same time.
                 promised_tokens = reserve + bucket.promised_tokens
                 wait_s = bucket.get_wait_s(required + promised_tokens, now)
-                bucket.promised_tokens += required
+                if not is_waiting:
+                    bucket.promised_tokens += required
                 return min(wait_s, self.settings.wait_limit_s)
             bucket.charge(tokens, now)
             bucket.spent += tokens
@@ -596,8 +616,9 @@
         """
         if not self._is_discovering(now):
             return 0.0
-        elapsed_s = self.settings.first_fill_s + now - self.started_at
-        return bucket.rate * elapsed_s / (len(self.peers) + 1) - bucket.spent
+        tokens = min(bucket.rate * self.settings.first_fill_s, bucket.whole_burst)
+        tokens += bucket.rate * (now - self.started_at)
+        return tokens / (len(self.peers) + 1) - bucket.spent
 
     def _is_discovering(self, now: float) -> bool:
         if now - self.started_at >= self.settings.discovery_s:
@@ -686,20 +707,8 @@
         if elapsed < ADVANCE_PERIOD_S:
             return
         self.advanced_at = now
+        self._note_silent(now)
         equal_share = 1 / (len(self.peers) + 1)
-        fallen_silent = [
-            name
-            for name, peer in self.peers.items()
-            if not peer.is_silent and now - peer.last_heard_at >= self.silent_s
-        ]
-        if fallen_silent:
-            for name in fallen_silent:
-                self.peers[name].is_silent = True
-            for bucket in self.buckets.values():
-                # Each may spend its share of the present level.
-                share = max(bucket.level, 0.0) * equal_share
-                for name in fallen_silent:
-                    self._charge_assumed(bucket, name, share, now)
         # In a large fleet the spending of most peers is in digests of their domains.
         spending = [
             (name, peer)
@@ -729,6 +738,28 @@
                     rate = state.rates.get(organisation, 0.0)
                     self._charge_assumed(bucket, name, rate * elapsed, now)
 
+    def _note_silent(self, now: float) -> None:
+        """Charge the shares of the level that peers which fell silent may spend."""
+        fallen_silent = [
+            name
+            for name, peer in self.peers.items()
+            if not peer.is_silent and now - peer.last_heard_at >= self.silent_s
+        ]
+        if not fallen_silent:
+            return
+        for name in fallen_silent:
+            self.peers[name].is_silent = True
+        for bucket in self.buckets.values():
+            self._charge_shares(bucket, fallen_silent, now)
+
+    def _charge_shares(
+        self, bucket: _Bucket, silent: Iterable[str], now: float
+    ) -> None:
+        # Each may spend its share of the present level.
+        share = max(bucket.level, 0.0) / (len(self.peers) + 1)
+        for name in silent:
+            self._charge_assumed(bucket, name, share, now)
+
     def _charge_assumed(
         self, bucket: _Bucket, peer: str, tokens: float, now: float
     ) -> None:
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -353,3 +353,33 @@
     assert quota.try_spend("shop", 5000, now=0.1) is not None
     assert quota.try_spend("shop", 5000, now=0.1, is_resumed=True) is None
     assert quota.try_spend("shop", 20_000, now=4.0) is None
+
+
+def test_own_shares_of_hosts_that_start_grant_no_more_than_a_burst_together():
+    """A burst of less than the first fill was exceeded by the shares of all hosts."""
+    peers = [f"p{number}" for number in range(9)]
+    quota = build_quota(peers=peers, rate=1000.0, burst=200.0)
+    spent = 0
+    while quota.try_spend("shop", 1, now=0.01) is None:
+        spent += 1
+    assert spent * 10 <= 200 + 10
+
+
+def test_host_spends_no_more_than_its_share_just_after_it_knows_its_peers():
+    """For 5 ms each of the hosts that started could spend the whole first level."""
+    quota = build_quota(peers=[f"p{number}" for number in range(9)])
+    spent = 0
+    while quota.try_spend("shop", 1, now=0.002) is None:
+        spent += 1
+    assert spent <= BURST / 10 + 1
+
+
+def test_host_that_reads_the_quotas_after_its_peers_spends_no_more_than_its_share():
+    """Buckets that begin while peers are silent had the level of all hosts."""
+    quota = SharedQuota(QuotaSettings(resumed_reserve_s=0.0), now=0.0)
+    quota.set_peers([f"p{number}" for number in range(9)], now=0.0)
+    quota.set_organisations([build_organisation()], now=0.1)
+    spent = 0
+    while quota.try_spend("shop", 1, now=0.1) is None:
+        spent += 1
+    assert spent <= BURST * 1.1 / 10 + 1
