Tell operators of paced targets and of targets outside the allowed regions

Explanations had no reason for either: a paced target looked ready, and a target outside the allowed regions had no step and no reason.

Added the reasons 'paced' (window, round, wait of this host, age of the change) and 'outside-regions' (region and allowed regions). A target outside the regions isn't told to be passed over. The test that explanations change no state now has a paced target.

--- a/src/thornlatch/gateway/_explainer.py
+++ b/src/thornlatch/gateway/_explainer.py
@@ -289,11 +289,19 @@
 ) -> tuple[TargetExplanation, ...]:
     fleet = FleetFacts(selector.registry, selector.orders.peers, selector.health)
     requirements = selector.build_requirements(call, now=now)
+    allowed_regions = selector.regions.get_allowed(call)
     explanations = []
     for target, option in targets:
         state = selector.get_state(call, target, {}, now=now)
         facts = TargetFacts(fleet, target, state, now)
-        request = RequestFacts(facts, requirements, call.stream_version, option)
+        request = RequestFacts(
+            facts,
+            requirements,
+            call.stream_version,
+            option,
+            selector.regions.get_region(target),
+            allowed_regions,
+        )
         reported_at = selector.residents.holder_reported_at.get(target.id)
         explanations.append(
             TargetExplanation(
--- a/src/thornlatch/gateway/_regions.py
+++ b/src/thornlatch/gateway/_regions.py
@@ -64,6 +64,20 @@
         restrictions = [regions for regions in allowed if regions]
         return frozenset.intersection(*restrictions) if restrictions else None
 
+    def get_region(self, target: Target) -> str:
+        """Return the region of a target's failure domain.
+
+        Parameters
+        ----------
+        target : Target
+
+        Returns
+        -------
+        str
+            Empty if the domain isn't listed.
+        """
+        return self.regions.get(target.failure_domain, "")
+
     def is_allowed(self, target: Target, allowed: frozenset[str] | None) -> bool:
         """Return whether a target is in an allowed region.
 
--- a/src/thornlatch/gateway/_target_reasons.py
+++ b/src/thornlatch/gateway/_target_reasons.py
@@ -65,12 +65,18 @@
         Version that the request needs; None for any.
     option : TargetOption or None
         None if the request can't be sent there.
+    region : str
+        Region of the target; empty without one.
+    allowed_regions : frozenset of str or None
+        Regions to whose targets the request may be sent; None for any target.
     """
 
     facts: TargetFacts
     requirements: RequestRequirements
     software_version: str | None
     option: TargetOption | None
+    region: str = ""
+    allowed_regions: frozenset[str] | None = None
 
     @property
     def is_open(self) -> bool:
@@ -80,7 +86,19 @@
         is_excluded = self.software_version not in (None, target.software_version)
         is_closed = health.get_closed_s(target, now=facts.now) > 0
         is_evacuated = facts.fleet.registry.is_evacuated(target)
-        return not (target.is_leaving or is_evacuated or is_excluded or is_closed)
+        return not (
+            target.is_leaving
+            or is_evacuated
+            or is_excluded
+            or is_closed
+            or self.is_outside_regions
+        )
+
+    @property
+    def is_outside_regions(self) -> bool:
+        """Whether the target isn't in a region to which the request may be sent."""
+        allowed = self.allowed_regions
+        return allowed is not None and self.region not in allowed
 
     @property
     def has_adapter(self) -> bool:
@@ -148,6 +166,20 @@
     return None
 
 
+def tell_paced(facts: TargetFacts) -> Reason | None:
+    """Return whether a target started or recovered and doesn't get its full load."""
+    health, target = facts.fleet.health, facts.target
+    pace = health.pacer.describe(target.incarnation, now=facts.now)
+    if pace is None:
+        return None
+    detail = f"may have {pace.window:.3g} requests of all hosts, round {pace.round}"
+    service_s = health.get_service_s(target.service)
+    wait_s = health.pacer.get_wait_s(target, service_s=service_s, now=facts.now)
+    if wait_s > 0:
+        detail += f"; this host may send in {wait_s:.2f} s"
+    return Reason("paced", detail, age_s=pace.age_s)
+
+
 def tell_slow(facts: TargetFacts) -> Reason | None:
     """Return whether work takes much longer at a target than usual."""
     ratio = facts.state.work_ratio
@@ -181,6 +213,15 @@
     return Reason("full", f"{requests} requests in {slots} slots")
 
 
+def tell_outside_regions(request: RequestFacts) -> Reason | None:
+    """Return whether a target isn't in an allowed region of route and organisation."""
+    if not request.is_outside_regions:
+        return None
+    allowed = ", ".join(sorted(request.allowed_regions or ())) or "none in common"
+    region = f"its region is {request.region}" if request.region else "has no region"
+    return Reason("outside-regions", f"{region}; allowed: {allowed}")
+
+
 def tell_excluded_version(request: RequestFacts) -> Reason | None:
     """Return whether a stream of another software version can't go on at a target."""
     version = request.facts.target.software_version
@@ -256,12 +297,14 @@
     tell_paused,
     tell_limited,
     tell_cold,
+    tell_paced,
     tell_slow,
     tell_avoided,
     tell_avoided_by_peers,
     tell_full,
 )
 REQUEST_REASONS: tuple[Callable[[RequestFacts], Reason | None], ...] = (
+    tell_outside_regions,
     tell_excluded_version,
     tell_no_model,
     tell_adapter_loading,
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -62,6 +62,7 @@
     {"api": Service("api", "/", 50), "llm": Service("llm", "/", 50, ENGINE)},
     {"shop": Organisation("shop", frozenset({KEY}), None, 10.0, 20.0, 4)},
 )
+OUTSIDE = ["outside-regions"]
 PLAIN = WhereQuery("h", "/many/x", "shop")
 ADAPTER = WhereQuery("h", "/llm/x", "shop", "m/a1", 3, 2)
 
@@ -239,6 +240,61 @@
         assert 0.0 < times["avoided"][0] <= 0.5
 
 
+def pace(host, name, *, requests=0):
+    host.health.pacer.enable_service("api")
+    target = host.registry.get(name)
+    host.health.pacer.begin(target, is_first_read=False, now=read_clock())
+    for _ in range(requests):
+        host.work.begin(name, "")
+
+
+def test_paced_target_tells_its_window_and_when_this_host_may_send():
+    """Operators couldn't tell why a target that had just started got no request."""
+    host = build_host([build_target("new"), build_target("old")])
+    pace(host, "new", requests=2)
+    page = explain(host, PLAIN)
+    assert list_codes(page) == {"new": ["paced"], "old": []}
+    reason = {t.target: t.reasons for t in page.targets}["new"][0]
+    assert reason.detail.startswith("may have 2 requests of all hosts, round 0; this")
+    assert 0.0 <= reason.age_s < 5.0
+    states = host.pages.status.build(now=read_clock()).targets
+    assert {t.target: t.states[0].code for t in states} == {
+        "new": "paced",
+        "old": "ready",
+    }
+
+
+@pytest.mark.parametrize(
+    ("allowed", "codes"),
+    [
+        (("north",), {"near": [], "far": ["outside-regions"], "no": OUTSIDE}),
+        (("west",), {"near": OUTSIDE, "far": OUTSIDE, "no": OUTSIDE}),
+        ((), {"near": [], "far": [], "no": []}),
+    ],
+)
+def test_target_outside_the_allowed_regions_tells_so(allowed, codes):
+    """Such targets had no reason, as if they could serve the request."""
+    host = build_host(
+        [
+            build_target("near"),
+            build_target("far", failure_domain="y"),
+            build_target("no", failure_domain="x"),
+        ]
+    )
+    host.forwarder.selector.regions.regions = {"z": "north", "y": "south"}
+    organisation = replace(
+        CONFIGURATION.organisations["shop"], regions=frozenset(allowed)
+    )
+    host.apply_configuration(
+        replace(CONFIGURATION, version=8, organisations={"shop": organisation})
+    )
+    host.in_force.confirm(asked_at=read_clock())
+    page = explain(host, PLAIN)
+    assert list_codes(page) == codes
+    is_refused = not any(reasons == [] for reasons in codes.values())
+    assert (page.outcome.action == "refuse") == is_refused
+
+
 @pytest.mark.parametrize("query", [PLAIN, ADAPTER, replace(ADAPTER, model="m/new")])
 def test_host_does_what_it_explained(query):
     """The explanation has no choice of its own that could differ."""
@@ -262,7 +318,10 @@
 
 
 def test_explaining_changes_no_state_of_the_host():
-    """Refilled limits, advanced quotas, promised tokens or drawn numbers would show."""
+    """Refilled limits, advanced quotas, promised tokens or drawn numbers would show.
+
+    So would places taken at a paced target.
+    """
     host = build_busy_host()
     host.orders.is_view_late = True
     host.forwarder.recent.add(build_request("r1"), CONFIGURATION)
@@ -271,6 +330,7 @@
     # Alone, a busy organisation would be refused, and be promised tokens.
     queries.append(replace(ADAPTER, prompt_tokens=1000))
     host.health.note_pause("idle", 5.0, now=read_clock())
+    pace(host, "busy")
     before = snapshot(host)
     assert len(repr(before)) > 10_000
     for query in queries * 3:
--- a/src/thornlatch/pace/_pacer.py
+++ b/src/thornlatch/pace/_pacer.py
@@ -632,6 +632,31 @@
         state = self.states.get(target)
         return math.inf if state is None or not state.is_paced else state.window
 
+    def describe(self, target: Incarnation, *, now: float) -> TargetPace | None:
+        """Return the window of a paced target, for operators.
+
+        Parameters
+        ----------
+        target : (str, int)
+        now : float
+
+        Returns
+        -------
+        TargetPace or None
+            Its `idle_s` counts from the last known use by any host. None if the target
+            isn't paced.
+        """
+        state = self.states.get(target)
+        if state is None or not state.is_paced:
+            return None
+        return TargetPace(
+            *target,
+            state.round,
+            state.window,
+            now - state.changed_at,
+            now - state.used_at,
+        )
+
     def count_paced(self) -> int:
         """Return the number of paced targets.
 
