Explain the option that a host takes past a paced target

The preview took the first option, while choose goes past a paced target to one that starts earlier, adds the queue for places, and takes an avoided target rather than a refusal. So an explanation told a wait or a refusal of a request that was sent at once.

Both use the same function now. The new test fails without the change in both cases ('refuse' in place of 'send' for the avoided target); the tests of explanations and of the pace in gateways pass.

--- a/src/thornlatch/gateway/_explainer.py
+++ b/src/thornlatch/gateway/_explainer.py
@@ -255,7 +255,7 @@
 def _build_outcome(preview: Preview, *, is_admitted: bool) -> Outcome:
     if not is_admitted:
         return Outcome(REFUSE)
-    best = preview.options[0] if preview.options else None
+    best = preview.best
     action = AWAIT_TARGET if best is None else best.step.value
     return Outcome(
         action if preview.refusal is None else REFUSE,
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -53,7 +53,9 @@
     Parameters
     ----------
     options : tuple of TargetOption
-        Targets that could serve it, the best first.
+        Targets that could serve it, sorted by cost.
+    best : TargetOption or None
+        The one that it would take or wait for; None without any.
     wait_s : float
         Seconds that it would wait before it is sent or refused, as far as is known.
     allowed_wait_s : float
@@ -65,12 +67,22 @@
     """
 
     options: tuple[TargetOption, ...]
+    best: TargetOption | None
     wait_s: float
     allowed_wait_s: float
     requests_load: bool
     refusal: RequestRefused | None
 
 
+@dataclass(frozen=True)
+class _Pick:
+    """The option that a request takes, and whether it would start there too late."""
+
+    option: TargetOption
+    is_late: bool
+    wait_until: float
+
+
 class _LowestDraws(Random):
     """Draws the lowest number of each range, so that previews don't vary."""
 
@@ -174,30 +186,15 @@
                 self.residents.wait(call.request.adapter, POLL_INTERVAL_S)
                 continue
             self._note_wanted(options)
-            best = self._choose_best(options, now, waited_s=now - waits_from)
-            if best.step is Step.AWAIT_PLACE:
-                queue_s = self._estimate_place_queue_s(call)
-                best = replace(best, wait_s=best.wait_s + queue_s)
-                if call.may_have_run:
-                    # A refusal would end it for good.
-                    wait_until = call.running.ends_at - MIN_SEND_BUDGET_S
-            is_late = _is_late(best, now, waits_from, wait_until)
-            if is_late and best.step is Step.AWAIT_PLACE:
-                # Rather an avoided target, or one with a queue, than none.
-                startable = [o for o in options if o.step is Step.SEND]
-                if startable:
-                    best = startable[0]
-                    is_late = _is_late(best, now, waits_from, wait_until)
+            pick = self._pick(call, options, now, waits_from, wait_until)
+            best, is_late, wait_until = pick.option, pick.is_late, pick.wait_until
             if best.target.id not in load_requested_at and _needs_load_request(
                 call, best, now, is_late=is_late
             ):
                 load_requested_at[best.target.id] = now
                 self.request_load(call, best.target, now, was_missing=False)
             if is_late:
-                if best.step is Step.AWAIT_PLACE:
-                    delay_s = draw_return_delay(self.random, best.wait_s)
-                    best = replace(best, wait_s=best.wait_s + delay_s)
-                raise _build_late_refusal(call, best, now, wait_until)
+                raise self._build_late_refusal(call, pick, now)
             if best.step is Step.SEND:
                 call.waited_s += now - waits_from
                 return best
@@ -239,13 +236,14 @@
         wait_until = self._get_wait_until(call)
         options = self._list_options(call, {}, now)
         wait_s, refusal, requests_load = 0.0, None, False
+        best = None
         if options:
-            best = options[0]
-            is_late = _is_late(best, now, now, wait_until)
-            requests_load = _needs_load_request(call, best, now, is_late=is_late)
+            pick = self._pick(call, options, now, now, wait_until)
+            best, wait_until = pick.option, pick.wait_until
+            requests_load = _needs_load_request(call, best, now, is_late=pick.is_late)
             wait_s = best.wait_s
-            if is_late:
-                refusal = _build_late_refusal(call, best, now, wait_until)
+            if pick.is_late:
+                refusal = self._build_late_refusal(call, pick, now)
         else:
             try:
                 wait_s = self._check_without_option(call, now, wait_until)
@@ -256,7 +254,9 @@
                     # It waits for a target as long as it may.
                     wait_s = max(wait_until - now, 0.0)
                     refusal = _build_no_target_refusal(call)
-        return Preview(tuple(options), wait_s, wait_until - now, requests_load, refusal)
+        return Preview(
+            tuple(options), best, wait_s, wait_until - now, requests_load, refusal
+        )
 
     def may_send(self, call: Call, target: Target) -> bool:
         """Return whether a selected target may still get a request.
@@ -464,6 +464,47 @@
         )
         return self.waiting[call.service] / rate if rate else 0.0
 
+    def _pick(
+        self,
+        call: Call,
+        options: list[TargetOption],
+        now: float,
+        waits_from: float,
+        wait_until: float,
+    ) -> _Pick:
+        """Pick the option that a request takes now; changes no state."""
+        best = self._choose_best(options, now, waited_s=now - waits_from)
+        if best.step is Step.AWAIT_PLACE:
+            queue_s = self._estimate_place_queue_s(call)
+            best = replace(best, wait_s=best.wait_s + queue_s)
+            if call.may_have_run:
+                # A refusal would end it for good.
+                wait_until = call.running.ends_at - MIN_SEND_BUDGET_S
+        is_late = _is_late(best, now, waits_from, wait_until)
+        if is_late and best.step is Step.AWAIT_PLACE:
+            # Rather an avoided target, or one with a queue, than none.
+            startable = [option for option in options if option.step is Step.SEND]
+            if startable:
+                best = startable[0]
+                is_late = _is_late(best, now, waits_from, wait_until)
+        return _Pick(best, is_late, wait_until)
+
+    def _build_late_refusal(
+        self, call: Call, pick: _Pick, now: float
+    ) -> RequestRefused:
+        """Return the refusal of a request that the best target would start too late."""
+        best = pick.option
+        if best.step is Step.AWAIT_PLACE:
+            delay_s = draw_return_delay(self.random, best.wait_s)
+            best = replace(best, wait_s=best.wait_s + delay_s)
+        return build_refusal(
+            call,
+            ErrorKind.OVERLOADED,
+            best.wait_s,
+            f"{best.target.id} would start it in {best.wait_s:.2f} s; it may"
+            f" wait {max(pick.wait_until - now, MIN_SEND_BUDGET_S):.2f} s",
+        )
+
     def _choose_best(
         self, options: list[TargetOption], now: float, *, waited_s: float
     ) -> TargetOption:
@@ -767,18 +808,6 @@
     return best.step is Step.REQUEST_LOAD and not (is_late and best.wait_s > return_s)
 
 
-def _build_late_refusal(
-    call: Call, best: TargetOption, now: float, wait_until: float
-) -> RequestRefused:
-    return build_refusal(
-        call,
-        ErrorKind.OVERLOADED,
-        best.wait_s,
-        f"{best.target.id} would start it in {best.wait_s:.2f} s; it may"
-        f" wait {max(wait_until - now, MIN_SEND_BUDGET_S):.2f} s",
-    )
-
-
 def _build_no_target_refusal(call: Call) -> RequestRefused:
     return build_refusal(
         call,
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -317,6 +317,31 @@
         )
 
 
+@pytest.mark.parametrize(
+    ("is_avoided", "service_s"), [(False, 0.1), (True, 30.0)], ids=["busy", "avoided"]
+)
+def test_explained_way_past_a_paced_target_is_the_one_that_is_taken(
+    is_avoided, service_s
+):
+    """Explanations told a wait for a place, or a refusal, where hosts sent at once."""
+    host = build_host([build_target("new"), build_target("old")])
+    host.health.service_s["api"] = service_s
+    pace(host, "new", requests=2)
+    if is_avoided:
+        host.health.note_failure("old", now=read_clock(), is_unreachable=True)
+        host.forwarder.selector.settings = replace(
+            host.forwarder.selector.settings, avoid_limit_s=60.0
+        )
+    for _ in range(7):
+        host.work.begin("old", "")
+    page = explain(host, PLAIN)
+    request = replace(build_request("1"), uri="/many/x", model="", adapter="")
+    call = host.forwarder.admission.admit(request, lambda: False)
+    assert page.targets[0].step == Step.AWAIT_PLACE.value
+    assert host.forwarder.selector.choose(call).target.id == "old"
+    assert (page.outcome.action, page.outcome.target) == ("send", "old")
+
+
 def test_explaining_changes_no_state_of_the_host():
     """Refilled limits, advanced quotas, promised tokens or drawn numbers would show.
 
