Forget the windows of targets that are gone

A host drops the window of a target 60 s after it was last registered, but adopted it again from the next digest of a host that dropped it later, and so on: the window of each restarted target stayed in all hosts for good, counted in thornlatch_pace_targets, took a place of the 64 in digests and was logged again each minute by each host.

Reports of targets that aren't registered here are adopted only if their change is less than 60 s old. The new test, two hosts that exchange reports of a target that is gone, has the window after 500 s without the change.

--- a/src/thornlatch/pace/_pacer.py
+++ b/src/thornlatch/pace/_pacer.py
@@ -569,6 +569,10 @@
         incarnation = (report.target, report.started_ms)
         if incarnation not in self.known and len(self.states) >= UNCONFIRMED_LIMIT:
             return None
+        if math.isinf(end) and not report.age_s < UNREGISTERED_MEMORY_S:
+            # Of a target that isn't registered here. Hosts would otherwise keep it for
+            # good, each taking it from the others after it has dropped it.
+            return None
         changed_at = now - max(report.age_s, 0.0)
         state = _State(report.round, report.window, end, changed_at, now, now, now)
         state.used_at, state.registered_at = now - report.idle_s, now
--- a/src/thornlatch/pace/tests/test_pacer.py
+++ b/src/thornlatch/pace/tests/test_pacer.py
@@ -307,6 +307,20 @@
     assert (pacer.states, pacer.known) == ({}, {})
 
 
+def test_hosts_do_not_keep_each_other_s_windows_of_a_target_that_is_gone():
+    """Each took the other's report after it had dropped its own state, for good."""
+    first, second = build_pacer(), build_pacer()
+    for pacer, at in ((first, 1.0), (second, 3.0)):
+        pacer.begin(TARGET, is_first_read=False, now=at)
+    for step in range(1, 500):
+        now = 3.0 + step
+        for pacer, peer in ((first, second), (second, first)):
+            pacer.tick(lambda name: None, now=now)
+            for report in peer.build_reports(now=now):
+                pacer.apply_report(report, slots=math.inf, now=now)
+    assert (first.states, second.states) == ({}, {})
+
+
 @pytest.mark.parametrize("window", [math.nan, -1.0, 0.0])
 def test_report_without_a_valid_window_is_ignored(window):
     pacer = build_pacer()
