Give back places and tries of requests that aren't sent

A target whose window is below one request gets one try a second. A request took it before its retry budget, key and limits were checked. If it wasn't sent, the try was lost, and all hosts heard in digests that the target had been used, so none tried it for another second. After a crash of all targets retry budgets are used up, so that is common then. A request without time left to be sent kept its place for 0.25 s.

release() of a request that wasn't sent returns the try and the time of the last use; the sender releases before it refuses. The new tests fail without the change (idle_s 0.5 in place of 2.5; one reservation left) and pass with it, as do the other tests of the pace.

--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -110,6 +110,7 @@
         now = read_clock()
         left_s = call.running.ends_at - now
         if left_s < MIN_SEND_BUDGET_S:
+            self.health.pacer.release(call.build_paced_request(target))
             raise build_failure(call)
         context = SendContext(
             target.id,
--- a/src/thornlatch/gateway/tests/test_pace.py
+++ b/src/thornlatch/gateway/tests/test_pace.py
@@ -11,13 +11,14 @@
 from thornlatch.fleet import TargetRegistry as Registry
 from thornlatch.gateway import CallerRequest, GatewayMetrics
 from thornlatch.gateway._call import Call
-from thornlatch.gateway._choice import Step
+from thornlatch.gateway._choice import Step, TargetOption
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._gateway import Gateway
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._regions import RegionPolicy
 from thornlatch.gateway._selector import TargetSelector
+from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._suspect_settings import SuspectSettings
 from thornlatch.gateway._suspects import CrashSuspects
@@ -203,6 +204,19 @@
     assert [change.window for change in changes] == [2.0] * is_paced
 
 
+def test_request_without_time_left_gives_its_place_back():
+    host = Host("a")
+    host.pace("a")
+    sender = TargetSender(
+        host.settings, protocol=None, work=host.work, health=host.health, metrics=None
+    )
+    call, target = build_call(deadline_s=0.0), host.registry.get("a")
+    assert host.forwarder._try_send(call, target)
+    with pytest.raises(RequestRefused):
+        sender.send(call, TargetOption(target, Step.SEND, 0.0, 0.0), None)
+    assert host.pacer.states["a", 5].reserved == {}
+
+
 def test_without_the_setting_nothing_is_kept():
     host = Host("a")
     host.pacer.settings = PaceSettings()
--- a/src/thornlatch/pace/_pacer.py
+++ b/src/thornlatch/pace/_pacer.py
@@ -102,6 +102,17 @@
         return RequestKind(self.target.service, self.is_stream, self.size)
 
 
+@dataclass(frozen=True)
+class _GivenTry:
+    """The try that a request took, and what was known before."""
+
+    request: str
+    given_at: float
+    places: int
+    used_at: float
+    own_used_at: float
+
+
 @dataclass
 class _State:
     round: int
@@ -134,6 +145,7 @@
     # of them is a try at a target that hasn't responded for long.
     places: int = 0
     is_try: bool = False
+    given_try: _GivenTry | None = None
     reserved: dict[str, float] = field(default_factory=dict)
     # Requests that haven't been answered, with the time of the send.
     unanswered: dict[str, tuple[PacedRequest, float]] = field(default_factory=dict)
@@ -736,10 +748,13 @@
                 state.is_wanted = True
                 return False
             state.reserved[request.id] = now
-            state.used_at = state.own_used_at = now
             if state.is_try:
+                state.given_try = _GivenTry(
+                    request.id, now, state.places, state.used_at, state.own_used_at
+                )
                 # One request, however soon it ends.
                 state.is_try, state.places = False, 0
+            state.used_at = state.own_used_at = now
             return True
 
     def note_sent(self, request: PacedRequest, *, now: float) -> None:
@@ -755,6 +770,8 @@
             return
         with self.lock:
             state.reserved.pop(request.id, None)
+            if state.given_try is not None and state.given_try.request == request.id:
+                state.given_try = None
             if state.is_paced:
                 state.unanswered[request.id] = request, now
 
@@ -770,6 +787,9 @@
             with self.lock:
                 state.reserved.pop(request.id, None)
                 state.unanswered.pop(request.id, None)
+                given = state.given_try
+                if given is not None and given.request == request.id:
+                    _take_back(state, given)
 
     def note_wanted(self, target: Incarnation) -> None:
         """Record that a request would go to a target if this host had a place there.
@@ -915,6 +935,17 @@
         return len(state.reserved)
 
 
+def _take_back(state: _State, given: _GivenTry) -> None:
+    """Give the try of a request that wasn't sent to the next one."""
+    state.given_try = None
+    if state.used_at == given.given_at:
+        state.used_at = given.used_at
+    if state.own_used_at == given.given_at:
+        state.own_used_at = given.own_used_at
+    if state.drawn_at <= given.given_at:
+        state.is_try, state.places = True, given.places
+
+
 def _get_incarnation(
     get_target: Callable[[str], Target | None], incarnation: Incarnation
 ) -> Target | None:
--- a/src/thornlatch/pace/tests/test_pacer.py
+++ b/src/thornlatch/pace/tests/test_pacer.py
@@ -307,6 +307,31 @@
     assert (pacer.states, pacer.known) == ({}, {})
 
 
+@pytest.mark.parametrize("is_drawn_before_release", [False, True])
+def test_try_of_a_request_that_is_not_sent_is_left_to_the_next(is_drawn_before_release):
+    """Requests without retry budget used up the tries of targets that had failed."""
+    pacer = build_pacer()
+    pacer.begin(TARGET, is_first_read=False, now=1.0)
+    pacer.states[TARGET.incarnation].window = 0.5
+    pacer.tick(lambda name: TARGET, now=3.0)
+    first, second = PacedRequest(TARGET, "1"), PacedRequest(TARGET, "2")
+    assert pacer.try_send(first, now=3.0)
+    assert not pacer.try_send(second, now=3.0)
+    if is_drawn_before_release:
+        pacer.tick(lambda name: TARGET, now=3.2)
+    pacer.release(first)
+    pacer.tick(lambda name: TARGET, now=3.21)
+    if is_drawn_before_release:
+        pacer.tick(lambda name: TARGET, now=3.5)
+    assert pacer.build_reports(now=3.5)[0].idle_s > 2.0
+    assert pacer.try_send(second, now=3.5)
+    pacer.note_sent(second, now=3.5)
+    # A try that was sent counts, whatever comes of it.
+    pacer.release(second)
+    pacer.tick(lambda name: TARGET, now=4.0)
+    assert not pacer.try_send(first, now=4.0)
+
+
 def test_hosts_do_not_keep_each_other_s_windows_of_a_target_that_is_gone():
     """Each took the other's report after it had dropped its own state, for good."""
     first, second = build_pacer(), build_pacer()
