Enable the pace for services that ask for it

Pacer.enable_service had no caller: only settings with coldOverage paced targets. The requirements name two more cases, services with coldStartS and services whose targets report how long work takes.

A configuration in force enables the former, an answer with the figure the latter. A changed registration of a running incarnation doesn't begin a ramp when pacing has just been enabled. The new tests fail without the change (2 of 4 cases; the others check that nothing is paced without the fields).

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -386,6 +386,9 @@
                 if service.cold_rate > 0
             }
         )
+        for service in configuration.services.values():
+            if service.cold_s > 0:
+                self.health.pacer.enable_service(service.name)
         self._log_withdrawn_keys(configuration)
 
     def confirm_configuration(self, *, read_started_at: float) -> None:
@@ -740,8 +743,12 @@
             self.health.forget(name, now=read_clock())
         else:
             self.health.begin(name, target.started_ms)
+            # Pacing of its service may have been enabled after its start.
+            is_running = previous is not None and not has_incarnation_ended
             change = self.health.pacer.begin(
-                target, is_first_read=not self.targets_known, now=read_clock()
+                target,
+                is_first_read=is_running or not self.targets_known,
+                now=read_clock(),
             )
             record_pace(change, self.metrics)
 
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -163,6 +163,10 @@
         """Record an answer for the pace of its target."""
         now = read_clock()
         pacer = self.health.pacer
+        load = answer.head.load
+        if load is not None and load.work_ratio is not None:
+            # Machines whose speed changes are loaded by how they respond.
+            pacer.enable_service(request.target.service)
         change = None
         if answer.head.status < 300:
             change = pacer.note_response(request, now - answer.sent_at, now=now)
--- a/src/thornlatch/gateway/tests/test_pace.py
+++ b/src/thornlatch/gateway/tests/test_pace.py
@@ -1,5 +1,6 @@
 """Requests at targets whose load is being raised, without network."""
 
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 
@@ -9,7 +10,13 @@
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
 from thornlatch.fleet import PeerView, PeerViewSettings, RegistrySettings, Target
 from thornlatch.fleet import TargetRegistry as Registry
-from thornlatch.gateway import CallerRequest, GatewayMetrics
+from thornlatch.gateway import (
+    CallerRequest,
+    GatewayMetrics,
+    GatewaySettings,
+    HostAddresses,
+    ReportedLoad,
+)
 from thornlatch.gateway._call import Call
 from thornlatch.gateway._choice import Step, TargetOption
 from thornlatch.gateway._forwarder import Forwarder
@@ -25,7 +32,14 @@
 from thornlatch.gateway._work import RunningRequest, WorkTable
 from thornlatch.pace import Pacer, PaceSettings
 from thornlatch.residency import HolderSettings, ResidentTable
-from thornlatch.routing import CallKind, ConfigurationInForce, FreshnessSettings, Route
+from thornlatch.routing import (
+    CallKind,
+    Configuration,
+    ConfigurationInForce,
+    FreshnessSettings,
+    Route,
+    Service,
+)
 
 ROUTE = Route("r", "h", "/", CallKind.IDEMPOTENT, (("s", 1.0),), 0.4, 0.1)
 
@@ -217,6 +231,44 @@
     assert host.pacer.states["a", 5].reserved == {}
 
 
+@pytest.mark.parametrize(("work_ratio", "is_paced"), [(1.0, True), (None, False)])
+def test_service_is_paced_once_its_targets_tell_how_long_work_takes(
+    work_ratio, is_paced
+):
+    """Nothing enabled the pace, so targets that restarted were flooded."""
+    host = Host("a")
+    host.pacer.settings = PaceSettings()
+    sender = TargetSender(
+        host.settings, protocol=None, work=host.work, health=host.health, metrics=None
+    )
+    target = host.registry.get("a")
+    load = ReportedLoad(1, 0, 8, work_ratio)
+    answer = SimpleNamespace(
+        head=SimpleNamespace(status=200, load=load), sent_at=read_clock()
+    )
+    sender._note_pace(build_call().build_paced_request(target), answer)
+    assert host.pacer.is_enabled_for("s") == is_paced
+
+
+@pytest.mark.parametrize("cold_s", [5.0, 0.0])
+def test_service_whose_targets_are_cold_after_a_start_is_paced(cold_s):
+    """Only settings with a tolerated ratio enabled it, so it was off by default."""
+    addresses = HostAddresses("h", "z", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+    host = Gateway(
+        GatewaySettings(addresses), callers=None, targets=None, partitions=12
+    )
+    host.fleet.peer_loop.mesh.close()
+    service = Service("s", "/", 50, cold_s=cold_s)
+    target = build_target("a")
+    host.replace_targets({"a": target})
+    host.apply_configuration(Configuration(7, (ROUTE,), {"s": service}, {}))
+    # Pacing begins with the next start, not with a change of the registration.
+    host.apply_target("a", replace(target, slots=9))
+    assert host.health.pacer.count_paced() == 0
+    host.apply_target("a", replace(target, started_ms=6))
+    assert host.health.pacer.count_paced() == (cold_s > 0)
+
+
 def test_without_the_setting_nothing_is_kept():
     host = Host("a")
     host.pacer.settings = PaceSettings()
