Load adapters elsewhere while their paced target has no place

A request that asked for a load because the target with its adapter is paced and has no place lost it: the holder drops loads of adapters that another target with a free slot has, and a paced target has free slots. The request then waited for a load that nobody had ordered.

The request now names such targets as of no use to it, like avoided ones. The new test fails without the change (no load at t2) and passes with it; tests of ordering, regions and evacuations pass.

--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -727,6 +727,8 @@
         """
         unusable = []
         usable = self._list_ready(call)
+        service_s = self.health.get_service_s(call.service)
+        pacer = self.health.pacer
         allowed = self.regions.get_allowed(call)
         for target in self.registry.get_ready(call.service):
             if not self.regions.is_allowed(target, allowed):
@@ -738,6 +740,7 @@
                 or target.id in call.excluded
                 or target not in usable
                 or self._is_avoided(target.id, now)
+                or pacer.get_wait_s(target, service_s=service_s, now=now)
             ):
                 unusable.append(target.id)
         return tuple(unusable)
--- a/src/thornlatch/gateway/tests/test_ordering.py
+++ b/src/thornlatch/gateway/tests/test_ordering.py
@@ -542,6 +542,27 @@
     assert [order[0] for order in manager.protocol.orders] == ["t1", "t2"]
 
 
+@pytest.mark.parametrize("has_place", [False, True])
+def test_adapter_at_a_paced_target_without_a_place_is_loaded_elsewhere(
+    manager_and_sent, has_place
+):
+    """The holder dropped the load, as a target with free slots has the adapter."""
+    manager, _ = manager_and_sent
+    hold(manager, "t1", "t2")
+    manager.request_load(build_load_request("t1"), now=read_clock())
+    pacer, target = manager.health.pacer, manager.registry.get("t1")
+    pacer.enable_service("llm")
+    pacer.begin(target, is_first_read=False, now=read_clock())
+    pacer.states[target.incarnation].window = 2.0 if has_place else 0.5
+    pacer.states[target.incarnation].places = int(has_place)
+    now = read_clock()
+    build_selector(manager).request_load(
+        build_call(now), manager.registry.get("t2"), now, was_missing=False
+    )
+    loaded = ["t1"] if has_place else ["t1", "t2"]
+    assert [order[0] for order in manager.protocol.orders] == loaded
+
+
 def test_adapter_whose_target_has_no_free_slot_gets_a_second_copy(manager_and_sent):
     manager, _ = manager_and_sent
     hold(manager, "t1", "t2")
