Refuse with the time of the place, not of a longer queue elsewhere

A request that would get its place at a paced target too late tries the first avoided or busy target instead. If that was too late as well, the refusal named its queue, however long. Only a target that starts the request in time replaces the wait for the place now, and all of them are considered, not the cheapest alone. The new test fails without the change ('b would start it in 9.00 s') and passes with it.

--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -483,10 +483,11 @@
         is_late = _is_late(best, now, waits_from, wait_until)
         if is_late and best.step is Step.AWAIT_PLACE:
             # Rather an avoided target, or one with a queue, than none.
-            startable = [option for option in options if option.step is Step.SEND]
-            if startable:
-                best = startable[0]
-                is_late = _is_late(best, now, waits_from, wait_until)
+            for option in options:
+                if option.step is Step.SEND and not _is_late(
+                    option, now, waits_from, wait_until
+                ):
+                    return _Pick(option, False, wait_until)
         return _Pick(best, is_late, wait_until)
 
     def _build_late_refusal(
--- a/src/thornlatch/gateway/tests/test_pace.py
+++ b/src/thornlatch/gateway/tests/test_pace.py
@@ -175,6 +175,21 @@
     assert error.value.retry_after_s >= 6.0
 
 
+def test_refusal_counts_the_place_and_not_a_longer_queue_elsewhere():
+    """Callers were told to return after the queue of an avoided target."""
+    host = Host("a", "b")
+    host.pace("a")
+    host.health.note_failure("b", now=read_clock(), is_unreachable=True)
+    for _ in range(31):
+        host.work.begin("b", "")
+    for number in range(2):
+        assert host.send(str(number)) == "a"
+    host.health.service_s["s"] = 3.0
+    with pytest.raises(RequestRefused, match="a would start it") as error:
+        host.selector.choose(build_call())
+    assert 1.5 <= error.value.retry_after_s <= 2.0
+
+
 def test_stream_that_has_begun_waits_until_its_deadline():
     # A refusal would cut it.
     host = Host("a")
