Forget known targets in hosts that pace nothing

While a peer reports any window, a host records each incarnation that is registered, but forgot them only if it paces targets of a service itself. The record grew with each restart. It is pruned wherever it isn't empty now. The new test fails without the change and passes with it.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -697,8 +697,9 @@
     def _pace_targets(self, now: float, *, has_peers: bool) -> None:
         """Pace targets that failed, and draw this host's places at paced ones."""
         pacer = self.health.pacer
-        if pacer.is_enabled:
+        if pacer.is_enabled or pacer.known:
             pacer.note_registered(list(self.registry.targets.values()), now=now)
+        if pacer.is_enabled:
             self._note_avoided(now, has_peers=has_peers)
         for change in pacer.tick(self.registry.get, now=now):
             record_pace(change, self.metrics)
--- a/src/thornlatch/gateway/tests/test_pace.py
+++ b/src/thornlatch/gateway/tests/test_pace.py
@@ -8,7 +8,13 @@
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
-from thornlatch.fleet import PeerView, PeerViewSettings, RegistrySettings, Target
+from thornlatch.fleet import (
+    PeerView,
+    PeerViewSettings,
+    RegistrySettings,
+    Target,
+    TargetPace,
+)
 from thornlatch.fleet import TargetRegistry as Registry
 from thornlatch.gateway import (
     CallerRequest,
@@ -284,6 +290,18 @@
     assert host.health.pacer.count_paced() == (cold_s > 0)
 
 
+def test_host_that_paces_nothing_forgets_targets_that_its_peers_pace():
+    """Each incarnation stayed for good while any peer reported a window."""
+    host = Host("a")
+    host.pacer.settings = PaceSettings()
+    now = read_clock()
+    host.pacer.apply_report(TargetPace("a", 5, 1, 2.0), slots=8, now=now)
+    restarted = replace(build_target("b"), started_ms=6)
+    host.pacer.begin(restarted, is_first_read=False, now=now)
+    Gateway._pace_targets(host, now + 100.0, has_peers=False)
+    assert restarted.incarnation not in host.pacer.known
+
+
 def test_without_the_setting_nothing_is_kept():
     host = Host("a")
     host.pacer.settings = PaceSettings()
