--- a/src/thornlatch/gateway/_regions.py
+++ b/src/thornlatch/gateway/_regions.py
@@ -64,7 +64,7 @@
         restrictions = [regions for regions in allowed if regions]
         return frozenset.intersection(*restrictions) if restrictions else None
 
-    def get_region(self, target: Target) -> str:
+    def get_region(self, target: Target) -> str | None:
         """Return the region of a target's failure domain.
 
         Parameters
@@ -73,10 +73,10 @@
 
         Returns
         -------
-        str
-            Empty if the domain isn't listed.
+        str or None
+            None if the domain isn't listed.
         """
-        return self.regions.get(target.failure_domain, "")
+        return self.regions.get(target.failure_domain)
 
     def is_allowed(self, target: Target, allowed: frozenset[str] | None) -> bool:
         """Return whether a target is in an allowed region.
@@ -91,4 +91,4 @@
         -------
         bool
         """
-        return allowed is None or self.regions.get(target.failure_domain) in allowed
+        return allowed is None or self.get_region(target) in allowed
--- a/src/thornlatch/gateway/_target_reasons.py
+++ b/src/thornlatch/gateway/_target_reasons.py
@@ -65,8 +65,8 @@
         Version that the request needs; None for any.
     option : TargetOption or None
         None if the request can't be sent there.
-    region : str
-        Region of the target; empty without one.
+    region : str or None
+        Region of the target; None without one.
     allowed_regions : frozenset of str or None
         Regions to whose targets the request may be sent; None for any target.
     """
@@ -75,7 +75,7 @@
     requirements: RequestRequirements
     software_version: str | None
     option: TargetOption | None
-    region: str = ""
+    region: str | None = None
     allowed_regions: frozenset[str] | None = None
 
     @property
