Count a request that hangs once at the lowest window

An overdue request counts as late at every tick until the window was lowered after it was sent. At the lowest window it can't be lowered, so one request that hung held the target at one request until its deadline, whatever the others' responses. Such a request is counted once there as well.

--- a/src/thornlatch/pace/_pacer.py
+++ b/src/thornlatch/pace/_pacer.py
@@ -503,6 +503,9 @@
         if now - state.lowered_at < self.round_s or window == state.window:
             # It doesn't grow in a round with a failure either.
             state.in_force_at = now
+            if window == state.window:
+                # Otherwise a request that hangs would hold it until its deadline.
+                state.lowered_at = now
             return None
         return self._change(
             incarnation, state, window, reason, now - sent_at, now, is_lower=True
--- a/src/thornlatch/pace/tests/test_pacer.py
+++ b/src/thornlatch/pace/tests/test_pacer.py
@@ -221,6 +221,21 @@
     assert pacer.tick(lambda name: TARGET, now=3.0) == []
 
 
+@pytest.mark.parametrize("window", [1.0, 4.0])
+def test_request_that_hangs_does_not_hold_the_window_until_its_deadline(window):
+    """At one request, the target stayed at that while any request hung there."""
+    pacer = build_pacer()
+    pacer.begin(TARGET, is_first_read=False, now=1.0)
+    pacer.states[TARGET.incarnation].window = window
+    pacer.note_sent(PacedRequest(TARGET, "hangs", True, 10), now=2.0)
+    for step in range(200):
+        now = 2.0 + step * 0.05
+        pacer.tick(lambda name: TARGET, now=now)
+        if step % 20 == 19:
+            respond(pacer, TARGET, at=now)
+    assert pacer.get_window(TARGET.incarnation) > 4
+
+
 def test_response_to_a_request_of_an_earlier_round_does_not_raise_the_window():
     pacer = build_pacer()
     pacer.begin(TARGET, is_first_read=False, now=1.0)
