Don't count avoided targets as a way for requests that wait for places

The wait behind other requests was divided by the rate of all targets, which is infinite with one that isn't paced, also if that is avoided. So a single crashed target let all requests wait as if none were before them, and be refused late. The extended test fails without the change (1.75 s in place of 6 s or more).

--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -1,6 +1,7 @@
 """Selects a target for a request, waiting for an adapter load if necessary."""
 
 import copy
+import math
 import threading
 from collections import Counter
 from collections.abc import Sequence
@@ -452,15 +453,21 @@
                 raise self._build_closed_refusal(call, closed_s)
         return 0.0
 
-    def _estimate_place_queue_s(self, call: Call) -> float:
-        """Return the seconds that the requests waiting for places take before."""
+    def _estimate_place_queue_s(self, call: Call, now: float) -> float:
+        """Return the seconds that the requests waiting for places take before.
+
+        Avoided targets take none of them, unless they are paced and so tried.
+        """
+        pacer = self.health.pacer
         service_s = self.health.get_service_s(call.service)
         rate = sum(
             min(
-                self.health.pacer.get_rate(target.incarnation, service_s=service_s),
+                pacer.get_rate(target.incarnation, service_s=service_s),
                 self.health.limits.get_share(target.incarnation),
             )
             for target in self._list_ready(call)
+            if math.isfinite(pacer.get_window(target.incarnation))
+            or not self._is_avoided(target.id, now)
         )
         return self.waiting[call.service] / rate if rate else 0.0
 
@@ -475,7 +482,7 @@
         """Pick the option that a request takes now; changes no state."""
         best = self._choose_best(options, now, waited_s=now - waits_from)
         if best.step is Step.AWAIT_PLACE:
-            queue_s = self._estimate_place_queue_s(call)
+            queue_s = self._estimate_place_queue_s(call, now)
             best = replace(best, wait_s=best.wait_s + queue_s)
             if call.may_have_run:
                 # A refusal would end it for good.
--- a/src/thornlatch/gateway/tests/test_pace.py
+++ b/src/thornlatch/gateway/tests/test_pace.py
@@ -194,6 +194,11 @@
     with pytest.raises(RequestRefused, match="a would start it") as error:
         host.selector.choose(build_call())
     assert 1.5 <= error.value.retry_after_s <= 2.0
+    # The requests that wait come before; the avoided target serves none of them.
+    host.selector.waiting["s"] = 3
+    with pytest.raises(RequestRefused) as error:
+        host.selector.choose(build_call())
+    assert error.value.retry_after_s >= 6.0
 
 
 def test_stream_that_has_begun_waits_until_its_deadline():
