--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -110,6 +110,7 @@
         now = read_clock()
         left_s = call.running.ends_at - now
         if left_s < MIN_SEND_BUDGET_S:
+            self.health.pacer.release(call.build_paced_request(target))
             raise build_failure(call)
         context = SendContext(
             target.id,
@@ -162,6 +163,10 @@
         """Record an answer for the pace of its target."""
         now = read_clock()
         pacer = self.health.pacer
+        load = answer.head.load
+        if load is not None and load.work_ratio is not None:
+            # Machines whose speed changes are loaded by how they respond.
+            pacer.enable_service(request.target.service)
         change = None
         if answer.head.status < 300:
             change = pacer.note_response(request, now - answer.sent_at, now=now)
--- a/src/thornlatch/gateway/tests/test_pace.py
+++ b/src/thornlatch/gateway/tests/test_pace.py
@@ -1,5 +1,6 @@
 """Requests at targets whose load is being raised, without network."""
 
+from dataclasses import replace
 from random import Random
 from types import SimpleNamespace
 
@@ -7,24 +8,44 @@
 
 from thornlatch.core import read_clock
 from thornlatch.exceptions import ErrorKind, RequestRefused, TargetError
-from thornlatch.fleet import PeerView, PeerViewSettings, RegistrySettings, Target
+from thornlatch.fleet import (
+    PeerView,
+    PeerViewSettings,
+    RegistrySettings,
+    Target,
+    TargetPace,
+)
 from thornlatch.fleet import TargetRegistry as Registry
-from thornlatch.gateway import CallerRequest, GatewayMetrics
+from thornlatch.gateway import (
+    CallerRequest,
+    GatewayMetrics,
+    GatewaySettings,
+    HostAddresses,
+    ReportedLoad,
+)
 from thornlatch.gateway._call import Call
-from thornlatch.gateway._choice import Step
+from thornlatch.gateway._choice import Step, TargetOption
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._gateway import Gateway
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._pacing import PromptPacing
 from thornlatch.gateway._regions import RegionPolicy
 from thornlatch.gateway._selector import TargetSelector
+from thornlatch.gateway._sender import TargetSender
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._suspect_settings import SuspectSettings
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import RunningRequest, WorkTable
 from thornlatch.pace import Pacer, PaceSettings
 from thornlatch.residency import HolderSettings, ResidentTable
-from thornlatch.routing import CallKind, ConfigurationInForce, FreshnessSettings, Route
+from thornlatch.routing import (
+    CallKind,
+    Configuration,
+    ConfigurationInForce,
+    FreshnessSettings,
+    Route,
+    Service,
+)
 
 ROUTE = Route("r", "h", "/", CallKind.IDEMPOTENT, (("s", 1.0),), 0.4, 0.1)
 
@@ -160,6 +181,26 @@
     assert error.value.retry_after_s >= 6.0
 
 
+def test_refusal_counts_the_place_and_not_a_longer_queue_elsewhere():
+    """Callers were told to return after the queue of an avoided target."""
+    host = Host("a", "b")
+    host.pace("a")
+    host.health.note_failure("b", now=read_clock(), is_unreachable=True)
+    for _ in range(31):
+        host.work.begin("b", "")
+    for number in range(2):
+        assert host.send(str(number)) == "a"
+    host.health.service_s["s"] = 3.0
+    with pytest.raises(RequestRefused, match="a would start it") as error:
+        host.selector.choose(build_call())
+    assert 1.5 <= error.value.retry_after_s <= 2.0
+    # The requests that wait come before; the avoided target serves none of them.
+    host.selector.waiting["s"] = 3
+    with pytest.raises(RequestRefused) as error:
+        host.selector.choose(build_call())
+    assert error.value.retry_after_s >= 6.0
+
+
 def test_stream_that_has_begun_waits_until_its_deadline():
     # A refusal would cut it.
     host = Host("a")
@@ -203,6 +244,69 @@
     assert [change.window for change in changes] == [2.0] * is_paced
 
 
+def test_request_without_time_left_gives_its_place_back():
+    host = Host("a")
+    host.pace("a")
+    sender = TargetSender(
+        host.settings, protocol=None, work=host.work, health=host.health, metrics=None
+    )
+    call, target = build_call(deadline_s=0.0), host.registry.get("a")
+    assert host.forwarder._try_send(call, target)
+    with pytest.raises(RequestRefused):
+        sender.send(call, TargetOption(target, Step.SEND, 0.0, 0.0), None)
+    assert host.pacer.states["a", 5].reserved == {}
+
+
+@pytest.mark.parametrize(("work_ratio", "is_paced"), [(1.0, True), (None, False)])
+def test_service_is_paced_once_its_targets_tell_how_long_work_takes(
+    work_ratio, is_paced
+):
+    """Nothing enabled the pace, so targets that restarted were flooded."""
+    host = Host("a")
+    host.pacer.settings = PaceSettings()
+    sender = TargetSender(
+        host.settings, protocol=None, work=host.work, health=host.health, metrics=None
+    )
+    target = host.registry.get("a")
+    load = ReportedLoad(1, 0, 8, work_ratio)
+    answer = SimpleNamespace(
+        head=SimpleNamespace(status=200, load=load), sent_at=read_clock()
+    )
+    sender._note_pace(build_call().build_paced_request(target), answer)
+    assert host.pacer.is_enabled_for("s") == is_paced
+
+
+@pytest.mark.parametrize("cold_s", [5.0, 0.0])
+def test_service_whose_targets_are_cold_after_a_start_is_paced(cold_s):
+    """Only settings with a tolerated ratio enabled it, so it was off by default."""
+    addresses = HostAddresses("h", "z", "127.0.0.1:0", "127.0.0.1:0", "127.0.0.1:0")
+    host = Gateway(
+        GatewaySettings(addresses), callers=None, targets=None, partitions=12
+    )
+    host.fleet.peer_loop.mesh.close()
+    service = Service("s", "/", 50, cold_s=cold_s)
+    target = build_target("a")
+    host.replace_targets({"a": target})
+    host.apply_configuration(Configuration(7, (ROUTE,), {"s": service}, {}))
+    # Pacing begins with the next start, not with a change of the registration.
+    host.apply_target("a", replace(target, slots=9))
+    assert host.health.pacer.count_paced() == 0
+    host.apply_target("a", replace(target, started_ms=6))
+    assert host.health.pacer.count_paced() == (cold_s > 0)
+
+
+def test_host_that_paces_nothing_forgets_targets_that_its_peers_pace():
+    """Each incarnation stayed for good while any peer reported a window."""
+    host = Host("a")
+    host.pacer.settings = PaceSettings()
+    now = read_clock()
+    host.pacer.apply_report(TargetPace("a", 5, 1, 2.0), slots=8, now=now)
+    restarted = replace(build_target("b"), started_ms=6)
+    host.pacer.begin(restarted, is_first_read=False, now=now)
+    Gateway._pace_targets(host, now + 100.0, has_peers=False)
+    assert restarted.incarnation not in host.pacer.known
+
+
 def test_without_the_setting_nothing_is_kept():
     host = Host("a")
     host.pacer.settings = PaceSettings()
--- a/src/thornlatch/pace/_pacer.py
+++ b/src/thornlatch/pace/_pacer.py
@@ -103,6 +103,17 @@
         return RequestKind(self.target.service, self.is_stream, self.size)
 
 
+@dataclass(frozen=True)
+class _GivenTry:
+    """The try that a request took, and what was known before."""
+
+    request: str
+    given_at: float
+    places: int
+    used_at: float
+    own_used_at: float
+
+
 @dataclass
 class _State:
     round: int
@@ -135,6 +146,7 @@
     # of them is a try at a target that hasn't responded for long.
     places: int = 0
     is_try: bool = False
+    given_try: _GivenTry | None = None
     reserved: dict[str, float] = field(default_factory=dict)
     # Requests that haven't been answered, with the time of the send.
     unanswered: dict[str, tuple[PacedRequest, float]] = field(default_factory=dict)
@@ -492,6 +504,9 @@
         if now - state.lowered_at < self.round_s or window == state.window:
             # It doesn't grow in a round with a failure either.
             state.in_force_at = now
+            if window == state.window:
+                # Otherwise a request that hangs would hold it until its deadline.
+                state.lowered_at = now
             return None
         return self._change(
             incarnation, state, window, reason, now - sent_at, now, is_lower=True
@@ -570,6 +585,10 @@
         incarnation = (report.target, report.started_ms)
         if incarnation not in self.known and len(self.states) >= UNCONFIRMED_LIMIT:
             return None
+        if math.isinf(end) and not report.age_s < UNREGISTERED_MEMORY_S:
+            # Of a target that isn't registered here. Hosts would otherwise keep it for
+            # good, each taking it from the others after it has dropped it.
+            return None
         changed_at = now - max(report.age_s, 0.0)
         state = _State(report.round, report.window, end, changed_at, now, now, now)
         state.used_at, state.registered_at = now - report.idle_s, now
@@ -633,6 +652,31 @@
         state = self.states.get(target)
         return math.inf if state is None or not state.is_paced else state.window
 
+    def describe(self, target: Incarnation, *, now: float) -> TargetPace | None:
+        """Return the window of a paced target, for operators.
+
+        Parameters
+        ----------
+        target : (str, int)
+        now : float
+
+        Returns
+        -------
+        TargetPace or None
+            Its `idle_s` counts from the last known use by any host. None if the target
+            isn't paced.
+        """
+        state = self.states.get(target)
+        if state is None or not state.is_paced:
+            return None
+        return TargetPace(
+            *target,
+            state.round,
+            state.window,
+            now - state.changed_at,
+            now - state.used_at,
+        )
+
     def count_paced(self) -> int:
         """Return the number of paced targets.
 
@@ -708,10 +752,13 @@
                 state.is_wanted = True
                 return False
             state.reserved[request.id] = now
-            state.used_at = state.own_used_at = now
             if state.is_try:
+                state.given_try = _GivenTry(
+                    request.id, now, state.places, state.used_at, state.own_used_at
+                )
                 # One request, however soon it ends.
                 state.is_try, state.places = False, 0
+            state.used_at = state.own_used_at = now
             return True
 
     def note_sent(self, request: PacedRequest, *, now: float) -> None:
@@ -727,6 +774,8 @@
             return
         with self.lock:
             state.reserved.pop(request.id, None)
+            if state.given_try is not None and state.given_try.request == request.id:
+                state.given_try = None
             if state.is_paced:
                 state.unanswered[request.id] = request, now
 
@@ -742,6 +791,9 @@
             with self.lock:
                 state.reserved.pop(request.id, None)
                 state.unanswered.pop(request.id, None)
+                given = state.given_try
+                if given is not None and given.request == request.id:
+                    _take_back(state, given)
 
     def note_wanted(self, target: Incarnation) -> None:
         """Record that a request would go to a target if this host had a place there.
@@ -909,6 +961,17 @@
         return len(state.reserved)
 
 
+def _take_back(state: _State, given: _GivenTry) -> None:
+    """Give the try of a request that wasn't sent to the next one."""
+    state.given_try = None
+    if state.used_at == given.given_at:
+        state.used_at = given.used_at
+    if state.own_used_at == given.given_at:
+        state.own_used_at = given.own_used_at
+    if state.drawn_at <= given.given_at:
+        state.is_try, state.places = True, given.places
+
+
 def _get_incarnation(
     get_target: Callable[[str], Target | None], incarnation: Incarnation
 ) -> Target | None:
--- a/src/thornlatch/pace/tests/test_pacer.py
+++ b/src/thornlatch/pace/tests/test_pacer.py
@@ -221,6 +221,21 @@
     assert pacer.tick(lambda name: TARGET, now=3.0) == []
 
 
+@pytest.mark.parametrize("window", [1.0, 4.0])
+def test_request_that_hangs_does_not_hold_the_window_until_its_deadline(window):
+    """At one request, the target stayed at that while any request hung there."""
+    pacer = build_pacer()
+    pacer.begin(TARGET, is_first_read=False, now=1.0)
+    pacer.states[TARGET.incarnation].window = window
+    pacer.note_sent(PacedRequest(TARGET, "hangs", True, 10), now=2.0)
+    for step in range(200):
+        now = 2.0 + step * 0.05
+        pacer.tick(lambda name: TARGET, now=now)
+        if step % 20 == 19:
+            respond(pacer, TARGET, at=now)
+    assert pacer.get_window(TARGET.incarnation) > 4
+
+
 def test_response_to_a_request_of_an_earlier_round_does_not_raise_the_window():
     pacer = build_pacer()
     pacer.begin(TARGET, is_first_read=False, now=1.0)
@@ -307,6 +322,45 @@
     assert (pacer.states, pacer.known) == ({}, {})
 
 
+@pytest.mark.parametrize("is_drawn_before_release", [False, True])
+def test_try_of_a_request_that_is_not_sent_is_left_to_the_next(is_drawn_before_release):
+    """Requests without retry budget used up the tries of targets that had failed."""
+    pacer = build_pacer()
+    pacer.begin(TARGET, is_first_read=False, now=1.0)
+    pacer.states[TARGET.incarnation].window = 0.5
+    pacer.tick(lambda name: TARGET, now=3.0)
+    first, second = PacedRequest(TARGET, "1"), PacedRequest(TARGET, "2")
+    assert pacer.try_send(first, now=3.0)
+    assert not pacer.try_send(second, now=3.0)
+    if is_drawn_before_release:
+        pacer.tick(lambda name: TARGET, now=3.2)
+    pacer.release(first)
+    pacer.tick(lambda name: TARGET, now=3.21)
+    if is_drawn_before_release:
+        pacer.tick(lambda name: TARGET, now=3.5)
+    assert pacer.build_reports(now=3.5)[0].idle_s > 2.0
+    assert pacer.try_send(second, now=3.5)
+    pacer.note_sent(second, now=3.5)
+    # A try that was sent counts, whatever comes of it.
+    pacer.release(second)
+    pacer.tick(lambda name: TARGET, now=4.0)
+    assert not pacer.try_send(first, now=4.0)
+
+
+def test_hosts_do_not_keep_each_other_s_windows_of_a_target_that_is_gone():
+    """Each took the other's report after it had dropped its own state, for good."""
+    first, second = build_pacer(), build_pacer()
+    for pacer, at in ((first, 1.0), (second, 3.0)):
+        pacer.begin(TARGET, is_first_read=False, now=at)
+    for step in range(1, 500):
+        now = 3.0 + step
+        for pacer, peer in ((first, second), (second, first)):
+            pacer.tick(lambda name: None, now=now)
+            for report in peer.build_reports(now=now):
+                pacer.apply_report(report, slots=math.inf, now=now)
+    assert (first.states, second.states) == ({}, {})
+
+
 @pytest.mark.parametrize("window", [math.nan, -1.0, 0.0])
 def test_report_without_a_valid_window_is_ignored(window):
     pacer = build_pacer()
