Run a failed stream again only if another run can be on time

Found by a reviewer: the second run ignored the time that was left, and used the part of the quota that is kept for streams which callers resume.

--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -295,7 +295,11 @@
         if call.route.kind is CallKind.IDEMPOTENT:
             return True
         now = read_clock()
-        # Without room for both, the caller gets the failure and may return itself.
+        left_s = call.running.ends_at - now
+        # The caller gets the failure, and may return itself, if another run can't be
+        # on time or there is no room for it in retry budget and quota.
+        if call.running.stop_reason is not None or left_s < call.route.objective_s:
+            return False
         if not self.retries.may_repeat_answered(call.service, now=now):
             return False
         return self._charge_again(call, now)
@@ -304,9 +308,7 @@
         """Charge another run of a generation, which the quota counts like the first."""
         if call.organisation is None:
             return True
-        wait_s = self.quota.try_spend(
-            call.organisation.name, call.tokens, now=now, is_resumed=True
-        )
+        wait_s = self.quota.try_spend(call.organisation.name, call.tokens, now=now)
         if wait_s is not None:
             return False
         call.unused_tokens = call.tokens
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -217,9 +217,11 @@
     return TargetAnswer(option, head, Response(), 0.0, None)
 
 
-def should_repeat(route, *, status=500, has_alternative=True, slack=50.0, runs=0):
+def should_repeat(
+    route, *, status=500, has_alternative=True, slack=50.0, runs=0, left_s=1.0
+):
     now = read_clock()
-    quota = SharedQuota(QuotaSettings(), now=now)
+    quota = SharedQuota(QuotaSettings(), now=now - 60.0)
     quota.set_organisations(
         [Organisation("shop", frozenset(), None, 100.0, 100.0)], now=now
     )
@@ -231,6 +233,7 @@
     )
     call = build_call(runs=runs)
     call.route = route
+    call.running.ends_at = now + left_s
     is_repeated = forwarder._should_repeat(call, build_failed_answer(status))
     spent, _ = quota.get_spent(now=now)
     return is_repeated, spent["shop"]
@@ -252,6 +255,7 @@
         (STREAM, {"has_alternative": False}),
         # A part of the budget is kept for requests that no target answered.
         (STREAM, {"slack": 1.0}),
+        (STREAM, {"left_s": 0.05}),
     ],
 )
 def test_failure_is_passed_on_if_no_other_run_is_allowed(route, options):
