Pace targets that started, and those that recovered only where settings ask for it

Change: pacing of recovered targets and of services that report their speed are settings of their own, off by default; their tests set them. Started targets are paced in deployments with cold targets.

--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -702,7 +702,8 @@
         if pacer.is_enabled or pacer.known:
             pacer.note_registered(list(self.registry.targets.values()), now=now)
         if pacer.is_enabled:
-            self._note_avoided(now, has_peers=has_peers)
+            if pacer.settings.paces_recovered:
+                self._note_avoided(now, has_peers=has_peers)
         for change in pacer.tick(self.registry.get, now=now):
             record_pace(change, self.metrics)
 
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -164,7 +164,8 @@
         now = read_clock()
         pacer = self.health.pacer
         load = answer.head.load
-        if load is not None and load.work_ratio is not None:
+        is_uneven = load is not None and load.work_ratio is not None
+        if is_uneven and pacer.settings.paces_uneven:
             # Machines whose speed changes are loaded by how they respond.
             pacer.enable_service(request.target.service)
         change = None
--- a/src/thornlatch/gateway/tests/test_pace.py
+++ b/src/thornlatch/gateway/tests/test_pace.py
@@ -257,13 +257,16 @@
     assert host.pacer.states["a", 5].reserved == {}
 
 
-@pytest.mark.parametrize(("work_ratio", "is_paced"), [(1.0, True), (None, False)])
+@pytest.mark.parametrize(
+    ("work_ratio", "paces_uneven", "is_paced"),
+    [(1.0, True, True), (None, True, False), (1.0, False, False)],
+)
 def test_service_is_paced_once_its_targets_tell_how_long_work_takes(
-    work_ratio, is_paced
+    work_ratio, paces_uneven, is_paced
 ):
     """Nothing enabled the pace, so targets that restarted were flooded."""
     host = Host("a")
-    host.pacer.settings = PaceSettings()
+    host.pacer.settings = PaceSettings(paces_uneven=paces_uneven)
     sender = TargetSender(
         host.settings, protocol=None, work=host.work, health=host.health, metrics=None
     )
@@ -299,6 +302,7 @@
     """Each incarnation stayed for good while any peer reported a window."""
     host = Host("a")
     host.pacer.settings = PaceSettings()
+    host.metrics = GatewayMetrics()
     now = read_clock()
     host.pacer.apply_report(TargetPace("a", 5, 1, 2.0), slots=8, now=now)
     restarted = replace(build_target("b"), started_ms=6)
--- a/src/thornlatch/pace/_settings.py
+++ b/src/thornlatch/pace/_settings.py
@@ -15,6 +15,12 @@
     is_enabled : bool
         Whether targets of all services are paced. Otherwise only those of services are
         for which it was enabled while the host runs.
+    paces_recovered : bool
+        Whether targets that failed and are used again are paced too, not only those
+        that started. A target that loses a part of its answers isn't overloaded, and
+        pacing it leaves callers without places.
+    paces_uneven : bool
+        Whether the services are paced whose targets report how long work takes.
     first_window : float
         Requests of all hosts together at a target that has just started.
     growth : float
@@ -51,6 +57,8 @@
     """
 
     is_enabled: bool = False
+    paces_recovered: bool = False
+    paces_uneven: bool = False
     first_window: Annotated[float, Meta(ge=1)] = 2.0
     growth: Annotated[float, Meta(gt=1)] = 2.0
     end_ratio: Annotated[float, Meta(ge=1)] = 4.0
