--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -701,9 +701,8 @@
         pacer = self.health.pacer
         if pacer.is_enabled or pacer.known:
             pacer.note_registered(list(self.registry.targets.values()), now=now)
-        if pacer.is_enabled:
-            if pacer.settings.paces_recovered:
-                self._note_avoided(now, has_peers=has_peers)
+        if pacer.is_enabled and pacer.settings.paces_recovered:
+            self._note_avoided(now, has_peers=has_peers)
         for change in pacer.tick(self.registry.get, now=now):
             record_pace(change, self.metrics)
 
