Compute the fingerprint of a request once

Cause: since requests are kept for explanations, each body was hashed twice, once when the request was kept and once when it was admitted.

Change: CallerRequest computes it on first use and keeps it. The test's assertions are the same.

--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -9,7 +9,7 @@
 from thornlatch.gateway._call import Call, build_failure
 from thornlatch.gateway._ports import CallerRequest
 from thornlatch.gateway._settings import ForwardingSettings
-from thornlatch.gateway._suspects import CrashSuspects, fingerprint_request
+from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import RunningRequest
 from thornlatch.quota import SharedQuota
 from thornlatch.routing import (
@@ -83,13 +83,12 @@
         organisation = None
         if needs_key(configuration, route):
             organisation = self.authenticate(request, now=now)
-        fingerprint = fingerprint_request(request)
-        self.check_runs(fingerprint)
+        self.check_runs(request.fingerprint)
         call = self.build_call(
             request,
             route,
             organisation,
-            fingerprint,
+            request.fingerprint,
             is_caller_disconnected,
             now=now,
         )
--- a/src/thornlatch/gateway/_ports.py
+++ b/src/thornlatch/gateway/_ports.py
@@ -1,7 +1,9 @@
 """Interfaces that a platform's adapter implements, and the data they exchange."""
 
+import hashlib
 from collections.abc import Mapping
 from dataclasses import dataclass
+from functools import cached_property
 from typing import Any, Protocol
 
 from thornlatch.fleet import TargetNotice
@@ -64,6 +66,16 @@
         """The path without the query."""
         return self.uri.partition("?")[0]
 
+    @cached_property
+    def fingerprint(self) -> str:
+        """Digest that is equal for all repetitions of the request."""
+        digest = hashlib.blake2b(digest_size=8)
+        for part in (self.method, self.host, self.uri, self.key or ""):
+            digest.update(part.encode())
+            digest.update(b"\0")
+        digest.update(self.body)
+        return digest.hexdigest()
+
 
 @dataclass(frozen=True)
 class SendContext:
--- a/src/thornlatch/gateway/_recent_requests.py
+++ b/src/thornlatch/gateway/_recent_requests.py
@@ -7,7 +7,6 @@
 
 from thornlatch.gateway._explanation_settings import ExplanationSettings
 from thornlatch.gateway._ports import CallerRequest
-from thornlatch.gateway._suspects import fingerprint_request
 from thornlatch.gateway._where_query import WhereQuery
 from thornlatch.routing import Configuration
 
@@ -73,7 +72,7 @@
             request.resumes or request.id,
             is_resumed=bool(request.last_event),
         )
-        entry = RecentRequest(query, fingerprint_request(request))
+        entry = RecentRequest(query, request.fingerprint)
         entry_bytes = _count_bytes(request.id, entry)
         with self.lock:
             self._drop(request.id)
--- a/src/thornlatch/gateway/_suspects.py
+++ b/src/thornlatch/gateway/_suspects.py
@@ -1,13 +1,11 @@
 """Recognises repeated requests that crash the targets that run them."""
 
-import hashlib
 import threading
 from collections.abc import Callable, Iterable
 
 from thornlatch.fleet import FLEET, Target, TargetRegistry
 from thornlatch.gateway._aborted_runs import AbortedRuns
 from thornlatch.gateway._adopted_crashes import AdoptedCrashes
-from thornlatch.gateway._ports import CallerRequest
 from thornlatch.gateway._suspect_parts import SuspectParts
 from thornlatch.gateway._suspect_settings import SuspectSettings
 
@@ -181,22 +179,3 @@
             for host, crash_ids in self.peer_crashes.items()
             if host in known_hosts
         }
-
-
-def fingerprint_request(request: CallerRequest) -> str:
-    """Return a digest that is equal for all repetitions of a request.
-
-    Parameters
-    ----------
-    request : CallerRequest
-
-    Returns
-    -------
-    str
-    """
-    digest = hashlib.blake2b(digest_size=8)
-    for part in (request.method, request.host, request.uri, request.key or ""):
-        digest.update(part.encode())
-        digest.update(b"\0")
-    digest.update(request.body)
-    return digest.hexdigest()
--- a/src/thornlatch/gateway/tests/test_parts.py
+++ b/src/thornlatch/gateway/tests/test_parts.py
@@ -18,10 +18,7 @@
 from thornlatch.gateway._logs import JsonLineHandler, redirect_library_logs
 from thornlatch.gateway._settings import ForwardingSettings
 from thornlatch.gateway._suspect_settings import SuspectSettings
-from thornlatch.gateway._suspects import (
-    CrashSuspects,
-    fingerprint_request,
-)
+from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._work import RunningRequest, WorkTable
 
 
@@ -163,8 +160,8 @@
 
 
 def test_repetitions_of_a_request_have_the_same_fingerprint():
-    assert fingerprint_request(request("1")) == fingerprint_request(request("2"))
-    assert fingerprint_request(request()) != fingerprint_request(request(body=b"y"))
+    assert request("1").fingerprint == request("2").fingerprint
+    assert request().fingerprint != request(body=b"y").fingerprint
 
 
 def build_suspects(**settings):
