Look up limits in force and cold times of targets in one place

Cause: five methods repeated the test whether a named limit is in force, and two looked up a cold time and then asked for it again. A negative rate that a peer reported was no limit for three of them, and one for the fourth.

Change: `_get_named` and `_get_cold` serve all; the rule for restarted targets stands once.

Measured: tests of cold targets, limits, large fleets, explanations and cold servers pass, unchanged.

--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -461,14 +461,17 @@
         if not (self.limits or self.send_times or self.cold):
             return
         started_ms = dict(targets)
+
+        def has_restarted(target: Incarnation) -> bool:
+            return target[1] < started_ms.get(target[0], target[1])
+
         with self.lock:
             for target in list(self.cold):
-                if target[1] < started_ms.get(target[0], target[1]):
+                if has_restarted(target):
                     del self.cold[target]
             for target, limit in list(self.limits.items()):
-                has_restarted = target[1] < started_ms.get(target[0], target[1])
                 is_old = now - limit.named_at >= UNREGISTERED_MEMORY_S
-                if has_restarted or (is_old and target not in targets):
+                if has_restarted(target) or (is_old and target not in targets):
                     del self.limits[target]
             for target in list(self.send_times):
                 if not self._count_own_sends(target, now):
@@ -619,8 +622,7 @@
         bool
             Up to a turn later than its end.
         """
-        period = self.cold.get(target)
-        return period is not None and self._get_cold_rate(period) > 0
+        return self._get_cold(target) is not None
 
     def is_limited(self, target: Incarnation) -> bool:
         """Return whether a target limits its requests, or is cold.
@@ -633,9 +635,7 @@
         -------
         bool
         """
-        limit = self.limits.get(target)
-        is_named = limit is not None and limit.ended_at is None
-        return is_named or self.is_cold(target)
+        return self._get_named(target) is not None or self.is_cold(target)
 
     def get_rate(self, target: Incarnation) -> float:
         """Return the requests a second that all hosts together may send to a target.
@@ -650,8 +650,8 @@
             Infinite without a limit.
         """
         rate = self._get_named_rate(target)
-        period = self.cold.get(target)
-        if period is not None and self.is_cold(target):
+        period = self._get_cold(target)
+        if period is not None:
             rate = min(rate, self._get_cold_rate(period))
         return rate
 
@@ -669,11 +669,11 @@
         """
         share = math.inf
         with self.lock:
-            limit = self.limits.get(target)
-            if limit is not None and limit.ended_at is None:
+            limit = self._get_named(target)
+            if limit is not None:
                 share = self._compute_share(target, limit).rate
-            period = self.cold.get(target)
-            if period is not None and self.is_cold(target):
+            period = self._get_cold(target)
+            if period is not None:
                 share = min(share, self._compute_cold_share(target, period).rate)
         return share
 
@@ -719,9 +719,20 @@
             self._count_own_sends(target, now)
             return True
 
-    def _get_named_rate(self, target: Incarnation) -> float:
+    def _get_named(self, target: Incarnation) -> _Limit | None:
+        """Return the limit in force that a target named."""
         limit = self.limits.get(target)
-        if limit is None or limit.ended_at is not None:
+        return limit if limit is not None and limit.ended_at is None else None
+
+    def _get_cold(self, target: Incarnation) -> _ColdPeriod | None:
+        """Return the cold time of a target whose requests are limited for it."""
+        period = self.cold.get(target)
+        is_limited = period is not None and self._get_cold_rate(period) > 0
+        return period if is_limited else None
+
+    def _get_named_rate(self, target: Incarnation) -> float:
+        limit = self._get_named(target)
+        if limit is None:
             return math.inf
         return max(limit.rate, self.settings.probe_rate)
 
@@ -744,8 +755,8 @@
         (float, float) or None
             Seconds; None without a limit.
         """
-        limit = self.limits.get(target)
-        if limit is None or limit.ended_at is not None:
+        limit = self._get_named(target)
+        if limit is None:
             return None
         return now - limit.began_at, now - limit.named_at
 
@@ -778,8 +789,8 @@
         )
 
     def _get_cold_wait_s(self, target: Incarnation, now: float) -> float:
-        period = self.cold.get(target)
-        if period is None or now >= period.until or not self._get_cold_rate(period):
+        period = self._get_cold(target)
+        if period is None or now >= period.until:
             return 0.0
         share = self._compute_cold_share(target, period)
         left_s = period.until - now
@@ -795,8 +806,8 @@
         return min(max(1.0 - period.tokens, 0.0) / share.rate, left_s)
 
     def _get_named_wait_s(self, target: Incarnation, now: float) -> float:
-        limit = self.limits.get(target)
-        if limit is None or limit.ended_at is not None:
+        limit = self._get_named(target)
+        if limit is None:
             return 0.0
         share = self._compute_share(target, limit)
         if not share.rate:
