Ask for the wait for a place at a paced target in one way

Cause: the selector asked in three places, and the explanations in a fourth, each with the service's mean time looked up first.

Change: TargetHealth.get_place_wait_s serves all of them.

Measured: all tests of gateway and pace pass, unchanged.

--- a/src/thornlatch/gateway/_health.py
+++ b/src/thornlatch/gateway/_health.py
@@ -358,6 +358,22 @@
         """
         return self.service_s.get(service, INITIAL_SERVICE_S)
 
+    def get_place_wait_s(self, target: Target, *, now: float) -> float:
+        """Return the seconds until this host may send a request to a paced target.
+
+        Parameters
+        ----------
+        target : Target
+        now : float
+
+        Returns
+        -------
+        float
+            An estimate; 0 if it may now, or if the target isn't paced.
+        """
+        service_s = self.get_service_s(target.service)
+        return self.pacer.get_wait_s(target, service_s=service_s, now=now)
+
     def is_avoided(self, target: str, *, now: float) -> bool:
         """Return whether a target failed recently and is avoided.
 
--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -292,10 +292,9 @@
         """
         excluded = call.excluded | {target}
         now = read_clock()
-        service_s = self.health.get_service_s(call.service)
         return any(
             other.id not in excluded
-            and not self.health.pacer.get_wait_s(other, service_s=service_s, now=now)
+            and not self.health.get_place_wait_s(other, now=now)
             for other in self._list_accepting(call, now)
         )
 
@@ -673,9 +672,7 @@
             spread_s = self.random.uniform(0.0, self.settings.herd_spread_s)
         work_ratio = self.health.speeds.get_ratio(target.id, now=now)
         prompt_tokens = self.orders.count_recent_prompt_tokens(target.id, now=now)
-        pace_wait_s = self.health.pacer.get_wait_s(
-            target, service_s=self.health.get_service_s(call.service), now=now
-        )
+        pace_wait_s = self.health.get_place_wait_s(target, now=now)
         if not adapter:
             return TargetState(
                 requests,
@@ -735,8 +732,6 @@
         """
         unusable = []
         usable = self._list_ready(call)
-        service_s = self.health.get_service_s(call.service)
-        pacer = self.health.pacer
         allowed = self.regions.get_allowed(call)
         for target in self.registry.get_ready(call.service):
             if not self.regions.is_allowed(target, allowed):
@@ -748,7 +743,7 @@
                 or target.id in call.excluded
                 or target not in usable
                 or self._is_avoided(target.id, now)
-                or pacer.get_wait_s(target, service_s=service_s, now=now)
+                or self.health.get_place_wait_s(target, now=now)
             ):
                 unusable.append(target.id)
         return tuple(unusable)
--- a/src/thornlatch/gateway/_target_reasons.py
+++ b/src/thornlatch/gateway/_target_reasons.py
@@ -173,8 +173,7 @@
     if pace is None:
         return None
     detail = f"may have {pace.window:.3g} requests of all hosts, round {pace.round}"
-    service_s = health.get_service_s(target.service)
-    wait_s = health.pacer.get_wait_s(target, service_s=service_s, now=facts.now)
+    wait_s = health.get_place_wait_s(target, now=facts.now)
     if wait_s > 0:
         detail += f"; this host may send in {wait_s:.2f} s"
     return Reason("paced", detail, age_s=pace.age_s)
