Share the constants and ages of the operators' pages

Cause: the commands had their own copies of two values that hosts write into pages, three places turned a time that may be minus infinity into an age, and the explanation searched all targets for those of a service, for which the registry has a method.

Change: READY, REFUSE and compute_age_s stand beside the pages' classes; the explanation calls list_service_targets.

Measured: all tests of gateway and cli and tests/platform/test_where.py pass, unchanged.

--- a/src/thornlatch/cli/_where_text.py
+++ b/src/thornlatch/cli/_where_text.py
@@ -3,6 +3,8 @@
 from collections.abc import Iterator
 
 from thornlatch.gateway import (
+    READY,
+    REFUSE,
     Explanation,
     GatewayStatus,
     Reason,
@@ -10,7 +12,6 @@
 )
 
 LISTED_TARGETS = 40  # of those that aren't ready, in the text of a status page
-REFUSE = "refuse"
 
 
 def describe_explanation(address: str, explanation: Explanation) -> list[str]:
@@ -175,7 +176,7 @@
     unready = [
         target
         for target in status.targets
-        if any(state.code != "ready" for state in target.states)
+        if any(state.code != READY for state in target.states)
     ]
     for target in unready[:LISTED_TARGETS]:
         states = "; ".join(describe_reason(state) for state in target.states)
--- a/src/thornlatch/gateway/__init__.py
+++ b/src/thornlatch/gateway/__init__.py
@@ -3,6 +3,8 @@
 from thornlatch.gateway._app import GatewayApplication
 from thornlatch.gateway._explanations import (
     GATEWAY_PAGE,
+    READY,
+    REFUSE,
     ErrorPage,
     Explanation,
     GatewayStatus,
@@ -37,6 +39,8 @@
     "ErrorPage",
     "Explanation",
     "GATEWAY_PAGE",
+    "READY",
+    "REFUSE",
     "Gateway",
     "GatewayApplication",
     "GatewayMetrics",
--- a/src/thornlatch/gateway/_explainer.py
+++ b/src/thornlatch/gateway/_explainer.py
@@ -11,6 +11,7 @@
 from thornlatch.gateway._choice import TargetOption
 from thornlatch.gateway._explanation_settings import ExplanationSettings
 from thornlatch.gateway._explanations import (
+    REFUSE,
     AdapterState,
     DataAge,
     Explanation,
@@ -19,6 +20,7 @@
     Refusal,
     ServiceWeight,
     TargetExplanation,
+    compute_age_s,
 )
 from thornlatch.gateway._ports import CallerRequest
 from thornlatch.gateway._recent_requests import RecentRequests
@@ -32,7 +34,7 @@
 from thornlatch.gateway._where_query import WhereQuery, build_bad_argument
 from thornlatch.routing import Configuration, Organisation, Route
 
-REFUSE, AWAIT_TARGET = "refuse", "await-target"
+AWAIT_TARGET = "await-target"
 
 
 class RequestExplainer:
@@ -155,7 +157,7 @@
 
 
 def _build_age(data: str, at: float, now: float, detail: str = "") -> DataAge:
-    return DataAge(data, now - at if math.isfinite(at) else None, detail)
+    return DataAge(data, compute_age_s(at, now), detail)
 
 
 def _find_organisation(
@@ -273,8 +275,8 @@
     listed = {target.id for target, _ in options}
     others = [
         target
-        for target in list(selector.registry.targets.values())
-        if target.service == call.service and target.id not in listed
+        for target in selector.registry.list_service_targets(call.service)
+        if target.id not in listed
     ]
     others.sort(key=lambda target: target.id)
     return [*options, *((target, None) for target in others)]
--- a/src/thornlatch/gateway/_explanations.py
+++ b/src/thornlatch/gateway/_explanations.py
@@ -3,11 +3,31 @@
 A host encodes these classes as JSON, and the commands decode the same ones.
 """
 
+import math
 from dataclasses import dataclass
 
 from thornlatch.gateway._where_query import WhereQuery
 
 GATEWAY_PAGE = "gateway-host"  # tells these hosts' status pages from daemons' ones
+READY = "ready"  # state of a target without any other
+REFUSE = "refuse"  # action besides the steps of a target
+
+
+def compute_age_s(at: float, now: float) -> float | None:
+    """Return the seconds since a time.
+
+    Parameters
+    ----------
+    at : float
+        Minus infinity if it hasn't come yet.
+    now : float
+
+    Returns
+    -------
+    float or None
+        None if it hasn't come yet.
+    """
+    return now - at if math.isfinite(at) else None
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -1,6 +1,5 @@
 """Gateway host: assembly of its parts, threads, servers and shutdown."""
 
-import math
 import os
 import signal
 import sys
@@ -25,7 +24,7 @@
 from thornlatch.gateway._app import GatewayApplication, StartResponse
 from thornlatch.gateway._evacuations import Evacuations
 from thornlatch.gateway._explainer import RequestExplainer
-from thornlatch.gateway._explanations import Reason
+from thornlatch.gateway._explanations import Reason, compute_age_s
 from thornlatch.gateway._fleet_link import FleetLink, HostState
 from thornlatch.gateway._forwarder import Forwarder
 from thornlatch.gateway._health import TargetHealth
@@ -346,12 +345,11 @@
         if in_force.configuration is None:
             reasons.append(Reason("no-configuration", "no configuration was read yet"))
         elif not in_force.is_fresh_for_new_requests(now=now):
-            age_s = now - in_force.last_confirmed_at
             reasons.append(
                 Reason(
                     "configuration-unconfirmed",
                     "the store hasn't confirmed it, or this host, lately",
-                    age_s=age_s if math.isfinite(age_s) else None,
+                    age_s=compute_age_s(in_force.last_confirmed_at, now),
                 )
             )
         return tuple(reasons)
--- a/src/thornlatch/gateway/_status_page.py
+++ b/src/thornlatch/gateway/_status_page.py
@@ -1,6 +1,5 @@
 """Builds the status page of a gateway host."""
 
-import math
 from collections import Counter
 from collections.abc import Callable
 
@@ -8,16 +7,17 @@
 from thornlatch.gateway._choice import TargetState
 from thornlatch.gateway._explanation_settings import ExplanationSettings
 from thornlatch.gateway._explanations import (
+    READY,
     ConfigurationStatus,
     GatewayStatus,
     PeerStatus,
     Reason,
     StateCount,
     TargetStatus,
+    compute_age_s,
 )
 from thornlatch.gateway._fleet_link import HostState
 from thornlatch.gateway._target_reasons import (
-    READY,
     FleetFacts,
     TargetFacts,
     build_ready,
@@ -99,9 +99,9 @@
         return ConfigurationStatus(
             in_force.version,
             in_force.newest_version,
-            _get_age(self.get_configured_at(), now),
-            _get_age(in_force.confirmed_at, now),
-            _get_age(in_force.renewed_at, now),
+            compute_age_s(self.get_configured_at(), now),
+            compute_age_s(in_force.confirmed_at, now),
+            compute_age_s(in_force.renewed_at, now),
             in_force.is_fresh(now=now),
         )
 
@@ -125,7 +125,3 @@
         facts = TargetFacts(fleet, target, TargetState(requests), now)
         states = list_target_reasons(facts) or (build_ready(facts),)
         return TargetStatus(target.id, target.service, requests, target.slots, states)
-
-
-def _get_age(at: float, now: float) -> float | None:
-    return now - at if math.isfinite(at) else None
--- a/src/thornlatch/gateway/_target_reasons.py
+++ b/src/thornlatch/gateway/_target_reasons.py
@@ -10,11 +10,10 @@
 
 from thornlatch.fleet import PeerView, Target, TargetRegistry
 from thornlatch.gateway._choice import RequestRequirements, TargetOption, TargetState
-from thornlatch.gateway._explanations import Reason
+from thornlatch.gateway._explanations import READY, Reason
 from thornlatch.gateway._health import TargetHealth
 from thornlatch.gateway._selector import AVOIDING_PEER_LIMIT
 
-READY = "ready"
 SLOW_RATIO = 1.5  # of the usual time, from which on operators are told
 
 
