--- a/tests/test_days.py
+++ b/tests/platform/test_days.py
@@ -4,7 +4,7 @@
 
 import pytest
 
-from bench.days import format_days, main, read_day
+from days import format_days, main, read_day
 
 ROW = {
     "name": "drafts",
