Status page: describe each cold target once

Cause: `tell_cold` listed all cold targets for each target of a page, so the status page took quadratic time while a failure domain's targets are cold, on the thread and interpreter that serve requests.

Change: `TargetLimits.describe_cold` describes one target; `list_cold` uses the same code.

--- a/src/thornlatch/gateway/_target_limits.py
+++ b/src/thornlatch/gateway/_target_limits.py
@@ -589,23 +589,41 @@
         tuple of ColdTarget
         """
         with self.lock:
-            window_s = self.cold_settings.window_s
-            return tuple(
-                ColdTarget(
-                    *target,
-                    round(now - period.since, 3),
-                    round(period.until - now, 3),
-                    period.source,
-                    self._get_cold_rate(period),
-                    self._compute_cold_share(target, period).rate,
-                    sum(
-                        sent_at > now - window_s
-                        for sent_at in self.send_times.get(target, ())
-                    ),
-                )
-                for target, period in self.cold.items()
-                if now < period.until
-            )
+            cold = [self._describe_cold(target, now) for target in self.cold]
+        return tuple(target for target in cold if target is not None)
+
+    def describe_cold(self, target: Incarnation, *, now: float) -> ColdTarget | None:
+        """Return the cold time of a target, for operators.
+
+        Parameters
+        ----------
+        target : (str, int)
+        now : float
+
+        Returns
+        -------
+        ColdTarget or None
+            None if it isn't cold.
+        """
+        with self.lock:
+            return self._describe_cold(target, now)
+
+    def _describe_cold(self, target: Incarnation, now: float) -> ColdTarget | None:
+        period = self.cold.get(target)
+        if period is None or now >= period.until:
+            return None
+        window_s = self.cold_settings.window_s
+        return ColdTarget(
+            *target,
+            round(now - period.since, 3),
+            round(period.until - now, 3),
+            period.source,
+            self._get_cold_rate(period),
+            self._compute_cold_share(target, period).rate,
+            sum(
+                sent_at > now - window_s for sent_at in self.send_times.get(target, ())
+            ),
+        )
 
     def is_cold(self, target: Incarnation) -> bool:
         """Return whether a target is cold and its requests are limited for that.
--- a/src/thornlatch/gateway/_target_reasons.py
+++ b/src/thornlatch/gateway/_target_reasons.py
@@ -155,15 +155,14 @@
 def tell_cold(facts: TargetFacts) -> Reason | None:
     """Return whether a target is cold."""
     limits, incarnation = facts.fleet.health.limits, facts.target.incarnation
-    for cold in limits.list_cold(now=facts.now):
-        if (cold.target, cold.started_ms) != incarnation or not cold.rate:
-            continue
-        detail = (
-            f"{cold.rate:.3g} requests/s of all hosts, of this host {cold.share:.3g},"
-            f" {cold.sent} in the last second; told by its {cold.source}"
-        )
-        return Reason("cold", detail, until_s=cold.left_s, age_s=cold.since_s)
-    return None
+    cold = limits.describe_cold(incarnation, now=facts.now)
+    if cold is None or not cold.rate:
+        return None
+    detail = (
+        f"{cold.rate:.3g} requests/s of all hosts, of this host {cold.share:.3g},"
+        f" {cold.sent} in the last second; told by its {cold.source}"
+    )
+    return Reason("cold", detail, until_s=cold.left_s, age_s=cold.since_s)
 
 
 def tell_paced(facts: TargetFacts) -> Reason | None:
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -23,7 +23,9 @@
 )
 from thornlatch.gateway._choice import Step
 from thornlatch.gateway._explanation_settings import ExplanationSettings
+from thornlatch.gateway._notices import note_cold
 from thornlatch.gateway._recent_requests import RecentRequests
+from thornlatch.gateway._target_limits import ColdTargetSettings
 from thornlatch.gateway._where_query import parse_query
 from thornlatch.quota import QuotaSettings
 from thornlatch.residency import Resident
@@ -572,6 +574,30 @@
     assert not host.is_ready()
 
 
+def test_work_of_the_status_page_grows_only_with_the_number_of_cold_targets(
+    monkeypatch,
+):
+    """Each target listed all cold ones: 4 s for 1,000 of them, as after evacuations."""
+    calls = []
+    divide = ColdTargetSettings.divide
+    monkeypatch.setattr(
+        ColdTargetSettings,
+        "divide",
+        lambda settings, *rate: calls.append(rate) or divide(settings, *rate),
+    )
+    counts = []
+    for number in (20, 40):
+        host = build_host([build_target(f"t{n}") for n in range(number)])
+        host.health.limits.set_cold_rates({"api": 7.0})
+        for target in list(host.registry.targets.values()):
+            note_cold(target, 30.0, source="registration", health=host.health)
+        calls.clear()
+        (state,) = host.pages.status.build(now=read_clock()).states
+        assert (state.state, state.count) == ("cold", number)
+        counts.append(len(calls))
+    assert counts[1] == 2 * counts[0]
+
+
 def test_other_paths_of_the_metrics_address_return_the_metrics():
     host, answers = build_host(), []
     for path in ("/", "/metrics", "/where/x", "/Status"):
