Explanations: repeat no unknown organisation of a public route

Cause: an explanation contains its query. The organisation is looked up only for routes that need a key, so a key that was given by mistake was shown in the JSON of a public route.

Change: the query of an explanation keeps only names of organisations that the configuration in force has. Notes are as before.

Result: the new test failed before (it found the key) and passes.

--- a/src/thornlatch/gateway/_explainer.py
+++ b/src/thornlatch/gateway/_explainer.py
@@ -97,6 +97,10 @@
         route = admission.find_route(query.host, query.path, now=now)
         is_keyed = needs_key(configuration, route)
         organisation = _find_organisation(configuration, query) if is_keyed else None
+        notes = _list_notes(query, route, is_keyed=is_keyed)
+        if query.organisation not in configuration.organisations:
+            # It may be a key by mistake, which a public route doesn't look up.
+            query = replace(query, organisation="")
         call = admission.build_call(
             _build_request(query),
             route,
@@ -132,7 +136,7 @@
             _describe_targets(selector, call, preview, targets[:limit], now),
             len(targets),
             self._list_ages(selector, now),
-            _list_notes(query, call, is_keyed=is_keyed),
+            notes,
         )
 
     def _list_ages(self, selector: TargetSelector, now: float) -> tuple[DataAge, ...]:
@@ -344,18 +348,18 @@
     )
 
 
-def _list_notes(query: WhereQuery, call: Call, *, is_keyed: bool) -> tuple[str, ...]:
+def _list_notes(query: WhereQuery, route: Route, *, is_keyed: bool) -> tuple[str, ...]:
     notes = []
     if is_keyed and not query.organisation:
         notes.append("no organisation is given: key and quota aren't considered")
     if not is_keyed and query.organisation:
         notes.append("the route needs no key: no quota is charged")
-    if len(call.route.services) > 1 and not (query.id or query.service):
+    if len(route.services) > 1 and not (query.id or query.service):
         notes.append(
             "the route has several services, of which a request's id chooses one: give"
             " an id or a service"
         )
-    is_resumed = call.route.is_resumable_stream and query.is_resumed
+    is_resumed = route.is_resumable_stream and query.is_resumed
     if is_resumed and query.software_version is None:
         notes.append("the software version that began the stream isn't considered")
     return tuple(notes)
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -463,6 +463,18 @@
     assert (status, b"Traceback" in body) == (500, False)
 
 
+def test_key_in_place_of_a_name_isn_t_repeated_on_a_public_route():
+    """Routes without keys look up no organisation, so any name passed."""
+    host = build_host([build_target("api-1")])
+    route = replace(ROUTES[0], is_public=True)
+    host.apply_configuration(replace(CONFIGURATION, version=8, routes=(route,)))
+    pages = [explain(host, replace(PLAIN, organisation=name)) for name in ("shop", KEY)]
+    assert [page.query.organisation for page in pages] == ["shop", ""]
+    assert [page.notes for page in pages] == [
+        ("the route needs no key: no quota is charged",)
+    ] * 2
+
+
 def test_every_query_survives_its_encoding():
     query = WhereQuery(
         "h", "/a b&c=%", "o", "m/a", 1, 2, (("p:q", 3), ("ü", 0)), 1.5, "i", "s", "v",
