Kept requests: limit the deadline to one that can be asked

Cause: callers may name deadlines of up to 15 digits of milliseconds, such as the largest 32-bit number, but `/where` accepts at most 999,999 s. Other hosts rejected the arguments of such a request with `bad-request`.

Change: the deadline that is kept for explanations is at most 999,999 s. The limits of the arguments are unchanged.

--- a/src/thornlatch/gateway/_recent_requests.py
+++ b/src/thornlatch/gateway/_recent_requests.py
@@ -8,7 +8,7 @@
 from thornlatch.gateway._explanation_settings import ExplanationSettings
 from thornlatch.gateway._ports import CallerRequest
 from thornlatch.gateway._suspects import fingerprint_request
-from thornlatch.gateway._where_query import WhereQuery
+from thornlatch.gateway._where_query import MAX_DEADLINE_S, WhereQuery
 from thornlatch.routing import Configuration
 
 # Of the objects of an entry without its texts, and of its place in the table.
@@ -68,7 +68,7 @@
             request.prompt_tokens,
             request.output_tokens,
             request.prompt_parts,
-            request.deadline_s,
+            _limit_deadline(request.deadline_s),
             # By which the request's service is chosen.
             request.resumes or request.id,
             is_resumed=bool(request.last_event),
@@ -122,6 +122,11 @@
             self.used_bytes -= _count_bytes(request, entry)
 
 
+def _limit_deadline(deadline_s: float | None) -> float | None:
+    """Return a deadline with which other hosts can be asked about the request."""
+    return None if deadline_s is None else min(deadline_s, MAX_DEADLINE_S)
+
+
 def _count_bytes(request: str, entry: RecentRequest) -> int:
     """Return the bytes of an entry, rounded up; texts may be shared with others."""
     query = entry.query
--- a/src/thornlatch/gateway/_where_query.py
+++ b/src/thornlatch/gateway/_where_query.py
@@ -13,6 +13,7 @@
 PART_LIMIT = 256
 MAX_DIGITS = 9
 SECONDS = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?", re.ASCII)
+MAX_DEADLINE_S = 999_999.0  # the longest one of that form
 CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f]")
 
 
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -505,6 +505,14 @@
     assert (page.outcome.target, page.quota.request_tokens) == ("has", 5)
 
 
+def test_served_request_with_a_very_long_deadline_can_be_asked_of_other_hosts():
+    """They rejected deadlines of 1e6 s or more, such as the largest 32-bit number."""
+    recent = RecentRequests(ExplanationSettings())
+    recent.add(build_request("r1", deadline_s=(2**31 - 1) / 1000), CONFIGURATION)
+    kept = recent.get("r1").query
+    assert parse_query(kept.encode()) == kept
+
+
 def test_repetition_of_a_request_that_crashes_targets_is_told():
     host = build_busy_host()
     request = build_request("r1")
