where: reject arguments that can't be encoded

Cause: bytes of the command line that aren't UTF-8 become surrogates, which can't be encoded as a query. The command ended with a traceback.

Change: `WhereQuery.check` rejects them with `bad-request`.

Result: the two new cases failed before with UnicodeEncodeError and pass.

--- a/src/thornlatch/cli/tests/test_where.py
+++ b/src/thornlatch/cli/tests/test_where.py
@@ -186,6 +186,9 @@
         (["1.2.3.4:5", *QUERY, "--part", "x:-1"], EXIT_INVALID),
         (["1.2.3.4:5", *QUERY, "--prompt-tokens", "1"], EXIT_INVALID),
         (["1.2.3.4:5", *QUERY, "--request", "r1"], EXIT_INVALID),
+        # A byte of the command line that isn't UTF-8.
+        (["1.2.3.4:5", *QUERY, "--id", "\udcff"], EXIT_INVALID),
+        (["1.2.3.4:5", "--request", "\udcff"], EXIT_INVALID),
         (["1.2.3.4:5", *QUERY, "--timeout", "nan"], EXIT_INVALID),
         (["a.example:5", *QUERY], EXIT_INVALID),
         (["1.2.3.4:x", *QUERY], EXIT_INVALID),
--- a/src/thornlatch/gateway/_where_query.py
+++ b/src/thornlatch/gateway/_where_query.py
@@ -104,6 +104,11 @@
         RequestRefused
             With the code ``bad-request``.
         """
+        try:
+            self.encode()
+        except UnicodeEncodeError as error:
+            # A command line may contain bytes that aren't UTF-8.
+            raise build_bad_argument(f"an argument isn't text: {error}") from error
         if self.request:
             given = [
                 argument.name
