Explanations: tell the refusal of requests with too little time

Cause: the sender refuses a request with less than `MIN_SEND_BUDGET_S` left. A preview ended with the choice of the target, so an explanation told that such a request is sent.

Change: the preview checks the time that is left for a step `send`.

Result: the new test failed before.

--- a/src/thornlatch/gateway/_selector.py
+++ b/src/thornlatch/gateway/_selector.py
@@ -245,6 +245,12 @@
             wait_s = best.wait_s
             if pick.is_late:
                 refusal = self._build_late_refusal(call, pick, now)
+            elif (
+                best.step is Step.SEND
+                and call.running.ends_at - now < MIN_SEND_BUDGET_S
+            ):
+                # `choose` returns the target, but the sender refuses the request.
+                refusal = build_failure(call)
         else:
             try:
                 wait_s = self._check_without_option(call, now, wait_until)
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -319,6 +319,18 @@
         )
 
 
+def test_request_with_too_little_time_to_be_sent_is_explained_as_refused():
+    """The sender refuses it, but explanations told that it is sent."""
+    host = build_host([build_target("api-1")])
+    page = explain(host, replace(PLAIN, deadline_s=0.03))
+    fields = {"uri": "/many/x", "model": "", "adapter": "", "deadline_s": 0.03}
+    call = host.forwarder.admission.admit(build_request("1", **fields), lambda: False)
+    with pytest.raises(RequestRefused) as refused:
+        host.forwarder._send_until_answered(call)
+    assert page.outcome.action == "refuse"
+    assert [refusal.code for refusal in page.refusals] == [refused.value.reference]
+
+
 @pytest.mark.parametrize(
     ("is_avoided", "service_s"), [(False, 0.1), (True, 30.0)], ids=["busy", "avoided"]
 )
