Explanations: name the regions that aren't considered

Cause: without an organisation, its allowed regions aren't considered either, but the note named only key and quota. The target shown may be one to which the organisation's requests aren't sent.

--- a/src/thornlatch/gateway/_explainer.py
+++ b/src/thornlatch/gateway/_explainer.py
@@ -351,7 +351,10 @@
 def _list_notes(query: WhereQuery, route: Route, *, is_keyed: bool) -> tuple[str, ...]:
     notes = []
     if is_keyed and not query.organisation:
-        notes.append("no organisation is given: key and quota aren't considered")
+        notes.append(
+            "no organisation is given: its key, quota and allowed regions aren't"
+            " considered"
+        )
     if not is_keyed and query.organisation:
         notes.append("the route needs no key: no quota is charged")
     if len(route.services) > 1 and not (query.id or query.service):
--- a/src/thornlatch/gateway/_where_query.py
+++ b/src/thornlatch/gateway/_where_query.py
@@ -26,7 +26,8 @@
     host, path : str
         Host name and path that the caller requests.
     organisation : str
-        Empty if none is given: key and quota aren't considered then.
+        Empty if none is given: key, quota and its allowed regions aren't considered
+        then.
     model : str
         ``model`` or ``model/adapter``; empty for a plain service.
     prompt_tokens, output_tokens : int or None
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -422,6 +422,12 @@
     assert not sent
 
 
+def test_explanation_without_an_organisation_tells_what_isn_t_considered():
+    """It named a target that the organisation's allowed regions may exclude."""
+    (note,) = explain(build_busy_host(), replace(PLAIN, organisation="")).notes
+    assert "allowed regions" in note
+
+
 def test_number_of_listed_targets_is_bounded():
     host = build_host([build_target(f"t{n}") for n in range(30)], target_limit=20)
     assert len(explain(host, PLAIN).targets) == 20
