--- a/src/thornlatch/gateway/_where_query.py
+++ b/src/thornlatch/gateway/_where_query.py
@@ -13,6 +13,7 @@
 PART_LIMIT = 256
 MAX_DIGITS = 9
 SECONDS = re.compile(r"[0-9]{1,6}(\.[0-9]{1,6})?", re.ASCII)
+MAX_DEADLINE_S = 999_999.0  # the longest one of that form
 CONTROL_CHARACTERS = re.compile(r"[\x00-\x1f\x7f]")
 
 
@@ -25,7 +26,8 @@
     host, path : str
         Host name and path that the caller requests.
     organisation : str
-        Empty if none is given: key and quota aren't considered then.
+        Empty if none is given: key, quota and its allowed regions aren't considered
+        then.
     model : str
         ``model`` or ``model/adapter``; empty for a plain service.
     prompt_tokens, output_tokens : int or None
@@ -103,6 +105,11 @@
         RequestRefused
             With the code ``bad-request``.
         """
+        try:
+            self.encode()
+        except UnicodeEncodeError as error:
+            # A command line may contain bytes that aren't UTF-8.
+            raise build_bad_argument(f"an argument isn't text: {error}") from error
         if self.request:
             given = [
                 argument.name
--- a/src/thornlatch/gateway/tests/test_explanations.py
+++ b/src/thornlatch/gateway/tests/test_explanations.py
@@ -23,7 +23,9 @@
 )
 from thornlatch.gateway._choice import Step
 from thornlatch.gateway._explanation_settings import ExplanationSettings
+from thornlatch.gateway._notices import note_cold
 from thornlatch.gateway._recent_requests import RecentRequests
+from thornlatch.gateway._target_limits import ColdTargetSettings
 from thornlatch.gateway._where_query import parse_query
 from thornlatch.quota import QuotaSettings
 from thornlatch.residency import Resident
@@ -317,6 +319,18 @@
         )
 
 
+def test_request_with_too_little_time_to_be_sent_is_explained_as_refused():
+    """The sender refuses it, but explanations told that it is sent."""
+    host = build_host([build_target("api-1")])
+    page = explain(host, replace(PLAIN, deadline_s=0.03))
+    fields = {"uri": "/many/x", "model": "", "adapter": "", "deadline_s": 0.03}
+    call = host.forwarder.admission.admit(build_request("1", **fields), lambda: False)
+    with pytest.raises(RequestRefused) as refused:
+        host.forwarder._send_until_answered(call)
+    assert page.outcome.action == "refuse"
+    assert [refusal.code for refusal in page.refusals] == [refused.value.reference]
+
+
 @pytest.mark.parametrize(
     ("is_avoided", "service_s"), [(False, 0.1), (True, 30.0)], ids=["busy", "avoided"]
 )
@@ -408,6 +422,12 @@
     assert not sent
 
 
+def test_explanation_without_an_organisation_tells_what_isn_t_considered():
+    """It named a target that the organisation's allowed regions may exclude."""
+    (note,) = explain(build_busy_host(), replace(PLAIN, organisation="")).notes
+    assert "allowed regions" in note
+
+
 def test_number_of_listed_targets_is_bounded():
     host = build_host([build_target(f"t{n}") for n in range(30)], target_limit=20)
     assert len(explain(host, PLAIN).targets) == 20
@@ -461,6 +481,18 @@
     assert (status, b"Traceback" in body) == (500, False)
 
 
+def test_key_in_place_of_a_name_isn_t_repeated_on_a_public_route():
+    """Routes without keys look up no organisation, so any name passed."""
+    host = build_host([build_target("api-1")])
+    route = replace(ROUTES[0], is_public=True)
+    host.apply_configuration(replace(CONFIGURATION, version=8, routes=(route,)))
+    pages = [explain(host, replace(PLAIN, organisation=name)) for name in ("shop", KEY)]
+    assert [page.query.organisation for page in pages] == ["shop", ""]
+    assert [page.notes for page in pages] == [
+        ("the route needs no key: no quota is charged",)
+    ] * 2
+
+
 def test_every_query_survives_its_encoding():
     query = WhereQuery(
         "h", "/a b&c=%", "o", "m/a", 1, 2, (("p:q", 3), ("ü", 0)), 1.5, "i", "s", "v",
@@ -491,6 +523,14 @@
     assert (page.outcome.target, page.quota.request_tokens) == ("has", 5)
 
 
+def test_served_request_with_a_very_long_deadline_can_be_asked_of_other_hosts():
+    """They rejected deadlines of 1e6 s or more, such as the largest 32-bit number."""
+    recent = RecentRequests(ExplanationSettings())
+    recent.add(build_request("r1", deadline_s=(2**31 - 1) / 1000), CONFIGURATION)
+    kept = recent.get("r1").query
+    assert parse_query(kept.encode()) == kept
+
+
 def test_repetition_of_a_request_that_crashes_targets_is_told():
     host = build_busy_host()
     request = build_request("r1")
@@ -572,6 +612,30 @@
     assert not host.is_ready()
 
 
+def test_work_of_the_status_page_grows_only_with_the_number_of_cold_targets(
+    monkeypatch,
+):
+    """Each target listed all cold ones: 4 s for 1,000 of them, as after evacuations."""
+    calls = []
+    divide = ColdTargetSettings.divide
+    monkeypatch.setattr(
+        ColdTargetSettings,
+        "divide",
+        lambda settings, *rate: calls.append(rate) or divide(settings, *rate),
+    )
+    counts = []
+    for number in (20, 40):
+        host = build_host([build_target(f"t{n}") for n in range(number)])
+        host.health.limits.set_cold_rates({"api": 7.0})
+        for target in list(host.registry.targets.values()):
+            note_cold(target, 30.0, source="registration", health=host.health)
+        calls.clear()
+        (state,) = host.pages.status.build(now=read_clock()).states
+        assert (state.state, state.count) == ("cold", number)
+        counts.append(len(calls))
+    assert counts[1] == 2 * counts[0]
+
+
 def test_other_paths_of_the_metrics_address_return_the_metrics():
     host, answers = build_host(), []
     for path in ("/", "/metrics", "/where/x", "/Status"):
