--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -77,6 +77,9 @@
     late_s: Annotated[float, Meta(ge=0)] = 1.0
 
 
+# Longest time between two relays of a domain for which its spending is assumed.
+GAP_LIMIT_S = 2.0
+GAP_RATIO = 2.0  # of what the domain spent before, or of its part of the rate
 RATE_SMOOTHING = 0.5  # weight of the latest digest in a peer's spending rate
 # After this time, windows and buckets hold nothing of what was spent before.
 FORGET_S = 60.0
@@ -103,6 +106,8 @@
     # Totals up to which the domain's spending has been charged.
     charged_totals: dict[str, int] = field(default_factory=dict)
     rates: dict[str, float] = field(default_factory=dict)
+    first_heard_at: float = float("-inf")
+    was_used: bool = False
 
 
 @dataclass
@@ -438,7 +443,11 @@
             state = self.relays.get(name)
             is_new_relay = state is None
             if state is None:
-                state = self.relays[name] = _RelayState(domain, now)
+                # What it counted before is charged already, through another relay or
+                # as assumed spending, also if it isn't used before its next digest.
+                state = self.relays[name] = _RelayState(
+                    domain, now, charged_totals=dict(spent), first_heard_at=now
+                )
             if is_used and is_new_relay:
                 self._adopt_levels(levels, now)
             elif is_used:
@@ -468,17 +477,36 @@
             if other.domain == state.domain
         ]
         other_relays.remove(name)
+        # Time between the latest digest of another relay and the first one of this.
+        domain_count = len({relay.domain for relay in self.relays.values()})
+        heard_at = [self.relays[relay].last_heard_at for relay in other_relays]
+        gap_s = max(state.first_heard_at - max(heard_at, default=now), 0.0)
+        gap_s = min(gap_s, GAP_LIMIT_S) if not state.was_used else 0.0
+        state.was_used = True
         for organisation, bucket in self.buckets.items():
             total = spent.get(organisation, 0)
             assumed = bucket.assumed.pop(name, 0.0)
             bucket.give_back(assumed, now, since=state.last_heard_at)
             new_tokens: float = total - state.charged_totals.get(organisation, 0)
+            # The domain may have spent more than before until this relay's totals
+            # begin, and a part of that is charged as assumed.
+            rates = [
+                self.relays[relay].rates.get(organisation, 0.0)
+                for relay in other_relays
+            ]
+            rate = max(rates, default=0.0) * GAP_RATIO
+            if bucket.burst < self.settings.tolerance:
+                # Its few requests come in clumps, which recent rates don't show.
+                rate = max(rate, bucket.rate * GAP_RATIO / domain_count)
+            missing = min(rate, bucket.rate) * gap_s
             for other_relay in other_relays:
-                # The relay used before may have covered more hosts than this one.
-                new_tokens = max(
-                    new_tokens - bucket.assumed.pop(other_relay, 0.0),
-                    min(new_tokens, 0.0),
-                )
+                assumed = bucket.assumed.pop(other_relay, 0.0)
+                if self.relays[other_relay].last_heard_at < state.first_heard_at:
+                    missing -= assumed
+                else:
+                    # The relay used before may have covered more hosts than this one.
+                    new_tokens = max(new_tokens - assumed, min(new_tokens, 0.0))
+            bucket.charge(max(missing, 0.0), now)
             bucket.charge(new_tokens, now)
             if elapsed > 0:
                 change = total - state.totals.get(organisation, 0)
