--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -708,14 +708,23 @@
         return own / (own + peers) if own else 0.0
 
     def _note_avoided(self, now: float, *, has_peers: bool) -> None:
+        by_service: dict[str, list[Target]] = {}
         for name in self.health.list_avoided(now=now):
             target = self.registry.get(name)
             avoiding = 1 + self.peers.count_peers_avoiding(name)
             # A single host may only have lost its own connection to the target.
             if target is None or (has_peers and avoiding < AVOIDING_PEER_LIMIT):
                 continue
-            failed_at = self.health.get_avoided_at(name)
-            self.health.pacer.note_avoided(target, failed_at=failed_at, now=now)
+            by_service.setdefault(target.service, []).append(target)
+        ratio = self.health.pacer.settings.common_ratio
+        for service, avoided in by_service.items():
+            # Many that fail at once have a common cause, and pacing them would leave
+            # callers without targets.
+            if len(avoided) > max(ratio * len(self.registry.get_ready(service)), 1):
+                continue
+            for target in avoided:
+                failed_at = self.health.get_avoided_at(target.id)
+                self.health.pacer.note_avoided(target, failed_at=failed_at, now=now)
 
     def _handle_target_change(
         self, name: str, target: Target | None, previous: Target | None
--- a/src/thornlatch/pace/_pacer.py
+++ b/src/thornlatch/pace/_pacer.py
@@ -42,6 +42,7 @@
     STARTED = "started"
     RECOVERED = "recovered"
     IN_TIME = "in-time"
+    IDLE = "idle"
     LATE = "late"
     REFUSED = "refused"
     FAILED = "failed"
@@ -790,13 +791,35 @@
                     state.reserved.clear()
                     state.unanswered.clear()
                     continue
-                overdue = self._find_overdue(incarnation, state, now)
-                if overdue is not None:
-                    changes.append(overdue)
+                change = self._end_idle(incarnation, state, now)
+                change = change or self._find_overdue(incarnation, state, now)
+                if change is not None:
+                    changes.append(change)
+                if not state.is_paced:
+                    continue
                 if now - state.drawn_at >= self._get_draw_s(state):
                     self._draw(incarnation, state, now)
         return changes
 
+    def _end_idle(
+        self, incarnation: Incarnation, state: _State, now: float
+    ) -> PaceChange | None:
+        """End the pacing of a target that started long ago and wasn't needed since.
+
+        Load pattern: targets and hosts start together, and callers come later.
+        """
+        is_unused = state.used_at <= state.begun_at and not state.unanswered
+        if not is_unused or now - state.begun_at < self.settings.idle_end_s:
+            return None
+        return self._change(
+            incarnation,
+            state,
+            state.end,
+            PaceReason.IDLE,
+            now - state.begun_at,
+            now,
+        )
+
     def note_registered(self, targets: Iterable[Target], *, now: float) -> None:
         """Record which targets are registered; called again and again.
 
--- a/src/thornlatch/pace/_settings.py
+++ b/src/thornlatch/pace/_settings.py
@@ -42,6 +42,12 @@
     slow_target_s : float
         Seconds after which a target that still isn't as fast as others at its first
         window is compared with its own responses there.
+    idle_end_s : float
+        Seconds after its start at which a target that got no request is no longer
+        paced. It has started long ago by then.
+    common_ratio : float
+        Part of a service's targets from which on failures have a common cause. Targets
+        that are avoided then aren't paced for it when they recover.
     """
 
     is_enabled: bool = False
@@ -55,3 +61,5 @@
     draw_periods: Annotated[float, Meta(ge=1)] = 3.0
     retry_s: Annotated[float, Meta(gt=0)] = 0.8
     slow_target_s: Annotated[float, Meta(gt=0)] = 30.0
+    idle_end_s: Annotated[float, Meta(gt=0)] = 5.0
+    common_ratio: Annotated[float, Meta(gt=0, le=1)] = 0.2
--- a/src/thornlatch/pace/tests/test_pacer.py
+++ b/src/thornlatch/pace/tests/test_pacer.py
@@ -348,3 +348,27 @@
         for pacer in pacers
     )
     assert first == second
+
+
+def test_targets_that_started_before_any_caller_came_are_not_paced():
+    """All targets of a deployment that starts were paced when its callers came.
+
+    In a fleetbench run of kitabu-pull-now-grown the first two seconds of traffic earned
+    0.350 of their credit in place of 0.886.
+    """
+    pacer = build_pacer()
+    pacer.begin(TARGET, is_first_read=False, now=0.0)
+    assert pacer.tick(lambda name: TARGET, now=SETTINGS.idle_end_s - 0.1) == []
+    (change,) = pacer.tick(lambda name: TARGET, now=SETTINGS.idle_end_s)
+    assert (change.reason, change.is_paced) == (PaceReason.IDLE, False)
+    assert pacer.get_wait_s(TARGET, service_s=1.0, now=SETTINGS.idle_end_s) == 0.0
+
+
+def test_target_that_is_in_use_stays_paced_however_long_it_takes():
+    pacer = build_pacer()
+    pacer.begin(TARGET, is_first_read=False, now=0.0)
+    request = PacedRequest(TARGET, "1", is_stream=False, size=100)
+    assert pacer.try_send(request, now=1.0)
+    pacer.note_sent(request, now=1.0)
+    changes = pacer.tick(lambda name: TARGET, now=SETTINGS.idle_end_s + 1.0)
+    assert PaceReason.IDLE not in {change.reason for change in changes}
