--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,9 +1,9 @@
-"""A quarter of a service's servers crash once, while they run a common request.
+"""The store is silent for 4.5 s; some seconds later the entries of servers are removed.
 
-Compares how often the common kind of request and all requests are served over a day.
+Counts the requests that reach a server later than `drainTimeoutMs` after the
+confirmation of its removal.
 """
 
-import os
 import sys
 import time
 from pathlib import Path
@@ -12,6 +12,7 @@
 
 from world import (  # noqa: E402
     IS_TROUBLED,
+    CannotRun,
     Case,
     PlainServer,
     build_config,
@@ -19,83 +20,76 @@
 )
 
 HOSTS = 3
-SERVERS = 12
-CRASHED = 3
-CRASH_AT_S = 4.0
-DAY_S = 34.0
-BACK_S = 2.0  # from a crash of a server until it is back
-WORK_S = 0.09
-CHECKERS = 12  # clients of each gateway that look up the same stock
-OTHERS = 20  # clients of each gateway with requests of their own
-COMMON = "/check/variant-cover"
-PERIOD_S = 0.15  # from one request of a client to the next
+SERVERS = 6
+LEAVING = 3
+GAP_S = 0.2  # between two that leave
+DOWN_S = 4.5
+LEAVES_AFTER_S = 10.9  # since the store fell silent, so 6.4 s after its return
+DRAIN_S = 2.0
+PERIOD_S = 0.01  # between two requests of a client
 
 
-class BusyServer(PlainServer):
-    """A server that takes some time for each request."""
+class SilentStoreCase(Case):
+    """Servers leave after the store was away."""
 
-    common = 0  # runs of the common request at the moment
-
-    def run_request(self, handler, request):
-        """Run a request; return whether it is to be answered."""
-        is_common = handler.path == COMMON
-        with self.lock:
-            self.common += is_common
-        time.sleep(WORK_S)
-        with self.lock:
-            self.common -= is_common
-        return True
-
-
-class CommonCase(Case):
-    """A common request on servers that crash for reasons of their own."""
+    def wait_for_waits(self):
+        """Wait until each gateway has just begun to wait for a change of the hosts."""
+        until = time.monotonic() + 30
+        while time.monotonic() < until:
+            since = [self.store.waits.get((way, "keyed.hosts"), 0) for way in self.ways]
+            if time.monotonic() - min(since) < 1.0:
+                return
+            time.sleep(0.05)
+        raise CannotRun("the gateways don't wait for the list of hosts")
 
     def run(self):
         """Play the case; return the exit status."""
         servers = [
-            BusyServer(self.store, f"api-{number}", "api", self.record, back_s=BACK_S)
+            PlainServer(self.store, f"api-{number}", "api", self.record)
             for number in range(1, SERVERS + 1)
         ]
-        routes = [
-            build_route("check", "/check/", "api", timeoutMs=1500),
-            build_route("tag", "/tag/", "api", timeoutMs=1500),
-        ]
-        self.store.write(
-            "keyed.op", [("config", build_config(1, routes, {"api": None}))]
+        config = build_config(
+            1, [build_route("stock", "/stock/", "api")], {"api": None}
         )
+        self.store.write("keyed.op", [("config", config)])
         self.start_gateways(HOSTS)
-        time.sleep(4)
+        self.start_callers("/stock/2f", PERIOD_S)
+        time.sleep(1)
+        self.wait_for_waits()
         began_at = time.monotonic()
-        for _ in range(CHECKERS):
-            self.start_callers(COMMON, PERIOD_S)
-        for _ in range(OTHERS):
-            self.start_callers(lambda: f"/tag/{os.urandom(4).hex()}", PERIOD_S)
-        time.sleep(CRASH_AT_S)
         if IS_TROUBLED:
-            crashing = servers[:CRASHED]
-            while not all(server.common for server in crashing):
-                time.sleep(0.002)
-            for server in crashing:
-                server.crash()
-        time.sleep(began_at + DAY_S - time.monotonic())
+            self.store.set_down(True)
+            self.record.add("the store falls silent")
+        time.sleep(DOWN_S)
+        if IS_TROUBLED:
+            self.store.set_down(False)
+            self.record.add("the store is back")
+        time.sleep(began_at + LEAVES_AFTER_S - time.monotonic())
+        confirmed_at = {}
+        for leaving in servers[:LEAVING]:
+            leaving.is_leaving = True
+            at = self.store.write("keyed.servers", [(leaving.name, None)])
+            confirmed_at[leaving] = at
+            self.record.add(f"removal of the entry of {leaving.name} confirmed", at)
+            time.sleep(GAP_S)
+        time.sleep(6)
         self.stop_callers()
-        shares = {}
-        for kind in ("/check/", "/tag/", "/"):
-            statuses = [
-                status
-                for calls in self.sent.values()
-                for _, _, status, path in calls
-                if path.startswith(kind)
-            ]
-            shares[kind] = statuses.count(200) / len(statuses)
+        is_broken = False
+        runs_before = 0
+        for leaving, at in confirmed_at.items():
+            after = [run_at - at for run_at, *_ in leaving.runs]
+            runs_before += sum(seconds < 0 for seconds in after)
+            late = [seconds for seconds in after if seconds > DRAIN_S]
+            last = f", the last one {max(late):.2f} s after it" if late else ""
             self.say(
-                f"{kind}: {statuses.count(200)} of {len(statuses)} served, "
-                f"{statuses.count(502)} answered 502, {statuses.count(503)} 503"
+                f"{len(late)} requests reached {leaving.name} over 2 s after the"
+                f" confirmation{last}"
             )
-        if shares["/tag/"] < 0.5:
+            is_broken = is_broken or bool(late)
+        if runs_before < 100:
             return 2
-        return 1 if shares["/check/"] < shares["/"] / 4 else 0
+        return 1 if is_broken else 0
 
 
 if __name__ == "__main__":
-    CommonCase(__file__).main()
+    SilentStoreCase(__file__).main()
