Log the quotas in use as each host sees them, and the runs charged of each request

Three hypotheses: runs that nobody charges, spending that peers hear of late, and tokens given back long after they were charged. The logs told none of them apart: neither what a host believes to be left nor what a request was charged was written.

`quota.account` shows each half second what a host's replica holds; the sum of `spent` over all hosts against it shows what is heard late. `request.answered` and `request.failed` have the runs, and those that were charged. No decision changes.

--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -248,6 +248,7 @@
             is_waiting=is_waiting,
         )
         if wait_s is None:
+            call.charged_runs += 1
             return
         reason = f"{name} has used its quota"
         if self.quota.is_discovering(now=now):
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -59,6 +59,8 @@
         Digest that is equal for all repetitions of the request.
     unused_tokens : int
         Tokens charged for another run that no target has begun yet.
+    charged_runs : int
+        Runs for which the quota was charged.
     known_rounds : dict of str to int
         Rounds of crashes that were known of parts of the prompt at the latest send.
     tries, sends, runs : int
@@ -127,6 +129,7 @@
     tokens: int
     fingerprint: str
     unused_tokens: int = 0
+    charged_runs: int = 0
     known_rounds: dict[str, int] = field(default_factory=dict)
     tries: int = 0
     sends: int = 0
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -389,6 +389,7 @@
         if wait_s is not None:
             return False
         call.unused_tokens = call.tokens
+        call.charged_runs += 1
         return True
 
     def _stream_events(self, call: Call, answer: TargetAnswer) -> Iterator[bytes]:
@@ -599,6 +600,7 @@
             tokens = call.tokens if has_not_run else call.unused_tokens
             if call.organisation is not None and tokens:
                 self.quota.give_back(call.organisation.name, tokens, now=now)
+                call.charged_runs -= 1
         self.metrics.answers.labels(call.route.name, outcome).inc()
         broken_off_by = _find_who_broke_off(call, error)
         if broken_off_by:
@@ -612,6 +614,9 @@
                 "organisation": call.organisation.name if call.organisation else "",
                 "adapter": call.request.adapter,
                 "prompt_tokens": call.request.prompt_tokens,
+                "tokens": call.tokens,
+                "charged_runs": call.charged_runs,
+                "runs": call.runs,
                 "target": call.target,
                 "software_version": call.software_version,
                 "resumes": call.request.resumes,
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -62,6 +62,7 @@
 IDLE_WAIT_S = 1.0
 SIGNAL_WAIT_S = 10.0
 STOP_SIGNALS = (signal.SIGTERM, signal.SIGINT)
+ACCOUNT_LOG_PERIOD_S = 0.5
 STOP_POLL_PERIOD_S = 0.05  # for the end of running requests
 
 
@@ -202,6 +203,7 @@
         self.pages = self._build_pages()
         self.targets_known = False
         self.reported_ready = False
+        self.accounts_due_at = now
         self.live_peers: frozenset[str] = frozenset()
         self.executor = ThreadPoolExecutor(16, "gateway")
 
@@ -692,11 +694,32 @@
             self.stream_versions.tick(
                 self.in_force.configuration.resumable_services, now=now
             )
+        if now >= self.accounts_due_at:
+            self.accounts_due_at = now + ACCOUNT_LOG_PERIOD_S
+            self._log_accounts(now)
         self.metrics.pace_targets.set(self.health.pacer.count_paced())
         self.metrics.running.set(len(self.work.running))
         self.metrics.live_peers.set(len(live))
         self.metrics.received_memory.set(received_memory.used_bytes)
 
+    def _log_accounts(self, now: float) -> None:
+        """Log the quotas in use, so that the hosts' views of them can be compared."""
+        for account in self.quota.list_pressed(now=now):
+            logger.info(
+                "quota.account",
+                extra={
+                    "organisation": account.organisation,
+                    "rate": account.rate,
+                    "burst": round(account.burst),
+                    "level": round(account.level),
+                    "spent": account.spent,
+                    "given_back": account.given_back,
+                    "peers_spent": round(account.peers_spent),
+                    "assumed": round(account.assumed),
+                    "refused": account.refused,
+                },
+            )
+
     def _pace_targets(self, now: float, *, has_peers: bool) -> None:
         """Pace targets that failed, and draw this host's places at paced ones."""
         pacer = self.health.pacer
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -110,6 +110,39 @@
     was_used: bool = False
 
 
+@dataclass(frozen=True)
+class QuotaAccount:
+    """What a host's replica of an organisation's bucket holds, and how it came about.
+
+    Parameters
+    ----------
+    organisation : str
+    rate, burst : float
+        Tokens per second, and the part of the burst in use.
+    level : float
+        Tokens left; negative if hosts spent the same ones.
+    spent, given_back : int
+        Tokens charged at this host since its start, less those given back, and the
+        latter alone.
+    peers_spent : float
+        Tokens that peers reported.
+    assumed : float
+        Tokens charged for peers that haven't reported them.
+    refused : int
+        Tokens of refused requests.
+    """
+
+    organisation: str
+    rate: float
+    burst: float
+    level: float
+    spent: int
+    given_back: int
+    peers_spent: float
+    assumed: float
+    refused: int
+
+
 @dataclass
 class _Bucket:
     rate: float
@@ -118,6 +151,10 @@
     # The organisation's, of which a large fleet uses a part.
     whole_burst: float = math.inf
     spent: int = 0
+    # Totals since this host's start, for its log.
+    given_back: int = 0
+    peers_spent: float = 0.0
+    refused: int = 0
     # Tokens of refused requests whose callers were told to retry later.
     promised_tokens: float = 0.0
     # Assumed spending since the latest digest, by host or relay.
@@ -379,6 +416,7 @@
                         # Older spending has been refilled by the rate.
                         new_tokens = min(new_tokens, int(bucket.burst))
                     bucket.charge(new_tokens, now)
+                    bucket.peers_spent += new_tokens
                     if peer is not None and now > peer.last_heard_at:
                         _smooth(
                             peer.rates, name, new_tokens / (now - peer.last_heard_at)
@@ -519,6 +557,7 @@
                     new_tokens = max(new_tokens - assumed, min(new_tokens, 0.0))
             bucket.charge(max(missing, 0.0), now)
             bucket.charge(new_tokens, now)
+            bucket.peers_spent += max(missing, 0.0) + new_tokens
             if elapsed > 0:
                 change = total - state.totals.get(organisation, 0)
                 _smooth(state.rates, organisation, max(change, 0) / elapsed)
@@ -592,6 +631,7 @@
                 wait_s = bucket.get_wait_s(required + promised_tokens, now)
                 if not is_waiting:
                     bucket.promised_tokens += required
+                    bucket.refused += tokens
                 return min(wait_s, self.settings.wait_limit_s)
             bucket.charge(tokens, now)
             bucket.spent += tokens
@@ -648,6 +688,7 @@
                 return
             bucket.give_back(tokens, now, since=now)
             bucket.spent -= tokens
+            bucket.given_back += tokens
 
     def get_spent(self, *, now: float) -> tuple[dict[str, int], dict[str, int]]:
         """Return the tokens spent since the start and those left, by organisation.
@@ -673,6 +714,35 @@
                 },
             )
 
+    def list_pressed(self, *, now: float) -> list[QuotaAccount]:
+        """Return the accounts of organisations that have used half of their burst.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        list of QuotaAccount
+        """
+        with self.lock:
+            self._advance(now)
+            return [
+                QuotaAccount(
+                    name,
+                    bucket.rate,
+                    bucket.burst,
+                    bucket.tokens_left,
+                    bucket.spent,
+                    bucket.given_back,
+                    bucket.peers_spent,
+                    sum(bucket.assumed.values()),
+                    bucket.refused,
+                )
+                for name, bucket in self.buckets.items()
+                if bucket.rate > 0 and bucket.tokens_left < bucket.burst / 2
+            ]
+
     def build_copy(self, organisation: str) -> "SharedQuota":
         """Return a copy with the bucket of one organisation, to try what it allows.
 
