Admit a part of the demand while hosts hear of each other late (QUOTA)

Cause: each host admits whatever comes while its replica of the bucket has tokens left. What 72 hosts overspend is the demand times the time until they hear of each other, and the reserve is a multiple of the rate. Demand is highest when the bucket has refilled, as refused callers are told to return then: up to 930,000 tokens in half a second. The class is a limit that many check against a state that they change together and see late.

Change: digests have the demand of pressed organisations, and hosts of a large fleet admit a part of it, at random, that uses up the level in twice that delay. The level may fall into the reserve, with less admitted the lower it is, so hosts no longer stop and start together. Second runs will come first. Refused callers are told to return after their host's part of the refill.

--- a/src/thornlatch/fleet/_digests.py
+++ b/src/thornlatch/fleet/_digests.py
@@ -210,6 +210,9 @@
         mean in percent of the usual and number of reports, by target.
     paces : tuple of TargetPace
         Windows of paced targets that the sender knows.
+    demands : dict of str to int
+        Tokens a second that the sender is asked for, by organisation, of those that
+        have used half of their burst.
     """
 
     sent_at: float
@@ -230,6 +233,7 @@
     recent_sends: dict[str, int] = field(default_factory=dict)
     speeds: dict[str, tuple[int, int]] = field(default_factory=dict)
     paces: tuple[TargetPace, ...] = ()
+    demands: dict[str, int] = field(default_factory=dict)
 
 
 @register
--- a/src/thornlatch/fleet/_domain_messages.py
+++ b/src/thornlatch/fleet/_domain_messages.py
@@ -37,6 +37,8 @@
         Tokens left of the quota of all hosts by the relay's estimate, by organisation.
     is_spare : bool
         Whether the relay is a spare: another host is the domain's first relay.
+    demands : dict of str to int
+        Tokens a second that the hosts are asked for, as in `HostDigest`.
     """
 
     domain: str
@@ -46,6 +48,7 @@
     spent: dict[str, int]
     levels: dict[str, int]
     is_spare: bool = False
+    demands: dict[str, int] = field(default_factory=dict)
 
 
 @dataclass(frozen=True)
--- a/src/thornlatch/fleet/_domain_relay.py
+++ b/src/thornlatch/fleet/_domain_relay.py
@@ -134,6 +134,7 @@
             dict(self.spent),
             own_digest.levels if own_digest is not None else {},
             is_spare,
+            sum_counts(digest.demands for digest in live.values()),
         )
         work = WorkSum(
             running,
--- a/src/thornlatch/fleet/_domain_view.py
+++ b/src/thornlatch/fleet/_domain_view.py
@@ -40,6 +40,8 @@
         Other hosts whose digests the relay receives.
     is_selected : bool
         Whether this relay's digests are the ones to use for the domain.
+    demands : dict of str to int
+        Tokens a second that the domain's other hosts are asked for, as in `HostDigest`.
     """
 
     domain: str
@@ -48,6 +50,7 @@
     levels: dict[str, int]
     live: tuple[str, ...]
     is_selected: bool
+    demands: dict[str, int]
 
 
 class DomainView:
@@ -151,6 +154,7 @@
         self, spending: DomainSpending, message: FleetDigest
     ) -> DomainUpdate:
         spent: dict[str, int] | None = spending.spent
+        demands = spending.demands
         if spending.domain == self.domain:
             own_digest = self._get_echoed_digest(message)
             spent = None
@@ -159,6 +163,10 @@
                     name: total - own_digest.spent.get(name, 0)
                     for name, total in spending.spent.items()
                 }
+                demands = {
+                    name: max(tokens - own_digest.demands.get(name, 0), 0)
+                    for name, tokens in spending.demands.items()
+                }
         return DomainUpdate(
             spending.domain,
             spending.relay,
@@ -166,6 +174,7 @@
             spending.levels,
             tuple(host for host in spending.live if host != self.host),
             self.selector.selected_relays.get(spending.domain) == spending.relay,
+            demands,
         )
 
     def _apply_holder_reports(self, work: WorkSum, now: float) -> None:
--- a/src/thornlatch/fleet/tests/test_digests.py
+++ b/src/thornlatch/fleet/tests/test_digests.py
@@ -150,7 +150,8 @@
 
 def test_digests_of_hosts_that_know_no_paces_are_read():
     digest_sent = replace(digest(1), paces=(TargetPace("t", 5, 3, 4.0),))
-    assert decode_edited(digest_sent, lambda fields: fields[:-1]) == digest(1)
+    decoded = decode_edited(digest_sent, lambda fields: fields[: FIELDS.index("paces")])
+    assert decoded == digest(1)
     assert decode_edited(digest_sent, lambda fields: fields) == digest_sent
     domain_digest = DomainDigest(SPENDING, WorkSum(paces=digest_sent.paces))
 
@@ -191,3 +192,24 @@
     merged = merge_leaving(parts)
     assert len(merged) == LEAVING_LIMIT
     assert set(merged) <= {*parts[0], *parts[1]}
+
+
+def test_digests_of_hosts_that_know_no_demands_are_read():
+    digest_sent = replace(digest(1), demands={"shop": 500})
+    decoded = decode_edited(
+        digest_sent, lambda fields: fields[: FIELDS.index("demands")]
+    )
+    assert decoded == digest(1)
+    assert decode_edited(digest_sent, lambda fields: fields) == digest_sent
+    domain_digest = DomainDigest(replace(SPENDING, demands={"shop": 900}), WorkSum())
+
+    def drop_demands(fields):
+        spending, work = fields
+        return [
+            {name: spending[name] for name in spending if name != "demands"},
+            work,
+        ]
+
+    assert decode_edited(domain_digest, drop_demands) == DomainDigest(
+        SPENDING, WorkSum()
+    )
--- a/src/thornlatch/gateway/_fleet_link.py
+++ b/src/thornlatch/gateway/_fleet_link.py
@@ -360,6 +360,7 @@
             self.state.health.limits.count_sends(now=now),
             self.state.health.speeds.pop_reports(),
             self.state.health.pacer.build_reports(now=now),
+            self.state.quota.get_demands(now=now),
         )
 
     def _apply_digest(self, host: str, digest: HostDigest, now: float) -> None:
@@ -369,7 +370,9 @@
             self._divide_limits(list(self.members), now)
         self._note_store_knowledge(digest.store, now)
         self.state.peers.apply_digest(host, digest, now=now)
-        self.state.quota.apply_peer_digest(host, digest.spent, digest.levels, now=now)
+        self.state.quota.apply_peer_digest(
+            host, digest.spent, digest.levels, now, demands=digest.demands
+        )
         self.state.suspects.set_peer_crashes(host, digest.broken)
         self.state.suspects.set_part_report(host, digest.parts, now=now)
         for report in digest.held or ():
@@ -406,6 +409,7 @@
                     hosts=update.live,
                     is_used=update.is_selected,
                     now=now,
+                    demands=update.demands,
                 )
         for holder, report in message.work.held:
             self._apply_holder_report(holder, report, now)
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -99,7 +99,7 @@
         self.in_force = ConfigurationInForce(settings.freshness)
         self.registry = TargetRegistry(settings.registry)
         self.peers = PeerView(settings.peer_view)
-        self.quota = SharedQuota(settings.quota, now=now)
+        self.quota = SharedQuota(settings.quota, now=now, random=Random())
         self.retries = RetryBudget(settings.retries)
         self.versions = AdapterVersions(settings.versions)
         self.residents = ResidentTable()
--- a/src/thornlatch/gateway/tests/large_fleet.py
+++ b/src/thornlatch/gateway/tests/large_fleet.py
@@ -1,5 +1,7 @@
 """A large fleet without sockets: its hosts, and digests that take time."""
 
+import random
+
 from thornlatch.fleet import (
     DomainExchange,
     DomainView,
@@ -44,7 +46,7 @@
         self.peers = PeerView(PeerViewSettings(silent_s=SETTINGS.silent_s))
         self.view = DomainView(settings, self.peers, host=name, domain=domain)
         quota_settings = QuotaSettings(silent_s=SETTINGS.silent_s, tolerance=TOLERANCE)
-        self.quota = SharedQuota(quota_settings, now=now)
+        self.quota = SharedQuota(quota_settings, now=now, random=random.Random(name))
         self.quota.set_organisations(organisations, now=now)
         self.running = ()
         self.held = ()
@@ -65,6 +67,7 @@
             False,
             self.broken,
             leaving=self.leaving,
+            demands=self.quota.get_demands(now=now),
         )
 
     def run_turn(self, now):
@@ -94,6 +97,7 @@
                         hosts=update.live,
                         is_used=update.is_selected,
                         now=now,
+                        demands=update.demands,
                     )
 
 
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -12,10 +12,13 @@
 import threading
 from collections.abc import Iterable, Mapping
 from dataclasses import dataclass, field, replace
+from random import Random
+from types import MappingProxyType
 from typing import Annotated
 
 from msgspec import Meta
 
+from thornlatch.quota._demand import RecentDemand, compute_admitted_ratio
 from thornlatch.quota._window import SpendWindow
 from thornlatch.routing import Organisation
 
@@ -45,9 +48,10 @@
     wait_limit_s : float
         Longest wait that a refused caller is given, in seconds.
     reserve_s, reserve_periods : float
-        Part of a burst that isn't used in a large fleet, in seconds of the rate: a
-        fixed part and a multiple of the period of digests. Its hosts receive each
-        other's spending later, so several hosts may spend the same tokens.
+        Seconds after which the hosts of a large fleet hear of each other's spending: a
+        fixed part and a multiple of the period of digests. That many seconds of the
+        rate aren't used of a burst, as several hosts may spend the same tokens, and
+        hosts admit together what they may spend in that time.
     tolerance : float
         Tokens by which a window may exceed the quota because of late reports. The
         reserve is smaller by as much.
@@ -84,6 +88,7 @@
 # After this time, windows and buckets hold nothing of what was spent before.
 FORGET_S = 60.0
 HEARD_RATIO = 0.6  # of the peers, from which on a host knows what is spent
+MIN_SHARE = 0.2  # of an equal part of the demand that a host counts as its own
 MIN_BURST_RATIO = 0.1  # of a burst that is used in any fleet
 ADVANCE_PERIOD_S = 0.005  # smallest time between two updates of the buckets
 
@@ -94,6 +99,8 @@
     is_silent: bool = False
     # Smoothed spending in tokens per second, by organisation.
     rates: dict[str, float] = field(default_factory=dict)
+    # Tokens asked for in a second, by organisation.
+    demands: Mapping[str, int] = field(default_factory=dict)
 
 
 @dataclass
@@ -106,6 +113,7 @@
     # Totals up to which the domain's spending has been charged.
     charged_totals: dict[str, int] = field(default_factory=dict)
     rates: dict[str, float] = field(default_factory=dict)
+    demands: Mapping[str, int] = field(default_factory=dict)
     first_heard_at: float = float("-inf")
     was_used: bool = False
 
@@ -162,6 +170,9 @@
     # None for a plain bucket.
     window: SpendWindow | None = None
     refill_rate: float = 0.0
+    demand: RecentDemand = field(default_factory=RecentDemand)
+    # This host's part of the demand of all hosts.
+    share: float = 1.0
 
     @property
     def window_tokens_left(self) -> float:
@@ -220,10 +231,16 @@
     settings : QuotaSettings
     now : float
         Time of this host's start.
+    random : random.Random or None
+        Chooses the requests that are admitted if not all can be; None for one that is
+        seeded by the system.
     """
 
-    def __init__(self, settings: QuotaSettings, *, now: float) -> None:
+    def __init__(
+        self, settings: QuotaSettings, *, now: float, random: Random | None = None
+    ) -> None:
         self.settings = settings
+        self.random = random or Random()
         self.started_at = now
         self.knows_peers = False
         self.silent_s = settings.silent_s
@@ -231,6 +248,7 @@
         self.digest_period_s = 0.0
         self.organisations: tuple[Organisation, ...] = ()
         self.advanced_at = now
+        self.heard_count = 0  # peers heard lately
         self.lock = threading.Lock()
         # Notified when peers have been heard, by which buckets may have filled.
         self.heard = threading.Condition()
@@ -340,12 +358,17 @@
     def _compute_usable_burst(self, organisation: Organisation) -> float:
         if not self.is_large_fleet:
             return organisation.burst
-        settings = self.settings
-        reserve_s = settings.reserve_s + settings.reserve_periods * self.digest_period_s
-        reserve = max(organisation.rate * reserve_s - settings.tolerance, 0.0)
+        reserve = organisation.rate * self.horizon_s - self.settings.tolerance
+        reserve = max(reserve, 0.0)
         least_burst = organisation.burst * MIN_BURST_RATIO
         return max(organisation.burst - reserve, least_burst)
 
+    @property
+    def horizon_s(self) -> float:
+        """Seconds after which hosts of a large fleet hear of each other's spending."""
+        settings = self.settings
+        return settings.reserve_s + settings.reserve_periods * self.digest_period_s
+
     def _update_window(self, bucket: _Bucket) -> None:
         window_s = self.settings.window_s
         bucket.refill_rate = bucket.rate
@@ -383,7 +406,13 @@
             self._note_silent(now)
 
     def apply_peer_digest(
-        self, host: str, spent: Mapping[str, int], levels: Mapping[str, int], now: float
+        self,
+        host: str,
+        spent: Mapping[str, int],
+        levels: Mapping[str, int],
+        now: float,
+        *,
+        demands: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
         """Charge what a peer has spent since its previous digest.
 
@@ -395,6 +424,8 @@
         levels : mapping of str to int
             Tokens left in the peer's replica, by organisation.
         now : float
+        demands : mapping of str to int
+            Tokens that the peer is asked for in a second, by organisation.
         """
         with self.lock:
             self._advance(now)
@@ -425,6 +456,7 @@
             if peer is not None:
                 peer.last_heard_at = now
                 peer.is_silent = False
+                peer.demands = demands
         self._notify_heard()
 
     def _notify_heard(self) -> None:
@@ -470,6 +502,7 @@
         hosts: Iterable[str],
         is_used: bool,
         now: float,
+        demands: Mapping[str, int] = MappingProxyType({}),
     ) -> None:
         """Charge what a domain's other hosts have spent since its previous digest.
 
@@ -478,7 +511,7 @@
         domain, relay : str
             The totals of two relays of a domain start at different times, so they are
             tracked separately and only those of one relay are charged.
-        spent, levels : mapping of str to int
+        spent, levels, demands : mapping of str to int
             As in `apply_peer_digest`, summed over the domain's other hosts.
         hosts : iterable of str
             Hosts from which the relay receives digests.
@@ -504,6 +537,7 @@
             else:
                 state.rates = {}
             state.totals = dict(spent)
+            state.demands = demands if is_used else {}
             state.last_heard_at = now
             if is_used:
                 self._mark_charged(domain)
@@ -593,6 +627,7 @@
         *,
         now: float,
         is_resumed: bool = False,
+        is_repeat: bool = False,
         is_waiting: bool = False,
     ) -> float | None:
         """Spend tokens, or return the time until enough are available.
@@ -604,6 +639,9 @@
         now : float
         is_resumed : bool
             Whether they are for a stream that a caller resumes.
+        is_repeat : bool
+            Whether they are for another run of a request that was admitted, which
+            comes before new requests.
         is_waiting : bool
             Whether the request asks again soon, so that later callers needn't wait
             for its tokens as well.
@@ -618,6 +656,8 @@
             bucket = self.buckets.get(organisation)
             if bucket is None or bucket.rate <= 0:
                 return None
+            if not is_waiting:
+                bucket.demand.add(tokens, now=now)
             if tokens <= self._get_discovery_tokens(bucket, now):
                 bucket.charge(tokens, now)
                 bucket.spent += tokens
@@ -625,10 +665,17 @@
             # A request larger than the burst would never be accepted otherwise.
             required = min(tokens, bucket.burst)
             reserve = 0.0 if is_resumed else self._get_reserve(bucket, now)
-            if bucket.tokens_left - reserve < required:
+            is_admitted = bucket.tokens_left - reserve >= required
+            if self.is_large_fleet:
+                is_admitted = self._may_admit(
+                    organisation, bucket, required + reserve, now, is_repeat=is_repeat
+                )
+            if not is_admitted:
                 # With equal waits, all refused callers would retry at the same time.
-                promised_tokens = reserve + bucket.promised_tokens
-                wait_s = bucket.get_wait_s(required + promised_tokens, now)
+                # Other hosts promise their parts of the refill to their callers.
+                wait_s = bucket.get_wait_s(required + reserve, now)
+                queued_tokens = bucket.promised_tokens + (0 if wait_s else required)
+                wait_s += queued_tokens / (bucket.refill_rate * bucket.share)
                 if not is_waiting:
                     bucket.promised_tokens += required
                     bucket.refused += tokens
@@ -637,6 +684,49 @@
             bucket.spent += tokens
             return None
 
+    def _may_admit(
+        self,
+        organisation: str,
+        bucket: _Bucket,
+        required: float,
+        now: float,
+        *,
+        is_repeat: bool,
+    ) -> bool:
+        """Return whether a host of a large fleet may spend tokens.
+
+        What isn't used of the burst bears what is heard late. Its hosts may draw on it
+        too, as far as they hear of each other: the closer they are to its end, the
+        fewer requests they admit, so that they don't all stop and start together.
+        """
+        known_ratio = (1 + self.heard_count) / (len(self.peers) + 1)
+        lent = max(bucket.whole_burst - bucket.burst, 0.0) * known_ratio
+        if bucket.level + lent < required:
+            return False
+        if is_repeat:
+            return True
+        demand = max(self._get_demand(organisation, bucket, now), bucket.rate)
+        ratio = compute_admitted_ratio(
+            bucket.rate, bucket.level, demand, delay_s=self.horizon_s
+        )
+        return ratio >= 1 or self.random.random() < ratio
+
+    def _get_demand(self, organisation: str, bucket: _Bucket, now: float) -> float:
+        """Return the tokens a second that all heard hosts are asked for."""
+        demand = own_demand = bucket.demand.get(now=now)
+        states: list[_Peer | _RelayState] = [*self.peers.values()]
+        states += self.relays.values()
+        for state in states:
+            if now - state.last_heard_at >= self.silent_s:
+                continue
+            # Hosts report the demand of organisations that they refuse something.
+            demand += max(
+                state.demands.get(organisation, 0), state.rates.get(organisation, 0.0)
+            )
+        bucket.share = own_demand / demand if demand > 0 else 1.0
+        bucket.share = max(bucket.share, MIN_SHARE / (len(self.peers) + 1))
+        return demand
+
     def _get_reserve(self, bucket: _Bucket, now: float) -> float:
         """Return the tokens that only resumed streams may spend now."""
         settings = self.settings
@@ -646,7 +736,7 @@
         reserve = min(bucket.rate * settings.resumed_reserve_s, bucket.burst / 2)
         # A host that hasn't heard from its peers has a share of the level only, and so
         # a share of the reserve.
-        known_hosts = 1 + self._count_heard(now)
+        known_hosts = 1 + self.heard_count
         return reserve * left_ratio * known_hosts / (len(self.peers) + 1)
 
     def _get_discovery_tokens(self, bucket: _Bucket, now: float) -> float:
@@ -690,6 +780,25 @@
             bucket.spent -= tokens
             bucket.given_back += tokens
 
+    def get_demands(self, *, now: float) -> dict[str, int]:
+        """Return the tokens a second that this host is asked for, of pressed buckets.
+
+        Parameters
+        ----------
+        now : float
+
+        Returns
+        -------
+        dict of str to int
+            By organisation.
+        """
+        with self.lock:
+            return {
+                name: round(bucket.demand.get(now=now))
+                for name, bucket in self.buckets.items()
+                if bucket.rate > 0 and bucket.level < bucket.burst / 2
+            }
+
     def get_spent(self, *, now: float) -> tuple[dict[str, int], dict[str, int]]:
         """Return the tokens spent since the start and those left, by organisation.
 
@@ -756,6 +865,7 @@
             What is spent there changes nothing here.
         """
         duplicate = copy.copy(self)
+        duplicate.random = copy.copy(self.random)
         duplicate.lock = threading.Lock()
         with self.lock:
             duplicate.advanced_at = self.advanced_at
@@ -780,6 +890,7 @@
             return
         self.advanced_at = now
         self._note_silent(now)
+        self.heard_count = self._count_heard(now)
         equal_share = 1 / (len(self.peers) + 1)
         # In a large fleet the spending of most peers is in digests of their domains.
         spending = [
@@ -794,7 +905,7 @@
             refill_rate = bucket.rate if is_new_host else bucket.refill_rate
             bucket.level = min(bucket.level + refill_rate * elapsed, bucket.burst)
             bucket.promised_tokens = max(
-                bucket.promised_tokens - refill_rate * elapsed, 0.0
+                bucket.promised_tokens - refill_rate * bucket.share * elapsed, 0.0
             )
             if bucket.window is not None:
                 bucket.window.expire(now=now)
