Charge each run of a request before it is sent (QUOTA)

The quota counts each run that a target begins.

A run is now charged before it is sent, wherever a request is sent again, and given back if no target begins it. Repeats come before new requests: in a large fleet they aren't thinned, in a small one they may overdraw by half of the tolerance, which new requests pay first. If the organisation can't pay even so, a request stays at its silent target, and the caller gets the failure of a lost one, which doesn't say that it hasn't run.

--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -248,6 +248,7 @@
             is_waiting=is_waiting,
         )
         if wait_s is None:
+            call.is_run_charged = True
             call.charged_runs += 1
             return
         reason = f"{name} has used its quota"
@@ -259,6 +260,39 @@
             wait_s = max(wait_s, self.random.uniform(*DISCOVERY_RETRY_S))
         raise RequestRefused(ErrorKind.RATE_EXCEEDED, reason, retry_after_s=wait_s)
 
+    def try_charge_run(self, call: Call, *, now: float) -> bool:
+        """Charge another run of a request, which the quota counts like the first.
+
+        Parameters
+        ----------
+        call : Call
+        now : float
+
+        Returns
+        -------
+        bool
+            False if the organisation has used its quota.
+        """
+        if call.organisation is None:
+            return True
+        wait_s = self.quota.try_spend(
+            call.organisation.name, call.tokens, now=now, is_repeat=True
+        )
+        call.charged_runs += wait_s is None
+        return wait_s is None
+
+    def give_back_run(self, call: Call, *, now: float) -> None:
+        """Give back the tokens of a charged run that no target began.
+
+        Parameters
+        ----------
+        call : Call
+        now : float
+        """
+        if call.organisation is not None:
+            self.quota.give_back(call.organisation.name, call.tokens, now=now)
+            call.charged_runs -= 1
+
     def _spend_when_known(self, call: Call) -> None:
         """Charge a request to its organisation's quota, once this host knows of it.
 
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -57,8 +57,9 @@
         Tokens charged to the organisation's quota for each run.
     fingerprint : str
         Digest that is equal for all repetitions of the request.
-    unused_tokens : int
-        Tokens charged for another run that no target has begun yet.
+    is_run_charged, is_next_run_charged : bool
+        Whether the quota was charged for a run that no target has begun yet, and for
+        that at `next_option`.
     charged_runs : int
         Runs for which the quota was charged.
     known_rounds : dict of str to int
@@ -128,7 +129,8 @@
     admitted_at: float
     tokens: int
     fingerprint: str
-    unused_tokens: int = 0
+    is_run_charged: bool = False
+    is_next_run_charged: bool = False
     charged_runs: int = 0
     known_rounds: dict[str, int] = field(default_factory=dict)
     tries: int = 0
--- a/src/thornlatch/gateway/_forwarder.py
+++ b/src/thornlatch/gateway/_forwarder.py
@@ -272,7 +272,7 @@
             except TargetError as error:
                 self._note_failure(call, option, error)
                 continue
-            call.unused_tokens = 0
+            call.is_run_charged = False
             self.suspects.note_answer(
                 option.target, sent_at=answer.sent_at, now=read_clock()
             )
@@ -335,6 +335,8 @@
         # It may have been blocked while the request waited.
         self.admission.check_parts(call)
         call.known_rounds = self.suspects.parts.get_known_rounds(call.shared_parts)
+        if not call.is_run_charged and not self._charge_again(call, now):
+            raise build_failure(call, "the quota is used up")
         if not call.is_in_retry_budget:
             call.is_in_retry_budget = True
             self.retries.note_request(call.service, now=now)
@@ -369,9 +371,9 @@
             and self.selector.has_alternative(call, target.id)
         ):
             return False
-        if call.route.kind is CallKind.IDEMPOTENT:
-            return True
         now = read_clock()
+        if call.route.kind is CallKind.IDEMPOTENT:
+            return self._charge_again(call, now)
         left_s = call.running.ends_at - now
         # The caller gets the failure, and may return itself, if another run can't be
         # on time or there is no room for it in retry budget and quota.
@@ -382,15 +384,8 @@
         return self._charge_again(call, now)
 
     def _charge_again(self, call: Call, now: float) -> bool:
-        """Charge another run of a generation, which the quota counts like the first."""
-        if call.organisation is None:
-            return True
-        wait_s = self.quota.try_spend(call.organisation.name, call.tokens, now=now)
-        if wait_s is not None:
-            return False
-        call.unused_tokens = call.tokens
-        call.charged_runs += 1
-        return True
+        call.is_run_charged = self.admission.try_charge_run(call, now=now)
+        return call.is_run_charged
 
     def _stream_events(self, call: Call, answer: TargetAnswer) -> Iterator[bytes]:
         """Yield the events of a stream; resume it at another target if it fails."""
@@ -529,7 +524,8 @@
         call.last_failure = f"{target.id}: {error.message}"
         if error.is_sent:
             call.may_have_run = True
-            call.unused_tokens = 0
+            call.is_run_charged = call.is_next_run_charged
+            call.is_next_run_charged = False
             call.runs += 1
             call.was_timeout = error.is_timeout
         avoided_s = 0.0
@@ -596,11 +592,8 @@
                 outcome = error.kind.value
             if call.running.has_caller_left:
                 outcome = "caller-left"
-            has_not_run = not call.may_have_run and call.last_event_id is None
-            tokens = call.tokens if has_not_run else call.unused_tokens
-            if call.organisation is not None and tokens:
-                self.quota.give_back(call.organisation.name, tokens, now=now)
-                call.charged_runs -= 1
+            for _ in range(call.is_run_charged + call.is_next_run_charged):
+                self.admission.give_back_run(call, now=now)
         self.metrics.answers.labels(call.route.name, outcome).inc()
         broken_off_by = _find_who_broke_off(call, error)
         if broken_off_by:
--- a/src/thornlatch/gateway/_silences.py
+++ b/src/thornlatch/gateway/_silences.py
@@ -139,9 +139,12 @@
         option = self._find_better(call, use, now)
         if option is None:
             return "no better target is free"
+        if not self.admission.try_charge_run(call, now=now):
+            return "the quota is used up"
         if not self.retries.try_acquire(call.service, now=now):
+            self.admission.give_back_run(call, now=now)
             return "the retry budget is used up"
-        call.next_option = option
+        call.next_option, call.is_next_run_charged = option, True
         return ""
 
     def _find_better(
--- a/src/thornlatch/gateway/tests/test_forwarder.py
+++ b/src/thornlatch/gateway/tests/test_forwarder.py
@@ -79,7 +79,7 @@
         admission=Admission(
             settings,
             in_force=in_force,
-            quota=None,
+            quota=parts.get("quota"),
             suspects=parts.get("suspects"),
             random=Random(1),
         ),
@@ -103,6 +103,7 @@
     )
     now = read_clock()
     running = RunningRequest("1", now + 1, lambda: False)
+    fields = {"is_run_charged": True, **fields}
     return Call(request, ROUTE, SHOP, "s", running, now, 1, "f", **fields)
 
 
@@ -332,6 +333,112 @@
     assert quota.get_spent(now=now)[0]["shop"] == spent
 
 
+def build_charged_forwarder(outcomes, burst=100.0):
+    """Return a forwarder, whose sends have given outcomes, and a charged call."""
+    now = read_clock()
+    quota = SharedQuota(QuotaSettings(), now=now - 60.0)
+    organisation = Organisation("shop", frozenset({"k"}), None, 0.001, burst)
+    quota.set_organisations([organisation], now=now - 60.0)
+    quota.set_peers([], now=now)
+    quota.buckets["shop"].level = burst
+    forwarder = build_forwarder(
+        retries=RetryBudget(RetryBudgetSettings(0.0, 10.0, 50.0)),
+        quota=quota,
+        work=WorkTable(),
+        metrics=GatewayMetrics(),
+        health=TargetHealth(ForwardingSettings()),
+        suspects=build_suspects(),
+        stream_versions=SimpleNamespace(note_sent=lambda *args, **kwargs: None),
+    )
+    forwarder.admission.confirm_key = lambda call, *, now: None
+    forwarder.silences = SimpleNamespace(get_patience_s=None)
+    target = Target("t1", "s", "1.2.3.4:5", "z", 8)
+    option = TargetOption(target, Step.SEND, 0.0, 0.0)
+    forwarder.selector = SimpleNamespace(
+        has_alternative=lambda *args: True,
+        may_send=lambda *args: True,
+        choose=lambda call: option,
+    )
+
+    def send(call, option, get_patience_s):
+        outcome = outcomes.pop(0)
+        if isinstance(outcome, TargetError):
+            call.sends += outcome.is_sent
+            raise outcome
+        return outcome
+
+    def finish(call, answer):
+        call.runs += 1
+        call.may_have_run = True
+
+    forwarder.sender = SimpleNamespace(
+        send=send, finish=finish, abort=lambda call, answer: None
+    )
+    call = build_call()
+    call.organisation, call.running.ends_at = organisation, now + 10.0
+    call.route = replace(ROUTE, max_attempts=3)
+    forwarder.admission.spend(call, now=now)
+    return forwarder, call, quota
+
+
+def get_spent(quota):
+    return quota.get_spent(now=read_clock())[0]["shop"]
+
+
+LOST = TargetError("connection closed", is_sent=True, is_connection_lost=True)
+REFUSED = TargetError("connection refused", is_sent=False)
+
+
+# Guards against: second runs that targets began, and that no quota was charged for.
+@pytest.mark.parametrize(
+    ("outcomes", "spent"),
+    [
+        ([build_failed_answer(200)], 1),
+        ([LOST, build_failed_answer(200)], 2),
+        ([REFUSED, build_failed_answer(200)], 1),
+        ([build_failed_answer(500), build_failed_answer(200)], 2),
+        ([LOST, REFUSED, LOST, build_failed_answer(200)], 3),
+    ],
+    ids=["one", "connection-lost", "not-connected", "failed", "three"],
+)
+def test_each_run_of_a_request_is_charged(outcomes, spent):
+    forwarder, call, quota = build_charged_forwarder(list(outcomes))
+    answer = forwarder._send_until_answered(call)
+    forwarder._finish_answer(call, answer)
+    assert get_spent(quota) == spent
+
+
+def test_stream_that_goes_on_at_another_target_is_charged_again():
+    outcomes = [build_failed_answer(200), build_failed_answer(200)]
+    forwarder, call, quota = build_charged_forwarder(outcomes)
+    answer = forwarder._send_until_answered(call)
+    call.route = replace(STREAM, max_attempts=3)
+    forwarder._resume(call, answer, LOST)
+    assert get_spent(quota) == 2
+
+
+def test_request_ends_if_its_organisation_can_t_pay_for_another_run():
+    outcomes = [LOST, build_failed_answer(200)]
+    forwarder, call, quota = build_charged_forwarder(outcomes, burst=1.5)
+    with pytest.raises(RequestRefused) as caught:
+        forwarder._send_until_answered(call)
+    # It may have run, so its answer doesn't say that it hasn't.
+    assert caught.value.kind is ErrorKind.TARGET_FAILED
+    forwarder._finish(call, caught.value)
+    assert get_spent(quota) == 1
+
+
+def test_run_reserved_before_a_silent_target_is_left_is_charged_once():
+    forwarder, call, quota = build_charged_forwarder([build_failed_answer(200)])
+    call.is_next_run_charged = forwarder.admission.try_charge_run(
+        call, now=read_clock()
+    )
+    forwarder._note_failed_send(call, Target("t0", "s", "a", "z", 1), LOST)
+    answer = forwarder._send_until_answered(call)
+    forwarder._finish_answer(call, answer)
+    assert get_spent(quota) == 2
+
+
 def test_stream_whose_record_may_be_in_the_store_is_not_charged_again():
     """It waits for its record, and each look took its tokens once more."""
     versions = SimpleNamespace(may_withdraw=lambda request: False)
--- a/src/thornlatch/gateway/tests/test_silences.py
+++ b/src/thornlatch/gateway/tests/test_silences.py
@@ -29,7 +29,8 @@
     """Stands in for admission, selector and retry budget."""
 
     def __init__(self):
-        self.has_budget = True
+        self.has_budget = self.has_quota = True
+        self.charged_runs = 0
         self.key_error = None
         self.free = [OTHER]
         self.loads = []
@@ -47,6 +48,13 @@
     def request_load_elsewhere(self, call, target, *, now):
         self.loads.append(target)
 
+    def try_charge_run(self, call, *, now):
+        self.charged_runs += self.has_quota
+        return self.has_quota
+
+    def give_back_run(self, call, *, now):
+        self.charged_runs -= 1
+
     def try_acquire(self, service, *, now):
         return self.has_budget
 
@@ -95,6 +103,8 @@
     bed.begin("other", silent_s=1.5)
     assert RECHECK_MIN_S <= bed.get_patience_s() <= RECHECK_MAX_S
     assert bed.call.next_option is None
+    assert not bed.call.is_next_run_charged
+    assert bed.parts.charged_runs == 0
 
 
 def forbid_repeats(bed):
@@ -105,6 +115,10 @@
     bed.parts.has_budget = False
 
 
+def exhaust_quota(bed):
+    bed.parts.has_quota = False
+
+
 def occupy_targets(bed):
     bed.parts.free = []
 
@@ -126,6 +140,7 @@
     [
         forbid_repeats,
         exhaust_budget,
+        exhaust_quota,
         occupy_targets,
         outdate_configuration,
         use_up_time,
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -88,6 +88,8 @@
 # After this time, windows and buckets hold nothing of what was spent before.
 FORGET_S = 60.0
 HEARD_RATIO = 0.6  # of the peers, from which on a host knows what is spent
+# Of the tolerance, by which repeats may overdraw: new requests wait until it is paid.
+REPEAT_DEBT_RATIO = 0.5
 MIN_SHARE = 0.2  # of an equal part of the demand that a host counts as its own
 MIN_BURST_RATIO = 0.1  # of a burst that is used in any fleet
 ADVANCE_PERIOD_S = 0.005  # smallest time between two updates of the buckets
@@ -665,11 +667,13 @@
             # A request larger than the burst would never be accepted otherwise.
             required = min(tokens, bucket.burst)
             reserve = 0.0 if is_resumed else self._get_reserve(bucket, now)
-            is_admitted = bucket.tokens_left - reserve >= required
             if self.is_large_fleet:
                 is_admitted = self._may_admit(
                     organisation, bucket, required + reserve, now, is_repeat=is_repeat
                 )
+            else:
+                debt = self.settings.tolerance * REPEAT_DEBT_RATIO if is_repeat else 0.0
+                is_admitted = bucket.tokens_left + debt >= required + reserve
             if not is_admitted:
                 # With equal waits, all refused callers would retry at the same time.
                 # Other hosts promise their parts of the refill to their callers.
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -455,3 +455,14 @@
             if quota.knows_peers and quota.try_spend("shop", 60, now=now) is None:
                 spends.append((now, 60))
     assert_windows_within_quota(spends, settings.get("burst", BURST))
+
+
+def test_runs_that_are_repeated_come_before_new_requests():
+    quota = build_quota(tolerance=400.0)
+    assert quota.try_spend("shop", 1000, now=10.0) is None
+    assert quota.try_spend("shop", 100, now=10.0) is not None
+    assert quota.try_spend("shop", 100, now=10.0, is_repeat=True) is None
+    assert quota.try_spend("shop", 200, now=10.0, is_repeat=True) is not None
+    # New requests wait until the repeated run is paid.
+    assert quota.try_spend("shop", 100, now=10.15) is not None
+    assert quota.try_spend("shop", 100, now=10.25) is None
