Give back only tokens that the bucket hasn't been refilled with (QUOTA)

A request that waits for a target and is refused gave its tokens back whenever that was. If the bucket had been full meanwhile, the rate had made up for them, and an organisation could spend twice its burst at once; in small fleets the window also took them off twice, when they came back and when the charge expired.

The new test failed before with each of three settings, with 2,000 tokens in place of 1,000.

--- a/src/thornlatch/gateway/_admission.py
+++ b/src/thornlatch/gateway/_admission.py
@@ -250,6 +250,7 @@
         if wait_s is None:
             call.is_run_charged = True
             call.charged_runs += 1
+            call.charged_at = now
             return
         reason = f"{name} has used its quota"
         if self.quota.is_discovering(now=now):
@@ -278,7 +279,9 @@
         wait_s = self.quota.try_spend(
             call.organisation.name, call.tokens, now=now, is_repeat=True
         )
-        call.charged_runs += wait_s is None
+        if wait_s is None:
+            call.charged_runs += 1
+            call.charged_at = now
         return wait_s is None
 
     def give_back_run(self, call: Call, *, now: float) -> None:
@@ -290,7 +293,12 @@
         now : float
         """
         if call.organisation is not None:
-            self.quota.give_back(call.organisation.name, call.tokens, now=now)
+            self.quota.give_back(
+                call.organisation.name,
+                call.tokens,
+                charged_at=call.charged_at,
+                now=now,
+            )
             call.charged_runs -= 1
 
     def _spend_when_known(self, call: Call) -> None:
--- a/src/thornlatch/gateway/_call.py
+++ b/src/thornlatch/gateway/_call.py
@@ -62,6 +62,8 @@
         that at `next_option`.
     charged_runs : int
         Runs for which the quota was charged.
+    charged_at : float
+        Clock time of the latest charge.
     known_rounds : dict of str to int
         Rounds of crashes that were known of parts of the prompt at the latest send.
     tries, sends, runs : int
@@ -132,6 +134,7 @@
     is_run_charged: bool = False
     is_next_run_charged: bool = False
     charged_runs: int = 0
+    charged_at: float = 0.0
     known_rounds: dict[str, int] = field(default_factory=dict)
     tries: int = 0
     sends: int = 0
--- a/src/thornlatch/quota/_shared.py
+++ b/src/thornlatch/quota/_shared.py
@@ -169,6 +169,8 @@
     promised_tokens: float = 0.0
     # Assumed spending since the latest digest, by host or relay.
     assumed: dict[str, float] = field(default_factory=dict)
+    # When it was last full.
+    full_at: float = -math.inf
     # None for a plain bucket.
     window: SpendWindow | None = None
     refill_rate: float = 0.0
@@ -201,6 +203,11 @@
         if self.window is not None and tokens:
             self.window.give_back(tokens, since=since, now=now)
 
+    def forget_charge(self, tokens: float, *, charged_at: float, now: float) -> None:
+        """Remove tokens that weren't spent from the window in which they count."""
+        if self.window is not None:
+            self.window.forget(tokens, added_at=charged_at, now=now)
+
     def get_wait_s(self, tokens: float, now: float) -> float:
         """Return the seconds until the given number of tokens may be spent."""
         wait_s = max(tokens - self.level, 0.0) / self.refill_rate
@@ -766,13 +773,17 @@
             now - peer.last_heard_at < self.silent_s for peer in self.peers.values()
         )
 
-    def give_back(self, organisation: str, tokens: int, *, now: float) -> None:
+    def give_back(
+        self, organisation: str, tokens: int, *, charged_at: float, now: float
+    ) -> None:
         """Credit the tokens of a request that was not executed.
 
         Parameters
         ----------
         organisation : str
         tokens : int
+        charged_at : float
+            When they were spent.
         now : float
         """
         with self.lock:
@@ -780,7 +791,12 @@
             bucket = self.buckets.get(organisation)
             if bucket is None or bucket.rate <= 0:
                 return
-            bucket.give_back(tokens, now, since=now)
+            if charged_at < bucket.full_at:
+                # The rate has made up for them. Peers count on the rate, too.
+                bucket.forget_charge(tokens, charged_at=charged_at, now=now)
+                return
+            bucket.level = min(bucket.level + tokens, bucket.burst)
+            bucket.forget_charge(tokens, charged_at=charged_at, now=now)
             bucket.spent -= tokens
             bucket.given_back += tokens
 
@@ -908,6 +924,8 @@
         for organisation, bucket in self.buckets.items():
             refill_rate = bucket.rate if is_new_host else bucket.refill_rate
             bucket.level = min(bucket.level + refill_rate * elapsed, bucket.burst)
+            if bucket.level >= bucket.burst:
+                bucket.full_at = now
             bucket.promised_tokens = max(
                 bucket.promised_tokens - refill_rate * bucket.share * elapsed, 0.0
             )
--- a/src/thornlatch/quota/_window.py
+++ b/src/thornlatch/quota/_window.py
@@ -62,6 +62,23 @@
             interval.tokens -= tokens / len(recent)
         self.total -= tokens
 
+    def forget(self, tokens: float, *, added_at: float, now: float) -> None:
+        """Subtract tokens that were added at a time, unless they have expired.
+
+        Parameters
+        ----------
+        tokens : float
+        added_at : float
+        now : float
+        """
+        self.expire(now=now)
+        interval_s = self.window_s / INTERVAL_COUNT
+        for interval in self.intervals:
+            if interval.ends_at - interval_s <= added_at < interval.ends_at:
+                interval.tokens -= tokens
+                self.total -= tokens
+                return
+
     def expire(self, *, now: float) -> None:
         """Remove the tokens that were spent before the window.
 
--- a/src/thornlatch/quota/tests/test_shared.py
+++ b/src/thornlatch/quota/tests/test_shared.py
@@ -91,7 +91,7 @@
         send_digest(b, a, "b", now)
     b.try_spend("shop", 1000, now=2.1)
     send_digest(b, a, "b", 2.1)
-    b.give_back("shop", 1000, now=2.1)
+    b.give_back("shop", 1000, charged_at=2.1, now=2.1)
     send_digest(b, a, "b", 2.1)
     assert a.try_spend("shop", 900, now=2.1) is None
 
@@ -457,6 +457,28 @@
     assert_windows_within_quota(spends, settings.get("burst", BURST))
 
 
+# Guards against: more than a burst at once, when refused requests get back tokens that
+# the bucket has been refilled with meanwhile.
+@pytest.mark.parametrize("settings", SETTINGS)
+def test_tokens_given_back_after_a_refill_are_not_spent_twice(settings):
+    quota = build_quota(**settings)
+    burst = settings.get("burst", BURST)
+    spends = []
+    now = 20.0
+    while quota.try_spend("shop", 100, now=now) is None:
+        pass
+    # The requests wait for a target until the bucket is full again, and others come.
+    for second in range(9):
+        now = 21.0 + second
+        quota.get_spent(now=now)
+    while quota.try_spend("shop", 100, now=now) is None:
+        spends.append(100)
+    quota.give_back("shop", int(burst), charged_at=20.0, now=now)
+    while quota.try_spend("shop", 100, now=now) is None:
+        spends.append(100)
+    assert sum(spends) <= burst
+
+
 def test_runs_that_are_repeated_come_before_new_requests():
     quota = build_quota(tolerance=400.0)
     assert quota.try_spend("shop", 1000, now=10.0) is None
