Reach targets through other hosts while this host's links are cut (RECOVER)

Cause: nothing led from such a host to one that reaches the targets. Each request tried dead connections and was refused, and callers stay, as open connections aren't moved. The class is a host's own failure taken for that of everything behind it.

Change: a connection that this host can't make goes through a tunnel of another host. The caller's host keeps all decisions and counts, so a request is charged once, to one quota and retry budget, with one deadline; receipts, breaks and cancellations are as before; no key is passed on. Only requests take it, orders don't.

A stream through a host that stops is passed on to its end.

--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -286,7 +286,9 @@
             self.will_close = True
 
 
-def connect(address: str, *, timeout_s: float) -> http.client.HTTPConnection:
+def connect(
+    address: str, *, timeout_s: float, tunnel_to: str = ""
+) -> http.client.HTTPConnection:
     """Open a connection whose `sock` is a `BoundedSocket`.
 
     Parameters
@@ -295,6 +297,9 @@
         ``ip:port``.
     timeout_s : float
         Seconds to connect, and without a byte after which a read fails.
+    tunnel_to : str
+        ``ip:port`` to which the peer is asked to pass on all bytes (CONNECT of RFC
+        9110); empty for a connection to the peer itself.
 
     Returns
     -------
@@ -307,7 +312,14 @@
     """
     connection = http.client.HTTPConnection(address, timeout=timeout_s)
     connection.response_class = _Response
-    connection.connect()
+    if tunnel_to:
+        host, _, port = tunnel_to.rpartition(":")
+        connection.set_tunnel(host, int(port))
+    try:
+        connection.connect()
+    except http.client.HTTPException as error:
+        connection.close()
+        raise ConnectionError(f"no tunnel: {error!r}") from error
     # It would open a plain socket after an answer that closed this one.
     connection.auto_open = 0
     sock = BoundedSocket(fileno=connection.sock.detach())
--- a/src/thornlatch/fleet/_domain_choice.py
+++ b/src/thornlatch/fleet/_domain_choice.py
@@ -104,11 +104,14 @@
         Its failure domain.
     capacity : float
         Hosts with a higher capacity are preferred as relays and for orders.
+    tunnel_address : str
+        ``ip:port`` on which it passes on connections to targets; empty for none.
     """
 
     address: str
     domain: str = ""
     capacity: float = 0.0
+    tunnel_address: str = ""
 
 
 @dataclass
--- a/src/thornlatch/gateway/_gateway.py
+++ b/src/thornlatch/gateway/_gateway.py
@@ -50,11 +50,13 @@
 from thornlatch.gateway._stream_versions import StreamVersions
 from thornlatch.gateway._suspects import CrashSuspects
 from thornlatch.gateway._target_limits import TargetLimits
+from thornlatch.gateway._tunnels import TunnelServer
 from thornlatch.gateway._work import WorkTable
 from thornlatch.pace import Pacer
 from thornlatch.quota import RetryBudget, SharedQuota
 from thornlatch.residency import AdapterVersions, Resident, ResidentTable, Tenure
 from thornlatch.routing import Configuration, ConfigurationInForce
+from thornlatch.targets import Detours, TunnelHost, drop_idle_connections
 
 logger = logbook.Logger("thornlatch.gateway")
 
@@ -172,12 +174,24 @@
             versions=self.versions,
         )
         self.recent = RecentRequests(settings.explanations)
+        self.detours = Detours(
+            settings.detours,
+            self._list_tunnel_hosts,
+            Random(),
+            on_cut=drop_idle_connections,
+        )
         self.forwarder = self._build_forwarder(targets)
         self.app = GatewayApplication(callers, self.forwarder, self.metrics)
         self.stopping = threading.Event()
         self.signals = SignalWaiter()
         # Set during a stop once no request is running.
         self.drained = threading.Event()
+        self.tunnels = TunnelServer(
+            settings.tunnels,
+            settings.host.tunnel_address,
+            is_target=self._is_target_address,
+            is_stopping=lambda: self.stopping.is_set(),
+        )
         self.fleet = FleetLink(
             settings,
             self.host,
@@ -205,7 +219,7 @@
         self.reported_ready = False
         self.accounts_due_at = now
         self.live_peers: frozenset[str] = frozenset()
-        self.executor = ThreadPoolExecutor(16, "gateway")
+        self.executor = ThreadPoolExecutor(18, "gateway")
 
     def _build_forwarder(self, targets: TargetProtocol) -> Forwarder:
         settings = self.settings.forwarding
@@ -239,6 +253,7 @@
                 work=self.work,
                 health=self.health,
                 metrics=self.metrics,
+                detours=self.detours,
             ),
             silences=SilencePolicy(
                 admission=admission,
@@ -312,6 +327,7 @@
                 self.log.run,
                 self.fleet.peer_loop.run,
                 self._stop_expired_requests,
+                self.tunnels.run,
             ]
             for loop in (*loops, *feeds, *[server.run for server in servers]):
                 self.executor.submit(self._run_loop, loop)
@@ -698,6 +714,8 @@
             self.accounts_due_at = now + ACCOUNT_LOG_PERIOD_S
             self._log_accounts(now)
         self.metrics.pace_targets.set(self.health.pacer.count_paced())
+        self.metrics.cut_targets.set(self.detours.count_cut())
+        self.metrics.tunnels.set(len(self.tunnels.tunnels))
         self.metrics.running.set(len(self.work.running))
         self.metrics.live_peers.set(len(live))
         self.metrics.received_memory.set(received_memory.used_bytes)
@@ -777,6 +795,8 @@
             self.residents.remove(name)
         if target is None:
             self.health.forget(name, now=read_clock())
+            targets = list(self.registry.targets.values())
+            self.detours.retain(target.address for target in targets)
         else:
             self.health.begin(name, target.started_ms)
             # Pacing of its service may have been enabled after its start.
@@ -808,6 +828,20 @@
             if service is not None:
                 note_cold(target, service.cold_s, source=EVACUATION, health=self.health)
 
+    def _list_tunnel_hosts(self) -> list[TunnelHost]:
+        """Return the live hosts that pass on connections to targets."""
+        now = read_clock()
+        domain = self.settings.host.failure_domain
+        return [
+            TunnelHost(host, member.tunnel_address, member.domain == domain)
+            for host, member in list(self.fleet.members.items())
+            if member.tunnel_address and self.peers.is_live(host, now=now)
+        ]
+
+    def _is_target_address(self, address: str) -> bool:
+        targets = list(self.registry.targets.values())
+        return any(target.address == address for target in targets)
+
     def _list_known_domains(self) -> set[str]:
         """Return the failure domains that hosts or the settings name."""
         members = list(self.fleet.members.values())
@@ -869,12 +903,17 @@
             if now >= began_at + settings.linger_s:
                 self.app.refuses_requests = True
                 # Callers may read more slowly than their requests are served.
-                if not (self.work.running or has_unsent_answers(caller_server)):
+                if not (
+                    self.work.running
+                    or has_unsent_answers(caller_server)
+                    or self.tunnels.count_busy(now=now)
+                ):
                     break
             pause.wait(STOP_POLL_PERIOD_S)
         self.drained.set()
         _call_part(self.stream_versions.stop)
         _call_part(self.fleet.peer_loop.stop)
+        _call_part(self.tunnels.stop)
         pause.wait(STOP_POLL_PERIOD_S)
 
 
--- a/src/thornlatch/gateway/_metrics.py
+++ b/src/thornlatch/gateway/_metrics.py
@@ -103,6 +103,16 @@
             ["reason"],
             registry=self.registry,
         )
+        self.cut_targets = Gauge(
+            "thornlatch_gateway_cut_targets",
+            "Targets that this host reaches through other hosts only.",
+            registry=self.registry,
+        )
+        self.tunnels = Gauge(
+            "thornlatch_gateway_tunnels",
+            "Connections to targets that this host passes on for other hosts.",
+            registry=self.registry,
+        )
         self.store_calls = Counter(
             "thornlatch_store_calls",
             "Calls to the platform's store, by call and outcome.",
--- a/src/thornlatch/gateway/_sender.py
+++ b/src/thornlatch/gateway/_sender.py
@@ -31,7 +31,14 @@
 from thornlatch.gateway._work import TargetUse, WorkTable
 from thornlatch.pace import PacedRequest, PaceReason
 from thornlatch.routing import CallKind
-from thornlatch.targets import Framing, Reuse, TargetCall, TargetResponse, open_call
+from thornlatch.targets import (
+    Detours,
+    Framing,
+    Reuse,
+    TargetCall,
+    TargetResponse,
+    open_call,
+)
 
 logger = logbook.Logger("thornlatch.gateway")
 
@@ -58,6 +65,8 @@
     work : WorkTable
     health : TargetHealth
     metrics : GatewayMetrics
+    detours : Detours or None
+        Reaches targets from which this host is cut off; None not to.
     """
 
     def __init__(
@@ -68,7 +77,9 @@
         work: WorkTable,
         health: TargetHealth,
         metrics: GatewayMetrics,
+        detours: Detours | None = None,
     ) -> None:
+        self.detours = detours
         self.settings = settings
         self.protocol = protocol
         self.work = work
@@ -131,6 +142,7 @@
             timeout_s=head_timeout_s,
             connect_s=min(self.settings.connect_s, left_s),
             send_s=left_s,
+            detours=self.detours,
         )
         tokens = request.prompt_tokens or 0
         use = self.work.begin(
--- a/src/thornlatch/gateway/_settings.py
+++ b/src/thornlatch/gateway/_settings.py
@@ -14,6 +14,7 @@
 from thornlatch.gateway._target_limits import ColdTargetSettings, TargetLimitSettings
 from thornlatch.gateway._target_speeds import SpeedSettings
 from thornlatch.gateway._topic_share import TopicShareSettings
+from thornlatch.gateway._tunnels import TunnelSettings
 from thornlatch.mesh import PeerSettings
 from thornlatch.pace import PaceSettings
 from thornlatch.quota import QuotaSettings, RetryBudgetSettings
@@ -24,6 +25,7 @@
     VersionSettings,
 )
 from thornlatch.routing import FreshnessSettings
+from thornlatch.targets import DetourSettings
 
 Seconds = Annotated[float, Meta(gt=0)]
 
@@ -47,6 +49,8 @@
     capacity : float
         Hosts with larger values are preferred as relays of their failure domain in a
         large fleet.
+    tunnel_address : str
+        ``ip:port`` for other hosts that are cut off from targets; empty for none.
     """
 
     name: str
@@ -56,6 +60,7 @@
     peer_address: str
     metrics_address: str = ""
     capacity: float = 0.0
+    tunnel_address: str = ""
 
 
 @dataclass(frozen=True)
@@ -218,6 +223,8 @@
     stop : StopSettings
     logs : LogSettings
     explanations : ExplanationSettings
+    detours : DetourSettings
+    tunnels : TunnelSettings
     regions : mapping of str to str
         Regions by failure domain. Other domains have none, and requests that are
         restricted to regions aren't sent there.
@@ -248,4 +255,6 @@
     stop: StopSettings = field(default_factory=StopSettings)
     logs: LogSettings = field(default_factory=LogSettings)
     explanations: ExplanationSettings = field(default_factory=ExplanationSettings)
+    detours: DetourSettings = field(default_factory=DetourSettings)
+    tunnels: TunnelSettings = field(default_factory=TunnelSettings)
     regions: Mapping[str, str] = field(default_factory=dict)
--- a/src/thornlatch/targets/__init__.py
+++ b/src/thornlatch/targets/__init__.py
@@ -5,8 +5,10 @@
     Reuse,
     TargetCall,
     TargetResponse,
+    drop_idle_connections,
     open_call,
 )
+from thornlatch.targets._detours import Detours, DetourSettings, TunnelHost
 from thornlatch.targets._engine import (
     ChunkReader,
     CompletionChunk,
@@ -19,10 +21,14 @@
 __all__ = [
     "ChunkReader",
     "CompletionChunk",
+    "DetourSettings",
+    "Detours",
     "Framing",
     "Reuse",
     "TargetCall",
     "TargetResponse",
+    "TunnelHost",
+    "drop_idle_connections",
     "evict_adapter",
     "iter_chunks",
     "load_adapter",
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -18,6 +18,7 @@
     received_memory,
 )
 from thornlatch.exceptions import OversizedAnswer, TargetError
+from thornlatch.targets._detours import Detours
 
 READ_BYTES = 1 << 16
 CHUNK_END = b"\r\n"
@@ -51,6 +52,8 @@
         whole head of its answer, which bytes that arrive now and then don't extend.
     connect_s, send_s : float or None
         Seconds to connect, and to send the call; `timeout_s` if None.
+    detours : Detours or None
+        Reaches the target through other hosts if this one can't; None not to.
     """
 
     address: str
@@ -61,6 +64,7 @@
     timeout_s: float = 30.0
     connect_s: float | None = None
     send_s: float | None = None
+    detours: Detours | None = None
 
 
 class Framing(Enum):
@@ -112,8 +116,10 @@
         response: http.client.HTTPResponse,
         *,
         is_reused: bool,
+        is_detour: bool = False,
     ) -> None:
         self.call = call
+        self.is_detour = is_detour
         self.connection = connection
         self.sock = sock
         self.memory = sock.memory or MemoryUse(received_memory)
@@ -319,6 +325,7 @@
                 self.connection,
                 read_clock(),
                 _read_idle_limit_s(self.response),
+                self.is_detour,
             )
             _connections.put(self.call.address, idle)
         else:
@@ -331,6 +338,7 @@
     connection: http.client.HTTPConnection
     idle_since: float
     limit_s: float
+    is_detour: bool = False
 
 
 class _ConnectionCache:
@@ -433,6 +441,11 @@
     """
     _connections.expire()
     idle = _connections.pop(call.address, reuse)
+    is_cut = call.detours is not None and call.detours.is_cut(call.address)
+    while idle is not None and idle.is_detour and not is_cut:
+        # Its way is longer, and the host on it may be stopping.
+        idle.connection.close()
+        idle = _connections.pop(call.address, reuse)
     connection = _connect(call) if idle is None else idle.connection
     sock = cast(BoundedSocket, connection.sock)
     sock.extend_reads = extend_reads
@@ -454,6 +467,7 @@
         sock,
         answer,
         is_reused=idle is not None,
+        is_detour=_is_detour(connection),
     )
     response.bound_reads(float("inf"))
     return response
@@ -471,9 +485,26 @@
     )
 
 
+def drop_idle_connections(address: str, now: float) -> None:
+    """Close the connections to a target that are idle.
+
+    Parameters
+    ----------
+    address : str
+    now : float
+    """
+    _connections.drop(address, idle_since=now)
+
+
+def _is_detour(connection: http.client.HTTPConnection) -> bool:
+    return bool(getattr(connection, "_tunnel_host", None))
+
+
 def _connect(call: TargetCall) -> http.client.HTTPConnection:
     connect_s = call.timeout_s if call.connect_s is None else call.connect_s
     try:
+        if call.detours is not None:
+            return call.detours.connect(call.address, timeout_s=connect_s)
         return connect(call.address, timeout_s=connect_s)
     except OSError as error:
         raise TargetError(f"can't connect: {error!r}", is_sent=False) from error
--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -25,7 +25,7 @@
 {change}
 sys.exit(adapter.run_host())
 """
-PORTS_PER_HOST = 4  # callers, readiness, peers, metrics
+PORTS_PER_HOST = 5  # callers, readiness, peers, metrics, tunnels
 
 
 class Host:
--- a/tests/platform/test_cut_off_hosts.py
+++ b/tests/platform/test_cut_off_hosts.py
@@ -6,6 +6,7 @@
 import pytest
 
 from hosts import ChangedHost, run_deployment, wait_until
+from stand_ins import build_config, build_route
 
 CONTACT_S = 3.0  # from which on callers of a cut host are served like the others
 REQUESTS = 30  # to each path
@@ -83,5 +84,39 @@
             cut_file.unlink()
             time.sleep(CONTACT_S)
             assert count_served(host) == ALL_SERVED
+            assert host.wait_events("target.detour_ended")
+        finally:
+            host.process.kill()
+
+
+# Guards against: a planned stop of the host that passes on a stream cuts it.
+def test_host_that_passes_on_a_stream_stops_after_its_end(tmp_path):
+    with run_deployment(tmp_path, "llm-1", "llm-2") as (store, servers, other):
+        (tmp_path / "two").mkdir()
+        cut_file = tmp_path / "cut"
+        cut_file.touch()
+        for server in servers.values():
+            server.events, server.pause_s = 20, 0.2
+        server_ports = {int(s.address.rpartition(":")[2]) for s in servers.values()}
+        change = CUT.format(cut=str(cut_file), ports=server_ports, hangs=False)
+        host = ChangedHost(tmp_path / "two", store.address, change, "edge-2")
+        try:
+            host.wait_ready()
+            wait_until(lambda: other.list_events("fleet.peers_changed"))
+            route = build_route("llm", "/llm/", "streaming", "llm", timeoutMs=9000)
+            store.put("keyed.op", "config", build_config(version=2, routes=[route]))
+            host.wait_events("configuration.read", 2)
+            with ThreadPoolExecutor(1) as executor:
+                call = executor.submit(
+                    host.call, "/llm/x", Thornlatch_Deadline_Ms="9000"
+                )
+                time.sleep(1.0)
+                assert other.stop() == 0
+                response, body = call.result()
+            assert response.status == 200
+            assert isinstance(body, bytes), host.read_log() + other.read_log()
+            assert body.count(b"data:") == 20
+            runs = sum(len(server.requests) for server in servers.values())
+            assert runs == 1
         finally:
             host.process.kill()
