--- a/tests/platform/hosts.py
+++ b/tests/platform/hosts.py
@@ -25,6 +25,27 @@
 {change}
 sys.exit(adapter.run_host())
 """
+# Connections to some ports fail in a host while the file exists, which says how.
+CUT = """
+import os, socket
+connect, send_all = socket.socket.connect, socket.socket.sendall
+def is_cut(port):
+    return port in {ports!r} and os.path.exists({path!r})
+def connect_unless_cut(sock, address):
+    if isinstance(address, tuple) and is_cut(address[1]):
+        with open({path!r}) as file:
+            if file.read() == "hanging":
+                time.sleep(min(sock.gettimeout() or 9.0, 9.0))
+                raise TimeoutError("timed out")
+        raise ConnectionRefusedError(111, "Connection refused")
+    return connect(sock, address)
+def send_all_unless_cut(sock, *args):
+    if is_cut(sock.getpeername()[1]):
+        raise ConnectionResetError(104, "Connection reset by peer")
+    return send_all(sock, *args)
+socket.socket.connect = connect_unless_cut
+socket.socket.sendall = send_all_unless_cut
+"""
 PORTS_PER_HOST = 5  # callers, readiness, peers, metrics, tunnels
 
 
@@ -167,6 +188,22 @@
         )
 
 
+class Cut:
+    """Cuts the links between a `ChangedHost` and servers, which others still reach."""
+
+    def __init__(self, path, servers):
+        self.path = path
+        ports = {int(server.address.rpartition(":")[2]) for server in servers}
+        self.change = CUT.format(path=str(path), ports=ports)
+
+    def begin(self, kind):
+        """Cut the links: new connections are `refused` or `hanging`."""
+        self.path.write_text(kind)
+
+    def end(self):
+        self.path.unlink(missing_ok=True)
+
+
 def start_host(folder, store_address, name="edge-1"):
     """Start a host, on other ports if one was taken by a connection in the meantime."""
     while True:
--- a/tests/platform/test_cut_off_hosts.py
+++ b/tests/platform/test_cut_off_hosts.py
@@ -5,30 +5,12 @@
 
 import pytest
 
-from hosts import ChangedHost, run_deployment, wait_until
+from hosts import ChangedHost, Cut, run_deployment, wait_until
 from stand_ins import build_config, build_route
 
 CONTACT_S = 3.0  # from which on callers of a cut host are served like the others
 REQUESTS = 30  # to each path
 PATHS = ("/llm/x", "/once/x", "/many/x")
-# Connections to the targets fail in this host while the file exists.
-CUT = """
-import os, socket
-connect, send_all = socket.socket.connect, socket.socket.sendall
-def connect_unless_cut(sock, address):
-    if os.path.exists({cut!r}) and address[1] in {ports!r}:
-        if {hangs!r}:
-            time.sleep(min(sock.gettimeout() or 9.0, 9.0))
-            raise TimeoutError("timed out")
-        raise ConnectionRefusedError(111, "Connection refused")
-    return connect(sock, address)
-def send_all_unless_cut(sock, *args):
-    if os.path.exists({cut!r}) and sock.getpeername()[1] in {ports!r}:
-        raise ConnectionResetError(104, "Connection reset by peer")
-    return send_all(sock, *args)
-socket.socket.connect = connect_unless_cut
-socket.socket.sendall = send_all_unless_cut
-"""
 
 
 def count_served(host):
@@ -59,29 +41,27 @@
 
 # Guards against: callers of hosts that had lost their links to all targets were served
 # 6 of 231 times at the first attempt, those of other hosts 90 of 103 times (RECOVER).
-@pytest.mark.parametrize("hangs", [False, True], ids=["refused", "hanging"])
-def test_callers_of_a_cut_host_are_served_like_those_of_others(tmp_path, hangs):
+@pytest.mark.parametrize("kind", ["refused", "hanging"])
+def test_callers_of_a_cut_host_are_served_like_those_of_others(tmp_path, kind):
     with run_deployment(tmp_path, "api-1", "api-2", "llm-1", "llm-2") as (
         store,
         servers,
         other,
     ):
         (tmp_path / "two").mkdir()
-        cut_file = tmp_path / "cut"
-        server_ports = {int(s.address.rpartition(":")[2]) for s in servers.values()}
-        change = CUT.format(cut=str(cut_file), ports=server_ports, hangs=hangs)
-        host = ChangedHost(tmp_path / "two", store.address, change, "edge-2")
+        cut = Cut(tmp_path / "cut", servers.values())
+        host = ChangedHost(tmp_path / "two", store.address, cut.change, "edge-2")
         try:
             host.wait_ready()
             wait_until(lambda: other.list_events("fleet.peers_changed"))
             assert count_served(host) == ALL_SERVED
-            cut_file.touch()
+            cut.begin(kind)
             count_served(host)
             time.sleep(CONTACT_S)
             served = count_served(host)
             assert count_served(other) == ALL_SERVED
             assert min(served.values()) >= REQUESTS * 2 / 3, served
-            cut_file.unlink()
+            cut.end()
             time.sleep(CONTACT_S)
             assert count_served(host) == ALL_SERVED
             assert host.wait_events("target.detour_ended")
@@ -93,13 +73,11 @@
 def test_host_that_passes_on_a_stream_stops_after_its_end(tmp_path):
     with run_deployment(tmp_path, "llm-1", "llm-2") as (store, servers, other):
         (tmp_path / "two").mkdir()
-        cut_file = tmp_path / "cut"
-        cut_file.touch()
+        cut = Cut(tmp_path / "cut", servers.values())
+        cut.begin("refused")
         for server in servers.values():
             server.events, server.pause_s = 20, 0.2
-        server_ports = {int(s.address.rpartition(":")[2]) for s in servers.values()}
-        change = CUT.format(cut=str(cut_file), ports=server_ports, hangs=False)
-        host = ChangedHost(tmp_path / "two", store.address, change, "edge-2")
+        host = ChangedHost(tmp_path / "two", store.address, cut.change, "edge-2")
         try:
             host.wait_ready()
             wait_until(lambda: other.list_events("fleet.peers_changed"))
--- a/tests/soak/faults.py
+++ b/tests/soak/faults.py
@@ -96,6 +96,18 @@
     proxy.set_link(Link.PASS)
 
 
+def cut_off_hosts(world, rng):
+    """Cut the links of some hosts to all servers, which the others still reach."""
+    hosts = rng.sample(world.hosts, rng.randrange(1, len(world.hosts)))
+    for host in hosts:
+        world.cuts[host.name].begin(rng.choice(("refused", "hanging")))
+    try:
+        yield " ".join(host.name for host in hosts), rng.uniform(0.5, 6.0)
+    finally:
+        for host in hosts:
+            world.cuts[host.name].end()
+
+
 def refuse_store(world, rng):
     world.store.status = rng.choice((429, 503))
     yield "store", rng.uniform(0.5, 6.0)
@@ -235,6 +247,7 @@
 # Apart from the others, so that the faults of a seed stay as they are.
 ANSWER_FAULTS = (announce_leaving, ask_for_pause)
 LIMIT_FAULTS = (limit_requests,)
+CUT_FAULTS = (cut_off_hosts,)
 PLANNED_FAULT_NAMES = {
     "stop_host",
     "restart_hosts_in_turn",
--- a/tests/soak/world.py
+++ b/tests/soak/world.py
@@ -8,10 +8,11 @@
 from concurrent.futures import ThreadPoolExecutor
 from pathlib import Path
 
-from hosts import Host
+from hosts import ChangedHost, Cut
 from tests.soak.callers import Caller
 from tests.soak.faults import (
     ANSWER_FAULTS,
+    CUT_FAULTS,
     FAULTS,
     LIMIT_FAULTS,
     PLANNED_FAULT_NAMES,
@@ -41,7 +42,7 @@
     """Raised when a fault is already being injected into every host."""
 
 
-class SoakHost(Host):
+class SoakHost(ChangedHost):
     """A host with its state at the load balancer.
 
     `start_number` counts the starts of its process; `ready_start_number` is the last
@@ -101,11 +102,14 @@
         for server in self.servers.values():
             self.store.put("keyed.servers", server.name, server.describe())
         self.store_proxies = {}
+        self.cuts = {}
         self.hosts = []
         for number in range(HOST_COUNT):
             name = f"edge-{number}"
             proxy = self.store_proxies[name] = Proxy(self.loop, self.store.address)
-            self.hosts.append(SoakHost(folder, proxy.address, name))
+            proxies = [server.proxy for server in self.servers.values()]
+            cut = self.cuts[name] = Cut(folder / f"{name}.cut", proxies)
+            self.hosts.append(SoakHost(folder, proxy.address, cut.change, name))
         for host in self.hosts:
             host.wait_ready()
         self.watchers = ThreadPoolExecutor(2, "watch")
@@ -199,7 +203,12 @@
             for n in range(CALLER_COUNT)
         ]
         faults_end_at = time.monotonic() + seconds
-        sources = [*[FAULTS] * CONCURRENT_FAULTS, ANSWER_FAULTS, LIMIT_FAULTS]
+        sources = [
+            *[FAULTS] * CONCURRENT_FAULTS,
+            ANSWER_FAULTS,
+            LIMIT_FAULTS,
+            CUT_FAULTS,
+        ]
         with ThreadPoolExecutor(len(sources), "faults") as executor:
             for number, faults in enumerate(sources):
                 executor.submit(
@@ -225,6 +234,8 @@
             is_planned_only = faults_end_at - time.monotonic() > seconds * (
                 1 - PLANNED_ONLY_RATIO
             )
+            if is_planned_only and not planned:
+                continue
             fault = rng.choice(planned if is_planned_only else faults)
             try:
                 self._inject_fault(fault, rng, faults_end_at)
