Reset a tunnel whose host is killed, so that its end isn't that of an answer (RECOVER)

Sockets towards the cut host now reset when they are closed; the target's own end is passed on as the end of the sending side before that.

The new test kills a tunnel's process: no reset before, one now.

--- a/src/thornlatch/gateway/_tunnels.py
+++ b/src/thornlatch/gateway/_tunnels.py
@@ -18,6 +18,7 @@
 HEAD_LIMIT_BYTES = 4096
 READ_BYTES = 1 << 16
 RESET_ON_CLOSE = struct.pack("ii", 1, 0)  # SO_LINGER without a time
+END_S = 10.0  # for the other host to close a tunnel that its target has ended
 RECENT_S = 0.5  # a tunnel that passed bytes so lately carries an answer
 
 
@@ -163,7 +164,12 @@
                     self.settings.connect_s,
                 )
                 status = "200 Connection Established"
-        length = "" if streams is not None else "Content-Length: 0\r\n"
+        length = "Content-Length: 0\r\n"
+        if streams is not None:
+            length = ""
+            # An answer may end with its connection. If this process is killed, the end
+            # of its sockets mustn't look like that.
+            _set_reset_on_close(writer)
         writer.write(f"HTTP/1.1 {status}\r\n{length}\r\n".encode())
         await writer.drain()
         return streams
@@ -179,13 +185,15 @@
         self.tunnels.add(tunnel)
         writers = (writer, target_writer)
         try:
-            async with asyncio.TaskGroup() as group:
-                group.create_task(
-                    self._pump(tunnel, reader, target_writer, writers, is_call=True)
-                )
-                group.create_task(
-                    self._pump(tunnel, target_reader, writer, writers, is_call=False)
-                )
+            answer = asyncio.create_task(
+                self._pump(tunnel, target_reader, writer, writers, is_call=False)
+            )
+            call = asyncio.create_task(
+                self._pump(tunnel, reader, target_writer, writers, is_call=True)
+            )
+            await answer
+            await asyncio.wait((call,), timeout=END_S)
+            call.cancel()
         finally:
             self.tunnels.discard(tunnel)
             target_writer.close()
@@ -205,18 +213,18 @@
                 tunnel.passed_at = read_clock()
                 writer.write(data)
                 await writer.drain()
+            if is_call:
+                writer.close()
+            else:
+                writer.write_eof()
         except OSError:
-            # A reset on one side is one on the other, or a broken answer whose end
-            # its connection's end marks would look complete.
+            # A reset on one side is one on the other.
             for each in writers:
-                _reset(each)
-            return
-        # A caller that leaves ends its call; a target's end is one of its answer.
-        writer.close()
+                _set_reset_on_close(each)
+                each.transport.abort()
 
 
-def _reset(writer: asyncio.StreamWriter) -> None:
+def _set_reset_on_close(writer: asyncio.StreamWriter) -> None:
     sock = writer.get_extra_info("socket")
     with contextlib.suppress(OSError):
         sock.setsockopt(socket.SOL_SOCKET, socket.SO_LINGER, RESET_ON_CLOSE)
-    writer.transport.abort()
--- a/src/thornlatch/gateway/tests/test_tunnels.py
+++ b/src/thornlatch/gateway/tests/test_tunnels.py
@@ -2,6 +2,8 @@
 
 import socket
 import struct
+import subprocess
+import sys
 import threading
 import time
 
@@ -103,6 +105,44 @@
         other.recv(1)
 
 
+SERVER = """
+import sys
+from thornlatch.gateway._tunnels import TunnelServer, TunnelSettings
+TunnelServer(
+    TunnelSettings(), sys.argv[1], is_target=lambda a: True, is_stopping=lambda: False
+).run()
+"""
+
+
+# Guards against: the end of a killed host's connection was taken for that of an answer
+# without a length, and its stream ended as complete after one event (soak seed 5201).
+def test_kill_of_the_host_between_is_no_end_of_an_answer():
+    listener = socket.create_server(("127.0.0.1", 0))
+    address = f"127.0.0.1:{ports.allocate()}"
+    process = subprocess.Popen([sys.executable, "-c", SERVER, address])
+    try:
+        deadline = time.monotonic() + TIMEOUT_S
+        target = f"127.0.0.1:{listener.getsockname()[1]}"
+        while True:
+            try:
+                near = connect(address, timeout_s=2.0, tunnel_to=target).sock
+                break
+            except OSError:
+                assert time.monotonic() < deadline
+                time.sleep(0.02)
+        far, _ = listener.accept()
+        near.sendall(b"call")
+        receive(far, 4)
+        far.sendall(b"a part")
+        receive(near, 6)
+    finally:
+        process.kill()
+        process.wait()
+    with pytest.raises(ConnectionResetError):
+        near.recv(1)
+    listener.close()
+
+
 def test_tunnels_lead_to_targets_only(bed):
     with pytest.raises(OSError, match="403"):
         connect(bed.server.address, timeout_s=2.0, tunnel_to="127.0.0.1:1")
--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -10,6 +10,7 @@
     4: "a process stopped before it is ready is ended by the signal, which is allowed",
     13: "the soak's caller sent a request while it considered a response unread",
     113: "equal requests were blocked after one crash aborted three of them",
+    5201: "the end of a killed host's tunnel was taken for that of an answer",
     130: "a stopping host read no registrations, but accepted requests",
 }
 
