--- a/tests/soak/test_soak.py
+++ b/tests/soak/test_soak.py
@@ -11,6 +11,7 @@
     13: "the soak's caller sent a request while it considered a response unread",
     113: "equal requests were blocked after one crash aborted three of them",
     5201: "the end of a killed host's tunnel was taken for that of an answer",
+    5214: "the same",
     130: "a stopping host read no registrations, but accepted requests",
 }
 
