--- a/src/thornlatch/gateway/_tunnels.py
+++ b/src/thornlatch/gateway/_tunnels.py
@@ -38,7 +38,7 @@
         Bytes of each direction that are kept for a slow reader.
     """
 
-    connect_s: Annotated[float, Meta(gt=0)] = 0.15
+    connect_s: Annotated[float, Meta(gt=0)] = 0.1
     head_s: Annotated[float, Meta(gt=0)] = 1.0
     limit: Annotated[int, Meta(ge=1)] = 512
     buffer_bytes: Annotated[int, Meta(ge=1024)] = 1 << 16
--- a/src/thornlatch/targets/_detours.py
+++ b/src/thornlatch/targets/_detours.py
@@ -30,7 +30,8 @@
     probe_s : float
         Timeout of such an attempt, which a request waits for.
     tunnel_s : float
-        Timeout for a tunnel: a round trip to the other host, and its connecting.
+        Seconds in which a tunnel must be found, over all hosts that are asked. Keys
+        are checked before it, and mustn't be used much later.
     tries : int
         Hosts that are asked for a tunnel before the target counts as unreachable; one
         if this host has reached another target within `avoid_s`.
@@ -41,7 +42,7 @@
 
     probe_period_s: Annotated[float, Meta(gt=0)] = 0.5
     probe_s: Annotated[float, Meta(gt=0)] = 0.15
-    tunnel_s: Annotated[float, Meta(gt=0)] = 0.5
+    tunnel_s: Annotated[float, Meta(gt=0)] = 0.2
     tries: Annotated[int, Meta(ge=1)] = 3
     avoid_s: Annotated[float, Meta(gt=0)] = 1.0
 
@@ -151,11 +152,13 @@
             raise error
         is_target_likely = now - self.reached_at < self.settings.avoid_s
         tries = 1 if is_target_likely else self.settings.tries
+        ends_at = now + self.settings.tunnel_s
         for host in self._rank_hosts(now)[:tries]:
+            left_s = ends_at - read_clock()
+            if left_s <= 0:
+                break
             try:
-                connection = connect(
-                    host.address, timeout_s=self.settings.tunnel_s, tunnel_to=address
-                )
+                connection = connect(host.address, timeout_s=left_s, tunnel_to=address)
             except OSError as tunnel_error:
                 logger.info(
                     "target.tunnel_failed",
--- a/src/thornlatch/targets/tests/test_detours.py
+++ b/src/thornlatch/targets/tests/test_detours.py
@@ -18,7 +18,7 @@
 
     def __init__(self, monkeypatch):
         self.now = 100.0
-        self.cut = set()
+        self.cut, self.hanging = set(), set()
         self.attempts = []
         self.dropped = []
         monkeypatch.setattr(_detours, "connect", self.connect)
@@ -32,6 +32,9 @@
 
     def connect(self, address, *, timeout_s, tunnel_to=""):
         self.attempts.append((address, tunnel_to))
+        if tunnel_to in self.hanging:
+            self.now += timeout_s
+            raise TimeoutError("timed out")
         if address in self.cut or (address, tunnel_to) in self.cut:
             raise ConnectionRefusedError("refused")
         return address, tunnel_to
@@ -110,6 +113,15 @@
     assert len(world.attempts) == 2
 
 
+# Keys are checked before a request is sent, and a withdrawn one must stop in time.
+def test_time_for_finding_a_tunnel_is_bounded_over_all_hosts(world):
+    world.cut, world.hanging = {TARGET}, {TARGET}
+    began_at = world.now
+    with pytest.raises(ConnectionRefusedError):
+        world.open()
+    assert world.now - began_at == pytest.approx(SETTINGS.tunnel_s)
+
+
 def test_links_to_targets_that_left_are_forgotten(world):
     world.cut = {TARGET}
     world.open()
