--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -22,9 +22,10 @@
 CHUNK_SIZE_LINE = re.compile(rb"([0-9A-Fa-f]+)[ \t]*(?:;[^\r\n]*)?\r?\n")
 LENGTH = re.compile(r"[0-9]+")
 LENGTH_LIMIT_DIGITS = 18  # without zeros before them; `int` reads 4,300
-# A CR alone isn't a line end (RFC 9112, section 2.2), but `email` takes it for one.
-FIELD_LINE = re.compile(rb"[!-9;-~]+:[^\r\n\0]*\r?\n")
-CONTINUATION_LINE = re.compile(rb"[ \t][^\r\n\0]*\r?\n")
+# RFC 9110, sections 5.1, 5.5 and 5.6.2. `email` takes any printable characters for a
+# name, and a CR alone for a line end.
+FIELD_LINE = re.compile(rb"[!#$%&'*+.^_`|~0-9A-Za-z-]+:[\t -~\x80-\xff]*\r?\n")
+CONTINUATION_LINE = re.compile(rb"[ \t][\t -~\x80-\xff]*\r?\n")
 FOLD = re.compile(r"[ \t]*\r?\n[ \t]+")
 
 
--- a/src/thornlatch/core/tests/spoilt_heads.py
+++ b/src/thornlatch/core/tests/spoilt_heads.py
@@ -52,6 +52,50 @@
     "odd coding": b"Transfer-Encoding: chuncked",
 }
 
+# Lines that are no field (RFC 9110, sections 5.1 and 5.5).
+ODD_LINES = {
+    "JSON": b'{"error":"x"}',
+    "log line": b"[2026-12-07T10:00:01]ERROR",
+    "parentheses": b"Content(Length): 100",
+    "comma": b"X,Y: z",
+    "at sign": b"a@b:c",
+    "quotes": b'"X": y',
+    "semicolon": b"X;Y: z",
+    "slash": b"text/html: x",
+    "backslash": b"X\\Y: z",
+    "equals sign": b"X=1: y",
+    "question mark": b"X?: y",
+    "angle brackets": b"<p>: x",
+    "square brackets": b"X[0]: y",
+    "braces": b"X{0}: y",
+    "no colon": b"other text",
+    "no name": b": x",
+    "colon": b":",
+    "space before the colon": b"X : y",
+    "tab before the colon": b"X\t: y",
+    "space in the name": b"X Y: z",
+    "line of a mailbox": b"From x@y Mon Dec  7 10:00:01 2026",
+    "status line": b"HTTP/1.1 500 Failed",
+    "status line with a colon": b"HTTP/1.1 500 Failed: x",
+    "odd byte in the name": b"X\xff: y",
+    "letter beyond ASCII": "Größe: 5".encode(),
+    "NUL in the name": b"X\0: y",
+    "control character in the name": b"X\x01: y",
+    "DEL in the name": b"X\x7f: y",
+    "carriage return in the name": b"X\rY: z",
+    "NUL": b"X: y\0z",
+    "control character": b"X: y\x01z",
+    "escape sequence": b"X: \x1b[31my",
+    "vertical tab": b"X: y\x0bz",
+    "DEL": b"X: y\x7f",
+    "carriage return": b"X: y\rz",
+    "two carriage returns": b"X: y\r",
+    "control character in a folded line": b"X: y\r\n z\x01",
+    "NUL alone": b"\0",
+}
+# At the start of a head alone: elsewhere it continues a field.
+FIRST_LINES = {"space before the name": b" X: y", "white space": b" \t"}
+
 
 @dataclass(frozen=True)
 class SpoiltHead:
@@ -96,7 +140,32 @@
 SPOILT_LENGTHS = {
     name: SpoiltHead(after=line + b"\r\n") for name, line in LENGTH_LINES.items()
 }
-FAULTS = {"length": SPOILT_LENGTHS}
+FRAMINGS = {
+    "length": b"Content-Length: LENGTH\r\n",
+    "chunked": CHUNKED,
+    "close": b"",
+}
+SPOILT_LINES_ANYWHERE = {
+    f"{name}, {place}, {framing}": head
+    for name, line in ODD_LINES.items()
+    for framing, field in FRAMINGS.items()
+    for place, head in {
+        "first": SpoiltHead(before=line + b"\r\n", after=field),
+        "within": SpoiltHead(after=line + b"\r\n" + field),
+        "last": SpoiltHead(after=field + line + b"\r\n"),
+    }.items()
+}
+FORMS = 3 * len(FRAMINGS)  # of each line
+# Each line in one of its forms, which take turns.
+SPOILT_LINES = dict(
+    list(SPOILT_LINES_ANYWHERE.items())[FORMS * number + number % FORMS]
+    for number in range(len(ODD_LINES))
+)
+SPOILT_LINES |= {
+    name: SpoiltHead(before=line + b"\r\n", after=FRAMINGS["length"])
+    for name, line in FIRST_LINES.items()
+}
+FAULTS = {"length": SPOILT_LENGTHS, "line": SPOILT_LINES}
 
 
 def check_heads(read, body, heads, **how):
--- a/src/thornlatch/core/tests/test_connections.py
+++ b/src/thornlatch/core/tests/test_connections.py
@@ -6,7 +6,11 @@
 
 from thornlatch.core import connect, read_answer
 from thornlatch.core.tests.scripted import ScriptedTarget
-from thornlatch.core.tests.spoilt_heads import FAULTS, check_heads
+from thornlatch.core.tests.spoilt_heads import (
+    FAULTS,
+    SPOILT_LINES_ANYWHERE,
+    check_heads,
+)
 
 OK = b"HTTP/1.1 200 OK\r\n"
 BODY = b"a body"
@@ -42,6 +46,10 @@
     check_heads(is_answer, BODY, FAULTS[fault])
 
 
+def test_line_that_is_no_field_spoils_a_head_anywhere():
+    check_heads(is_answer, BODY, SPOILT_LINES_ANYWHERE)
+
+
 @pytest.mark.parametrize("status", [b"100 Continue", b"102 Busy", b"103 Early Hints"])
 @pytest.mark.parametrize("fault", FAULTS)
 def test_answer_behind_a_spoilt_interim_head_is_none(server, fault, status):
@@ -78,6 +86,12 @@
     "zeros before the length": b"Content-Length: " + b"0" * 5000 + b"6\r\n",
     "the same length twice": b"Content-Length: 6\r\nContent-Length: 6\r\n",
     "folded length": b"Content-Length:\r\n 6\r\n",
+    "any name of a field": b"!#$%&'*+-.^_`|~09azAZ: x\r\nContent-Length: 6\r\n",
+    "any value of a field": (
+        b'Name: \t !"(),/:;<=>?@[]{}~\x80\xff\t x \r\nContent-Length: 6\r\n'
+    ),
+    "no value": b"Name:\r\nName: \r\nContent-Length: 6\r\n",
+    "folded value": b"Name: x\r\n\ty\r\n \r\nContent-Length: 6\r\n",
     "no transfer coding": b"Transfer-Encoding: identity\r\nContent-Length: 6\r\n",
     "lines that end in LF alone": b"Name: x\nContent-Length: 6\n",
 }
--- a/tests/platform/test_fuzz_answers.py
+++ b/tests/platform/test_fuzz_answers.py
@@ -15,7 +15,14 @@
 from fuzzing import TIME_LIMIT_S, TOKENS, bounds, edited
 from status_lines import BAD_LINES, GOOD_LINES
 from thornlatch.core import connect, read_answer, received_memory
-from thornlatch.core.tests.spoilt_heads import FAULTS, LENGTH_LINES, SOUND_HEAD
+from thornlatch.core.tests.spoilt_heads import (
+    FAULTS,
+    FIRST_LINES,
+    LENGTH_LINES,
+    ODD_LINES,
+    SOUND_HEAD,
+    SPOILT_LINES_ANYWHERE,
+)
 from thornlatch.exceptions import TargetError
 from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
 from thornlatch.targets import Reuse, TargetCall, open_call
@@ -23,7 +30,8 @@
 BODY_LIMIT_BYTES = 1 << 16
 DIGITS = b"0123456789"
 LONGEST = 10**18
-FIELD_LINE = re.compile(rb"[!-9;-~]+:[^\r\n\0]*\r?\n")
+# Those of ASCII that no name of a field has (RFC 9110, section 5.6.2).
+DELIMITERS = b'"(),/:;<=>?@[\\]{}'
 
 
 def take_line(data):
@@ -46,6 +54,14 @@
     return int(status) if 100 <= int(status) <= 599 else None
 
 
+def is_name(data):
+    return bool(data) and all(33 <= c <= 126 and c not in DELIMITERS for c in data)
+
+
+def is_value(data):
+    return all(c == 9 or 32 <= c <= 126 or c >= 128 for c in data)
+
+
 def read_fields(data):
     """Return the header fields and what follows them, None if they are no head."""
     fields = []
@@ -53,14 +69,15 @@
         line, data = take_line(data)
         if line is None:
             return None, b""
-        if line in (b"\r\n", b"\n"):
+        content = line.removesuffix(b"\n").removesuffix(b"\r")
+        if not content:
             return fields, data
-        if fields and re.fullmatch(rb"[ \t][^\r\n\0]*\r?\n", line):
+        name, colon, value = content.partition(b":")
+        if content[:1] in (b" ", b"\t") and fields and is_value(content):
             name, value = fields.pop()
             fields.append((name, value + line))
-        elif FIELD_LINE.fullmatch(line):
-            name, _, value = line.partition(b":")
-            fields.append((name.lower(), value))
+        elif colon and is_name(name) and is_value(value):
+            fields.append((name.lower(), value + b"\n"))
         else:
             return None, b""
 
@@ -191,7 +208,8 @@
     b"Content-Type: multipart/mixed\r\n",
 ]  # fmt: skip
 SPOILT_FIELDS = [
-    line.replace(b"LENGTH", b"5") + b"\r\n" for line in LENGTH_LINES.values()
+    line.replace(b"LENGTH", b"5") + b"\r\n"
+    for line in [*LENGTH_LINES.values(), *ODD_LINES.values(), *FIRST_LINES.values()]
 ]
 FIELD = st.one_of(
     st.sampled_from(FIELDS), st.sampled_from(FIELDS), st.sampled_from(SPOILT_FIELDS)
@@ -270,7 +288,7 @@
 
 
 def test_oracle_tells_spoilt_heads_from_sound_ones():
-    heads = {name: head for fault in FAULTS.values() for name, head in fault.items()}
+    heads = FAULTS["length"] | FAULTS["line"] | SPOILT_LINES_ANYWHERE
     answers = {
         name: read_expected(head.build(b"hello")) for name, head in heads.items()
     }
@@ -285,6 +303,7 @@
 @given(data=BYTES, cuts=st.lists(st.integers(1, 60), max_size=3))
 @example(data=b"HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n", cuts=[])
 @example(data=b"HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nhello", cuts=[])
+@example(data=b'HTTP/1.1 200 OK\r\n{"error":"x"}\r\n\r\nhello', cuts=[])
 @example(data=b"HTTP/1.1 200 OK\r\nContent-Length:\r\n 5\r\n\r\nhello", cuts=[])
 def test_only_whole_answers_are_read_as_answers(server, read, data, cuts):
     """Another reader, which follows RFC 9112, decides what is one."""
@@ -304,6 +323,8 @@
 
 
 @given(data=BYTES)
+@example(data=b"HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nhello")
+@example(data=b'HTTP/1.1 200 OK\r\n{"error":"x"}\r\n\r\nhello')
 def test_answers_of_the_store_and_the_log_are_read_alike(server, data):
     server.pieces = [data]
     try:
