--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -13,6 +13,7 @@
 HEAD_LIMIT_BYTES = 1 << 16  # of an answer, with the interim answers before it
 CHUNK_SIZE_LINE_LIMIT_BYTES = 1 << 16
 CHUNK_END = b"\r\n"
+BLANK_LINES = (b"\r\n", b"\n", b"\r", b"")  # the last two at the end of a connection
 # RFC 9112, section 4, and RFC 9110, section 15. `int` accepts signs, underscores, white
 # space and digits of other scripts too.
 STATUS_LINE = re.compile(
@@ -157,12 +158,29 @@
         if self.is_status_line_next:
             # Checked by its reader.
             self.is_status_line_next = self.may_continue = False
-        elif line in (b"\r\n", b"\n"):
+        elif line in BLANK_LINES:
             self.is_status_line_next = True
-        elif FIELD_LINE.fullmatch(line):
+        else:
+            self._check_field_line(line, "header")
+
+    def _check_field_line(self, line: bytes, kind: str) -> None:
+        if FIELD_LINE.fullmatch(line):
             self.may_continue = True
         elif not self.may_continue or not CONTINUATION_LINE.fullmatch(line):
-            raise http.client.HTTPException("malformed header")
+            raise http.client.HTTPException(f"malformed {kind}")
+
+    def skip_trailers(self) -> None:
+        """Read the fields after the last chunk, of which nothing is used.
+
+        Raises
+        ------
+        http.client.HTTPException
+            If a line is none, as the size of the last chunk may be malformed then.
+        """
+        self.may_continue = False
+        # The connection may end here, as all of the body has arrived.
+        while (line := self.readline(HEAD_LIMIT_BYTES + 1)) not in BLANK_LINES:
+            self._check_field_line(line, "trailer")
 
     def close(self) -> None:
         # What the buffer holds beyond the answer is lost with it.
@@ -268,6 +286,9 @@
             raise ValueError("malformed size of a chunk")
         return int(match[1], 16)
 
+    def _read_and_discard_trailer(self) -> None:
+        cast(_LineReader, self.fp).skip_trailers()
+
     def _close_conn(self) -> None:
         reader = self.fp
         cast(Any, super())._close_conn()
--- a/src/thornlatch/core/tests/test_connections.py
+++ b/src/thornlatch/core/tests/test_connections.py
@@ -8,6 +8,8 @@
 from thornlatch.core.tests.scripted import ScriptedTarget
 from thornlatch.core.tests.spoilt_heads import (
     FAULTS,
+    FIRST_LINES,
+    ODD_LINES,
     SPOILT_LINES_ANYWHERE,
     check_heads,
 )
@@ -104,6 +106,43 @@
     assert is_answer(server.address)
 
 
+CHUNKS = b"Transfer-Encoding: chunked\r\n\r\n6\r\na body\r\n0\r\n"
+
+
+# Guards against: bytes in place of trailer fields, such as the rest of a body behind a
+# spoilt chunk size, were dropped, and the answer was taken for whole (issue 55).
+def test_line_after_the_last_chunk_that_is_no_field_spoils_an_answer(server):
+    taken = []
+    for name, line in (ODD_LINES | FIRST_LINES).items():
+        for before in (b"", b"Name: x\r\n"):
+            if before and name in FIRST_LINES:  # continues the field there
+                continue
+            answer = OK + CHUNKS + before + line + b"\r\n\r\n"
+            server.build_answer = lambda _, answer=answer: answer
+            if is_answer(server.address):
+                taken.append((name, before))
+    assert taken == []
+
+
+@pytest.mark.parametrize(
+    "trailer",
+    [
+        b"",
+        b"\r",
+        b"\r\n",
+        b"\n",
+        b"Name: x\r\n",
+        b"Name: x\r\n\r\n",
+        b"Name: x\r\n y\r\n\r\n",
+        b"Name: x\nContent-Length: other\n\n",
+    ],
+)
+def test_answer_with_sound_fields_after_the_last_chunk_is_one(server, trailer):
+    """Without their end, too: all of the body is known with the last chunk."""
+    server.build_answer = lambda _: OK + CHUNKS + trailer
+    assert is_answer(server.address)
+
+
 def test_body_that_ends_with_its_connection_is_whole(server):
     """The end of the connection is the end of a body without a length."""
     for count in range(len(BODY) + 1):
--- a/tests/platform/test_fuzz_answers.py
+++ b/tests/platform/test_fuzz_answers.py
@@ -130,12 +130,11 @@
             return None
         body += data[:size]
         data = data[size + 2 :]
-    while data not in (b"", b"\r"):  # the rest of an answer that is there as a whole
-        line, data = take_line(data)
-        if line is None:
-            return None
-        if line in (b"\r\n", b"\n"):
-            break
+    # The connection may end after any line behind the last chunk.
+    lines, end, cut = data.rpartition(b"\n")
+    fields, rest = read_fields(lines + end + b"\r\n")
+    if fields is None or (not rest and cut not in (b"", b"\r")):
+        return None
     return body
 
 
@@ -219,7 +218,10 @@
     b"+2\r\nhi\r\n", b"0x2\r\nhi\r\n", b"2\r\nhi", b"-2\r\nhi\r\n", b"2\nhi\r\n",
     b"ffffffffffffffffff\r\nhi\r\n", b"2\r\nhi\n", b"\r\n", b"0_2\r\nhi\r\n",
 ]  # fmt: skip
-ENDS = [b"0\r\n\r\n", b"0\r\n\r\n", b"000;x\r\nTrailer: y\r\n\r\n", b"0\r\n", b"", b"0"]
+ENDS = [
+    b"0\r\n\r\n", b"0\r\n\r\n", b"000;x\r\nTrailer: y\r\n\r\n", b"0\r\n", b"", b"0",
+    b"0\r\nTrailer: y\r\n z\r\n\r\n", b"0\r\n y\r\n\r\n", b"0\r\nhello\r\n0\r\n\r\n",
+]  # fmt: skip
 LINE = st.one_of(st.sampled_from(LINES), edited(st.sampled_from(LINES)))
 CHUNKED = st.builds(
     lambda chunks, end: b"".join(chunks) + end,
@@ -304,6 +306,10 @@
 @example(data=b"HTTP/1.1 204 No\r\nTransfer-Encoding: chunked\r\n\r\n", cuts=[])
 @example(data=b"HTTP/1.1 200 OK\r\nContent-Length: five\r\n\r\nhello", cuts=[])
 @example(data=b'HTTP/1.1 200 OK\r\n{"error":"x"}\r\n\r\nhello', cuts=[])
+@example(
+    data=b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nhello\r\n\r\n",
+    cuts=[],
+)
 @example(data=b"HTTP/1.1 200 OK\r\nContent-Length:\r\n 5\r\n\r\nhello", cuts=[])
 def test_only_whole_answers_are_read_as_answers(server, read, data, cuts):
     """Another reader, which follows RFC 9112, decides what is one."""
