--- a/src/thornlatch/core/_connections.py
+++ b/src/thornlatch/core/_connections.py
@@ -41,6 +41,7 @@
     is_aborted = False
     # Returns for how many more seconds to wait for bytes; 0 to give up.
     extend_reads: Callable[[], float] | None = None
+    is_tunnel = False
     # Counts the bytes that are received.
     memory: MemoryUse | None = None
 
@@ -370,25 +371,46 @@
     OSError
         If the peer can't be reached.
     """
+    ends_at = read_clock() + timeout_s
     connection = http.client.HTTPConnection(address, timeout=timeout_s)
     connection.response_class = _Response
-    if tunnel_to:
-        host, _, port = tunnel_to.rpartition(":")
-        connection.set_tunnel(host, int(port))
-    try:
-        connection.connect()
-    except http.client.HTTPException as error:
-        connection.close()
-        raise ConnectionError(f"no tunnel: {error!r}") from error
+    connection.connect()
     # It would open a plain socket after an answer that closed this one.
     connection.auto_open = 0
     sock = BoundedSocket(fileno=connection.sock.detach())
     sock.settimeout(timeout_s)
     sock.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
     connection.sock = sock
+    if tunnel_to:
+        try:
+            _open_tunnel(sock, tunnel_to, within_s=ends_at - read_clock())
+        except (OSError, http.client.HTTPException) as error:
+            connection.close()
+            raise ConnectionError(f"no tunnel: {error!r}") from error
+        sock.settimeout(timeout_s)
+        sock.is_tunnel = True
     return connection
 
 
+def _open_tunnel(sock: BoundedSocket, address: str, *, within_s: float) -> None:
+    """Ask a peer to pass on all bytes to an address, and read its answer.
+
+    `http.client` itself takes any lines for the head of the answer, however long they
+    take to arrive, and drops bytes that follow it.
+    """
+    request = f"CONNECT {address} HTTP/1.1\r\nHost: {address}\r\n\r\n"
+    sock.sendall(request.encode("ascii"))
+    sock.bound_reads(within_s)
+    with contextlib.closing(_Response(sock, method="CONNECT")) as response:
+        response.begin()
+        reader = cast(_LineReader, response.fp)
+    if not 200 <= response.status < 300:
+        raise ConnectionError(f"{response.status} {response.reason}")
+    if reader.has_extra_bytes:
+        raise ConnectionError("bytes before any call")
+    sock.bound_reads(float("inf"))
+
+
 def read_answer(
     connection: http.client.HTTPConnection, *, head_s: float, body_s: float, limit: int
 ) -> tuple[http.client.HTTPResponse, bytes]:
--- a/src/thornlatch/gateway/tests/test_tunnels.py
+++ b/src/thornlatch/gateway/tests/test_tunnels.py
@@ -11,6 +11,9 @@
 
 from tests.ports import ports
 from thornlatch.core import connect, read_clock
+from thornlatch.core.tests.endless import HEADS, SPEEDS, EndlessTarget
+from thornlatch.core.tests.scripted import ScriptedTarget
+from thornlatch.core.tests.spoilt_heads import SPOILT_LENGTHS, SPOILT_LINES_ANYWHERE
 from thornlatch.gateway._tunnels import TunnelServer, TunnelSettings
 
 TIMEOUT_S = 5.0
@@ -195,3 +198,86 @@
     sock = connect(bed.server.address, timeout_s=3.0).sock
     sock.sendall(head)
     assert not sock.recv(100).startswith(b"HTTP/1.1 200")
+
+
+ESTABLISHED = b"200 Connection Established"
+# Answers to a request for a tunnel, by which there is none.
+NO_TUNNEL = {
+    "no answer": b"",
+    "cut in the status line": b"HTTP/1.1 200 Conn",
+    "cut behind the status line": b"HTTP/1.1 200 Connection Established\r\n",
+    "cut in the head": b"HTTP/1.1 200 Connection Established\r\nName: x\r\n",
+    "malformed status": b"HTTP/1.1 0200 Connection Established\r\n\r\n",
+    "refusal": b"HTTP/1.1 503 Full\r\nContent-Length: 0\r\n\r\n",
+    "bytes of a target that got no call": (
+        b"HTTP/1.1 200 Connection Established\r\n\r\nHTTP/1.1 200 OK\r\n"
+    ),
+}
+HEADS_WITHOUT_TUNNEL = {
+    f"{name}, {kind}": head.build(b"", status=ESTABLISHED).partition(b"\r\n\r\n")[0]
+    + b"\r\n\r\n"
+    for kind, heads in {"length": SPOILT_LENGTHS, "line": SPOILT_LINES_ANYWHERE}.items()
+    for name, head in heads.items()
+}
+
+
+@pytest.fixture
+def peer():
+    peer = ScriptedTarget(end="keep")
+    yield peer
+    peer.close()
+
+
+# Guards against: the head of the answer to CONNECT was read by `http.client` alone,
+# which takes any lines, and the end of the connection for that of a head (issue 55).
+def test_spoilt_answer_makes_no_tunnel(peer):
+    made = []
+    for name, answer in HEADS_WITHOUT_TUNNEL.items():
+        peer.build_answer = lambda _, answer=answer: answer
+        try:
+            connect(peer.address, timeout_s=2.0, tunnel_to="127.0.0.1:1").close()
+        except OSError:
+            continue
+        made.append(name)
+    assert made == [], f"{len(made)} of {len(HEADS_WITHOUT_TUNNEL)}"
+
+
+@pytest.mark.parametrize("case", NO_TUNNEL)
+def test_answer_that_is_none_makes_no_tunnel(case):
+    peer = ScriptedTarget()
+    peer.build_answer = lambda _: NO_TUNNEL[case]
+    with pytest.raises(OSError):
+        connect(peer.address, timeout_s=2.0, tunnel_to="127.0.0.1:1")
+    peer.close()
+
+
+# Guards against: each line of the answer to CONNECT renewed the wait for its head.
+@pytest.mark.timeout(30)
+@pytest.mark.parametrize("speed", SPEEDS)
+@pytest.mark.parametrize("case", HEADS)
+def test_answer_without_end_makes_no_tunnel(case, speed):
+    start, part = HEADS[case]
+    count, pause_s = SPEEDS[speed]
+    peer = EndlessTarget(start, part * count, pause_s)
+    with pytest.raises(OSError):
+        connect(peer.address, timeout_s=0.3, tunnel_to="127.0.0.1:1")
+    assert peer.was_closed.wait(10)
+    peer.close()
+
+
+@pytest.mark.parametrize(
+    "head",
+    [
+        b"",
+        b"Name: x\r\n y\r\n",
+        b"Content-Length: 5\r\n",  # means nothing here
+        b"Transfer-Encoding: chunked\r\n",
+    ],
+)
+def test_sound_answer_makes_a_tunnel(peer, head):
+    peer.build_answer = lambda _: b"HTTP/1.1 200 Made\r\n" + head + b"\r\n"
+    sock = connect(peer.address, timeout_s=2.0, tunnel_to="127.0.0.1:1").sock
+    assert sock.gettimeout() == 2.0
+    peer.connections[0].sendall(b"later")
+    assert sock.recv(5) == b"later"
+    sock.close()
--- a/src/thornlatch/targets/_calls.py
+++ b/src/thornlatch/targets/_calls.py
@@ -467,7 +467,7 @@
         sock,
         answer,
         is_reused=idle is not None,
-        is_detour=_is_detour(connection),
+        is_detour=sock.is_tunnel,
     )
     response.bound_reads(float("inf"))
     return response
@@ -496,10 +496,6 @@
     _connections.drop(address, idle_since=now)
 
 
-def _is_detour(connection: http.client.HTTPConnection) -> bool:
-    return bool(getattr(connection, "_tunnel_host", None))
-
-
 def _connect(call: TargetCall) -> http.client.HTTPConnection:
     connect_s = call.timeout_s if call.connect_s is None else call.connect_s
     try:
