--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -12,8 +12,8 @@
 ID_LINE = re.compile(rb"(?:\A|[\r\n])id:([^\r\n]*)")
 # Also malformed ones, with or without a status: a target in trouble may write any.
 STATUS_LINE = re.compile(rb"HTTP/\d(?:(?:\.\w?)? *[+-]?(\d))?")
-# A possessive repetition: without a colon, backtracking would be in vain.
-HEADER_FIELD = re.compile(rb"(?!(?:data|event|id|retry):)[\w-]++:")
+# A blank line, or one with a field of events.
+EVENT_LINE = re.compile(rb"[\r\n]|(?:data|event|id|retry)[:\r\n]")
 MAX_ID_DIGITS = 100
 EVENT_LIMIT_BYTES = 1 << 20  # a longer event means that the stream is broken
 
@@ -112,10 +112,10 @@
 def _has_answer_head(event: bytes) -> bool:
     """Return whether an event contains the head of an answer.
 
-    A target that fails in a stream that ends with its connection may write one into it:
-    a status line on a line of its own or before a header field. Text of a model may
-    contain a status line too, but then the next line is a field of events. No field
-    of events begins like a status line.
+    A target that fails in a stream that ends with its connection may write one into it,
+    also a spoilt one: a status line on a line of its own, or before a line that is no
+    field of events. Text of a model may contain a status line too, but then a field of
+    events follows. No field of events begins like a status line.
     """
     line_end = 0
     for status_line in STATUS_LINE.finditer(event):
@@ -128,7 +128,7 @@
         if end is None:
             return False
         line_end = end.end()
-        if HEADER_FIELD.match(event, line_end):
+        if not EVENT_LINE.match(event, line_end):
             return True
     return False
 
--- a/src/thornlatch/gateway/tests/test_events.py
+++ b/src/thornlatch/gateway/tests/test_events.py
@@ -1,11 +1,13 @@
 """Splitting streams into events: the work grows with the bytes, not their square."""
 
+import contextlib
 import time
 
 import pytest
 from hypothesis import given
 from hypothesis import strategies as st
 
+from thornlatch.core.tests.spoilt_heads import FIRST_LINES, ODD_LINES
 from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
 
 # A process that does nothing else for longer delays final answers past their bound.
@@ -19,12 +21,21 @@
     + b"data: "
     + STATUS_LINE
     + b"\r",
+    "status lines before a long field": STATUS_LINE + b"\ndata:" + b"a" * 4096,
+    "many short fields beside a status line": b"id\r" * 2000
+    + b"data: "
+    + STATUS_LINE
+    + b"\r",
     "text": b"x",
     "data lines": b"data: x\n",
     "carriage returns": b"data: x\r",
     "ids": b"id: 1\n",
     "digits of an id": b"1",
 }
+SHAPES_WITH_A_HEAD = {
+    "status lines before a long name",
+    "many short lines beside a status line",
+}
 
 
 def repeat_to(size, part):
@@ -41,9 +52,11 @@
     """
     event = repeat_to(EVENT_LIMIT_BYTES - 16, EVENTS[shape]) + b"\r\n\r\n"
     splitter = EventSplitter()
+    has_head = shape in SHAPES_WITH_A_HEAD
     began_at = time.thread_time()
-    for start in range(0, len(event), piece_bytes):
-        splitter.feed(event[start : start + piece_bytes])
+    with pytest.raises(ValueError) if has_head else contextlib.nullcontext():
+        for start in range(0, len(event), piece_bytes):
+            splitter.feed(event[start : start + piece_bytes])
     assert time.thread_time() - began_at < PROCESSOR_LIMIT_S
 
 
@@ -80,3 +93,30 @@
     except ValueError:
         return events, True
     return events + splitter.rest, False
+
+
+@pytest.mark.parametrize(
+    "event",
+    [
+        b"data: HTTP/1.1 200 OK\n\n",
+        b"data: HTTP/1.1 200 OK\ndata: x\n\n",
+        b"data: HTTP/1.1 200 OK\r\nid: 7\r\n\r\n",
+        b"data: HTTP/1.1 200 OK\rdata\r\r",
+        b"data: HTTP/1.1 200 OK\nevent: x\nretry: 5\n\n",
+        b'data: {"text": "HTTP/1.1 200 OK\\r\\nContent-Length: 5"}\n\n',
+    ],
+)
+def test_text_with_a_status_line_is_an_event(event):
+    assert [passed.data for passed in EventSplitter().feed(event)] == [event]
+
+
+# Guards against: the head of an answer with a spoilt first line, which a server wrote
+# into an event, was passed on as a part of it (issue 55).
+@pytest.mark.parametrize("line", [*ODD_LINES.values(), *FIRST_LINES.values()])
+def test_event_with_a_spoilt_head_is_none(line):
+    head = b"HTTP/1.1 500 Failed\r\n" + line + b"\r\nContent-Length: 5\r\n\r\n"
+    splitter = EventSplitter()
+    [event] = splitter.feed(b"id: 1\ndata: x\n\nid: 2\nda" + head)
+    assert event.data == b"id: 1\ndata: x\n\n"
+    with pytest.raises(ValueError, match="head"):
+        splitter.feed(b"hello")
--- a/tests/platform/test_spoilt_heads.py
+++ b/tests/platform/test_spoilt_heads.py
@@ -193,6 +193,27 @@
     )
 
 
+# Guards against: a stream whose server failed in it and wrote such a head was passed on
+# with the head as a part of an event, and ended as complete (issue 55).
+@pytest.mark.parametrize("break_", [b"", b"id: 3\nda", b"id: 3\ndata: e3"])
+@pytest.mark.parametrize("fault", FAULTS)
+def test_stream_with_such_a_head_in_it_is_resumed_there(deployment, fault, break_):
+    begun = b"HTTP/1.1 200 OK\r\n" + STREAM_FIELDS + b"\r\n" + FIRST_EVENTS + break_
+    outcomes = call_each(
+        deployment,
+        "/llm/x",
+        lambda head: [
+            begun + head.build(b"other text\n\n", status=b"500 Failed", fields=FIELDS),
+            "",
+        ],
+        FAULTS[fault],
+    )
+    check(
+        outcomes,
+        lambda status, body, sent, took_s: (status, body, sent) == (200, EVENTS, 2),
+    )
+
+
 # Guards against: a call that may not be repeated ran at a second server after a spoilt
 # refusal of the first one, which may have run it (issue 55).
 @pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected", b"429 Many"])
