Name the malformed heads of tests by the usual term

Files, tests and constants with "spoilt" are called "malformed" now, as the rest of the code says; `HeadTemplate` builds sound heads as well. Two tests more write down what was so before: a sound length beside chunks doesn't count, and one number in two spellings contradicts itself. The product isn't changed but for a docstring.

--- a/src/thornlatch/core/tests/spoilt_heads.py
+++ b/src/thornlatch/core/tests/malformed_heads.py
@@ -1,4 +1,4 @@
-"""Heads of answers that a server in trouble has spoilt, for tests of their readers."""
+"""Malformed heads of answers, of a server in trouble, for tests of their readers."""
 
 from dataclasses import dataclass
 
@@ -40,7 +40,7 @@
     "folded numbers": b"Content-Length: LENGTH\r\n LENGTH",
     "lower case": b"content-length: other",
     "two lines": b"Content-Length: LENGTH\r\nContent-Length: other",
-    "two lines, the first one spoilt": (
+    "two lines, the first one malformed": (
         b"Content-Length: other\r\nContent-Length: LENGTH"
     ),
     "two lengths": b"Content-Length: LENGTH\r\nContent-Length: 1LENGTH",
@@ -98,8 +98,8 @@
 
 
 @dataclass(frozen=True)
-class SpoiltHead:
-    """How the head of an answer is spoilt.
+class HeadTemplate:
+    """Lines of a head around others, which may make it malformed.
 
     Parameters
     ----------
@@ -136,40 +136,40 @@
         return b"HTTP/1.1 " + status + b"\r\n" + head + b"\r\n" + sent
 
 
-SOUND_HEAD = SpoiltHead(after=b"Content-Length: LENGTH\r\n")
-SPOILT_LENGTHS = {
-    name: SpoiltHead(after=line + b"\r\n") for name, line in LENGTH_LINES.items()
+SOUND_HEAD = HeadTemplate(after=b"Content-Length: LENGTH\r\n")
+MALFORMED_LENGTHS = {
+    name: HeadTemplate(after=line + b"\r\n") for name, line in LENGTH_LINES.items()
 }
 FRAMINGS = {
     "length": b"Content-Length: LENGTH\r\n",
     "chunked": CHUNKED,
     "close": b"",
 }
-SPOILT_LINES_ANYWHERE = {
+MALFORMED_LINES_ANYWHERE = {
     f"{name}, {place}, {framing}": head
     for name, line in ODD_LINES.items()
     for framing, field in FRAMINGS.items()
     for place, head in {
-        "first": SpoiltHead(before=line + b"\r\n", after=field),
-        "within": SpoiltHead(after=line + b"\r\n" + field),
-        "last": SpoiltHead(after=field + line + b"\r\n"),
+        "first": HeadTemplate(before=line + b"\r\n", after=field),
+        "within": HeadTemplate(after=line + b"\r\n" + field),
+        "last": HeadTemplate(after=field + line + b"\r\n"),
     }.items()
 }
 FORMS = 3 * len(FRAMINGS)  # of each line
 # Each line in one of its forms, which take turns.
-SPOILT_LINES = dict(
-    list(SPOILT_LINES_ANYWHERE.items())[FORMS * number + number % FORMS]
+MALFORMED_LINES = dict(
+    list(MALFORMED_LINES_ANYWHERE.items())[FORMS * number + number % FORMS]
     for number in range(len(ODD_LINES))
 )
-SPOILT_LINES |= {
-    name: SpoiltHead(before=line + b"\r\n", after=FRAMINGS["length"])
+MALFORMED_LINES |= {
+    name: HeadTemplate(before=line + b"\r\n", after=FRAMINGS["length"])
     for name, line in FIRST_LINES.items()
 }
-FAULTS = {"length": SPOILT_LENGTHS, "line": SPOILT_LINES}
+FAULTS = {"length": MALFORMED_LENGTHS, "line": MALFORMED_LINES}
 
 
 def check_heads(read, body, heads, **how):
-    """Check that a reader takes no answer with a spoilt head for one.
+    """Check that a reader takes no answer with a malformed head for one.
 
     Parameters
     ----------
@@ -177,9 +177,9 @@
         Takes the address of a server; returns whether it took the answer for one.
     body : bytes
     heads : dict
-        Of `SpoiltHead` by name.
+        Of `HeadTemplate` by name.
     **how
-        Of `SpoiltHead.build`.
+        Of `HeadTemplate.build`.
     """
     server = ScriptedTarget()
 
--- a/src/thornlatch/core/tests/test_connections.py
+++ b/src/thornlatch/core/tests/test_connections.py
@@ -5,14 +5,14 @@
 import pytest
 
 from thornlatch.core import connect, read_answer
-from thornlatch.core.tests.scripted import ScriptedTarget
-from thornlatch.core.tests.spoilt_heads import (
+from thornlatch.core.tests.malformed_heads import (
     FAULTS,
     FIRST_LINES,
+    MALFORMED_LINES_ANYWHERE,
     ODD_LINES,
-    SPOILT_LINES_ANYWHERE,
     check_heads,
 )
+from thornlatch.core.tests.scripted import ScriptedTarget
 
 OK = b"HTTP/1.1 200 OK\r\n"
 BODY = b"a body"
@@ -44,17 +44,17 @@
 
 
 @pytest.mark.parametrize("fault", FAULTS)
-def test_spoilt_head_is_none(fault):
+def test_malformed_head_is_none(fault):
     check_heads(is_answer, BODY, FAULTS[fault])
 
 
 def test_line_that_is_no_field_spoils_a_head_anywhere():
-    check_heads(is_answer, BODY, SPOILT_LINES_ANYWHERE)
+    check_heads(is_answer, BODY, MALFORMED_LINES_ANYWHERE)
 
 
 @pytest.mark.parametrize("status", [b"100 Continue", b"102 Busy", b"103 Early Hints"])
 @pytest.mark.parametrize("fault", FAULTS)
-def test_answer_behind_a_spoilt_interim_head_is_none(server, fault, status):
+def test_answer_behind_a_malformed_interim_head_is_none(server, fault, status):
     """Its head may be a part of the interim answer, whose end isn't known."""
     taken = []
     for name, head in FAULTS[fault].items():
@@ -68,7 +68,7 @@
 
 @pytest.mark.parametrize("status", [b"204 No Content", b"304 Not Modified"])
 @pytest.mark.parametrize("fault", FAULTS)
-def test_spoilt_head_without_a_body_is_none(server, fault, status):
+def test_malformed_head_without_a_body_is_none(server, fault, status):
     taken = []
     for name, head in FAULTS[fault].items():
         answer = head.build(b"", status=status)
@@ -110,7 +110,7 @@
 
 
 # Guards against: bytes in place of trailer fields, such as the rest of a body behind a
-# spoilt chunk size, were dropped, and the answer was taken for whole (issue 55).
+# malformed chunk size, were dropped, and the answer was taken for whole (issue 55).
 def test_line_after_the_last_chunk_that_is_no_field_spoils_an_answer(server):
     taken = []
     for name, line in (ODD_LINES | FIRST_LINES).items():
@@ -151,6 +151,17 @@
         assert read(server.address)[1] == BODY[:count]
 
 
+def test_length_beside_chunks_doesn_t_count(server):
+    server.build_answer = lambda _: OK + b"Content-Length: 5\r\n" + CHUNKS + b"\r\n"
+    assert is_answer(server.address)
+
+
+def test_lengths_of_one_number_in_two_spellings_contradict_each_other(server):
+    fields = b"Content-Length: 6\r\nContent-Length: 06\r\n\r\n"
+    server.build_answer = lambda _: OK + fields + BODY
+    assert not is_answer(server.address)
+
+
 def test_error_doesn_t_quote_a_malformed_length(server):
     """It may be part of the answer to another caller."""
     server.build_answer = lambda _: OK + b"Content-Length: secret\r\n\r\n"
--- a/src/thornlatch/gateway/_events.py
+++ b/src/thornlatch/gateway/_events.py
@@ -113,9 +113,9 @@
     """Return whether an event contains the head of an answer.
 
     A target that fails in a stream that ends with its connection may write one into it,
-    also a spoilt one: a status line on a line of its own, or before a line that is no
-    field of events. Text of a model may contain a status line too, but then a field of
-    events follows. No field of events begins like a status line.
+    also a malformed one: a status line on a line of its own, or before a line that is
+    no field of events. Text of a model may contain a status line too, but then a field
+    of events follows. No field of events begins like a status line.
     """
     line_end = 0
     for status_line in STATUS_LINE.finditer(event):
--- a/src/thornlatch/gateway/tests/test_events.py
+++ b/src/thornlatch/gateway/tests/test_events.py
@@ -7,7 +7,7 @@
 from hypothesis import given
 from hypothesis import strategies as st
 
-from thornlatch.core.tests.spoilt_heads import FIRST_LINES, ODD_LINES
+from thornlatch.core.tests.malformed_heads import FIRST_LINES, ODD_LINES
 from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
 
 # A process that does nothing else for longer delays final answers past their bound.
@@ -110,10 +110,10 @@
     assert [passed.data for passed in EventSplitter().feed(event)] == [event]
 
 
-# Guards against: the head of an answer with a spoilt first line, which a server wrote
-# into an event, was passed on as a part of it (issue 55).
+# Guards against: the head of an answer with a malformed first line, which a server
+# wrote into an event, was passed on as a part of it (issue 55).
 @pytest.mark.parametrize("line", [*ODD_LINES.values(), *FIRST_LINES.values()])
-def test_event_with_a_spoilt_head_is_none(line):
+def test_event_with_a_malformed_head_is_none(line):
     head = b"HTTP/1.1 500 Failed\r\n" + line + b"\r\nContent-Length: 5\r\n\r\n"
     splitter = EventSplitter()
     [event] = splitter.feed(b"id: 1\ndata: x\n\nid: 2\nda" + head)
--- a/src/thornlatch/gateway/tests/test_tunnels.py
+++ b/src/thornlatch/gateway/tests/test_tunnels.py
@@ -12,8 +12,11 @@
 from tests.ports import ports
 from thornlatch.core import connect, read_clock
 from thornlatch.core.tests.endless import HEADS, SPEEDS, EndlessTarget
+from thornlatch.core.tests.malformed_heads import (
+    MALFORMED_LENGTHS,
+    MALFORMED_LINES_ANYWHERE,
+)
 from thornlatch.core.tests.scripted import ScriptedTarget
-from thornlatch.core.tests.spoilt_heads import SPOILT_LENGTHS, SPOILT_LINES_ANYWHERE
 from thornlatch.gateway._tunnels import TunnelServer, TunnelSettings
 
 TIMEOUT_S = 5.0
@@ -216,7 +219,10 @@
 HEADS_WITHOUT_TUNNEL = {
     f"{name}, {kind}": head.build(b"", status=ESTABLISHED).partition(b"\r\n\r\n")[0]
     + b"\r\n\r\n"
-    for kind, heads in {"length": SPOILT_LENGTHS, "line": SPOILT_LINES_ANYWHERE}.items()
+    for kind, heads in {
+        "length": MALFORMED_LENGTHS,
+        "line": MALFORMED_LINES_ANYWHERE,
+    }.items()
     for name, head in heads.items()
 }
 
@@ -230,7 +236,7 @@
 
 # Guards against: the head of the answer to CONNECT was read by `http.client` alone,
 # which takes any lines, and the end of the connection for that of a head (issue 55).
-def test_spoilt_answer_makes_no_tunnel(peer):
+def test_malformed_answer_makes_no_tunnel(peer):
     made = []
     for name, answer in HEADS_WITHOUT_TUNNEL.items():
         peer.build_answer = lambda _, answer=answer: answer
--- a/src/thornlatch/logservice/tests/test_cut_answers.py
+++ b/src/thornlatch/logservice/tests/test_cut_answers.py
@@ -1,11 +1,11 @@
-"""Answers of the log service and the host list: cut off at any byte, or spoilt."""
+"""Answers of the log service and the host list: cut off at any byte, or malformed."""
 
 from functools import partial
 
 import pytest
 
 from thornlatch.core.tests.cut_answers import CASES, check_cuts
-from thornlatch.core.tests.spoilt_heads import FAULTS, check_heads
+from thornlatch.core.tests.malformed_heads import FAULTS, check_heads
 from thornlatch.logservice import (
     HostListClient,
     LogClient,
@@ -54,6 +54,6 @@
 @pytest.mark.timeout(60)
 @pytest.mark.parametrize("call", CALLS)
 @pytest.mark.parametrize("fault", FAULTS)
-def test_answer_with_a_spoilt_head_is_none(call, fault):
+def test_answer_with_a_malformed_head_is_none(call, fault):
     _, body = CALLS[call]
     check_heads(partial(is_answer, call=call), body, FAULTS[fault])
--- a/src/thornlatch/targets/tests/test_malformed_answers.py
+++ b/src/thornlatch/targets/tests/test_malformed_answers.py
@@ -3,8 +3,8 @@
 import pytest
 
 from thornlatch.core.tests.endless import CHUNKED_HEAD, HEAD
+from thornlatch.core.tests.malformed_heads import FAULTS, check_heads
 from thornlatch.core.tests.scripted import ScriptedTarget
-from thornlatch.core.tests.spoilt_heads import FAULTS, check_heads
 from thornlatch.exceptions import TargetError
 from thornlatch.targets import (
     TargetCall,
@@ -115,7 +115,7 @@
 @pytest.mark.timeout(30)
 @pytest.mark.parametrize("reader", READERS)
 @pytest.mark.parametrize("fault", FAULTS)
-def test_answer_with_a_spoilt_head_is_an_error(reader, fault):
+def test_answer_with_a_malformed_head_is_an_error(reader, fault):
     def read(address):
         try:
             READERS[reader](address)
--- a/tests/platform/test_cut_answers.py
+++ b/tests/platform/test_cut_answers.py
@@ -1,4 +1,4 @@
-"""Answers of the platform's store and servers: cut off at any byte, or spoilt."""
+"""Answers of the platform's store and servers: cut off at any byte, or malformed."""
 
 from functools import partial
 
@@ -8,7 +8,7 @@
 from adapter._protocols import PlatformTargetProtocol
 from adapter._store import KeyedRecord, StoreClient, StoreError, StoreOffset
 from thornlatch.core.tests.cut_answers import CASES, check_cuts
-from thornlatch.core.tests.spoilt_heads import FAULTS, check_heads
+from thornlatch.core.tests.malformed_heads import FAULTS, check_heads
 from thornlatch.exceptions import TargetError
 from thornlatch.fleet import UNKNOWN_EPOCH, StoreContact
 from thornlatch.gateway import GatewayMetrics, StoreEpochs
@@ -90,19 +90,19 @@
 @pytest.mark.timeout(60)
 @pytest.mark.parametrize("call", STORE_CALLS)
 @pytest.mark.parametrize("fault", FAULTS)
-def test_answer_of_the_store_with_a_spoilt_head_is_none(call, fault):
+def test_answer_of_the_store_with_a_malformed_head_is_none(call, fault):
     _, body = STORE_CALLS[call]
     check_heads(partial(is_store_answer, call=call), body, FAULTS[fault])
 
 
 @pytest.mark.timeout(60)
 @pytest.mark.parametrize("fault", FAULTS)
-def test_order_whose_answer_has_a_spoilt_head_has_an_unknown_outcome(fault):
+def test_order_whose_answer_has_a_malformed_head_has_an_unknown_outcome(fault):
     form = {"status": b"202 Accepted"}
     check_heads(is_order_accepted, b'{"sequence": 1}', FAULTS[fault], **form)
 
 
 @pytest.mark.timeout(60)
 @pytest.mark.parametrize("fault", FAULTS)
-def test_report_with_a_spoilt_head_is_none(fault):
+def test_report_with_a_malformed_head_is_none(fault):
     check_heads(is_report, REPORT, FAULTS[fault])
--- a/tests/platform/test_fuzz_answers.py
+++ b/tests/platform/test_fuzz_answers.py
@@ -15,13 +15,13 @@
 from fuzzing import TIME_LIMIT_S, TOKENS, bounds, edited
 from status_lines import BAD_LINES, GOOD_LINES
 from thornlatch.core import connect, read_answer, received_memory
-from thornlatch.core.tests.spoilt_heads import (
+from thornlatch.core.tests.malformed_heads import (
     FAULTS,
     FIRST_LINES,
     LENGTH_LINES,
+    MALFORMED_LINES_ANYWHERE,
     ODD_LINES,
     SOUND_HEAD,
-    SPOILT_LINES_ANYWHERE,
 )
 from thornlatch.exceptions import TargetError
 from thornlatch.gateway._events import EVENT_LIMIT_BYTES, EventSplitter
@@ -206,12 +206,12 @@
     b"Keep-Alive: timeout=9\r\n", b"X: \xe9\r\n", b"From x\r\n", b"X: a\rb\r\n",
     b"Content-Type: multipart/mixed\r\n",
 ]  # fmt: skip
-SPOILT_FIELDS = [
+MALFORMED_FIELDS = [
     line.replace(b"LENGTH", b"5") + b"\r\n"
     for line in [*LENGTH_LINES.values(), *ODD_LINES.values(), *FIRST_LINES.values()]
 ]
 FIELD = st.one_of(
-    st.sampled_from(FIELDS), st.sampled_from(FIELDS), st.sampled_from(SPOILT_FIELDS)
+    st.sampled_from(FIELDS), st.sampled_from(FIELDS), st.sampled_from(MALFORMED_FIELDS)
 )
 CHUNKS = [
     b"5\r\nhello\r\n", b"1\r\nx\r\n", b"2;a=b\r\nhi\r\n", b"00A \r\n0123456789\r\n",
@@ -289,8 +289,8 @@
     return response.status, data
 
 
-def test_oracle_tells_spoilt_heads_from_sound_ones():
-    heads = FAULTS["length"] | FAULTS["line"] | SPOILT_LINES_ANYWHERE
+def test_oracle_tells_malformed_heads_from_sound_ones():
+    heads = FAULTS["length"] | FAULTS["line"] | MALFORMED_LINES_ANYWHERE
     answers = {
         name: read_expected(head.build(b"hello")) for name, head in heads.items()
     }
--- a/tests/platform/test_spoilt_heads.py
+++ b/tests/platform/test_malformed_heads.py
@@ -1,4 +1,4 @@
-"""Answers whose head a server in trouble has spoilt: no caller gets them as answers.
+"""Answers whose head is malformed: no caller gets them as answers.
 
 Callers got such answers as whole ones, with what had arrived at the connection's end.
 """
@@ -9,7 +9,7 @@
 
 from hosts import run_deployment
 from stand_ins import build_config, build_route
-from thornlatch.core.tests.spoilt_heads import FAULTS, SOUND_HEAD
+from thornlatch.core.tests.malformed_heads import FAULTS, SOUND_HEAD
 
 FIELDS = b"Thornlatch-Request-Id: REQUEST\r\nThornlatch-Server-Signature: sig\r\n"
 STREAM_FIELDS = FIELDS + b"Content-Type: text/event-stream\r\n"
@@ -86,7 +86,7 @@
     return status == 502 and b"outcome-unknown" in body and b"other" not in body
 
 
-# Guards against: answers with a spoilt head reached callers as whole ones (issue 55).
+# Guards against: such answers reached callers as whole ones (issue 55).
 @pytest.mark.parametrize("wire", WIRES)
 @pytest.mark.parametrize("fault", FAULTS)
 def test_answer_that_may_not_be_repeated_fails_at_once(deployment, fault, wire):
@@ -106,7 +106,7 @@
     )
 
 
-# Guards against: answers with a spoilt head reached callers as whole ones (issue 55).
+# Guards against: such answers reached callers as whole ones (issue 55).
 @pytest.mark.parametrize("wire", WIRES)
 @pytest.mark.parametrize("path", ["/many/x", "/llm/x"])
 @pytest.mark.parametrize("fault", FAULTS)
@@ -214,7 +214,7 @@
     )
 
 
-# Guards against: a call that may not be repeated ran at a second server after a spoilt
+# Guards against: a call that may not be repeated ran at a second server after such a
 # refusal of the first one, which may have run it (issue 55).
 @pytest.mark.parametrize("status", [b"503 Full", b"421 Misdirected", b"429 Many"])
 @pytest.mark.parametrize("fault", FAULTS)
